--- /dev/null
+++ b/source/cowslipctl/cowslipctl.c
@@ -0,0 +1,5 @@
+int
+main (void)
+{
+  return 0;
+}
