--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 CFLAGS := $(STD) -O2 -g $(WARN) $(SAN_FLAGS)
 LDFLAGS := $(SAN_FLAGS)
 LDLIBS := -lcivetweb -lcurl -lnng -lprotobuf-c -ljson-c -llog4c \
-  -lurcu-mb -lurcu-common -lcrypto -lpthread -lm
+  -lurcu-memb -lurcu-common -lcrypto -lpthread -lm
 CHECK_LIBS := -lcheck_pic -lsubunit -lrt
 
 # Generated codecs are committed; see source/peer/README for the command.
--- /dev/null
+++ b/include/cowslipspoke/log.h
@@ -0,0 +1,115 @@
+#ifndef COWSLIPSPOKE_LOG_H
+#define COWSLIPSPOKE_LOG_H
+
+#include <stdint.h>
+
+#include "cowslipspoke/clock.h"
+
+/* Numbered events.  A number is never used for anything else once it was
+   released; docs/EVENTS.md is the catalogue and a test compares it with the
+   table in source/log/event-table.c.  */
+typedef enum
+{
+  CSP_EVENT_STARTED = 100,
+  CSP_EVENT_READY = 101,
+  CSP_EVENT_DRAINING = 102,
+  CSP_EVENT_STOPPED = 103,
+  CSP_EVENT_START_FAILED = 104,
+  CSP_EVENT_DRAIN_LIMIT = 105,
+  CSP_EVENT_REQUEST_ENDED = 200,
+  CSP_EVENT_REQUEST_REFUSED = 201,
+  CSP_EVENT_REQUEST_RETRIED = 202,
+  CSP_EVENT_STREAM_RESUMED = 203,
+  CSP_EVENT_STREAM_BROKEN = 204,
+  CSP_EVENT_CALLER_GONE = 205,
+  CSP_EVENT_CONFIGURATION_TAKEN = 300,
+  CSP_EVENT_CONFIGURATION_STALE = 301,
+  CSP_EVENT_CONFIGURATION_BAD = 302,
+  CSP_EVENT_PLATFORM_AWAY = 303,
+  CSP_EVENT_PLATFORM_BACK = 304,
+  CSP_EVENT_HOST_LIST_TAKEN = 305,
+  CSP_EVENT_HOST_LIST_BAD = 306,
+  CSP_EVENT_CONFIGURATION_DIVERGED = 307,
+  CSP_EVENT_PEER_ALIVE = 400,
+  CSP_EVENT_PEER_SILENT = 401,
+  CSP_EVENT_PEER_REFUSED = 402,
+  CSP_EVENT_PEER_MESSAGE_BAD = 403,
+  CSP_EVENT_OWNERSHIP_MOVED = 404,
+  CSP_EVENT_WOKE_LATE = 405,
+  CSP_EVENT_TARGET_LEAVING = 500,
+  CSP_EVENT_TARGET_LOST = 501,
+  CSP_EVENT_KEY_REFUSED = 600
+} csp_event_t;
+
+typedef enum
+{
+  CSP_LEVEL_DEBUG,
+  CSP_LEVEL_INFO,
+  CSP_LEVEL_WARNING,
+  CSP_LEVEL_ERROR
+} csp_level_t;
+
+/* One row of the catalogue.  */
+typedef struct
+{
+  csp_event_t event;
+  csp_level_t level;
+  const char *name;
+} csp_event_row_t;
+
+typedef enum
+{
+  CSP_FIELD_END,
+  CSP_FIELD_TEXT,
+  CSP_FIELD_NUMBER
+} csp_field_kind_t;
+
+/* One named value of an event.  */
+typedef struct
+{
+  csp_field_kind_t kind;
+  const char *name;
+  union
+  {
+    const char *text;
+    int64_t number;
+  } value;
+} csp_field_t;
+
+typedef struct csp_log csp_log_t;
+
+/* A log that writes one JSON object a line to standard error.  NULL when
+   memory or log4c fails.  host stands in every line.  */
+csp_log_t *csp_create_log (const char *host, csp_level_t least,
+                           const csp_clock_t *clock);
+
+/* Free a log; NULL is allowed.  */
+void csp_destroy_log (csp_log_t *log);
+
+/* A field with a text; NULL is written as null.  */
+csp_field_t csp_text (const char *name, const char *text);
+
+/* A field with a whole number.  */
+csp_field_t csp_number (const char *name, int64_t number);
+
+/* Write one event.  request_id may be NULL.  fields ends with a field of kind
+   CSP_FIELD_END.  Any thread may call it; log may be NULL, which drops the
+   event.  */
+void csp_log_fields (csp_log_t *log, csp_event_t event, const char *request_id,
+                     const csp_field_t *fields);
+
+/* The same with the fields written one after another.  */
+#define CSP_LOG(log, event, request_id, ...)                                  \
+  csp_log_fields (log, event, request_id,                                     \
+                  (const csp_field_t[]){ __VA_ARGS__, { CSP_FIELD_END } })
+
+/* The row of an event; NULL where there is none.  */
+const csp_event_row_t *csp_find_event (csp_event_t event);
+
+/* All rows, in order of number.  */
+const csp_event_row_t *csp_list_events (uint32_t *count);
+
+/* Level of a name such as "info"; -1 where there is none.  */
+int csp_parse_level (const char *name, csp_level_t *level);
+
+#endif
--- /dev/null
+++ b/source/log/event-table.c
@@ -0,0 +1,77 @@
+#include "cowslipspoke/log.h"
+
+#include <stddef.h>
+#include <string.h>
+
+static const csp_event_row_t event_table[] = {
+  { CSP_EVENT_STARTED, CSP_LEVEL_INFO, "started" },
+  { CSP_EVENT_READY, CSP_LEVEL_INFO, "ready" },
+  { CSP_EVENT_DRAINING, CSP_LEVEL_INFO, "draining" },
+  { CSP_EVENT_STOPPED, CSP_LEVEL_INFO, "stopped" },
+  { CSP_EVENT_START_FAILED, CSP_LEVEL_ERROR, "start-failed" },
+  { CSP_EVENT_DRAIN_LIMIT, CSP_LEVEL_WARNING, "drain-limit" },
+  { CSP_EVENT_REQUEST_ENDED, CSP_LEVEL_INFO, "request-ended" },
+  { CSP_EVENT_REQUEST_REFUSED, CSP_LEVEL_INFO, "request-refused" },
+  { CSP_EVENT_REQUEST_RETRIED, CSP_LEVEL_INFO, "request-retried" },
+  { CSP_EVENT_STREAM_RESUMED, CSP_LEVEL_INFO, "stream-resumed" },
+  { CSP_EVENT_STREAM_BROKEN, CSP_LEVEL_WARNING, "stream-broken" },
+  { CSP_EVENT_CALLER_GONE, CSP_LEVEL_INFO, "caller-gone" },
+  { CSP_EVENT_CONFIGURATION_TAKEN, CSP_LEVEL_INFO, "configuration-taken" },
+  { CSP_EVENT_CONFIGURATION_STALE, CSP_LEVEL_WARNING, "configuration-stale" },
+  { CSP_EVENT_CONFIGURATION_BAD, CSP_LEVEL_ERROR, "configuration-bad" },
+  { CSP_EVENT_PLATFORM_AWAY, CSP_LEVEL_WARNING, "platform-away" },
+  { CSP_EVENT_PLATFORM_BACK, CSP_LEVEL_INFO, "platform-back" },
+  { CSP_EVENT_HOST_LIST_TAKEN, CSP_LEVEL_INFO, "host-list-taken" },
+  { CSP_EVENT_HOST_LIST_BAD, CSP_LEVEL_ERROR, "host-list-bad" },
+  { CSP_EVENT_CONFIGURATION_DIVERGED, CSP_LEVEL_ERROR,
+    "configuration-diverged" },
+  { CSP_EVENT_PEER_ALIVE, CSP_LEVEL_INFO, "peer-alive" },
+  { CSP_EVENT_PEER_SILENT, CSP_LEVEL_WARNING, "peer-silent" },
+  { CSP_EVENT_PEER_REFUSED, CSP_LEVEL_WARNING, "peer-refused" },
+  { CSP_EVENT_PEER_MESSAGE_BAD, CSP_LEVEL_WARNING, "peer-message-bad" },
+  { CSP_EVENT_OWNERSHIP_MOVED, CSP_LEVEL_INFO, "ownership-moved" },
+  { CSP_EVENT_WOKE_LATE, CSP_LEVEL_WARNING, "woke-late" },
+  { CSP_EVENT_TARGET_LEAVING, CSP_LEVEL_INFO, "target-leaving" },
+  { CSP_EVENT_TARGET_LOST, CSP_LEVEL_WARNING, "target-lost" },
+  { CSP_EVENT_KEY_REFUSED, CSP_LEVEL_INFO, "key-refused" },
+};
+
+enum
+{
+  EVENT_COUNT = sizeof event_table / sizeof event_table[0]
+};
+
+static const char *const level_names[]
+    = { "debug", "info", "warning", "error" };
+
+const csp_event_row_t *
+csp_find_event (csp_event_t event)
+{
+  size_t i;
+
+  for (i = 0; i < EVENT_COUNT; i++)
+    if (event_table[i].event == event)
+      return &event_table[i];
+  return NULL;
+}
+
+const csp_event_row_t *
+csp_list_events (uint32_t *count)
+{
+  *count = EVENT_COUNT;
+  return event_table;
+}
+
+int
+csp_parse_level (const char *name, csp_level_t *level)
+{
+  int i;
+
+  for (i = 0; i <= (int)CSP_LEVEL_ERROR; i++)
+    if (strcmp (name, level_names[i]) == 0)
+      {
+        *level = (csp_level_t)i;
+        return 0;
+      }
+  return -1;
+}
--- /dev/null
+++ b/source/log/log.c
@@ -0,0 +1,140 @@
+#include "cowslipspoke/log.h"
+
+#include <json-c/json.h>
+#include <log4c.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct csp_log
+{
+  log4c_category_t *category;
+  csp_clock_t clock;
+  csp_level_t least;
+  char host[64];
+};
+
+/* One write a line: lines of several threads then never mix, and a line that
+   standard error can't take is dropped and holds nobody up.  */
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  return fprintf (stderr, "%s\n", event->evt_rendered_msg) < 0 ? -1 : 0;
+}
+
+static const char *
+render_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+  (void)layout;
+  return event->evt_msg;
+}
+
+static const log4c_appender_type_t line_appender
+    = { "cowslipspoke-stderr", NULL, append_line, NULL };
+static const log4c_layout_type_t line_layout
+    = { "cowslipspoke-line", render_line };
+
+static const int priorities[] = { LOG4C_PRIORITY_DEBUG, LOG4C_PRIORITY_INFO,
+                                  LOG4C_PRIORITY_WARN, LOG4C_PRIORITY_ERROR };
+
+csp_log_t *
+csp_create_log (const char *host, csp_level_t least, const csp_clock_t *clock)
+{
+  csp_log_t *log = calloc (1, sizeof *log);
+  log4c_appender_t *appender;
+  log4c_layout_t *layout;
+
+  if (log == NULL)
+    return NULL;
+  log4c_init ();
+  log->clock = *clock;
+  log->least = least;
+  snprintf (log->host, sizeof log->host, "%s", host);
+  log->category = log4c_category_get ("cowslipspoke");
+  appender = log4c_appender_get ("cowslipspoke");
+  layout = log4c_layout_get ("cowslipspoke");
+  if (log->category == NULL || appender == NULL || layout == NULL)
+    goto fail;
+  log4c_appender_type_set (&line_appender);
+  log4c_layout_type_set (&line_layout);
+  log4c_layout_set_type (layout, &line_layout);
+  log4c_appender_set_type (appender, &line_appender);
+  log4c_appender_set_layout (appender, layout);
+  log4c_category_set_appender (log->category, appender);
+  log4c_category_set_additivity (log->category, 0);
+  log4c_category_set_priority (log->category, priorities[least]);
+  return log;
+
+fail:
+  free (log);
+  return NULL;
+}
+
+void
+csp_destroy_log (csp_log_t *log)
+{
+  if (log == NULL)
+    return;
+  log4c_fini ();
+  free (log);
+}
+
+csp_field_t
+csp_text (const char *name, const char *text)
+{
+  csp_field_t field = { CSP_FIELD_TEXT, name, { .text = text } };
+
+  return field;
+}
+
+csp_field_t
+csp_number (const char *name, int64_t number)
+{
+  csp_field_t field = { CSP_FIELD_NUMBER, name, { .number = number } };
+
+  return field;
+}
+
+static json_object *
+field_value (const csp_field_t *field)
+{
+  switch (field->kind)
+    {
+    case CSP_FIELD_TEXT:
+      return field->value.text == NULL
+                 ? NULL
+                 : json_object_new_string (field->value.text);
+    case CSP_FIELD_NUMBER:
+      return json_object_new_int64 (field->value.number);
+    case CSP_FIELD_END:
+      break;
+    }
+  return NULL;
+}
+
+void
+csp_log_fields (csp_log_t *log, csp_event_t event, const char *request_id,
+                const csp_field_t *fields)
+{
+  const csp_event_row_t *row = csp_find_event (event);
+  json_object *line;
+
+  if (log == NULL || row == NULL || row->level < log->least)
+    return;
+  line = json_object_new_object ();
+  json_object_object_add (line, "at_ms",
+                          json_object_new_int64 (csp_wall_ms (&log->clock)));
+  json_object_object_add (line, "event", json_object_new_int (event));
+  json_object_object_add (line, "name", json_object_new_string (row->name));
+  json_object_object_add (line, "host", json_object_new_string (log->host));
+  if (request_id != NULL)
+    json_object_object_add (line, "request_id",
+                            json_object_new_string (request_id));
+  for (; fields->kind != CSP_FIELD_END; fields++)
+    json_object_object_add (line, fields->name, field_value (fields));
+  log4c_category_log (
+      log->category, priorities[row->level], "%s",
+      json_object_to_json_string_ext (line, JSON_C_TO_STRING_PLAIN));
+  json_object_put (line);
+}
--- /dev/null
+++ b/source/target/http.c
@@ -0,0 +1,35 @@
+#include "target/http-imp.h"
+
+CURL *
+csp_create_call (const csp_endpoint_t *endpoint, const char *path,
+                 uint32_t connect_timeout_ms)
+{
+  CURL *call = curl_easy_init ();
+  const char *scheme = endpoint->ca_file == NULL ? "http" : "https";
+  char url[CSP_URL_BYTES];
+
+  if (call == NULL)
+    return NULL;
+  snprintf (url, sizeof url, "%s://%s:%u%s", scheme, endpoint->address,
+            endpoint->port, path);
+  curl_easy_setopt (call, CURLOPT_URL, url);
+  curl_easy_setopt (call, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (call, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (call, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt (call, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (call, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (call, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (call, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_timeout_ms);
+  if (endpoint->ca_file != NULL)
+    curl_easy_setopt (call, CURLOPT_CAINFO, endpoint->ca_file);
+  return call;
+}
+
+bool
+csp_nothing_left (CURL *call)
+{
+  long request_bytes = 0;
+
+  curl_easy_getinfo (call, CURLINFO_REQUEST_SIZE, &request_bytes);
+  return request_bytes == 0;
+}
