--- /dev/null
+++ b/include/cowslipspoke/control.h
@@ -0,0 +1,106 @@
+#ifndef COWSLIPSPOKE_CONTROL_H
+#define COWSLIPSPOKE_CONTROL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "cowslipspoke/clock.h"
+#include "cowslipspoke/declaration.h"
+#include "cowslipspoke/engine.h"
+#include "cowslipspoke/log.h"
+#include "cowslipspoke/settings.h"
+#include "cowslipspoke/verdict.h"
+
+/* The control thread owns all state of the decisions: who is alive, which
+   configuration is in force, who waits, what is in flight where.  Traffic
+   threads send it commands and read snapshots; they never take its locks.  */
+typedef struct csp_control csp_control_t;
+
+enum
+{
+  CSP_REQUEST_ID_BYTES = 40,
+  CSP_TRIED_MAX = 4
+};
+
+/* A snapshot of what traffic threads read.  It is counted: it lives until the
+   last of them has put it back, however long its request runs.  */
+typedef struct csp_view csp_view_t;
+
+/* The view in force.  */
+csp_view_t *csp_take_view (csp_control_t *control);
+
+/* Give a view back; NULL is allowed.  */
+void csp_put_view (csp_view_t *view);
+
+/* The declaration of a view; NULL while there is no configuration.  */
+const csp_declaration_t *csp_view_declaration (const csp_view_t *view);
+
+/* What a request asks for when it wants a target.  Texts belong to the
+   caller and must live until the call returns.  */
+typedef struct
+{
+  const char *request_id;
+  const char *organisation;
+  const char *model;
+  const char *class_name;
+  csp_pool_kind_t kind;
+  csp_terms_t terms; /* the rule's word: pool, priority, weight, limits */
+  uint32_t prompt_tokens;
+  uint32_t max_tokens; /* 0: no bound */
+  int64_t deadline_ms; /* steady */
+  bool retry;          /* not the first attempt: needs retry budget */
+  char tried[CSP_TRIED_MAX][CSP_NAME_BYTES];
+  uint32_t tried_count;
+} csp_admission_ask_t;
+
+/* A place on a target.  */
+typedef struct
+{
+  char target[CSP_NAME_BYTES];
+  csp_endpoint_t endpoint;
+  uint64_t place; /* of the owner's table */
+  char owner[CSP_NAME_BYTES];
+  int64_t wait_ms;
+} csp_grant_t;
+
+/* What a traffic thread says of a target when it gives its place back.  */
+typedef struct
+{
+  csp_link_end_t end;
+  uint64_t tokens;
+  uint32_t worst_gap_ms;
+} csp_place_outcome_t;
+
+/* Start the control thread and the threads that read the platform.  NULL when
+   memory or threads fail.  */
+csp_control_t *csp_create_control (const csp_settings_t *settings,
+                                   const csp_clock_t *clock, csp_log_t *log);
+
+/* Stop the threads and free everything.  No traffic thread may use the
+   control any more.  NULL is allowed.  */
+void csp_destroy_control (csp_control_t *control);
+
+/* Whether there is a configuration and a host list to serve on.  */
+bool csp_control_ready (csp_control_t *control);
+
+/* Ask for a place and wait for it.  0 with a grant, or -1 with an error; its
+   verdict is CSP_VERDICT_NOT_RUN.  */
+int csp_ask_admission (csp_control_t *control, const csp_admission_ask_t *ask,
+                       csp_grant_t *grant, csp_error_t *error);
+
+/* Say how many tokens a stream has made so far.  */
+void csp_note_progress (csp_control_t *control, const csp_grant_t *grant,
+                        uint64_t tokens);
+
+/* Give a place back.  */
+void csp_release_grant (csp_control_t *control, const csp_grant_t *grant,
+                        const csp_place_outcome_t *outcome);
+
+/* The host's state as JSON, for operators.  To be freed by the caller.  */
+char *csp_describe_control (csp_control_t *control);
+
+/* This process of the host: its name and when it started, unlike any other
+   that ran before at the same address.  */
+uint64_t csp_control_incarnation (const csp_control_t *control);
+
+#endif
--- /dev/null
+++ b/source/entry/answer.c
@@ -0,0 +1,147 @@
+#include "entry/entry-imp.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  MS_PER_S = 1000,
+  HEADER_BYTES = 1024
+};
+
+static const char *
+error_type (csp_reason_t reason)
+{
+  return csp_reason_status (reason) < 500 ? "invalid_request_error"
+                                          : "server_error";
+}
+
+char *
+csp_render_error (const char *request_id, const csp_error_t *error)
+{
+  json_object *document = json_object_new_object ();
+  json_object *inner = json_object_new_object ();
+  char *text;
+
+  json_object_object_add (inner, "message",
+                          json_object_new_string (error->detail));
+  json_object_object_add (inner, "type",
+                          json_object_new_string (error_type (error->reason)));
+  json_object_object_add (
+      inner, "code", json_object_new_string (csp_reason_code (error->reason)));
+  json_object_object_add (
+      inner, "verdict",
+      json_object_new_string (csp_verdict_name (error->verdict)));
+  json_object_object_add (inner, "request_id",
+                          json_object_new_string (request_id));
+  if (error->retry_after_ms != 0)
+    json_object_object_add (inner, "retry_after_ms",
+                            json_object_new_int64 (error->retry_after_ms));
+  json_object_object_add (document, "error", inner);
+  text = strdup (
+      json_object_to_json_string_ext (document, JSON_C_TO_STRING_PLAIN));
+  json_object_put (document);
+  return text;
+}
+
+void
+csp_answer_json (csp_exchange_t *exchange, uint16_t status, const char *json)
+{
+  mg_printf (exchange->connection,
+             "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+             "Content-Length: %zu\r\nX-Request-Id: %s\r\n"
+             "Cache-Control: no-store\r\nConnection: close\r\n\r\n",
+             status, mg_get_response_code_text (exchange->connection, status),
+             strlen (json), exchange->id);
+  mg_write (exchange->connection, json, strlen (json));
+}
+
+void
+csp_answer_error (csp_exchange_t *exchange, const csp_error_t *error)
+{
+  uint16_t status = csp_reason_status (error->reason);
+  char *json = csp_render_error (exchange->id, error);
+  char retry[64] = "";
+
+  if (error->retry_after_ms != 0)
+    snprintf (retry, sizeof retry, "Retry-After: %u\r\n",
+              (error->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+  mg_printf (exchange->connection,
+             "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+             "Content-Length: %zu\r\nX-Request-Id: %s\r\nX-Verdict: %s\r\n%s"
+             "Cache-Control: no-store\r\nConnection: close\r\n\r\n",
+             status, mg_get_response_code_text (exchange->connection, status),
+             json == NULL ? 0 : strlen (json), exchange->id,
+             csp_verdict_name (error->verdict), retry);
+  if (json != NULL)
+    mg_write (exchange->connection, json, strlen (json));
+  free (json);
+  CSP_LOG (exchange->entry->log, CSP_EVENT_REQUEST_REFUSED, exchange->id,
+           csp_text ("organisation", exchange->organisation == NULL
+                                         ? NULL
+                                         : exchange->organisation->name),
+           csp_text ("reason", csp_reason_code (error->reason)),
+           csp_text ("verdict", csp_verdict_name (error->verdict)),
+           csp_text ("detail", error->detail));
+}
+
+int
+csp_begin_events (csp_exchange_t *exchange)
+{
+  int sent = mg_printf (exchange->connection,
+                        "HTTP/1.1 200 OK\r\n"
+                        "Content-Type: text/event-stream\r\n"
+                        "Transfer-Encoding: chunked\r\nX-Request-Id: %s\r\n"
+                        "Cache-Control: no-store\r\nConnection: close\r\n\r\n",
+                        exchange->id);
+
+  return sent > 0 ? 0 : -1;
+}
+
+/* A whole HTTP chunk in one write: with Nagle's algorithm off each write is a
+   packet, and three packets a token cost more than the token.  */
+static int
+send_chunk (csp_exchange_t *exchange, const char *before, const char *data,
+            const char *after)
+{
+  size_t body_bytes = strlen (before) + strlen (data) + strlen (after);
+  size_t room_bytes = body_bytes + HEADER_BYTES;
+  char stack[HEADER_BYTES * 2];
+  char *frame = room_bytes <= sizeof stack ? stack : malloc (room_bytes);
+  int frame_bytes;
+  int sent;
+
+  if (frame == NULL)
+    return -1;
+  frame_bytes = snprintf (frame, room_bytes, "%zx\r\n%s%s%s\r\n", body_bytes,
+                          before, data, after);
+  sent = mg_write (exchange->connection, frame, (size_t)frame_bytes);
+  if (frame != stack)
+    free (frame);
+  return sent == frame_bytes ? 0 : -1;
+}
+
+int
+csp_send_event (csp_exchange_t *exchange, const char *name, const char *data)
+{
+  char before[64];
+
+  if (name == NULL)
+    snprintf (before, sizeof before, "data: ");
+  else
+    snprintf (before, sizeof before, "event: %s\ndata: ", name);
+  return send_chunk (exchange, before, data, "\n\n");
+}
+
+int
+csp_send_keep_alive (csp_exchange_t *exchange)
+{
+  return send_chunk (exchange, ":", "", "\n\n");
+}
+
+void
+csp_end_events (csp_exchange_t *exchange)
+{
+  mg_write (exchange->connection, "0\r\n\r\n", 5);
+}
--- /dev/null
+++ b/source/entry/caller.c
@@ -0,0 +1,129 @@
+#include "entry/entry-imp.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "cowslipspoke/hash.h"
+
+enum
+{
+  FIRST_BODY_BYTES = 16384,
+  RETRY_WITHOUT_CONFIGURATION_MS = 2000
+};
+
+static const char bearer[] = "Bearer ";
+
+static int
+grow_body (csp_exchange_t *exchange, size_t *room_bytes)
+{
+  size_t room = *room_bytes == 0 ? FIRST_BODY_BYTES : *room_bytes * 2;
+  char *body = realloc (exchange->body, room + 1);
+
+  if (body == NULL)
+    return -1;
+  exchange->body = body;
+  *room_bytes = room;
+  return 0;
+}
+
+int
+csp_read_body (csp_exchange_t *exchange, csp_error_t *error)
+{
+  uint32_t limit_bytes = exchange->entry->settings->max_body_bytes;
+  size_t room_bytes = 0;
+  int got = 1;
+
+  if (exchange->info->content_length > (long long)limit_bytes)
+    goto too_large;
+  while (got > 0)
+    {
+      if (exchange->body_bytes == room_bytes
+          && grow_body (exchange, &room_bytes) != 0)
+        {
+          csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_INTERNAL, 0,
+                         "out of memory");
+          return -1;
+        }
+      got = mg_read (exchange->connection,
+                     exchange->body + exchange->body_bytes,
+                     room_bytes - exchange->body_bytes);
+      if (got > 0)
+        exchange->body_bytes += (size_t)got;
+      if (exchange->body_bytes > limit_bytes)
+        goto too_large;
+    }
+  exchange->body[exchange->body_bytes] = '\0';
+  if (exchange->info->content_length > (long long)exchange->body_bytes)
+    {
+      csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_BAD_REQUEST, 0,
+                     "the body ended before its stated length");
+      return -1;
+    }
+  return 0;
+
+too_large:
+  csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_TOO_LARGE, 0,
+                 "the body is larger than %u bytes", limit_bytes);
+  return -1;
+}
+
+int
+csp_identify_caller (csp_exchange_t *exchange, csp_error_t *error)
+{
+  const char *field = mg_get_header (exchange->connection, "Authorization");
+  const csp_declaration_t *declaration;
+  char hex[CSP_SHA256_HEX_BYTES];
+
+  exchange->view = csp_take_view (exchange->entry->control);
+  declaration = csp_view_declaration (exchange->view);
+  if (declaration == NULL)
+    {
+      csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_NO_CONFIGURATION,
+                     RETRY_WITHOUT_CONFIGURATION_MS,
+                     "this host has no configuration yet");
+      return -1;
+    }
+  if (field != NULL && strncasecmp (field, bearer, sizeof bearer - 1) == 0)
+    {
+      field += sizeof bearer - 1;
+      csp_hash_sha256_hex (field, strlen (field), hex);
+      exchange->organisation = csp_find_organisation_by_key (declaration, hex);
+    }
+  if (exchange->organisation == NULL)
+    {
+      csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_UNKNOWN_KEY, 0,
+                     "the bearer key belongs to no organisation");
+      return -1;
+    }
+  return 0;
+}
+
+int
+csp_apply_rules (csp_exchange_t *exchange, csp_request_facts_t *facts,
+                 csp_terms_t *terms, csp_error_t *error)
+{
+  csp_rule_outcome_t outcome;
+
+  facts->organisation = exchange->organisation->name;
+  facts->data_centre = exchange->entry->settings->data_centre;
+  csp_decide_rule (csp_view_declaration (exchange->view), facts, &outcome);
+  switch (outcome.action)
+    {
+    case CSP_ACTION_SEND:
+      *terms = outcome.is.send;
+      return 0;
+    case CSP_ACTION_LEND:
+      *terms = outcome.is.lend.terms;
+      return 0;
+    case CSP_ACTION_SPILL:
+      *terms = outcome.is.spill.terms;
+      return 0;
+    case CSP_ACTION_TURN_AWAY:
+      break;
+    }
+  csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_TURNED_AWAY,
+                 outcome.is.turn_away.retry_after_ms, "%s",
+                 outcome.is.turn_away.reason);
+  return -1;
+}
--- /dev/null
+++ b/source/entry/entry-imp.h
@@ -0,0 +1,81 @@
+#ifndef COWSLIPSPOKE_ENTRY_IMP_H
+#define COWSLIPSPOKE_ENTRY_IMP_H
+
+#include <civetweb.h>
+#include <stdatomic.h>
+
+#include "cowslipspoke/control.h"
+#include "cowslipspoke/entry.h"
+#include "cowslipspoke/request.h"
+
+struct csp_entry
+{
+  const csp_settings_t *settings;
+  csp_control_t *control;
+  csp_log_t *log;
+  csp_clock_t clock;
+  struct mg_context *server;
+  atomic_uint_fast64_t next_request;
+  atomic_int open_requests;
+  atomic_bool draining;
+  atomic_bool stopping;
+};
+
+/* One request of a caller on its way through a traffic thread.  */
+typedef struct
+{
+  csp_entry_t *entry;
+  struct mg_connection *connection;
+  const struct mg_request_info *info;
+  char id[CSP_REQUEST_ID_BYTES];
+  int64_t arrived_ms;
+  int64_t deadline_ms;
+  csp_marks_t marks;
+  csp_view_t *view;
+  const csp_organisation_t *organisation;
+  char *body;
+  size_t body_bytes;
+} csp_exchange_t;
+
+/* Answer with an error before any byte of an answer was sent, and log it.  */
+void csp_answer_error (csp_exchange_t *exchange, const csp_error_t *error);
+
+/* Answer with a JSON text.  */
+void csp_answer_json (csp_exchange_t *exchange, uint16_t status,
+                      const char *json);
+
+/* The JSON of an error as callers read it; to be freed.  */
+char *csp_render_error (const char *request_id, const csp_error_t *error);
+
+/* Begin a stream of events.  0, or -1 when the caller is gone.  */
+int csp_begin_events (csp_exchange_t *exchange);
+
+/* Send one event; name may be NULL.  0, or -1 when the caller is gone.  */
+int csp_send_event (csp_exchange_t *exchange, const char *name,
+                    const char *data);
+
+/* Send a comment, which callers pass over; tells whether they are there.  */
+int csp_send_keep_alive (csp_exchange_t *exchange);
+
+/* End a stream of events.  */
+void csp_end_events (csp_exchange_t *exchange);
+
+/* Read the body, bounded by the settings.  0, or -1 with an error.  */
+int csp_read_body (csp_exchange_t *exchange, csp_error_t *error);
+
+/* Find the organisation by the bearer key.  0, or -1 with an error.  */
+int csp_identify_caller (csp_exchange_t *exchange, csp_error_t *error);
+
+/* Serve a generation.  */
+void csp_serve_generation (csp_exchange_t *exchange, csp_api_t api);
+
+/* Serve a call of a plain service; rest is the path behind its prefix.  */
+void csp_serve_call (csp_exchange_t *exchange, const csp_service_t *service,
+                     const char *rest);
+
+/* Apply the rules to a request.  0 with the terms of the request, or -1 with
+   the error of a rule that turns it away.  */
+int csp_apply_rules (csp_exchange_t *exchange, csp_request_facts_t *facts,
+                     csp_terms_t *terms, csp_error_t *error);
+
+#endif
