Decisions: length, admission and queue as pure code

The daemon needs the first three decisions to wire its control thread: what is still to come of an answer, whether a target takes one more stream, and who is served next.

--- /dev/null
+++ b/source/admission/admission-decide.c
@@ -0,0 +1,151 @@
+#include "admission/ledger-imp.h"
+
+#include <math.h>
+
+/* The chance of growing past long_tokens from which on a class counts as one
+   whose answers may become long; 2 in 100 leaves lookups and tags out.  */
+static const double long_chance = 0.02;
+
+static const double pressure_most = 3;
+
+double
+csp_ledger_risk (const csp_ledger_t *ledger, uint8_t priority, int64_t now_ms)
+{
+  const csp_admission_policy_t *policy = &ledger->policy;
+  double age = (double)(now_ms - ledger->pressure_ms);
+  double fade = exp2 (-age / fmax (policy->pressure_half_life_ms, 1));
+  uint8_t below
+      = priority < CSP_PRIORITY_MAX ? CSP_PRIORITY_MAX - priority : 0;
+
+  return policy->risk + policy->risk_step * below + ledger->pressure * fade;
+}
+
+/* A wrong guess shows as preemptions.  Without this feedback the same guess
+   lets in the next stream as well, and preemptions go on until enough long
+   answers have ended to be learnt from.  */
+void
+csp_note_preemption (csp_ledger_t *ledger, int64_t now_ms)
+{
+  double age = (double)(now_ms - ledger->pressure_ms);
+  double fade = exp2 (-age / fmax (ledger->policy.pressure_half_life_ms, 1));
+
+  ledger->pressure = fmin (
+      ledger->pressure * fade + ledger->policy.pressure_step, pressure_most);
+  ledger->pressure_ms = now_ms;
+}
+
+uint32_t
+csp_ledger_memory_tokens (const csp_ledger_t *ledger, int64_t now_ms)
+{
+  uint32_t memory = ledger->policy.unknown_memory_tokens;
+
+  if (!ledger->reported)
+    return memory;
+  memory = ledger->report.memory_tokens;
+  if (now_ms - ledger->report_ms > ledger->policy.report_stale_ms)
+    memory = (uint32_t)(memory * ledger->policy.stale_share);
+  return memory > ledger->foreign_tokens ? memory - ledger->foreign_tokens : 0;
+}
+
+/* Memory needed at a horizon with `extra` counted in.  The sum of all streams
+   at their longest bounds it: a normal law promises more than that where few
+   streams run.  */
+static double
+memory_needed (const csp_ledger_t *ledger, const forecast_t *extra, uint32_t i,
+               double risk)
+{
+  double mean = ledger->mean[i] + extra->mean[i];
+  double variance = ledger->variance[i] + extra->variance[i];
+  double ceiling = ledger->ceiling[i] + extra->ceiling[i];
+
+  return fmin (mean + risk * sqrt (fmax (variance, 0)), ceiling);
+}
+
+static bool
+fits_empty (const csp_ledger_t *ledger, const csp_stream_t *stream,
+            uint32_t memory)
+{
+  double answer
+      = csp_expect_tokens_left (ledger->lengths, stream->length_key, 0);
+
+  if (stream->max_tokens != 0)
+    answer = fmin (answer, stream->max_tokens);
+  return stream->prompt_tokens + answer <= memory;
+}
+
+/* A few very long answers hold most of a target's memory for minutes and keep
+   the short ones waiting; one notices short requests that wait while few
+   streams run.  So classes that may become long share a part only.  */
+static bool
+long_share_full (const csp_ledger_t *ledger, const csp_stream_t *stream,
+                 uint32_t memory)
+{
+  const csp_admission_policy_t *policy = &ledger->policy;
+
+  if (ledger->long_used_tokens <= policy->long_share * memory)
+    return false;
+  if (stream->max_tokens != 0 && stream->max_tokens <= policy->long_tokens)
+    return false;
+  return csp_survive_length (ledger->lengths, stream->length_key, 0,
+                             policy->long_tokens)
+         > long_chance;
+}
+
+static bool
+fits_all_horizons (const csp_ledger_t *ledger, const csp_stream_t *stream,
+                   double memory, int64_t now_ms)
+{
+  double risk = csp_ledger_risk (ledger, stream->priority, now_ms);
+  forecast_t extra;
+  uint32_t i;
+
+  csp_forecast_stream (ledger->lengths, stream, 0, &extra);
+  for (i = 0; i < CSP_LEDGER_HORIZONS; i++)
+    if (memory_needed (ledger, &extra, i, risk) > memory)
+      return false;
+  return true;
+}
+
+csp_admit_t
+csp_decide_admission (const csp_ledger_t *ledger, const csp_stream_t *stream,
+                      int64_t now_ms)
+{
+  uint32_t memory = csp_ledger_memory_tokens (ledger, now_ms);
+
+  if (ledger->reported
+      && !fits_empty (ledger, stream, ledger->report.memory_tokens))
+    return CSP_ADMIT_NEVER;
+  if (ledger->report.leaving)
+    return CSP_ADMIT_WAIT;
+  if (ledger->policy.max_streams != 0
+      && ledger->streams >= ledger->policy.max_streams)
+    return CSP_ADMIT_WAIT;
+  if (ledger->used_tokens + stream->prompt_tokens + stream->reserve_tokens
+      >= memory)
+    return CSP_ADMIT_WAIT;
+  if (ledger->streams == 0 && fits_empty (ledger, stream, memory))
+    return CSP_ADMIT;
+  if (long_share_full (ledger, stream, memory))
+    return CSP_ADMIT_WAIT;
+  if (fits_all_horizons (ledger, stream,
+                         (double)memory - stream->reserve_tokens, now_ms))
+    return CSP_ADMIT;
+  return CSP_ADMIT_WAIT;
+}
+
+uint32_t
+csp_ledger_headroom_tokens (const csp_ledger_t *ledger, uint8_t priority,
+                            int64_t now_ms)
+{
+  static const forecast_t nothing;
+  double risk = csp_ledger_risk (ledger, priority, now_ms);
+  double least = csp_ledger_memory_tokens (ledger, now_ms);
+  double memory = least;
+  uint32_t i;
+
+  if (ledger->report.leaving)
+    return 0;
+  for (i = 0; i < CSP_LEDGER_HORIZONS; i++)
+    least = fmin (least, memory - memory_needed (ledger, &nothing, i, risk));
+  return least > 0 ? (uint32_t)least : 0;
+}
--- /dev/null
+++ b/source/admission/admission-ledger.c
@@ -0,0 +1,295 @@
+#include "admission/ledger-imp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  FIRST_SLOTS = 8
+};
+
+/* Up to 512 the steps are fine, as most answers end there; beyond, each step
+   doubles.  Streams that still run after 8,192 tokens count by what they hold
+   then, which is re-estimated long before.  */
+const uint32_t csp_ledger_ahead[CSP_LEDGER_HORIZONS]
+    = { 0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192 };
+
+csp_admission_policy_t
+csp_default_admission_policy (void)
+{
+  csp_admission_policy_t policy = { .risk = 2.0,
+                                    .risk_step = 0.1,
+                                    .long_tokens = 4096,
+                                    .long_share = 0.5,
+                                    .max_streams = 0,
+                                    .report_lag_ms = 3000,
+                                    .report_stale_ms = 6000,
+                                    .stale_share = 0.9,
+                                    .foreign_slack = 0.02,
+                                    .unknown_memory_tokens = 8192,
+                                    .pressure_step = 0.25,
+                                    .pressure_half_life_ms = 60000 };
+
+  return policy;
+}
+
+void
+csp_forecast_stream (csp_lengths_t *lengths, const csp_stream_t *stream,
+                     uint32_t made_tokens, forecast_t *forecast)
+{
+  uint32_t i;
+  uint32_t ahead;
+  double stay;
+  double hold;
+
+  for (i = 0; i < CSP_LEDGER_HORIZONS; i++)
+    {
+      ahead = csp_ledger_ahead[i];
+      hold = (double)stream->prompt_tokens + made_tokens + ahead;
+      stay = 0;
+      if (stream->max_tokens == 0 || made_tokens + ahead <= stream->max_tokens)
+        stay = csp_survive_length (lengths, stream->length_key, made_tokens,
+                                   ahead);
+      if (i == 0)
+        stay = 1;
+      forecast->mean[i] = (float)(stay * hold);
+      forecast->variance[i] = (float)(stay * (1 - stay) * hold * hold);
+      forecast->ceiling[i] = stay > 0 ? (float)hold : 0;
+    }
+}
+
+static void
+add_forecast (csp_ledger_t *ledger, const forecast_t *forecast, double sign)
+{
+  uint32_t i;
+
+  for (i = 0; i < CSP_LEDGER_HORIZONS; i++)
+    {
+      ledger->mean[i] += sign * forecast->mean[i];
+      ledger->variance[i] += sign * forecast->variance[i];
+      ledger->ceiling[i] += sign * forecast->ceiling[i];
+    }
+}
+
+static void
+note_held (csp_ledger_t *ledger, int64_t now_ms)
+{
+  int64_t bucket = now_ms / HELD_BUCKET_MS;
+  held_t *held = &ledger->held[bucket % HELD_BUCKETS];
+
+  if (held->bucket != bucket)
+    {
+      held->bucket = bucket;
+      held->most_tokens = 0;
+    }
+  if (ledger->used_tokens > held->most_tokens)
+    held->most_tokens = ledger->used_tokens;
+}
+
+uint32_t
+csp_most_held (const csp_ledger_t *ledger, int64_t now_ms)
+{
+  int64_t oldest = (now_ms - ledger->policy.report_lag_ms) / HELD_BUCKET_MS;
+  uint32_t most = ledger->used_tokens;
+  uint32_t i;
+
+  for (i = 0; i < HELD_BUCKETS; i++)
+    if (ledger->held[i].bucket >= oldest && ledger->held[i].most_tokens > most)
+      most = ledger->held[i].most_tokens;
+  return most;
+}
+
+csp_ledger_t *
+csp_create_ledger (const csp_admission_policy_t *policy,
+                   csp_lengths_t *lengths)
+{
+  csp_ledger_t *ledger = calloc (1, sizeof *ledger);
+
+  if (ledger == NULL)
+    return NULL;
+  ledger->policy = *policy;
+  ledger->lengths = lengths;
+  ledger->first_free = NO_HANDLE;
+  return ledger;
+}
+
+void
+csp_destroy_ledger (csp_ledger_t *ledger)
+{
+  if (ledger == NULL)
+    return;
+  free (ledger->slots);
+  free (ledger);
+}
+
+void
+csp_set_admission_policy (csp_ledger_t *ledger,
+                          const csp_admission_policy_t *policy)
+{
+  ledger->policy = *policy;
+}
+
+static bool
+grow_slots (csp_ledger_t *ledger)
+{
+  uint32_t count = ledger->slot_count ? 2 * ledger->slot_count : FIRST_SLOTS;
+  slot_t *slots = realloc (ledger->slots, count * sizeof *slots);
+  uint32_t i;
+
+  if (slots == NULL)
+    return false;
+  for (i = count; i-- > ledger->slot_count;)
+    {
+      slots[i].open = false;
+      slots[i].next_free = ledger->first_free;
+      ledger->first_free = i;
+    }
+  ledger->slots = slots;
+  ledger->slot_count = count;
+  return true;
+}
+
+static uint32_t
+stream_tokens (const csp_stream_state_t *state)
+{
+  return state->stream.prompt_tokens + state->made_tokens;
+}
+
+static bool
+stream_is_long (const csp_ledger_t *ledger, const csp_stream_state_t *state)
+{
+  return state->made_tokens > ledger->policy.long_tokens;
+}
+
+static void
+count_tokens (csp_ledger_t *ledger, const csp_stream_state_t *state, int sign)
+{
+  ledger->used_tokens += (uint32_t)sign * stream_tokens (state);
+  if (stream_is_long (ledger, state))
+    ledger->long_used_tokens += (uint32_t)sign * stream_tokens (state);
+}
+
+uint32_t
+csp_add_stream (csp_ledger_t *ledger, const csp_stream_t *stream,
+                uint32_t made_tokens, int64_t now_ms)
+{
+  uint32_t handle;
+  slot_t *slot;
+
+  if (ledger->first_free == NO_HANDLE && !grow_slots (ledger))
+    return NO_HANDLE;
+  handle = ledger->first_free;
+  slot = &ledger->slots[handle];
+  ledger->first_free = slot->next_free;
+  slot->open = true;
+  slot->state.stream = *stream;
+  slot->state.made_tokens = made_tokens;
+  slot->state.since_ms = now_ms;
+  slot->state.progress_ms = now_ms;
+  csp_forecast_stream (ledger->lengths, stream, made_tokens, &slot->forecast);
+  add_forecast (ledger, &slot->forecast, 1);
+  count_tokens (ledger, &slot->state, 1);
+  ledger->streams++;
+  note_held (ledger, now_ms);
+  return handle;
+}
+
+static slot_t *
+find_slot (const csp_ledger_t *ledger, uint32_t handle)
+{
+  if (handle >= ledger->slot_count || !ledger->slots[handle].open)
+    return NULL;
+  return &ledger->slots[handle];
+}
+
+void
+csp_note_tokens (csp_ledger_t *ledger, uint32_t handle, uint32_t made_tokens,
+                 int64_t now_ms)
+{
+  slot_t *slot = find_slot (ledger, handle);
+
+  if (slot == NULL || made_tokens <= slot->state.made_tokens)
+    return;
+  csp_note_length (ledger->lengths, slot->state.stream.length_key,
+                   slot->state.made_tokens, made_tokens);
+  count_tokens (ledger, &slot->state, -1);
+  add_forecast (ledger, &slot->forecast, -1);
+  slot->state.made_tokens = made_tokens;
+  slot->state.progress_ms = now_ms;
+  csp_forecast_stream (ledger->lengths, &slot->state.stream, made_tokens,
+                       &slot->forecast);
+  add_forecast (ledger, &slot->forecast, 1);
+  count_tokens (ledger, &slot->state, 1);
+  note_held (ledger, now_ms);
+}
+
+/* Sums of floats drift by rounding; an empty ledger starts from true zero.  */
+static void
+reset_sums (csp_ledger_t *ledger)
+{
+  memset (ledger->mean, 0, sizeof ledger->mean);
+  memset (ledger->variance, 0, sizeof ledger->variance);
+  memset (ledger->ceiling, 0, sizeof ledger->ceiling);
+}
+
+void
+csp_remove_stream (csp_ledger_t *ledger, uint32_t handle, csp_length_end_t end,
+                   int64_t now_ms)
+{
+  slot_t *slot = find_slot (ledger, handle);
+
+  if (slot == NULL)
+    return;
+  note_held (ledger, now_ms);
+  csp_learn_length (ledger->lengths, slot->state.stream.length_key,
+                    slot->state.made_tokens, end);
+  count_tokens (ledger, &slot->state, -1);
+  add_forecast (ledger, &slot->forecast, -1);
+  ledger->streams--;
+  if (ledger->streams == 0)
+    reset_sums (ledger);
+  slot->open = false;
+  slot->next_free = ledger->first_free;
+  ledger->first_free = handle;
+}
+
+uint32_t
+csp_ledger_used_tokens (const csp_ledger_t *ledger)
+{
+  return ledger->used_tokens;
+}
+
+uint32_t
+csp_ledger_streams (const csp_ledger_t *ledger)
+{
+  return ledger->streams;
+}
+
+uint32_t
+csp_ledger_handles (const csp_ledger_t *ledger)
+{
+  return ledger->slot_count;
+}
+
+bool
+csp_ledger_stream (const csp_ledger_t *ledger, uint32_t handle,
+                   csp_stream_state_t *state)
+{
+  const slot_t *slot = find_slot (ledger, handle);
+
+  if (slot == NULL)
+    return false;
+  *state = slot->state;
+  return true;
+}
+
+void
+csp_ledger_forecast (const csp_ledger_t *ledger,
+                     uint32_t ahead_tokens[CSP_LEDGER_HORIZONS],
+                     double mean_tokens[CSP_LEDGER_HORIZONS],
+                     double variance_tokens[CSP_LEDGER_HORIZONS])
+{
+  memcpy (ahead_tokens, csp_ledger_ahead, sizeof csp_ledger_ahead);
+  memcpy (mean_tokens, ledger->mean, sizeof ledger->mean);
+  memcpy (variance_tokens, ledger->variance, sizeof ledger->variance);
+}
--- /dev/null
+++ b/source/queue/queue-rate.c
@@ -0,0 +1,163 @@
+#include "queue/queue-imp.h"
+
+#include <math.h>
+
+/* Below so much busy time the rate is no measurement yet.  */
+static const double known_after_ms = 500;
+
+static const double ms_per_s = 1000;
+
+enum
+{
+  EXPIRE_CHECKS = 64
+};
+
+/* The rate of service is tokens taken over the time in which requests waited;
+   idle time says nothing about how fast the targets are.  */
+void
+csp_move_queue_rate (csp_queue_t *queue, int64_t now_ms)
+{
+  double passed = (double)(now_ms - queue->rate_ms);
+  double keep;
+
+  if (passed <= 0)
+    return;
+  queue->rate_ms = now_ms;
+  if (queue->waiting == 0)
+    return;
+  keep = exp2 (-passed / fmax (queue->policy.rate_half_life_ms, 1));
+  queue->served_tokens *= keep;
+  queue->busy_ms = queue->busy_ms * keep + passed;
+}
+
+static double
+tokens_per_ms (const csp_queue_t *queue)
+{
+  if (queue->busy_ms < known_after_ms)
+    return 0;
+  return queue->served_tokens / queue->busy_ms;
+}
+
+double
+csp_queue_rate (const csp_queue_t *queue)
+{
+  return tokens_per_ms (queue) * ms_per_s;
+}
+
+uint64_t
+csp_queue_cost_ahead (const csp_queue_t *queue, uint32_t organisation,
+                      uint8_t priority)
+{
+  const organisation_t *owner;
+  uint64_t cost = 0;
+  uint32_t i;
+
+  if (organisation >= queue->organisation_count)
+    return 0;
+  owner = &queue->organisations[organisation];
+  for (i = priority; i < PRIORITIES; i++)
+    cost += owner->lists[i].cost_in - owner->lists[i].cost_out;
+  return cost;
+}
+
+/* Deficit round robin as a fluid: while this organisation is served `cost`,
+   each other one is served its weight's part of that, or all that it has
+   waiting when that is less.  */
+double
+csp_queue_wait_ms (const csp_queue_t *queue, uint32_t organisation,
+                   uint64_t cost)
+{
+  double rate = tokens_per_ms (queue);
+  double round = (double)cost;
+  double total = (double)cost;
+  uint32_t i = queue->cursor;
+  const organisation_t *other;
+
+  if (queue->waiting == 0 || queue->busy_ms < known_after_ms)
+    return 0;
+  if (organisation < queue->organisation_count
+      && queue->organisations[organisation].weight > 0)
+    round /= queue->organisations[organisation].weight;
+  do
+    {
+      other = &queue->organisations[i];
+      if (i != organisation)
+        total += fmin ((double)other->cost, round * other->weight);
+      i = other->next;
+    }
+  while (i != queue->cursor);
+  return total / fmax (rate, 1e-6);
+}
+
+uint32_t
+csp_predict_wait_ms (const csp_queue_t *queue, uint32_t organisation,
+                     uint8_t priority, uint32_t cost_tokens)
+{
+  uint64_t cost = csp_queue_cost_ahead (queue, organisation, priority);
+  double ms = csp_queue_wait_ms (queue, organisation, cost + cost_tokens);
+
+  return ms < UINT32_MAX ? (uint32_t)ms : UINT32_MAX;
+}
+
+static double
+entry_wait_ms (const csp_queue_t *queue, const entry_t *entry)
+{
+  const csp_waiting_t *waiting = &entry->waiting;
+  const organisation_t *owner = &queue->organisations[waiting->organisation];
+  const list_t *list = &owner->lists[waiting->priority];
+  uint64_t cost = waiting->cost_tokens;
+
+  if (entry->cost_before > list->cost_out)
+    cost += entry->cost_before - list->cost_out;
+  if (waiting->priority + 1 < PRIORITIES)
+    cost += csp_queue_cost_ahead (queue, waiting->organisation,
+                                  waiting->priority + 1);
+  return csp_queue_wait_ms (queue, waiting->organisation, cost);
+}
+
+/* A request that can't be started in time any more is answered now.  Held
+   until its deadline, its caller would have lost the time in which to ask
+   elsewhere, and its place would keep others waiting.  The costly prediction
+   is made for a few entries in each pass.  */
+static bool
+is_given_up (csp_queue_t *queue, const entry_t *entry, int64_t now_ms)
+{
+  double left_ms = (double)(entry->waiting.start_by_ms - now_ms);
+
+  if (left_ms <= 0)
+    return true;
+  if (queue->expire_checks >= EXPIRE_CHECKS)
+    return false;
+  queue->expire_checks++;
+  return entry_wait_ms (queue, entry) > queue->policy.patience * left_ms;
+}
+
+bool
+csp_expire_waiting (csp_queue_t *queue, int64_t now_ms, csp_waiting_t *waiting,
+                    csp_error_t *error)
+{
+  const entry_t *entry;
+  uint32_t index;
+  double wait_ms;
+
+  csp_move_queue_rate (queue, now_ms);
+  for (; queue->expire_at < queue->policy.max_waiting; queue->expire_at++)
+    {
+      index = queue->expire_at;
+      entry = &queue->entries[index];
+      if (!entry->used || !is_given_up (queue, entry, now_ms))
+        continue;
+      *waiting = entry->waiting;
+      wait_ms = entry_wait_ms (queue, entry);
+      csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_DEADLINE,
+                     (uint32_t)fmin (wait_ms, 600000) + 1,
+                     "waited %lld ms and can't start in time",
+                     (long long)(now_ms - waiting->arrived_ms));
+      csp_unlink_waiting (queue, index);
+      queue->expire_at++;
+      return true;
+    }
+  queue->expire_at = 0;
+  queue->expire_checks = 0;
+  return false;
+}
