--- /dev/null
+++ b/include/cowslipspoke/host-ref.h
@@ -0,0 +1,25 @@
+#ifndef COWSLIPSPOKE_HOST_REF_H
+#define COWSLIPSPOKE_HOST_REF_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  CSP_HOST_NAME_BYTES = 64,
+  CSP_DATA_CENTRE_NAME_BYTES = 64
+};
+
+/* One life of a host.  A process that is restarted under the same name and
+   address has lost its memory, so it counts as another: its incarnation is
+   higher.  */
+typedef struct
+{
+  char name[CSP_HOST_NAME_BYTES];
+  uint64_t incarnation;
+} csp_host_ref_t;
+
+/* Whether both are the same life of the same host.  */
+bool csp_same_host (const csp_host_ref_t *a, const csp_host_ref_t *b);
+
+#endif
