One place for the sizes that slices share

Cause: three slices declared sizes of names and addresses of their own, which clash where the daemon includes all of them. Ruled out: a prefix for each slice, since the values have to be the same. Change: names.h with the shared bounds; the headers include it.

--- a/include/cowslipspoke/admission.h
+++ b/include/cowslipspoke/admission.h
@@ -2,6 +2,7 @@
 #define COWSLIPSPOKE_ADMISSION_H
 
 #include "cowslipspoke/length.h"
+#include "cowslipspoke/names.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -25,8 +26,7 @@
 
 enum
 {
-  CSP_LEDGER_HORIZONS = 10,
-  CSP_PRIORITY_MAX = 9
+  CSP_LEDGER_HORIZONS = 10
 };
 
 /* How admission weighs.  Figures in docs/DECISIONS.md.
--- a/include/cowslipspoke/declaration.h
+++ b/include/cowslipspoke/declaration.h
@@ -2,6 +2,7 @@
 #define COWSLIPSPOKE_DECLARATION_H
 
 #include "cowslipspoke/faults.h"
+#include "cowslipspoke/names.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -16,9 +17,6 @@
 
 enum
 {
-  CSP_NAME_BYTES = 64,
-  /* Priorities run from 0, first to give way, to 9.  */
-  CSP_PRIORITY_MAX = 9,
   CSP_PRIORITY_DEFAULT = 5,
   CSP_WEIGHT_DEFAULT = 1
 };
--- a/include/cowslipspoke/engine.h
+++ b/include/cowslipspoke/engine.h
@@ -6,6 +6,7 @@
 
 #include "cowslipspoke/clock.h"
 #include "cowslipspoke/generation.h"
+#include "cowslipspoke/names.h"
 #include "cowslipspoke/recovery.h"
 
 /* Calls to one target over HTTP, as docs/ENGINE.md states them.  Every call
@@ -15,7 +16,6 @@
 
 enum
 {
-  CSP_ADDRESS_BYTES = 64,
   CSP_ENGINE_MESSAGE_BYTES = 160
 };
 
--- a/include/cowslipspoke/host-ref.h
+++ b/include/cowslipspoke/host-ref.h
@@ -4,11 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-enum
-{
-  CSP_HOST_NAME_BYTES = 64,
-  CSP_DATA_CENTRE_NAME_BYTES = 64
-};
+#include "cowslipspoke/names.h"
 
 /* One life of a host.  A process that is restarted under the same name and
    address has lost its memory, so it counts as another: its incarnation is
--- a/include/cowslipspoke/platform.h
+++ b/include/cowslipspoke/platform.h
@@ -1,6 +1,7 @@
 #ifndef COWSLIPSPOKE_PLATFORM_H
 #define COWSLIPSPOKE_PLATFORM_H
 
+#include "cowslipspoke/names.h"
 #include "cowslipspoke/verdict.h"
 
 #include <stdbool.h>
@@ -13,8 +14,6 @@
 
 enum
 {
-  CSP_HOST_NAME_BYTES = 64,
-  CSP_ADDRESS_BYTES = 48,
   /* Three times the planned 330 hosts and 12,000 targets.  */
   CSP_MAX_HOSTS = 1024,
   CSP_MAX_TARGETS = 36000,
