--- a/include/cowslipspoke/control.h
+++ b/include/cowslipspoke/control.h
@@ -71,10 +71,17 @@
   uint32_t worst_gap_ms;
 } csp_place_outcome_t;
 
-/* Start the control thread and the threads that read the platform.  NULL when
-   memory or threads fail.  */
+/* Start the control thread, the links to peers and the threads that read the
+   platform.  NULL with a message when that fails.  */
 csp_control_t *csp_create_control (const csp_settings_t *settings,
-                                   const csp_clock_t *clock, csp_log_t *log);
+                                   const csp_clock_t *clock, csp_log_t *log,
+                                   char *message, size_t message_bytes);
+
+/* Say to peers that this host leaves, so that they take its targets over. */
+void csp_leave_control (csp_control_t *control);
+
+/* The port that peers reach this host at.  */
+uint16_t csp_control_peer_port (const csp_control_t *control);
 
 /* Stop the threads and free everything.  No traffic thread may use the
    control any more.  NULL is allowed.  */
--- a/include/cowslipspoke/recovery.h
+++ b/include/cowslipspoke/recovery.h
@@ -42,6 +42,7 @@
 typedef struct
 {
   bool idempotent;       /* may be run again */
+  bool resumable;        /* the target can go on at a token */
   bool may_have_started; /* a byte that could start work has left */
   uint64_t delivered;    /* tokens that the caller has */
   uint32_t idle_resumes; /* resumes in a row that brought no token */
--- /dev/null
+++ b/include/cowslipspoke/service-call.h
@@ -0,0 +1,42 @@
+#ifndef COWSLIPSPOKE_SERVICE_CALL_H
+#define COWSLIPSPOKE_SERVICE_CALL_H
+
+#include "cowslipspoke/engine.h"
+
+/* One call of a plain service.  */
+typedef struct
+{
+  csp_endpoint_t endpoint;
+  const char *method;
+  const char *path; /* with the query */
+  const char *content_type;
+  const char *body;
+  size_t body_bytes;
+  const char *request_id;
+  uint32_t connect_timeout_ms;
+  size_t answer_limit_bytes;
+  csp_check_link_t check;
+  void *state;
+} csp_service_link_t;
+
+enum
+{
+  CSP_CONTENT_TYPE_BYTES = 128
+};
+
+/* What the service answered; body is freed by the caller.  */
+typedef struct
+{
+  uint16_t status;
+  char content_type[CSP_CONTENT_TYPE_BYTES];
+  char *body;
+  size_t body_bytes;
+  bool byte_left;
+} csp_service_answer_t;
+
+/* Make the call.  CSP_LINK_COMPLETE with any answer that the service gave,
+   errors of its own included.  Blocks; for a traffic thread.  */
+csp_link_end_t csp_run_service_link (const csp_service_link_t *link,
+                                     csp_service_answer_t *answer);
+
+#endif
--- /dev/null
+++ b/source/control/control-config.c
@@ -0,0 +1,319 @@
+#include "control/control-imp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HOSTS_WAIT_MS = 10000,
+  HOSTS_GRACE_MS = 2000,
+  HOSTS_RETRY_MS = 2000,
+  PATH_BYTES = 128
+};
+
+/* Build and check a revision: the declaration in a view.  */
+static void *
+build_view (void *state, int64_t revision, const csp_config_value_t *values,
+            size_t count, char fault[CSP_FAULT_BYTES])
+{
+  csp_control_t *control = state;
+  csp_declared_value_t *declared = calloc (count + 1, sizeof *declared);
+  csp_faults_t *faults = csp_create_faults ();
+  csp_declaration_t *declaration = NULL;
+  csp_view_t *view = NULL;
+  size_t i;
+
+  (void)revision;
+  if (declared == NULL || faults == NULL)
+    goto done;
+  for (i = 0; i < count; i++)
+    {
+      declared[i].key = values[i].key;
+      declared[i].json = values[i].json;
+      declared[i].size_bytes = strlen (values[i].json);
+    }
+  declaration = csp_create_declaration (csp_view_declaration (control->view),
+                                        declared, count, faults);
+  if (declaration != NULL)
+    view = csp_create_view (declaration);
+  if (csp_count_faults (faults) > 0)
+    snprintf (
+        fault, CSP_FAULT_BYTES, "%s: %s: %s", csp_get_fault (faults, 0)->where,
+        csp_get_fault (faults, 0)->path, csp_get_fault (faults, 0)->text);
+
+done:
+  csp_destroy_faults (faults);
+  free (declared);
+  return view;
+}
+
+static void
+release_view (void *state, void *built)
+{
+  (void)state;
+  csp_put_view (built);
+}
+
+bool
+csp_open_config (csp_control_t *control, int64_t now_ms)
+{
+  const csp_settings_t *settings = control->settings;
+  csp_config_check_t check = { build_view, release_view, control };
+  csp_membership_settings_t member
+      = { .deployment = settings->deployment,
+          .name = settings->host,
+          .region = settings->region,
+          .data_centre = settings->data_centre,
+          .address = settings->listen_address,
+          .http_port = settings->http_port,
+          .peer_port = csp_peers_port (control->peers),
+          .incarnation = control->incarnation,
+          .seed = csp_random_u64 (&control->random) };
+
+  control->configuration = csp_create_configuration (&check);
+  control->membership = csp_create_membership (&member, now_ms);
+  control->ownership
+      = csp_create_ownership (settings->host, settings->data_centre);
+  if (control->configuration == NULL || control->membership == NULL
+      || control->ownership == NULL)
+    return false;
+  control->spread = csp_create_spread (
+      control->configuration, csp_random_u64 (&control->random), now_ms);
+  return control->spread != NULL;
+}
+
+void
+csp_close_config (csp_control_t *control)
+{
+  csp_destroy_spread (control->spread);
+  csp_destroy_ownership (control->ownership);
+  csp_destroy_membership (control->membership);
+  csp_destroy_configuration (control->configuration);
+}
+
+static void
+log_config_result (csp_control_t *control, csp_config_result_t result)
+{
+  csp_config_status_t status;
+
+  csp_describe_configuration (control->configuration, &status);
+  switch (result)
+    {
+    case CSP_CONFIG_TAKEN:
+      CSP_LOG (control->log, CSP_EVENT_CONFIGURATION_TAKEN, NULL,
+               csp_number ("revision", status.revision),
+               csp_number ("values", (int64_t)status.value_count));
+      break;
+    case CSP_CONFIG_STALE:
+      CSP_LOG (control->log, CSP_EVENT_CONFIGURATION_STALE, NULL,
+               csp_number ("revision", status.revision),
+               csp_number ("service_revision", status.service_revision));
+      break;
+    case CSP_CONFIG_CONFLICT:
+      CSP_LOG (control->log, CSP_EVENT_CONFIGURATION_DIVERGED, NULL,
+               csp_number ("revision", status.revision));
+      break;
+    case CSP_CONFIG_REFUSED:
+      CSP_LOG (control->log, CSP_EVENT_CONFIGURATION_BAD, NULL,
+               csp_number ("revision", status.revision),
+               csp_number ("refused_revision", status.refused_revision),
+               csp_text ("fault", status.fault));
+      break;
+    case CSP_CONFIG_SAME:
+    case CSP_CONFIG_ASK_WHOLE:
+    case CSP_CONFIG_RESULT_COUNT:
+      break;
+    }
+}
+
+void
+csp_follow_config (csp_control_t *control, csp_config_result_t result)
+{
+  log_config_result (control, result);
+  if (result == CSP_CONFIG_TAKEN)
+    csp_publish_view (control,
+                      csp_built_configuration (control->configuration));
+}
+
+static void
+note_service (csp_control_t *control, bool away)
+{
+  if (away == control->service_away)
+    return;
+  control->service_away = away;
+  CSP_LOG (control->log,
+           away ? CSP_EVENT_PLATFORM_AWAY : CSP_EVENT_PLATFORM_BACK, NULL,
+           csp_text ("what", "configuration"));
+}
+
+void
+csp_take_config_read (csp_control_t *control,
+                      const csp_control_command_t *command, int64_t now_ms)
+{
+  csp_config_delta_t *delta = NULL;
+  csp_error_t error;
+
+  if (command->body == NULL
+      || !csp_parse_config_answer (command->body, command->body_bytes,
+                                   command->after, &delta, &error))
+    {
+      note_service (control, true);
+      csp_handle_read_failed (control->spread, command->id, now_ms);
+      return;
+    }
+  note_service (control, false);
+  csp_follow_config (
+      control, csp_handle_read (control->spread, command->id, delta, now_ms));
+  csp_destroy_config_delta (delta);
+}
+
+void
+csp_take_hosts_read (csp_control_t *control,
+                     const csp_control_command_t *command, int64_t now_ms)
+{
+  csp_host_watch_t *watch = &control->host_watch;
+  csp_host_list_t *list = NULL;
+  csp_error_t error;
+
+  watch->pending = false;
+  watch->next_ms = now_ms + HOSTS_RETRY_MS;
+  if (command->body == NULL)
+    return;
+  if (!csp_parse_host_list (command->body, command->body_bytes, &list, &error))
+    {
+      CSP_LOG (control->log, CSP_EVENT_HOST_LIST_BAD, NULL,
+               csp_text ("fault", error.detail));
+      return;
+    }
+  watch->next_ms = now_ms;
+  if (csp_apply_host_list (control->membership, list, now_ms)
+      == CSP_LIST_TAKEN)
+    {
+      watch->version = list->version;
+      csp_apply_target_list (control->ownership, list, now_ms);
+      csp_sync_targets (control, now_ms);
+      CSP_LOG (control->log, CSP_EVENT_HOST_LIST_TAKEN, NULL,
+               csp_number ("version", list->version),
+               csp_number ("hosts", (int64_t)list->host_count),
+               csp_number ("targets", (int64_t)list->target_count));
+    }
+  csp_destroy_host_list (list);
+}
+
+/* What a read's answer needs on its way back to the control thread.  */
+typedef struct
+{
+  csp_control_t *control;
+  csp_control_command_t *command;
+} read_note_t;
+
+static void
+post_answer (void *state, const char *body, size_t size_bytes)
+{
+  read_note_t *note = state;
+
+  if (body != NULL)
+    {
+      note->command->body = malloc (size_bytes + 1);
+      if (note->command->body != NULL)
+        {
+          memcpy (note->command->body, body, size_bytes + 1);
+          note->command->body_bytes = size_bytes;
+        }
+    }
+  csp_post_command (note->control, note->command);
+  free (note);
+}
+
+bool
+csp_start_read (csp_control_t *control, const csp_endpoint_t *endpoint,
+                const char *path, uint32_t timeout_ms,
+                csp_control_command_t *command)
+{
+  read_note_t *note = malloc (sizeof *note);
+
+  if (note == NULL || command == NULL)
+    {
+      free (note);
+      csp_free_command (command);
+      return false;
+    }
+  note->control = control;
+  note->command = command;
+  csp_fetch (control->fetcher, endpoint, path, NULL, timeout_ms, post_answer,
+             note);
+  return true;
+}
+
+static void
+read_config (csp_control_t *control, const csp_spread_action_t *action,
+             int64_t now_ms)
+{
+  csp_control_command_t *command = csp_new_command (CSP_COMMAND_CONFIG_READ);
+  char path[PATH_BYTES];
+
+  snprintf (path, sizeof path, "/v1/config?after=%lld&wait_ms=%u",
+            (long long)action->after, action->wait_ms);
+  if (command != NULL)
+    {
+      command->id = action->id;
+      command->after = action->after;
+    }
+  if (!csp_start_read (control, &control->platform, path, action->timeout_ms,
+                       command))
+    csp_handle_read_failed (control->spread, action->id, now_ms);
+}
+
+static void
+pull_config (csp_control_t *control, const csp_spread_action_t *action,
+             int64_t now_ms)
+{
+  csp_peer_message_t message = { .kind = CSP_PEER_PULL_ASK };
+  csp_peer_address_t peer;
+
+  message.u.pull_ask.after = action->after;
+  if (!csp_locate_peer (control, action->peer, now_ms, &peer)
+      || !csp_send_peer (control, &peer, &message, action->id,
+                         action->timeout_ms))
+    csp_handle_pull_failed (control->spread, action->id, now_ms);
+}
+
+static void
+read_hosts (csp_control_t *control)
+{
+  csp_host_watch_t *watch = &control->host_watch;
+  char path[PATH_BYTES];
+
+  snprintf (path, sizeof path, "/v1/hosts?after=%lld&wait_ms=%u",
+            (long long)watch->version, HOSTS_WAIT_MS);
+  watch->pending = csp_start_read (control, &control->platform, path,
+                                   HOSTS_WAIT_MS + HOSTS_GRACE_MS,
+                                   csp_new_command (CSP_COMMAND_HOSTS_READ));
+}
+
+void
+csp_tick_config (csp_control_t *control, int64_t now_ms)
+{
+  csp_spread_peer_t peers[CSP_MAX_SPREAD_PEERS];
+  csp_spread_actions_t actions;
+  size_t rank;
+  size_t count = csp_fill_spread_peers (control->membership, now_ms, peers,
+                                        CSP_MAX_SPREAD_PEERS, &rank);
+  size_t i;
+
+  csp_tick_spread (control->spread, peers, count, rank, now_ms, &actions);
+  for (i = 0; i < actions.count; i++)
+    switch (actions.items[i].kind)
+      {
+      case CSP_SPREAD_READ_SERVICE:
+        read_config (control, &actions.items[i], now_ms);
+        break;
+      case CSP_SPREAD_PULL_PEER:
+        pull_config (control, &actions.items[i], now_ms);
+        break;
+      }
+  if (!control->host_watch.pending && now_ms >= control->host_watch.next_ms)
+    read_hosts (control);
+  atomic_store (&control->ready,
+                control->view != NULL && control->host_watch.version > 0);
+}
--- /dev/null
+++ b/source/control/control-imp.h
@@ -0,0 +1,263 @@
+#ifndef COWSLIPSPOKE_CONTROL_IMP_H
+#define COWSLIPSPOKE_CONTROL_IMP_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "cowslipspoke/admission.h"
+#include "cowslipspoke/configuration.h"
+#include "cowslipspoke/control.h"
+#include "cowslipspoke/fetcher.h"
+#include "cowslipspoke/hash.h"
+#include "cowslipspoke/intern.h"
+#include "cowslipspoke/length.h"
+#include "cowslipspoke/membership.h"
+#include "cowslipspoke/ownership.h"
+#include "cowslipspoke/peer.h"
+#include "cowslipspoke/queue.h"
+#include "cowslipspoke/random.h"
+#include "cowslipspoke/spread.h"
+
+/* What the files of the control slice share.  Everything here but the inbox
+   and the view belongs to the control thread.  */
+
+enum
+{
+  CSP_CONTROL_MAX_POOLS = 64,
+  CSP_CONTROL_MAX_ORGANISATIONS = 4096,
+  CSP_CONTROL_TICK_MS = 100,
+  CSP_CONTROL_REPORT_MS = 1000,
+  CSP_CONTROL_REPORT_TIMEOUT_MS = 2000
+};
+
+/* A traffic thread that waits for a place.  It lives on that thread's stack;
+   the control thread answers it exactly once and does not touch it again.  */
+typedef struct
+{
+  const csp_admission_ask_t *ask;
+  csp_grant_t *grant;
+  csp_error_t *error;
+  char *text; /* of CSP_COMMAND_DESCRIBE */
+  int result;
+  pthread_mutex_t lock;
+  pthread_cond_t decided;
+  bool is_decided;
+} csp_waiter_t;
+
+typedef enum
+{
+  CSP_COMMAND_ADMIT,
+  CSP_COMMAND_PROGRESS,
+  CSP_COMMAND_RELEASE,
+  CSP_COMMAND_CONFIG_READ,
+  CSP_COMMAND_HOSTS_READ,
+  CSP_COMMAND_LOAD_READ,
+  CSP_COMMAND_PEER_ASK,
+  CSP_COMMAND_PEER_ANSWER,
+  CSP_COMMAND_DESCRIBE
+} csp_control_command_kind_t;
+
+/* A command to the control thread.  body is owned by the command.  */
+typedef struct csp_control_command
+{
+  struct csp_control_command *next;
+  csp_control_command_kind_t kind;
+  csp_waiter_t *waiter;
+  uint64_t place;
+  uint64_t tokens;
+  csp_place_outcome_t outcome;
+  uint64_t id;
+  int64_t after;
+  uint32_t target;
+  csp_peer_call_t *call;
+  csp_peer_kind_t asked;
+  char name[CSP_NAME_BYTES];
+  char *body;
+  size_t body_bytes;
+} csp_control_command_t;
+
+/* Requests of a pool that wait.  */
+typedef struct
+{
+  char name[CSP_NAME_BYTES];
+  csp_queue_t *queue;
+  bool dirty;
+} csp_pool_state_t;
+
+/* A target and what this host carries there.  index is the ownership slice's
+   number of it, UINT32_MAX once it is not listed any more; the rest then goes
+   with the last of its streams.  avoid_until_ms: no new work before, since
+   its links failed.  */
+typedef struct
+{
+  uint32_t index;
+  csp_listed_target_t listed;
+  csp_ledger_t *ledger;
+  uint32_t streams;
+  uint32_t failures;
+  int64_t avoid_until_ms;
+  int64_t next_report_ms;
+  bool report_pending;
+  int64_t left_ms;
+} csp_target_state_t;
+
+/* A request that waits or holds a place.  */
+typedef struct
+{
+  uint64_t id; /* 0: free */
+  csp_waiter_t *waiter;
+  uint32_t organisation;
+  uint32_t pool;
+  csp_target_state_t *target;
+  uint32_t stream;
+  uint32_t cost_tokens;
+  uint32_t prompt_tokens;
+  uint32_t length_key;
+  int64_t asked_ms;
+  bool placed;
+} csp_place_t;
+
+typedef struct
+{
+  bool pending;
+  bool away;
+  int64_t version;
+  int64_t next_ms;
+} csp_host_watch_t;
+
+struct csp_control
+{
+  const csp_settings_t *settings;
+  csp_clock_t clock;
+  csp_log_t *log;
+  csp_random_t random;
+  uint64_t incarnation;
+
+  pthread_t thread;
+  bool thread_runs;
+  pthread_mutex_t inbox_lock;
+  pthread_cond_t inbox_wake;
+  csp_control_command_t *first;
+  csp_control_command_t **last;
+  bool stopping;
+
+  csp_view_t *view; /* read under RCU */
+  atomic_bool ready;
+  atomic_bool leaving;
+
+  csp_peers_t *peers;
+  uint64_t deployment;
+  csp_fetcher_t *fetcher;
+  csp_endpoint_t platform;
+  csp_host_watch_t host_watch;
+
+  csp_configuration_t *configuration;
+  csp_spread_t *spread;
+  csp_membership_t *membership;
+  csp_ownership_t *ownership;
+  bool service_away;
+
+  csp_lengths_t *lengths;
+  csp_intern_t *organisations;
+  csp_pool_state_t pools[CSP_CONTROL_MAX_POOLS];
+  uint32_t pool_count;
+  csp_target_state_t **targets; /* by index; NULL where there is none */
+  uint32_t target_room;
+  csp_place_t *places;
+  uint32_t place_room;
+  uint32_t places_used;
+  uint64_t next_place;
+  uint64_t refused;
+  uint64_t granted;
+};
+
+/* Put a command into the inbox; any thread.  The control thread frees it.  */
+void csp_post_command (csp_control_t *control, csp_control_command_t *command);
+
+/* A new command, or NULL.  */
+csp_control_command_t *csp_new_command (csp_control_command_kind_t kind);
+
+/* Free a command with its body.  */
+void csp_free_command (csp_control_command_t *command);
+
+/* Views.  */
+csp_view_t *csp_create_view (csp_declaration_t *declaration);
+void csp_publish_view (csp_control_t *control, csp_view_t *view);
+
+/* Configuration and the host list: make what reads the platform, take what
+   it answered, and start the reads that are due.  */
+bool csp_open_config (csp_control_t *control, int64_t now_ms);
+void csp_close_config (csp_control_t *control);
+void csp_take_config_read (csp_control_t *control,
+                           const csp_control_command_t *command,
+                           int64_t now_ms);
+void csp_take_hosts_read (csp_control_t *control,
+                          const csp_control_command_t *command,
+                          int64_t now_ms);
+void csp_tick_config (csp_control_t *control, int64_t now_ms);
+
+/* Log what became of a configuration, and put a new one in force.  */
+void csp_follow_config (csp_control_t *control, csp_config_result_t result);
+
+/* Read over HTTP; the command comes back with the body, which is NULL when
+   nothing came.  The command is taken in any case.  */
+bool csp_start_read (csp_control_t *control, const csp_endpoint_t *endpoint,
+                     const char *path, uint32_t timeout_ms,
+                     csp_control_command_t *command);
+
+/* Where a peer listens.  */
+typedef struct
+{
+  char name[CSP_HOST_NAME_BYTES];
+  char address[CSP_ADDRESS_BYTES];
+  uint16_t port;
+} csp_peer_address_t;
+
+/* Peers: open the links, send heartbeats, take asks and answers.  */
+bool csp_open_peers (csp_control_t *control, char *message,
+                     size_t message_bytes);
+void csp_tick_peers (csp_control_t *control, int64_t now_ms);
+void csp_take_peer_ask (csp_control_t *control, csp_control_command_t *command,
+                        int64_t now_ms);
+void csp_take_peer_answer (csp_control_t *control,
+                           const csp_control_command_t *command,
+                           int64_t now_ms);
+bool csp_locate_peer (csp_control_t *control, const char *name, int64_t now_ms,
+                    csp_peer_address_t *peer);
+
+/* Ask a peer; the answer comes back as CSP_COMMAND_PEER_ANSWER with the
+   peer's name, the ask's kind and id.  False when nothing was sent.  */
+bool csp_send_peer (csp_control_t *control, const csp_peer_address_t *peer,
+                    const csp_peer_message_t *message, uint64_t id,
+                    uint32_t timeout_ms);
+
+/* Memory tokens free for new work on the targets that this host may grant. */
+int64_t csp_sum_headroom (csp_control_t *control, int64_t now_ms);
+
+/* Targets: follow the ownership's numbering, read load reports.  */
+void csp_sync_targets (csp_control_t *control, int64_t now_ms);
+void csp_tick_targets (csp_control_t *control, int64_t now_ms);
+void csp_take_load_read (csp_control_t *control,
+                         const csp_control_command_t *command, int64_t now_ms);
+void csp_drop_target (csp_target_state_t *target);
+void csp_close_targets (csp_control_t *control);
+
+/* Admission: take a waiter, note progress, take a place back, serve queues.
+   csp_close_admission frees what it holds.  */
+bool csp_open_admission (csp_control_t *control);
+void csp_take_waiter (csp_control_t *control, csp_waiter_t *waiter,
+                      int64_t now_ms);
+void csp_take_progress (csp_control_t *control,
+                        const csp_control_command_t *command, int64_t now_ms);
+void csp_take_release (csp_control_t *control,
+                       const csp_control_command_t *command, int64_t now_ms);
+void csp_tick_admission (csp_control_t *control, int64_t now_ms);
+void csp_close_admission (csp_control_t *control);
+
+/* Answer a waiter; result is 0 for a grant.  */
+void csp_answer_waiter (csp_waiter_t *waiter, int result);
+
+/* The JSON of csp_describe_control, made on the control thread.  */
+char *csp_render_status (csp_control_t *control, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/source/control/control-peer.c
@@ -0,0 +1,358 @@
+#include "control/control-imp.h"
+#include "cowslipspoke/text.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Links to peers: what they ask is answered on the control thread, and what
+   they answer comes back to it as a command.  */
+
+/* What an answer needs on its way back.  */
+typedef struct
+{
+  csp_control_t *control;
+  csp_control_command_t *command;
+} peer_note_t;
+
+static bool
+keep_body (csp_control_command_t *command, const uint8_t *data,
+           size_t size_bytes)
+{
+  command->body = malloc (size_bytes + 1);
+  if (command->body == NULL)
+    return false;
+  memcpy (command->body, data, size_bytes);
+  command->body_bytes = size_bytes;
+  return true;
+}
+
+/* On a thread of the links.  */
+static void
+post_peer_ask (void *state, csp_peer_call_t *call, const uint8_t *data,
+               size_t size_bytes)
+{
+  csp_control_t *control = state;
+  csp_control_command_t *command = csp_new_command (CSP_COMMAND_PEER_ASK);
+
+  if (command == NULL || !keep_body (command, data, size_bytes))
+    {
+      csp_free_command (command);
+      csp_answer_peer (call, NULL, 0);
+      return;
+    }
+  command->call = call;
+  csp_post_command (control, command);
+}
+
+/* On a thread of the links.  */
+static void
+post_peer_answer (void *state, const uint8_t *data, size_t size_bytes)
+{
+  peer_note_t *note = state;
+
+  if (data != NULL)
+    keep_body (note->command, data, size_bytes);
+  csp_post_command (note->control, note->command);
+  free (note);
+}
+
+bool
+csp_open_peers (csp_control_t *control, char *message, size_t message_bytes)
+{
+  const csp_settings_t *settings = control->settings;
+  csp_peers_settings_t peers = { .address = settings->listen_address,
+                                 .port = settings->peer_port,
+                                 .deployment = settings->deployment,
+                                 .tls = &settings->peer_tls,
+                                 .take = post_peer_ask,
+                                 .state = control };
+
+  control->deployment = csp_hash_pair ("deployment", settings->deployment);
+  control->peers = csp_create_peers (&peers, message, message_bytes);
+  return control->peers != NULL;
+}
+
+bool
+csp_send_peer (csp_control_t *control, const csp_peer_address_t *peer,
+               const csp_peer_message_t *message, uint64_t id,
+               uint32_t timeout_ms)
+{
+  csp_control_command_t *command = csp_new_command (CSP_COMMAND_PEER_ANSWER);
+  peer_note_t *note = malloc (sizeof *note);
+  uint8_t *data = NULL;
+  size_t size_bytes = 0;
+
+  if (command != NULL && note != NULL)
+    data = csp_encode_peer_message (message, control->deployment, &size_bytes);
+  if (data == NULL)
+    {
+      csp_free_command (command);
+      free (note);
+      return false;
+    }
+  command->id = id;
+  command->asked = message->kind;
+  csp_copy_text (command->name, sizeof command->name, peer->name);
+  note->control = control;
+  note->command = command;
+  csp_ask_peer (control->peers, peer->address, peer->port, data, size_bytes,
+                timeout_ms, post_peer_answer, note);
+  free (data);
+  return true;
+}
+
+bool
+csp_locate_peer (csp_control_t *control, const char *name, int64_t now_ms,
+               csp_peer_address_t *peer)
+{
+  csp_host_view_t view;
+
+  if (!csp_find_host (control->membership, name, now_ms, &view)
+      || view.peer_port == 0)
+    return false;
+  csp_copy_text (peer->name, sizeof peer->name, view.name);
+  csp_copy_text (peer->address, sizeof peer->address, view.address);
+  peer->port = view.peer_port;
+  return true;
+}
+
+static void
+send_heartbeat (csp_control_t *control, const csp_heartbeat_action_t *action,
+                int64_t now_ms)
+{
+  csp_peer_message_t message = { .kind = CSP_PEER_HEARTBEAT };
+  csp_peer_address_t peer = { .port = action->peer_port };
+
+  csp_copy_text (peer.name, sizeof peer.name, action->peer);
+  csp_copy_text (peer.address, sizeof peer.address, action->address);
+  message.u.heartbeat = action->ask;
+  if (!csp_send_peer (control, &peer, &message, action->ask.sequence,
+                      action->timeout_ms))
+    csp_handle_heartbeat_lost (control->membership, action->peer,
+                               action->ask.sequence, now_ms);
+}
+
+/* The log's event for each kind of the membership's.  */
+static const csp_event_t member_events[] = {
+  [CSP_MEMBER_EVENT_ALIVE] = CSP_EVENT_PEER_ALIVE,
+  [CSP_MEMBER_EVENT_CUT] = CSP_EVENT_PEER_SILENT,
+  [CSP_MEMBER_EVENT_SILENT] = CSP_EVENT_PEER_SILENT,
+  [CSP_MEMBER_EVENT_RESTARTED] = CSP_EVENT_PEER_ALIVE,
+  [CSP_MEMBER_EVENT_LEAVING] = CSP_EVENT_PEER_ALIVE,
+  [CSP_MEMBER_EVENT_REFUSED] = CSP_EVENT_PEER_REFUSED,
+  [CSP_MEMBER_EVENT_WOKE_LATE] = CSP_EVENT_WOKE_LATE,
+  [CSP_MEMBER_EVENT_LIST_STALE] = CSP_EVENT_HOST_LIST_BAD,
+};
+
+static const char *const member_states[] = {
+  [CSP_MEMBER_EVENT_ALIVE] = "alive",
+  [CSP_MEMBER_EVENT_CUT] = "cut",
+  [CSP_MEMBER_EVENT_SILENT] = "silent",
+  [CSP_MEMBER_EVENT_RESTARTED] = "restarted",
+  [CSP_MEMBER_EVENT_LEAVING] = "leaving",
+  [CSP_MEMBER_EVENT_REFUSED] = "refused",
+  [CSP_MEMBER_EVENT_WOKE_LATE] = "woke late",
+  [CSP_MEMBER_EVENT_LIST_STALE] = "stale list",
+};
+
+static void
+log_member_events (csp_control_t *control)
+{
+  csp_member_event_t event;
+
+  while (csp_take_member_event (control->membership, &event))
+    CSP_LOG (control->log, member_events[event.kind], NULL,
+             csp_text ("peer", event.peer),
+             csp_text ("state", member_states[event.kind]),
+             csp_number ("value", event.value));
+}
+
+static void
+describe_self (csp_control_t *control, int64_t now_ms)
+{
+  csp_config_status_t config;
+  csp_spread_status_t spread;
+  csp_ownership_status_t owned;
+  csp_local_state_t local = { 0 };
+
+  csp_describe_configuration (control->configuration, &config);
+  csp_describe_spread (control->spread, &spread);
+  csp_describe_ownership (control->ownership, &owned);
+  local.state
+      = atomic_load (&control->leaving) ? CSP_MEMBER_LEAVING : CSP_MEMBER_LIVE;
+  local.revision = config.revision;
+  local.digest = config.digest;
+  local.refused_revision = config.refused_revision;
+  local.service_silent = spread.service_silent;
+  local.headroom_tokens = csp_sum_headroom (control, now_ms);
+  local.owned_targets = (uint32_t)owned.owned;
+  csp_set_local_state (control->membership, &local);
+}
+
+void
+csp_tick_peers (csp_control_t *control, int64_t now_ms)
+{
+  csp_heartbeat_actions_t actions;
+  size_t i;
+
+  describe_self (control, now_ms);
+  csp_tick_membership (control->membership, now_ms, &actions);
+  for (i = 0; i < actions.count; i++)
+    send_heartbeat (control, &actions.items[i], now_ms);
+  log_member_events (control);
+}
+
+static void
+answer_carry (csp_control_t *control, const csp_peer_message_t *ask,
+              csp_peer_message_t *answer)
+{
+  size_t count = ask->u.carry_ask.count;
+  csp_carry_t *carries = calloc (count + 1, sizeof *carries);
+  size_t i;
+
+  if (carries == NULL)
+    return;
+  for (i = 0; i < count; i++)
+    csp_answer_carry (control->ownership, ask->u.carry_ask.targets[i],
+                      &carries[i]);
+  answer->kind = CSP_PEER_CARRY_ANSWER;
+  answer->u.carry_answer.count = count;
+  answer->u.carry_answer.carries = carries;
+  answer->array = carries;
+}
+
+static void
+answer_pull (csp_control_t *control, const csp_peer_message_t *ask,
+             csp_config_status_t *status, csp_peer_message_t *answer)
+{
+  csp_describe_configuration (control->configuration, status);
+  answer->kind = CSP_PEER_PULL_ANSWER;
+  csp_find_config_changes (control->configuration, ask->u.pull_ask.after,
+                           &answer->u.pull_answer.delta);
+  answer->u.pull_answer.refused_revision = status->refused_revision;
+  answer->u.pull_answer.fault = status->fault;
+}
+
+static void
+answer_heartbeat (csp_control_t *control, const csp_peer_message_t *ask,
+                  int64_t now_ms, csp_peer_message_t *answer)
+{
+  answer->kind = CSP_PEER_HEARTBEAT;
+  csp_handle_heartbeat (control->membership, &ask->u.heartbeat, now_ms,
+                        &answer->u.heartbeat);
+}
+
+static void
+answer_ask (csp_control_t *control, const csp_peer_message_t *ask,
+            int64_t now_ms, csp_config_status_t *status,
+            csp_peer_message_t *answer)
+{
+  switch (ask->kind)
+    {
+    case CSP_PEER_HEARTBEAT:
+      answer_heartbeat (control, ask, now_ms, answer);
+      break;
+    case CSP_PEER_CARRY_ASK:
+      answer_carry (control, ask, answer);
+      break;
+    case CSP_PEER_PULL_ASK:
+      answer_pull (control, ask, status, answer);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+csp_take_peer_ask (csp_control_t *control, csp_control_command_t *command,
+                   int64_t now_ms)
+{
+  csp_peer_message_t ask;
+  csp_peer_message_t answer = { .kind = CSP_PEER_NONE };
+  csp_config_status_t status;
+  uint8_t *data = NULL;
+  size_t size_bytes = 0;
+
+  if (csp_decode_peer_message ((const uint8_t *)command->body,
+                               command->body_bytes, control->deployment, &ask))
+    answer_ask (control, &ask, now_ms, &status, &answer);
+  else
+    CSP_LOG (control->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
+             csp_number ("bytes", (int64_t)command->body_bytes));
+  if (answer.kind != CSP_PEER_NONE)
+    data = csp_encode_peer_message (&answer, control->deployment, &size_bytes);
+  csp_answer_peer (command->call, data, data == NULL ? 0 : size_bytes);
+  free (data);
+  free (answer.array);
+  csp_clear_peer_message (&ask);
+}
+
+static void
+take_heartbeat_answer (csp_control_t *control,
+                       const csp_control_command_t *command,
+                       const csp_peer_message_t *answer, int64_t now_ms)
+{
+  if (answer->kind == CSP_PEER_HEARTBEAT)
+    csp_handle_heartbeat_reply (control->membership, command->name,
+                                &answer->u.heartbeat, now_ms);
+  else
+    csp_handle_heartbeat_lost (control->membership, command->name, command->id,
+                               now_ms);
+}
+
+static void
+take_carry_answer (csp_control_t *control,
+                   const csp_control_command_t *command,
+                   const csp_peer_message_t *answer, int64_t now_ms)
+{
+  if (answer->kind == CSP_PEER_CARRY_ANSWER)
+    csp_handle_carry (control->ownership, command->name, command->id,
+                      answer->u.carry_answer.carries,
+                      answer->u.carry_answer.count, now_ms);
+  else
+    csp_handle_carry_lost (control->ownership, command->name, command->id,
+                           now_ms);
+}
+
+static void
+take_pull_answer (csp_control_t *control, const csp_control_command_t *command,
+                  const csp_peer_message_t *answer, int64_t now_ms)
+{
+  if (answer->kind == CSP_PEER_PULL_ANSWER)
+    csp_follow_config (control,
+                       csp_handle_pull (control->spread, command->id,
+                                        &answer->u.pull_answer.delta,
+                                        answer->u.pull_answer.refused_revision,
+                                        answer->u.pull_answer.fault, now_ms));
+  else
+    csp_handle_pull_failed (control->spread, command->id, now_ms);
+}
+
+void
+csp_take_peer_answer (csp_control_t *control,
+                      const csp_control_command_t *command, int64_t now_ms)
+{
+  csp_peer_message_t answer = { .kind = CSP_PEER_NONE };
+
+  if (command->body != NULL
+      && !csp_decode_peer_message ((const uint8_t *)command->body,
+                                   command->body_bytes, control->deployment,
+                                   &answer))
+    CSP_LOG (control->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
+             csp_text ("peer", command->name));
+  switch (command->asked)
+    {
+    case CSP_PEER_HEARTBEAT:
+      take_heartbeat_answer (control, command, &answer, now_ms);
+      break;
+    case CSP_PEER_CARRY_ASK:
+      take_carry_answer (control, command, &answer, now_ms);
+      break;
+    case CSP_PEER_PULL_ASK:
+      take_pull_answer (control, command, &answer, now_ms);
+      break;
+    default:
+      break;
+    }
+  csp_clear_peer_message (&answer);
+}
--- /dev/null
+++ b/source/control/waiter.c
@@ -0,0 +1,83 @@
+#include "control/control-imp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+csp_answer_waiter (csp_waiter_t *waiter, int result)
+{
+  pthread_mutex_lock (&waiter->lock);
+  waiter->result = result;
+  waiter->is_decided = true;
+  pthread_cond_signal (&waiter->decided);
+  pthread_mutex_unlock (&waiter->lock);
+}
+
+static int
+await_answer (csp_control_t *control, csp_waiter_t *waiter,
+              csp_control_command_kind_t kind)
+{
+  csp_control_command_t *command = csp_new_command (kind);
+
+  if (command == NULL)
+    return -1;
+  pthread_mutex_init (&waiter->lock, NULL);
+  pthread_cond_init (&waiter->decided, NULL);
+  command->waiter = waiter;
+  csp_post_command (control, command);
+  pthread_mutex_lock (&waiter->lock);
+  while (!waiter->is_decided)
+    pthread_cond_wait (&waiter->decided, &waiter->lock);
+  pthread_mutex_unlock (&waiter->lock);
+  pthread_cond_destroy (&waiter->decided);
+  pthread_mutex_destroy (&waiter->lock);
+  return waiter->result;
+}
+
+int
+csp_ask_admission (csp_control_t *control, const csp_admission_ask_t *ask,
+                   csp_grant_t *grant, csp_error_t *error)
+{
+  csp_waiter_t waiter = { .ask = ask, .grant = grant, .error = error };
+
+  csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_INTERNAL, 0,
+                 "out of memory");
+  memset (grant, 0, sizeof *grant);
+  return await_answer (control, &waiter, CSP_COMMAND_ADMIT);
+}
+
+char *
+csp_describe_control (csp_control_t *control)
+{
+  csp_waiter_t waiter = { 0 };
+
+  await_answer (control, &waiter, CSP_COMMAND_DESCRIBE);
+  return waiter.text;
+}
+
+void
+csp_note_progress (csp_control_t *control, const csp_grant_t *grant,
+                   uint64_t tokens)
+{
+  csp_control_command_t *command = csp_new_command (CSP_COMMAND_PROGRESS);
+
+  if (command == NULL)
+    return;
+  command->place = grant->place;
+  command->tokens = tokens;
+  csp_post_command (control, command);
+}
+
+void
+csp_release_grant (csp_control_t *control, const csp_grant_t *grant,
+                   const csp_place_outcome_t *outcome)
+{
+  csp_control_command_t *command = csp_new_command (CSP_COMMAND_RELEASE);
+
+  /* Without memory the place would be lost for good; better to stop.  */
+  if (command == NULL)
+    abort ();
+  command->place = grant->place;
+  command->outcome = *outcome;
+  csp_post_command (control, command);
+}
--- a/source/cowslipd/cowslipd.c
+++ b/source/cowslipd/cowslipd.c
@@ -1,5 +1,151 @@
+#include <curl/curl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cowslipspoke/entry.h"
+
+/* cowslipd: one host's process.  Reads its settings, serves, and drains on
+   SIGTERM or SIGINT; a second one, or the drain limit, ends what is open with
+   explicit errors.  SIGHUP changes nothing, since settings are read once and
+   declarations come from the platform.  */
+
+enum
+{
+  EXIT_CANNOT_START = 1,
+  MESSAGE_BYTES = 256,
+  DRAIN_POLL_MS = 50,
+  MS_PER_S = 1000,
+  NS_PER_MS = 1000000
+};
+
+/* Block the signals in every thread; one place waits for them.  */
+static void
+block_signals (sigset_t *signals)
+{
+  signal (SIGPIPE, SIG_IGN);
+  signal (SIGHUP, SIG_IGN);
+  sigemptyset (signals);
+  sigaddset (signals, SIGTERM);
+  sigaddset (signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, signals, NULL);
+}
+
+/* Wait up to ms for a stopping signal; true when one came.  */
+static bool
+await_signal (const sigset_t *signals, int64_t ms)
+{
+  struct timespec limit = { ms / MS_PER_S, (long)(ms % MS_PER_S) * NS_PER_MS };
+
+  return sigtimedwait (signals, NULL, &limit) > 0;
+}
+
+/* Readiness fails first, so that the balancer turns away while new requests
+   are still served; then new ones are refused, and what is open runs to its
+   end.  */
+static void
+drain (csp_entry_t *entry, const csp_settings_t *settings, csp_log_t *log,
+       const csp_clock_t *clock, const sigset_t *signals)
+{
+  int64_t limit_ms = csp_now_ms (clock) + settings->drain_limit_ms;
+  bool hurry;
+
+  csp_announce_drain (entry);
+  CSP_LOG (log, CSP_EVENT_DRAINING, NULL,
+           csp_number ("open_requests", csp_open_requests (entry)));
+  hurry = await_signal (signals, settings->drain_notice_ms);
+  csp_refuse_new (entry);
+  while (!hurry && csp_open_requests (entry) > 0
+         && csp_now_ms (clock) < limit_ms)
+    hurry = await_signal (signals, DRAIN_POLL_MS);
+  if (csp_open_requests (entry) == 0)
+    return;
+  CSP_LOG (log, CSP_EVENT_DRAIN_LIMIT, NULL,
+           csp_number ("open_requests", csp_open_requests (entry)));
+  csp_stop_open (entry);
+  while (csp_open_requests (entry) > 0)
+    await_signal (signals, DRAIN_POLL_MS);
+}
+
+static int
+serve (const csp_settings_t *settings)
+{
+  csp_clock_t clock = csp_system_clock ();
+  csp_level_t level = CSP_LEVEL_INFO;
+  csp_control_t *control = NULL;
+  csp_entry_t *entry = NULL;
+  csp_log_t *log;
+  char message[MESSAGE_BYTES];
+  sigset_t signals;
+  int result = EXIT_CANNOT_START;
+
+  block_signals (&signals);
+  csp_parse_level (settings->log_level, &level);
+  log = csp_create_log (settings->host, level, &clock);
+  CSP_LOG (log, CSP_EVENT_STARTED, NULL, csp_text ("version", csp_version ()));
+  control
+      = csp_create_control (settings, &clock, log, message, sizeof message);
+  if (control != NULL)
+    entry = csp_create_entry (settings, control, log, &clock, message,
+                              sizeof message);
+  if (entry == NULL)
+    {
+      CSP_LOG (log, CSP_EVENT_START_FAILED, NULL,
+               csp_text ("message", message));
+      goto done;
+    }
+  CSP_LOG (log, CSP_EVENT_READY, NULL,
+           csp_number ("http_port", csp_entry_port (entry)));
+  printf ("ready http=%u peer=%u\n", csp_entry_port (entry),
+          csp_control_peer_port (control));
+  fflush (stdout);
+  sigwaitinfo (&signals, NULL);
+  csp_leave_control (control);
+  drain (entry, settings, log, &clock, &signals);
+  result = EXIT_SUCCESS;
+
+done:
+  csp_destroy_entry (entry);
+  csp_destroy_control (control);
+  CSP_LOG (log, CSP_EVENT_STOPPED, NULL, csp_number ("exit", result));
+  csp_destroy_log (log);
+  return result;
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
-  return 0;
+  csp_faults_t *faults = csp_create_faults ();
+  csp_command_t command = CSP_COMMAND_RUN;
+  csp_settings_t settings;
+  int result = EXIT_SUCCESS;
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (!csp_read_command_line (argc, argv, &command, &settings, faults))
+    {
+      csp_print_faults (faults, stderr);
+      result = CSP_EXIT_BAD_SETTINGS;
+      goto done;
+    }
+  switch (command)
+    {
+    case CSP_COMMAND_RUN:
+      result = serve (&settings);
+      break;
+    case CSP_COMMAND_CHECK_SETTINGS:
+      printf ("settings: no fault\n");
+      break;
+    case CSP_COMMAND_HELP:
+      csp_print_settings_help (stdout);
+      break;
+    case CSP_COMMAND_VERSION:
+      printf ("cowslipd %s\n", csp_version ());
+      break;
+    }
+
+done:
+  csp_destroy_faults (faults);
+  curl_global_cleanup ();
+  return result;
 }
--- /dev/null
+++ b/source/entry/call.c
@@ -0,0 +1,181 @@
+#include "entry/entry-imp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "cowslipspoke/service-call.h"
+#include "cowslipspoke/text.h"
+
+enum
+{
+  ANSWER_LIMIT_BYTES = 16 << 20,
+  PATH_BYTES = 900
+};
+
+/* A call of a plain service on its way.  */
+typedef struct
+{
+  csp_exchange_t *exchange;
+  const csp_service_t *service;
+  csp_admission_ask_t ask;
+  csp_grant_t grant;
+  csp_attempt_t attempt;
+  csp_service_answer_t answer;
+  char path[PATH_BYTES];
+} call_t;
+
+static csp_link_end_t
+check_call (void *state)
+{
+  const call_t *call = state;
+  csp_entry_t *entry = call->exchange->entry;
+
+  if (atomic_load (&entry->stopping))
+    return CSP_LINK_STOPPED;
+  if (csp_now_ms (&entry->clock) >= call->exchange->deadline_ms)
+    return CSP_LINK_DEADLINE;
+  return CSP_LINK_COMPLETE;
+}
+
+static int
+prepare_call (call_t *call, const char *rest, csp_error_t *error)
+{
+  csp_exchange_t *exchange = call->exchange;
+  const struct mg_request_info *info = exchange->info;
+  csp_request_facts_t facts = { .service = call->service->name,
+                                .priority = call->service->priority };
+  int bytes = snprintf (call->path, sizeof call->path, "%s%s%s", rest,
+                        info->query_string == NULL ? "" : "?",
+                        info->query_string == NULL ? "" : info->query_string);
+
+  if (bytes >= (int)sizeof call->path)
+    {
+      csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_TOO_LARGE, 0,
+                     "the path is longer than %d bytes", PATH_BYTES);
+      return -1;
+    }
+  if (csp_read_body (exchange, error) != 0
+      || csp_apply_rules (exchange, &facts, &call->ask.terms, error) != 0)
+    return -1;
+  if (exchange->marks.deadline_ms == 0 && call->service->deadline_ms != 0)
+    exchange->deadline_ms = exchange->arrived_ms + call->service->deadline_ms;
+  call->ask.request_id = exchange->id;
+  call->ask.organisation = exchange->organisation->name;
+  call->ask.model = call->service->name;
+  call->ask.class_name = "";
+  call->ask.kind = CSP_POOL_SERVICES;
+  call->ask.max_tokens = 1;
+  call->ask.deadline_ms = exchange->deadline_ms;
+  call->attempt.idempotent
+      = !exchange->marks.non_idempotent
+        && csp_may_repeat_call (call->service, info->request_method, rest);
+  return 0;
+}
+
+static csp_recovery_t
+call_target (call_t *call, csp_link_end_t *end)
+{
+  const csp_exchange_t *exchange = call->exchange;
+  csp_recovery_policy_t policy = csp_default_recovery_policy ();
+  const char *type = mg_get_header (exchange->connection, "Content-Type");
+  csp_service_link_t link
+      = { .endpoint = call->grant.endpoint,
+          .method = exchange->info->request_method,
+          .path = call->path,
+          .content_type = type == NULL ? "application/octet-stream" : type,
+          .body = exchange->body,
+          .body_bytes = exchange->body_bytes,
+          .request_id = exchange->id,
+          .connect_timeout_ms = exchange->entry->settings->connect_timeout_ms,
+          .answer_limit_bytes = ANSWER_LIMIT_BYTES,
+          .check = check_call,
+          .state = call };
+
+  *end = csp_run_service_link (&link, &call->answer);
+  csp_note_link_end (&call->attempt, *end, call->answer.byte_left, 0);
+  return csp_decide_recovery (&policy, &call->attempt, *end);
+}
+
+static void
+release_place (call_t *call, csp_link_end_t end)
+{
+  csp_place_outcome_t outcome = { .end = end, .tokens = 1 };
+
+  csp_release_grant (call->exchange->entry->control, &call->grant, &outcome);
+}
+
+static void
+drop_answer (call_t *call)
+{
+  free (call->answer.body);
+  call->answer.body = NULL;
+}
+
+static int
+run_call (call_t *call, csp_error_t *error)
+{
+  csp_control_t *control = call->exchange->entry->control;
+  csp_admission_ask_t *ask = &call->ask;
+  csp_recovery_t recovery;
+  csp_link_end_t end;
+  csp_error_t refusal;
+
+  if (csp_ask_admission (control, ask, &call->grant, error) != 0)
+    return -1;
+  for (;;)
+    {
+      recovery = call_target (call, &end);
+      release_place (call, end);
+      *error = recovery.error;
+      if (recovery.kind == CSP_RECOVER_DONE)
+        return 0;
+      drop_answer (call);
+      if (recovery.kind != CSP_RECOVER_ELSEWHERE
+          || ask->tried_count == CSP_TRIED_MAX)
+        return -1;
+      csp_copy_text (ask->tried[ask->tried_count], CSP_NAME_BYTES,
+                     call->grant.target);
+      ask->tried_count++;
+      ask->retry = true;
+      if (csp_ask_admission (control, ask, &call->grant, &refusal) != 0)
+        return -1;
+    }
+}
+
+static void
+pass_answer (call_t *call)
+{
+  struct mg_connection *connection = call->exchange->connection;
+  const csp_service_answer_t *answer = &call->answer;
+
+  mg_printf (connection,
+             "HTTP/1.1 %u %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
+             "X-Request-Id: %s\r\nConnection: close\r\n\r\n",
+             answer->status,
+             mg_get_response_code_text (connection, answer->status),
+             answer->content_type, answer->body_bytes, call->exchange->id);
+  if (answer->body_bytes > 0)
+    mg_write (connection, answer->body, answer->body_bytes);
+}
+
+void
+csp_serve_call (csp_exchange_t *exchange, const csp_service_t *service,
+                const char *rest)
+{
+  call_t call = { .exchange = exchange, .service = service };
+  csp_error_t error;
+
+  if (prepare_call (&call, rest, &error) != 0 || run_call (&call, &error) != 0)
+    {
+      csp_answer_error (exchange, &error);
+      return;
+    }
+  pass_answer (&call);
+  CSP_LOG (exchange->entry->log, CSP_EVENT_REQUEST_ENDED, exchange->id,
+           csp_text ("organisation", exchange->organisation->name),
+           csp_text ("service", service->name),
+           csp_text ("target", call.grant.target),
+           csp_number ("status", call.answer.status),
+           csp_number ("wait_ms", call.grant.wait_ms));
+  drop_answer (&call);
+}
--- a/source/entry/entry-imp.h
+++ b/source/entry/entry-imp.h
@@ -17,8 +17,9 @@
   struct mg_context *server;
   atomic_uint_fast64_t next_request;
   atomic_int open_requests;
-  atomic_bool draining;
-  atomic_bool stopping;
+  atomic_bool announced; /* readiness fails */
+  atomic_bool draining;  /* new requests are refused */
+  atomic_bool stopping;  /* open ones are ended */
 };
 
 /* One request of a caller on its way through a traffic thread.  */
--- /dev/null
+++ b/source/entry/server.c
@@ -0,0 +1,391 @@
+#include <urcu.h>
+
+#include "entry/entry-imp.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  LISTEN_BACKLOG = 1024,
+  RETRY_ELSEWHERE_MS = 1000,
+  SERVER_OPTIONS = 20,
+  OPTION_BYTES = 64
+};
+
+static bool
+begin_exchange (csp_exchange_t *exchange, csp_entry_t *entry,
+                struct mg_connection *connection, csp_error_t *error)
+{
+  csp_request_marks_t fields;
+  uint64_t number = atomic_fetch_add (&entry->next_request, 1);
+
+  memset (exchange, 0, sizeof *exchange);
+  exchange->entry = entry;
+  exchange->connection = connection;
+  exchange->info = mg_get_request_info (connection);
+  exchange->arrived_ms = csp_now_ms (&entry->clock);
+  snprintf (exchange->id, sizeof exchange->id, "%llx-%llx",
+            (unsigned long long)csp_control_incarnation (entry->control),
+            (unsigned long long)number);
+  fields.idempotency_key = mg_get_header (connection, "Idempotency-Key");
+  fields.non_idempotent = mg_get_header (connection, "X-Non-Idempotent");
+  fields.attempt = mg_get_header (connection, "X-Attempt");
+  fields.deadline_ms = mg_get_header (connection, "X-Deadline-Ms");
+  fields.class_name = mg_get_header (connection, "X-Class");
+  if (csp_read_marks (&fields, &exchange->marks, error) != 0)
+    return false;
+  exchange->deadline_ms = exchange->arrived_ms
+                          + (exchange->marks.deadline_ms != 0
+                                 ? exchange->marks.deadline_ms
+                                 : entry->settings->default_deadline_ms);
+  return true;
+}
+
+static bool
+is_open (csp_entry_t *entry, csp_error_t *error)
+{
+  if (!atomic_load (&entry->draining))
+    return true;
+  csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_SHUTTING_DOWN,
+                 RETRY_ELSEWHERE_MS, "this host is shutting down");
+  return false;
+}
+
+static void
+end_exchange (csp_exchange_t *exchange)
+{
+  csp_put_view (exchange->view);
+  free (exchange->body);
+  atomic_fetch_sub (&exchange->entry->open_requests, 1);
+}
+
+/* Count a request in before it is looked at, so that a drain never sees zero
+   while one is between the listener and its handler.  */
+static bool
+open_exchange (csp_exchange_t *exchange, csp_entry_t *entry,
+               struct mg_connection *connection)
+{
+  csp_error_t error;
+
+  atomic_fetch_add (&entry->open_requests, 1);
+  if (begin_exchange (exchange, entry, connection, &error)
+      && is_open (entry, &error)
+      && csp_identify_caller (exchange, &error) == 0)
+    return true;
+  csp_answer_error (exchange, &error);
+  return false;
+}
+
+static bool
+is_method (const csp_exchange_t *exchange, const char *method)
+{
+  csp_exchange_t *answerable = (csp_exchange_t *)exchange;
+  csp_error_t error;
+
+  if (strcmp (exchange->info->request_method, method) == 0)
+    return true;
+  csp_set_error (&error, CSP_VERDICT_NOT_RUN, CSP_REASON_BAD_REQUEST, 0,
+                 "the method here is %s", method);
+  csp_answer_error (answerable, &error);
+  return false;
+}
+
+static int
+handle_completions (struct mg_connection *connection, void *state)
+{
+  csp_exchange_t exchange;
+
+  if (open_exchange (&exchange, state, connection)
+      && is_method (&exchange, "POST"))
+    csp_serve_generation (&exchange, CSP_API_COMPLETIONS);
+  end_exchange (&exchange);
+  return 200;
+}
+
+static int
+handle_chat (struct mg_connection *connection, void *state)
+{
+  csp_exchange_t exchange;
+
+  if (open_exchange (&exchange, state, connection)
+      && is_method (&exchange, "POST"))
+    csp_serve_generation (&exchange, CSP_API_CHAT);
+  end_exchange (&exchange);
+  return 200;
+}
+
+static void
+answer_models (csp_exchange_t *exchange)
+{
+  const csp_declaration_t *declaration = csp_view_declaration (exchange->view);
+  json_object *document = json_object_new_object ();
+  json_object *list = json_object_new_array ();
+  json_object *row;
+  size_t i;
+
+  for (i = 0; i < csp_count_routes (declaration); i++)
+    {
+      row = json_object_new_object ();
+      json_object_object_add (
+          row, "id",
+          json_object_new_string (csp_get_route (declaration, i)->name));
+      json_object_object_add (row, "object", json_object_new_string ("model"));
+      json_object_array_add (list, row);
+    }
+  json_object_object_add (document, "object", json_object_new_string ("list"));
+  json_object_object_add (document, "data", list);
+  csp_answer_json (
+      exchange, 200,
+      json_object_to_json_string_ext (document, JSON_C_TO_STRING_PLAIN));
+  json_object_put (document);
+}
+
+static int
+handle_models (struct mg_connection *connection, void *state)
+{
+  csp_exchange_t exchange;
+
+  if (open_exchange (&exchange, state, connection)
+      && is_method (&exchange, "GET"))
+    answer_models (&exchange);
+  end_exchange (&exchange);
+  return 200;
+}
+
+/* "/v1/services/NAME/REST", or a path below a service's own prefix.  */
+static const csp_service_t *
+find_called_service (const csp_exchange_t *exchange, const char **rest)
+{
+  static const char prefix[] = "/v1/services/";
+  const csp_declaration_t *declaration = csp_view_declaration (exchange->view);
+  const char *path = exchange->info->local_uri;
+  char name[CSP_NAME_BYTES];
+  size_t size_bytes;
+
+  if (strncmp (path, prefix, sizeof prefix - 1) != 0)
+    return csp_find_service_by_path (declaration, path, rest);
+  path += sizeof prefix - 1;
+  size_bytes = strcspn (path, "/");
+  if (size_bytes >= sizeof name)
+    return NULL;
+  memcpy (name, path, size_bytes);
+  name[size_bytes] = '\0';
+  *rest = path[size_bytes] == '\0' ? "/" : path + size_bytes;
+  return csp_find_service (declaration, name);
+}
+
+static int
+handle_other (struct mg_connection *connection, void *state)
+{
+  const csp_service_t *service;
+  const char *rest = "/";
+  csp_exchange_t exchange;
+  csp_error_t error;
+
+  if (open_exchange (&exchange, state, connection))
+    {
+      service = find_called_service (&exchange, &rest);
+      if (service != NULL)
+        csp_serve_call (&exchange, service, rest);
+      else
+        {
+          csp_set_error (&error, CSP_VERDICT_NOT_RUN,
+                         CSP_REASON_UNKNOWN_SERVICE, 0,
+                         "no service route has this path");
+          csp_answer_error (&exchange, &error);
+        }
+    }
+  end_exchange (&exchange);
+  return 200;
+}
+
+static void
+answer_operator (struct mg_connection *connection, int status,
+                 const char *type, const char *text)
+{
+  mg_printf (connection,
+             "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
+             "Cache-Control: no-store\r\nConnection: close\r\n\r\n",
+             status, mg_get_response_code_text (connection, status), type,
+             strlen (text));
+  mg_write (connection, text, strlen (text));
+}
+
+static int
+handle_live (struct mg_connection *connection, void *state)
+{
+  (void)state;
+  answer_operator (connection, 200, "text/plain", "live\n");
+  return 200;
+}
+
+static int
+handle_ready (struct mg_connection *connection, void *state)
+{
+  csp_entry_t *entry = state;
+  bool ready
+      = csp_control_ready (entry->control) && !atomic_load (&entry->announced);
+
+  answer_operator (connection, ready ? 200 : 503, "text/plain",
+                   ready ? "ready\n" : "not ready\n");
+  return 200;
+}
+
+static int
+handle_status (struct mg_connection *connection, void *state)
+{
+  csp_entry_t *entry = state;
+  char *status = csp_describe_control (entry->control);
+
+  answer_operator (connection, status == NULL ? 500 : 200, "application/json",
+                   status == NULL ? "{}" : status);
+  free (status);
+  return 200;
+}
+
+/* CivetWeb's threads read the view under RCU and have to be known to it.  */
+static void *
+register_thread (const struct mg_context *context, int type)
+{
+  (void)context;
+  (void)type;
+  rcu_register_thread ();
+  return NULL;
+}
+
+static void
+unregister_thread (const struct mg_context *context, int type, void *state)
+{
+  (void)context;
+  (void)type;
+  (void)state;
+  rcu_unregister_thread ();
+}
+
+static const struct
+{
+  const char *path;
+  mg_request_handler handler;
+} handlers[] = {
+  { "/v1/completions$", handle_completions },
+  { "/v1/chat/completions$", handle_chat },
+  { "/v1/models$", handle_models },
+  { "/live$", handle_live },
+  { "/ready$", handle_ready },
+  { "/status$", handle_status },
+  { "/", handle_other },
+};
+
+/* Fill the library's list of options: name, value, name, value, NULL.  */
+static void
+fill_options (const csp_settings_t *settings, char texts[][OPTION_BYTES],
+              const char **options)
+{
+  bool tls = settings->caller_tls.certificate_file[0] != '\0';
+  int n = 0;
+
+  snprintf (texts[0], OPTION_BYTES, "%.40s:%u%s", settings->listen_address,
+            settings->http_port, tls ? "s" : "");
+  snprintf (texts[1], OPTION_BYTES, "%u", settings->max_streams);
+  snprintf (texts[2], OPTION_BYTES, "%u", settings->max_header_bytes);
+  snprintf (texts[3], OPTION_BYTES, "%d", LISTEN_BACKLOG);
+  options[n++] = "listening_ports";
+  options[n++] = texts[0];
+  options[n++] = "num_threads";
+  options[n++] = texts[1];
+  options[n++] = "max_request_size";
+  options[n++] = texts[2];
+  options[n++] = "listen_backlog";
+  options[n++] = texts[3];
+  options[n++] = "tcp_nodelay";
+  options[n++] = "1";
+  options[n++] = "enable_keep_alive";
+  options[n++] = "no";
+  if (tls)
+    {
+      options[n++] = "ssl_certificate";
+      options[n++] = settings->caller_tls.certificate_file;
+    }
+  options[n] = NULL;
+}
+
+csp_entry_t *
+csp_create_entry (const csp_settings_t *settings, csp_control_t *control,
+                  csp_log_t *log, const csp_clock_t *clock, char *message,
+                  size_t message_bytes)
+{
+  csp_entry_t *entry = calloc (1, sizeof *entry);
+  struct mg_callbacks callbacks
+      = { .init_thread = register_thread, .exit_thread = unregister_thread };
+  char texts[4][OPTION_BYTES];
+  const char *options[SERVER_OPTIONS];
+  size_t i;
+
+  snprintf (message, message_bytes, "can't listen on %s:%u",
+            settings->listen_address, settings->http_port);
+  if (entry == NULL)
+    return NULL;
+  entry->settings = settings;
+  entry->control = control;
+  entry->log = log;
+  entry->clock = *clock;
+  mg_init_library (
+      settings->caller_tls.certificate_file[0] != '\0' ? MG_FEATURES_TLS : 0);
+  fill_options (settings, texts, options);
+  entry->server = mg_start (&callbacks, entry, options);
+  if (entry->server == NULL)
+    {
+      free (entry);
+      return NULL;
+    }
+  for (i = 0; i < sizeof handlers / sizeof handlers[0]; i++)
+    mg_set_request_handler (entry->server, handlers[i].path,
+                            handlers[i].handler, entry);
+  return entry;
+}
+
+uint16_t
+csp_entry_port (const csp_entry_t *entry)
+{
+  struct mg_server_port port;
+
+  if (mg_get_server_ports (entry->server, 1, &port) != 1)
+    return 0;
+  return (uint16_t)port.port;
+}
+
+void
+csp_announce_drain (csp_entry_t *entry)
+{
+  atomic_store (&entry->announced, true);
+}
+
+void
+csp_refuse_new (csp_entry_t *entry)
+{
+  atomic_store (&entry->draining, true);
+}
+
+uint32_t
+csp_open_requests (const csp_entry_t *entry)
+{
+  return (uint32_t)atomic_load (&entry->open_requests);
+}
+
+void
+csp_stop_open (csp_entry_t *entry)
+{
+  atomic_store (&entry->stopping, true);
+}
+
+void
+csp_destroy_entry (csp_entry_t *entry)
+{
+  if (entry == NULL)
+    return;
+  mg_stop (entry->server);
+  mg_exit_library ();
+  free (entry);
+}
--- /dev/null
+++ b/source/peer/peers-imp.h
@@ -0,0 +1,71 @@
+#ifndef COWSLIPSPOKE_PEERS_IMP_H
+#define COWSLIPSPOKE_PEERS_IMP_H
+
+#include <nng/nng.h>
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "cowslipspoke/peer.h"
+
+enum
+{
+  /* Asks that may wait for the control thread at once.  Each holds one
+     message; the rest wait in the senders.  */
+  CSP_PEER_CALLS = 64,
+  /* Sockets towards peers: the planned 330 hosts and room to grow.  */
+  CSP_PEER_SOCKETS = 512,
+  CSP_PEER_URL_BYTES = 96
+};
+
+typedef enum
+{
+  CSP_CALL_RECEIVING,
+  CSP_CALL_WAITING,
+  CSP_CALL_ANSWERING
+} csp_call_state_t;
+
+/* One of the listener's contexts.  */
+struct csp_peer_call
+{
+  csp_peers_t *peers;
+  nng_ctx context;
+  nng_aio *aio;
+  csp_call_state_t state;
+};
+
+/* A socket towards one peer.  */
+typedef struct
+{
+  char url[CSP_PEER_URL_BYTES];
+  nng_socket socket;
+} csp_peer_socket_t;
+
+struct csp_peers
+{
+  nng_socket listener;
+  uint16_t port;
+  bool listening;
+  csp_take_peer_ask_t take;
+  void *state;
+  const csp_tls_settings_t *tls;
+  struct nng_tls_config *client_tls;
+  pthread_mutex_t lock;
+  pthread_cond_t idle;
+  uint32_t open_asks;
+  csp_peer_socket_t sockets[CSP_PEER_SOCKETS];
+  uint32_t socket_count;
+  csp_peer_call_t calls[CSP_PEER_CALLS];
+  uint32_t call_count;
+  atomic_uint_fast64_t bytes;
+};
+
+/* The TLS configuration of one side from the files that the settings name;
+   NULL when one can't be read or is wrong.  */
+struct nng_tls_config *csp_create_peer_tls (const csp_tls_settings_t *tls,
+                                            const char *deployment,
+                                            bool server);
+
+/* Whether links to peers are encrypted.  */
+bool csp_peers_use_tls (const csp_peers_t *peers);
+
+#endif
--- a/source/stream/recovery.c
+++ b/source/stream/recovery.c
@@ -89,7 +89,7 @@
 may_resume (const csp_recovery_policy_t *policy, const csp_attempt_t *attempt,
             const end_row_t *row)
 {
-  return row->resumable && attempt->may_have_started
+  return row->resumable && attempt->resumable && attempt->may_have_started
          && attempt->idle_resumes < policy->resume_limit
          && attempt->idle_ms < policy->resume_window_ms;
 }
