--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 STD := -std=gnu11
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
   -Wmissing-prototypes -Wformat=2 -Wno-unused-parameter
-CPPFLAGS := -Iinclude -Isource -D_GNU_SOURCE
+CPPFLAGS := -Iinclude -Isource -Itests -D_GNU_SOURCE
 CFLAGS := $(STD) -O2 -g $(WARN) $(SAN_FLAGS)
 LDFLAGS := $(SAN_FLAGS)
 LDLIBS := -lcivetweb -lcurl -lnng -lprotobuf-c -ljson-c -llog4c \
@@ -85,7 +85,8 @@
   $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
-$(BUILD)/%-bench: $(BUILD)/bench/%-bench.o $(call obj,$(BENCH_COMMON)) $(LIB)
+$(BUILD)/%-bench: $(BUILD)/bench/%-bench.o $(call obj,$(BENCH_COMMON)) \
+  $(call obj,$(SUPPORT_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 check: setup
--- a/include/cowslipspoke/configuration.h
+++ b/include/cowslipspoke/configuration.h
@@ -55,7 +55,8 @@
 
 /* Builds what is put in force from all values, which are sorted by key, and
    is the check at the same time: NULL and a fault text refuse the revision.
-   release is called when a built thing is no longer in force.  */
+   The values hold only until it returns.  release is called when a built thing
+   is no longer in force.  */
 typedef struct
 {
   void *(*build) (void *state, int64_t revision,
@@ -97,11 +98,9 @@
                                             csp_config_source_t source,
                                             const csp_config_delta_t *delta);
 
-/* The revision that a watch at the service should ask behind: the highest
-   answered or in force; *whole_first is set where a read with after=0 must
-   come before the watch.  */
-int64_t csp_find_watch_base (const csp_configuration_t *configuration,
-                             bool *whole_first);
+/* The revision that a watch at the service should ask behind: the highest in
+   force or refused, so that a bad revision does not wake the watch again.  */
+int64_t csp_find_watch_base (const csp_configuration_t *configuration);
 
 /* The changes behind a revision for a peer, or the whole where after is too
    old, is 0, or was never in force here.  The delta points into the
@@ -114,6 +113,10 @@
 void csp_note_refused (csp_configuration_t *configuration, int64_t revision,
                        const char *fault);
 
+/* A peer holds the revision in force with another content.  The next revision
+   is then read whole: a delta on two contents would give two more.  */
+void csp_note_conflict (csp_configuration_t *configuration);
+
 /* What the check built for the revision in force; NULL before the first.  */
 void *csp_built_configuration (const csp_configuration_t *configuration);
 
--- a/include/cowslipspoke/membership.h
+++ b/include/cowslipspoke/membership.h
@@ -41,10 +41,19 @@
   CSP_MAX_SUSPECTS = 4,
   CSP_MAX_SUMMARIES = 4,
   CSP_SUMMARY_HOSTS = 2,
-  CSP_MAX_HEARTBEAT_ACTIONS = 16
+  CSP_MAX_HEARTBEAT_ACTIONS = 16,
+  /* Each relay asks one host of another data centre this often, the data
+     centres in turn.  */
+  CSP_CROSS_MS = 1000,
+  /* What witnesses said counts this long.  */
+  CSP_SUSPECT_MS = 10000,
+  /* A host that is no longer listed and silent is kept this long, because
+     at-most-once has to ask every host that may have taken a request.  */
+  CSP_FORGET_MS = 3600000
 };
 
-/* "I have had no round trip with this host for age_ms", from witness.  */
+/* "I have had no round trip with this host for age_ms", said by witness; an
+   empty witness is the sender.  */
 typedef struct
 {
   char name[CSP_HOST_NAME_BYTES];
@@ -172,6 +181,9 @@
   uint64_t incarnation;
   csp_member_state_t state;
   csp_peer_liveness_t liveness;
+  /* Still an owner of targets in our view if it is live: a silent host stays
+     in the view for the grace that its lease may last.  */
+  bool in_view;
   bool self;
   bool listed;
   /* Since the last round trip began; -1 where there was none.  */
@@ -291,6 +303,11 @@
 bool csp_find_host (const csp_membership_t *membership, const char *name,
                     int64_t now_ms, csp_host_view_t *view);
 
+/* What one heartbeat interval is now, and how long without a round trip makes
+   a peer silent; both grow with the number of neighbours.  */
+int64_t csp_heartbeat_interval_ms (const csp_membership_t *membership);
+int64_t csp_silent_after_ms (const csp_membership_t *membership);
+
 /* Whether a host takes part in the ownership of its data centre's targets.  */
 bool csp_host_owns (const csp_host_view_t *view);
 
--- a/include/cowslipspoke/ownership.h
+++ b/include/cowslipspoke/ownership.h
@@ -24,6 +24,7 @@
 
 enum
 {
+  CSP_MAX_OWNERS = 256,
   /* Openings are in thousandths of the target's capacity.  */
   CSP_OPEN_FULL = 1000,
   CSP_OPEN_FIRST = 250,
@@ -48,13 +49,13 @@
 };
 
 /* What a host says of one target: the tokens of the streams it carries there
-   and whether it may grant new work on it.  */
+   and whether it believes that it owns it.  */
 typedef struct
 {
   char target[CSP_HOST_NAME_BYTES];
   int64_t carried_tokens;
   uint32_t carried_streams;
-  bool granting;
+  bool owning;
 } csp_carry_t;
 
 /* Ask a peer for csp_carry_t of these targets (indices).  */
@@ -128,11 +129,12 @@
                          csp_carry_asks_t *asks);
 
 /* Answer a peer's question about one target: what we carry there, as last
-   set, and whether we may still grant.  An unknown target is not carried.  */
+   set, and whether we still own it.  An unknown target is not carried.  */
 void csp_answer_carry (const csp_ownership_t *ownership, const char *target,
-                       int64_t now_ms, csp_carry_t *carry);
+                       csp_carry_t *carry);
 
-/* A peer's answer to the ask with this id, or that none came.  */
+/* A peer's answer to the ask with this id, in any order of targets, or that
+ * none came.  */
 void csp_handle_carry (csp_ownership_t *ownership, const char *peer,
                        uint64_t id, const csp_carry_t *carries, size_t count,
                        int64_t now_ms);
@@ -144,7 +146,8 @@
 void csp_set_carried (csp_ownership_t *ownership, uint32_t target,
                       int64_t tokens, uint32_t streams, int64_t now_ms);
 
-/* The target's own load report.  leaving closes it at once.  */
+/* A new load report of the target itself (not one already given).  leaving
+   closes it at once.  */
 void csp_handle_load_report (csp_ownership_t *ownership, uint32_t target,
                              int64_t used_tokens, int64_t capacity_tokens,
                              bool leaving, int64_t now_ms);
@@ -155,6 +158,13 @@
 uint32_t csp_find_opening (const csp_ownership_t *ownership, uint32_t target,
                            int64_t now_ms);
 
+/* Tokens of memory that new work may still take on the target now: what the
+   opening leaves beside our streams and our peers', and never more than the
+   report leaves free.  0 where there is no grant or no report yet said the
+   capacity.  */
+int64_t csp_find_room_tokens (const csp_ownership_t *ownership,
+                              uint32_t target, int64_t now_ms);
+
 /* The lease behind every grant, for snapshots that traffic threads read.  */
 int64_t csp_grant_until_ms (const csp_ownership_t *ownership);
 
--- a/include/cowslipspoke/spread.h
+++ b/include/cowslipspoke/spread.h
@@ -2,6 +2,7 @@
 #define COWSLIPSPOKE_SPREAD_H
 
 #include "cowslipspoke/configuration.h"
+#include "cowslipspoke/membership.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -42,11 +43,13 @@
   CSP_WHOLE_CHECK_MS = 600000,
   /* A host that starts waits this long for a first configuration from
      anywhere before it serves what it has (or says it has none).  */
-  CSP_START_WAIT_MS = 5000
+  CSP_START_WAIT_MS = 5000,
+  /* With a configuration from the service but nothing newer from a peer it
+     waits this long for peers: two heartbeats.  */
+  CSP_START_SETTLE_MS = 2000
 };
 
-/* What the membership says of a peer, given in rendezvous order for readers
-   (csp_find_rendezvous_order), own data centre first.  */
+/* What the membership says of a peer; csp_fill_spread_peers makes these.  */
 typedef struct
 {
   char name[CSP_HOST_NAME_BYTES];
@@ -80,7 +83,8 @@
 
 enum
 {
-  CSP_MAX_SPREAD_ACTIONS = 2
+  CSP_MAX_SPREAD_ACTIONS = 2,
+  CSP_MAX_SPREAD_PEERS = 128
 };
 
 typedef struct
@@ -102,10 +106,17 @@
   uint64_t failed_pulls;
   /* Answers to questions that were no longer open, dropped.  */
   uint64_t crossed_answers;
-  /* Peers seen with the revision in force and another digest.  */
-  uint64_t peer_conflicts;
+  /* Peers that have the revision in force with another digest now.  */
+  size_t peer_conflicts;
 } csp_spread_status_t;
 
+/* Fill peers from the membership: the hosts of our data centre in rendezvous
+   order, then hosts elsewhere that answered us lately.  Returns how many, and
+   our own place in the order in rank.  */
+size_t csp_fill_spread_peers (const csp_membership_t *membership,
+                              int64_t now_ms, csp_spread_peer_t *peers,
+                              size_t capacity, size_t *rank);
+
 /* Create over a configuration, which must outlive it.  */
 csp_spread_t *csp_create_spread (csp_configuration_t *configuration,
                                  uint64_t seed, int64_t now_ms);
@@ -118,7 +129,9 @@
                       size_t peer_count, size_t rank, int64_t now_ms,
                       csp_spread_actions_t *actions);
 
-/* An answer of the service to the read with this id.  */
+/* An answer of the service to the read with this id.  An answer to a read
+   that is no longer open is counted, dropped and gives CSP_CONFIG_SAME; so
+   for pulls.  */
 csp_config_result_t csp_handle_read (csp_spread_t *spread, uint64_t id,
                                      const csp_config_delta_t *delta,
                                      int64_t now_ms);
--- /dev/null
+++ b/tests/support/fleet-platform.c
@@ -0,0 +1,160 @@
+#include "support/fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  KEY_BYTES = 24,
+  JSON_BYTES = 24
+};
+
+void
+fleet_publish_value (fleet_t *fleet, size_t key, int value)
+{
+  fleet_service_t *service = &fleet->service;
+
+  service->changed[key] = ++service->revision;
+  service->value[key] = value;
+}
+
+void
+fleet_publish (fleet_t *fleet, size_t count)
+{
+  uint32_t draw;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      draw = csp_random_below (&fleet->random, 600);
+      fleet_publish_value (fleet,
+                           csp_random_below (&fleet->random, FLEET_KEYS),
+                           draw < 60 ? -1 : (int)draw);
+    }
+}
+
+void
+fleet_leave_target (fleet_t *fleet, size_t target)
+{
+  fleet->targets[target].listed.state = CSP_MEMBER_LEAVING;
+  fleet->list_version++;
+}
+
+/* The answer to after, into arrays of the caller.  */
+static void
+fill_answer (const fleet_service_t *service, int64_t after,
+             csp_config_delta_t *delta, csp_config_value_t *values,
+             char keys[][KEY_BYTES], char texts[][JSON_BYTES])
+{
+  size_t count = 0;
+  size_t i;
+
+  for (i = 0; i < FLEET_KEYS; i++)
+    {
+      if (service->changed[i] == 0 || service->changed[i] <= after
+          || (after == 0 && service->value[i] < 0))
+        continue;
+      snprintf (keys[count], KEY_BYTES, "organisation/o%zu", i);
+      snprintf (texts[count], JSON_BYTES, "{\"weight\":%d}",
+                service->value[i]);
+      values[count].key = keys[count];
+      values[count].json = service->value[i] < 0 ? NULL : texts[count];
+      values[count].revision = service->changed[i];
+      count++;
+    }
+  memset (delta, 0, sizeof *delta);
+  delta->base = after;
+  delta->full = after == 0;
+  delta->revision = service->revision;
+  delta->value_count = count;
+  delta->values = values;
+}
+
+static void
+answer_read (fleet_t *fleet, fleet_node_t *node)
+{
+  csp_config_delta_t delta;
+  csp_config_value_t values[FLEET_KEYS];
+  char keys[FLEET_KEYS][KEY_BYTES];
+  char texts[FLEET_KEYS][JSON_BYTES];
+
+  fill_answer (&fleet->service, node->read.after, &delta, values, keys, texts);
+  node->reading = false;
+  csp_handle_read (node->spread, node->read.id, &delta, fleet->now_ms);
+}
+
+static void
+tick_read (fleet_t *fleet, fleet_node_t *node)
+{
+  int64_t waited_ms = fleet->now_ms - node->read_since_ms;
+  bool changed
+      = fleet->service.revision != node->read.after || node->read.after == 0;
+
+  if (!node->reading)
+    return;
+  if (node->platform_cut || fleet->service_away)
+    {
+      if (waited_ms >= node->read.timeout_ms)
+        node->reading = false;
+      return;
+    }
+  if (changed || waited_ms >= node->read.wait_ms)
+    answer_read (fleet, node);
+}
+
+static size_t
+fill_listed_hosts (const fleet_t *fleet, csp_listed_host_t *hosts)
+{
+  csp_host_view_t self;
+  size_t count = 0;
+  size_t i;
+
+  for (i = 0; i < fleet->settings.nodes; i++)
+    {
+      if (!fleet->listed[i])
+        continue;
+      memset (&hosts[count], 0, sizeof hosts[count]);
+      memcpy (hosts[count].name, fleet->nodes[i].name,
+              sizeof hosts[count].name);
+      snprintf (hosts[count].region, sizeof hosts[count].region, "wales");
+      snprintf (hosts[count].data_centre, sizeof hosts[count].data_centre,
+                "dc-%zu", fleet->nodes[i].data_centre);
+      snprintf (hosts[count].address, sizeof hosts[count].address,
+                "127.0.0.1");
+      hosts[count].http_port = 8080;
+      hosts[count].peer_port = (uint16_t)(10000 + i);
+      count++;
+    }
+  (void)self;
+  return count;
+}
+
+static void
+read_list (fleet_t *fleet, fleet_node_t *node)
+{
+  csp_listed_host_t *hosts = calloc (FLEET_MAX_NODES, sizeof *hosts);
+  csp_listed_target_t *targets = calloc (FLEET_MAX_TARGETS, sizeof *targets);
+  csp_host_list_t list = { fleet->list_version, 0, hosts, 0, targets };
+  size_t i;
+
+  list.host_count = fill_listed_hosts (fleet, hosts);
+  for (i = 0; i < fleet->target_count; i++)
+    targets[list.target_count++] = fleet->targets[i].listed;
+  if (csp_apply_host_list (node->membership, &list, fleet->now_ms)
+      == CSP_LIST_TAKEN)
+    csp_apply_target_list (node->ownership, &list, fleet->now_ms);
+  free (hosts);
+  free (targets);
+}
+
+void
+fleet_tick_platform (fleet_t *fleet, fleet_node_t *node)
+{
+  tick_read (fleet, node);
+  if (fleet->now_ms < node->next_list_ms || fleet->service_away
+      || node->platform_cut)
+    return;
+  node->next_list_ms = fleet->now_ms + FLEET_LIST_POLL_MS;
+  read_list (fleet, node);
+}
--- /dev/null
+++ b/tests/support/fleet.c
@@ -0,0 +1,669 @@
+#include "support/fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef enum
+{
+  MESSAGE_HEARTBEAT,
+  MESSAGE_HEARTBEAT_REPLY,
+  MESSAGE_PULL,
+  MESSAGE_PULL_REPLY,
+  MESSAGE_CARRY,
+  MESSAGE_CARRY_REPLY
+} message_kind_t;
+
+struct fleet_message
+{
+  message_kind_t kind;
+  int64_t at_ms;
+  uint64_t to_incarnation;
+  size_t from;
+  size_t to;
+  uint64_t id;
+  csp_heartbeat_t *heartbeat;
+  int64_t after;
+  csp_config_delta_t delta;
+  int64_t refused_revision;
+  char fault[CSP_FAULT_BYTES];
+  size_t carry_count;
+  csp_carry_t *carries;
+};
+
+static void *
+build_checked (void *state, int64_t revision, const csp_config_value_t *values,
+               size_t count, char fault[CSP_FAULT_BYTES])
+{
+  char bad[24];
+  size_t i;
+
+  (void)state;
+  snprintf (bad, sizeof bad, "{\"weight\":%d}", FLEET_BAD_VALUE);
+  for (i = 0; i < count; i++)
+    if (strcmp (values[i].json, bad) == 0)
+      {
+        snprintf (fault, CSP_FAULT_BYTES, "%.100s: weight %d is bad at %lld",
+                  values[i].key, FLEET_BAD_VALUE, (long long)revision);
+        return NULL;
+      }
+  return malloc (1);
+}
+
+static void
+release_checked (void *state, void *built)
+{
+  (void)state;
+  free (built);
+}
+
+static void
+free_delta (csp_config_delta_t *delta)
+{
+  size_t i;
+
+  for (i = 0; i < delta->value_count; i++)
+    {
+      free ((char *)delta->values[i].key);
+      free ((char *)delta->values[i].json);
+    }
+  free ((csp_config_value_t *)delta->values);
+}
+
+static void
+copy_delta (const csp_config_delta_t *from, csp_config_delta_t *to)
+{
+  csp_config_value_t *values = calloc (from->value_count + 1, sizeof *values);
+  size_t i;
+
+  *to = *from;
+  to->values = values;
+  for (i = 0; i < from->value_count; i++)
+    {
+      values[i].key = strdup (from->values[i].key);
+      values[i].revision = from->values[i].revision;
+      if (from->values[i].json != NULL)
+        values[i].json = strdup (from->values[i].json);
+    }
+}
+
+static void
+free_message (fleet_message_t *message)
+{
+  free (message->heartbeat);
+  free (message->carries);
+  free_delta (&message->delta);
+}
+
+static size_t
+count_message_bytes (const fleet_message_t *message)
+{
+  size_t bytes = 0;
+
+  if (message->heartbeat != NULL)
+    bytes += fleet_count_heartbeat_bytes (message->heartbeat);
+  if (message->kind == MESSAGE_PULL_REPLY)
+    bytes += fleet_count_delta_bytes (&message->delta);
+  if (message->kind == MESSAGE_PULL)
+    bytes += 16;
+  return bytes + message->carry_count * 20;
+}
+
+static fleet_message_t *
+post (fleet_t *fleet, message_kind_t kind, size_t from, size_t to)
+{
+  fleet_message_t *message;
+
+  if (fleet->message_count == fleet->message_capacity)
+    {
+      fleet->message_capacity = fleet->message_capacity * 2 + 64;
+      fleet->messages = realloc (
+          fleet->messages, fleet->message_capacity * sizeof *fleet->messages);
+    }
+  message = &fleet->messages[fleet->message_count++];
+  memset (message, 0, sizeof *message);
+  message->kind = kind;
+  message->from = from;
+  message->to = to;
+  message->to_incarnation = fleet->nodes[to].incarnation;
+  message->at_ms
+      = fleet->now_ms + 1
+        + csp_random_below (&fleet->random, fleet->settings.delay_ms);
+  return message;
+}
+
+/* Count the last message posted, and lose it where it must be lost.  */
+static void
+finish_post (fleet_t *fleet)
+{
+  fleet_message_t *message = &fleet->messages[fleet->message_count - 1];
+  fleet_node_t *node = &fleet->nodes[message->from];
+
+  node->bytes += count_message_bytes (message);
+  node->messages++;
+  if (fleet->cuts[message->from][message->to]
+      || csp_random_unit (&fleet->random) < fleet->settings.loss)
+    {
+      free_message (message);
+      fleet->message_count--;
+    }
+}
+
+static size_t
+find_node (const fleet_t *fleet, const char *name)
+{
+  size_t i;
+
+  (void)fleet;
+  i = (size_t)strtoul (name + 1, NULL, 10);
+  return i;
+}
+
+static csp_heartbeat_t *
+copy_heartbeat (const csp_heartbeat_t *from)
+{
+  csp_heartbeat_t *to = malloc (sizeof *to);
+
+  *to = *from;
+  return to;
+}
+
+static void
+deliver_heartbeat (fleet_t *fleet, const fleet_message_t *message)
+{
+  fleet_node_t *node = &fleet->nodes[message->to];
+  csp_heartbeat_t reply;
+  fleet_message_t *answer;
+
+  csp_handle_heartbeat (node->membership, message->heartbeat, fleet->now_ms,
+                        &reply);
+  answer = post (fleet, MESSAGE_HEARTBEAT_REPLY, message->to, message->from);
+  answer->heartbeat = copy_heartbeat (&reply);
+  finish_post (fleet);
+}
+
+static void
+deliver_pull (fleet_t *fleet, const fleet_message_t *message)
+{
+  fleet_node_t *node = &fleet->nodes[message->to];
+  csp_config_status_t status;
+  csp_config_delta_t delta;
+  fleet_message_t *answer;
+
+  csp_find_config_changes (node->configuration, message->after, &delta);
+  csp_describe_configuration (node->configuration, &status);
+  answer = post (fleet, MESSAGE_PULL_REPLY, message->to, message->from);
+  answer->id = message->id;
+  answer->refused_revision = status.refused_revision;
+  memcpy (answer->fault, status.fault, sizeof answer->fault);
+  copy_delta (&delta, &answer->delta);
+  finish_post (fleet);
+}
+
+static void
+deliver_carry (fleet_t *fleet, const fleet_message_t *message)
+{
+  fleet_node_t *node = &fleet->nodes[message->to];
+  fleet_message_t *answer;
+  size_t i;
+
+  answer = post (fleet, MESSAGE_CARRY_REPLY, message->to, message->from);
+  answer->id = message->id;
+  answer->carry_count = message->carry_count;
+  answer->carries = calloc (message->carry_count + 1, sizeof (csp_carry_t));
+  for (i = 0; i < message->carry_count; i++)
+    csp_answer_carry (node->ownership, message->carries[i].target,
+                      &answer->carries[i]);
+  finish_post (fleet);
+}
+
+static void
+deliver (fleet_t *fleet, const fleet_message_t *message)
+{
+  fleet_node_t *node = &fleet->nodes[message->to];
+  const char *from = fleet->nodes[message->from].name;
+
+  if (!node->up || node->incarnation != message->to_incarnation)
+    return;
+  switch (message->kind)
+    {
+    case MESSAGE_HEARTBEAT:
+      deliver_heartbeat (fleet, message);
+      break;
+    case MESSAGE_HEARTBEAT_REPLY:
+      csp_handle_heartbeat_reply (node->membership, from, message->heartbeat,
+                                  fleet->now_ms);
+      break;
+    case MESSAGE_PULL:
+      deliver_pull (fleet, message);
+      break;
+    case MESSAGE_PULL_REPLY:
+      csp_handle_pull (node->spread, message->id, &message->delta,
+                       message->refused_revision, message->fault,
+                       fleet->now_ms);
+      break;
+    case MESSAGE_CARRY:
+      deliver_carry (fleet, message);
+      break;
+    case MESSAGE_CARRY_REPLY:
+      csp_handle_carry (node->ownership, from, message->id, message->carries,
+                        message->carry_count, fleet->now_ms);
+      break;
+    }
+}
+
+/* What comes to a paused node waits in its socket.  */
+static void
+deliver_due (fleet_t *fleet)
+{
+  fleet_message_t message;
+  size_t i = 0;
+
+  while (i < fleet->message_count)
+    {
+      message = fleet->messages[i];
+      if (message.at_ms > fleet->now_ms
+          || fleet->nodes[message.to].paused_until_ms > fleet->now_ms)
+        {
+          i++;
+          continue;
+        }
+      fleet->messages[i] = fleet->messages[--fleet->message_count];
+      deliver (fleet, &message);
+      free_message (&message);
+    }
+}
+
+static void
+tick_membership (fleet_t *fleet, fleet_node_t *node, size_t index)
+{
+  csp_heartbeat_actions_t actions;
+  csp_ownership_status_t owned;
+  csp_config_status_t config;
+  csp_spread_status_t spread;
+  csp_local_state_t local;
+  fleet_message_t *message;
+  size_t i;
+
+  csp_describe_ownership (node->ownership, &owned);
+  csp_describe_configuration (node->configuration, &config);
+  csp_describe_spread (node->spread, &spread);
+  memset (&local, 0, sizeof local);
+  local.state = node->state;
+  local.revision = config.revision;
+  local.digest = config.digest;
+  local.refused_revision = config.refused_revision;
+  local.service_silent = spread.service_silent;
+  local.owned_targets = (uint32_t)owned.owned;
+  local.headroom_tokens = 1000 + (int64_t)index;
+  csp_set_local_state (node->membership, &local);
+  csp_tick_membership (node->membership, fleet->now_ms, &actions);
+  for (i = 0; i < actions.count; i++)
+    {
+      message = post (fleet, MESSAGE_HEARTBEAT, index,
+                      find_node (fleet, actions.items[i].peer));
+      message->heartbeat = copy_heartbeat (&actions.items[i].ask);
+      finish_post (fleet);
+    }
+}
+
+static void
+start_read (fleet_t *fleet, fleet_node_t *node,
+            const csp_spread_action_t *action)
+{
+  node->reading = true;
+  node->read = *action;
+  node->read_since_ms = fleet->now_ms;
+  node->reads++;
+  fleet->reads++;
+}
+
+static void
+tick_spread (fleet_t *fleet, fleet_node_t *node, size_t index)
+{
+  csp_spread_peer_t peers[CSP_MAX_SPREAD_PEERS];
+  csp_spread_actions_t actions;
+  fleet_message_t *message;
+  size_t rank;
+  size_t count = csp_fill_spread_peers (node->membership, fleet->now_ms, peers,
+                                        CSP_MAX_SPREAD_PEERS, &rank);
+  size_t i;
+
+  if (fleet->settings.everyone_reads)
+    {
+      count = 0;
+      rank = 0;
+    }
+  csp_tick_spread (node->spread, peers, count, rank, fleet->now_ms, &actions);
+  for (i = 0; i < actions.count; i++)
+    {
+      if (actions.items[i].kind == CSP_SPREAD_READ_SERVICE)
+        {
+          start_read (fleet, node, &actions.items[i]);
+          continue;
+        }
+      message = post (fleet, MESSAGE_PULL, index,
+                      find_node (fleet, actions.items[i].peer));
+      message->id = actions.items[i].id;
+      message->after = actions.items[i].after;
+      finish_post (fleet);
+    }
+}
+
+static void
+tick_ownership (fleet_t *fleet, fleet_node_t *node, size_t index)
+{
+  csp_carry_asks_t asks;
+  csp_target_view_t view;
+  fleet_message_t *message;
+  size_t i;
+  size_t t;
+
+  csp_tick_ownership (node->ownership, node->membership, fleet->now_ms, &asks);
+  for (i = 0; i < asks.count; i++)
+    {
+      message = post (fleet, MESSAGE_CARRY, index,
+                      find_node (fleet, asks.items[i].peer));
+      message->id = asks.items[i].id;
+      message->carry_count = asks.items[i].count;
+      message->carries = calloc (asks.items[i].count, sizeof (csp_carry_t));
+      for (t = 0; t < asks.items[i].count; t++)
+        if (csp_view_target (node->ownership, asks.items[i].targets[t], &view))
+          memcpy (message->carries[t].target, view.target.name,
+                  sizeof view.target.name);
+      finish_post (fleet);
+    }
+}
+
+static void
+tick_node (fleet_t *fleet, size_t index)
+{
+  fleet_node_t *node = &fleet->nodes[index];
+  int64_t revision;
+
+  fleet_tick_platform (fleet, node);
+  if (fleet->now_ms < node->next_tick_ms)
+    return;
+  node->next_tick_ms = fleet->now_ms + FLEET_TICK_MS;
+  if (fleet->now_ms / FLEET_TICK_MS % (FLEET_REPORT_MS / FLEET_TICK_MS)
+      == (int64_t)index % (FLEET_REPORT_MS / FLEET_TICK_MS))
+    fleet_report_loads (fleet, node);
+  tick_membership (fleet, node, index);
+  tick_spread (fleet, node, index);
+  tick_ownership (fleet, node, index);
+  revision = fleet_revision (fleet, index);
+  fleet->went_back += revision < node->highest_revision;
+  node->highest_revision = revision;
+}
+
+/* The lagging host list: a start or a death shows after the lag.  */
+static void
+update_list (fleet_t *fleet)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->settings.nodes; i++)
+    if (fleet->listed[i] != fleet->nodes[i].up
+        && fleet->now_ms
+               >= fleet->list_changes[i] + fleet->settings.list_lag_ms)
+      {
+        fleet->listed[i] = fleet->nodes[i].up;
+        fleet->list_version++;
+      }
+}
+
+static void
+check_grants (fleet_t *fleet)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->target_count; i++)
+    fleet->double_grants += fleet_count_granting (fleet, i) > 1;
+}
+
+static void
+step (fleet_t *fleet)
+{
+  size_t i;
+
+  fleet->now_ms += FLEET_STEP_MS;
+  update_list (fleet);
+  deliver_due (fleet);
+  for (i = 0; i < fleet->settings.nodes; i++)
+    if (fleet->nodes[i].up && fleet->nodes[i].paused_until_ms <= fleet->now_ms)
+      tick_node (fleet, i);
+  if (fleet->now_ms % FLEET_TICK_MS == 0)
+    fleet_tick_load (fleet);
+  check_grants (fleet);
+}
+
+void
+fleet_run (fleet_t *fleet, int64_t ms)
+{
+  int64_t until_ms = fleet->now_ms + ms;
+
+  while (fleet->now_ms < until_ms)
+    step (fleet);
+}
+
+static void
+create_target (fleet_t *fleet, size_t data_centre, size_t number)
+{
+  fleet_target_t *target = &fleet->targets[fleet->target_count++];
+
+  target->data_centre = data_centre;
+  snprintf (target->listed.name, sizeof target->listed.name, "e%zu-%zu",
+            data_centre, number);
+  snprintf (target->listed.data_centre, sizeof target->listed.data_centre,
+            "dc-%zu", data_centre);
+}
+
+fleet_t *
+fleet_create (const fleet_settings_t *settings)
+{
+  fleet_t *fleet = calloc (1, sizeof *fleet);
+  size_t i;
+
+  fleet->settings = *settings;
+  fleet->now_ms = 1000000;
+  fleet->list_version = 1;
+  csp_seed_random (&fleet->random, settings->seed);
+  for (i = 0; i < settings->nodes; i++)
+    {
+      snprintf (fleet->nodes[i].name, sizeof fleet->nodes[i].name, "h%zu", i);
+      fleet->nodes[i].data_centre = i % settings->data_centres;
+    }
+  for (i = 0; i < settings->targets * settings->data_centres; i++)
+    create_target (fleet, i % settings->data_centres, i);
+  fleet_publish (fleet, 100);
+  return fleet;
+}
+
+static void
+destroy_node (fleet_node_t *node)
+{
+  csp_destroy_ownership (node->ownership);
+  csp_destroy_spread (node->spread);
+  csp_destroy_configuration (node->configuration);
+  csp_destroy_membership (node->membership);
+  node->ownership = NULL;
+  node->spread = NULL;
+  node->configuration = NULL;
+  node->membership = NULL;
+}
+
+void
+fleet_destroy (fleet_t *fleet)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->message_count; i++)
+    free_message (&fleet->messages[i]);
+  for (i = 0; i < fleet->settings.nodes; i++)
+    destroy_node (&fleet->nodes[i]);
+  free (fleet->messages);
+  free (fleet);
+}
+
+void
+fleet_start (fleet_t *fleet, size_t index)
+{
+  fleet_node_t *node = &fleet->nodes[index];
+  csp_membership_settings_t settings = { 0 };
+  csp_config_check_t check = { build_checked, release_checked, NULL };
+  char data_centre[CSP_HOST_NAME_BYTES];
+
+  destroy_node (node);
+  snprintf (data_centre, sizeof data_centre, "dc-%zu", node->data_centre);
+  node->incarnation
+      = csp_make_incarnation (fleet->now_ms, csp_random_u64 (&fleet->random));
+  settings.deployment = "test";
+  settings.name = node->name;
+  settings.region = "wales";
+  settings.data_centre = data_centre;
+  settings.address = "127.0.0.1";
+  settings.http_port = 8080;
+  settings.peer_port = (uint16_t)(10000 + index);
+  settings.incarnation = node->incarnation;
+  settings.seed = csp_random_u64 (&fleet->random);
+  node->membership = csp_create_membership (&settings, fleet->now_ms);
+  node->configuration = csp_create_configuration (&check);
+  node->spread
+      = csp_create_spread (node->configuration, settings.seed, fleet->now_ms);
+  node->ownership = csp_create_ownership (node->name, data_centre);
+  node->state = CSP_MEMBER_LIVE;
+  node->up = true;
+  node->reading = false;
+  node->paused_until_ms = 0;
+  node->highest_revision = 0;
+  node->next_list_ms = 0;
+  node->next_tick_ms
+      = fleet->now_ms + csp_random_below (&fleet->random, FLEET_TICK_MS);
+  memset (node->carried, 0, sizeof node->carried);
+  fleet->list_changes[index] = fleet->now_ms;
+}
+
+void
+fleet_start_all (fleet_t *fleet)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->settings.nodes; i++)
+    {
+      fleet_start (fleet, i);
+      fleet->listed[i] = true;
+    }
+  fleet_run (fleet, 20000);
+}
+
+void
+fleet_kill (fleet_t *fleet, size_t index)
+{
+  fleet->nodes[index].up = false;
+  fleet->list_changes[index] = fleet->now_ms;
+}
+
+void
+fleet_pause (fleet_t *fleet, size_t index, int64_t ms)
+{
+  fleet->nodes[index].paused_until_ms = fleet->now_ms + ms;
+}
+
+void
+fleet_leave (fleet_t *fleet, size_t index)
+{
+  fleet->nodes[index].state = CSP_MEMBER_LEAVING;
+}
+
+void
+fleet_cut (fleet_t *fleet, size_t from, size_t to, bool cut)
+{
+  fleet->cuts[from][to] = cut;
+}
+
+void
+fleet_split (fleet_t *fleet, size_t split, bool cut)
+{
+  size_t a;
+  size_t b;
+
+  for (a = 0; a < split; a++)
+    for (b = split; b < fleet->settings.nodes; b++)
+      fleet->cuts[a][b] = fleet->cuts[b][a] = cut;
+}
+
+int64_t
+fleet_revision (const fleet_t *fleet, size_t index)
+{
+  csp_config_status_t status;
+
+  csp_describe_configuration (fleet->nodes[index].configuration, &status);
+  return status.revision;
+}
+
+bool
+fleet_agrees_on (const fleet_t *fleet, int64_t revision)
+{
+  csp_config_status_t status;
+  uint64_t digest = 0;
+  size_t i;
+
+  for (i = 0; i < fleet->settings.nodes; i++)
+    {
+      if (!fleet->nodes[i].up)
+        continue;
+      csp_describe_configuration (fleet->nodes[i].configuration, &status);
+      if (status.revision < revision
+          || (digest != 0 && status.digest != digest))
+        return false;
+      digest = status.digest;
+    }
+  return true;
+}
+
+int64_t
+fleet_time_to_agree (fleet_t *fleet, int64_t revision, int64_t limit_ms)
+{
+  int64_t since_ms = fleet->now_ms;
+
+  while (!fleet_agrees_on (fleet, revision))
+    {
+      if (fleet->now_ms - since_ms >= limit_ms)
+        return -1;
+      step (fleet);
+    }
+  return fleet->now_ms - since_ms;
+}
+
+size_t
+fleet_count_granting (const fleet_t *fleet, size_t target)
+{
+  const fleet_node_t *node;
+  uint32_t index;
+  size_t count = 0;
+  size_t i;
+
+  /* A paused node's threads wake with it, before its next tick; so it is
+     asked too.  */
+  for (i = fleet->targets[target].data_centre; i < fleet->settings.nodes;
+       i += fleet->settings.data_centres)
+    {
+      node = &fleet->nodes[i];
+      count += node->up
+               && csp_find_target (node->ownership,
+                                   fleet->targets[target].listed.name, &index)
+               && csp_find_opening (node->ownership, index, fleet->now_ms) > 0;
+    }
+  return count;
+}
+
+csp_peer_liveness_t
+fleet_liveness (const fleet_t *fleet, size_t from, size_t of)
+{
+  csp_host_view_t view;
+
+  if (!csp_find_host (fleet->nodes[from].membership, fleet->nodes[of].name,
+                      fleet->now_ms, &view))
+    return CSP_PEER_SILENT;
+  return view.liveness;
+}
