--- /dev/null
+++ b/tests/fleet.sh
@@ -0,0 +1,381 @@
+# Helpers that start and drive a small fleet of real processes on loopback, on
+# ports that the kernel picks; for the golden sessions, the demo and the bench.
+#
+# Nothing here proves by sleeping: wait_until polls a condition that can be
+# seen from outside and exits after its limit.
+
+BUILD=${BUILD:-build/plain}
+work=$(mktemp -d "${TMPDIR:-/tmp}/cowslipspoke.XXXXXX")
+started=
+: >"$work/hosts"
+: >"$work/targets"
+
+# The key of the organisation NAME is key-NAME.
+hash_of_key() {
+  printf 'key-%s' "$1" | sha256sum | cut -d' ' -f1
+}
+
+# The state letter of a process, Z when it has ended; empty when it is gone.
+state_of() {
+  sed 's/.*) //' "/proc/$1/stat" 2>/dev/null | cut -c1
+}
+
+is_running() {
+  case $(state_of "$1") in
+  '' | Z) return 1 ;;
+  esac
+}
+
+pid_of() {
+  cat "$work/$1.pid"
+}
+
+port_of() {
+  sed -n 's/^ready http=\([0-9]*\).*/\1/p' "$work/$1.out"
+}
+
+peer_port_of() {
+  sed -n 's/^ready .*peer=\([0-9]*\).*/\1/p' "$work/$1.out"
+}
+
+wait_until() {
+  limit_s=$1
+  shift
+  tries=$((limit_s * 20))
+  until "$@"; do
+    tries=$((tries - 1))
+    if [ $tries -le 0 ]; then
+      echo "gave up after $limit_s s: $*"
+      exit 1
+    fi
+    sleep 0.05
+  done
+}
+
+is_ready() {
+  [ -n "$(port_of "$1")" ]
+}
+
+# start NAME PROGRAM OPTION...
+start() {
+  name=$1
+  program=$2
+  shift 2
+  "$BUILD/$program" "$@" >"$work/$name.out" 2>"$work/$name.err" &
+  echo $! >"$work/$name.pid"
+  started="$started $name"
+  wait_until 20 is_ready "$name"
+}
+
+start_platform() {
+  start platform standin-platform "$@"
+}
+
+# start_engine NAME OPTION...; in data centre $data_centre, pool general.
+start_engine() {
+  start "$1" standin-engine --name "$@"
+  add_target "$1" engine general
+}
+
+start_service() {
+  start "$1" standin-service --name "$@"
+  add_target "$1" service plain
+}
+
+# start_host NAME OPTION...
+start_host() {
+  host_name=$1
+  shift
+  start "$host_name" cowslipd --host "$host_name" --deployment test \
+    --region wales --data-centre "${data_centre:-cardiff}" \
+    --listen-address 127.0.0.1 --http-port 0 --peer-port 0 \
+    --platform-address 127.0.0.1 --platform-port "$(port_of platform)" \
+    --stall-timeout-ms 600 --drain-notice-ms 300 \
+    --heartbeat-interval-ms 50 --suspect-after-ms 400 "$@"
+  echo "$host_name" >>"$work/hosts"
+}
+
+# add_target NAME KIND POOL [STATE]; a target that is known changes.
+add_target() {
+  sed -i "/^$1 /d" "$work/targets"
+  echo "$1 $2 $3 ${4:-live} ${data_centre:-cardiff}" >>"$work/targets"
+}
+
+remove_host() {
+  sed -i "/^$1\$/d" "$work/hosts"
+}
+
+describe_hosts() {
+  comma=
+  while read -r name; do
+    printf '%s{"name":"%s","region":"wales","data_centre":"%s",' \
+      "$comma" "$name" "${data_centre:-cardiff}"
+    printf '"address":"127.0.0.1","http_port":%s,"peer_port":%s,' \
+      "$(port_of "$name")" "$(peer_port_of "$name")"
+    printf '"state":"live"}'
+    comma=,
+  done <"$work/hosts"
+}
+
+describe_targets() {
+  comma=
+  while read -r name kind pool state centre; do
+    printf '%s{"name":"%s","data_centre":"%s","address":"127.0.0.1",' \
+      "$comma" "$name" "$centre"
+    printf '"port":%s,"kind":"%s","pool":"%s","state":"%s",' \
+      "$(port_of "$name")" "$kind" "$pool" "$state"
+    printf '"checks_fence":true}'
+    comma=,
+  done <"$work/targets"
+}
+
+# Publish the whole host list as it now is.
+publish_hosts() {
+  request platform POST /test/hosts \
+    "{\"hosts\":[$(describe_hosts)],\"targets\":[$(describe_targets)]}" \
+    >"$work/published"
+  list_version=$(sed 's/[^0-9]//g' "$work/published")
+}
+
+# publish_config SET [DELETE]: members of "set", elements of "delete".
+publish_config() {
+  request platform POST /test/config "{\"set\":{$1},\"delete\":[${2:-}]}" \
+    >"$work/published"
+  config_revision=$(sed 's/[^0-9]//g' "$work/published")
+}
+
+# One organisation each for both firms, a model route and a service route.
+publish_usual_config() {
+  publish_config "
+    \"organisation/llanfair\": {\"key_sha256\": [\"$(hash_of_key llanfair)\"]},
+    \"organisation/pwani\": {\"key_sha256\": [\"$(hash_of_key pwani)\"]},
+    \"targets/general\": {\"kind\": \"engines\"},
+    \"targets/plain\": {\"kind\": \"services\"},
+    \"route/m-small\": {\"pool\": \"general\"},
+    \"service/leases\": {\"pool\": \"plain\"},
+    \"rule/large-prompts\": {\"when\": {\"prompt_tokens\": {\"min\": 5000}},
+      \"then\": {\"turn_away\": {\"reason\": \"prompt too long\"}}},
+    \"rule/all\": {\"when\": {}, \"then\": {\"send\": {}}},
+    \"rule-order\": [\"large-prompts\", \"all\"]"
+}
+
+# request PROCESS METHOD PATH [BODY]: prints the body of the answer.
+request() {
+  "$BUILD/standin-caller" --port "$(port_of "$1")" --method "$2" --path "$3" \
+    ${4:+--body "$4"} --limit-ms 5000 --show-body |
+    sed -n 's/^body=//p'
+}
+
+status_of() {
+  "$BUILD/standin-caller" --port "$(port_of "$1")" --method GET --path "$2" \
+    --limit-ms 5000 | sed -n 's/^status=\([0-9]*\).*/\1/p'
+}
+
+answers_ready() {
+  [ "$(status_of "$1" /ready)" = 200 ]
+}
+
+fails_ready() {
+  [ "$(status_of "$1" /ready)" = 503 ]
+}
+
+# Wait until a host serves: it has configuration, host list and targets.
+wait_ready() {
+  for name in "$@"; do
+    wait_until 15 answers_ready "$name"
+  done
+}
+
+# Platform, one engine and one host that serves; the plainest fleet.
+start_usual_fleet() {
+  start_platform
+  publish_usual_config
+  start_engine e1
+  start_service s1
+  start_host h1
+  publish_hosts
+  wait_ready h1
+}
+
+# call PROCESS OPTION...: one request, its transcript on stdout.
+call() {
+  process=$1
+  shift
+  "$BUILD/standin-caller" --port "$(port_of "$process")" --key key-llanfair \
+    "$@"
+}
+
+# call_later CALL PROCESS OPTION...; finish CALL prints what it got.
+call_later() {
+  later=$1
+  shift
+  call "$@" >"$work/$later.call" 2>&1 &
+  echo $! >"$work/$later.pid"
+}
+
+finish() {
+  wait "$(pid_of "$1")"
+  cat "$work/$1.call"
+}
+
+# fault PROCESS JSON
+fault() {
+  request "$1" POST /test/fault "$2" >"$work/fault"
+}
+
+# One line for each generation that an engine started, oldest first.
+generations() {
+  request "$1" GET /test/log | sed 's/"orders".*//' |
+    grep -o '"prompt":"[^"]*".*' | sed 's/},{/\n/g' |
+    sed -n 's/.*"prompt":"\([^"]*\)".*"made":\([0-9]*\),"links":\([0-9]*\),.*"state":"\([a-z]*\)".*/prompt=\1 made=\2 links=\3 state=\4/p'
+}
+
+# The same without numbers that depend on the time.
+generations_settled() {
+  generations "$1" | sed 's/ made=[0-9]*//'
+}
+
+count_starts() {
+  request "$1" GET /test/log | sed -n 's/.*"starts":\([0-9]*\).*/\1/p'
+}
+
+count_calls() {
+  request "$1" GET /test/log | sed -n 's/.*"count":\([0-9]*\).*/\1/p'
+}
+
+# has_made ENGINE N: its newest generation has N tokens or more.
+has_made() {
+  made=$(generations "$1" | tail -n 1 | sed -n 's/.*made=\([0-9]*\).*/\1/p')
+  [ "${made:-0}" -ge "$2" ]
+}
+
+# is_state ENGINE STATE: its newest generation is in that state.
+is_state() {
+  generations "$1" | tail -n 1 | grep -q "state=$2\$"
+}
+
+no_generation_runs() {
+  ! generations "$1" | grep -q -E 'state=(waiting|running|preempted)$'
+}
+
+has_started() {
+  [ "$(count_starts "$1")" -ge "$2" ]
+}
+
+# all_have_made N ENGINE...: together, over all their generations.
+all_have_made() {
+  least=$1
+  shift
+  sum=0
+  for engine in "$@"; do
+    for made in $(generations "$engine" | sed 's/.*made=\([0-9]*\).*/\1/'); do
+      sum=$((sum + made))
+    done
+  done
+  [ "$sum" -ge "$least" ]
+}
+
+starts_of() {
+  sum=0
+  for engine in "$@"; do
+    sum=$((sum + $(count_starts "$engine")))
+  done
+  echo "starts=$sum"
+}
+
+count_of_reads() {
+  request platform GET /test/counts |
+    sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p"
+}
+
+# Every read of the configuration, or hosts.
+count_reads() {
+  echo $(($(count_of_reads config_full) + $(count_of_reads config_watch)))
+}
+
+has_read_more() {
+  [ "$(count_reads)" -ge $(($1 + $2)) ]
+}
+
+# A number out of a host's /status.
+status_number() {
+  request "$1" GET /status | tr -d ' \n' |
+    sed -n "s/.*\"$2\":\([0-9]*\).*/\1/p"
+}
+
+# The host list that was published last is in force at every listed host.
+list_was_read() {
+  while read -r reader; do
+    seen=$(status_number "$reader" host_list_version)
+    [ "${seen:-0}" -ge "$list_version" ] || return 1
+  done <"$work/hosts"
+}
+
+# revision_is HOST REVISION: the host has that configuration or a later one.
+revision_is() {
+  seen=$(status_number "$1" revision)
+  [ "${seen:-0}" -ge "$2" ]
+}
+
+serves_model() {
+  call "$1" --model "$2" --tokens 1 | grep -q 'status=200 end=done'
+}
+
+lacks_model() {
+  call "$1" --model "$2" --tokens 1 | grep -q 'status=404'
+}
+
+# A draining host that takes no new calls: by its answer or by no connection.
+refuses_new() {
+  call "$1" --tokens 1 | grep -q 'verdict=not run'
+}
+
+# forget NAME...: the session has killed these itself.
+forget() {
+  for name in "$@"; do
+    wait "$(pid_of "$name")" 2>/dev/null
+    started=$(echo " $started " | sed "s/ $name / /")
+  done
+}
+
+# Wait until a process of the session has ended; prints its exit code.
+wait_exit() {
+  wait_until "${2:-20}" has_ended "$1"
+  wait "$(pid_of "$1")"
+  echo "$1 exit=$?"
+  started=$(echo " $started " | sed "s/ $1 / /")
+}
+
+has_ended() {
+  ! is_running "$(pid_of "$1")"
+}
+
+# stop_process NAME SIGNAL
+signal_to() {
+  kill -s "$2" "$(pid_of "$1")"
+}
+
+# End what is still running; a host that doesn't end well fails the session.
+end_all() {
+  for name in $started; do
+    kill -s CONT "$(pid_of "$name")" 2>/dev/null
+    kill -s TERM "$(pid_of "$name")" 2>/dev/null
+  done
+  for name in $started; do
+    tries=200
+    while ! has_ended "$name" && [ $tries -gt 0 ]; do
+      tries=$((tries - 1))
+      sleep 0.05
+    done
+    if ! has_ended "$name"; then
+      echo "$name did not end within 10 s of SIGTERM"
+      kill -s KILL "$(pid_of "$name")"
+    fi
+    wait "$(pid_of "$name")" 2>/dev/null
+    code=$?
+    if [ $code != 0 ]; then
+      echo "$name ended with exit code $code"
+      tail -n 30 "$work/$name.err"
+    fi
+  done
+}
