--- a/include/cowslipspoke/declaration.h
+++ b/include/cowslipspoke/declaration.h
@@ -23,12 +23,14 @@
   CSP_WEIGHT_DEFAULT = 1
 };
 
-/* One keyed value as the platform publishes it; see docs/PLATFORM.md.  */
+/* One keyed value as the platform publishes it; see docs/PLATFORM.md.  where
+   names it in faults, such as its file; NULL stands for the key.  */
 typedef struct
 {
   const char *key;
   const char *json;
   size_t size_bytes;
+  const char *where;
 } csp_declared_value_t;
 
 /* Limits; 0 means that there is none.  The first three are counted over all
@@ -238,7 +240,7 @@
 /* Build a declaration from all values in force.  previous may be NULL; what
    it has of the same key and text is shared with it instead of parsed again,
    so that a change costs its own size.  Returns NULL where anything is wrong,
-   with every fault added; where names the key.  */
+   with every fault added.  */
 csp_declaration_t *csp_create_declaration (const csp_declaration_t *previous,
                                            const csp_declared_value_t *values,
                                            size_t count, csp_faults_t *faults);
@@ -305,7 +307,7 @@
                       csp_rule_outcome_t *outcome);
 
 /* Add a fault for every rule that no request can reach, because the rules
-   before it take all that it could hold for.  where is "rule/NAME".  Such a
+   before it take all that it could hold for.  Such a
    declaration is in order for a host, but not what its writer meant.  */
 void csp_find_unreachable_rules (const csp_declaration_t *declaration,
                                  csp_faults_t *faults);
--- a/source/declaration/declaration-imp.h
+++ b/source/declaration/declaration-imp.h
@@ -85,6 +85,8 @@
 typedef struct
 {
   const char *name;
+  /* Of the item, for faults.  */
+  const char *where;
   const char *note;
   csp_when_t when;
   csp_then_t then;
@@ -103,6 +105,7 @@
   int references;
   csp_kind_t kind;
   char *key;
+  char *where;
   /* Behind the slash of the key.  */
   const char *name;
   char *text;
--- a/source/declaration/declaration-item.c
+++ b/source/declaration/declaration-item.c
@@ -159,6 +159,7 @@
       check_service (place, &item->is.service);
       break;
     case CSP_KIND_RULE:
+      item->is.rule.where = item->where;
       check_rule (place, &item->is.rule);
       break;
     case CSP_KIND_ORGANISATION:
@@ -179,8 +180,9 @@
   item->references = 1;
   item->arena = csp_create_arena ();
   item->key = strdup (value->key);
+  item->where = strdup (value->where == NULL ? value->key : value->where);
   item->text = malloc (value->size_bytes + 1);
-  if (item->key == NULL || item->text == NULL)
+  if (item->key == NULL || item->where == NULL || item->text == NULL)
     abort ();
   memcpy (item->text, value->json, value->size_bytes);
   item->text[value->size_bytes] = '\0';
@@ -191,20 +193,21 @@
 csp_item_t *
 csp_parse_item (const csp_declared_value_t *value, csp_faults_t *faults)
 {
-  csp_place_t place = { .where = value->key, .faults = faults };
   size_t before = csp_count_faults (faults);
   csp_item_t *item = create_item (value);
+  csp_place_t place
+      = { .where = item->where, .arena = item->arena, .faults = faults };
 
-  place.arena = item->arena;
   if (!csp_split_key (item->key, &item->kind, &item->name))
     {
-      csp_add_fault (faults, value->key, "", 0,
+      csp_add_fault (faults, item->where, "", 0,
                      "unknown key; allowed are organisation/NAME, route/NAME, "
                      "service/NAME, rule/NAME, rule-order and targets/POOL, "
                      "NAME of 1 to 63 letters, digits, \".\", \"_\", \"-\"");
       goto fail;
     }
-  item->root = csp_read_json (item->key, item->text, item->text_bytes, faults);
+  item->root
+      = csp_read_json (item->where, item->text, item->text_bytes, faults);
   if (item->root == NULL)
     goto fail;
   read_item (item, &place);
@@ -234,6 +237,7 @@
   json_object_put (item->root);
   csp_destroy_arena (item->arena);
   free (item->key);
+  free (item->where);
   free (item->text);
   free (item);
 }
--- a/source/declaration/declaration-links.c
+++ b/source/declaration/declaration-links.c
@@ -17,7 +17,7 @@
 refuse_unknown (csp_faults_t *faults, const csp_item_t *item, const char *path,
                 const char *kind, const char *name)
 {
-  csp_add_fault (faults, item->key, path, 0, "there is no %s \"%s\"", kind,
+  csp_add_fault (faults, item->where, path, 0, "there is no %s \"%s\"", kind,
                  name);
 }
 
@@ -31,7 +31,7 @@
   if (pool == NULL)
     refuse_unknown (faults, item, path, "pool", name);
   else if (pool->kind != kind)
-    csp_add_fault (faults, item->key, path, 0,
+    csp_add_fault (faults, item->where, path, 0,
                    "pool \"%s\" has %s; it must have %s", name,
                    kind == CSP_POOL_ENGINES ? "services" : "engines",
                    kind == CSP_POOL_ENGINES ? "engines" : "services");
@@ -53,7 +53,7 @@
       steps++;
     }
   if (steps > declaration->count[CSP_KIND_ROUTE])
-    csp_add_fault (faults, item->key, "fallback", 0,
+    csp_add_fault (faults, item->where, "fallback", 0,
                    "the fallbacks lead round in a ring");
   else if (item->is.route.fallback != NULL
            && csp_find_route (declaration, item->is.route.fallback) == NULL)
@@ -77,7 +77,7 @@
       if (other == service)
         break;
       if (strcmp (other->path_prefix, service->path_prefix) == 0)
-        csp_add_fault (faults, item->key, "path_prefix", 0,
+        csp_add_fault (faults, item->where, "path_prefix", 0,
                        "\"%s\" is service \"%s\"'s already",
                        service->path_prefix, other->name);
     }
@@ -164,7 +164,7 @@
   else if (sets[CSP_WHEN_ROUTE].count > 0 || sets[CSP_WHEN_CLASS].count > 0)
     check_pool (declaration, faults, item, path, name, CSP_POOL_ENGINES);
   else
-    csp_add_fault (faults, item->key, path, 0,
+    csp_add_fault (faults, item->where, path, 0,
                    "a rule with a pool must ask for route, class or service "
                    "in \"when\", as pools hold engines or services");
 }
@@ -184,7 +184,7 @@
                    rule->then.spill.pool);
   if (declaration->rule_count != declaration->count[CSP_KIND_RULE]
       && !is_in_order (declaration, rule->name))
-    csp_add_fault (faults, item->key, "", 0,
+    csp_add_fault (faults, item->where, "", 0,
                    "is not in rule-order, so it would never decide");
 }
 
@@ -264,7 +264,7 @@
                 faults,
                 declaration
                     ->items[declaration->first[CSP_KIND_ORGANISATION] + i]
-                    ->key,
+                    ->where,
                 "key_sha256", 0, "key %zu is organisation \"%s\"'s already", k,
                 owner->name);
         }
--- a/source/declaration/declaration.c
+++ b/source/declaration/declaration.c
@@ -90,8 +90,10 @@
     {
       if (i > 0 && strcmp (sorted[i - 1]->key, sorted[i]->key) == 0)
         {
-          csp_add_fault (faults, sorted[i]->key, "", 0,
-                         "key stands twice; it is allowed once");
+          csp_add_fault (faults,
+                         sorted[i]->where == NULL ? sorted[i]->key
+                                                  : sorted[i]->where,
+                         "", 0, "key stands twice; it is allowed once");
           continue;
         }
       item = find_reusable (reuse, sorted[i]);
--- a/source/fields/fields-value.c
+++ b/source/fields/fields-value.c
@@ -242,7 +242,7 @@
       if (strlen (text) >= field->size_bytes)
         return false;
       memset (member, 0, field->size_bytes);
-      memcpy (member, text, strlen (text));
+      memcpy (member, text, strlen (text) + 1);
       return true;
     case CSP_FIELD_TEXT:
       *(const char **)member = text;
--- /dev/null
+++ b/tests/declaration/declaration-rules-test.c
@@ -0,0 +1,194 @@
+#include "../support/declared.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct
+{
+  csp_request_facts_t facts;
+  const char *rule;
+  csp_action_t action;
+} decision_case_t;
+
+#define M .route = "m", .organisation = "a", .data_centre = "c1"
+
+static const decision_case_t decision_cases[] = {
+  { { M, .class_name = "slow", .load = 1.3 },
+    "crowded",
+    CSP_ACTION_TURN_AWAY },
+  { { M, .class_name = "slow", .load = 1.2 },
+    "crowded",
+    CSP_ACTION_TURN_AWAY },
+  { { M, .class_name = "slow", .load = 1.19 }, NULL, CSP_ACTION_SEND },
+  { { M, .class_name = "fast", .load = 9 }, NULL, CSP_ACTION_SEND },
+  { { M, .load = 9 }, NULL, CSP_ACTION_SEND },
+  { { M, .class_name = "slow", .load = 9, .time_in_queue_ms = 500 },
+    "crowded",
+    CSP_ACTION_TURN_AWAY },
+  { { M, .time_in_queue_ms = 500, .prompt_tokens = 1000 },
+    "waited",
+    CSP_ACTION_SPILL },
+  { { M, .time_in_queue_ms = 499, .prompt_tokens = 1000 },
+    "long",
+    CSP_ACTION_SEND },
+  { { .route = "n", .prompt_tokens = 1000 }, NULL, CSP_ACTION_SEND },
+  { { .service = "m", .prompt_tokens = 1000 }, NULL, CSP_ACTION_SEND },
+  { { .route = "m", .organisation = "b", .data_centre = "c2", .priority = 5 },
+    "b",
+    CSP_ACTION_LEND },
+  { { .route = "m", .organisation = "b", .data_centre = "c2", .priority = 6 },
+    NULL,
+    CSP_ACTION_SEND },
+  { { .route = "m", .organisation = "b", .data_centre = "c3", .priority = 5 },
+    NULL,
+    CSP_ACTION_SEND },
+};
+
+static void
+check_explanation (const csp_declaration_t *d,
+                   const csp_request_facts_t *facts, const char *rule)
+{
+  char why[CSP_WHY_BYTES];
+  size_t i;
+
+  for (i = 0; i < csp_count_rules (d); i++)
+    {
+      if (csp_explain_rule (d, i, facts, why))
+        {
+          ck_assert_str_eq (csp_get_rule_name (d, i), rule);
+          return;
+        }
+      ck_assert_str_ne (why, "");
+    }
+  ck_assert_ptr_null (rule);
+}
+
+START_TEST (the_first_rule_that_holds_decides)
+{
+  const decision_case_t *row = &decision_cases[_i];
+  csp_declaration_t *d = declare_base ();
+  csp_rule_outcome_t outcome;
+
+  csp_decide_rule (d, &row->facts, &outcome);
+  if (row->rule == NULL)
+    ck_assert_ptr_null (outcome.rule);
+  else
+    ck_assert_str_eq (outcome.rule, row->rule);
+  ck_assert_int_eq (outcome.action, row->action);
+  check_explanation (d, &row->facts, row->rule);
+  csp_destroy_declaration (d);
+}
+END_TEST
+
+START_TEST (terms_come_from_rule_class_route_and_organisation)
+{
+  csp_declaration_t *d = declare_base ();
+  csp_request_facts_t facts
+      = { M, .class_name = "fast", .priority = 8, .prompt_tokens = 2000 };
+  csp_rule_outcome_t outcome;
+
+  csp_decide_rule (d, &facts, &outcome);
+  ck_assert_str_eq (outcome.is.send.pool, "big");
+  ck_assert_uint_eq (outcome.is.send.priority, 1);
+  ck_assert_uint_eq (outcome.is.send.weight, 7);
+  ck_assert_uint_eq (outcome.is.send.longest_wait_ms, 70);
+  ck_assert_uint_eq (outcome.is.send.limits.max_waiting, 4);
+  ck_assert_uint_eq (outcome.is.send.limits.max_output_tokens, 500);
+  facts.prompt_tokens = 0;
+  csp_decide_rule (d, &facts, &outcome);
+  ck_assert_ptr_null (outcome.rule);
+  ck_assert_str_eq (outcome.is.send.pool, "small");
+  ck_assert_uint_eq (outcome.is.send.priority, 8);
+  ck_assert_uint_eq (outcome.is.send.weight, 3);
+  ck_assert_uint_eq (outcome.is.send.limits.max_waiting, 0);
+  ck_assert_uint_eq (outcome.is.send.limits.max_output_tokens, 500);
+  csp_destroy_declaration (d);
+}
+END_TEST
+
+typedef struct
+{
+  const char *first;
+  const char *second;
+  const char *third;
+  /* What the third rule's fault says; NULL where it is reached.  */
+  const char *says;
+} cover_case_t;
+
+#define ORG(name) RULE ("{\"organisation\":\"" name "\"}", AWAY)
+#define LOAD(min, max)                                                        \
+  RULE ("{\"load\":{\"min\":" min ",\"max\":" max "}}", AWAY)
+#define QUEUE(min, max)                                                       \
+  RULE ("{\"time_in_queue_ms\":{\"min\":" min ",\"max\":" max "}}", AWAY)
+
+static const cover_case_t cover_cases[] = {
+  { ORG ("a"), RULE ("{}", AWAY), ORG ("b"), "r2" },
+  { ORG ("a"), ORG ("b"), RULE ("{\"organisation\":[\"a\",\"b\"]}", AWAY),
+    "r1, r2" },
+  { ORG ("a"), ORG ("b"), RULE ("{}", AWAY), NULL },
+  { LOAD ("0", "0.5"), LOAD ("0.5", "1"), LOAD ("0.2", "0.9"), "r1, r2" },
+  { LOAD ("0", "0.5"), LOAD ("0.6", "1"), LOAD ("0.2", "0.9"), NULL },
+  { QUEUE ("0", "10"), QUEUE ("11", "20"), QUEUE ("5", "15"), "r1, r2" },
+  { QUEUE ("0", "10"), QUEUE ("12", "20"), QUEUE ("5", "15"), NULL },
+  { RULE ("{\"organisation\":\"a\",\"load\":{\"max\":1}}", AWAY),
+    RULE ("{\"organisation\":\"a\",\"load\":{\"min\":1}}", AWAY), ORG ("a"),
+    "r1, r2" },
+  { RULE ("{\"route\":\"m\"}", AWAY), ORG ("a"),
+    RULE ("{\"route\":\"n\",\"organisation\":\"b\"}", AWAY), NULL },
+  { ORG ("a"), ORG ("b"), RULE ("{\"route\":\"n\",\"class\":\"fast\"}", AWAY),
+    "classes" },
+  { ORG ("a"), ORG ("b"),
+    RULE ("{\"service\":\"quotes\",\"class\":\"fast\"}", AWAY),
+    "services have no classes" },
+};
+
+/* An operator adds a rule behind a wider one and sees no effect.  */
+START_TEST (hidden_rules_are_found)
+{
+  const cover_case_t *row = &cover_cases[_i];
+  const pair_t rules[] = {
+    { "rule/crowded", NULL },  { "rule/waited", NULL },
+    { "rule/long", NULL },     { "rule/b", NULL },
+    { "rule/r1", row->first }, { "rule/r2", row->second },
+    { "rule/r3", row->third }, { "rule-order", "[\"r1\",\"r2\",\"r3\"]" }
+  };
+  csp_faults_t *faults = csp_create_faults ();
+  csp_declaration_t *d = declare (NULL, rules, 8, faults);
+
+  csp_print_faults (faults, stdout);
+  ck_assert_ptr_nonnull (d);
+  csp_find_unreachable_rules (d, faults);
+  csp_print_faults (faults, stdout);
+  ck_assert_uint_eq (csp_count_faults (faults), row->says != NULL);
+  if (row->says != NULL)
+    {
+      ck_assert_str_eq (csp_get_fault (faults, 0)->where, "rule/r3");
+      ck_assert_ptr_nonnull (
+          strstr (csp_get_fault (faults, 0)->text, row->says));
+    }
+  csp_destroy_declaration (d);
+  csp_destroy_faults (faults);
+}
+END_TEST
+
+#define ADD_LOOP(tcase, test, table)                                          \
+  tcase_add_loop_test (tcase, test, 0, sizeof (table) / sizeof (table)[0])
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("declaration-rules");
+  TCase *tcase = tcase_create ("declaration-rules");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  ADD_LOOP (tcase, the_first_rule_that_holds_decides, decision_cases);
+  tcase_add_test (tcase, terms_come_from_rule_class_route_and_organisation);
+  ADD_LOOP (tcase, hidden_rules_are_found, cover_cases);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/declaration/declaration-test.c
@@ -0,0 +1,278 @@
+#include "../support/declared.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct
+{
+  pair_t over[2];
+  const char *where;
+  const char *path;
+  const char *says;
+} fault_case_t;
+
+static const fault_case_t fault_cases[] = {
+  { { { "organisation/a", "{}" } },
+    "organisation/a",
+    "key_sha256",
+    "is missing" },
+  { { { "organisation/a", "{\"key_sha256\":\"secret\"}" } },
+    "organisation/a",
+    "key_sha256",
+    "64 lower-case hex digits" },
+  { { { "organisation/a", "{\"key_sha256\":[\"" KEY_A "\",\"" KEY_A "\"]}" } },
+    "organisation/a",
+    "key_sha256[1]",
+    "different strings" },
+  { { { "organisation/c", "{\"key_sha256\":\"" KEY_A "\"}" } },
+    "organisation/c",
+    "key_sha256",
+    "organisation \"a\"'s already" },
+  { { { "organisation/a", "{\"key_sha256\":\"" KEY_A "\",\"weight\":0}" } },
+    "organisation/a",
+    "weight",
+    "from 1 to 1000000" },
+  { { { "organisation/a",
+        "{\"key_sha256\":\"" KEY_A "\",\"key_sha256\":\"" KEY_B "\"}" } },
+    "organisation/a",
+    "key_sha256",
+    "stands twice" },
+  { { { "organisation/a b", "{}" } }, "organisation/a b", "", "unknown key" },
+  { { { "secret/a", "{}" } }, "secret/a", "", "unknown key" },
+  { { { "route/m/x", "{}" } }, "route/m/x", "", "unknown key" },
+  { { { "route/n", "{\"pool\":\"none\"}" } },
+    "route/n",
+    "pool",
+    "there is no pool \"none\"" },
+  { { { "route/n", "{\"pool\":\"desk\"}" } },
+    "route/n",
+    "pool",
+    "must have engines" },
+  { { { "route/n", "{\"pool\":\"big\",\"fallback\":\"x\"}" } },
+    "route/n",
+    "fallback",
+    "there is no route \"x\"" },
+  { { { "route/n", "{\"pool\":\"big\",\"fallback\":\"n\"}" } },
+    "route/n",
+    "fallback",
+    "ring" },
+  { { { "route/n", "{\"pool\":\"big\",\"default_class\":\"x\"}" } },
+    "route/n",
+    "default_class",
+    "none of the route's classes" },
+  { { { "route/n", "{\"pool\":\"big\",\"classes\":{\"x\":{\"prio\":1}}}" } },
+    "route/n",
+    "classes.x.prio",
+    "unknown key" },
+  { { { "route/n", "{\"pool\":\"big\",\"classes\":{\"x y\":{}}}" } },
+    "route/n",
+    "classes.x y",
+    "no allowed name" },
+  { { { "service/leases", "{\"pool\":\"big\"}" } },
+    "service/leases",
+    "pool",
+    "must have services" },
+  { { { "service/leases",
+        "{\"pool\":\"desk\",\"path_prefix\":\"/quotes\"}" } },
+    "service/quotes",
+    "path_prefix",
+    "service \"leases\"'s already" },
+  { { { "service/leases", "{\"pool\":\"desk\",\"path_prefix\":\"/v1/x\"}" } },
+    "service/leases",
+    "path_prefix",
+    "lies in /v1" },
+  { { { "service/leases",
+        "{\"pool\":\"desk\",\"calls\":[{\"method\":\"GET\",\"path\":\"/a\"}]"
+        "}" } },
+    "service/leases",
+    "calls[0].repeatable",
+    "is missing" },
+  { { { "targets/big", "{\"kind\":\"engine\"}" } },
+    "targets/big",
+    "kind",
+    "one of engines, services" },
+  { { { "rule/b", RULE ("{}", "{}") } }, "rule/b", "then", "has 0 actions" },
+  { { { "rule/b", RULE ("{}", "{\"send\":{},\"lend\":{}}") } },
+    "rule/b",
+    "then",
+    "has 2 actions" },
+  { { { "rule/b", RULE ("{\"load\":{\"min\":2,\"max\":1}}", AWAY) } },
+    "rule/b",
+    "when.load",
+    "min 2 is above max 1" },
+  { { { "rule/b", RULE ("{\"route\":\"m\",\"service\":\"quotes\"}", AWAY) } },
+    "rule/b",
+    "when",
+    "no request has both" },
+  { { { "rule/b", RULE ("{\"organisation\":\"x\"}", AWAY) } },
+    "rule/b",
+    "when.organisation",
+    "there is no organisation \"x\"" },
+  { { { "rule/b", RULE ("{\"class\":[\"fast\",\"x\"]}", AWAY) } },
+    "rule/b",
+    "when.class",
+    "there is no class \"x\"" },
+  { { { "rule/b", RULE ("{}", "{\"send\":{\"pool\":\"big\"}}") } },
+    "rule/b",
+    "then.send.pool",
+    "must ask for route, class or service" },
+  { { { "rule/b",
+        RULE ("{\"route\":\"m\"}", "{\"send\":{\"pool\":\"desk\"}}") } },
+    "rule/b",
+    "then.send.pool",
+    "must have engines" },
+  { { { "rule/b", RULE ("{}", "{\"spill\":{}}") } },
+    "rule/b",
+    "then.spill.data_centre",
+    "is missing" },
+  { { { "rule/extra", RULE ("{}", AWAY) } },
+    "rule/extra",
+    "",
+    "is not in rule-order" },
+  { { { "rule-order", "[\"crowded\",\"waited\",\"long\",\"b\",\"x\"]" } },
+    "rule-order",
+    "",
+    "there is no rule \"x\"" },
+  { { { "rule-order", "[\"crowded\",\"waited\",\"long\",\"b\",\"b\"]" } },
+    "rule-order",
+    "rule-order[4]",
+    "different strings" },
+  { { { "rule-order", "{}" } }, "rule-order", "", "must be a list" },
+};
+
+/* A declaration that contradicts itself would fail later, request by request
+   and with its writer gone; callers of one organisation would be turned away
+   or billed to another.  */
+START_TEST (faults_are_named)
+{
+  const fault_case_t *row = &fault_cases[_i];
+  csp_faults_t *faults = csp_create_faults ();
+  bool found = false;
+  size_t i;
+
+  ck_assert_ptr_null (declare (NULL, row->over, 2, faults));
+  for (i = 0; i < csp_count_faults (faults); i++)
+    {
+      const csp_fault_t *fault = csp_get_fault (faults, i);
+
+      if (strcmp (fault->where, row->where) == 0
+          && strcmp (fault->path, row->path) == 0
+          && strstr (fault->text, row->says) != NULL)
+        found = true;
+    }
+  csp_print_faults (faults, stdout);
+  ck_assert_msg (found, "case %d: no fault at %s: %s: %s", _i, row->where,
+                 row->path, row->says);
+  csp_destroy_faults (faults);
+}
+END_TEST
+
+START_TEST (names_and_keys_are_found)
+{
+  csp_declaration_t *d = declare_base ();
+  const csp_route_t *route = csp_find_route (d, "m");
+  const char *rest;
+
+  ck_assert_str_eq (csp_find_organisation_by_key (d, KEY_A)->name, "a");
+  ck_assert_str_eq (csp_find_organisation_by_key (d, KEY_B)->name, "b");
+  ck_assert_ptr_null (csp_find_organisation_by_key (d, "cc"));
+  ck_assert_uint_eq (csp_find_organisation (d, "a")->weight, 3);
+  ck_assert_ptr_null (csp_find_organisation (d, "m"));
+  ck_assert_str_eq (route->model, "m");
+  ck_assert_str_eq (csp_find_route (d, "n")->model, "n-large");
+  ck_assert_str_eq (csp_find_class (route, NULL)->name, "slow");
+  ck_assert_uint_eq (csp_find_class (route, "fast")->priority, 8);
+  ck_assert_ptr_null (csp_find_class (csp_find_route (d, "n"), NULL));
+  ck_assert_uint_eq (csp_find_pool (d, "small")->memory_tokens, 5000);
+  ck_assert_str_eq (csp_find_service_by_path (d, "/quotes/7?x", &rest)->name,
+                    "quotes");
+  ck_assert_str_eq (rest, "/7?x");
+  ck_assert_ptr_null (csp_find_service_by_path (d, "/quotesx", &rest));
+  ck_assert_str_eq (
+      csp_find_service_by_path (d, "/services/leases", &rest)->name, "leases");
+  ck_assert_str_eq (rest, "/");
+  csp_destroy_declaration (d);
+}
+END_TEST
+
+START_TEST (wanted_state_is_the_engines_or_its_pools)
+{
+  csp_declaration_t *d = declare_base ();
+  const csp_pool_t *pool = csp_find_pool (d, "small");
+
+  ck_assert_str_eq (csp_find_wanted (pool, "e1")->models[0].version, "3");
+  ck_assert_int_eq (csp_find_wanted (pool, "e2")->role, CSP_ROLE_DECODE);
+  ck_assert_ptr_null (csp_find_wanted (csp_find_pool (d, "big"), "e1"));
+  csp_destroy_declaration (d);
+}
+END_TEST
+
+/* A quote that is repeated sends a buyer the same quote twice, so a call may
+   be repeated only by its method or its own mark.  */
+START_TEST (calls_are_repeated_by_method_or_mark)
+{
+  csp_declaration_t *d = declare_base ();
+  const csp_service_t *quotes = csp_find_service (d, "quotes");
+
+  ck_assert (csp_may_repeat_call (quotes, "GET", "/7"));
+  ck_assert (csp_may_repeat_call (quotes, "PUT", "/7"));
+  ck_assert (!csp_may_repeat_call (quotes, "POST", "/7"));
+  ck_assert (!csp_may_repeat_call (quotes, "get", "/7"));
+  ck_assert (csp_may_repeat_call (quotes, "POST", "/search"));
+  ck_assert (csp_may_repeat_call (quotes, "POST", "/search/all?x=1"));
+  ck_assert (!csp_may_repeat_call (quotes, "POST", "/searching"));
+  ck_assert (!csp_may_repeat_call (quotes, "GET", "/next"));
+  csp_destroy_declaration (d);
+}
+END_TEST
+
+/* What did not change is shared with the declaration before, which traffic
+   threads may still read; it must outlive whichever goes first.  */
+START_TEST (unchanged_values_are_shared)
+{
+  static const pair_t over[]
+      = { { "organisation/b", "{\"key_sha256\":\"" KEY_B "\",\"weight\":9}" },
+          { "rule-order", "[\"b\",\"crowded\",\"waited\",\"long\"]" } };
+  static const pair_t bad[] = { { "organisation/b", "{}" } };
+  csp_faults_t *faults = csp_create_faults ();
+  csp_declaration_t *first = declare_base ();
+  csp_declaration_t *second = declare (first, over, 2, faults);
+
+  ck_assert_ptr_eq (csp_find_organisation (first, "a"),
+                    csp_find_organisation (second, "a"));
+  ck_assert_ptr_ne (csp_find_organisation (first, "b"),
+                    csp_find_organisation (second, "b"));
+  ck_assert_uint_eq (csp_find_organisation (first, "b")->weight, 1);
+  ck_assert_uint_eq (csp_find_organisation (second, "b")->weight, 9);
+  ck_assert_str_eq (csp_get_rule_name (second, 0), "b");
+  ck_assert_ptr_null (declare (second, bad, 1, faults));
+  csp_destroy_declaration (first);
+  ck_assert_str_eq (csp_find_organisation_by_key (second, KEY_A)->name, "a");
+  csp_destroy_declaration (second);
+  csp_destroy_faults (faults);
+}
+END_TEST
+
+#define ADD_LOOP(tcase, test, table)                                          \
+  tcase_add_loop_test (tcase, test, 0, sizeof (table) / sizeof (table)[0])
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("declaration");
+  TCase *tcase = tcase_create ("declaration");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  ADD_LOOP (tcase, faults_are_named, fault_cases);
+  tcase_add_test (tcase, names_and_keys_are_found);
+  tcase_add_test (tcase, wanted_state_is_the_engines_or_its_pools);
+  tcase_add_test (tcase, calls_are_repeated_by_method_or_mark);
+  tcase_add_test (tcase, unchanged_values_are_shared);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/settings/settings-test.c
+++ b/tests/settings/settings-test.c
@@ -107,8 +107,8 @@
 typedef struct
 {
   const char *arguments[ARGUMENTS_MAX];
-  csp_command_t command;
   size_t faults;
+  csp_command_t command;
   uint16_t http_port;
 } line_case_t;
 
@@ -117,19 +117,19 @@
       "--platform-address=::1", "--platform-port", "9"
 
 static const line_case_t line_cases[] = {
-  { { NEEDED }, CSP_COMMAND_RUN, 0, 8080 },
-  { { NEEDED, "--http-port", "0" }, CSP_COMMAND_RUN, 0, 0 },
-  { { "--check-settings", NEEDED }, CSP_COMMAND_CHECK_SETTINGS, 0, 8080 },
-  { { "--help", "--nonsense" }, CSP_COMMAND_HELP, 0, 8080 },
-  { { "--version" }, CSP_COMMAND_VERSION, 0, 8080 },
-  { { NEEDED, "--http-port", "x" }, CSP_COMMAND_RUN, 1, 8080 },
-  { { NEEDED, "--http-port", "" }, CSP_COMMAND_RUN, 1, 8080 },
-  { { NEEDED, "--http-port", "1e3" }, CSP_COMMAND_RUN, 1, 8080 },
-  { { NEEDED, "--nonsense" }, CSP_COMMAND_RUN, 1, 8080 },
-  { { NEEDED, "stray" }, CSP_COMMAND_RUN, 1, 8080 },
-  { { NEEDED, "--settings" }, CSP_COMMAND_RUN, 1, 8080 },
-  { { NEEDED, "--settings", "/nowhere/s.json" }, CSP_COMMAND_RUN, 1, 8080 },
-  { { "--log-level", "loud" }, CSP_COMMAND_RUN, 7, 8080 },
+  { { NEEDED }, 0, CSP_COMMAND_RUN, 8080 },
+  { { NEEDED, "--http-port", "0" }, 0, CSP_COMMAND_RUN, 0 },
+  { { "--check-settings", NEEDED }, 0, CSP_COMMAND_CHECK_SETTINGS, 8080 },
+  { { "--help", "--nonsense" }, 0, CSP_COMMAND_HELP, 8080 },
+  { { "--version" }, 0, CSP_COMMAND_VERSION, 8080 },
+  { { NEEDED, "--http-port", "x" }, 1, CSP_COMMAND_RUN, 8080 },
+  { { NEEDED, "--http-port", "" }, 1, CSP_COMMAND_RUN, 8080 },
+  { { NEEDED, "--http-port", "1e3" }, 1, CSP_COMMAND_RUN, 8080 },
+  { { NEEDED, "--nonsense" }, 1, CSP_COMMAND_RUN, 8080 },
+  { { NEEDED, "stray" }, 1, CSP_COMMAND_RUN, 8080 },
+  { { NEEDED, "--settings" }, 1, CSP_COMMAND_RUN, 8080 },
+  { { NEEDED, "--settings", "/nowhere/s.json" }, 1, CSP_COMMAND_RUN, 8080 },
+  { { "--log-level", "loud" }, 7, CSP_COMMAND_RUN, 8080 },
 };
 
 START_TEST (command_lines_are_read)
