--- a/source/declaration/declaration-cover.c
+++ b/source/declaration/declaration-cover.c
@@ -97,7 +97,8 @@
   out->except = true;
   out->count = count;
   out->names = csp_allocate (search->arena, (count + 1) * sizeof (void *));
-  memcpy (out->names, a->names, a->count * sizeof (void *));
+  if (a->count > 0)
+    memcpy (out->names, a->names, a->count * sizeof (void *));
   memcpy (out->names + a->count, b->declared, b->count * sizeof (void *));
 }
 
--- a/source/declaration/declaration-imp.h
+++ b/source/declaration/declaration-imp.h
@@ -141,6 +141,10 @@
   size_t rule_count;
   csp_key_slot_t *keys;
   size_t key_slots;
+  /* Keys of values that could not be parsed, while the declaration is built:
+     what refers to them is no fault of its own.  */
+  const char **broken;
+  size_t broken_count;
 };
 
 extern const csp_field_t csp_organisation_table[];
--- a/source/declaration/declaration-item.c
+++ b/source/declaration/declaration-item.c
@@ -1,4 +1,4 @@
-#include "cowslipspoke/json-reader.h"
+#include "json/json-reader-imp.h"
 #include "declaration/declaration-imp.h"
 
 #include <stdlib.h>
@@ -207,7 +207,7 @@
       goto fail;
     }
   item->root
-      = csp_read_json (item->where, item->text, item->text_bytes, faults);
+      = csp_read_json_tree (item->where, item->text, item->text_bytes, faults);
   if (item->root == NULL)
     goto fail;
   read_item (item, &place);
--- a/source/declaration/declaration-links.c
+++ b/source/declaration/declaration-links.c
@@ -13,12 +13,38 @@
   KEY_SLOTS_MIN = 16
 };
 
+static bool
+is_broken (const csp_declaration_t *declaration, csp_kind_t kind,
+           const char *name)
+{
+  const char *broken_name;
+  csp_kind_t broken_kind;
+  size_t i;
+
+  for (i = 0; i < declaration->broken_count; i++)
+    if (csp_split_key (declaration->broken[i], &broken_kind, &broken_name)
+        && broken_kind == kind
+        && (name == NULL || strcmp (broken_name, name) == 0))
+      return true;
+  return false;
+}
+
 static void
-refuse_unknown (csp_faults_t *faults, const csp_item_t *item, const char *path,
-                const char *kind, const char *name)
+refuse_unknown (const csp_declaration_t *declaration, csp_faults_t *faults,
+                const csp_item_t *item, const char *path, csp_kind_t kind,
+                const char *name)
 {
-  csp_add_fault (faults, item->where, path, 0, "there is no %s \"%s\"", kind,
-                 name);
+  static const char *const words[CSP_KIND_COUNT] = {
+    [CSP_KIND_ORGANISATION] = "organisation",
+    [CSP_KIND_ROUTE] = "route",
+    [CSP_KIND_RULE] = "rule",
+    [CSP_KIND_SERVICE] = "service",
+    [CSP_KIND_POOL] = "pool",
+  };
+
+  if (!is_broken (declaration, kind, name))
+    csp_add_fault (faults, item->where, path, 0, "there is no %s \"%s\"",
+                   words[kind], name);
 }
 
 static void
@@ -29,7 +55,7 @@
   const csp_pool_t *pool = csp_find_pool (declaration, name);
 
   if (pool == NULL)
-    refuse_unknown (faults, item, path, "pool", name);
+    refuse_unknown (declaration, faults, item, path, CSP_KIND_POOL, name);
   else if (pool->kind != kind)
     csp_add_fault (faults, item->where, path, 0,
                    "pool \"%s\" has %s; it must have %s", name,
@@ -57,7 +83,7 @@
                    "the fallbacks lead round in a ring");
   else if (item->is.route.fallback != NULL
            && csp_find_route (declaration, item->is.route.fallback) == NULL)
-    refuse_unknown (faults, item, "fallback", "route",
+    refuse_unknown (declaration, faults, item, "fallback", CSP_KIND_ROUTE,
                     item->is.route.fallback);
 }
 
@@ -94,25 +120,43 @@
   return false;
 }
 
-static bool
-is_known (const csp_declaration_t *declaration, csp_when_set_t set,
-          const char *name)
+static void
+check_class (const csp_declaration_t *declaration, csp_faults_t *faults,
+             const csp_item_t *item, const char *path, const char *name)
 {
+  if (!any_route_has_class (declaration, name)
+      && !is_broken (declaration, CSP_KIND_ROUTE, NULL))
+    csp_add_fault (faults, item->where, path, 0, "there is no class \"%s\"",
+                   name);
+}
+
+static void
+check_name (const csp_declaration_t *declaration, csp_faults_t *faults,
+            const csp_item_t *item, csp_when_set_t set, const char *name)
+{
+  char path[CSP_NAME_BYTES];
+  csp_kind_t kind = CSP_KIND_ORGANISATION;
+
+  snprintf (path, sizeof path, "when.%s", csp_when_set_name (set));
   switch (set)
     {
-    case CSP_WHEN_ORGANISATION:
-      return csp_find_organisation (declaration, name) != NULL;
-    case CSP_WHEN_ROUTE:
-      return csp_find_route (declaration, name) != NULL;
-    case CSP_WHEN_SERVICE:
-      return csp_find_service (declaration, name) != NULL;
     case CSP_WHEN_CLASS:
-      return any_route_has_class (declaration, name);
+      check_class (declaration, faults, item, path, name);
+      return;
     case CSP_WHEN_DATA_CENTRE:
     case CSP_WHEN_SETS:
+      return;
+    case CSP_WHEN_ORGANISATION:
+      break;
+    case CSP_WHEN_ROUTE:
+      kind = CSP_KIND_ROUTE;
+      break;
+    case CSP_WHEN_SERVICE:
+      kind = CSP_KIND_SERVICE;
       break;
     }
-  return true;
+  if (csp_find_item (declaration, kind, name) == NULL)
+    refuse_unknown (declaration, faults, item, path, kind, name);
 }
 
 static void
@@ -120,18 +164,14 @@
             const csp_item_t *item)
 {
   const csp_name_set_t *set;
-  char path[CSP_NAME_BYTES];
   size_t i;
   int s;
 
   for (s = 0; s < CSP_WHEN_SETS; s++)
     {
       set = &item->is.rule.when.sets[s];
-      snprintf (path, sizeof path, "when.%s", csp_when_set_name (s));
       for (i = 0; i < set->count; i++)
-        if (!is_known (declaration, s, set->declared[i]))
-          refuse_unknown (faults, item, path, csp_when_set_name (s),
-                          set->declared[i]);
+        check_name (declaration, faults, item, s, set->declared[i]);
     }
 }
 
@@ -183,7 +223,8 @@
   check_rule_pool (declaration, faults, item, "then.spill.pool",
                    rule->then.spill.pool);
   if (declaration->rule_count != declaration->count[CSP_KIND_RULE]
-      && !is_in_order (declaration, rule->name))
+      && !is_in_order (declaration, rule->name)
+      && !is_broken (declaration, CSP_KIND_RULE_ORDER, NULL))
     csp_add_fault (faults, item->where, "", 0,
                    "is not in rule-order, so it would never decide");
 }
@@ -203,7 +244,8 @@
     {
       rule = csp_find_item (declaration, CSP_KIND_RULE, order->names[i]);
       if (rule == NULL)
-        refuse_unknown (faults, item, "", "rule", order->names[i]);
+        refuse_unknown (declaration, faults, item, "", CSP_KIND_RULE,
+                        order->names[i]);
       else
         declaration->rules[declaration->rule_count++] = &rule->is.rule;
     }
--- a/source/declaration/declaration.c
+++ b/source/declaration/declaration.c
@@ -103,6 +103,8 @@
         item = csp_parse_item (sorted[i], faults);
       if (item != NULL)
         add_item (declaration, item);
+      else
+        declaration->broken[declaration->broken_count++] = sorted[i]->key;
     }
 }
 
@@ -117,9 +119,13 @@
   reuse_t reuse = { previous, 0 };
 
   declaration->items = allocate_array (count, sizeof (void *));
+  declaration->broken = allocate_array (count, sizeof (void *));
   take_values (declaration, &reuse, sorted, count, faults);
   free (sorted);
   csp_link_declaration (declaration, faults);
+  free (declaration->broken);
+  declaration->broken = NULL;
+  declaration->broken_count = 0;
   if (csp_count_faults (faults) == before)
     return declaration;
   csp_destroy_declaration (declaration);
--- a/source/json/json-reader.c
+++ b/source/json/json-reader.c
@@ -1,4 +1,5 @@
 #include "cowslipspoke/json-reader.h"
+#include "json/json-reader-imp.h"
 
 #include <stdint.h>
 #include <stdlib.h>
@@ -36,7 +37,6 @@
   int line;
   /* A fault of ours was added, so that the parser's own is not.  */
   int stopped;
-  int faulty;
 } reader_t;
 
 static int
@@ -80,7 +80,6 @@
   write_path (reader, path);
   csp_add_fault (reader->faults, reader->where, path, current_line (reader),
                  "%s", text);
-  reader->faulty = 1;
 }
 
 static int
@@ -212,12 +211,20 @@
   csp_add_fault (reader->faults, reader->where, "", current_line (reader),
                  "%s; JSON with comments is allowed", (char *)text);
   yajl_free_error (reader->parser, text);
-  reader->faulty = 1;
+}
+
+static void
+refuse_text (reader_t *reader)
+{
+  if (!reader->stopped)
+    add_parser_fault (reader);
+  json_object_put (reader->root);
+  reader->root = NULL;
 }
 
 struct json_object *
-csp_read_json (const char *where, const char *text, size_t size_bytes,
-               csp_faults_t *faults)
+csp_read_json_tree (const char *where, const char *text, size_t size_bytes,
+                    csp_faults_t *faults)
 {
   reader_t reader
       = { .where = where, .text = text, .faults = faults, .line = 1 };
@@ -230,17 +237,30 @@
   status = yajl_parse (reader.parser, (const unsigned char *)text, size_bytes);
   if (status == yajl_status_ok)
     status = yajl_complete_parse (reader.parser);
-  if (status != yajl_status_ok && !reader.stopped)
-    add_parser_fault (&reader);
-  if (reader.root == NULL && !reader.faulty)
+  if (status != yajl_status_ok)
+    refuse_text (&reader);
+  else if (reader.root == NULL)
     add_fault_here (&reader, "null is not allowed here");
   yajl_free (reader.parser);
-  if (reader.faulty)
+  return reader.root;
+}
+
+struct json_object *
+csp_read_json (const char *where, const char *text, size_t size_bytes,
+               csp_faults_t *faults)
+{
+  csp_faults_t *own = faults == NULL ? csp_create_faults () : faults;
+  size_t before = csp_count_faults (own);
+  struct json_object *root = csp_read_json_tree (where, text, size_bytes, own);
+
+  if (csp_count_faults (own) != before)
     {
-      json_object_put (reader.root);
-      return NULL;
+      json_object_put (root);
+      root = NULL;
     }
-  return reader.root;
+  if (faults == NULL)
+    csp_destroy_faults (own);
+  return root;
 }
 
 int
--- a/source/settings/settings.c
+++ b/source/settings/settings.c
@@ -1,4 +1,4 @@
-#include "cowslipspoke/json-reader.h"
+#include "json/json-reader-imp.h"
 #include "settings/settings-imp.h"
 
 #include <stdio.h>
@@ -47,7 +47,7 @@
   size_t before = csp_count_faults (faults);
   struct json_object *root;
 
-  root = csp_read_json (where, text, size_bytes, faults);
+  root = csp_read_json_tree (where, text, size_bytes, faults);
   if (root == NULL)
     return false;
   read_rows (&place, root, settings);
