--- a/source/declaration/declaration.c
+++ b/source/declaration/declaration.c
@@ -90,8 +90,10 @@
     {
       if (i > 0 && strcmp (sorted[i - 1]->key, sorted[i]->key) == 0)
         {
-          csp_add_fault (faults, sorted[i]->key, "", 0,
-                         "key stands twice; it is allowed once");
+          csp_add_fault (faults,
+                         sorted[i]->where == NULL ? sorted[i]->key
+                                                  : sorted[i]->where,
+                         "", 0, "key stands twice; it is allowed once");
           continue;
         }
       item = find_reusable (reuse, sorted[i]);
@@ -101,6 +103,8 @@
         item = csp_parse_item (sorted[i], faults);
       if (item != NULL)
         add_item (declaration, item);
+      else
+        declaration->broken[declaration->broken_count++] = sorted[i]->key;
     }
 }
 
@@ -115,9 +119,13 @@
   reuse_t reuse = { previous, 0 };
 
   declaration->items = allocate_array (count, sizeof (void *));
+  declaration->broken = allocate_array (count, sizeof (void *));
   take_values (declaration, &reuse, sorted, count, faults);
   free (sorted);
   csp_link_declaration (declaration, faults);
+  free (declaration->broken);
+  declaration->broken = NULL;
+  declaration->broken_count = 0;
   if (csp_count_faults (faults) == before)
     return declaration;
   csp_destroy_declaration (declaration);
