--- a/source/control/control-config.c
+++ b/source/control/control-config.c
@@ -8,6 +8,8 @@
   HOSTS_WAIT_MS = 10000,
   HOSTS_GRACE_MS = 2000,
   HOSTS_RETRY_MS = 2000,
+  /* A list that changes all the time is read once a second, no more.  */
+  HOSTS_GAP_MS = 1000,
   PATH_BYTES = 128
 };
 
@@ -185,7 +187,7 @@
                csp_text ("fault", error.detail));
       return;
     }
-  watch->next_ms = now_ms;
+  watch->next_ms = now_ms + HOSTS_GAP_MS;
   if (csp_apply_host_list (control->membership, list, now_ms)
       == CSP_LIST_TAKEN)
     {
