Hand-off in the daemon: hosts without targets serve through owners

Cause: only the owner of a target sends work there, so a host that owns none turned every caller away (seen: not run after 0.6 s at two of three hosts). Ruled out: every host choosing from late reports; relaying over the owner, by which a dead owner cuts the stream of a host that lives.

--- a/include/cowslipspoke/control.h
+++ b/include/cowslipspoke/control.h
@@ -67,6 +67,7 @@
 typedef struct
 {
   csp_link_end_t end;
+  bool stopped; /* the target has confirmed that it works on it no more */
   uint64_t tokens;
   uint32_t worst_gap_ms;
 } csp_place_outcome_t;
@@ -95,6 +96,11 @@
 int csp_ask_admission (csp_control_t *control, const csp_admission_ask_t *ask,
                        csp_grant_t *grant, csp_error_t *error);
 
+/* Ask, immediately before a byte leaves, whether a grant still holds.  A
+   thread or host that was paused may believe in one that the owner has given
+   to somebody else since.  False: give the place back and ask anew.  */
+bool csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant);
+
 /* Say how many tokens a stream has made so far.  */
 void csp_note_progress (csp_control_t *control, const csp_grant_t *grant,
                         uint64_t tokens);
--- a/include/cowslipspoke/engine.h
+++ b/include/cowslipspoke/engine.h
@@ -37,6 +37,10 @@
    CSP_LINK_COMPLETE ends the link with it.  */
 typedef csp_link_end_t (*csp_check_link_t) (void *state);
 
+/* Asked when a connection stands and no byte of the request has left; false
+   ends the link as CSP_LINK_NO_CONNECT.  */
+typedef bool (*csp_may_send_t) (void *state);
+
 /* One link to an engine: a start, or a resume when resume is true.  */
 typedef struct
 {
@@ -50,6 +54,7 @@
   uint32_t first_token_timeout_ms;
   uint32_t stall_timeout_ms;
   const csp_clock_t *clock;
+  csp_may_send_t may_send; /* NULL: always */
   csp_take_delivery_t deliver;
   csp_check_link_t check;
   void *state;
--- a/include/cowslipspoke/queue.h
+++ b/include/cowslipspoke/queue.h
@@ -114,6 +114,11 @@
 void csp_take_waiting (csp_queue_t *queue, int64_t now_ms);
 void csp_skip_waiting (csp_queue_t *queue);
 
+/* A waiting request was placed elsewhere than by the pump (a hand-off): take
+   it out and charge it like a taken one.  False when it isn't waiting.  */
+bool csp_charge_waiting (csp_queue_t *queue, uint32_t organisation,
+                         uint64_t id, int64_t now_ms);
+
 /* A request that was taken is over: it cost used_tokens in truth instead of
    charged_tokens, and is no longer in flight.  */
 void csp_settle_waiting (csp_queue_t *queue, uint32_t organisation,
--- a/source/control/control-admission.c
+++ b/source/control/control-admission.c
@@ -29,8 +29,8 @@
 
 /* Places are numbered by their index below and a count above, so that a late
    command for a place that was given away finds nothing.  */
-static csp_place_t *
-find_place (csp_control_t *control, uint64_t id)
+csp_place_t *
+csp_find_place (csp_control_t *control, uint64_t id)
 {
   csp_place_t *place = &control->places[id % MAX_PLACES];
 
@@ -213,44 +213,60 @@
   return stream;
 }
 
-/* Whether a target may take a request at all, whatever its load.  */
+/* Whether a target may take a request at all, whatever its load.  ask is NULL
+   for a request of another host.  */
 static bool
-may_use (const csp_control_t *control, const csp_place_t *place,
+may_use (const csp_control_t *control, const char *pool,
+         csp_target_kind_t kind, const csp_admission_ask_t *ask,
          uint32_t index, int64_t now_ms)
 {
   const csp_target_state_t *target = control->targets[index];
-  const csp_admission_ask_t *ask = place->waiter->ask;
-  csp_target_kind_t kind
-      = ask->kind == CSP_POOL_ENGINES ? CSP_TARGET_ENGINE : CSP_TARGET_SERVICE;
 
   return target != NULL && target->listed.kind == kind
          && target->listed.state == CSP_MEMBER_LIVE
          && now_ms >= target->avoid_until_ms
-         && strcmp (target->listed.pool, ask->terms.pool) == 0
-         && !was_tried (ask, target->listed.name);
+         && strcmp (target->listed.pool, pool) == 0
+         && (ask == NULL || !was_tried (ask, target->listed.name));
 }
 
-/* An engine that this host owns, with room by its ledger and its opening.  */
+/* An engine that this host owns, with room by its ledger, its opening and
+   what other hosts hold there.  */
 static bool
-has_room (const csp_control_t *control, const csp_stream_t *stream,
-          uint32_t index, int64_t now_ms)
+has_room (csp_control_t *control, const csp_stream_t *stream, uint32_t index,
+          int64_t now_ms)
 {
-  const csp_ledger_t *ledger = control->targets[index]->ledger;
+  const csp_target_state_t *target = control->targets[index];
+  const csp_ledger_t *ledger = target->ledger;
+  csp_stream_t asked = *stream;
   uint32_t opening = csp_find_opening (control->ownership, index, now_ms);
+  uint64_t slots = csp_slot_tokens (control, target->listed.name, now_ms);
   uint64_t open_tokens
       = (uint64_t)csp_ledger_memory_tokens (ledger, now_ms) * opening;
+  uint64_t used_tokens = csp_ledger_used_tokens (ledger) + slots;
 
+  asked.reserve_tokens += (uint32_t)slots;
   return opening > 0 && !csp_ledger_leaving (ledger)
-         && (uint64_t)csp_ledger_used_tokens (ledger) * CSP_OPEN_FULL
-                <= open_tokens
-         && csp_decide_admission (ledger, stream, now_ms) == CSP_ADMIT;
+         && used_tokens * CSP_OPEN_FULL <= open_tokens
+         && csp_decide_admission (ledger, &asked, now_ms) == CSP_ADMIT;
 }
 
 static uint32_t
-choose_engine (csp_control_t *control, const csp_place_t *place,
-               uint32_t reserve_tokens, int64_t now_ms)
+count_room (csp_control_t *control, const csp_stream_t *stream, uint32_t index,
+            int64_t now_ms)
+{
+  const csp_target_state_t *target = control->targets[index];
+  uint64_t slots = csp_slot_tokens (control, target->listed.name, now_ms);
+  uint32_t room
+      = csp_ledger_headroom_tokens (target->ledger, stream->priority, now_ms);
+
+  return room > slots ? room - (uint32_t)slots : 0;
+}
+
+uint32_t
+csp_choose_engine (csp_control_t *control, const char *pool,
+                   const csp_admission_ask_t *ask, const csp_stream_t *stream,
+                   int64_t now_ms)
 {
-  csp_stream_t stream = describe_stream (place, reserve_tokens);
   uint32_t best = UINT32_MAX;
   uint32_t best_room = 0;
   uint32_t room;
@@ -258,11 +274,10 @@
 
   for (i = 0; i < control->target_room; i++)
     {
-      if (!may_use (control, place, i, now_ms)
-          || !has_room (control, &stream, i, now_ms))
+      if (!may_use (control, pool, CSP_TARGET_ENGINE, ask, i, now_ms)
+          || !has_room (control, stream, i, now_ms))
         continue;
-      room = csp_ledger_headroom_tokens (control->targets[i]->ledger,
-                                         stream.priority, now_ms);
+      room = count_room (control, stream, i, now_ms);
       if (best == UINT32_MAX || room > best_room)
         {
           best = i;
@@ -275,14 +290,14 @@
 /* Plain services have no memory to fill; the one with the fewest calls open
    from here is taken, owned or not.  */
 static uint32_t
-choose_service (const csp_control_t *control, const csp_place_t *place,
+choose_service (const csp_control_t *control, const csp_admission_ask_t *ask,
                 int64_t now_ms)
 {
   uint32_t best = UINT32_MAX;
   uint32_t i;
 
   for (i = 0; i < control->target_room; i++)
-    if (may_use (control, place, i, now_ms)
+    if (may_use (control, ask->terms.pool, CSP_TARGET_SERVICE, ask, i, now_ms)
         && (best == UINT32_MAX
             || control->targets[i]->streams < control->targets[best]->streams))
       best = i;
@@ -298,7 +313,8 @@
   csp_grant_t *grant = place->waiter->grant;
 
   place->target = target;
-  place->placed = true;
+  place->state = CSP_PLACE_LOCAL;
+  csp_cancel_spill (control, place, now_ms);
   place->stream = UINT32_MAX;
   if (target->listed.kind == CSP_TARGET_ENGINE)
     place->stream = csp_add_stream (target->ledger, &stream, 0, now_ms);
@@ -314,6 +330,18 @@
   place->waiter = NULL;
 }
 
+static uint32_t
+choose_target (csp_control_t *control, const csp_place_t *place,
+               uint32_t reserve_tokens, int64_t now_ms)
+{
+  const csp_admission_ask_t *ask = place->waiter->ask;
+  csp_stream_t stream = describe_stream (place, reserve_tokens);
+
+  if (ask->kind == CSP_POOL_SERVICES)
+    return choose_service (control, ask, now_ms);
+  return csp_choose_engine (control, ask->terms.pool, ask, &stream, now_ms);
+}
+
 static void
 pump_pool (csp_control_t *control, csp_pool_state_t *pool, int64_t now_ms)
 {
@@ -327,13 +355,13 @@
   csp_begin_pump (pool->queue, now_ms);
   while (csp_next_waiting (pool->queue, &waiting, &borrowing))
     {
-      place = find_place (control, waiting.id);
+      place = csp_find_place (control, waiting.id);
       kept = borrowing ? (uint32_t)csp_queue_kept_tokens (pool->queue) : 0;
-      index = place->waiter->ask->kind == CSP_POOL_ENGINES
-                  ? choose_engine (control, place, kept, now_ms)
-                  : choose_service (control, place, now_ms);
+      index = choose_target (control, place, kept, now_ms);
       if (index == UINT32_MAX)
         {
+          if (place->waiter->ask->kind == CSP_POOL_ENGINES)
+            csp_start_spill (control, place, now_ms);
           csp_skip_waiting (pool->queue);
           continue;
         }
@@ -342,10 +370,12 @@
     }
 }
 
+/* The memory that this host's queue may count on: its own targets' and, for
+   hand-offs, what peers have free.  */
 static void
 set_capacity (csp_control_t *control, csp_pool_state_t *pool, int64_t now_ms)
 {
-  uint64_t memory_tokens = 0;
+  uint64_t memory_tokens = csp_sum_peer_headroom (control, now_ms);
   uint32_t i;
 
   for (i = 0; i < control->target_room; i++)
@@ -366,7 +396,8 @@
 
   while (csp_expire_waiting (pool->queue, now_ms, &waiting, &error))
     {
-      place = find_place (control, waiting.id);
+      place = csp_find_place (control, waiting.id);
+      csp_cancel_spill (control, place, now_ms);
       refuse_waiter (control, place->waiter, &error);
       free_place (control, place);
     }
@@ -393,9 +424,10 @@
 csp_take_progress (csp_control_t *control,
                    const csp_control_command_t *command, int64_t now_ms)
 {
-  csp_place_t *place = find_place (control, command->place);
+  csp_place_t *place = csp_find_place (control, command->place);
 
-  if (place != NULL && place->stream != UINT32_MAX)
+  if (place != NULL && place->state == CSP_PLACE_LOCAL
+      && place->stream != UINT32_MAX)
     csp_note_tokens (place->target->ledger, place->stream,
                      (uint32_t)command->tokens, now_ms);
 }
@@ -425,19 +457,30 @@
            csp_number ("failures", target->failures));
 }
 
-void
-csp_take_release (csp_control_t *control, const csp_control_command_t *command,
-                  int64_t now_ms)
+bool
+csp_confirm_place (csp_control_t *control, uint64_t id, int64_t now_ms)
 {
-  csp_place_t *place = find_place (control, command->place);
-  const csp_place_outcome_t *outcome = &command->outcome;
-  csp_target_state_t *target;
-  csp_pool_state_t *pool;
+  csp_place_t *place = csp_find_place (control, id);
+
+  if (place == NULL)
+    return false;
+  if (place->state == CSP_PLACE_REMOTE)
+    return csp_confirm_spill (control, place, now_ms);
+  if (place->target->listed.kind == CSP_TARGET_SERVICE)
+    return true;
+  /* A thread that was paused with its grant may wake up when the target is
+     another host's; both would then fill it.  */
+  return place->target->index != UINT32_MAX
+         && csp_find_opening (control->ownership, place->target->index, now_ms)
+                > 0;
+}
+
+static void
+release_local (csp_control_t *control, csp_place_t *place,
+               const csp_place_outcome_t *outcome, int64_t now_ms)
+{
+  csp_target_state_t *target = place->target;
 
-  if (place == NULL || !place->placed)
-    return;
-  target = place->target;
-  pool = &control->pools[place->pool];
   if (place->stream != UINT32_MAX)
     {
       csp_note_tokens (target->ledger, place->stream,
@@ -451,6 +494,23 @@
   target->streams--;
   judge_target (control, target, outcome->end, now_ms);
   csp_drop_target (target);
+}
+
+void
+csp_take_release (csp_control_t *control, const csp_control_command_t *command,
+                  int64_t now_ms)
+{
+  csp_place_t *place = csp_find_place (control, command->place);
+  const csp_place_outcome_t *outcome = &command->outcome;
+  csp_pool_state_t *pool;
+
+  if (place == NULL || place->state == CSP_PLACE_WAITING)
+    return;
+  pool = &control->pools[place->pool];
+  if (place->state == CSP_PLACE_LOCAL)
+    release_local (control, place, outcome, now_ms);
+  else
+    csp_finish_spill (control, place, outcome, now_ms);
   csp_settle_waiting (pool->queue, place->organisation, place->cost_tokens,
                       place->prompt_tokens + (uint32_t)outcome->tokens,
                       now_ms);
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -47,6 +47,7 @@
 typedef enum
 {
   CSP_COMMAND_ADMIT,
+  CSP_COMMAND_CONFIRM,
   CSP_COMMAND_PROGRESS,
   CSP_COMMAND_RELEASE,
   CSP_COMMAND_CONFIG_READ,
@@ -98,9 +99,36 @@
   int64_t avoid_until_ms;
   int64_t next_report_ms;
   bool report_pending;
+  bool owned;
   int64_t left_ms;
 } csp_target_state_t;
 
+/* Where a peer listens.  */
+typedef struct
+{
+  char name[CSP_HOST_NAME_BYTES];
+  char address[CSP_ADDRESS_BYTES];
+  uint16_t port;
+} csp_peer_address_t;
+
+/* A hand-off that is under way or holds a slot at another owner.  */
+typedef struct
+{
+  csp_handoff_t *handoff;
+  csp_peer_address_t peers[CSP_HANDOFF_MAX_PEERS];
+  size_t peer_count;
+  size_t holder;
+  char target[CSP_NAME_BYTES];
+  csp_endpoint_t endpoint;
+} csp_spill_t;
+
+typedef enum
+{
+  CSP_PLACE_WAITING,
+  CSP_PLACE_LOCAL, /* on a target that this host owns, or a service */
+  CSP_PLACE_REMOTE /* on a slot of another owner */
+} csp_place_state_t;
+
 /* A request that waits or holds a place.  */
 typedef struct
 {
@@ -114,7 +142,10 @@
   uint32_t prompt_tokens;
   uint32_t length_key;
   int64_t asked_ms;
-  bool placed;
+  csp_place_state_t state;
+  csp_spill_t *spill;
+  int64_t next_spill_ms;
+  uint64_t made_tokens;
 } csp_place_t;
 
 typedef struct
@@ -167,6 +198,11 @@
   uint32_t place_room;
   uint32_t places_used;
   uint64_t next_place;
+  csp_slot_table_t *slots;
+  uint64_t holdings_number;
+  int64_t next_holdings_ms;
+  uint64_t next_ask;
+  uint64_t spilled;
   uint64_t refused;
   uint64_t granted;
 };
@@ -205,14 +241,6 @@
                      const char *path, uint32_t timeout_ms,
                      csp_control_command_t *command);
 
-/* Where a peer listens.  */
-typedef struct
-{
-  char name[CSP_HOST_NAME_BYTES];
-  char address[CSP_ADDRESS_BYTES];
-  uint16_t port;
-} csp_peer_address_t;
-
 /* Peers: open the links, send heartbeats, take asks and answers.  */
 bool csp_open_peers (csp_control_t *control, char *message,
                      size_t message_bytes);
@@ -233,6 +261,7 @@
 
 /* Memory tokens free for new work on the targets that this host may grant. */
 int64_t csp_sum_headroom (csp_control_t *control, int64_t now_ms);
+uint64_t csp_sum_peer_headroom (csp_control_t *control, int64_t now_ms);
 
 /* Targets: follow the ownership's numbering, read load reports.  */
 void csp_sync_targets (csp_control_t *control, int64_t now_ms);
@@ -254,6 +283,45 @@
 void csp_tick_admission (csp_control_t *control, int64_t now_ms);
 void csp_close_admission (csp_control_t *control);
 
+/* Confirm a grant immediately before bytes leave.  */
+bool csp_confirm_place (csp_control_t *control, uint64_t id, int64_t now_ms);
+
+/* The place of an id; NULL when it was freed.  */
+csp_place_t *csp_find_place (csp_control_t *control, uint64_t id);
+
+/* Choose an owned engine of a pool for a stream; UINT32_MAX when none has
+   room.  */
+uint32_t csp_choose_engine (csp_control_t *control, const char *pool,
+                            const csp_admission_ask_t *ask,
+                            const csp_stream_t *stream, int64_t now_ms);
+
+/* Hand-offs, the sender's side: look for a slot elsewhere, take answers, and
+   end with the request.  */
+void csp_start_spill (csp_control_t *control, csp_place_t *place,
+                      int64_t now_ms);
+void csp_take_reserved (csp_control_t *control,
+                        const csp_control_command_t *command,
+                        const csp_peer_reserved_t *reserved, int64_t now_ms);
+void csp_take_committed (csp_control_t *control,
+                         const csp_control_command_t *command,
+                         const csp_commit_answer_t *answer, int64_t now_ms);
+bool csp_confirm_spill (csp_control_t *control, csp_place_t *place,
+                        int64_t now_ms);
+void csp_cancel_spill (csp_control_t *control, csp_place_t *place,
+                       int64_t now_ms);
+void csp_finish_spill (csp_control_t *control, csp_place_t *place,
+                       const csp_place_outcome_t *outcome, int64_t now_ms);
+void csp_tick_spills (csp_control_t *control, int64_t now_ms);
+
+/* Hand-offs, the owner's side.  */
+bool csp_open_slots (csp_control_t *control);
+void csp_answer_reserve (csp_control_t *control,
+                         const csp_peer_reserve_t *reserve, int64_t now_ms,
+                         csp_peer_reserved_t *reserved);
+void csp_follow_ownership (csp_control_t *control, int64_t now_ms);
+uint64_t csp_slot_tokens (csp_control_t *control, const char *target,
+                          int64_t now_ms);
+
 /* Answer a waiter; result is 0 for a grant.  */
 void csp_answer_waiter (csp_waiter_t *waiter, int result);
 
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -156,15 +156,19 @@
 };
 
 static void
-log_member_events (csp_control_t *control)
+follow_member_events (csp_control_t *control, int64_t now_ms)
 {
   csp_member_event_t event;
 
   while (csp_take_member_event (control->membership, &event))
-    CSP_LOG (control->log, member_events[event.kind], NULL,
-             csp_text ("peer", event.peer),
-             csp_text ("state", member_states[event.kind]),
-             csp_number ("value", event.value));
+    {
+      if (event.kind == CSP_MEMBER_EVENT_SILENT)
+        csp_orphan_holder (control->slots, event.peer, now_ms);
+      CSP_LOG (control->log, member_events[event.kind], NULL,
+               csp_text ("peer", event.peer),
+               csp_text ("state", member_states[event.kind]),
+               csp_number ("value", event.value));
+    }
 }
 
 static void
@@ -199,7 +203,7 @@
   csp_tick_membership (control->membership, now_ms, &actions);
   for (i = 0; i < actions.count; i++)
     send_heartbeat (control, &actions.items[i], now_ms);
-  log_member_events (control);
+  follow_member_events (control, now_ms);
 }
 
 static void
@@ -258,6 +262,24 @@
     case CSP_PEER_PULL_ASK:
       answer_pull (control, ask, status, answer);
       break;
+    case CSP_PEER_RESERVE_ASK:
+      answer->kind = CSP_PEER_RESERVE_ANSWER;
+      csp_answer_reserve (control, &ask->u.reserve_ask, now_ms,
+                          &answer->u.reserve_answer);
+      break;
+    case CSP_PEER_COMMIT_ASK:
+      answer->kind = CSP_PEER_COMMIT_ANSWER;
+      csp_commit_slot (control->slots, &ask->u.commit_ask, now_ms,
+                       &answer->u.commit_answer);
+      break;
+    case CSP_PEER_RELEASE:
+      answer->kind = CSP_PEER_ACKNOWLEDGE;
+      csp_release_slot (control->slots, &ask->u.release.release, now_ms);
+      break;
+    case CSP_PEER_HOLDINGS:
+      answer->kind = CSP_PEER_ACKNOWLEDGE;
+      csp_take_holdings (control->slots, &ask->u.holdings, now_ms);
+      break;
     default:
       break;
     }
@@ -351,6 +373,14 @@
     case CSP_PEER_PULL_ASK:
       take_pull_answer (control, command, &answer, now_ms);
       break;
+    case CSP_PEER_RESERVE_ASK:
+      if (answer.kind == CSP_PEER_RESERVE_ANSWER)
+        csp_take_reserved (control, command, &answer.u.reserve_answer, now_ms);
+      break;
+    case CSP_PEER_COMMIT_ASK:
+      if (answer.kind == CSP_PEER_COMMIT_ANSWER)
+        csp_take_committed (control, command, &answer.u.commit_answer, now_ms);
+      break;
     default:
       break;
     }
--- /dev/null
+++ b/source/control/control-slots.c
@@ -0,0 +1,130 @@
+#include "control/control-imp.h"
+#include "cowslipspoke/text.h"
+
+#include <string.h>
+
+/* The owner's side of hand-offs: slots that other hosts hold on targets that
+   this host owns.  The table decides; this file chooses the target and tells
+   the table what the ownership says.  */
+
+enum
+{
+  /* When a refused sender is to come back: about when one of a few dozen
+     streams of ten seconds ends.  */
+  REFUSED_RETRY_MS = 500
+};
+
+bool
+csp_open_slots (csp_control_t *control)
+{
+  csp_slot_settings_t settings = csp_default_slot_settings ();
+
+  control->next_ask = 1;
+  control->slots
+      = csp_create_slot_table (&settings, csp_random_u64 (&control->random));
+  return control->slots != NULL;
+}
+
+uint64_t
+csp_slot_tokens (csp_control_t *control, const char *target, int64_t now_ms)
+{
+  csp_target_usage_t usage;
+
+  csp_count_target (control->slots, target, now_ms, &usage);
+  return usage.expected_tokens;
+}
+
+/* Whether own callers wait for this pool; they go before those of others. */
+static bool
+has_waiting (const csp_control_t *control, const char *pool)
+{
+  uint32_t i;
+
+  for (i = 0; i < control->pool_count; i++)
+    if (strcmp (control->pools[i].name, pool) == 0)
+      return csp_queue_length (control->pools[i].queue) > 0;
+  return false;
+}
+
+static uint32_t
+choose_for_peer (csp_control_t *control, const csp_peer_reserve_t *reserve,
+                 int64_t now_ms)
+{
+  csp_stream_t stream = { .prompt_tokens = reserve->prompt_tokens,
+                          .max_tokens = reserve->max_tokens,
+                          .priority = reserve->ask.priority,
+                          .repeatable = true };
+
+  if (atomic_load (&control->leaving)
+      || has_waiting (control, reserve->ask.pool))
+    return UINT32_MAX;
+  stream.length_key = csp_find_length_key (
+      control->lengths, reserve->ask.model, reserve->class_name);
+  return csp_choose_engine (control, reserve->ask.pool, NULL, &stream, now_ms);
+}
+
+static void
+fill_endpoint (csp_control_t *control, csp_peer_reserved_t *reserved)
+{
+  const csp_target_state_t *target;
+  uint32_t index;
+
+  if (!reserved->answer.granted
+      || !csp_find_target (control->ownership, reserved->answer.target, &index)
+      || index >= control->target_room || control->targets[index] == NULL)
+    return;
+  target = control->targets[index];
+  csp_copy_text (reserved->address, sizeof reserved->address,
+                 target->listed.address);
+  reserved->port = target->listed.port;
+}
+
+void
+csp_answer_reserve (csp_control_t *control, const csp_peer_reserve_t *reserve,
+                    int64_t now_ms, csp_peer_reserved_t *reserved)
+{
+  uint32_t index;
+
+  memset (reserved, 0, sizeof *reserved);
+  if (!csp_find_slot (control->slots, &reserve->ask, now_ms,
+                      &reserved->answer))
+    {
+      index = choose_for_peer (control, reserve, now_ms);
+      if (index == UINT32_MAX)
+        csp_refuse_slot (&reserve->ask, REFUSED_RETRY_MS, &reserved->answer);
+      else
+        csp_reserve_slot (control->slots, &reserve->ask,
+                          control->targets[index]->listed.name, now_ms,
+                          &reserved->answer);
+    }
+  fill_endpoint (control, reserved);
+}
+
+void
+csp_follow_ownership (csp_control_t *control, int64_t now_ms)
+{
+  csp_target_state_t *target;
+  csp_target_view_t view;
+  bool owned;
+  uint32_t i;
+
+  for (i = 0; i < control->target_room; i++)
+    {
+      target = control->targets[i];
+      if (target == NULL || !csp_view_target (control->ownership, i, &view))
+        continue;
+      owned = view.state != CSP_OWN_OTHER;
+      if (owned && !target->owned)
+        csp_gain_target (control->slots, target->listed.name, now_ms);
+      if (!owned && target->owned)
+        csp_lose_target (control->slots, target->listed.name);
+      if (owned != target->owned)
+        CSP_LOG (control->log, CSP_EVENT_OWNERSHIP_MOVED, NULL,
+                 csp_text ("target", target->listed.name),
+                 csp_text ("owner", view.owner));
+      /* The ownership opens a target once peers have said what they carry. */
+      if (owned && csp_find_opening (control->ownership, i, now_ms) > 0)
+        csp_open_target (control->slots, target->listed.name);
+      target->owned = owned;
+    }
+}
--- a/source/control/control.c
+++ b/source/control/control.c
@@ -83,6 +83,15 @@
   csp_answer_waiter (command->waiter, 0);
 }
 
+static void
+confirm_to_waiter (csp_control_t *control, csp_waiter_t *waiter,
+                   int64_t now_ms)
+{
+  bool holds = csp_confirm_place (control, waiter->grant->place, now_ms);
+
+  csp_answer_waiter (waiter, holds ? 0 : -1);
+}
+
 static void
 run_command (csp_control_t *control, csp_control_command_t *command,
              int64_t now_ms)
@@ -92,6 +101,9 @@
     case CSP_COMMAND_ADMIT:
       csp_take_waiter (control, command->waiter, now_ms);
       break;
+    case CSP_COMMAND_CONFIRM:
+      confirm_to_waiter (control, command->waiter, now_ms);
+      break;
     case CSP_COMMAND_PROGRESS:
       csp_take_progress (control, command, now_ms);
       break;
@@ -150,6 +162,8 @@
           csp_tick_peers (control, now_ms);
           csp_tick_config (control, now_ms);
           csp_tick_targets (control, now_ms);
+          csp_follow_ownership (control, now_ms);
+          csp_tick_spills (control, now_ms);
           next_tick_ms = now_ms + CSP_CONTROL_TICK_MS;
         }
       csp_tick_admission (control, now_ms);
@@ -195,7 +209,7 @@
   control->fetcher = csp_create_fetcher (FETCHER_THREADS);
   if (control->fetcher == NULL
       || !csp_open_peers (control, message, message_bytes)
-      || !csp_open_admission (control)
+      || !csp_open_admission (control) || !csp_open_slots (control)
       || !csp_open_config (control, csp_now_ms (clock)))
     goto fail;
   control->thread_runs
@@ -238,6 +252,7 @@
     }
   csp_close_admission (control);
   csp_close_targets (control);
+  csp_destroy_slot_table (control->slots);
   csp_destroy_lengths (control->lengths);
   csp_publish_view (control, NULL);
   csp_close_config (control);
--- a/source/control/waiter.c
+++ b/source/control/waiter.c
@@ -46,6 +46,14 @@
   return await_answer (control, &waiter, CSP_COMMAND_ADMIT);
 }
 
+bool
+csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant)
+{
+  csp_waiter_t waiter = { .grant = (csp_grant_t *)grant };
+
+  return await_answer (control, &waiter, CSP_COMMAND_CONFIRM) == 0;
+}
+
 char *
 csp_describe_control (csp_control_t *control)
 {
--- a/source/entry/generate.c
+++ b/source/entry/generate.c
@@ -33,7 +33,8 @@
   int64_t first_token_ms;
   uint32_t worst_gap_ms;
   bool began;
-  char *text; /* of a whole answer */
+  bool lost_place; /* the grant had run out before a byte left */
+  char *text;      /* of a whole answer */
   size_t text_bytes;
   char finish_reason[32];
 } run_t;
@@ -118,6 +119,16 @@
   return CSP_LINK_COMPLETE;
 }
 
+static bool
+confirm_run (void *state)
+{
+  run_t *run = state;
+
+  run->lost_place
+      = !csp_confirm_grant (run->exchange->entry->control, &run->grant);
+  return !run->lost_place && now_of (run) < run->exchange->deadline_ms;
+}
+
 static csp_link_t
 describe_link (run_t *run, const char *body, bool resume)
 {
@@ -135,6 +146,7 @@
           = settings->stall_timeout_ms * FIRST_TOKEN_FACTOR,
           .stall_timeout_ms = settings->stall_timeout_ms,
           .clock = &run->exchange->entry->clock,
+          .may_send = resume ? NULL : confirm_run,
           .deliver = deliver_token,
           .check = check_run,
           .state = run };
@@ -195,9 +207,10 @@
 }
 
 static void
-release_place (run_t *run, csp_link_end_t end)
+release_place (run_t *run, csp_link_end_t end, bool stopped)
 {
   csp_place_outcome_t outcome = { .end = end,
+                                  .stopped = stopped,
                                   .tokens = run->generation.next_index,
                                   .worst_gap_ms = run->worst_gap_ms };
 
@@ -224,23 +237,29 @@
   csp_entry_t *entry = run->exchange->entry;
   csp_recovery_t recovery;
   csp_error_t refusal;
+  bool stopped;
 
   if (csp_ask_admission (entry->control, &run->ask, &run->grant, error) != 0)
     return -1;
   for (;;)
     {
       recovery = run_at_target (run, end);
-      if (recovery.cancel)
-        csp_cancel_generation (&run->grant.endpoint, run->generation.id,
-                               CANCEL_TIMEOUT_MS);
-      release_place (run, *end);
+      stopped
+          = recovery.cancel
+            && csp_cancel_generation (&run->grant.endpoint, run->generation.id,
+                                      CANCEL_TIMEOUT_MS)
+                   == 0;
+      release_place (run, run->lost_place ? CSP_LINK_NOT_STARTED : *end,
+                     stopped);
       *error = recovery.error;
       if (recovery.kind == CSP_RECOVER_DONE)
         return 0;
       if (recovery.kind == CSP_RECOVER_GIVE_UP
           || run->ask.tried_count == CSP_TRIED_MAX)
         return -1;
-      remember_target (run);
+      if (!run->lost_place)
+        remember_target (run);
+      run->lost_place = false;
       /* When nobody else takes it, the caller gets the first target's error:
          its verdict covers the attempt that may have started.  */
       if (csp_ask_admission (entry->control, &run->ask, &run->grant, &refusal)
--- a/source/queue/queue-imp.h
+++ b/source/queue/queue-imp.h
@@ -81,7 +81,11 @@
                                uint8_t priority);
 
 /* Take an entry out of its list and free it.  */
-void csp_unlink_waiting (csp_queue_t *queue, uint32_t entry);
+void csp_unlink_waiting (csp_queue_t *queue, uint32_t index);
+
+/* The entry of a request; NO_ENTRY when it isn't waiting.  */
+uint32_t csp_locate_waiting (const csp_queue_t *queue, uint32_t organisation,
+                             uint64_t id);
 
 /* The organisation's entry whose turn it is.  */
 uint32_t csp_organisation_head (const csp_queue_t *queue,
--- a/source/queue/queue-pump.c
+++ b/source/queue/queue-pump.c
@@ -179,26 +179,45 @@
   return true;
 }
 
+/* Charge a request to its organisation and take it out.  */
+static void
+charge_entry (csp_queue_t *queue, uint32_t index)
+{
+  const csp_waiting_t *waiting = &queue->entries[index].waiting;
+  organisation_t *organisation = &queue->organisations[waiting->organisation];
+
+  organisation->deficit -= waiting->cost_tokens;
+  organisation->flight_tokens += waiting->cost_tokens;
+  organisation->turns++;
+  organisation->passed_since_ms = 0;
+  queue->served_tokens += waiting->cost_tokens;
+  csp_unlink_waiting (queue, index);
+}
+
 void
 csp_take_waiting (csp_queue_t *queue, int64_t now_ms)
 {
-  const csp_waiting_t *waiting;
-  organisation_t *organisation;
   uint32_t index = queue->shown;
 
   if (index == NO_ENTRY)
     return;
   csp_move_queue_rate (queue, now_ms);
-  waiting = &queue->entries[index].waiting;
-  organisation = &queue->organisations[waiting->organisation];
-  organisation->deficit -= waiting->cost_tokens;
-  organisation->flight_tokens += waiting->cost_tokens;
-  organisation->turns++;
-  organisation->passed_since_ms = 0;
-  queue->served_tokens += waiting->cost_tokens;
   if (queue->passed_over == 0)
-    queue->cursor = waiting->organisation;
-  csp_unlink_waiting (queue, index);
+    queue->cursor = queue->entries[index].waiting.organisation;
+  charge_entry (queue, index);
+}
+
+bool
+csp_charge_waiting (csp_queue_t *queue, uint32_t organisation, uint64_t id,
+                    int64_t now_ms)
+{
+  uint32_t index = csp_locate_waiting (queue, organisation, id);
+
+  if (index == NO_ENTRY)
+    return false;
+  csp_move_queue_rate (queue, now_ms);
+  charge_entry (queue, index);
+  return true;
 }
 
 /* A request that needs much room would wait for ever while smaller ones take
--- a/source/queue/queue-waiting.c
+++ b/source/queue/queue-waiting.c
@@ -282,25 +282,34 @@
   return true;
 }
 
-bool
-csp_drop_waiting (csp_queue_t *queue, uint32_t organisation, uint64_t id)
+uint32_t
+csp_locate_waiting (const csp_queue_t *queue, uint32_t organisation,
+                    uint64_t id)
 {
   const organisation_t *owner;
   uint32_t priority;
   uint32_t i;
 
   if (organisation >= queue->organisation_count)
-    return false;
+    return NO_ENTRY;
   owner = &queue->organisations[organisation];
   for (priority = 0; priority < PRIORITIES; priority++)
     for (i = owner->lists[priority].head; i != NO_ENTRY;
          i = queue->entries[i].next)
       if (queue->entries[i].waiting.id == id)
-        {
-          csp_unlink_waiting (queue, i);
-          return true;
-        }
-  return false;
+        return i;
+  return NO_ENTRY;
+}
+
+bool
+csp_drop_waiting (csp_queue_t *queue, uint32_t organisation, uint64_t id)
+{
+  uint32_t index = csp_locate_waiting (queue, organisation, id);
+
+  if (index == NO_ENTRY)
+    return false;
+  csp_unlink_waiting (queue, index);
+  return true;
 }
 
 uint32_t
--- a/source/target/engine.c
+++ b/source/target/engine.c
@@ -243,8 +243,22 @@
   return curl_slist_append (headers, line);
 }
 
+static int
+ask_may_send (void *state, char *address, char *local_address, int port,
+              int local_port)
+{
+  const csp_link_t *link = ((transfer_t *)state)->link;
+
+  (void)address;
+  (void)local_address;
+  (void)port;
+  (void)local_port;
+  return link->may_send (link->state) ? CURL_PREREQFUNC_OK
+                                      : CURL_PREREQFUNC_ABORT;
+}
+
 static void
-set_request (const transfer_t *transfer, struct curl_slist *headers)
+set_request (transfer_t *transfer, struct curl_slist *headers)
 {
   char body[64];
   CURL *call = transfer->call;
@@ -258,6 +272,11 @@
     }
   else
     curl_easy_setopt (call, CURLOPT_POSTFIELDS, transfer->link->body);
+  if (transfer->link->may_send != NULL)
+    {
+      curl_easy_setopt (call, CURLOPT_PREREQFUNCTION, ask_may_send);
+      curl_easy_setopt (call, CURLOPT_PREREQDATA, transfer);
+    }
   curl_easy_setopt (call, CURLOPT_WRITEFUNCTION, take_body);
   curl_easy_setopt (call, CURLOPT_WRITEDATA, transfer);
   curl_easy_setopt (call, CURLOPT_HEADERFUNCTION, take_header);
