--- /dev/null
+++ b/bench/path.sh
@@ -0,0 +1,92 @@
+#!/bin/sh
+# What the path through one host costs, against a caller that talks to the
+# same stand-in engine directly: latency at 1, 100 and 800 open streams, and,
+# as slopes over four sizes, processor time for a token and resident memory
+# for a stream.
+. tests/fleet.sh
+trap 'end_all >&2; rm -rf "$work"' EXIT
+trap 'exit 1' INT TERM
+tokens=100
+clock_ticks=$(getconf CLK_TCK)
+
+line() {
+  awk -v name="$1" -v baseline="$2" -v now="$3" -v unit="$4" 'BEGIN {
+    printf "%s baseline=%s now=%s ratio=%s unit=%s\n", name, baseline, now,
+      baseline > 0 ? sprintf("%.3f", now / baseline) : "-", unit }'
+}
+
+# field NAME FILE: a number of a summary; "unknown" fails the bench later.
+field() {
+  sed -n "s/.*\\b$1=\\([0-9]*\\).*/\\1/p" "$2"
+}
+
+# streams COUNT FILE PROCESS OPTION...: open that many streams side by side.
+# Starts lie 3 ms apart, so that the first tokens aren't measured in a burst
+# that no balancer would send.
+streams() {
+  count=$1
+  file=$2
+  shift 2
+  repeat=$count
+  [ "$count" = 1 ] && repeat=2
+  call "$@" --tokens $tokens --repeat "$repeat" \
+    --stagger-ms "$([ "$count" = 1 ] && echo 5000 || echo 3)" >"$file"
+  if [ "$(field complete "$file")" != "$repeat" ]; then
+    echo "not all of $count streams were complete: $(cat "$file")" >&2
+    exit 1
+  fi
+}
+
+# Clock ticks that a process has used, in user and system mode.
+ticks_of() {
+  sed 's/.*) //' "/proc/$(pid_of "$1")/stat" | awk '{ print $12 + $13 }'
+}
+
+resident_kb() {
+  sed -n 's/^VmRSS:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$(pid_of "$1")/status"
+}
+
+engine_runs() {
+  request e1 GET /v1/load | grep -q "\"running\":$1,"
+}
+
+# slope FILE: least squares over lines "x y".
+slope() {
+  awk '{ n++; x += $1; y += $2; xx += $1 * $1; xy += $1 * $2 }
+    END { printf "%.4f", (n * xy - x * y) / (n * xx - x * x) }' "$1"
+}
+
+start_platform
+publish_usual_config
+start_engine e1 --token-ms 42 --slots 1000 --threads 1100 \
+  --memory-tokens 100000000 --report-lag-ms 0
+start_host h1 --max-streams 1000
+publish_hosts
+wait_ready h1
+publish_config '"targets/general": {"kind": "engines",
+  "memory_tokens": 100000000, "max_open_streams": 1000}'
+wait_until 10 revision_is h1 "$config_revision"
+
+for count in 1 100 800; do
+  streams $count "$work/direct" e1 --direct
+  streams $count "$work/path" h1
+  for measure in first_p50 first_p99 gap_p50 gap_p99; do
+    line "path.$measure.streams_$count" "$(field ${measure}_us "$work/direct")" \
+      "$(field ${measure}_us "$work/path")" us
+  done
+done
+
+: >"$work/cpu"
+: >"$work/memory"
+for count in 100 200 400 800; do
+  before=$(ticks_of h1)
+  call_later load h1 --tokens $tokens --repeat $count --stagger-ms 3
+  wait_until 30 engine_runs $count
+  echo "$count $(resident_kb h1)" >>"$work/memory"
+  finish load >"$work/load"
+  after=$(ticks_of h1)
+  echo "$((count * tokens)) $(((after - before) * 1000000 / clock_ticks))" \
+    >>"$work/cpu"
+done
+line path.cpu_per_token - "$(slope "$work/cpu")" us
+line path.memory_per_stream - "$(slope "$work/memory")" kB
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -53,6 +53,10 @@
 }
 
 is_ready() {
+  if [ -z "$(port_of "$1")" ] && has_ended "$1"; then
+    echo "$1 ended before it served"
+    exit 1
+  fi
   [ -n "$(port_of "$1")" ]
 }
 
