--- a/source/declaration/declaration-imp.h
+++ b/source/declaration/declaration-imp.h
@@ -85,6 +85,8 @@
 typedef struct
 {
   const char *name;
+  /* Of the item, for faults.  */
+  const char *where;
   const char *note;
   csp_when_t when;
   csp_then_t then;
@@ -103,6 +105,7 @@
   int references;
   csp_kind_t kind;
   char *key;
+  char *where;
   /* Behind the slash of the key.  */
   const char *name;
   char *text;
@@ -138,6 +141,10 @@
   size_t rule_count;
   csp_key_slot_t *keys;
   size_t key_slots;
+  /* Keys of values that could not be parsed, while the declaration is built:
+     what refers to them is no fault of its own.  */
+  const char **broken;
+  size_t broken_count;
 };
 
 extern const csp_field_t csp_organisation_table[];
