--- a/include/cowslipspoke/membership.h
+++ b/include/cowslipspoke/membership.h
@@ -83,34 +83,35 @@
    has shown that it knows this incarnation.  */
 typedef struct
 {
-  uint32_t protocol;
   /* csp_hash_pair ("deployment", NAME).  */
   uint64_t deployment;
-  char name[CSP_HOST_NAME_BYTES];
-  char region[CSP_HOST_NAME_BYTES];
-  char data_centre[CSP_HOST_NAME_BYTES];
-  char address[CSP_ADDRESS_BYTES];
-  uint16_t http_port;
-  uint16_t peer_port;
   uint64_t incarnation;
   /* Of the ask; a reply carries the ask's.  */
   uint64_t sequence;
-  csp_member_state_t state;
   int64_t revision;
   uint64_t digest;
   int64_t refused_revision;
-  bool service_silent;
   int64_t list_version;
   int64_t headroom_tokens;
-  uint32_t owned_targets;
-  /* In a reply: the incarnation of the asker that the sender knows, and how
-     long it will go on to count the asker as alive without further word.  */
+  /* In a reply: the incarnation of the asker that the sender knows.  */
   uint64_t known_incarnation;
+  /* In a reply: how long the sender will go on to count the asker as an owner
+     of targets without further word.  */
   uint32_t alive_ms;
-  uint8_t suspect_count;
+  uint32_t protocol;
+  uint32_t owned_targets;
+  csp_member_state_t state;
   csp_suspect_t suspects[CSP_MAX_SUSPECTS];
-  uint8_t summary_count;
   csp_summary_t summaries[CSP_MAX_SUMMARIES];
+  char name[CSP_HOST_NAME_BYTES];
+  char region[CSP_HOST_NAME_BYTES];
+  char data_centre[CSP_HOST_NAME_BYTES];
+  char address[CSP_ADDRESS_BYTES];
+  uint16_t http_port;
+  uint16_t peer_port;
+  uint8_t suspect_count;
+  uint8_t summary_count;
+  bool service_silent;
 } csp_heartbeat_t;
 
 /* What this host says of itself; the daemon sets it as it changes.  */
@@ -275,13 +276,13 @@
                                              int64_t now_ms,
                                              csp_heartbeat_t *reply);
 
-/* The answer to an ask of ours to peer.  */
+/* The answer to an ask of ours to the peer of this name.  */
 csp_heartbeat_result_t
-csp_handle_heartbeat_reply (csp_membership_t *membership, const char *peer,
+csp_handle_heartbeat_reply (csp_membership_t *membership, const char *name,
                             const csp_heartbeat_t *reply, int64_t now_ms);
 
 /* No answer to the ask with this sequence number.  */
-void csp_handle_heartbeat_lost (csp_membership_t *membership, const char *peer,
+void csp_handle_heartbeat_lost (csp_membership_t *membership, const char *name,
                                 uint64_t sequence, int64_t now_ms);
 
 /* Rises whenever the hosts of our data centre that own targets change, or one
--- a/include/cowslipspoke/ownership.h
+++ b/include/cowslipspoke/ownership.h
@@ -130,7 +130,7 @@
 
 /* Answer a peer's question about one target: what we carry there, as last
    set, and whether we still own it.  An unknown target is not carried.  */
-void csp_answer_carry (const csp_ownership_t *ownership, const char *target,
+void csp_answer_carry (const csp_ownership_t *ownership, const char *name,
                        csp_carry_t *carry);
 
 /* A peer's answer to the ask with this id, in any order of targets, or that
@@ -143,34 +143,34 @@
 
 /* What we carry on a target now; the daemon says so with each change, or at
    least once a second.  */
-void csp_set_carried (csp_ownership_t *ownership, uint32_t target,
+void csp_set_carried (csp_ownership_t *ownership, uint32_t index,
                       int64_t tokens, uint32_t streams, int64_t now_ms);
 
 /* A new load report of the target itself (not one already given).  leaving
    closes it at once.  */
-void csp_handle_load_report (csp_ownership_t *ownership, uint32_t target,
+void csp_handle_load_report (csp_ownership_t *ownership, uint32_t index,
                              int64_t used_tokens, int64_t capacity_tokens,
                              bool leaving, int64_t now_ms);
 
 /* Thousandths of the capacity up to which new work may be granted now; 0 is
    no grant.  Checks the lease at now_ms, so a thread that was paused since
    the last tick gets 0.  Call it immediately before a grant.  */
-uint32_t csp_find_opening (const csp_ownership_t *ownership, uint32_t target,
+uint32_t csp_find_opening (const csp_ownership_t *ownership, uint32_t index,
                            int64_t now_ms);
 
 /* Tokens of memory that new work may still take on the target now: what the
    opening leaves beside our streams and our peers', and never more than the
    report leaves free.  0 where there is no grant or no report yet said the
    capacity.  */
-int64_t csp_find_room_tokens (const csp_ownership_t *ownership,
-                              uint32_t target, int64_t now_ms);
+int64_t csp_find_room_tokens (const csp_ownership_t *ownership, uint32_t index,
+                              int64_t now_ms);
 
 /* The lease behind every grant, for snapshots that traffic threads read.  */
 int64_t csp_grant_until_ms (const csp_ownership_t *ownership);
 
 size_t csp_count_target_slots (const csp_ownership_t *ownership);
 /* False where the slot is unused.  */
-bool csp_view_target (const csp_ownership_t *ownership, uint32_t target,
+bool csp_view_target (const csp_ownership_t *ownership, uint32_t index,
                       csp_target_view_t *view);
 bool csp_find_target (const csp_ownership_t *ownership, const char *name,
                       uint32_t *target);
--- a/include/cowslipspoke/spread.h
+++ b/include/cowslipspoke/spread.h
@@ -52,11 +52,11 @@
 /* What the membership says of a peer; csp_fill_spread_peers makes these.  */
 typedef struct
 {
-  char name[CSP_HOST_NAME_BYTES];
-  bool same_data_centre;
   int64_t revision;
   uint64_t digest;
   int64_t refused_revision;
+  char name[CSP_HOST_NAME_BYTES];
+  bool same_data_centre;
   /* The peer tried to read the service and failed.  */
   bool service_silent;
 } csp_spread_peer_t;
--- a/source/configuration/config-state.c
+++ b/source/configuration/config-state.c
@@ -84,7 +84,7 @@
 sort_delta (const csp_config_delta_t *delta, char fault[CSP_FAULT_BYTES])
 {
   const csp_config_value_t **sorted
-      = malloc ((delta->value_count + 1) * sizeof *sorted);
+      = malloc ((delta->value_count + 1) * sizeof (void *));
   size_t i;
 
   if (sorted == NULL)
@@ -95,7 +95,7 @@
       if (!check_value (sorted[i], NULL, fault))
         goto bad;
     }
-  qsort (sorted, delta->value_count, sizeof *sorted, compare_values);
+  qsort (sorted, delta->value_count, sizeof (void *), compare_values);
   for (i = 1; i < delta->value_count; i++)
     if (!check_value (sorted[i], sorted[i - 1], fault))
       goto bad;
@@ -196,7 +196,7 @@
     goto out;
   made->revision = delta->revision;
   made->values = calloc (most, sizeof *made->values);
-  made->cells = calloc (most, sizeof *made->cells);
+  made->cells = calloc (most, sizeof (void *));
   if (made->values == NULL || made->cells == NULL)
     goto out;
   good = merge (made, state, delta, sorted);
--- a/source/configuration/configuration.c
+++ b/source/configuration/configuration.c
@@ -170,7 +170,8 @@
     {
       value = csp_find_config_value (held, delta->values[i].key);
       if ((value == NULL) != (delta->values[i].json == NULL)
-          || (value != NULL && strcmp (value->json, delta->values[i].json)))
+          || (value != NULL
+              && strcmp (value->json, delta->values[i].json) != 0))
         return CSP_CONFIG_CONFLICT;
     }
   if (!delta->full)
--- a/source/ownership/ownership-targets.c
+++ b/source/ownership/ownership-targets.c
@@ -97,7 +97,7 @@
 {
   size_t capacity = ownership->target_capacity * 2 + 16;
   csp_target_t **targets
-      = realloc (ownership->targets, capacity * sizeof *targets);
+      = realloc (ownership->targets, capacity * sizeof (void *));
   uint32_t *by_name;
 
   if (targets == NULL)
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -93,6 +93,7 @@
   free (message->heartbeat);
   free (message->carries);
   free_delta (&message->delta);
+  free (message);
 }
 
 static size_t
@@ -117,11 +118,11 @@
   if (fleet->message_count == fleet->message_capacity)
     {
       fleet->message_capacity = fleet->message_capacity * 2 + 64;
-      fleet->messages = realloc (
-          fleet->messages, fleet->message_capacity * sizeof *fleet->messages);
+      fleet->messages = realloc (fleet->messages,
+                                 fleet->message_capacity * sizeof (void *));
     }
-  message = &fleet->messages[fleet->message_count++];
-  memset (message, 0, sizeof *message);
+  message = calloc (1, sizeof *message);
+  fleet->messages[fleet->message_count++] = message;
   message->kind = kind;
   message->from = from;
   message->to = to;
@@ -136,7 +137,7 @@
 static void
 finish_post (fleet_t *fleet)
 {
-  fleet_message_t *message = &fleet->messages[fleet->message_count - 1];
+  fleet_message_t *message = fleet->messages[fleet->message_count - 1];
   fleet_node_t *node = &fleet->nodes[message->from];
 
   node->bytes += count_message_bytes (message);
@@ -256,21 +257,21 @@
 static void
 deliver_due (fleet_t *fleet)
 {
-  fleet_message_t message;
+  fleet_message_t *message;
   size_t i = 0;
 
   while (i < fleet->message_count)
     {
       message = fleet->messages[i];
-      if (message.at_ms > fleet->now_ms
-          || fleet->nodes[message.to].paused_until_ms > fleet->now_ms)
+      if (message->at_ms > fleet->now_ms
+          || fleet->nodes[message->to].paused_until_ms > fleet->now_ms)
         {
           i++;
           continue;
         }
       fleet->messages[i] = fleet->messages[--fleet->message_count];
-      deliver (fleet, &message);
-      free_message (&message);
+      deliver (fleet, message);
+      free_message (message);
     }
 }
 
@@ -498,7 +499,7 @@
   size_t i;
 
   for (i = 0; i < fleet->message_count; i++)
-    free_message (&fleet->messages[i]);
+    free_message (fleet->messages[i]);
   for (i = 0; i < fleet->settings.nodes; i++)
     destroy_node (&fleet->nodes[i]);
   free (fleet->messages);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -102,7 +102,7 @@
   bool cuts[FLEET_MAX_NODES][FLEET_MAX_NODES];
   size_t message_count;
   size_t message_capacity;
-  fleet_message_t *messages;
+  fleet_message_t **messages;
   fleet_service_t service;
   bool service_away;
   int64_t list_version;
@@ -123,10 +123,10 @@
 void fleet_start_all (fleet_t *fleet);
 void fleet_run (fleet_t *fleet, int64_t ms);
 
-void fleet_start (fleet_t *fleet, size_t node);
-void fleet_kill (fleet_t *fleet, size_t node);
-void fleet_pause (fleet_t *fleet, size_t node, int64_t ms);
-void fleet_leave (fleet_t *fleet, size_t node);
+void fleet_start (fleet_t *fleet, size_t index);
+void fleet_kill (fleet_t *fleet, size_t index);
+void fleet_pause (fleet_t *fleet, size_t index, int64_t ms);
+void fleet_leave (fleet_t *fleet, size_t index);
 /* Cut or mend what goes from one node to another, one way.  */
 void fleet_cut (fleet_t *fleet, size_t from, size_t to, bool cut);
 /* Cut or mend both ways between nodes below split and the others.  */
@@ -138,7 +138,7 @@
 /* List a target as leaving.  */
 void fleet_leave_target (fleet_t *fleet, size_t target);
 
-int64_t fleet_revision (const fleet_t *fleet, size_t node);
+int64_t fleet_revision (const fleet_t *fleet, size_t index);
 /* All nodes that are up have this revision and one digest.  */
 bool fleet_agrees_on (const fleet_t *fleet, int64_t revision);
 /* Run until then, at most limit_ms; how long it took, -1 if it did not.  */
@@ -153,7 +153,7 @@
 void fleet_tick_platform (fleet_t *fleet, fleet_node_t *node);
 void fleet_tick_load (fleet_t *fleet);
 void fleet_report_loads (fleet_t *fleet, fleet_node_t *node);
-size_t fleet_count_heartbeat_bytes (const csp_heartbeat_t *heartbeat);
+size_t fleet_count_heartbeat_bytes (const csp_heartbeat_t *said);
 size_t fleet_count_delta_bytes (const csp_config_delta_t *delta);
 
 #endif
