--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,8 @@
 CPPFLAGS := -Iinclude -Isource -Itests -D_GNU_SOURCE
 CFLAGS := $(STD) -O2 -g $(WARN) $(SAN_FLAGS)
 LDFLAGS := $(SAN_FLAGS)
-LDLIBS := -lcivetweb -lcurl -lnng -lprotobuf-c -ljson-c -llog4c \
-  -lurcu-mb -lurcu-common -lcrypto -lpthread -lm
+LDLIBS := -lcivetweb -lcurl -lnng -lprotobuf-c -ljson-c -lyajl -llog4c \
+  -lurcu-memb -lurcu-common -lcrypto -lpthread -lm
 CHECK_LIBS := -lcheck_pic -lsubunit -lrt
 
 # Generated codecs are committed; see source/peer/README for the command.
@@ -39,6 +39,7 @@
 STANDIN_COMMON := $(filter-out $(STANDIN_SRC),$(wildcard tests/standin/*.c))
 SUPPORT_SRC := $(wildcard tests/support/*.c)
 TEST_SRC := $(wildcard tests/*/*-test.c)
+SESSIONS := $(patsubst %.golden,./%.sh,$(wildcard tests/session/*.golden))
 BENCH_SRC := $(wildcard bench/*-bench.c)
 BENCH_COMMON := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
 
@@ -93,7 +94,7 @@
 	@$(MAKE) --no-print-directory check-run
 
 check-run: $(PROGRAMS) $(TESTS)
-	@BUILD=$(BUILD) sh tests/run.sh $(TESTS)
+	@BUILD=$(BUILD) sh tests/run.sh $(TESTS) $(SESSIONS)
 
 demo: setup
 	@$(MAKE) --no-print-directory all
