--- a/include/cowslipspoke/membership.h
+++ b/include/cowslipspoke/membership.h
@@ -42,6 +42,14 @@
   CSP_MAX_SUMMARIES = 4,
   CSP_SUMMARY_HOSTS = 2,
   CSP_MAX_HEARTBEAT_ACTIONS = 16,
+  /* No lease outlasts the last tick by more: a host that was alone when it was
+     paused may have company when it wakes up.  Less than a newcomer waits.  */
+  CSP_LEASE_CAP_MS = 2000,
+  /* A host that starts owns nothing before the platform lists it, since two
+     that start together and are not listed yet can't know of each other; but
+     it waits no longer than this, for the platform may be away.  Twice the
+     usual lag of the list.  */
+  CSP_LISTING_WAIT_MS = 10000,
   /* Each relay asks one host of another data centre this often, the data
      centres in turn.  */
   CSP_CROSS_MS = 1000,
@@ -291,8 +299,9 @@
 
 /* Until when no peer of the view may have handed our targets to someone else:
    the least, over the live peers of our data centre, of when we asked plus
-   what they promised in alive_ms.  INT64_MAX where there is no such peer (we
-   are alone), INT64_MIN while one of the view has not promised yet.  */
+   what they promised in alive_ms, and at most CSP_LEASE_CAP_MS after the last
+   tick.  INT64_MIN while we start or woke up and a peer that may be there has
+   not promised yet.  */
 int64_t csp_lease_until_ms (const csp_membership_t *membership);
 
 /* All known hosts, self among them, in order of name: how many there are, and
--- a/source/membership/membership-hear.c
+++ b/source/membership/membership-hear.c
@@ -162,11 +162,13 @@
     }
   if (peer == NULL)
     return NULL;
+  /* A host that was given up has no place among the neighbours.  */
+  if (!peer->neighbour && peer->local
+      && (!membership->large || peer->view.liveness == CSP_PEER_SILENT))
+    membership->rearrange = true;
   note_message (membership, peer, ask, now_ms);
   if (peer->view.liveness != CSP_PEER_ALIVE && peer->local)
     {
-      if (peer->view.liveness == CSP_PEER_SILENT)
-        membership->rearrange = !peer->neighbour;
       if (peer->open_sequence == 0
           && peer->next_ask_ms > now_ms + CSP_HEARTBEAT_MS)
         peer->next_ask_ms = now_ms;
--- a/source/membership/membership-imp.h
+++ b/source/membership/membership-imp.h
@@ -72,7 +72,10 @@
   uint64_t deployment;
   csp_local_state_t local;
   csp_random_t random;
+  int64_t created_ms;
+  /* Created, or woken from a pause.  */
   int64_t started_ms;
+  bool was_listed;
   int64_t last_tick_ms;
   int64_t list_version;
   uint64_t last_sequence;
--- a/source/membership/membership.c
+++ b/source/membership/membership.c
@@ -44,6 +44,7 @@
   snprintf (view->region, sizeof view->region, "%s", settings->region);
   snprintf (view->address, sizeof view->address, "%s", settings->address);
   membership->deployment = csp_hash_pair ("deployment", settings->deployment);
+  membership->created_ms = now_ms;
   membership->started_ms = now_ms;
   membership->last_tick_ms = now_ms;
   csp_seed_random (&membership->random, settings->seed);
@@ -112,7 +113,10 @@
   if (peer->listed_leaving)
     peer->view.state = CSP_MEMBER_LEAVING;
   if (peer->view.self)
-    return;
+    {
+      membership->was_listed = true;
+      return;
+    }
   if (peer->heard_ms == 0 || peer->view.liveness == CSP_PEER_SILENT)
     {
       memcpy (peer->view.region, host->region, sizeof peer->view.region);
@@ -192,10 +196,16 @@
 /* A peer that just came back has not seen us yet and promises nothing; if that
    stopped our grants, each host that flaps would stop its whole data centre.
    Nothing is lost by not waiting for it: it was outside of the view before.
-   A host that starts or wakes up does wait.  */
+   A host that starts or wakes up does wait, also for a host that was silent
+   when it fell asleep, as long as that has to answer: it may have come back
+   and taken over.  */
 static int64_t
-lease_from_peer (const csp_peer_t *peer, bool starting)
+lease_from_peer (const csp_membership_t *membership, const csp_peer_t *peer)
 {
+  int64_t age_ms = membership->last_tick_ms - membership->started_ms;
+  bool starting = age_ms < csp_silent_after_ms (membership);
+  bool asking = age_ms <= CSP_HEARTBEAT_TIMEOUT_MS;
+
   if (!peer->neighbour || peer->view.state == CSP_MEMBER_LEAVING)
     return INT64_MAX;
   switch (peer->view.liveness)
@@ -208,23 +218,31 @@
     case CSP_PEER_SILENT:
       break;
     }
-  return INT64_MAX;
+  return asking ? INT64_MIN : INT64_MAX;
+}
+
+static bool
+waits_for_listing (const csp_membership_t *membership)
+{
+  return !membership->was_listed
+         && membership->last_tick_ms - membership->created_ms
+                < CSP_LISTING_WAIT_MS;
 }
 
 int64_t
 csp_lease_until_ms (const csp_membership_t *membership)
 {
   const csp_data_centre_t *home = &membership->data_centres[membership->home];
-  bool starting = membership->last_tick_ms
-                  < membership->started_ms + csp_silent_after_ms (membership);
-  int64_t until_ms = INT64_MAX;
+  int64_t until_ms = membership->last_tick_ms + CSP_LEASE_CAP_MS;
   int64_t promised_ms;
   size_t i;
 
+  if (waits_for_listing (membership))
+    return INT64_MIN;
   for (i = 0; i < home->count; i++)
     {
-      promised_ms
-          = lease_from_peer (membership->by_order[home->first + i], starting);
+      promised_ms = lease_from_peer (membership,
+                                     membership->by_order[home->first + i]);
       if (promised_ms < until_ms)
         until_ms = promised_ms;
     }
--- a/source/ownership/ownership-imp.h
+++ b/source/ownership/ownership-imp.h
@@ -42,7 +42,8 @@
   bool has_report;
   int64_t used_tokens;
   int64_t capacity_tokens;
-  int64_t foreign_tokens;
+  /* What the last report shows beyond our own, at least.  */
+  int64_t others_tokens;
   int64_t peer_tokens;
   int64_t carried_tokens;
   uint32_t carried_streams;
@@ -104,6 +105,7 @@
 /* ownership-open.c: how far our targets are open.  */
 void csp_close_target (csp_target_t *target, int64_t now_ms);
 bool csp_is_ours (const csp_target_t *target);
+int64_t csp_foreign_tokens (const csp_target_t *target);
 void csp_open_targets (csp_ownership_t *ownership, int64_t now_ms);
 
 /* ownership-carry.c: what peers carry.  */
--- a/source/ownership/ownership-open.c
+++ b/source/ownership/ownership-open.c
@@ -18,7 +18,7 @@
   target->agreeing = 0;
   target->disagreeing = 0;
   target->has_report = false;
-  target->foreign_tokens = 0;
+  target->others_tokens = 0;
   memset (target->carries, 0, CSP_MAX_OWNERS * sizeof *target->carries);
 }
 
@@ -81,6 +81,14 @@
   return target->opening != opening;
 }
 
+int64_t
+csp_foreign_tokens (const csp_target_t *target)
+{
+  return target->others_tokens > target->peer_tokens
+             ? target->others_tokens - target->peer_tokens
+             : 0;
+}
+
 void
 csp_open_targets (csp_ownership_t *ownership, int64_t now_ms)
 {
@@ -167,12 +175,11 @@
   int64_t most;
 
   find_carried_range (target, now_ms, &least, &most);
+  target->others_tokens
+      = target->used_tokens > most ? target->used_tokens - most : 0;
   least += target->peer_tokens - tolerance;
-  most += target->peer_tokens;
-  target->foreign_tokens = 0;
-  if (target->used_tokens > most + tolerance)
+  if (target->others_tokens > target->peer_tokens + tolerance)
     {
-      target->foreign_tokens = target->used_tokens - most;
       target->agreeing = 0;
       target->disagreeing++;
       return;
@@ -235,18 +242,19 @@
                       int64_t now_ms)
 {
   const csp_target_t *target = csp_get_target (ownership, index);
-  int64_t carried;
-  int64_t opened;
-  int64_t free_tokens;
+  int64_t others;
+  int64_t room;
 
   if (csp_find_opening (ownership, index, now_ms) == 0 || !target->has_report)
     return 0;
-  carried = target->carried_tokens + target->peer_tokens;
-  opened = target->capacity_tokens * target->opening / CSP_OPEN_FULL;
-  free_tokens = target->capacity_tokens - target->foreign_tokens;
-  if (free_tokens < opened)
-    opened = free_tokens;
-  return opened > carried ? opened - carried : 0;
+  /* Whichever is more: a peer that fell silent says nothing any more, but its
+     streams still show in the report.  */
+  others = target->peer_tokens > target->others_tokens ? target->peer_tokens
+                                                       : target->others_tokens;
+  room = target->capacity_tokens * target->opening / CSP_OPEN_FULL;
+  if (room > target->capacity_tokens - others)
+    room = target->capacity_tokens - others;
+  return room > target->carried_tokens ? room - target->carried_tokens : 0;
 }
 
 int64_t
--- a/source/ownership/ownership-targets.c
+++ b/source/ownership/ownership-targets.c
@@ -250,7 +250,7 @@
   view->state = target->state;
   view->opening_thousandths = target->opening;
   view->peer_tokens = target->peer_tokens;
-  view->foreign_tokens = target->foreign_tokens;
+  view->foreign_tokens = csp_foreign_tokens (target);
   return true;
 }
 
@@ -273,7 +273,7 @@
       status->closed += target->state == CSP_OWN_CLOSED;
       status->opening += target->state == CSP_OWN_OPENING;
       status->leaving += target->state == CSP_OWN_LEAVING;
-      status->foreign += csp_is_ours (target) && target->foreign_tokens > 0;
+      status->foreign += csp_is_ours (target) && target->disagreeing >= 2;
     }
 }
 
