Placement by the work ahead of the first token; slow targets taken out

Change: targets weighed by prompts not yet computed, cached prefix, memory held and slowness; health by gaps against the median of the peers, closed by halves, probed, opened by doubling, a fifth at most; peers drawn two at a time. Conclusion: work ahead of the first token is what placement should look at.

--- a/bench/engine-model.h
+++ b/bench/engine-model.h
@@ -54,6 +54,7 @@
   uint32_t engine;
   uint32_t handle;
   uint32_t noted_tokens;
+  int64_t noted_us;
   uint32_t charged_tokens;
   struct request *next;
 } request_t;
--- /dev/null
+++ b/bench/fleet-decisions.c
@@ -0,0 +1,269 @@
+#include "fleet-imp.h"
+
+csp_stream_t
+stream_of_request (const fleet_t *fleet, const request_t *request,
+                   uint32_t host)
+{
+  csp_stream_t stream
+      = { .id = request->id,
+          .length_key = fleet->hosts[host].keys[request->class_index],
+          .prompt_tokens = request->prompt_tokens,
+          .priority = request->priority };
+
+  return stream;
+}
+
+/* Admission switched off: any engine whose free memory takes the prompt.  */
+static bool
+choose_by_free_memory (fleet_t *fleet, const request_t *request, uint32_t host,
+                       uint32_t *chosen)
+{
+  uint32_t most = request->prompt_tokens + ENGINE_MAX_RUNNING;
+  uint32_t used;
+  uint32_t room;
+  uint32_t i;
+  bool found = false;
+
+  for (i = host; i < fleet->engine_count; i += fleet->play->hosts)
+    {
+      used = csp_ledger_used_tokens (fleet->ledgers[i]);
+      room = fleet->engines[i].shape.memory_tokens;
+      room = room > used ? room - used : 0;
+      if (fleet->engines[i].dead || room <= most)
+        continue;
+      most = room;
+      *chosen = i;
+      found = true;
+    }
+  return found;
+}
+
+/* Placement switched off: any engine that admits, drawn at random.  */
+static bool
+choose_at_random (fleet_t *fleet, const csp_candidate_t *candidates,
+                  uint32_t count, const csp_stream_t *stream, uint32_t *chosen)
+{
+  uint32_t start = csp_random_below (&fleet->random, count);
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      *chosen = (start + i) % count;
+      if (csp_decide_admission (candidates[*chosen].ledger, stream,
+                                fleet_now_ms (fleet))
+          == CSP_ADMIT)
+        return true;
+    }
+  return false;
+}
+
+static void
+describe_engine (fleet_t *fleet, const request_t *request, uint32_t host,
+                 uint32_t engine, csp_candidate_t *candidate)
+{
+  csp_health_t *health = fleet->hosts[host].health;
+
+  candidate->ledger = fleet->ledgers[engine];
+  candidate->open = 1;
+  candidate->slowness = 1;
+  candidate->cached_tokens = 0;
+  if (!fleet->play->no_prefixes)
+    candidate->cached_tokens
+        = csp_cached_tokens (&fleet->prefixes[engine], request->prefix);
+  if (candidate->cached_tokens > request->prefix_tokens)
+    candidate->cached_tokens = request->prefix_tokens;
+  if (fleet->play->no_health)
+    return;
+  candidate->open = csp_health_open (health, engine);
+  candidate->slowness = csp_health_slowness (health, engine);
+  if (csp_take_probe (health, engine,
+                      csp_ledger_streams (fleet->ledgers[engine]),
+                      fleet_now_ms (fleet)))
+    candidate->open = 1;
+}
+
+static bool
+choose_engine (fleet_t *fleet, const request_t *request, uint32_t host,
+               uint32_t *chosen)
+{
+  csp_candidate_t candidates[MOST_ENGINES];
+  uint32_t engines[MOST_ENGINES];
+  csp_stream_t stream = stream_of_request (fleet, request, host);
+  uint32_t count = 0;
+  uint32_t i;
+  uint32_t best = 0;
+  bool found;
+
+  if (fleet->play->no_admission)
+    return choose_by_free_memory (fleet, request, host, chosen);
+  for (i = host; i < fleet->engine_count; i += fleet->play->hosts)
+    if (!fleet->engines[i].dead)
+      {
+        engines[count] = i;
+        describe_engine (fleet, request, host, i, &candidates[count++]);
+      }
+  if (count == 0)
+    return false;
+  if (fleet->play->no_placement)
+    found = choose_at_random (fleet, candidates, count, &stream, &best);
+  else
+    found = csp_choose_target (&fleet->play->placement, candidates, count,
+                               &stream, fleet_now_ms (fleet), &best);
+  *chosen = engines[best];
+  return found;
+}
+
+static bool
+spill (fleet_t *fleet, const request_t *request, uint32_t from, uint32_t cost,
+       uint32_t *chosen)
+{
+  csp_peer_load_t peers[MOST_HOSTS];
+  uint32_t indices[MOST_HOSTS];
+  uint32_t count = 0;
+  uint32_t i;
+
+  for (i = 0; i < fleet->play->hosts; i++)
+    {
+      if (i == from)
+        continue;
+      peers[count] = fleet->hosts[i].told;
+      indices[count++] = i;
+    }
+  if (!csp_choose_peer (&fleet->play->placement, peers, count, cost,
+                        &fleet->random, &i))
+    return false;
+  if (csp_queue_length (fleet->hosts[indices[i]].queue) != 0)
+    return false;
+  return choose_engine (fleet, request, indices[i], chosen);
+}
+
+static uint64_t
+host_free_tokens (const fleet_t *fleet, uint32_t host)
+{
+  uint64_t total = 0;
+  uint32_t i;
+
+  for (i = host; i < fleet->engine_count; i += fleet->play->hosts)
+    if (fleet->engines[i].dead)
+      continue;
+    else if (fleet->play->no_admission)
+      total += default_engine_shape ().memory_tokens
+               - csp_ledger_used_tokens (fleet->ledgers[i]);
+    else
+      total += csp_ledger_headroom_tokens (fleet->ledgers[i], CSP_PRIORITY_MAX,
+                                           fleet_now_ms (fleet));
+  return total;
+}
+
+void
+pump_host (fleet_t *fleet, uint32_t index)
+{
+  host_t *host = &fleet->hosts[index];
+  csp_waiting_t waiting;
+  bool borrowing;
+  request_t *request;
+  uint32_t engine = 0;
+
+  csp_begin_pump (host->queue, fleet_now_ms (fleet));
+  while (csp_next_waiting (host->queue, &waiting, &borrowing))
+    {
+      request = &fleet->requests[waiting.id - 1];
+      if (borrowing
+          && host_free_tokens (fleet, index)
+                 < csp_queue_kept_tokens (host->queue) + waiting.cost_tokens)
+        {
+          csp_skip_waiting (host->queue);
+          continue;
+        }
+      if (choose_engine (fleet, request, index, &engine)
+          || spill (fleet, request, index, waiting.cost_tokens, &engine))
+        {
+          csp_take_waiting (host->queue, fleet_now_ms (fleet));
+          request->charged_tokens = waiting.cost_tokens;
+          send_request (fleet, request, engine);
+        }
+      else
+        csp_skip_waiting (host->queue);
+    }
+}
+
+void
+dispatch_decisions (fleet_t *fleet, request_t *request)
+{
+  host_t *host;
+  csp_waiting_t waiting = { .id = request->id,
+                            .organisation = request->organisation,
+                            .priority = request->priority };
+  csp_error_t error;
+
+  request->host = csp_random_below (&fleet->random, fleet->play->hosts);
+  host = &fleet->hosts[request->host];
+  waiting.cost_tokens
+      = request->prompt_tokens
+        + (uint32_t)csp_expect_tokens_left (
+            host->lengths, host->keys[request->class_index], 0);
+  waiting.start_by_ms = 1000 + request->start_by_us / 1000;
+  if (fleet->play->no_fairness)
+    waiting.organisation = 0;
+  if (!csp_push_waiting (host->queue, &waiting, fleet_now_ms (fleet), &error))
+    {
+      request->phase = REQUEST_REFUSED;
+      return;
+    }
+  request->phase = REQUEST_WAITING;
+  pump_host (fleet, request->host);
+}
+
+void
+expire_host (fleet_t *fleet, host_t *host)
+{
+  csp_waiting_t waiting;
+  csp_error_t error;
+
+  while (
+      csp_expire_waiting (host->queue, fleet_now_ms (fleet), &waiting, &error))
+    fleet->requests[waiting.id - 1].phase = REQUEST_GIVEN_UP;
+}
+
+void
+take_reports (fleet_t *fleet)
+{
+  csp_load_report_t *ring;
+  const csp_load_report_t *late;
+  uint64_t lag = (uint64_t)(fleet->play->report_lag_us / REPORT_US);
+  uint32_t i;
+
+  fleet->report++;
+  for (i = 0; i < fleet->engine_count; i++)
+    {
+      if (fleet->engines[i].dead)
+        continue;
+      ring = fleet->reports[i];
+      ring[fleet->report % REPORT_RING] = (csp_load_report_t){
+        .report = fleet->report,
+        .memory_tokens = fleet->engines[i].shape.memory_tokens,
+        .used_tokens = fleet->engines[i].used_tokens,
+        .running = fleet->engines[i].running_count,
+        .waiting = fleet->engines[i].waiting_count,
+        .preemptions = fleet->engines[i].preemptions,
+      };
+      late = &ring[(fleet->report - lag) % REPORT_RING];
+      if (late->report != 0)
+        csp_take_report (fleet->ledgers[i], late, fleet_now_ms (fleet));
+    }
+  for (i = 0; i < fleet->play->hosts; i++)
+    {
+      fleet->hosts[i].told.headroom_tokens
+          = (uint32_t)host_free_tokens (fleet, i);
+      fleet->hosts[i].told.waiting = csp_queue_length (fleet->hosts[i].queue);
+    }
+}
+
+void
+weigh_engines (fleet_t *fleet)
+{
+  uint32_t i;
+
+  for (i = 0; i < fleet->play->hosts; i++)
+    csp_weigh_health (fleet->hosts[i].health, fleet_now_ms (fleet));
+}
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -4,6 +4,7 @@
 #include "arrivals.h"
 
 #include "cowslipspoke/admission.h"
+#include "cowslipspoke/placement.h"
 #include "cowslipspoke/queue.h"
 
 enum
@@ -31,11 +32,14 @@
   uint32_t hosts;
   csp_admission_policy_t admission;
   csp_queue_policy_t queue;
+  csp_placement_policy_t placement;
   bool no_learning;
   bool no_admission;
   bool no_fairness;
-  bool no_refusal;
   bool no_placement;
+  bool no_prefixes;
+  bool no_health;
+  bool no_lending;
   int64_t report_lag_us;
   double slow_factor;
   uint32_t slow_engine;
--- a/bench/results.c
+++ b/bench/results.c
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "fleet-imp.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -69,3 +69,57 @@
   for (i = 0; i < ORGANISATIONS; i++)
     free_outcome (&results->organisations[i]);
 }
+
+static void
+count_outcome (outcome_t *outcome, const request_t *request)
+{
+  if (outcome->first_s == NULL)
+    {
+      outcome->first_s = calloc (400000, sizeof (double));
+      outcome->wait_s = calloc (400000, sizeof (double));
+    }
+  outcome->requests++;
+  outcome->finished += request->phase == REQUEST_DONE;
+  outcome->refused += request->phase == REQUEST_REFUSED;
+  outcome->given_up += request->phase == REQUEST_GIVEN_UP;
+  outcome->lost += request->phase == REQUEST_LOST;
+  outcome->preemptions += request->preempted;
+  outcome->preempted += request->preempted != 0;
+  outcome->stall_s += (double)request->stall_us / 1e6;
+  outcome->tokens += request->made_tokens;
+  if (request->first_us == 0 || outcome->first_count >= 400000)
+    return;
+  outcome->started++;
+  outcome->wait_s[outcome->first_count]
+      = (double)(request->sent_us - request->arrive_us) / 1e6;
+  outcome->first_s[outcome->first_count++]
+      = (double)(request->first_us - request->arrive_us) / 1e6;
+}
+
+static void
+add_gaps (gaps_t *sum, const gaps_t *gaps)
+{
+  uint32_t i;
+
+  for (i = 0; i < GAP_BUCKETS; i++)
+    sum->counts[i] += gaps->counts[i];
+  sum->total += gaps->total;
+}
+
+void
+count_outcomes (fleet_t *fleet)
+{
+  results_t *results = fleet->results;
+  const request_t *request;
+  uint32_t i;
+
+  for (i = 0; i < fleet->request_count; i++)
+    {
+      request = &fleet->requests[i];
+      count_outcome (&results->all, request);
+      count_outcome (&results->classes[request->class_index], request);
+      count_outcome (&results->organisations[request->organisation], request);
+    }
+  for (i = 0; i < CLASS_COUNT; i++)
+    add_gaps (&results->all.gaps, &results->classes[i].gaps);
+}
--- a/include/cowslipspoke/admission.h
+++ b/include/cowslipspoke/admission.h
@@ -128,7 +128,8 @@
 uint32_t csp_add_stream (csp_ledger_t *ledger, const csp_stream_t *stream,
                          uint32_t made_tokens, int64_t now_ms);
 
-/* The stream has made so many tokens.  Call every 16 tokens or second.  */
+/* The stream has made so many tokens.  Call at the first token, by which
+   placement sees that the prompt is done, and every 16 tokens or second.  */
 void csp_note_tokens (csp_ledger_t *ledger, uint32_t handle,
                       uint32_t made_tokens, int64_t now_ms);
 
--- a/source/admission/admission-decide.c
+++ b/source/admission/admission-decide.c
@@ -8,16 +8,25 @@
 
 static const double pressure_most = 3;
 
+static double
+pressure_fade (const csp_ledger_t *ledger, int64_t now_ms)
+{
+  double age_ms = (double)(now_ms - ledger->pressure_ms);
+
+  return exp2 (-age_ms / fmax (ledger->policy.pressure_half_life_ms, 1));
+}
+
 double
 csp_ledger_risk (const csp_ledger_t *ledger, uint8_t priority, int64_t now_ms)
 {
   const csp_admission_policy_t *policy = &ledger->policy;
-  double age = (double)(now_ms - ledger->pressure_ms);
-  double fade = exp2 (-age / fmax (policy->pressure_half_life_ms, 1));
   uint8_t below
       = priority < CSP_PRIORITY_MAX ? CSP_PRIORITY_MAX - priority : 0;
+  double risk = policy->risk + policy->risk_step * below;
 
-  return policy->risk + policy->risk_step * below + ledger->pressure * fade;
+  if (ledger->pressure > 0)
+    risk += ledger->pressure * pressure_fade (ledger, now_ms);
+  return risk;
 }
 
 /* A wrong guess shows as preemptions.  Without this feedback the same guess
@@ -26,11 +35,10 @@
 void
 csp_note_preemption (csp_ledger_t *ledger, int64_t now_ms)
 {
-  double age = (double)(now_ms - ledger->pressure_ms);
-  double fade = exp2 (-age / fmax (ledger->policy.pressure_half_life_ms, 1));
-
-  ledger->pressure = fmin (
-      ledger->pressure * fade + ledger->policy.pressure_step, pressure_most);
+  ledger->pressure
+      = fmin (ledger->pressure * pressure_fade (ledger, now_ms)
+                  + ledger->policy.pressure_step,
+              pressure_most);
   ledger->pressure_ms = now_ms;
 }
 
@@ -92,29 +100,24 @@
 }
 
 static bool
-fits_all_horizons (const csp_ledger_t *ledger, const csp_stream_t *stream,
-                   double memory, int64_t now_ms)
+fits_all_horizons (const csp_ledger_t *ledger, const forecast_t *forecast,
+                   double memory, double risk)
 {
-  double risk = csp_ledger_risk (ledger, stream->priority, now_ms);
-  forecast_t extra;
   uint32_t i;
 
-  csp_forecast_stream (ledger->lengths, stream, 0, &extra);
   for (i = 0; i < CSP_LEDGER_HORIZONS; i++)
-    if (memory_needed (ledger, &extra, i, risk) > memory)
+    if (memory_needed (ledger, forecast, i, risk) > memory)
       return false;
   return true;
 }
 
 csp_admit_t
-csp_decide_admission (const csp_ledger_t *ledger, const csp_stream_t *stream,
-                      int64_t now_ms)
+csp_decide_forecast (const csp_ledger_t *ledger, const csp_stream_t *stream,
+                     const forecast_t *forecast, double open, int64_t now_ms)
 {
-  uint32_t memory = csp_ledger_memory_tokens (ledger, now_ms);
+  uint32_t memory
+      = (uint32_t)(open * csp_ledger_memory_tokens (ledger, now_ms));
 
-  if (ledger->reported
-      && !fits_empty (ledger, stream, ledger->report.memory_tokens))
-    return CSP_ADMIT_NEVER;
   if (ledger->report.leaving)
     return CSP_ADMIT_WAIT;
   if (ledger->policy.max_streams != 0
@@ -127,12 +130,26 @@
     return CSP_ADMIT;
   if (long_share_full (ledger, stream, memory))
     return CSP_ADMIT_WAIT;
-  if (fits_all_horizons (ledger, stream,
-                         (double)memory - stream->reserve_tokens, now_ms))
+  if (fits_all_horizons (ledger, forecast,
+                         (double)memory - stream->reserve_tokens,
+                         csp_ledger_risk (ledger, stream->priority, now_ms)))
     return CSP_ADMIT;
   return CSP_ADMIT_WAIT;
 }
 
+csp_admit_t
+csp_decide_admission (const csp_ledger_t *ledger, const csp_stream_t *stream,
+                      int64_t now_ms)
+{
+  forecast_t forecast;
+
+  if (ledger->reported
+      && !fits_empty (ledger, stream, ledger->report.memory_tokens))
+    return CSP_ADMIT_NEVER;
+  csp_forecast_stream (ledger->lengths, stream, 0, &forecast);
+  return csp_decide_forecast (ledger, stream, &forecast, 1, now_ms);
+}
+
 uint32_t
 csp_ledger_headroom_tokens (const csp_ledger_t *ledger, uint8_t priority,
                             int64_t now_ms)
--- a/source/admission/admission-ledger.c
+++ b/source/admission/admission-ledger.c
@@ -176,6 +176,8 @@
 count_tokens (csp_ledger_t *ledger, const csp_stream_state_t *state, int sign)
 {
   ledger->used_tokens += (uint32_t)sign * stream_tokens (state);
+  if (state->made_tokens == 0)
+    ledger->unstarted_tokens += (uint32_t)sign * state->stream.prompt_tokens;
   if (stream_is_long (ledger, state))
     ledger->long_used_tokens += (uint32_t)sign * stream_tokens (state);
 }
--- a/source/admission/ledger-imp.h
+++ b/source/admission/ledger-imp.h
@@ -43,6 +43,7 @@
   uint32_t streams;
   uint32_t used_tokens;
   uint32_t long_used_tokens;
+  uint32_t unstarted_tokens;
   slot_t *slots;
   uint32_t slot_count;
   uint32_t first_free;
@@ -61,6 +62,13 @@
 void csp_forecast_stream (csp_lengths_t *lengths, const csp_stream_t *stream,
                           uint32_t made_tokens, forecast_t *forecast);
 
+/* csp_decide_admission with the stream's forecast made before, for a choice
+   among many targets; open is the share of the target that may be used.  */
+csp_admit_t csp_decide_forecast (const csp_ledger_t *ledger,
+                                 const csp_stream_t *stream,
+                                 const forecast_t *forecast, double open,
+                                 int64_t now_ms);
+
 /* The most that the ledger held within the lag of a report.  */
 uint32_t csp_most_held (const csp_ledger_t *ledger, int64_t now_ms);
 
--- /dev/null
+++ b/source/placement/placement-target.c
@@ -0,0 +1,94 @@
+#include "admission/ledger-imp.h"
+#include "cowslipspoke/placement.h"
+
+#include <float.h>
+
+csp_placement_policy_t
+csp_default_placement_policy (void)
+{
+  csp_placement_policy_t policy = { .held_weight = 0.1, .spill_least = 1 };
+
+  return policy;
+}
+
+static double
+weigh_candidate (const csp_placement_policy_t *policy,
+                 const csp_candidate_t *candidate, const csp_stream_t *stream)
+{
+  const csp_ledger_t *ledger = candidate->ledger;
+  double ahead = ledger->unstarted_tokens;
+  uint32_t cached = candidate->cached_tokens;
+
+  if (cached < stream->prompt_tokens)
+    ahead += stream->prompt_tokens - cached;
+  return (ahead + policy->held_weight * ledger->used_tokens + 1)
+         * candidate->slowness;
+}
+
+bool
+csp_choose_target (const csp_placement_policy_t *policy,
+                   const csp_candidate_t *candidates, uint32_t count,
+                   const csp_stream_t *stream, int64_t now_ms,
+                   uint32_t *chosen)
+{
+  double least = DBL_MAX;
+  forecast_t forecast;
+  double weight;
+  uint32_t i;
+
+  if (count == 0)
+    return false;
+  csp_forecast_stream (candidates[0].ledger->lengths, stream, 0, &forecast);
+  for (i = 0; i < count; i++)
+    {
+      weight = weigh_candidate (policy, &candidates[i], stream);
+      if (weight >= least)
+        continue;
+      if (csp_decide_forecast (candidates[i].ledger, stream, &forecast,
+                               candidates[i].open, now_ms)
+          != CSP_ADMIT)
+        continue;
+      least = weight;
+      *chosen = i;
+    }
+  return least < DBL_MAX;
+}
+
+static bool
+peer_has_room (const csp_placement_policy_t *policy,
+               const csp_peer_load_t *peer, uint32_t cost_tokens)
+{
+  return peer->waiting == 0
+         && peer->headroom_tokens >= policy->spill_least * cost_tokens;
+}
+
+static bool
+is_better_peer (const csp_peer_load_t *peer, const csp_peer_load_t *than)
+{
+  if (peer->same_data_centre != than->same_data_centre)
+    return peer->same_data_centre;
+  return peer->headroom_tokens > than->headroom_tokens;
+}
+
+bool
+csp_choose_peer (const csp_placement_policy_t *policy,
+                 const csp_peer_load_t *peers, uint32_t count,
+                 uint32_t cost_tokens, csp_random_t *random, uint32_t *chosen)
+{
+  uint32_t first;
+  uint32_t second;
+  bool first_fits;
+  bool second_fits;
+
+  if (count == 0)
+    return false;
+  first = csp_random_below (random, count);
+  second = csp_random_below (random, count);
+  first_fits = peer_has_room (policy, &peers[first], cost_tokens);
+  second_fits = peer_has_room (policy, &peers[second], cost_tokens);
+  *chosen = first;
+  if (second_fits
+      && (!first_fits || is_better_peer (&peers[second], &peers[first])))
+    *chosen = second;
+  return first_fits || second_fits;
+}
--- a/source/queue/queue-waiting.c
+++ b/source/queue/queue-waiting.c
@@ -11,7 +11,7 @@
                                 .max_waiting_each = 1024,
                                 .max_wait_ms = 30000,
                                 .age_ms = 1000,
-                                .lend_keep = 0.05,
+                                .lend_keep = 0.07,
                                 .rate_half_life_ms = 10000,
                                 .hold_ms = 2000,
                                 .pass_over_most = 16,
--- /dev/null
+++ b/tests/placement/placement-test.c
@@ -0,0 +1,289 @@
+#include "cowslipspoke/health.h"
+#include "cowslipspoke/placement.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+enum
+{
+  TARGETS = 10,
+  MEMORY = 60000,
+  PREFIX = 77
+};
+
+static csp_lengths_t *lengths;
+static csp_ledger_t *ledgers[TARGETS];
+static csp_candidate_t candidates[TARGETS];
+static csp_placement_policy_t policy;
+
+static void
+set_up (void)
+{
+  csp_length_policy_t lengths_policy = csp_default_length_policy ();
+  csp_admission_policy_t admission = csp_default_admission_policy ();
+  csp_load_report_t report = { .report = 1, .memory_tokens = MEMORY };
+  uint32_t i;
+
+  policy = csp_default_placement_policy ();
+  lengths = csp_create_lengths (&lengths_policy);
+  for (i = 0; i < TARGETS; i++)
+    {
+      ledgers[i] = csp_create_ledger (&admission, lengths);
+      csp_take_report (ledgers[i], &report, 1000);
+      candidates[i] = (csp_candidate_t){ .ledger = ledgers[i],
+                                         .open = 1,
+                                         .slowness = 1 };
+    }
+}
+
+static void
+tear_down (void)
+{
+  uint32_t i;
+
+  for (i = 0; i < TARGETS; i++)
+    csp_destroy_ledger (ledgers[i]);
+  csp_destroy_lengths (lengths);
+}
+
+static csp_stream_t
+stream_of (uint32_t prompt_tokens)
+{
+  csp_stream_t stream = { .prompt_tokens = prompt_tokens, .priority = 5 };
+
+  return stream;
+}
+
+static void
+hold (uint32_t target, uint32_t prompt_tokens, uint32_t made_tokens)
+{
+  csp_stream_t stream = stream_of (prompt_tokens);
+
+  csp_add_stream (ledgers[target], &stream, made_tokens, 1000);
+}
+
+/* What makes a target the worse choice of two.  A prompt that is still being
+   computed delays the newcomer's first token; so does a full or slow target;
+   a cached prefix saves most of it.  */
+static const struct
+{
+  const char *name;
+  uint32_t prompt_ahead;
+  uint32_t held;
+  double slowness;
+  double open;
+  uint32_t cached_elsewhere;
+} worse_rows[] = {
+  { "prompt ahead", 6000, 0, 1, 1, 0 },
+  { "held", 0, 20000, 1, 1, 0 },
+  { "slow", 0, 0, 2, 1, 0 },
+  { "closed", 0, 0, 1, 0, 0 },
+  { "prefix", 0, 0, 1, 1, 2000 },
+};
+
+START_TEST (the_better_of_two_gets_it)
+{
+  csp_stream_t stream = stream_of (4000);
+  uint32_t chosen = 0;
+
+  hold (1, 500, 50);
+  if (worse_rows[_i].prompt_ahead != 0)
+    hold (0, worse_rows[_i].prompt_ahead, 0);
+  if (worse_rows[_i].held != 0)
+    hold (0, worse_rows[_i].held, 50);
+  candidates[0].slowness = worse_rows[_i].slowness;
+  candidates[0].open = worse_rows[_i].open;
+  candidates[1].cached_tokens = worse_rows[_i].cached_elsewhere;
+  ck_assert (
+      csp_choose_target (&policy, candidates, 2, &stream, 1000, &chosen));
+  ck_assert_msg (chosen == 1, "%s", worse_rows[_i].name);
+}
+END_TEST
+
+/* One prefix takes most of the load.  The target that has it is chosen only
+   until its queue of prompts costs more than computing the prefix anew;
+   else one target would be buried while the others idle.  */
+START_TEST (a_popular_prefix_does_not_bury_its_target)
+{
+  csp_stream_t stream = stream_of (3000);
+  csp_prefixes_t prefixes[TARGETS] = { 0 };
+  uint32_t counts[TARGETS] = { 0 };
+  uint32_t chosen = 0;
+  uint32_t i;
+  uint32_t j;
+
+  for (i = 0; i < 40; i++)
+    {
+      for (j = 0; j < TARGETS; j++)
+        candidates[j].cached_tokens = csp_cached_tokens (&prefixes[j], PREFIX);
+      ck_assert (csp_choose_target (&policy, candidates, TARGETS, &stream,
+                                    1000, &chosen));
+      hold (chosen, stream.prompt_tokens, 0);
+      csp_note_prefix (&prefixes[chosen], PREFIX, 2000, 1000 + i);
+      counts[chosen]++;
+    }
+  ck_assert_uint_ge (counts[0], 4);
+  ck_assert_uint_le (counts[0], 8);
+  csp_forget_prefix (&prefixes[0], PREFIX);
+  ck_assert_uint_eq (csp_cached_tokens (&prefixes[0], PREFIX), 0);
+  csp_forget_prefixes (&prefixes[1]);
+  ck_assert_uint_eq (csp_cached_tokens (&prefixes[1], PREFIX), 0);
+}
+END_TEST
+
+START_TEST (nobody_is_chosen_when_all_are_full)
+{
+  csp_stream_t stream = stream_of (4000);
+  uint32_t chosen;
+  uint32_t i;
+
+  for (i = 0; i < TARGETS; i++)
+    hold (i, MEMORY - 3000, 10);
+  ck_assert (!csp_choose_target (&policy, candidates, TARGETS, &stream, 1000,
+                                 &chosen));
+  ck_assert (
+      !csp_choose_target (&policy, candidates, 0, &stream, 1000, &chosen));
+}
+END_TEST
+
+/* Twelve hosts spill on the same old news of one empty peer.  If each took
+   the best, all would fall on that one.  */
+START_TEST (spilling_hosts_spread)
+{
+  csp_peer_load_t peers[12] = { 0 };
+  uint32_t counts[12] = { 0 };
+  csp_random_t random;
+  uint32_t chosen = 0;
+  uint32_t i;
+
+  csp_seed_random (&random, 5);
+  for (i = 0; i < 12; i++)
+    peers[i].headroom_tokens = i == 3 ? 60000 : 20000;
+  peers[7].headroom_tokens = 100;
+  peers[8].waiting = 1;
+  for (i = 0; i < 1200; i++)
+    if (csp_choose_peer (&policy, peers, 12, 5000, &random, &chosen))
+      counts[chosen]++;
+  ck_assert_uint_lt (counts[3], 300);
+  ck_assert_uint_eq (counts[7], 0);
+  ck_assert_uint_eq (counts[8], 0);
+}
+END_TEST
+
+static void
+note_round (csp_health_t *health, const double gaps_ms[TARGETS])
+{
+  uint32_t i;
+
+  for (i = 0; i < TARGETS; i++)
+    if (csp_health_open (health, i) > 0)
+      csp_note_gaps (health, i, 64, gaps_ms[i]);
+}
+
+/* One engine of ten is three times as slow as its peers, and later well.  It
+   is closed by halves, probed while closed, and opened by doubling; a target
+   that is only full, at 1.6 times the median, is left alone.  */
+START_TEST (a_slow_target_is_taken_out_and_back)
+{
+  csp_health_policy_t health_policy = csp_default_health_policy ();
+  csp_health_t *health = csp_create_health (&health_policy, TARGETS);
+  double gaps_ms[TARGETS] = { 40, 42, 41, 40, 44, 43, 40, 41, 64, 126 };
+  double before;
+  int64_t now_ms;
+  uint32_t probes = 0;
+
+  for (now_ms = 1000; now_ms < 20000; now_ms += 1000)
+    {
+      before = csp_health_open (health, 9);
+      note_round (health, gaps_ms);
+      csp_weigh_health (health, now_ms);
+      ck_assert_double_ge (csp_health_open (health, 9), before / 2 - 0.1);
+    }
+  ck_assert_double_eq (csp_health_open (health, 9), 0);
+  ck_assert_double_eq (csp_health_open (health, 8), 1);
+  for (; now_ms < 40000; now_ms += 1000)
+    probes += csp_take_probe (health, 9, 0, now_ms);
+  ck_assert_uint_eq (probes, 4);
+  ck_assert (!csp_take_probe (health, 9, 1, now_ms + 10000));
+  csp_note_gaps (health, 9, 200, 41);
+  csp_weigh_health (health, now_ms);
+  ck_assert_double_le (csp_health_open (health, 9), 0.25);
+  for (; now_ms < 60000; now_ms += 1000)
+    {
+      csp_note_gaps (health, 9, 64, 41);
+      csp_weigh_health (health, now_ms);
+    }
+  ck_assert_double_eq (csp_health_open (health, 9), 1);
+  csp_destroy_health (health);
+}
+END_TEST
+
+/* Half of the targets turn slow at once.  Were all of them closed, the rest
+   would get twice their load and break down as well.  */
+START_TEST (never_all_at_once)
+{
+  csp_health_policy_t health_policy = csp_default_health_policy ();
+  csp_health_t *health = csp_create_health (&health_policy, TARGETS);
+  double gaps_ms[TARGETS] = { 40, 40, 40, 40, 40, 40, 150, 160, 170, 180 };
+  uint32_t closed = 0;
+  int64_t now_ms;
+  uint32_t i;
+
+  for (now_ms = 1000; now_ms < 60000; now_ms += 1000)
+    {
+      note_round (health, gaps_ms);
+      csp_weigh_health (health, now_ms);
+    }
+  for (i = 0; i < TARGETS; i++)
+    closed += csp_health_open (health, i) < 1;
+  ck_assert_uint_eq (closed, 2);
+  csp_destroy_health (health);
+}
+END_TEST
+
+/* An engine stops in the middle of its answers and says nothing more.  No
+   token tells of it; its silence has to.  */
+START_TEST (silence_is_noticed)
+{
+  csp_health_policy_t health_policy = csp_default_health_policy ();
+  csp_health_t *health = csp_create_health (&health_policy, TARGETS);
+  double gaps_ms[TARGETS] = { 40, 40, 40, 40, 40, 40, 40, 40, 40, 40 };
+  int64_t now_ms;
+
+  note_round (health, gaps_ms);
+  csp_weigh_health (health, 1000);
+  for (now_ms = 2000; now_ms < 16000; now_ms += 1000)
+    {
+      csp_note_silence (health, 4, (double)now_ms - 1000);
+      csp_weigh_health (health, now_ms);
+    }
+  ck_assert_double_eq (csp_health_open (health, 4), 0);
+  csp_reset_health (health, 4, true);
+  ck_assert_double_eq (csp_health_open (health, 4), 1);
+  csp_destroy_health (health);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placement");
+  TCase *tcase = tcase_create ("placement");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_loop_test (tcase, the_better_of_two_gets_it, 0,
+                       sizeof worse_rows / sizeof worse_rows[0]);
+  tcase_add_test (tcase, a_popular_prefix_does_not_bury_its_target);
+  tcase_add_test (tcase, nobody_is_chosen_when_all_are_full);
+  tcase_add_test (tcase, spilling_hosts_spread);
+  tcase_add_test (tcase, a_slow_target_is_taken_out_and_back);
+  tcase_add_test (tcase, never_all_at_once);
+  tcase_add_test (tcase, silence_is_noticed);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
