--- /dev/null
+++ b/bench/results.c
@@ -0,0 +1,125 @@
+#include "fleet-imp.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+static const double gap_step = 1.02;
+
+double
+gap_quantile_ms (const gaps_t *gaps, double quantile)
+{
+  uint64_t goal = (uint64_t)((double)gaps->total * quantile);
+  uint64_t seen = 0;
+  uint32_t i;
+
+  for (i = 0; i < GAP_BUCKETS; i++)
+    {
+      seen += gaps->counts[i];
+      if (seen > goal)
+        break;
+    }
+  return pow (gap_step, i) * 10;
+}
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+static double
+quantile_of (double *values, uint64_t count, double quantile)
+{
+  if (count == 0)
+    return 0;
+  qsort (values, count, sizeof *values, compare_doubles);
+  return values[(uint64_t)((double)(count - 1) * quantile)];
+}
+
+double
+first_quantile_s (outcome_t *outcome, double quantile)
+{
+  return quantile_of (outcome->first_s, outcome->first_count, quantile);
+}
+
+double
+wait_quantile_s (outcome_t *outcome, double quantile)
+{
+  return quantile_of (outcome->wait_s, outcome->first_count, quantile);
+}
+
+static void
+free_outcome (outcome_t *outcome)
+{
+  free (outcome->first_s);
+  free (outcome->wait_s);
+}
+
+void
+free_results (results_t *results)
+{
+  uint32_t i;
+
+  free_outcome (&results->all);
+  for (i = 0; i < CLASS_COUNT; i++)
+    free_outcome (&results->classes[i]);
+  for (i = 0; i < ORGANISATIONS; i++)
+    free_outcome (&results->organisations[i]);
+}
+
+static void
+count_outcome (outcome_t *outcome, const request_t *request)
+{
+  if (outcome->first_s == NULL)
+    {
+      outcome->first_s = calloc (400000, sizeof (double));
+      outcome->wait_s = calloc (400000, sizeof (double));
+    }
+  outcome->requests++;
+  outcome->finished += request->phase == REQUEST_DONE;
+  outcome->refused += request->phase == REQUEST_REFUSED;
+  outcome->given_up += request->phase == REQUEST_GIVEN_UP;
+  outcome->lost += request->phase == REQUEST_LOST;
+  outcome->preemptions += request->preempted;
+  outcome->preempted += request->preempted != 0;
+  outcome->stall_s += (double)request->stall_us / 1e6;
+  outcome->tokens += request->made_tokens;
+  if (request->first_us == 0 || outcome->first_count >= 400000)
+    return;
+  outcome->started++;
+  outcome->wait_s[outcome->first_count]
+      = (double)(request->sent_us - request->arrive_us) / 1e6;
+  outcome->first_s[outcome->first_count++]
+      = (double)(request->first_us - request->arrive_us) / 1e6;
+}
+
+static void
+add_gaps (gaps_t *sum, const gaps_t *gaps)
+{
+  uint32_t i;
+
+  for (i = 0; i < GAP_BUCKETS; i++)
+    sum->counts[i] += gaps->counts[i];
+  sum->total += gaps->total;
+}
+
+void
+count_outcomes (fleet_t *fleet)
+{
+  results_t *results = fleet->results;
+  const request_t *request;
+  uint32_t i;
+
+  for (i = 0; i < fleet->request_count; i++)
+    {
+      request = &fleet->requests[i];
+      count_outcome (&results->all, request);
+      count_outcome (&results->classes[request->class_index], request);
+      count_outcome (&results->organisations[request->organisation], request);
+    }
+  for (i = 0; i < CLASS_COUNT; i++)
+    add_gaps (&results->all.gaps, &results->classes[i].gaps);
+}
