--- a/source/peer/peer.pb-c.c
+++ b/source/peer/peer.pb-c.c
@@ -7,2621 +7,3328 @@
 #endif
 
 #include "peer.pb-c.h"
-void
-csp_wire__host_ref__init (CspWire__HostRef *message)
+void   csp_wire__host_ref__init
+                     (CspWire__HostRef         *message)
 {
   static const CspWire__HostRef init_value = CSP_WIRE__HOST_REF__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__host_ref__get_packed_size (const CspWire__HostRef *message)
+size_t csp_wire__host_ref__get_packed_size
+                     (const CspWire__HostRef *message)
 {
-  assert (message->base.descriptor == &csp_wire__host_ref__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__host_ref__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__host_ref__pack (const CspWire__HostRef *message, uint8_t *out)
+size_t csp_wire__host_ref__pack
+                     (const CspWire__HostRef *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__host_ref__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__host_ref__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__host_ref__pack_to_buffer (const CspWire__HostRef *message,
-                                    ProtobufCBuffer *buffer)
+size_t csp_wire__host_ref__pack_to_buffer
+                     (const CspWire__HostRef *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__host_ref__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__host_ref__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__HostRef *
-csp_wire__host_ref__unpack (ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
+       csp_wire__host_ref__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__HostRef *)protobuf_c_message_unpack (
-      &csp_wire__host_ref__descriptor, allocator, len, data);
+  return (CspWire__HostRef *)
+     protobuf_c_message_unpack (&csp_wire__host_ref__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__host_ref__free_unpacked (CspWire__HostRef *message,
-                                   ProtobufCAllocator *allocator)
+void   csp_wire__host_ref__free_unpacked
+                     (CspWire__HostRef *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__host_ref__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__host_ref__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__suspect__init (CspWire__Suspect *message)
+void   csp_wire__suspect__init
+                     (CspWire__Suspect         *message)
 {
   static const CspWire__Suspect init_value = CSP_WIRE__SUSPECT__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__suspect__get_packed_size (const CspWire__Suspect *message)
+size_t csp_wire__suspect__get_packed_size
+                     (const CspWire__Suspect *message)
 {
-  assert (message->base.descriptor == &csp_wire__suspect__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__suspect__pack (const CspWire__Suspect *message, uint8_t *out)
+size_t csp_wire__suspect__pack
+                     (const CspWire__Suspect *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__suspect__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__suspect__pack_to_buffer (const CspWire__Suspect *message,
-                                   ProtobufCBuffer *buffer)
+size_t csp_wire__suspect__pack_to_buffer
+                     (const CspWire__Suspect *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__suspect__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__Suspect *
-csp_wire__suspect__unpack (ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       csp_wire__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__Suspect *)protobuf_c_message_unpack (
-      &csp_wire__suspect__descriptor, allocator, len, data);
+  return (CspWire__Suspect *)
+     protobuf_c_message_unpack (&csp_wire__suspect__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__suspect__free_unpacked (CspWire__Suspect *message,
-                                  ProtobufCAllocator *allocator)
+void   csp_wire__suspect__free_unpacked
+                     (CspWire__Suspect *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__suspect__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__best_host__init (CspWire__BestHost *message)
+void   csp_wire__best_host__init
+                     (CspWire__BestHost         *message)
 {
   static const CspWire__BestHost init_value = CSP_WIRE__BEST_HOST__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__best_host__get_packed_size (const CspWire__BestHost *message)
+size_t csp_wire__best_host__get_packed_size
+                     (const CspWire__BestHost *message)
 {
-  assert (message->base.descriptor == &csp_wire__best_host__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__best_host__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__best_host__pack (const CspWire__BestHost *message, uint8_t *out)
+size_t csp_wire__best_host__pack
+                     (const CspWire__BestHost *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__best_host__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__best_host__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__best_host__pack_to_buffer (const CspWire__BestHost *message,
-                                     ProtobufCBuffer *buffer)
+size_t csp_wire__best_host__pack_to_buffer
+                     (const CspWire__BestHost *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__best_host__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__best_host__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__BestHost *
-csp_wire__best_host__unpack (ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       csp_wire__best_host__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__BestHost *)protobuf_c_message_unpack (
-      &csp_wire__best_host__descriptor, allocator, len, data);
+  return (CspWire__BestHost *)
+     protobuf_c_message_unpack (&csp_wire__best_host__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__best_host__free_unpacked (CspWire__BestHost *message,
-                                    ProtobufCAllocator *allocator)
+void   csp_wire__best_host__free_unpacked
+                     (CspWire__BestHost *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__best_host__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__best_host__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__summary__init (CspWire__Summary *message)
+void   csp_wire__summary__init
+                     (CspWire__Summary         *message)
 {
   static const CspWire__Summary init_value = CSP_WIRE__SUMMARY__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__summary__get_packed_size (const CspWire__Summary *message)
+size_t csp_wire__summary__get_packed_size
+                     (const CspWire__Summary *message)
 {
-  assert (message->base.descriptor == &csp_wire__summary__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__summary__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__summary__pack (const CspWire__Summary *message, uint8_t *out)
+size_t csp_wire__summary__pack
+                     (const CspWire__Summary *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__summary__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__summary__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__summary__pack_to_buffer (const CspWire__Summary *message,
-                                   ProtobufCBuffer *buffer)
+size_t csp_wire__summary__pack_to_buffer
+                     (const CspWire__Summary *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__summary__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__summary__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__Summary *
-csp_wire__summary__unpack (ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       csp_wire__summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__Summary *)protobuf_c_message_unpack (
-      &csp_wire__summary__descriptor, allocator, len, data);
+  return (CspWire__Summary *)
+     protobuf_c_message_unpack (&csp_wire__summary__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__summary__free_unpacked (CspWire__Summary *message,
-                                  ProtobufCAllocator *allocator)
+void   csp_wire__summary__free_unpacked
+                     (CspWire__Summary *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__summary__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__summary__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__heartbeat__init (CspWire__Heartbeat *message)
+void   csp_wire__heartbeat__init
+                     (CspWire__Heartbeat         *message)
 {
   static const CspWire__Heartbeat init_value = CSP_WIRE__HEARTBEAT__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__heartbeat__get_packed_size (const CspWire__Heartbeat *message)
+size_t csp_wire__heartbeat__get_packed_size
+                     (const CspWire__Heartbeat *message)
 {
-  assert (message->base.descriptor == &csp_wire__heartbeat__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__heartbeat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__heartbeat__pack (const CspWire__Heartbeat *message, uint8_t *out)
+size_t csp_wire__heartbeat__pack
+                     (const CspWire__Heartbeat *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__heartbeat__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__heartbeat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__heartbeat__pack_to_buffer (const CspWire__Heartbeat *message,
-                                     ProtobufCBuffer *buffer)
+size_t csp_wire__heartbeat__pack_to_buffer
+                     (const CspWire__Heartbeat *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__heartbeat__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__heartbeat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__Heartbeat *
-csp_wire__heartbeat__unpack (ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       csp_wire__heartbeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__Heartbeat *)protobuf_c_message_unpack (
-      &csp_wire__heartbeat__descriptor, allocator, len, data);
+  return (CspWire__Heartbeat *)
+     protobuf_c_message_unpack (&csp_wire__heartbeat__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__heartbeat__free_unpacked (CspWire__Heartbeat *message,
-                                    ProtobufCAllocator *allocator)
+void   csp_wire__heartbeat__free_unpacked
+                     (CspWire__Heartbeat *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__heartbeat__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__heartbeat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__carry_ask__init (CspWire__CarryAsk *message)
+void   csp_wire__carry_ask__init
+                     (CspWire__CarryAsk         *message)
 {
   static const CspWire__CarryAsk init_value = CSP_WIRE__CARRY_ASK__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__carry_ask__get_packed_size (const CspWire__CarryAsk *message)
+size_t csp_wire__carry_ask__get_packed_size
+                     (const CspWire__CarryAsk *message)
 {
-  assert (message->base.descriptor == &csp_wire__carry_ask__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__carry_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__carry_ask__pack (const CspWire__CarryAsk *message, uint8_t *out)
+size_t csp_wire__carry_ask__pack
+                     (const CspWire__CarryAsk *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__carry_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__carry_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__carry_ask__pack_to_buffer (const CspWire__CarryAsk *message,
-                                     ProtobufCBuffer *buffer)
+size_t csp_wire__carry_ask__pack_to_buffer
+                     (const CspWire__CarryAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__carry_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__carry_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__CarryAsk *
-csp_wire__carry_ask__unpack (ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       csp_wire__carry_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__CarryAsk *)protobuf_c_message_unpack (
-      &csp_wire__carry_ask__descriptor, allocator, len, data);
+  return (CspWire__CarryAsk *)
+     protobuf_c_message_unpack (&csp_wire__carry_ask__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__carry_ask__free_unpacked (CspWire__CarryAsk *message,
-                                    ProtobufCAllocator *allocator)
+void   csp_wire__carry_ask__free_unpacked
+                     (CspWire__CarryAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__carry_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__carry_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__carry__init (CspWire__Carry *message)
+void   csp_wire__carry__init
+                     (CspWire__Carry         *message)
 {
   static const CspWire__Carry init_value = CSP_WIRE__CARRY__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__carry__get_packed_size (const CspWire__Carry *message)
+size_t csp_wire__carry__get_packed_size
+                     (const CspWire__Carry *message)
 {
-  assert (message->base.descriptor == &csp_wire__carry__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__carry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__carry__pack (const CspWire__Carry *message, uint8_t *out)
+size_t csp_wire__carry__pack
+                     (const CspWire__Carry *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__carry__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__carry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__carry__pack_to_buffer (const CspWire__Carry *message,
-                                 ProtobufCBuffer *buffer)
+size_t csp_wire__carry__pack_to_buffer
+                     (const CspWire__Carry *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__carry__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__carry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__Carry *
-csp_wire__carry__unpack (ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       csp_wire__carry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__Carry *)protobuf_c_message_unpack (
-      &csp_wire__carry__descriptor, allocator, len, data);
+  return (CspWire__Carry *)
+     protobuf_c_message_unpack (&csp_wire__carry__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__carry__free_unpacked (CspWire__Carry *message,
-                                ProtobufCAllocator *allocator)
+void   csp_wire__carry__free_unpacked
+                     (CspWire__Carry *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__carry__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__carry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__carry_answer__init (CspWire__CarryAnswer *message)
+void   csp_wire__carry_answer__init
+                     (CspWire__CarryAnswer         *message)
 {
   static const CspWire__CarryAnswer init_value = CSP_WIRE__CARRY_ANSWER__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__carry_answer__get_packed_size (const CspWire__CarryAnswer *message)
+size_t csp_wire__carry_answer__get_packed_size
+                     (const CspWire__CarryAnswer *message)
 {
-  assert (message->base.descriptor == &csp_wire__carry_answer__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__carry_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__carry_answer__pack (const CspWire__CarryAnswer *message,
-                              uint8_t *out)
+size_t csp_wire__carry_answer__pack
+                     (const CspWire__CarryAnswer *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__carry_answer__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__carry_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__carry_answer__pack_to_buffer (const CspWire__CarryAnswer *message,
-                                        ProtobufCBuffer *buffer)
+size_t csp_wire__carry_answer__pack_to_buffer
+                     (const CspWire__CarryAnswer *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__carry_answer__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__carry_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__CarryAnswer *
-csp_wire__carry_answer__unpack (ProtobufCAllocator *allocator, size_t len,
-                                const uint8_t *data)
+       csp_wire__carry_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__CarryAnswer *)protobuf_c_message_unpack (
-      &csp_wire__carry_answer__descriptor, allocator, len, data);
+  return (CspWire__CarryAnswer *)
+     protobuf_c_message_unpack (&csp_wire__carry_answer__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__carry_answer__free_unpacked (CspWire__CarryAnswer *message,
-                                       ProtobufCAllocator *allocator)
+void   csp_wire__carry_answer__free_unpacked
+                     (CspWire__CarryAnswer *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__carry_answer__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__carry_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__pull_ask__init (CspWire__PullAsk *message)
+void   csp_wire__pull_ask__init
+                     (CspWire__PullAsk         *message)
 {
   static const CspWire__PullAsk init_value = CSP_WIRE__PULL_ASK__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__pull_ask__get_packed_size (const CspWire__PullAsk *message)
+size_t csp_wire__pull_ask__get_packed_size
+                     (const CspWire__PullAsk *message)
 {
-  assert (message->base.descriptor == &csp_wire__pull_ask__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__pull_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__pull_ask__pack (const CspWire__PullAsk *message, uint8_t *out)
+size_t csp_wire__pull_ask__pack
+                     (const CspWire__PullAsk *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__pull_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__pull_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__pull_ask__pack_to_buffer (const CspWire__PullAsk *message,
-                                    ProtobufCBuffer *buffer)
+size_t csp_wire__pull_ask__pack_to_buffer
+                     (const CspWire__PullAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__pull_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__pull_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__PullAsk *
-csp_wire__pull_ask__unpack (ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
+       csp_wire__pull_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__PullAsk *)protobuf_c_message_unpack (
-      &csp_wire__pull_ask__descriptor, allocator, len, data);
+  return (CspWire__PullAsk *)
+     protobuf_c_message_unpack (&csp_wire__pull_ask__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__pull_ask__free_unpacked (CspWire__PullAsk *message,
-                                   ProtobufCAllocator *allocator)
+void   csp_wire__pull_ask__free_unpacked
+                     (CspWire__PullAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__pull_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__pull_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__config_value__init (CspWire__ConfigValue *message)
+void   csp_wire__config_value__init
+                     (CspWire__ConfigValue         *message)
 {
   static const CspWire__ConfigValue init_value = CSP_WIRE__CONFIG_VALUE__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__config_value__get_packed_size (const CspWire__ConfigValue *message)
+size_t csp_wire__config_value__get_packed_size
+                     (const CspWire__ConfigValue *message)
 {
-  assert (message->base.descriptor == &csp_wire__config_value__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__config_value__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__config_value__pack (const CspWire__ConfigValue *message,
-                              uint8_t *out)
+size_t csp_wire__config_value__pack
+                     (const CspWire__ConfigValue *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__config_value__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__config_value__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__config_value__pack_to_buffer (const CspWire__ConfigValue *message,
-                                        ProtobufCBuffer *buffer)
+size_t csp_wire__config_value__pack_to_buffer
+                     (const CspWire__ConfigValue *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__config_value__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__config_value__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__ConfigValue *
-csp_wire__config_value__unpack (ProtobufCAllocator *allocator, size_t len,
-                                const uint8_t *data)
+       csp_wire__config_value__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__ConfigValue *)protobuf_c_message_unpack (
-      &csp_wire__config_value__descriptor, allocator, len, data);
+  return (CspWire__ConfigValue *)
+     protobuf_c_message_unpack (&csp_wire__config_value__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__config_value__free_unpacked (CspWire__ConfigValue *message,
-                                       ProtobufCAllocator *allocator)
+void   csp_wire__config_value__free_unpacked
+                     (CspWire__ConfigValue *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__config_value__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__config_value__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__pull_answer__init (CspWire__PullAnswer *message)
+void   csp_wire__pull_answer__init
+                     (CspWire__PullAnswer         *message)
 {
   static const CspWire__PullAnswer init_value = CSP_WIRE__PULL_ANSWER__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__pull_answer__get_packed_size (const CspWire__PullAnswer *message)
+size_t csp_wire__pull_answer__get_packed_size
+                     (const CspWire__PullAnswer *message)
 {
-  assert (message->base.descriptor == &csp_wire__pull_answer__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__pull_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__pull_answer__pack (const CspWire__PullAnswer *message, uint8_t *out)
+size_t csp_wire__pull_answer__pack
+                     (const CspWire__PullAnswer *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__pull_answer__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__pull_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__pull_answer__pack_to_buffer (const CspWire__PullAnswer *message,
-                                       ProtobufCBuffer *buffer)
+size_t csp_wire__pull_answer__pack_to_buffer
+                     (const CspWire__PullAnswer *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__pull_answer__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__pull_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__PullAnswer *
-csp_wire__pull_answer__unpack (ProtobufCAllocator *allocator, size_t len,
-                               const uint8_t *data)
+       csp_wire__pull_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__PullAnswer *)protobuf_c_message_unpack (
-      &csp_wire__pull_answer__descriptor, allocator, len, data);
+  return (CspWire__PullAnswer *)
+     protobuf_c_message_unpack (&csp_wire__pull_answer__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__pull_answer__free_unpacked (CspWire__PullAnswer *message,
-                                      ProtobufCAllocator *allocator)
+void   csp_wire__pull_answer__free_unpacked
+                     (CspWire__PullAnswer *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__pull_answer__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__pull_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__reserve_ask__init (CspWire__ReserveAsk *message)
+void   csp_wire__reserve_ask__init
+                     (CspWire__ReserveAsk         *message)
 {
   static const CspWire__ReserveAsk init_value = CSP_WIRE__RESERVE_ASK__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__reserve_ask__get_packed_size (const CspWire__ReserveAsk *message)
+size_t csp_wire__reserve_ask__get_packed_size
+                     (const CspWire__ReserveAsk *message)
 {
-  assert (message->base.descriptor == &csp_wire__reserve_ask__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__reserve_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__reserve_ask__pack (const CspWire__ReserveAsk *message, uint8_t *out)
+size_t csp_wire__reserve_ask__pack
+                     (const CspWire__ReserveAsk *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__reserve_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__reserve_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__reserve_ask__pack_to_buffer (const CspWire__ReserveAsk *message,
-                                       ProtobufCBuffer *buffer)
+size_t csp_wire__reserve_ask__pack_to_buffer
+                     (const CspWire__ReserveAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__reserve_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__reserve_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__ReserveAsk *
-csp_wire__reserve_ask__unpack (ProtobufCAllocator *allocator, size_t len,
-                               const uint8_t *data)
+       csp_wire__reserve_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__ReserveAsk *)protobuf_c_message_unpack (
-      &csp_wire__reserve_ask__descriptor, allocator, len, data);
+  return (CspWire__ReserveAsk *)
+     protobuf_c_message_unpack (&csp_wire__reserve_ask__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__reserve_ask__free_unpacked (CspWire__ReserveAsk *message,
-                                      ProtobufCAllocator *allocator)
+void   csp_wire__reserve_ask__free_unpacked
+                     (CspWire__ReserveAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__reserve_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__reserve_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__reserve_answer__init (CspWire__ReserveAnswer *message)
+void   csp_wire__reserve_answer__init
+                     (CspWire__ReserveAnswer         *message)
 {
-  static const CspWire__ReserveAnswer init_value
-      = CSP_WIRE__RESERVE_ANSWER__INIT;
+  static const CspWire__ReserveAnswer init_value = CSP_WIRE__RESERVE_ANSWER__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__reserve_answer__get_packed_size (
-    const CspWire__ReserveAnswer *message)
+size_t csp_wire__reserve_answer__get_packed_size
+                     (const CspWire__ReserveAnswer *message)
 {
-  assert (message->base.descriptor == &csp_wire__reserve_answer__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__reserve_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__reserve_answer__pack (const CspWire__ReserveAnswer *message,
-                                uint8_t *out)
+size_t csp_wire__reserve_answer__pack
+                     (const CspWire__ReserveAnswer *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__reserve_answer__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__reserve_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__reserve_answer__pack_to_buffer (
-    const CspWire__ReserveAnswer *message, ProtobufCBuffer *buffer)
+size_t csp_wire__reserve_answer__pack_to_buffer
+                     (const CspWire__ReserveAnswer *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__reserve_answer__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__reserve_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__ReserveAnswer *
-csp_wire__reserve_answer__unpack (ProtobufCAllocator *allocator, size_t len,
-                                  const uint8_t *data)
+       csp_wire__reserve_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__ReserveAnswer *)protobuf_c_message_unpack (
-      &csp_wire__reserve_answer__descriptor, allocator, len, data);
+  return (CspWire__ReserveAnswer *)
+     protobuf_c_message_unpack (&csp_wire__reserve_answer__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__reserve_answer__free_unpacked (CspWire__ReserveAnswer *message,
-                                         ProtobufCAllocator *allocator)
+void   csp_wire__reserve_answer__free_unpacked
+                     (CspWire__ReserveAnswer *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__reserve_answer__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__reserve_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__commit_ask__init (CspWire__CommitAsk *message)
+void   csp_wire__commit_ask__init
+                     (CspWire__CommitAsk         *message)
 {
   static const CspWire__CommitAsk init_value = CSP_WIRE__COMMIT_ASK__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__commit_ask__get_packed_size (const CspWire__CommitAsk *message)
+size_t csp_wire__commit_ask__get_packed_size
+                     (const CspWire__CommitAsk *message)
 {
-  assert (message->base.descriptor == &csp_wire__commit_ask__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__commit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__commit_ask__pack (const CspWire__CommitAsk *message, uint8_t *out)
+size_t csp_wire__commit_ask__pack
+                     (const CspWire__CommitAsk *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__commit_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__commit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__commit_ask__pack_to_buffer (const CspWire__CommitAsk *message,
-                                      ProtobufCBuffer *buffer)
+size_t csp_wire__commit_ask__pack_to_buffer
+                     (const CspWire__CommitAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__commit_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__commit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__CommitAsk *
-csp_wire__commit_ask__unpack (ProtobufCAllocator *allocator, size_t len,
-                              const uint8_t *data)
+       csp_wire__commit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__CommitAsk *)protobuf_c_message_unpack (
-      &csp_wire__commit_ask__descriptor, allocator, len, data);
+  return (CspWire__CommitAsk *)
+     protobuf_c_message_unpack (&csp_wire__commit_ask__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__commit_ask__free_unpacked (CspWire__CommitAsk *message,
-                                     ProtobufCAllocator *allocator)
+void   csp_wire__commit_ask__free_unpacked
+                     (CspWire__CommitAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__commit_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__commit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__commit_answer__init (CspWire__CommitAnswer *message)
+void   csp_wire__commit_answer__init
+                     (CspWire__CommitAnswer         *message)
 {
-  static const CspWire__CommitAnswer init_value
-      = CSP_WIRE__COMMIT_ANSWER__INIT;
+  static const CspWire__CommitAnswer init_value = CSP_WIRE__COMMIT_ANSWER__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__commit_answer__get_packed_size (const CspWire__CommitAnswer *message)
+size_t csp_wire__commit_answer__get_packed_size
+                     (const CspWire__CommitAnswer *message)
 {
-  assert (message->base.descriptor == &csp_wire__commit_answer__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__commit_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__commit_answer__pack (const CspWire__CommitAnswer *message,
-                               uint8_t *out)
+size_t csp_wire__commit_answer__pack
+                     (const CspWire__CommitAnswer *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__commit_answer__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__commit_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__commit_answer__pack_to_buffer (const CspWire__CommitAnswer *message,
-                                         ProtobufCBuffer *buffer)
+size_t csp_wire__commit_answer__pack_to_buffer
+                     (const CspWire__CommitAnswer *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__commit_answer__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__commit_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__CommitAnswer *
-csp_wire__commit_answer__unpack (ProtobufCAllocator *allocator, size_t len,
-                                 const uint8_t *data)
+       csp_wire__commit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__CommitAnswer *)protobuf_c_message_unpack (
-      &csp_wire__commit_answer__descriptor, allocator, len, data);
+  return (CspWire__CommitAnswer *)
+     protobuf_c_message_unpack (&csp_wire__commit_answer__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__commit_answer__free_unpacked (CspWire__CommitAnswer *message,
-                                        ProtobufCAllocator *allocator)
+void   csp_wire__commit_answer__free_unpacked
+                     (CspWire__CommitAnswer *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__commit_answer__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__commit_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__release__init (CspWire__Release *message)
+void   csp_wire__release__init
+                     (CspWire__Release         *message)
 {
   static const CspWire__Release init_value = CSP_WIRE__RELEASE__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__release__get_packed_size (const CspWire__Release *message)
+size_t csp_wire__release__get_packed_size
+                     (const CspWire__Release *message)
 {
-  assert (message->base.descriptor == &csp_wire__release__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__release__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__release__pack (const CspWire__Release *message, uint8_t *out)
+size_t csp_wire__release__pack
+                     (const CspWire__Release *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__release__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__release__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__release__pack_to_buffer (const CspWire__Release *message,
-                                   ProtobufCBuffer *buffer)
+size_t csp_wire__release__pack_to_buffer
+                     (const CspWire__Release *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__release__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__release__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__Release *
-csp_wire__release__unpack (ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       csp_wire__release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__Release *)protobuf_c_message_unpack (
-      &csp_wire__release__descriptor, allocator, len, data);
+  return (CspWire__Release *)
+     protobuf_c_message_unpack (&csp_wire__release__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__release__free_unpacked (CspWire__Release *message,
-                                  ProtobufCAllocator *allocator)
+void   csp_wire__release__free_unpacked
+                     (CspWire__Release *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__release__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__release__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__held_slot__init (CspWire__HeldSlot *message)
+void   csp_wire__held_slot__init
+                     (CspWire__HeldSlot         *message)
 {
   static const CspWire__HeldSlot init_value = CSP_WIRE__HELD_SLOT__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__held_slot__get_packed_size (const CspWire__HeldSlot *message)
+size_t csp_wire__held_slot__get_packed_size
+                     (const CspWire__HeldSlot *message)
 {
-  assert (message->base.descriptor == &csp_wire__held_slot__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__held_slot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__held_slot__pack (const CspWire__HeldSlot *message, uint8_t *out)
+size_t csp_wire__held_slot__pack
+                     (const CspWire__HeldSlot *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__held_slot__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__held_slot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__held_slot__pack_to_buffer (const CspWire__HeldSlot *message,
-                                     ProtobufCBuffer *buffer)
+size_t csp_wire__held_slot__pack_to_buffer
+                     (const CspWire__HeldSlot *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__held_slot__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__held_slot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__HeldSlot *
-csp_wire__held_slot__unpack (ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       csp_wire__held_slot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__HeldSlot *)protobuf_c_message_unpack (
-      &csp_wire__held_slot__descriptor, allocator, len, data);
+  return (CspWire__HeldSlot *)
+     protobuf_c_message_unpack (&csp_wire__held_slot__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__held_slot__free_unpacked (CspWire__HeldSlot *message,
-                                    ProtobufCAllocator *allocator)
+void   csp_wire__held_slot__free_unpacked
+                     (CspWire__HeldSlot *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__held_slot__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__held_slot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__holdings__init (CspWire__Holdings *message)
+void   csp_wire__holdings__init
+                     (CspWire__Holdings         *message)
 {
   static const CspWire__Holdings init_value = CSP_WIRE__HOLDINGS__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__holdings__get_packed_size (const CspWire__Holdings *message)
+size_t csp_wire__holdings__get_packed_size
+                     (const CspWire__Holdings *message)
 {
-  assert (message->base.descriptor == &csp_wire__holdings__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__holdings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__holdings__pack (const CspWire__Holdings *message, uint8_t *out)
+size_t csp_wire__holdings__pack
+                     (const CspWire__Holdings *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__holdings__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__holdings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__holdings__pack_to_buffer (const CspWire__Holdings *message,
-                                    ProtobufCBuffer *buffer)
+size_t csp_wire__holdings__pack_to_buffer
+                     (const CspWire__Holdings *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__holdings__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__holdings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__Holdings *
-csp_wire__holdings__unpack (ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
+       csp_wire__holdings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__Holdings *)protobuf_c_message_unpack (
-      &csp_wire__holdings__descriptor, allocator, len, data);
+  return (CspWire__Holdings *)
+     protobuf_c_message_unpack (&csp_wire__holdings__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__holdings__free_unpacked (CspWire__Holdings *message,
-                                   ProtobufCAllocator *allocator)
+void   csp_wire__holdings__free_unpacked
+                     (CspWire__Holdings *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__holdings__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__holdings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__once_key__init (CspWire__OnceKey *message)
+void   csp_wire__once_key__init
+                     (CspWire__OnceKey         *message)
 {
   static const CspWire__OnceKey init_value = CSP_WIRE__ONCE_KEY__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__once_key__get_packed_size (const CspWire__OnceKey *message)
+size_t csp_wire__once_key__get_packed_size
+                     (const CspWire__OnceKey *message)
 {
-  assert (message->base.descriptor == &csp_wire__once_key__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__once_key__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__once_key__pack (const CspWire__OnceKey *message, uint8_t *out)
+size_t csp_wire__once_key__pack
+                     (const CspWire__OnceKey *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__once_key__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__once_key__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__once_key__pack_to_buffer (const CspWire__OnceKey *message,
-                                    ProtobufCBuffer *buffer)
+size_t csp_wire__once_key__pack_to_buffer
+                     (const CspWire__OnceKey *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__once_key__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__once_key__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__OnceKey *
-csp_wire__once_key__unpack (ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
+       csp_wire__once_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__OnceKey *)protobuf_c_message_unpack (
-      &csp_wire__once_key__descriptor, allocator, len, data);
+  return (CspWire__OnceKey *)
+     protobuf_c_message_unpack (&csp_wire__once_key__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__once_key__free_unpacked (CspWire__OnceKey *message,
-                                   ProtobufCAllocator *allocator)
+void   csp_wire__once_key__free_unpacked
+                     (CspWire__OnceKey *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__once_key__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__once_key__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__claim_ask__init (CspWire__ClaimAsk *message)
+void   csp_wire__claim_ask__init
+                     (CspWire__ClaimAsk         *message)
 {
   static const CspWire__ClaimAsk init_value = CSP_WIRE__CLAIM_ASK__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__claim_ask__get_packed_size (const CspWire__ClaimAsk *message)
+size_t csp_wire__claim_ask__get_packed_size
+                     (const CspWire__ClaimAsk *message)
 {
-  assert (message->base.descriptor == &csp_wire__claim_ask__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__claim_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__claim_ask__pack (const CspWire__ClaimAsk *message, uint8_t *out)
+size_t csp_wire__claim_ask__pack
+                     (const CspWire__ClaimAsk *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__claim_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__claim_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__claim_ask__pack_to_buffer (const CspWire__ClaimAsk *message,
-                                     ProtobufCBuffer *buffer)
+size_t csp_wire__claim_ask__pack_to_buffer
+                     (const CspWire__ClaimAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__claim_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__claim_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__ClaimAsk *
-csp_wire__claim_ask__unpack (ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       csp_wire__claim_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__ClaimAsk *)protobuf_c_message_unpack (
-      &csp_wire__claim_ask__descriptor, allocator, len, data);
+  return (CspWire__ClaimAsk *)
+     protobuf_c_message_unpack (&csp_wire__claim_ask__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__claim_ask__free_unpacked (CspWire__ClaimAsk *message,
-                                    ProtobufCAllocator *allocator)
+void   csp_wire__claim_ask__free_unpacked
+                     (CspWire__ClaimAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__claim_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__claim_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__claim_answer__init (CspWire__ClaimAnswer *message)
+void   csp_wire__claim_answer__init
+                     (CspWire__ClaimAnswer         *message)
 {
   static const CspWire__ClaimAnswer init_value = CSP_WIRE__CLAIM_ANSWER__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__claim_answer__get_packed_size (const CspWire__ClaimAnswer *message)
+size_t csp_wire__claim_answer__get_packed_size
+                     (const CspWire__ClaimAnswer *message)
 {
-  assert (message->base.descriptor == &csp_wire__claim_answer__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__claim_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__claim_answer__pack (const CspWire__ClaimAnswer *message,
-                              uint8_t *out)
+size_t csp_wire__claim_answer__pack
+                     (const CspWire__ClaimAnswer *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__claim_answer__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__claim_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__claim_answer__pack_to_buffer (const CspWire__ClaimAnswer *message,
-                                        ProtobufCBuffer *buffer)
+size_t csp_wire__claim_answer__pack_to_buffer
+                     (const CspWire__ClaimAnswer *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__claim_answer__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__claim_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__ClaimAnswer *
-csp_wire__claim_answer__unpack (ProtobufCAllocator *allocator, size_t len,
-                                const uint8_t *data)
+       csp_wire__claim_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__ClaimAnswer *)protobuf_c_message_unpack (
-      &csp_wire__claim_answer__descriptor, allocator, len, data);
+  return (CspWire__ClaimAnswer *)
+     protobuf_c_message_unpack (&csp_wire__claim_answer__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__claim_answer__free_unpacked (CspWire__ClaimAnswer *message,
-                                       ProtobufCAllocator *allocator)
+void   csp_wire__claim_answer__free_unpacked
+                     (CspWire__ClaimAnswer *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__claim_answer__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__claim_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__outcome_tell__init (CspWire__OutcomeTell *message)
+void   csp_wire__outcome_tell__init
+                     (CspWire__OutcomeTell         *message)
 {
   static const CspWire__OutcomeTell init_value = CSP_WIRE__OUTCOME_TELL__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__outcome_tell__get_packed_size (const CspWire__OutcomeTell *message)
+size_t csp_wire__outcome_tell__get_packed_size
+                     (const CspWire__OutcomeTell *message)
 {
-  assert (message->base.descriptor == &csp_wire__outcome_tell__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__outcome_tell__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__outcome_tell__pack (const CspWire__OutcomeTell *message,
-                              uint8_t *out)
+size_t csp_wire__outcome_tell__pack
+                     (const CspWire__OutcomeTell *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__outcome_tell__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__outcome_tell__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__outcome_tell__pack_to_buffer (const CspWire__OutcomeTell *message,
-                                        ProtobufCBuffer *buffer)
+size_t csp_wire__outcome_tell__pack_to_buffer
+                     (const CspWire__OutcomeTell *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__outcome_tell__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__outcome_tell__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__OutcomeTell *
-csp_wire__outcome_tell__unpack (ProtobufCAllocator *allocator, size_t len,
-                                const uint8_t *data)
+       csp_wire__outcome_tell__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__OutcomeTell *)protobuf_c_message_unpack (
-      &csp_wire__outcome_tell__descriptor, allocator, len, data);
+  return (CspWire__OutcomeTell *)
+     protobuf_c_message_unpack (&csp_wire__outcome_tell__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__outcome_tell__free_unpacked (CspWire__OutcomeTell *message,
-                                       ProtobufCAllocator *allocator)
+void   csp_wire__outcome_tell__free_unpacked
+                     (CspWire__OutcomeTell *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__outcome_tell__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__outcome_tell__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__acknowledge__init (CspWire__Acknowledge *message)
+void   csp_wire__acknowledge__init
+                     (CspWire__Acknowledge         *message)
 {
   static const CspWire__Acknowledge init_value = CSP_WIRE__ACKNOWLEDGE__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__acknowledge__get_packed_size (const CspWire__Acknowledge *message)
+size_t csp_wire__acknowledge__get_packed_size
+                     (const CspWire__Acknowledge *message)
 {
-  assert (message->base.descriptor == &csp_wire__acknowledge__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__acknowledge__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__acknowledge__pack (const CspWire__Acknowledge *message, uint8_t *out)
+size_t csp_wire__acknowledge__pack
+                     (const CspWire__Acknowledge *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__acknowledge__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__acknowledge__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__acknowledge__pack_to_buffer (const CspWire__Acknowledge *message,
-                                       ProtobufCBuffer *buffer)
+size_t csp_wire__acknowledge__pack_to_buffer
+                     (const CspWire__Acknowledge *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__acknowledge__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__acknowledge__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__Acknowledge *
-csp_wire__acknowledge__unpack (ProtobufCAllocator *allocator, size_t len,
-                               const uint8_t *data)
+       csp_wire__acknowledge__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__Acknowledge *)protobuf_c_message_unpack (
-      &csp_wire__acknowledge__descriptor, allocator, len, data);
+  return (CspWire__Acknowledge *)
+     protobuf_c_message_unpack (&csp_wire__acknowledge__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__acknowledge__free_unpacked (CspWire__Acknowledge *message,
-                                      ProtobufCAllocator *allocator)
+void   csp_wire__acknowledge__free_unpacked
+                     (CspWire__Acknowledge *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__acknowledge__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &csp_wire__acknowledge__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-csp_wire__frame__init (CspWire__Frame *message)
+void   csp_wire__frame__init
+                     (CspWire__Frame         *message)
 {
   static const CspWire__Frame init_value = CSP_WIRE__FRAME__INIT;
   *message = init_value;
 }
-size_t
-csp_wire__frame__get_packed_size (const CspWire__Frame *message)
+size_t csp_wire__frame__get_packed_size
+                     (const CspWire__Frame *message)
 {
-  assert (message->base.descriptor == &csp_wire__frame__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &csp_wire__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-csp_wire__frame__pack (const CspWire__Frame *message, uint8_t *out)
+size_t csp_wire__frame__pack
+                     (const CspWire__Frame *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &csp_wire__frame__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &csp_wire__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-csp_wire__frame__pack_to_buffer (const CspWire__Frame *message,
-                                 ProtobufCBuffer *buffer)
+size_t csp_wire__frame__pack_to_buffer
+                     (const CspWire__Frame *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &csp_wire__frame__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &csp_wire__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 CspWire__Frame *
-csp_wire__frame__unpack (ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       csp_wire__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (CspWire__Frame *)protobuf_c_message_unpack (
-      &csp_wire__frame__descriptor, allocator, len, data);
+  return (CspWire__Frame *)
+     protobuf_c_message_unpack (&csp_wire__frame__descriptor,
+                                allocator, len, data);
 }
-void
-csp_wire__frame__free_unpacked (CspWire__Frame *message,
-                                ProtobufCAllocator *allocator)
+void   csp_wire__frame__free_unpacked
+                     (CspWire__Frame *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &csp_wire__frame__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor csp_wire__host_ref__field_descriptors[2]
-    = {
-        {
-            "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__HostRef, name), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__HostRef, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  assert(message->base.descriptor == &csp_wire__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor csp_wire__host_ref__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__HostRef, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__HostRef, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__host_ref__field_indices_by_name[] = {
-  1, /* field[1] = incarnation */
-  0, /* field[0] = name */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
 };
-static const ProtobufCIntRange csp_wire__host_ref__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor csp_wire__host_ref__descriptor = {
+static const ProtobufCIntRange csp_wire__host_ref__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor csp_wire__host_ref__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.HostRef",
   "HostRef",
   "CspWire__HostRef",
   "csp_wire",
-  sizeof (CspWire__HostRef),
+  sizeof(CspWire__HostRef),
   2,
   csp_wire__host_ref__field_descriptors,
   csp_wire__host_ref__field_indices_by_name,
-  1,
-  csp_wire__host_ref__number_ranges,
-  (ProtobufCMessageInit)csp_wire__host_ref__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__suspect__field_descriptors[4]
-    = {
-        {
-            "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Suspect, name), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "witness", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Suspect, witness), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Suspect, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "age_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Suspect, age_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__host_ref__number_ranges,
+  (ProtobufCMessageInit) csp_wire__host_ref__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__suspect__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Suspect, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "witness",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Suspect, witness),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Suspect, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Suspect, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__suspect__field_indices_by_name[] = {
-  3, /* field[3] = age_ms */
-  2, /* field[2] = incarnation */
-  0, /* field[0] = name */
-  1, /* field[1] = witness */
-};
-static const ProtobufCIntRange csp_wire__suspect__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor csp_wire__suspect__descriptor = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = name */
+  1,   /* field[1] = witness */
+};
+static const ProtobufCIntRange csp_wire__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_wire__suspect__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.Suspect",
   "Suspect",
   "CspWire__Suspect",
   "csp_wire",
-  sizeof (CspWire__Suspect),
+  sizeof(CspWire__Suspect),
   4,
   csp_wire__suspect__field_descriptors,
   csp_wire__suspect__field_indices_by_name,
-  1,
-  csp_wire__suspect__number_ranges,
-  (ProtobufCMessageInit)csp_wire__suspect__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__best_host__field_descriptors[2]
-    = {
-        {
-            "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__BestHost, name), NULL, &protobuf_c_empty_string,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "headroom_tokens", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__BestHost, headroom_tokens), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__suspect__number_ranges,
+  (ProtobufCMessageInit) csp_wire__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__best_host__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__BestHost, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headroom_tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__BestHost, headroom_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__best_host__field_indices_by_name[] = {
-  1, /* field[1] = headroom_tokens */
-  0, /* field[0] = name */
+  1,   /* field[1] = headroom_tokens */
+  0,   /* field[0] = name */
 };
-static const ProtobufCIntRange csp_wire__best_host__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor csp_wire__best_host__descriptor = {
+static const ProtobufCIntRange csp_wire__best_host__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor csp_wire__best_host__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.BestHost",
   "BestHost",
   "CspWire__BestHost",
   "csp_wire",
-  sizeof (CspWire__BestHost),
+  sizeof(CspWire__BestHost),
   2,
   csp_wire__best_host__field_descriptors,
   csp_wire__best_host__field_indices_by_name,
-  1,
-  csp_wire__best_host__number_ranges,
-  (ProtobufCMessageInit)csp_wire__best_host__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__summary__field_descriptors[6]
-    = {
-        {
-            "data_centre", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Summary, data_centre), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "live_hosts", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Summary, live_hosts), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "age_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Summary, age_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "revision", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Summary, revision), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "headroom_tokens", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Summary, headroom_tokens), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "best", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Summary, n_best),
-            offsetof (CspWire__Summary, best),
-            &csp_wire__best_host__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__best_host__number_ranges,
+  (ProtobufCMessageInit) csp_wire__best_host__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__summary__field_descriptors[6] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Summary, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "live_hosts",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Summary, live_hosts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Summary, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Summary, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headroom_tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Summary, headroom_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "best",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Summary, n_best),
+    offsetof(CspWire__Summary, best),
+    &csp_wire__best_host__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__summary__field_indices_by_name[] = {
-  2, /* field[2] = age_ms */
-  5, /* field[5] = best */
-  0, /* field[0] = data_centre */
-  4, /* field[4] = headroom_tokens */
-  1, /* field[1] = live_hosts */
-  3, /* field[3] = revision */
-};
-static const ProtobufCIntRange csp_wire__summary__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 6 } };
-const ProtobufCMessageDescriptor csp_wire__summary__descriptor = {
+  2,   /* field[2] = age_ms */
+  5,   /* field[5] = best */
+  0,   /* field[0] = data_centre */
+  4,   /* field[4] = headroom_tokens */
+  1,   /* field[1] = live_hosts */
+  3,   /* field[3] = revision */
+};
+static const ProtobufCIntRange csp_wire__summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor csp_wire__summary__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.Summary",
   "Summary",
   "CspWire__Summary",
   "csp_wire",
-  sizeof (CspWire__Summary),
+  sizeof(CspWire__Summary),
   6,
   csp_wire__summary__field_descriptors,
   csp_wire__summary__field_indices_by_name,
-  1,
-  csp_wire__summary__number_ranges,
-  (ProtobufCMessageInit)csp_wire__summary__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__heartbeat__field_descriptors[22]
-    = {
-        {
-            "protocol", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, protocol), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "deployment", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, deployment), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "name", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, name), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "region", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, region), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "data_centre", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, data_centre), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "address", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, address), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "http_port", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, http_port), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "peer_port", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, peer_port), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "incarnation", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "sequence", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, sequence), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "leaving", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, leaving), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "revision", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, revision), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "digest", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, digest), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "refused_revision", 14, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, refused_revision), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "service_silent", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, service_silent), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "list_version", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, list_version), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "headroom_tokens", 17, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, headroom_tokens), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "owned_targets", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, owned_targets), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "known_incarnation", 19, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, known_incarnation), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "alive_ms", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Heartbeat, alive_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "suspects", 21, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Heartbeat, n_suspects),
-            offsetof (CspWire__Heartbeat, suspects),
-            &csp_wire__suspect__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "summaries", 22, PROTOBUF_C_LABEL_REPEATED,
-            PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Heartbeat, n_summaries),
-            offsetof (CspWire__Heartbeat, summaries),
-            &csp_wire__summary__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__summary__number_ranges,
+  (ProtobufCMessageInit) csp_wire__summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__heartbeat__field_descriptors[22] =
+{
+  {
+    "protocol",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deployment",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, deployment),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http_port",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, http_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_port",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, peer_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_revision",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, refused_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_silent",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, service_silent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_version",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, list_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headroom_tokens",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, headroom_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owned_targets",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, owned_targets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_incarnation",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, known_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "alive_ms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, alive_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Heartbeat, n_suspects),
+    offsetof(CspWire__Heartbeat, suspects),
+    &csp_wire__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "summaries",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Heartbeat, n_summaries),
+    offsetof(CspWire__Heartbeat, summaries),
+    &csp_wire__summary__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__heartbeat__field_indices_by_name[] = {
-  5,  /* field[5] = address */
-  19, /* field[19] = alive_ms */
-  4,  /* field[4] = data_centre */
-  1,  /* field[1] = deployment */
-  12, /* field[12] = digest */
-  16, /* field[16] = headroom_tokens */
-  6,  /* field[6] = http_port */
-  8,  /* field[8] = incarnation */
-  18, /* field[18] = known_incarnation */
-  10, /* field[10] = leaving */
-  15, /* field[15] = list_version */
-  2,  /* field[2] = name */
-  17, /* field[17] = owned_targets */
-  7,  /* field[7] = peer_port */
-  0,  /* field[0] = protocol */
-  13, /* field[13] = refused_revision */
-  3,  /* field[3] = region */
-  11, /* field[11] = revision */
-  9,  /* field[9] = sequence */
-  14, /* field[14] = service_silent */
-  21, /* field[21] = summaries */
-  20, /* field[20] = suspects */
-};
-static const ProtobufCIntRange csp_wire__heartbeat__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 22 } };
-const ProtobufCMessageDescriptor csp_wire__heartbeat__descriptor = {
+  5,   /* field[5] = address */
+  19,   /* field[19] = alive_ms */
+  4,   /* field[4] = data_centre */
+  1,   /* field[1] = deployment */
+  12,   /* field[12] = digest */
+  16,   /* field[16] = headroom_tokens */
+  6,   /* field[6] = http_port */
+  8,   /* field[8] = incarnation */
+  18,   /* field[18] = known_incarnation */
+  10,   /* field[10] = leaving */
+  15,   /* field[15] = list_version */
+  2,   /* field[2] = name */
+  17,   /* field[17] = owned_targets */
+  7,   /* field[7] = peer_port */
+  0,   /* field[0] = protocol */
+  13,   /* field[13] = refused_revision */
+  3,   /* field[3] = region */
+  11,   /* field[11] = revision */
+  9,   /* field[9] = sequence */
+  14,   /* field[14] = service_silent */
+  21,   /* field[21] = summaries */
+  20,   /* field[20] = suspects */
+};
+static const ProtobufCIntRange csp_wire__heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 22 }
+};
+const ProtobufCMessageDescriptor csp_wire__heartbeat__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.Heartbeat",
   "Heartbeat",
   "CspWire__Heartbeat",
   "csp_wire",
-  sizeof (CspWire__Heartbeat),
+  sizeof(CspWire__Heartbeat),
   22,
   csp_wire__heartbeat__field_descriptors,
   csp_wire__heartbeat__field_indices_by_name,
-  1,
-  csp_wire__heartbeat__number_ranges,
-  (ProtobufCMessageInit)csp_wire__heartbeat__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__carry_ask__field_descriptors[1]
-    = {
-        {
-            "targets", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
-            offsetof (CspWire__CarryAsk, n_targets),
-            offsetof (CspWire__CarryAsk, targets), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__heartbeat__number_ranges,
+  (ProtobufCMessageInit) csp_wire__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__carry_ask__field_descriptors[1] =
+{
+  {
+    "targets",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(CspWire__CarryAsk, n_targets),
+    offsetof(CspWire__CarryAsk, targets),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__carry_ask__field_indices_by_name[] = {
-  0, /* field[0] = targets */
+  0,   /* field[0] = targets */
+};
+static const ProtobufCIntRange csp_wire__carry_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
 };
-static const ProtobufCIntRange csp_wire__carry_ask__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor csp_wire__carry_ask__descriptor = {
+const ProtobufCMessageDescriptor csp_wire__carry_ask__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.CarryAsk",
   "CarryAsk",
   "CspWire__CarryAsk",
   "csp_wire",
-  sizeof (CspWire__CarryAsk),
+  sizeof(CspWire__CarryAsk),
   1,
   csp_wire__carry_ask__field_descriptors,
   csp_wire__carry_ask__field_indices_by_name,
-  1,
-  csp_wire__carry_ask__number_ranges,
-  (ProtobufCMessageInit)csp_wire__carry_ask__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  csp_wire__carry_ask__number_ranges,
+  (ProtobufCMessageInit) csp_wire__carry_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_wire__carry__field_descriptors[4] = {
+static const ProtobufCFieldDescriptor csp_wire__carry__field_descriptors[4] =
+{
   {
-      "target", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (CspWire__Carry, target), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Carry, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "carried_tokens", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-      0, /* quantifier_offset */
-      offsetof (CspWire__Carry, carried_tokens), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "carried_tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Carry, carried_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "carried_streams", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (CspWire__Carry, carried_streams), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "carried_streams",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Carry, carried_streams),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-      "owning", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0,                                                /* quantifier_offset */
-      offsetof (CspWire__Carry, owning), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "owning",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Carry, owning),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned csp_wire__carry__field_indices_by_name[] = {
-  2, /* field[2] = carried_streams */
-  1, /* field[1] = carried_tokens */
-  3, /* field[3] = owning */
-  0, /* field[0] = target */
-};
-static const ProtobufCIntRange csp_wire__carry__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor csp_wire__carry__descriptor = {
+  2,   /* field[2] = carried_streams */
+  1,   /* field[1] = carried_tokens */
+  3,   /* field[3] = owning */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange csp_wire__carry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_wire__carry__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.Carry",
   "Carry",
   "CspWire__Carry",
   "csp_wire",
-  sizeof (CspWire__Carry),
+  sizeof(CspWire__Carry),
   4,
   csp_wire__carry__field_descriptors,
   csp_wire__carry__field_indices_by_name,
-  1,
-  csp_wire__carry__number_ranges,
-  (ProtobufCMessageInit)csp_wire__carry__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__carry_answer__field_descriptors[1]
-    = {
-        {
-            "carries", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__CarryAnswer, n_carries),
-            offsetof (CspWire__CarryAnswer, carries),
-            &csp_wire__carry__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__carry__number_ranges,
+  (ProtobufCMessageInit) csp_wire__carry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__carry_answer__field_descriptors[1] =
+{
+  {
+    "carries",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__CarryAnswer, n_carries),
+    offsetof(CspWire__CarryAnswer, carries),
+    &csp_wire__carry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__carry_answer__field_indices_by_name[] = {
-  0, /* field[0] = carries */
+  0,   /* field[0] = carries */
 };
-static const ProtobufCIntRange csp_wire__carry_answer__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor csp_wire__carry_answer__descriptor = {
+static const ProtobufCIntRange csp_wire__carry_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor csp_wire__carry_answer__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.CarryAnswer",
   "CarryAnswer",
   "CspWire__CarryAnswer",
   "csp_wire",
-  sizeof (CspWire__CarryAnswer),
+  sizeof(CspWire__CarryAnswer),
   1,
   csp_wire__carry_answer__field_descriptors,
   csp_wire__carry_answer__field_indices_by_name,
-  1,
-  csp_wire__carry_answer__number_ranges,
-  (ProtobufCMessageInit)csp_wire__carry_answer__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__pull_ask__field_descriptors[1]
-    = {
-        {
-            "after", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__PullAsk, after), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__carry_answer__number_ranges,
+  (ProtobufCMessageInit) csp_wire__carry_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__pull_ask__field_descriptors[1] =
+{
+  {
+    "after",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__PullAsk, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__pull_ask__field_indices_by_name[] = {
-  0, /* field[0] = after */
+  0,   /* field[0] = after */
 };
-static const ProtobufCIntRange csp_wire__pull_ask__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor csp_wire__pull_ask__descriptor = {
+static const ProtobufCIntRange csp_wire__pull_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor csp_wire__pull_ask__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.PullAsk",
   "PullAsk",
   "CspWire__PullAsk",
   "csp_wire",
-  sizeof (CspWire__PullAsk),
+  sizeof(CspWire__PullAsk),
   1,
   csp_wire__pull_ask__field_descriptors,
   csp_wire__pull_ask__field_indices_by_name,
-  1,
-  csp_wire__pull_ask__number_ranges,
-  (ProtobufCMessageInit)csp_wire__pull_ask__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__config_value__field_descriptors[4]
-    = {
-        {
-            "key", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ConfigValue, key), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "json", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ConfigValue, json), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "deleted", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ConfigValue, deleted), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "revision", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ConfigValue, revision), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__pull_ask__number_ranges,
+  (ProtobufCMessageInit) csp_wire__pull_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__config_value__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ConfigValue, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "json",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ConfigValue, json),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ConfigValue, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ConfigValue, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__config_value__field_indices_by_name[] = {
-  2, /* field[2] = deleted */
-  1, /* field[1] = json */
-  0, /* field[0] = key */
-  3, /* field[3] = revision */
-};
-static const ProtobufCIntRange csp_wire__config_value__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor csp_wire__config_value__descriptor = {
+  2,   /* field[2] = deleted */
+  1,   /* field[1] = json */
+  0,   /* field[0] = key */
+  3,   /* field[3] = revision */
+};
+static const ProtobufCIntRange csp_wire__config_value__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_wire__config_value__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.ConfigValue",
   "ConfigValue",
   "CspWire__ConfigValue",
   "csp_wire",
-  sizeof (CspWire__ConfigValue),
+  sizeof(CspWire__ConfigValue),
   4,
   csp_wire__config_value__field_descriptors,
   csp_wire__config_value__field_indices_by_name,
-  1,
-  csp_wire__config_value__number_ranges,
-  (ProtobufCMessageInit)csp_wire__config_value__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__pull_answer__field_descriptors[7]
-    = {
-        {
-            "base_revision", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__PullAnswer, base_revision), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "revision", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__PullAnswer, revision), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "digest", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__PullAnswer, digest), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "full", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (CspWire__PullAnswer, full), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "values", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__PullAnswer, n_values),
-            offsetof (CspWire__PullAnswer, values),
-            &csp_wire__config_value__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "refused_revision", 6, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-            offsetof (CspWire__PullAnswer, refused_revision), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "fault", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__PullAnswer, fault), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__config_value__number_ranges,
+  (ProtobufCMessageInit) csp_wire__config_value__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__pull_answer__field_descriptors[7] =
+{
+  {
+    "base_revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__PullAnswer, base_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__PullAnswer, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__PullAnswer, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__PullAnswer, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__PullAnswer, n_values),
+    offsetof(CspWire__PullAnswer, values),
+    &csp_wire__config_value__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_revision",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__PullAnswer, refused_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fault",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__PullAnswer, fault),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__pull_answer__field_indices_by_name[] = {
-  0, /* field[0] = base_revision */
-  2, /* field[2] = digest */
-  6, /* field[6] = fault */
-  3, /* field[3] = full */
-  5, /* field[5] = refused_revision */
-  1, /* field[1] = revision */
-  4, /* field[4] = values */
-};
-static const ProtobufCIntRange csp_wire__pull_answer__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 7 } };
-const ProtobufCMessageDescriptor csp_wire__pull_answer__descriptor = {
+  0,   /* field[0] = base_revision */
+  2,   /* field[2] = digest */
+  6,   /* field[6] = fault */
+  3,   /* field[3] = full */
+  5,   /* field[5] = refused_revision */
+  1,   /* field[1] = revision */
+  4,   /* field[4] = values */
+};
+static const ProtobufCIntRange csp_wire__pull_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor csp_wire__pull_answer__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.PullAnswer",
   "PullAnswer",
   "CspWire__PullAnswer",
   "csp_wire",
-  sizeof (CspWire__PullAnswer),
+  sizeof(CspWire__PullAnswer),
   7,
   csp_wire__pull_answer__field_descriptors,
   csp_wire__pull_answer__field_indices_by_name,
-  1,
-  csp_wire__pull_answer__number_ranges,
-  (ProtobufCMessageInit)csp_wire__pull_answer__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__reserve_ask__field_descriptors[9]
-    = {
-        {
-            "ask_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAsk, ask_id), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "sender", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAsk, sender),
-            &csp_wire__host_ref__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "model", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAsk, model), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "pool", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAsk, pool), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "expected_tokens", 5, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAsk, expected_tokens), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "priority", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAsk, priority), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "class_name", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAsk, class_name), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "prompt_tokens", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAsk, prompt_tokens), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "max_tokens", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAsk, max_tokens), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__pull_answer__number_ranges,
+  (ProtobufCMessageInit) csp_wire__pull_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__reserve_ask__field_descriptors[9] =
+{
+  {
+    "ask_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAsk, ask_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sender",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAsk, sender),
+    &csp_wire__host_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAsk, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAsk, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expected_tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAsk, expected_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAsk, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class_name",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAsk, class_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompt_tokens",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAsk, prompt_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_tokens",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAsk, max_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__reserve_ask__field_indices_by_name[] = {
-  0, /* field[0] = ask_id */
-  6, /* field[6] = class_name */
-  4, /* field[4] = expected_tokens */
-  8, /* field[8] = max_tokens */
-  2, /* field[2] = model */
-  3, /* field[3] = pool */
-  5, /* field[5] = priority */
-  7, /* field[7] = prompt_tokens */
-  1, /* field[1] = sender */
-};
-static const ProtobufCIntRange csp_wire__reserve_ask__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 9 } };
-const ProtobufCMessageDescriptor csp_wire__reserve_ask__descriptor = {
+  0,   /* field[0] = ask_id */
+  6,   /* field[6] = class_name */
+  4,   /* field[4] = expected_tokens */
+  8,   /* field[8] = max_tokens */
+  2,   /* field[2] = model */
+  3,   /* field[3] = pool */
+  5,   /* field[5] = priority */
+  7,   /* field[7] = prompt_tokens */
+  1,   /* field[1] = sender */
+};
+static const ProtobufCIntRange csp_wire__reserve_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor csp_wire__reserve_ask__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.ReserveAsk",
   "ReserveAsk",
   "CspWire__ReserveAsk",
   "csp_wire",
-  sizeof (CspWire__ReserveAsk),
+  sizeof(CspWire__ReserveAsk),
   9,
   csp_wire__reserve_ask__field_descriptors,
   csp_wire__reserve_ask__field_indices_by_name,
-  1,
-  csp_wire__reserve_ask__number_ranges,
-  (ProtobufCMessageInit)csp_wire__reserve_ask__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__reserve_answer__field_descriptors[8]
-    = {
-        {
-            "ask_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAnswer, ask_id), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "granted", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAnswer, granted), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "target", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAnswer, target), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "nonce", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAnswer, nonce), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "lease_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAnswer, lease_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "retry_after_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAnswer, retry_after_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "address", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAnswer, address), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "port", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ReserveAnswer, port), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__reserve_ask__number_ranges,
+  (ProtobufCMessageInit) csp_wire__reserve_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__reserve_answer__field_descriptors[8] =
+{
+  {
+    "ask_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAnswer, ask_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAnswer, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAnswer, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAnswer, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAnswer, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAnswer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAnswer, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ReserveAnswer, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__reserve_answer__field_indices_by_name[] = {
-  6, /* field[6] = address */
-  0, /* field[0] = ask_id */
-  1, /* field[1] = granted */
-  4, /* field[4] = lease_ms */
-  3, /* field[3] = nonce */
-  7, /* field[7] = port */
-  5, /* field[5] = retry_after_ms */
-  2, /* field[2] = target */
-};
-static const ProtobufCIntRange csp_wire__reserve_answer__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 8 } };
-const ProtobufCMessageDescriptor csp_wire__reserve_answer__descriptor = {
+  6,   /* field[6] = address */
+  0,   /* field[0] = ask_id */
+  1,   /* field[1] = granted */
+  4,   /* field[4] = lease_ms */
+  3,   /* field[3] = nonce */
+  7,   /* field[7] = port */
+  5,   /* field[5] = retry_after_ms */
+  2,   /* field[2] = target */
+};
+static const ProtobufCIntRange csp_wire__reserve_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor csp_wire__reserve_answer__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.ReserveAnswer",
   "ReserveAnswer",
   "CspWire__ReserveAnswer",
   "csp_wire",
-  sizeof (CspWire__ReserveAnswer),
+  sizeof(CspWire__ReserveAnswer),
   8,
   csp_wire__reserve_answer__field_descriptors,
   csp_wire__reserve_answer__field_indices_by_name,
-  1,
-  csp_wire__reserve_answer__number_ranges,
-  (ProtobufCMessageInit)csp_wire__reserve_answer__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__commit_ask__field_descriptors[4]
-    = {
-        {
-            "ask_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__CommitAsk, ask_id), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "sender", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (CspWire__CommitAsk, sender),
-            &csp_wire__host_ref__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "nonce", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__CommitAsk, nonce), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "holdings_number", 4, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-            offsetof (CspWire__CommitAsk, holdings_number), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__reserve_answer__number_ranges,
+  (ProtobufCMessageInit) csp_wire__reserve_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__commit_ask__field_descriptors[4] =
+{
+  {
+    "ask_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__CommitAsk, ask_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sender",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__CommitAsk, sender),
+    &csp_wire__host_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__CommitAsk, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holdings_number",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__CommitAsk, holdings_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__commit_ask__field_indices_by_name[] = {
-  0, /* field[0] = ask_id */
-  3, /* field[3] = holdings_number */
-  2, /* field[2] = nonce */
-  1, /* field[1] = sender */
-};
-static const ProtobufCIntRange csp_wire__commit_ask__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor csp_wire__commit_ask__descriptor = {
+  0,   /* field[0] = ask_id */
+  3,   /* field[3] = holdings_number */
+  2,   /* field[2] = nonce */
+  1,   /* field[1] = sender */
+};
+static const ProtobufCIntRange csp_wire__commit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_wire__commit_ask__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.CommitAsk",
   "CommitAsk",
   "CspWire__CommitAsk",
   "csp_wire",
-  sizeof (CspWire__CommitAsk),
+  sizeof(CspWire__CommitAsk),
   4,
   csp_wire__commit_ask__field_descriptors,
   csp_wire__commit_ask__field_indices_by_name,
-  1,
-  csp_wire__commit_ask__number_ranges,
-  (ProtobufCMessageInit)csp_wire__commit_ask__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__commit_answer__field_descriptors[4]
-    = {
-        {
-            "ask_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__CommitAnswer, ask_id), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "nonce", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__CommitAnswer, nonce), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "held", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (CspWire__CommitAnswer, held), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "lease_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__CommitAnswer, lease_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__commit_ask__number_ranges,
+  (ProtobufCMessageInit) csp_wire__commit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__commit_answer__field_descriptors[4] =
+{
+  {
+    "ask_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__CommitAnswer, ask_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__CommitAnswer, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__CommitAnswer, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__CommitAnswer, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__commit_answer__field_indices_by_name[] = {
-  0, /* field[0] = ask_id */
-  2, /* field[2] = held */
-  3, /* field[3] = lease_ms */
-  1, /* field[1] = nonce */
-};
-static const ProtobufCIntRange csp_wire__commit_answer__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor csp_wire__commit_answer__descriptor = {
+  0,   /* field[0] = ask_id */
+  2,   /* field[2] = held */
+  3,   /* field[3] = lease_ms */
+  1,   /* field[1] = nonce */
+};
+static const ProtobufCIntRange csp_wire__commit_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_wire__commit_answer__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.CommitAnswer",
   "CommitAnswer",
   "CspWire__CommitAnswer",
   "csp_wire",
-  sizeof (CspWire__CommitAnswer),
+  sizeof(CspWire__CommitAnswer),
   4,
   csp_wire__commit_answer__field_descriptors,
   csp_wire__commit_answer__field_indices_by_name,
-  1,
-  csp_wire__commit_answer__number_ranges,
-  (ProtobufCMessageInit)csp_wire__commit_answer__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__release__field_descriptors[5]
-    = {
-        {
-            "ask_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Release, ask_id), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "sender", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Release, sender),
-            &csp_wire__host_ref__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "nonce", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Release, nonce), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "maybe_decoding", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Release, maybe_decoding), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "tokens", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Release, tokens), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__commit_answer__number_ranges,
+  (ProtobufCMessageInit) csp_wire__commit_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__release__field_descriptors[5] =
+{
+  {
+    "ask_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Release, ask_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sender",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Release, sender),
+    &csp_wire__host_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Release, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "maybe_decoding",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Release, maybe_decoding),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Release, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__release__field_indices_by_name[] = {
-  0, /* field[0] = ask_id */
-  3, /* field[3] = maybe_decoding */
-  2, /* field[2] = nonce */
-  1, /* field[1] = sender */
-  4, /* field[4] = tokens */
-};
-static const ProtobufCIntRange csp_wire__release__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 5 } };
-const ProtobufCMessageDescriptor csp_wire__release__descriptor = {
+  0,   /* field[0] = ask_id */
+  3,   /* field[3] = maybe_decoding */
+  2,   /* field[2] = nonce */
+  1,   /* field[1] = sender */
+  4,   /* field[4] = tokens */
+};
+static const ProtobufCIntRange csp_wire__release__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor csp_wire__release__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.Release",
   "Release",
   "CspWire__Release",
   "csp_wire",
-  sizeof (CspWire__Release),
+  sizeof(CspWire__Release),
   5,
   csp_wire__release__field_descriptors,
   csp_wire__release__field_indices_by_name,
-  1,
-  csp_wire__release__number_ranges,
-  (ProtobufCMessageInit)csp_wire__release__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__held_slot__field_descriptors[4]
-    = {
-        {
-            "ask_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__HeldSlot, ask_id), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "nonce", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__HeldSlot, nonce), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "target", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__HeldSlot, target), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "expected_tokens", 4, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-            offsetof (CspWire__HeldSlot, expected_tokens), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__release__number_ranges,
+  (ProtobufCMessageInit) csp_wire__release__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__held_slot__field_descriptors[4] =
+{
+  {
+    "ask_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__HeldSlot, ask_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__HeldSlot, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__HeldSlot, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expected_tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__HeldSlot, expected_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__held_slot__field_indices_by_name[] = {
-  0, /* field[0] = ask_id */
-  3, /* field[3] = expected_tokens */
-  1, /* field[1] = nonce */
-  2, /* field[2] = target */
-};
-static const ProtobufCIntRange csp_wire__held_slot__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor csp_wire__held_slot__descriptor = {
+  0,   /* field[0] = ask_id */
+  3,   /* field[3] = expected_tokens */
+  1,   /* field[1] = nonce */
+  2,   /* field[2] = target */
+};
+static const ProtobufCIntRange csp_wire__held_slot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_wire__held_slot__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.HeldSlot",
   "HeldSlot",
   "CspWire__HeldSlot",
   "csp_wire",
-  sizeof (CspWire__HeldSlot),
+  sizeof(CspWire__HeldSlot),
   4,
   csp_wire__held_slot__field_descriptors,
   csp_wire__held_slot__field_indices_by_name,
-  1,
-  csp_wire__held_slot__number_ranges,
-  (ProtobufCMessageInit)csp_wire__held_slot__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__holdings__field_descriptors[3]
-    = {
-        {
-            "sender", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Holdings, sender),
-            &csp_wire__host_ref__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "number", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Holdings, number), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "slots", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Holdings, n_slots),
-            offsetof (CspWire__Holdings, slots),
-            &csp_wire__held_slot__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__held_slot__number_ranges,
+  (ProtobufCMessageInit) csp_wire__held_slot__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__holdings__field_descriptors[3] =
+{
+  {
+    "sender",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Holdings, sender),
+    &csp_wire__host_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Holdings, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Holdings, n_slots),
+    offsetof(CspWire__Holdings, slots),
+    &csp_wire__held_slot__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__holdings__field_indices_by_name[] = {
-  1, /* field[1] = number */
-  0, /* field[0] = sender */
-  2, /* field[2] = slots */
+  1,   /* field[1] = number */
+  0,   /* field[0] = sender */
+  2,   /* field[2] = slots */
+};
+static const ProtobufCIntRange csp_wire__holdings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
 };
-static const ProtobufCIntRange csp_wire__holdings__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor csp_wire__holdings__descriptor = {
+const ProtobufCMessageDescriptor csp_wire__holdings__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.Holdings",
   "Holdings",
   "CspWire__Holdings",
   "csp_wire",
-  sizeof (CspWire__Holdings),
+  sizeof(CspWire__Holdings),
   3,
   csp_wire__holdings__field_descriptors,
   csp_wire__holdings__field_indices_by_name,
-  1,
-  csp_wire__holdings__number_ranges,
-  (ProtobufCMessageInit)csp_wire__holdings__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__once_key__field_descriptors[6]
-    = {
-        {
-            "organisation", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OnceKey, organisation), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "digest", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OnceKey, digest), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "scope", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OnceKey, scope), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "home", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OnceKey, home), &csp_wire__host_ref__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "data_centre", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OnceKey, data_centre), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "date_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OnceKey, date_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__holdings__number_ranges,
+  (ProtobufCMessageInit) csp_wire__holdings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__once_key__field_descriptors[6] =
+{
+  {
+    "organisation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OnceKey, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OnceKey, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "scope",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OnceKey, scope),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "home",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OnceKey, home),
+    &csp_wire__host_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OnceKey, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "date_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OnceKey, date_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__once_key__field_indices_by_name[] = {
-  4, /* field[4] = data_centre */
-  5, /* field[5] = date_ms */
-  1, /* field[1] = digest */
-  3, /* field[3] = home */
-  0, /* field[0] = organisation */
-  2, /* field[2] = scope */
-};
-static const ProtobufCIntRange csp_wire__once_key__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 6 } };
-const ProtobufCMessageDescriptor csp_wire__once_key__descriptor = {
+  4,   /* field[4] = data_centre */
+  5,   /* field[5] = date_ms */
+  1,   /* field[1] = digest */
+  3,   /* field[3] = home */
+  0,   /* field[0] = organisation */
+  2,   /* field[2] = scope */
+};
+static const ProtobufCIntRange csp_wire__once_key__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor csp_wire__once_key__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.OnceKey",
   "OnceKey",
   "CspWire__OnceKey",
   "csp_wire",
-  sizeof (CspWire__OnceKey),
+  sizeof(CspWire__OnceKey),
   6,
   csp_wire__once_key__field_descriptors,
   csp_wire__once_key__field_indices_by_name,
-  1,
-  csp_wire__once_key__number_ranges,
-  (ProtobufCMessageInit)csp_wire__once_key__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__claim_ask__field_descriptors[3]
-    = {
-        {
-            "key", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ClaimAsk, key), &csp_wire__once_key__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "claim_high", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ClaimAsk, claim_high), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "claim_low", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ClaimAsk, claim_low), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__once_key__number_ranges,
+  (ProtobufCMessageInit) csp_wire__once_key__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__claim_ask__field_descriptors[3] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ClaimAsk, key),
+    &csp_wire__once_key__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_high",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ClaimAsk, claim_high),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_low",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ClaimAsk, claim_low),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__claim_ask__field_indices_by_name[] = {
-  1, /* field[1] = claim_high */
-  2, /* field[2] = claim_low */
-  0, /* field[0] = key */
+  1,   /* field[1] = claim_high */
+  2,   /* field[2] = claim_low */
+  0,   /* field[0] = key */
 };
-static const ProtobufCIntRange csp_wire__claim_ask__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor csp_wire__claim_ask__descriptor = {
+static const ProtobufCIntRange csp_wire__claim_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor csp_wire__claim_ask__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.ClaimAsk",
   "ClaimAsk",
   "CspWire__ClaimAsk",
   "csp_wire",
-  sizeof (CspWire__ClaimAsk),
+  sizeof(CspWire__ClaimAsk),
   3,
   csp_wire__claim_ask__field_descriptors,
   csp_wire__claim_ask__field_indices_by_name,
-  1,
-  csp_wire__claim_ask__number_ranges,
-  (ProtobufCMessageInit)csp_wire__claim_ask__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__claim_answer__field_descriptors[6]
-    = {
-        {
-            "claim_high", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ClaimAnswer, claim_high), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "claim_low", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ClaimAnswer, claim_low), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "from", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ClaimAnswer, from),
-            &csp_wire__host_ref__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "result", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ClaimAnswer, result), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "outcome", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__ClaimAnswer, outcome), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "witness_since_ms", 6, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-            offsetof (CspWire__ClaimAnswer, witness_since_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__claim_ask__number_ranges,
+  (ProtobufCMessageInit) csp_wire__claim_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__claim_answer__field_descriptors[6] =
+{
+  {
+    "claim_high",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ClaimAnswer, claim_high),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_low",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ClaimAnswer, claim_low),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ClaimAnswer, from),
+    &csp_wire__host_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ClaimAnswer, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ClaimAnswer, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "witness_since_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__ClaimAnswer, witness_since_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__claim_answer__field_indices_by_name[] = {
-  0, /* field[0] = claim_high */
-  1, /* field[1] = claim_low */
-  2, /* field[2] = from */
-  4, /* field[4] = outcome */
-  3, /* field[3] = result */
-  5, /* field[5] = witness_since_ms */
-};
-static const ProtobufCIntRange csp_wire__claim_answer__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 6 } };
-const ProtobufCMessageDescriptor csp_wire__claim_answer__descriptor = {
+  0,   /* field[0] = claim_high */
+  1,   /* field[1] = claim_low */
+  2,   /* field[2] = from */
+  4,   /* field[4] = outcome */
+  3,   /* field[3] = result */
+  5,   /* field[5] = witness_since_ms */
+};
+static const ProtobufCIntRange csp_wire__claim_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor csp_wire__claim_answer__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.ClaimAnswer",
   "ClaimAnswer",
   "CspWire__ClaimAnswer",
   "csp_wire",
-  sizeof (CspWire__ClaimAnswer),
+  sizeof(CspWire__ClaimAnswer),
   6,
   csp_wire__claim_answer__field_descriptors,
   csp_wire__claim_answer__field_indices_by_name,
-  1,
-  csp_wire__claim_answer__number_ranges,
-  (ProtobufCMessageInit)csp_wire__claim_answer__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    csp_wire__outcome_tell__field_descriptors[4]
-    = {
-        {
-            "key", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OutcomeTell, key),
-            &csp_wire__once_key__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "claim_high", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OutcomeTell, claim_high), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "claim_low", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OutcomeTell, claim_low), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "outcome", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__OutcomeTell, outcome), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  csp_wire__claim_answer__number_ranges,
+  (ProtobufCMessageInit) csp_wire__claim_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__outcome_tell__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OutcomeTell, key),
+    &csp_wire__once_key__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_high",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OutcomeTell, claim_high),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_low",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OutcomeTell, claim_low),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__OutcomeTell, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__outcome_tell__field_indices_by_name[] = {
-  1, /* field[1] = claim_high */
-  2, /* field[2] = claim_low */
-  0, /* field[0] = key */
-  3, /* field[3] = outcome */
-};
-static const ProtobufCIntRange csp_wire__outcome_tell__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor csp_wire__outcome_tell__descriptor = {
+  1,   /* field[1] = claim_high */
+  2,   /* field[2] = claim_low */
+  0,   /* field[0] = key */
+  3,   /* field[3] = outcome */
+};
+static const ProtobufCIntRange csp_wire__outcome_tell__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_wire__outcome_tell__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.OutcomeTell",
   "OutcomeTell",
   "CspWire__OutcomeTell",
   "csp_wire",
-  sizeof (CspWire__OutcomeTell),
+  sizeof(CspWire__OutcomeTell),
   4,
   csp_wire__outcome_tell__field_descriptors,
   csp_wire__outcome_tell__field_indices_by_name,
-  1,
-  csp_wire__outcome_tell__number_ranges,
-  (ProtobufCMessageInit)csp_wire__outcome_tell__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  csp_wire__outcome_tell__number_ranges,
+  (ProtobufCMessageInit) csp_wire__outcome_tell__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
 #define csp_wire__acknowledge__field_descriptors NULL
 #define csp_wire__acknowledge__field_indices_by_name NULL
 #define csp_wire__acknowledge__number_ranges NULL
-const ProtobufCMessageDescriptor csp_wire__acknowledge__descriptor = {
+const ProtobufCMessageDescriptor csp_wire__acknowledge__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.Acknowledge",
   "Acknowledge",
   "CspWire__Acknowledge",
   "csp_wire",
-  sizeof (CspWire__Acknowledge),
+  sizeof(CspWire__Acknowledge),
   0,
   csp_wire__acknowledge__field_descriptors,
   csp_wire__acknowledge__field_indices_by_name,
-  0,
-  csp_wire__acknowledge__number_ranges,
-  (ProtobufCMessageInit)csp_wire__acknowledge__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor csp_wire__frame__field_descriptors[17]
-    = {
-        {
-            "protocol", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Frame, protocol), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "deployment", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-            0, /* quantifier_offset */
-            offsetof (CspWire__Frame, deployment), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "heartbeat", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, heartbeat),
-            &csp_wire__heartbeat__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "carry_ask", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, carry_ask),
-            &csp_wire__carry_ask__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "carry_answer", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, carry_answer),
-            &csp_wire__carry_answer__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "pull_ask", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, pull_ask),
-            &csp_wire__pull_ask__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "pull_answer", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, pull_answer),
-            &csp_wire__pull_answer__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "reserve_ask", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, reserve_ask),
-            &csp_wire__reserve_ask__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "reserve_answer", 16, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_MESSAGE, offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, reserve_answer),
-            &csp_wire__reserve_answer__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "commit_ask", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, commit_ask),
-            &csp_wire__commit_ask__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "commit_answer", 18, PROTOBUF_C_LABEL_NONE,
-            PROTOBUF_C_TYPE_MESSAGE, offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, commit_answer),
-            &csp_wire__commit_answer__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "release", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, release), &csp_wire__release__descriptor,
-            NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "holdings", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, holdings),
-            &csp_wire__holdings__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "claim_ask", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, claim_ask),
-            &csp_wire__claim_ask__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "claim_answer", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, claim_answer),
-            &csp_wire__claim_answer__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "outcome_tell", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, outcome_tell),
-            &csp_wire__outcome_tell__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-        {
-            "acknowledge", 24, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (CspWire__Frame, body_case),
-            offsetof (CspWire__Frame, acknowledge),
-            &csp_wire__acknowledge__descriptor, NULL,
-            0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-            0, NULL, NULL                    /* reserved1,reserved2, etc */
-        },
-      };
+  0,  csp_wire__acknowledge__number_ranges,
+  (ProtobufCMessageInit) csp_wire__acknowledge__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__frame__field_descriptors[17] =
+{
+  {
+    "protocol",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Frame, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deployment",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Frame, deployment),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, heartbeat),
+    &csp_wire__heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "carry_ask",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, carry_ask),
+    &csp_wire__carry_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "carry_answer",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, carry_answer),
+    &csp_wire__carry_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pull_ask",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, pull_ask),
+    &csp_wire__pull_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pull_answer",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, pull_answer),
+    &csp_wire__pull_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reserve_ask",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, reserve_ask),
+    &csp_wire__reserve_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reserve_answer",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, reserve_answer),
+    &csp_wire__reserve_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit_ask",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, commit_ask),
+    &csp_wire__commit_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit_answer",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, commit_answer),
+    &csp_wire__commit_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, release),
+    &csp_wire__release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holdings",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, holdings),
+    &csp_wire__holdings__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_ask",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, claim_ask),
+    &csp_wire__claim_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_answer",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, claim_answer),
+    &csp_wire__claim_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome_tell",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, outcome_tell),
+    &csp_wire__outcome_tell__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acknowledge",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, acknowledge),
+    &csp_wire__acknowledge__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned csp_wire__frame__field_indices_by_name[] = {
-  16, /* field[16] = acknowledge */
-  4,  /* field[4] = carry_answer */
-  3,  /* field[3] = carry_ask */
-  14, /* field[14] = claim_answer */
-  13, /* field[13] = claim_ask */
-  10, /* field[10] = commit_answer */
-  9,  /* field[9] = commit_ask */
-  1,  /* field[1] = deployment */
-  2,  /* field[2] = heartbeat */
-  12, /* field[12] = holdings */
-  15, /* field[15] = outcome_tell */
-  0,  /* field[0] = protocol */
-  6,  /* field[6] = pull_answer */
-  5,  /* field[5] = pull_ask */
-  11, /* field[11] = release */
-  8,  /* field[8] = reserve_answer */
-  7,  /* field[7] = reserve_ask */
-};
-static const ProtobufCIntRange csp_wire__frame__number_ranges[2 + 1]
-    = { { 1, 0 }, { 10, 2 }, { 0, 17 } };
-const ProtobufCMessageDescriptor csp_wire__frame__descriptor = {
+  16,   /* field[16] = acknowledge */
+  4,   /* field[4] = carry_answer */
+  3,   /* field[3] = carry_ask */
+  14,   /* field[14] = claim_answer */
+  13,   /* field[13] = claim_ask */
+  10,   /* field[10] = commit_answer */
+  9,   /* field[9] = commit_ask */
+  1,   /* field[1] = deployment */
+  2,   /* field[2] = heartbeat */
+  12,   /* field[12] = holdings */
+  15,   /* field[15] = outcome_tell */
+  0,   /* field[0] = protocol */
+  6,   /* field[6] = pull_answer */
+  5,   /* field[5] = pull_ask */
+  11,   /* field[11] = release */
+  8,   /* field[8] = reserve_answer */
+  7,   /* field[7] = reserve_ask */
+};
+static const ProtobufCIntRange csp_wire__frame__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 10, 2 },
+  { 0, 17 }
+};
+const ProtobufCMessageDescriptor csp_wire__frame__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "csp_wire.Frame",
   "Frame",
   "CspWire__Frame",
   "csp_wire",
-  sizeof (CspWire__Frame),
+  sizeof(CspWire__Frame),
   17,
   csp_wire__frame__field_descriptors,
   csp_wire__frame__field_indices_by_name,
-  2,
-  csp_wire__frame__number_ranges,
-  (ProtobufCMessageInit)csp_wire__frame__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  2,  csp_wire__frame__number_ranges,
+  (ProtobufCMessageInit) csp_wire__frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
