One context for a host's parts; metrics counted on the path

Cause: control and entry were each handed settings, clock and log, and the counters had no way in. Change: csp_context_t goes to both; first token, gaps, stalls, waits, ends, retries, resumes, spills and cancels are counted for organisation and class, and /metrics serves them.

--- a/include/cowslipspoke/control.h
+++ b/include/cowslipspoke/control.h
@@ -4,11 +4,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "cowslipspoke/clock.h"
+#include "cowslipspoke/context.h"
 #include "cowslipspoke/declaration.h"
 #include "cowslipspoke/engine.h"
-#include "cowslipspoke/log.h"
-#include "cowslipspoke/settings.h"
 #include "cowslipspoke/verdict.h"
 
 /* The control thread owns all state of the decisions: who is alive, which
@@ -74,9 +72,8 @@
 
 /* Start the control thread, the links to peers and the threads that read the
    platform.  NULL with a message when that fails.  */
-csp_control_t *csp_create_control (const csp_settings_t *settings,
-                                   const csp_clock_t *clock, csp_log_t *log,
-                                   char *message, size_t message_bytes);
+csp_control_t *csp_create_control (const csp_context_t *context, char *message,
+                                   size_t message_bytes);
 
 /* Say to peers that this host leaves, so that they take its targets over. */
 void csp_leave_control (csp_control_t *control);
--- a/include/cowslipspoke/entry.h
+++ b/include/cowslipspoke/entry.h
@@ -7,11 +7,10 @@
    serves one request to its end.  */
 typedef struct csp_entry csp_entry_t;
 
-/* Open the listener.  The settings, the control and the log must outlive it.
-   NULL with a message when it can't be opened.  */
-csp_entry_t *csp_create_entry (const csp_settings_t *settings,
-                               csp_control_t *control, csp_log_t *log,
-                               const csp_clock_t *clock, char *message,
+/* Open the listener.  The context and the control must outlive it.  NULL with
+   a message when it can't be opened.  */
+csp_entry_t *csp_create_entry (const csp_context_t *context,
+                               csp_control_t *control, char *message,
                                size_t message_bytes);
 
 /* The port that the kernel gave, or that the settings name.  */
--- a/source/control/control-admission.c
+++ b/source/control/control-admission.c
@@ -102,7 +102,7 @@
   if (i == CSP_CONTROL_MAX_POOLS)
     return UINT32_MAX;
   pool = &control->pools[i];
-  policy.max_waiting = control->settings->max_queue_length;
+  policy.max_waiting = control->context->settings.max_queue_length;
   pool->queue = csp_create_queue (&policy);
   if (pool->queue == NULL)
     return UINT32_MAX;
@@ -451,7 +451,7 @@
   target->failures++;
   target->avoid_until_ms
       = now_ms + (avoid_ms < AVOID_MOST_MS ? avoid_ms : AVOID_MOST_MS);
-  CSP_LOG (control->log, CSP_EVENT_TARGET_LOST, NULL,
+  CSP_LOG (control->context->log, CSP_EVENT_TARGET_LOST, NULL,
            csp_text ("target", target->listed.name),
            csp_text ("end", csp_link_end_name (end)),
            csp_number ("failures", target->failures));
--- a/source/control/control-config.c
+++ b/source/control/control-config.c
@@ -59,7 +59,7 @@
 bool
 csp_open_config (csp_control_t *control, int64_t now_ms)
 {
-  const csp_settings_t *settings = control->settings;
+  const csp_settings_t *settings = &control->context->settings;
   csp_config_check_t check = { build_view, release_view, control };
   csp_membership_settings_t member
       = { .deployment = settings->deployment,
@@ -102,21 +102,21 @@
   switch (result)
     {
     case CSP_CONFIG_TAKEN:
-      CSP_LOG (control->log, CSP_EVENT_CONFIGURATION_TAKEN, NULL,
+      CSP_LOG (control->context->log, CSP_EVENT_CONFIGURATION_TAKEN, NULL,
                csp_number ("revision", status.revision),
                csp_number ("values", (int64_t)status.value_count));
       break;
     case CSP_CONFIG_STALE:
-      CSP_LOG (control->log, CSP_EVENT_CONFIGURATION_STALE, NULL,
+      CSP_LOG (control->context->log, CSP_EVENT_CONFIGURATION_STALE, NULL,
                csp_number ("revision", status.revision),
                csp_number ("service_revision", status.service_revision));
       break;
     case CSP_CONFIG_CONFLICT:
-      CSP_LOG (control->log, CSP_EVENT_CONFIGURATION_DIVERGED, NULL,
+      CSP_LOG (control->context->log, CSP_EVENT_CONFIGURATION_DIVERGED, NULL,
                csp_number ("revision", status.revision));
       break;
     case CSP_CONFIG_REFUSED:
-      CSP_LOG (control->log, CSP_EVENT_CONFIGURATION_BAD, NULL,
+      CSP_LOG (control->context->log, CSP_EVENT_CONFIGURATION_BAD, NULL,
                csp_number ("revision", status.revision),
                csp_number ("refused_revision", status.refused_revision),
                csp_text ("fault", status.fault));
@@ -143,7 +143,7 @@
   if (away == control->service_away)
     return;
   control->service_away = away;
-  CSP_LOG (control->log,
+  CSP_LOG (control->context->log,
            away ? CSP_EVENT_PLATFORM_AWAY : CSP_EVENT_PLATFORM_BACK, NULL,
            csp_text ("what", "configuration"));
 }
@@ -183,7 +183,7 @@
     return;
   if (!csp_parse_host_list (command->body, command->body_bytes, &list, &error))
     {
-      CSP_LOG (control->log, CSP_EVENT_HOST_LIST_BAD, NULL,
+      CSP_LOG (control->context->log, CSP_EVENT_HOST_LIST_BAD, NULL,
                csp_text ("fault", error.detail));
       return;
     }
@@ -194,7 +194,7 @@
       watch->version = list->version;
       csp_apply_target_list (control->ownership, list, now_ms);
       csp_sync_targets (control, now_ms);
-      CSP_LOG (control->log, CSP_EVENT_HOST_LIST_TAKEN, NULL,
+      CSP_LOG (control->context->log, CSP_EVENT_HOST_LIST_TAKEN, NULL,
                csp_number ("version", list->version),
                csp_number ("hosts", (int64_t)list->host_count),
                csp_number ("targets", (int64_t)list->target_count));
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -158,9 +158,7 @@
 
 struct csp_control
 {
-  const csp_settings_t *settings;
-  csp_clock_t clock;
-  csp_log_t *log;
+  const csp_context_t *context;
   csp_random_t random;
   uint64_t incarnation;
 
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -59,7 +59,7 @@
 bool
 csp_open_peers (csp_control_t *control, char *message, size_t message_bytes)
 {
-  const csp_settings_t *settings = control->settings;
+  const csp_settings_t *settings = &control->context->settings;
   csp_peers_settings_t peers = { .address = settings->listen_address,
                                  .port = settings->peer_port,
                                  .deployment = settings->deployment,
@@ -164,7 +164,7 @@
     {
       if (event.kind == CSP_MEMBER_EVENT_SILENT)
         csp_orphan_holder (control->slots, event.peer, now_ms);
-      CSP_LOG (control->log, member_events[event.kind], NULL,
+      CSP_LOG (control->context->log, member_events[event.kind], NULL,
                csp_text ("peer", event.peer),
                csp_text ("state", member_states[event.kind]),
                csp_number ("value", event.value));
@@ -299,7 +299,7 @@
                                command->body_bytes, control->deployment, &ask))
     answer_ask (control, &ask, now_ms, &status, &answer);
   else
-    CSP_LOG (control->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
+    CSP_LOG (control->context->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
              csp_number ("bytes", (int64_t)command->body_bytes));
   if (answer.kind != CSP_PEER_NONE)
     data = csp_encode_peer_message (&answer, control->deployment, &size_bytes);
@@ -360,7 +360,7 @@
       && !csp_decode_peer_message ((const uint8_t *)command->body,
                                    command->body_bytes, control->deployment,
                                    &answer))
-    CSP_LOG (control->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
+    CSP_LOG (control->context->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
              csp_text ("peer", command->name));
   switch (command->asked)
     {
--- a/source/control/control-slots.c
+++ b/source/control/control-slots.c
@@ -119,7 +119,7 @@
       if (!owned && target->owned)
         csp_lose_target (control->slots, target->listed.name);
       if (owned != target->owned)
-        CSP_LOG (control->log, CSP_EVENT_OWNERSHIP_MOVED, NULL,
+        CSP_LOG (control->context->log, CSP_EVENT_OWNERSHIP_MOVED, NULL,
                  csp_text ("target", target->listed.name),
                  csp_text ("owner", view.owner));
       /* The ownership opens a target once peers have said what they carry. */
--- a/source/control/control-spill.c
+++ b/source/control/control-spill.c
@@ -31,7 +31,8 @@
       csp_view_host (control->membership, i, now_ms, &view);
       if (view.self || view.liveness != CSP_PEER_ALIVE
           || view.state != CSP_MEMBER_LIVE
-          || strcmp (view.data_centre, control->settings->data_centre) != 0)
+          || strcmp (view.data_centre, control->context->settings.data_centre)
+                 != 0)
         continue;
       csp_copy_text (offers[count].name, sizeof offers[count].name, view.name);
       offers[count].headroom_tokens = view.headroom_tokens;
@@ -211,7 +212,7 @@
 
   control->next_ask += CSP_HANDOFF_MAX_PEERS;
   csp_copy_text (ask.sender.name, sizeof ask.sender.name,
-                 control->settings->host);
+                 control->context->settings.host);
   ask.sender.incarnation = control->incarnation;
   csp_copy_text (ask.model, sizeof ask.model, wanted->model);
   csp_copy_text (ask.pool, sizeof ask.pool, wanted->terms.pool);
@@ -271,7 +272,7 @@
   if (!answer->granted || !csp_locate_peer (control, peer_name, now_ms, &peer))
     return;
   csp_copy_text (release.sender.name, sizeof release.sender.name,
-                 control->settings->host);
+                 control->context->settings.host);
   release.sender.incarnation = control->incarnation;
   send_release (control, &peer, &release, 0);
 }
@@ -398,7 +399,7 @@
   message.u.holdings.number = control->holdings_number;
   csp_copy_text (message.u.holdings.sender.name,
                  sizeof message.u.holdings.sender.name,
-                 control->settings->host);
+                 control->context->settings.host);
   message.u.holdings.sender.incarnation = control->incarnation;
   message.u.holdings.slots = slots;
   for (i = 0; i < control->place_room; i++)
--- a/source/control/control-status.c
+++ b/source/control/control-status.c
@@ -92,8 +92,8 @@
   json_object *object = json_object_new_object ();
   char *text;
 
-  add_text (object, "host", control->settings->host);
-  add_text (object, "data_centre", control->settings->data_centre);
+  add_text (object, "host", control->context->settings.host);
+  add_text (object, "data_centre", control->context->settings.data_centre);
   add_text (object, "version", csp_version ());
   json_object_object_add (
       object, "ready",
--- a/source/control/control-targets.c
+++ b/source/control/control-targets.c
@@ -85,7 +85,7 @@
   if (view.target.state == CSP_MEMBER_LEAVING && target->left_ms == 0)
     {
       target->left_ms = now_ms;
-      CSP_LOG (control->log, CSP_EVENT_TARGET_LEAVING, NULL,
+      CSP_LOG (control->context->log, CSP_EVENT_TARGET_LEAVING, NULL,
                csp_text ("target", view.target.name),
                csp_number ("open_streams", target->streams));
     }
--- a/source/control/control.c
+++ b/source/control/control.c
@@ -139,7 +139,7 @@
   for (; commands != NULL; commands = next)
     {
       next = commands->next;
-      run_command (control, commands, csp_now_ms (&control->clock));
+      run_command (control, commands, csp_now_ms (&control->context->clock));
       csp_free_command (commands);
     }
 }
@@ -156,7 +156,7 @@
   while (!stopping)
     {
       run_commands (control, take_commands (control, &stopping));
-      now_ms = csp_now_ms (&control->clock);
+      now_ms = csp_now_ms (&control->context->clock);
       if (now_ms >= next_tick_ms)
         {
           csp_tick_peers (control, now_ms);
@@ -187,8 +187,8 @@
 }
 
 csp_control_t *
-csp_create_control (const csp_settings_t *settings, const csp_clock_t *clock,
-                    csp_log_t *log, char *message, size_t message_bytes)
+csp_create_control (const csp_context_t *context, char *message,
+                    size_t message_bytes)
 {
   csp_control_t *control = calloc (1, sizeof *control);
   uint64_t seed = csp_random_seed ();
@@ -196,21 +196,19 @@
   snprintf (message, message_bytes, "can't start the control thread");
   if (control == NULL)
     return NULL;
-  control->settings = settings;
-  control->clock = *clock;
-  control->log = log;
+  control->context = context;
   csp_seed_random (&control->random, seed);
   control->incarnation = csp_make_incarnation (
-      csp_wall_ms (clock), csp_random_u64 (&control->random));
+      csp_wall_ms (&context->clock), csp_random_u64 (&control->random));
   open_inbox (control);
   csp_copy_text (control->platform.address, sizeof control->platform.address,
-                 settings->platform_address);
-  control->platform.port = settings->platform_port;
+                 context->settings.platform_address);
+  control->platform.port = context->settings.platform_port;
   control->fetcher = csp_create_fetcher (FETCHER_THREADS);
   if (control->fetcher == NULL
       || !csp_open_peers (control, message, message_bytes)
       || !csp_open_admission (control) || !csp_open_slots (control)
-      || !csp_open_config (control, csp_now_ms (clock)))
+      || !csp_open_config (control, csp_now_ms (&context->clock)))
     goto fail;
   control->thread_runs
       = pthread_create (&control->thread, NULL, run_control, control) == 0;
--- a/source/cowslipd/cowslipd.c
+++ b/source/cowslipd/cowslipd.c
@@ -45,23 +45,24 @@
    are still served; then new ones are refused, and what is open runs to its
    end.  */
 static void
-drain (csp_entry_t *entry, const csp_settings_t *settings, csp_log_t *log,
-       const csp_clock_t *clock, const sigset_t *signals)
+drain (csp_entry_t *entry, const csp_context_t *context,
+       const sigset_t *signals)
 {
-  int64_t limit_ms = csp_now_ms (clock) + settings->drain_limit_ms;
+  const csp_settings_t *settings = &context->settings;
+  int64_t limit_ms = csp_now_ms (&context->clock) + settings->drain_limit_ms;
   bool hurry;
 
   csp_announce_drain (entry);
-  CSP_LOG (log, CSP_EVENT_DRAINING, NULL,
+  CSP_LOG (context->log, CSP_EVENT_DRAINING, NULL,
            csp_number ("open_requests", csp_open_requests (entry)));
   hurry = await_signal (signals, settings->drain_notice_ms);
   csp_refuse_new (entry);
   while (!hurry && csp_open_requests (entry) > 0
-         && csp_now_ms (clock) < limit_ms)
+         && csp_now_ms (&context->clock) < limit_ms)
     hurry = await_signal (signals, DRAIN_POLL_MS);
   if (csp_open_requests (entry) == 0)
     return;
-  CSP_LOG (log, CSP_EVENT_DRAIN_LIMIT, NULL,
+  CSP_LOG (context->log, CSP_EVENT_DRAIN_LIMIT, NULL,
            csp_number ("open_requests", csp_open_requests (entry)));
   csp_stop_open (entry);
   while (csp_open_requests (entry) > 0)
@@ -69,47 +70,59 @@
 }
 
 static int
-serve (const csp_settings_t *settings)
+serve_context (const csp_context_t *context, const sigset_t *signals)
 {
-  csp_clock_t clock = csp_system_clock ();
-  csp_level_t level = CSP_LEVEL_INFO;
-  csp_control_t *control = NULL;
-  csp_entry_t *entry = NULL;
-  csp_log_t *log;
   char message[MESSAGE_BYTES];
-  sigset_t signals;
+  csp_entry_t *entry = NULL;
+  csp_control_t *control
+      = csp_create_control (context, message, sizeof message);
   int result = EXIT_CANNOT_START;
 
-  block_signals (&signals);
-  csp_parse_level (settings->log_level, &level);
-  log = csp_create_log (settings->host, level, &clock);
-  CSP_LOG (log, CSP_EVENT_STARTED, NULL, csp_text ("version", csp_version ()));
-  control
-      = csp_create_control (settings, &clock, log, message, sizeof message);
   if (control != NULL)
-    entry = csp_create_entry (settings, control, log, &clock, message,
-                              sizeof message);
+    entry = csp_create_entry (context, control, message, sizeof message);
   if (entry == NULL)
     {
-      CSP_LOG (log, CSP_EVENT_START_FAILED, NULL,
+      CSP_LOG (context->log, CSP_EVENT_START_FAILED, NULL,
                csp_text ("message", message));
       goto done;
     }
-  CSP_LOG (log, CSP_EVENT_READY, NULL,
-           csp_number ("http_port", csp_entry_port (entry)));
+  CSP_LOG (context->log, CSP_EVENT_READY, NULL,
+           csp_number ("http_port", csp_entry_port (entry)),
+           csp_number ("peer_port", csp_control_peer_port (control)));
   printf ("ready http=%u peer=%u\n", csp_entry_port (entry),
           csp_control_peer_port (control));
   fflush (stdout);
-  sigwaitinfo (&signals, NULL);
+  sigwaitinfo (signals, NULL);
   csp_leave_control (control);
-  drain (entry, settings, log, &clock, &signals);
+  drain (entry, context, signals);
   result = EXIT_SUCCESS;
 
 done:
   csp_destroy_entry (entry);
   csp_destroy_control (control);
-  CSP_LOG (log, CSP_EVENT_STOPPED, NULL, csp_number ("exit", result));
-  csp_destroy_log (log);
+  CSP_LOG (context->log, CSP_EVENT_STOPPED, NULL, csp_number ("exit", result));
+  return result;
+}
+
+static int
+serve (const csp_settings_t *settings)
+{
+  csp_context_t context
+      = { .settings = *settings, .clock = csp_system_clock () };
+  csp_level_t level = CSP_LEVEL_INFO;
+  sigset_t signals;
+  int result = EXIT_CANNOT_START;
+
+  block_signals (&signals);
+  csp_parse_level (settings->log_level, &level);
+  context.log = csp_create_log (settings->host, level, &context.clock);
+  context.metrics = csp_create_metrics (CSP_SERIES_MAX);
+  CSP_LOG (context.log, CSP_EVENT_STARTED, NULL,
+           csp_text ("version", csp_version ()));
+  if (context.metrics != NULL)
+    result = serve_context (&context, &signals);
+  csp_destroy_metrics (context.metrics);
+  csp_destroy_log (context.log);
   return result;
 }
 
--- a/source/entry/answer.c
+++ b/source/entry/answer.c
@@ -77,7 +77,10 @@
   if (json != NULL)
     mg_write (exchange->connection, json, strlen (json));
   free (json);
-  CSP_LOG (exchange->entry->log, CSP_EVENT_REQUEST_REFUSED, exchange->id,
+  csp_count_end (exchange->entry->context->metrics, exchange->labels,
+                 error->reason, error->verdict);
+  CSP_LOG (exchange->entry->context->log, CSP_EVENT_REQUEST_REFUSED,
+           exchange->id,
            csp_text ("organisation", exchange->organisation == NULL
                                          ? NULL
                                          : exchange->organisation->name),
--- a/source/entry/call.c
+++ b/source/entry/call.c
@@ -32,7 +32,7 @@
 
   if (atomic_load (&entry->stopping))
     return CSP_LINK_STOPPED;
-  if (csp_now_ms (&entry->clock) >= call->exchange->deadline_ms)
+  if (csp_now_ms (&entry->context->clock) >= call->exchange->deadline_ms)
     return CSP_LINK_DEADLINE;
   return CSP_LINK_COMPLETE;
 }
@@ -86,7 +86,8 @@
           .body = exchange->body,
           .body_bytes = exchange->body_bytes,
           .request_id = exchange->id,
-          .connect_timeout_ms = exchange->entry->settings->connect_timeout_ms,
+          .connect_timeout_ms
+          = exchange->entry->context->settings.connect_timeout_ms,
           .answer_limit_bytes = ANSWER_LIMIT_BYTES,
           .check = check_call,
           .state = call };
@@ -171,7 +172,10 @@
       return;
     }
   pass_answer (&call);
-  CSP_LOG (exchange->entry->log, CSP_EVENT_REQUEST_ENDED, exchange->id,
+  csp_count_end (exchange->entry->context->metrics, exchange->labels,
+                 CSP_REASON_NONE, CSP_VERDICT_RAN);
+  CSP_LOG (exchange->entry->context->log, CSP_EVENT_REQUEST_ENDED,
+           exchange->id,
            csp_text ("organisation", exchange->organisation->name),
            csp_text ("service", service->name),
            csp_text ("target", call.grant.target),
--- a/source/entry/caller.c
+++ b/source/entry/caller.c
@@ -30,7 +30,7 @@
 int
 csp_read_body (csp_exchange_t *exchange, csp_error_t *error)
 {
-  uint32_t limit_bytes = exchange->entry->settings->max_body_bytes;
+  uint32_t limit_bytes = exchange->entry->context->settings.max_body_bytes;
   size_t room_bytes = 0;
   int got = 1;
 
@@ -76,6 +76,8 @@
   char hex[CSP_SHA256_HEX_BYTES];
 
   exchange->view = csp_take_view (exchange->entry->control);
+  exchange->labels = csp_get_labels (exchange->entry->context->metrics, NULL,
+                                     exchange->marks.class_name);
   declaration = csp_view_declaration (exchange->view);
   if (declaration == NULL)
     {
@@ -96,6 +98,10 @@
                      "the bearer key belongs to no organisation");
       return -1;
     }
+  exchange->labels = csp_get_labels (exchange->entry->context->metrics,
+                                     exchange->organisation->name,
+                                     exchange->marks.class_name);
+  csp_count (exchange->labels, CSP_COUNT_REQUESTS, 1);
   return 0;
 }
 
@@ -106,7 +112,7 @@
   csp_rule_outcome_t outcome;
 
   facts->organisation = exchange->organisation->name;
-  facts->data_centre = exchange->entry->settings->data_centre;
+  facts->data_centre = exchange->entry->context->settings.data_centre;
   csp_decide_rule (csp_view_declaration (exchange->view), facts, &outcome);
   switch (outcome.action)
     {
--- a/source/entry/entry-imp.h
+++ b/source/entry/entry-imp.h
@@ -10,10 +10,8 @@
 
 struct csp_entry
 {
-  const csp_settings_t *settings;
+  const csp_context_t *context;
   csp_control_t *control;
-  csp_log_t *log;
-  csp_clock_t clock;
   struct mg_context *server;
   atomic_uint_fast64_t next_request;
   atomic_int open_requests;
@@ -33,6 +31,7 @@
   int64_t deadline_ms;
   csp_marks_t marks;
   csp_view_t *view;
+  csp_labels_t labels;
   const csp_organisation_t *organisation;
   char *body;
   size_t body_bytes;
--- a/source/entry/generate.c
+++ b/source/entry/generate.c
@@ -32,6 +32,8 @@
   int64_t last_sign_ms; /* when the caller was last written to */
   int64_t first_token_ms;
   uint32_t worst_gap_ms;
+  int64_t last_token_us;
+  int64_t stall_us;
   bool began;
   bool lost_place; /* the grant had run out before a byte left */
   char *text;      /* of a whole answer */
@@ -42,7 +44,7 @@
 static int64_t
 now_of (const run_t *run)
 {
-  return csp_now_ms (&run->exchange->entry->clock);
+  return csp_now_ms (&run->exchange->entry->context->clock);
 }
 
 /* Keep a whole answer.  It is bounded, as its length is unknown and many of
@@ -67,14 +69,27 @@
 static void
 note_token (run_t *run)
 {
-  int64_t now_ms = now_of (run);
-  int64_t gap_ms = now_ms - run->last_token_ms;
+  csp_labels_t labels = run->exchange->labels;
+  int64_t now_us = csp_now_us (&run->exchange->entry->context->clock);
+  int64_t now_ms = now_us / US_PER_MS;
+  int64_t gap_us = now_us - run->last_token_us;
 
+  csp_count (labels, CSP_COUNT_TOKENS, 1);
   if (run->first_token_ms == 0)
-    run->first_token_ms = now_ms;
-  else if (gap_ms > run->worst_gap_ms)
-    run->worst_gap_ms = (uint32_t)gap_ms;
+    {
+      run->first_token_ms = now_ms;
+      csp_observe_time (labels, CSP_TIME_TO_FIRST_TOKEN,
+                        (now_ms - run->exchange->arrived_ms) * US_PER_MS);
+    }
+  else
+    {
+      csp_observe_time (labels, CSP_TIME_BETWEEN_TOKENS, gap_us);
+      run->stall_us += csp_stall_of_gap_us (gap_us);
+      if (gap_us / US_PER_MS > run->worst_gap_ms)
+        run->worst_gap_ms = (uint32_t)(gap_us / US_PER_MS);
+    }
   run->last_token_ms = now_ms;
+  run->last_token_us = now_us;
   if (run->generation.next_index % PROGRESS_TOKENS == 0)
     csp_note_progress (run->exchange->entry->control, &run->grant,
                        run->generation.next_index);
@@ -132,7 +147,7 @@
 static csp_link_t
 describe_link (run_t *run, const char *body, bool resume)
 {
-  const csp_settings_t *settings = run->exchange->entry->settings;
+  const csp_settings_t *settings = &run->exchange->entry->context->settings;
   bool chat = csp_request_api (run->request) == CSP_API_CHAT;
   csp_link_t link
       = { .endpoint = run->grant.endpoint,
@@ -145,7 +160,7 @@
           .first_token_timeout_ms
           = settings->stall_timeout_ms * FIRST_TOKEN_FACTOR,
           .stall_timeout_ms = settings->stall_timeout_ms,
-          .clock = &run->exchange->entry->clock,
+          .clock = &run->exchange->entry->context->clock,
           .may_send = resume ? NULL : confirm_run,
           .deliver = deliver_token,
           .check = check_run,
@@ -195,8 +210,10 @@
       resume = true;
       if (recovery.kind == CSP_RECOVER_RESUME)
         {
-          CSP_LOG (run->exchange->entry->log, CSP_EVENT_STREAM_RESUMED,
-                   run->exchange->id, csp_text ("target", run->grant.target),
+          csp_count (run->exchange->labels, CSP_COUNT_RESUMES, 1);
+          CSP_LOG (run->exchange->entry->context->log,
+                   CSP_EVENT_STREAM_RESUMED, run->exchange->id,
+                   csp_text ("target", run->grant.target),
                    csp_text ("end", csp_link_end_name (*end)),
                    csp_number ("index", (int64_t)run->generation.next_index));
           usleep (recovery.pause_ms * US_PER_MS);
@@ -265,8 +282,9 @@
       if (csp_ask_admission (entry->control, &run->ask, &run->grant, &refusal)
           != 0)
         return -1;
-      CSP_LOG (entry->log, CSP_EVENT_REQUEST_RETRIED, run->exchange->id,
-               csp_text ("target", run->grant.target),
+      csp_count (run->exchange->labels, CSP_COUNT_RETRIES, 1);
+      CSP_LOG (entry->context->log, CSP_EVENT_REQUEST_RETRIED,
+               run->exchange->id, csp_text ("target", run->grant.target),
                csp_text ("end", csp_link_end_name (*end)));
     }
 }
@@ -333,7 +351,7 @@
     csp_send_event (run->exchange, "error", json);
   csp_end_events (run->exchange);
   free (json);
-  CSP_LOG (run->exchange->entry->log, CSP_EVENT_STREAM_BROKEN,
+  CSP_LOG (run->exchange->entry->context->log, CSP_EVENT_STREAM_BROKEN,
            run->exchange->id, csp_text ("target", run->grant.target),
            csp_text ("reason", csp_reason_code (error->reason)),
            csp_number ("tokens", (int64_t)run->generation.next_index));
@@ -344,7 +362,7 @@
             const csp_error_t *error)
 {
   if (end == CSP_LINK_CALLER_GONE)
-    CSP_LOG (run->exchange->entry->log, CSP_EVENT_CALLER_GONE,
+    CSP_LOG (run->exchange->entry->context->log, CSP_EVENT_CALLER_GONE,
              run->exchange->id,
              csp_number ("tokens", (int64_t)run->generation.next_index));
   else if (result != 0 && run->began)
@@ -360,12 +378,34 @@
     answer_whole (run);
 }
 
+static void
+count_run (const run_t *run, int result, csp_link_end_t end,
+           const csp_error_t *error)
+{
+  const csp_exchange_t *exchange = run->exchange;
+
+  csp_observe_time (exchange->labels, CSP_TIME_WAITING,
+                    run->grant.wait_ms * US_PER_MS);
+  csp_observe_time (exchange->labels, CSP_TIME_STALLED, run->stall_us);
+  if (run->grant.owner[0] != '\0')
+    csp_count (exchange->labels, CSP_COUNT_SPILLS, 1);
+  if (end == CSP_LINK_CALLER_GONE)
+    csp_count (exchange->labels, CSP_COUNT_CANCELS, 1);
+  if (result == 0)
+    csp_count_end (exchange->entry->context->metrics, exchange->labels,
+                   CSP_REASON_NONE, CSP_VERDICT_RAN);
+  else if (run->began)
+    csp_count_end (exchange->entry->context->metrics, exchange->labels,
+                   error->reason, error->verdict);
+}
+
 static void
 log_run (const run_t *run, csp_link_end_t end)
 {
   const csp_exchange_t *exchange = run->exchange;
 
-  CSP_LOG (exchange->entry->log, CSP_EVENT_REQUEST_ENDED, exchange->id,
+  CSP_LOG (exchange->entry->context->log, CSP_EVENT_REQUEST_ENDED,
+           exchange->id,
            csp_text ("organisation", exchange->organisation->name),
            csp_text ("route", run->route->name),
            csp_text ("target", run->grant.target),
@@ -453,6 +493,9 @@
   run->ask.organisation = exchange->organisation->name;
   run->ask.model = run->route->model;
   run->ask.class_name = facts.class_name == NULL ? "" : facts.class_name;
+  exchange->labels
+      = csp_get_labels (exchange->entry->context->metrics,
+                        exchange->organisation->name, facts.class_name);
   run->ask.kind = CSP_POOL_ENGINES;
   run->ask.prompt_tokens = facts.prompt_tokens;
   run->ask.max_tokens = bound_tokens (run);
@@ -479,7 +522,10 @@
   result = run_generation (&run, &end, &error);
   finish_run (&run, result, end, &error);
   if (end != CSP_LINK_END_COUNT)
-    log_run (&run, end);
+    {
+      count_run (&run, result, end, &error);
+      log_run (&run, end);
+    }
   goto done;
 
 refuse:
--- a/source/entry/server.c
+++ b/source/entry/server.c
@@ -25,10 +25,11 @@
   exchange->entry = entry;
   exchange->connection = connection;
   exchange->info = mg_get_request_info (connection);
-  exchange->arrived_ms = csp_now_ms (&entry->clock);
+  exchange->arrived_ms = csp_now_ms (&entry->context->clock);
   snprintf (exchange->id, sizeof exchange->id, "%llx-%llx",
             (unsigned long long)csp_control_incarnation (entry->control),
             (unsigned long long)number);
+  exchange->labels = csp_get_labels (entry->context->metrics, NULL, NULL);
   fields.idempotency_key = mg_get_header (connection, "Idempotency-Key");
   fields.non_idempotent = mg_get_header (connection, "X-Non-Idempotent");
   fields.attempt = mg_get_header (connection, "X-Attempt");
@@ -36,10 +37,11 @@
   fields.class_name = mg_get_header (connection, "X-Class");
   if (csp_read_marks (&fields, &exchange->marks, error) != 0)
     return false;
-  exchange->deadline_ms = exchange->arrived_ms
-                          + (exchange->marks.deadline_ms != 0
-                                 ? exchange->marks.deadline_ms
-                                 : entry->settings->default_deadline_ms);
+  exchange->deadline_ms
+      = exchange->arrived_ms
+        + (exchange->marks.deadline_ms != 0
+               ? exchange->marks.deadline_ms
+               : entry->context->settings.default_deadline_ms);
   return true;
 }
 
@@ -245,6 +247,24 @@
   return 200;
 }
 
+static int
+handle_metrics (struct mg_connection *connection, void *state)
+{
+  csp_entry_t *entry = state;
+  size_t size_bytes;
+  char *text;
+
+  csp_set_gauge (entry->context->metrics, CSP_GAUGE_READY,
+                 csp_control_ready (entry->control));
+  csp_set_gauge (entry->context->metrics, CSP_GAUGE_OPEN_STREAMS,
+                 csp_open_requests (entry));
+  text = csp_render_metrics (entry->context->metrics, &size_bytes);
+  answer_operator (connection, text == NULL ? 500 : 200,
+                   "text/plain; version=0.0.4", text == NULL ? "" : text);
+  free (text);
+  return 200;
+}
+
 /* CivetWeb's threads read the view under RCU and have to be known to it.  */
 static void *
 register_thread (const struct mg_context *context, int type)
@@ -275,6 +295,7 @@
   { "/live$", handle_live },
   { "/ready$", handle_ready },
   { "/status$", handle_status },
+  { "/metrics$", handle_metrics },
   { "/", handle_other },
 };
 
@@ -312,10 +333,10 @@
 }
 
 csp_entry_t *
-csp_create_entry (const csp_settings_t *settings, csp_control_t *control,
-                  csp_log_t *log, const csp_clock_t *clock, char *message,
-                  size_t message_bytes)
+csp_create_entry (const csp_context_t *context, csp_control_t *control,
+                  char *message, size_t message_bytes)
 {
+  const csp_settings_t *settings = &context->settings;
   csp_entry_t *entry = calloc (1, sizeof *entry);
   struct mg_callbacks callbacks
       = { .init_thread = register_thread, .exit_thread = unregister_thread };
@@ -327,10 +348,8 @@
             settings->listen_address, settings->http_port);
   if (entry == NULL)
     return NULL;
-  entry->settings = settings;
+  entry->context = context;
   entry->control = control;
-  entry->log = log;
-  entry->clock = *clock;
   mg_init_library (
       settings->caller_tls.certificate_file[0] != '\0' ? MG_FEATURES_TLS : 0);
   fill_options (settings, texts, options);
