--- a/source/declaration/declaration-cover.c
+++ b/source/declaration/declaration-cover.c
@@ -324,6 +324,20 @@
   return false;
 }
 
+/* A range between two whole numbers, such as a priority from 0.2 to 0.8.  */
+static bool
+has_empty_range (const csp_rule_t *rule)
+{
+  box_t box;
+  int i;
+
+  fill_box (&rule->when, &box);
+  for (i = 0; i < CSP_WHEN_RANGES; i++)
+    if (is_empty_range (&box.ranges[i]))
+      return true;
+  return false;
+}
+
 /* A rule may ask for a class that none of its routes has.  */
 static bool
 classes_fit_routes (const csp_declaration_t *declaration,
@@ -359,6 +373,9 @@
                && rule->when.sets[CSP_WHEN_CLASS].count > 0)
         csp_add_fault (faults, rule->where, "when", 0,
                        "can never be reached: services have no classes");
+      else if (has_empty_range (rule))
+        csp_add_fault (faults, rule->where, "when", 0,
+                       "can never be reached: a range has no whole number");
       else
         check_covered (declaration, i, faults);
     }
--- a/source/declaration/declaration-tables.c
+++ b/source/declaration/declaration-tables.c
@@ -260,20 +260,24 @@
     .offset = offsetof (csp_rule_t, when.ranges[range]), .fields = (table),   \
     .help = "min and max, both belong to it"                                  \
   }
-#define RANGE_END(key, member, number_type, highest, default_text)            \
+#define RANGE_END(key, member, number_type, highest, default_text, help_text) \
   {                                                                           \
     .name = (key), .type = (number_type),                                     \
     .offset = offsetof (csp_range_t, member), .min = 0, .max = (highest),     \
-    .standard = (default_text), .help = (key)                                 \
+    .standard = (default_text), .help = (help_text)                           \
   }
 
 static const csp_field_t priority_table[]
-    = { RANGE_END ("min", min, CSP_FIELD_DOUBLE, CSP_PRIORITY_MAX, "0"),
-        RANGE_END ("max", max, CSP_FIELD_DOUBLE, CSP_PRIORITY_MAX, "9"),
+    = { RANGE_END ("min", min, CSP_FIELD_DOUBLE, CSP_PRIORITY_MAX, "0",
+                   "smallest that it holds for"),
+        RANGE_END ("max", max, CSP_FIELD_DOUBLE, CSP_PRIORITY_MAX, "9",
+                   "largest that it holds for"),
         { 0 } };
 static const csp_field_t number_table[]
-    = { RANGE_END ("min", min, CSP_FIELD_DOUBLE, LIMIT_MAX, "0"),
-        RANGE_END ("max", max, CSP_FIELD_DOUBLE, LIMIT_MAX, "1000000000000"),
+    = { RANGE_END ("min", min, CSP_FIELD_DOUBLE, LIMIT_MAX, "0",
+                   "smallest that it holds for"),
+        RANGE_END ("max", max, CSP_FIELD_DOUBLE, LIMIT_MAX, "1000000000000",
+                   "largest that it holds for"),
         { 0 } };
 
 static const csp_field_t when_table[]
--- a/source/fields/fields-value.c
+++ b/source/fields/fields-value.c
@@ -93,8 +93,7 @@
     case CSP_FORM_TEXT:
       return "at most 255 bytes without control characters";
     case CSP_FORM_NAME:
-      return "1 to 63 letters, digits, \".\", \"_\" or \"-\", "
-             "the first a letter or digit";
+      return "a name (1 to 63 letters, digits, \".\", \"_\", \"-\")";
     case CSP_FORM_ADDRESS:
       return "an IP number";
     case CSP_FORM_SHA256:
@@ -150,8 +149,8 @@
                 field->min, field->max);
       break;
     case CSP_FIELD_DOUBLE:
-      snprintf (allowed, size_bytes, "a number from %g to %g", field->min,
-                field->max);
+      snprintf (allowed, size_bytes, "a number from %.10g to %.10g",
+                field->min, field->max);
       break;
     case CSP_FIELD_CHOICE:
     case CSP_FIELD_CHARS:
--- a/source/metrics/metrics.c
+++ b/source/metrics/metrics.c
@@ -27,7 +27,7 @@
   table->slot_count = 4;
   while (table->slot_count < 2 * max)
     table->slot_count *= 2;
-  table->slots = calloc (table->slot_count, sizeof (void *));
+  table->slots = calloc (table->slot_count, sizeof *table->slots);
   table->series = calloc (max + 1, sizeof (void *));
   if (table->slots == NULL || table->series == NULL)
     abort ();
--- a/tests/declaration/declaration-rules-test.c
+++ b/tests/declaration/declaration-rules-test.c
@@ -141,6 +141,7 @@
   { ORG ("a"), ORG ("b"),
     RULE ("{\"service\":\"quotes\",\"class\":\"fast\"}", AWAY),
     "services have no classes" },
+  { ORG ("a"), ORG ("b"), QUEUE ("0.2", "0.8"), "no whole number" },
 };
 
 /* An operator adds a rule behind a wider one and sees no effect.  */
--- a/tests/declaration/declaration-test.c
+++ b/tests/declaration/declaration-test.c
@@ -1,4 +1,5 @@
 #include "../support/declared.h"
+#include "declaration/declaration-imp.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -254,6 +255,73 @@
 }
 END_TEST
 
+/* Members that the page describes by those of another.  */
+static bool
+is_described_elsewhere (const char *path)
+{
+  static const char *const same[]
+      = { "then.lend.", "then.spill.", "engines.NAME.wanted." };
+  size_t i;
+
+  if (strcmp (path, "then.lend.max_load") == 0
+      || strcmp (path, "then.spill.data_centre") == 0)
+    return false;
+  for (i = 0; i < sizeof same / sizeof same[0]; i++)
+    if (strncmp (path, same[i], strlen (same[i])) == 0)
+      return true;
+  return false;
+}
+
+static void
+check_page_rows (const char *page, const csp_field_t *fields,
+                 const char *before)
+{
+  char allowed[CSP_FIELD_ALLOWED_BYTES];
+  const csp_field_t *field;
+  char *path;
+  char *inner;
+  char *row;
+
+  for (field = fields; field->name != NULL; field++)
+    {
+      csp_describe_field (field, allowed);
+      ck_assert_int_gt (asprintf (&path, "%s%s", before, field->name), 0);
+      ck_assert_int_gt (asprintf (&inner, "%s%s.", path,
+                                  field->type == CSP_FIELD_MAP    ? ".NAME"
+                                  : field->type == CSP_FIELD_LIST ? "[]"
+                                                                  : ""),
+                        0);
+      ck_assert_int_gt (asprintf (&row, "\n| `%s` | %s | ", path, allowed), 0);
+      ck_assert_msg (is_described_elsewhere (path)
+                         || strstr (page, row) != NULL,
+                     "docs/DECLARATIONS.md lacks %s", row);
+      if (field->fields != NULL)
+        check_page_rows (page, field->fields, inner);
+      free (row);
+      free (inner);
+      free (path);
+    }
+}
+
+/* An operator writes declarations from the page; a member that it lacks or
+   bounds otherwise is refused without an explanation at hand.  */
+START_TEST (the_page_has_every_member)
+{
+  char *page = calloc (1, 65536);
+  FILE *file = fopen ("docs/DECLARATIONS.md", "r");
+
+  ck_assert_ptr_nonnull (file);
+  ck_assert_uint_gt (fread (page, 1, 65535, file), 0);
+  fclose (file);
+  check_page_rows (page, csp_organisation_table, "");
+  check_page_rows (page, csp_route_table, "");
+  check_page_rows (page, csp_service_table, "");
+  check_page_rows (page, csp_pool_table, "");
+  check_page_rows (page, csp_rule_table, "");
+  free (page);
+}
+END_TEST
+
 #define ADD_LOOP(tcase, test, table)                                          \
   tcase_add_loop_test (tcase, test, 0, sizeof (table) / sizeof (table)[0])
 
@@ -270,6 +338,7 @@
   tcase_add_test (tcase, wanted_state_is_the_engines_or_its_pools);
   tcase_add_test (tcase, calls_are_repeated_by_method_or_mark);
   tcase_add_test (tcase, unchanged_values_are_shared);
+  tcase_add_test (tcase, the_page_has_every_member);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
