Reader: no byte beyond the end of a text that ends early

The thread sanitizer showed a read behind a text that one of the garbling seeds had cut to nothing: at its end the parser counts a blank of its own, and the line was looked up that far in the text. Address sanitizer had missed it, as an allocation of no bytes has one there. The line of such a fault is now the last one; it was the last value's. A test against a page without access fails on the old code (line 2 for 4).

--- a/source/json/json-reader.c
+++ b/source/json/json-reader.c
@@ -28,6 +28,9 @@
 {
   const char *where;
   const char *text;
+  size_t size_bytes;
+  /* The whole text was read; the parser counts no further.  */
+  int ended;
   csp_faults_t *faults;
   yajl_handle parser;
   struct json_object *root;
@@ -42,7 +45,8 @@
 static int
 current_line (reader_t *reader)
 {
-  size_t consumed = yajl_get_bytes_consumed (reader->parser);
+  size_t consumed = reader->ended ? reader->size_bytes
+                                  : yajl_get_bytes_consumed (reader->parser);
 
   for (; reader->counted_bytes < consumed; reader->counted_bytes++)
     if (reader->text[reader->counted_bytes] == '\n')
@@ -226,8 +230,11 @@
 csp_read_json_tree (const char *where, const char *text, size_t size_bytes,
                     csp_faults_t *faults)
 {
-  reader_t reader
-      = { .where = where, .text = text, .faults = faults, .line = 1 };
+  reader_t reader = { .where = where,
+                      .text = text,
+                      .size_bytes = size_bytes,
+                      .faults = faults,
+                      .line = 1 };
   yajl_status status;
 
   reader.parser = yajl_alloc (&callbacks, NULL, &reader);
@@ -236,7 +243,10 @@
   yajl_config (reader.parser, yajl_allow_comments, 1);
   status = yajl_parse (reader.parser, (const unsigned char *)text, size_bytes);
   if (status == yajl_status_ok)
-    status = yajl_complete_parse (reader.parser);
+    {
+      reader.ended = 1;
+      status = yajl_complete_parse (reader.parser);
+    }
   if (status != yajl_status_ok)
     refuse_text (&reader);
   else if (reader.root == NULL)
--- a/tests/declaration/declaration-test.c
+++ b/tests/declaration/declaration-test.c
@@ -2,6 +2,7 @@
 #include "declaration/declaration-imp.h"
 
 #include <check.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -255,6 +256,45 @@
 }
 END_TEST
 
+enum
+{
+  HAND_OVERS = 300
+};
+
+static void *
+destroy_later (void *context)
+{
+  csp_destroy_declaration (context);
+  return NULL;
+}
+
+/* A stream that began before a change holds the old declaration, and its
+   thread drops it while the control thread builds the next one over the same
+   values.  A count that goes wrong there frees what is still read, and some
+   later look-up crashes the host.  */
+START_TEST (old_declarations_end_in_any_thread)
+{
+  csp_faults_t *faults = csp_create_faults ();
+  csp_declaration_t *current = declare_base ();
+  csp_declaration_t *next;
+  pthread_t thread;
+  int i;
+
+  for (i = 0; i < HAND_OVERS; i++)
+    {
+      next = declare (current, NULL, 0, faults);
+      ck_assert_int_eq (pthread_create (&thread, NULL, destroy_later, current),
+                        0);
+      current = declare (next, NULL, 0, faults);
+      csp_destroy_declaration (next);
+      pthread_join (thread, NULL);
+    }
+  ck_assert_str_eq (csp_find_organisation_by_key (current, KEY_A)->name, "a");
+  csp_destroy_declaration (current);
+  csp_destroy_faults (faults);
+}
+END_TEST
+
 /* Members that the page describes by those of another.  */
 static bool
 is_described_elsewhere (const char *path)
@@ -338,6 +378,7 @@
   tcase_add_test (tcase, wanted_state_is_the_engines_or_its_pools);
   tcase_add_test (tcase, calls_are_repeated_by_method_or_mark);
   tcase_add_test (tcase, unchanged_values_are_shared);
+  tcase_add_test (tcase, old_declarations_end_in_any_thread);
   tcase_add_test (tcase, the_page_has_every_member);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/json/json-reader-test.c
+++ b/tests/json/json-reader-test.c
@@ -7,6 +7,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
+#include <unistd.h>
 
 enum
 {
@@ -81,6 +83,30 @@
 }
 END_TEST
 
+/* The fault of a text that ends too early stands at its last line, and looking
+   for it must not read beyond the end: here that is a page without access.  */
+START_TEST (early_ends_are_found_at_the_last_line)
+{
+  static const char text[] = "{\n\"a\": 1,\n\n";
+  long page_bytes = sysconf (_SC_PAGESIZE);
+  char *pages = mmap (NULL, 2 * (size_t)page_bytes, PROT_READ | PROT_WRITE,
+                      MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+  csp_faults_t *faults = csp_create_faults ();
+  size_t size_bytes = sizeof text - 1;
+  char *end = pages + page_bytes;
+
+  ck_assert_int_eq (mprotect (end, (size_t)page_bytes, PROT_NONE), 0);
+  memcpy (end - size_bytes, text, size_bytes);
+  ck_assert_ptr_null (
+      csp_read_json ("t", end - size_bytes, size_bytes, faults));
+  ck_assert_int_eq (csp_get_fault (faults, 0)->line, 4);
+  ck_assert_ptr_null (csp_read_json ("t", end, 0, faults));
+  ck_assert_int_eq (csp_get_fault (faults, 1)->line, 1);
+  munmap (pages, 2 * (size_t)page_bytes);
+  csp_destroy_faults (faults);
+}
+END_TEST
+
 /* A text of open brackets makes a parser that calls itself run out of stack,
    and the host is gone.  */
 START_TEST (deep_texts_cost_no_stack)
@@ -234,6 +260,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, odd_texts_are_refused, 0,
                        sizeof cases / sizeof cases[0]);
+  tcase_add_test (tcase, early_ends_are_found_at_the_last_line);
   tcase_add_test (tcase, deep_texts_cost_no_stack);
   tcase_add_test (tcase, faults_are_bounded_and_counted);
   tcase_add_loop_test (tcase, garbled_texts_are_taken_or_refused, 0,
