--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -167,7 +167,7 @@
 request() {
   "$BUILD/standin-caller" --port "$(port_of "$1")" --method "$2" --path "$3" \
     ${4:+--body "$4"} --limit-ms 5000 --show-body |
-    sed -n 's/^body=//p'
+    sed -n '/^body=/,$ { s/^body=//; p; }'
 }
 
 status_of() {
@@ -209,7 +209,8 @@
     "$@"
 }
 
-# call_later CALL PROCESS OPTION...; finish CALL prints what it got.
+# call_later CALL PROCESS OPTION...; finish CALL [SED] prints what it got.  Not
+# for a pipeline: a subshell can't wait for this shell's processes.
 call_later() {
   later=$1
   shift
@@ -219,7 +220,7 @@
 
 finish() {
   wait "$(pid_of "$1")"
-  cat "$work/$1.call"
+  sed "${2:-}" "$work/$1.call"
 }
 
 # fault PROCESS JSON
@@ -227,6 +228,14 @@
   request "$1" POST /test/fault "$2" >"$work/fault"
 }
 
+# A key for a call that runs once at most: a UUID of version 7.
+new_key() {
+  key_count=$((${key_count:-0} + 1))
+  hex=$(printf '%012x' "$(date +%s%3N)")
+  new_key=$(printf '%s-%s-7000-8000-%06x%06x' "${hex%????}" \
+    "${hex#????????}" $$ "$key_count")
+}
+
 # One line for each generation that an engine started, oldest first.
 generations() {
   request "$1" GET /test/log | sed 's/"orders".*//' |
@@ -325,6 +334,10 @@
   call "$1" --model "$2" --tokens 1 | grep -q 'status=200 end=done'
 }
 
+serves_service() {
+  call "$1" --service leases/ping --method GET | grep -q 'status=200'
+}
+
 lacks_model() {
   call "$1" --model "$2" --tokens 1 | grep -q 'status=404'
 }
@@ -347,7 +360,7 @@
   wait_until "${2:-20}" has_ended "$1"
   wait "$(pid_of "$1")"
   echo "$1 exit=$?"
-  started=$(echo " $started " | sed "s/ $1 / /")
+  forget "$1"
 }
 
 has_ended() {
--- /dev/null
+++ b/tests/session/drain.sh
@@ -0,0 +1,24 @@
+#!/bin/sh
+# A host gets SIGTERM while it streams.  The caller must get its answer to the
+# end; the balancer has to see the readiness fail before new calls are refused.
+. "$(dirname "$0")/lib.sh"
+start_usual_fleet
+start_host h2
+publish_hosts
+wait_ready h2
+
+call_later long h1 --tokens 250
+wait_until 5 has_made e1 20
+signal_to h1 TERM
+wait_until 5 fails_ready h1
+echo "# readiness failed, the listener still answers"
+wait_until 5 refuses_new h1
+echo "# a new call is refused and did not run"
+call h1 --tokens 3 | head -n 1
+echo "# the other host serves"
+call h2 --tokens 3
+echo "# the stream that was open"
+finish long
+wait_exit h1 10
+echo "# two requests ran"
+count_starts e1
--- a/tests/session/engine-contract.sh
+++ b/tests/session/engine-contract.sh
@@ -37,7 +37,7 @@
 call_later long e1 --direct --tokens 4000 --generation-id long
 wait_until 5 has_made e1 5
 call e1 --method POST --path /v1/generations/long/cancel
-finish long | head -n 1
+finish long 2d
 is_state e1 cancelled && echo "cancelled"
 
 echo "# a fencing number may not fall"
--- a/tests/standin/caller-call.c
+++ b/tests/standin/caller-call.c
@@ -173,6 +173,18 @@
   return text;
 }
 
+static char *
+make_filler (size_t size_bytes)
+{
+  char *body = malloc (size_bytes + 1);
+
+  if (body == NULL)
+    abort ();
+  memset (body, 'a', size_bytes);
+  body[size_bytes] = '\0';
+  return body;
+}
+
 static bool
 is_generation (const caller_options_t *options)
 {
@@ -246,7 +258,10 @@
             ? (options->attempt > 0 ? options->attempt : 1) + try_number
             : 0;
   struct curl_slist *headers = make_headers (options, number, attempt);
-  char *usual = is_generation (options) ? make_body (options) : NULL;
+  char *usual = options->body_bytes > 0
+                    ? make_filler ((size_t)options->body_bytes)
+                : is_generation (options) ? make_body (options)
+                                          : NULL;
   CURL *curl = curl_easy_init ();
   char url[URL_BYTES];
   CURLcode result;
--- a/tests/standin/caller-options.c
+++ b/tests/standin/caller-options.c
@@ -40,6 +40,7 @@
   ROW ("path", TAKES_TEXT, path),
   ROW ("method", TAKES_TEXT, method),
   ROW ("body", TAKES_TEXT, body),
+  ROW ("body-bytes", TAKES_NUMBER, body_bytes),
   ROW ("idempotency-key", TAKES_TEXT, idempotency_key),
   ROW ("non-idempotent", TAKES_FLAG, non_idempotent),
   ROW ("class", TAKES_TEXT, class_name),
@@ -106,7 +107,7 @@
                                  .prompt = "hello",
                                  .method = NULL,
                                  .tries = 1,
-                                 .limit_ms = 60000,
+                                 .limit_ms = 15000,
                                  .repeat = 1 };
   for (i = 0; i < ROW_COUNT; i++)
     {
--- a/tests/standin/caller-options.h
+++ b/tests/standin/caller-options.h
@@ -28,7 +28,8 @@
   const char *service;       /* NAME/PATH: a call of a plain service */
   const char *path;          /* any path, such as /v1/models */
   const char *method;
-  const char *body; /* sent instead of the usual body */
+  const char *body;   /* sent instead of the usual body */
+  int64_t body_bytes; /* a body of that many letters */
   const char *headers[CALLER_MAX_HEADERS];
   int64_t header_count;
   const char *idempotency_key;
