Hand-off in two steps: slot table, sender and tests

A host whose targets are full has to use room at another owner without ever telling a caller not run about a request that an engine began. Relaying through the owner was ruled out, since a dead owner would cut the stream and blur the verdict; here the sender opens the target itself after a commit, and checks its lease immediately before bytes leave.

--- a/include/cowslipspoke/handoff.h
+++ b/include/cowslipspoke/handoff.h
@@ -92,8 +92,10 @@
 /* Everything that a sender holds, or has asked to hold, at one owner: sent to
    it every few seconds and to each new owner of a target at once.  number
    rises by one with each such message of an incarnation.  A slot that a later
-   number leaves out is free, which mends lost releases; a slot that the owner
-   does not know is taken up, which is how a new owner learns.  */
+   number leaves out is counted for orphan_ms more and then free, which mends
+   lost releases; a slot that the owner does not know is taken up, which is how
+   a new owner learns.  An empty list
+   is sent as well.  */
 typedef struct
 {
   csp_host_ref_t sender;
@@ -173,6 +175,10 @@
 void csp_orphan_holder (csp_slot_table_t *table, const char *host,
                         int64_t now_ms);
 
+/* The host list has been without the host for orphan_ms or more; its name is
+   forgotten together with its last incarnation.  */
+void csp_forget_holder (csp_slot_table_t *table, const char *host);
+
 /* Free what has run out; the number of slots freed.  Each call to the table
    does this first as well.  */
 size_t csp_expire_slots (csp_slot_table_t *table, int64_t now_ms);
@@ -213,12 +219,13 @@
   CSP_HANDOFF_COMMIT_ANSWER,
   CSP_HANDOFF_PEER_LOST,      /* the owner asked last is known to be away */
   CSP_HANDOFF_BEFORE_SEND,    /* connected; may the first byte leave?  */
-  CSP_HANDOFF_NOT_SENT,       /* no connection, no byte left */
+  CSP_HANDOFF_NOT_SENT,       /* no connection, or surely no byte left */
   CSP_HANDOFF_TARGET_REFUSED, /* the target says that it started nothing */
   CSP_HANDOFF_TARGET_FAILED,  /* anything else that ends the answer early */
   CSP_HANDOFF_FIRST_TOKEN,
   CSP_HANDOFF_FINISHED, /* the whole answer has come */
-  CSP_HANDOFF_HUNG_UP   /* the caller has gone */
+  CSP_HANDOFF_HUNG_UP,  /* the caller has gone */
+  CSP_HANDOFF_CANCELLED /* after the end: the target says so */
 } csp_handoff_event_kind_t;
 
 /* peer is the index of the peer that an answer or loss comes from.  */
