--- a/Makefile
+++ b/Makefile
@@ -22,11 +22,11 @@
 STD := -std=gnu11
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
   -Wmissing-prototypes -Wformat=2 -Wno-unused-parameter
-CPPFLAGS := -Iinclude -Isource -D_GNU_SOURCE
+CPPFLAGS := -Iinclude -Isource -Itests -D_GNU_SOURCE
 CFLAGS := $(STD) -O2 -g $(WARN) $(SAN_FLAGS)
 LDFLAGS := $(SAN_FLAGS)
-LDLIBS := -lcivetweb -lcurl -lnng -lprotobuf-c -ljson-c -llog4c \
-  -lurcu-mb -lurcu-common -lcrypto -lpthread -lm
+LDLIBS := -lcivetweb -lcurl -lnng -lprotobuf-c -ljson-c -lyajl -llog4c \
+  -lurcu-memb -lurcu-common -lcrypto -lpthread -lm
 CHECK_LIBS := -lcheck_pic -lsubunit -lrt
 
 # Generated codecs are committed; see source/peer/README for the command.
@@ -39,6 +39,7 @@
 STANDIN_COMMON := $(filter-out $(STANDIN_SRC),$(wildcard tests/standin/*.c))
 SUPPORT_SRC := $(wildcard tests/support/*.c)
 TEST_SRC := $(wildcard tests/*/*-test.c)
+SESSIONS := $(patsubst %.golden,./%.sh,$(wildcard tests/session/*.golden))
 BENCH_SRC := $(wildcard bench/*-bench.c)
 BENCH_COMMON := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
 
@@ -85,14 +86,15 @@
   $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
-$(BUILD)/%-bench: $(BUILD)/bench/%-bench.o $(call obj,$(BENCH_COMMON)) $(LIB)
+$(BUILD)/%-bench: $(BUILD)/bench/%-bench.o $(call obj,$(BENCH_COMMON)) \
+  $(call obj,$(SUPPORT_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 check: setup
 	@$(MAKE) --no-print-directory check-run
 
 check-run: $(PROGRAMS) $(TESTS)
-	@BUILD=$(BUILD) sh tests/run.sh $(TESTS)
+	@BUILD=$(BUILD) sh tests/run.sh $(TESTS) $(SESSIONS)
 
 demo: setup
 	@$(MAKE) --no-print-directory all
--- /dev/null
+++ b/bench/fleet.c
@@ -0,0 +1,376 @@
+#include "fleet-imp.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+play_t
+default_play (dispatch_t dispatch)
+{
+  play_t play = { .dispatch = dispatch,
+                  .fixed_streams = 10,
+                  .hosts = 1,
+                  .admission = csp_default_admission_policy (),
+                  .queue = csp_default_queue_policy (),
+                  .placement = csp_default_placement_policy (),
+                  .report_lag_us = 2000000,
+                  .slow_factor = 1 };
+
+  return play;
+}
+
+int64_t
+fleet_now_ms (const fleet_t *fleet)
+{
+  return 1000 + fleet->now_us / 1000;
+}
+
+uint32_t
+host_of_engine (const fleet_t *fleet, uint32_t engine)
+{
+  return engine % fleet->play->hosts;
+}
+
+void
+send_request (fleet_t *fleet, request_t *request, uint32_t engine)
+{
+  uint32_t host = host_of_engine (fleet, engine);
+  csp_stream_t stream = stream_of_request (fleet, request, host);
+
+  request->engine = engine;
+  if (fleet->play->dispatch == DISPATCH_DECISIONS)
+    request->handle = csp_add_stream (fleet->ledgers[engine], &stream, 0,
+                                      fleet_now_ms (fleet));
+  csp_note_prefix (&fleet->prefixes[engine], request->prefix,
+                   request->prefix_tokens, fleet_now_ms (fleet));
+  submit_request (&fleet->engines[engine], request, fleet->now_us);
+  start_step (&fleet->engines[engine], fleet->now_us);
+}
+
+static outcome_t *
+outcome_of_class (fleet_t *fleet, const request_t *request)
+{
+  return &fleet->results->classes[request->class_index];
+}
+
+static void
+count_gap (gaps_t *gaps, int64_t gap_us)
+{
+  double ms = (double)gap_us / 1000;
+  double bucket = ms <= 10 ? 0 : log (ms / 10) / log (1.02);
+
+  gaps->counts[(uint32_t)fmin (bucket, GAP_BUCKETS - 1)]++;
+  gaps->total++;
+}
+
+static void
+on_token (void *state, request_t *request, int64_t at_us)
+{
+  fleet_t *fleet = state;
+  int64_t gap_us = at_us - request->last_us;
+
+  if (request->made_tokens == 1)
+    request->first_us = at_us;
+  else
+    {
+      count_gap (&outcome_of_class (fleet, request)->gaps, gap_us);
+      count_gap (&fleet->results->organisations[request->organisation].gaps,
+                 gap_us);
+      if (request->stalled)
+        {
+          request->stall_us += gap_us;
+          request->noted_us += gap_us;
+        }
+    }
+  request->stalled = false;
+  request->last_us = at_us;
+  if (fleet->play->dispatch != DISPATCH_DECISIONS
+      || (request->made_tokens > 1
+          && request->made_tokens < request->noted_tokens + NOTE_TOKENS))
+    return;
+  if (request->noted_tokens != 0)
+    csp_note_gaps (
+        fleet->hosts[host_of_engine (fleet, request->engine)].health,
+        request->engine, request->made_tokens - request->noted_tokens,
+        (double)(at_us - request->noted_us) / 1000
+            / (request->made_tokens - request->noted_tokens));
+  request->noted_tokens = request->made_tokens;
+  request->noted_us = at_us;
+  csp_note_tokens (fleet->ledgers[request->engine], request->handle,
+                   request->made_tokens, fleet_now_ms (fleet));
+}
+
+static void
+on_ended (void *state, request_t *request, int64_t at_us)
+{
+  fleet_t *fleet = state;
+  csp_ledger_t *ledger;
+
+  request->phase = REQUEST_DONE;
+  request->end_us = at_us;
+  if (fleet->play->dispatch != DISPATCH_DECISIONS)
+    return;
+  ledger = fleet->ledgers[request->engine];
+  csp_note_tokens (ledger, request->handle, request->made_tokens,
+                   fleet_now_ms (fleet));
+  csp_remove_stream (ledger, request->handle, CSP_LENGTH_FINISHED,
+                     fleet_now_ms (fleet));
+  csp_settle_waiting (fleet->hosts[request->host].queue,
+                      fleet->play->no_fairness ? 0 : request->organisation,
+                      request->charged_tokens,
+                      request->prompt_tokens + request->made_tokens,
+                      fleet_now_ms (fleet));
+}
+
+static void
+lose_engine (fleet_t *fleet, uint32_t index)
+{
+  engine_t *engine = &fleet->engines[index];
+  request_t *request;
+
+  engine->dead = true;
+  engine->stepping = false;
+  while (engine->running_count != 0 || engine->waiting != NULL)
+    {
+      request
+          = engine->running_count != 0 ? engine->running[0] : engine->waiting;
+      cancel_request (engine, request);
+      request->phase = REQUEST_LOST;
+      if (fleet->play->dispatch != DISPATCH_DECISIONS)
+        continue;
+      csp_remove_stream (fleet->ledgers[index], request->handle,
+                         CSP_LENGTH_CUT, fleet_now_ms (fleet));
+      csp_settle_waiting (fleet->hosts[request->host].queue,
+                          request->organisation, request->charged_tokens,
+                          request->prompt_tokens + request->made_tokens,
+                          fleet_now_ms (fleet));
+    }
+}
+
+static void
+tick (fleet_t *fleet)
+{
+  const play_t *play = fleet->play;
+  uint32_t i;
+
+  if (play->lost_until_us != 0)
+    {
+      engine_t *engine = &fleet->engines[play->slow_engine];
+
+      if (!engine->dead && fleet->now_us >= play->lost_from_us
+          && fleet->now_us < play->lost_until_us)
+        lose_engine (fleet, play->slow_engine);
+      if (engine->dead && fleet->now_us >= play->lost_until_us)
+        engine->dead = false;
+    }
+  if (play->dispatch != DISPATCH_DECISIONS)
+    {
+      leave_engine_queues (fleet);
+      if (play->dispatch >= DISPATCH_FIRST_COME)
+        pump_fifo (fleet);
+      return;
+    }
+  if (fleet->now_us % REPORT_US == 0)
+    {
+      take_reports (fleet);
+      weigh_engines (fleet);
+    }
+  for (i = 0; i < play->hosts; i++)
+    {
+      expire_host (fleet, &fleet->hosts[i]);
+      pump_host (fleet, i);
+    }
+}
+
+static void
+step_engine (fleet_t *fleet, uint32_t index)
+{
+  engine_events_t events = { on_token, on_ended, fleet };
+  engine_t *engine = &fleet->engines[index];
+  uint32_t before = engine->running_count;
+
+  finish_step (engine, fleet->now_us, &events);
+  if (engine->running_count < before)
+    {
+      if (fleet->play->dispatch == DISPATCH_DECISIONS)
+        pump_host (fleet, host_of_engine (fleet, index));
+      else if (fleet->play->dispatch >= DISPATCH_FIRST_COME)
+        pump_fifo (fleet);
+    }
+  start_step (engine, fleet->now_us);
+}
+
+static void
+set_up_hosts (fleet_t *fleet)
+{
+  csp_length_policy_t lengths = csp_default_length_policy ();
+  csp_health_policy_t health = csp_default_health_policy ();
+  uint64_t memory = 0;
+  uint32_t i;
+  uint32_t j;
+  host_t *host;
+
+  if (fleet->play->no_learning)
+    lengths.start_weight = 1e12;
+  for (i = 0; i < fleet->play->hosts; i++)
+    {
+      host = &fleet->hosts[i];
+      host->lengths = csp_create_lengths (&lengths);
+      host->queue = csp_create_queue (&fleet->play->queue);
+      host->health = csp_create_health (&health, fleet->engine_count);
+      for (j = 0; j < CLASS_COUNT; j++)
+        host->keys[j]
+            = csp_find_length_key (host->lengths, "m", class_names[j]);
+      for (j = 0; j < ORGANISATIONS; j++)
+        csp_set_weight (host->queue, j, 1);
+      memory = 0;
+      for (j = i; j < fleet->engine_count; j += fleet->play->hosts)
+        memory += default_engine_shape ().memory_tokens;
+      csp_set_capacity (host->queue, memory);
+    }
+}
+
+static void
+set_up (fleet_t *fleet)
+{
+  uint32_t i;
+
+  fleet->engines = calloc (fleet->engine_count, sizeof *fleet->engines);
+  fleet->ledgers = calloc (fleet->engine_count, sizeof (csp_ledger_t *));
+  fleet->reports = calloc (fleet->engine_count, sizeof *fleet->reports);
+  fleet->prefixes = calloc (fleet->engine_count, sizeof *fleet->prefixes);
+  fleet->fifo = calloc (fleet->request_count + 1, sizeof (request_t *));
+  csp_seed_random (&fleet->random, 11);
+  set_up_hosts (fleet);
+  for (i = 0; i < fleet->engine_count; i++)
+    {
+      fleet->engines[i].shape = default_engine_shape ();
+      fleet->engines[i].slowness = 1;
+      fleet->ledgers[i] = csp_create_ledger (
+          &fleet->play->admission,
+          fleet->hosts[host_of_engine (fleet, i)].lengths);
+    }
+  if (fleet->play->lost_until_us == 0)
+    fleet->engines[fleet->play->slow_engine].slowness
+        = fleet->play->slow_factor;
+}
+
+static void
+tear_down (fleet_t *fleet)
+{
+  uint32_t i;
+
+  for (i = 0; i < fleet->engine_count; i++)
+    csp_destroy_ledger (fleet->ledgers[i]);
+  for (i = 0; i < fleet->play->hosts; i++)
+    {
+      csp_destroy_queue (fleet->hosts[i].queue);
+      csp_destroy_health (fleet->hosts[i].health);
+      csp_destroy_lengths (fleet->hosts[i].lengths);
+    }
+  free (fleet->engines);
+  free (fleet->ledgers);
+  free (fleet->reports);
+  free (fleet->prefixes);
+  free (fleet->fifo);
+  free (fleet->requests);
+}
+
+/* The engine whose step ends first.  A scan is enough for tens of engines;
+   hundreds keep the ends in blocks of the square root.  */
+enum
+{
+  BLOCK = 20
+};
+
+typedef struct
+{
+  int64_t least_us[64];
+  uint32_t index[64];
+} blocks_t;
+
+static void
+scan_block (const fleet_t *fleet, blocks_t *blocks, uint32_t block)
+{
+  uint32_t i = block * BLOCK;
+  uint32_t end = i + BLOCK;
+
+  blocks->least_us[block] = INT64_MAX;
+  for (; i < end && i < fleet->engine_count; i++)
+    if (fleet->engines[i].stepping
+        && fleet->engines[i].step_end_us < blocks->least_us[block])
+      {
+        blocks->least_us[block] = fleet->engines[i].step_end_us;
+        blocks->index[block] = i;
+      }
+}
+
+static int64_t
+next_step (const fleet_t *fleet, uint32_t *engine)
+{
+  blocks_t blocks;
+  int64_t least = INT64_MAX;
+  uint32_t i;
+
+  for (i = 0; i * BLOCK < fleet->engine_count; i++)
+    {
+      scan_block (fleet, &blocks, i);
+      if (blocks.least_us[i] < least)
+        {
+          least = blocks.least_us[i];
+          *engine = blocks.index[i];
+        }
+    }
+  return least;
+}
+
+static void
+arrive (fleet_t *fleet, request_t *request)
+{
+  if (fleet->play->dispatch == DISPATCH_DECISIONS)
+    dispatch_decisions (fleet, request);
+  else
+    dispatch_baseline (fleet, request);
+}
+
+void
+play_fleet (const play_t *play, const arrivals_plan_t *plan,
+            results_t *results)
+{
+  fleet_t fleet = { .play = play, .results = results };
+  engine_shape_t shape = default_engine_shape ();
+  int64_t tick_us = 0;
+  int64_t step_us;
+  uint32_t arrived = 0;
+  uint32_t engine = 0;
+
+  memset (results, 0, sizeof *results);
+  results->seconds = (double)plan->duration_us / 1e6;
+  fleet.engine_count = plan->engines;
+  fleet.requests = make_arrivals (plan, &shape, &fleet.request_count);
+  set_up (&fleet);
+  while (tick_us <= plan->duration_us)
+    {
+      step_us = next_step (&fleet, &engine);
+      if (arrived < fleet.request_count
+          && fleet.requests[arrived].arrive_us <= step_us
+          && fleet.requests[arrived].arrive_us <= tick_us)
+        {
+          fleet.now_us = fleet.requests[arrived].arrive_us;
+          arrive (&fleet, &fleet.requests[arrived++]);
+        }
+      else if (step_us <= tick_us)
+        {
+          fleet.now_us = step_us;
+          step_engine (&fleet, engine);
+        }
+      else
+        {
+          fleet.now_us = tick_us;
+          tick (&fleet);
+          tick_us += TICK_US;
+        }
+    }
+  count_outcomes (&fleet);
+  tear_down (&fleet);
+}
