--- a/include/cowslipspoke/membership.h
+++ b/include/cowslipspoke/membership.h
@@ -60,8 +60,8 @@
   CSP_FORGET_MS = 3600000
 };
 
-/* "I have had no round trip with this host for age_ms", said by witness; an
-   empty witness is the sender.  */
+/* "I get no round trip with this host", said by witness age_ms ago; an empty
+   witness is the sender.  */
 typedef struct
 {
   char name[CSP_HOST_NAME_BYTES];
--- a/include/cowslipspoke/ownership.h
+++ b/include/cowslipspoke/ownership.h
@@ -31,6 +31,9 @@
   /* While the report shows load that nobody we hear carries: two owners that
      each keep to half do not overload the target.  */
   CSP_OPEN_FOREIGN = 500,
+  /* Foreign load that no report has shown for this long is gone, also where
+     our own load moves too much to be sure: three mean answers.  */
+  CSP_FOREIGN_MS = 30000,
   /* Without a load report to agree with, each doubling takes this long: the
      mean answer of the planned load.  */
   CSP_OPEN_STEP_MS = 10000,
--- a/source/configuration/configuration.c
+++ b/source/configuration/configuration.c
@@ -226,6 +226,11 @@
 
   if (delta->revision < revision)
     return CSP_CONFIG_STALE;
+  /* A watch behind a refused revision ended without news.  Taken for a gap,
+     it would make every reader read the whole at each end of a watch.  */
+  if (!delta->full && delta->value_count == 0 && delta->base == delta->revision
+      && delta->revision == configuration->status.refused_revision)
+    return CSP_CONFIG_SAME;
   if (delta->revision == revision)
     return compare_content (configuration, delta);
   return take_newer (configuration, source, delta);
--- a/source/membership/membership-imp.h
+++ b/source/membership/membership-imp.h
@@ -20,8 +20,7 @@
 typedef struct
 {
   char witness[CSP_HOST_NAME_BYTES];
-  int64_t silent_since_ms;
-  int64_t heard_ms;
+  int64_t said_ms;
 } csp_witness_t;
 
 typedef struct
--- a/source/membership/membership-judge.c
+++ b/source/membership/membership-judge.c
@@ -3,6 +3,12 @@
 #include <stdio.h>
 #include <string.h>
 
+enum
+{
+  /* One host alone may have a broken link of its own; two seldom do.  */
+  LARGE_WITNESSES = 2
+};
+
 int64_t
 csp_heartbeat_interval_ms (const csp_membership_t *membership)
 {
@@ -58,7 +64,7 @@
   size_t i;
 
   for (i = peer->witness_count; i-- > 0;)
-    if (now_ms - peer->witnesses[i].heard_ms >= CSP_SUSPECT_MS)
+    if (now_ms - peer->witnesses[i].said_ms >= CSP_SUSPECT_MS)
       peer->witnesses[i] = peer->witnesses[--peer->witness_count];
 }
 
@@ -73,12 +79,17 @@
     if (strcmp (peer->witnesses[i].witness, name) == 0)
       witness = &peer->witnesses[i];
   if (witness == NULL && peer->witness_count < CSP_WITNESSES)
-    witness = &peer->witnesses[peer->witness_count++];
+    {
+      witness = &peer->witnesses[peer->witness_count++];
+      witness->said_ms = 0;
+    }
   if (witness == NULL)
     return;
   snprintf (witness->witness, sizeof witness->witness, "%s", name);
-  witness->silent_since_ms = now_ms - age_ms;
-  witness->heard_ms = now_ms;
+  /* Words that are passed on keep their age, or they would go round for ever
+     after the witness took them back.  */
+  if (witness->said_ms < now_ms - age_ms)
+    witness->said_ms = now_ms - age_ms;
 }
 
 /* What third hosts say is only ever used to decide whether a host that we
@@ -95,8 +106,11 @@
     {
       suspect = &heard->suspects[i];
       peer = csp_find_peer (membership, suspect->name);
-      if (peer == NULL || peer->view.self || !peer->local
-          || peer->view.incarnation != suspect->incarnation
+      if (peer == NULL || peer->view.self
+          || !peer->local
+          /* A host that we never heard ourselves has none yet.  */
+          || (peer->view.incarnation != 0
+              && peer->view.incarnation != suspect->incarnation)
           || strcmp (suspect->witness, membership->self->view.name) == 0)
         continue;
       note_witness (
@@ -150,11 +164,10 @@
       if (peer->view.self)
         continue;
       if (is_silent_here (membership, peer, now_ms))
-        add_suspect (said, peer, "", now_ms - peer->silence_base_ms);
+        add_suspect (said, peer, "", 0);
       for (w = 0; membership->large && w < peer->witness_count; w++)
-        if (now_ms - peer->witnesses[w].heard_ms < CSP_HEARTBEAT_MS)
-          add_suspect (said, peer, peer->witnesses[w].witness,
-                       now_ms - peer->witnesses[w].silent_since_ms);
+        add_suspect (said, peer, peer->witnesses[w].witness,
+                     now_ms - peer->witnesses[w].said_ms);
     }
 }
 
@@ -185,7 +198,10 @@
   for (i = 0; i < about->witness_count; i++)
     {
       peer = csp_find_peer (membership, about->witnesses[i].witness);
-      count += peer != NULL && peer->view.liveness == CSP_PEER_ALIVE;
+      count += peer != NULL
+               && (peer->view.liveness == CSP_PEER_ALIVE
+                   || (membership->large
+                       && peer->view.liveness == CSP_PEER_CUT));
     }
   return count;
 }
@@ -202,7 +218,9 @@
   size_t against = 1 + count_witnesses (membership, peer);
   int64_t silent_ms = now_ms - peer->silence_base_ms;
 
-  if (2 * against > count_voters (membership, peer))
+  /* In a large data centre only its own neighbours can tell.  */
+  if (membership->large ? against >= LARGE_WITNESSES
+                        : 2 * against > count_voters (membership, peer))
     return CSP_PEER_SILENT;
   if (!csp_in_view (peer, now_ms)
       && silent_ms
@@ -220,7 +238,7 @@
   bool heard = peer->heard_ms > 0
                && now_ms - peer->heard_ms < csp_silent_after_ms (membership);
 
-  if (count_witnesses (membership, peer) >= 2)
+  if (count_witnesses (membership, peer) >= LARGE_WITNESSES)
     return CSP_PEER_SILENT;
   return peer->view.listed || heard ? CSP_PEER_CUT : CSP_PEER_SILENT;
 }
--- a/source/ownership/ownership-imp.h
+++ b/source/ownership/ownership-imp.h
@@ -36,14 +36,20 @@
   uint32_t opening;
   int64_t closed_ms;
   int64_t stepped_ms;
-  /* Reports in a row that agreed, or that showed foreign load.  */
+  /* Reports in a row that agreed, that showed foreign load, and that showed
+     none.  Two of the last kind make the target foreign or not.  */
   uint32_t agreeing;
   uint32_t disagreeing;
+  uint32_t clean;
+  bool foreign;
+  int64_t foreign_ms;
   bool has_report;
   int64_t used_tokens;
   int64_t capacity_tokens;
-  /* What the last report shows beyond our own, at least.  */
-  int64_t others_tokens;
+  /* What the last report shows beyond our own: what we carried when it was
+     made is only known within what we carried over its lag.  */
+  int64_t others_least;
+  int64_t others_most;
   int64_t peer_tokens;
   int64_t carried_tokens;
   uint32_t carried_streams;
--- a/source/ownership/ownership-open.c
+++ b/source/ownership/ownership-open.c
@@ -17,15 +17,18 @@
   target->closed_ms = now_ms;
   target->agreeing = 0;
   target->disagreeing = 0;
+  target->clean = 0;
+  target->foreign = false;
   target->has_report = false;
-  target->others_tokens = 0;
+  target->others_least = 0;
+  target->others_most = 0;
   memset (target->carries, 0, CSP_MAX_OWNERS * sizeof *target->carries);
 }
 
 static uint32_t
 opening_limit (const csp_target_t *target)
 {
-  return target->disagreeing >= 2 ? CSP_OPEN_FOREIGN : CSP_OPEN_FULL;
+  return target->foreign ? CSP_OPEN_FOREIGN : CSP_OPEN_FULL;
 }
 
 static void
@@ -84,8 +87,8 @@
 int64_t
 csp_foreign_tokens (const csp_target_t *target)
 {
-  return target->others_tokens > target->peer_tokens
-             ? target->others_tokens - target->peer_tokens
+  return target->others_least > target->peer_tokens
+             ? target->others_least - target->peer_tokens
              : 0;
 }
 
@@ -166,6 +169,32 @@
     }
 }
 
+static int64_t
+positive (int64_t tokens)
+{
+  return tokens > 0 ? tokens : 0;
+}
+
+/* Load that nobody we hear carries is believed when the least it can be is
+   there twice.  It is believed gone when the most it can be is: an owner that
+   drains would otherwise take its own falling load for the other's, open,
+   and drain again, with the target at one and a half times its capacity.  */
+static void
+judge_foreign (csp_target_t *target, int64_t tolerance, int64_t now_ms)
+{
+  int64_t known = target->peer_tokens + tolerance;
+
+  target->disagreeing
+      = target->others_least > known ? target->disagreeing + 1 : 0;
+  target->clean = target->others_most <= known ? target->clean + 1 : 0;
+  if (target->disagreeing > 0)
+    target->foreign_ms = now_ms;
+  if (target->disagreeing >= 2)
+    target->foreign = true;
+  if (target->clean >= 2 || now_ms - target->foreign_ms >= CSP_FOREIGN_MS)
+    target->foreign = false;
+}
+
 static void
 judge_report (csp_target_t *target, int64_t now_ms)
 {
@@ -175,21 +204,14 @@
   int64_t most;
 
   find_carried_range (target, now_ms, &least, &most);
-  target->others_tokens
-      = target->used_tokens > most ? target->used_tokens - most : 0;
-  least += target->peer_tokens - tolerance;
-  if (target->others_tokens > target->peer_tokens + tolerance)
-    {
-      target->agreeing = 0;
-      target->disagreeing++;
-      return;
-    }
-  /* Foreign load must be gone twice before it is believed gone.  */
-  target->agreeing++;
-  if (target->agreeing >= 2)
-    target->disagreeing = 0;
-  if (target->used_tokens < least)
+  target->others_least = positive (target->used_tokens - most);
+  target->others_most = positive (target->used_tokens - least);
+  judge_foreign (target, tolerance, now_ms);
+  if (target->disagreeing > 0
+      || target->used_tokens < least + target->peer_tokens - tolerance)
     target->agreeing = 0;
+  else
+    target->agreeing++;
 }
 
 void
@@ -249,8 +271,9 @@
     return 0;
   /* Whichever is more: a peer that fell silent says nothing any more, but its
      streams still show in the report.  */
-  others = target->peer_tokens > target->others_tokens ? target->peer_tokens
-                                                       : target->others_tokens;
+  others = target->foreign ? target->others_most : target->others_least;
+  if (others < target->peer_tokens)
+    others = target->peer_tokens;
   room = target->capacity_tokens * target->opening / CSP_OPEN_FULL;
   if (room > target->capacity_tokens - others)
     room = target->capacity_tokens - others;
--- a/source/ownership/ownership-targets.c
+++ b/source/ownership/ownership-targets.c
@@ -273,7 +273,7 @@
       status->closed += target->state == CSP_OWN_CLOSED;
       status->opening += target->state == CSP_OWN_OPENING;
       status->leaving += target->state == CSP_OWN_LEAVING;
-      status->foreign += csp_is_ours (target) && target->disagreeing >= 2;
+      status->foreign += csp_is_ours (target) && target->foreign;
     }
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -149,6 +149,13 @@
 csp_peer_liveness_t fleet_liveness (const fleet_t *fleet, size_t from,
                                     size_t of);
 
+/* Two random faults at a time, rounds times, then mend everything.  With cuts
+   links are cut and the service goes away as well.  */
+void fleet_break_things (fleet_t *fleet, size_t rounds, bool cuts);
+/* Run until every target has exactly one host that grants; how long it took,
+   -1 if it did not.  */
+int64_t fleet_time_to_one_owner (fleet_t *fleet, int64_t limit_ms);
+
 /* Parts of the harness.  */
 void fleet_tick_platform (fleet_t *fleet, fleet_node_t *node);
 void fleet_tick_load (fleet_t *fleet);
