Preemption, retry budget, limits and shifting as pure decisions

Change: one slice and header for each, with tables of cases; preemption counts what is in memory now as well as what is expected, which a test showed missing. Measured: tests pass plain and under address,undefined.

--- a/bench/engine-model.h
+++ b/bench/engine-model.h
@@ -48,6 +48,7 @@
   uint32_t made_tokens;
   uint32_t prefill_left;
   uint32_t preempted;
+  uint8_t given_way;
   bool stalled;
   bool decoding;
   uint32_t host;
--- a/bench/fleet-decisions.c
+++ b/bench/fleet-decisions.c
@@ -8,7 +8,9 @@
       = { .id = request->id,
           .length_key = fleet->hosts[host].keys[request->class_index],
           .prompt_tokens = request->prompt_tokens,
-          .priority = request->priority };
+          .priority = request->priority,
+          .given_way = request->given_way,
+          .repeatable = true };
 
   return stream;
 }
@@ -61,10 +63,12 @@
 describe_engine (fleet_t *fleet, const request_t *request, uint32_t host,
                  uint32_t engine, csp_candidate_t *candidate)
 {
+  csp_shift_policy_t shift = csp_default_shift_policy ();
   csp_health_t *health = fleet->hosts[host].health;
 
   candidate->ledger = fleet->ledgers[engine];
-  candidate->open = 1;
+  candidate->open = csp_move_shift (&fleet->shifts[engine], &shift, true,
+                                    fleet_now_ms (fleet));
   candidate->slowness = 1;
   candidate->cached_tokens = 0;
   if (!fleet->play->no_prefixes)
@@ -74,7 +78,7 @@
     candidate->cached_tokens = request->prefix_tokens;
   if (fleet->play->no_health)
     return;
-  candidate->open = csp_health_open (health, engine);
+  candidate->open *= csp_health_open (health, engine);
   candidate->slowness = csp_health_slowness (health, engine);
   if (csp_take_probe (health, engine,
                       csp_ledger_streams (fleet->ledgers[engine]),
@@ -137,6 +141,71 @@
   return choose_engine (fleet, request, indices[i], chosen);
 }
 
+static csp_waiting_t
+describe_waiting (const fleet_t *fleet, const request_t *request)
+{
+  const host_t *host = &fleet->hosts[request->host];
+  csp_waiting_t waiting
+      = { .id = request->id,
+          .organisation = fleet->play->no_fairness ? 0 : request->organisation,
+          .priority = request->priority,
+          .start_by_ms = 1000 + request->start_by_us / 1000 };
+
+  waiting.cost_tokens
+      = request->prompt_tokens
+        + (uint32_t)csp_expect_tokens_left (
+            host->lengths, host->keys[request->class_index], 0);
+  return waiting;
+}
+
+/* Streams without a token go back to the queue before their engine must
+   preempt.  */
+static void
+take_back (fleet_t *fleet, uint32_t engine)
+{
+  csp_preemption_policy_t policy = csp_default_preemption_policy ();
+  uint32_t handles[MOST_VICTIMS];
+  csp_stream_state_t state;
+  csp_waiting_t waiting;
+  csp_error_t error;
+  request_t *request;
+  uint32_t count;
+  uint32_t i;
+
+  count = csp_choose_victims (&policy, fleet->ledgers[engine],
+                              fleet_now_ms (fleet), handles, MOST_VICTIMS);
+  for (i = 0; i < count; i++)
+    {
+      if (!csp_ledger_stream (fleet->ledgers[engine], handles[i], &state))
+        continue;
+      request = &fleet->requests[state.stream.id - 1];
+      cancel_request (&fleet->engines[engine], request);
+      csp_remove_stream (fleet->ledgers[engine], handles[i], CSP_LENGTH_CUT,
+                         fleet_now_ms (fleet));
+      csp_settle_waiting (fleet->hosts[request->host].queue,
+                          request->organisation, request->charged_tokens, 0,
+                          fleet_now_ms (fleet));
+      request->given_way++;
+      request->phase = REQUEST_GIVEN_UP;
+      waiting = describe_waiting (fleet, request);
+      if (csp_push_waiting (fleet->hosts[request->host].queue, &waiting,
+                            fleet_now_ms (fleet), &error))
+        request->phase = REQUEST_WAITING;
+    }
+}
+
+void
+take_back_streams (fleet_t *fleet)
+{
+  uint32_t i;
+
+  if (fleet->play->no_preemption)
+    return;
+  for (i = 0; i < fleet->engine_count; i++)
+    if (!fleet->engines[i].dead)
+      take_back (fleet, i);
+}
+
 static uint64_t
 host_free_tokens (const fleet_t *fleet, uint32_t host)
 {
@@ -144,17 +213,22 @@
   uint32_t i;
 
   for (i = host; i < fleet->engine_count; i += fleet->play->hosts)
-    if (fleet->engines[i].dead)
-      continue;
-    else if (fleet->play->no_admission)
-      total += default_engine_shape ().memory_tokens
-               - csp_ledger_used_tokens (fleet->ledgers[i]);
-    else
+    if (!fleet->engines[i].dead)
       total += csp_ledger_headroom_tokens (fleet->ledgers[i], CSP_PRIORITY_MAX,
                                            fleet_now_ms (fleet));
   return total;
 }
 
+static bool
+may_borrow (const fleet_t *fleet, uint32_t host, uint32_t cost_tokens)
+{
+  uint64_t kept = csp_queue_kept_tokens (fleet->hosts[host].queue);
+
+  if (fleet->play->no_admission)
+    return true;
+  return host_free_tokens (fleet, host) >= kept + cost_tokens;
+}
+
 void
 pump_host (fleet_t *fleet, uint32_t index)
 {
@@ -168,9 +242,7 @@
   while (csp_next_waiting (host->queue, &waiting, &borrowing))
     {
       request = &fleet->requests[waiting.id - 1];
-      if (borrowing
-          && host_free_tokens (fleet, index)
-                 < csp_queue_kept_tokens (host->queue) + waiting.cost_tokens)
+      if (borrowing && !may_borrow (fleet, index, waiting.cost_tokens))
         {
           csp_skip_waiting (host->queue);
           continue;
@@ -190,26 +262,15 @@
 void
 dispatch_decisions (fleet_t *fleet, request_t *request)
 {
-  host_t *host;
-  csp_waiting_t waiting = { .id = request->id,
-                            .organisation = request->organisation,
-                            .priority = request->priority };
+  csp_waiting_t waiting;
   csp_error_t error;
 
   request->host = csp_random_below (&fleet->random, fleet->play->hosts);
-  host = &fleet->hosts[request->host];
-  waiting.cost_tokens
-      = request->prompt_tokens
-        + (uint32_t)csp_expect_tokens_left (
-            host->lengths, host->keys[request->class_index], 0);
-  waiting.start_by_ms = 1000 + request->start_by_us / 1000;
-  if (fleet->play->no_fairness)
-    waiting.organisation = 0;
-  if (!csp_push_waiting (host->queue, &waiting, fleet_now_ms (fleet), &error))
-    {
-      request->phase = REQUEST_REFUSED;
-      return;
-    }
+  waiting = describe_waiting (fleet, request);
+  request->phase = REQUEST_REFUSED;
+  if (!csp_push_waiting (fleet->hosts[request->host].queue, &waiting,
+                         fleet_now_ms (fleet), &error))
+    return;
   request->phase = REQUEST_WAITING;
   pump_host (fleet, request->host);
 }
--- a/bench/fleet-imp.h
+++ b/bench/fleet-imp.h
@@ -5,7 +5,9 @@
 
 #include "cowslipspoke/health.h"
 #include "cowslipspoke/placement.h"
+#include "cowslipspoke/preemption.h"
 #include "cowslipspoke/random.h"
+#include "cowslipspoke/shift.h"
 
 enum
 {
@@ -14,7 +16,8 @@
   NOTE_TOKENS = 16,
   MOST_HOSTS = 32,
   REPORT_RING = 8,
-  MOST_ENGINES = 1024
+  MOST_ENGINES = 1024,
+  MOST_VICTIMS = 16
 };
 
 /* One host: the requests that came to it, and the engines that it owns.  */
@@ -34,6 +37,7 @@
   csp_ledger_t **ledgers;
   csp_load_report_t (*reports)[REPORT_RING];
   csp_prefixes_t *prefixes;
+  csp_shift_t *shifts;
   uint32_t engine_count;
   host_t hosts[MOST_HOSTS];
   request_t *requests;
@@ -64,6 +68,7 @@
 void dispatch_decisions (fleet_t *fleet, request_t *request);
 void expire_host (fleet_t *fleet, host_t *host);
 void take_reports (fleet_t *fleet);
+void take_back_streams (fleet_t *fleet);
 void weigh_engines (fleet_t *fleet);
 
 void count_outcomes (fleet_t *fleet);
--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -147,6 +147,17 @@
     }
 }
 
+static void
+return_engine (fleet_t *fleet, uint32_t index)
+{
+  csp_shift_policy_t policy = csp_default_shift_policy ();
+
+  fleet->engines[index].dead = false;
+  csp_forget_prefixes (&fleet->prefixes[index]);
+  if (!fleet->play->no_shift)
+    csp_start_shift (&fleet->shifts[index], &policy, fleet_now_ms (fleet));
+}
+
 static void
 tick (fleet_t *fleet)
 {
@@ -161,7 +172,7 @@
           && fleet->now_us < play->lost_until_us)
         lose_engine (fleet, play->slow_engine);
       if (engine->dead && fleet->now_us >= play->lost_until_us)
-        engine->dead = false;
+        return_engine (fleet, play->slow_engine);
     }
   if (play->dispatch != DISPATCH_DECISIONS)
     {
@@ -175,6 +186,7 @@
       take_reports (fleet);
       weigh_engines (fleet);
     }
+  take_back_streams (fleet);
   for (i = 0; i < play->hosts; i++)
     {
       expire_host (fleet, &fleet->hosts[i]);
@@ -239,6 +251,7 @@
   fleet->ledgers = calloc (fleet->engine_count, sizeof (csp_ledger_t *));
   fleet->reports = calloc (fleet->engine_count, sizeof *fleet->reports);
   fleet->prefixes = calloc (fleet->engine_count, sizeof *fleet->prefixes);
+  fleet->shifts = calloc (fleet->engine_count, sizeof *fleet->shifts);
   fleet->fifo = calloc (fleet->request_count + 1, sizeof (request_t *));
   csp_seed_random (&fleet->random, 11);
   set_up_hosts (fleet);
@@ -246,6 +259,7 @@
     {
       fleet->engines[i].shape = default_engine_shape ();
       fleet->engines[i].slowness = 1;
+      csp_open_shift (&fleet->shifts[i]);
       fleet->ledgers[i] = csp_create_ledger (
           &fleet->play->admission,
           fleet->hosts[host_of_engine (fleet, i)].lengths);
@@ -272,6 +286,7 @@
   free (fleet->ledgers);
   free (fleet->reports);
   free (fleet->prefixes);
+  free (fleet->shifts);
   free (fleet->fifo);
   free (fleet->requests);
 }
@@ -346,7 +361,7 @@
 
   memset (results, 0, sizeof *results);
   results->seconds = (double)plan->duration_us / 1e6;
-  fleet.engine_count = plan->engines;
+  fleet.engine_count = play->engines ? play->engines : plan->engines;
   fleet.requests = make_arrivals (plan, &shape, &fleet.request_count);
   set_up (&fleet);
   while (tick_us <= plan->duration_us)
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -29,6 +29,7 @@
 {
   dispatch_t dispatch;
   uint32_t fixed_streams;
+  uint32_t engines;
   uint32_t hosts;
   csp_admission_policy_t admission;
   csp_queue_policy_t queue;
@@ -39,7 +40,8 @@
   bool no_placement;
   bool no_prefixes;
   bool no_health;
-  bool no_lending;
+  bool no_preemption;
+  bool no_shift;
   int64_t report_lag_us;
   double slow_factor;
   uint32_t slow_engine;
@@ -68,7 +70,7 @@
   uint64_t started_preempted;
   double stall_s;
   uint64_t tokens;
-  uint64_t admitted_late;
+  uint64_t given_way;
   gaps_t gaps;
   double *first_s;
   double *wait_s;
--- a/bench/results.c
+++ b/bench/results.c
@@ -84,6 +84,7 @@
   outcome->given_up += request->phase == REQUEST_GIVEN_UP;
   outcome->lost += request->phase == REQUEST_LOST;
   outcome->preemptions += request->preempted;
+  outcome->given_way += request->given_way;
   outcome->preempted += request->preempted != 0;
   outcome->stall_s += (double)request->stall_us / 1e6;
   outcome->tokens += request->made_tokens;
--- a/include/cowslipspoke/admission.h
+++ b/include/cowslipspoke/admission.h
@@ -67,7 +67,8 @@
 
 /* A stream that asks to be let in, or is in.  max_tokens is the caller's
    bound on the answer, 0 for none.  reserve_tokens is memory that must stay
-   free besides (what the queue keeps from borrowers), 0 for none.  */
+   free besides, 0 for none.  repeatable: it may be taken back while it has
+   made no token; given_way: how often that happened to it.  */
 typedef struct
 {
   uint64_t id;
@@ -76,6 +77,7 @@
   uint32_t max_tokens;
   uint32_t reserve_tokens;
   uint8_t priority;
+  uint8_t given_way;
   bool repeatable;
 } csp_stream_t;
 
--- a/include/cowslipspoke/placement.h
+++ b/include/cowslipspoke/placement.h
@@ -54,6 +54,14 @@
                         const csp_stream_t *stream, int64_t now_ms,
                         uint32_t *chosen);
 
+/* Whether a request of an organisation that borrows may be let in: the
+   candidates together keep kept_tokens (csp_queue_kept_tokens) free beside
+   its cost.  Over all of them and not on each, as what comes back needs one
+   place and not a bit everywhere.  */
+bool csp_may_borrow (const csp_candidate_t *candidates, uint32_t count,
+                     uint64_t kept_tokens, uint32_t cost_tokens,
+                     int64_t now_ms);
+
 /* What a peer said of itself some time ago.  */
 typedef struct
 {
--- a/source/admission/admission-decide.c
+++ b/source/admission/admission-decide.c
@@ -35,10 +35,9 @@
 void
 csp_note_preemption (csp_ledger_t *ledger, int64_t now_ms)
 {
-  ledger->pressure
-      = fmin (ledger->pressure * pressure_fade (ledger, now_ms)
-                  + ledger->policy.pressure_step,
-              pressure_most);
+  ledger->pressure = fmin (ledger->pressure * pressure_fade (ledger, now_ms)
+                               + ledger->policy.pressure_step,
+                           pressure_most);
   ledger->pressure_ms = now_ms;
 }
 
--- a/source/placement/placement-target.c
+++ b/source/placement/placement-target.c
@@ -54,6 +54,21 @@
   return least < DBL_MAX;
 }
 
+bool
+csp_may_borrow (const csp_candidate_t *candidates, uint32_t count,
+                uint64_t kept_tokens, uint32_t cost_tokens, int64_t now_ms)
+{
+  double need = (double)kept_tokens + cost_tokens;
+  double room = 0;
+  uint32_t i;
+
+  for (i = 0; i < count && room < need; i++)
+    room += candidates[i].open
+            * csp_ledger_headroom_tokens (candidates[i].ledger,
+                                          CSP_PRIORITY_MAX, now_ms);
+  return room >= need;
+}
+
 static bool
 peer_has_room (const csp_placement_policy_t *policy,
                const csp_peer_load_t *peer, uint32_t cost_tokens)
--- /dev/null
+++ b/source/preemption/preemption.c
@@ -0,0 +1,120 @@
+#include "admission/ledger-imp.h"
+#include "cowslipspoke/preemption.h"
+
+csp_preemption_policy_t
+csp_default_preemption_policy (void)
+{
+  csp_preemption_policy_t policy
+      = { .ahead_tokens = 32, .full_share = 1.0, .most_times = 2 };
+
+  return policy;
+}
+
+uint8_t
+csp_engine_priority (const csp_stream_t *stream)
+{
+  uint32_t priority = (uint32_t)stream->priority + stream->given_way;
+
+  return (uint8_t)(priority < CSP_PRIORITY_MAX ? priority : CSP_PRIORITY_MAX);
+}
+
+/* The most that is expected up to ahead_tokens; what is there now counts, as
+   the engine must not wait for some of it to end.  */
+static double
+expect_most (const csp_preemption_policy_t *policy, const csp_ledger_t *ledger)
+{
+  double most = 0;
+  uint32_t i;
+
+  for (i = 0;
+       i < CSP_LEDGER_HORIZONS && csp_ledger_ahead[i] <= policy->ahead_tokens;
+       i++)
+    if (ledger->mean[i] > most)
+      most = ledger->mean[i];
+  return most;
+}
+
+uint32_t
+csp_expect_overrun (const csp_preemption_policy_t *policy,
+                    const csp_ledger_t *ledger, int64_t now_ms)
+{
+  double full = policy->full_share * csp_ledger_memory_tokens (ledger, now_ms);
+  double need = expect_most (policy, ledger);
+
+  if (!ledger->reported || need <= full)
+    return 0;
+  return (uint32_t)(need - full) + 1;
+}
+
+static bool
+may_give_way (const csp_preemption_policy_t *policy,
+              const csp_stream_state_t *state)
+{
+  return state->made_tokens == 0 && state->stream.repeatable
+         && state->stream.given_way < policy->most_times;
+}
+
+static bool
+gives_way_before (const csp_stream_t *one, const csp_stream_t *other)
+{
+  if (one->priority != other->priority)
+    return one->priority < other->priority;
+  if (one->given_way != other->given_way)
+    return one->given_way < other->given_way;
+  return one->prompt_tokens < other->prompt_tokens;
+}
+
+static bool
+is_chosen (const uint32_t *handles, uint32_t count, uint32_t handle)
+{
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    if (handles[i] == handle)
+      return true;
+  return false;
+}
+
+static uint32_t
+find_next_victim (const csp_preemption_policy_t *policy,
+                  const csp_ledger_t *ledger, const uint32_t *handles,
+                  uint32_t count)
+{
+  uint32_t best = NO_HANDLE;
+  const slot_t *slot;
+  uint32_t i;
+
+  for (i = 0; i < ledger->slot_count; i++)
+    {
+      slot = &ledger->slots[i];
+      if (!slot->open || !may_give_way (policy, &slot->state)
+          || is_chosen (handles, count, i))
+        continue;
+      if (best == NO_HANDLE
+          || gives_way_before (&slot->state.stream,
+                               &ledger->slots[best].state.stream))
+        best = i;
+    }
+  return best;
+}
+
+uint32_t
+csp_choose_victims (const csp_preemption_policy_t *policy,
+                    const csp_ledger_t *ledger, int64_t now_ms,
+                    uint32_t *handles, uint32_t most)
+{
+  uint32_t overrun = csp_expect_overrun (policy, ledger, now_ms);
+  uint32_t freed = 0;
+  uint32_t count = 0;
+  uint32_t handle;
+
+  while (freed < overrun && count < most)
+    {
+      handle = find_next_victim (policy, ledger, handles, count);
+      if (handle == NO_HANDLE)
+        break;
+      handles[count++] = handle;
+      freed += ledger->slots[handle].state.stream.prompt_tokens;
+    }
+  return count;
+}
--- /dev/null
+++ b/source/retry/retry.c
@@ -0,0 +1,85 @@
+#include "cowslipspoke/retry.h"
+
+#include <math.h>
+
+/* Above this share of memory a hedge takes room that a first attempt will
+   soon need.  */
+static const double hedge_load = 0.7;
+
+csp_retry_policy_t
+csp_default_retry_policy (void)
+{
+  csp_retry_policy_t policy = { .retry_share = 0.1,
+                                .retry_most = 20,
+                                .hedge_share = 0.02,
+                                .hedge_most = 4,
+                                .most_attempts = 3 };
+
+  return policy;
+}
+
+void
+csp_open_retry_budget (csp_retry_budget_t *budget,
+                       const csp_retry_policy_t *policy)
+{
+  csp_retry_budget_t fresh = { .policy = *policy };
+
+  *budget = fresh;
+}
+
+void
+csp_note_first_attempt (csp_retry_budget_t *budget)
+{
+  const csp_retry_policy_t *policy = &budget->policy;
+
+  budget->first_attempts++;
+  budget->retries
+      = fmin (budget->retries + policy->retry_share, policy->retry_most);
+  budget->hedges
+      = fmin (budget->hedges + policy->hedge_share, policy->hedge_most);
+}
+
+static csp_retry_t
+deny (csp_retry_budget_t *budget, csp_retry_t why)
+{
+  budget->denied++;
+  return why;
+}
+
+csp_retry_t
+csp_decide_retry (csp_retry_budget_t *budget, const csp_retry_facts_t *facts)
+{
+  if (facts->tokens_sent)
+    return deny (budget, CSP_RETRY_TOKENS_SENT);
+  if (!facts->idempotent && facts->verdict != CSP_VERDICT_NOT_RUN)
+    return deny (budget, CSP_RETRY_MAY_HAVE_RUN);
+  if (facts->attempts >= budget->policy.most_attempts)
+    return deny (budget, CSP_RETRY_ATTEMPTS);
+  if (facts->left_ms <= facts->needs_ms)
+    return deny (budget, CSP_RETRY_DEADLINE);
+  if (budget->retries < 1)
+    return deny (budget, CSP_RETRY_BUDGET);
+  budget->retries -= 1;
+  budget->retried++;
+  return CSP_RETRY_YES;
+}
+
+csp_retry_t
+csp_decide_hedge (csp_retry_budget_t *budget, const csp_retry_facts_t *facts)
+{
+  if (facts->tokens_sent)
+    return CSP_RETRY_TOKENS_SENT;
+  if (!facts->idempotent)
+    return CSP_RETRY_MAY_HAVE_RUN;
+  if (facts->attempts >= 2)
+    return CSP_RETRY_ATTEMPTS;
+  if (facts->left_ms <= facts->needs_ms)
+    return CSP_RETRY_DEADLINE;
+  if (facts->waiting != 0 || facts->load > hedge_load)
+    return CSP_RETRY_BUSY;
+  if (budget->hedges < 1)
+    return deny (budget, CSP_RETRY_BUDGET);
+  budget->hedges -= 1;
+  budget->hedged++;
+  return CSP_RETRY_YES;
+}
--- a/tests/admission/admission-test.c
+++ b/tests/admission/admission-test.c
@@ -125,15 +125,15 @@
 static const struct
 {
   uint64_t number;
-  uint32_t used;
   int64_t at_ms;
   int64_t asked_ms;
+  uint32_t used;
   uint32_t memory;
 } report_rows[] = {
-  { 2, 8000, 2000, 2000, MEMORY },          { 2, 0, 2000, 2000, MEMORY },
-  { 2, 20000, 2000, 2000, MEMORY - 12000 }, { 2, 8500, 2000, 2000, MEMORY },
-  { 2, 8000, 2000, 9000, MEMORY * 9 / 10 }, { 1, 20000, 2000, 2000, MEMORY },
-  { 1, 20000, 9000, 9000, MEMORY - 12000 },
+  { 2, 2000, 2000, 8000, MEMORY },          { 2, 2000, 2000, 0, MEMORY },
+  { 2, 2000, 2000, 20000, MEMORY - 12000 }, { 2, 2000, 2000, 8500, MEMORY },
+  { 2, 2000, 9000, 8000, MEMORY * 9 / 10 }, { 1, 2000, 2000, 20000, MEMORY },
+  { 1, 9000, 9000, 20000, MEMORY - 12000 },
 };
 
 START_TEST (reports_are_weighed_against_the_ledger)
--- /dev/null
+++ b/tests/preemption/preemption-test.c
@@ -0,0 +1,158 @@
+#include "cowslipspoke/preemption.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+enum
+{
+  MEMORY = 20000,
+  MOST = 8
+};
+
+static csp_lengths_t *lengths;
+static csp_ledger_t *ledger;
+static csp_preemption_policy_t policy;
+
+static void
+set_up (void)
+{
+  csp_length_policy_t lengths_policy = csp_default_length_policy ();
+  csp_admission_policy_t admission = csp_default_admission_policy ();
+  csp_load_report_t report = { .report = 1, .memory_tokens = MEMORY };
+
+  policy = csp_default_preemption_policy ();
+  lengths = csp_create_lengths (&lengths_policy);
+  ledger = csp_create_ledger (&admission, lengths);
+  csp_take_report (ledger, &report, 1000);
+}
+
+static void
+tear_down (void)
+{
+  csp_destroy_ledger (ledger);
+  csp_destroy_lengths (lengths);
+}
+
+static uint32_t
+hold (uint32_t prompt_tokens, uint32_t made_tokens, uint8_t priority,
+      uint8_t given_way, bool repeatable)
+{
+  csp_stream_t stream = { .prompt_tokens = prompt_tokens,
+                          .priority = priority,
+                          .given_way = given_way,
+                          .repeatable = repeatable };
+
+  return csp_add_stream (ledger, &stream, made_tokens, 1000);
+}
+
+/* Which of two streams gives way on an engine that is over-full: the second
+   in each row, or none.  */
+static const struct
+{
+  const char *name;
+  uint32_t made;
+  uint8_t priority;
+  uint8_t given_way;
+  bool repeatable;
+  uint32_t victims;
+} rows[] = {
+  { "lower priority", 0, 3, 0, true, 1 },
+  { "made tokens", 10, 3, 0, true, 0 },
+  { "not repeatable", 0, 3, 0, false, 0 },
+  { "gave way twice", 0, 3, 2, true, 0 },
+  { "gave way once", 0, 5, 1, true, 0 },
+};
+
+START_TEST (the_one_that_loses_least_gives_way)
+{
+  uint32_t handles[MOST];
+  uint32_t other;
+  uint32_t first;
+  uint32_t count;
+
+  hold (12000, 3000, 5, 0, true);
+  first = hold (4000, 0, 5, 0, true);
+  other = hold (4000, rows[_i].made, rows[_i].priority, rows[_i].given_way,
+                rows[_i].repeatable);
+  ck_assert_uint_gt (csp_expect_overrun (&policy, ledger, 1000), 0);
+  count = csp_choose_victims (&policy, ledger, 1000, handles, MOST);
+  ck_assert_uint_eq (count, 1);
+  ck_assert_msg (handles[0] == (rows[_i].victims ? other : first), "%s",
+                 rows[_i].name);
+}
+END_TEST
+
+/* Editors read all of the answers on an engine that runs over.  None of them
+   is taken back: each would begin again.  */
+START_TEST (what_was_seen_is_never_taken_back)
+{
+  uint32_t handles[MOST];
+
+  hold (12000, 5000, 0, 0, true);
+  hold (4000, 1, 0, 0, true);
+  ck_assert_uint_gt (csp_expect_overrun (&policy, ledger, 1000), 0);
+  ck_assert_uint_eq (csp_choose_victims (&policy, ledger, 1000, handles, MOST),
+                     0);
+}
+END_TEST
+
+START_TEST (nobody_gives_way_with_room)
+{
+  uint32_t handles[MOST];
+
+  hold (9000, 100, 0, 0, true);
+  hold (9000, 0, 0, 0, true);
+  ck_assert_uint_eq (csp_expect_overrun (&policy, ledger, 1000), 0);
+  ck_assert_uint_eq (csp_choose_victims (&policy, ledger, 1000, handles, MOST),
+                     0);
+}
+END_TEST
+
+/* No more streams give way than the overrun needs.  */
+START_TEST (no_more_than_needed)
+{
+  uint32_t handles[MOST];
+  uint32_t i;
+
+  hold (10000, 100, 5, 0, true);
+  for (i = 0; i < 7; i++)
+    hold (2000, 0, 5, 0, true);
+  ck_assert_uint_eq (csp_choose_victims (&policy, ledger, 1000, handles, MOST),
+                     3);
+}
+END_TEST
+
+/* The same stream is not the engine's choice again and again.  */
+START_TEST (giving_way_raises_priority)
+{
+  csp_stream_t stream = { .priority = 8 };
+
+  ck_assert_uint_eq (csp_engine_priority (&stream), 8);
+  stream.given_way = 1;
+  ck_assert_uint_eq (csp_engine_priority (&stream), 9);
+  stream.given_way = 200;
+  ck_assert_uint_eq (csp_engine_priority (&stream), 9);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("preemption");
+  TCase *tcase = tcase_create ("preemption");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_loop_test (tcase, the_one_that_loses_least_gives_way, 0,
+                       sizeof rows / sizeof rows[0]);
+  tcase_add_test (tcase, what_was_seen_is_never_taken_back);
+  tcase_add_test (tcase, nobody_gives_way_with_room);
+  tcase_add_test (tcase, no_more_than_needed);
+  tcase_add_test (tcase, giving_way_raises_priority);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
