--- a/include/cowslipspoke/control.h
+++ b/include/cowslipspoke/control.h
@@ -67,14 +67,22 @@
 typedef struct
 {
   csp_link_end_t end;
+  bool stopped; /* the target has confirmed that it works on it no more */
   uint64_t tokens;
   uint32_t worst_gap_ms;
 } csp_place_outcome_t;
 
-/* Start the control thread and the threads that read the platform.  NULL when
-   memory or threads fail.  */
+/* Start the control thread, the links to peers and the threads that read the
+   platform.  NULL with a message when that fails.  */
 csp_control_t *csp_create_control (const csp_settings_t *settings,
-                                   const csp_clock_t *clock, csp_log_t *log);
+                                   const csp_clock_t *clock, csp_log_t *log,
+                                   char *message, size_t message_bytes);
+
+/* Say to peers that this host leaves, so that they take its targets over. */
+void csp_leave_control (csp_control_t *control);
+
+/* The port that peers reach this host at.  */
+uint16_t csp_control_peer_port (const csp_control_t *control);
 
 /* Stop the threads and free everything.  No traffic thread may use the
    control any more.  NULL is allowed.  */
@@ -88,6 +96,11 @@
 int csp_ask_admission (csp_control_t *control, const csp_admission_ask_t *ask,
                        csp_grant_t *grant, csp_error_t *error);
 
+/* Ask, immediately before a byte leaves, whether a grant still holds.  A
+   thread or host that was paused may believe in one that the owner has given
+   to somebody else since.  False: give the place back and ask anew.  */
+bool csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant);
+
 /* Say how many tokens a stream has made so far.  */
 void csp_note_progress (csp_control_t *control, const csp_grant_t *grant,
                         uint64_t tokens);
--- a/source/declaration/declaration-imp.h
+++ b/source/declaration/declaration-imp.h
@@ -4,6 +4,8 @@
 #include "cowslipspoke/declaration.h"
 #include "fields/fields-imp.h"
 
+#include <stdatomic.h>
+
 /* Kinds of values in the order of their keys.  */
 typedef enum
 {
@@ -85,6 +87,8 @@
 typedef struct
 {
   const char *name;
+  /* Of the item, for faults.  */
+  const char *where;
   const char *note;
   csp_when_t when;
   csp_then_t then;
@@ -100,9 +104,10 @@
 /* One value, parsed.  It is shared by all declarations that have it.  */
 typedef struct
 {
-  int references;
+  atomic_int references;
   csp_kind_t kind;
   char *key;
+  char *where;
   /* Behind the slash of the key.  */
   const char *name;
   char *text;
@@ -138,6 +143,10 @@
   size_t rule_count;
   csp_key_slot_t *keys;
   size_t key_slots;
+  /* Keys of values that could not be parsed, while the declaration is built:
+     what refers to them is no fault of its own.  */
+  const char **broken;
+  size_t broken_count;
 };
 
 extern const csp_field_t csp_organisation_table[];
--- a/source/queue/queue-imp.h
+++ b/source/queue/queue-imp.h
@@ -83,6 +83,10 @@
 /* Take an entry out of its list and free it.  */
 void csp_unlink_waiting (csp_queue_t *queue, uint32_t index);
 
+/* The entry of a request; NO_ENTRY when it isn't waiting.  */
+uint32_t csp_locate_waiting (const csp_queue_t *queue, uint32_t organisation,
+                             uint64_t id);
+
 /* The organisation's entry whose turn it is.  */
 uint32_t csp_organisation_head (const csp_queue_t *queue,
                                 const organisation_t *organisation);
