Two slices named one function alike; the ownership's keeps its name

Cause: hand-off and ownership both defined csp_find_target; the daemon did not link. Change: the slot table's is csp_find_slot_target now.

--- a/source/handoff/slot-store.c
+++ b/source/handoff/slot-store.c
@@ -74,7 +74,7 @@
 }
 
 target_t *
-csp_find_target (csp_slot_table_t *table, const char *name, bool make)
+csp_find_slot_target (csp_slot_table_t *table, const char *name, bool make)
 {
   uint64_t hash = csp_mix_name (name);
   csp_index_node_t *node = csp_find_in_index (&table->targets, hash);
--- a/source/handoff/slot-table.c
+++ b/source/handoff/slot-table.c
@@ -172,7 +172,7 @@
   if (csp_find_slot (table, ask, now_ms, answer))
     return;
   holder = csp_find_holder (table, &ask->sender, now_ms);
-  place = csp_find_target (table, target, true);
+  place = csp_find_slot_target (table, target, true);
   if (holder == NULL || place == NULL)
     goto refuse;
   if (place->closed_until_ms > now_ms)
@@ -251,7 +251,7 @@
 
   if (slot == NULL)
     {
-      target = csp_find_target (table, held->target, true);
+      target = csp_find_slot_target (table, held->target, true);
       if (target != NULL)
         slot = csp_add_slot (table, holder, target, held->ask_id,
                              held->expected_tokens);
@@ -345,7 +345,7 @@
 void
 csp_gain_target (csp_slot_table_t *table, const char *target, int64_t now_ms)
 {
-  target_t *place = csp_find_target (table, target, true);
+  target_t *place = csp_find_slot_target (table, target, true);
 
   if (place != NULL)
     place->closed_until_ms = now_ms + table->settings.settle_ms;
@@ -354,7 +354,7 @@
 void
 csp_open_target (csp_slot_table_t *table, const char *target)
 {
-  target_t *place = csp_find_target (table, target, false);
+  target_t *place = csp_find_slot_target (table, target, false);
 
   if (place != NULL)
     place->closed_until_ms = INT64_MIN;
@@ -363,7 +363,7 @@
 void
 csp_lose_target (csp_slot_table_t *table, const char *target)
 {
-  target_t *place = csp_find_target (table, target, false);
+  target_t *place = csp_find_slot_target (table, target, false);
   slot_t *slot;
   slot_t *next;
 
@@ -379,7 +379,7 @@
 csp_count_target (csp_slot_table_t *table, const char *target, int64_t now_ms,
                   csp_target_usage_t *usage)
 {
-  target_t *place = csp_find_target (table, target, false);
+  target_t *place = csp_find_slot_target (table, target, false);
 
   csp_expire_slots (table, now_ms);
   memset (usage, 0, sizeof *usage);
