--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -147,6 +147,17 @@
     }
 }
 
+static void
+return_engine (fleet_t *fleet, uint32_t index)
+{
+  csp_shift_policy_t policy = csp_default_shift_policy ();
+
+  fleet->engines[index].dead = false;
+  csp_forget_prefixes (&fleet->prefixes[index]);
+  if (!fleet->play->no_shift)
+    csp_start_shift (&fleet->shifts[index], &policy, fleet_now_ms (fleet));
+}
+
 static void
 tick (fleet_t *fleet)
 {
@@ -161,7 +172,7 @@
           && fleet->now_us < play->lost_until_us)
         lose_engine (fleet, play->slow_engine);
       if (engine->dead && fleet->now_us >= play->lost_until_us)
-        engine->dead = false;
+        return_engine (fleet, play->slow_engine);
     }
   if (play->dispatch != DISPATCH_DECISIONS)
     {
@@ -175,6 +186,7 @@
       take_reports (fleet);
       weigh_engines (fleet);
     }
+  take_back_streams (fleet);
   for (i = 0; i < play->hosts; i++)
     {
       expire_host (fleet, &fleet->hosts[i]);
@@ -205,7 +217,7 @@
 {
   csp_length_policy_t lengths = csp_default_length_policy ();
   csp_health_policy_t health = csp_default_health_policy ();
-  uint64_t memory = 0;
+  uint64_t memory;
   uint32_t i;
   uint32_t j;
   host_t *host;
@@ -223,9 +235,8 @@
             = csp_find_length_key (host->lengths, "m", class_names[j]);
       for (j = 0; j < ORGANISATIONS; j++)
         csp_set_weight (host->queue, j, 1);
-      memory = 0;
-      for (j = i; j < fleet->engine_count; j += fleet->play->hosts)
-        memory += default_engine_shape ().memory_tokens;
+      memory = (uint64_t)fleet->engine_count
+               * default_engine_shape ().memory_tokens / fleet->play->hosts;
       csp_set_capacity (host->queue, memory);
     }
 }
@@ -239,6 +250,7 @@
   fleet->ledgers = calloc (fleet->engine_count, sizeof (csp_ledger_t *));
   fleet->reports = calloc (fleet->engine_count, sizeof *fleet->reports);
   fleet->prefixes = calloc (fleet->engine_count, sizeof *fleet->prefixes);
+  fleet->shifts = calloc (fleet->engine_count, sizeof *fleet->shifts);
   fleet->fifo = calloc (fleet->request_count + 1, sizeof (request_t *));
   csp_seed_random (&fleet->random, 11);
   set_up_hosts (fleet);
@@ -246,6 +258,7 @@
     {
       fleet->engines[i].shape = default_engine_shape ();
       fleet->engines[i].slowness = 1;
+      csp_open_shift (&fleet->shifts[i]);
       fleet->ledgers[i] = csp_create_ledger (
           &fleet->play->admission,
           fleet->hosts[host_of_engine (fleet, i)].lengths);
@@ -272,6 +285,7 @@
   free (fleet->ledgers);
   free (fleet->reports);
   free (fleet->prefixes);
+  free (fleet->shifts);
   free (fleet->fifo);
   free (fleet->requests);
 }
@@ -346,7 +360,7 @@
 
   memset (results, 0, sizeof *results);
   results->seconds = (double)plan->duration_us / 1e6;
-  fleet.engine_count = plan->engines;
+  fleet.engine_count = play->engines ? play->engines : plan->engines;
   fleet.requests = make_arrivals (plan, &shape, &fleet.request_count);
   set_up (&fleet);
   while (tick_us <= plan->duration_us)
