--- a/include/cowslipspoke/control.h
+++ b/include/cowslipspoke/control.h
@@ -33,6 +33,13 @@
 /* The declaration of a view; NULL while there is no configuration.  */
 const csp_declaration_t *csp_view_declaration (const csp_view_t *view);
 
+/* Targets that have failed a request already.  */
+typedef struct
+{
+  char names[CSP_TRIED_MAX][CSP_NAME_BYTES];
+  uint32_t count;
+} csp_tried_t;
+
 /* What a request asks for when it wants a target.  Texts belong to the
    caller and must live until the call returns.  */
 typedef struct
@@ -47,8 +54,9 @@
   uint32_t max_tokens; /* 0: no bound */
   int64_t deadline_ms; /* steady */
   bool retry;          /* not the first attempt: needs retry budget */
-  char tried[CSP_TRIED_MAX][CSP_NAME_BYTES];
-  uint32_t tried_count;
+  csp_tried_t tried;
+  bool (*is_gone) (void *state); /* whether the caller hung up; may be NULL */
+  void *gone_state;
 } csp_admission_ask_t;
 
 /* A place on a target.  */
--- a/include/cowslipspoke/peer.h
+++ b/include/cowslipspoke/peer.h
@@ -31,11 +31,19 @@
   CSP_PEER_ACKNOWLEDGE
 } csp_peer_kind_t;
 
+enum
+{
+  CSP_PEER_TRIED_MAX = 4
+};
+
 /* What a reservation needs besides csp_reserve_ask_t: the owner judges the
-   stream by its own forecast.  */
+   stream by its own forecast, and does not give a target that has failed the
+   request already.  */
 typedef struct
 {
   csp_reserve_ask_t ask;
+  char tried[CSP_PEER_TRIED_MAX][CSP_TARGET_NAME_BYTES];
+  uint32_t tried_count;
   char class_name[CSP_NAME_BYTES];
   uint32_t prompt_tokens;
   uint32_t max_tokens;
@@ -50,10 +58,14 @@
   uint16_t port;
 } csp_peer_reserved_t;
 
+/* failed: the link to the named target failed, so that the owner avoids it for
+   a while.  */
 typedef struct
 {
   csp_release_t release;
   uint64_t tokens;
+  bool failed;
+  char target[CSP_TARGET_NAME_BYTES];
 } csp_peer_release_t;
 
 /* One message.  Texts and arrays that it points to belong to whoever made it;
--- a/include/cowslipspoke/recovery.h
+++ b/include/cowslipspoke/recovery.h
@@ -38,6 +38,10 @@
 /* Name of an end for logs, such as "cut".  */
 const char *csp_link_end_name (csp_link_end_t end);
 
+/* Whether an end speaks against the target, rather than of the request or of
+   the caller.  */
+bool csp_link_failed (csp_link_end_t end);
+
 /* What is known about one request at one target.  */
 typedef struct
 {
--- a/source/control/control-admission.c
+++ b/source/control/control-admission.c
@@ -141,6 +141,7 @@
   const csp_admission_ask_t *ask = waiter->ask;
 
   place->waiter = waiter;
+  place->waiter_number = waiter->number;
   place->asked_ms = now_ms;
   place->prompt_tokens = ask->prompt_tokens;
   place->organisation
@@ -188,12 +189,12 @@
 }
 
 static bool
-was_tried (const csp_admission_ask_t *ask, const char *target)
+was_tried (const csp_tried_t *tried, const char *target)
 {
   uint32_t i;
 
-  for (i = 0; i < ask->tried_count; i++)
-    if (strcmp (ask->tried[i], target) == 0)
+  for (i = 0; i < tried->count; i++)
+    if (strcmp (tried->names[i], target) == 0)
       return true;
   return false;
 }
@@ -213,20 +214,27 @@
   return stream;
 }
 
-/* Whether a target may take a request at all, whatever its load.  ask is NULL
-   for a request of another host.  */
+/* Whether a target could take a request at all, now or later.  */
 static bool
-may_use (const csp_control_t *control, const char *pool,
-         csp_target_kind_t kind, const csp_admission_ask_t *ask,
-         uint32_t index, int64_t now_ms)
+could_use (const csp_control_t *control, const char *pool,
+           csp_target_kind_t kind, const csp_tried_t *tried, uint32_t index)
 {
   const csp_target_state_t *target = control->targets[index];
 
   return target != NULL && target->listed.kind == kind
          && target->listed.state == CSP_MEMBER_LIVE
-         && now_ms >= target->avoid_until_ms
          && strcmp (target->listed.pool, pool) == 0
-         && (ask == NULL || !was_tried (ask, target->listed.name));
+         && !was_tried (tried, target->listed.name);
+}
+
+/* Whether a target may take a request now, whatever its load.  */
+static bool
+may_use (const csp_control_t *control, const char *pool,
+         csp_target_kind_t kind, const csp_tried_t *tried, uint32_t index,
+         int64_t now_ms)
+{
+  return could_use (control, pool, kind, tried, index)
+         && now_ms >= control->targets[index]->avoid_until_ms;
 }
 
 /* An engine that this host owns, with room by its ledger, its opening and
@@ -264,7 +272,7 @@
 
 uint32_t
 csp_choose_engine (csp_control_t *control, const char *pool,
-                   const csp_admission_ask_t *ask, const csp_stream_t *stream,
+                   const csp_tried_t *tried, const csp_stream_t *stream,
                    int64_t now_ms)
 {
   uint32_t best = UINT32_MAX;
@@ -274,7 +282,7 @@
 
   for (i = 0; i < control->target_room; i++)
     {
-      if (!may_use (control, pool, CSP_TARGET_ENGINE, ask, i, now_ms)
+      if (!may_use (control, pool, CSP_TARGET_ENGINE, tried, i, now_ms)
           || !has_room (control, stream, i, now_ms))
         continue;
       room = count_room (control, stream, i, now_ms);
@@ -297,7 +305,8 @@
   uint32_t i;
 
   for (i = 0; i < control->target_room; i++)
-    if (may_use (control, ask->terms.pool, CSP_TARGET_SERVICE, ask, i, now_ms)
+    if (may_use (control, ask->terms.pool, CSP_TARGET_SERVICE, &ask->tried, i,
+                 now_ms)
         && (best == UINT32_MAX
             || control->targets[i]->streams < control->targets[best]->streams))
       best = i;
@@ -339,7 +348,50 @@
 
   if (ask->kind == CSP_POOL_SERVICES)
     return choose_service (control, ask, now_ms);
-  return csp_choose_engine (control, ask->terms.pool, ask, &stream, now_ms);
+  return csp_choose_engine (control, ask->terms.pool, &ask->tried, &stream,
+                            now_ms);
+}
+
+/* Whether waiting can help: some target of the data centre could take the
+   request later, or a hand-off to another is under way.  Without this a
+   request that nobody can serve is held until its deadline, and its
+   organisation's others behind it.  */
+static bool
+is_worth_waiting (const csp_control_t *control, const csp_place_t *place)
+{
+  const csp_admission_ask_t *ask = place->waiter->ask;
+  csp_target_kind_t kind
+      = ask->kind == CSP_POOL_ENGINES ? CSP_TARGET_ENGINE : CSP_TARGET_SERVICE;
+  uint32_t i;
+
+  if (place->spill != NULL)
+    return true;
+  for (i = 0; i < control->target_room; i++)
+    if (could_use (control, ask->terms.pool, kind, &ask->tried, i))
+      return true;
+  return false;
+}
+
+/* A request that no target has room for: look for a slot elsewhere, and give
+   it up when there is none to wait for.  */
+static void
+pass_over (csp_control_t *control, csp_pool_state_t *pool, csp_place_t *place,
+           int64_t now_ms)
+{
+  csp_error_t error;
+
+  if (place->waiter->ask->kind == CSP_POOL_ENGINES)
+    csp_start_spill (control, place, now_ms);
+  if (is_worth_waiting (control, place))
+    {
+      csp_skip_waiting (pool->queue);
+      return;
+    }
+  csp_drop_waiting (pool->queue, place->organisation, place->id);
+  csp_set_error (&error, CSP_VERDICT_NOT_RUN, CSP_REASON_NO_TARGET, SOON_MS,
+                 "no target of pool %s can take it", pool->name);
+  refuse_waiter (control, place->waiter, &error);
+  free_place (control, place);
 }
 
 static void
@@ -360,9 +412,7 @@
       index = choose_target (control, place, kept, now_ms);
       if (index == UINT32_MAX)
         {
-          if (place->waiter->ask->kind == CSP_POOL_ENGINES)
-            csp_start_spill (control, place, now_ms);
-          csp_skip_waiting (pool->queue);
+          pass_over (control, pool, place, now_ms);
           continue;
         }
       csp_take_waiting (pool->queue, now_ms);
@@ -420,6 +470,35 @@
     }
 }
 
+static csp_place_t *
+find_waiter_place (csp_control_t *control, uint64_t number)
+{
+  uint32_t i;
+
+  for (i = 0; i < control->place_room; i++)
+    if (control->places[i].id != 0 && control->places[i].waiter != NULL
+        && control->places[i].waiter_number == number)
+      return &control->places[i];
+  return NULL;
+}
+
+void
+csp_abandon_waiter (csp_control_t *control, uint64_t number, int64_t now_ms)
+{
+  csp_place_t *place = find_waiter_place (control, number);
+  csp_error_t error;
+
+  if (place == NULL)
+    return;
+  csp_set_error (&error, CSP_VERDICT_NOT_RUN, CSP_REASON_NONE, 0,
+                 "the caller hung up");
+  csp_drop_waiting (control->pools[place->pool].queue, place->organisation,
+                    place->id);
+  csp_cancel_spill (control, place, now_ms);
+  refuse_waiter (control, place->waiter, &error);
+  free_place (control, place);
+}
+
 void
 csp_take_progress (csp_control_t *control,
                    const csp_control_command_t *command, int64_t now_ms)
@@ -435,9 +514,9 @@
 /* A target whose links fail gets no new work for a while, doubled with each
    failure.  Without it the emptiest engine is the dead one, and every new
    request tries it first.  */
-static void
-judge_target (csp_control_t *control, csp_target_state_t *target,
-              csp_link_end_t end, int64_t now_ms)
+void
+csp_judge_target (csp_control_t *control, csp_target_state_t *target,
+                  csp_link_end_t end, int64_t now_ms)
 {
   uint32_t doublings = target->failures < AVOID_DOUBLINGS ? target->failures
                                                           : AVOID_DOUBLINGS;
@@ -445,8 +524,7 @@
 
   if (end == CSP_LINK_COMPLETE)
     target->failures = 0;
-  if (end != CSP_LINK_NO_CONNECT && end != CSP_LINK_FAILED
-      && end != CSP_LINK_STALLED && end != CSP_LINK_CUT)
+  if (!csp_link_failed (end))
     return;
   target->failures++;
   target->avoid_until_ms
@@ -492,7 +570,7 @@
                          now_ms);
     }
   target->streams--;
-  judge_target (control, target, outcome->end, now_ms);
+  csp_judge_target (control, target, outcome->end, now_ms);
   csp_drop_target (target);
 }
 
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -34,6 +34,7 @@
    the control thread answers it exactly once and does not touch it again.  */
 typedef struct
 {
+  uint64_t number; /* never used twice, unlike its address */
   const csp_admission_ask_t *ask;
   csp_grant_t *grant;
   csp_error_t *error;
@@ -48,6 +49,7 @@
 {
   CSP_COMMAND_ADMIT,
   CSP_COMMAND_CONFIRM,
+  CSP_COMMAND_ABANDON,
   CSP_COMMAND_PROGRESS,
   CSP_COMMAND_RELEASE,
   CSP_COMMAND_CONFIG_READ,
@@ -134,6 +136,7 @@
 {
   uint64_t id; /* 0: free */
   csp_waiter_t *waiter;
+  uint64_t waiter_number;
   uint32_t organisation;
   uint32_t pool;
   csp_target_state_t *target;
@@ -146,6 +149,7 @@
   csp_spill_t *spill;
   int64_t next_spill_ms;
   uint64_t made_tokens;
+  bool link_failed;
 } csp_place_t;
 
 typedef struct
@@ -173,6 +177,7 @@
   csp_view_t *view; /* read under RCU */
   atomic_bool ready;
   atomic_bool leaving;
+  atomic_uint_fast64_t next_waiter;
 
   csp_peers_t *peers;
   uint64_t deployment;
@@ -281,6 +286,15 @@
 void csp_tick_admission (csp_control_t *control, int64_t now_ms);
 void csp_close_admission (csp_control_t *control);
 
+/* The caller of a request that waits has hung up.  A waiter that was answered
+   meanwhile is left alone.  */
+void csp_abandon_waiter (csp_control_t *control, uint64_t number,
+                         int64_t now_ms);
+
+/* Note how a link to a target ended: one that fails is avoided.  */
+void csp_judge_target (csp_control_t *control, csp_target_state_t *target,
+                       csp_link_end_t end, int64_t now_ms);
+
 /* Confirm a grant immediately before bytes leave.  */
 bool csp_confirm_place (csp_control_t *control, uint64_t id, int64_t now_ms);
 
@@ -290,7 +304,7 @@
 /* Choose an owned engine of a pool for a stream; UINT32_MAX when none has
    room.  */
 uint32_t csp_choose_engine (csp_control_t *control, const char *pool,
-                            const csp_admission_ask_t *ask,
+                            const csp_tried_t *tried,
                             const csp_stream_t *stream, int64_t now_ms);
 
 /* Hand-offs, the sender's side: look for a slot elsewhere, take answers, and
@@ -313,6 +327,8 @@
 
 /* Hand-offs, the owner's side.  */
 bool csp_open_slots (csp_control_t *control);
+void csp_take_slot_release (csp_control_t *control,
+                            const csp_peer_release_t *release, int64_t now_ms);
 void csp_answer_reserve (csp_control_t *control,
                          const csp_peer_reserve_t *reserve, int64_t now_ms,
                          csp_peer_reserved_t *reserved);
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -274,7 +274,7 @@
       break;
     case CSP_PEER_RELEASE:
       answer->kind = CSP_PEER_ACKNOWLEDGE;
-      csp_release_slot (control->slots, &ask->u.release.release, now_ms);
+      csp_take_slot_release (control, &ask->u.release, now_ms);
       break;
     case CSP_PEER_HOLDINGS:
       answer->kind = CSP_PEER_ACKNOWLEDGE;
--- a/source/control/control-slots.c
+++ b/source/control/control-slots.c
@@ -54,13 +54,17 @@
                           .max_tokens = reserve->max_tokens,
                           .priority = reserve->ask.priority,
                           .repeatable = true };
+  csp_tried_t tried;
 
   if (atomic_load (&control->leaving)
       || has_waiting (control, reserve->ask.pool))
     return UINT32_MAX;
   stream.length_key = csp_find_length_key (
       control->lengths, reserve->ask.model, reserve->class_name);
-  return csp_choose_engine (control, reserve->ask.pool, NULL, &stream, now_ms);
+  tried.count = reserve->tried_count;
+  memcpy (tried.names, reserve->tried, sizeof tried.names);
+  return csp_choose_engine (control, reserve->ask.pool, &tried, &stream,
+                            now_ms);
 }
 
 static void
@@ -100,6 +104,23 @@
   fill_endpoint (control, reserved);
 }
 
+void
+csp_take_slot_release (csp_control_t *control,
+                       const csp_peer_release_t *release, int64_t now_ms)
+{
+  csp_target_state_t *target;
+  uint32_t index;
+
+  if (release->failed
+      && csp_find_target (control->ownership, release->target, &index)
+      && index < control->target_room && control->targets[index] != NULL)
+    {
+      target = control->targets[index];
+      csp_judge_target (control, target, CSP_LINK_CUT, now_ms);
+    }
+  csp_release_slot (control->slots, &release->release, now_ms);
+}
+
 void
 csp_follow_ownership (csp_control_t *control, int64_t now_ms)
 {
@@ -114,6 +135,8 @@
       if (target == NULL || !csp_view_target (control->ownership, i, &view))
         continue;
       owned = view.state != CSP_OWN_OTHER;
+      if (view.state == CSP_OWN_LEAVING)
+        target->listed.state = CSP_MEMBER_LEAVING;
       if (owned && !target->owned)
         csp_gain_target (control->slots, target->listed.name, now_ms);
       if (!owned && target->owned)
--- a/source/control/control-spill.c
+++ b/source/control/control-spill.c
@@ -99,6 +99,9 @@
       csp_copy_text (reserve->class_name, sizeof reserve->class_name,
                      place->waiter->ask->class_name);
       reserve->max_tokens = place->waiter->ask->max_tokens;
+      reserve->tried_count = place->waiter->ask->tried.count;
+      memcpy (reserve->tried, place->waiter->ask->tried.names,
+              sizeof reserve->tried);
     }
   csp_send_peer (control, &place->spill->peers[action->peer], &message,
                  place->id, RELEASE_TIMEOUT_MS);
@@ -117,12 +120,18 @@
 
 static void
 send_release (csp_control_t *control, const csp_peer_address_t *peer,
-              const csp_release_t *release, uint64_t tokens)
+              const csp_release_t *release, const csp_place_t *place)
 {
   csp_peer_message_t message = { .kind = CSP_PEER_RELEASE };
 
   message.u.release.release = *release;
-  message.u.release.tokens = tokens;
+  if (place != NULL)
+    {
+      message.u.release.tokens = place->made_tokens;
+      message.u.release.failed = place->link_failed;
+      csp_copy_text (message.u.release.target, sizeof message.u.release.target,
+                     place->spill->target);
+    }
   csp_send_peer (control, peer, &message, 0, RELEASE_TIMEOUT_MS);
 }
 
@@ -163,7 +172,7 @@
 {
   if (action->has_release)
     send_release (control, &place->spill->peers[action->release_peer],
-                  &action->release, place->made_tokens);
+                  &action->release, place);
   switch (action->kind)
     {
     case CSP_HANDOFF_SEND_RESERVE:
@@ -274,7 +283,7 @@
   csp_copy_text (release.sender.name, sizeof release.sender.name,
                  control->context->settings.host);
   release.sender.incarnation = control->incarnation;
-  send_release (control, &peer, &release, 0);
+  send_release (control, &peer, &release, NULL);
 }
 
 void
@@ -380,6 +389,7 @@
   if (place->spill == NULL)
     return;
   place->made_tokens = outcome->tokens;
+  place->link_failed = csp_link_failed (outcome->end);
   step_spill (control, place, &event, now_ms, &action);
   csp_cancel_spill (control, place, now_ms);
 }
--- a/source/control/control-targets.c
+++ b/source/control/control-targets.c
@@ -82,7 +82,10 @@
   if (target == NULL)
     return;
   target->listed = view.target;
-  if (view.target.state == CSP_MEMBER_LEAVING && target->left_ms == 0)
+  /* One that is gone from the list while streams are open is leaving too. */
+  if (view.state == CSP_OWN_LEAVING)
+    target->listed.state = CSP_MEMBER_LEAVING;
+  if (target->listed.state == CSP_MEMBER_LEAVING && target->left_ms == 0)
     {
       target->left_ms = now_ms;
       CSP_LOG (control->context->log, CSP_EVENT_TARGET_LEAVING, NULL,
--- a/source/control/control.c
+++ b/source/control/control.c
@@ -104,6 +104,9 @@
     case CSP_COMMAND_CONFIRM:
       confirm_to_waiter (control, command->waiter, now_ms);
       break;
+    case CSP_COMMAND_ABANDON:
+      csp_abandon_waiter (control, command->id, now_ms);
+      break;
     case CSP_COMMAND_PROGRESS:
       csp_take_progress (control, command, now_ms);
       break;
--- a/source/control/waiter.c
+++ b/source/control/waiter.c
@@ -3,6 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  GONE_POLL_MS = 200,
+  NS_PER_MS = 1000000,
+  NS_PER_S = 1000000000
+};
+
 void
 csp_answer_waiter (csp_waiter_t *waiter, int result)
 {
@@ -13,21 +20,52 @@
   pthread_mutex_unlock (&waiter->lock);
 }
 
+/* Wait for a while, then look whether the caller is still there.  One that
+   hung up would otherwise keep its turn in the queue, and an engine would
+   work for nobody.  Called and returns with the lock held.  */
+static void
+await_decision (csp_control_t *control, csp_waiter_t *waiter, bool *abandoned)
+{
+  csp_control_command_t *command;
+  struct timespec until;
+
+  if (*abandoned || waiter->ask == NULL || waiter->ask->is_gone == NULL)
+    {
+      pthread_cond_wait (&waiter->decided, &waiter->lock);
+      return;
+    }
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_nsec += (long)GONE_POLL_MS * NS_PER_MS;
+  until.tv_sec += until.tv_nsec / NS_PER_S;
+  until.tv_nsec %= NS_PER_S;
+  if (pthread_cond_timedwait (&waiter->decided, &waiter->lock, &until) == 0
+      || !waiter->ask->is_gone (waiter->ask->gone_state))
+    return;
+  command = csp_new_command (CSP_COMMAND_ABANDON);
+  if (command == NULL)
+    return;
+  command->id = waiter->number;
+  csp_post_command (control, command);
+  *abandoned = true;
+}
+
 static int
 await_answer (csp_control_t *control, csp_waiter_t *waiter,
               csp_control_command_kind_t kind)
 {
   csp_control_command_t *command = csp_new_command (kind);
+  bool abandoned = false;
 
   if (command == NULL)
     return -1;
   pthread_mutex_init (&waiter->lock, NULL);
   pthread_cond_init (&waiter->decided, NULL);
   command->waiter = waiter;
+  waiter->number = atomic_fetch_add (&control->next_waiter, 1);
   csp_post_command (control, command);
   pthread_mutex_lock (&waiter->lock);
   while (!waiter->is_decided)
-    pthread_cond_wait (&waiter->decided, &waiter->lock);
+    await_decision (control, waiter, &abandoned);
   pthread_mutex_unlock (&waiter->lock);
   pthread_cond_destroy (&waiter->decided);
   pthread_mutex_destroy (&waiter->lock);
--- a/source/entry/call.c
+++ b/source/entry/call.c
@@ -34,6 +34,8 @@
     return CSP_LINK_STOPPED;
   if (csp_now_ms (&entry->context->clock) >= call->exchange->deadline_ms)
     return CSP_LINK_DEADLINE;
+  if (call->attempt.idempotent && csp_caller_is_gone (call->exchange))
+    return CSP_LINK_CALLER_GONE;
   return CSP_LINK_COMPLETE;
 }
 
@@ -66,6 +68,8 @@
   call->ask.kind = CSP_POOL_SERVICES;
   call->ask.max_tokens = 1;
   call->ask.deadline_ms = exchange->deadline_ms;
+  call->ask.is_gone = csp_caller_is_gone;
+  call->ask.gone_state = exchange;
   call->attempt.idempotent
       = !exchange->marks.non_idempotent
         && csp_may_repeat_call (call->service, info->request_method, rest);
@@ -132,11 +136,11 @@
         return 0;
       drop_answer (call);
       if (recovery.kind != CSP_RECOVER_ELSEWHERE
-          || ask->tried_count == CSP_TRIED_MAX)
+          || ask->tried.count == CSP_TRIED_MAX)
         return -1;
-      csp_copy_text (ask->tried[ask->tried_count], CSP_NAME_BYTES,
+      csp_copy_text (ask->tried.names[ask->tried.count], CSP_NAME_BYTES,
                      call->grant.target);
-      ask->tried_count++;
+      ask->tried.count++;
       ask->retry = true;
       if (csp_ask_admission (control, ask, &call->grant, &refusal) != 0)
         return -1;
--- a/source/entry/entry-imp.h
+++ b/source/entry/entry-imp.h
@@ -13,6 +13,7 @@
   const csp_context_t *context;
   csp_control_t *control;
   struct mg_context *server;
+  uint16_t port;
   atomic_uint_fast64_t next_request;
   atomic_int open_requests;
   atomic_bool announced; /* readiness fails */
@@ -35,6 +36,7 @@
   const csp_organisation_t *organisation;
   char *body;
   size_t body_bytes;
+  int socket; /* of the caller; -1 when it was not found */
 } csp_exchange_t;
 
 /* Answer with an error before any byte of an answer was sent, and log it.  */
@@ -66,6 +68,13 @@
 /* Find the organisation by the bearer key.  0, or -1 with an error.  */
 int csp_identify_caller (csp_exchange_t *exchange, csp_error_t *error);
 
+/* The descriptor of a caller's socket at our port; -1 when there is none.  */
+int csp_find_caller_socket (const struct mg_request_info *info, uint16_t port);
+
+/* Whether the caller of an exchange hung up, or shut its side down, which is
+   taken for the same.  */
+bool csp_caller_is_gone (void *state);
+
 /* Serve a generation.  */
 void csp_serve_generation (csp_exchange_t *exchange, csp_api_t api);
 
--- a/source/entry/generate.c
+++ b/source/entry/generate.c
@@ -113,8 +113,8 @@
   return csp_send_event (run->exchange, NULL, chunk_json);
 }
 
-/* Called while a link is open and silent.  A caller that hangs up is noticed
-   only by writing to it; a comment once a second does that.  */
+/* Called while a link is open and silent.  A comment once a second keeps
+   whatever lies between from taking a slow answer for a dead link.  */
 static csp_link_end_t
 check_run (void *state)
 {
@@ -125,6 +125,8 @@
     return CSP_LINK_STOPPED;
   if (now_ms >= run->exchange->deadline_ms)
     return CSP_LINK_DEADLINE;
+  if (csp_caller_is_gone (run->exchange))
+    return CSP_LINK_CALLER_GONE;
   if (run->began && now_ms - run->last_sign_ms >= KEEP_ALIVE_MS)
     {
       run->last_sign_ms = now_ms;
@@ -238,11 +240,12 @@
 remember_target (run_t *run)
 {
   csp_admission_ask_t *ask = &run->ask;
-  uint32_t slot = ask->tried_count % CSP_TRIED_MAX;
+  uint32_t slot = ask->tried.count % CSP_TRIED_MAX;
 
-  csp_copy_text (ask->tried[slot], sizeof ask->tried[slot], run->grant.target);
-  if (ask->tried_count < CSP_TRIED_MAX)
-    ask->tried_count++;
+  csp_copy_text (ask->tried.names[slot], sizeof ask->tried.names[slot],
+                 run->grant.target);
+  if (ask->tried.count < CSP_TRIED_MAX)
+    ask->tried.count++;
   ask->retry = true;
 }
 
@@ -272,7 +275,7 @@
       if (recovery.kind == CSP_RECOVER_DONE)
         return 0;
       if (recovery.kind == CSP_RECOVER_GIVE_UP
-          || run->ask.tried_count == CSP_TRIED_MAX)
+          || run->ask.tried.count == CSP_TRIED_MAX)
         return -1;
       if (!run->lost_place)
         remember_target (run);
@@ -500,6 +503,8 @@
   run->ask.prompt_tokens = facts.prompt_tokens;
   run->ask.max_tokens = bound_tokens (run);
   run->ask.deadline_ms = exchange->deadline_ms;
+  run->ask.is_gone = csp_caller_is_gone;
+  run->ask.gone_state = exchange;
   run->attempt.idempotent = !exchange->marks.non_idempotent;
   run->attempt.resumable = true;
   return check_prompt (run, error);
--- a/source/entry/server.c
+++ b/source/entry/server.c
@@ -25,6 +25,7 @@
   exchange->entry = entry;
   exchange->connection = connection;
   exchange->info = mg_get_request_info (connection);
+  exchange->socket = csp_find_caller_socket (exchange->info, entry->port);
   exchange->arrived_ms = csp_now_ms (&entry->context->clock);
   snprintf (exchange->id, sizeof exchange->id, "%llx-%llx",
             (unsigned long long)csp_control_incarnation (entry->control),
@@ -342,6 +343,7 @@
       = { .init_thread = register_thread, .exit_thread = unregister_thread };
   char texts[4][OPTION_BYTES];
   const char *options[SERVER_OPTIONS];
+  struct mg_server_port port;
   size_t i;
 
   snprintf (message, message_bytes, "can't listen on %s:%u",
@@ -359,6 +361,8 @@
       free (entry);
       return NULL;
     }
+  if (mg_get_server_ports (entry->server, 1, &port) == 1)
+    entry->port = (uint16_t)port.port;
   for (i = 0; i < sizeof handlers / sizeof handlers[0]; i++)
     mg_set_request_handler (entry->server, handlers[i].path,
                             handlers[i].handler, entry);
@@ -368,11 +372,7 @@
 uint16_t
 csp_entry_port (const csp_entry_t *entry)
 {
-  struct mg_server_port port;
-
-  if (mg_get_server_ports (entry->server, 1, &port) != 1)
-    return 0;
-  return (uint16_t)port.port;
+  return entry->port;
 }
 
 void
--- a/source/peer/peer-decode.c
+++ b/source/peer/peer-decode.c
@@ -110,8 +110,15 @@
 unpack_reserve_ask (const CspWire__ReserveAsk *wire,
                     csp_peer_reserve_t *reserve)
 {
-  if (wire->priority > CSP_PRIORITY_MAX)
+  size_t i;
+
+  if (wire->priority > CSP_PRIORITY_MAX || wire->n_tried > CSP_PEER_TRIED_MAX)
     return false;
+  for (i = 0; i < wire->n_tried; i++)
+    if (!csp_read_wire_text (reserve->tried[i], sizeof reserve->tried[i],
+                             wire->tried[i]))
+      return false;
+  reserve->tried_count = (uint32_t)wire->n_tried;
   reserve->ask.ask_id = wire->ask_id;
   reserve->ask.expected_tokens = wire->expected_tokens;
   reserve->ask.priority = (uint8_t)wire->priority;
@@ -160,7 +167,10 @@
   release->release.nonce = wire->nonce;
   release->release.maybe_decoding = wire->maybe_decoding;
   release->tokens = wire->tokens;
-  return unpack_host (wire->sender, &release->release.sender);
+  release->failed = wire->failed;
+  return unpack_host (wire->sender, &release->release.sender)
+         && csp_read_wire_text (release->target, sizeof release->target,
+                                wire->target);
 }
 
 static bool
--- a/source/peer/peer-encode.c
+++ b/source/peer/peer-encode.c
@@ -10,6 +10,7 @@
   csp_heartbeat_scratch_t heartbeat;
   CspWire__HostRef host;
   CspWire__OnceKey key;
+  char *tried[CSP_PEER_TRIED_MAX];
   union
   {
     CspWire__CarryAsk carry_ask;
@@ -167,6 +168,7 @@
 pack_reserve_ask (encoder_t *encoder, const csp_peer_reserve_t *reserve)
 {
   CspWire__ReserveAsk *wire = &encoder->body.reserve_ask;
+  uint32_t i;
 
   csp_wire__reserve_ask__init (wire);
   wire->ask_id = reserve->ask.ask_id;
@@ -178,6 +180,10 @@
   wire->class_name = (char *)reserve->class_name;
   wire->prompt_tokens = reserve->prompt_tokens;
   wire->max_tokens = reserve->max_tokens;
+  for (i = 0; i < reserve->tried_count; i++)
+    encoder->tried[i] = (char *)reserve->tried[i];
+  wire->n_tried = reserve->tried_count;
+  wire->tried = encoder->tried;
   encoder->frame.body_case = CSP_WIRE__FRAME__BODY_RESERVE_ASK;
   encoder->frame.reserve_ask = wire;
 }
@@ -239,6 +245,8 @@
   wire->nonce = release->release.nonce;
   wire->maybe_decoding = release->release.maybe_decoding;
   wire->tokens = release->tokens;
+  wire->failed = release->failed;
+  wire->target = (char *)release->target;
   encoder->frame.body_case = CSP_WIRE__FRAME__BODY_RELEASE;
   encoder->frame.release = wire;
 }
--- a/source/peer/peer.pb-c.c
+++ b/source/peer/peer.pb-c.c
@@ -2064,7 +2064,7 @@
   (ProtobufCMessageInit) csp_wire__pull_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_wire__reserve_ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor csp_wire__reserve_ask__field_descriptors[10] =
 {
   {
     "ask_id",
@@ -2174,6 +2174,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tried",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(CspWire__ReserveAsk, n_tried),
+    offsetof(CspWire__ReserveAsk, tried),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_wire__reserve_ask__field_indices_by_name[] = {
   0,   /* field[0] = ask_id */
@@ -2185,11 +2197,12 @@
   5,   /* field[5] = priority */
   7,   /* field[7] = prompt_tokens */
   1,   /* field[1] = sender */
+  9,   /* field[9] = tried */
 };
 static const ProtobufCIntRange csp_wire__reserve_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor csp_wire__reserve_ask__descriptor =
 {
@@ -2199,7 +2212,7 @@
   "CspWire__ReserveAsk",
   "csp_wire",
   sizeof(CspWire__ReserveAsk),
-  9,
+  10,
   csp_wire__reserve_ask__field_descriptors,
   csp_wire__reserve_ask__field_indices_by_name,
   1,  csp_wire__reserve_ask__number_ranges,
@@ -2489,7 +2502,7 @@
   (ProtobufCMessageInit) csp_wire__commit_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_wire__release__field_descriptors[5] =
+static const ProtobufCFieldDescriptor csp_wire__release__field_descriptors[7] =
 {
   {
     "ask_id",
@@ -2551,18 +2564,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Release, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Release, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_wire__release__field_indices_by_name[] = {
   0,   /* field[0] = ask_id */
+  5,   /* field[5] = failed */
   3,   /* field[3] = maybe_decoding */
   2,   /* field[2] = nonce */
   1,   /* field[1] = sender */
+  6,   /* field[6] = target */
   4,   /* field[4] = tokens */
 };
 static const ProtobufCIntRange csp_wire__release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor csp_wire__release__descriptor =
 {
@@ -2572,7 +2611,7 @@
   "CspWire__Release",
   "csp_wire",
   sizeof(CspWire__Release),
-  5,
+  7,
   csp_wire__release__field_descriptors,
   csp_wire__release__field_indices_by_name,
   1,  csp_wire__release__number_ranges,
--- a/source/peer/peer.pb-c.h
+++ b/source/peer/peer.pb-c.h
@@ -217,10 +217,12 @@
   char *class_name;
   uint32_t prompt_tokens;
   uint32_t max_tokens;
+  size_t n_tried;
+  char **tried;
 };
 #define CSP_WIRE__RESERVE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_wire__reserve_ask__descriptor) \
-    , 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 struct  CspWire__ReserveAnswer
@@ -274,10 +276,12 @@
   uint64_t nonce;
   protobuf_c_boolean maybe_decoding;
   uint64_t tokens;
+  protobuf_c_boolean failed;
+  char *target;
 };
 #define CSP_WIRE__RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_wire__release__descriptor) \
-    , 0, NULL, 0, 0, 0 }
+    , 0, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  CspWire__HeldSlot
--- a/source/stream/recovery.c
+++ b/source/stream/recovery.c
@@ -38,8 +38,7 @@
   [CSP_LINK_STALLED]
   = { "stalled", CSP_REASON_STREAM_STALLED, true, false, true },
   [CSP_LINK_BROKEN] = { "broken", CSP_REASON_STREAM_CUT, true, false, true },
-  [CSP_LINK_FOREIGN]
-  = { "foreign", CSP_REASON_STREAM_CUT, false, false, true },
+  [CSP_LINK_FOREIGN] = { "foreign", CSP_REASON_STREAM_CUT, true, false, true },
   [CSP_LINK_CALLER_GONE]
   = { "caller-gone", CSP_REASON_NONE, false, false, false },
   [CSP_LINK_DEADLINE]
@@ -54,6 +53,13 @@
   return end < CSP_LINK_END_COUNT ? end_table[end].name : "none";
 }
 
+bool
+csp_link_failed (csp_link_end_t end)
+{
+  return end == CSP_LINK_NO_CONNECT || end == CSP_LINK_FAILED
+         || end == CSP_LINK_CUT || end == CSP_LINK_STALLED;
+}
+
 void
 csp_note_link_end (csp_attempt_t *attempt, csp_link_end_t end, bool byte_left,
                    uint64_t delivered)
