Placement, health, shifting, retry budget and recall in the daemon

Change: candidates go through csp_choose_target with prefix, health and opening; links that fail start a target's opening anew; a retry spends from the budget, which starts with ten; streams without a token are recalled before an engine runs over.

--- a/include/cowslipspoke/control.h
+++ b/include/cowslipspoke/control.h
@@ -53,13 +53,28 @@
   uint32_t prompt_tokens;
   uint32_t max_tokens; /* 0: no bound */
   int64_t deadline_ms; /* steady */
-  bool retry;          /* not the first attempt: needs retry budget */
+  uint64_t prefix;     /* hash of the prompt's beginning; 0: none */
+  uint32_t prefix_tokens;
+  bool repeatable;            /* running it twice does no harm */
+  bool retry;                 /* not the first attempt: needs retry budget */
+  csp_verdict_t last_verdict; /* of the attempt before a retry */
   csp_tried_t tried;
   bool (*is_gone) (void *state); /* whether the caller hung up; may be NULL */
   void *gone_state;
 } csp_admission_ask_t;
 
-/* A place on a target.  */
+/* A word of the control thread to a traffic thread: this request is taken back
+   while it has made nothing.  Counted, since either may be done first.  */
+typedef struct csp_recall csp_recall_t;
+
+csp_recall_t *csp_create_recall (void);
+csp_recall_t *csp_share_recall (csp_recall_t *recall);
+void csp_drop_recall (csp_recall_t *recall);
+void csp_set_recalled (csp_recall_t *recall);
+bool csp_is_recalled (const csp_recall_t *recall);
+
+/* A place on a target.  recall may be NULL and is dropped by
+   csp_release_grant.  */
 typedef struct
 {
   char target[CSP_NAME_BYTES];
@@ -67,6 +82,8 @@
   uint64_t place; /* of the owner's table */
   char owner[CSP_NAME_BYTES];
   int64_t wait_ms;
+  uint8_t priority; /* for the target */
+  csp_recall_t *recall;
 } csp_grant_t;
 
 /* What a traffic thread says of a target when it gives its place back.  */
@@ -106,9 +123,10 @@
    to somebody else since.  False: give the place back and ask anew.  */
 bool csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant);
 
-/* Say how many tokens a stream has made so far.  */
+/* Say how many tokens a stream has made so far; blocked_ms of the time since
+   the last word was spent waiting for the caller.  */
 void csp_note_progress (csp_control_t *control, const csp_grant_t *grant,
-                        uint64_t tokens);
+                        uint64_t tokens, int64_t blocked_ms);
 
 /* Give a place back.  */
 void csp_release_grant (csp_control_t *control, const csp_grant_t *grant,
--- a/include/cowslipspoke/recovery.h
+++ b/include/cowslipspoke/recovery.h
@@ -29,6 +29,7 @@
   CSP_LINK_STALLED,     /* no token for longer than the stall timeout */
   CSP_LINK_BROKEN,      /* a gap, or an event that can't be read */
   CSP_LINK_FOREIGN,     /* tokens of another generation */
+  CSP_LINK_RECALLED,    /* taken back before the first token */
   CSP_LINK_CALLER_GONE, /* the caller hung up */
   CSP_LINK_DEADLINE,    /* the caller's deadline passed */
   CSP_LINK_STOPPED,     /* the host gave up: the drain limit passed */
--- a/include/cowslipspoke/request.h
+++ b/include/cowslipspoke/request.h
@@ -64,6 +64,12 @@
 /* Tokens of the prompt, guessed from its bytes.  */
 uint32_t csp_request_prompt_tokens (const csp_request_t *request);
 
+/* The beginning of the prompt, for engines that keep what they computed of
+   it: a hash, never 0, and about how many tokens it has; 0 and 0 where the
+   prompt is too short to matter.  */
+void csp_request_prefix (const csp_request_t *request, uint64_t *hash,
+                         uint32_t *tokens);
+
 /* The caller's bound on the answer; 0 where there is none.  */
 uint32_t csp_request_max_tokens (const csp_request_t *request);
 
--- a/include/cowslipspoke/retry.h
+++ b/include/cowslipspoke/retry.h
@@ -25,6 +25,9 @@
    engine of twelve (8 in 100 of requests) in full.
    retry_most: what can be saved up; at 27 requests a second a host collects
    20 in 7 s.
+   retry_start: what a host that starts may spend before it has seen first
+   attempts; with none, the first caller that meets a dead engine gets its
+   error.  Ten on each of 330 hosts are a third of a second's requests.
    hedge_share, hedge_most: 0.02 is the part of requests beyond the p98 of
    time to first token, which is the delay that hedge_after should be given.
    most_attempts: for one request, the first counted in.  */
@@ -32,6 +35,7 @@
 {
   double retry_share;
   double retry_most;
+  double retry_start;
   double hedge_share;
   double hedge_most;
   uint32_t most_attempts;
--- a/source/control/control-admission.c
+++ b/source/control/control-admission.c
@@ -1,4 +1,5 @@
 #include "control/control-imp.h"
+#include "cowslipspoke/preemption.h"
 #include "cowslipspoke/text.h"
 
 #include <stdlib.h>
@@ -6,78 +7,28 @@
 
 enum
 {
-  FIRST_PLACES = 256,
-  MAX_PLACES = 65536,
   SOON_MS = 1000,
-  AVOID_FIRST_MS = 500,
-  AVOID_MOST_MS = 16000,
-  AVOID_DOUBLINGS = 5
+  /* A usual time to a first token: what is left before a deadline has to be
+     more for a retry to make sense.  */
+  USUAL_FIRST_TOKEN_MS = 900,
+  MAX_VICTIMS = 8
 };
 
 bool
 csp_open_admission (csp_control_t *control)
 {
   csp_length_policy_t policy = csp_default_length_policy ();
+  csp_retry_policy_t retry = csp_default_retry_policy ();
+  csp_health_policy_t health = csp_default_health_policy ();
 
   control->lengths = csp_create_lengths (&policy);
   control->organisations = csp_create_intern (CSP_CONTROL_MAX_ORGANISATIONS);
-  control->places = calloc (FIRST_PLACES, sizeof *control->places);
-  control->place_room = FIRST_PLACES;
+  csp_open_retry_budget (&control->retries, &retry);
+  control->shift_policy = csp_default_shift_policy ();
+  control->started_ms = csp_now_ms (&control->context->clock);
+  control->health = csp_create_health (&health, CSP_CONTROL_MAX_TARGETS);
   return control->lengths != NULL && control->organisations != NULL
-         && control->places != NULL;
-}
-
-/* Places are numbered by their index below and a count above, so that a late
-   command for a place that was given away finds nothing.  */
-csp_place_t *
-csp_find_place (csp_control_t *control, uint64_t id)
-{
-  csp_place_t *place = &control->places[id % MAX_PLACES];
-
-  if (id % MAX_PLACES >= control->place_room || place->id != id)
-    return NULL;
-  return place;
-}
-
-static bool
-grow_places (csp_control_t *control)
-{
-  uint32_t room = control->place_room * 2;
-  csp_place_t *places;
-
-  if (room > MAX_PLACES)
-    return false;
-  places = realloc (control->places, room * sizeof *places);
-  if (places == NULL)
-    return false;
-  memset (places + control->place_room, 0,
-          control->place_room * sizeof *places);
-  control->places = places;
-  control->place_room = room;
-  return true;
-}
-
-static csp_place_t *
-make_place (csp_control_t *control)
-{
-  uint32_t i;
-
-  if (control->places_used == control->place_room && !grow_places (control))
-    return NULL;
-  for (i = 0; control->places[i].id != 0; i++)
-    ;
-  control->places_used++;
-  control->next_place++;
-  memset (&control->places[i], 0, sizeof control->places[i]);
-  control->places[i].id = control->next_place * MAX_PLACES + i;
-  return &control->places[i];
-}
-
-static void
-free_place (csp_control_t *control, csp_place_t *place)
-{
-  place->id = 0;
-  control->places_used--;
+         && control->health != NULL && csp_open_places (control);
 }
 
 static void
@@ -153,10 +104,27 @@
   return place->organisation != CSP_INTERN_NONE && place->pool != UINT32_MAX;
 }
 
+/* Within the retry budget, or a first attempt.  */
+static bool
+may_attempt (csp_control_t *control, const csp_admission_ask_t *ask,
+             int64_t now_ms)
+{
+  csp_retry_facts_t facts = { .idempotent = ask->repeatable,
+                              .verdict = ask->last_verdict,
+                              .attempts = ask->tried.count,
+                              .left_ms = ask->deadline_ms - now_ms,
+                              .needs_ms = USUAL_FIRST_TOKEN_MS };
+
+  if (ask->retry)
+    return csp_decide_retry (&control->retries, &facts) == CSP_RETRY_YES;
+  csp_note_first_attempt (&control->retries);
+  return true;
+}
+
 void
 csp_take_waiter (csp_control_t *control, csp_waiter_t *waiter, int64_t now_ms)
 {
-  csp_place_t *place = make_place (control);
+  csp_place_t *place = csp_make_place (control);
   csp_pool_state_t *pool;
   csp_waiting_t waiting;
   csp_error_t error;
@@ -168,7 +136,8 @@
       refuse_waiter (control, waiter, &error);
       return;
     }
-  if (!fill_place (control, place, waiter, now_ms))
+  if (!fill_place (control, place, waiter, now_ms)
+      || !may_attempt (control, waiter->ask, now_ms))
     goto refuse;
   pool = &control->pools[place->pool];
   waiting.id = place->id;
@@ -184,21 +153,10 @@
   return;
 
 refuse:
-  free_place (control, place);
+  csp_free_place (control, place);
   refuse_waiter (control, waiter, &error);
 }
 
-static bool
-was_tried (const csp_tried_t *tried, const char *target)
-{
-  uint32_t i;
-
-  for (i = 0; i < tried->count; i++)
-    if (strcmp (tried->names[i], target) == 0)
-      return true;
-  return false;
-}
-
 static csp_stream_t
 describe_stream (const csp_place_t *place, uint32_t reserve_tokens)
 {
@@ -209,110 +167,11 @@
                           .max_tokens = ask->max_tokens,
                           .reserve_tokens = reserve_tokens,
                           .priority = ask->terms.priority,
-                          .repeatable = true };
+                          .repeatable = ask->repeatable };
 
   return stream;
 }
 
-/* Whether a target could take a request at all, now or later.  */
-static bool
-could_use (const csp_control_t *control, const char *pool,
-           csp_target_kind_t kind, const csp_tried_t *tried, uint32_t index)
-{
-  const csp_target_state_t *target = control->targets[index];
-
-  return target != NULL && target->listed.kind == kind
-         && target->listed.state == CSP_MEMBER_LIVE
-         && strcmp (target->listed.pool, pool) == 0
-         && !was_tried (tried, target->listed.name);
-}
-
-/* Whether a target may take a request now, whatever its load.  */
-static bool
-may_use (const csp_control_t *control, const char *pool,
-         csp_target_kind_t kind, const csp_tried_t *tried, uint32_t index,
-         int64_t now_ms)
-{
-  return could_use (control, pool, kind, tried, index)
-         && now_ms >= control->targets[index]->avoid_until_ms;
-}
-
-/* An engine that this host owns, with room by its ledger, its opening and
-   what other hosts hold there.  */
-static bool
-has_room (csp_control_t *control, const csp_stream_t *stream, uint32_t index,
-          int64_t now_ms)
-{
-  const csp_target_state_t *target = control->targets[index];
-  const csp_ledger_t *ledger = target->ledger;
-  csp_stream_t asked = *stream;
-  uint32_t opening = csp_find_opening (control->ownership, index, now_ms);
-  uint64_t slots = csp_slot_tokens (control, target->listed.name, now_ms);
-  uint64_t open_tokens
-      = (uint64_t)csp_ledger_memory_tokens (ledger, now_ms) * opening;
-  uint64_t used_tokens = csp_ledger_used_tokens (ledger) + slots;
-
-  asked.reserve_tokens += (uint32_t)slots;
-  return opening > 0 && !csp_ledger_leaving (ledger)
-         && used_tokens * CSP_OPEN_FULL <= open_tokens
-         && csp_decide_admission (ledger, &asked, now_ms) == CSP_ADMIT;
-}
-
-static uint32_t
-count_room (csp_control_t *control, const csp_stream_t *stream, uint32_t index,
-            int64_t now_ms)
-{
-  const csp_target_state_t *target = control->targets[index];
-  uint64_t slots = csp_slot_tokens (control, target->listed.name, now_ms);
-  uint32_t room
-      = csp_ledger_headroom_tokens (target->ledger, stream->priority, now_ms);
-
-  return room > slots ? room - (uint32_t)slots : 0;
-}
-
-uint32_t
-csp_choose_engine (csp_control_t *control, const char *pool,
-                   const csp_tried_t *tried, const csp_stream_t *stream,
-                   int64_t now_ms)
-{
-  uint32_t best = UINT32_MAX;
-  uint32_t best_room = 0;
-  uint32_t room;
-  uint32_t i;
-
-  for (i = 0; i < control->target_room; i++)
-    {
-      if (!may_use (control, pool, CSP_TARGET_ENGINE, tried, i, now_ms)
-          || !has_room (control, stream, i, now_ms))
-        continue;
-      room = count_room (control, stream, i, now_ms);
-      if (best == UINT32_MAX || room > best_room)
-        {
-          best = i;
-          best_room = room;
-        }
-    }
-  return best;
-}
-
-/* Plain services have no memory to fill; the one with the fewest calls open
-   from here is taken, owned or not.  */
-static uint32_t
-choose_service (const csp_control_t *control, const csp_admission_ask_t *ask,
-                int64_t now_ms)
-{
-  uint32_t best = UINT32_MAX;
-  uint32_t i;
-
-  for (i = 0; i < control->target_room; i++)
-    if (may_use (control, ask->terms.pool, CSP_TARGET_SERVICE, &ask->tried, i,
-                 now_ms)
-        && (best == UINT32_MAX
-            || control->targets[i]->streams < control->targets[best]->streams))
-      best = i;
-  return best;
-}
-
 static void
 place_request (csp_control_t *control, csp_place_t *place, uint32_t index,
                int64_t now_ms)
@@ -329,6 +188,12 @@
     place->stream = csp_add_stream (target->ledger, &stream, 0, now_ms);
   target->streams++;
   control->granted++;
+  if (place->waiter->ask->prefix != 0)
+    csp_note_prefix (&target->prefixes, place->waiter->ask->prefix,
+                     place->waiter->ask->prefix_tokens, now_ms);
+  grant->priority = csp_engine_priority (&stream);
+  grant->recall = csp_create_recall ();
+  place->recall = csp_share_recall (grant->recall);
   csp_copy_text (grant->target, sizeof grant->target, target->listed.name);
   csp_copy_text (grant->endpoint.address, sizeof grant->endpoint.address,
                  target->listed.address);
@@ -347,9 +212,9 @@
   csp_stream_t stream = describe_stream (place, reserve_tokens);
 
   if (ask->kind == CSP_POOL_SERVICES)
-    return choose_service (control, ask, now_ms);
+    return csp_choose_service (control, ask, now_ms);
   return csp_choose_engine (control, ask->terms.pool, &ask->tried, &stream,
-                            now_ms);
+                            ask->prefix, now_ms);
 }
 
 /* Whether waiting can help: some target of the data centre could take the
@@ -367,7 +232,7 @@
   if (place->spill != NULL)
     return true;
   for (i = 0; i < control->target_room; i++)
-    if (could_use (control, ask->terms.pool, kind, &ask->tried, i))
+    if (csp_could_use (control, ask->terms.pool, kind, &ask->tried, i))
       return true;
   return false;
 }
@@ -391,7 +256,7 @@
   csp_set_error (&error, CSP_VERDICT_NOT_RUN, CSP_REASON_NO_TARGET, SOON_MS,
                  "no target of pool %s can take it", pool->name);
   refuse_waiter (control, place->waiter, &error);
-  free_place (control, place);
+  csp_free_place (control, place);
 }
 
 static void
@@ -420,23 +285,6 @@
     }
 }
 
-/* The memory that this host's queue may count on: its own targets' and, for
-   hand-offs, what peers have free.  */
-static void
-set_capacity (csp_control_t *control, csp_pool_state_t *pool, int64_t now_ms)
-{
-  uint64_t memory_tokens = csp_sum_peer_headroom (control, now_ms);
-  uint32_t i;
-
-  for (i = 0; i < control->target_room; i++)
-    if (control->targets[i] != NULL
-        && strcmp (control->targets[i]->listed.pool, pool->name) == 0
-        && csp_find_opening (control->ownership, i, now_ms) > 0)
-      memory_tokens
-          += csp_ledger_memory_tokens (control->targets[i]->ledger, now_ms);
-  csp_set_capacity (pool->queue, memory_tokens);
-}
-
 static void
 expire_pool (csp_control_t *control, csp_pool_state_t *pool, int64_t now_ms)
 {
@@ -449,12 +297,49 @@
       place = csp_find_place (control, waiting.id);
       csp_cancel_spill (control, place, now_ms);
       refuse_waiter (control, place->waiter, &error);
-      free_place (control, place);
+      csp_free_place (control, place);
+    }
+}
+
+/* Take back streams that have made nothing yet from an engine whose memory is
+   about to run over; their callers see a later first token instead of
+   somebody's stall.  */
+static void
+recall_victims (csp_control_t *control, csp_target_state_t *target,
+                int64_t now_ms)
+{
+  csp_preemption_policy_t policy = csp_default_preemption_policy ();
+  uint32_t handles[MAX_VICTIMS];
+  uint32_t count = csp_choose_victims (&policy, target->ledger, now_ms,
+                                       handles, MAX_VICTIMS);
+  csp_stream_state_t state;
+  csp_place_t *place;
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      csp_ledger_stream (target->ledger, handles[i], &state);
+      place = csp_find_place (control, state.stream.id);
+      if (place == NULL)
+        continue;
+      csp_set_recalled (place->recall);
+      control->recalled++;
     }
 }
 
 void
-csp_tick_admission (csp_control_t *control, int64_t now_ms)
+csp_tick_preemption (csp_control_t *control, int64_t now_ms)
+{
+  uint32_t i;
+
+  for (i = 0; i < control->target_room; i++)
+    if (control->targets[i] != NULL && control->targets[i]->streams > 0
+        && control->targets[i]->listed.kind == CSP_TARGET_ENGINE)
+      recall_victims (control, control->targets[i], now_ms);
+}
+
+void
+csp_tick_admission (csp_control_t *control, bool all, int64_t now_ms)
 {
   csp_pool_state_t *pool;
   uint32_t i;
@@ -462,30 +347,18 @@
   for (i = 0; i < control->pool_count; i++)
     {
       pool = &control->pools[i];
-      if (!pool->dirty && csp_queue_length (pool->queue) == 0)
+      if (!pool->dirty && (!all || csp_queue_length (pool->queue) == 0))
         continue;
-      set_capacity (control, pool, now_ms);
+      csp_set_pool_capacity (control, pool, now_ms);
       pump_pool (control, pool, now_ms);
       expire_pool (control, pool, now_ms);
     }
 }
 
-static csp_place_t *
-find_waiter_place (csp_control_t *control, uint64_t number)
-{
-  uint32_t i;
-
-  for (i = 0; i < control->place_room; i++)
-    if (control->places[i].id != 0 && control->places[i].waiter != NULL
-        && control->places[i].waiter_number == number)
-      return &control->places[i];
-  return NULL;
-}
-
 void
 csp_abandon_waiter (csp_control_t *control, uint64_t number, int64_t now_ms)
 {
-  csp_place_t *place = find_waiter_place (control, number);
+  csp_place_t *place = csp_find_waiter_place (control, number);
   csp_error_t error;
 
   if (place == NULL)
@@ -496,43 +369,38 @@
                     place->id);
   csp_cancel_spill (control, place, now_ms);
   refuse_waiter (control, place->waiter, &error);
-  free_place (control, place);
+  csp_free_place (control, place);
 }
 
-void
-csp_take_progress (csp_control_t *control,
-                   const csp_control_command_t *command, int64_t now_ms)
+/* The mean gap since the last progress speaks of the target; the time that the
+   caller kept its thread waiting does not.  */
+static void
+note_gap (csp_control_t *control, csp_place_t *place, uint64_t tokens,
+          int64_t blocked_ms, int64_t now_ms)
 {
-  csp_place_t *place = csp_find_place (control, command->place);
+  int64_t passed_ms = now_ms - place->progress_ms - blocked_ms;
+  uint64_t made = tokens - place->made_tokens;
 
-  if (place != NULL && place->state == CSP_PLACE_LOCAL
-      && place->stream != UINT32_MAX)
-    csp_note_tokens (place->target->ledger, place->stream,
-                     (uint32_t)command->tokens, now_ms);
+  if (place->progress_ms != 0 && tokens > place->made_tokens && passed_ms > 0
+      && place->target->index != UINT32_MAX)
+    csp_note_gaps (control->health, place->target->index, (uint32_t)made,
+                   (double)passed_ms / (double)made);
+  place->progress_ms = now_ms;
+  place->made_tokens = tokens;
 }
 
-/* A target whose links fail gets no new work for a while, doubled with each
-   failure.  Without it the emptiest engine is the dead one, and every new
-   request tries it first.  */
 void
-csp_judge_target (csp_control_t *control, csp_target_state_t *target,
-                  csp_link_end_t end, int64_t now_ms)
+csp_take_progress (csp_control_t *control,
+                   const csp_control_command_t *command, int64_t now_ms)
 {
-  uint32_t doublings = target->failures < AVOID_DOUBLINGS ? target->failures
-                                                          : AVOID_DOUBLINGS;
-  int64_t avoid_ms = (int64_t)AVOID_FIRST_MS << doublings;
+  csp_place_t *place = csp_find_place (control, command->place);
 
-  if (end == CSP_LINK_COMPLETE)
-    target->failures = 0;
-  if (!csp_link_failed (end))
+  if (place == NULL || place->state != CSP_PLACE_LOCAL
+      || place->stream == UINT32_MAX)
     return;
-  target->failures++;
-  target->avoid_until_ms
-      = now_ms + (avoid_ms < AVOID_MOST_MS ? avoid_ms : AVOID_MOST_MS);
-  CSP_LOG (control->context->log, CSP_EVENT_TARGET_LOST, NULL,
-           csp_text ("target", target->listed.name),
-           csp_text ("end", csp_link_end_name (end)),
-           csp_number ("failures", target->failures));
+  csp_note_tokens (place->target->ledger, place->stream,
+                   (uint32_t)command->tokens, now_ms);
+  note_gap (control, place, command->tokens, command->blocked_ms, now_ms);
 }
 
 bool
@@ -559,6 +427,7 @@
 {
   csp_target_state_t *target = place->target;
 
+  csp_drop_recall (place->recall);
   if (place->stream != UINT32_MAX)
     {
       csp_note_tokens (target->ledger, place->stream,
@@ -593,7 +462,7 @@
                       place->prompt_tokens + (uint32_t)outcome->tokens,
                       now_ms);
   pool->dirty = true;
-  free_place (control, place);
+  csp_free_place (control, place);
 }
 
 void
@@ -603,6 +472,7 @@
 
   for (i = 0; i < control->pool_count; i++)
     csp_destroy_queue (control->pools[i].queue);
+  csp_destroy_health (control->health);
   csp_destroy_intern (control->organisations);
   free (control->places);
 }
--- /dev/null
+++ b/source/control/control-choose.c
@@ -0,0 +1,237 @@
+#include "control/control-imp.h"
+
+#include <string.h>
+
+/* Which target a request gets: gathers what the decisions of placement,
+   health and shifting need, and asks them.  */
+
+enum
+{
+  AVOID_FIRST_MS = 500,
+  AVOID_MOST_MS = 16000,
+  AVOID_DOUBLINGS = 5,
+  WEIGH_MS = 1000,
+  /* Targets that are listed when a host starts are in full service; what is
+     listed later is new.  */
+  START_MS = 10000
+};
+
+static bool
+was_tried (const csp_tried_t *tried, const char *target)
+{
+  uint32_t i;
+
+  for (i = 0; i < tried->count; i++)
+    if (strcmp (tried->names[i], target) == 0)
+      return true;
+  return false;
+}
+
+/* Whether a target could take a request at all, now or later.  */
+bool
+csp_could_use (const csp_control_t *control, const char *pool,
+               csp_target_kind_t kind, const csp_tried_t *tried,
+               uint32_t index)
+{
+  const csp_target_state_t *target = control->targets[index];
+
+  return target != NULL && target->listed.kind == kind
+         && target->listed.state == CSP_MEMBER_LIVE
+         && strcmp (target->listed.pool, pool) == 0
+         && !was_tried (tried, target->listed.name);
+}
+
+/* Whether a target may take a request now, whatever its load.  */
+static bool
+may_use (const csp_control_t *control, const char *pool,
+         csp_target_kind_t kind, const csp_tried_t *tried, uint32_t index,
+         int64_t now_ms)
+{
+  return csp_could_use (control, pool, kind, tried, index)
+         && now_ms >= control->targets[index]->avoid_until_ms;
+}
+
+/* An engine that this host owns, with room by its ledger, its opening and
+   what other hosts hold there.  */
+static bool
+has_room (csp_control_t *control, const csp_stream_t *stream, uint32_t index,
+          int64_t now_ms)
+{
+  const csp_target_state_t *target = control->targets[index];
+  const csp_ledger_t *ledger = target->ledger;
+  csp_stream_t asked = *stream;
+  uint32_t opening = csp_find_opening (control->ownership, index, now_ms);
+  uint64_t slots = csp_slot_tokens (control, target->listed.name, now_ms);
+  uint64_t open_tokens
+      = (uint64_t)csp_ledger_memory_tokens (ledger, now_ms) * opening;
+  uint64_t used_tokens = csp_ledger_used_tokens (ledger) + slots;
+
+  asked.reserve_tokens += (uint32_t)slots;
+  return opening > 0 && !csp_ledger_leaving (ledger)
+         && used_tokens * CSP_OPEN_FULL <= open_tokens
+         && csp_decide_admission (ledger, &asked, now_ms) == CSP_ADMIT;
+}
+
+/* How much of an engine may be used for new work: by its health, and by how
+   far it has been opened since it came.  */
+static double
+open_share (const csp_control_t *control, uint32_t index)
+{
+  const csp_target_state_t *target = control->targets[index];
+
+  return csp_health_open (control->health, index) * target->shift.open;
+}
+
+static csp_candidate_t
+describe_candidate (const csp_control_t *control, uint32_t index,
+                    uint64_t prefix)
+{
+  const csp_target_state_t *target = control->targets[index];
+  csp_candidate_t candidate
+      = { .ledger = target->ledger,
+          .cached_tokens = csp_cached_tokens (&target->prefixes, prefix),
+          .open = open_share (control, index),
+          .slowness = csp_health_slowness (control->health, index) };
+
+  return candidate;
+}
+
+/* A closed engine gets a single stream now and then, to see whether it is
+   well again.  */
+static uint32_t
+choose_probe (csp_control_t *control, const char *pool,
+              const csp_tried_t *tried, const csp_stream_t *stream,
+              int64_t now_ms)
+{
+  uint32_t i;
+
+  for (i = 0; i < control->target_room; i++)
+    if (may_use (control, pool, CSP_TARGET_ENGINE, tried, i, now_ms)
+        && csp_health_open (control->health, i) <= 0
+        && has_room (control, stream, i, now_ms)
+        && csp_take_probe (control->health, i, control->targets[i]->streams,
+                           now_ms))
+      return i;
+  return UINT32_MAX;
+}
+
+uint32_t
+csp_choose_engine (csp_control_t *control, const char *pool,
+                   const csp_tried_t *tried, const csp_stream_t *stream,
+                   uint64_t prefix, int64_t now_ms)
+{
+  csp_placement_policy_t policy = csp_default_placement_policy ();
+  uint32_t chosen = choose_probe (control, pool, tried, stream, now_ms);
+  uint32_t count = 0;
+  uint32_t i;
+
+  if (chosen != UINT32_MAX)
+    return chosen;
+  for (i = 0; i < control->target_room; i++)
+    {
+      if (!may_use (control, pool, CSP_TARGET_ENGINE, tried, i, now_ms)
+          || !has_room (control, stream, i, now_ms))
+        continue;
+      control->candidates[count] = describe_candidate (control, i, prefix);
+      control->candidate_targets[count] = i;
+      count++;
+    }
+  if (!csp_choose_target (&policy, control->candidates, count, stream, now_ms,
+                          &chosen))
+    return UINT32_MAX;
+  return control->candidate_targets[chosen];
+}
+
+/* Plain services have no memory to fill; the one with the fewest calls open
+   from here is taken, owned or not.  */
+uint32_t
+csp_choose_service (const csp_control_t *control,
+                    const csp_admission_ask_t *ask, int64_t now_ms)
+{
+  uint32_t best = UINT32_MAX;
+  uint32_t i;
+
+  for (i = 0; i < control->target_room; i++)
+    if (may_use (control, ask->terms.pool, CSP_TARGET_SERVICE, &ask->tried, i,
+                 now_ms)
+        && (best == UINT32_MAX
+            || control->targets[i]->streams < control->targets[best]->streams))
+      best = i;
+  return best;
+}
+
+/* A target whose links fail gets no new work for a while, doubled with each
+   failure.  Without it the emptiest engine is the dead one, and every new
+   request tries it first.  */
+void
+csp_judge_target (csp_control_t *control, csp_target_state_t *target,
+                  csp_link_end_t end, int64_t now_ms)
+{
+  uint32_t doublings = target->failures < AVOID_DOUBLINGS ? target->failures
+                                                          : AVOID_DOUBLINGS;
+  int64_t avoid_ms = (int64_t)AVOID_FIRST_MS << doublings;
+
+  if (end == CSP_LINK_COMPLETE)
+    target->failures = 0;
+  if (!csp_link_failed (end))
+    return;
+  target->failures++;
+  csp_start_shift (&target->shift, &control->shift_policy, now_ms);
+  target->avoid_until_ms
+      = now_ms + (avoid_ms < AVOID_MOST_MS ? avoid_ms : AVOID_MOST_MS);
+  CSP_LOG (control->context->log, CSP_EVENT_TARGET_LOST, NULL,
+           csp_text ("target", target->listed.name),
+           csp_text ("end", csp_link_end_name (end)),
+           csp_number ("failures", target->failures));
+}
+
+void
+csp_open_target_shift (csp_control_t *control, csp_target_state_t *target,
+                       int64_t now_ms)
+{
+  if (now_ms - control->started_ms < START_MS)
+    csp_open_shift (&target->shift);
+  else
+    csp_start_shift (&target->shift, &control->shift_policy, now_ms);
+}
+
+void
+csp_tick_choices (csp_control_t *control, int64_t now_ms)
+{
+  csp_target_state_t *target;
+  uint32_t i;
+  bool well;
+
+  if (now_ms >= control->next_weigh_ms)
+    {
+      csp_weigh_health (control->health, now_ms);
+      control->next_weigh_ms = now_ms + WEIGH_MS;
+    }
+  for (i = 0; i < control->target_room; i++)
+    {
+      target = control->targets[i];
+      if (target == NULL)
+        continue;
+      well = now_ms >= target->avoid_until_ms
+             && csp_ledger_foreign_tokens (target->ledger) == 0;
+      csp_move_shift (&target->shift, &control->shift_policy, well, now_ms);
+    }
+}
+
+/* The memory that this host's queue may count on: its own targets' and, for
+   hand-offs, what peers have free.  */
+void
+csp_set_pool_capacity (csp_control_t *control, csp_pool_state_t *pool,
+                       int64_t now_ms)
+{
+  uint64_t memory_tokens = csp_sum_peer_headroom (control, now_ms);
+  uint32_t i;
+
+  for (i = 0; i < control->target_room; i++)
+    if (control->targets[i] != NULL
+        && strcmp (control->targets[i]->listed.pool, pool->name) == 0
+        && csp_find_opening (control->ownership, i, now_ms) > 0)
+      memory_tokens
+          += csp_ledger_memory_tokens (control->targets[i]->ledger, now_ms);
+  csp_set_capacity (pool->queue, memory_tokens);
+}
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -9,13 +9,17 @@
 #include "cowslipspoke/control.h"
 #include "cowslipspoke/fetcher.h"
 #include "cowslipspoke/hash.h"
+#include "cowslipspoke/health.h"
 #include "cowslipspoke/intern.h"
 #include "cowslipspoke/length.h"
 #include "cowslipspoke/membership.h"
 #include "cowslipspoke/ownership.h"
 #include "cowslipspoke/peer.h"
+#include "cowslipspoke/placement.h"
 #include "cowslipspoke/queue.h"
 #include "cowslipspoke/random.h"
+#include "cowslipspoke/retry.h"
+#include "cowslipspoke/shift.h"
 #include "cowslipspoke/spread.h"
 
 /* What the files of the control slice share.  Everything here but the inbox
@@ -25,6 +29,8 @@
 {
   CSP_CONTROL_MAX_POOLS = 64,
   CSP_CONTROL_MAX_ORGANISATIONS = 4096,
+  /* Of one data centre: ten times the planned 430.  */
+  CSP_CONTROL_MAX_TARGETS = 4300,
   CSP_CONTROL_TICK_MS = 100,
   CSP_CONTROL_REPORT_MS = 1000,
   CSP_CONTROL_REPORT_TIMEOUT_MS = 2000
@@ -68,6 +74,7 @@
   csp_waiter_t *waiter;
   uint64_t place;
   uint64_t tokens;
+  int64_t blocked_ms;
   csp_place_outcome_t outcome;
   uint64_t id;
   int64_t after;
@@ -100,6 +107,8 @@
   uint32_t failures;
   int64_t avoid_until_ms;
   int64_t next_report_ms;
+  csp_prefixes_t prefixes;
+  csp_shift_t shift;
   bool report_pending;
   bool owned;
   int64_t left_ms;
@@ -150,6 +159,8 @@
   int64_t next_spill_ms;
   uint64_t made_tokens;
   bool link_failed;
+  int64_t progress_ms;
+  csp_recall_t *recall;
 } csp_place_t;
 
 typedef struct
@@ -206,6 +217,14 @@
   int64_t next_holdings_ms;
   uint64_t next_ask;
   uint64_t spilled;
+  csp_health_t *health;
+  csp_shift_policy_t shift_policy;
+  csp_retry_budget_t retries;
+  int64_t started_ms;
+  int64_t next_weigh_ms;
+  csp_candidate_t candidates[CSP_CONTROL_MAX_TARGETS];
+  uint32_t candidate_targets[CSP_CONTROL_MAX_TARGETS];
+  uint64_t recalled;
   uint64_t refused;
   uint64_t granted;
 };
@@ -283,7 +302,9 @@
                         const csp_control_command_t *command, int64_t now_ms);
 void csp_take_release (csp_control_t *control,
                        const csp_control_command_t *command, int64_t now_ms);
-void csp_tick_admission (csp_control_t *control, int64_t now_ms);
+/* all: also pools of which nothing has changed, since time has passed.  */
+void csp_tick_admission (csp_control_t *control, bool all, int64_t now_ms);
+void csp_tick_preemption (csp_control_t *control, int64_t now_ms);
 void csp_close_admission (csp_control_t *control);
 
 /* The caller of a request that waits has hung up.  A waiter that was answered
@@ -298,14 +319,34 @@
 /* Confirm a grant immediately before bytes leave.  */
 bool csp_confirm_place (csp_control_t *control, uint64_t id, int64_t now_ms);
 
-/* The place of an id; NULL when it was freed.  */
+/* The table of places.  find: NULL when it was freed; make: NULL when the
+   table is full.  */
+bool csp_open_places (csp_control_t *control);
+csp_place_t *csp_make_place (csp_control_t *control);
+void csp_free_place (csp_control_t *control, csp_place_t *place);
 csp_place_t *csp_find_place (csp_control_t *control, uint64_t id);
+csp_place_t *csp_find_waiter_place (csp_control_t *control, uint64_t number);
+
+/* Whether a target could take a request at all, now or later.  */
+bool csp_could_use (const csp_control_t *control, const char *pool,
+                    csp_target_kind_t kind, const csp_tried_t *tried,
+                    uint32_t index);
+uint32_t csp_choose_service (const csp_control_t *control,
+                             const csp_admission_ask_t *ask, int64_t now_ms);
+void csp_set_pool_capacity (csp_control_t *control, csp_pool_state_t *pool,
+                            int64_t now_ms);
+
+/* A target was listed: how far it is open, and how that moves on.  */
+void csp_open_target_shift (csp_control_t *control, csp_target_state_t *target,
+                            int64_t now_ms);
+void csp_tick_choices (csp_control_t *control, int64_t now_ms);
 
 /* Choose an owned engine of a pool for a stream; UINT32_MAX when none has
    room.  */
 uint32_t csp_choose_engine (csp_control_t *control, const char *pool,
                             const csp_tried_t *tried,
-                            const csp_stream_t *stream, int64_t now_ms);
+                            const csp_stream_t *stream, uint64_t prefix,
+                            int64_t now_ms);
 
 /* Hand-offs, the sender's side: look for a slot elsewhere, take answers, and
    end with the request.  */
--- a/source/control/control-slots.c
+++ b/source/control/control-slots.c
@@ -63,7 +63,7 @@
       control->lengths, reserve->ask.model, reserve->class_name);
   tried.count = reserve->tried_count;
   memcpy (tried.names, reserve->tried, sizeof tried.names);
-  return csp_choose_engine (control, reserve->ask.pool, &tried, &stream,
+  return csp_choose_engine (control, reserve->ask.pool, &tried, &stream, 0,
                             now_ms);
 }
 
--- a/source/control/control-spill.c
+++ b/source/control/control-spill.c
@@ -161,6 +161,7 @@
                  spill->peers[spill->holder].name);
   grant->endpoint = spill->endpoint;
   grant->place = place->id;
+  grant->priority = place->waiter->ask->terms.priority;
   grant->wait_ms = now_ms - place->asked_ms;
   csp_answer_waiter (place->waiter, 0);
   place->waiter = NULL;
--- a/source/control/control-targets.c
+++ b/source/control/control-targets.c
@@ -12,6 +12,8 @@
 
   if (count <= control->target_room)
     return true;
+  if (count > CSP_CONTROL_MAX_TARGETS)
+    return false;
   targets = realloc (control->targets, count * sizeof *targets);
   if (targets == NULL)
     return false;
@@ -39,13 +41,14 @@
   if (target == NULL)
     return;
   control->targets[index] = NULL;
+  csp_reset_health (control->health, index, false);
   target->index = UINT32_MAX;
   csp_drop_target (target);
 }
 
 static void
 list_target (csp_control_t *control, uint32_t index,
-             const csp_listed_target_t *listed)
+             const csp_listed_target_t *listed, int64_t now_ms)
 {
   csp_admission_policy_t policy = csp_default_admission_policy ();
   csp_target_state_t *target = calloc (1, sizeof *target);
@@ -61,6 +64,8 @@
   target->index = index;
   target->listed = *listed;
   control->targets[index] = target;
+  csp_open_target_shift (control, target, now_ms);
+  csp_reset_health (control->health, index, true);
 }
 
 static void
@@ -77,7 +82,7 @@
   if (target != NULL && strcmp (target->listed.name, view.target.name) != 0)
     unlist_target (control, index);
   if (control->targets[index] == NULL)
-    list_target (control, index, &view.target);
+    list_target (control, index, &view.target, now_ms);
   target = control->targets[index];
   if (target == NULL)
     return;
--- a/source/control/control.c
+++ b/source/control/control.c
@@ -167,9 +167,12 @@
           csp_tick_targets (control, now_ms);
           csp_follow_ownership (control, now_ms);
           csp_tick_spills (control, now_ms);
+          csp_tick_choices (control, now_ms);
+          csp_tick_preemption (control, now_ms);
+          csp_tick_admission (control, true, now_ms);
           next_tick_ms = now_ms + CSP_CONTROL_TICK_MS;
         }
-      csp_tick_admission (control, now_ms);
+      csp_tick_admission (control, false, now_ms);
     }
   rcu_unregister_thread ();
   return NULL;
@@ -251,8 +254,8 @@
       control->first = command->next;
       csp_free_command (command);
     }
-  csp_close_admission (control);
   csp_close_targets (control);
+  csp_close_admission (control);
   csp_destroy_slot_table (control->slots);
   csp_destroy_lengths (control->lengths);
   csp_publish_view (control, NULL);
--- a/source/control/waiter.c
+++ b/source/control/waiter.c
@@ -103,7 +103,7 @@
 
 void
 csp_note_progress (csp_control_t *control, const csp_grant_t *grant,
-                   uint64_t tokens)
+                   uint64_t tokens, int64_t blocked_ms)
 {
   csp_control_command_t *command = csp_new_command (CSP_COMMAND_PROGRESS);
 
@@ -111,6 +111,7 @@
     return;
   command->place = grant->place;
   command->tokens = tokens;
+  command->blocked_ms = blocked_ms;
   csp_post_command (control, command);
 }
 
@@ -126,4 +127,5 @@
   command->place = grant->place;
   command->outcome = *outcome;
   csp_post_command (control, command);
+  csp_drop_recall (grant->recall);
 }
--- a/source/entry/call.c
+++ b/source/entry/call.c
@@ -70,6 +70,7 @@
   call->ask.deadline_ms = exchange->deadline_ms;
   call->ask.is_gone = csp_caller_is_gone;
   call->ask.gone_state = exchange;
+  call->ask.repeatable = !exchange->marks.non_idempotent;
   call->attempt.idempotent
       = !exchange->marks.non_idempotent
         && csp_may_repeat_call (call->service, info->request_method, rest);
@@ -142,6 +143,7 @@
                      call->grant.target);
       ask->tried.count++;
       ask->retry = true;
+      ask->last_verdict = recovery.error.verdict;
       if (csp_ask_admission (control, ask, &call->grant, &refusal) != 0)
         return -1;
     }
--- a/source/entry/generate.c
+++ b/source/entry/generate.c
@@ -34,6 +34,7 @@
   uint32_t worst_gap_ms;
   int64_t last_token_us;
   int64_t stall_us;
+  int64_t blocked_us; /* waiting for the caller, since the last progress */
   bool began;
   bool lost_place; /* the grant had run out before a byte left */
   char *text;      /* of a whole answer */
@@ -91,14 +92,19 @@
   run->last_token_ms = now_ms;
   run->last_token_us = now_us;
   if (run->generation.next_index % PROGRESS_TOKENS == 0)
-    csp_note_progress (run->exchange->entry->control, &run->grant,
-                       run->generation.next_index);
+    {
+      csp_note_progress (run->exchange->entry->control, &run->grant,
+                         run->generation.next_index,
+                         run->blocked_us / US_PER_MS);
+      run->blocked_us = 0;
+    }
 }
 
 static int
 deliver_token (void *state, const csp_token_t *token, const char *chunk_json)
 {
   run_t *run = state;
+  int sent;
 
   note_token (run);
   if (token->finish_reason != NULL)
@@ -109,8 +115,11 @@
   if (!run->began && csp_begin_events (run->exchange) != 0)
     return -1;
   run->began = true;
+  sent = csp_send_event (run->exchange, NULL, chunk_json);
   run->last_sign_ms = now_of (run);
-  return csp_send_event (run->exchange, NULL, chunk_json);
+  run->blocked_us += csp_now_us (&run->exchange->entry->context->clock)
+                     - run->last_token_us;
+  return sent;
 }
 
 /* Called while a link is open and silent.  A comment once a second keeps
@@ -127,6 +136,8 @@
     return CSP_LINK_DEADLINE;
   if (csp_caller_is_gone (run->exchange))
     return CSP_LINK_CALLER_GONE;
+  if (run->generation.next_index == 0 && csp_is_recalled (run->grant.recall))
+    return CSP_LINK_RECALLED;
   if (run->began && now_ms - run->last_sign_ms >= KEEP_ALIVE_MS)
     {
       run->last_sign_ms = now_ms;
@@ -156,7 +167,7 @@
           .path = chat ? "/v1/chat/completions" : "/v1/completions",
           .body = body,
           .resume = resume,
-          .priority = run->ask.terms.priority,
+          .priority = run->grant.priority,
           .request_id = run->exchange->id,
           .connect_timeout_ms = settings->connect_timeout_ms,
           .first_token_timeout_ms
@@ -277,8 +288,9 @@
       if (recovery.kind == CSP_RECOVER_GIVE_UP
           || run->ask.tried.count == CSP_TRIED_MAX)
         return -1;
-      if (!run->lost_place)
+      if (!run->lost_place && *end != CSP_LINK_RECALLED)
         remember_target (run);
+      run->ask.last_verdict = recovery.error.verdict;
       run->lost_place = false;
       /* When nobody else takes it, the caller gets the first target's error:
          its verdict covers the attempt that may have started.  */
@@ -503,6 +515,8 @@
   run->ask.prompt_tokens = facts.prompt_tokens;
   run->ask.max_tokens = bound_tokens (run);
   run->ask.deadline_ms = exchange->deadline_ms;
+  csp_request_prefix (run->request, &run->ask.prefix, &run->ask.prefix_tokens);
+  run->ask.repeatable = !exchange->marks.non_idempotent;
   run->ask.is_gone = csp_caller_is_gone;
   run->ask.gone_state = exchange;
   run->attempt.idempotent = !exchange->marks.non_idempotent;
--- a/source/entry/hang-up.c
+++ b/source/entry/hang-up.c
@@ -20,7 +20,7 @@
 static bool
 is_caller (int descriptor, const struct mg_request_info *info)
 {
-  struct sockaddr_in peer;
+  struct sockaddr_in peer = { 0 };
   socklen_t size_bytes = sizeof peer;
   char text[INET_ADDRSTRLEN];
 
@@ -36,7 +36,7 @@
 csp_find_caller_socket (const struct mg_request_info *info, uint16_t port)
 {
   struct rlimit limit;
-  struct sockaddr_in own;
+  struct sockaddr_in own = { 0 };
   socklen_t size_bytes;
   int descriptor;
   int most = MOST_DESCRIPTORS;
--- a/source/entry/request.c
+++ b/source/entry/request.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/request.h"
 
+#include "cowslipspoke/hash.h"
+
 #include <errno.h>
 #include <json-c/json.h>
 #include <stdio.h>
@@ -12,6 +14,9 @@
   /* Engines' tokenizers differ; four bytes a token is the usual rule for
      text.  Admission corrects it by the engine's own report.  */
   BYTES_PER_TOKEN = 4,
+  /* Shared beginnings are long papers or standing instructions; 2 KB tell
+     them apart.  */
+  PREFIX_BYTES = 2048,
   MAX_DEADLINE_MS = 24 * 3600 * 1000,
   MAX_ATTEMPT = 1000,
   MAX_ANSWER_TOKENS = 10 * 1000 * 1000
@@ -253,6 +258,27 @@
   return request->prompt_tokens;
 }
 
+void
+csp_request_prefix (const csp_request_t *request, uint64_t *hash,
+                    uint32_t *tokens)
+{
+  json_object *prompt = NULL;
+  char beginning[PREFIX_BYTES];
+  size_t size_bytes;
+
+  *hash = 0;
+  *tokens = 0;
+  json_object_object_get_ex (
+      request->body, request->api == CSP_API_CHAT ? "messages" : "prompt",
+      &prompt);
+  size_bytes = (size_t)snprintf (beginning, sizeof beginning, "%s",
+                                 json_object_get_string (prompt));
+  if (size_bytes < sizeof beginning)
+    return;
+  *hash = csp_hash_pair ("prefix", beginning) | 1;
+  *tokens = PREFIX_BYTES / BYTES_PER_TOKEN;
+}
+
 uint32_t
 csp_request_max_tokens (const csp_request_t *request)
 {
--- a/source/retry/retry.c
+++ b/source/retry/retry.c
@@ -11,6 +11,7 @@
 {
   csp_retry_policy_t policy = { .retry_share = 0.1,
                                 .retry_most = 20,
+                                .retry_start = 10,
                                 .hedge_share = 0.02,
                                 .hedge_most = 4,
                                 .most_attempts = 3 };
@@ -22,7 +23,8 @@
 csp_open_retry_budget (csp_retry_budget_t *budget,
                        const csp_retry_policy_t *policy)
 {
-  csp_retry_budget_t fresh = { .policy = *policy };
+  csp_retry_budget_t fresh
+      = { .policy = *policy, .retries = policy->retry_start };
 
   *budget = fresh;
 }
--- a/source/stream/recovery.c
+++ b/source/stream/recovery.c
@@ -39,6 +39,8 @@
   = { "stalled", CSP_REASON_STREAM_STALLED, true, false, true },
   [CSP_LINK_BROKEN] = { "broken", CSP_REASON_STREAM_CUT, true, false, true },
   [CSP_LINK_FOREIGN] = { "foreign", CSP_REASON_STREAM_CUT, true, false, true },
+  [CSP_LINK_RECALLED]
+  = { "recalled", CSP_REASON_OVERLOADED, true, false, true },
   [CSP_LINK_CALLER_GONE]
   = { "caller-gone", CSP_REASON_NONE, false, false, false },
   [CSP_LINK_DEADLINE]
