--- a/tests/retry/retry-test.c
+++ b/tests/retry/retry-test.c
@@ -105,10 +105,10 @@
 {
   csp_retry_policy_t policy = csp_default_retry_policy ();
   csp_retry_budget_t budget;
-  double sent;
+  uint32_t sent;
 
   csp_open_retry_budget (&budget, &policy);
-  for (sent = 0; sent < policy.retry_start; sent++)
+  for (sent = 0; sent < (uint32_t)policy.retry_start; sent++)
     ck_assert_int_eq (csp_decide_retry (&budget, &usual), CSP_RETRY_YES);
   ck_assert_int_eq (csp_decide_retry (&budget, &usual), CSP_RETRY_BUDGET);
   ck_assert_int_eq (csp_decide_hedge (&budget, &usual), CSP_RETRY_BUDGET);
