--- a/bench/path.sh
+++ b/bench/path.sh
@@ -11,8 +11,11 @@
 
 line() {
   awk -v name="$1" -v baseline="$2" -v now="$3" -v unit="$4" 'BEGIN {
+    ratio = "-"
+    if (baseline > 0)
+      ratio = sprintf("%.3f", now / baseline)
     printf "%s baseline=%s now=%s ratio=%s unit=%s\n", name, baseline, now,
-      baseline > 0 ? sprintf("%.3f", now / baseline) : "-", unit }'
+      ratio, unit }'
 }
 
 # field NAME FILE: a number of a summary; "unknown" fails the bench later.
--- a/tests/session/platform-away.sh
+++ b/tests/session/platform-away.sh
@@ -1,25 +1,36 @@
 #!/bin/sh
-# The platform's service goes away.  Hosts serve on what they have, and a host
-# that starts meanwhile gets it from the others.  Without that, every host
-# that is replaced during an outage would refuse all callers.
+# The platform's services go away.  Hosts serve on what they have, and a host
+# that is replaced meanwhile gets it from the others.  Without that, every
+# host that is replaced during an outage would refuse all callers.
 . "$(dirname "$0")/lib.sh"
 start_platform
 publish_usual_config
 start_engine e1
-start_service s1
 start_host h1
 start_host h2
 publish_hosts
 wait_ready h1 h2
+wait_until 5 list_was_read
 
-request platform POST /test/mode '{"away":true}'
-echo "# away: a host that runs"
+request platform POST /test/mode '{"away":true}' >"$work/away"
+echo "# away: the hosts that run"
 call h1 --tokens 5
 call h2 --tokens 5
+
+echo "# a host that is replaced at its own address"
+old_port=$(port_of h2)
+old_peer_port=$(peer_port_of h2)
+signal_to h2 TERM
+wait_exit h2
+remove_host h2
+start_host h2 --http-port "$old_port" --peer-port "$old_peer_port"
+wait_ready h2
+call h2 --tokens 5
+
 echo "# back, with one route more"
 publish_config '"route/m-two": {"model": "m-small", "pool": "general"}'
 call h1 --tokens 5 --model m-two | head -n 1
-request platform POST /test/mode '{"away":false}'
+request platform POST /test/mode '{"away":false}' >"$work/away"
 wait_until 10 serves_model h1 m-two
 wait_until 10 serves_model h2 m-two
-call h1 --tokens 5 --model m-two
+call h2 --tokens 5 --model m-two
