--- a/source/handoff/slot-store.c
+++ b/source/handoff/slot-store.c
@@ -49,8 +49,8 @@
    would seem full for ever.  So lives are told apart by incarnation, and only
    the latest is listened to.  */
 holder_t *
-csp_find_holder (csp_slot_table_t *table, const csp_host_ref_t *ref,
-                 int64_t now_ms)
+csp_find_slot_holder (csp_slot_table_t *table, const csp_host_ref_t *ref,
+                      int64_t now_ms)
 {
   uint64_t hash = csp_mix_name (ref->name);
   csp_index_node_t *node = csp_find_in_index (&table->holders, hash);
@@ -74,7 +74,7 @@
 }
 
 target_t *
-csp_find_target (csp_slot_table_t *table, const char *name, bool make)
+csp_find_slot_target (csp_slot_table_t *table, const char *name, bool make)
 {
   uint64_t hash = csp_mix_name (name);
   csp_index_node_t *node = csp_find_in_index (&table->targets, hash);
--- a/source/handoff/slot-table-imp.h
+++ b/source/handoff/slot-table-imp.h
@@ -70,12 +70,12 @@
 /* The life that a message comes from, made if need be; NULL where a later
    life of the same host is known already, or without memory.  A first message
    from a later life orphans what the earlier one held.  */
-holder_t *csp_find_holder (csp_slot_table_t *table, const csp_host_ref_t *ref,
-                           int64_t now_ms);
+holder_t *csp_find_slot_holder (csp_slot_table_t *table,
+                                const csp_host_ref_t *ref, int64_t now_ms);
 
 /* A target, made if need be; NULL without memory.  */
-target_t *csp_find_target (csp_slot_table_t *table, const char *name,
-                           bool make);
+target_t *csp_find_slot_target (csp_slot_table_t *table, const char *name,
+                                bool make);
 
 slot_t *csp_find_held_slot (const csp_slot_table_t *table,
                             const holder_t *holder, uint64_t ask_id);
--- a/source/handoff/slot-table.c
+++ b/source/handoff/slot-table.c
@@ -149,7 +149,7 @@
   slot_t *slot;
 
   csp_expire_slots (table, now_ms);
-  holder = csp_find_holder (table, &ask->sender, now_ms);
+  holder = csp_find_slot_holder (table, &ask->sender, now_ms);
   if (holder == NULL)
     return false;
   slot = csp_find_held_slot (table, holder, ask->ask_id);
@@ -171,8 +171,8 @@
 
   if (csp_find_slot (table, ask, now_ms, answer))
     return;
-  holder = csp_find_holder (table, &ask->sender, now_ms);
-  place = csp_find_target (table, target, true);
+  holder = csp_find_slot_holder (table, &ask->sender, now_ms);
+  place = csp_find_slot_target (table, target, true);
   if (holder == NULL || place == NULL)
     goto refuse;
   if (place->closed_until_ms > now_ms)
@@ -207,7 +207,7 @@
   memset (answer, 0, sizeof *answer);
   answer->ask_id = ask->ask_id;
   answer->nonce = ask->nonce;
-  holder = csp_find_holder (table, &ask->sender, now_ms);
+  holder = csp_find_slot_holder (table, &ask->sender, now_ms);
   if (holder != NULL)
     slot = csp_find_held_slot (table, holder, ask->ask_id);
   if (slot == NULL || slot->nonce != ask->nonce
@@ -230,7 +230,7 @@
   slot_t *slot;
 
   csp_expire_slots (table, now_ms);
-  holder = csp_find_holder (table, &release->sender, now_ms);
+  holder = csp_find_slot_holder (table, &release->sender, now_ms);
   if (holder == NULL)
     return;
   slot = csp_find_held_slot (table, holder, release->ask_id);
@@ -251,7 +251,7 @@
 
   if (slot == NULL)
     {
-      target = csp_find_target (table, held->target, true);
+      target = csp_find_slot_target (table, held->target, true);
       if (target != NULL)
         slot = csp_add_slot (table, holder, target, held->ask_id,
                              held->expected_tokens);
@@ -289,7 +289,7 @@
   size_t i;
 
   csp_expire_slots (table, now_ms);
-  holder = csp_find_holder (table, &holdings->sender, now_ms);
+  holder = csp_find_slot_holder (table, &holdings->sender, now_ms);
   if (holder == NULL || holdings->number <= holder->holdings_number)
     return;
   holder->holdings_number = holdings->number;
@@ -345,7 +345,7 @@
 void
 csp_gain_target (csp_slot_table_t *table, const char *target, int64_t now_ms)
 {
-  target_t *place = csp_find_target (table, target, true);
+  target_t *place = csp_find_slot_target (table, target, true);
 
   if (place != NULL)
     place->closed_until_ms = now_ms + table->settings.settle_ms;
@@ -354,7 +354,7 @@
 void
 csp_open_target (csp_slot_table_t *table, const char *target)
 {
-  target_t *place = csp_find_target (table, target, false);
+  target_t *place = csp_find_slot_target (table, target, false);
 
   if (place != NULL)
     place->closed_until_ms = INT64_MIN;
@@ -363,7 +363,7 @@
 void
 csp_lose_target (csp_slot_table_t *table, const char *target)
 {
-  target_t *place = csp_find_target (table, target, false);
+  target_t *place = csp_find_slot_target (table, target, false);
   slot_t *slot;
   slot_t *next;
 
@@ -379,7 +379,7 @@
 csp_count_target (csp_slot_table_t *table, const char *target, int64_t now_ms,
                   csp_target_usage_t *usage)
 {
-  target_t *place = csp_find_target (table, target, false);
+  target_t *place = csp_find_slot_target (table, target, false);
 
   csp_expire_slots (table, now_ms);
   memset (usage, 0, sizeof *usage);
