--- a/include/cowslipspoke/once.h
+++ b/include/cowslipspoke/once.h
@@ -76,13 +76,18 @@
   uint64_t low;
 } csp_claim_id_t;
 
-/* What became of a claim.  */
+/* What became of a claim.  NOT_RUN lets the key be claimed again, so the
+   caller may only be told `may have run` with a time to come back.  CLOSED is
+   for a claim that was granted, surely did not run and whose caller is told
+   `not run`: no later claim is granted either, or a copy of the request that
+   is still under way would run behind that answer.  */
 typedef enum
 {
-  CSP_ONCE_OPEN,        /* not yet told */
-  CSP_ONCE_RAN,         /* the target answered */
-  CSP_ONCE_NOT_RUN,     /* it surely did not run and never will */
-  CSP_ONCE_MAY_HAVE_RUN /* cut after bytes had left */
+  CSP_ONCE_OPEN,         /* not yet told */
+  CSP_ONCE_RAN,          /* the target answered */
+  CSP_ONCE_NOT_RUN,      /* not run; may be claimed again */
+  CSP_ONCE_MAY_HAVE_RUN, /* cut after bytes had left */
+  CSP_ONCE_CLOSED        /* not run, and never will be */
 } csp_once_outcome_t;
 
 /* Messages.  */
@@ -202,7 +207,8 @@
   CSP_ONCE_TICK,
   CSP_ONCE_ANSWER,
   CSP_ONCE_HOST_LOST,   /* host is known to be unreachable */
-  CSP_ONCE_BEFORE_SEND, /* may the first byte leave?  */
+  CSP_ONCE_BEFORE_SEND, /* may the first byte leave?  Again for the next
+                           target, once one said that it started nothing.  */
   CSP_ONCE_ENDED,       /* the run ended; u.outcome says how */
   CSP_ONCE_HUNG_UP,     /* the caller has gone, before a byte left */
   CSP_ONCE_TOLD         /* host has acknowledged the outcome */
@@ -226,7 +232,7 @@
   CSP_ONCE_ASK,     /* send u.ask to the hosts listed */
   CSP_ONCE_RUN,     /* granted; ask with BEFORE_SEND when bytes can leave */
   CSP_ONCE_SEND,    /* let the first byte leave now */
-  CSP_ONCE_GIVE_UP, /* u.error is the caller's answer; tell too */
+  CSP_ONCE_GIVE_UP, /* error is the caller's answer; tell as well */
   CSP_ONCE_TELL     /* send the outcome to the hosts listed */
 } csp_once_action_kind_t;
 
@@ -253,7 +259,7 @@
                                          int64_t deadline_ms);
 void csp_destroy_once_round (csp_once_round_t *round);
 
-/* The first action.  */
+/* The first action.  The round ends at once where view or key are too old. */
 void csp_start_once_round (csp_once_round_t *round, int64_t now_ms,
                            int64_t wall_ms, csp_once_action_t *action);
 
--- /dev/null
+++ b/source/once/once.c
@@ -0,0 +1,369 @@
+#include "cowslipspoke/once.h"
+
+#include "base/index-imp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  EXPECTED_KEYS = 4096,
+  EXPECTED_ORGANISATIONS = 64,
+  EXPIRED_PER_CLAIM = 2
+};
+
+/* What a host keeps of a key; not the answer, which may be of any length. */
+typedef struct record_s
+{
+  csp_index_node_t node;
+  uint8_t digest[CSP_ONCE_DIGEST_BYTES];
+  csp_claim_id_t claim;
+  struct record_s *newer;
+  int64_t date_ms;
+  int64_t recorded_ms;
+  csp_once_outcome_t outcome;
+} record_t;
+
+/* floor_ms: keys dated earlier may have been forgotten.  Organisations stay,
+   with their floors.  */
+typedef struct
+{
+  csp_index_node_t node;
+  char name[CSP_ORGANISATION_NAME_BYTES];
+  record_t *oldest;
+  record_t *newest;
+  uint32_t count;
+  int64_t floor_ms;
+} organisation_t;
+
+struct csp_once_s
+{
+  csp_once_settings_t settings;
+  csp_host_ref_t self;
+  int64_t started_ms;
+  csp_index_t records;
+  csp_index_t organisations;
+};
+
+csp_once_settings_t
+csp_default_once_settings (void)
+{
+  csp_once_settings_t settings = { .retention_ms = 1800000,
+                                   .clock_skew_ms = 2000,
+                                   .witness_delay_ms = 20000,
+                                   .view_lease_ms = 5000,
+                                   .grant_lease_ms = 10000,
+                                   .answer_timeout_ms = 500,
+                                   .resend_ms = 150,
+                                   .allowed_silent = 0,
+                                   .needed_witnesses = 1,
+                                   .capacity = 500000,
+                                   .organisation_capacity = 125000 };
+
+  return settings;
+}
+
+csp_once_t *
+csp_create_once (const csp_once_settings_t *settings,
+                 const csp_host_ref_t *self, int64_t now_ms)
+{
+  csp_once_t *once = calloc (1, sizeof *once);
+
+  if (once == NULL)
+    return NULL;
+  once->settings = *settings;
+  once->self = *self;
+  once->started_ms = now_ms;
+  if (csp_open_index (&once->records, EXPECTED_KEYS) != 0
+      || csp_open_index (&once->organisations, EXPECTED_ORGANISATIONS) != 0)
+    {
+      csp_destroy_once (once);
+      return NULL;
+    }
+  return once;
+}
+
+static void
+free_organisation (organisation_t *organisation)
+{
+  record_t *record;
+  record_t *newer;
+
+  for (record = organisation->oldest; record != NULL; record = newer)
+    {
+      newer = record->newer;
+      free (record);
+    }
+  free (organisation);
+}
+
+void
+csp_destroy_once (csp_once_t *once)
+{
+  csp_index_node_t *node;
+  csp_index_node_t *next;
+  size_t i;
+
+  if (once == NULL)
+    return;
+  for (i = 0;
+       once->organisations.buckets && i < once->organisations.bucket_count;
+       i++)
+    for (node = once->organisations.buckets[i]; node != NULL; node = next)
+      {
+        next = node->next;
+        free_organisation (CSP_INDEXED (node, organisation_t, node));
+      }
+  csp_close_index (&once->records);
+  csp_close_index (&once->organisations);
+  free (once);
+}
+
+static organisation_t *
+find_organisation (csp_once_t *once, const char *name)
+{
+  uint64_t hash = csp_mix_name (name);
+  csp_index_node_t *node = csp_find_in_index (&once->organisations, hash);
+  organisation_t *organisation;
+
+  for (; node != NULL; node = csp_find_next_in_index (node))
+    {
+      organisation = CSP_INDEXED (node, organisation_t, node);
+      if (strcmp (organisation->name, name) == 0)
+        return organisation;
+    }
+  organisation = calloc (1, sizeof *organisation);
+  if (organisation == NULL)
+    return NULL;
+  memcpy (organisation->name, name, strlen (name));
+  organisation->floor_ms = INT64_MIN;
+  csp_add_to_index (&once->organisations, &organisation->node, hash);
+  return organisation;
+}
+
+/* Callers choose keys, so the index is salted with the host's life.  */
+static uint64_t
+hash_digest (const csp_once_t *once, const uint8_t *digest)
+{
+  uint64_t hash;
+
+  memcpy (&hash, digest, sizeof hash);
+  return csp_mix_u64 (hash ^ csp_mix_u64 (once->self.incarnation));
+}
+
+static record_t *
+find_record (const csp_once_t *once, const uint8_t *digest)
+{
+  csp_index_node_t *node
+      = csp_find_in_index (&once->records, hash_digest (once, digest));
+  record_t *record;
+
+  for (; node != NULL; node = csp_find_next_in_index (node))
+    {
+      record = CSP_INDEXED (node, record_t, node);
+      if (memcmp (record->digest, digest, sizeof record->digest) == 0)
+        return record;
+    }
+  return NULL;
+}
+
+/* A key that is forgotten would look like one never seen, and a repeat that
+   comes late would run a second time.  So the floor rises with each key
+   forgotten, and whatever is dated below it is refused instead.  */
+static void
+forget_oldest (csp_once_t *once, organisation_t *organisation)
+{
+  record_t *record = organisation->oldest;
+
+  if (organisation->floor_ms <= record->date_ms)
+    organisation->floor_ms = record->date_ms + 1;
+  organisation->oldest = record->newer;
+  if (organisation->oldest == NULL)
+    organisation->newest = NULL;
+  organisation->count--;
+  csp_remove_from_index (&once->records, &record->node);
+  free (record);
+}
+
+static size_t
+expire_organisation (csp_once_t *once, organisation_t *organisation,
+                     size_t limit, int64_t now_ms)
+{
+  size_t forgotten = 0;
+
+  while (organisation->oldest != NULL && forgotten < limit
+         && now_ms - organisation->oldest->recorded_ms
+                >= once->settings.retention_ms)
+    {
+      forget_oldest (once, organisation);
+      forgotten++;
+    }
+  return forgotten;
+}
+
+size_t
+csp_expire_keys (csp_once_t *once, int64_t now_ms)
+{
+  csp_index_node_t *node;
+  size_t forgotten = 0;
+  size_t i;
+
+  for (i = 0; i < once->organisations.bucket_count; i++)
+    for (node = once->organisations.buckets[i]; node; node = node->next)
+      forgotten += expire_organisation (
+          once, CSP_INDEXED (node, organisation_t, node), SIZE_MAX, now_ms);
+  return forgotten;
+}
+
+static record_t *
+add_record (csp_once_t *once, organisation_t *organisation,
+            const csp_once_key_t *key, csp_claim_id_t claim, int64_t now_ms)
+{
+  record_t *record = calloc (1, sizeof *record);
+
+  if (record == NULL)
+    return NULL;
+  memcpy (record->digest, key->digest, sizeof record->digest);
+  record->claim = claim;
+  record->date_ms = key->date_ms;
+  record->recorded_ms = now_ms;
+  if (organisation->newest == NULL)
+    organisation->oldest = record;
+  else
+    organisation->newest->newer = record;
+  organisation->newest = record;
+  organisation->count++;
+  csp_add_to_index (&once->records, &record->node,
+                    hash_digest (once, key->digest));
+  return record;
+}
+
+static bool
+same_claim (const csp_claim_id_t *a, const csp_claim_id_t *b)
+{
+  return a->high == b->high && a->low == b->low;
+}
+
+/* A key whose claim ended without a run is free for the next claim.  */
+static csp_claim_result_t
+claim_again (record_t *record, const csp_claim_ask_t *ask)
+{
+  bool own = same_claim (&record->claim, &ask->claim);
+
+  if (own && record->outcome == CSP_ONCE_OPEN)
+    return CSP_CLAIM_RECORDED;
+  if (own || record->outcome != CSP_ONCE_NOT_RUN)
+    return CSP_CLAIM_SEEN;
+  record->claim = ask->claim;
+  record->outcome = CSP_ONCE_OPEN;
+  return CSP_CLAIM_RECORDED;
+}
+
+/* Whether a key that is not known may be taken into memory.  */
+static csp_claim_result_t
+judge_new_key (csp_once_t *once, organisation_t *organisation,
+               const csp_once_key_t *key, int64_t now_ms, int64_t wall_ms)
+{
+  expire_organisation (once, organisation, EXPIRED_PER_CLAIM, now_ms);
+  if (key->date_ms < organisation->floor_ms
+      || key->date_ms < wall_ms - once->settings.retention_ms)
+    return CSP_CLAIM_FORGOTTEN;
+  if (once->records.count >= once->settings.capacity
+      || organisation->count >= once->settings.organisation_capacity)
+    return CSP_CLAIM_FULL;
+  return CSP_CLAIM_RECORDED;
+}
+
+/* A host that was restarted has forgotten what its earlier life granted; it
+   can't tell a repeat from a first attempt.  Keys name the life.  */
+static bool
+is_home (const csp_once_t *once, const csp_once_key_t *key)
+{
+  return key->scope != CSP_ONCE_SCOPE_HOST
+         || csp_same_host (&key->home, &once->self);
+}
+
+static csp_claim_result_t
+claim_key (csp_once_t *once, const csp_claim_ask_t *ask, int64_t now_ms,
+           int64_t wall_ms, csp_once_outcome_t *outcome)
+{
+  organisation_t *organisation;
+  csp_claim_result_t result;
+  record_t *record;
+
+  if (!is_home (once, &ask->key))
+    return CSP_CLAIM_WRONG_HOST;
+  if (ask->key.date_ms > wall_ms + once->settings.clock_skew_ms)
+    return CSP_CLAIM_WRONG_DATE;
+  record = find_record (once, ask->key.digest);
+  if (record != NULL)
+    {
+      result = claim_again (record, ask);
+      *outcome = record->outcome;
+      return result;
+    }
+  organisation = find_organisation (once, ask->key.organisation);
+  if (organisation == NULL)
+    return CSP_CLAIM_FULL;
+  result = judge_new_key (once, organisation, &ask->key, now_ms, wall_ms);
+  if (result == CSP_CLAIM_RECORDED
+      && add_record (once, organisation, &ask->key, ask->claim, now_ms)
+             == NULL)
+    return CSP_CLAIM_FULL;
+  return result;
+}
+
+void
+csp_claim_key (csp_once_t *once, const csp_claim_ask_t *ask, int64_t now_ms,
+               int64_t wall_ms, csp_claim_answer_t *answer)
+{
+  memset (answer, 0, sizeof *answer);
+  answer->claim = ask->claim;
+  answer->from = once->self;
+  answer->outcome = CSP_ONCE_OPEN;
+  answer->result = claim_key (once, ask, now_ms, wall_ms, &answer->outcome);
+  answer->witness_since_ms = wall_ms - (now_ms - once->started_ms)
+                             + once->settings.witness_delay_ms;
+}
+
+/* An outcome may overtake its claim on another link.  It is kept, so that the
+   claim, when it comes, does not hold the key for ever.  */
+void
+csp_settle_claim (csp_once_t *once, const csp_outcome_tell_t *tell,
+                  int64_t now_ms, int64_t wall_ms)
+{
+  organisation_t *organisation;
+  record_t *record;
+
+  if (!is_home (once, &tell->key))
+    return;
+  record = find_record (once, tell->key.digest);
+  if (record == NULL)
+    {
+      organisation = find_organisation (once, tell->key.organisation);
+      if (organisation == NULL
+          || judge_new_key (once, organisation, &tell->key, now_ms, wall_ms)
+                 != CSP_CLAIM_RECORDED)
+        return;
+      record
+          = add_record (once, organisation, &tell->key, tell->claim, now_ms);
+    }
+  if (record != NULL && same_claim (&record->claim, &tell->claim)
+      && record->outcome == CSP_ONCE_OPEN)
+    record->outcome = tell->outcome;
+}
+
+size_t
+csp_count_keys (const csp_once_t *once)
+{
+  return once->records.count;
+}
+
+size_t
+csp_measure_once_bytes (const csp_once_t *once)
+{
+  return sizeof *once + once->records.count * sizeof (record_t)
+         + once->organisations.count * sizeof (organisation_t)
+         + (once->records.bucket_count + once->organisations.bucket_count)
+               * sizeof (csp_index_node_t *);
+}
