At most once in the daemon: keys are claimed before a call may run

Ruled out: deciding at the host alone (its memory knows nothing of other hosts), and a check before connecting (a paused thread would send behind a bar; the last check stands between connecting and the first byte). Change: non-idempotent calls with a key are claimed over the peers, confirmed at the last moment, and their outcome told before the caller is answered. Keys of the usual API, which carry no date, are accepted: dated 30 s back, asked of all hosts. The host list is confirmed every two seconds for it.

--- a/include/cowslipspoke/control.h
+++ b/include/cowslipspoke/control.h
@@ -7,6 +7,7 @@
 #include "cowslipspoke/context.h"
 #include "cowslipspoke/declaration.h"
 #include "cowslipspoke/engine.h"
+#include "cowslipspoke/once.h"
 #include "cowslipspoke/verdict.h"
 
 /* The control thread owns all state of the decisions: who is alive, which
@@ -120,8 +121,27 @@
 
 /* Ask, immediately before a byte leaves, whether a grant still holds.  A
    thread or host that was paused may believe in one that the owner has given
-   to somebody else since.  False: give the place back and ask anew.  */
-bool csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant);
+   to somebody else since.  claim is that of a keyed call, 0 without one.
+   False: give the place back and ask anew.  */
+bool csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant,
+                        uint64_t claim);
+
+/* A call that must not run twice, by its key.  */
+typedef struct
+{
+  csp_once_key_t key;
+  int64_t deadline_ms; /* steady */
+} csp_once_ask_t;
+
+/* Claim a key and wait until the hosts that could have run it have agreed.  0
+   with the claim, which csp_end_claim ends; or -1 with an error, whose verdict
+   is that of an earlier attempt where one is known.  */
+int csp_claim_run (csp_control_t *control, const csp_once_ask_t *ask,
+                   uint64_t *claim, csp_error_t *error);
+
+/* Say what became of a claimed call.  */
+void csp_end_claim (csp_control_t *control, uint64_t claim,
+                    csp_once_outcome_t outcome);
 
 /* Say how many tokens a stream has made so far; blocked_ms of the time since
    the last word was spent waiting for the caller.  */
--- a/include/cowslipspoke/once.h
+++ b/include/cowslipspoke/once.h
@@ -62,6 +62,21 @@
 bool csp_parse_once_key (const char *organisation, const char *text,
                          csp_once_key_t *key, csp_error_t *error);
 
+/* The same, and any other text too, as callers of the usual API choose their
+   keys: it has the scope all and is dated CSP_UNDATED_AGE_MS before now.  Its
+   caller has to know that a repeat which comes later than that is run again
+   when every host was replaced since the first attempt.  */
+enum
+{
+  /* Libraries repeat within seconds and people within a minute.  The longer,
+     the longer a fleet that starts as a whole has to refuse such keys.  */
+  CSP_UNDATED_AGE_MS = 30000
+};
+
+bool csp_read_once_key (const char *organisation, const char *text,
+                        int64_t wall_ms, csp_once_key_t *key,
+                        csp_error_t *error);
+
 /* The tokens that `GET /v1/idempotency-home` hands out; a caller puts "~" and
    something unique behind one.  They serve for retention_ms.  */
 void csp_format_host_token (const csp_host_ref_t *self, int64_t wall_ms,
--- a/include/cowslipspoke/service-call.h
+++ b/include/cowslipspoke/service-call.h
@@ -15,6 +15,7 @@
   const char *request_id;
   uint32_t connect_timeout_ms;
   size_t answer_limit_bytes;
+  csp_may_send_t may_send; /* NULL: always */
   csp_check_link_t check;
   void *state;
 } csp_service_link_t;
--- a/source/control/control-config.c
+++ b/source/control/control-config.c
@@ -5,7 +5,9 @@
 
 enum
 {
-  HOSTS_WAIT_MS = 10000,
+  /* Short, since at-most-once needs a list that is confirmed every few
+     seconds; 330 hosts then read 165 times a second at most.  */
+  HOSTS_WAIT_MS = 2000,
   HOSTS_GRACE_MS = 2000,
   HOSTS_RETRY_MS = 2000,
   /* A list that changes all the time is read once a second, no more.  */
@@ -188,6 +190,7 @@
       return;
     }
   watch->next_ms = now_ms + HOSTS_GAP_MS;
+  watch->confirmed_ms = watch->asked_ms;
   if (csp_apply_host_list (control->membership, list, now_ms)
       == CSP_LIST_TAKEN)
     {
@@ -281,11 +284,12 @@
 }
 
 static void
-read_hosts (csp_control_t *control)
+read_hosts (csp_control_t *control, int64_t now_ms)
 {
   csp_host_watch_t *watch = &control->host_watch;
   char path[PATH_BYTES];
 
+  watch->asked_ms = now_ms;
   snprintf (path, sizeof path, "/v1/hosts?after=%lld&wait_ms=%u",
             (long long)watch->version, HOSTS_WAIT_MS);
   watch->pending = csp_start_read (control, &control->platform, path,
@@ -315,7 +319,7 @@
         break;
       }
   if (!control->host_watch.pending && now_ms >= control->host_watch.next_ms)
-    read_hosts (control);
+    read_hosts (control, now_ms);
   atomic_store (&control->ready,
                 control->view != NULL && control->host_watch.version > 0);
 }
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -44,7 +44,9 @@
   const csp_admission_ask_t *ask;
   csp_grant_t *grant;
   csp_error_t *error;
-  char *text; /* of CSP_COMMAND_DESCRIBE */
+  char *text;                     /* of CSP_COMMAND_DESCRIBE */
+  const csp_once_ask_t *once_ask; /* of CSP_COMMAND_CLAIM */
+  uint64_t once_id;               /* of CLAIM and CONFIRM */
   int result;
   pthread_mutex_t lock;
   pthread_cond_t decided;
@@ -55,6 +57,8 @@
 {
   CSP_COMMAND_ADMIT,
   CSP_COMMAND_CONFIRM,
+  CSP_COMMAND_CLAIM,
+  CSP_COMMAND_END_CLAIM,
   CSP_COMMAND_ABANDON,
   CSP_COMMAND_PROGRESS,
   CSP_COMMAND_RELEASE,
@@ -76,6 +80,7 @@
   uint64_t tokens;
   int64_t blocked_ms;
   csp_place_outcome_t outcome;
+  csp_once_outcome_t once_outcome;
   uint64_t id;
   int64_t after;
   uint32_t target;
@@ -169,8 +174,14 @@
   bool away;
   int64_t version;
   int64_t next_ms;
+  int64_t asked_ms;
+  /* Up to when the list is known to be the platform's: when the last answered
+     read was sent, since an answer may lie in the socket of a paused host.  */
+  int64_t confirmed_ms;
 } csp_host_watch_t;
 
+typedef struct csp_once_entry csp_once_entry_t;
+
 struct csp_control
 {
   const csp_context_t *context;
@@ -212,6 +223,10 @@
   uint32_t place_room;
   uint32_t places_used;
   uint64_t next_place;
+  csp_once_settings_t once_settings;
+  csp_once_t *once;
+  csp_once_entry_t *once_rounds;
+  uint64_t next_once;
   csp_slot_table_t *slots;
   uint64_t holdings_number;
   int64_t next_holdings_ms;
@@ -377,6 +392,22 @@
 uint64_t csp_slot_tokens (csp_control_t *control, const char *target,
                           int64_t now_ms);
 
+/* At most once: this host's memory of keys, and the rounds of its callers. */
+bool csp_open_once (csp_control_t *control, int64_t now_ms);
+void csp_close_once (csp_control_t *control);
+void csp_take_once_ask (csp_control_t *control, csp_waiter_t *waiter,
+                        int64_t now_ms);
+bool csp_confirm_once (csp_control_t *control, uint64_t id, int64_t now_ms);
+void csp_end_once (csp_control_t *control, uint64_t id,
+                   csp_once_outcome_t outcome, int64_t now_ms);
+void csp_take_claim_answer (csp_control_t *control,
+                            const csp_control_command_t *command,
+                            const csp_peer_message_t *answer, int64_t now_ms);
+void csp_take_told (csp_control_t *control,
+                    const csp_control_command_t *command,
+                    const csp_peer_message_t *answer, int64_t now_ms);
+void csp_tick_once (csp_control_t *control, int64_t now_ms);
+
 /* Answer a waiter; result is 0 for a grant.  */
 void csp_answer_waiter (csp_waiter_t *waiter, int result);
 
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -276,6 +276,17 @@
       answer->kind = CSP_PEER_ACKNOWLEDGE;
       csp_take_slot_release (control, &ask->u.release, now_ms);
       break;
+    case CSP_PEER_CLAIM_ASK:
+      answer->kind = CSP_PEER_CLAIM_ANSWER;
+      csp_claim_key (control->once, &ask->u.claim_ask, now_ms,
+                     csp_wall_ms (&control->context->clock),
+                     &answer->u.claim_answer);
+      break;
+    case CSP_PEER_OUTCOME_TELL:
+      answer->kind = CSP_PEER_ACKNOWLEDGE;
+      csp_settle_claim (control->once, &ask->u.outcome_tell, now_ms,
+                        csp_wall_ms (&control->context->clock));
+      break;
     case CSP_PEER_HOLDINGS:
       answer->kind = CSP_PEER_ACKNOWLEDGE;
       csp_take_holdings (control->slots, &ask->u.holdings, now_ms);
@@ -373,6 +384,12 @@
     case CSP_PEER_PULL_ASK:
       take_pull_answer (control, command, &answer, now_ms);
       break;
+    case CSP_PEER_CLAIM_ASK:
+      csp_take_claim_answer (control, command, &answer, now_ms);
+      break;
+    case CSP_PEER_OUTCOME_TELL:
+      csp_take_told (control, command, &answer, now_ms);
+      break;
     case CSP_PEER_RESERVE_ASK:
       if (answer.kind == CSP_PEER_RESERVE_ANSWER)
         csp_take_reserved (control, command, &answer.u.reserve_answer, now_ms);
--- a/source/control/control.c
+++ b/source/control/control.c
@@ -89,6 +89,10 @@
 {
   bool holds = csp_confirm_place (control, waiter->grant->place, now_ms);
 
+  /* The claim comes last: once it says yes, it counts as sent.  */
+  if (holds && waiter->once_id != 0)
+    holds = csp_confirm_once (control, waiter->once_id, now_ms);
+
   csp_answer_waiter (waiter, holds ? 0 : -1);
 }
 
@@ -107,6 +111,12 @@
     case CSP_COMMAND_ABANDON:
       csp_abandon_waiter (control, command->id, now_ms);
       break;
+    case CSP_COMMAND_CLAIM:
+      csp_take_once_ask (control, command->waiter, now_ms);
+      break;
+    case CSP_COMMAND_END_CLAIM:
+      csp_end_once (control, command->id, command->once_outcome, now_ms);
+      break;
     case CSP_COMMAND_PROGRESS:
       csp_take_progress (control, command, now_ms);
       break;
@@ -167,6 +177,7 @@
           csp_tick_targets (control, now_ms);
           csp_follow_ownership (control, now_ms);
           csp_tick_spills (control, now_ms);
+          csp_tick_once (control, now_ms);
           csp_tick_choices (control, now_ms);
           csp_tick_preemption (control, now_ms);
           csp_tick_admission (control, true, now_ms);
@@ -214,6 +225,7 @@
   if (control->fetcher == NULL
       || !csp_open_peers (control, message, message_bytes)
       || !csp_open_admission (control) || !csp_open_slots (control)
+      || !csp_open_once (control, csp_now_ms (&context->clock))
       || !csp_open_config (control, csp_now_ms (&context->clock)))
     goto fail;
   control->thread_runs
@@ -254,6 +266,7 @@
       control->first = command->next;
       csp_free_command (command);
     }
+  csp_close_once (control);
   csp_close_targets (control);
   csp_close_admission (control);
   csp_destroy_slot_table (control->slots);
--- a/source/control/waiter.c
+++ b/source/control/waiter.c
@@ -85,13 +85,42 @@
 }
 
 bool
-csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant)
+csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant,
+                   uint64_t claim)
 {
-  csp_waiter_t waiter = { .grant = (csp_grant_t *)grant };
+  csp_waiter_t waiter = { .grant = (csp_grant_t *)grant, .once_id = claim };
 
   return await_answer (control, &waiter, CSP_COMMAND_CONFIRM) == 0;
 }
 
+int
+csp_claim_run (csp_control_t *control, const csp_once_ask_t *ask,
+               uint64_t *claim, csp_error_t *error)
+{
+  csp_waiter_t waiter = { .once_ask = ask, .error = error };
+  int result;
+
+  csp_set_error (error, CSP_VERDICT_MAY_HAVE_RUN, CSP_REASON_INTERNAL, 0,
+                 "out of memory");
+  result = await_answer (control, &waiter, CSP_COMMAND_CLAIM);
+  *claim = waiter.once_id;
+  return result;
+}
+
+void
+csp_end_claim (csp_control_t *control, uint64_t claim,
+               csp_once_outcome_t outcome)
+{
+  csp_control_command_t *command = csp_new_command (CSP_COMMAND_END_CLAIM);
+
+  /* Without memory the claim stays open, which nobody takes for not run.  */
+  if (command == NULL)
+    return;
+  command->id = claim;
+  command->once_outcome = outcome;
+  csp_post_command (control, command);
+}
+
 char *
 csp_describe_control (csp_control_t *control)
 {
--- a/source/entry/call.c
+++ b/source/entry/call.c
@@ -22,6 +22,7 @@
   csp_attempt_t attempt;
   csp_service_answer_t answer;
   char path[PATH_BYTES];
+  bool lost_place; /* the grant had run out before a byte left */
 } call_t;
 
 static csp_link_end_t
@@ -39,6 +40,19 @@
   return CSP_LINK_COMPLETE;
 }
 
+static bool
+confirm_call (void *state)
+{
+  call_t *call = state;
+  csp_exchange_t *exchange = call->exchange;
+
+  call->lost_place = !csp_confirm_grant (exchange->entry->control,
+                                         &call->grant, exchange->claim);
+  return !call->lost_place
+         && csp_now_ms (&exchange->entry->context->clock)
+                < exchange->deadline_ms;
+}
+
 static int
 prepare_call (call_t *call, const char *rest, csp_error_t *error)
 {
@@ -94,6 +108,7 @@
           .connect_timeout_ms
           = exchange->entry->context->settings.connect_timeout_ms,
           .answer_limit_bytes = ANSWER_LIMIT_BYTES,
+          .may_send = confirm_call,
           .check = check_call,
           .state = call };
 
@@ -131,7 +146,7 @@
   for (;;)
     {
       recovery = call_target (call, &end);
-      release_place (call, end);
+      release_place (call, call->lost_place ? CSP_LINK_NOT_STARTED : end);
       *error = recovery.error;
       if (recovery.kind == CSP_RECOVER_DONE)
         return 0;
@@ -171,8 +186,17 @@
 {
   call_t call = { .exchange = exchange, .service = service };
   csp_error_t error;
+  int result;
 
-  if (prepare_call (&call, rest, &error) != 0 || run_call (&call, &error) != 0)
+  result = prepare_call (&call, rest, &error);
+  if (result == 0 && !call.attempt.idempotent)
+    result = csp_begin_claim (exchange, &error);
+  if (result == 0)
+    {
+      result = run_call (&call, &error);
+      csp_finish_claim (exchange, result, &error);
+    }
+  if (result != 0)
     {
       csp_answer_error (exchange, &error);
       return;
--- a/source/entry/entry-imp.h
+++ b/source/entry/entry-imp.h
@@ -36,7 +36,8 @@
   const csp_organisation_t *organisation;
   char *body;
   size_t body_bytes;
-  int socket; /* of the caller; -1 when it was not found */
+  uint64_t claim; /* of a call that must not run twice; 0 without one */
+  int socket;     /* of the caller; -1 when it was not found */
 } csp_exchange_t;
 
 /* Answer with an error before any byte of an answer was sent, and log it.  */
@@ -75,6 +76,15 @@
    taken for the same.  */
 bool csp_caller_is_gone (void *state);
 
+/* Claim the key of a call that must not run twice.  0 when it may run, with a
+   claim if it has a key; -1 with an error.  */
+int csp_begin_claim (csp_exchange_t *exchange, csp_error_t *error);
+
+/* Say what became of a claimed call; to be called before the caller is
+   answered, so that a repeat never overtakes the outcome.  */
+void csp_finish_claim (csp_exchange_t *exchange, int result,
+                       const csp_error_t *error);
+
 /* Serve a generation.  */
 void csp_serve_generation (csp_exchange_t *exchange, csp_api_t api);
 
--- a/source/entry/generate.c
+++ b/source/entry/generate.c
@@ -152,8 +152,8 @@
 {
   run_t *run = state;
 
-  run->lost_place
-      = !csp_confirm_grant (run->exchange->entry->control, &run->grant);
+  run->lost_place = !csp_confirm_grant (run->exchange->entry->control,
+                                        &run->grant, run->exchange->claim);
   return !run->lost_place && now_of (run) < run->exchange->deadline_ms;
 }
 
@@ -538,7 +538,11 @@
       = csp_parse_request (api, exchange->body, exchange->body_bytes, &error);
   if (run.request == NULL || prepare_run (&run, &error) != 0)
     goto refuse;
+  if (exchange->marks.non_idempotent
+      && csp_begin_claim (exchange, &error) != 0)
+    goto refuse;
   result = run_generation (&run, &end, &error);
+  csp_finish_claim (exchange, result, &error);
   finish_run (&run, result, end, &error);
   if (end != CSP_LINK_END_COUNT)
     {
--- a/source/entry/server.c
+++ b/source/entry/server.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cowslipspoke/text.h"
+
 enum
 {
   LISTEN_BACKLOG = 1024,
@@ -157,6 +159,44 @@
   return 200;
 }
 
+static void
+answer_home (csp_exchange_t *exchange)
+{
+  const csp_context_t *context = exchange->entry->context;
+  csp_once_settings_t settings = csp_default_once_settings ();
+  json_object *document = json_object_new_object ();
+  char token[CSP_ONCE_TOKEN_BYTES];
+  csp_host_ref_t self
+      = { .incarnation = csp_control_incarnation (exchange->entry->control) };
+
+  csp_copy_text (self.name, sizeof self.name, context->settings.host);
+  csp_format_host_token (&self, csp_wall_ms (&context->clock), token);
+  json_object_object_add (document, "host_token",
+                          json_object_new_string (token));
+  csp_format_data_centre_token (context->settings.data_centre,
+                                csp_wall_ms (&context->clock), token);
+  json_object_object_add (document, "data_centre_token",
+                          json_object_new_string (token));
+  json_object_object_add (document, "valid_ms",
+                          json_object_new_int64 (settings.retention_ms));
+  csp_answer_json (
+      exchange, 200,
+      json_object_to_json_string_ext (document, JSON_C_TO_STRING_PLAIN));
+  json_object_put (document);
+}
+
+static int
+handle_home (struct mg_connection *connection, void *state)
+{
+  csp_exchange_t exchange;
+
+  if (open_exchange (&exchange, state, connection)
+      && is_method (&exchange, "GET"))
+    answer_home (&exchange);
+  end_exchange (&exchange);
+  return 200;
+}
+
 /* "/v1/services/NAME/REST", or a path below a service's own prefix.  */
 static const csp_service_t *
 find_called_service (const csp_exchange_t *exchange, const char **rest)
@@ -293,6 +333,7 @@
   { "/v1/completions$", handle_completions },
   { "/v1/chat/completions$", handle_chat },
   { "/v1/models$", handle_models },
+  { "/v1/idempotency-home$", handle_home },
   { "/live$", handle_live },
   { "/ready$", handle_ready },
   { "/status$", handle_status },
--- a/source/once/once-key.c
+++ b/source/once/once-key.c
@@ -168,6 +168,25 @@
   return true;
 }
 
+bool
+csp_read_once_key (const char *organisation, const char *text, int64_t wall_ms,
+                   csp_once_key_t *key, csp_error_t *error)
+{
+  size_t size_bytes = strlen (text);
+
+  if (csp_parse_once_key (organisation, text, key, error))
+    return true;
+  if (size_bytes == 0 || size_bytes >= CSP_ONCE_KEY_MAX_BYTES
+      || strlen (organisation) >= sizeof key->organisation)
+    return false;
+  memset (key, 0, sizeof *key);
+  key->scope = CSP_ONCE_SCOPE_ALL;
+  key->date_ms = wall_ms - CSP_UNDATED_AGE_MS;
+  memcpy (key->organisation, organisation, strlen (organisation));
+  digest_key (organisation, text, false, key->digest);
+  return true;
+}
+
 void
 csp_format_host_token (const csp_host_ref_t *self, int64_t wall_ms,
                        char token[CSP_ONCE_TOKEN_BYTES])
--- a/source/peer/peer-decode.c
+++ b/source/peer/peer-decode.c
@@ -177,7 +177,7 @@
 unpack_claim_answer (const CspWire__ClaimAnswer *wire,
                      csp_claim_answer_t *answer)
 {
-  if (wire->result > CSP_CLAIM_FULL || wire->outcome > CSP_ONCE_MAY_HAVE_RUN)
+  if (wire->result > CSP_CLAIM_FULL || wire->outcome > CSP_ONCE_CLOSED)
     return false;
   answer->claim.high = wire->claim_high;
   answer->claim.low = wire->claim_low;
@@ -191,7 +191,7 @@
 unpack_outcome_tell (const CspWire__OutcomeTell *wire,
                      csp_outcome_tell_t *tell)
 {
-  if (wire->outcome > CSP_ONCE_MAY_HAVE_RUN)
+  if (wire->outcome > CSP_ONCE_CLOSED)
     return false;
   tell->claim.high = wire->claim_high;
   tell->claim.low = wire->claim_low;
--- a/source/target/service-call.c
+++ b/source/target/service-call.c
@@ -64,6 +64,20 @@
   return curl_slist_append (headers, line);
 }
 
+static int
+ask_may_send (void *state, char *address, char *local_address, int port,
+              int local_port)
+{
+  const csp_service_link_t *link = ((service_transfer_t *)state)->link;
+
+  (void)address;
+  (void)local_address;
+  (void)port;
+  (void)local_port;
+  return link->may_send (link->state) ? CURL_PREREQFUNC_OK
+                                      : CURL_PREREQFUNC_ABORT;
+}
+
 static void
 set_call (CURL *call, service_transfer_t *transfer, struct curl_slist *headers)
 {
@@ -77,6 +91,11 @@
     }
   else if (strcmp (link->method, "HEAD") == 0)
     curl_easy_setopt (call, CURLOPT_NOBODY, 1L);
+  if (link->may_send != NULL)
+    {
+      curl_easy_setopt (call, CURLOPT_PREREQFUNCTION, ask_may_send);
+      curl_easy_setopt (call, CURLOPT_PREREQDATA, transfer);
+    }
   curl_easy_setopt (call, CURLOPT_CUSTOMREQUEST, link->method);
   curl_easy_setopt (call, CURLOPT_WRITEFUNCTION, keep_body);
   curl_easy_setopt (call, CURLOPT_WRITEDATA, transfer);
