--- a/include/cowslipspoke/once.h
+++ b/include/cowslipspoke/once.h
@@ -168,6 +168,12 @@
                              const csp_host_ref_t *self, int64_t now_ms);
 void csp_destroy_once (csp_once_t *once);
 
+/* Some live host of this data centre does not know this life of the host yet
+   (membership tells by what heartbeats answer).  It may ask others and leave
+   this host out, so this host counts as a witness only witness_delay_ms after
+   the last such call.  */
+void csp_delay_witness (csp_once_t *once, int64_t now_ms);
+
 /* Answer a claim, a host's own included.  */
 void csp_claim_key (csp_once_t *once, const csp_claim_ask_t *ask,
                     int64_t now_ms, int64_t wall_ms,
@@ -192,7 +198,10 @@
 } csp_once_peer_t;
 
 /* The asker's list of hosts, live and leaving ones, itself included.
-   confirmed_ms: steady time at which it was last known to be up to date.
+   confirmed_ms: steady time at which it was last known to be up to date: when
+   the last heartbeat that a peer answered, or the last read of the platform's
+   list that was answered, was sent.  The time at which an answer is read would
+   not do; a paused host reads old ones.
    complete: this host has read a list since it started.  */
 typedef struct
 {
--- a/source/once/once-hosts.c
+++ b/source/once/once-hosts.c
@@ -33,15 +33,23 @@
   return strcmp (a->name, b->name);
 }
 
+static uint64_t
+rank_host (const csp_once_key_t *key, const char *name)
+{
+  uint64_t seed;
+
+  memcpy (&seed, key->digest, sizeof seed);
+  return csp_mix_u64 (csp_mix_name (name) ^ seed);
+}
+
 static void
 add_host (csp_once_round_t *round, const csp_once_peer_t *peer)
 {
   host_t *host = &round->hosts[round->count++];
-  uint64_t seed;
 
   memcpy (host->name, peer->ref.name, sizeof host->name);
-  memcpy (&seed, round->key.digest, sizeof seed);
-  host->rank = csp_mix_u64 (csp_mix_name (host->name) ^ seed);
+  host->rank = rank_host (&round->key, host->name);
+  round->by_status[HOST_UNASKED]++;
 }
 
 static size_t
@@ -103,37 +111,24 @@
   free (round);
 }
 
-size_t
-csp_count_once_hosts (const csp_once_round_t *round, host_status_t status)
-{
-  size_t count = 0;
-  size_t i;
-
-  for (i = 0; i < round->count; i++)
-    if (round->hosts[i].status == status)
-      count++;
-  return count;
-}
-
-size_t
-csp_count_once_witnesses (const csp_once_round_t *round)
+void
+csp_mark_once_host (csp_once_round_t *round, host_t *host,
+                    host_status_t status)
 {
-  size_t count = 0;
-  size_t i;
-
-  for (i = 0; i < round->count; i++)
-    if (round->hosts[i].witness)
-      count++;
-  return count;
+  round->by_status[host->status]--;
+  host->status = status;
+  round->by_status[status]++;
 }
 
 host_t *
 csp_find_once_host (csp_once_round_t *round, const char *name)
 {
-  size_t i;
+  host_t wanted;
 
-  for (i = 0; name != NULL && i < round->count; i++)
-    if (strcmp (round->hosts[i].name, name) == 0)
-      return &round->hosts[i];
-  return NULL;
+  if (name == NULL || strnlen (name, sizeof wanted.name) == sizeof wanted.name)
+    return NULL;
+  memcpy (wanted.name, name, strlen (name) + 1);
+  wanted.rank = rank_host (&round->key, name);
+  return bsearch (&wanted, round->hosts, round->count, sizeof wanted,
+                  compare_ranks);
 }
--- a/source/once/once-round-imp.h
+++ b/source/once/once-round-imp.h
@@ -8,7 +8,8 @@
   HOST_UNASKED,
   HOST_ASKED,
   HOST_RECORDED,
-  HOST_SILENT
+  HOST_SILENT,
+  HOST_STATUS_COUNT
 } host_status_t;
 
 typedef struct
@@ -16,7 +17,6 @@
   char name[CSP_HOST_NAME_BYTES];
   uint64_t rank;
   host_status_t status;
-  bool witness;
   bool touched;
   bool told;
 } host_t;
@@ -31,8 +31,9 @@
   ROUND_OVER
 } round_state_t;
 
-/* hosts: in rendezvous order.  list: names for the present action.
-   asked_ms: start of the present wait; resend_ms: next repeat.  */
+/* hosts: in rendezvous order.  by_status: how many there are of each.  list:
+   names for the present action. asked_ms: start of the present wait;
+   resend_ms: next repeat.  */
 struct csp_once_round_s
 {
   csp_once_settings_t settings;
@@ -48,13 +49,14 @@
   int64_t resend_ms;
   uint32_t tells;
   size_t count;
+  size_t by_status[HOST_STATUS_COUNT];
+  size_t witnesses;
   host_t *hosts;
   const char **list;
 };
 
-size_t csp_count_once_hosts (const csp_once_round_t *round,
-                             host_status_t status);
-size_t csp_count_once_witnesses (const csp_once_round_t *round);
+void csp_mark_once_host (csp_once_round_t *round, host_t *host,
+                         host_status_t status);
 
 /* NULL for a name that is not among the hosts of the round.  */
 host_t *csp_find_once_host (csp_once_round_t *round, const char *name);
--- a/source/once/once-round.c
+++ b/source/once/once-round.c
@@ -83,7 +83,7 @@
     {
       if (host->status != status)
         continue;
-      host->status = HOST_ASKED;
+      csp_mark_once_host (round, host, HOST_ASKED);
       host->touched = true;
       round->list[action->host_count++] = host->name;
     }
@@ -102,7 +102,7 @@
 finish_asking (csp_once_round_t *round, int64_t now_ms,
                csp_once_action_t *action)
 {
-  if (csp_count_once_witnesses (round) < round->settings.needed_witnesses)
+  if (round->witnesses < round->settings.needed_witnesses)
     {
       give_up_undecided (round, 0,
                          "too few hosts are older than the key to know "
@@ -117,17 +117,16 @@
 static void
 go_on (csp_once_round_t *round, int64_t now_ms, csp_once_action_t *action)
 {
-  if (csp_count_once_hosts (round, HOST_SILENT)
-      > round->settings.allowed_silent)
+  if (round->by_status[HOST_SILENT] > round->settings.allowed_silent)
     {
       give_up_undecided (round, RETRY_SOON_MS,
                          "a host that may have run the key is silent", now_ms,
                          action);
       return;
     }
-  if (csp_count_once_hosts (round, HOST_ASKED) > 0)
+  if (round->by_status[HOST_ASKED] > 0)
     return;
-  if (csp_count_once_hosts (round, HOST_UNASKED) > 0)
+  if (round->by_status[HOST_UNASKED] > 0)
     {
       round->state = ROUND_REST;
       round->asked_ms = now_ms;
@@ -220,8 +219,9 @@
   switch (answer->result)
     {
     case CSP_CLAIM_RECORDED:
-      host->status = HOST_RECORDED;
-      host->witness = is_witness (round, answer);
+      csp_mark_once_host (round, host, HOST_RECORDED);
+      if (is_witness (round, answer))
+        round->witnesses++;
       go_on (round, now_ms, action);
       return;
     case CSP_CLAIM_SEEN:
@@ -274,7 +274,7 @@
 
   if (!is_asking (round) || host == NULL || host->status != HOST_ASKED)
     return;
-  host->status = HOST_SILENT;
+  csp_mark_once_host (round, host, HOST_SILENT);
   go_on (round, now_ms, action);
 }
 
@@ -317,7 +317,7 @@
     }
   for (i = 0; i < round->count; i++)
     if (round->hosts[i].status == HOST_ASKED)
-      round->hosts[i].status = HOST_SILENT;
+      csp_mark_once_host (round, &round->hosts[i], HOST_SILENT);
   go_on (round, now_ms, action);
 }
 
--- a/source/once/once.c
+++ b/source/once/once.c
@@ -40,7 +40,7 @@
 {
   csp_once_settings_t settings;
   csp_host_ref_t self;
-  int64_t started_ms;
+  int64_t known_ms; /* since then every peer knows this life */
   csp_index_t records;
   csp_index_t organisations;
 };
@@ -73,7 +73,7 @@
     return NULL;
   once->settings = *settings;
   once->self = *self;
-  once->started_ms = now_ms;
+  once->known_ms = now_ms;
   if (csp_open_index (&once->records, EXPECTED_KEYS) != 0
       || csp_open_index (&once->organisations, EXPECTED_ORGANISATIONS) != 0)
     {
@@ -119,6 +119,15 @@
   free (once);
 }
 
+/* A link that works one way only lets a new host answer claims of others
+   while one asker does not know it.  That asker's run would not be recorded
+   here, and a repeat that trusts this host would run again.  */
+void
+csp_delay_witness (csp_once_t *once, int64_t now_ms)
+{
+  once->known_ms = now_ms;
+}
+
 static organisation_t *
 find_organisation (csp_once_t *once, const char *name)
 {
@@ -322,8 +331,8 @@
   answer->from = once->self;
   answer->outcome = CSP_ONCE_OPEN;
   answer->result = claim_key (once, ask, now_ms, wall_ms, &answer->outcome);
-  answer->witness_since_ms = wall_ms - (now_ms - once->started_ms)
-                             + once->settings.witness_delay_ms;
+  answer->witness_since_ms
+      = wall_ms - (now_ms - once->known_ms) + once->settings.witness_delay_ms;
 }
 
 /* An outcome may overtake its claim on another link.  It is kept, so that the
--- a/tests/once/once-test.c
+++ b/tests/once/once-test.c
@@ -23,6 +23,7 @@
   HEALTHY,
   ONE_SILENT,       /* the first asked is dead, paused or cut off */
   LAST_SILENT,      /* the last is */
+  CENTRE_CUT_OFF,   /* one host is in another data centre, cut off */
   ONE_LOST,         /* and the asker knows it */
   ANSWER_LOST,      /* the first answer of each host is lost */
   OPEN_ELSEWHERE,   /* another claim is under way */
@@ -97,6 +98,7 @@
   { HOST_KEY, PAUSED_BEFORE_SEND, 0, NOT_RUN (DEADLINE), false },
   { HOST_KEY, PAUSED_BEFORE_ANSWER, 0, NOT_RUN (DEADLINE), false },
   { HOST_KEY, TARGET_REFUSED, 0, NOT_RUN (NONE), false },
+  { HOST_KEY, CENTRE_CUT_OFF, 0, RUNS, false },
   { HOST_KEY, HUNG_UP, 0, NOT_RUN (NONE), true },
   { CENTRE_KEY, HEALTHY, 0, RUNS, false },
   { CENTRE_KEY, ONE_SILENT, 0, MAYBE (UNDECIDED), true },
@@ -121,9 +123,11 @@
   { CENTRE_KEY, NOT_LISTED, 0, MAYBE (UNDECIDED), true },
   { CENTRE_KEY, PAUSED_BEFORE_SEND, 0, NOT_RUN (DEADLINE), false },
   { CENTRE_KEY, PAUSED_BEFORE_ANSWER, 0, NOT_RUN (DEADLINE), false },
+  { CENTRE_KEY, CENTRE_CUT_OFF, 0, RUNS, false },
   { CENTRE_KEY, HUNG_UP, 0, NOT_RUN (NONE), true },
   { CENTRE_KEY, TARGET_REFUSED, 0, NOT_RUN (NONE), false },
   { PLAIN_KEY, HEALTHY, 0, RUNS, false },
+  { PLAIN_KEY, CENTRE_CUT_OFF, 0, MAYBE (UNDECIDED), true },
   { PLAIN_KEY, ONE_SILENT, 0, MAYBE (UNDECIDED), true },
   { PLAIN_KEY, ALL_RESTARTED, 0, MAYBE (UNDECIDED), false },
 };
@@ -186,6 +190,10 @@
     case ONE_RESTARTED:
       open_host (rig, 0, START_MS - 1000);
       return;
+    case CENTRE_CUT_OFF:
+      snprintf (rig->peers[HOSTS - 1].data_centre, CSP_DATA_CENTRE_NAME_BYTES,
+                "swansea");
+      return;
     case ALL_RESTARTED:
       for (i = 0; i < HOSTS; i++)
         open_host (rig, i, START_MS - 1000);
@@ -254,6 +262,8 @@
       return host == rig->first;
     case LAST_SILENT:
       return order > 1;
+    case CENTRE_CUT_OFF:
+      return host == HOSTS - 1;
     case ANSWER_LOST:
       return order % 2 == 0;
     default:
@@ -483,6 +493,25 @@
 }
 END_TEST
 
+/* A host is up for long, but one peer's list has not had it, since a link
+   worked one way only.  That peer ran the call without asking it.  If the host
+   still counted as one that knows, a repeat would run again.  */
+START_TEST (a_host_unknown_to_a_peer_is_no_witness)
+{
+  static const cell_t cell = { CENTRE_KEY, HEALTHY, 0, RUNS, false };
+  rig_t rig;
+  int i;
+
+  open_rig (&rig, &cell);
+  for (i = 0; i < HOSTS; i++)
+    csp_delay_witness (rig.hosts[i], START_MS - 1000);
+  play (&rig, HEALTHY);
+  ck_assert (!rig.ran);
+  ck_assert_int_eq (rig.last.error.verdict, CSP_VERDICT_MAY_HAVE_RUN);
+  close_rig (&rig);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -496,6 +525,7 @@
   tcase_add_test (tcase, organisations_are_separate);
   tcase_add_loop_test (tcase, keys_without_a_date_are_refused, 0, 13);
   tcase_add_test (tcase, a_forgotten_key_is_refused);
+  tcase_add_test (tcase, a_host_unknown_to_a_peer_is_no_witness);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
