--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 space := $(empty) $(empty)
 comma := ,
 BUILD := build/$(subst $(comma),-,$(SANITIZE))
-SAN_FLAGS := -fsanitize=$(SANITIZE) -fno-omit-frame-pointer
+SAN_FLAGS := -fsanitize=$(SANITIZE) -fno-sanitize-recover=all \
+  -fno-omit-frame-pointer
 endif
 
 CC := gcc
@@ -57,6 +58,8 @@
 
 .PHONY: all setup check check-run demo bench lint format tidy clean
 .SECONDARY:
+# A link that failed leaves a file behind, which the next run would take.
+.DELETE_ON_ERROR:
 all: $(PROGRAMS)
 
 setup:
@@ -83,7 +86,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/tests/%-test: $(BUILD)/tests/%-test.o $(call obj,$(SUPPORT_SRC)) \
-  $(LIB)
+  $(call obj,$(BENCH_COMMON)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
 $(BUILD)/%-bench: $(BUILD)/bench/%-bench.o $(call obj,$(BENCH_COMMON)) \
