--- a/bench/fleet-imp.h
+++ b/bench/fleet-imp.h
@@ -18,7 +18,9 @@
   MOST_HOSTS = 32,
   REPORT_RING = 8,
   MOST_ENGINES = 1024,
-  MOST_VICTIMS = 16
+  MOST_VICTIMS = 16,
+  BLOCK = 20,
+  MOST_BLOCKS = MOST_ENGINES / BLOCK + 1
 };
 
 /* One host: the requests that came to it, and the engines that it owns.  */
@@ -31,6 +33,15 @@
   csp_peer_load_t told;
 } host_t;
 
+/* The ends of steps in blocks of engines, so that the first is found without
+   looking at all of them.  */
+typedef struct
+{
+  int64_t least_us[MOST_BLOCKS];
+  uint32_t index[MOST_BLOCKS];
+  bool dirty[MOST_BLOCKS];
+} blocks_t;
+
 typedef struct
 {
   const play_t *play;
@@ -49,6 +60,7 @@
   uint32_t next_engine;
   csp_random_t random;
   results_t *results;
+  blocks_t blocks;
   int64_t now_us;
   uint64_t report;
 } fleet_t;
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -42,6 +42,7 @@
   bool no_health;
   bool no_preemption;
   bool no_shift;
+  bool no_flight_news;
   int64_t report_lag_us;
   double slow_factor;
   uint32_t slow_engine;
@@ -78,14 +79,15 @@
   uint64_t first_count;
 } outcome_t;
 
-/* returned: sent to the engine that was lost, in the first 10 s after its
-   return.  */
+/* small: all organisations but the three that send most.  returned: sent to
+   the engine that was lost, in the first 10 s after its return.  */
 typedef struct
 {
   outcome_t all;
   outcome_t classes[CLASS_COUNT];
   outcome_t organisations[ORGANISATIONS];
   outcome_t returned;
+  outcome_t small;
   double seconds;
 } results_t;
 
--- a/bench/results.c
+++ b/bench/results.c
@@ -65,6 +65,7 @@
 
   free_outcome (&results->all);
   free_outcome (&results->returned);
+  free_outcome (&results->small);
   for (i = 0; i < CLASS_COUNT; i++)
     free_outcome (&results->classes[i]);
   for (i = 0; i < ORGANISATIONS; i++)
@@ -132,9 +133,13 @@
       count_outcome (&results->all, request);
       count_outcome (&results->classes[request->class_index], request);
       count_outcome (&results->organisations[request->organisation], request);
+      if (request->organisation >= FIRST_SMALL)
+        count_outcome (&results->small, request);
       if (was_sent_to_returned (fleet, request))
         count_outcome (&results->returned, request);
     }
   for (i = 0; i < CLASS_COUNT; i++)
     add_gaps (&results->all.gaps, &results->classes[i].gaps);
+  for (i = FIRST_SMALL; i < ORGANISATIONS; i++)
+    add_gaps (&results->small.gaps, &results->organisations[i].gaps);
 }
--- a/include/cowslipspoke/health.h
+++ b/include/cowslipspoke/health.h
@@ -16,9 +16,10 @@
    A target whose gaps are slow_factor times the median of all for slow_ms is
    closed by halves, one half each step_ms, and at zero gets a single stream
    each probe_ms.  Once its gaps are under well_factor it is opened again by
-   doubling.  No more than most_out of the targets are below one half at any
-   time: when all of them are slow the median moves, and what is left must
-   not break down under the load of the rest.  */
+   doubling.  No more than most_out of the targets, and one in any case, are
+   not fully open at any time: when all of them are slow the median moves, and
+   what is left must not break down under the load of the rest.  Hosts that
+   take targets out within one round of news can exceed that by one each.  */
 typedef struct csp_health csp_health_t;
 
 /* slow_factor: on the bench's model the median gap of an engine full of
@@ -60,6 +61,17 @@
 void csp_note_silence (csp_health_t *health, uint32_t target,
                        double silent_ms);
 
+/* What the other hosts of the data centre say: the median of their medians
+   (0 when unknown), how many targets they own, and how many of those are not
+   fully open.  A host with few targets can't judge them against each other.
+   */
+void csp_set_fleet_health (csp_health_t *health, double median_ms,
+                           uint32_t targets, uint32_t out);
+
+/* What this host says to the others.  */
+double csp_health_median_ms (const csp_health_t *health);
+uint32_t csp_health_out (const csp_health_t *health);
+
 /* Weigh all targets; call once a second.  */
 void csp_weigh_health (csp_health_t *health, int64_t now_ms);
 
--- a/include/cowslipspoke/limit.h
+++ b/include/cowslipspoke/limit.h
@@ -21,16 +21,19 @@
    nothing, and strands what the other side doesn't use.
 
    How far it can be exceeded.  Shares add up to at most 1 when all saw the
-   same demands; with news `lag` rounds old they exceed it by what can rise in
-   that time, rise to the power of lag.  Where the host list itself splits,
-   each side divides the limit among its own: at most as many times the limit
-   as there are sides, reached no faster than by `rise` a round.  A joining
-   host begins at its even part of floor_share.  Measured in
-   docs/DECISIONS.md.  */
+   same demands; with news `lag` rounds old they can exceed it by what rises in
+   that time, at worst rise to the power of lag; measured 1.03 in the worst
+   second with news one round old, 1.16 with three.  Where the host list itself
+   splits, each side divides the limit among its own: at most as many times the
+   limit as there are sides, reached no faster than by `rise` a round.  A
+   joining host begins at its even part of floor_share.  Figures from
+   bench/limit-bench.c.  */
 
 /* floor_share: lets a host serve the first request of an organisation that
    came through others so far.
-   rise: a share doubles in three rounds.
+   rise: of 1.25, 1.5, 2 and 3, 2 used 69 in 100 of the limit while demand
+   jumped between hosts each ten seconds (34, 53 and 76 with the others), and
+   3 exceeded it by half when news was three rounds old.
    stale_ms: a host not heard of for so long is silent; three rounds.
    burst_s: how many seconds of its share a host may serve at once.  */
 typedef struct
--- a/include/cowslipspoke/placement.h
+++ b/include/cowslipspoke/placement.h
@@ -74,12 +74,17 @@
 /* Choose a peer for a request that no own target admits: two are drawn, and
    of them the one with more headroom is taken, its own data centre first.
    Drawing keeps all hosts from choosing the same peer from the same old
-   news.  False when neither has room for cost_tokens or either has requests
-   waiting of its own.  */
+   news.  False when neither has room for cost_tokens.
+
+   A borrower goes to a peer only where nothing waits.  Others go to any peer
+   with room, as what each keeps from borrowers is kept for them wherever they
+   come in: otherwise a small organisation that comes through a host of one
+   full engine waits 11 s at p99 at load 1.5, though there is room elsewhere.
+   */
 bool csp_choose_peer (const csp_placement_policy_t *policy,
                       const csp_peer_load_t *peers, uint32_t count,
-                      uint32_t cost_tokens, csp_random_t *random,
-                      uint32_t *chosen);
+                      uint32_t cost_tokens, bool borrowing,
+                      csp_random_t *random, uint32_t *chosen);
 
 /* Prompt prefixes that one target is believed to have cached: the last
    CSP_PREFIXES of them, by hash.  Learnt from what was sent there, and
--- a/include/cowslipspoke/queue.h
+++ b/include/cowslipspoke/queue.h
@@ -38,7 +38,11 @@
    age_ms: head start of one step of priority within an organisation.  Strict
    priority instead gave up 11 to 14 in 100 of the largest's scores at load
    0.9, and order of arrival 14 in 100 of its lookups.
-   lend_keep: share of memory that borrowers leave free.
+   lend_keep: share of memory that borrowers leave free.  At load 1.5 on 12
+   engines and 8 hosts the small ones' p99 wait is 13 s with none, 2.0 s with
+   0.07, 0.3 s with 0.1 and none with 0.15, at 3,056, 2,935, 2,942 and 2,846
+   useful tokens a second; with one host 0.07 has no wait at p99, and 0.1
+   costs 3 in 100 of throughput.
    rate_half_life_ms: over what time the rate of service is measured.
    hold_ms: a request within its share that was passed over for so long, as
    it needs more room than gets free at once, stops the others until it fits;
@@ -91,9 +95,23 @@
 bool csp_set_weight (csp_queue_t *queue, uint32_t organisation,
                      uint32_t weight);
 
-/* Memory of the targets that this queue feeds, for shares.  */
+/* Memory of the targets that this queue feeds: where several hosts share a
+   pool, the pool's memory divided by its hosts, whichever of them own the
+   targets.  A host that counts only the targets it owns finds nearly
+   everybody borrowing.  */
 void csp_set_capacity (csp_queue_t *queue, uint64_t memory_tokens);
 
+/* Memory of the whole pool, over all hosts, and what an organisation has in
+   flight at the other hosts.  With both, shares are counted over the pool;
+   without, over this host's part.  A part is small today: two long drafts
+   fill a small organisation's share of one host of eight for minutes, and it
+   waits up to 10 s at p99 at load 1.5 though it uses half its share of the
+   pool.  Only organisations that hold more here than their part need to be
+   told of.  */
+void csp_set_pool_capacity (csp_queue_t *queue, uint64_t memory_tokens);
+void csp_set_flight_elsewhere (csp_queue_t *queue, uint32_t organisation,
+                               uint64_t tokens);
+
 /* Let a request wait.  False when it is refused at once: the queue is full
    (QUEUE_FULL) or it can't start in time at the measured rate (DEADLINE),
    with the time to come back.  Errors have the verdict NOT_RUN.  */
--- a/source/limit/limit.c
+++ b/source/limit/limit.c
@@ -17,7 +17,7 @@
 csp_default_limit_policy (void)
 {
   csp_limit_policy_t policy
-      = { .floor_share = 0.2, .rise = 1.25, .burst_s = 2, .stale_ms = 3000 };
+      = { .floor_share = 0.1, .rise = 2, .burst_s = 2, .stale_ms = 3000 };
 
   return policy;
 }
--- a/source/placement/placement-health.c
+++ b/source/placement/placement-health.c
@@ -28,6 +28,10 @@
   double *gaps;
   uint32_t count;
   double median_ms;
+  double own_median_ms;
+  double fleet_median_ms;
+  uint32_t fleet_targets;
+  uint32_t fleet_out;
 };
 
 csp_health_policy_t
@@ -130,7 +134,7 @@
   for (i = 0; i < health->count; i++)
     if (health->targets[i].used && health->targets[i].seen >= known_after)
       health->gaps[known++] = health->targets[i].gap_ms;
-  if (known < 2)
+  if (known == 0)
     return 0;
   qsort (health->gaps, known, sizeof *health->gaps, compare_doubles);
   return health->gaps[(known - 1) / 2];
@@ -151,17 +155,37 @@
   return out;
 }
 
-/* Of three targets or more one may always be out.  */
 static bool
 may_take_out (const csp_health_t *health)
 {
   uint32_t used;
-  uint32_t out = count_out (health, &used);
-  double most = used * health->policy.most_out;
+  uint32_t out = count_out (health, &used) + health->fleet_out;
+  double most = (used + health->fleet_targets) * health->policy.most_out;
 
-  if (used >= 3 && most < 1)
-    most = 1;
-  return out + 1 <= most;
+  return out + 1 <= fmax (most, 1);
+}
+
+void
+csp_set_fleet_health (csp_health_t *health, double median_ms, uint32_t targets,
+                      uint32_t out)
+{
+  health->fleet_median_ms = median_ms;
+  health->fleet_targets = targets;
+  health->fleet_out = out;
+}
+
+double
+csp_health_median_ms (const csp_health_t *health)
+{
+  return health->own_median_ms;
+}
+
+uint32_t
+csp_health_out (const csp_health_t *health)
+{
+  uint32_t used;
+
+  return count_out (health, &used);
 }
 
 static void
@@ -197,7 +221,10 @@
   target_health_t *one;
   uint32_t i;
 
-  health->median_ms = find_median (health);
+  health->own_median_ms = find_median (health);
+  health->median_ms = health->own_median_ms;
+  if (health->fleet_median_ms > 0)
+    health->median_ms = health->fleet_median_ms;
   for (i = 0; i < health->count; i++)
     {
       one = &health->targets[i];
--- a/source/placement/placement-target.c
+++ b/source/placement/placement-target.c
@@ -71,9 +71,10 @@
 
 static bool
 peer_has_room (const csp_placement_policy_t *policy,
-               const csp_peer_load_t *peer, uint32_t cost_tokens)
+               const csp_peer_load_t *peer, uint32_t cost_tokens,
+               bool borrowing)
 {
-  return peer->waiting == 0
+  return (!borrowing || peer->waiting == 0)
          && peer->headroom_tokens >= policy->spill_least * cost_tokens;
 }
 
@@ -88,7 +89,8 @@
 bool
 csp_choose_peer (const csp_placement_policy_t *policy,
                  const csp_peer_load_t *peers, uint32_t count,
-                 uint32_t cost_tokens, csp_random_t *random, uint32_t *chosen)
+                 uint32_t cost_tokens, bool borrowing, csp_random_t *random,
+                 uint32_t *chosen)
 {
   uint32_t first;
   uint32_t second;
@@ -99,8 +101,8 @@
     return false;
   first = csp_random_below (random, count);
   second = csp_random_below (random, count);
-  first_fits = peer_has_room (policy, &peers[first], cost_tokens);
-  second_fits = peer_has_room (policy, &peers[second], cost_tokens);
+  first_fits = peer_has_room (policy, &peers[first], cost_tokens, borrowing);
+  second_fits = peer_has_room (policy, &peers[second], cost_tokens, borrowing);
   *chosen = first;
   if (second_fits
       && (!first_fits || is_better_peer (&peers[second], &peers[first])))
--- a/source/queue/queue-imp.h
+++ b/source/queue/queue-imp.h
@@ -33,6 +33,7 @@
   uint64_t cost;
   int64_t deficit;
   uint64_t flight_tokens;
+  uint64_t flight_elsewhere;
   uint64_t passed_in_pump;
   int64_t passed_since_ms;
   uint32_t next;
@@ -44,6 +45,7 @@
 {
   csp_queue_policy_t policy;
   uint64_t capacity_tokens;
+  uint64_t pool_tokens;
   uint64_t total_weight;
   organisation_t *organisations;
   uint32_t organisation_count;
@@ -56,11 +58,14 @@
   uint64_t pump;
   int64_t pump_ms;
   uint32_t passed_over;
+  bool borrowers_held;
   double served_tokens;
   double busy_ms;
   int64_t rate_ms;
   uint32_t expire_at;
   uint32_t expire_checks;
+  uint32_t check_from;
+  uint32_t check_next;
 };
 
 /* Count the time since the last call towards the rate of service.  */
@@ -91,7 +96,9 @@
 uint32_t csp_organisation_head (const csp_queue_t *queue,
                                 const organisation_t *organisation);
 
+/* Whether it holds more in flight than its share.  What it asks for is left
+   out, as one request may be more than a small share.  */
 bool csp_queue_borrows (const csp_queue_t *queue,
-                        const organisation_t *organisation, uint32_t cost);
+                        const organisation_t *organisation);
 
 #endif
--- a/source/queue/queue-pump.c
+++ b/source/queue/queue-pump.c
@@ -37,12 +37,16 @@
 
 bool
 csp_queue_borrows (const csp_queue_t *queue,
-                   const organisation_t *organisation, uint32_t cost)
+                   const organisation_t *organisation)
 {
-  double share = (double)queue->capacity_tokens * organisation->weight
-                 / (double)(queue->total_weight ? queue->total_weight : 1);
-
-  return (double)(organisation->flight_tokens + cost) > share;
+  double part = (double)organisation->weight
+                / (double)(queue->total_weight ? queue->total_weight : 1);
+  double flight = (double)organisation->flight_tokens;
+
+  if (queue->pool_tokens == 0)
+    return flight > part * (double)queue->capacity_tokens;
+  flight += (double)organisation->flight_elsewhere;
+  return flight > part * (double)queue->pool_tokens;
 }
 
 uint64_t
@@ -58,13 +62,15 @@
   queue->pump++;
   queue->pump_ms = now_ms;
   queue->passed_over = 0;
+  queue->borrowers_held = false;
   queue->shown = NO_ENTRY;
 }
 
 static bool
 is_passed (const csp_queue_t *queue, const organisation_t *organisation)
 {
-  return organisation->passed_in_pump == queue->pump;
+  return organisation->passed_in_pump == queue->pump
+         || (queue->borrowers_held && csp_queue_borrows (queue, organisation));
 }
 
 static int64_t
@@ -160,12 +166,14 @@
       if (rounds == INT64_MAX)
         return false;
       earn_rounds (queue, rounds);
+      if (queue->passed_over == 0)
+        queue->cursor = queue->organisations[queue->cursor].next;
       payer = find_payer (queue);
     }
   organisation = &queue->organisations[payer];
   queue->shown = csp_organisation_head (queue, organisation);
   *waiting = queue->entries[queue->shown].waiting;
-  *borrowing = csp_queue_borrows (queue, organisation, waiting->cost_tokens);
+  *borrowing = csp_queue_borrows (queue, organisation);
   return true;
 }
 
@@ -211,7 +219,8 @@
 
 /* A request that needs much room would wait for ever while smaller ones take
    each bit that gets free.  After hold_ms the pump stops at it, so that room
-   gathers; not for ever, as it may need a target that is away.  */
+   gathers; not for ever, as it may need a target that is away.  A borrower
+   holds up other borrowers only.  */
 static bool
 holds_others (csp_queue_t *queue, organisation_t *organisation)
 {
@@ -242,8 +251,11 @@
     queue->cursor = waiting->organisation;
   queue->passed_over++;
   queue->shown = NO_ENTRY;
-  if (!csp_queue_borrows (queue, organisation, waiting->cost_tokens)
-      && holds_others (queue, organisation))
+  if (!holds_others (queue, organisation))
+    return;
+  if (csp_queue_borrows (queue, organisation))
+    queue->borrowers_held = true;
+  else
     queue->passed_over = queue->policy.pass_over_most;
 }
 
--- a/source/queue/queue-rate.c
+++ b/source/queue/queue-rate.c
@@ -129,17 +129,20 @@
 /* A request that can't be started in time any more is answered now.  Held
    until its deadline, its caller would have lost the time in which to ask
    elsewhere, and its place would keep others waiting.  The costly prediction
-   is made for a few entries in each pass.  */
+   is made for a few entries in each pass, the next few in the next.  */
 static bool
-is_given_up (csp_queue_t *queue, const entry_t *entry, int64_t now_ms)
+is_given_up (csp_queue_t *queue, uint32_t index, int64_t now_ms)
 {
+  const entry_t *entry = &queue->entries[index];
   double left_ms = (double)(entry->waiting.start_by_ms - now_ms);
 
   if (left_ms <= 0)
     return true;
-  if (queue->expire_checks >= EXPIRE_CHECKS)
+  if (index < queue->check_from || queue->expire_checks >= EXPIRE_CHECKS)
     return false;
   queue->expire_checks++;
+  if (queue->expire_checks == EXPIRE_CHECKS)
+    queue->check_next = index + 1;
   return entry_wait_ms (queue, entry) > queue->policy.patience * left_ms;
 }
 
@@ -156,7 +159,7 @@
     {
       index = queue->expire_at;
       entry = &queue->entries[index];
-      if (!entry->used || !is_given_up (queue, entry, now_ms))
+      if (!entry->used || !is_given_up (queue, index, now_ms))
         continue;
       *waiting = entry->waiting;
       wait_ms = entry_wait_ms (queue, entry);
@@ -168,6 +171,8 @@
       queue->expire_at++;
       return true;
     }
+  queue->check_from = queue->check_next;
+  queue->check_next = 0;
   queue->expire_at = 0;
   queue->expire_checks = 0;
   return false;
--- a/source/queue/queue-waiting.c
+++ b/source/queue/queue-waiting.c
@@ -72,6 +72,12 @@
   queue->capacity_tokens = memory_tokens;
 }
 
+void
+csp_set_pool_capacity (csp_queue_t *queue, uint64_t memory_tokens)
+{
+  queue->pool_tokens = memory_tokens;
+}
+
 static bool
 grow_organisations (csp_queue_t *queue, uint32_t organisation)
 {
@@ -114,6 +120,14 @@
   return true;
 }
 
+void
+csp_set_flight_elsewhere (csp_queue_t *queue, uint32_t organisation,
+                          uint64_t tokens)
+{
+  if (organisation < queue->organisation_count)
+    queue->organisations[organisation].flight_elsewhere = tokens;
+}
+
 /* Active organisations form a ring in the order in which they came.  */
 static void
 join_ring (csp_queue_t *queue, uint32_t organisation)
@@ -218,17 +232,29 @@
   return (uint32_t)(ms < most ? ms : most) + 1;
 }
 
+/* The measured rate says nothing of the room that is kept from borrowers.  One
+   within its share with nothing waiting gets that; judged by the rate of a
+   host of one engine, 1 to 2 in 100 of the small ones' requests were refused
+   at load 1.5.  */
+static bool
+has_kept_room (const csp_queue_t *queue, const organisation_t *owner)
+{
+  return owner->waiting == 0 && queue->capacity_tokens != 0
+         && !csp_queue_borrows (queue, owner);
+}
+
 static bool
 refuse_late (csp_queue_t *queue, const csp_waiting_t *waiting, int64_t now_ms,
              csp_error_t *error)
 {
+  const organisation_t *owner = &queue->organisations[waiting->organisation];
   uint64_t cost = csp_queue_cost_ahead (queue, waiting, UINT64_MAX)
                   + waiting->cost_tokens;
   double wait_ms = queue->policy.margin
                    * csp_queue_wait_ms (queue, waiting->organisation, cost);
   double left_ms = (double)(waiting->start_by_ms - now_ms);
 
-  if (wait_ms <= left_ms)
+  if (wait_ms <= left_ms || (left_ms > 0 && has_kept_room (queue, owner)))
     return false;
   csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_DEADLINE,
                  bounded_ms (wait_ms - left_ms),
