First callers of a host wait; host lists travel between peers

Ruled out: a fixed start rate, which would be wrong for every pool. Change: a queue that has served nothing has no known rate until eight busy seconds; the list travels as the platform wrote it, asked of a peer whose heartbeat names a newer one, only while the platform can't be read.

--- a/include/cowslipspoke/peer.h
+++ b/include/cowslipspoke/peer.h
@@ -28,6 +28,8 @@
   CSP_PEER_CLAIM_ASK,
   CSP_PEER_CLAIM_ANSWER,
   CSP_PEER_OUTCOME_TELL,
+  CSP_PEER_HOSTS_ASK,
+  CSP_PEER_HOSTS_ANSWER,
   CSP_PEER_ACKNOWLEDGE
 } csp_peer_kind_t;
 
@@ -105,6 +107,14 @@
     csp_claim_ask_t claim_ask;
     csp_claim_answer_t claim_answer;
     csp_outcome_tell_t outcome_tell;
+    struct
+    {
+      int64_t after;
+    } hosts_ask;
+    struct
+    {
+      const char *list;
+    } hosts_answer;
   } u;
   void *unpacked; /* of a decoded message */
   void *array;    /* of a decoded message */
--- a/source/control/control-admission.c
+++ b/source/control/control-admission.c
@@ -349,7 +349,7 @@
       pool = &control->pools[i];
       if (!pool->dirty && (!all || csp_queue_length (pool->queue) == 0))
         continue;
-      csp_set_pool_capacity (control, pool, now_ms);
+      csp_follow_pool_capacity (control, pool, now_ms);
       pump_pool (control, pool, now_ms);
       expire_pool (control, pool, now_ms);
     }
--- a/source/control/control-choose.c
+++ b/source/control/control-choose.c
@@ -218,20 +218,45 @@
     }
 }
 
-/* The memory that this host's queue may count on: its own targets' and, for
-   hand-offs, what peers have free.  */
+static uint32_t
+count_owners (csp_control_t *control, int64_t now_ms)
+{
+  size_t known = csp_count_hosts (control->membership);
+  csp_host_view_t view;
+  uint32_t owners = 0;
+  size_t i;
+
+  for (i = 0; i < known; i++)
+    {
+      csp_view_host (control->membership, i, now_ms, &view);
+      if (csp_host_owns (&view))
+        owners++;
+    }
+  return owners == 0 ? 1 : owners;
+}
+
+/* The queue counts shares over this host's part of the pool: the pool's memory
+   divided by its hosts.  Engines that others own don't report here; they are
+   taken to be like the largest that does.  */
 void
-csp_set_pool_capacity (csp_control_t *control, csp_pool_state_t *pool,
-                       int64_t now_ms)
+csp_follow_pool_capacity (csp_control_t *control, csp_pool_state_t *pool,
+                          int64_t now_ms)
 {
-  uint64_t memory_tokens = csp_sum_peer_headroom (control, now_ms);
+  uint32_t largest = 0;
+  uint32_t count = 0;
+  uint32_t memory;
   uint32_t i;
 
   for (i = 0; i < control->target_room; i++)
-    if (control->targets[i] != NULL
-        && strcmp (control->targets[i]->listed.pool, pool->name) == 0
-        && csp_find_opening (control->ownership, i, now_ms) > 0)
-      memory_tokens
-          += csp_ledger_memory_tokens (control->targets[i]->ledger, now_ms);
-  csp_set_capacity (pool->queue, memory_tokens);
+    {
+      if (control->targets[i] == NULL
+          || strcmp (control->targets[i]->listed.pool, pool->name) != 0)
+        continue;
+      count++;
+      memory = csp_ledger_memory_tokens (control->targets[i]->ledger, now_ms);
+      if (memory > largest)
+        largest = memory;
+    }
+  csp_set_capacity (pool->queue, (uint64_t)largest * count
+                                     / count_owners (control, now_ms));
 }
--- a/source/control/control-config.c
+++ b/source/control/control-config.c
@@ -93,6 +93,7 @@
   csp_destroy_ownership (control->ownership);
   csp_destroy_membership (control->membership);
   csp_destroy_configuration (control->configuration);
+  free (control->host_watch.text);
 }
 
 static void
@@ -171,38 +172,101 @@
   csp_destroy_config_delta (delta);
 }
 
-void
-csp_take_hosts_read (csp_control_t *control,
-                     const csp_control_command_t *command, int64_t now_ms)
+/* Keep a newer list, and its text for hosts that can't read the platform.  */
+static void
+take_host_list (csp_control_t *control, const csp_host_list_t *list,
+                const char *text, int64_t now_ms)
 {
   csp_host_watch_t *watch = &control->host_watch;
+  char *copy;
+
+  if (csp_apply_host_list (control->membership, list, now_ms)
+      != CSP_LIST_TAKEN)
+    return;
+  watch->version = list->version;
+  copy = strdup (text);
+  if (copy != NULL)
+    {
+      free (watch->text);
+      watch->text = copy;
+    }
+  csp_apply_target_list (control->ownership, list, now_ms);
+  csp_sync_targets (control, now_ms);
+  CSP_LOG (control->context->log, CSP_EVENT_HOST_LIST_TAKEN, NULL,
+           csp_number ("version", list->version),
+           csp_number ("hosts", (int64_t)list->host_count),
+           csp_number ("targets", (int64_t)list->target_count));
+}
+
+static bool
+read_host_list (csp_control_t *control, const char *text, int64_t now_ms)
+{
   csp_host_list_t *list = NULL;
   csp_error_t error;
 
-  watch->pending = false;
-  watch->next_ms = now_ms + HOSTS_RETRY_MS;
-  if (command->body == NULL)
-    return;
-  if (!csp_parse_host_list (command->body, command->body_bytes, &list, &error))
+  if (!csp_parse_host_list (text, strlen (text), &list, &error))
     {
       CSP_LOG (control->context->log, CSP_EVENT_HOST_LIST_BAD, NULL,
                csp_text ("fault", error.detail));
-      return;
+      return false;
     }
+  take_host_list (control, list, text, now_ms);
+  csp_destroy_host_list (list);
+  return true;
+}
+
+void
+csp_take_hosts_read (csp_control_t *control,
+                     const csp_control_command_t *command, int64_t now_ms)
+{
+  csp_host_watch_t *watch = &control->host_watch;
+
+  watch->pending = false;
+  watch->next_ms = now_ms + HOSTS_RETRY_MS;
+  watch->away = command->body == NULL
+                || !read_host_list (control, command->body, now_ms);
+  if (watch->away)
+    return;
   watch->next_ms = now_ms + HOSTS_GAP_MS;
   watch->confirmed_ms = watch->asked_ms;
-  if (csp_apply_host_list (control->membership, list, now_ms)
-      == CSP_LIST_TAKEN)
+}
+
+void
+csp_take_peer_hosts (csp_control_t *control, const csp_peer_message_t *answer,
+                     int64_t now_ms)
+{
+  if (answer->kind == CSP_PEER_HOSTS_ANSWER
+      && answer->u.hosts_answer.list[0] != '\0')
+    read_host_list (control, answer->u.hosts_answer.list, now_ms);
+}
+
+/* While the platform is away, a peer whose heartbeat names a newer list is
+   asked for it.  Without this a host that is replaced during an outage knows
+   the configuration, which it pulls, and no target to send anything to.  */
+static void
+pull_hosts (csp_control_t *control, int64_t now_ms)
+{
+  csp_peer_message_t message = { .kind = CSP_PEER_HOSTS_ASK };
+  csp_host_watch_t *watch = &control->host_watch;
+  size_t count = csp_count_hosts (control->membership);
+  csp_peer_address_t peer;
+  csp_host_view_t view;
+  size_t i;
+
+  if (!watch->away || now_ms < watch->next_pull_ms)
+    return;
+  message.u.hosts_ask.after = watch->version;
+  for (i = 0; i < count; i++)
     {
-      watch->version = list->version;
-      csp_apply_target_list (control->ownership, list, now_ms);
-      csp_sync_targets (control, now_ms);
-      CSP_LOG (control->context->log, CSP_EVENT_HOST_LIST_TAKEN, NULL,
-               csp_number ("version", list->version),
-               csp_number ("hosts", (int64_t)list->host_count),
-               csp_number ("targets", (int64_t)list->target_count));
+      csp_view_host (control->membership, i, now_ms, &view);
+      if (view.self || view.liveness != CSP_PEER_ALIVE
+          || view.list_version <= watch->version
+          || !csp_locate_peer (control, view.name, now_ms, &peer))
+        continue;
+      watch->next_pull_ms = now_ms + HOSTS_GAP_MS;
+      csp_send_peer (control, &peer, &message, 0, HOSTS_GRACE_MS);
+      return;
     }
-  csp_destroy_host_list (list);
 }
 
 /* What a read's answer needs on its way back to the control thread.  */
@@ -318,6 +382,7 @@
         pull_config (control, &actions.items[i], now_ms);
         break;
       }
+  pull_hosts (control, now_ms);
   if (!control->host_watch.pending && now_ms >= control->host_watch.next_ms)
     read_hosts (control, now_ms);
   atomic_store (&control->ready,
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -178,6 +178,8 @@
   /* Up to when the list is known to be the platform's: when the last answered
      read was sent, since an answer may lie in the socket of a paused host.  */
   int64_t confirmed_ms;
+  int64_t next_pull_ms; /* from a peer */
+  char *text;           /* the list as it came, for peers */
 } csp_host_watch_t;
 
 typedef struct csp_once_entry csp_once_entry_t;
@@ -267,6 +269,8 @@
 void csp_take_hosts_read (csp_control_t *control,
                           const csp_control_command_t *command,
                           int64_t now_ms);
+void csp_take_peer_hosts (csp_control_t *control,
+                          const csp_peer_message_t *answer, int64_t now_ms);
 void csp_tick_config (csp_control_t *control, int64_t now_ms);
 
 /* Log what became of a configuration, and put a new one in force.  */
@@ -298,7 +302,6 @@
 
 /* Memory tokens free for new work on the targets that this host may grant. */
 int64_t csp_sum_headroom (csp_control_t *control, int64_t now_ms);
-uint64_t csp_sum_peer_headroom (csp_control_t *control, int64_t now_ms);
 
 /* Targets: follow the ownership's numbering, read load reports.  */
 void csp_sync_targets (csp_control_t *control, int64_t now_ms);
@@ -348,8 +351,8 @@
                     uint32_t index);
 uint32_t csp_choose_service (const csp_control_t *control,
                              const csp_admission_ask_t *ask, int64_t now_ms);
-void csp_set_pool_capacity (csp_control_t *control, csp_pool_state_t *pool,
-                            int64_t now_ms);
+void csp_follow_pool_capacity (csp_control_t *control, csp_pool_state_t *pool,
+                               int64_t now_ms);
 
 /* A target was listed: how far it is open, and how that moves on.  */
 void csp_open_target_shift (csp_control_t *control, csp_target_state_t *target,
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -276,6 +276,14 @@
       answer->kind = CSP_PEER_ACKNOWLEDGE;
       csp_take_slot_release (control, &ask->u.release, now_ms);
       break;
+    case CSP_PEER_HOSTS_ASK:
+      answer->kind = CSP_PEER_HOSTS_ANSWER;
+      answer->u.hosts_answer.list
+          = control->host_watch.text != NULL
+                    && control->host_watch.version > ask->u.hosts_ask.after
+                ? control->host_watch.text
+                : "";
+      break;
     case CSP_PEER_CLAIM_ASK:
       answer->kind = CSP_PEER_CLAIM_ANSWER;
       csp_claim_key (control->once, &ask->u.claim_ask, now_ms,
@@ -384,6 +392,9 @@
     case CSP_PEER_PULL_ASK:
       take_pull_answer (control, command, &answer, now_ms);
       break;
+    case CSP_PEER_HOSTS_ASK:
+      csp_take_peer_hosts (control, &answer, now_ms);
+      break;
     case CSP_PEER_CLAIM_ASK:
       csp_take_claim_answer (control, command, &answer, now_ms);
       break;
--- a/source/control/control-targets.c
+++ b/source/control/control-targets.c
@@ -222,24 +222,6 @@
   return headroom_tokens;
 }
 
-uint64_t
-csp_sum_peer_headroom (csp_control_t *control, int64_t now_ms)
-{
-  size_t count = csp_count_hosts (control->membership);
-  uint64_t headroom_tokens = 0;
-  csp_host_view_t view;
-  size_t i;
-
-  for (i = 0; i < count; i++)
-    {
-      csp_view_host (control->membership, i, now_ms, &view);
-      if (!view.self && view.liveness == CSP_PEER_ALIVE
-          && view.headroom_tokens > 0)
-        headroom_tokens += (uint64_t)view.headroom_tokens;
-    }
-  return headroom_tokens;
-}
-
 void
 csp_tick_targets (csp_control_t *control, int64_t now_ms)
 {
--- a/source/peer/peer-decode.c
+++ b/source/peer/peer-decode.c
@@ -258,6 +258,14 @@
       message->kind = CSP_PEER_OUTCOME_TELL;
       return unpack_outcome_tell (frame->outcome_tell,
                                   &message->u.outcome_tell);
+    case CSP_WIRE__FRAME__BODY_HOSTS_ASK:
+      message->kind = CSP_PEER_HOSTS_ASK;
+      message->u.hosts_ask.after = frame->hosts_ask->after;
+      return true;
+    case CSP_WIRE__FRAME__BODY_HOSTS_ANSWER:
+      message->kind = CSP_PEER_HOSTS_ANSWER;
+      message->u.hosts_answer.list = frame->hosts_answer->list;
+      return true;
     case CSP_WIRE__FRAME__BODY_ACKNOWLEDGE:
       message->kind = CSP_PEER_ACKNOWLEDGE;
       return true;
--- a/source/peer/peer-encode.c
+++ b/source/peer/peer-encode.c
@@ -27,6 +27,8 @@
     CspWire__ClaimAnswer claim_answer;
     CspWire__OutcomeTell outcome_tell;
     CspWire__Acknowledge acknowledge;
+    CspWire__HostsAsk hosts_ask;
+    CspWire__HostsAnswer hosts_answer;
   } body;
   void *rows;      /* of a repeated field */
   void *row_array; /* pointers to them */
@@ -349,6 +351,18 @@
     case CSP_PEER_OUTCOME_TELL:
       pack_outcome_tell (encoder, &message->u.outcome_tell);
       return true;
+    case CSP_PEER_HOSTS_ASK:
+      csp_wire__hosts_ask__init (&encoder->body.hosts_ask);
+      encoder->body.hosts_ask.after = message->u.hosts_ask.after;
+      frame->body_case = CSP_WIRE__FRAME__BODY_HOSTS_ASK;
+      frame->hosts_ask = &encoder->body.hosts_ask;
+      return true;
+    case CSP_PEER_HOSTS_ANSWER:
+      csp_wire__hosts_answer__init (&encoder->body.hosts_answer);
+      encoder->body.hosts_answer.list = (char *)message->u.hosts_answer.list;
+      frame->body_case = CSP_WIRE__FRAME__BODY_HOSTS_ANSWER;
+      frame->hosts_answer = &encoder->body.hosts_answer;
+      return true;
     case CSP_PEER_ACKNOWLEDGE:
       csp_wire__acknowledge__init (&encoder->body.acknowledge);
       frame->body_case = CSP_WIRE__FRAME__BODY_ACKNOWLEDGE;
--- a/source/peer/peer.pb-c.c
+++ b/source/peer/peer.pb-c.c
@@ -997,6 +997,96 @@
   assert(message->base.descriptor == &csp_wire__outcome_tell__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   csp_wire__hosts_ask__init
+                     (CspWire__HostsAsk         *message)
+{
+  static const CspWire__HostsAsk init_value = CSP_WIRE__HOSTS_ASK__INIT;
+  *message = init_value;
+}
+size_t csp_wire__hosts_ask__get_packed_size
+                     (const CspWire__HostsAsk *message)
+{
+  assert(message->base.descriptor == &csp_wire__hosts_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_wire__hosts_ask__pack
+                     (const CspWire__HostsAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_wire__hosts_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_wire__hosts_ask__pack_to_buffer
+                     (const CspWire__HostsAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_wire__hosts_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspWire__HostsAsk *
+       csp_wire__hosts_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspWire__HostsAsk *)
+     protobuf_c_message_unpack (&csp_wire__hosts_ask__descriptor,
+                                allocator, len, data);
+}
+void   csp_wire__hosts_ask__free_unpacked
+                     (CspWire__HostsAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_wire__hosts_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   csp_wire__hosts_answer__init
+                     (CspWire__HostsAnswer         *message)
+{
+  static const CspWire__HostsAnswer init_value = CSP_WIRE__HOSTS_ANSWER__INIT;
+  *message = init_value;
+}
+size_t csp_wire__hosts_answer__get_packed_size
+                     (const CspWire__HostsAnswer *message)
+{
+  assert(message->base.descriptor == &csp_wire__hosts_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_wire__hosts_answer__pack
+                     (const CspWire__HostsAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_wire__hosts_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_wire__hosts_answer__pack_to_buffer
+                     (const CspWire__HostsAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_wire__hosts_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspWire__HostsAnswer *
+       csp_wire__hosts_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspWire__HostsAnswer *)
+     protobuf_c_message_unpack (&csp_wire__hosts_answer__descriptor,
+                                allocator, len, data);
+}
+void   csp_wire__hosts_answer__free_unpacked
+                     (CspWire__HostsAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_wire__hosts_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   csp_wire__acknowledge__init
                      (CspWire__Acknowledge         *message)
 {
@@ -3106,6 +3196,82 @@
   (ProtobufCMessageInit) csp_wire__outcome_tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor csp_wire__hosts_ask__field_descriptors[1] =
+{
+  {
+    "after",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__HostsAsk, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_wire__hosts_ask__field_indices_by_name[] = {
+  0,   /* field[0] = after */
+};
+static const ProtobufCIntRange csp_wire__hosts_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor csp_wire__hosts_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_wire.HostsAsk",
+  "HostsAsk",
+  "CspWire__HostsAsk",
+  "csp_wire",
+  sizeof(CspWire__HostsAsk),
+  1,
+  csp_wire__hosts_ask__field_descriptors,
+  csp_wire__hosts_ask__field_indices_by_name,
+  1,  csp_wire__hosts_ask__number_ranges,
+  (ProtobufCMessageInit) csp_wire__hosts_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_wire__hosts_answer__field_descriptors[1] =
+{
+  {
+    "list",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__HostsAnswer, list),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_wire__hosts_answer__field_indices_by_name[] = {
+  0,   /* field[0] = list */
+};
+static const ProtobufCIntRange csp_wire__hosts_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor csp_wire__hosts_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_wire.HostsAnswer",
+  "HostsAnswer",
+  "CspWire__HostsAnswer",
+  "csp_wire",
+  sizeof(CspWire__HostsAnswer),
+  1,
+  csp_wire__hosts_answer__field_descriptors,
+  csp_wire__hosts_answer__field_indices_by_name,
+  1,  csp_wire__hosts_answer__number_ranges,
+  (ProtobufCMessageInit) csp_wire__hosts_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 #define csp_wire__acknowledge__field_descriptors NULL
 #define csp_wire__acknowledge__field_indices_by_name NULL
 #define csp_wire__acknowledge__number_ranges NULL
@@ -3124,7 +3290,7 @@
   (ProtobufCMessageInit) csp_wire__acknowledge__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_wire__frame__field_descriptors[17] =
+static const ProtobufCFieldDescriptor csp_wire__frame__field_descriptors[19] =
 {
   {
     "protocol",
@@ -3330,6 +3496,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hosts_ask",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, hosts_ask),
+    &csp_wire__hosts_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts_answer",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspWire__Frame, body_case),
+    offsetof(CspWire__Frame, hosts_answer),
+    &csp_wire__hosts_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_wire__frame__field_indices_by_name[] = {
   16,   /* field[16] = acknowledge */
@@ -3342,6 +3532,8 @@
   1,   /* field[1] = deployment */
   2,   /* field[2] = heartbeat */
   12,   /* field[12] = holdings */
+  18,   /* field[18] = hosts_answer */
+  17,   /* field[17] = hosts_ask */
   15,   /* field[15] = outcome_tell */
   0,   /* field[0] = protocol */
   6,   /* field[6] = pull_answer */
@@ -3354,7 +3546,7 @@
 {
   { 1, 0 },
   { 10, 2 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor csp_wire__frame__descriptor =
 {
@@ -3364,7 +3556,7 @@
   "CspWire__Frame",
   "csp_wire",
   sizeof(CspWire__Frame),
-  17,
+  19,
   csp_wire__frame__field_descriptors,
   csp_wire__frame__field_indices_by_name,
   2,  csp_wire__frame__number_ranges,
--- a/source/peer/peer.pb-c.h
+++ b/source/peer/peer.pb-c.h
@@ -37,6 +37,8 @@
 typedef struct CspWire__ClaimAsk CspWire__ClaimAsk;
 typedef struct CspWire__ClaimAnswer CspWire__ClaimAnswer;
 typedef struct CspWire__OutcomeTell CspWire__OutcomeTell;
+typedef struct CspWire__HostsAsk CspWire__HostsAsk;
+typedef struct CspWire__HostsAnswer CspWire__HostsAnswer;
 typedef struct CspWire__Acknowledge CspWire__Acknowledge;
 typedef struct CspWire__Frame CspWire__Frame;
 
@@ -365,6 +367,29 @@
     , NULL, 0, 0, 0 }
 
 
+/*
+ * The host list as the platform sent it, for hosts that can't read it.
+ */
+struct  CspWire__HostsAsk
+{
+  ProtobufCMessage base;
+  int64_t after;
+};
+#define CSP_WIRE__HOSTS_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_wire__hosts_ask__descriptor) \
+    , 0 }
+
+
+struct  CspWire__HostsAnswer
+{
+  ProtobufCMessage base;
+  char *list;
+};
+#define CSP_WIRE__HOSTS_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_wire__hosts_answer__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
 struct  CspWire__Acknowledge
 {
   ProtobufCMessage base;
@@ -390,7 +415,9 @@
   CSP_WIRE__FRAME__BODY_CLAIM_ASK = 21,
   CSP_WIRE__FRAME__BODY_CLAIM_ANSWER = 22,
   CSP_WIRE__FRAME__BODY_OUTCOME_TELL = 23,
-  CSP_WIRE__FRAME__BODY_ACKNOWLEDGE = 24
+  CSP_WIRE__FRAME__BODY_ACKNOWLEDGE = 24,
+  CSP_WIRE__FRAME__BODY_HOSTS_ASK = 25,
+  CSP_WIRE__FRAME__BODY_HOSTS_ANSWER = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CSP_WIRE__FRAME__BODY__CASE)
 } CspWire__Frame__BodyCase;
 
@@ -416,6 +443,8 @@
     CspWire__ClaimAnswer *claim_answer;
     CspWire__OutcomeTell *outcome_tell;
     CspWire__Acknowledge *acknowledge;
+    CspWire__HostsAsk *hosts_ask;
+    CspWire__HostsAnswer *hosts_answer;
   };
 };
 #define CSP_WIRE__FRAME__INIT \
@@ -841,6 +870,44 @@
 void   csp_wire__outcome_tell__free_unpacked
                      (CspWire__OutcomeTell *message,
                       ProtobufCAllocator *allocator);
+/* CspWire__HostsAsk methods */
+void   csp_wire__hosts_ask__init
+                     (CspWire__HostsAsk         *message);
+size_t csp_wire__hosts_ask__get_packed_size
+                     (const CspWire__HostsAsk   *message);
+size_t csp_wire__hosts_ask__pack
+                     (const CspWire__HostsAsk   *message,
+                      uint8_t             *out);
+size_t csp_wire__hosts_ask__pack_to_buffer
+                     (const CspWire__HostsAsk   *message,
+                      ProtobufCBuffer     *buffer);
+CspWire__HostsAsk *
+       csp_wire__hosts_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_wire__hosts_ask__free_unpacked
+                     (CspWire__HostsAsk *message,
+                      ProtobufCAllocator *allocator);
+/* CspWire__HostsAnswer methods */
+void   csp_wire__hosts_answer__init
+                     (CspWire__HostsAnswer         *message);
+size_t csp_wire__hosts_answer__get_packed_size
+                     (const CspWire__HostsAnswer   *message);
+size_t csp_wire__hosts_answer__pack
+                     (const CspWire__HostsAnswer   *message,
+                      uint8_t             *out);
+size_t csp_wire__hosts_answer__pack_to_buffer
+                     (const CspWire__HostsAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+CspWire__HostsAnswer *
+       csp_wire__hosts_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_wire__hosts_answer__free_unpacked
+                     (CspWire__HostsAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* CspWire__Acknowledge methods */
 void   csp_wire__acknowledge__init
                      (CspWire__Acknowledge         *message);
@@ -947,6 +1014,12 @@
 typedef void (*CspWire__OutcomeTell_Closure)
                  (const CspWire__OutcomeTell *message,
                   void *closure_data);
+typedef void (*CspWire__HostsAsk_Closure)
+                 (const CspWire__HostsAsk *message,
+                  void *closure_data);
+typedef void (*CspWire__HostsAnswer_Closure)
+                 (const CspWire__HostsAnswer *message,
+                  void *closure_data);
 typedef void (*CspWire__Acknowledge_Closure)
                  (const CspWire__Acknowledge *message,
                   void *closure_data);
@@ -981,6 +1054,8 @@
 extern const ProtobufCMessageDescriptor csp_wire__claim_ask__descriptor;
 extern const ProtobufCMessageDescriptor csp_wire__claim_answer__descriptor;
 extern const ProtobufCMessageDescriptor csp_wire__outcome_tell__descriptor;
+extern const ProtobufCMessageDescriptor csp_wire__hosts_ask__descriptor;
+extern const ProtobufCMessageDescriptor csp_wire__hosts_answer__descriptor;
 extern const ProtobufCMessageDescriptor csp_wire__acknowledge__descriptor;
 extern const ProtobufCMessageDescriptor csp_wire__frame__descriptor;
 
--- a/source/queue/queue-rate.c
+++ b/source/queue/queue-rate.c
@@ -5,6 +5,13 @@
 /* Below so much busy time the rate is no measurement yet.  */
 static const double known_after_ms = 500;
 
+/* A queue of which nothing was served yet tells no rate: its targets may still
+   be opening, or a hand-off under way.  Only after so much busy time is it
+   taken for stuck.  With known_after_ms alone, a host that had just started
+   turned its first callers away after half a second although its owners'
+   targets opened two seconds later.  */
+static const double stuck_after_ms = 8000;
+
 static const double ms_per_s = 1000;
 
 enum
@@ -30,10 +37,17 @@
   queue->busy_ms = queue->busy_ms * keep + passed;
 }
 
+static bool
+is_rate_known (const csp_queue_t *queue)
+{
+  return queue->busy_ms
+         >= (queue->served_tokens > 0 ? known_after_ms : stuck_after_ms);
+}
+
 static double
 tokens_per_ms (const csp_queue_t *queue)
 {
-  if (queue->busy_ms < known_after_ms)
+  if (!is_rate_known (queue))
     return 0;
   return queue->served_tokens / queue->busy_ms;
 }
@@ -90,7 +104,7 @@
   uint32_t i = queue->cursor;
   const organisation_t *other;
 
-  if (queue->waiting == 0 || queue->busy_ms < known_after_ms)
+  if (queue->waiting == 0 || !is_rate_known (queue))
     return 0;
   if (organisation < queue->organisation_count
       && queue->organisations[organisation].weight > 0)
--- a/tests/queue/queue-test.c
+++ b/tests/queue/queue-test.c
@@ -199,6 +199,26 @@
 }
 END_TEST
 
+/* A host has just started; its targets open two seconds later.  Its first
+   callers must not be turned away because nothing was served so far; only
+   when nothing is served for long are they told to come back.  */
+START_TEST (a_start_is_not_taken_for_a_stand_still)
+{
+  csp_waiting_t waiting;
+  csp_error_t error;
+  int64_t now_ms;
+
+  ck_assert (push (SMALL, 5, 60000, 0, &error));
+  for (now_ms = 0; now_ms <= 5000; now_ms += 100)
+    ck_assert (!csp_expire_waiting (queue, now_ms, &waiting, &error));
+  for (; now_ms < 40000; now_ms += 100)
+    if (csp_expire_waiting (queue, now_ms, &waiting, &error))
+      break;
+  ck_assert_int_lt (now_ms, 40000);
+  ck_assert_int_eq (error.verdict, CSP_VERDICT_NOT_RUN);
+}
+END_TEST
+
 START_TEST (the_deadline_ends_a_wait)
 {
   csp_error_t error;
@@ -297,6 +317,7 @@
   tcase_add_test (tcase, too_late_is_told_on_arrival);
   tcase_add_test (tcase, bounds_in_number);
   tcase_add_test (tcase, hopeless_is_answered_before_its_deadline);
+  tcase_add_test (tcase, a_start_is_not_taken_for_a_stand_still);
   tcase_add_test (tcase, the_deadline_ends_a_wait);
   tcase_add_test (tcase, what_is_lent_is_taken_back);
   tcase_add_test (tcase, a_big_one_is_not_passed_for_ever);
