--- a/include/cowslipspoke/handoff.h
+++ b/include/cowslipspoke/handoff.h
@@ -171,7 +171,10 @@
 void csp_take_holdings (csp_slot_table_t *table,
                         const csp_holdings_t *holdings, int64_t now_ms);
 
-/* The holder has fallen silent, or is known to be gone.  */
+/* The holder is silent, or known to be gone.  Called every second or so for
+   each silent host and not only when it falls silent: a commit or a list that
+   lay in this host's sockets can make slots held again, and nobody would ever
+   release them.  A slot that is orphaned already keeps its expiry.  */
 void csp_orphan_holder (csp_slot_table_t *table, const char *host,
                         int64_t now_ms);
 
