--- a/source/once/once.c
+++ b/source/once/once.c
@@ -7,7 +7,6 @@
 
 enum
 {
-  EXPECTED_KEYS = 4096,
   EXPECTED_ORGANISATIONS = 64,
   EXPIRED_PER_CLAIM = 2
 };
@@ -63,6 +62,9 @@
   return settings;
 }
 
+/* The index has its full size from the start.  Doubling one of half a million
+   keys stops the control thread for some 30 ms, and with it every decision of
+   the host.  */
 csp_once_t *
 csp_create_once (const csp_once_settings_t *settings,
                  const csp_host_ref_t *self, int64_t now_ms)
@@ -74,7 +76,7 @@
   once->settings = *settings;
   once->self = *self;
   once->known_ms = now_ms;
-  if (csp_open_index (&once->records, EXPECTED_KEYS) != 0
+  if (csp_open_index (&once->records, settings->capacity) != 0
       || csp_open_index (&once->organisations, EXPECTED_ORGANISATIONS) != 0)
     {
       csp_destroy_once (once);
--- a/tests/once/interleaving-test.c
+++ b/tests/once/interleaving-test.c
@@ -542,6 +542,7 @@
   csp_seed_random (&w->random, seed);
   w->settings = csp_default_once_settings ();
   w->settings.retention_ms = 30000;
+  w->settings.capacity = 16 * KEYS;
   w->settings.clock_skew_ms = 2 * SKEW_MS;
   w->settings.view_lease_ms = 2000;
   w->settings.witness_delay_ms = LIST_LAG_MS + 2 * 2000;
