Two tests of decisions that did not bite

Change: the row for prompts gives the other target the same tokens, computed; the split of a limit has load on both sides. Conclusion: each mechanism of the decisions has a test that fails without it.

--- a/tests/limit/limit-test.c
+++ b/tests/limit/limit-test.c
@@ -90,7 +90,7 @@
 static const double all_even[HOSTS] = { 3000, 3000, 3000, 3000, 3000, 3000,
                                         3000, 3000, 3000, 3000, 3000, 3000 };
 static const double all_at_one[HOSTS] = { 36000 };
-static const double other_side[HOSTS] = { [6] = 36000 };
+static const double both_sides[HOSTS] = { [0] = 36000, [6] = 36000 };
 
 /* An organisation sends three times its limit.  Through all hosts or through
    one, it gets its limit: not twelve times, and not a twelfth.  */
@@ -109,17 +109,17 @@
 }
 END_TEST
 
-/* The hosts are cut in two, and the load moves to the other side.  Each side
-   knows that the other is still listed, so it keeps to its share, and the
-   limit isn't exceeded.  Afterwards the load is served in full again.  */
+/* The hosts are cut in two, and load begins on the other side as well.  Each
+   side knows that the other is still listed, so it keeps to its share, and
+   the limit isn't exceeded.  Afterwards the load is served in full again.  */
 START_TEST (a_split_exceeds_nothing_while_all_are_listed)
 {
   double most;
 
   play_rounds (all_at_one, 0, true, 2000, 30);
-  most = play_rounds (other_side, 6, true, 32000, 60);
+  most = play_rounds (both_sides, 6, true, 32000, 60);
   ck_assert_double_le (most, RATE * 1.05);
-  most = play_rounds (other_side, 0, true, 92000, 40);
+  most = play_rounds (both_sides, 0, true, 92000, 40);
   ck_assert_double_ge (most, RATE * 0.75);
 }
 END_TEST
--- a/tests/placement/placement-test.c
+++ b/tests/placement/placement-test.c
@@ -88,7 +88,10 @@
 
   hold (1, 500, 50);
   if (worse_rows[_i].prompt_ahead != 0)
-    hold (0, worse_rows[_i].prompt_ahead, 0);
+    {
+      hold (0, worse_rows[_i].prompt_ahead, 0);
+      hold (1, worse_rows[_i].prompt_ahead, 50);
+    }
   if (worse_rows[_i].held != 0)
     hold (0, worse_rows[_i].held, 50);
   candidates[0].slowness = worse_rows[_i].slowness;
