--- a/include/cowslipspoke/control.h
+++ b/include/cowslipspoke/control.h
@@ -4,11 +4,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "cowslipspoke/clock.h"
+#include "cowslipspoke/context.h"
 #include "cowslipspoke/declaration.h"
 #include "cowslipspoke/engine.h"
-#include "cowslipspoke/log.h"
-#include "cowslipspoke/settings.h"
+#include "cowslipspoke/once.h"
 #include "cowslipspoke/verdict.h"
 
 /* The control thread owns all state of the decisions: who is alive, which
@@ -35,6 +34,13 @@
 /* The declaration of a view; NULL while there is no configuration.  */
 const csp_declaration_t *csp_view_declaration (const csp_view_t *view);
 
+/* Targets that have failed a request already.  */
+typedef struct
+{
+  char names[CSP_TRIED_MAX][CSP_NAME_BYTES];
+  uint32_t count;
+} csp_tried_t;
+
 /* What a request asks for when it wants a target.  Texts belong to the
    caller and must live until the call returns.  */
 typedef struct
@@ -48,12 +54,28 @@
   uint32_t prompt_tokens;
   uint32_t max_tokens; /* 0: no bound */
   int64_t deadline_ms; /* steady */
-  bool retry;          /* not the first attempt: needs retry budget */
-  char tried[CSP_TRIED_MAX][CSP_NAME_BYTES];
-  uint32_t tried_count;
+  uint64_t prefix;     /* hash of the prompt's beginning; 0: none */
+  uint32_t prefix_tokens;
+  bool repeatable;            /* running it twice does no harm */
+  bool retry;                 /* not the first attempt: needs retry budget */
+  csp_verdict_t last_verdict; /* of the attempt before a retry */
+  csp_tried_t tried;
+  bool (*is_gone) (void *state); /* whether the caller hung up; may be NULL */
+  void *gone_state;
 } csp_admission_ask_t;
 
-/* A place on a target.  */
+/* A word of the control thread to a traffic thread: this request is taken back
+   while it has made nothing.  Counted, since either may be done first.  */
+typedef struct csp_recall csp_recall_t;
+
+csp_recall_t *csp_create_recall (void);
+csp_recall_t *csp_share_recall (csp_recall_t *recall);
+void csp_drop_recall (csp_recall_t *recall);
+void csp_set_recalled (csp_recall_t *recall);
+bool csp_is_recalled (const csp_recall_t *recall);
+
+/* A place on a target.  recall may be NULL and is dropped by
+   csp_release_grant.  */
 typedef struct
 {
   char target[CSP_NAME_BYTES];
@@ -61,6 +83,8 @@
   uint64_t place; /* of the owner's table */
   char owner[CSP_NAME_BYTES];
   int64_t wait_ms;
+  uint8_t priority; /* for the target */
+  csp_recall_t *recall;
 } csp_grant_t;
 
 /* What a traffic thread says of a target when it gives its place back.  */
@@ -74,9 +98,8 @@
 
 /* Start the control thread, the links to peers and the threads that read the
    platform.  NULL with a message when that fails.  */
-csp_control_t *csp_create_control (const csp_settings_t *settings,
-                                   const csp_clock_t *clock, csp_log_t *log,
-                                   char *message, size_t message_bytes);
+csp_control_t *csp_create_control (const csp_context_t *context, char *message,
+                                   size_t message_bytes);
 
 /* Say to peers that this host leaves, so that they take its targets over. */
 void csp_leave_control (csp_control_t *control);
@@ -98,12 +121,32 @@
 
 /* Ask, immediately before a byte leaves, whether a grant still holds.  A
    thread or host that was paused may believe in one that the owner has given
-   to somebody else since.  False: give the place back and ask anew.  */
-bool csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant);
+   to somebody else since.  claim is that of a keyed call, 0 without one.
+   False: give the place back and ask anew.  */
+bool csp_confirm_grant (csp_control_t *control, const csp_grant_t *grant,
+                        uint64_t claim);
+
+/* A call that must not run twice, by its key.  */
+typedef struct
+{
+  csp_once_key_t key;
+  int64_t deadline_ms; /* steady */
+} csp_once_ask_t;
+
+/* Claim a key and wait until the hosts that could have run it have agreed.  0
+   with the claim, which csp_end_claim ends; or -1 with an error, whose verdict
+   is that of an earlier attempt where one is known.  */
+int csp_claim_run (csp_control_t *control, const csp_once_ask_t *ask,
+                   uint64_t *claim, csp_error_t *error);
+
+/* Say what became of a claimed call.  */
+void csp_end_claim (csp_control_t *control, uint64_t claim,
+                    csp_once_outcome_t outcome);
 
-/* Say how many tokens a stream has made so far.  */
+/* Say how many tokens a stream has made so far; blocked_ms of the time since
+   the last word was spent waiting for the caller.  */
 void csp_note_progress (csp_control_t *control, const csp_grant_t *grant,
-                        uint64_t tokens);
+                        uint64_t tokens, int64_t blocked_ms);
 
 /* Give a place back.  */
 void csp_release_grant (csp_control_t *control, const csp_grant_t *grant,
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -59,7 +59,7 @@
 bool
 csp_open_peers (csp_control_t *control, char *message, size_t message_bytes)
 {
-  const csp_settings_t *settings = control->settings;
+  const csp_settings_t *settings = &control->context->settings;
   csp_peers_settings_t peers = { .address = settings->listen_address,
                                  .port = settings->peer_port,
                                  .deployment = settings->deployment,
@@ -164,7 +164,7 @@
     {
       if (event.kind == CSP_MEMBER_EVENT_SILENT)
         csp_orphan_holder (control->slots, event.peer, now_ms);
-      CSP_LOG (control->log, member_events[event.kind], NULL,
+      CSP_LOG (control->context->log, member_events[event.kind], NULL,
                csp_text ("peer", event.peer),
                csp_text ("state", member_states[event.kind]),
                csp_number ("value", event.value));
@@ -274,7 +274,18 @@
       break;
     case CSP_PEER_RELEASE:
       answer->kind = CSP_PEER_ACKNOWLEDGE;
-      csp_release_slot (control->slots, &ask->u.release.release, now_ms);
+      csp_take_slot_release (control, &ask->u.release, now_ms);
+      break;
+    case CSP_PEER_CLAIM_ASK:
+      answer->kind = CSP_PEER_CLAIM_ANSWER;
+      csp_claim_key (control->once, &ask->u.claim_ask, now_ms,
+                     csp_wall_ms (&control->context->clock),
+                     &answer->u.claim_answer);
+      break;
+    case CSP_PEER_OUTCOME_TELL:
+      answer->kind = CSP_PEER_ACKNOWLEDGE;
+      csp_settle_claim (control->once, &ask->u.outcome_tell, now_ms,
+                        csp_wall_ms (&control->context->clock));
       break;
     case CSP_PEER_HOLDINGS:
       answer->kind = CSP_PEER_ACKNOWLEDGE;
@@ -299,7 +310,7 @@
                                command->body_bytes, control->deployment, &ask))
     answer_ask (control, &ask, now_ms, &status, &answer);
   else
-    CSP_LOG (control->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
+    CSP_LOG (control->context->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
              csp_number ("bytes", (int64_t)command->body_bytes));
   if (answer.kind != CSP_PEER_NONE)
     data = csp_encode_peer_message (&answer, control->deployment, &size_bytes);
@@ -360,7 +371,7 @@
       && !csp_decode_peer_message ((const uint8_t *)command->body,
                                    command->body_bytes, control->deployment,
                                    &answer))
-    CSP_LOG (control->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
+    CSP_LOG (control->context->log, CSP_EVENT_PEER_MESSAGE_BAD, NULL,
              csp_text ("peer", command->name));
   switch (command->asked)
     {
@@ -373,6 +384,12 @@
     case CSP_PEER_PULL_ASK:
       take_pull_answer (control, command, &answer, now_ms);
       break;
+    case CSP_PEER_CLAIM_ASK:
+      csp_take_claim_answer (control, command, &answer, now_ms);
+      break;
+    case CSP_PEER_OUTCOME_TELL:
+      csp_take_told (control, command, &answer, now_ms);
+      break;
     case CSP_PEER_RESERVE_ASK:
       if (answer.kind == CSP_PEER_RESERVE_ANSWER)
         csp_take_reserved (control, command, &answer.u.reserve_answer, now_ms);
--- a/source/control/control-spill.c
+++ b/source/control/control-spill.c
@@ -31,7 +31,8 @@
       csp_view_host (control->membership, i, now_ms, &view);
       if (view.self || view.liveness != CSP_PEER_ALIVE
           || view.state != CSP_MEMBER_LIVE
-          || strcmp (view.data_centre, control->settings->data_centre) != 0)
+          || strcmp (view.data_centre, control->context->settings.data_centre)
+                 != 0)
         continue;
       csp_copy_text (offers[count].name, sizeof offers[count].name, view.name);
       offers[count].headroom_tokens = view.headroom_tokens;
@@ -98,6 +99,9 @@
       csp_copy_text (reserve->class_name, sizeof reserve->class_name,
                      place->waiter->ask->class_name);
       reserve->max_tokens = place->waiter->ask->max_tokens;
+      reserve->tried_count = place->waiter->ask->tried.count;
+      memcpy (reserve->tried, place->waiter->ask->tried.names,
+              sizeof reserve->tried);
     }
   csp_send_peer (control, &place->spill->peers[action->peer], &message,
                  place->id, RELEASE_TIMEOUT_MS);
@@ -116,12 +120,18 @@
 
 static void
 send_release (csp_control_t *control, const csp_peer_address_t *peer,
-              const csp_release_t *release, uint64_t tokens)
+              const csp_release_t *release, const csp_place_t *place)
 {
   csp_peer_message_t message = { .kind = CSP_PEER_RELEASE };
 
   message.u.release.release = *release;
-  message.u.release.tokens = tokens;
+  if (place != NULL)
+    {
+      message.u.release.tokens = place->made_tokens;
+      message.u.release.failed = place->link_failed;
+      csp_copy_text (message.u.release.target, sizeof message.u.release.target,
+                     place->spill->target);
+    }
   csp_send_peer (control, peer, &message, 0, RELEASE_TIMEOUT_MS);
 }
 
@@ -151,6 +161,7 @@
                  spill->peers[spill->holder].name);
   grant->endpoint = spill->endpoint;
   grant->place = place->id;
+  grant->priority = place->waiter->ask->terms.priority;
   grant->wait_ms = now_ms - place->asked_ms;
   csp_answer_waiter (place->waiter, 0);
   place->waiter = NULL;
@@ -162,7 +173,7 @@
 {
   if (action->has_release)
     send_release (control, &place->spill->peers[action->release_peer],
-                  &action->release, place->made_tokens);
+                  &action->release, place);
   switch (action->kind)
     {
     case CSP_HANDOFF_SEND_RESERVE:
@@ -211,7 +222,7 @@
 
   control->next_ask += CSP_HANDOFF_MAX_PEERS;
   csp_copy_text (ask.sender.name, sizeof ask.sender.name,
-                 control->settings->host);
+                 control->context->settings.host);
   ask.sender.incarnation = control->incarnation;
   csp_copy_text (ask.model, sizeof ask.model, wanted->model);
   csp_copy_text (ask.pool, sizeof ask.pool, wanted->terms.pool);
@@ -271,9 +282,9 @@
   if (!answer->granted || !csp_locate_peer (control, peer_name, now_ms, &peer))
     return;
   csp_copy_text (release.sender.name, sizeof release.sender.name,
-                 control->settings->host);
+                 control->context->settings.host);
   release.sender.incarnation = control->incarnation;
-  send_release (control, &peer, &release, 0);
+  send_release (control, &peer, &release, NULL);
 }
 
 void
@@ -379,6 +390,7 @@
   if (place->spill == NULL)
     return;
   place->made_tokens = outcome->tokens;
+  place->link_failed = csp_link_failed (outcome->end);
   step_spill (control, place, &event, now_ms, &action);
   csp_cancel_spill (control, place, now_ms);
 }
@@ -398,7 +410,7 @@
   message.u.holdings.number = control->holdings_number;
   csp_copy_text (message.u.holdings.sender.name,
                  sizeof message.u.holdings.sender.name,
-                 control->settings->host);
+                 control->context->settings.host);
   message.u.holdings.sender.incarnation = control->incarnation;
   message.u.holdings.slots = slots;
   for (i = 0; i < control->place_room; i++)
--- a/source/control/control.c
+++ b/source/control/control.c
@@ -89,6 +89,10 @@
 {
   bool holds = csp_confirm_place (control, waiter->grant->place, now_ms);
 
+  /* The claim comes last: once it says yes, it counts as sent.  */
+  if (holds && waiter->once_id != 0)
+    holds = csp_confirm_once (control, waiter->once_id, now_ms);
+
   csp_answer_waiter (waiter, holds ? 0 : -1);
 }
 
@@ -104,6 +108,15 @@
     case CSP_COMMAND_CONFIRM:
       confirm_to_waiter (control, command->waiter, now_ms);
       break;
+    case CSP_COMMAND_ABANDON:
+      csp_abandon_waiter (control, command->id, now_ms);
+      break;
+    case CSP_COMMAND_CLAIM:
+      csp_take_once_ask (control, command->waiter, now_ms);
+      break;
+    case CSP_COMMAND_END_CLAIM:
+      csp_end_once (control, command->id, command->once_outcome, now_ms);
+      break;
     case CSP_COMMAND_PROGRESS:
       csp_take_progress (control, command, now_ms);
       break;
@@ -139,7 +152,7 @@
   for (; commands != NULL; commands = next)
     {
       next = commands->next;
-      run_command (control, commands, csp_now_ms (&control->clock));
+      run_command (control, commands, csp_now_ms (&control->context->clock));
       csp_free_command (commands);
     }
 }
@@ -156,7 +169,7 @@
   while (!stopping)
     {
       run_commands (control, take_commands (control, &stopping));
-      now_ms = csp_now_ms (&control->clock);
+      now_ms = csp_now_ms (&control->context->clock);
       if (now_ms >= next_tick_ms)
         {
           csp_tick_peers (control, now_ms);
@@ -164,9 +177,13 @@
           csp_tick_targets (control, now_ms);
           csp_follow_ownership (control, now_ms);
           csp_tick_spills (control, now_ms);
+          csp_tick_once (control, now_ms);
+          csp_tick_choices (control, now_ms);
+          csp_tick_preemption (control, now_ms);
+          csp_tick_admission (control, true, now_ms);
           next_tick_ms = now_ms + CSP_CONTROL_TICK_MS;
         }
-      csp_tick_admission (control, now_ms);
+      csp_tick_admission (control, false, now_ms);
     }
   rcu_unregister_thread ();
   return NULL;
@@ -187,8 +204,8 @@
 }
 
 csp_control_t *
-csp_create_control (const csp_settings_t *settings, const csp_clock_t *clock,
-                    csp_log_t *log, char *message, size_t message_bytes)
+csp_create_control (const csp_context_t *context, char *message,
+                    size_t message_bytes)
 {
   csp_control_t *control = calloc (1, sizeof *control);
   uint64_t seed = csp_random_seed ();
@@ -196,21 +213,20 @@
   snprintf (message, message_bytes, "can't start the control thread");
   if (control == NULL)
     return NULL;
-  control->settings = settings;
-  control->clock = *clock;
-  control->log = log;
+  control->context = context;
   csp_seed_random (&control->random, seed);
   control->incarnation = csp_make_incarnation (
-      csp_wall_ms (clock), csp_random_u64 (&control->random));
+      csp_wall_ms (&context->clock), csp_random_u64 (&control->random));
   open_inbox (control);
   csp_copy_text (control->platform.address, sizeof control->platform.address,
-                 settings->platform_address);
-  control->platform.port = settings->platform_port;
+                 context->settings.platform_address);
+  control->platform.port = context->settings.platform_port;
   control->fetcher = csp_create_fetcher (FETCHER_THREADS);
   if (control->fetcher == NULL
       || !csp_open_peers (control, message, message_bytes)
       || !csp_open_admission (control) || !csp_open_slots (control)
-      || !csp_open_config (control, csp_now_ms (clock)))
+      || !csp_open_once (control, csp_now_ms (&context->clock))
+      || !csp_open_config (control, csp_now_ms (&context->clock)))
     goto fail;
   control->thread_runs
       = pthread_create (&control->thread, NULL, run_control, control) == 0;
@@ -250,8 +266,9 @@
       control->first = command->next;
       csp_free_command (command);
     }
-  csp_close_admission (control);
+  csp_close_once (control);
   csp_close_targets (control);
+  csp_close_admission (control);
   csp_destroy_slot_table (control->slots);
   csp_destroy_lengths (control->lengths);
   csp_publish_view (control, NULL);
--- a/source/entry/call.c
+++ b/source/entry/call.c
@@ -22,6 +22,7 @@
   csp_attempt_t attempt;
   csp_service_answer_t answer;
   char path[PATH_BYTES];
+  bool lost_place; /* the grant had run out before a byte left */
 } call_t;
 
 static csp_link_end_t
@@ -32,11 +33,26 @@
 
   if (atomic_load (&entry->stopping))
     return CSP_LINK_STOPPED;
-  if (csp_now_ms (&entry->clock) >= call->exchange->deadline_ms)
+  if (csp_now_ms (&entry->context->clock) >= call->exchange->deadline_ms)
     return CSP_LINK_DEADLINE;
+  if (call->attempt.idempotent && csp_caller_is_gone (call->exchange))
+    return CSP_LINK_CALLER_GONE;
   return CSP_LINK_COMPLETE;
 }
 
+static bool
+confirm_call (void *state)
+{
+  call_t *call = state;
+  csp_exchange_t *exchange = call->exchange;
+
+  call->lost_place = !csp_confirm_grant (exchange->entry->control,
+                                         &call->grant, exchange->claim);
+  return !call->lost_place
+         && csp_now_ms (&exchange->entry->context->clock)
+                < exchange->deadline_ms;
+}
+
 static int
 prepare_call (call_t *call, const char *rest, csp_error_t *error)
 {
@@ -66,6 +82,9 @@
   call->ask.kind = CSP_POOL_SERVICES;
   call->ask.max_tokens = 1;
   call->ask.deadline_ms = exchange->deadline_ms;
+  call->ask.is_gone = csp_caller_is_gone;
+  call->ask.gone_state = exchange;
+  call->ask.repeatable = !exchange->marks.non_idempotent;
   call->attempt.idempotent
       = !exchange->marks.non_idempotent
         && csp_may_repeat_call (call->service, info->request_method, rest);
@@ -86,8 +105,10 @@
           .body = exchange->body,
           .body_bytes = exchange->body_bytes,
           .request_id = exchange->id,
-          .connect_timeout_ms = exchange->entry->settings->connect_timeout_ms,
+          .connect_timeout_ms
+          = exchange->entry->context->settings.connect_timeout_ms,
           .answer_limit_bytes = ANSWER_LIMIT_BYTES,
+          .may_send = confirm_call,
           .check = check_call,
           .state = call };
 
@@ -125,18 +146,19 @@
   for (;;)
     {
       recovery = call_target (call, &end);
-      release_place (call, end);
+      release_place (call, call->lost_place ? CSP_LINK_NOT_STARTED : end);
       *error = recovery.error;
       if (recovery.kind == CSP_RECOVER_DONE)
         return 0;
       drop_answer (call);
       if (recovery.kind != CSP_RECOVER_ELSEWHERE
-          || ask->tried_count == CSP_TRIED_MAX)
+          || ask->tried.count == CSP_TRIED_MAX)
         return -1;
-      csp_copy_text (ask->tried[ask->tried_count], CSP_NAME_BYTES,
+      csp_copy_text (ask->tried.names[ask->tried.count], CSP_NAME_BYTES,
                      call->grant.target);
-      ask->tried_count++;
+      ask->tried.count++;
       ask->retry = true;
+      ask->last_verdict = recovery.error.verdict;
       if (csp_ask_admission (control, ask, &call->grant, &refusal) != 0)
         return -1;
     }
@@ -164,14 +186,26 @@
 {
   call_t call = { .exchange = exchange, .service = service };
   csp_error_t error;
+  int result;
 
-  if (prepare_call (&call, rest, &error) != 0 || run_call (&call, &error) != 0)
+  result = prepare_call (&call, rest, &error);
+  if (result == 0 && !call.attempt.idempotent)
+    result = csp_begin_claim (exchange, &error);
+  if (result == 0)
+    {
+      result = run_call (&call, &error);
+      csp_finish_claim (exchange, result, &error);
+    }
+  if (result != 0)
     {
       csp_answer_error (exchange, &error);
       return;
     }
   pass_answer (&call);
-  CSP_LOG (exchange->entry->log, CSP_EVENT_REQUEST_ENDED, exchange->id,
+  csp_count_end (exchange->entry->context->metrics, exchange->labels,
+                 CSP_REASON_NONE, CSP_VERDICT_RAN);
+  CSP_LOG (exchange->entry->context->log, CSP_EVENT_REQUEST_ENDED,
+           exchange->id,
            csp_text ("organisation", exchange->organisation->name),
            csp_text ("service", service->name),
            csp_text ("target", call.grant.target),
--- a/source/entry/server.c
+++ b/source/entry/server.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cowslipspoke/text.h"
+
 enum
 {
   LISTEN_BACKLOG = 1024,
@@ -25,10 +27,12 @@
   exchange->entry = entry;
   exchange->connection = connection;
   exchange->info = mg_get_request_info (connection);
-  exchange->arrived_ms = csp_now_ms (&entry->clock);
+  exchange->socket = csp_find_caller_socket (exchange->info, entry->port);
+  exchange->arrived_ms = csp_now_ms (&entry->context->clock);
   snprintf (exchange->id, sizeof exchange->id, "%llx-%llx",
             (unsigned long long)csp_control_incarnation (entry->control),
             (unsigned long long)number);
+  exchange->labels = csp_get_labels (entry->context->metrics, NULL, NULL);
   fields.idempotency_key = mg_get_header (connection, "Idempotency-Key");
   fields.non_idempotent = mg_get_header (connection, "X-Non-Idempotent");
   fields.attempt = mg_get_header (connection, "X-Attempt");
@@ -36,10 +40,11 @@
   fields.class_name = mg_get_header (connection, "X-Class");
   if (csp_read_marks (&fields, &exchange->marks, error) != 0)
     return false;
-  exchange->deadline_ms = exchange->arrived_ms
-                          + (exchange->marks.deadline_ms != 0
-                                 ? exchange->marks.deadline_ms
-                                 : entry->settings->default_deadline_ms);
+  exchange->deadline_ms
+      = exchange->arrived_ms
+        + (exchange->marks.deadline_ms != 0
+               ? exchange->marks.deadline_ms
+               : entry->context->settings.default_deadline_ms);
   return true;
 }
 
@@ -154,6 +159,44 @@
   return 200;
 }
 
+static void
+answer_home (csp_exchange_t *exchange)
+{
+  const csp_context_t *context = exchange->entry->context;
+  csp_once_settings_t settings = csp_default_once_settings ();
+  json_object *document = json_object_new_object ();
+  char token[CSP_ONCE_TOKEN_BYTES];
+  csp_host_ref_t self
+      = { .incarnation = csp_control_incarnation (exchange->entry->control) };
+
+  csp_copy_text (self.name, sizeof self.name, context->settings.host);
+  csp_format_host_token (&self, csp_wall_ms (&context->clock), token);
+  json_object_object_add (document, "host_token",
+                          json_object_new_string (token));
+  csp_format_data_centre_token (context->settings.data_centre,
+                                csp_wall_ms (&context->clock), token);
+  json_object_object_add (document, "data_centre_token",
+                          json_object_new_string (token));
+  json_object_object_add (document, "valid_ms",
+                          json_object_new_int64 (settings.retention_ms));
+  csp_answer_json (
+      exchange, 200,
+      json_object_to_json_string_ext (document, JSON_C_TO_STRING_PLAIN));
+  json_object_put (document);
+}
+
+static int
+handle_home (struct mg_connection *connection, void *state)
+{
+  csp_exchange_t exchange;
+
+  if (open_exchange (&exchange, state, connection)
+      && is_method (&exchange, "GET"))
+    answer_home (&exchange);
+  end_exchange (&exchange);
+  return 200;
+}
+
 /* "/v1/services/NAME/REST", or a path below a service's own prefix.  */
 static const csp_service_t *
 find_called_service (const csp_exchange_t *exchange, const char **rest)
@@ -245,6 +288,24 @@
   return 200;
 }
 
+static int
+handle_metrics (struct mg_connection *connection, void *state)
+{
+  csp_entry_t *entry = state;
+  size_t size_bytes;
+  char *text;
+
+  csp_set_gauge (entry->context->metrics, CSP_GAUGE_READY,
+                 csp_control_ready (entry->control));
+  csp_set_gauge (entry->context->metrics, CSP_GAUGE_OPEN_STREAMS,
+                 csp_open_requests (entry));
+  text = csp_render_metrics (entry->context->metrics, &size_bytes);
+  answer_operator (connection, text == NULL ? 500 : 200,
+                   "text/plain; version=0.0.4", text == NULL ? "" : text);
+  free (text);
+  return 200;
+}
+
 /* CivetWeb's threads read the view under RCU and have to be known to it.  */
 static void *
 register_thread (const struct mg_context *context, int type)
@@ -272,9 +333,11 @@
   { "/v1/completions$", handle_completions },
   { "/v1/chat/completions$", handle_chat },
   { "/v1/models$", handle_models },
+  { "/v1/idempotency-home$", handle_home },
   { "/live$", handle_live },
   { "/ready$", handle_ready },
   { "/status$", handle_status },
+  { "/metrics$", handle_metrics },
   { "/", handle_other },
 };
 
@@ -312,25 +375,24 @@
 }
 
 csp_entry_t *
-csp_create_entry (const csp_settings_t *settings, csp_control_t *control,
-                  csp_log_t *log, const csp_clock_t *clock, char *message,
-                  size_t message_bytes)
+csp_create_entry (const csp_context_t *context, csp_control_t *control,
+                  char *message, size_t message_bytes)
 {
+  const csp_settings_t *settings = &context->settings;
   csp_entry_t *entry = calloc (1, sizeof *entry);
   struct mg_callbacks callbacks
       = { .init_thread = register_thread, .exit_thread = unregister_thread };
   char texts[4][OPTION_BYTES];
   const char *options[SERVER_OPTIONS];
+  struct mg_server_port port;
   size_t i;
 
   snprintf (message, message_bytes, "can't listen on %s:%u",
             settings->listen_address, settings->http_port);
   if (entry == NULL)
     return NULL;
-  entry->settings = settings;
+  entry->context = context;
   entry->control = control;
-  entry->log = log;
-  entry->clock = *clock;
   mg_init_library (
       settings->caller_tls.certificate_file[0] != '\0' ? MG_FEATURES_TLS : 0);
   fill_options (settings, texts, options);
@@ -340,6 +402,8 @@
       free (entry);
       return NULL;
     }
+  if (mg_get_server_ports (entry->server, 1, &port) == 1)
+    entry->port = (uint16_t)port.port;
   for (i = 0; i < sizeof handlers / sizeof handlers[0]; i++)
     mg_set_request_handler (entry->server, handlers[i].path,
                             handlers[i].handler, entry);
@@ -349,11 +413,7 @@
 uint16_t
 csp_entry_port (const csp_entry_t *entry)
 {
-  struct mg_server_port port;
-
-  if (mg_get_server_ports (entry->server, 1, &port) != 1)
-    return 0;
-  return (uint16_t)port.port;
+  return entry->port;
 }
 
 void
