Orders to engines: wanted state, fencing, pauses, the store's share

Cause: nothing carried the declared wanted state to the engines. Each owner now derives it from its configuration, compares it with the engine's load report and gives at most one order at a time. The fencing number is the revision at which the pool's value last changed; an incarnation in it was ruled out, since a process that starts later may know an older configuration. Engines that ignore the number are read first, an earlier owner's longest order is waited out, and what somebody else undid is put right once at once and then after doubling pauses. Loads are paced by the host's share of the engines, no message needed. The load report gains versions, the pool loads_per_minute, a wanted role knows whether it was declared.

--- a/include/cowslipspoke/declaration.h
+++ b/include/cowslipspoke/declaration.h
@@ -131,6 +131,7 @@
   const csp_versioned_t *adapters;
   size_t adapter_count;
   csp_role_t role;
+  bool has_role;
 } csp_wanted_t;
 
 /* The wanted state of one engine that differs from its pool's.  */
@@ -152,6 +153,9 @@
   uint32_t resume_window_ms;
   /* How long an order may take at most.  */
   uint32_t longest_order_ms;
+  /* Loads that all hosts together may start on the pool's engines; what the
+     weight store can give it.  */
+  uint32_t loads_per_minute;
   /* Whether the pool declares any wanted state; without it no orders go out.
    */
   bool has_wanted;
--- a/include/cowslipspoke/fetcher.h
+++ b/include/cowslipspoke/fetcher.h
@@ -26,4 +26,26 @@
                 const char *path, const char *post_body, uint32_t timeout_ms,
                 csp_take_fetched_t done, void *state);
 
+/* Asked on a thread of the fetcher immediately before a byte leaves; false
+   keeps the post from being sent.  */
+typedef bool (*csp_may_send_t) (void *state);
+
+enum
+{
+  /* Statuses of a post without an answer: it may have arrived, or not a byte
+     of it has left.  */
+  CSP_POST_LOST = 0,
+  CSP_POST_NOT_SENT = -1
+};
+
+/* Takes the status of a post, on a thread of the fetcher.  */
+typedef void (*csp_take_status_t) (void *state, long status);
+
+/* Queue a post whose status matters.  may_send closes the time between the
+   decision and the send, in which the process may have been paused.  done is
+   always called once.  */
+void csp_post (csp_fetcher_t *fetcher, const csp_endpoint_t *endpoint,
+               const char *path, const char *body, uint32_t timeout_ms,
+               csp_may_send_t may_send, csp_take_status_t done, void *state);
+
 #endif
--- a/source/control/control-config.c
+++ b/source/control/control-config.c
@@ -38,6 +38,11 @@
                                         declared, count, faults);
   if (declaration != NULL)
     view = csp_create_view (declaration);
+  if (view != NULL && !csp_note_pool_revisions (view, values, count))
+    {
+      csp_put_view (view);
+      view = NULL;
+    }
   if (csp_count_faults (faults) > 0)
     snprintf (
         fault, CSP_FAULT_BYTES, "%s: %s: %s", csp_get_fault (faults, 0)->where,
@@ -194,6 +199,7 @@
       watch->version = list->version;
       csp_apply_target_list (control->ownership, list, now_ms);
       csp_sync_targets (control, now_ms);
+      csp_note_order_list (control, list);
       CSP_LOG (control->context->log, CSP_EVENT_HOST_LIST_TAKEN, NULL,
                csp_number ("version", list->version),
                csp_number ("hosts", (int64_t)list->host_count),
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -12,6 +12,7 @@
 #include "cowslipspoke/intern.h"
 #include "cowslipspoke/length.h"
 #include "cowslipspoke/membership.h"
+#include "cowslipspoke/order.h"
 #include "cowslipspoke/ownership.h"
 #include "cowslipspoke/peer.h"
 #include "cowslipspoke/queue.h"
@@ -55,6 +56,7 @@
   CSP_COMMAND_CONFIG_READ,
   CSP_COMMAND_HOSTS_READ,
   CSP_COMMAND_LOAD_READ,
+  CSP_COMMAND_ORDER_ANSWER,
   CSP_COMMAND_PEER_ASK,
   CSP_COMMAND_PEER_ANSWER,
   CSP_COMMAND_DESCRIBE
@@ -79,6 +81,16 @@
   size_t body_bytes;
 } csp_control_command_t;
 
+/* Engines of a pool and the host's share of its loads.  listed counts those
+   of all data centres.  */
+typedef struct
+{
+  char name[CSP_NAME_BYTES];
+  uint32_t listed;
+  uint32_t owned;
+  csp_order_pace_t pace;
+} csp_order_pool_t;
+
 /* Requests of a pool that wait.  */
 typedef struct
 {
@@ -103,6 +115,8 @@
   bool report_pending;
   bool owned;
   int64_t left_ms;
+  csp_order_engine_t *orders;
+  struct json_object *reported; /* the last load report */
 } csp_target_state_t;
 
 /* Where a peer listens.  */
@@ -201,6 +215,9 @@
   uint32_t place_room;
   uint32_t places_used;
   uint64_t next_place;
+  csp_order_pool_t order_pools[CSP_CONTROL_MAX_POOLS];
+  uint32_t order_pool_count;
+  int64_t next_shares_ms;
   csp_slot_table_t *slots;
   uint64_t holdings_number;
   int64_t next_holdings_ms;
@@ -221,6 +238,10 @@
 
 /* Views.  */
 csp_view_t *csp_create_view (csp_declaration_t *declaration);
+bool csp_note_pool_revisions (csp_view_t *view,
+                              const csp_config_value_t *values, size_t count);
+int64_t csp_view_pool_revision (const csp_view_t *view, const char *pool);
+const char *const *csp_view_models (const csp_view_t *view, size_t *count);
 void csp_publish_view (csp_control_t *control, csp_view_t *view);
 
 /* Configuration and the host list: make what reads the platform, take what
@@ -274,6 +295,21 @@
 void csp_drop_target (csp_target_state_t *target);
 void csp_close_targets (csp_control_t *control);
 
+/* Orders: count the engines of the list, decide at each load report, take
+   the answer, and show wanted and reported state in a status row.  */
+void csp_note_order_list (csp_control_t *control, const csp_host_list_t *list);
+void csp_tick_orders (csp_control_t *control, int64_t now_ms);
+void csp_take_order_report (csp_control_t *control, uint32_t index,
+                            struct json_object *document, int64_t asked_ms,
+                            int64_t now_ms);
+void csp_take_order_answer (csp_control_t *control,
+                            const csp_control_command_t *command,
+                            int64_t now_ms);
+void csp_render_orders (csp_control_t *control,
+                        const csp_target_state_t *target,
+                        struct json_object *row);
+void csp_drop_orders (csp_target_state_t *target);
+
 /* Admission: take a waiter, note progress, take a place back, serve queues.
    csp_close_admission frees what it holds.  */
 bool csp_open_admission (csp_control_t *control);
--- /dev/null
+++ b/source/control/control-orders.c
@@ -0,0 +1,515 @@
+#include "control/control-imp.h"
+#include "cowslipspoke/text.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Orders to owned engines: facts for the decision at each load report, and
+   the order that comes out, sent through the fetcher.  */
+
+enum
+{
+  SHARES_MS = 1000,
+  ORDER_TIMEOUT_MS = 5000,
+  STATUS_OK = 200,
+  STATUS_ACCEPTED = 202,
+  STATUS_CONFLICT = 409,
+  STATUS_UNAVAILABLE = 503,
+  THOUSAND = 1000
+};
+
+static csp_order_pool_t *
+find_order_pool (csp_control_t *control, const char *name)
+{
+  csp_order_pool_t *pool;
+  uint32_t i;
+
+  for (i = 0; i < control->order_pool_count; i++)
+    if (strcmp (control->order_pools[i].name, name) == 0)
+      return &control->order_pools[i];
+  if (control->order_pool_count == CSP_CONTROL_MAX_POOLS)
+    return NULL;
+  pool = &control->order_pools[control->order_pool_count++];
+  csp_copy_text (pool->name, sizeof pool->name, name);
+  return pool;
+}
+
+void
+csp_note_order_list (csp_control_t *control, const csp_host_list_t *list)
+{
+  csp_order_pool_t *pool;
+  size_t i;
+
+  for (i = 0; i < control->order_pool_count; i++)
+    control->order_pools[i].listed = 0;
+  for (i = 0; i < list->target_count; i++)
+    {
+      if (list->targets[i].kind != CSP_TARGET_ENGINE)
+        continue;
+      pool = find_order_pool (control, list->targets[i].pool);
+      if (pool != NULL)
+        pool->listed++;
+    }
+}
+
+static void
+count_owned (csp_control_t *control)
+{
+  csp_order_pool_t *pool;
+  csp_target_view_t view;
+  uint32_t i;
+
+  for (i = 0; i < control->order_pool_count; i++)
+    control->order_pools[i].owned = 0;
+  for (i = 0; i < control->target_room; i++)
+    {
+      if (control->targets[i] == NULL
+          || control->targets[i]->listed.kind != CSP_TARGET_ENGINE
+          || !csp_view_target (control->ownership, i, &view)
+          || view.state == CSP_OWN_OTHER)
+        continue;
+      pool = find_order_pool (control, control->targets[i]->listed.pool);
+      if (pool != NULL)
+        pool->owned++;
+    }
+}
+
+void
+csp_tick_orders (csp_control_t *control, int64_t now_ms)
+{
+  const csp_declaration_t *declaration = csp_view_declaration (control->view);
+  const csp_pool_t *declared;
+  csp_order_pool_t *pool;
+  uint32_t i;
+
+  if (declaration == NULL || now_ms < control->next_shares_ms)
+    return;
+  control->next_shares_ms = now_ms + SHARES_MS;
+  count_owned (control);
+  for (i = 0; i < control->order_pool_count; i++)
+    {
+      pool = &control->order_pools[i];
+      declared = csp_find_pool (declaration, pool->name);
+      if (declared != NULL)
+        csp_set_order_share (
+            &pool->pace, declared->loads_per_minute, pool->owned, pool->listed,
+            (uint32_t)(csp_hash_pair (control->context->settings.host,
+                                      pool->name)
+                       % THOUSAND));
+    }
+}
+
+static json_object *
+get_member (json_object *object, const char *name, json_type type)
+{
+  json_object *member = NULL;
+
+  if (!json_object_object_get_ex (object, name, &member)
+      || !json_object_is_type (member, type))
+    return NULL;
+  return member;
+}
+
+/* The loaded things of a report with their versions.  The texts belong to the
+   report.  */
+static csp_versioned_t *
+read_versioned (json_object *report, const char *list, const char *versions,
+                size_t *count)
+{
+  json_object *names = get_member (report, list, json_type_array);
+  json_object *by_name = get_member (report, versions, json_type_object);
+  json_object *version;
+  csp_versioned_t *read;
+  size_t i;
+
+  *count = names == NULL ? 0 : json_object_array_length (names);
+  read = calloc (*count + 1, sizeof *read);
+  if (read == NULL)
+    *count = 0;
+  for (i = 0; i < *count; i++)
+    {
+      read[i].name
+          = json_object_get_string (json_object_array_get_idx (names, i));
+      if (read[i].name == NULL)
+        read[i].name = "";
+      version = get_member (by_name, read[i].name, json_type_string);
+      if (version != NULL)
+        read[i].version = json_object_get_string (version);
+    }
+  return read;
+}
+
+static const char *
+get_text (json_object *report, const char *name)
+{
+  json_object *member = get_member (report, name, json_type_string);
+
+  return member == NULL ? NULL : json_object_get_string (member);
+}
+
+/* When the oldest request came that runs on the target, or waits for its
+   pool: any of them may need what is to be unloaded.  */
+static int64_t
+find_oldest_ms (const csp_control_t *control, const csp_target_state_t *target)
+{
+  int64_t oldest_ms = INT64_MAX;
+  const csp_place_t *place;
+  uint32_t i;
+
+  for (i = 0; i < control->place_room; i++)
+    {
+      place = &control->places[i];
+      if (place->id == 0 || place->asked_ms >= oldest_ms)
+        continue;
+      if (place->target == target
+          || (place->state == CSP_PLACE_WAITING
+              && place->pool < control->pool_count
+              && strcmp (control->pools[place->pool].name, target->listed.pool)
+                     == 0))
+        oldest_ms = place->asked_ms;
+    }
+  return oldest_ms;
+}
+
+typedef struct
+{
+  csp_control_t *control;
+  csp_control_command_t *command;
+  int64_t latest_ms;
+} order_note_t;
+
+/* The process may have been paused since the decision: by now another host
+   may own the engine, at a newer revision.  */
+static bool
+may_send (void *state)
+{
+  const order_note_t *note = state;
+
+  return csp_now_ms (&note->control->context->clock) <= note->latest_ms;
+}
+
+static void
+post_status (void *state, long status)
+{
+  order_note_t *note = state;
+
+  note->command->after = status;
+  csp_post_command (note->control, note->command);
+  free (note);
+}
+
+static char *
+write_order (const csp_order_t *order)
+{
+  json_object *object = json_object_new_object ();
+  char *text;
+
+  json_object_object_add (object, "fence",
+                          json_object_new_int64 (order->fence));
+  json_object_object_add (
+      object, "op", json_object_new_string (csp_order_op_name (order->op)));
+  json_object_object_add (object, "name",
+                          json_object_new_string (order->name));
+  json_object_object_add (object, "version",
+                          json_object_new_string (order->version));
+  text = strdup (
+      json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
+  json_object_put (object);
+  return text;
+}
+
+static void
+log_order (csp_control_t *control, csp_event_t event,
+           const csp_target_state_t *target, const csp_order_t *order)
+{
+  CSP_LOG (control->context->log, event, NULL,
+           csp_text ("target", target->listed.name),
+           csp_text ("op", csp_order_op_name (order->op)),
+           csp_text ("name", order->name),
+           csp_text ("version", order->version),
+           csp_number ("fence", order->fence));
+}
+
+static void
+send_order (csp_control_t *control, uint32_t index, const csp_order_t *order,
+            int64_t now_ms)
+{
+  csp_target_state_t *target = control->targets[index];
+  csp_control_command_t *command = csp_new_command (CSP_COMMAND_ORDER_ANSWER);
+  order_note_t *note = malloc (sizeof *note);
+  char *body = write_order (order);
+  csp_endpoint_t endpoint = { .port = target->listed.port };
+  int64_t lease_ms = csp_grant_until_ms (control->ownership);
+
+  if (command == NULL || note == NULL || body == NULL)
+    {
+      csp_free_command (command);
+      free (note);
+      csp_handle_order_answer (target->orders, CSP_ORDER_ANSWER_NOT_SENT,
+                               now_ms);
+      goto done;
+    }
+  csp_copy_text (endpoint.address, sizeof endpoint.address,
+                 target->listed.address);
+  command->target = index;
+  csp_copy_text (command->name, sizeof command->name, target->listed.name);
+  note->control = control;
+  note->command = command;
+  note->latest_ms = now_ms + CSP_ORDER_FRESH_MS;
+  if (note->latest_ms > lease_ms)
+    note->latest_ms = lease_ms;
+  log_order (control, CSP_EVENT_ORDER_SENT, target, order);
+  csp_post (control->fetcher, &endpoint, "/v1/orders", body, ORDER_TIMEOUT_MS,
+            may_send, post_status, note);
+
+done:
+  free (body);
+}
+
+static void
+log_seen (csp_control_t *control, const csp_target_state_t *target,
+          const csp_order_action_t *action, int64_t fence)
+{
+  if (action->events & CSP_ORDER_SAW_RESTART)
+    CSP_LOG (control->context->log, CSP_EVENT_ENGINE_RESTARTED, NULL,
+             csp_text ("target", target->listed.name));
+  if (action->events & CSP_ORDER_SAW_HELD_BACK)
+    CSP_LOG (control->context->log, CSP_EVENT_ORDER_HELD_BACK, NULL,
+             csp_text ("target", target->listed.name),
+             csp_number ("fence", fence));
+  if (action->events & CSP_ORDER_SAW_DONE)
+    log_order (control, CSP_EVENT_ORDER_DONE, target, &action->subject);
+  if (action->events & CSP_ORDER_SAW_FAILED)
+    log_order (control, CSP_EVENT_ORDER_FAILED, target, &action->subject);
+  if (action->events & CSP_ORDER_SAW_GIVEN_UP)
+    log_order (control, CSP_EVENT_ORDER_GIVEN_UP, target, &action->subject);
+  if (action->events & CSP_ORDER_SAW_UNDONE)
+    log_order (control, CSP_EVENT_ORDER_UNDONE, target, &action->subject);
+}
+
+/* The configuration's part of the facts.  */
+static void
+fill_wanted (csp_control_t *control, const csp_target_state_t *target,
+             csp_order_facts_t *facts)
+{
+  const csp_pool_t *pool = csp_find_pool (csp_view_declaration (control->view),
+                                          target->listed.pool);
+  csp_config_status_t status;
+
+  csp_describe_configuration (control->configuration, &status);
+  facts->revision = status.revision;
+  facts->wanted_revision
+      = csp_view_pool_revision (control->view, target->listed.pool);
+  facts->routed = csp_view_models (control->view, &facts->routed_count);
+  if (pool == NULL)
+    return;
+  facts->wanted = csp_find_wanted (pool, target->listed.name);
+  facts->longest_order_ms = pool->longest_order_ms;
+}
+
+/* The ownership's part, and the traffic's.  */
+static void
+fill_grant (csp_control_t *control, uint32_t index, int64_t now_ms,
+            csp_order_facts_t *facts)
+{
+  const csp_target_state_t *target = control->targets[index];
+  csp_target_view_t view;
+
+  if (!csp_view_target (control->ownership, index, &view))
+    return;
+  facts->granted = csp_find_opening (control->ownership, index, now_ms) > 0;
+  facts->leaving = view.state == CSP_OWN_LEAVING
+                   || target->listed.state == CSP_MEMBER_LEAVING;
+  facts->checks_fence = target->listed.checks_fence;
+  facts->oldest_stream_ms = find_oldest_ms (control, target);
+  facts->foreign_streams
+      = view.peer_tokens > 0 || view.foreign_tokens > 0
+        || csp_slot_tokens (control, target->listed.name, now_ms) > 0;
+}
+
+static void
+keep_report (csp_target_state_t *target, json_object *document)
+{
+  json_object_put (target->reported);
+  target->reported = json_object_get (document);
+}
+
+void
+csp_take_order_report (csp_control_t *control, uint32_t index,
+                       json_object *document, int64_t asked_ms, int64_t now_ms)
+{
+  csp_target_state_t *target = control->targets[index];
+  csp_order_pool_t *pool = find_order_pool (control, target->listed.pool);
+  json_object *number = get_member (document, "report", json_type_int);
+  json_object *fence = get_member (document, "fence", json_type_int);
+  const char *order = get_text (document, "order");
+  csp_order_report_t report
+      = { .asked_ms = asked_ms,
+          .report = (uint64_t)json_object_get_int64 (number),
+          .fence = json_object_get_int64 (fence),
+          .role = get_text (document, "role"),
+          .busy = order != NULL && strcmp (order, "busy") == 0 };
+  csp_order_facts_t facts = { .report = &report };
+  csp_order_action_t action;
+  csp_versioned_t *models;
+  csp_versioned_t *adapters;
+
+  keep_report (target, document);
+  if (control->view == NULL || pool == NULL || pool->pace.interval_ms == 0)
+    return;
+  models = read_versioned (document, "models", "model_versions",
+                           &report.model_count);
+  adapters = read_versioned (document, "adapters", "adapter_versions",
+                             &report.adapter_count);
+  report.models = models;
+  report.adapters = adapters;
+  fill_wanted (control, target, &facts);
+  fill_grant (control, index, now_ms, &facts);
+  if (models != NULL && adapters != NULL)
+    {
+      csp_decide_order (target->orders, &facts, &pool->pace, now_ms, &action);
+      log_seen (control, target, &action, report.fence);
+      if (action.kind == CSP_ORDER_ACT_SEND)
+        send_order (control, index, &action.is.send, now_ms);
+    }
+  free (models);
+  free (adapters);
+}
+
+static csp_order_answer_t
+read_status (int64_t status)
+{
+  switch (status)
+    {
+    case STATUS_OK:
+    case STATUS_ACCEPTED:
+      return CSP_ORDER_ANSWER_STARTED;
+    case STATUS_CONFLICT:
+      return CSP_ORDER_ANSWER_FENCE_OLD;
+    case STATUS_UNAVAILABLE:
+      return CSP_ORDER_ANSWER_BUSY;
+    case CSP_POST_LOST:
+      return CSP_ORDER_ANSWER_LOST;
+    case CSP_POST_NOT_SENT:
+      return CSP_ORDER_ANSWER_NOT_SENT;
+    default:
+      return CSP_ORDER_ANSWER_REFUSED;
+    }
+}
+
+void
+csp_take_order_answer (csp_control_t *control,
+                       const csp_control_command_t *command, int64_t now_ms)
+{
+  csp_order_answer_t answer = read_status (command->after);
+  csp_target_state_t *target = control->targets[command->target];
+
+  if (target == NULL || strcmp (target->listed.name, command->name) != 0)
+    return;
+  csp_handle_order_answer (target->orders, answer, now_ms);
+  if (answer == CSP_ORDER_ANSWER_FENCE_OLD
+      || answer == CSP_ORDER_ANSWER_REFUSED)
+    CSP_LOG (control->context->log,
+             answer == CSP_ORDER_ANSWER_FENCE_OLD ? CSP_EVENT_ORDER_FENCED
+                                                  : CSP_EVENT_ORDER_FAILED,
+             NULL, csp_text ("target", target->listed.name),
+             csp_number ("status", command->after));
+}
+
+static json_object *
+render_wanted_list (const csp_versioned_t *list, size_t count)
+{
+  json_object *object = json_object_new_object ();
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    json_object_object_add (object, list[i].name,
+                            json_object_new_string (list[i].version));
+  return object;
+}
+
+static json_object *
+render_wanted (const csp_wanted_t *wanted)
+{
+  json_object *object = json_object_new_object ();
+
+  json_object_object_add (
+      object, "models",
+      render_wanted_list (wanted->models, wanted->model_count));
+  json_object_object_add (
+      object, "adapters",
+      render_wanted_list (wanted->adapters, wanted->adapter_count));
+  if (wanted->has_role)
+    json_object_object_add (
+        object, "role", json_object_new_string (csp_role_name (wanted->role)));
+  return object;
+}
+
+static json_object *
+render_reported (json_object *report)
+{
+  static const char *const shown[]
+      = { "models", "model_versions", "adapters", "adapter_versions",
+          "role",   "fence",          "order" };
+  json_object *object = json_object_new_object ();
+  json_object *member;
+  size_t i;
+
+  for (i = 0; i < sizeof shown / sizeof *shown; i++)
+    if (json_object_object_get_ex (report, shown[i], &member))
+      json_object_object_add (object, shown[i], json_object_get (member));
+  return object;
+}
+
+static void
+render_counts (const csp_order_status_t *status, json_object *object)
+{
+  struct
+  {
+    const char *name;
+    uint64_t count;
+  } const rows[] = { { "sent", status->sent },
+                     { "done", status->done },
+                     { "failed", status->failed },
+                     { "undone", status->undone },
+                     { "restarts", status->restarts } };
+  size_t i;
+
+  for (i = 0; i < sizeof rows / sizeof *rows; i++)
+    json_object_object_add (object, rows[i].name,
+                            json_object_new_int64 ((int64_t)rows[i].count));
+}
+
+void
+csp_render_orders (csp_control_t *control, const csp_target_state_t *target,
+                   json_object *row)
+{
+  csp_order_facts_t facts = { 0 };
+  csp_order_status_t status;
+  json_object *object;
+
+  if (target->reported == NULL || control->view == NULL)
+    return;
+  fill_wanted (control, target, &facts);
+  csp_describe_order (target->orders, &status);
+  object = json_object_new_object ();
+  json_object_object_add (
+      object, "state",
+      json_object_new_string (csp_order_state_name (status.state)));
+  json_object_object_add (object, "wanted_revision",
+                          json_object_new_int64 (facts.wanted_revision));
+  if (facts.wanted != NULL)
+    json_object_object_add (object, "wanted", render_wanted (facts.wanted));
+  json_object_object_add (object, "reported",
+                          render_reported (target->reported));
+  render_counts (&status, object);
+  json_object_object_add (row, "orders", object);
+}
+
+void
+csp_drop_orders (csp_target_state_t *target)
+{
+  csp_destroy_order_engine (target->orders);
+  json_object_put (target->reported);
+}
--- a/source/control/control-status.c
+++ b/source/control/control-status.c
@@ -64,6 +64,7 @@
       add_number (row, "used_tokens", csp_ledger_used_tokens (target->ledger));
       add_number (row, "memory_tokens",
                   csp_ledger_memory_tokens (target->ledger, now_ms));
+      csp_render_orders (control, target, row);
       json_object_array_add (list, row);
     }
   return list;
--- a/source/control/control-targets.c
+++ b/source/control/control-targets.c
@@ -28,6 +28,7 @@
   if (target->index != UINT32_MAX || target->streams > 0)
     return;
   csp_destroy_ledger (target->ledger);
+  csp_drop_orders (target);
   free (target);
 }
 
@@ -53,8 +54,11 @@
   if (target == NULL)
     return;
   target->ledger = csp_create_ledger (&policy, control->lengths);
-  if (target->ledger == NULL)
+  target->orders = csp_create_order_engine ();
+  if (target->ledger == NULL || target->orders == NULL)
     {
+      csp_destroy_ledger (target->ledger);
+      csp_drop_orders (target);
       free (target);
       return;
     }
@@ -158,7 +162,11 @@
     return;
   document = json_tokener_parse (command->body);
   if (json_object_is_type (document, json_type_object))
-    take_report (control, command->target, document, now_ms);
+    {
+      take_report (control, command->target, document, now_ms);
+      csp_take_order_report (control, command->target, document,
+                             command->after, now_ms);
+    }
   json_object_put (document);
 }
 
@@ -174,6 +182,7 @@
   csp_copy_text (endpoint.address, sizeof endpoint.address,
                  target->listed.address);
   command->target = index;
+  command->after = now_ms;
   csp_copy_text (command->name, sizeof command->name, target->listed.name);
   target->next_report_ms = now_ms + CSP_CONTROL_REPORT_MS;
   target->report_pending = csp_start_read (
--- a/source/control/control.c
+++ b/source/control/control.c
@@ -122,6 +122,9 @@
     case CSP_COMMAND_LOAD_READ:
       csp_take_load_read (control, command, now_ms);
       break;
+    case CSP_COMMAND_ORDER_ANSWER:
+      csp_take_order_answer (control, command, now_ms);
+      break;
     case CSP_COMMAND_PEER_ASK:
       csp_take_peer_ask (control, command, now_ms);
       break;
@@ -165,6 +168,7 @@
           csp_tick_peers (control, now_ms);
           csp_tick_config (control, now_ms);
           csp_tick_targets (control, now_ms);
+          csp_tick_orders (control, now_ms);
           csp_follow_ownership (control, now_ms);
           csp_tick_spills (control, now_ms);
           next_tick_ms = now_ms + CSP_CONTROL_TICK_MS;
--- a/source/control/view.c
+++ b/source/control/view.c
@@ -3,13 +3,38 @@
 #include "control/control-imp.h"
 
 #include <stdlib.h>
+#include <string.h>
+
+/* Where a pool's value last changed.  */
+typedef struct
+{
+  const char *name; /* the declaration's */
+  int64_t revision;
+} pool_revision_t;
 
 struct csp_view
 {
   atomic_uint_fast32_t references;
   csp_declaration_t *declaration;
+  pool_revision_t *pools;
+  size_t pool_count;
+  const char **models; /* that routes name */
+  size_t model_count;
 };
 
+static bool
+list_models (csp_view_t *view)
+{
+  size_t count = csp_count_routes (view->declaration);
+  size_t i;
+
+  view->models = calloc (count + 1, sizeof *view->models);
+  for (i = 0; i < count && view->models != NULL; i++)
+    view->models[i] = csp_get_route (view->declaration, i)->model;
+  view->model_count = count;
+  return view->models != NULL;
+}
+
 csp_view_t *
 csp_create_view (csp_declaration_t *declaration)
 {
@@ -19,9 +44,58 @@
     return NULL;
   atomic_init (&view->references, 1);
   view->declaration = declaration;
+  if (!list_models (view))
+    {
+      free (view);
+      return NULL;
+    }
   return view;
 }
 
+bool
+csp_note_pool_revisions (csp_view_t *view, const csp_config_value_t *values,
+                         size_t count)
+{
+  static const char prefix[] = "targets/";
+  const csp_pool_t *pool;
+  size_t i;
+
+  view->pools
+      = calloc (csp_count_pools (view->declaration) + 1, sizeof *view->pools);
+  if (view->pools == NULL)
+    return false;
+  for (i = 0; i < count; i++)
+    {
+      if (strncmp (values[i].key, prefix, sizeof prefix - 1) != 0)
+        continue;
+      pool = csp_find_pool (view->declaration,
+                            values[i].key + sizeof prefix - 1);
+      if (pool == NULL)
+        continue;
+      view->pools[view->pool_count].name = pool->name;
+      view->pools[view->pool_count++].revision = values[i].revision;
+    }
+  return true;
+}
+
+int64_t
+csp_view_pool_revision (const csp_view_t *view, const char *pool)
+{
+  size_t i;
+
+  for (i = 0; i < view->pool_count; i++)
+    if (strcmp (view->pools[i].name, pool) == 0)
+      return view->pools[i].revision;
+  return 0;
+}
+
+const char *const *
+csp_view_models (const csp_view_t *view, size_t *count)
+{
+  *count = view->model_count;
+  return view->models;
+}
+
 csp_view_t *
 csp_take_view (csp_control_t *control)
 {
@@ -41,6 +115,8 @@
   if (view == NULL || atomic_fetch_sub (&view->references, 1) != 1)
     return;
   csp_destroy_declaration (view->declaration);
+  free (view->pools);
+  free (view->models);
   free (view);
 }
 
--- a/source/declaration/declaration-tables.c
+++ b/source/declaration/declaration-tables.c
@@ -193,6 +193,7 @@
         { .name = "role",
           .type = CSP_FIELD_CHOICE,
           .offset = offsetof (csp_wanted_t, role),
+          .present_offset = offsetof (csp_wanted_t, has_role),
           .choices = roles,
           .help = "what the engine does" },
         { 0 } };
@@ -232,6 +233,10 @@
           U32 (csp_pool_t, longest_order_ms, 1, DAY_MS),
           .standard = "600000",
           .help = "how long an order may take" },
+        { .name = "loads_per_minute",
+          U32 (csp_pool_t, loads_per_minute, 1, 100000),
+          .standard = "60",
+          .help = "loads that start on its engines, over all hosts" },
         { .name = "wanted",
           .type = CSP_FIELD_OBJECT,
           .offset = offsetof (csp_pool_t, wanted),
--- a/source/fields/fields-imp.h
+++ b/source/fields/fields-imp.h
@@ -52,7 +52,7 @@
   size_t size_bytes;
   /* MAP, LIST and STRINGS: where the size_t count is.  */
   size_t count_offset;
-  /* OBJECT: where a bool says that the key is there; 0 for nowhere.  */
+  /* Where a bool says that the key is there; 0 for nowhere.  */
   size_t present_offset;
   /* Numbers: bounds.  STRINGS, MAP and LIST: bounds of the count.  */
   double min;
--- a/source/fields/fields-read.c
+++ b/source/fields/fields-read.c
@@ -215,8 +215,6 @@
 {
   if (!json_object_is_type (value, json_type_object))
     return false;
-  if (field->present_offset != 0)
-    *(bool *)((char *)out + field->present_offset) = true;
   read_object_rows (place, field->fields, value, (char *)out + field->offset);
   return true;
 }
@@ -258,6 +256,8 @@
     }
   if (!allowed)
     refuse_value (place, field, value);
+  else if (field->present_offset != 0)
+    *(bool *)((char *)out + field->present_offset) = true;
 }
 
 static const csp_field_t *
--- a/source/log/event-table.c
+++ b/source/log/event-table.c
@@ -34,6 +34,14 @@
   { CSP_EVENT_TARGET_LEAVING, CSP_LEVEL_INFO, "target-leaving" },
   { CSP_EVENT_TARGET_LOST, CSP_LEVEL_WARNING, "target-lost" },
   { CSP_EVENT_KEY_REFUSED, CSP_LEVEL_INFO, "key-refused" },
+  { CSP_EVENT_ORDER_SENT, CSP_LEVEL_INFO, "order-sent" },
+  { CSP_EVENT_ORDER_DONE, CSP_LEVEL_INFO, "order-done" },
+  { CSP_EVENT_ORDER_FENCED, CSP_LEVEL_WARNING, "order-fenced" },
+  { CSP_EVENT_ORDER_FAILED, CSP_LEVEL_WARNING, "order-failed" },
+  { CSP_EVENT_ORDER_GIVEN_UP, CSP_LEVEL_ERROR, "order-given-up" },
+  { CSP_EVENT_ORDER_HELD_BACK, CSP_LEVEL_WARNING, "order-held-back" },
+  { CSP_EVENT_ORDER_UNDONE, CSP_LEVEL_WARNING, "order-undone" },
+  { CSP_EVENT_ENGINE_RESTARTED, CSP_LEVEL_WARNING, "engine-restarted" },
 };
 
 enum
--- /dev/null
+++ b/source/order/order-decide.c
@@ -0,0 +1,283 @@
+#include "order/order-imp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const op_names[]
+    = { "load_model", "unload_model", "load_adapter", "unload_adapter",
+        "set_role" };
+static const char *const role_names[] = { "mixed", "prefill", "decode" };
+static const char *const state_names[CSP_ORDER_STATE_COUNT]
+    = { "settled",   "undeclared", "not-granted", "leaving",       "no-report",
+        "held-back", "under-way",  "engine-busy", "earlier-owner", "paused",
+        "paced",     "in-use",     "sent" };
+
+const char *
+csp_order_op_name (csp_order_op_t op)
+{
+  return op_names[op];
+}
+
+const char *
+csp_order_state_name (csp_order_state_t state)
+{
+  return state_names[state];
+}
+
+const char *
+csp_role_name (csp_role_t role)
+{
+  return role_names[role];
+}
+
+csp_order_engine_t *
+csp_create_order_engine (void)
+{
+  return calloc (1, sizeof (csp_order_engine_t));
+}
+
+void
+csp_destroy_order_engine (csp_order_engine_t *engine)
+{
+  if (engine == NULL)
+    return;
+  free (engine->notes);
+  free (engine);
+}
+
+/* An engine that started anew counts its reports from the start, and has
+   forgotten the highest number.  Without this its lost models would look like
+   the work of another owner and be put right late.  */
+static bool
+follow_restart (csp_order_engine_t *engine, const csp_order_report_t *report,
+                csp_order_action_t *action)
+{
+  bool restarted
+      = engine->has_report
+        && (report->report < engine->report || report->fence < engine->fence);
+
+  engine->has_report = true;
+  engine->report = report->report;
+  engine->fence = report->fence;
+  if (engine->highest_fence < report->fence)
+    engine->highest_fence = report->fence;
+  if (!restarted)
+    return false;
+  engine->open = false;
+  engine->status.restarts++;
+  action->events |= CSP_ORDER_SAW_RESTART;
+  return true;
+}
+
+static void
+follow_grant (csp_order_engine_t *engine, bool granted, int64_t now_ms)
+{
+  if (granted && !engine->granted)
+    engine->granted_ms = now_ms;
+  engine->granted = granted;
+}
+
+static void
+follow_revision (csp_order_engine_t *engine, int64_t wanted_revision)
+{
+  if (engine->wanted_revision == wanted_revision)
+    return;
+  engine->wanted_revision = wanted_revision;
+  engine->note_count = 0;
+}
+
+/* The reports lag, so an order that was started is not at once seen.  It has
+   failed when an idle engine still lacks it after the lag, or when the engine
+   is busy beyond the longest order.  */
+static bool
+has_failed (const csp_order_engine_t *engine, const csp_order_facts_t *facts,
+            int64_t now_ms)
+{
+  if (!engine->answered)
+    return false;
+  if (facts->report->busy)
+    return now_ms - engine->sent_ms > facts->longest_order_ms;
+  return now_ms - engine->answered_ms >= CSP_ORDER_SETTLE_MS;
+}
+
+static void
+settle_open (csp_order_engine_t *engine, const csp_order_facts_t *facts,
+             int64_t now_ms, csp_order_action_t *action)
+{
+  const csp_order_report_t *report = facts->report;
+  const csp_order_note_t *note = csp_find_order_note (engine, &engine->order);
+  bool fenced = !facts->checks_fence || report->fence >= engine->order.fence;
+
+  /* A report that was asked for before the order says nothing of it.  */
+  if (!engine->open || report->asked_ms < engine->sent_ms)
+    return;
+  if (engine->answered && !report->busy && fenced
+      && csp_order_met (&engine->order, report))
+    {
+      engine->open = false;
+      engine->status.done++;
+      action->events |= CSP_ORDER_SAW_DONE;
+      action->subject = engine->order;
+    }
+  else if (has_failed (engine, facts, now_ms))
+    {
+      engine->open = false;
+      engine->status.failed++;
+      action->events |= CSP_ORDER_SAW_FAILED;
+      if (note != NULL && note->sends == CSP_ORDER_GIVEN_UP)
+        action->events |= CSP_ORDER_SAW_GIVEN_UP;
+      action->subject = engine->order;
+    }
+}
+
+/* The engine has taken an order of a revision that we have not seen.  Ours
+   would undo it where the number is ignored, and be refused elsewhere.  An
+   engine that starts anew forgets the number, so the highest that it ever
+   reported counts.  */
+static bool
+is_held_back (csp_order_engine_t *engine, const csp_order_facts_t *facts,
+              csp_order_action_t *action)
+{
+  int64_t fence = engine->highest_fence;
+
+  if (fence <= facts->revision)
+    return false;
+  if (fence != engine->held_fence)
+    action->events |= CSP_ORDER_SAW_HELD_BACK;
+  engine->held_fence = fence;
+  return true;
+}
+
+/* Whatever forbids any order at all, in the order in which an operator would
+   ask.  */
+static csp_order_state_t
+find_barrier (csp_order_engine_t *engine, const csp_order_facts_t *facts,
+              int64_t now_ms, csp_order_action_t *action)
+{
+  const csp_order_report_t *report = facts->report;
+
+  if (facts->wanted == NULL)
+    return CSP_ORDER_UNDECLARED;
+  if (!facts->granted)
+    return CSP_ORDER_NOT_GRANTED;
+  if (facts->leaving)
+    return CSP_ORDER_LEAVING;
+  if (report == NULL || now_ms - report->asked_ms > CSP_ORDER_FRESH_MS)
+    return CSP_ORDER_NO_REPORT;
+  if (is_held_back (engine, facts, action))
+    return CSP_ORDER_HELD_BACK;
+  if (engine->open)
+    return CSP_ORDER_UNDER_WAY;
+  if (report->busy)
+    return CSP_ORDER_ENGINE_BUSY;
+  if (!facts->checks_fence
+      && now_ms - engine->granted_ms < facts->longest_order_ms)
+    return CSP_ORDER_EARLIER_OWNER;
+  return CSP_ORDER_SENT;
+}
+
+static void
+send_order (csp_order_engine_t *engine, csp_order_pace_t *pace, int64_t now_ms,
+            csp_order_action_t *action)
+{
+  const csp_order_t *order = &action->is.send;
+  csp_order_note_t *note = csp_take_order_note (engine, order, now_ms);
+
+  /* Without memory for the pauses there is no order.  */
+  if (note == NULL)
+    {
+      action->state = CSP_ORDER_PAUSED;
+      return;
+    }
+  note->order = *order;
+  csp_note_order_sent (note, now_ms);
+  if (order->op == CSP_ORDER_LOAD_MODEL || order->op == CSP_ORDER_LOAD_ADAPTER)
+    csp_note_load_started (pace, now_ms);
+  engine->open = true;
+  engine->answered = false;
+  engine->sent_ms = now_ms;
+  engine->order = *order;
+  engine->status.sent++;
+  action->kind = CSP_ORDER_ACT_SEND;
+}
+
+static void
+set_wait (csp_order_engine_t *engine, const csp_order_facts_t *facts,
+          const csp_order_pace_t *pace, csp_order_action_t *action)
+{
+  int64_t until_ms = 0;
+
+  action->kind = action->state <= CSP_ORDER_LEAVING ? CSP_ORDER_ACT_NOTHING
+                                                    : CSP_ORDER_ACT_WAIT;
+  if (action->state == CSP_ORDER_PACED)
+    until_ms = pace->next_ms;
+  if (action->state == CSP_ORDER_EARLIER_OWNER)
+    until_ms = engine->granted_ms + facts->longest_order_ms;
+  action->is.wait.until_ms = until_ms;
+}
+
+void
+csp_decide_order (csp_order_engine_t *engine, const csp_order_facts_t *facts,
+                  csp_order_pace_t *pace, int64_t now_ms,
+                  csp_order_action_t *action)
+{
+  csp_order_t order;
+  bool restarted;
+
+  memset (action, 0, sizeof *action);
+  follow_grant (engine, facts->granted, now_ms);
+  follow_revision (engine, facts->wanted_revision);
+  if (facts->report != NULL)
+    {
+      restarted = follow_restart (engine, facts->report, action);
+      settle_open (engine, facts, now_ms, action);
+      csp_follow_order_notes (engine, facts, restarted, now_ms, action);
+    }
+  action->state = find_barrier (engine, facts, now_ms, action);
+  if (action->state == CSP_ORDER_SENT)
+    action->state = csp_choose_order (engine, facts, pace, now_ms, &order);
+  if (action->state == CSP_ORDER_SENT)
+    {
+      action->is.send = order;
+      send_order (engine, pace, now_ms, action);
+    }
+  else
+    set_wait (engine, facts, pace, action);
+  engine->status.state = action->state;
+}
+
+void
+csp_handle_order_answer (csp_order_engine_t *engine, csp_order_answer_t answer,
+                         int64_t now_ms)
+{
+  csp_order_note_t *note = csp_find_order_note (engine, &engine->order);
+
+  if (!engine->open || engine->answered)
+    return;
+  engine->answered = true;
+  engine->answered_ms = now_ms;
+  switch (answer)
+    {
+    case CSP_ORDER_ANSWER_STARTED:
+    case CSP_ORDER_ANSWER_LOST:
+      return;
+    case CSP_ORDER_ANSWER_BUSY:
+    case CSP_ORDER_ANSWER_NOT_SENT:
+      /* No fault of the order's.  */
+      if (note != NULL && note->sends > 0)
+        note->sends--;
+      break;
+    case CSP_ORDER_ANSWER_FENCE_OLD:
+    case CSP_ORDER_ANSWER_REFUSED:
+      engine->status.failed++;
+      break;
+    }
+  engine->open = false;
+}
+
+void
+csp_describe_order (const csp_order_engine_t *engine,
+                    csp_order_status_t *status)
+{
+  *status = engine->status;
+}
--- /dev/null
+++ b/source/order/order-pace.c
@@ -0,0 +1,50 @@
+#include "cowslipspoke/order.h"
+
+enum
+{
+  MINUTE_MS = 60000,
+  DAY_MS = 86400000,
+  THOUSAND = 1000
+};
+
+void
+csp_set_order_share (csp_order_pace_t *pace, uint32_t loads_per_minute,
+                     uint32_t owned, uint32_t listed,
+                     uint32_t phase_thousandths)
+{
+  int64_t share = (int64_t)loads_per_minute * owned;
+  int64_t interval_ms = DAY_MS;
+
+  /* A list that lags may count fewer engines than we own; the share is never
+     more than the whole rate.  */
+  if (listed < owned)
+    listed = owned;
+  if (share > 0)
+    interval_ms = (int64_t)MINUTE_MS * listed / share;
+  pace->interval_ms = (uint32_t)(interval_ms < DAY_MS ? interval_ms : DAY_MS);
+  pace->phase_thousandths = phase_thousandths % THOUSAND;
+}
+
+/* After a quiet time the first load starts at this host's own point of the
+   interval: a change of configuration reaches all hosts within seconds, and
+   without the point each would start one load in the same second, 330 at the
+   planned size whatever the rate.  */
+bool
+csp_may_start_load (csp_order_pace_t *pace, int64_t now_ms)
+{
+  int64_t first_ms
+      = now_ms
+        + (int64_t)pace->interval_ms * pace->phase_thousandths / THOUSAND;
+
+  if (now_ms - pace->wanted_ms > CSP_ORDER_IDLE_MS || pace->wanted_ms == 0)
+    if (pace->next_ms < first_ms)
+      pace->next_ms = first_ms;
+  pace->wanted_ms = now_ms;
+  return now_ms >= pace->next_ms;
+}
+
+void
+csp_note_load_started (csp_order_pace_t *pace, int64_t now_ms)
+{
+  pace->next_ms = now_ms + pace->interval_ms;
+}
--- a/source/platform/fetcher.c
+++ b/source/platform/fetcher.c
@@ -23,6 +23,8 @@
   char *post_body;
   uint32_t timeout_ms;
   csp_take_fetched_t done;
+  csp_may_send_t may_send;
+  csp_take_status_t take_status; /* NULL for reads */
   void *state;
   csp_fetcher_t *fetcher;
   char *answer;
@@ -83,7 +85,8 @@
   return is_stopping (job->fetcher) ? 1 : 0;
 }
 
-static bool
+/* The status of the answer, or why there is none.  */
+static long
 run_call (fetch_job_t *job)
 {
   CURL *call = csp_create_call (&job->endpoint, job->path, CONNECT_TIMEOUT_MS);
@@ -92,7 +95,7 @@
   long status = 0;
 
   if (call == NULL)
-    return false;
+    return CSP_POST_NOT_SENT;
   headers = curl_slist_append (headers, "Content-Type: application/json");
   curl_easy_setopt (call, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (call, CURLOPT_TIMEOUT_MS, (long)job->timeout_ms);
@@ -103,17 +106,24 @@
   curl_easy_setopt (call, CURLOPT_NOPROGRESS, 0L);
   if (job->post_body != NULL)
     curl_easy_setopt (call, CURLOPT_POSTFIELDS, job->post_body);
-  code = curl_easy_perform (call);
+  if (job->may_send != NULL && !job->may_send (job->state))
+    code = CURLE_COULDNT_CONNECT;
+  else
+    code = curl_easy_perform (call);
   curl_easy_getinfo (call, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_cleanup (call);
   curl_slist_free_all (headers);
-  return code == CURLE_OK && status == HTTP_OK;
+  if (code == CURLE_COULDNT_CONNECT)
+    return CSP_POST_NOT_SENT;
+  return code == CURLE_OK ? status : CSP_POST_LOST;
 }
 
 static void
-finish_job (fetch_job_t *job, bool answered)
+finish_job (fetch_job_t *job, long status)
 {
-  if (answered)
+  if (job->take_status != NULL)
+    job->take_status (job->state, status);
+  else if (status == HTTP_OK)
     job->done (job->state, job->answer == NULL ? "" : job->answer,
                job->answer_bytes);
   else
@@ -149,7 +159,8 @@
   fetch_job_t *job;
 
   while ((job = take_job (fetcher)) != NULL)
-    finish_job (job, !is_stopping (fetcher) && run_call (job));
+    finish_job (job,
+                is_stopping (fetcher) ? CSP_POST_NOT_SENT : run_call (job));
   return NULL;
 }
 
@@ -196,28 +207,65 @@
   free (fetcher);
 }
 
-void
-csp_fetch (csp_fetcher_t *fetcher, const csp_endpoint_t *endpoint,
-           const char *path, const char *post_body, uint32_t timeout_ms,
-           csp_take_fetched_t done, void *state)
+static fetch_job_t *
+new_job (csp_fetcher_t *fetcher, const csp_endpoint_t *endpoint,
+         const char *path, const char *post_body, uint32_t timeout_ms,
+         void *state)
 {
   fetch_job_t *job = calloc (1, sizeof *job);
 
   if (job == NULL)
-    {
-      done (state, NULL, 0);
-      return;
-    }
+    return NULL;
   job->endpoint = *endpoint;
   snprintf (job->path, sizeof job->path, "%s", path);
   job->post_body = post_body == NULL ? NULL : strdup (post_body);
   job->timeout_ms = timeout_ms;
-  job->done = done;
   job->state = state;
   job->fetcher = fetcher;
+  return job;
+}
+
+static void
+queue_job (csp_fetcher_t *fetcher, fetch_job_t *job)
+{
   pthread_mutex_lock (&fetcher->lock);
   *fetcher->last = job;
   fetcher->last = &job->next;
   pthread_cond_signal (&fetcher->wake);
   pthread_mutex_unlock (&fetcher->lock);
 }
+
+void
+csp_fetch (csp_fetcher_t *fetcher, const csp_endpoint_t *endpoint,
+           const char *path, const char *post_body, uint32_t timeout_ms,
+           csp_take_fetched_t done, void *state)
+{
+  fetch_job_t *job
+      = new_job (fetcher, endpoint, path, post_body, timeout_ms, state);
+
+  if (job == NULL)
+    {
+      done (state, NULL, 0);
+      return;
+    }
+  job->done = done;
+  queue_job (fetcher, job);
+}
+
+void
+csp_post (csp_fetcher_t *fetcher, const csp_endpoint_t *endpoint,
+          const char *path, const char *body, uint32_t timeout_ms,
+          csp_may_send_t may_send, csp_take_status_t done, void *state)
+{
+  fetch_job_t *job
+      = new_job (fetcher, endpoint, path, body, timeout_ms, state);
+
+  if (job == NULL)
+    {
+      done (state, CSP_POST_NOT_SENT);
+      return;
+    }
+  job->may_send = may_send;
+  job->take_status = done;
+  queue_job (fetcher, job);
+}
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -102,7 +102,8 @@
 # add_target NAME KIND POOL [STATE]; a target that is known changes.
 add_target() {
   sed -i "/^$1 /d" "$work/targets"
-  echo "$1 $2 $3 ${4:-live} ${data_centre:-cardiff}" >>"$work/targets"
+  echo "$1 $2 $3 ${4:-live} ${data_centre:-cardiff} ${checks_fence:-true}" \
+    >>"$work/targets"
 }
 
 remove_host() {
@@ -123,12 +124,12 @@
 
 describe_targets() {
   comma=
-  while read -r name kind pool state centre; do
+  while read -r name kind pool state centre checks; do
     printf '%s{"name":"%s","data_centre":"%s","address":"127.0.0.1",' \
       "$comma" "$name" "$centre"
     printf '"port":%s,"kind":"%s","pool":"%s","state":"%s",' \
       "$(port_of "$name")" "$kind" "$pool" "$state"
-    printf '"checks_fence":true}'
+    printf '"checks_fence":%s}' "$checks"
     comma=,
   done <"$work/targets"
 }
--- a/tests/standin/engine-orders.c
+++ b/tests/standin/engine-orders.c
@@ -78,7 +78,9 @@
     return ORDER_FENCE_OLD;
   if (orders->running != NULL)
     return ORDER_BUSY;
-  orders->fence = fence > orders->fence ? fence : orders->fence;
+  /* An engine that ignores the number doesn't keep it either.  */
+  if (orders->checks_fence && fence > orders->fence)
+    orders->fence = fence;
   orders->running = order;
   orders->busy_until_ms = standin_now_ms () + orders->order_ms;
   return ORDER_STARTED;
@@ -126,6 +128,15 @@
   return list;
 }
 
+static json_object *
+copy_versions (json_object *set)
+{
+  json_object *copy = NULL;
+
+  json_object_deep_copy (set, &copy, NULL);
+  return copy;
+}
+
 void
 engine_report_orders (engine_orders_t *orders, json_object *report)
 {
@@ -133,6 +144,10 @@
   settle_orders (orders);
   json_object_object_add (report, "models", list_names (orders->models));
   json_object_object_add (report, "adapters", list_names (orders->adapters));
+  json_object_object_add (report, "model_versions",
+                          copy_versions (orders->models));
+  json_object_object_add (report, "adapter_versions",
+                          copy_versions (orders->adapters));
   json_object_object_add (report, "role",
                           json_object_new_string (orders->role));
   json_object_object_add (report, "fence",
