--- a/include/cowslipspoke/control.h
+++ b/include/cowslipspoke/control.h
@@ -104,6 +104,10 @@
 /* Say to peers that this host leaves, so that they take its targets over. */
 void csp_leave_control (csp_control_t *control);
 
+/* Keyed calls whose outcome some host has not acknowledged yet.  A host that
+   exits before leaves repeats of them undecided.  */
+uint32_t csp_open_claims (csp_control_t *control);
+
 /* The port that peers reach this host at.  */
 uint16_t csp_control_peer_port (const csp_control_t *control);
 
--- a/source/control/control-admission.c
+++ b/source/control/control-admission.c
@@ -195,9 +195,8 @@
   grant->recall = csp_create_recall ();
   place->recall = csp_share_recall (grant->recall);
   csp_copy_text (grant->target, sizeof grant->target, target->listed.name);
-  csp_copy_text (grant->endpoint.address, sizeof grant->endpoint.address,
-                 target->listed.address);
-  grant->endpoint.port = target->listed.port;
+  csp_fill_endpoint (control, target->listed.address, target->listed.port,
+                     &grant->endpoint);
   grant->place = place->id;
   grant->wait_ms = now_ms - place->asked_ms;
   csp_answer_waiter (place->waiter, 0);
@@ -222,7 +221,8 @@
    request that nobody can serve is held until its deadline, and its
    organisation's others behind it.  */
 static bool
-is_worth_waiting (const csp_control_t *control, const csp_place_t *place)
+is_worth_waiting (csp_control_t *control, const csp_place_t *place,
+                  int64_t now_ms)
 {
   const csp_admission_ask_t *ask = place->waiter->ask;
   csp_target_kind_t kind
@@ -231,6 +231,11 @@
 
   if (place->spill != NULL)
     return true;
+  /* A host that leaves grants nothing more on its own targets; without a peer
+     that takes them over it would wait for itself until the drain limit.  */
+  if (atomic_load (&control->leaving) && ask->kind == CSP_POOL_ENGINES
+      && !csp_has_live_peer (control, now_ms))
+    return false;
   for (i = 0; i < control->target_room; i++)
     if (csp_could_use (control, ask->terms.pool, kind, &ask->tried, i))
       return true;
@@ -247,7 +252,7 @@
 
   if (place->waiter->ask->kind == CSP_POOL_ENGINES)
     csp_start_spill (control, place, now_ms);
-  if (is_worth_waiting (control, place))
+  if (is_worth_waiting (control, place, now_ms))
     {
       csp_skip_waiting (pool->queue);
       return;
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -215,6 +215,7 @@
   csp_view_t *view; /* read under RCU */
   atomic_bool ready;
   atomic_bool leaving;
+  atomic_uint open_claims; /* rounds that some host is still to be told of */
   atomic_uint_fast64_t next_waiter;
 
   csp_peers_t *peers;
@@ -324,6 +325,13 @@
 /* Memory tokens free for new work on the targets that this host may grant. */
 int64_t csp_sum_headroom (csp_control_t *control, int64_t now_ms);
 
+/* Where a target listens, with TLS where the settings name an authority.  */
+void csp_fill_endpoint (const csp_control_t *control, const char *address,
+                        uint16_t port, csp_endpoint_t *endpoint);
+
+/* Whether a live peer of the data centre could take what this host can't.  */
+bool csp_has_live_peer (csp_control_t *control, int64_t now_ms);
+
 /* Targets: follow the ownership's numbering, read load reports.  */
 void csp_sync_targets (csp_control_t *control, int64_t now_ms);
 void csp_tick_targets (csp_control_t *control, int64_t now_ms);
--- a/source/control/control-once.c
+++ b/source/control/control-once.c
@@ -255,6 +255,7 @@
   entry->waiter = waiter;
   entry->next = control->once_rounds;
   control->once_rounds = entry;
+  atomic_fetch_add (&control->open_claims, 1);
   csp_start_once_round (entry->round, now_ms,
                         csp_wall_ms (&control->context->clock), &action);
   carry_out (control, entry, &action, now_ms);
@@ -333,6 +334,7 @@
       *link = entry->next;
       csp_destroy_once_round (entry->round);
       free (entry);
+      atomic_fetch_sub (&control->open_claims, 1);
     }
   csp_expire_keys (control->once, now_ms);
 }
--- a/source/control/control-orders.c
+++ b/source/control/control-orders.c
@@ -239,7 +239,7 @@
   csp_control_command_t *command = csp_new_command (CSP_COMMAND_ORDER_ANSWER);
   order_note_t *note = malloc (sizeof *note);
   char *body = write_order (order);
-  csp_endpoint_t endpoint = { .port = target->listed.port };
+  csp_endpoint_t endpoint;
   int64_t lease_ms = csp_grant_until_ms (control->ownership);
 
   if (command == NULL || note == NULL || body == NULL)
@@ -250,8 +250,8 @@
                                now_ms);
       goto done;
     }
-  csp_copy_text (endpoint.address, sizeof endpoint.address,
-                 target->listed.address);
+  csp_fill_endpoint (control, target->listed.address, target->listed.port,
+                     &endpoint);
   command->target = index;
   csp_copy_text (command->name, sizeof command->name, target->listed.name);
   note->control = control;
--- a/source/control/control-spill.c
+++ b/source/control/control-spill.c
@@ -258,6 +258,14 @@
   carry_out (control, place, &action, now_ms);
 }
 
+bool
+csp_has_live_peer (csp_control_t *control, int64_t now_ms)
+{
+  csp_peer_offer_t offers[MAX_OFFERS];
+
+  return list_near_offers (control, now_ms, offers) > 0;
+}
+
 /* Which of the peers an answer comes from.  */
 static size_t
 find_peer_index (const csp_place_t *place, const char *name)
@@ -310,9 +318,8 @@
     {
       csp_copy_text (place->spill->target, sizeof place->spill->target,
                      reserved->answer.target);
-      csp_copy_text (place->spill->endpoint.address,
-                     sizeof place->spill->endpoint.address, reserved->address);
-      place->spill->endpoint.port = reserved->port;
+      csp_fill_endpoint (control, reserved->address, reserved->port,
+                         &place->spill->endpoint);
     }
   carry_out (control, place, &action, now_ms);
 }
--- a/source/control/control-targets.c
+++ b/source/control/control-targets.c
@@ -5,6 +5,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+void
+csp_fill_endpoint (const csp_control_t *control, const char *address,
+                   uint16_t port, csp_endpoint_t *endpoint)
+{
+  const char *ca_file = control->context->settings.target_tls.ca_file;
+
+  csp_copy_text (endpoint->address, sizeof endpoint->address, address);
+  endpoint->port = port;
+  endpoint->ca_file = ca_file[0] == '\0' ? NULL : ca_file;
+}
+
 static bool
 grow_targets (csp_control_t *control, size_t count)
 {
@@ -180,12 +191,12 @@
 {
   csp_target_state_t *target = control->targets[index];
   csp_control_command_t *command = csp_new_command (CSP_COMMAND_LOAD_READ);
-  csp_endpoint_t endpoint = { .port = target->listed.port };
+  csp_endpoint_t endpoint;
 
   if (command == NULL)
     return;
-  csp_copy_text (endpoint.address, sizeof endpoint.address,
-                 target->listed.address);
+  csp_fill_endpoint (control, target->listed.address, target->listed.port,
+                     &endpoint);
   command->target = index;
   command->after = now_ms;
   csp_copy_text (command->name, sizeof command->name, target->listed.name);
--- a/source/control/control.c
+++ b/source/control/control.c
@@ -294,6 +294,12 @@
   atomic_store (&control->leaving, true);
 }
 
+uint32_t
+csp_open_claims (csp_control_t *control)
+{
+  return atomic_load (&control->open_claims);
+}
+
 uint16_t
 csp_control_peer_port (const csp_control_t *control)
 {
--- a/source/cowslipd/cowslipd.c
+++ b/source/cowslipd/cowslipd.c
@@ -16,6 +16,7 @@
   EXIT_CANNOT_START = 1,
   MESSAGE_BYTES = 256,
   DRAIN_POLL_MS = 50,
+  CLAIM_LIMIT_MS = 1000,
   MS_PER_S = 1000,
   NS_PER_MS = 1000000
 };
@@ -69,6 +70,20 @@
     await_signal (signals, DRAIN_POLL_MS);
 }
 
+/* Outcomes of keyed calls are told behind the callers' answers; give the peers
+   a moment to acknowledge them.  */
+static void
+await_claims (csp_control_t *control, const csp_context_t *context,
+              const sigset_t *signals)
+{
+  int64_t limit_ms = csp_now_ms (&context->clock) + CLAIM_LIMIT_MS;
+
+  while (csp_open_claims (control) > 0
+         && csp_now_ms (&context->clock) < limit_ms)
+    if (await_signal (signals, DRAIN_POLL_MS))
+      break;
+}
+
 static int
 serve_context (const csp_context_t *context, const sigset_t *signals)
 {
@@ -95,6 +110,7 @@
   sigwaitinfo (signals, NULL);
   csp_leave_control (control);
   drain (entry, context, signals);
+  await_claims (control, context, signals);
   result = EXIT_SUCCESS;
 
 done:
--- a/source/entry/server.c
+++ b/source/entry/server.c
@@ -346,11 +346,10 @@
 fill_options (const csp_settings_t *settings, char texts[][OPTION_BYTES],
               const char **options)
 {
-  bool tls = settings->caller_tls.certificate_file[0] != '\0';
   int n = 0;
 
-  snprintf (texts[0], OPTION_BYTES, "%.40s:%u%s", settings->listen_address,
-            settings->http_port, tls ? "s" : "");
+  snprintf (texts[0], OPTION_BYTES, "%.40s:%u", settings->listen_address,
+            settings->http_port);
   snprintf (texts[1], OPTION_BYTES, "%u", settings->max_streams);
   snprintf (texts[2], OPTION_BYTES, "%u", settings->max_header_bytes);
   snprintf (texts[3], OPTION_BYTES, "%d", LISTEN_BACKLOG);
@@ -366,11 +365,6 @@
   options[n++] = "1";
   options[n++] = "enable_keep_alive";
   options[n++] = "no";
-  if (tls)
-    {
-      options[n++] = "ssl_certificate";
-      options[n++] = settings->caller_tls.certificate_file;
-    }
   options[n] = NULL;
 }
 
@@ -391,6 +385,14 @@
             settings->listen_address, settings->http_port);
   if (entry == NULL)
     return NULL;
+  if (settings->caller_tls.certificate_file[0] != '\0')
+    {
+      snprintf (message, message_bytes,
+                "caller_tls can't be served: this CivetWeb was built for an "
+                "older OpenSSL; let the balancer end TLS");
+      free (entry);
+      return NULL;
+    }
   entry->context = context;
   entry->control = control;
   mg_init_library (
