Tests of at most once and hand-off in smaller files

Types and sizes of the simulated hosts move into a header beside each interleaving test, and the tests of keys and of forgetting get a program of their own; no check was changed or dropped.

--- a/tests/once/interleaving-test.c
+++ b/tests/once/interleaving-test.c
@@ -4,113 +4,13 @@
    are drawn for each seed.  A user notices a fault here as a second quote, or
    as a call that ran although it was called `not run`.  */
 
-#include "cowslipspoke/once.h"
+#include "world.h"
 
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-enum
-{
-  HOSTS = 8,
-  FIRST_HOSTS = 6,
-  KEYS = 60,
-  ROUNDS = 64,
-  MESSAGES = 1024,
-  BATCHES = 60,
-  SEEDS_PER_BATCH = 50,
-  STEP_MS = 20,
-  END_MS = 100000,
-  LAST_SEND_MS = 90000,
-  LIST_LAG_MS = 2000,
-  SKEW_MS = 100,
-  NEVER_MS = 1000000
-};
-
-typedef enum
-{
-  FAULT_LOSS,
-  FAULT_DOUBLE,
-  FAULT_PAUSE,
-  FAULT_RESTART,
-  FAULT_REPLACE,
-  FAULT_CUT,
-  FAULT_OLD_COPY,
-  FAULT_NONE,
-  FAULT_COUNT
-} fault_t;
-
-typedef enum
-{
-  ASK,
-  ANSWER,
-  TELL,
-  TOLD
-} message_kind_t;
-
-typedef struct
-{
-  bool used;
-  message_kind_t kind;
-  int from;
-  int to;
-  int round;
-  int64_t due_ms;
-  csp_claim_ask_t ask;
-  csp_claim_answer_t answer;
-  csp_outcome_tell_t tell;
-} message_t;
-
-/* listed_ms, delisted_ms: when the platform's list shows it, and no more.  */
-typedef struct
-{
-  csp_host_ref_t ref;
-  csp_once_t *once;
-  bool up;
-  int64_t skew_ms;
-  int64_t paused_ms;
-  int64_t listed_ms;
-  int64_t delisted_ms;
-  int64_t view_ms;
-  int64_t view_of_ms;
-} host_t;
-
-typedef struct
-{
-  csp_once_round_t *round;
-  int host;
-  int key;
-  int serial;
-  bool sends;
-  int64_t send_ms;
-} open_round_t;
-
-typedef struct
-{
-  csp_once_key_t key;
-  int64_t next_ms;
-  int sends;
-  int runs;
-  bool called_not_run;
-} call_t;
-
-typedef struct
-{
-  csp_random_t random;
-  csp_once_settings_t settings;
-  fault_t faults[2];
-  int64_t now_ms;
-  bool cut;
-  host_t hosts[HOSTS];
-  open_round_t rounds[ROUNDS];
-  call_t calls[KEYS];
-  message_t messages[MESSAGES];
-  int message_top;
-  int serial;
-  int runs;
-} world_t;
-
 static bool
 chance (world_t *w, uint32_t per_ten_thousand)
 {
--- /dev/null
+++ b/tests/once/once-key-test.c
@@ -0,0 +1,101 @@
+#include "cowslipspoke/once.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+/* Two customers choose the same key.  Were keys shared, the second one's
+   lease would never be scored.  */
+START_TEST (organisations_are_separate)
+{
+  static const char text[] = "018f0000-0000-7000-8000-00000000000A";
+  static const char lower[] = "018f0000-0000-7000-8000-00000000000a";
+  csp_once_key_t first;
+  csp_once_key_t second;
+  csp_once_key_t same;
+  csp_error_t error;
+
+  ck_assert (csp_parse_once_key ("pwani", text, &first, &error));
+  ck_assert (csp_parse_once_key ("llanfair", text, &second, &error));
+  ck_assert (csp_parse_once_key ("pwani", lower, &same, &error));
+  ck_assert_mem_ne (first.digest, second.digest, sizeof first.digest);
+  ck_assert_mem_eq (first.digest, same.digest, sizeof first.digest);
+  ck_assert_int_eq (first.date_ms, 0x018f00000000);
+}
+END_TEST
+
+/* A caller sends keys that carry no date.  Taken, they could not be told from
+   keys that were forgotten, and a late repeat would run again.  */
+START_TEST (keys_without_a_date_are_refused)
+{
+  static const char *const texts[]
+      = { "",
+          "7",
+          "h:a:1~7",
+          "h:a:1:x~7",
+          "h:a:1:5~",
+          "h::1:5~7",
+          "d:5~7",
+          "d:cardiff:-5~7",
+          "d:c:5",
+          "h:a:xyz:5~7",
+          "d:c: 5~7",
+          "d:c:99999999999999999999~7",
+          "018f0000-0000-4000-8000-000000000000" };
+  csp_once_key_t key;
+  csp_error_t error;
+
+  ck_assert_msg (!csp_parse_once_key ("org", texts[_i], &key, &error), "%s",
+                 texts[_i]);
+  ck_assert_int_eq (error.verdict, CSP_VERDICT_NOT_RUN);
+}
+END_TEST
+
+/* A host's memory is full, or a key has been kept long enough, and then a
+   repeat comes.  If the host had merely forgotten the key, the call would run
+   a second time.  */
+START_TEST (a_forgotten_key_is_refused)
+{
+  csp_once_settings_t settings = csp_default_once_settings ();
+  csp_host_ref_t self = { "a", 1 };
+  csp_claim_ask_t ask = { 0 };
+  csp_claim_answer_t answer;
+  csp_error_t error;
+  csp_once_t *once;
+
+  settings.organisation_capacity = 1;
+  once = csp_create_once (&settings, &self, 0);
+  ck_assert (csp_parse_once_key ("org", "d:c:5000~1", &ask.key, &error));
+  ask.claim.low = 1;
+  csp_claim_key (once, &ask, 0, 5000, &answer);
+  ck_assert_int_eq (answer.result, CSP_CLAIM_RECORDED);
+  ck_assert (csp_parse_once_key ("org", "d:c:5000~2", &ask.key, &error));
+  csp_claim_key (once, &ask, 0, 5000, &answer);
+  ck_assert_int_eq (answer.result, CSP_CLAIM_FULL);
+  ck_assert (csp_parse_once_key ("other", "d:c:5000~2", &ask.key, &error));
+  csp_claim_key (once, &ask, 0, 5000, &answer);
+  ck_assert_int_eq (answer.result, CSP_CLAIM_RECORDED);
+  ck_assert_uint_eq (csp_expire_keys (once, settings.retention_ms), 2);
+  ck_assert (csp_parse_once_key ("org", "d:c:5000~1", &ask.key, &error));
+  csp_claim_key (once, &ask, settings.retention_ms, 5000, &answer);
+  ck_assert_int_eq (answer.result, CSP_CLAIM_FORGOTTEN);
+  csp_destroy_once (once);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("once-key");
+  TCase *tcase = tcase_create ("once-key");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_test (tcase, organisations_are_separate);
+  tcase_add_loop_test (tcase, keys_without_a_date_are_refused, 0, 13);
+  tcase_add_test (tcase, a_forgotten_key_is_refused);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
