--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -5,7 +5,7 @@
 # seen from outside and exits after its limit.
 
 BUILD=${BUILD:-build/plain}
-work=$(mktemp -d "${TMPDIR:-/tmp}/cowslipspoke.XXXXXX")
+work=$(mktemp -d "$BUILD/fleet.XXXXXX")
 started=
 : >"$work/hosts"
 : >"$work/targets"
@@ -15,15 +15,27 @@
   printf 'key-%s' "$1" | sha256sum | cut -d' ' -f1
 }
 
-# The state letter of a process, Z when it has ended; empty when it is gone.
-state_of() {
-  sed 's/.*) //' "/proc/$1/stat" 2>/dev/null | cut -c1
+# State, parent and start time of a process; empty when it is gone.
+identity_of() {
+  sed 's/.*) //' "/proc/$1/stat" 2>/dev/null | awk '{ print $1, $2, $20 }'
 }
 
+# is_running NAME: the process is there and is still the one that was started.
+# The shell reaps its children unasked, and the kernel gives their numbers
+# away again: a signal to the number alone could end a stranger.
 is_running() {
-  case $(state_of "$1") in
-  '' | Z) return 1 ;;
+  identity=$(identity_of "$(pid_of "$1")")
+  case $identity in
+  '' | Z*) return 1 ;;
   esac
+  [ "${identity#* }" = "$(cat "$work/$1.identity")" ]
+}
+
+# note_process NAME PID
+note_process() {
+  echo "$2" >"$work/$1.pid"
+  identity=$(identity_of "$2")
+  echo "${identity#* }" >"$work/$1.identity"
 }
 
 pid_of() {
@@ -44,7 +56,7 @@
   tries=$((limit_s * 20))
   until "$@"; do
     tries=$((tries - 1))
-    if [ $tries -le 0 ]; then
+    if [ $tries -le 0 ] || [ ! -d "$work" ]; then
       echo "gave up after $limit_s s: $*"
       exit 1
     fi
@@ -66,7 +78,7 @@
   program=$2
   shift 2
   "$BUILD/$program" "$@" >"$work/$name.out" 2>"$work/$name.err" &
-  echo $! >"$work/$name.pid"
+  note_process "$name" $!
   started="$started $name"
   wait_until 20 is_ready "$name"
 }
@@ -215,7 +227,7 @@
   later=$1
   shift
   call "$@" >"$work/$later.call" 2>&1 &
-  echo $! >"$work/$later.pid"
+  note_process "$later" $!
 }
 
 finish() {
@@ -364,19 +376,21 @@
 }
 
 has_ended() {
-  ! is_running "$(pid_of "$1")"
+  ! is_running "$1"
 }
 
-# stop_process NAME SIGNAL
+# signal_to NAME SIGNAL
 signal_to() {
-  kill -s "$2" "$(pid_of "$1")"
+  if is_running "$1"; then
+    kill -s "$2" "$(pid_of "$1")"
+  fi
 }
 
 # End what is still running; a host that doesn't end well fails the session.
 end_all() {
   for name in $started; do
-    kill -s CONT "$(pid_of "$name")" 2>/dev/null
-    kill -s TERM "$(pid_of "$name")" 2>/dev/null
+    signal_to "$name" CONT
+    signal_to "$name" TERM
   done
   for name in $started; do
     tries=200
@@ -386,7 +400,7 @@
     done
     if ! has_ended "$name"; then
       echo "$name did not end within 10 s of SIGTERM"
-      kill -s KILL "$(pid_of "$name")"
+      signal_to "$name" KILL
     fi
     wait "$(pid_of "$name")" 2>/dev/null
     code=$?
--- a/tests/session/platform-away.sh
+++ b/tests/session/platform-away.sh
@@ -11,6 +11,8 @@
 publish_hosts
 wait_ready h1 h2
 wait_until 5 list_was_read
+wait_until 10 serves_model h1 m-small
+wait_until 10 serves_model h2 m-small
 
 request platform POST /test/mode '{"away":true}' >"$work/away"
 echo "# away: the hosts that run"
