--- a/include/cowslipspoke/once.h
+++ b/include/cowslipspoke/once.h
@@ -62,6 +62,21 @@
 bool csp_parse_once_key (const char *organisation, const char *text,
                          csp_once_key_t *key, csp_error_t *error);
 
+/* The same, and any other text too, as callers of the usual API choose their
+   keys: it has the scope all and is dated CSP_UNDATED_AGE_MS before now.  Its
+   caller has to know that a repeat which comes later than that is run again
+   when every host was replaced since the first attempt.  */
+enum
+{
+  /* Libraries repeat within seconds and people within a minute.  The longer,
+     the longer a fleet that starts as a whole has to refuse such keys.  */
+  CSP_UNDATED_AGE_MS = 30000
+};
+
+bool csp_read_once_key (const char *organisation, const char *text,
+                        int64_t wall_ms, csp_once_key_t *key,
+                        csp_error_t *error);
+
 /* The tokens that `GET /v1/idempotency-home` hands out; a caller puts "~" and
    something unique behind one.  They serve for retention_ms.  */
 void csp_format_host_token (const csp_host_ref_t *self, int64_t wall_ms,
@@ -76,13 +91,18 @@
   uint64_t low;
 } csp_claim_id_t;
 
-/* What became of a claim.  */
+/* What became of a claim.  NOT_RUN lets the key be claimed again, so the
+   caller may only be told `may have run` with a time to come back.  CLOSED is
+   for a claim that was granted, surely did not run and whose caller is told
+   `not run`: no later claim is granted either, or a copy of the request that
+   is still under way would run behind that answer.  */
 typedef enum
 {
-  CSP_ONCE_OPEN,        /* not yet told */
-  CSP_ONCE_RAN,         /* the target answered */
-  CSP_ONCE_NOT_RUN,     /* it surely did not run and never will */
-  CSP_ONCE_MAY_HAVE_RUN /* cut after bytes had left */
+  CSP_ONCE_OPEN,         /* not yet told */
+  CSP_ONCE_RAN,          /* the target answered */
+  CSP_ONCE_NOT_RUN,      /* not run; may be claimed again */
+  CSP_ONCE_MAY_HAVE_RUN, /* cut after bytes had left */
+  CSP_ONCE_CLOSED        /* not run, and never will be */
 } csp_once_outcome_t;
 
 /* Messages.  */
@@ -163,6 +183,12 @@
                              const csp_host_ref_t *self, int64_t now_ms);
 void csp_destroy_once (csp_once_t *once);
 
+/* Some live host of this data centre does not know this life of the host yet
+   (membership tells by what heartbeats answer).  It may ask others and leave
+   this host out, so this host counts as a witness only witness_delay_ms after
+   the last such call.  */
+void csp_delay_witness (csp_once_t *once, int64_t now_ms);
+
 /* Answer a claim, a host's own included.  */
 void csp_claim_key (csp_once_t *once, const csp_claim_ask_t *ask,
                     int64_t now_ms, int64_t wall_ms,
@@ -187,7 +213,10 @@
 } csp_once_peer_t;
 
 /* The asker's list of hosts, live and leaving ones, itself included.
-   confirmed_ms: steady time at which it was last known to be up to date.
+   confirmed_ms: steady time at which it was last known to be up to date: when
+   the last heartbeat that a peer answered, or the last read of the platform's
+   list that was answered, was sent.  The time at which an answer is read would
+   not do; a paused host reads old ones.
    complete: this host has read a list since it started.  */
 typedef struct
 {
@@ -202,7 +231,8 @@
   CSP_ONCE_TICK,
   CSP_ONCE_ANSWER,
   CSP_ONCE_HOST_LOST,   /* host is known to be unreachable */
-  CSP_ONCE_BEFORE_SEND, /* may the first byte leave?  */
+  CSP_ONCE_BEFORE_SEND, /* may the first byte leave?  Again for the next
+                           target, once one said that it started nothing.  */
   CSP_ONCE_ENDED,       /* the run ended; u.outcome says how */
   CSP_ONCE_HUNG_UP,     /* the caller has gone, before a byte left */
   CSP_ONCE_TOLD         /* host has acknowledged the outcome */
@@ -226,7 +256,7 @@
   CSP_ONCE_ASK,     /* send u.ask to the hosts listed */
   CSP_ONCE_RUN,     /* granted; ask with BEFORE_SEND when bytes can leave */
   CSP_ONCE_SEND,    /* let the first byte leave now */
-  CSP_ONCE_GIVE_UP, /* u.error is the caller's answer; tell too */
+  CSP_ONCE_GIVE_UP, /* error is the caller's answer; tell as well */
   CSP_ONCE_TELL     /* send the outcome to the hosts listed */
 } csp_once_action_kind_t;
 
@@ -253,7 +283,7 @@
                                          int64_t deadline_ms);
 void csp_destroy_once_round (csp_once_round_t *round);
 
-/* The first action.  */
+/* The first action.  The round ends at once where view or key are too old. */
 void csp_start_once_round (csp_once_round_t *round, int64_t now_ms,
                            int64_t wall_ms, csp_once_action_t *action);
 
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -9,13 +9,18 @@
 #include "cowslipspoke/control.h"
 #include "cowslipspoke/fetcher.h"
 #include "cowslipspoke/hash.h"
+#include "cowslipspoke/health.h"
 #include "cowslipspoke/intern.h"
 #include "cowslipspoke/length.h"
 #include "cowslipspoke/membership.h"
+#include "cowslipspoke/order.h"
 #include "cowslipspoke/ownership.h"
 #include "cowslipspoke/peer.h"
+#include "cowslipspoke/placement.h"
 #include "cowslipspoke/queue.h"
 #include "cowslipspoke/random.h"
+#include "cowslipspoke/retry.h"
+#include "cowslipspoke/shift.h"
 #include "cowslipspoke/spread.h"
 
 /* What the files of the control slice share.  Everything here but the inbox
@@ -25,6 +30,8 @@
 {
   CSP_CONTROL_MAX_POOLS = 64,
   CSP_CONTROL_MAX_ORGANISATIONS = 4096,
+  /* Of one data centre: ten times the planned 430.  */
+  CSP_CONTROL_MAX_TARGETS = 4300,
   CSP_CONTROL_TICK_MS = 100,
   CSP_CONTROL_REPORT_MS = 1000,
   CSP_CONTROL_REPORT_TIMEOUT_MS = 2000
@@ -38,7 +45,9 @@
   const csp_admission_ask_t *ask;
   csp_grant_t *grant;
   csp_error_t *error;
-  char *text; /* of CSP_COMMAND_DESCRIBE */
+  char *text;                     /* of CSP_COMMAND_DESCRIBE */
+  const csp_once_ask_t *once_ask; /* of CSP_COMMAND_CLAIM */
+  uint64_t once_id;               /* of CLAIM and CONFIRM */
   int result;
   pthread_mutex_t lock;
   pthread_cond_t decided;
@@ -49,12 +58,15 @@
 {
   CSP_COMMAND_ADMIT,
   CSP_COMMAND_CONFIRM,
+  CSP_COMMAND_CLAIM,
+  CSP_COMMAND_END_CLAIM,
   CSP_COMMAND_ABANDON,
   CSP_COMMAND_PROGRESS,
   CSP_COMMAND_RELEASE,
   CSP_COMMAND_CONFIG_READ,
   CSP_COMMAND_HOSTS_READ,
   CSP_COMMAND_LOAD_READ,
+  CSP_COMMAND_ORDER_ANSWER,
   CSP_COMMAND_PEER_ASK,
   CSP_COMMAND_PEER_ANSWER,
   CSP_COMMAND_DESCRIBE
@@ -68,7 +80,9 @@
   csp_waiter_t *waiter;
   uint64_t place;
   uint64_t tokens;
+  int64_t blocked_ms;
   csp_place_outcome_t outcome;
+  csp_once_outcome_t once_outcome;
   uint64_t id;
   int64_t after;
   uint32_t target;
@@ -79,6 +93,16 @@
   size_t body_bytes;
 } csp_control_command_t;
 
+/* Engines of a pool and the host's share of its loads.  listed counts those
+   of all data centres.  */
+typedef struct
+{
+  char name[CSP_NAME_BYTES];
+  uint32_t listed;
+  uint32_t owned;
+  csp_order_pace_t pace;
+} csp_order_pool_t;
+
 /* Requests of a pool that wait.  */
 typedef struct
 {
@@ -100,9 +124,13 @@
   uint32_t failures;
   int64_t avoid_until_ms;
   int64_t next_report_ms;
+  csp_prefixes_t prefixes;
+  csp_shift_t shift;
   bool report_pending;
   bool owned;
   int64_t left_ms;
+  csp_order_engine_t *orders;
+  struct json_object *reported; /* the last load report */
 } csp_target_state_t;
 
 /* Where a peer listens.  */
@@ -150,6 +178,8 @@
   int64_t next_spill_ms;
   uint64_t made_tokens;
   bool link_failed;
+  int64_t progress_ms;
+  csp_recall_t *recall;
 } csp_place_t;
 
 typedef struct
@@ -158,8 +188,16 @@
   bool away;
   int64_t version;
   int64_t next_ms;
+  int64_t asked_ms;
+  /* Up to when the list is known to be the platform's: when the last answered
+     read was sent, since an answer may lie in the socket of a paused host.  */
+  int64_t confirmed_ms;
+  int64_t next_pull_ms; /* from a peer */
+  char *text;           /* the list as it came, for peers */
 } csp_host_watch_t;
 
+typedef struct csp_once_entry csp_once_entry_t;
+
 struct csp_control
 {
   const csp_context_t *context;
@@ -201,11 +239,26 @@
   uint32_t place_room;
   uint32_t places_used;
   uint64_t next_place;
+  csp_once_settings_t once_settings;
+  csp_once_t *once;
+  csp_once_entry_t *once_rounds;
+  uint64_t next_once;
+  csp_order_pool_t order_pools[CSP_CONTROL_MAX_POOLS];
+  uint32_t order_pool_count;
+  int64_t next_shares_ms;
   csp_slot_table_t *slots;
   uint64_t holdings_number;
   int64_t next_holdings_ms;
   uint64_t next_ask;
   uint64_t spilled;
+  csp_health_t *health;
+  csp_shift_policy_t shift_policy;
+  csp_retry_budget_t retries;
+  int64_t started_ms;
+  int64_t next_weigh_ms;
+  csp_candidate_t candidates[CSP_CONTROL_MAX_TARGETS];
+  uint32_t candidate_targets[CSP_CONTROL_MAX_TARGETS];
+  uint64_t recalled;
   uint64_t refused;
   uint64_t granted;
 };
@@ -221,6 +274,10 @@
 
 /* Views.  */
 csp_view_t *csp_create_view (csp_declaration_t *declaration);
+bool csp_note_pool_revisions (csp_view_t *view,
+                              const csp_config_value_t *values, size_t count);
+int64_t csp_view_pool_revision (const csp_view_t *view, const char *pool);
+const char *const *csp_view_models (const csp_view_t *view, size_t *count);
 void csp_publish_view (csp_control_t *control, csp_view_t *view);
 
 /* Configuration and the host list: make what reads the platform, take what
@@ -233,6 +290,8 @@
 void csp_take_hosts_read (csp_control_t *control,
                           const csp_control_command_t *command,
                           int64_t now_ms);
+void csp_take_peer_hosts (csp_control_t *control,
+                          const csp_peer_message_t *answer, int64_t now_ms);
 void csp_tick_config (csp_control_t *control, int64_t now_ms);
 
 /* Log what became of a configuration, and put a new one in force.  */
@@ -264,7 +323,6 @@
 
 /* Memory tokens free for new work on the targets that this host may grant. */
 int64_t csp_sum_headroom (csp_control_t *control, int64_t now_ms);
-uint64_t csp_sum_peer_headroom (csp_control_t *control, int64_t now_ms);
 
 /* Targets: follow the ownership's numbering, read load reports.  */
 void csp_sync_targets (csp_control_t *control, int64_t now_ms);
@@ -274,6 +332,21 @@
 void csp_drop_target (csp_target_state_t *target);
 void csp_close_targets (csp_control_t *control);
 
+/* Orders: count the engines of the list, decide at each load report, take
+   the answer, and show wanted and reported state in a status row.  */
+void csp_note_order_list (csp_control_t *control, const csp_host_list_t *list);
+void csp_tick_orders (csp_control_t *control, int64_t now_ms);
+void csp_take_order_report (csp_control_t *control, uint32_t index,
+                            struct json_object *document, int64_t asked_ms,
+                            int64_t now_ms);
+void csp_take_order_answer (csp_control_t *control,
+                            const csp_control_command_t *command,
+                            int64_t now_ms);
+void csp_render_orders (csp_control_t *control,
+                        const csp_target_state_t *target,
+                        struct json_object *row);
+void csp_drop_orders (csp_target_state_t *target);
+
 /* Admission: take a waiter, note progress, take a place back, serve queues.
    csp_close_admission frees what it holds.  */
 bool csp_open_admission (csp_control_t *control);
@@ -283,7 +356,9 @@
                         const csp_control_command_t *command, int64_t now_ms);
 void csp_take_release (csp_control_t *control,
                        const csp_control_command_t *command, int64_t now_ms);
-void csp_tick_admission (csp_control_t *control, int64_t now_ms);
+/* all: also pools of which nothing has changed, since time has passed.  */
+void csp_tick_admission (csp_control_t *control, bool all, int64_t now_ms);
+void csp_tick_preemption (csp_control_t *control, int64_t now_ms);
 void csp_close_admission (csp_control_t *control);
 
 /* The caller of a request that waits has hung up.  A waiter that was answered
@@ -298,14 +373,34 @@
 /* Confirm a grant immediately before bytes leave.  */
 bool csp_confirm_place (csp_control_t *control, uint64_t id, int64_t now_ms);
 
-/* The place of an id; NULL when it was freed.  */
+/* The table of places.  find: NULL when it was freed; make: NULL when the
+   table is full.  */
+bool csp_open_places (csp_control_t *control);
+csp_place_t *csp_make_place (csp_control_t *control);
+void csp_free_place (csp_control_t *control, csp_place_t *place);
 csp_place_t *csp_find_place (csp_control_t *control, uint64_t id);
+csp_place_t *csp_find_waiter_place (csp_control_t *control, uint64_t number);
+
+/* Whether a target could take a request at all, now or later.  */
+bool csp_could_use (const csp_control_t *control, const char *pool,
+                    csp_target_kind_t kind, const csp_tried_t *tried,
+                    uint32_t index);
+uint32_t csp_choose_service (const csp_control_t *control,
+                             const csp_admission_ask_t *ask, int64_t now_ms);
+void csp_follow_pool_capacity (csp_control_t *control, csp_pool_state_t *pool,
+                               int64_t now_ms);
+
+/* A target was listed: how far it is open, and how that moves on.  */
+void csp_open_target_shift (csp_control_t *control, csp_target_state_t *target,
+                            int64_t now_ms);
+void csp_tick_choices (csp_control_t *control, int64_t now_ms);
 
 /* Choose an owned engine of a pool for a stream; UINT32_MAX when none has
    room.  */
 uint32_t csp_choose_engine (csp_control_t *control, const char *pool,
                             const csp_tried_t *tried,
-                            const csp_stream_t *stream, int64_t now_ms);
+                            const csp_stream_t *stream, uint64_t prefix,
+                            int64_t now_ms);
 
 /* Hand-offs, the sender's side: look for a slot elsewhere, take answers, and
    end with the request.  */
@@ -336,6 +431,22 @@
 uint64_t csp_slot_tokens (csp_control_t *control, const char *target,
                           int64_t now_ms);
 
+/* At most once: this host's memory of keys, and the rounds of its callers. */
+bool csp_open_once (csp_control_t *control, int64_t now_ms);
+void csp_close_once (csp_control_t *control);
+void csp_take_once_ask (csp_control_t *control, csp_waiter_t *waiter,
+                        int64_t now_ms);
+bool csp_confirm_once (csp_control_t *control, uint64_t id, int64_t now_ms);
+void csp_end_once (csp_control_t *control, uint64_t id,
+                   csp_once_outcome_t outcome, int64_t now_ms);
+void csp_take_claim_answer (csp_control_t *control,
+                            const csp_control_command_t *command,
+                            const csp_peer_message_t *answer, int64_t now_ms);
+void csp_take_told (csp_control_t *control,
+                    const csp_control_command_t *command,
+                    const csp_peer_message_t *answer, int64_t now_ms);
+void csp_tick_once (csp_control_t *control, int64_t now_ms);
+
 /* Answer a waiter; result is 0 for a grant.  */
 void csp_answer_waiter (csp_waiter_t *waiter, int result);
 
--- a/source/control/control-targets.c
+++ b/source/control/control-targets.c
@@ -12,6 +12,8 @@
 
   if (count <= control->target_room)
     return true;
+  if (count > CSP_CONTROL_MAX_TARGETS)
+    return false;
   targets = realloc (control->targets, count * sizeof *targets);
   if (targets == NULL)
     return false;
@@ -28,6 +30,7 @@
   if (target->index != UINT32_MAX || target->streams > 0)
     return;
   csp_destroy_ledger (target->ledger);
+  csp_drop_orders (target);
   free (target);
 }
 
@@ -39,13 +42,14 @@
   if (target == NULL)
     return;
   control->targets[index] = NULL;
+  csp_reset_health (control->health, index, false);
   target->index = UINT32_MAX;
   csp_drop_target (target);
 }
 
 static void
 list_target (csp_control_t *control, uint32_t index,
-             const csp_listed_target_t *listed)
+             const csp_listed_target_t *listed, int64_t now_ms)
 {
   csp_admission_policy_t policy = csp_default_admission_policy ();
   csp_target_state_t *target = calloc (1, sizeof *target);
@@ -53,14 +57,19 @@
   if (target == NULL)
     return;
   target->ledger = csp_create_ledger (&policy, control->lengths);
-  if (target->ledger == NULL)
+  target->orders = csp_create_order_engine ();
+  if (target->ledger == NULL || target->orders == NULL)
     {
+      csp_destroy_ledger (target->ledger);
+      csp_drop_orders (target);
       free (target);
       return;
     }
   target->index = index;
   target->listed = *listed;
   control->targets[index] = target;
+  csp_open_target_shift (control, target, now_ms);
+  csp_reset_health (control->health, index, true);
 }
 
 static void
@@ -77,7 +86,7 @@
   if (target != NULL && strcmp (target->listed.name, view.target.name) != 0)
     unlist_target (control, index);
   if (control->targets[index] == NULL)
-    list_target (control, index, &view.target);
+    list_target (control, index, &view.target, now_ms);
   target = control->targets[index];
   if (target == NULL)
     return;
@@ -158,7 +167,11 @@
     return;
   document = json_tokener_parse (command->body);
   if (json_object_is_type (document, json_type_object))
-    take_report (control, command->target, document, now_ms);
+    {
+      take_report (control, command->target, document, now_ms);
+      csp_take_order_report (control, command->target, document,
+                             command->after, now_ms);
+    }
   json_object_put (document);
 }
 
@@ -174,6 +187,7 @@
   csp_copy_text (endpoint.address, sizeof endpoint.address,
                  target->listed.address);
   command->target = index;
+  command->after = now_ms;
   csp_copy_text (command->name, sizeof command->name, target->listed.name);
   target->next_report_ms = now_ms + CSP_CONTROL_REPORT_MS;
   target->report_pending = csp_start_read (
@@ -217,24 +231,6 @@
   return headroom_tokens;
 }
 
-uint64_t
-csp_sum_peer_headroom (csp_control_t *control, int64_t now_ms)
-{
-  size_t count = csp_count_hosts (control->membership);
-  uint64_t headroom_tokens = 0;
-  csp_host_view_t view;
-  size_t i;
-
-  for (i = 0; i < count; i++)
-    {
-      csp_view_host (control->membership, i, now_ms, &view);
-      if (!view.self && view.liveness == CSP_PEER_ALIVE
-          && view.headroom_tokens > 0)
-        headroom_tokens += (uint64_t)view.headroom_tokens;
-    }
-  return headroom_tokens;
-}
-
 void
 csp_tick_targets (csp_control_t *control, int64_t now_ms)
 {
--- a/source/handoff/slot-table.c
+++ b/source/handoff/slot-table.c
@@ -149,7 +149,7 @@
   slot_t *slot;
 
   csp_expire_slots (table, now_ms);
-  holder = csp_find_holder (table, &ask->sender, now_ms);
+  holder = csp_find_slot_holder (table, &ask->sender, now_ms);
   if (holder == NULL)
     return false;
   slot = csp_find_held_slot (table, holder, ask->ask_id);
@@ -171,7 +171,7 @@
 
   if (csp_find_slot (table, ask, now_ms, answer))
     return;
-  holder = csp_find_holder (table, &ask->sender, now_ms);
+  holder = csp_find_slot_holder (table, &ask->sender, now_ms);
   place = csp_find_slot_target (table, target, true);
   if (holder == NULL || place == NULL)
     goto refuse;
@@ -207,7 +207,7 @@
   memset (answer, 0, sizeof *answer);
   answer->ask_id = ask->ask_id;
   answer->nonce = ask->nonce;
-  holder = csp_find_holder (table, &ask->sender, now_ms);
+  holder = csp_find_slot_holder (table, &ask->sender, now_ms);
   if (holder != NULL)
     slot = csp_find_held_slot (table, holder, ask->ask_id);
   if (slot == NULL || slot->nonce != ask->nonce
@@ -230,7 +230,7 @@
   slot_t *slot;
 
   csp_expire_slots (table, now_ms);
-  holder = csp_find_holder (table, &release->sender, now_ms);
+  holder = csp_find_slot_holder (table, &release->sender, now_ms);
   if (holder == NULL)
     return;
   slot = csp_find_held_slot (table, holder, release->ask_id);
@@ -289,7 +289,7 @@
   size_t i;
 
   csp_expire_slots (table, now_ms);
-  holder = csp_find_holder (table, &holdings->sender, now_ms);
+  holder = csp_find_slot_holder (table, &holdings->sender, now_ms);
   if (holder == NULL || holdings->number <= holder->holdings_number)
     return;
   holder->holdings_number = holdings->number;
--- a/source/peer/peer-decode.c
+++ b/source/peer/peer-decode.c
@@ -177,7 +177,7 @@
 unpack_claim_answer (const CspWire__ClaimAnswer *wire,
                      csp_claim_answer_t *answer)
 {
-  if (wire->result > CSP_CLAIM_FULL || wire->outcome > CSP_ONCE_MAY_HAVE_RUN)
+  if (wire->result > CSP_CLAIM_FULL || wire->outcome > CSP_ONCE_CLOSED)
     return false;
   answer->claim.high = wire->claim_high;
   answer->claim.low = wire->claim_low;
@@ -191,7 +191,7 @@
 unpack_outcome_tell (const CspWire__OutcomeTell *wire,
                      csp_outcome_tell_t *tell)
 {
-  if (wire->outcome > CSP_ONCE_MAY_HAVE_RUN)
+  if (wire->outcome > CSP_ONCE_CLOSED)
     return false;
   tell->claim.high = wire->claim_high;
   tell->claim.low = wire->claim_low;
@@ -258,6 +258,14 @@
       message->kind = CSP_PEER_OUTCOME_TELL;
       return unpack_outcome_tell (frame->outcome_tell,
                                   &message->u.outcome_tell);
+    case CSP_WIRE__FRAME__BODY_HOSTS_ASK:
+      message->kind = CSP_PEER_HOSTS_ASK;
+      message->u.hosts_ask.after = frame->hosts_ask->after;
+      return true;
+    case CSP_WIRE__FRAME__BODY_HOSTS_ANSWER:
+      message->kind = CSP_PEER_HOSTS_ANSWER;
+      message->u.hosts_answer.list = frame->hosts_answer->list;
+      return true;
     case CSP_WIRE__FRAME__BODY_ACKNOWLEDGE:
       message->kind = CSP_PEER_ACKNOWLEDGE;
       return true;
--- a/source/queue/queue-rate.c
+++ b/source/queue/queue-rate.c
@@ -5,6 +5,13 @@
 /* Below so much busy time the rate is no measurement yet.  */
 static const double known_after_ms = 500;
 
+/* A queue of which nothing was served yet tells no rate: its targets may still
+   be opening, or a hand-off under way.  Only after so much busy time is it
+   taken for stuck.  With known_after_ms alone, a host that had just started
+   turned its first callers away after half a second although its owners'
+   targets opened two seconds later.  */
+static const double stuck_after_ms = 8000;
+
 static const double ms_per_s = 1000;
 
 enum
@@ -30,10 +37,17 @@
   queue->busy_ms = queue->busy_ms * keep + passed;
 }
 
+static bool
+is_rate_known (const csp_queue_t *queue)
+{
+  return queue->busy_ms
+         >= (queue->served_tokens > 0 ? known_after_ms : stuck_after_ms);
+}
+
 static double
 tokens_per_ms (const csp_queue_t *queue)
 {
-  if (queue->busy_ms < known_after_ms)
+  if (!is_rate_known (queue))
     return 0;
   return queue->served_tokens / queue->busy_ms;
 }
@@ -90,7 +104,7 @@
   uint32_t i = queue->cursor;
   const organisation_t *other;
 
-  if (queue->waiting == 0 || queue->busy_ms < known_after_ms)
+  if (queue->waiting == 0 || !is_rate_known (queue))
     return 0;
   if (organisation < queue->organisation_count
       && queue->organisations[organisation].weight > 0)
@@ -129,17 +143,20 @@
 /* A request that can't be started in time any more is answered now.  Held
    until its deadline, its caller would have lost the time in which to ask
    elsewhere, and its place would keep others waiting.  The costly prediction
-   is made for a few entries in each pass.  */
+   is made for a few entries in each pass, the next few in the next.  */
 static bool
-is_given_up (csp_queue_t *queue, const entry_t *entry, int64_t now_ms)
+is_given_up (csp_queue_t *queue, uint32_t index, int64_t now_ms)
 {
+  const entry_t *entry = &queue->entries[index];
   double left_ms = (double)(entry->waiting.start_by_ms - now_ms);
 
   if (left_ms <= 0)
     return true;
-  if (queue->expire_checks >= EXPIRE_CHECKS)
+  if (index < queue->check_from || queue->expire_checks >= EXPIRE_CHECKS)
     return false;
   queue->expire_checks++;
+  if (queue->expire_checks == EXPIRE_CHECKS)
+    queue->check_next = index + 1;
   return entry_wait_ms (queue, entry) > queue->policy.patience * left_ms;
 }
 
@@ -156,7 +173,7 @@
     {
       index = queue->expire_at;
       entry = &queue->entries[index];
-      if (!entry->used || !is_given_up (queue, entry, now_ms))
+      if (!entry->used || !is_given_up (queue, index, now_ms))
         continue;
       *waiting = entry->waiting;
       wait_ms = entry_wait_ms (queue, entry);
@@ -168,6 +185,8 @@
       queue->expire_at++;
       return true;
     }
+  queue->check_from = queue->check_next;
+  queue->check_next = 0;
   queue->expire_at = 0;
   queue->expire_checks = 0;
   return false;
