--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -1,36 +1,9 @@
-#include "support/fleet.h"
+#include "support/fleet-imp.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-typedef enum
-{
-  MESSAGE_HEARTBEAT,
-  MESSAGE_HEARTBEAT_REPLY,
-  MESSAGE_PULL,
-  MESSAGE_PULL_REPLY,
-  MESSAGE_CARRY,
-  MESSAGE_CARRY_REPLY
-} message_kind_t;
-
-struct fleet_message
-{
-  message_kind_t kind;
-  int64_t at_ms;
-  uint64_t to_incarnation;
-  size_t from;
-  size_t to;
-  uint64_t id;
-  csp_heartbeat_t *heartbeat;
-  int64_t after;
-  csp_config_delta_t delta;
-  int64_t refused_revision;
-  char fault[CSP_FAULT_BYTES];
-  size_t carry_count;
-  csp_carry_t *carries;
-};
-
 static void *
 build_checked (void *state, int64_t revision, const csp_config_value_t *values,
                size_t count, char fault[CSP_FAULT_BYTES])
@@ -57,224 +30,6 @@
   free (built);
 }
 
-static void
-free_delta (csp_config_delta_t *delta)
-{
-  size_t i;
-
-  for (i = 0; i < delta->value_count; i++)
-    {
-      free ((char *)delta->values[i].key);
-      free ((char *)delta->values[i].json);
-    }
-  free ((csp_config_value_t *)delta->values);
-}
-
-static void
-copy_delta (const csp_config_delta_t *from, csp_config_delta_t *to)
-{
-  csp_config_value_t *values = calloc (from->value_count + 1, sizeof *values);
-  size_t i;
-
-  *to = *from;
-  to->values = values;
-  for (i = 0; i < from->value_count; i++)
-    {
-      values[i].key = strdup (from->values[i].key);
-      values[i].revision = from->values[i].revision;
-      if (from->values[i].json != NULL)
-        values[i].json = strdup (from->values[i].json);
-    }
-}
-
-static void
-free_message (fleet_message_t *message)
-{
-  free (message->heartbeat);
-  free (message->carries);
-  free_delta (&message->delta);
-  free (message);
-}
-
-static size_t
-count_message_bytes (const fleet_message_t *message)
-{
-  size_t bytes = 0;
-
-  if (message->heartbeat != NULL)
-    bytes += fleet_count_heartbeat_bytes (message->heartbeat);
-  if (message->kind == MESSAGE_PULL_REPLY)
-    bytes += fleet_count_delta_bytes (&message->delta);
-  if (message->kind == MESSAGE_PULL)
-    bytes += 16;
-  return bytes + message->carry_count * 20;
-}
-
-static fleet_message_t *
-post (fleet_t *fleet, message_kind_t kind, size_t from, size_t to)
-{
-  fleet_message_t *message;
-
-  if (fleet->message_count == fleet->message_capacity)
-    {
-      fleet->message_capacity = fleet->message_capacity * 2 + 64;
-      fleet->messages = realloc (fleet->messages,
-                                 fleet->message_capacity * sizeof (void *));
-    }
-  message = calloc (1, sizeof *message);
-  fleet->messages[fleet->message_count++] = message;
-  message->kind = kind;
-  message->from = from;
-  message->to = to;
-  message->to_incarnation = fleet->nodes[to].incarnation;
-  message->at_ms
-      = fleet->now_ms + 1
-        + csp_random_below (&fleet->random, fleet->settings.delay_ms);
-  return message;
-}
-
-/* Count the last message posted, and lose it where it must be lost.  */
-static void
-finish_post (fleet_t *fleet)
-{
-  fleet_message_t *message = fleet->messages[fleet->message_count - 1];
-  fleet_node_t *node = &fleet->nodes[message->from];
-
-  node->bytes += count_message_bytes (message);
-  node->messages++;
-  if (fleet->cuts[message->from][message->to]
-      || csp_random_unit (&fleet->random) < fleet->settings.loss)
-    {
-      free_message (message);
-      fleet->message_count--;
-    }
-}
-
-static size_t
-find_node (const fleet_t *fleet, const char *name)
-{
-  size_t i;
-
-  (void)fleet;
-  i = (size_t)strtoul (name + 1, NULL, 10);
-  return i;
-}
-
-static csp_heartbeat_t *
-copy_heartbeat (const csp_heartbeat_t *from)
-{
-  csp_heartbeat_t *to = malloc (sizeof *to);
-
-  *to = *from;
-  return to;
-}
-
-static void
-deliver_heartbeat (fleet_t *fleet, const fleet_message_t *message)
-{
-  fleet_node_t *node = &fleet->nodes[message->to];
-  csp_heartbeat_t reply;
-  fleet_message_t *answer;
-
-  csp_handle_heartbeat (node->membership, message->heartbeat, fleet->now_ms,
-                        &reply);
-  answer = post (fleet, MESSAGE_HEARTBEAT_REPLY, message->to, message->from);
-  answer->heartbeat = copy_heartbeat (&reply);
-  finish_post (fleet);
-}
-
-static void
-deliver_pull (fleet_t *fleet, const fleet_message_t *message)
-{
-  fleet_node_t *node = &fleet->nodes[message->to];
-  csp_config_status_t status;
-  csp_config_delta_t delta;
-  fleet_message_t *answer;
-
-  csp_find_config_changes (node->configuration, message->after, &delta);
-  csp_describe_configuration (node->configuration, &status);
-  answer = post (fleet, MESSAGE_PULL_REPLY, message->to, message->from);
-  answer->id = message->id;
-  answer->refused_revision = status.refused_revision;
-  memcpy (answer->fault, status.fault, sizeof answer->fault);
-  copy_delta (&delta, &answer->delta);
-  finish_post (fleet);
-}
-
-static void
-deliver_carry (fleet_t *fleet, const fleet_message_t *message)
-{
-  fleet_node_t *node = &fleet->nodes[message->to];
-  fleet_message_t *answer;
-  size_t i;
-
-  answer = post (fleet, MESSAGE_CARRY_REPLY, message->to, message->from);
-  answer->id = message->id;
-  answer->carry_count = message->carry_count;
-  answer->carries = calloc (message->carry_count + 1, sizeof (csp_carry_t));
-  for (i = 0; i < message->carry_count; i++)
-    csp_answer_carry (node->ownership, message->carries[i].target,
-                      &answer->carries[i]);
-  finish_post (fleet);
-}
-
-static void
-deliver (fleet_t *fleet, const fleet_message_t *message)
-{
-  fleet_node_t *node = &fleet->nodes[message->to];
-  const char *from = fleet->nodes[message->from].name;
-
-  if (!node->up || node->incarnation != message->to_incarnation)
-    return;
-  switch (message->kind)
-    {
-    case MESSAGE_HEARTBEAT:
-      deliver_heartbeat (fleet, message);
-      break;
-    case MESSAGE_HEARTBEAT_REPLY:
-      csp_handle_heartbeat_reply (node->membership, from, message->heartbeat,
-                                  fleet->now_ms);
-      break;
-    case MESSAGE_PULL:
-      deliver_pull (fleet, message);
-      break;
-    case MESSAGE_PULL_REPLY:
-      csp_handle_pull (node->spread, message->id, &message->delta,
-                       message->refused_revision, message->fault,
-                       fleet->now_ms);
-      break;
-    case MESSAGE_CARRY:
-      deliver_carry (fleet, message);
-      break;
-    case MESSAGE_CARRY_REPLY:
-      csp_handle_carry (node->ownership, from, message->id, message->carries,
-                        message->carry_count, fleet->now_ms);
-      break;
-    }
-}
-
-/* What comes to a paused node waits in its socket.  */
-static void
-deliver_due (fleet_t *fleet)
-{
-  fleet_message_t *message;
-  size_t i = 0;
-
-  while (i < fleet->message_count)
-    {
-      message = fleet->messages[i];
-      if (message->at_ms > fleet->now_ms
-          || fleet->nodes[message->to].paused_until_ms > fleet->now_ms)
-        {
-          i++;
-          continue;
-        }
-      fleet->messages[i] = fleet->messages[--fleet->message_count];
-      deliver (fleet, message);
-      free_message (message);
-    }
-}
-
 static void
 tick_membership (fleet_t *fleet, fleet_node_t *node, size_t index)
 {
@@ -301,10 +56,10 @@
   csp_tick_membership (node->membership, fleet->now_ms, &actions);
   for (i = 0; i < actions.count; i++)
     {
-      message = post (fleet, MESSAGE_HEARTBEAT, index,
-                      find_node (fleet, actions.items[i].peer));
-      message->heartbeat = copy_heartbeat (&actions.items[i].ask);
-      finish_post (fleet);
+      message = fleet_post (fleet, MESSAGE_HEARTBEAT, index,
+                            fleet_find_node (fleet, actions.items[i].peer));
+      message->heartbeat = fleet_copy_heartbeat (&actions.items[i].ask);
+      fleet_finish_post (fleet);
     }
 }
 
@@ -343,11 +98,11 @@
           start_read (fleet, node, &actions.items[i]);
           continue;
         }
-      message = post (fleet, MESSAGE_PULL, index,
-                      find_node (fleet, actions.items[i].peer));
+      message = fleet_post (fleet, MESSAGE_PULL, index,
+                            fleet_find_node (fleet, actions.items[i].peer));
       message->id = actions.items[i].id;
       message->after = actions.items[i].after;
-      finish_post (fleet);
+      fleet_finish_post (fleet);
     }
 }
 
@@ -363,8 +118,8 @@
   csp_tick_ownership (node->ownership, node->membership, fleet->now_ms, &asks);
   for (i = 0; i < asks.count; i++)
     {
-      message = post (fleet, MESSAGE_CARRY, index,
-                      find_node (fleet, asks.items[i].peer));
+      message = fleet_post (fleet, MESSAGE_CARRY, index,
+                            fleet_find_node (fleet, asks.items[i].peer));
       message->id = asks.items[i].id;
       message->carry_count = asks.items[i].count;
       message->carries = calloc (asks.items[i].count, sizeof (csp_carry_t));
@@ -372,7 +127,7 @@
         if (csp_view_target (node->ownership, asks.items[i].targets[t], &view))
           memcpy (message->carries[t].target, view.target.name,
                   sizeof view.target.name);
-      finish_post (fleet);
+      fleet_finish_post (fleet);
     }
 }
 
@@ -429,7 +184,7 @@
 
   fleet->now_ms += FLEET_STEP_MS;
   update_list (fleet);
-  deliver_due (fleet);
+  fleet_deliver_due (fleet);
   for (i = 0; i < fleet->settings.nodes; i++)
     if (fleet->nodes[i].up && fleet->nodes[i].paused_until_ms <= fleet->now_ms)
       tick_node (fleet, i);
@@ -499,7 +254,7 @@
   size_t i;
 
   for (i = 0; i < fleet->message_count; i++)
-    free_message (fleet->messages[i]);
+    fleet_free_message (fleet->messages[i]);
   for (i = 0; i < fleet->settings.nodes; i++)
     destroy_node (&fleet->nodes[i]);
   free (fleet->messages);
