--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -242,7 +242,7 @@
                * default_engine_shape ().memory_tokens;
       csp_set_capacity (host->queue, memory / fleet->play->hosts);
       if (!fleet->play->no_flight_news)
-        csp_set_pool_capacity (host->queue, memory);
+        csp_set_shared_memory (host->queue, memory);
     }
 }
 
--- a/include/cowslipspoke/queue.h
+++ b/include/cowslipspoke/queue.h
@@ -108,7 +108,7 @@
    waits up to 10 s at p99 at load 1.5 though it uses half its share of the
    pool.  Only organisations that hold more here than their part need to be
    told of.  */
-void csp_set_pool_capacity (csp_queue_t *queue, uint64_t memory_tokens);
+void csp_set_shared_memory (csp_queue_t *queue, uint64_t memory_tokens);
 void csp_set_flight_elsewhere (csp_queue_t *queue, uint32_t organisation,
                                uint64_t tokens);
 
--- a/source/queue/queue-waiting.c
+++ b/source/queue/queue-waiting.c
@@ -73,7 +73,7 @@
 }
 
 void
-csp_set_pool_capacity (csp_queue_t *queue, uint64_t memory_tokens)
+csp_set_shared_memory (csp_queue_t *queue, uint64_t memory_tokens)
 {
   queue->pool_tokens = memory_tokens;
 }
