--- a/source/control/control-targets.c
+++ b/source/control/control-targets.c
@@ -30,6 +30,7 @@
   if (target->index != UINT32_MAX || target->streams > 0)
     return;
   csp_destroy_ledger (target->ledger);
+  csp_drop_orders (target);
   free (target);
 }
 
@@ -56,8 +57,11 @@
   if (target == NULL)
     return;
   target->ledger = csp_create_ledger (&policy, control->lengths);
-  if (target->ledger == NULL)
+  target->orders = csp_create_order_engine ();
+  if (target->ledger == NULL || target->orders == NULL)
     {
+      csp_destroy_ledger (target->ledger);
+      csp_drop_orders (target);
       free (target);
       return;
     }
@@ -163,7 +167,11 @@
     return;
   document = json_tokener_parse (command->body);
   if (json_object_is_type (document, json_type_object))
-    take_report (control, command->target, document, now_ms);
+    {
+      take_report (control, command->target, document, now_ms);
+      csp_take_order_report (control, command->target, document,
+                             command->after, now_ms);
+    }
   json_object_put (document);
 }
 
@@ -179,6 +187,7 @@
   csp_copy_text (endpoint.address, sizeof endpoint.address,
                  target->listed.address);
   command->target = index;
+  command->after = now_ms;
   csp_copy_text (command->name, sizeof command->name, target->listed.name);
   target->next_report_ms = now_ms + CSP_CONTROL_REPORT_MS;
   target->report_pending = csp_start_read (
@@ -222,24 +231,6 @@
   return headroom_tokens;
 }
 
-uint64_t
-csp_sum_peer_headroom (csp_control_t *control, int64_t now_ms)
-{
-  size_t count = csp_count_hosts (control->membership);
-  uint64_t headroom_tokens = 0;
-  csp_host_view_t view;
-  size_t i;
-
-  for (i = 0; i < count; i++)
-    {
-      csp_view_host (control->membership, i, now_ms, &view);
-      if (!view.self && view.liveness == CSP_PEER_ALIVE
-          && view.headroom_tokens > 0)
-        headroom_tokens += (uint64_t)view.headroom_tokens;
-    }
-  return headroom_tokens;
-}
-
 void
 csp_tick_targets (csp_control_t *control, int64_t now_ms)
 {
