--- a/bench/decide-bench.c
+++ b/bench/decide-bench.c
@@ -428,7 +428,7 @@
   bool full = argc > 1 && strcmp (argv[1], "--full") == 0;
 
   compare_with_baselines (12, 8, full ? 3600 : 900, full);
-  compare_with_baselines (430, 12, full ? 600 : 150, full);
+  compare_with_baselines (430, 12, full ? 600 : 180, full);
   switch_off_each (full);
   draw_curves (full);
   compare_with_alone (full);
