Keyed calls while the platform is away; slots of silent holders

Ruled out: asking on a platform list of any age, which could miss a host. Change: hosts are followed every second; slots are also listed to the present owner; an answered heartbeat of the data centre confirms the list; a host unknown to a live peer delays its witness; such refusals say may have run with a time to come back.

--- a/include/cowslipspoke/membership.h
+++ b/include/cowslipspoke/membership.h
@@ -195,6 +195,8 @@
   bool in_view;
   bool self;
   bool listed;
+  /* It has shown that it knows this incarnation of ours.  */
+  bool knows_us;
   /* Since the last round trip began; -1 where there was none.  */
   int64_t confirmed_age_ms;
   /* Since this incarnation was first heard of; how young the host is.  */
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -257,6 +257,7 @@
   csp_retry_budget_t retries;
   int64_t started_ms;
   int64_t next_weigh_ms;
+  int64_t next_follow_ms;
   csp_candidate_t candidates[CSP_CONTROL_MAX_TARGETS];
   uint32_t candidate_targets[CSP_CONTROL_MAX_TARGETS];
   uint64_t recalled;
--- a/source/control/control-once.c
+++ b/source/control/control-once.c
@@ -210,6 +210,32 @@
   carry_out (control, entry, action, now_ms);
 }
 
+/* When the list of hosts was last known to be up to date: the sending of the
+   last answered read of the platform, or of a heartbeat that a host of the
+   data centre answered.  Heartbeats count, since a host that some peer of its
+   data centre doesn't know is no witness; so keyed calls are decided while
+   the platform is away.  */
+static int64_t
+find_confirmed_ms (csp_control_t *control, int64_t now_ms)
+{
+  int64_t confirmed_ms = control->host_watch.confirmed_ms;
+  size_t known = csp_count_hosts (control->membership);
+  csp_host_view_t view;
+  size_t i;
+
+  for (i = 0; i < known; i++)
+    {
+      csp_view_host (control->membership, i, now_ms, &view);
+      if (!view.self && view.liveness == CSP_PEER_ALIVE
+          && strcmp (view.data_centre, control->context->settings.data_centre)
+                 == 0
+          && view.confirmed_age_ms >= 0
+          && now_ms - view.confirmed_age_ms > confirmed_ms)
+        confirmed_ms = now_ms - view.confirmed_age_ms;
+    }
+  return confirmed_ms;
+}
+
 static csp_once_entry_t *
 create_entry (csp_control_t *control, const csp_once_ask_t *ask,
               int64_t now_ms)
@@ -221,7 +247,7 @@
   if (hosts == NULL || entry == NULL)
     goto fail;
   view.count = list_hosts (control, now_ms, hosts);
-  view.confirmed_ms = control->host_watch.confirmed_ms;
+  view.confirmed_ms = find_confirmed_ms (control, now_ms);
   view.complete = control->host_watch.version > 0;
   entry->round
       = csp_create_once_round (&control->once_settings, &ask->key, &view,
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -7,6 +7,13 @@
 /* Links to peers: what they ask is answered on the control thread, and what
    they answer comes back to it as a command.  */
 
+enum
+{
+  FOLLOW_MS = 1000,
+  /* Longer than an engine goes on with a cut stream (30 s).  */
+  FORGET_HOLDER_MS = 35000
+};
+
 /* What an answer needs on its way back.  */
 typedef struct
 {
@@ -193,12 +200,44 @@
   csp_set_local_state (control->membership, &local);
 }
 
+/* What the slots and keys have to know of each host.  Telling it once, at the
+   event, isn't enough: a commit that lay in a socket while its sender fell
+   silent would hold a slot for ever.  */
+static void
+follow_hosts (csp_control_t *control, int64_t now_ms)
+{
+  size_t count = csp_count_hosts (control->membership);
+  csp_host_view_t view;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      csp_view_host (control->membership, i, now_ms, &view);
+      if (view.self)
+        continue;
+      if (view.liveness == CSP_PEER_SILENT)
+        csp_orphan_holder (control->slots, view.name, now_ms);
+      if (view.liveness == CSP_PEER_SILENT && !view.listed
+          && view.confirmed_age_ms > FORGET_HOLDER_MS)
+        csp_forget_holder (control->slots, view.name);
+      if (view.liveness == CSP_PEER_ALIVE && !view.knows_us
+          && strcmp (view.data_centre, control->context->settings.data_centre)
+                 == 0)
+        csp_delay_witness (control->once, now_ms);
+    }
+}
+
 void
 csp_tick_peers (csp_control_t *control, int64_t now_ms)
 {
   csp_heartbeat_actions_t actions;
   size_t i;
 
+  if (now_ms >= control->next_follow_ms)
+    {
+      control->next_follow_ms = now_ms + FOLLOW_MS;
+      follow_hosts (control, now_ms);
+    }
   describe_self (control, now_ms);
   csp_tick_membership (control->membership, now_ms, &actions);
   for (i = 0; i < actions.count; i++)
--- a/source/control/control-spill.c
+++ b/source/control/control-spill.c
@@ -402,6 +402,19 @@
   csp_cancel_spill (control, place, now_ms);
 }
 
+/* Whether a peer owns a target by now.  Slots are listed to the owner that
+   granted them and to the present one, which learns of them only so.  */
+static bool
+owns_now (const csp_control_t *control, const char *target, const char *peer)
+{
+  csp_target_view_t view;
+  uint32_t index;
+
+  return csp_find_target (control->ownership, target, &index)
+         && csp_view_target (control->ownership, index, &view)
+         && strcmp (view.owner, peer) == 0;
+}
+
 /* Tell one owner all that this host holds there.  */
 static void
 send_holdings (csp_control_t *control, const csp_peer_address_t *peer)
@@ -426,7 +439,8 @@
       if (place->id == 0 || place->spill == NULL
           || !csp_held_by_handoff (place->spill->handoff, &holder,
                                    &slots[message.u.holdings.count])
-          || strcmp (place->spill->peers[holder].name, peer->name) != 0)
+          || (strcmp (place->spill->peers[holder].name, peer->name) != 0
+              && !owns_now (control, place->spill->target, peer->name)))
         continue;
       message.u.holdings.count++;
     }
--- a/source/entry/answer.c
+++ b/source/entry/answer.c
@@ -57,9 +57,47 @@
   mg_write (exchange->connection, json, strlen (json));
 }
 
+/* Whether an earlier copy of this request may have run: it has a key, must not
+   run twice, and no host was asked about it yet.  */
+static bool
+may_be_repeat (const csp_exchange_t *exchange)
+{
+  const char *method = exchange->info->request_method;
+  const char *path = exchange->info->local_uri;
+  bool generation = strcmp (path, "/v1/completions") == 0
+                    || strcmp (path, "/v1/chat/completions") == 0;
+  bool repeatable = generation || strcmp (method, "GET") == 0
+                    || strcmp (method, "HEAD") == 0
+                    || strcmp (method, "PUT") == 0
+                    || strcmp (method, "DELETE") == 0;
+
+  return exchange->marks.idempotency_key[0] != '\0' && exchange->claim == 0
+         && (exchange->marks.non_idempotent || !repeatable);
+}
+
+/* A host that turns a keyed call away before asking anybody knows nothing of
+   its earlier copies; "not run" from it would be believed by a caller whose
+   first attempt did run.  */
+static csp_error_t
+qualify_error (const csp_exchange_t *exchange, const csp_error_t *error)
+{
+  csp_error_t qualified = *error;
+
+  if (error->verdict != CSP_VERDICT_NOT_RUN
+      || error->reason == CSP_REASON_BAD_REQUEST
+      || error->reason == CSP_REASON_UNKNOWN_KEY || !may_be_repeat (exchange))
+    return qualified;
+  qualified.verdict = CSP_VERDICT_MAY_HAVE_RUN;
+  if (qualified.retry_after_ms == 0)
+    qualified.retry_after_ms = MS_PER_S;
+  return qualified;
+}
+
 void
-csp_answer_error (csp_exchange_t *exchange, const csp_error_t *error)
+csp_answer_error (csp_exchange_t *exchange, const csp_error_t *first)
 {
+  csp_error_t qualified = qualify_error (exchange, first);
+  const csp_error_t *error = &qualified;
   uint16_t status = csp_reason_status (error->reason);
   char *json = csp_render_error (exchange->id, error);
   char retry[64] = "";
--- a/source/membership/membership.c
+++ b/source/membership/membership.c
@@ -259,6 +259,7 @@
 view_peer (const csp_peer_t *peer, int64_t now_ms, csp_host_view_t *view)
 {
   *view = peer->view;
+  view->knows_us = peer->knows_us;
   view->in_view = csp_in_view (peer, now_ms);
   view->confirmed_age_ms
       = peer->confirmed_ms < 0 ? -1 : now_ms - peer->confirmed_ms;
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -107,7 +107,7 @@
     --listen-address 127.0.0.1 --http-port 0 --peer-port 0 \
     --platform-address 127.0.0.1 --platform-port "$(port_of platform)" \
     --stall-timeout-ms 600 --drain-notice-ms 300 \
-    --heartbeat-interval-ms 50 --suspect-after-ms 400 "$@"
+    --heartbeat-interval-ms 50 --suspect-after-ms 400 --max-streams 100 "$@"
   echo "$host_name" >>"$work/hosts"
 }
 
