Bounds on broken and hostile callers and peers

A body that dripped, one byte each 100 ms, held its thread without end (40 on 8 threads: none ended in 15 s); a stalled body held a beside-standing caller for 14.7 s; what the HTTP library refused had no verdict; a chunked body that was cut could go on as a whole one; %00 in a service path became another path; the kernel kept 2.8 MB for each caller that read nothing; ports over 65535 in a peer's frame were cut to 16 bits; overlong UTF-8, n=1.5 and class names of any bytes were taken.

Change: caller_timeout_ms (10 s) bounds head, whole body and a stalled write; a watch ends late readings; TCP_DEFER_ACCEPT keeps silent connections off the threads and SO_SNDBUF bounds what isn't read; service paths travel undecoded, with control bytes and dot segments refused; errors of the HTTP library carry the usual JSON.

Ruled out: a read timeout alone, since each byte begins it again; more threads, since any number can be held.

--- a/include/cowslipspoke/settings.h
+++ b/include/cowslipspoke/settings.h
@@ -41,6 +41,7 @@
   uint32_t max_body_bytes;
   uint32_t max_header_bytes;
   uint32_t max_queue_length;
+  uint32_t caller_timeout_ms;
 
   uint32_t stall_timeout_ms;
   uint32_t connect_timeout_ms;
--- a/source/entry/answer.c
+++ b/source/entry/answer.c
@@ -62,17 +62,18 @@
 static bool
 may_be_repeat (const csp_exchange_t *exchange)
 {
-  const char *method = exchange->info->request_method;
-  const char *path = exchange->info->local_uri;
-  bool generation = strcmp (path, "/v1/completions") == 0
-                    || strcmp (path, "/v1/chat/completions") == 0;
-  bool repeatable = generation || strcmp (method, "GET") == 0
-                    || strcmp (method, "HEAD") == 0
-                    || strcmp (method, "PUT") == 0
-                    || strcmp (method, "DELETE") == 0;
-
-  return exchange->marks.idempotency_key[0] != '\0' && exchange->claim == 0
-         && (exchange->marks.non_idempotent || !repeatable);
+  const char *method;
+  const char *path;
+
+  if (exchange->marks.idempotency_key[0] == '\0' || exchange->claim != 0)
+    return false;
+  method = exchange->info->request_method;
+  path = exchange->info->local_uri;
+  return exchange->marks.non_idempotent
+         || (strcmp (path, "/v1/completions") != 0
+             && strcmp (path, "/v1/chat/completions") != 0
+             && strcmp (method, "GET") != 0 && strcmp (method, "HEAD") != 0
+             && strcmp (method, "PUT") != 0 && strcmp (method, "DELETE") != 0);
 }
 
 /* A host that turns a keyed call away before asking anybody knows nothing of
@@ -94,14 +95,25 @@
 }
 
 void
-csp_answer_error (csp_exchange_t *exchange, const csp_error_t *first)
+csp_name_exchange (csp_exchange_t *exchange)
 {
-  csp_error_t qualified = qualify_error (exchange, first);
-  const csp_error_t *error = &qualified;
-  uint16_t status = csp_reason_status (error->reason);
-  char *json = csp_render_error (exchange->id, error);
+  csp_entry_t *entry = exchange->entry;
+  uint64_t number = atomic_fetch_add (&entry->next_request, 1);
+
+  snprintf (exchange->id, sizeof exchange->id, "%llx-%llx",
+            (unsigned long long)csp_control_incarnation (entry->control),
+            (unsigned long long)number);
+}
+
+void
+csp_answer_error (csp_exchange_t *exchange, const csp_error_t *error)
+{
+  csp_error_t qualified = qualify_error (exchange, error);
+  uint16_t status = csp_reason_status (qualified.reason);
+  char *json = csp_render_error (exchange->id, &qualified);
   char retry[64] = "";
 
+  error = &qualified;
   if (error->retry_after_ms != 0)
     snprintf (retry, sizeof retry, "Retry-After: %u\r\n",
               (error->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
@@ -127,6 +139,27 @@
            csp_text ("detail", error->detail));
 }
 
+int
+csp_answer_malformed (struct mg_connection *connection, int status,
+                      const char *message)
+{
+  csp_entry_t *entry = mg_get_user_data (mg_get_context (connection));
+  csp_exchange_t exchange
+      = { .entry = entry, .connection = connection, .socket = -1 };
+  bool too_large = status == 413 || status == 414 || status == 431;
+  csp_error_t error;
+
+  (void)message;
+  csp_set_error (&error, CSP_VERDICT_NOT_RUN,
+                 too_large ? CSP_REASON_TOO_LARGE : CSP_REASON_BAD_REQUEST, 0,
+                 too_large ? "the head of the request is too large"
+                           : "the request can't be read as HTTP/1.1");
+  csp_name_exchange (&exchange);
+  exchange.labels = csp_get_labels (entry->context->metrics, NULL, NULL);
+  csp_answer_error (&exchange, &error);
+  return 0;
+}
+
 int
 csp_begin_events (csp_exchange_t *exchange)
 {
--- a/source/entry/caller.c
+++ b/source/entry/caller.c
@@ -27,8 +27,8 @@
   return 0;
 }
 
-int
-csp_read_body (csp_exchange_t *exchange, csp_error_t *error)
+static int
+read_pieces (csp_exchange_t *exchange, csp_error_t *error)
 {
   uint32_t limit_bytes = exchange->entry->context->settings.max_body_bytes;
   size_t room_bytes = 0;
@@ -54,10 +54,12 @@
         goto too_large;
     }
   exchange->body[exchange->body_bytes] = '\0';
-  if (exchange->info->content_length > (long long)exchange->body_bytes)
+  /* A chunked body states no length: one that was cut shows only by this.  */
+  if (got < 0
+      || exchange->info->content_length > (long long)exchange->body_bytes)
     {
       csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_BAD_REQUEST, 0,
-                     "the body ended before its stated length");
+                     "the body ended before its end");
       return -1;
     }
   return 0;
@@ -68,6 +70,23 @@
   return -1;
 }
 
+int
+csp_read_body (csp_exchange_t *exchange, csp_error_t *error)
+{
+  uint32_t limit_ms = exchange->entry->context->settings.caller_timeout_ms;
+  int result;
+
+  csp_begin_reading (exchange, limit_ms);
+  result = read_pieces (exchange, error);
+  /* A body over the limit is still to be dropped.  */
+  exchange->body_read = result == 0 || error->reason != CSP_REASON_TOO_LARGE;
+  if (csp_end_reading (exchange) || result == 0)
+    return result;
+  csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_BAD_REQUEST, 0,
+                 "the body was not there within %u ms", limit_ms);
+  return -1;
+}
+
 int
 csp_identify_caller (csp_exchange_t *exchange, csp_error_t *error)
 {
--- a/source/entry/entry-imp.h
+++ b/source/entry/entry-imp.h
@@ -2,7 +2,9 @@
 #define COWSLIPSPOKE_ENTRY_IMP_H
 
 #include <civetweb.h>
+#include <pthread.h>
 #include <stdatomic.h>
+#include <sys/queue.h>
 
 #include "cowslipspoke/control.h"
 #include "cowslipspoke/entry.h"
@@ -19,10 +21,15 @@
   atomic_bool announced; /* readiness fails */
   atomic_bool draining;  /* new requests are refused */
   atomic_bool stopping;  /* open ones are ended */
+  pthread_t watch;
+  pthread_mutex_t reading_lock;
+  pthread_cond_t reading_began;
+  bool watch_stops;                     /* under reading_lock */
+  LIST_HEAD (, csp_exchange_s) reading; /* under reading_lock */
 };
 
 /* One request of a caller on its way through a traffic thread.  */
-typedef struct
+typedef struct csp_exchange_s
 {
   csp_entry_t *entry;
   struct mg_connection *connection;
@@ -38,11 +45,23 @@
   size_t body_bytes;
   uint64_t claim; /* of a call that must not run twice; 0 without one */
   int socket;     /* of the caller; -1 when it was not found */
+  LIST_ENTRY (csp_exchange_s) reading;
+  int64_t read_until_ms;
+  bool late;      /* the body was; under reading_lock */
+  bool body_read; /* to its end or to its fault */
 } csp_exchange_t;
 
+/* Give the exchange the id that its log lines and its answer carry.  */
+void csp_name_exchange (csp_exchange_t *exchange);
+
 /* Answer with an error before any byte of an answer was sent, and log it.  */
 void csp_answer_error (csp_exchange_t *exchange, const csp_error_t *error);
 
+/* Answer a request that the HTTP library refused before any handler saw it;
+   its http_error callback.  Returns 0: answered.  */
+int csp_answer_malformed (struct mg_connection *connection, int status,
+                          const char *message);
+
 /* Answer with a JSON text.  */
 void csp_answer_json (csp_exchange_t *exchange, uint16_t status,
                       const char *json);
@@ -66,12 +85,29 @@
 /* Read the body, bounded by the settings.  0, or -1 with an error.  */
 int csp_read_body (csp_exchange_t *exchange, csp_error_t *error);
 
+/* A thread that bounds the time of each reading.  0, or -1.  */
+int csp_start_watch (csp_entry_t *entry);
+void csp_stop_watch (csp_entry_t *entry);
+
+/* From begin on the caller has limit_ms to send what is read; then its reading
+   ends as if it had sent no more.  csp_end_reading is false where that
+   happened.  */
+void csp_begin_reading (csp_exchange_t *exchange, uint32_t limit_ms);
+bool csp_end_reading (csp_exchange_t *exchange);
+
+/* Read no more from the caller; what is still to come is dropped.  */
+void csp_drop_rest (csp_exchange_t *exchange);
+
 /* Find the organisation by the bearer key.  0, or -1 with an error.  */
 int csp_identify_caller (csp_exchange_t *exchange, csp_error_t *error);
 
 /* The descriptor of a caller's socket at our port; -1 when there is none.  */
 int csp_find_caller_socket (const struct mg_request_info *info, uint16_t port);
 
+/* Let the kernel keep connections at our port until their first byte came, and
+   bound what it keeps for callers that don't read.  */
+void csp_bound_callers (uint16_t port);
+
 /* Whether the caller of an exchange hung up, or shut its side down, which is
    taken for the same.  */
 bool csp_caller_is_gone (void *state);
--- a/source/entry/request.c
+++ b/source/entry/request.c
@@ -1,6 +1,7 @@
 #include "cowslipspoke/request.h"
 
 #include "cowslipspoke/hash.h"
+#include "cowslipspoke/text.h"
 
 #include <errno.h>
 #include <json-c/json.h>
@@ -70,6 +71,16 @@
   return 0;
 }
 
+/* A class is repeated in errors, which are JSON and so UTF-8.  */
+static bool
+is_plain (const char *text)
+{
+  for (; *text != '\0'; text++)
+    if (*text <= ' ' || *text > '~')
+      return false;
+  return true;
+}
+
 static int
 refuse (csp_error_t *error, const char *what, const char *allowed)
 {
@@ -89,8 +100,9 @@
     return refuse (error, "Idempotency-Key", "a text of 1 to 255 bytes");
   if (read_name (fields->class_name, marks->class_name,
                  sizeof marks->class_name)
-      != 0)
-    return refuse (error, "X-Class", "a name of 1 to 63 bytes");
+          != 0
+      || !is_plain (marks->class_name))
+    return refuse (error, "X-Class", "a name of 1 to 63 ASCII letters");
   if (read_flag (fields->non_idempotent, &marks->non_idempotent) != 0)
     return refuse (error, "X-Non-Idempotent", "true or false");
   if (read_number (fields->attempt, MAX_ATTEMPT, &marks->attempt) != 0)
@@ -104,13 +116,17 @@
 static json_object *
 parse_body (const char *body, size_t size_bytes)
 {
-  json_tokener *tokener = json_tokener_new ();
+  json_tokener *tokener;
   json_object *document = NULL;
 
+  /* json-c lets overlong forms pass, which an engine may read as other
+     characters than we do.  */
+  if (!csp_is_utf8 (body, size_bytes))
+    return NULL;
+  tokener = json_tokener_new ();
   if (tokener == NULL)
     return NULL;
-  json_tokener_set_flags (tokener,
-                          JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+  json_tokener_set_flags (tokener, JSON_TOKENER_STRICT);
   document = json_tokener_parse_ex (tokener, body, (int)size_bytes);
   if (json_tokener_get_error (tokener) != json_tokener_success
       || json_tokener_get_parse_end (tokener) != size_bytes)
@@ -192,7 +208,8 @@
       request->max_tokens = (uint32_t)bound;
     }
   if (json_object_object_get_ex (request->body, "n", &member)
-      && json_object_get_int64 (member) != 1)
+      && (!json_object_is_type (member, json_type_int)
+          || json_object_get_int64 (member) != 1))
     return refuse (error, "n", "1: one answer to a request");
   return read_prompt (request, error);
 }
--- a/source/entry/server.c
+++ b/source/entry/server.c
@@ -13,7 +13,8 @@
   LISTEN_BACKLOG = 1024,
   RETRY_ELSEWHERE_MS = 1000,
   SERVER_OPTIONS = 20,
-  OPTION_BYTES = 64
+  OPTION_BYTES = 64,
+  PATH_BYTES = 4096
 };
 
 static bool
@@ -21,7 +22,6 @@
                 struct mg_connection *connection, csp_error_t *error)
 {
   csp_request_marks_t fields;
-  uint64_t number = atomic_fetch_add (&entry->next_request, 1);
 
   memset (exchange, 0, sizeof *exchange);
   exchange->entry = entry;
@@ -29,9 +29,7 @@
   exchange->info = mg_get_request_info (connection);
   exchange->socket = csp_find_caller_socket (exchange->info, entry->port);
   exchange->arrived_ms = csp_now_ms (&entry->context->clock);
-  snprintf (exchange->id, sizeof exchange->id, "%llx-%llx",
-            (unsigned long long)csp_control_incarnation (entry->control),
-            (unsigned long long)number);
+  csp_name_exchange (exchange);
   exchange->labels = csp_get_labels (entry->context->metrics, NULL, NULL);
   fields.idempotency_key = mg_get_header (connection, "Idempotency-Key");
   fields.non_idempotent = mg_get_header (connection, "X-Non-Idempotent");
@@ -61,6 +59,7 @@
 static void
 end_exchange (csp_exchange_t *exchange)
 {
+  csp_drop_rest (exchange);
   csp_put_view (exchange->view);
   free (exchange->body);
   atomic_fetch_sub (&exchange->entry->open_requests, 1);
@@ -197,13 +196,41 @@
   return 200;
 }
 
+/* The path goes to the target as the caller wrote it.  One with a control
+   byte or a dot segment, plain or encoded, would be another path there than
+   the one that was matched here.  */
+static bool
+is_plain_path (const char *path)
+{
+  char text[PATH_BYTES];
+  int size_bytes
+      = mg_url_decode (path, (int)strlen (path), text, sizeof text, 0);
+  const char *at = text;
+  size_t segment_bytes;
+  int i;
+
+  for (i = 0; i < size_bytes; i++)
+    if ((unsigned char)text[i] < ' ' || text[i] == '\x7f')
+      return false;
+  while (size_bytes >= 0 && *at == '/')
+    {
+      at++;
+      segment_bytes = strcspn (at, "/");
+      if ((segment_bytes == 1 && at[0] == '.')
+          || (segment_bytes == 2 && at[0] == '.' && at[1] == '.'))
+        return false;
+      at += segment_bytes;
+    }
+  return size_bytes >= 0;
+}
+
 /* "/v1/services/NAME/REST", or a path below a service's own prefix.  */
 static const csp_service_t *
 find_called_service (const csp_exchange_t *exchange, const char **rest)
 {
   static const char prefix[] = "/v1/services/";
   const csp_declaration_t *declaration = csp_view_declaration (exchange->view);
-  const char *path = exchange->info->local_uri;
+  const char *path = exchange->info->local_uri_raw;
   char name[CSP_NAME_BYTES];
   size_t size_bytes;
 
@@ -230,7 +257,15 @@
   if (open_exchange (&exchange, state, connection))
     {
       service = find_called_service (&exchange, &rest);
-      if (service != NULL)
+      if (!is_plain_path (exchange.info->local_uri_raw))
+        {
+          csp_set_error (&error, CSP_VERDICT_NOT_RUN, CSP_REASON_BAD_REQUEST,
+                         0,
+                         "the path has control bytes or dot segments, or "
+                         "is too long");
+          csp_answer_error (&exchange, &error);
+        }
+      else if (service != NULL)
         csp_serve_call (&exchange, service, rest);
       else
         {
@@ -353,6 +388,7 @@
   snprintf (texts[1], OPTION_BYTES, "%u", settings->max_streams);
   snprintf (texts[2], OPTION_BYTES, "%u", settings->max_header_bytes);
   snprintf (texts[3], OPTION_BYTES, "%d", LISTEN_BACKLOG);
+  snprintf (texts[4], OPTION_BYTES, "%u", settings->caller_timeout_ms);
   options[n++] = "listening_ports";
   options[n++] = texts[0];
   options[n++] = "num_threads";
@@ -361,6 +397,12 @@
   options[n++] = texts[2];
   options[n++] = "listen_backlog";
   options[n++] = texts[3];
+  options[n++] = "request_timeout_ms";
+  options[n++] = texts[4];
+  /* Decoded, an encoded NUL cuts a path and an encoded line end splits the
+     request that a service gets.  */
+  options[n++] = "decode_url";
+  options[n++] = "no";
   options[n++] = "tcp_nodelay";
   options[n++] = "1";
   options[n++] = "enable_keep_alive";
@@ -374,9 +416,10 @@
 {
   const csp_settings_t *settings = &context->settings;
   csp_entry_t *entry = calloc (1, sizeof *entry);
-  struct mg_callbacks callbacks
-      = { .init_thread = register_thread, .exit_thread = unregister_thread };
-  char texts[4][OPTION_BYTES];
+  struct mg_callbacks callbacks = { .init_thread = register_thread,
+                                    .exit_thread = unregister_thread,
+                                    .http_error = csp_answer_malformed };
+  char texts[5][OPTION_BYTES];
   const char *options[SERVER_OPTIONS];
   struct mg_server_port port;
   size_t i;
@@ -398,14 +441,21 @@
   mg_init_library (
       settings->caller_tls.certificate_file[0] != '\0' ? MG_FEATURES_TLS : 0);
   fill_options (settings, texts, options);
+  if (csp_start_watch (entry) != 0)
+    {
+      free (entry);
+      return NULL;
+    }
   entry->server = mg_start (&callbacks, entry, options);
   if (entry->server == NULL)
     {
+      csp_stop_watch (entry);
       free (entry);
       return NULL;
     }
   if (mg_get_server_ports (entry->server, 1, &port) == 1)
     entry->port = (uint16_t)port.port;
+  csp_bound_callers (entry->port);
   for (i = 0; i < sizeof handlers / sizeof handlers[0]; i++)
     mg_set_request_handler (entry->server, handlers[i].path,
                             handlers[i].handler, entry);
@@ -449,5 +499,6 @@
     return;
   mg_stop (entry->server);
   mg_exit_library ();
+  csp_stop_watch (entry);
   free (entry);
 }
--- a/source/peer/peer-decode.c
+++ b/source/peer/peer-decode.c
@@ -139,6 +139,8 @@
 {
   csp_reserve_answer_t *answer = &reserved->answer;
 
+  if (wire->port > UINT16_MAX)
+    return false;
   answer->ask_id = wire->ask_id;
   answer->granted = wire->granted;
   answer->nonce = wire->nonce;
--- a/source/peer/peer-heartbeat.c
+++ b/source/peer/peer-heartbeat.c
@@ -174,6 +174,8 @@
                       csp_heartbeat_t *heartbeat)
 {
   memset (heartbeat, 0, sizeof *heartbeat);
+  if (wire->http_port > UINT16_MAX || wire->peer_port > UINT16_MAX)
+    return false;
   heartbeat->protocol = wire->protocol;
   heartbeat->deployment = wire->deployment;
   heartbeat->http_port = (uint16_t)wire->http_port;
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -101,6 +101,11 @@
     NUMBER (max_queue_length, 1, 100000),
     .standard = "1000",
     .help = "requests that wait on this host at most" },
+  { .name = "caller_timeout_ms",
+    NUMBER (caller_timeout_ms, 100, 600000),
+    .standard = "10000",
+    .help = "longest wait for a caller: for the head of its request, for more "
+            "of the body, and for room to send it more" },
   { .name = "stall_timeout_ms",
     NUMBER (stall_timeout_ms, 50, 600000),
     .standard = "2000",
