Requests are counted under their class, errors under what was told

Cause: the demo's measures showed a class with an empty name, since requests were counted before their class was known; the linter found a parameter named otherwise than in its header. Change: a request is counted when its class is known; the qualified error is what is counted and logged too.

--- a/source/entry/answer.c
+++ b/source/entry/answer.c
@@ -94,37 +94,36 @@
 }
 
 void
-csp_answer_error (csp_exchange_t *exchange, const csp_error_t *first)
+csp_answer_error (csp_exchange_t *exchange, const csp_error_t *error)
 {
-  csp_error_t qualified = qualify_error (exchange, first);
-  const csp_error_t *error = &qualified;
-  uint16_t status = csp_reason_status (error->reason);
-  char *json = csp_render_error (exchange->id, error);
+  csp_error_t told = qualify_error (exchange, error);
+  uint16_t status = csp_reason_status (told.reason);
+  char *json = csp_render_error (exchange->id, &told);
   char retry[64] = "";
 
-  if (error->retry_after_ms != 0)
+  if (told.retry_after_ms != 0)
     snprintf (retry, sizeof retry, "Retry-After: %u\r\n",
-              (error->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+              (told.retry_after_ms + MS_PER_S - 1) / MS_PER_S);
   mg_printf (exchange->connection,
              "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
              "Content-Length: %zu\r\nX-Request-Id: %s\r\nX-Verdict: %s\r\n%s"
              "Cache-Control: no-store\r\nConnection: close\r\n\r\n",
              status, mg_get_response_code_text (exchange->connection, status),
              json == NULL ? 0 : strlen (json), exchange->id,
-             csp_verdict_name (error->verdict), retry);
+             csp_verdict_name (told.verdict), retry);
   if (json != NULL)
     mg_write (exchange->connection, json, strlen (json));
   free (json);
   csp_count_end (exchange->entry->context->metrics, exchange->labels,
-                 error->reason, error->verdict);
+                 told.reason, told.verdict);
   CSP_LOG (exchange->entry->context->log, CSP_EVENT_REQUEST_REFUSED,
            exchange->id,
            csp_text ("organisation", exchange->organisation == NULL
                                          ? NULL
                                          : exchange->organisation->name),
-           csp_text ("reason", csp_reason_code (error->reason)),
-           csp_text ("verdict", csp_verdict_name (error->verdict)),
-           csp_text ("detail", error->detail));
+           csp_text ("reason", csp_reason_code (told.reason)),
+           csp_text ("verdict", csp_verdict_name (told.verdict)),
+           csp_text ("detail", told.detail));
 }
 
 int
--- a/source/entry/call.c
+++ b/source/entry/call.c
@@ -75,6 +75,7 @@
     return -1;
   if (exchange->marks.deadline_ms == 0 && call->service->deadline_ms != 0)
     exchange->deadline_ms = exchange->arrived_ms + call->service->deadline_ms;
+  csp_count (exchange->labels, CSP_COUNT_REQUESTS, 1);
   call->ask.request_id = exchange->id;
   call->ask.organisation = exchange->organisation->name;
   call->ask.model = call->service->name;
--- a/source/entry/caller.c
+++ b/source/entry/caller.c
@@ -76,8 +76,6 @@
   char hex[CSP_SHA256_HEX_BYTES];
 
   exchange->view = csp_take_view (exchange->entry->control);
-  exchange->labels = csp_get_labels (exchange->entry->context->metrics, NULL,
-                                     exchange->marks.class_name);
   declaration = csp_view_declaration (exchange->view);
   if (declaration == NULL)
     {
@@ -99,9 +97,7 @@
       return -1;
     }
   exchange->labels = csp_get_labels (exchange->entry->context->metrics,
-                                     exchange->organisation->name,
-                                     exchange->marks.class_name);
-  csp_count (exchange->labels, CSP_COUNT_REQUESTS, 1);
+                                     exchange->organisation->name, NULL);
   return 0;
 }
 
--- a/source/entry/generate.c
+++ b/source/entry/generate.c
@@ -511,6 +511,7 @@
   exchange->labels
       = csp_get_labels (exchange->entry->context->metrics,
                         exchange->organisation->name, facts.class_name);
+  csp_count (exchange->labels, CSP_COUNT_REQUESTS, 1);
   run->ask.kind = CSP_POOL_ENGINES;
   run->ask.prompt_tokens = facts.prompt_tokens;
   run->ask.max_tokens = bound_tokens (run);
