--- a/source/target/engine.c
+++ b/source/target/engine.c
@@ -3,7 +3,6 @@
 #include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "cowslipspoke/sse.h"
 #include "target/http-imp.h"
@@ -31,6 +30,7 @@
   csp_sse_reader_t *reader;
   csp_link_end_t end; /* CSP_LINK_END_COUNT while undecided */
   bool said_not_run;
+  csp_send_gate_t gate;
   int64_t last_token_ms;
   size_t error_bytes;
   char error_body[ERROR_BODY_BYTES];
@@ -125,11 +125,9 @@
 static size_t
 take_header (char *data, size_t unit, size_t count, void *state)
 {
-  static const char mark[] = "X-Verdict: not run";
   transfer_t *transfer = state;
 
-  if (unit * count >= sizeof mark - 1
-      && strncasecmp (data, mark, sizeof mark - 1) == 0)
+  if (csp_says_not_run (data, unit * count))
     transfer->said_not_run = true;
   return unit * count;
 }
@@ -243,20 +241,6 @@
   return curl_slist_append (headers, line);
 }
 
-static int
-ask_may_send (void *state, char *address, char *local_address, int port,
-              int local_port)
-{
-  const csp_link_t *link = ((transfer_t *)state)->link;
-
-  (void)address;
-  (void)local_address;
-  (void)port;
-  (void)local_port;
-  return link->may_send (link->state) ? CURL_PREREQFUNC_OK
-                                      : CURL_PREREQFUNC_ABORT;
-}
-
 static void
 set_request (transfer_t *transfer, struct curl_slist *headers)
 {
@@ -272,11 +256,7 @@
     }
   else
     curl_easy_setopt (call, CURLOPT_POSTFIELDS, transfer->link->body);
-  if (transfer->link->may_send != NULL)
-    {
-      curl_easy_setopt (call, CURLOPT_PREREQFUNCTION, ask_may_send);
-      curl_easy_setopt (call, CURLOPT_PREREQDATA, transfer);
-    }
+  csp_set_send_gate (call, &transfer->gate);
   curl_easy_setopt (call, CURLOPT_WRITEFUNCTION, take_body);
   curl_easy_setopt (call, CURLOPT_WRITEDATA, transfer);
   curl_easy_setopt (call, CURLOPT_HEADERFUNCTION, take_header);
@@ -290,6 +270,7 @@
   transfer_t transfer = { .link = link,
                           .generation = generation,
                           .report = report,
+                          .gate = { link->may_send, link->state },
                           .end = CSP_LINK_END_COUNT,
                           .last_token_ms = csp_now_ms (link->clock) };
   struct curl_slist *headers = NULL;
--- a/source/target/http.c
+++ b/source/target/http.c
@@ -1,5 +1,7 @@
 #include "target/http-imp.h"
 
+#include <strings.h>
+
 CURL *
 csp_create_call (const csp_endpoint_t *endpoint, const char *path,
                  uint32_t connect_timeout_ms)
@@ -33,3 +35,35 @@
   curl_easy_getinfo (call, CURLINFO_REQUEST_SIZE, &request_bytes);
   return request_bytes == 0;
 }
+
+static int
+ask_gate (void *state, char *address, char *local_address, int port,
+          int local_port)
+{
+  const csp_send_gate_t *gate = state;
+
+  (void)address;
+  (void)local_address;
+  (void)port;
+  (void)local_port;
+  return gate->may_send (gate->state) ? CURL_PREREQFUNC_OK
+                                      : CURL_PREREQFUNC_ABORT;
+}
+
+void
+csp_set_send_gate (CURL *call, csp_send_gate_t *gate)
+{
+  if (gate->may_send == NULL)
+    return;
+  curl_easy_setopt (call, CURLOPT_PREREQFUNCTION, ask_gate);
+  curl_easy_setopt (call, CURLOPT_PREREQDATA, gate);
+}
+
+bool
+csp_says_not_run (const char *line, size_t size_bytes)
+{
+  static const char mark[] = "X-Verdict: not run";
+
+  return size_bytes >= sizeof mark - 1
+         && strncasecmp (line, mark, sizeof mark - 1) == 0;
+}
--- a/source/target/service-call.c
+++ b/source/target/service-call.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "cowslipspoke/text.h"
 #include "target/http-imp.h"
@@ -18,6 +17,7 @@
   const csp_service_link_t *link;
   csp_service_answer_t *answer;
   bool said_not_run;
+  csp_send_gate_t gate;
 } service_transfer_t;
 
 static size_t
@@ -43,11 +43,9 @@
 static size_t
 read_header (char *data, size_t unit, size_t count, void *state)
 {
-  static const char mark[] = "X-Verdict: not run";
   service_transfer_t *transfer = state;
 
-  if (unit * count >= sizeof mark - 1
-      && strncasecmp (data, mark, sizeof mark - 1) == 0)
+  if (csp_says_not_run (data, unit * count))
     transfer->said_not_run = true;
   return unit * count;
 }
@@ -64,20 +62,6 @@
   return curl_slist_append (headers, line);
 }
 
-static int
-ask_may_send (void *state, char *address, char *local_address, int port,
-              int local_port)
-{
-  const csp_service_link_t *link = ((service_transfer_t *)state)->link;
-
-  (void)address;
-  (void)local_address;
-  (void)port;
-  (void)local_port;
-  return link->may_send (link->state) ? CURL_PREREQFUNC_OK
-                                      : CURL_PREREQFUNC_ABORT;
-}
-
 static void
 set_call (CURL *call, service_transfer_t *transfer, struct curl_slist *headers)
 {
@@ -91,11 +75,7 @@
     }
   else if (strcmp (link->method, "HEAD") == 0)
     curl_easy_setopt (call, CURLOPT_NOBODY, 1L);
-  if (link->may_send != NULL)
-    {
-      curl_easy_setopt (call, CURLOPT_PREREQFUNCTION, ask_may_send);
-      curl_easy_setopt (call, CURLOPT_PREREQDATA, transfer);
-    }
+  csp_set_send_gate (call, &transfer->gate);
   curl_easy_setopt (call, CURLOPT_CUSTOMREQUEST, link->method);
   curl_easy_setopt (call, CURLOPT_WRITEFUNCTION, keep_body);
   curl_easy_setopt (call, CURLOPT_WRITEDATA, transfer);
@@ -157,7 +137,8 @@
 csp_run_service_link (const csp_service_link_t *link,
                       csp_service_answer_t *answer)
 {
-  service_transfer_t transfer = { link, answer, false };
+  service_transfer_t transfer
+      = { link, answer, false, { link->may_send, link->state } };
   CURL *call = csp_create_call (&link->endpoint, link->path,
                                 link->connect_timeout_ms);
   CURLM *multi = curl_multi_init ();
