Include of the cost bench

Ruled out: putting the include back into placement.h, which doesn't use it. Change: the bench includes random.h itself.

--- a/bench/cost-bench.c
+++ b/bench/cost-bench.c
@@ -5,6 +5,7 @@
 #include "cowslipspoke/placement.h"
 #include "cowslipspoke/preemption.h"
 #include "cowslipspoke/queue.h"
+#include "cowslipspoke/random.h"
 
 #include <malloc.h>
 #include <stdio.h>
