Orders: an answer still to come is not taken for the next order's

A restart of the engine dropped the open order at once, so the late answer of the first could be counted for the one after it; now the answer is awaited.

--- a/source/order/order-decide.c
+++ b/source/order/order-decide.c
@@ -63,7 +63,9 @@
     engine->highest_fence = report->fence;
   if (!restarted)
     return false;
-  engine->open = false;
+  /* An answer that is still to come must not be taken for the next order's. */
+  if (engine->answered)
+    engine->open = false;
   engine->status.restarts++;
   action->events |= CSP_ORDER_SAW_RESTART;
   return true;
--- a/tests/session/orders.sh
+++ b/tests/session/orders.sh
@@ -89,8 +89,8 @@
 publish_hosts
 wait_ready h2
 wait_until 30 saw_event h2 order-held-back
-loaded e1
 wait_until 30 has_loaded e2 '{"m-small":"3","m-large":"1"}'
+loaded e1
 signal_to h1 CONT
 echo "# e2 ignores the number and took the old order; healed, it goes again"
 wait_until 30 has_loaded e2 '{"m-small":"3"}'
