Waits of sessions are bounded in seconds; the demo takes a key of a host

wait_until counted tries, so that a limit of 30 s lasted 300 s where each try took seconds: the session of repeats ran into the runner's limit under sanitizers that way. It now looks at the clock, and two limits that had relied on the longer time (three paced reads of a stale service, and hosts that have to be 20 s older than a key) say 30 s and 60 s; what they wait for is unchanged. Raising the runner's limit was ruled out, since it hides a hanging session.

--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -93,21 +93,14 @@
 call_as pwani proposal h2 --chat --prompt "Draft a proposal" --tokens 120
 expect "the whole proposal, each token once" got proposal complete=yes
 
-# Hosts that are younger than a key can't tell whether they have seen it.
-lease_is_scored() {
-  new_key
-  call_later score1 h1 --key key-pwani --service leases/score --method POST \
-    --body '{"lease": 7}' --non-idempotent --idempotency-key "$new_key" \
-    --attempt 1 --show-body
-  finish score1 >"$work/finished"
-  got score1 status=200
-}
-
 say "Pwani scores a lease through h1 and, under the same key, through h2"
-wait_until 30 lease_is_scored
-show pwani score1
+home=$(call h1 --path /v1/idempotency-home --method GET --show-body |
+  sed -n 's/.*"host_token":"\([^"]*\)".*/\1/p')
+call_as pwani score1 h1 --service leases/score --method POST \
+  --body '{"lease": 7}' --non-idempotent --idempotency-key "$home~lease-7" \
+  --attempt 1 --show-body
 call_as pwani score2 h2 --service leases/score --method POST \
-  --body '{"lease": 7}' --non-idempotent --idempotency-key "$new_key" \
+  --body '{"lease": 7}' --non-idempotent --idempotency-key "$home~lease-7" \
   --attempt 2 --show-body
 calls=$(count_calls s1)
 echo "   the service counted $calls call(s)"
@@ -149,7 +142,7 @@
 say "measures of h2: counters, and means of its histograms"
 request h2 GET /metrics | awk '
   /^#/ { next }
-  /_total[{ ]/ { print "   " $0 }
+  /_total[{ ]/ && $2 > 0 { print "   " $0 }
   /_sum[{ ]/ { name = $1; sub(/_sum/, "", name); sum[name] = $2 }
   /_count[{ ]/ { name = $1; sub(/_count/, "", name)
     if ($2 > 0)
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -53,10 +53,9 @@
 wait_until() {
   limit_s=$1
   shift
-  tries=$((limit_s * 20))
+  give_up_s=$(($(date +%s) + limit_s))
   until "$@"; do
-    tries=$((tries - 1))
-    if [ $tries -le 0 ] || [ ! -d "$work" ]; then
+    if [ "$(date +%s)" -gt $give_up_s ] || [ ! -d "$work" ]; then
       echo "gave up after $limit_s s: $*"
       exit 1
     fi
--- a/tests/session/once.sh
+++ b/tests/session/once.sh
@@ -22,7 +22,7 @@
   new_key
   score h1 --attempt 1 | grep -q 'status=200'
 }
-wait_until 30 keys_are_decided
+wait_until 60 keys_are_decided
 before=$(count_calls s1)
 
 echo "# through one host and then through each of the others"
--- a/tests/session/stale-platform.sh
+++ b/tests/session/stale-platform.sh
@@ -11,7 +11,7 @@
 
 request platform POST /test/mode '{"stale_revision":2}'
 reads=$(count_reads)
-wait_until 10 has_read_more "$reads" 3
+wait_until 30 has_read_more "$reads" 3
 echo "# the host has read the older revision and keeps the newer one"
 call h1 --tokens 5 --model m-two | head -n 1
 call h1 --tokens 5
@@ -20,7 +20,7 @@
 request platform POST /test/mode '{"stale_revision":0}'
 publish_config '"route/m-bad": {"pool": "nowhere"}'
 reads=$(count_reads)
-wait_until 10 has_read_more "$reads" 2
+wait_until 30 has_read_more "$reads" 2
 call h1 --tokens 5 --model m-bad | head -n 1
 call h1 --tokens 5
 echo "# mended"
