--- a/source/control/control-status.c
+++ b/source/control/control-status.c
@@ -70,6 +70,36 @@
   return list;
 }
 
+static const char *const liveness_names[]
+    = { "unconfirmed", "alive", "cut", "silent" };
+
+static json_object *
+render_hosts (csp_control_t *control, int64_t now_ms)
+{
+  json_object *list = json_object_new_array ();
+  size_t count = csp_count_hosts (control->membership);
+  csp_host_view_t view;
+  json_object *row;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      csp_view_host (control->membership, i, now_ms, &view);
+      if (view.self)
+        continue;
+      row = json_object_new_object ();
+      add_text (row, "name", view.name);
+      add_text (row, "data_centre", view.data_centre);
+      add_text (row, "liveness", liveness_names[view.liveness]);
+      add_text (row, "state",
+                view.state == CSP_MEMBER_LIVE ? "live" : "leaving");
+      add_number (row, "revision", view.revision);
+      add_number (row, "headroom_tokens", view.headroom_tokens);
+      json_object_array_add (list, row);
+    }
+  return list;
+}
+
 static json_object *
 render_pools (csp_control_t *control)
 {
@@ -104,6 +134,7 @@
   add_number (object, "host_list_version", control->host_watch.version);
   add_number (object, "granted", (int64_t)control->granted);
   add_number (object, "refused", (int64_t)control->refused);
+  json_object_object_add (object, "hosts", render_hosts (control, now_ms));
   json_object_object_add (object, "pools", render_pools (control));
   json_object_object_add (object, "targets", render_targets (control, now_ms));
   text = strdup (
