Slow engines are told by the data centre's hosts together

Cause: a host of today's size owns one or two engines; a median over them says nothing, and the slow engine, whose streams hold little, got the most work. Ruled out: a fixed limit for gaps, which differ by model and load. Change: heartbeats carry each host's median gap and how many of its targets are closed; the control thread gives their median to the health decision.

--- a/include/cowslipspoke/membership.h
+++ b/include/cowslipspoke/membership.h
@@ -108,6 +108,10 @@
   uint32_t alive_ms;
   uint32_t protocol;
   uint32_t owned_targets;
+  /* Median gap between tokens on the targets owned, and how many of those
+     are closed as slow; see health.h.  */
+  uint32_t median_gap_us;
+  uint32_t targets_out;
   csp_member_state_t state;
   csp_suspect_t suspects[CSP_MAX_SUSPECTS];
   csp_summary_t summaries[CSP_MAX_SUMMARIES];
@@ -132,6 +136,8 @@
   bool service_silent;
   int64_t headroom_tokens;
   uint32_t owned_targets;
+  uint32_t median_gap_us;
+  uint32_t targets_out;
 } csp_local_state_t;
 
 typedef struct
@@ -208,6 +214,8 @@
   int64_t list_version;
   int64_t headroom_tokens;
   uint32_t owned_targets;
+  uint32_t median_gap_us;
+  uint32_t targets_out;
 } csp_host_view_t;
 
 typedef enum
--- a/source/control/control-choose.c
+++ b/source/control/control-choose.c
@@ -1,16 +1,20 @@
 #include "control/control-imp.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* Which target a request gets: gathers what the decisions of placement,
    health and shifting need, and asks them.  */
 
+static const double us_per_ms = 1000;
+
 enum
 {
   AVOID_FIRST_MS = 500,
   AVOID_MOST_MS = 16000,
   AVOID_DOUBLINGS = 5,
   WEIGH_MS = 1000,
+  MEDIANS_MOST = 256,
   /* Targets that are listed when a host starts are in full service; what is
      listed later is new.  */
   START_MS = 10000
@@ -195,6 +199,46 @@
     csp_start_shift (&target->shift, &control->shift_policy, now_ms);
 }
 
+static int
+compare_numbers (const void *left, const void *right)
+{
+  uint32_t a = *(const uint32_t *)left;
+  uint32_t b = *(const uint32_t *)right;
+
+  return (a > b) - (a < b);
+}
+
+/* A host that owns one engine or two can't tell a slow one by its peers; the
+   medians of the data centre's other hosts, from their heartbeats, tell it. */
+static void
+follow_fleet_health (csp_control_t *control, int64_t now_ms)
+{
+  size_t known = csp_count_hosts (control->membership);
+  uint32_t medians[MEDIANS_MOST];
+  uint32_t count = 0;
+  uint32_t targets = 0;
+  uint32_t out = 0;
+  csp_host_view_t view;
+  size_t i;
+
+  for (i = 0; i < known && count < MEDIANS_MOST; i++)
+    {
+      csp_view_host (control->membership, i, now_ms, &view);
+      if (view.self || view.liveness != CSP_PEER_ALIVE
+          || strcmp (view.data_centre, control->context->settings.data_centre)
+                 != 0)
+        continue;
+      targets += view.owned_targets;
+      out += view.targets_out;
+      if (view.median_gap_us > 0)
+        medians[count++] = view.median_gap_us;
+    }
+  qsort (medians, count, sizeof medians[0], compare_numbers);
+  csp_set_fleet_health (control->health,
+                        count == 0 ? 0 : medians[count / 2] / us_per_ms,
+                        targets, out);
+}
+
 void
 csp_tick_choices (csp_control_t *control, int64_t now_ms)
 {
@@ -204,6 +248,7 @@
 
   if (now_ms >= control->next_weigh_ms)
     {
+      follow_fleet_health (control, now_ms);
       csp_weigh_health (control->health, now_ms);
       control->next_weigh_ms = now_ms + WEIGH_MS;
     }
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -10,6 +10,7 @@
 enum
 {
   FOLLOW_MS = 1000,
+  US_PER_MS = 1000,
   /* Longer than an engine goes on with a cut stream (30 s).  */
   FORGET_HOLDER_MS = 35000
 };
@@ -197,6 +198,9 @@
   local.service_silent = spread.service_silent;
   local.headroom_tokens = csp_sum_headroom (control, now_ms);
   local.owned_targets = (uint32_t)owned.owned;
+  local.median_gap_us
+      = (uint32_t)(csp_health_median_ms (control->health) * US_PER_MS);
+  local.targets_out = csp_health_out (control->health);
   csp_set_local_state (control->membership, &local);
 }
 
--- a/source/membership/membership-ask.c
+++ b/source/membership/membership-ask.c
@@ -24,6 +24,8 @@
   said->list_version = membership->list_version;
   said->headroom_tokens = local->headroom_tokens;
   said->owned_targets = local->owned_targets;
+  said->median_gap_us = local->median_gap_us;
+  said->targets_out = local->targets_out;
   if (to != NULL && to->knows_us)
     return;
   memcpy (said->region, self->region, sizeof said->region);
--- a/source/membership/membership-hear.c
+++ b/source/membership/membership-hear.c
@@ -141,6 +141,8 @@
   view->list_version = heard->list_version;
   view->headroom_tokens = heard->headroom_tokens;
   view->owned_targets = heard->owned_targets;
+  view->median_gap_us = heard->median_gap_us;
+  view->targets_out = heard->targets_out;
   peer->heard_ms = now_ms;
   csp_hear_suspects (membership, heard, now_ms);
   csp_hear_summaries (membership, heard, now_ms);
--- a/source/peer/peer-heartbeat.c
+++ b/source/peer/peer-heartbeat.c
@@ -105,6 +105,8 @@
   wire->list_version = heartbeat->list_version;
   wire->headroom_tokens = heartbeat->headroom_tokens;
   wire->owned_targets = heartbeat->owned_targets;
+  wire->median_gap_us = heartbeat->median_gap_us;
+  wire->targets_out = heartbeat->targets_out;
   wire->known_incarnation = heartbeat->known_incarnation;
   wire->alive_ms = heartbeat->alive_ms;
   pack_suspects (heartbeat, scratch);
@@ -188,6 +190,8 @@
   heartbeat->list_version = wire->list_version;
   heartbeat->headroom_tokens = wire->headroom_tokens;
   heartbeat->owned_targets = wire->owned_targets;
+  heartbeat->median_gap_us = wire->median_gap_us;
+  heartbeat->targets_out = wire->targets_out;
   heartbeat->known_incarnation = wire->known_incarnation;
   heartbeat->alive_ms = wire->alive_ms;
   return csp_read_wire_text (heartbeat->name, sizeof heartbeat->name,
--- a/source/peer/peer.pb-c.c
+++ b/source/peer/peer.pb-c.c
@@ -1459,7 +1459,7 @@
   (ProtobufCMessageInit) csp_wire__summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_wire__heartbeat__field_descriptors[22] =
+static const ProtobufCFieldDescriptor csp_wire__heartbeat__field_descriptors[24] =
 {
   {
     "protocol",
@@ -1725,6 +1725,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "median_gap_us",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, median_gap_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets_out",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspWire__Heartbeat, targets_out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_wire__heartbeat__field_indices_by_name[] = {
   5,   /* field[5] = address */
@@ -1738,6 +1762,7 @@
   18,   /* field[18] = known_incarnation */
   10,   /* field[10] = leaving */
   15,   /* field[15] = list_version */
+  22,   /* field[22] = median_gap_us */
   2,   /* field[2] = name */
   17,   /* field[17] = owned_targets */
   7,   /* field[7] = peer_port */
@@ -1749,11 +1774,12 @@
   14,   /* field[14] = service_silent */
   21,   /* field[21] = summaries */
   20,   /* field[20] = suspects */
+  23,   /* field[23] = targets_out */
 };
 static const ProtobufCIntRange csp_wire__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor csp_wire__heartbeat__descriptor =
 {
@@ -1763,7 +1789,7 @@
   "CspWire__Heartbeat",
   "csp_wire",
   sizeof(CspWire__Heartbeat),
-  22,
+  24,
   csp_wire__heartbeat__field_descriptors,
   csp_wire__heartbeat__field_indices_by_name,
   1,  csp_wire__heartbeat__number_ranges,
--- a/source/peer/peer.pb-c.h
+++ b/source/peer/peer.pb-c.h
@@ -126,10 +126,12 @@
   CspWire__Suspect **suspects;
   size_t n_summaries;
   CspWire__Summary **summaries;
+  uint32_t median_gap_us;
+  uint32_t targets_out;
 };
 #define CSP_WIRE__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_wire__heartbeat__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  CspWire__CarryAsk
--- a/tests/support/fleet-bytes.c
+++ b/tests/support/fleet-bytes.c
@@ -74,6 +74,7 @@
         + count_number ((uint64_t)said->list_version)
         + count_number ((uint64_t)said->headroom_tokens)
         + count_number (said->owned_targets)
+        + count_number (said->median_gap_us) + count_number (said->targets_out)
         + count_fixed (said->known_incarnation)
         + count_number (said->alive_ms);
   uint8_t i;
