--- a/source/entry/answer.c
+++ b/source/entry/answer.c
@@ -57,36 +57,73 @@
   mg_write (exchange->connection, json, strlen (json));
 }
 
+/* Whether an earlier copy of this request may have run: it has a key, must not
+   run twice, and no host was asked about it yet.  */
+static bool
+may_be_repeat (const csp_exchange_t *exchange)
+{
+  const char *method = exchange->info->request_method;
+  const char *path = exchange->info->local_uri;
+  bool generation = strcmp (path, "/v1/completions") == 0
+                    || strcmp (path, "/v1/chat/completions") == 0;
+  bool repeatable = generation || strcmp (method, "GET") == 0
+                    || strcmp (method, "HEAD") == 0
+                    || strcmp (method, "PUT") == 0
+                    || strcmp (method, "DELETE") == 0;
+
+  return exchange->marks.idempotency_key[0] != '\0' && exchange->claim == 0
+         && (exchange->marks.non_idempotent || !repeatable);
+}
+
+/* A host that turns a keyed call away before asking anybody knows nothing of
+   its earlier copies; "not run" from it would be believed by a caller whose
+   first attempt did run.  */
+static csp_error_t
+qualify_error (const csp_exchange_t *exchange, const csp_error_t *error)
+{
+  csp_error_t qualified = *error;
+
+  if (error->verdict != CSP_VERDICT_NOT_RUN
+      || error->reason == CSP_REASON_BAD_REQUEST
+      || error->reason == CSP_REASON_UNKNOWN_KEY || !may_be_repeat (exchange))
+    return qualified;
+  qualified.verdict = CSP_VERDICT_MAY_HAVE_RUN;
+  if (qualified.retry_after_ms == 0)
+    qualified.retry_after_ms = MS_PER_S;
+  return qualified;
+}
+
 void
 csp_answer_error (csp_exchange_t *exchange, const csp_error_t *error)
 {
-  uint16_t status = csp_reason_status (error->reason);
-  char *json = csp_render_error (exchange->id, error);
+  csp_error_t told = qualify_error (exchange, error);
+  uint16_t status = csp_reason_status (told.reason);
+  char *json = csp_render_error (exchange->id, &told);
   char retry[64] = "";
 
-  if (error->retry_after_ms != 0)
+  if (told.retry_after_ms != 0)
     snprintf (retry, sizeof retry, "Retry-After: %u\r\n",
-              (error->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+              (told.retry_after_ms + MS_PER_S - 1) / MS_PER_S);
   mg_printf (exchange->connection,
              "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
              "Content-Length: %zu\r\nX-Request-Id: %s\r\nX-Verdict: %s\r\n%s"
              "Cache-Control: no-store\r\nConnection: close\r\n\r\n",
              status, mg_get_response_code_text (exchange->connection, status),
              json == NULL ? 0 : strlen (json), exchange->id,
-             csp_verdict_name (error->verdict), retry);
+             csp_verdict_name (told.verdict), retry);
   if (json != NULL)
     mg_write (exchange->connection, json, strlen (json));
   free (json);
   csp_count_end (exchange->entry->context->metrics, exchange->labels,
-                 error->reason, error->verdict);
+                 told.reason, told.verdict);
   CSP_LOG (exchange->entry->context->log, CSP_EVENT_REQUEST_REFUSED,
            exchange->id,
            csp_text ("organisation", exchange->organisation == NULL
                                          ? NULL
                                          : exchange->organisation->name),
-           csp_text ("reason", csp_reason_code (error->reason)),
-           csp_text ("verdict", csp_verdict_name (error->verdict)),
-           csp_text ("detail", error->detail));
+           csp_text ("reason", csp_reason_code (told.reason)),
+           csp_text ("verdict", csp_verdict_name (told.verdict)),
+           csp_text ("detail", told.detail));
 }
 
 int
