--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -355,6 +355,8 @@
                         const csp_target_state_t *target,
                         struct json_object *row);
 void csp_drop_orders (csp_target_state_t *target);
+void csp_fill_wanted (csp_control_t *control, const csp_target_state_t *target,
+                      csp_order_facts_t *facts);
 
 /* Admission: take a waiter, note progress, take a place back, serve queues.
    csp_close_admission frees what it holds.  */
--- a/source/control/control-orders.c
+++ b/source/control/control-orders.c
@@ -289,9 +289,9 @@
 }
 
 /* The configuration's part of the facts.  */
-static void
-fill_wanted (csp_control_t *control, const csp_target_state_t *target,
-             csp_order_facts_t *facts)
+void
+csp_fill_wanted (csp_control_t *control, const csp_target_state_t *target,
+                 csp_order_facts_t *facts)
 {
   const csp_pool_t *pool = csp_find_pool (csp_view_declaration (control->view),
                                           target->listed.pool);
@@ -364,7 +364,7 @@
                              &report.adapter_count);
   report.models = models;
   report.adapters = adapters;
-  fill_wanted (control, target, &facts);
+  csp_fill_wanted (control, target, &facts);
   fill_grant (control, index, now_ms, &facts);
   if (models != NULL && adapters != NULL)
     {
@@ -417,96 +417,6 @@
              csp_number ("status", command->after));
 }
 
-static json_object *
-render_wanted_list (const csp_versioned_t *list, size_t count)
-{
-  json_object *object = json_object_new_object ();
-  size_t i;
-
-  for (i = 0; i < count; i++)
-    json_object_object_add (object, list[i].name,
-                            json_object_new_string (list[i].version));
-  return object;
-}
-
-static json_object *
-render_wanted (const csp_wanted_t *wanted)
-{
-  json_object *object = json_object_new_object ();
-
-  json_object_object_add (
-      object, "models",
-      render_wanted_list (wanted->models, wanted->model_count));
-  json_object_object_add (
-      object, "adapters",
-      render_wanted_list (wanted->adapters, wanted->adapter_count));
-  if (wanted->has_role)
-    json_object_object_add (
-        object, "role", json_object_new_string (csp_role_name (wanted->role)));
-  return object;
-}
-
-static json_object *
-render_reported (json_object *report)
-{
-  static const char *const shown[]
-      = { "models", "model_versions", "adapters", "adapter_versions",
-          "role",   "fence",          "order" };
-  json_object *object = json_object_new_object ();
-  json_object *member;
-  size_t i;
-
-  for (i = 0; i < sizeof shown / sizeof *shown; i++)
-    if (json_object_object_get_ex (report, shown[i], &member))
-      json_object_object_add (object, shown[i], json_object_get (member));
-  return object;
-}
-
-static void
-render_counts (const csp_order_status_t *status, json_object *object)
-{
-  struct
-  {
-    const char *name;
-    uint64_t count;
-  } const rows[] = { { "sent", status->sent },
-                     { "done", status->done },
-                     { "failed", status->failed },
-                     { "undone", status->undone },
-                     { "restarts", status->restarts } };
-  size_t i;
-
-  for (i = 0; i < sizeof rows / sizeof *rows; i++)
-    json_object_object_add (object, rows[i].name,
-                            json_object_new_int64 ((int64_t)rows[i].count));
-}
-
-void
-csp_render_orders (csp_control_t *control, const csp_target_state_t *target,
-                   json_object *row)
-{
-  csp_order_facts_t facts = { 0 };
-  csp_order_status_t status;
-  json_object *object;
-
-  if (target->reported == NULL || control->view == NULL)
-    return;
-  fill_wanted (control, target, &facts);
-  csp_describe_order (target->orders, &status);
-  object = json_object_new_object ();
-  json_object_object_add (
-      object, "state",
-      json_object_new_string (csp_order_state_name (status.state)));
-  json_object_object_add (object, "wanted_revision",
-                          json_object_new_int64 (facts.wanted_revision));
-  if (facts.wanted != NULL)
-    json_object_object_add (object, "wanted", render_wanted (facts.wanted));
-  json_object_object_add (object, "reported",
-                          render_reported (target->reported));
-  render_counts (&status, object);
-  json_object_object_add (row, "orders", object);
-}
-
 void
 csp_drop_orders (csp_target_state_t *target)
 {
