Median of medians without a division in floating point

Cause: the linter doubts an index by integer division inside a floating expression. Change: the middle is taken first. Conclusion: no other change.

--- a/source/control/control-choose.c
+++ b/source/control/control-choose.c
@@ -215,6 +215,7 @@
 {
   size_t known = csp_count_hosts (control->membership);
   uint32_t medians[MEDIANS_MOST];
+  uint32_t middle_us = 0;
   uint32_t count = 0;
   uint32_t targets = 0;
   uint32_t out = 0;
@@ -234,9 +235,9 @@
         medians[count++] = view.median_gap_us;
     }
   qsort (medians, count, sizeof medians[0], compare_numbers);
-  csp_set_fleet_health (control->health,
-                        count == 0 ? 0 : medians[count / 2] / us_per_ms,
-                        targets, out);
+  if (count > 0)
+    middle_us = medians[count / 2];
+  csp_set_fleet_health (control->health, middle_us / us_per_ms, targets, out);
 }
 
 void
