Lending is proved at an owner that another host asks

The bound on lending was shown on one host only, while in a fleet most hosts that a borrower reaches own none of the pool's engines: the bound that counts is the owner's, carried in the reserve ask.

--- a/tests/declaration/declaration-rules-test.c
+++ b/tests/declaration/declaration-rules-test.c
@@ -71,6 +71,10 @@
   csp_rule_outcome_t outcome;
 
   csp_decide_rule (d, &row->facts, &outcome);
+  ck_assert_int_eq (outcome.waited,
+                    row->rule != NULL && strcmp (row->rule, "waited") == 0);
+  if (outcome.action == CSP_ACTION_LEND)
+    ck_assert_uint_eq (outcome.is.lend.terms.priority, 0);
   if (row->rule == NULL)
     ck_assert_ptr_null (outcome.rule);
   else
--- a/tests/session/lend.sh
+++ b/tests/session/lend.sh
@@ -38,3 +38,30 @@
 finish full 1q
 finish borrowed 1q
 echo "ran: $(ran)"
+
+# Its owner grants new work on all of it.
+is_open() {
+  for host in h1 h2; do
+    request "$host" GET /status | tr -d ' \n' |
+      grep -q "\"name\":\"$1\",[^{]*\"state\":\"open\"" && return 0
+  done
+  return 1
+}
+
+start_host h2
+publish_hosts
+wait_ready h1 h2
+wait_until 5 list_was_read
+wait_until 5 has_revision h2
+wait_until 10 serves_model h1 m-tight
+wait_until 10 serves_model h2 m-tight
+wait_until 20 is_open t1
+echo "# two hosts, one of which owns the engine: both keep the bound"
+call_later full h1 --model m-tight --tokens 500 --prompt "$(text 14400)"
+wait_until 5 has_made t1 10
+for host in h1 h2; do
+  call "$host" --key key-pwani --model m-tight --tokens 5 --prompt b3 \
+    --deadline-ms 800 | head -n 1
+done
+finish full 1q
+echo "ran: $(ran)"
