A target that is live again is used again

Cause: the daemon noted a leaving target at each tick and took the note back only when the host list changed once more, since the ownership's state turns a tick after the list was read. Ruled out: the ownership itself, which opens the target within a tick. Change: the state is followed both ways at each tick. Measured: session-live-again gives up after 10 s before, passes after. Conclusion: a reclaim that is called off costs callers nothing more.

--- a/source/control/control-slots.c
+++ b/source/control/control-slots.c
@@ -127,8 +127,12 @@
       if (target == NULL || !csp_view_target (control->ownership, i, &view))
         continue;
       owned = view.state != CSP_OWN_OTHER;
-      if (view.state == CSP_OWN_LEAVING)
-        target->listed.state = CSP_MEMBER_LEAVING;
+      /* Both ways: a target that was leaving and is live again is used again,
+         without waiting for the next change of the list.  */
+      target->listed.state = view.state == CSP_OWN_LEAVING ? CSP_MEMBER_LEAVING
+                                                           : view.target.state;
+      if (target->listed.state == CSP_MEMBER_LIVE)
+        target->left_ms = 0;
       if (owned && !target->owned)
         csp_gain_target (control->slots, target->listed.name, now_ms);
       if (!owned && target->owned)
--- /dev/null
+++ b/tests/session/live-again.sh
@@ -0,0 +1,28 @@
+#!/bin/sh
+# An engine is listed as leaving, and then as live again, since its reclaim was
+# called off.  It must be used again at once: while it is the only one, callers
+# would otherwise be turned away beside an idle engine until the list changes
+# once more.
+. "$(dirname "$0")/lib.sh"
+start_platform
+publish_usual_config
+start_engine e1
+start_host h1
+publish_hosts
+wait_ready h1
+call h1 --tokens 5 | head -n 1
+
+add_target e1 engine general leaving
+publish_hosts
+wait_until 5 list_was_read
+echo "# leaving, and nothing else is listed"
+call h1 --tokens 5 | head -n 1
+add_target e1 engine general live
+publish_hosts
+wait_until 5 list_was_read
+serves_again() {
+  call h1 --tokens 5 | grep -q 'status=200'
+}
+wait_until 10 serves_again
+echo "# live again"
+call h1 --tokens 5
