--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -482,6 +482,11 @@
 void csp_finish_spill (csp_control_t *control, csp_place_t *place,
                        const csp_place_outcome_t *outcome, int64_t now_ms);
 void csp_tick_spills (csp_control_t *control, int64_t now_ms);
+void csp_tick_holdings (csp_control_t *control, int64_t now_ms);
+
+/* Fill place->spill->peers with whom to ask, in order; returns how many.  */
+size_t csp_find_spill_peers (csp_control_t *control, csp_place_t *place,
+                             int64_t now_ms);
 
 /* Hand-offs, the owner's side.  */
 bool csp_open_slots (csp_control_t *control);
--- /dev/null
+++ b/source/control/control-offers.c
@@ -0,0 +1,114 @@
+#include "control/control-imp.h"
+#include "cowslipspoke/peer-choice.h"
+#include "cowslipspoke/text.h"
+
+#include <string.h>
+
+/* Which peers offer room, from heartbeats and summaries; csp_choose_peers
+   decides among them.  */
+
+enum
+{
+  MAX_OFFERS = 96
+};
+
+static size_t
+list_near_offers (csp_control_t *control, int64_t now_ms,
+                  csp_peer_offer_t *offers)
+{
+  size_t host_count = csp_count_hosts (control->membership);
+  csp_host_view_t view;
+  size_t count = 0;
+  size_t i;
+
+  for (i = 0; i < host_count && count < MAX_OFFERS; i++)
+    {
+      csp_view_host (control->membership, i, now_ms, &view);
+      if (view.self || view.liveness != CSP_PEER_ALIVE
+          || view.state != CSP_MEMBER_LIVE
+          || strcmp (view.data_centre, control->context->settings.data_centre)
+                 != 0)
+        continue;
+      csp_copy_text (offers[count].name, sizeof offers[count].name, view.name);
+      offers[count].headroom_tokens = view.headroom_tokens;
+      offers[count].same_data_centre = true;
+      count++;
+    }
+  return count;
+}
+
+static bool
+is_home (const csp_control_t *control, const char *data_centre)
+{
+  return strcmp (control->context->settings.data_centre, data_centre) == 0;
+}
+
+/* only: this data centre's, NULL for all.  */
+static size_t
+list_far_offers (csp_control_t *control, const char *only, int64_t now_ms,
+                 csp_peer_offer_t *offers, size_t count)
+{
+  csp_summary_t summary;
+  size_t row;
+  size_t i;
+
+  for (row = 0; csp_view_summary (control->membership, row, now_ms, &summary);
+       row++)
+    for (i = 0; i < CSP_SUMMARY_HOSTS && count < MAX_OFFERS; i++)
+      {
+        if (summary.best[i].name[0] == '\0'
+            || (only != NULL && strcmp (summary.data_centre, only) != 0))
+          continue;
+        csp_copy_text (offers[count].name, sizeof offers[count].name,
+                       summary.best[i].name);
+        offers[count].headroom_tokens = summary.best[i].headroom_tokens;
+        offers[count].same_data_centre = false;
+        count++;
+      }
+  return count;
+}
+
+size_t
+csp_find_spill_peers (csp_control_t *control, csp_place_t *place,
+                      int64_t now_ms)
+{
+  csp_peer_offer_t offers[MAX_OFFERS];
+  size_t chosen[CSP_HANDOFF_MAX_PEERS];
+  const char *only = place->waiter->ask->spill_to;
+  size_t count = 0;
+  size_t chosen_count;
+  size_t found = 0;
+  size_t i;
+
+  if (only == NULL || is_home (control, only))
+    count = list_near_offers (control, now_ms, offers);
+  count = list_far_offers (control, only, now_ms, offers, count);
+  chosen_count = csp_choose_peers (offers, count, place->prompt_tokens,
+                                   &control->random, chosen);
+  for (i = 0; i < chosen_count; i++)
+    if (csp_locate_peer (control, offers[chosen[i]].name, now_ms,
+                         &place->spill->peers[found]))
+      found++;
+  return found;
+}
+
+/* While the other data centre offers nothing, the request is served at home:
+   one that is cut off would otherwise hold it until its deadline.  */
+bool
+csp_goes_elsewhere (csp_control_t *control, const csp_admission_ask_t *ask,
+                    int64_t now_ms)
+{
+  csp_peer_offer_t offers[MAX_OFFERS];
+
+  return ask->spill_to != NULL && ask->kind == CSP_POOL_ENGINES
+         && !is_home (control, ask->spill_to)
+         && list_far_offers (control, ask->spill_to, now_ms, offers, 0) > 0;
+}
+
+bool
+csp_has_live_peer (csp_control_t *control, int64_t now_ms)
+{
+  csp_peer_offer_t offers[MAX_OFFERS];
+
+  return list_near_offers (control, now_ms, offers) > 0;
+}
--- a/source/control/control-spill.c
+++ b/source/control/control-spill.c
@@ -1,5 +1,4 @@
 #include "control/control-imp.h"
-#include "cowslipspoke/peer-choice.h"
 #include "cowslipspoke/text.h"
 
 #include <math.h>
@@ -13,90 +12,9 @@
 enum
 {
   SPILL_PAUSE_MS = 250,
-  HOLDINGS_MS = 3000,
-  RELEASE_TIMEOUT_MS = 2000,
-  MAX_OFFERS = 96
+  RELEASE_TIMEOUT_MS = 2000
 };
 
-static size_t
-list_near_offers (csp_control_t *control, int64_t now_ms,
-                  csp_peer_offer_t *offers)
-{
-  size_t host_count = csp_count_hosts (control->membership);
-  csp_host_view_t view;
-  size_t count = 0;
-  size_t i;
-
-  for (i = 0; i < host_count && count < MAX_OFFERS; i++)
-    {
-      csp_view_host (control->membership, i, now_ms, &view);
-      if (view.self || view.liveness != CSP_PEER_ALIVE
-          || view.state != CSP_MEMBER_LIVE
-          || strcmp (view.data_centre, control->context->settings.data_centre)
-                 != 0)
-        continue;
-      csp_copy_text (offers[count].name, sizeof offers[count].name, view.name);
-      offers[count].headroom_tokens = view.headroom_tokens;
-      offers[count].same_data_centre = true;
-      count++;
-    }
-  return count;
-}
-
-static bool
-is_home (const csp_control_t *control, const char *data_centre)
-{
-  return strcmp (control->context->settings.data_centre, data_centre) == 0;
-}
-
-/* only: this data centre's, NULL for all.  */
-static size_t
-list_far_offers (csp_control_t *control, const char *only, int64_t now_ms,
-                 csp_peer_offer_t *offers, size_t count)
-{
-  csp_summary_t summary;
-  size_t row;
-  size_t i;
-
-  for (row = 0; csp_view_summary (control->membership, row, now_ms, &summary);
-       row++)
-    for (i = 0; i < CSP_SUMMARY_HOSTS && count < MAX_OFFERS; i++)
-      {
-        if (summary.best[i].name[0] == '\0'
-            || (only != NULL && strcmp (summary.data_centre, only) != 0))
-          continue;
-        csp_copy_text (offers[count].name, sizeof offers[count].name,
-                       summary.best[i].name);
-        offers[count].headroom_tokens = summary.best[i].headroom_tokens;
-        offers[count].same_data_centre = false;
-        count++;
-      }
-  return count;
-}
-
-static size_t
-find_peers (csp_control_t *control, csp_place_t *place, int64_t now_ms)
-{
-  csp_peer_offer_t offers[MAX_OFFERS];
-  size_t chosen[CSP_HANDOFF_MAX_PEERS];
-  const char *only = place->waiter->ask->spill_to;
-  size_t count = 0;
-  size_t chosen_count;
-  size_t found = 0;
-  size_t i;
-
-  if (only == NULL || is_home (control, only))
-    count = list_near_offers (control, now_ms, offers);
-  count = list_far_offers (control, only, now_ms, offers, count);
-  chosen_count = csp_choose_peers (offers, count, place->prompt_tokens,
-                                   &control->random, chosen);
-  for (i = 0; i < chosen_count; i++)
-    if (csp_locate_peer (control, offers[chosen[i]].name, now_ms,
-                         &place->spill->peers[found]))
-      found++;
-  return found;
-}
-
 static void
 send_reserve (csp_control_t *control, csp_place_t *place,
               const csp_handoff_action_t *action)
@@ -258,7 +176,7 @@
   place->spill = calloc (1, sizeof *place->spill);
   if (place->spill == NULL)
     return;
-  count = find_peers (control, place, now_ms);
+  count = csp_find_spill_peers (control, place, now_ms);
   ask = describe_ask (control, place);
   if (count > 0)
     place->spill->handoff = csp_create_handoff (
@@ -273,27 +191,6 @@
   carry_out (control, place, &action, now_ms);
 }
 
-/* While the other data centre offers nothing, the request is served at home:
-   one that is cut off would otherwise hold it until its deadline.  */
-bool
-csp_goes_elsewhere (csp_control_t *control, const csp_admission_ask_t *ask,
-                    int64_t now_ms)
-{
-  csp_peer_offer_t offers[MAX_OFFERS];
-
-  return ask->spill_to != NULL && ask->kind == CSP_POOL_ENGINES
-         && !is_home (control, ask->spill_to)
-         && list_far_offers (control, ask->spill_to, now_ms, offers, 0) > 0;
-}
-
-bool
-csp_has_live_peer (csp_control_t *control, int64_t now_ms)
-{
-  csp_peer_offer_t offers[MAX_OFFERS];
-
-  return list_near_offers (control, now_ms, offers) > 0;
-}
-
 /* Which of the peers an answer comes from.  */
 static size_t
 find_peer_index (const csp_place_t *place, const char *name)
@@ -430,71 +327,6 @@
   csp_cancel_spill (control, place, now_ms);
 }
 
-/* Whether a peer owns a target by now.  Slots are listed to the owner that
-   granted them and to the present one, which learns of them only so.  */
-static bool
-owns_now (const csp_control_t *control, const char *target, const char *peer)
-{
-  csp_target_view_t view;
-  uint32_t index;
-
-  return csp_find_target (control->ownership, target, &index)
-         && csp_view_target (control->ownership, index, &view)
-         && strcmp (view.owner, peer) == 0;
-}
-
-/* Tell one owner all that this host holds there.  */
-static void
-send_holdings (csp_control_t *control, const csp_peer_address_t *peer)
-{
-  csp_peer_message_t message = { .kind = CSP_PEER_HOLDINGS };
-  csp_held_slot_t *slots = calloc (control->places_used + 1, sizeof *slots);
-  const csp_place_t *place;
-  size_t holder;
-  uint32_t i;
-
-  if (slots == NULL)
-    return;
-  message.u.holdings.number = control->holdings_number;
-  csp_copy_text (message.u.holdings.sender.name,
-                 sizeof message.u.holdings.sender.name,
-                 control->context->settings.host);
-  message.u.holdings.sender.incarnation = control->incarnation;
-  message.u.holdings.slots = slots;
-  for (i = 0; i < control->place_room; i++)
-    {
-      place = &control->places[i];
-      if (place->id == 0 || place->spill == NULL
-          || !csp_held_by_handoff (place->spill->handoff, &holder,
-                                   &slots[message.u.holdings.count])
-          || (strcmp (place->spill->peers[holder].name, peer->name) != 0
-              && !owns_now (control, place->spill->target, peer->name)))
-        continue;
-      message.u.holdings.count++;
-    }
-  csp_send_peer (control, peer, &message, 0, RELEASE_TIMEOUT_MS);
-  free (slots);
-}
-
-/* Owners that this host holds something at, or has asked lately.  */
-static void
-send_all_holdings (csp_control_t *control, int64_t now_ms)
-{
-  size_t host_count = csp_count_hosts (control->membership);
-  csp_peer_address_t peer;
-  csp_host_view_t view;
-  size_t i;
-
-  control->holdings_number++;
-  for (i = 0; i < host_count; i++)
-    {
-      csp_view_host (control->membership, i, now_ms, &view);
-      if (!view.self && view.liveness == CSP_PEER_ALIVE
-          && csp_locate_peer (control, view.name, now_ms, &peer))
-        send_holdings (control, &peer);
-    }
-}
-
 void
 csp_tick_spills (csp_control_t *control, int64_t now_ms)
 {
@@ -510,8 +342,5 @@
           && now_ms >= csp_next_handoff_tick (place->spill->handoff))
         step_spill (control, place, &event, now_ms, &action);
     }
-  if (now_ms < control->next_holdings_ms)
-    return;
-  control->next_holdings_ms = now_ms + HOLDINGS_MS;
-  send_all_holdings (control, now_ms);
+  csp_tick_holdings (control, now_ms);
 }
