--- a/source/control/control-admission.c
+++ b/source/control/control-admission.c
@@ -169,14 +169,13 @@
 }
 
 static csp_stream_t
-describe_stream (const csp_place_t *place, uint32_t reserve_tokens)
+describe_stream (const csp_place_t *place)
 {
   const csp_admission_ask_t *ask = place->waiter->ask;
   csp_stream_t stream = { .id = place->id,
                           .length_key = place->length_key,
                           .prompt_tokens = ask->prompt_tokens,
                           .max_tokens = ask->max_tokens,
-                          .reserve_tokens = reserve_tokens,
                           .priority = ask->terms.priority,
                           .repeatable = ask->repeatable };
 
@@ -188,7 +187,7 @@
                int64_t now_ms)
 {
   csp_target_state_t *target = control->targets[index];
-  csp_stream_t stream = describe_stream (place, 0);
+  csp_stream_t stream = describe_stream (place);
   csp_grant_t *grant = place->waiter->grant;
 
   place->target = target;
@@ -217,14 +216,17 @@
 
 static uint32_t
 choose_target (csp_control_t *control, const csp_place_t *place,
-               uint32_t reserve_tokens, int64_t now_ms)
+               uint64_t kept_tokens, int64_t now_ms)
 {
   const csp_admission_ask_t *ask = place->waiter->ask;
-  csp_stream_t stream = describe_stream (place, reserve_tokens);
+  csp_stream_t stream = describe_stream (place);
 
   if (ask->kind == CSP_POOL_SERVICES)
     return csp_choose_service (control, ask, now_ms);
   if (csp_goes_elsewhere (control, ask, now_ms)
+      || (kept_tokens > 0
+          && !csp_may_borrow_here (control, ask->terms.pool, kept_tokens,
+                                   place->cost_tokens, now_ms))
       || (ask->lend_below > 0
           && !csp_may_lend (control, ask->terms.pool, ask->lend_below,
                             now_ms)))
@@ -286,7 +288,7 @@
 {
   csp_waiting_t waiting;
   csp_place_t *place;
-  uint32_t kept;
+  uint64_t kept;
   uint32_t index;
   bool borrowing;
 
@@ -295,7 +297,7 @@
   while (csp_next_waiting (pool->queue, &waiting, &borrowing))
     {
       place = csp_find_place (control, waiting.id);
-      kept = borrowing ? (uint32_t)csp_queue_kept_tokens (pool->queue) : 0;
+      kept = borrowing ? csp_queue_kept_tokens (pool->queue) : 0;
       index = choose_target (control, place, kept, now_ms);
       if (index == UINT32_MAX)
         {
--- a/source/control/control-choose.c
+++ b/source/control/control-choose.c
@@ -119,6 +119,26 @@
   return UINT32_MAX;
 }
 
+/* An organisation that holds more than its share leaves room for those that
+   come back, over all engines of the pool together: kept on each of them, a
+   pool of many engines would never lend anything.  */
+bool
+csp_may_borrow_here (csp_control_t *control, const char *pool,
+                     uint64_t kept_tokens, uint32_t cost_tokens,
+                     int64_t now_ms)
+{
+  static const csp_tried_t none;
+  uint32_t count = 0;
+  uint32_t i;
+
+  for (i = 0; i < control->target_room; i++)
+    if (may_use (control, pool, CSP_TARGET_ENGINE, &none, i, now_ms)
+        && csp_find_opening (control->ownership, i, now_ms) > 0)
+      control->candidates[count++] = describe_candidate (control, i, 0);
+  return csp_may_borrow (control->candidates, count, kept_tokens, cost_tokens,
+                         now_ms);
+}
+
 uint32_t
 csp_choose_engine (csp_control_t *control, const char *pool,
                    const csp_tried_t *tried, const csp_stream_t *stream,
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -439,6 +439,9 @@
 bool csp_could_use (const csp_control_t *control, const char *pool,
                     csp_target_kind_t kind, const csp_tried_t *tried,
                     uint32_t index);
+bool csp_may_borrow_here (csp_control_t *control, const char *pool,
+                          uint64_t kept_tokens, uint32_t cost_tokens,
+                          int64_t now_ms);
 uint32_t csp_choose_service (const csp_control_t *control,
                              const csp_admission_ask_t *ask, int64_t now_ms);
 void csp_follow_pool_capacity (csp_control_t *control, csp_pool_state_t *pool,
