Gauges of the control thread in /metrics

Cause: waiting requests, revision, host list, live peers and owned targets were on the metrics page and always 0. Change: the control thread sets them each tick.

--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -282,6 +282,7 @@
   int64_t next_weigh_ms;
   int64_t next_reask_ms;
   int64_t next_follow_ms;
+  uint32_t live_peers;
   csp_candidate_t candidates[CSP_CONTROL_MAX_TARGETS];
   uint32_t candidate_targets[CSP_CONTROL_MAX_TARGETS];
   uint64_t recalled;
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -179,6 +179,32 @@
     }
 }
 
+static uint32_t
+count_waiting (const csp_control_t *control)
+{
+  uint32_t waiting = 0;
+  uint32_t i;
+
+  for (i = 0; i < control->pool_count; i++)
+    waiting += csp_queue_length (control->pools[i].queue);
+  return waiting;
+}
+
+static void
+show_gauges (csp_control_t *control, const csp_local_state_t *local)
+{
+  csp_metrics_t *metrics = control->context->metrics;
+
+  csp_set_gauge (metrics, CSP_GAUGE_WAITING, count_waiting (control));
+  csp_set_gauge (metrics, CSP_GAUGE_CONFIGURATION_REVISION, local->revision);
+  csp_set_gauge (metrics, CSP_GAUGE_CONFIGURATION_FAULTS,
+                 local->refused_revision > 0);
+  csp_set_gauge (metrics, CSP_GAUGE_HOST_LIST_VERSION,
+                 control->host_watch.version);
+  csp_set_gauge (metrics, CSP_GAUGE_LIVE_PEERS, control->live_peers);
+  csp_set_gauge (metrics, CSP_GAUGE_OWNED_TARGETS, local->owned_targets);
+}
+
 static void
 describe_self (csp_control_t *control, int64_t now_ms)
 {
@@ -201,6 +227,7 @@
   local.median_gap_us
       = (uint32_t)(csp_health_median_ms (control->health) * US_PER_MS);
   local.targets_out = csp_health_out (control->health);
+  show_gauges (control, &local);
   csp_set_local_state (control->membership, &local);
 }
 
@@ -212,6 +239,7 @@
 {
   size_t count = csp_count_hosts (control->membership);
   csp_host_view_t view;
+  uint32_t live = 0;
   size_t i;
 
   for (i = 0; i < count; i++)
@@ -219,6 +247,7 @@
       csp_view_host (control->membership, i, now_ms, &view);
       if (view.self)
         continue;
+      live += view.liveness == CSP_PEER_ALIVE;
       if (view.liveness == CSP_PEER_SILENT)
         csp_orphan_holder (control->slots, view.name, now_ms);
       if (view.liveness == CSP_PEER_SILENT && !view.listed
@@ -229,6 +258,7 @@
                  == 0)
         csp_delay_witness (control->once, now_ms);
     }
+  control->live_peers = live;
 }
 
 void
