--- a/source/metrics/metrics-table.c
+++ b/source/metrics/metrics-table.c
@@ -53,7 +53,7 @@
   = { "configuration_revision", "revision in force" },
   [CSP_GAUGE_CONFIGURATION_FAULTS]
   = { "configuration_faults",
-      "faults of the newest revision, if it was refused" },
+      "1 while the newest revision is refused, 0 otherwise" },
   [CSP_GAUGE_HOST_LIST_VERSION]
   = { "host_list_version", "version of the host list" },
   [CSP_GAUGE_LIVE_PEERS] = { "live_peers", "peers that are heard" },
