Makefile: name where the codec's command stands

Cause: the comment named a file that does not exist. Change: it names source/peer/peer.proto, whose head has the command. Measured: nothing; a comment only. Conclusion: none needed.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
   -lurcu-memb -lurcu-common -lcrypto -lpthread -lm
 CHECK_LIBS := -lcheck_pic -lsubunit -lrt
 
-# Generated codecs are committed; see source/peer/README for the command.
+# Generated codecs are committed; source/peer/peer.proto has the command.
 GENERATED := $(wildcard source/*/*.pb-c.c)
 LIB_SRC := $(filter-out source/cowslipd/% source/cowslipctl/%, \
   $(wildcard source/*/*.c))
