One check for a live host of the own data centre

Cause: a last read of the change found the same condition (another host, alive, of this data centre) written out in four files of the control slice. Ruled out: one loop for all of them; what they do with the host differs. Change: csp_is_neighbour, called by choosing, offers, keyed calls and the following of hosts.

--- a/source/control/control-choose.c
+++ b/source/control/control-choose.c
@@ -245,9 +245,7 @@
   for (i = 0; i < known && count < MEDIANS_MOST; i++)
     {
       csp_view_host (control->membership, i, now_ms, &view);
-      if (view.self || view.liveness != CSP_PEER_ALIVE
-          || strcmp (view.data_centre, control->context->settings.data_centre)
-                 != 0)
+      if (!csp_is_neighbour (control, &view))
         continue;
       targets += view.owned_targets;
       out += view.targets_out;
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -342,6 +342,10 @@
 bool csp_locate_peer (csp_control_t *control, const char *name, int64_t now_ms,
                       csp_peer_address_t *peer);
 
+/* Whether a host is another one of this data centre that answers us.  */
+bool csp_is_neighbour (const csp_control_t *control,
+                       const csp_host_view_t *view);
+
 /* Ask a peer; the answer comes back as CSP_COMMAND_PEER_ANSWER with the
    peer's name, the ask's kind and id.  False when nothing was sent.  */
 bool csp_send_peer (csp_control_t *control, const csp_peer_address_t *peer,
--- a/source/control/control-offers.c
+++ b/source/control/control-offers.c
@@ -24,10 +24,7 @@
   for (i = 0; i < host_count && count < MAX_OFFERS; i++)
     {
       csp_view_host (control->membership, i, now_ms, &view);
-      if (view.self || view.liveness != CSP_PEER_ALIVE
-          || view.state != CSP_MEMBER_LIVE
-          || strcmp (view.data_centre, control->context->settings.data_centre)
-                 != 0)
+      if (!csp_is_neighbour (control, &view) || view.state != CSP_MEMBER_LIVE)
         continue;
       csp_copy_text (offers[count].name, sizeof offers[count].name, view.name);
       offers[count].headroom_tokens = view.headroom_tokens;
--- a/source/control/control-once.c
+++ b/source/control/control-once.c
@@ -226,10 +226,7 @@
   for (i = 0; i < known; i++)
     {
       csp_view_host (control->membership, i, now_ms, &view);
-      if (!view.self && view.liveness == CSP_PEER_ALIVE
-          && strcmp (view.data_centre, control->context->settings.data_centre)
-                 == 0
-          && view.confirmed_age_ms >= 0
+      if (csp_is_neighbour (control, &view) && view.confirmed_age_ms >= 0
           && now_ms - view.confirmed_age_ms > confirmed_ms)
         confirmed_ms = now_ms - view.confirmed_age_ms;
     }
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -124,6 +124,14 @@
   return true;
 }
 
+bool
+csp_is_neighbour (const csp_control_t *control, const csp_host_view_t *view)
+{
+  return !view->self && view->liveness == CSP_PEER_ALIVE
+         && strcmp (view->data_centre, control->context->settings.data_centre)
+                == 0;
+}
+
 static void
 send_heartbeat (csp_control_t *control, const csp_heartbeat_action_t *action,
                 int64_t now_ms)
@@ -253,9 +261,7 @@
       if (view.liveness == CSP_PEER_SILENT && !view.listed
           && view.confirmed_age_ms > FORGET_HOLDER_MS)
         csp_forget_holder (control->slots, view.name);
-      if (view.liveness == CSP_PEER_ALIVE && !view.knows_us
-          && strcmp (view.data_centre, control->context->settings.data_centre)
-                 == 0)
+      if (csp_is_neighbour (control, &view) && !view.knows_us)
         csp_delay_witness (control->once, now_ms);
     }
   control->live_peers = live;
