--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -171,6 +171,7 @@
   target->requests++;
   target->tokens += exchange->tokens;
   exchange->mode = CSP_ANSWER_NONE;
+  exchange->run_since_ms = 0;
   exchange->last_data_ms = csp_gateway_now_ms (exchange->gateway);
   csp_start_link_request (link, &csp_attempt_events, exchange,
                           strcmp (head->method, "HEAD") == 0);
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -85,13 +85,16 @@
   uint64_t events;
   int64_t first_event_ms;
   int64_t last_data_ms;
+  int64_t last_event_ms;
+  int64_t worst_gap_ms; /* longest time between two events sent */
+  uint32_t moves;       /* to another target, in the middle of the stream */
   bool until_close;     /* the target's answer ends with its connection */
   int64_t stated_bytes; /* length that the target states */
 
   /* Where the run's memory is copied to as it grows.  */
   csp_fleet_target_t *backup;
   csp_fleet_target_t *reserved_backup;
-  int64_t backup_since_ms;
+  int64_t run_since_ms; /* first event of the run at this target; 0: none */
   csp_move_t move;
 };
 
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -74,6 +74,13 @@
       csp_text ("verdict", csp_verdict_name (exchange->verdict)),
       csp_text ("detail", detail), csp_number ("attempts", exchange->attempts),
       csp_number ("events", (int64_t)exchange->events),
+      csp_number ("first_event_ms",
+                  exchange->first_event_ms == 0
+                      ? -1
+                      : exchange->first_event_ms - exchange->began_ms),
+      csp_number ("worst_gap_ms", exchange->worst_gap_ms),
+      csp_number ("moves", exchange->moves),
+      csp_number ("tokens", (int64_t)exchange->tokens),
       csp_number ("took_ms",
                   csp_gateway_now_ms (gateway) - exchange->began_ms),
       csp_number ("left_ms",
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -21,8 +21,9 @@
   ENDS_SOON_MS = 500,
   /* What one token takes in a batch that is half full.  */
   TOKEN_MS = 10,
-  /* The first copy of a prompt takes some tenths of a second on the link
-     between targets.  */
+  /* A run's memory begins to be copied with its first token, and the first
+     copy, of the prompt, takes some tenths of a second on the link between
+     targets.  A stream that asks for it sooner is refused and lost.  */
   BACKUP_SETTLES_MS = 400,
   /* A copy of a run at a target's limit of memory over a busy link; behind
      this the target itself is gone.  */
@@ -82,7 +83,6 @@
   backup->users++;
   exchange->backup = backup;
   exchange->reserved_backup = backup;
-  exchange->backup_since_ms = csp_gateway_now_ms (exchange->gateway);
 }
 
 static bool
@@ -91,8 +91,8 @@
   return exchange->backup != NULL
          && (exchange->backup->state == CSP_FLEET_READY
              || exchange->backup->state == CSP_FLEET_LAPSED)
-         && exchange->first_event_ms != 0
-         && csp_gateway_now_ms (exchange->gateway) - exchange->backup_since_ms
+         && exchange->run_since_ms != 0
+         && csp_gateway_now_ms (exchange->gateway) - exchange->run_since_ms
                 >= BACKUP_SETTLES_MS;
 }
 
@@ -183,6 +183,7 @@
 csp_move_arrived (csp_exchange_t *exchange)
 {
   exchange->gateway->counts.moves++;
+  exchange->moves++;
   log_move (exchange, "arrived", exchange->target);
   exchange->move.state = CSP_MOVE_NONE;
   exchange->move.tries = 0;
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -114,11 +114,24 @@
   return done_bytes;
 }
 
+static void
+note_gap (csp_exchange_t *exchange)
+{
+  int64_t now_ms = csp_gateway_now_ms (exchange->gateway);
+  int64_t gap_ms = now_ms - exchange->last_event_ms;
+
+  if (exchange->answer_begun && gap_ms > exchange->worst_gap_ms)
+    exchange->worst_gap_ms = gap_ms;
+  exchange->last_event_ms = now_ms;
+}
+
 static void
 send_events (csp_exchange_t *exchange, size_t size_bytes)
 {
   csp_buffer_t out = { 0 };
 
+  note_gap (exchange);
+
   if (!exchange->answer_begun)
     {
       exchange->first_event_ms = csp_gateway_now_ms (exchange->gateway);
@@ -153,6 +166,8 @@
   if (ready_bytes == 0)
     return;
   send_events (exchange, ready_bytes);
+  if (exchange->run_since_ms == 0)
+    exchange->run_since_ms = exchange->last_data_ms;
   if (exchange->move.state == CSP_MOVE_RESUMING)
     csp_move_arrived (exchange);
   else if (exchange->move.wanted && exchange->move.state == CSP_MOVE_NONE)
--- a/source/link/link.c
+++ b/source/link/link.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 typedef enum
 {
@@ -165,10 +166,26 @@
     }
 }
 
+/* Whether the server closed in order.  The event loop reports the end of the
+   stream also where a reset came right behind the last bytes, and an answer
+   without a length would then look whole though it was cut; the socket itself
+   still knows.  */
+static bool
+closed_in_order (csp_link_t *link)
+{
+  uv_os_fd_t descriptor;
+  char byte;
+
+  return uv_fileno ((uv_handle_t *)&link->tcp, &descriptor) == 0
+         && recv (descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT)
+                == 0;
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t size_bytes, const uv_buf_t *room)
 {
   csp_link_t *link = stream->data;
+  bool in_order;
 
   if (size_bytes == 0 || link->state != LINK_OPEN)
     return;
@@ -182,11 +199,11 @@
     }
   uv_read_stop (stream);
   link->reading = false;
-  if (link->events != NULL && size_bytes == UV_EOF
-      && csp_close_http (link->reader))
+  in_order = size_bytes == UV_EOF && closed_in_order (link);
+  if (link->events != NULL && in_order && csp_close_http (link->reader))
     end_answer (link, true);
   else
-    fail (link, size_bytes == UV_EOF ? CSP_LINK_CLOSED : CSP_LINK_RESET);
+    fail (link, in_order ? CSP_LINK_CLOSED : CSP_LINK_RESET);
 }
 
 static void
