--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -2,6 +2,7 @@
 #define COWSLIPSPOKE_FLEET_H
 
 #include "cowslipspoke/random.h"
+#include "cowslipspoke/roster.h"
 
 #include <netinet/in.h>
 #include <stdbool.h>
@@ -38,17 +39,25 @@
   CSP_FLEET_GONE
 } csp_fleet_state_t;
 
+/* What hosts have under way at a target.  */
+typedef struct
+{
+  uint32_t requests;
+  uint64_t tokens;         /* memory that their runs are expected to take */
+  uint64_t backup_tokens;  /* copies of runs that go on elsewhere */
+  uint64_t reading_tokens; /* prompts that no token has answered yet */
+} csp_fleet_load_t;
+
 typedef struct
 {
   csp_fleet_row_t row;
   csp_fleet_state_t state;
   int64_t warm_at_ms;
   int64_t lapses_at_ms;
-  /* Under way from this host.  */
-  uint32_t requests;
-  uint64_t tokens;
-  /* Copies of runs that lie there for this host's streams.  */
-  uint64_t backup_tokens;
+  uint64_t hash;           /* of the id, by which hosts speak of it */
+  csp_fleet_load_t own;    /* under way from this host */
+  csp_fleet_load_t others; /* from all other hosts, as last heard */
+  csp_peer_load_t told;    /* what was last told of our own */
   /* Share of recent requests that failed, and when it was last counted.  */
   double failing;
   int64_t counted_at_ms;
@@ -98,6 +107,10 @@
 csp_fleet_target_t *csp_find_fleet_target (const csp_fleet_t *fleet,
                                            const char *id);
 
+/* What the other hosts have under way is counted anew.  */
+void csp_clear_other_loads (csp_fleet_t *fleet);
+void csp_count_other_load (csp_fleet_t *fleet, const csp_peer_load_t *load);
+
 /* What a request needs of a target.  */
 typedef struct
 {
@@ -105,6 +118,8 @@
   const char *data_centre; /* of this host */
   bool by_memory;          /* model engines: tokens count, not requests */
   uint32_t memory_tokens;  /* of one engine */
+  uint64_t tokens;         /* that the request takes there */
+  bool is_copy;            /* a run's memory goes there, no prompt */
   const csp_fleet_target_t *not_this;
   const csp_fleet_target_t *nor_this;
 } csp_fleet_need_t;
--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -17,6 +17,11 @@
    an event loop; the control thread tells it what the platform says by
    updates.  */
 
+enum
+{
+  CSP_GATEWAY_SEEDS_MAX = 8
+};
+
 /* What a host's forwarder is given at its start.  */
 typedef struct
 {
@@ -25,6 +30,9 @@
   struct sockaddr_in front;   /* callers */
   struct sockaddr_in ready;   /* the balancer's question */
   struct sockaddr_in metrics; /* port 0: none */
+  struct sockaddr_in peers;   /* datagrams of other hosts; port 0: none */
+  size_t seed_count;
+  struct sockaddr_in seeds[CSP_GATEWAY_SEEDS_MAX];
   /* How long a stop may take in all, before the process is killed.  */
   uint32_t stop_limit_ms;
   /* Extra arrivals at a service: this share of its requests, and what may be
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -5,11 +5,17 @@
 
 /* Which target a request goes to.
 
-   Load pattern: several hosts send to the same few targets, and each knows
-   only its own requests.  If all took the first of the least loaded they
-   would meet on one target, whose streams then pause together; so equals are
-   drawn by lot.  Targets that fail part of their requests look idle, as
-   failures are quick, and draw more and more; so failures weigh as load.  */
+   Load pattern: several hosts send to the same few targets at once, and what
+   they tell each other is some milliseconds old.  If all took the first of
+   the least loaded they would meet on one target, whose streams then pause
+   together; so equals are drawn by lot.  Targets that fail part of their
+   requests look idle, as failures are quick, and draw more and more; so
+   failures weigh as load.
+
+   Costs are in milliseconds of delay that a request would meet.  At a model
+   engine that is above all the prompts that are read before its own: they are
+   read one after another, between the steps of the runs.  Each run makes the
+   steps longer; and memory that runs out throws a run out.  */
 
 /* A target that fails all its requests counts as this many times as loaded;
    at half failing it still gets a sixth of a sound one's share, enough to see
@@ -24,20 +30,32 @@
    target that was left alone is tried again.  */
 static const double fade_half_ms = 4000.0;
 
-/* A target elsewhere counts as that much busier, in requests: bytes between
-   data centres cost, yet less than a queue does.  */
-static const double elsewhere_cost = 0.3;
+/* What a busy engine reads, in tokens a ms: 14 alone, half of that between the
+   steps of other runs.  */
+static const double read_tokens_per_ms = 7.0;
 
-/* A target that still warms up counts as that much busier.  */
-static const double warming_cost = 6.0;
+/* What one more run costs all others at an engine, over its length, and what
+   a request costs the next at a plain service.  */
+static const double run_cost_ms = 40.0;
 
-/* Equals are drawn by lot within this, in requests.  */
-static const double lot = 0.5;
+/* From this share of memory on, each further part costs as if it were read
+   again: engines throw runs out when it is full, and expected lengths are
+   often half of the true ones.  */
+static const double memory_comfort = 0.75;
+static const double memory_cost_ms = 8000.0;
+
+/* A target elsewhere: bytes between data centres cost, yet less than a queue
+   does.  */
+static const double elsewhere_cost_ms = 12.0;
+
+/* A target that still warms up.  */
+static const double warming_cost_ms = 250.0;
+
+/* Equals are drawn by lot within this.  */
+static const double lot_ms = 20.0;
 
 enum
 {
-  /* Memory of a usual request, to bring tokens to the scale of requests.  */
-  TOKENS_OF_REQUEST = 3000,
   /* A target that takes no connection is left alone for that long, twice as
      long for each further time, up to the last.  */
   UNREACHABLE_FIRST_MS = 250,
@@ -53,22 +71,36 @@
   return target->failing * exp2 (-fmax (passed_ms, 0) / fade_half_ms);
 }
 
+/* How full an engine's memory would be with this request.  */
+static double
+memory_share (const csp_fleet_target_t *target, const csp_fleet_need_t *need)
+{
+  uint64_t tokens = target->own.tokens + target->own.backup_tokens
+                    + target->others.tokens + target->others.backup_tokens
+                    + need->tokens;
+
+  return need->memory_tokens == 0 ? 0 : (double)tokens / need->memory_tokens;
+}
+
 static double
 cost_of (const csp_fleet_target_t *target, const csp_fleet_need_t *need,
          int64_t now_ms)
 {
-  double load = target->requests;
-  double cost;
-
-  if (need->by_memory)
-    load = fmax (load, (double)(target->tokens + target->backup_tokens)
-                           / TOKENS_OF_REQUEST);
-  cost = (load + 1)
-         * (1 + failing_weight * csp_fading_failures (target, now_ms));
+  double runs = (double)target->own.requests + target->others.requests + 1;
+  double cost = runs * run_cost_ms;
+  double share = memory_share (target, need);
+
+  if (need->by_memory && !need->is_copy)
+    cost
+        += (double)(target->own.reading_tokens + target->others.reading_tokens)
+           / read_tokens_per_ms;
+  if (share > memory_comfort)
+    cost += (share - memory_comfort) * memory_cost_ms;
+  cost *= 1 + failing_weight * csp_fading_failures (target, now_ms);
   if (strcmp (target->row.data_centre, need->data_centre) != 0)
-    cost += elsewhere_cost;
+    cost += elsewhere_cost_ms;
   if (now_ms < target->warm_at_ms)
-    cost += warming_cost;
+    cost += warming_cost_ms;
   return cost;
 }
 
@@ -99,7 +131,8 @@
 
       if (!may_get (target, need) || (avoided && !best_avoided))
         continue;
-      cost = cost_of (target, need, now_ms) + lot * csp_random_unit (random);
+      cost
+          = cost_of (target, need, now_ms) + lot_ms * csp_random_unit (random);
       if (cost < best_cost || (best_avoided && !avoided))
         {
           best = target;
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -1,5 +1,7 @@
 #include "fleet/fleet-imp.h"
 
+#include "cowslipspoke/hash.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -78,6 +80,7 @@
   if (target == NULL)
     return NULL;
   strcpy (target->row.id, id);
+  target->hash = csp_hash_pair ("target", id);
   fleet->targets[fleet->count++] = target;
   return target;
 }
@@ -190,6 +193,33 @@
   fleet->count = kept;
 }
 
+void
+csp_clear_other_loads (csp_fleet_t *fleet)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->count; i++)
+    memset (&fleet->targets[i]->others, 0, sizeof (csp_fleet_load_t));
+}
+
+void
+csp_count_other_load (csp_fleet_t *fleet, const csp_peer_load_t *load)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->count; i++)
+    if (fleet->targets[i]->hash == load->target)
+      {
+        csp_fleet_load_t *others = &fleet->targets[i]->others;
+
+        others->requests += load->requests;
+        others->tokens += load->tokens;
+        others->backup_tokens += load->backup_tokens;
+        others->reading_tokens += load->reading_tokens;
+        return;
+      }
+}
+
 bool
 csp_fleet_serves (const csp_fleet_t *fleet)
 {
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -26,6 +26,13 @@
             ntohs (target->row.address.sin_port));
 }
 
+void
+csp_note_prompt_read (csp_exchange_t *exchange, csp_fleet_target_t *target)
+{
+  target->own.reading_tokens -= exchange->reading_tokens;
+  exchange->reading_tokens = 0;
+}
+
 void
 csp_drop_attempt (csp_exchange_t *exchange)
 {
@@ -37,9 +44,11 @@
   exchange->target = NULL;
   if (target == NULL)
     return;
-  target->requests--;
-  target->tokens -= exchange->tokens;
+  csp_note_prompt_read (exchange, target);
+  target->own.requests--;
+  target->own.tokens -= exchange->tokens;
   target->users--;
+  csp_tell_load (exchange->gateway);
 }
 
 /* Whether a caller's field goes on to the target.  */
@@ -168,8 +177,12 @@
   exchange->link = link;
   exchange->target = target;
   target->users++;
-  target->requests++;
-  target->tokens += exchange->tokens;
+  target->own.requests++;
+  target->own.tokens += exchange->tokens;
+  if (copy == NULL)
+    exchange->reading_tokens = exchange->prompt_tokens;
+  target->own.reading_tokens += exchange->reading_tokens;
+  csp_tell_load (exchange->gateway);
   exchange->mode = CSP_ANSWER_NONE;
   exchange->run_since_ms = 0;
   exchange->last_data_ms = csp_gateway_now_ms (exchange->gateway);
@@ -221,6 +234,8 @@
     }
   need.service = exchange->service->name;
   need.by_memory = exchange->service->is_engine;
+  need.memory_tokens = exchange->service->memory_tokens;
+  need.tokens = exchange->tokens;
   target = csp_choose_fleet_target (gateway->fleet, &need, &gateway->random,
                                     csp_gateway_now_ms (gateway));
   exchange->attempts++;
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -60,8 +60,10 @@
   char request_id[CSP_REQUEST_ID_BYTES];
   int64_t began_ms;
   int64_t deadline_ms;
-  uint64_t tokens;        /* memory that the run is expected to take */
-  uint64_t output_tokens; /* expected */
+  uint64_t tokens; /* memory that the run is expected to take */
+  uint64_t prompt_tokens;
+  uint64_t output_tokens;  /* expected */
+  uint64_t reading_tokens; /* counted at the target as being read */
   csp_buffer_t body;
   bool body_whole;
   bool body_streams; /* longer than what is kept */
@@ -110,6 +112,10 @@
 /* Close the connection of the attempt, and give back what it took.  */
 void csp_drop_attempt (csp_exchange_t *exchange);
 
+/* The target has answered with a first token.  */
+void csp_note_prompt_read (csp_exchange_t *exchange,
+                           csp_fleet_target_t *target);
+
 /* Pass a piece of the body on.  */
 void csp_pass_body (csp_exchange_t *exchange, const char *piece,
                     size_t piece_bytes);
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -227,6 +227,7 @@
     }
   exchange->output_tokens
       = hint != NULL ? strtoull (hint, NULL, DECIMAL) : output_max / 2;
+  exchange->prompt_tokens = prompt;
   exchange->tokens = prompt + exchange->output_tokens;
 }
 
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -82,6 +82,13 @@
   struct cds_wfcq_tail updates_tail;
   csp_routes_t *routes;
   csp_fleet_t *fleet;
+  csp_roster_t *roster;
+  uv_udp_t peers;
+  uv_timer_t tell_timer;
+  uv_timer_t greet_timer;
+  uint64_t boot;
+  uint64_t hello_sequence;
+  csp_peer_address_t *peer_room; /* CSP_ROSTER_MAX addresses, for one call */
   csp_random_t random;
   size_t budget_count;
   csp_service_budget_t budgets[CSP_BUDGETS_MAX];
@@ -167,6 +174,13 @@
 /* Streams that fell silent go on elsewhere.  Call it now and then.  */
 void csp_watch_streams (csp_gateway_t *gateway);
 
+/* Peers: see gateway-peers.c.  False where the port can't be had.  */
+bool csp_open_gateway_peers (csp_gateway_t *gateway);
+void csp_close_gateway_peers (csp_gateway_t *gateway);
+
+/* What is under way here has changed; the others hear of it in a moment.  */
+void csp_tell_load (csp_gateway_t *gateway);
+
 /* Pages: see gateway-page.c.  */
 void csp_accept_page (csp_gateway_t *gateway, uv_stream_t *listener);
 bool csp_print_gateway_metrics (const csp_gateway_t *gateway,
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -49,7 +49,7 @@
   exchange->reserved_backup = NULL;
   if (backup == NULL)
     return;
-  backup->backup_tokens -= exchange->tokens;
+  backup->own.backup_tokens -= exchange->tokens;
   backup->users--;
 }
 
@@ -60,6 +60,9 @@
   csp_fleet_need_t need = { .service = exchange->service->name,
                             .data_centre = gateway->settings.data_centre,
                             .by_memory = true,
+                            .memory_tokens = exchange->service->memory_tokens,
+                            .tokens = exchange->tokens,
+                            .is_copy = true,
                             .not_this = target,
                             .nor_this = exchange->move.to };
 
@@ -79,7 +82,7 @@
   backup = choose_elsewhere (exchange, target);
   if (backup == NULL)
     return;
-  backup->backup_tokens += exchange->tokens;
+  backup->own.backup_tokens += exchange->tokens;
   backup->users++;
   exchange->backup = backup;
   exchange->reserved_backup = backup;
--- /dev/null
+++ b/source/gateway/gateway-peers.c
@@ -0,0 +1,217 @@
+#include "gateway/gateway-imp.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Telling the other hosts what is under way here, and hearing them.  */
+
+enum
+{
+  /* Changes are told together after at most this, and later in large fleets,
+     so that each host sends and gets some thousand datagrams a second at
+     most, whatever the size.  */
+  TELL_LEAST_MS = 15,
+  TELL_MS_A_PEER = 1,
+  /* Greetings are due by the second; looked at that often.  */
+  GREET_TICK_MS = 200,
+  BOOT_RANDOM_BITS = 16
+};
+
+static void
+count_load (void *state, const csp_peer_load_t *load)
+{
+  csp_count_other_load (state, load);
+}
+
+/* What the other hosts have under way, counted anew.  */
+static void
+count_others (csp_gateway_t *gateway)
+{
+  csp_clear_other_loads (gateway->fleet);
+  csp_each_peer_load (gateway->roster, count_load, gateway->fleet);
+}
+
+static struct sockaddr_in
+socket_address (csp_peer_address_t peer)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  address.sin_addr.s_addr = htonl (peer.ip);
+  address.sin_port = htons (peer.port);
+  return address;
+}
+
+static csp_peer_address_t
+peer_address (const struct sockaddr_in *address)
+{
+  csp_peer_address_t peer = { .ip = ntohl (address->sin_addr.s_addr),
+                              .port = ntohs (address->sin_port) };
+
+  return peer;
+}
+
+/* Send now or not at all: a greeting that waits is an old one.  */
+static void
+send_hello (csp_gateway_t *gateway, csp_hello_t *hello,
+            const csp_peer_address_t *peers, size_t peer_count)
+{
+  csp_buffer_t bytes = { 0 };
+  size_t i;
+
+  hello->boot = gateway->boot;
+  hello->sequence = ++gateway->hello_sequence;
+  hello->leaving = gateway->stopping;
+  if (csp_encode_hello (hello, &bytes))
+    for (i = 0; i < peer_count; i++)
+      {
+        struct sockaddr_in to = socket_address (peers[i]);
+        uv_buf_t buffer = uv_buf_init (bytes.data, (unsigned)bytes.size_bytes);
+
+        uv_udp_try_send (&gateway->peers, &buffer, 1,
+                         (const struct sockaddr *)&to);
+      }
+  csp_clear_buffer (&bytes);
+}
+
+static csp_peer_load_t
+load_of (const csp_fleet_target_t *target)
+{
+  csp_peer_load_t load
+      = { .target = target->hash,
+          .requests = target->own.requests,
+          .tokens = (uint32_t)target->own.tokens,
+          .backup_tokens = (uint32_t)target->own.backup_tokens,
+          .reading_tokens = (uint32_t)target->own.reading_tokens };
+
+  return load;
+}
+
+/* Send what of our loads is wanted, in as many datagrams as it takes.  whole:
+   all loads, and whom we know; else those that changed.  */
+static void
+tell_loads (csp_gateway_t *gateway, bool whole,
+            const csp_peer_address_t *peers, size_t peer_count)
+{
+  size_t count = csp_fleet_size (gateway->fleet);
+  csp_hello_t hello = { .whole = whole };
+  bool sent = false;
+  size_t i;
+
+  if (whole)
+    hello.known_count = csp_draw_known_peers (gateway->roster, hello.known,
+                                              CSP_HELLO_KNOWN_MAX);
+  for (i = 0; i < count; i++)
+    {
+      csp_fleet_target_t *target = csp_fleet_at (gateway->fleet, i);
+      csp_peer_load_t load = load_of (target);
+
+      if (whole ? load.requests == 0 && load.backup_tokens == 0
+                : memcmp (&load, &target->told, sizeof load) == 0)
+        continue;
+      if (!whole)
+        target->told = load;
+      hello.loads[hello.load_count++] = load;
+      if (hello.load_count < CSP_HELLO_LOADS_MAX)
+        continue;
+      send_hello (gateway, &hello, peers, peer_count);
+      memset (&hello, 0, sizeof hello);
+      sent = true;
+    }
+  if (hello.load_count > 0 || (whole && !sent))
+    send_hello (gateway, &hello, peers, peer_count);
+}
+
+static void
+on_tell (uv_timer_t *timer)
+{
+  csp_gateway_t *gateway = timer->data;
+  csp_peer_address_t *peers = gateway->peer_room;
+  size_t count = csp_list_live_peers (gateway->roster, peers, CSP_ROSTER_MAX);
+
+  tell_loads (gateway, false, peers, count);
+}
+
+void
+csp_tell_load (csp_gateway_t *gateway)
+{
+  uint64_t wait_ms = TELL_MS_A_PEER * csp_count_live_peers (gateway->roster);
+
+  if (uv_is_active ((uv_handle_t *)&gateway->tell_timer))
+    return;
+  uv_timer_start (&gateway->tell_timer, on_tell,
+                  wait_ms > TELL_LEAST_MS ? wait_ms : TELL_LEAST_MS, 0);
+}
+
+static void
+on_greet (uv_timer_t *timer)
+{
+  csp_gateway_t *gateway = timer->data;
+  csp_peer_address_t *peers = gateway->peer_room;
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  size_t count;
+
+  if (csp_expire_peers (gateway->roster, now_ms))
+    count_others (gateway);
+  count = csp_list_due_peers (gateway->roster, now_ms, peers, CSP_ROSTER_MAX);
+  if (count > 0)
+    tell_loads (gateway, true, peers, count);
+}
+
+static void
+on_datagram (uv_udp_t *handle, ssize_t size_bytes, const uv_buf_t *room,
+             const struct sockaddr *from, unsigned flags)
+{
+  csp_gateway_t *gateway = handle->data;
+  csp_hello_t hello;
+
+  if (size_bytes <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0
+      || !csp_decode_hello (room->base, (size_t)size_bytes, &hello))
+    return;
+  if (csp_hear_peer (gateway->roster,
+                     peer_address ((const struct sockaddr_in *)from), &hello,
+                     csp_gateway_now_ms (gateway))
+      && (hello.whole || hello.load_count > 0))
+    count_others (gateway);
+}
+
+bool
+csp_open_gateway_peers (csp_gateway_t *gateway)
+{
+  const csp_gateway_settings_t *settings = &gateway->settings;
+  uint64_t random = csp_random_seed ();
+  size_t i;
+
+  gateway->boot = ((uint64_t)csp_wall_ms (&gateway->clock) << BOOT_RANDOM_BITS)
+                  | (random & ((1U << BOOT_RANDOM_BITS) - 1));
+  gateway->roster = csp_create_roster (peer_address (&settings->peers),
+                                       gateway->boot, random);
+  gateway->peer_room = calloc (CSP_ROSTER_MAX, sizeof *gateway->peer_room);
+  if (gateway->roster == NULL || gateway->peer_room == NULL)
+    return false;
+  uv_timer_init (&gateway->loop, &gateway->tell_timer);
+  gateway->tell_timer.data = gateway;
+  uv_timer_init (&gateway->loop, &gateway->greet_timer);
+  gateway->greet_timer.data = gateway;
+  uv_udp_init (&gateway->loop, &gateway->peers);
+  gateway->peers.data = gateway;
+  if (settings->peers.sin_port == 0)
+    return true;
+  if (uv_udp_bind (&gateway->peers, (const struct sockaddr *)&settings->peers,
+                   0)
+          != 0
+      || uv_udp_recv_start (&gateway->peers, csp_share_read_room, on_datagram)
+             != 0)
+    return false;
+  for (i = 0; i < settings->seed_count; i++)
+    csp_learn_peer (gateway->roster, peer_address (&settings->seeds[i]));
+  uv_timer_start (&gateway->greet_timer, on_greet, 0, GREET_TICK_MS);
+  return true;
+}
+
+void
+csp_close_gateway_peers (csp_gateway_t *gateway)
+{
+  csp_destroy_roster (gateway->roster);
+  free (gateway->peer_room);
+}
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -167,7 +167,11 @@
     return;
   send_events (exchange, ready_bytes);
   if (exchange->run_since_ms == 0)
-    exchange->run_since_ms = exchange->last_data_ms;
+    {
+      exchange->run_since_ms = exchange->last_data_ms;
+      csp_note_prompt_read (exchange, exchange->target);
+      csp_tell_load (exchange->gateway);
+    }
   if (exchange->move.state == CSP_MOVE_RESUMING)
     csp_move_arrived (exchange);
   else if (exchange->move.wanted && exchange->move.state == CSP_MOVE_NONE)
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -70,7 +70,7 @@
 
   CSP_LOG (gateway->log, CSP_EVENT_TARGET_LEAVING, NULL,
            csp_text ("target", target->row.id),
-           csp_number ("open_streams", target->requests));
+           csp_number ("open_streams", target->own.requests));
   csp_leave_target (gateway, target);
 }
 
@@ -275,6 +275,12 @@
   gateway->tick.data = gateway;
   uv_timer_start (&gateway->tick, on_tick, TICK_MS, TICK_MS);
   gateway->fleet = csp_create_fleet (on_target_left, on_target_freed, gateway);
+  if (!csp_open_gateway_peers (gateway))
+    {
+      snprintf (message, message_bytes, "can't hear other hosts");
+      csp_destroy_gateway (gateway);
+      return NULL;
+    }
   if (gateway->fleet == NULL
       || !open_listener (gateway, &gateway->front, &settings->front, on_front,
                          "callers", message, message_bytes)
@@ -313,6 +319,7 @@
   while (uv_run (&gateway->loop, UV_RUN_DEFAULT) != 0)
     continue;
   uv_loop_close (&gateway->loop);
+  csp_close_gateway_peers (gateway);
   free (gateway);
 }
 
--- /dev/null
+++ b/source/roster/roster.c
@@ -0,0 +1,272 @@
+#include "cowslipspoke/roster.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  /* Each host greets the others that often; at 91 hosts that is 91 datagrams
+     a second each way.  */
+  GREET_MS = 1000,
+  /* Those that aren't heard: seeds that are down, and hosts behind a cut,
+     which heals unannounced.  */
+  GREET_SILENT_MS = 2000,
+  /* Two greetings may be lost on a link that drops packets.  */
+  SILENT_AFTER_MS = 3300,
+  /* A machine that is away that long has another address or none.  */
+  FORGET_AFTER_MS = 600000
+};
+
+typedef struct
+{
+  csp_peer_address_t address;
+  uint64_t boot;
+  uint64_t sequence;
+  bool live;
+  int64_t heard_ms;
+  int64_t greet_at_ms;
+  size_t load_count;
+  size_t load_room;
+  csp_peer_load_t *loads;
+} peer_t;
+
+struct csp_roster
+{
+  csp_peer_address_t self;
+  uint64_t boot;
+  csp_random_t random;
+  size_t count;
+  size_t room;
+  peer_t *peers;
+};
+
+csp_roster_t *
+csp_create_roster (csp_peer_address_t self, uint64_t boot, uint64_t seed)
+{
+  csp_roster_t *roster = calloc (1, sizeof *roster);
+
+  if (roster == NULL)
+    return NULL;
+  roster->self = self;
+  roster->boot = boot;
+  csp_seed_random (&roster->random, seed);
+  return roster;
+}
+
+void
+csp_destroy_roster (csp_roster_t *roster)
+{
+  size_t i;
+
+  if (roster == NULL)
+    return;
+  for (i = 0; i < roster->count; i++)
+    free (roster->peers[i].loads);
+  free (roster->peers);
+  free (roster);
+}
+
+static bool
+is_same (csp_peer_address_t a, csp_peer_address_t b)
+{
+  return a.ip == b.ip && a.port == b.port;
+}
+
+static peer_t *
+find_peer (csp_roster_t *roster, csp_peer_address_t address)
+{
+  size_t i;
+
+  for (i = 0; i < roster->count; i++)
+    if (is_same (roster->peers[i].address, address))
+      return &roster->peers[i];
+  return NULL;
+}
+
+static peer_t *
+add_peer (csp_roster_t *roster, csp_peer_address_t address)
+{
+  peer_t *peer;
+
+  if (roster->count == CSP_ROSTER_MAX)
+    return NULL;
+  if (roster->count == roster->room)
+    {
+      size_t room = roster->room == 0 ? 16 : roster->room * 2;
+      peer_t *grown = realloc (roster->peers, room * sizeof *grown);
+
+      if (grown == NULL)
+        return NULL;
+      roster->peers = grown;
+      roster->room = room;
+    }
+  peer = &roster->peers[roster->count++];
+  memset (peer, 0, sizeof *peer);
+  peer->address = address;
+  return peer;
+}
+
+void
+csp_learn_peer (csp_roster_t *roster, csp_peer_address_t address)
+{
+  if (!is_same (address, roster->self) && find_peer (roster, address) == NULL)
+    add_peer (roster, address);
+}
+
+static void
+set_load (peer_t *peer, const csp_peer_load_t *load)
+{
+  size_t i;
+
+  for (i = 0; i < peer->load_count; i++)
+    if (peer->loads[i].target == load->target)
+      {
+        peer->loads[i] = *load;
+        return;
+      }
+  if (peer->load_count == peer->load_room)
+    {
+      size_t room = peer->load_room == 0 ? 16 : peer->load_room * 2;
+      csp_peer_load_t *grown = realloc (peer->loads, room * sizeof *grown);
+
+      /* Without memory the load goes uncounted until the next whole one.  */
+      if (grown == NULL)
+        return;
+      peer->loads = grown;
+      peer->load_room = room;
+    }
+  peer->loads[peer->load_count++] = *load;
+}
+
+bool
+csp_hear_peer (csp_roster_t *roster, csp_peer_address_t from,
+               const csp_hello_t *hello, int64_t now_ms)
+{
+  peer_t *peer;
+  size_t i;
+
+  if (hello->boot == roster->boot || is_same (from, roster->self))
+    return false;
+  peer = find_peer (roster, from);
+  if (peer == NULL)
+    peer = add_peer (roster, from);
+  if (peer == NULL)
+    return false;
+  /* Boots are start times with some random bits, so a lower one is a datagram
+     that was long on its way.  */
+  if (hello->boot < peer->boot
+      || (hello->boot == peer->boot && hello->sequence <= peer->sequence))
+    return false;
+  if (hello->boot > peer->boot || hello->whole)
+    peer->load_count = 0;
+  peer->boot = hello->boot;
+  peer->sequence = hello->sequence;
+  peer->heard_ms = now_ms;
+  peer->live = true;
+  for (i = 0; i < hello->load_count; i++)
+    set_load (peer, &hello->loads[i]);
+  for (i = 0; i < hello->known_count; i++)
+    csp_learn_peer (roster, hello->known[i]);
+  return true;
+}
+
+bool
+csp_expire_peers (csp_roster_t *roster, int64_t now_ms)
+{
+  bool changed = false;
+  size_t i = 0;
+
+  while (i < roster->count)
+    {
+      peer_t *peer = &roster->peers[i];
+
+      if (peer->live && now_ms - peer->heard_ms >= SILENT_AFTER_MS)
+        {
+          peer->live = false;
+          peer->load_count = 0;
+          changed = true;
+        }
+      if (peer->heard_ms != 0 && now_ms - peer->heard_ms >= FORGET_AFTER_MS)
+        {
+          free (peer->loads);
+          roster->peers[i] = roster->peers[--roster->count];
+          continue;
+        }
+      i++;
+    }
+  return changed;
+}
+
+size_t
+csp_list_due_peers (csp_roster_t *roster, int64_t now_ms,
+                    csp_peer_address_t *addresses, size_t room)
+{
+  size_t listed = 0;
+  size_t i;
+
+  for (i = 0; i < roster->count && listed < room; i++)
+    {
+      peer_t *peer = &roster->peers[i];
+
+      if (now_ms < peer->greet_at_ms)
+        continue;
+      peer->greet_at_ms = now_ms + (peer->live ? GREET_MS : GREET_SILENT_MS);
+      addresses[listed++] = peer->address;
+    }
+  return listed;
+}
+
+size_t
+csp_list_live_peers (const csp_roster_t *roster, csp_peer_address_t *addresses,
+                     size_t room)
+{
+  size_t listed = 0;
+  size_t i;
+
+  for (i = 0; i < roster->count && listed < room; i++)
+    if (roster->peers[i].live)
+      addresses[listed++] = roster->peers[i].address;
+  return listed;
+}
+
+size_t
+csp_count_live_peers (const csp_roster_t *roster)
+{
+  size_t live = 0;
+  size_t i;
+
+  for (i = 0; i < roster->count; i++)
+    live += roster->peers[i].live;
+  return live;
+}
+
+/* From a random place onwards, so that over some greetings all are named.  */
+size_t
+csp_draw_known_peers (csp_roster_t *roster, csp_peer_address_t *addresses,
+                      size_t room)
+{
+  size_t first = csp_random_below (&roster->random, (uint32_t)roster->count);
+  size_t drawn = 0;
+  size_t i;
+
+  for (i = 0; i < roster->count && drawn < room; i++)
+    {
+      const peer_t *peer = &roster->peers[(first + i) % roster->count];
+
+      if (peer->live)
+        addresses[drawn++] = peer->address;
+    }
+  return drawn;
+}
+
+void
+csp_each_peer_load (const csp_roster_t *roster, csp_take_load_t take,
+                    void *state)
+{
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < roster->count; i++)
+    for (j = 0; j < roster->peers[i].load_count; j++)
+      take (state, &roster->peers[i].loads[j]);
+}
