--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -120,6 +120,7 @@
   uint32_t memory_tokens;  /* of one engine */
   uint64_t tokens;         /* that the request takes there */
   bool is_copy;            /* a run's memory goes there, no prompt */
+  double memory_share_max; /* fuller targets don't count; 0: all do */
   const csp_fleet_target_t *not_this;
   const csp_fleet_target_t *nor_this;
 } csp_fleet_need_t;
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -48,6 +48,10 @@
    does.  */
 static const double elsewhere_cost_ms = 12.0;
 
+/* The same for a copy of a run's memory, which takes twice as long between
+   data centres and holds up the link of the source meanwhile.  */
+static const double copy_elsewhere_cost_ms = 200.0;
+
 /* A target that still warms up.  */
 static const double warming_cost_ms = 250.0;
 
@@ -98,7 +102,7 @@
     cost += (share - memory_comfort) * memory_cost_ms;
   cost *= 1 + failing_weight * csp_fading_failures (target, now_ms);
   if (strcmp (target->row.data_centre, need->data_centre) != 0)
-    cost += elsewhere_cost_ms;
+    cost += need->is_copy ? copy_elsewhere_cost_ms : elsewhere_cost_ms;
   if (now_ms < target->warm_at_ms)
     cost += warming_cost_ms;
   return cost;
@@ -107,6 +111,9 @@
 static bool
 may_get (const csp_fleet_target_t *target, const csp_fleet_need_t *need)
 {
+  if (need->memory_share_max > 0
+      && memory_share (target, need) > need->memory_share_max)
+    return false;
   return (target->state == CSP_FLEET_READY
           || target->state == CSP_FLEET_LAPSED)
          && target != need->not_this && target != need->nor_this
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -53,12 +53,22 @@
   backup->users--;
 }
 
+/* A copy that throws runs out of memory costs more than it saves: each of
+   those is read again.  With half of the streams backed up the others have
+   the link between targets to themselves when their target leaves.  */
+static const double backup_share_max = 0.75;
+
+/* A run that moves takes room once, and is lost if it gets none.  */
+static const double move_share_max = 1.0;
+
 static csp_fleet_target_t *
-choose_elsewhere (csp_exchange_t *exchange, const csp_fleet_target_t *target)
+choose_elsewhere (csp_exchange_t *exchange, const csp_fleet_target_t *target,
+                  double share_max)
 {
   csp_gateway_t *gateway = exchange->gateway;
   csp_fleet_need_t need = { .service = exchange->service->name,
-                            .data_centre = gateway->settings.data_centre,
+                            .data_centre = target->row.data_centre,
+                            .memory_share_max = share_max,
                             .by_memory = true,
                             .memory_tokens = exchange->service->memory_tokens,
                             .tokens = exchange->tokens,
@@ -79,7 +89,7 @@
   if (exchange->route->kind != CSP_ROUTE_STREAM
       || !exchange->service->takes_backups)
     return;
-  backup = choose_elsewhere (exchange, target);
+  backup = choose_elsewhere (exchange, target, backup_share_max);
   if (backup == NULL)
     return;
   backup->own.backup_tokens += exchange->tokens;
@@ -99,6 +109,16 @@
                 >= BACKUP_SETTLES_MS;
 }
 
+/* Count the room that the copy takes, so that no other move goes there.  */
+static void
+reserve_move (csp_exchange_t *exchange, csp_fleet_target_t *to)
+{
+  exchange->move.to = to;
+  to->own.backup_tokens += exchange->tokens;
+  to->users++;
+  csp_tell_load (exchange->gateway);
+}
+
 void
 csp_drop_move (csp_exchange_t *exchange)
 {
@@ -108,7 +128,11 @@
     csp_close_link (move->link);
   move->link = NULL;
   if (move->to != NULL)
-    move->to->users--;
+    {
+      move->to->own.backup_tokens -= exchange->tokens;
+      move->to->users--;
+      csp_tell_load (exchange->gateway);
+    }
   move->to = NULL;
   move->state = CSP_MOVE_NONE;
   uv_timer_stop (&move->timer);
@@ -127,6 +151,7 @@
            csp_text ("to", to == NULL ? NULL : to->row.id),
            csp_text ("last_event", exchange->last_event),
            csp_number ("events", (int64_t)exchange->events),
+           csp_number ("status", exchange->move.status),
            csp_number ("silent_ms", csp_gateway_now_ms (exchange->gateway)
                                         - exchange->last_data_ms));
 }
@@ -369,6 +394,7 @@
 csp_want_move (csp_exchange_t *exchange)
 {
   csp_move_t *move = &exchange->move;
+  csp_fleet_target_t *to;
   bool first_time = !move->wanted;
 
   if (exchange->route->kind != CSP_ROUTE_STREAM || exchange->body_streams
@@ -389,10 +415,10 @@
     }
   if (!exchange->service->moves_runs || exchange->target == NULL)
     return;
-  move->to = choose_elsewhere (exchange, exchange->target);
-  if (move->to == NULL)
+  to = choose_elsewhere (exchange, exchange->target, move_share_max);
+  if (to == NULL)
     return;
-  move->to->users++;
+  reserve_move (exchange, to);
   copy_run (exchange, false);
 }
 
