--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -46,6 +46,7 @@
   uint64_t tokens;         /* memory that their runs are expected to take */
   uint64_t backup_tokens;  /* copies of runs that go on elsewhere */
   uint64_t reading_tokens; /* prompts that no token has answered yet */
+  uint64_t movable_tokens; /* of streams that would have to be moved */
 } csp_fleet_load_t;
 
 typedef struct
@@ -65,6 +66,8 @@
   int64_t avoid_until_ms;
   uint32_t unreachable; /* connects in a row that failed */
   bool seen;            /* in the listing that is being read */
+  int64_t turn_at_ms;   /* this host's turn to move streams from here */
+  bool moving;          /* a move of this host from here is under way */
   uint32_t users;       /* requests and links that point here */
   void *links;          /* idle connections, kept by the forwarder */
 } csp_fleet_target_t;
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -43,6 +43,7 @@
   uint32_t tokens;
   uint32_t backup_tokens;
   uint32_t reading_tokens; /* of prompts that no token has answered yet */
+  uint32_t movable_tokens; /* of streams that would have to be moved */
 } csp_peer_load_t;
 
 /* One datagram.  */
@@ -98,7 +99,8 @@
                              csp_peer_address_t *addresses, size_t room);
 
 /* Each load of each live host.  */
-typedef void (*csp_take_load_t) (void *state, const csp_peer_load_t *load);
+typedef void (*csp_take_load_t) (void *state, csp_peer_address_t peer,
+                                 const csp_peer_load_t *load);
 void csp_each_peer_load (const csp_roster_t *roster, csp_take_load_t take,
                          void *state);
 
--- a/include/cowslipspoke/route.h
+++ b/include/cowslipspoke/route.h
@@ -59,6 +59,7 @@
   bool moves_runs;          /* a run's memory can be copied on demand */
   uint32_t connections_max; /* to one target, of all callers */
   uint32_t memory_tokens;
+  double copy_ms_per_token; /* of a run's memory, within a data centre */
 } csp_route_service_t;
 
 /* What callers may send and how long they may take.  */
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -216,6 +216,7 @@
         others->tokens += load->tokens;
         others->backup_tokens += load->backup_tokens;
         others->reading_tokens += load->reading_tokens;
+        others->movable_tokens += load->movable_tokens;
         return;
       }
 }
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -45,6 +45,7 @@
   if (target == NULL)
     return;
   csp_note_prompt_read (exchange, target);
+  csp_count_movable (exchange, false);
   target->own.requests--;
   target->own.tokens -= exchange->tokens;
   target->users--;
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -39,6 +39,8 @@
   uint16_t status; /* of the answer to the request to copy */
   uv_timer_t timer;
   uint8_t tries;
+  const csp_fleet_target_t *refused; /* had no room; for comparison only */
+  csp_fleet_target_t *from;          /* whose turn the move takes up */
 } csp_move_t;
 
 struct csp_exchange
@@ -64,6 +66,7 @@
   uint64_t prompt_tokens;
   uint64_t output_tokens;  /* expected */
   uint64_t reading_tokens; /* counted at the target as being read */
+  uint64_t movable_tokens; /* counted at the target as to be moved */
   csp_buffer_t body;
   bool body_whole;
   bool body_streams; /* longer than what is kept */
@@ -149,6 +152,10 @@
 /* The first bytes of the run elsewhere have come.  */
 void csp_move_arrived (csp_exchange_t *exchange);
 
+/* Count the stream among those that would have to be moved if its target
+   left, or no longer.  */
+void csp_count_movable (csp_exchange_t *exchange, bool movable);
+
 /* Stop what a move has under way.  */
 void csp_drop_move (csp_exchange_t *exchange);
 
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -78,6 +78,7 @@
   uv_tcp_t metrics;
   uv_async_t wake;
   uv_timer_t tick;
+  uv_timer_t move_timer; /* while streams wait for their turn to move */
   struct cds_wfcq_head updates_head;
   struct cds_wfcq_tail updates_tail;
   csp_routes_t *routes;
@@ -168,8 +169,10 @@
 void csp_drop_links (csp_fleet_target_t *target);
 
 /* A target leaves: streams go elsewhere.  */
-void csp_leave_target (csp_gateway_t *gateway,
-                       const csp_fleet_target_t *target);
+void csp_leave_target (csp_gateway_t *gateway, csp_fleet_target_t *target);
+
+/* Begin the moves whose turn has come.  */
+void csp_pump_moves (csp_gateway_t *gateway);
 
 /* Streams that fell silent go on elsewhere.  Call it now and then.  */
 void csp_watch_streams (csp_gateway_t *gateway);
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -1,5 +1,6 @@
 #include "gateway/gateway-exchange-imp.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 /* Taking a stream to another target, in the middle.
@@ -28,7 +29,10 @@
   /* A copy of a run at a target's limit of memory over a busy link; behind
      this the target itself is gone.  */
   MOVE_TIMEOUT_MS = 2000,
-  BUSY_PAUSE_MS = 40,
+  /* Between the turns of two hosts: the last rest of a run and what the
+     estimate of its length is off.  */
+  TURN_MARGIN_MS = 40,
+  TURN_TICK_MS = 10,
   /* Events come every 30 to 60 ms, and a batch that takes in long prompts
      pauses for some tenths of a second.  */
   SILENT_MS = 900,
@@ -74,7 +78,7 @@
                             .tokens = exchange->tokens,
                             .is_copy = true,
                             .not_this = target,
-                            .nor_this = exchange->move.to };
+                            .nor_this = exchange->move.refused };
 
   return csp_choose_fleet_target (gateway->fleet, &need, &gateway->random,
                                   csp_gateway_now_ms (gateway));
@@ -134,6 +138,12 @@
       csp_tell_load (exchange->gateway);
     }
   move->to = NULL;
+  if (move->from != NULL)
+    {
+      move->from->moving = false;
+      move->from->users--;
+    }
+  move->from = NULL;
   move->state = CSP_MOVE_NONE;
   uv_timer_stop (&move->timer);
   csp_clear_buffer (&move->answer);
@@ -220,12 +230,15 @@
     csp_want_move (exchange);
 }
 
-/* A move that failed while the run is still where it was: think again in a
-   moment.  One that failed after the stop has lost the run.  */
+/* A move that failed while the run is still where it was is tried again when
+   its turn comes.  One that failed after the stop has lost the run.  */
 static void
 give_up_move (csp_exchange_t *exchange, const char *why)
 {
-  bool stopped = exchange->move.state == CSP_MOVE_STOPPING;
+  /* A target that refuses to stop the run has not stopped it, and its stream
+     goes on.  */
+  bool stopped
+      = exchange->move.state == CSP_MOVE_STOPPING && exchange->link == NULL;
 
   exchange->gateway->counts.moves_failed++;
   log_move (exchange, why, exchange->move.to);
@@ -246,15 +259,6 @@
     give_up_move (exchange, "copy-late");
 }
 
-static void
-on_pause_end (uv_timer_t *timer)
-{
-  csp_exchange_t *exchange = timer->data;
-
-  if (!exchange->over)
-    csp_want_move (exchange);
-}
-
 static void
 on_copy_answered (void *state, const csp_http_head_t *head)
 {
@@ -320,16 +324,9 @@
       csp_drop_move (exchange);
       return;
     }
-  if (move->status == STATUS_CONFLICT && ++move->tries < TRIES_MAX)
-    {
-      csp_drop_move (exchange);
-      uv_timer_start (&move->timer, on_pause_end, BUSY_PAUSE_MS, 0);
-      return;
-    }
+  if (move->status != STATUS_CONFLICT)
+    move->refused = move->to;
   give_up_move (exchange, stopping ? "stop-refused" : "copy-refused");
-  if (!exchange->over && !stopping && move->status != STATUS_NOT_FOUND
-      && ++move->tries < TRIES_MAX)
-    csp_want_move (exchange);
 }
 
 static void
@@ -356,6 +353,12 @@
 
   csp_clear_buffer (&move->answer);
   move->status = 0;
+  if (move->from == NULL)
+    {
+      move->from = exchange->target;
+      move->from->moving = true;
+      move->from->users++;
+    }
   move->link = csp_take_link (exchange->gateway, exchange->target);
   if (move->link == NULL)
     {
@@ -394,45 +397,166 @@
 csp_want_move (csp_exchange_t *exchange)
 {
   csp_move_t *move = &exchange->move;
-  csp_fleet_target_t *to;
-  bool first_time = !move->wanted;
 
   if (exchange->route->kind != CSP_ROUTE_STREAM || exchange->body_streams
       || exchange->service == NULL || move->state != CSP_MOVE_NONE)
     return;
   move->wanted = true;
+  move->tries = 0;
   if (exchange->mode != CSP_ANSWER_STREAM || exchange->events == 0)
     return;
-  if (first_time && expected_left_ms (exchange) < ENDS_SOON_MS
-      && exchange->output_tokens * TOKEN_MS < ENDS_SOON_MS)
-    return;
-  if (backup_is_good (exchange))
+  if (backup_is_good (exchange) && expected_left_ms (exchange) > ENDS_SOON_MS)
     {
       if (!resume_from_backup (exchange))
         csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
                            "no connection to go on");
       return;
     }
-  if (!exchange->service->moves_runs || exchange->target == NULL)
-    return;
-  to = choose_elsewhere (exchange, exchange->target, move_share_max);
+  csp_pump_moves (exchange->gateway);
+}
+
+/* Whether the stream waits for its turn to be moved.  */
+static bool
+waits_for_turn (const csp_exchange_t *exchange)
+{
+  return exchange->move.wanted && exchange->move.state == CSP_MOVE_NONE
+         && exchange->mode == CSP_ANSWER_STREAM && exchange->events > 0
+         && exchange->target != NULL && exchange->service->moves_runs
+         && exchange->move.tries < TRIES_MAX;
+}
+
+/* Begin to move a stream: first a copy, while the run goes on.  */
+static void
+begin_move (csp_exchange_t *exchange)
+{
+  csp_fleet_target_t *to
+      = choose_elsewhere (exchange, exchange->target, move_share_max);
+
+  exchange->move.tries++;
   if (to == NULL)
     return;
   reserve_move (exchange, to);
   copy_run (exchange, false);
 }
 
+static void
+on_move_timer (uv_timer_t *timer)
+{
+  csp_pump_moves (timer->data);
+}
+
+/* The streams of this host that leave one target go one after another, the
+   one that has longest to go first: what is nearly done may still end where
+   it is.  */
 void
-csp_leave_target (csp_gateway_t *gateway, const csp_fleet_target_t *target)
+csp_pump_moves (csp_gateway_t *gateway)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  csp_exchange_t *best = NULL;
+  csp_exchange_t *exchange;
+  bool waiting = false;
+
+  for (exchange = gateway->exchanges; exchange != NULL;
+       exchange = exchange->next)
+    {
+      if (!waits_for_turn (exchange))
+        continue;
+      waiting = true;
+      if (exchange->target->moving || now_ms < exchange->target->turn_at_ms)
+        continue;
+      if (best == NULL
+          || expected_left_ms (exchange) > expected_left_ms (best))
+        best = exchange;
+    }
+  if (waiting)
+    uv_timer_start (&gateway->move_timer, on_move_timer, TURN_TICK_MS, 0);
+  if (best != NULL)
+    begin_move (best);
+}
+
+/* Hosts move their streams from one target in turns, by what each has told of
+   its streams there: a run that is stopped waits for the copies that others
+   have put on the link before, and its caller sees a pause of tenths of a
+   second.  Each host knows the order and the lengths, so nobody has to be
+   asked; one that is gone leaves its turn empty.  */
+typedef struct
+{
+  const csp_fleet_target_t *target;
+  uint64_t own_rank;
+  uint64_t tokens_before;
+  uint32_t hosts_before;
+} turn_t;
+
+static uint64_t
+rank_of (uint64_t target, csp_peer_address_t peer)
+{
+  /* Knuth's multiplicative hash, so that turns differ by target.  */
+  return (((uint64_t)peer.ip << 16 | peer.port) ^ target)
+         * 0x9e3779b97f4a7c15U;
+}
+
+static void
+count_turn (void *state, csp_peer_address_t peer, const csp_peer_load_t *load)
+{
+  turn_t *turn = state;
+
+  if (load->target != turn->target->hash || load->movable_tokens == 0
+      || rank_of (load->target, peer) >= turn->own_rank)
+    return;
+  turn->tokens_before += load->movable_tokens;
+  turn->hosts_before++;
+}
+
+static int64_t
+own_turn_ms (const csp_gateway_t *gateway, const csp_fleet_target_t *target)
+{
+  const struct sockaddr_in *self = &gateway->settings.peers;
+  csp_peer_address_t own = { .ip = ntohl (self->sin_addr.s_addr),
+                             .port = ntohs (self->sin_port) };
+  turn_t turn = { .target = target, .own_rank = rank_of (target->hash, own) };
+  const csp_route_service_t *service = NULL;
+
+  if (gateway->routes != NULL)
+    service = csp_get_route_service (gateway->routes, target->row.service);
+  if (service == NULL || gateway->roster == NULL)
+    return 0;
+  csp_each_peer_load (gateway->roster, count_turn, &turn);
+  return (int64_t)((double)turn.tokens_before * service->copy_ms_per_token)
+         + turn.hosts_before * TURN_MARGIN_MS;
+}
+
+void
+csp_count_movable (csp_exchange_t *exchange, bool movable)
+{
+  csp_fleet_target_t *target = exchange->target;
+  uint64_t tokens = movable && exchange->backup == NULL
+                            && exchange->route->kind == CSP_ROUTE_STREAM
+                        ? exchange->tokens
+                        : 0;
+
+  if (target == NULL)
+    return;
+  target->own.movable_tokens += tokens - exchange->movable_tokens;
+  exchange->movable_tokens = tokens;
+}
+
+void
+csp_leave_target (csp_gateway_t *gateway, csp_fleet_target_t *target)
 {
   csp_exchange_t *exchange = gateway->exchanges;
 
+  target->turn_at_ms
+      = csp_gateway_now_ms (gateway) + own_turn_ms (gateway, target);
   while (exchange != NULL)
     {
       csp_exchange_t *next = exchange->next;
 
       if (exchange->backup == target)
-        exchange->backup = NULL;
+        {
+          exchange->backup = NULL;
+          if (exchange->run_since_ms != 0)
+            csp_count_movable (exchange, true);
+        }
       if (exchange->target == target)
         csp_want_move (exchange);
       exchange = next;
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -19,8 +19,9 @@
 };
 
 static void
-count_load (void *state, const csp_peer_load_t *load)
+count_load (void *state, csp_peer_address_t peer, const csp_peer_load_t *load)
 {
+  (void)peer;
   csp_count_other_load (state, load);
 }
 
@@ -82,7 +83,8 @@
           .requests = target->own.requests,
           .tokens = (uint32_t)target->own.tokens,
           .backup_tokens = (uint32_t)target->own.backup_tokens,
-          .reading_tokens = (uint32_t)target->own.reading_tokens };
+          .reading_tokens = (uint32_t)target->own.reading_tokens,
+          .movable_tokens = (uint32_t)target->own.movable_tokens };
 
   return load;
 }
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -170,6 +170,7 @@
     {
       exchange->run_since_ms = exchange->last_data_ms;
       csp_note_prompt_read (exchange, exchange->target);
+      csp_count_movable (exchange, true);
       csp_tell_load (exchange->gateway);
     }
   if (exchange->move.state == CSP_MOVE_RESUMING)
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -274,6 +274,8 @@
   uv_timer_init (&gateway->loop, &gateway->tick);
   gateway->tick.data = gateway;
   uv_timer_start (&gateway->tick, on_tick, TICK_MS, TICK_MS);
+  uv_timer_init (&gateway->loop, &gateway->move_timer);
+  gateway->move_timer.data = gateway;
   gateway->fleet = csp_create_fleet (on_target_left, on_target_freed, gateway);
   if (!csp_open_gateway_peers (gateway))
     {
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -28,6 +28,7 @@
       loads[i].tokens = hello->loads[i].tokens;
       loads[i].backup_tokens = hello->loads[i].backup_tokens;
       loads[i].reading_tokens = hello->loads[i].reading_tokens;
+      loads[i].movable_tokens = hello->loads[i].movable_tokens;
       load_rows[i] = &loads[i];
     }
   for (i = 0; i < hello->known_count; i++)
@@ -68,6 +69,7 @@
       hello->loads[i].tokens = message->loads[i]->tokens;
       hello->loads[i].backup_tokens = message->loads[i]->backup_tokens;
       hello->loads[i].reading_tokens = message->loads[i]->reading_tokens;
+      hello->loads[i].movable_tokens = message->loads[i]->movable_tokens;
     }
   for (i = 0; good && i < message->n_known; i++)
     {
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -142,7 +142,7 @@
   assert(message->base.descriptor == &csp_hello__hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor csp_hello__load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor csp_hello__load__field_descriptors[6] =
 {
   {
     "target",
@@ -204,9 +204,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "movable_tokens",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Load, movable_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__load__field_indices_by_name[] = {
   3,   /* field[3] = backup_tokens */
+  5,   /* field[5] = movable_tokens */
   4,   /* field[4] = reading_tokens */
   1,   /* field[1] = requests */
   0,   /* field[0] = target */
@@ -215,7 +228,7 @@
 static const ProtobufCIntRange csp_hello__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor csp_hello__load__descriptor =
 {
@@ -225,7 +238,7 @@
   "CspHello__Load",
   "csp_hello",
   sizeof(CspHello__Load),
-  5,
+  6,
   csp_hello__load__field_descriptors,
   csp_hello__load__field_indices_by_name,
   1,  csp_hello__load__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -33,10 +33,11 @@
   uint32_t tokens;
   uint32_t backup_tokens;
   uint32_t reading_tokens;
+  uint32_t movable_tokens;
 };
 #define CSP_HELLO__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  CspHello__Address
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -268,5 +268,5 @@
 
   for (i = 0; i < roster->count; i++)
     for (j = 0; j < roster->peers[i].load_count; j++)
-      take (state, &roster->peers[i].loads[j]);
+      take (state, roster->peers[i].address, &roster->peers[i].loads[j]);
 }
