--- /dev/null
+++ b/tests/gateway/gateway-fixture.c
@@ -0,0 +1,398 @@
+#include "gateway/gateway-fixture.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  WAIT_S = 10,
+  STOP_LIMIT_MS = 8000
+};
+
+static const char *const never_from_callers[] = { "Secret", NULL };
+
+static bool
+write_move (const char *target, const char *request_id, const char *to,
+            bool last, csp_buffer_t *request)
+{
+  return csp_print_buffer (request,
+                           "POST /move?id=%s&to=%s&last=%d HTTP/1.1\r\n"
+                           "Host: %s\r\nContent-Length: 0\r\n\r\n",
+                           request_id, to, last, target);
+}
+
+static bool
+read_move (const char *body, size_t size_bytes, csp_move_answer_t *answer)
+{
+  if (size_bytes == 0 || size_bytes >= sizeof answer->handle)
+    return false;
+  memcpy (answer->handle, body, size_bytes);
+  answer->handle[size_bytes] = '\0';
+  return true;
+}
+
+static void
+write_copy (const char *address, const char *handle, char *text,
+            size_t room_bytes)
+{
+  snprintf (text, room_bytes, "%s/%s", address, handle);
+}
+
+static const csp_dialect_t dialect
+    = { .names = { [CSP_NAME_REQUEST_ID] = "Request-Id",
+                   [CSP_NAME_TIME_LEFT] = "Time-Left",
+                   [CSP_NAME_KEY] = "Key",
+                   [CSP_NAME_TOKENS] = "Tokens",
+                   [CSP_NAME_OUTPUT_HINT] = "Output-Hint",
+                   [CSP_NAME_LAST_EVENT] = "Last-Event-Id",
+                   [CSP_NAME_ORGANISATION] = "Organisation",
+                   [CSP_NAME_TARGET_ID] = "Target-Id",
+                   [CSP_NAME_URGENCY] = "Urgency",
+                   [CSP_NAME_BACKUP] = "Backup",
+                   [CSP_NAME_GO_ON_FROM] = "Go-On-From",
+                   [CSP_NAME_SIGNATURE] = "Signature",
+                   [CSP_NAME_NOT_RUN] = "Not-Run" },
+        .never_from_callers = never_from_callers,
+        .write_move = write_move,
+        .read_move = read_move,
+        .write_copy = write_copy };
+
+static void *
+run (void *state)
+{
+  fixture_t *fixture = state;
+
+  csp_run_gateway (fixture->gateway);
+  return NULL;
+}
+
+static struct sockaddr_in
+loopback (uint16_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons (port);
+  return address;
+}
+
+void
+fixture_open (fixture_t *fixture)
+{
+  csp_gateway_settings_t settings = { .host = "host-a",
+                                      .data_centre = "dc-a",
+                                      .front = loopback (0),
+                                      .ready = loopback (0),
+                                      .stop_limit_ms = STOP_LIMIT_MS,
+                                      .retry_share = 0.2,
+                                      .retry_saved_max = 4 };
+  csp_clock_t clock;
+  char message[256];
+
+  signal (SIGPIPE, SIG_IGN);
+  memset (fixture, 0, sizeof *fixture);
+  fixture->fake.steady_ms = 1000000;
+  fixture->fake.wall_ms = 1000000;
+  clock = csp_clock_of_fake (&fixture->fake);
+  fixture->gateway = csp_create_gateway (&settings, &dialect, &clock, NULL,
+                                         message, sizeof message);
+  ck_assert_msg (fixture->gateway != NULL, "%s", message);
+  ck_assert_int_eq (pthread_create (&fixture->thread, NULL, run, fixture), 0);
+  fixture->running = true;
+}
+
+/* A stop whose limit has passed ends the run at the next tick.  */
+void
+fixture_close (fixture_t *fixture)
+{
+  fixture_update (fixture, CSP_UPDATE_STOP);
+  csp_advance_fake_clock (&fixture->fake, STOP_LIMIT_MS);
+  while (fixture->running)
+    {
+      struct timespec limit;
+
+      clock_gettime (CLOCK_REALTIME, &limit);
+      limit.tv_nsec += 20000000;
+      if (limit.tv_nsec >= 1000000000)
+        {
+          limit.tv_sec++;
+          limit.tv_nsec -= 1000000000;
+        }
+      if (pthread_timedjoin_np (fixture->thread, NULL, &limit) == 0)
+        fixture->running = false;
+      csp_advance_fake_clock (&fixture->fake, STOP_LIMIT_MS);
+    }
+  csp_destroy_gateway (fixture->gateway);
+}
+
+static void
+add_route (csp_routes_t *routes, const char *prefix, csp_route_kind_t kind,
+           uint32_t attempts, const char *service, bool open)
+{
+  csp_route_t route = { .name = prefix,
+                        .host = "h",
+                        .prefix = prefix,
+                        .kind = kind,
+                        .timeout_ms = 4000,
+                        .attempts_max = attempts,
+                        .urgency = 2,
+                        .open_to_all = open,
+                        .share_count = 1,
+                        .shares = { { service, 1 } } };
+
+  ck_assert (csp_add_route (routes, &route));
+}
+
+void
+fixture_publish (fixture_t *fixture, bool with_key)
+{
+  csp_caller_limits_t limits = { .head_max_bytes = 2000,
+                                 .body_max_bytes = 300000,
+                                 .head_timeout_ms = 3000,
+                                 .idle_timeout_ms = 15000 };
+  csp_route_service_t plain = { .name = "plain" };
+  csp_route_service_t engines = { .name = "engines",
+                                  .is_engine = true,
+                                  .takes_backups = true,
+                                  .moves_runs = true,
+                                  .memory_tokens = 100000,
+                                  .copy_ms_per_token = 0.05 };
+  csp_routes_t *routes = csp_create_routes (++fixture->version, limits);
+  csp_update_t update
+      = { .kind = CSP_UPDATE_ROUTES, .value = { .routes = routes } };
+
+  ck_assert (csp_add_service (routes, &plain));
+  ck_assert (csp_add_service (routes, &engines));
+  add_route (routes, "/safe/", CSP_ROUTE_IDEMPOTENT, 2, "plain", false);
+  add_route (routes, "/once/", CSP_ROUTE_ONCE, 1, "plain", false);
+  add_route (routes, "/open/", CSP_ROUTE_ONCE, 1, "plain", true);
+  add_route (routes, "/stream/", CSP_ROUTE_STREAM, 1, "engines", false);
+  ck_assert (csp_add_organisation (routes, "org-a", 3));
+  if (with_key)
+    ck_assert (csp_add_key (routes, "key-a"));
+  csp_seal_routes (routes);
+  ck_assert (csp_update_gateway (fixture->gateway, &update));
+}
+
+void
+fixture_update (fixture_t *fixture, csp_update_kind_t kind)
+{
+  csp_update_t update = { .kind = kind };
+
+  ck_assert (csp_update_gateway (fixture->gateway, &update));
+}
+
+static void
+list_target (fixture_t *fixture, int listener, const char *id,
+             const char *service, bool leaving)
+{
+  csp_update_t update = { .kind = CSP_UPDATE_TARGET };
+  csp_fleet_row_t *row = &update.value.target;
+  socklen_t size_bytes = sizeof row->address;
+
+  snprintf (row->id, sizeof row->id, "%s", id);
+  snprintf (row->service, sizeof row->service, "%s", service);
+  snprintf (row->data_centre, sizeof row->data_centre, "dc-a");
+  row->slots = 8;
+  row->leaving = leaving;
+  getsockname (listener, (struct sockaddr *)&row->address, &size_bytes);
+  ck_assert (csp_update_gateway (fixture->gateway, &update));
+}
+
+int
+fixture_target (fixture_t *fixture, const char *id, const char *service)
+{
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct sockaddr_in address = loopback (0);
+  struct timeval wait = { .tv_sec = WAIT_S };
+
+  ck_assert_int_eq (
+      bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  ck_assert_int_eq (listen (listener, 16), 0);
+  setsockopt (listener, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  list_target (fixture, listener, id, service, false);
+  fixture_update (fixture, CSP_UPDATE_LISTING_ENDS);
+  fixture_settle (fixture);
+  return listener;
+}
+
+void
+fixture_leave (fixture_t *fixture, int listener, const char *id,
+               const char *service)
+{
+  list_target (fixture, listener, id, service, true);
+}
+
+void
+fixture_remove (fixture_t *fixture, const char *id)
+{
+  csp_update_t update = { .kind = CSP_UPDATE_TARGET_REMOVED };
+
+  snprintf (update.value.target_id, sizeof update.value.target_id, "%s", id);
+  ck_assert (csp_update_gateway (fixture->gateway, &update));
+}
+
+static int
+connect_to (uint16_t port)
+{
+  int caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct sockaddr_in address = loopback (port);
+  struct timeval wait = { .tv_sec = WAIT_S };
+
+  setsockopt (caller, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  ck_assert_int_eq (
+      connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  return caller;
+}
+
+int
+caller_open (fixture_t *fixture)
+{
+  return connect_to (csp_gateway_front_port (fixture->gateway));
+}
+
+const char *
+fixture_page (fixture_t *fixture, const char *path)
+{
+  int caller = connect_to (csp_gateway_ready_port (fixture->gateway));
+  char request[200];
+  const char *answer;
+  bool reset;
+
+  snprintf (request, sizeof request,
+            "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", path);
+  send_text (caller, request);
+  answer = read_to_end (caller, &reset);
+  close (caller);
+  return answer;
+}
+
+/* Updates are taken in order, so once a new version of the routes shows, what
+   was told before it is in force.  */
+void
+fixture_settle (fixture_t *fixture)
+{
+  char awaited[64];
+
+  if (fixture->version == 0)
+    return;
+  fixture_publish (fixture, true);
+  snprintf (awaited, sizeof awaited, "routes_version %llu",
+            (unsigned long long)fixture->version);
+  while (strstr (fixture_page (fixture, "/metrics"), awaited) == NULL)
+    continue;
+}
+
+void
+send_bytes (int socket, const char *data, size_t size_bytes)
+{
+  while (size_bytes > 0)
+    {
+      ssize_t sent = send (socket, data, size_bytes, MSG_NOSIGNAL);
+
+      ck_assert_msg (sent > 0, "send: %s", strerror (errno));
+      data += sent;
+      size_bytes -= (size_t)sent;
+    }
+}
+
+void
+send_text (int socket, const char *text)
+{
+  send_bytes (socket, text, strlen (text));
+}
+
+static char text_room[FIXTURE_TEXT_BYTES];
+
+const char *
+read_until (int socket, const char *awaited)
+{
+  size_t size_bytes = 0;
+
+  text_room[0] = '\0';
+  while (strstr (text_room, awaited) == NULL)
+    {
+      ssize_t got = recv (socket, text_room + size_bytes,
+                          sizeof text_room - size_bytes - 1, 0);
+
+      ck_assert_msg (got > 0, "awaited \"%s\" behind \"%s\": %s", awaited,
+                     text_room, got == 0 ? "closed" : strerror (errno));
+      size_bytes += (size_t)got;
+      text_room[size_bytes] = '\0';
+    }
+  return text_room;
+}
+
+const char *
+read_to_end (int socket, bool *reset)
+{
+  size_t size_bytes = 0;
+  ssize_t got;
+
+  while ((got = recv (socket, text_room + size_bytes,
+                      sizeof text_room - size_bytes - 1, 0))
+         > 0)
+    size_bytes += (size_t)got;
+  ck_assert_msg (got == 0 || errno == ECONNRESET, "no end behind \"%.200s\"",
+                 text_room);
+  *reset = got < 0;
+  text_room[size_bytes] = '\0';
+  return text_room;
+}
+
+bool
+is_closed (int socket)
+{
+  char byte;
+  ssize_t got = recv (socket, &byte, 1, 0);
+
+  return got == 0 || (got < 0 && errno == ECONNRESET);
+}
+
+int
+target_accept (int listener)
+{
+  int target = accept4 (listener, NULL, NULL, SOCK_CLOEXEC);
+  struct timeval wait = { .tv_sec = WAIT_S };
+
+  ck_assert_msg (target >= 0, "no connection came: %s", strerror (errno));
+  setsockopt (target, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  return target;
+}
+
+const char *
+target_read (int socket, size_t body_bytes)
+{
+  size_t size_bytes = 0;
+  const char *end = NULL;
+
+  text_room[0] = '\0';
+  while (end == NULL
+         || size_bytes < (size_t)(end - text_room) + 4 + body_bytes)
+    {
+      ssize_t got = recv (socket, text_room + size_bytes,
+                          sizeof text_room - size_bytes - 1, 0);
+
+      ck_assert_msg (got > 0, "the request ends at \"%.300s\"", text_room);
+      size_bytes += (size_t)got;
+      text_room[size_bytes] = '\0';
+      end = strstr (text_room, "\r\n\r\n");
+    }
+  return text_room;
+}
+
+void
+reset_socket (int socket)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (socket, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (socket);
+}
