--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -46,7 +46,7 @@
 
 /* A target elsewhere: bytes between data centres cost, yet less than a queue
    does.  */
-static const double elsewhere_cost_ms = 12.0;
+static const double elsewhere_cost_ms = 50.0;
 
 /* The same for a copy of a run's memory, which takes twice as long between
    data centres and holds up the link of the source meanwhile.  */
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -12,7 +12,7 @@
   URGENCY_MAX = 9,
   /* Targets tried one after another where none takes a connection; no byte
      has left then, so these are no repeats.  */
-  UNREACHED_TRIES_MAX = 4
+  UNREACHED_TRIES_MAX = 16
 };
 
 void
