--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -65,7 +65,7 @@
   /* Not chosen before, where there is another.  */
   int64_t avoid_until_ms;
   uint32_t unreachable; /* connects in a row that failed */
-  bool seen;            /* in the listing that is being read */
+  int64_t left_at_ms;   /* when this host heard that it leaves */
   int64_t turn_at_ms;   /* this host's turn to move streams from here */
   bool moving;          /* a move of this host from here is under way */
   uint32_t users;       /* requests and links that point here */
@@ -91,11 +91,6 @@
 /* A row was removed.  */
 void csp_unlist_target (csp_fleet_t *fleet, const char *id, int64_t now_ms);
 
-/* A whole listing is read between the two; what it doesn't hold has been
-   removed.  */
-void csp_begin_listing (csp_fleet_t *fleet);
-void csp_end_listing (csp_fleet_t *fleet, int64_t now_ms);
-
 /* The platform can't be read, or can be read again.  */
 void csp_note_platform (csp_fleet_t *fleet, bool reachable, int64_t now_ms);
 
--- /dev/null
+++ b/include/cowslipspoke/follow.h
@@ -0,0 +1,43 @@
+#ifndef COWSLIPSPOKE_FOLLOW_H
+#define COWSLIPSPOKE_FOLLOW_H
+
+#include "cowslipspoke/buffer.h"
+#include "cowslipspoke/watch.h"
+
+#include <netinet/in.h>
+#include <uv.h>
+
+/* Carries out what a csp_watch_t decides, over one connection: makes its
+   calls, hands their answers to whoever knows the source's protocol, and
+   tells when the source goes away and comes back.  */
+
+typedef struct
+{
+  /* Write a whole request for a call.  */
+  void (*write_call) (void *state, const csp_watch_call_t *call,
+                      csp_buffer_t *request);
+  /* Take the body of a good answer, as a text, and note what it was in the
+     watch.  False where it can't be used.  */
+  bool (*take_answer) (void *state, const csp_watch_call_t *call,
+                       const char *body, csp_watch_t *watch);
+  /* The source can't be reached any more, or is back.  Its return is told
+     before its first answer is taken, which may hold removals that are due to
+     its absence.  May be NULL.  */
+  void (*reach_changed) (void *state, bool away);
+  /* Status by which the source says that a revision's history is gone.  */
+  uint16_t compacted_status;
+} csp_follow_source_t;
+
+typedef struct csp_follower csp_follower_t;
+
+/* Begin to follow.  NULL when memory fails.  source must outlive it.  */
+csp_follower_t *csp_open_follower (uv_loop_t *loop,
+                                   const struct sockaddr_in *address,
+                                   const csp_follow_source_t *source,
+                                   void *state);
+
+/* Stop; no call is made afterwards.  */
+void csp_close_follower (csp_follower_t *follower);
+bool csp_follower_is_away (const csp_follower_t *follower);
+
+#endif
--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -46,8 +46,7 @@
   CSP_UPDATE_ROUTES,
   CSP_UPDATE_TARGET,
   CSP_UPDATE_TARGET_REMOVED,
-  CSP_UPDATE_LISTING_BEGINS,
-  CSP_UPDATE_LISTING_ENDS,
+  CSP_UPDATE_LISTED, /* the whole list of targets has been told */
   CSP_UPDATE_PLATFORM_AWAY,
   CSP_UPDATE_PLATFORM_BACK,
   CSP_UPDATE_STOP
@@ -82,6 +81,10 @@
    version of routes is then released.  */
 bool csp_update_gateway (csp_gateway_t *gateway, const csp_update_t *update);
 
+/* Live hosts, for the control thread.  Returns how many were written.  */
+size_t csp_list_gateway_peers (csp_gateway_t *gateway,
+                               csp_peer_address_t *addresses, size_t room);
+
 /* Port of a listener that was opened on port 0, for tests.  */
 uint16_t csp_gateway_front_port (const csp_gateway_t *gateway);
 uint16_t csp_gateway_ready_port (const csp_gateway_t *gateway);
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -111,7 +111,6 @@
     return false;
   target->row = *row;
   target->warm_at_ms = now_ms + row->warming_up_ms;
-  target->seen = true;
   /* One start of a target never takes its leaving back.  */
   if (target->state == CSP_FLEET_LEAVING)
     return true;
@@ -147,25 +146,6 @@
     unlist (fleet, target, now_ms);
 }
 
-void
-csp_begin_listing (csp_fleet_t *fleet)
-{
-  size_t i;
-
-  for (i = 0; i < fleet->count; i++)
-    fleet->targets[i]->seen = false;
-}
-
-void
-csp_end_listing (csp_fleet_t *fleet, int64_t now_ms)
-{
-  size_t i;
-
-  for (i = 0; i < fleet->count; i++)
-    if (!fleet->targets[i]->seen)
-      unlist (fleet, fleet->targets[i], now_ms);
-}
-
 void
 csp_note_platform (csp_fleet_t *fleet, bool reachable, int64_t now_ms)
 {
--- /dev/null
+++ b/source/follow/follow.c
@@ -0,0 +1,207 @@
+#include "cowslipspoke/follow.h"
+
+#include "cowslipspoke/link.h"
+
+#include <stdlib.h>
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 500,
+  /* A page of 1 MB, its encoding and some fields.  */
+  ANSWER_MAX_BYTES = 8 << 20,
+  STATUS_OK = 200
+};
+
+struct csp_follower
+{
+  uv_loop_t *loop;
+  struct sockaddr_in address;
+  const csp_follow_source_t *source;
+  void *state;
+  csp_watch_t watch;
+  csp_watch_call_t call;
+  csp_link_t *link;
+  uv_timer_t timer;
+  uint16_t status;
+  csp_buffer_t answer;
+  bool away;
+  bool closed;
+};
+
+static void make_call (csp_follower_t *follower);
+
+static void
+note_reach (csp_follower_t *follower)
+{
+  bool away = csp_watch_is_away (&follower->watch);
+
+  if (away == follower->away)
+    return;
+  follower->away = away;
+  if (follower->source->reach_changed != NULL)
+    follower->source->reach_changed (follower->state, away);
+}
+
+static void
+fail_call (csp_follower_t *follower, csp_watch_failure_t failure)
+{
+  if (follower->link != NULL)
+    csp_close_link (follower->link);
+  follower->link = NULL;
+  csp_note_watch_failure (&follower->watch, failure);
+  note_reach (follower);
+  if (!follower->closed)
+    make_call (follower);
+}
+
+static void
+on_answered (void *state, const csp_http_head_t *head)
+{
+  csp_follower_t *follower = state;
+
+  follower->status = head->status;
+}
+
+static void
+on_body (void *state, const char *piece, size_t piece_bytes)
+{
+  csp_follower_t *follower = state;
+
+  if (follower->answer.size_bytes + piece_bytes > ANSWER_MAX_BYTES
+      || !csp_append_buffer (&follower->answer, piece, piece_bytes))
+    fail_call (follower, CSP_WATCH_UNANSWERED);
+}
+
+static void
+on_ended (void *state)
+{
+  csp_follower_t *follower = state;
+  bool taken;
+
+  if (follower->status != STATUS_OK)
+    {
+      fail_call (follower,
+                 follower->status == follower->source->compacted_status
+                     ? CSP_WATCH_COMPACTED
+                     : CSP_WATCH_REFUSED);
+      return;
+    }
+  if (csp_link_usable_ms (follower->link) == 0)
+    {
+      csp_close_link (follower->link);
+      follower->link = NULL;
+    }
+  follower->watch.failures = 0;
+  note_reach (follower);
+  taken = csp_append_buffer (&follower->answer, "", 1)
+          && follower->source->take_answer (follower->state, &follower->call,
+                                            follower->answer.data,
+                                            &follower->watch);
+  if (follower->closed)
+    return;
+  if (taken)
+    make_call (follower);
+  else
+    fail_call (follower, CSP_WATCH_UNANSWERED);
+}
+
+static void
+on_failed (void *state, csp_link_failure_t why)
+{
+  (void)why;
+  fail_call (state, CSP_WATCH_UNANSWERED);
+}
+
+static const csp_link_events_t call_events = { .answered = on_answered,
+                                               .body = on_body,
+                                               .ended = on_ended,
+                                               .failed = on_failed };
+
+static void
+on_timeout (uv_timer_t *timer)
+{
+  fail_call (timer->data, CSP_WATCH_UNANSWERED);
+}
+
+static void
+send_call (csp_follower_t *follower)
+{
+  csp_buffer_t request = { 0 };
+
+  if (follower->link == NULL)
+    follower->link = csp_open_link (follower->loop, &follower->address,
+                                    CONNECT_TIMEOUT_MS);
+  csp_clear_buffer (&follower->answer);
+  follower->status = 0;
+  uv_timer_start (&follower->timer, on_timeout, follower->call.timeout_ms, 0);
+  if (follower->link == NULL)
+    return;
+  csp_start_link_request (follower->link, &call_events, follower, false);
+  follower->source->write_call (follower->state, &follower->call, &request);
+  csp_write_link (follower->link, request.data, request.size_bytes);
+  csp_finish_link_request (follower->link);
+  csp_clear_buffer (&request);
+}
+
+static void
+on_pause_end (uv_timer_t *timer)
+{
+  send_call (timer->data);
+}
+
+static void
+make_call (csp_follower_t *follower)
+{
+  follower->call = csp_next_watch_call (&follower->watch);
+  if (follower->call.pause_ms == 0)
+    send_call (follower);
+  else
+    uv_timer_start (&follower->timer, on_pause_end, follower->call.pause_ms,
+                    0);
+}
+
+csp_follower_t *
+csp_open_follower (uv_loop_t *loop, const struct sockaddr_in *address,
+                   const csp_follow_source_t *source, void *state)
+{
+  csp_follower_t *follower = calloc (1, sizeof *follower);
+
+  if (follower == NULL)
+    return NULL;
+  follower->loop = loop;
+  follower->address = *address;
+  follower->source = source;
+  follower->state = state;
+  csp_open_watch (&follower->watch, csp_random_seed ());
+  uv_timer_init (loop, &follower->timer);
+  follower->timer.data = follower;
+  make_call (follower);
+  return follower;
+}
+
+static void
+free_closed (uv_handle_t *handle)
+{
+  csp_follower_t *follower = handle->data;
+
+  csp_clear_buffer (&follower->answer);
+  free (follower);
+}
+
+void
+csp_close_follower (csp_follower_t *follower)
+{
+  if (follower == NULL || follower->closed)
+    return;
+  follower->closed = true;
+  if (follower->link != NULL)
+    csp_close_link (follower->link);
+  follower->link = NULL;
+  uv_close ((uv_handle_t *)&follower->timer, free_closed);
+}
+
+bool
+csp_follower_is_away (const csp_follower_t *follower)
+{
+  return follower->away;
+}
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -225,8 +225,11 @@
       if (*rest == ',')
         output_max = strtoull (rest + 1, NULL, DECIMAL);
     }
-  exchange->output_tokens
-      = hint != NULL ? strtoull (hint, NULL, DECIMAL) : output_max / 2;
+  exchange->output_tokens = output_max / 2;
+  if (hint != NULL)
+    exchange->output_tokens = strtoull (hint, NULL, DECIMAL);
+  if (output_max > 0 && exchange->output_tokens > output_max)
+    exchange->output_tokens = output_max;
   exchange->prompt_tokens = prompt;
   exchange->tokens = prompt + exchange->output_tokens;
 }
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -4,9 +4,11 @@
 #include "cowslipspoke/gateway.h"
 #include "cowslipspoke/http.h"
 #include "cowslipspoke/link.h"
+#include "cowslipspoke/page.h"
 #include "cowslipspoke/retry.h"
 #include "cowslipspoke/verdict.h"
 
+#include <pthread.h>
 #include <urcu/wfcqueue.h>
 #include <uv.h>
 
@@ -38,6 +40,8 @@
   CSP_ANSWER_KEPT_BYTES = 262144,
   /* Services that a host keeps a retry budget for; more share the last.  */
   CSP_BUDGETS_MAX = 16,
+  /* Live hosts that the control thread may choose from.  */
+  CSP_LIVE_PEERS_MAX = 64,
   /* Data centres are a millisecond or two apart; a target that takes no
      connection within this has no power or is cut off.  */
   CSP_CONNECT_TIMEOUT_MS = 400,
@@ -80,8 +84,8 @@
   csp_log_t *log;
   uv_loop_t loop;
   uv_tcp_t front;
-  uv_tcp_t ready;
-  uv_tcp_t metrics;
+  csp_page_server_t *ready;
+  csp_page_server_t *metrics;
   uv_async_t wake;
   uv_timer_t tick;
   uv_timer_t move_timer; /* while streams wait for their turn to move */
@@ -96,6 +100,9 @@
   uint64_t boot;
   uint64_t hello_sequence;
   csp_peer_address_t *peer_room; /* CSP_ROSTER_MAX addresses, for one call */
+  pthread_mutex_t live_lock;     /* guards what the control thread reads */
+  size_t live_count;
+  csp_peer_address_t live[CSP_LIVE_PEERS_MAX];
   csp_random_t random;
   size_t budget_count;
   csp_service_budget_t budgets[CSP_BUDGETS_MAX];
@@ -191,8 +198,8 @@
 void csp_tell_load (csp_gateway_t *gateway);
 
 /* Pages: see gateway-page.c.  */
-void csp_accept_page (csp_gateway_t *gateway, uv_stream_t *listener);
-bool csp_print_gateway_metrics (const csp_gateway_t *gateway,
-                                csp_buffer_t *text);
+bool csp_open_gateway_pages (csp_gateway_t *gateway, char *message,
+                             size_t message_bytes);
+void csp_close_gateway_pages (csp_gateway_t *gateway);
 
 #endif
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -22,6 +22,8 @@
   ENDS_SOON_MS = 500,
   /* What one token takes in a batch that is half full.  */
   TOKEN_MS = 10,
+  /* A run that has outlived its guess is expected to take a third more.  */
+  OUTLIVED_PART = 3,
   /* A copy of a prompt of 3,000 tokens was not there after 470 ms, of which it
      takes 200 to 400 on an idle link.  */
   BACKUP_SETTLES_MS = 600,
@@ -119,7 +121,7 @@
 backup_is_whole (const csp_exchange_t *exchange)
 {
   double copy_ms
-      = (double)exchange->tokens * exchange->service->copy_ms_per_token;
+      = (double)exchange->prompt_tokens * exchange->service->copy_ms_per_token;
   int64_t settles_ms
       = BACKUP_SETTLES_MS + (int64_t)(BACKUP_COPY_TIMES * copy_ms);
 
@@ -397,15 +399,27 @@
   uv_timer_start (&move->timer, on_copy_timeout, MOVE_TIMEOUT_MS, 0);
 }
 
-/* How much longer the run will probably write.  */
+/* How much longer the run will probably write.  Guesses of the length are
+   right in the median and far off in the tails, so a run that has outlived its
+   guess goes on for some part of what it took so far.  */
 static int64_t
 expected_left_ms (const csp_exchange_t *exchange)
 {
   int64_t took_ms
       = csp_gateway_now_ms (exchange->gateway) - exchange->first_event_ms;
   int64_t whole_ms = (int64_t)exchange->output_tokens * TOKEN_MS;
+  int64_t least_ms = took_ms / OUTLIVED_PART;
 
-  return whole_ms > took_ms ? whole_ms - took_ms : 0;
+  return whole_ms - took_ms > least_ms ? whole_ms - took_ms : least_ms;
+}
+
+/* Whether the run will probably end before its target does.  */
+static bool
+ends_in_time (const csp_exchange_t *exchange)
+{
+  return expected_left_ms (exchange) < ENDS_SOON_MS
+         && csp_gateway_now_ms (exchange->gateway)
+                < exchange->target->left_at_ms + ENDS_SOON_MS;
 }
 
 void
@@ -416,11 +430,12 @@
   if (exchange->route->kind != CSP_ROUTE_STREAM || exchange->body_streams
       || exchange->service == NULL || move->state != CSP_MOVE_NONE)
     return;
+  if (!move->wanted)
+    move->tries = 0;
   move->wanted = true;
-  move->tries = 0;
   if (exchange->mode != CSP_ANSWER_STREAM || exchange->events == 0)
     return;
-  if (backup_is_whole (exchange) && expected_left_ms (exchange) > ENDS_SOON_MS)
+  if (backup_is_whole (exchange) && !ends_in_time (exchange))
     {
       if (!resume_from_backup (exchange))
         csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
@@ -436,18 +451,27 @@
 {
   return exchange->move.wanted && exchange->move.state == CSP_MOVE_NONE
          && exchange->mode == CSP_ANSWER_STREAM && exchange->events > 0
-         && exchange->target != NULL && exchange->service->moves_runs
-         && exchange->move.tries < TRIES_MAX;
+         && exchange->target != NULL && exchange->move.tries < TRIES_MAX
+         && !ends_in_time (exchange);
 }
 
 /* Begin to move a stream: first a copy, while the run goes on.  */
 static void
 begin_move (csp_exchange_t *exchange)
 {
-  csp_fleet_target_t *to
-      = choose_elsewhere (exchange, exchange->target, move_share_max);
+  csp_fleet_target_t *to;
 
   exchange->move.tries++;
+  if (backup_is_whole (exchange))
+    {
+      if (!resume_from_backup (exchange))
+        csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
+                           "no connection to go on");
+      return;
+    }
+  if (!exchange->service->moves_runs)
+    return;
+  to = choose_elsewhere (exchange, exchange->target, move_share_max);
   if (to == NULL)
     return;
   reserve_move (exchange, to);
@@ -560,6 +584,7 @@
 {
   csp_exchange_t *exchange = gateway->exchanges;
 
+  target->left_at_ms = csp_gateway_now_ms (gateway);
   target->turn_at_ms
       = csp_gateway_now_ms (gateway) + own_turn_ms (gateway, target);
   while (exchange != NULL)
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -164,6 +164,10 @@
 
   if (csp_expire_peers (gateway->roster, now_ms))
     count_others (gateway);
+  pthread_mutex_lock (&gateway->live_lock);
+  gateway->live_count = csp_draw_known_peers (gateway->roster, gateway->live,
+                                              CSP_LIVE_PEERS_MAX);
+  pthread_mutex_unlock (&gateway->live_lock);
   count = csp_list_due_peers (gateway->roster, now_ms, peers, CSP_ROSTER_MAX);
   if (count > 0)
     tell_loads (gateway, true, peers, count);
@@ -186,6 +190,19 @@
     count_others (gateway);
 }
 
+size_t
+csp_list_gateway_peers (csp_gateway_t *gateway, csp_peer_address_t *addresses,
+                        size_t room)
+{
+  size_t count;
+
+  pthread_mutex_lock (&gateway->live_lock);
+  count = gateway->live_count < room ? gateway->live_count : room;
+  memcpy (addresses, gateway->live, count * sizeof *addresses);
+  pthread_mutex_unlock (&gateway->live_lock);
+  return count;
+}
+
 bool
 csp_open_gateway_peers (csp_gateway_t *gateway)
 {
@@ -193,6 +210,7 @@
   uint64_t random = csp_random_seed ();
   size_t i;
 
+  pthread_mutex_init (&gateway->live_lock, NULL);
   gateway->boot = ((uint64_t)csp_wall_ms (&gateway->clock) << BOOT_RANDOM_BITS)
                   | (random & ((1U << BOOT_RANDOM_BITS) - 1));
   gateway->roster = csp_create_roster (peer_address (&settings->peers),
@@ -223,6 +241,7 @@
 void
 csp_close_gateway_peers (csp_gateway_t *gateway)
 {
+  pthread_mutex_destroy (&gateway->live_lock);
   csp_destroy_roster (gateway->roster);
   free (gateway->peer_room);
 }
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -154,6 +154,7 @@
 csp_take_stream (csp_exchange_t *exchange, const char *piece,
                  size_t piece_bytes)
 {
+  bool first = exchange->run_since_ms == 0;
   size_t ready_bytes;
 
   exchange->last_data_ms = csp_gateway_now_ms (exchange->gateway);
@@ -168,7 +169,7 @@
   if (ready_bytes == 0)
     return;
   send_events (exchange, ready_bytes);
-  if (exchange->run_since_ms == 0)
+  if (first)
     {
       exchange->run_since_ms = exchange->last_data_ms;
       csp_note_prompt_read (exchange, exchange->target);
@@ -177,7 +178,7 @@
     }
   if (exchange->move.state == CSP_MOVE_RESUMING)
     csp_move_arrived (exchange);
-  else if (exchange->move.wanted && exchange->move.state == CSP_MOVE_NONE)
+  else if (first && exchange->move.wanted)
     csp_want_move (exchange);
   if (exchange->link != NULL
       && csp_caller_backlog (exchange->caller) > CSP_BACKLOG_BYTES)
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -124,11 +124,7 @@
     case CSP_UPDATE_TARGET_REMOVED:
       csp_unlist_target (gateway->fleet, update->value.target_id, now_ms);
       break;
-    case CSP_UPDATE_LISTING_BEGINS:
-      csp_begin_listing (gateway->fleet);
-      break;
-    case CSP_UPDATE_LISTING_ENDS:
-      csp_end_listing (gateway->fleet, now_ms);
+    case CSP_UPDATE_LISTED:
       gateway->listed = true;
       break;
     case CSP_UPDATE_PLATFORM_AWAY:
@@ -217,28 +213,20 @@
     csp_accept_caller (listener->data, listener);
 }
 
-static void
-on_page (uv_stream_t *listener, int status)
-{
-  if (status == 0)
-    csp_accept_page (listener->data, listener);
-}
-
 static bool
-open_listener (csp_gateway_t *gateway, uv_tcp_t *listener,
-               const struct sockaddr_in *address, uv_connection_cb on_caller,
-               const char *what, char *message, size_t message_bytes)
+open_front (csp_gateway_t *gateway, char *message, size_t message_bytes)
 {
+  const struct sockaddr_in *address = &gateway->settings.front;
   int fault;
 
-  uv_tcp_init (&gateway->loop, listener);
-  listener->data = gateway;
-  fault = uv_tcp_bind (listener, (const struct sockaddr *)address, 0);
+  uv_tcp_init (&gateway->loop, &gateway->front);
+  gateway->front.data = gateway;
+  fault = uv_tcp_bind (&gateway->front, (const struct sockaddr *)address, 0);
   if (fault == 0)
-    fault = uv_listen ((uv_stream_t *)listener, BACKLOG, on_caller);
+    fault = uv_listen ((uv_stream_t *)&gateway->front, BACKLOG, on_front);
   if (fault == 0)
     return true;
-  snprintf (message, message_bytes, "can't listen for %s at port %u: %s", what,
+  snprintf (message, message_bytes, "can't listen for callers at port %u: %s",
             ntohs (address->sin_port), uv_strerror (fault));
   return false;
 }
@@ -272,25 +260,18 @@
   uv_timer_init (&gateway->loop, &gateway->move_timer);
   gateway->move_timer.data = gateway;
   gateway->fleet = csp_create_fleet (on_target_left, on_target_freed, gateway);
-  if (!csp_open_gateway_peers (gateway))
-    {
-      snprintf (message, message_bytes, "can't hear other hosts");
-      csp_destroy_gateway (gateway);
-      return NULL;
-    }
-  if (gateway->fleet == NULL
-      || !open_listener (gateway, &gateway->front, &settings->front, on_front,
-                         "callers", message, message_bytes)
-      || !open_listener (gateway, &gateway->ready, &settings->ready, on_page,
-                         "readiness", message, message_bytes)
-      || (settings->metrics.sin_port != 0
-          && !open_listener (gateway, &gateway->metrics, &settings->metrics,
-                             on_page, "metrics", message, message_bytes)))
-    {
-      csp_destroy_gateway (gateway);
-      return NULL;
-    }
+  if (gateway->fleet == NULL)
+    goto fail;
+  snprintf (message, message_bytes, "can't hear other hosts");
+  if (!csp_open_gateway_peers (gateway)
+      || !open_front (gateway, message, message_bytes)
+      || !csp_open_gateway_pages (gateway, message, message_bytes))
+    goto fail;
   return gateway;
+
+fail:
+  csp_destroy_gateway (gateway);
+  return NULL;
 }
 
 static void
@@ -307,6 +288,7 @@
   if (gateway == NULL)
     return;
   csp_close_all_callers (gateway);
+  csp_close_gateway_pages (gateway);
   uv_run (&gateway->loop, UV_RUN_NOWAIT);
   on_wake (&gateway->wake);
   csp_destroy_fleet (gateway->fleet);
@@ -327,24 +309,19 @@
   csp_close_all_callers (gateway);
 }
 
-static uint16_t
-port_of (const uv_tcp_t *listener)
+uint16_t
+csp_gateway_front_port (const csp_gateway_t *gateway)
 {
   struct sockaddr_in address = { 0 };
   int size_bytes = sizeof address;
 
-  uv_tcp_getsockname (listener, (struct sockaddr *)&address, &size_bytes);
+  uv_tcp_getsockname (&gateway->front, (struct sockaddr *)&address,
+                      &size_bytes);
   return ntohs (address.sin_port);
 }
 
-uint16_t
-csp_gateway_front_port (const csp_gateway_t *gateway)
-{
-  return port_of (&gateway->front);
-}
-
 uint16_t
 csp_gateway_ready_port (const csp_gateway_t *gateway)
 {
-  return port_of (&gateway->ready);
+  return csp_page_server_port (gateway->ready);
 }
--- a/tests/fleet/fleet-targets-test.c
+++ b/tests/fleet/fleet-targets-test.c
@@ -171,19 +171,6 @@
 }
 END_TEST
 
-START_TEST (what_a_whole_listing_lacks_is_removed)
-{
-  list ("t", "a", false, 0);
-  list ("u", "a", false, 0);
-  csp_begin_listing (fleet);
-  list ("u", "a", false, 1);
-  csp_end_listing (fleet, 1);
-  ck_assert_str_eq (left, "t ");
-  csp_expire_targets (fleet, 2);
-  ck_assert_uint_eq (csp_fleet_size (fleet), 1);
-}
-END_TEST
-
 /* A request or a link still points at a target that is gone.  */
 START_TEST (a_target_in_use_outlives_its_row)
 {
@@ -303,7 +290,6 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_loop_test (tcase, the_list_says_who_may_get_requests, 0,
                        sizeof stories / sizeof stories[0]);
-  tcase_add_test (tcase, what_a_whole_listing_lacks_is_removed);
   tcase_add_test (tcase, a_target_in_use_outlives_its_row);
   tcase_add_test (tcase, the_load_of_other_hosts_counts);
   tcase_add_test (tcase, equals_are_drawn_by_lot);
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -218,7 +218,7 @@
   ck_assert_int_eq (listen (listener, 16), 0);
   setsockopt (listener, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
   list_target (fixture, listener, id, service, false);
-  fixture_update (fixture, CSP_UPDATE_LISTING_ENDS);
+  fixture_update (fixture, CSP_UPDATE_LISTED);
   fixture_settle (fixture);
   return listener;
 }
--- a/tests/gateway/stream-test.c
+++ b/tests/gateway/stream-test.c
@@ -49,19 +49,23 @@
   send_text (socket, framed);
 }
 
-/* Ask for a stream; the first engine gets it, with or without a second one
-   that its run is backed up to.  */
+/* Ask for a stream; one engine gets it, with or without a second one that its
+   run is backed up to.  hint: the caller's guess of the output's tokens.  */
 static void
-start_stream (bool with_backup)
+start_guessed_stream (bool with_backup, int hint)
 {
   const char *text;
+  char request[256];
 
   if (with_backup)
     listeners[1] = fixture_target (&fixture, ids[1], "engines");
   caller = caller_open (&fixture);
-  send_text (caller, "POST /stream/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
-                     "Request-Id: r1\r\nTime-Left: 30000\r\n"
-                     "Tokens: 100,2000\r\nContent-Length: 2\r\n\r\nhi");
+  snprintf (request, sizeof request,
+            "POST /stream/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
+            "Request-Id: r1\r\nTime-Left: 30000\r\nTokens: 100,2000\r\n"
+            "Output-Hint: %d\r\nContent-Length: 2\r\n\r\nhi",
+            hint);
+  send_text (caller, request);
   from = 0;
   if (with_backup)
     {
@@ -84,6 +88,12 @@
   read_until (caller, "one\n\n");
 }
 
+static void
+start_stream (bool with_backup)
+{
+  start_guessed_stream (with_backup, 1000);
+}
+
 /* The second engine joins once the stream runs.  */
 static void
 add_second (void)
@@ -303,6 +313,29 @@
 }
 END_TEST
 
+/* Guesses of the length are far off in the tails.  A run that has outlived its
+   guess many times over is not about to end: left where it is, it is lost with
+   its engine.  */
+START_TEST (a_run_past_its_guess_is_not_taken_for_nearly_done)
+{
+  int link;
+
+  start_guessed_stream (true, 10);
+  csp_advance_fake_clock (&fixture.fake, 800);
+  send_chunk (link_from, EVENT ("2", "two"));
+  read_until (caller, "two\n\n");
+  csp_advance_fake_clock (&fixture.fake, 800);
+  send_chunk (link_from, EVENT ("3", "three"));
+  read_until (caller, "three\n\n");
+  fixture_leave (&fixture, listeners[from], ids[from], "engines");
+  ck_assert (is_closed (link_from));
+  close (link_from);
+  link = target_accept (listeners[1 - from]);
+  ck_assert_ptr_nonnull (strstr (target_read (link, 2), "Go-On-From: "));
+  close (link);
+}
+END_TEST
+
 /* The engine's machine lost power: nothing comes any more and the connection
    stays open.  The caller would wait for seconds and then leave.  */
 START_TEST (a_silent_stream_goes_on_from_its_backup)
@@ -341,6 +374,7 @@
   tcase_add_test (tcase, a_stream_that_was_not_stopped_goes_on);
   tcase_add_test (tcase, a_young_run_is_not_given_up_for_its_backup);
   tcase_add_test (tcase, a_run_with_a_whole_backup_goes_on_there_at_once);
+  tcase_add_test (tcase, a_run_past_its_guess_is_not_taken_for_nearly_done);
   tcase_add_test (tcase, a_silent_stream_goes_on_from_its_backup);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
--- /dev/null
+++ b/tests/mirror/mirror-test.c
@@ -0,0 +1,297 @@
+#include "cowslipspoke/mirror.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* What a mirror tells of its changes, as one line.  */
+static char told[1024];
+
+static void
+tell (const char *what, const char *key, const char *value)
+{
+  size_t used_bytes = strlen (told);
+
+  snprintf (told + used_bytes, sizeof told - used_bytes, "%s%s=%s ", what, key,
+            value == NULL ? "-" : value);
+}
+
+static void
+on_changed (void *state, const csp_mirror_item_t *item)
+{
+  (void)state;
+  tell ("", item->key, item->value);
+}
+
+static void
+on_listing_ended (void *state, const char *prefix)
+{
+  (void)state;
+  tell ("listed:", prefix, "");
+}
+
+static const csp_mirror_events_t events
+    = { .changed = on_changed, .listing_ended = on_listing_ended };
+
+static csp_mirror_t *mirror;
+
+static void
+set_up (void)
+{
+  told[0] = '\0';
+  mirror = csp_create_mirror (&events, NULL);
+  ck_assert_ptr_nonnull (mirror);
+}
+
+static void
+tear_down (void)
+{
+  csp_destroy_mirror (mirror);
+}
+
+START_TEST (the_newest_revision_of_an_item_stays)
+{
+  ck_assert (csp_put_mirror_item (mirror, "s/a", "1", 5));
+  ck_assert (!csp_put_mirror_item (mirror, "s/a", "0", 4));
+  ck_assert (!csp_put_mirror_item (mirror, "s/a", "1", 5));
+  ck_assert (csp_put_mirror_item (mirror, "s/a", NULL, 6));
+  ck_assert (!csp_put_mirror_item (mirror, "s/a", "1", 5));
+  ck_assert_str_eq (told, "s/a=1 s/a=- ");
+  ck_assert_int_eq (csp_mirror_revision (mirror), 6);
+}
+END_TEST
+
+/* The history was lost and the list is read anew: what it lacks is gone, but
+   for what is newer than the list.  */
+START_TEST (what_a_whole_listing_lacks_is_removed)
+{
+  csp_put_mirror_item (mirror, "s/a", "1", 1);
+  csp_put_mirror_item (mirror, "s/b", "2", 2);
+  csp_put_mirror_item (mirror, "s/new", "3", 9);
+  csp_put_mirror_item (mirror, "other", "4", 1);
+  told[0] = '\0';
+  csp_begin_mirror_listing (mirror, "s/");
+  csp_put_mirror_item (mirror, "s/b", "2", 2);
+  csp_end_mirror_listing (mirror, "s/", 8);
+  ck_assert_str_eq (told, "s/a=- listed:s/= ");
+}
+END_TEST
+
+/* Another host reads ours: first all of it, then what changed.  */
+START_TEST (a_mirror_is_followed_by_another)
+{
+  csp_mirror_t *other = csp_create_mirror (&events, NULL);
+  csp_buffer_t text = { 0 };
+  int64_t as_of = 0;
+
+  csp_put_mirror_item (mirror, "s/a", "quote \" and\nline", 5);
+  csp_put_mirror_item (mirror, "s/b", "2", 6);
+  csp_put_mirror_item (mirror, "s/b", NULL, 7);
+  csp_note_mirror_revision (mirror, 9);
+  told[0] = '\0';
+  ck_assert (csp_encode_mirror (mirror, 0, true, &text));
+  csp_append_buffer (&text, "", 1);
+  ck_assert (csp_decode_mirror (other, text.data, &as_of));
+  ck_assert_int_eq (as_of, 9);
+  ck_assert_str_eq (told, "s/a=quote \" and\nline listed:= ");
+  csp_put_mirror_item (mirror, "s/a", NULL, 10);
+  csp_put_mirror_item (mirror, "s/c", "3", 11);
+  told[0] = '\0';
+  csp_clear_buffer (&text);
+  ck_assert (csp_encode_mirror (mirror, 9, true, &text));
+  csp_append_buffer (&text, "", 1);
+  ck_assert (csp_decode_mirror (other, text.data, &as_of));
+  ck_assert_str_eq (told, "s/a=- s/c=3 ");
+  csp_clear_buffer (&text);
+  csp_destroy_mirror (other);
+}
+END_TEST
+
+/* The store has just come back and half of its rows have lapsed.  A host that
+   follows our mirror would take live targets for gone.  */
+START_TEST (an_unsettled_mirror_is_not_believed)
+{
+  csp_mirror_t *other = csp_create_mirror (&events, NULL);
+  csp_buffer_t text = { 0 };
+  int64_t as_of = 0;
+
+  csp_put_mirror_item (other, "s/a", "1", 5);
+  csp_put_mirror_item (mirror, "s/a", NULL, 7);
+  told[0] = '\0';
+  ck_assert (csp_encode_mirror (mirror, 5, false, &text));
+  csp_append_buffer (&text, "", 1);
+  ck_assert (!csp_decode_mirror (other, text.data, &as_of));
+  ck_assert_str_eq (told, "");
+  csp_clear_buffer (&text);
+  csp_destroy_mirror (other);
+}
+END_TEST
+
+/* The other host is behind: its list is older than what is known here.  */
+START_TEST (an_older_listing_removes_nothing)
+{
+  csp_mirror_t *other = csp_create_mirror (&events, NULL);
+  csp_buffer_t text = { 0 };
+  int64_t as_of = 0;
+
+  csp_put_mirror_item (other, "s/a", "1", 5);
+  csp_put_mirror_item (other, "s/b", "1", 9);
+  csp_put_mirror_item (mirror, "s/c", "1", 4);
+  told[0] = '\0';
+  ck_assert (csp_encode_mirror (mirror, 0, true, &text));
+  csp_append_buffer (&text, "", 1);
+  ck_assert (csp_decode_mirror (other, text.data, &as_of));
+  ck_assert_str_eq (told, "s/c=1 ");
+  csp_clear_buffer (&text);
+  csp_destroy_mirror (other);
+}
+END_TEST
+
+/* Targets come and go for weeks; removals don't pile up, and who is behind
+   what was forgotten gets everything.  */
+START_TEST (removals_are_forgotten_in_time)
+{
+  csp_buffer_t text = { 0 };
+  int64_t revision = 1;
+  char key[32];
+  int i;
+
+  csp_put_mirror_item (mirror, "s/stays", "1", revision++);
+  for (i = 0; i < 3 * CSP_MIRROR_REMOVED_MAX; i++)
+    {
+      snprintf (key, sizeof key, "s/%d", i);
+      csp_put_mirror_item (mirror, key, "1", revision++);
+      csp_put_mirror_item (mirror, key, NULL, revision++);
+      told[0] = '\0';
+    }
+  ck_assert (csp_encode_mirror (mirror, 2, true, &text));
+  csp_append_buffer (&text, "", 1);
+  ck_assert_ptr_nonnull (strstr (text.data, "\"whole\":true"));
+  ck_assert_ptr_nonnull (strstr (text.data, "s/stays"));
+  ck_assert_uint_lt (text.size_bytes, 400);
+  csp_clear_buffer (&text);
+  ck_assert (csp_encode_mirror (mirror, revision - 3, true, &text));
+  csp_append_buffer (&text, "", 1);
+  ck_assert_ptr_nonnull (strstr (text.data, "\"whole\":false"));
+  csp_clear_buffer (&text);
+}
+END_TEST
+
+static const char *const no_mirrors[]
+    = { "",
+        "{",
+        "[]",
+        "{\"as_of\":1,\"settled\":true}",
+        "{\"as_of\":1,\"items\":{},\"settled\":true}",
+        "{\"items\":[],\"settled\":true}",
+        "{\"as_of\":1,\"items\":[]}" };
+
+START_TEST (what_is_no_mirror_is_refused)
+{
+  int64_t as_of = 0;
+
+  ck_assert (!csp_decode_mirror (mirror, no_mirrors[_i], &as_of));
+}
+END_TEST
+
+/* Two hosts on one loop: the store turns one away.  It reads the other's
+   copy, hears of each change at once, and stops when the store is back.  */
+static csp_peer_address_t other_host;
+
+static size_t
+list_other (void *state, csp_peer_address_t *addresses, size_t room)
+{
+  (void)state;
+  (void)room;
+  addresses[0] = other_host;
+  return 1;
+}
+
+static uint16_t
+free_port (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size_bytes = sizeof address;
+  int probe = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_eq (bind (probe, (struct sockaddr *)&address, sizeof address),
+                    0);
+  getsockname (probe, (struct sockaddr *)&address, &size_bytes);
+  close (probe);
+  return ntohs (address.sin_port);
+}
+
+static void
+turn_until_told (uv_loop_t *loop, const char *awaited)
+{
+  while (strstr (told, awaited) == NULL)
+    uv_run (loop, UV_RUN_ONCE);
+}
+
+START_TEST (a_host_that_is_turned_away_follows_another)
+{
+  static const csp_mirror_events_t silent = { 0 };
+  csp_mirror_t *source = csp_create_mirror (&silent, NULL);
+  struct sockaddr_in none = { .sin_family = AF_INET };
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  csp_mirror_exchange_t *serving;
+  csp_mirror_exchange_t *following;
+  uv_loop_t loop;
+
+  uv_loop_init (&loop);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons (free_port ());
+  other_host.ip = INADDR_LOOPBACK;
+  other_host.port = ntohs (address.sin_port);
+  serving = csp_open_mirror_exchange (&loop, &address, source, list_other,
+                                      NULL, NULL);
+  following = csp_open_mirror_exchange (&loop, &none, mirror, list_other, NULL,
+                                        NULL);
+  ck_assert_ptr_nonnull (serving);
+  ck_assert_ptr_nonnull (following);
+  csp_put_mirror_item (source, "s/a", "1", 5);
+  csp_set_mirror_away (serving, false);
+  csp_set_mirror_away (following, true);
+  turn_until_told (&loop, "s/a=1 ");
+  csp_put_mirror_item (source, "s/a", NULL, 6);
+  csp_put_mirror_item (source, "s/b", "2", 7);
+  csp_tell_mirror_followers (serving);
+  turn_until_told (&loop, "s/a=- s/b=2 ");
+  csp_set_mirror_away (following, false);
+  csp_close_mirror_exchange (following);
+  csp_close_mirror_exchange (serving);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&loop), 0);
+  csp_destroy_mirror (source);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("mirror");
+  TCase *tcase = tcase_create ("mirror");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_test (tcase, the_newest_revision_of_an_item_stays);
+  tcase_add_test (tcase, what_a_whole_listing_lacks_is_removed);
+  tcase_add_test (tcase, a_mirror_is_followed_by_another);
+  tcase_add_test (tcase, an_unsettled_mirror_is_not_believed);
+  tcase_add_test (tcase, an_older_listing_removes_nothing);
+  tcase_add_test (tcase, removals_are_forgotten_in_time);
+  tcase_add_loop_test (tcase, what_is_no_mirror_is_refused, 0,
+                       sizeof no_mirrors / sizeof no_mirrors[0]);
+  tcase_add_test (tcase, a_host_that_is_turned_away_follows_another);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
