--- a/source/mirror/mirror.c
+++ b/source/mirror/mirror.c
@@ -110,6 +110,7 @@
 {
   size_t at = find_item (mirror, key);
   csp_mirror_item_t *item;
+  char *old;
   char *copy = value == NULL ? NULL : strdup (value);
 
   if ((value != NULL && copy == NULL) || strlen (key) >= CSP_MIRROR_KEY_BYTES)
@@ -132,8 +133,9 @@
   item = &mirror->items[at];
   mirror->removed += value == NULL;
   mirror->removed -= item->revision != 0 && item->value == NULL;
-  free (item->value);
+  old = item->value;
   item->value = copy;
+  free (old);
   item->revision = revision;
   if (revision > mirror->revision)
     mirror->revision = revision;
