--- a/include/cowslipspoke/mirror.h
+++ b/include/cowslipspoke/mirror.h
@@ -38,11 +38,10 @@
 
 typedef struct csp_mirror csp_mirror_t;
 
-/* Told of each item that changed, and around a whole listing of a prefix.  */
+/* Told of each item that changed, and of the end of a whole listing.  */
 typedef struct
 {
   void (*changed) (void *state, const csp_mirror_item_t *item);
-  void (*listing_began) (void *state, const char *prefix);
   void (*listing_ended) (void *state, const char *prefix);
 } csp_mirror_events_t;
 
--- a/source/mirror/mirror.c
+++ b/source/mirror/mirror.c
@@ -1,15 +1,28 @@
 #include "cowslipspoke/mirror.h"
 
+#include "cowslipspoke/text.h"
+
 #include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  FIRST_ROOM = 32
+};
+
+/* An item, and whether the listing that is being put holds it.  */
+typedef struct
+{
+  csp_mirror_item_t item;
+  bool seen;
+} entry_t;
+
 struct csp_mirror
 {
   const csp_mirror_events_t *events;
   void *state;
-  csp_mirror_item_t *items;
-  bool *seen; /* in the listing that is being put, beside each item */
+  entry_t **entries;
   size_t count;
   size_t room;
   size_t removed;
@@ -30,6 +43,13 @@
   return mirror;
 }
 
+static void
+destroy_entry (entry_t *entry)
+{
+  free (entry->item.value);
+  free (entry);
+}
+
 void
 csp_destroy_mirror (csp_mirror_t *mirror)
 {
@@ -38,42 +58,47 @@
   if (mirror == NULL)
     return;
   for (i = 0; i < mirror->count; i++)
-    free (mirror->items[i].value);
-  free (mirror->items);
-  free (mirror->seen);
+    destroy_entry (mirror->entries[i]);
+  free (mirror->entries);
   free (mirror);
 }
 
-static size_t
-find_item (const csp_mirror_t *mirror, const char *key)
+static entry_t *
+find_entry (const csp_mirror_t *mirror, const char *key)
 {
   size_t i;
 
   for (i = 0; i < mirror->count; i++)
-    if (strcmp (mirror->items[i].key, key) == 0)
-      break;
-  return i;
+    if (strcmp (mirror->entries[i]->item.key, key) == 0)
+      return mirror->entries[i];
+  return NULL;
 }
 
-static bool
-grow (csp_mirror_t *mirror)
+/* NULL when memory fails or the key is too long.  */
+static entry_t *
+add_entry (csp_mirror_t *mirror, const char *key)
 {
-  size_t room = mirror->room == 0 ? 32 : mirror->room * 2;
-  csp_mirror_item_t *items;
-  bool *seen;
-
-  if (mirror->count < mirror->room)
-    return true;
-  items = realloc (mirror->items, room * sizeof *items);
-  if (items == NULL)
-    return false;
-  mirror->items = items;
-  seen = realloc (mirror->seen, room * sizeof *seen);
-  if (seen == NULL)
-    return false;
-  mirror->seen = seen;
-  mirror->room = room;
-  return true;
+  entry_t *entry;
+
+  if (strlen (key) >= CSP_MIRROR_KEY_BYTES)
+    return NULL;
+  if (mirror->count == mirror->room)
+    {
+      size_t room = mirror->room == 0 ? FIRST_ROOM : mirror->room * 2;
+      entry_t **grown
+          = realloc (mirror->entries, room * sizeof *mirror->entries);
+
+      if (grown == NULL)
+        return NULL;
+      mirror->entries = grown;
+      mirror->room = room;
+    }
+  entry = calloc (1, sizeof *entry);
+  if (entry == NULL)
+    return NULL;
+  csp_copy_text (entry->item.key, sizeof entry->item.key, key);
+  mirror->entries[mirror->count++] = entry;
+  return entry;
 }
 
 /* Removals pile up as targets come and go; the older half is forgotten, and
@@ -81,72 +106,78 @@
 static void
 forget_removed (csp_mirror_t *mirror)
 {
-  size_t kept = 0;
   size_t drop = mirror->removed / 2;
+  size_t kept = 0;
   size_t i;
 
   if (mirror->removed <= CSP_MIRROR_REMOVED_MAX)
     return;
   for (i = 0; i < mirror->count; i++)
     {
-      if (mirror->items[i].value == NULL && drop > 0)
+      entry_t *entry = mirror->entries[i];
+
+      if (entry->item.value != NULL || drop == 0)
         {
-          drop--;
-          mirror->removed--;
-          if (mirror->items[i].revision > mirror->forgotten)
-            mirror->forgotten = mirror->items[i].revision;
+          mirror->entries[kept++] = entry;
           continue;
         }
-      mirror->items[kept] = mirror->items[i];
-      mirror->seen[kept] = mirror->seen[i];
-      kept++;
+      drop--;
+      mirror->removed--;
+      if (entry->item.revision > mirror->forgotten)
+        mirror->forgotten = entry->item.revision;
+      destroy_entry (entry);
     }
   mirror->count = kept;
 }
 
+/* A new value for an item; the mirror owns it from now on.  */
+static void
+set_value (csp_mirror_t *mirror, entry_t *entry, char *value, int64_t revision)
+{
+  csp_mirror_item_t *item = &entry->item;
+  char *old = item->value;
+
+  if (item->revision != 0 && old == NULL)
+    mirror->removed--;
+  if (value == NULL)
+    mirror->removed++;
+  item->value = value;
+  item->revision = revision;
+  free (old);
+  if (revision > mirror->revision)
+    mirror->revision = revision;
+}
+
 bool
 csp_put_mirror_item (csp_mirror_t *mirror, const char *key, const char *value,
                      int64_t revision)
 {
-  size_t at = find_item (mirror, key);
-  csp_mirror_item_t *item;
-  char *old;
-  char *copy = value == NULL ? NULL : strdup (value);
-
-  if ((value != NULL && copy == NULL) || strlen (key) >= CSP_MIRROR_KEY_BYTES)
-    goto refuse;
-  if (at < mirror->count)
+  entry_t *entry = find_entry (mirror, key);
+  char *copy = NULL;
+
+  if (entry != NULL)
+    entry->seen = true;
+  if (entry != NULL && revision <= entry->item.revision)
+    return false;
+  if (value != NULL)
     {
-      mirror->seen[at] = true;
-      if (revision <= mirror->items[at].revision)
-        goto refuse;
+      copy = strdup (value);
+      if (copy == NULL)
+        return false;
     }
-  else if (!grow (mirror))
-    goto refuse;
-  else
+  if (entry == NULL)
+    entry = add_entry (mirror, key);
+  if (entry == NULL)
     {
-      memset (&mirror->items[at], 0, sizeof mirror->items[at]);
-      strncpy (mirror->items[at].key, key, CSP_MIRROR_KEY_BYTES - 1);
-      mirror->seen[at] = true;
-      mirror->count++;
+      free (copy);
+      return false;
     }
-  item = &mirror->items[at];
-  mirror->removed += value == NULL;
-  mirror->removed -= item->revision != 0 && item->value == NULL;
-  old = item->value;
-  item->value = copy;
-  free (old);
-  item->revision = revision;
-  if (revision > mirror->revision)
-    mirror->revision = revision;
+  entry->seen = true;
+  set_value (mirror, entry, copy, revision);
   if (mirror->events->changed != NULL)
-    mirror->events->changed (mirror->state, item);
+    mirror->events->changed (mirror->state, &entry->item);
   forget_removed (mirror);
   return true;
-
-refuse:
-  free (copy);
-  return false;
 }
 
 static bool
@@ -161,34 +192,44 @@
   size_t i;
 
   for (i = 0; i < mirror->count; i++)
-    if (has_prefix (&mirror->items[i], prefix))
-      mirror->seen[i] = false;
-  if (mirror->events->listing_began != NULL)
-    mirror->events->listing_began (mirror->state, prefix);
+    if (has_prefix (&mirror->entries[i]->item, prefix))
+      mirror->entries[i]->seen = false;
+}
+
+/* The next item that a listing up to a revision should have held; NULL where
+   it held all.  */
+static const csp_mirror_item_t *
+find_unlisted (const csp_mirror_t *mirror, const char *prefix, int64_t as_of)
+{
+  size_t i;
+
+  for (i = 0; i < mirror->count; i++)
+    {
+      const entry_t *entry = mirror->entries[i];
+
+      if (!entry->seen && entry->item.value != NULL
+          && entry->item.revision <= as_of
+          && has_prefix (&entry->item, prefix))
+        return &entry->item;
+    }
+  return NULL;
 }
 
 void
 csp_end_mirror_listing (csp_mirror_t *mirror, const char *prefix,
                         int64_t as_of)
 {
-  size_t i = 0;
+  const csp_mirror_item_t *item;
+  char key[CSP_MIRROR_KEY_BYTES];
 
-  while (i < mirror->count)
+  while ((item = find_unlisted (mirror, prefix, as_of)) != NULL)
     {
-      csp_mirror_item_t *item = &mirror->items[i];
-      size_t before = mirror->count;
-      char key[CSP_MIRROR_KEY_BYTES];
-
-      if (has_prefix (item, prefix) && !mirror->seen[i] && item->value != NULL
-          && item->revision <= as_of)
-        {
-          memcpy (key, item->key, sizeof key);
-          csp_put_mirror_item (mirror, key, NULL, as_of);
-          mirror->seen[i] = true;
-        }
-      /* Forgetting shifts the items; begin again, as those that are left are
-         either seen or removed.  */
-      i = mirror->count < before ? 0 : i + 1;
+      csp_copy_text (key, sizeof key, item->key);
+      /* A removal that the list knew of and we did not is newer than the item
+         by one at least.  */
+      csp_put_mirror_item (mirror, key, NULL,
+                           item->revision < as_of ? as_of
+                                                  : item->revision + 1);
     }
   csp_note_mirror_revision (mirror, as_of);
   if (mirror->events->listing_ended != NULL)
@@ -234,9 +275,9 @@
   bool good;
 
   for (i = 0; i < mirror->count; i++)
-    if (whole ? mirror->items[i].value != NULL
-              : mirror->items[i].revision > after)
-      json_object_array_add (items, encode_item (&mirror->items[i]));
+    if (whole ? mirror->entries[i]->item.value != NULL
+              : mirror->entries[i]->item.revision > after)
+      json_object_array_add (items, encode_item (&mirror->entries[i]->item));
   json_object_object_add (object, "as_of",
                           json_object_new_int64 (mirror->revision));
   json_object_object_add (object, "settled",
