--- a/include/cowslipspoke/follow.h
+++ b/include/cowslipspoke/follow.h
@@ -20,21 +20,26 @@
      watch.  False where it can't be used.  */
   bool (*take_answer) (void *state, const csp_watch_call_t *call,
                        const char *body, csp_watch_t *watch);
+  /* A call failed, the first in a row: what the source said last may be out
+     of date.  May be NULL.  */
+  void (*doubted) (void *state);
   /* The source can't be reached any more, or is back.  Its return is told
      before its first answer is taken, which may hold removals that are due to
      its absence.  May be NULL.  */
   void (*reach_changed) (void *state, bool away);
   /* Status by which the source says that a revision's history is gone.  */
   uint16_t compacted_status;
+  csp_watch_policy_t policy;
 } csp_follow_source_t;
 
 typedef struct csp_follower csp_follower_t;
 
-/* Begin to follow.  NULL when memory fails.  source must outlive it.  */
+/* Begin to follow behind a revision up to which all is known; 0: none.  NULL
+   when memory fails.  source must outlive it.  */
 csp_follower_t *csp_open_follower (uv_loop_t *loop,
                                    const struct sockaddr_in *address,
                                    const csp_follow_source_t *source,
-                                   void *state);
+                                   int64_t after, void *state);
 
 /* Stop; no call is made afterwards.  */
 void csp_close_follower (csp_follower_t *follower);
--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -85,6 +85,11 @@
 size_t csp_list_gateway_peers (csp_gateway_t *gateway,
                                csp_peer_address_t *addresses, size_t room);
 
+/* Which host reads the platform for this one's data centre; false where this
+   host does so itself.  For the control thread.  */
+bool csp_find_gateway_reader (csp_gateway_t *gateway,
+                              csp_peer_address_t *reader);
+
 /* Port of a listener that was opened on port 0, for tests.  */
 uint16_t csp_gateway_front_port (const csp_gateway_t *gateway);
 uint16_t csp_gateway_ready_port (const csp_gateway_t *gateway);
--- a/include/cowslipspoke/mirror.h
+++ b/include/cowslipspoke/mirror.h
@@ -1,6 +1,7 @@
 #ifndef COWSLIPSPOKE_MIRROR_H
 #define COWSLIPSPOKE_MIRROR_H
 
+#include "cowslipspoke/follow.h"
 #include "cowslipspoke/log.h"
 #include "cowslipspoke/roster.h"
 
@@ -75,24 +76,80 @@
 bool csp_decode_mirror (csp_mirror_t *mirror, const char *text,
                         int64_t *as_of);
 
-/* Serve the mirror to other hosts, and follow theirs while away is set.  */
-typedef struct csp_mirror_exchange csp_mirror_exchange_t;
+/* Serves the mirror to other hosts.  A host that asks is answered at once
+   where there is news, else held for as long as it allows.  */
+typedef struct csp_mirror_server csp_mirror_server_t;
+
+/* NULL where the port can't be had.  */
+csp_mirror_server_t *csp_open_mirror_server (uv_loop_t *loop,
+                                             const struct sockaddr_in *address,
+                                             const csp_mirror_t *mirror);
+void csp_close_mirror_server (csp_mirror_server_t *server);
+
+/* Whether what is served may be believed; who waits is told when it may
+   not.  */
+void csp_settle_mirror_server (csp_mirror_server_t *server, bool settled);
+
+/* The mirror has changed: who waits is told.  */
+void csp_tell_mirror_server (csp_mirror_server_t *server);
+
+/* Where a host reads from.
+
+   Load pattern: each of hundreds of hosts that watches the store is a priced
+   call for each change and each second.  So one host of a data centre reads
+   the store and the others follow its mirror, which costs a millisecond.
+   What goes wrong with that alone: the reader dies, is cut off or doubts what
+   it knows, and a whole data centre goes on sending to targets that leave.
+   So who follows hears from its reader several times a second, and at the
+   first doubt reads the store by itself.  */
+typedef enum
+{
+  CSP_SOURCE_STORE,
+  CSP_SOURCE_READER,
+  CSP_SOURCE_ANY_HOST /* beside the store, which is away */
+} csp_mirror_source_t;
 
-/* Where live hosts are; called on the loop's thread.  */
-typedef size_t (*csp_list_hosts_t) (void *state, csp_peer_address_t *addresses,
-                                    size_t room);
+typedef struct
+{
+  bool known; /* anything has been read since the start */
+  bool store_away;
+  bool reader_is_other; /* another host reads for this data centre */
+  bool reader_failed;   /* since then some time has to pass */
+  int64_t reader_failed_ms_ago;
+} csp_mirror_facts_t;
 
-/* Port 0 in address: nothing is served.  NULL where the port can't be had. */
-csp_mirror_exchange_t *
-csp_open_mirror_exchange (uv_loop_t *loop, const struct sockaddr_in *address,
-                          csp_mirror_t *mirror, csp_list_hosts_t list_hosts,
-                          void *state, csp_log_t *log);
-void csp_close_mirror_exchange (csp_mirror_exchange_t *exchange);
+csp_mirror_source_t csp_choose_mirror_source (const csp_mirror_facts_t *facts);
 
-/* The store can't be reached, or is back.  */
-void csp_set_mirror_away (csp_mirror_exchange_t *exchange, bool away);
+/* Feeds the mirror from the store or from other hosts, as the choice says, and
+   serves it.  */
+typedef struct csp_mirror_feed csp_mirror_feed_t;
 
-/* The mirror has changed: followers that wait are told.  */
-void csp_tell_mirror_followers (csp_mirror_exchange_t *exchange);
+/* What a feed is given; all of it must outlive the feed.  */
+typedef struct
+{
+  struct sockaddr_in serve; /* port 0: nothing is served */
+  struct sockaddr_in store;
+  /* How to speak with the store; its take_answer puts into the mirror.  */
+  const csp_follow_source_t *store_source;
+  void *store_state;
+  /* Live hosts, and who reads for this data centre; false: this host.  */
+  size_t (*list_hosts) (void *state, csp_peer_address_t *addresses,
+                        size_t room);
+  bool (*find_reader) (void *state, csp_peer_address_t *reader);
+  void *hosts_state;
+} csp_mirror_feed_settings_t;
+
+csp_mirror_feed_t *
+csp_open_mirror_feed (uv_loop_t *loop,
+                      const csp_mirror_feed_settings_t *settings,
+                      csp_mirror_t *mirror, csp_log_t *log);
+void csp_close_mirror_feed (csp_mirror_feed_t *feed);
+
+/* Told by the store's take_answer when it has put what an answer held.  */
+void csp_note_mirror_fed (csp_mirror_feed_t *feed);
+
+/* Told by the store's reach_changed and doubted.  */
+void csp_note_store_reach (csp_mirror_feed_t *feed, bool away);
+void csp_note_store_doubt (csp_mirror_feed_t *feed);
 
 #endif
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -53,6 +53,7 @@
   uint64_t sequence; /* rises with each datagram of a boot */
   bool whole;        /* loads that aren't named are none */
   bool leaving;
+  uint32_t data_centre; /* hash of its name */
   size_t load_count;
   csp_peer_load_t loads[CSP_HELLO_LOADS_MAX];
   size_t known_count;
@@ -70,7 +71,7 @@
 
 /* self is never taken for a peer.  */
 csp_roster_t *csp_create_roster (csp_peer_address_t self, uint64_t boot,
-                                 uint64_t seed);
+                                 uint32_t data_centre, uint64_t seed);
 void csp_destroy_roster (csp_roster_t *roster);
 
 /* Somebody named a host; it becomes live when it is heard.  */
@@ -94,6 +95,12 @@
                             csp_peer_address_t *addresses, size_t room);
 size_t csp_count_live_peers (const csp_roster_t *roster);
 
+/* The host of the own data centre that reads the platform for all of it: the
+   first in an order by hash among the live ones that don't leave, this host
+   counted in.  Hosts that see others alive may choose differently for some
+   seconds, which costs a few calls more.  */
+csp_peer_address_t csp_pick_reader (const csp_roster_t *roster);
+
 /* Some live hosts drawn by lot, to name to others.  */
 size_t csp_draw_known_peers (csp_roster_t *roster,
                              csp_peer_address_t *addresses, size_t room);
--- a/include/cowslipspoke/watch.h
+++ b/include/cowslipspoke/watch.h
@@ -21,6 +21,14 @@
   CSP_WATCH_KEY_BYTES = 201
 };
 
+/* How long a source may hold a watch, and how much later its answer must be
+   here.  Their sum is how long a silent connection goes unseen.  */
+typedef struct
+{
+  uint32_t wait_ms;
+  uint32_t slack_ms;
+} csp_watch_policy_t;
+
 typedef enum
 {
   CSP_WATCH_LIST,  /* a page of what is there */
@@ -51,12 +59,15 @@
   csp_watch_kind_t kind;
   bool first_page;
   char after_key[CSP_WATCH_KEY_BYTES];
+  csp_watch_policy_t policy;
   int64_t revision;
   uint32_t failures; /* in a row */
   csp_random_t random;
 } csp_watch_t;
 
-void csp_open_watch (csp_watch_t *watch, uint64_t seed);
+/* after: all up to this revision is known already; 0: nothing is.  */
+void csp_open_watch (csp_watch_t *watch, const csp_watch_policy_t *policy,
+                     int64_t after, uint64_t seed);
 
 /* The call to make next.  */
 csp_watch_call_t csp_next_watch_call (csp_watch_t *watch);
--- a/source/follow/follow.c
+++ b/source/follow/follow.c
@@ -49,6 +49,8 @@
     csp_close_link (follower->link);
   follower->link = NULL;
   csp_note_watch_failure (&follower->watch, failure);
+  if (follower->watch.failures == 1 && follower->source->doubted != NULL)
+    follower->source->doubted (follower->state);
   note_reach (follower);
   if (!follower->closed)
     make_call (follower);
@@ -162,7 +164,8 @@
 
 csp_follower_t *
 csp_open_follower (uv_loop_t *loop, const struct sockaddr_in *address,
-                   const csp_follow_source_t *source, void *state)
+                   const csp_follow_source_t *source, int64_t after,
+                   void *state)
 {
   csp_follower_t *follower = calloc (1, sizeof *follower);
 
@@ -172,7 +175,8 @@
   follower->address = *address;
   follower->source = source;
   follower->state = state;
-  csp_open_watch (&follower->watch, csp_random_seed ());
+  csp_open_watch (&follower->watch, &source->policy, after,
+                  csp_random_seed ());
   uv_timer_init (loop, &follower->timer);
   follower->timer.data = follower;
   make_call (follower);
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -98,9 +98,12 @@
   uv_timer_t tell_timer;
   uv_timer_t greet_timer;
   uint64_t boot;
+  uint32_t data_centre; /* hash of its name, as hosts tell it */
   uint64_t hello_sequence;
   csp_peer_address_t *peer_room; /* CSP_ROSTER_MAX addresses, for one call */
   pthread_mutex_t live_lock;     /* guards what the control thread reads */
+  csp_peer_address_t self;
+  csp_peer_address_t reader;
   size_t live_count;
   csp_peer_address_t live[CSP_LIVE_PEERS_MAX];
   csp_random_t random;
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -1,5 +1,7 @@
 #include "gateway/gateway-imp.h"
 
+#include "cowslipspoke/hash.h"
+
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
@@ -63,6 +65,7 @@
   hello->boot = gateway->boot;
   hello->sequence = ++gateway->hello_sequence;
   hello->leaving = gateway->stopping;
+  hello->data_centre = gateway->data_centre;
   if (csp_encode_hello (hello, &bytes))
     for (i = 0; i < peer_count; i++)
       {
@@ -167,6 +170,7 @@
   pthread_mutex_lock (&gateway->live_lock);
   gateway->live_count = csp_draw_known_peers (gateway->roster, gateway->live,
                                               CSP_LIVE_PEERS_MAX);
+  gateway->reader = csp_pick_reader (gateway->roster);
   pthread_mutex_unlock (&gateway->live_lock);
   count = csp_list_due_peers (gateway->roster, now_ms, peers, CSP_ROSTER_MAX);
   if (count > 0)
@@ -203,6 +207,18 @@
   return count;
 }
 
+bool
+csp_find_gateway_reader (csp_gateway_t *gateway, csp_peer_address_t *reader)
+{
+  bool other;
+
+  pthread_mutex_lock (&gateway->live_lock);
+  *reader = gateway->reader;
+  other = reader->ip != gateway->self.ip || reader->port != gateway->self.port;
+  pthread_mutex_unlock (&gateway->live_lock);
+  return other;
+}
+
 bool
 csp_open_gateway_peers (csp_gateway_t *gateway)
 {
@@ -211,10 +227,14 @@
   size_t i;
 
   pthread_mutex_init (&gateway->live_lock, NULL);
+  gateway->self = peer_address (&settings->peers);
+  gateway->reader = gateway->self;
+  gateway->data_centre
+      = (uint32_t)csp_hash_pair ("data_centre", settings->data_centre);
   gateway->boot = ((uint64_t)csp_wall_ms (&gateway->clock) << BOOT_RANDOM_BITS)
                   | (random & ((1U << BOOT_RANDOM_BITS) - 1));
-  gateway->roster = csp_create_roster (peer_address (&settings->peers),
-                                       gateway->boot, random);
+  gateway->roster = csp_create_roster (gateway->self, gateway->boot,
+                                       gateway->data_centre, random);
   gateway->peer_room = calloc (CSP_ROSTER_MAX, sizeof *gateway->peer_room);
   if (gateway->roster == NULL || gateway->peer_room == NULL)
     return false;
--- a/source/log/event-table.c
+++ b/source/log/event-table.c
@@ -34,6 +34,7 @@
   { CSP_EVENT_HOST_LIST_BAD, CSP_LEVEL_ERROR, "host-list-bad" },
   { CSP_EVENT_CONFIGURATION_DIVERGED, CSP_LEVEL_ERROR,
     "configuration-diverged" },
+  { CSP_EVENT_READER_LOST, CSP_LEVEL_WARNING, "reader-lost" },
   { CSP_EVENT_PEER_ALIVE, CSP_LEVEL_INFO, "peer-alive" },
   { CSP_EVENT_PEER_SILENT, CSP_LEVEL_WARNING, "peer-silent" },
   { CSP_EVENT_PEER_REFUSED, CSP_LEVEL_WARNING, "peer-refused" },
--- a/source/mirror/mirror.c
+++ b/source/mirror/mirror.c
@@ -144,8 +144,6 @@
   item->value = value;
   item->revision = revision;
   free (old);
-  if (revision > mirror->revision)
-    mirror->revision = revision;
 }
 
 bool
@@ -347,7 +345,10 @@
           csp_end_mirror_listing (mirror, "", *as_of);
         }
       else
-        put_items (mirror, items);
+        {
+          put_items (mirror, items);
+          csp_note_mirror_revision (mirror, *as_of);
+        }
     }
   json_object_put (object);
   return good;
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -296,7 +296,7 @@
   (ProtobufCMessageInit) csp_hello__address__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[6] =
+static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[7] =
 {
   {
     "boot",
@@ -370,9 +370,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Hello, data_centre),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__hello__field_indices_by_name[] = {
   0,   /* field[0] = boot */
+  6,   /* field[6] = data_centre */
   5,   /* field[5] = known */
   3,   /* field[3] = leaving */
   4,   /* field[4] = loads */
@@ -382,7 +395,7 @@
 static const ProtobufCIntRange csp_hello__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor csp_hello__hello__descriptor =
 {
@@ -392,7 +405,7 @@
   "CspHello__Hello",
   "csp_hello",
   sizeof(CspHello__Hello),
-  6,
+  7,
   csp_hello__hello__field_descriptors,
   csp_hello__hello__field_indices_by_name,
   1,  csp_hello__hello__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -62,10 +62,11 @@
   CspHello__Load **loads;
   size_t n_known;
   CspHello__Address **known;
+  uint32_t data_centre;
 };
 #define CSP_HELLO__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__hello__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* CspHello__Load methods */
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -23,6 +23,8 @@
   uint64_t boot;
   uint64_t sequence;
   bool live;
+  bool leaving;
+  uint32_t data_centre;
   int64_t heard_ms;
   int64_t greet_at_ms;
   size_t load_count;
@@ -34,6 +36,7 @@
 {
   csp_peer_address_t self;
   uint64_t boot;
+  uint32_t data_centre;
   csp_random_t random;
   size_t count;
   size_t room;
@@ -41,7 +44,8 @@
 };
 
 csp_roster_t *
-csp_create_roster (csp_peer_address_t self, uint64_t boot, uint64_t seed)
+csp_create_roster (csp_peer_address_t self, uint64_t boot,
+                   uint32_t data_centre, uint64_t seed)
 {
   csp_roster_t *roster = calloc (1, sizeof *roster);
 
@@ -49,6 +53,7 @@
     return NULL;
   roster->self = self;
   roster->boot = boot;
+  roster->data_centre = data_centre;
   csp_seed_random (&roster->random, seed);
   return roster;
 }
@@ -161,6 +166,8 @@
     peer->load_count = 0;
   peer->boot = hello->boot;
   peer->sequence = hello->sequence;
+  peer->leaving = hello->leaving;
+  peer->data_centre = hello->data_centre;
   peer->heard_ms = now_ms;
   peer->live = true;
   for (i = 0; i < hello->load_count; i++)
@@ -240,6 +247,31 @@
   return live;
 }
 
+/* Neighbouring addresses are often one rack; the order spreads over them.  */
+static uint64_t
+reading_order (csp_peer_address_t address)
+{
+  return ((uint64_t)address.ip << 16 | address.port) * 0x9e3779b97f4a7c15U;
+}
+
+csp_peer_address_t
+csp_pick_reader (const csp_roster_t *roster)
+{
+  csp_peer_address_t reader = roster->self;
+  size_t i;
+
+  for (i = 0; i < roster->count; i++)
+    {
+      const peer_t *peer = &roster->peers[i];
+
+      if (peer->live && !peer->leaving
+          && peer->data_centre == roster->data_centre
+          && reading_order (peer->address) < reading_order (reader))
+        reader = peer->address;
+    }
+  return reader;
+}
+
 /* From a random place onwards, so that over some greetings all are named.  */
 size_t
 csp_draw_known_peers (csp_roster_t *roster, csp_peer_address_t *addresses,
--- a/source/watch/watch.c
+++ b/source/watch/watch.c
@@ -5,13 +5,6 @@
 
 enum
 {
-  /* Each answer is a priced call, and a watch that went silent is missed only
-     when its time is over: half a call a second, and a silence found within
-     2.6 s.  */
-  WATCH_WAIT_MS = 2000,
-  /* On top of the wait: a store that is sixty times slower than its usual
-     4 ms still answers in time.  */
-  ANSWER_SLACK_MS = 600,
   /* A page of 1 MB from a slow store.  */
   LIST_TIMEOUT_MS = 1500,
   /* Pauses after failures: doubling from the first to the last, drawn
@@ -25,10 +18,13 @@
 };
 
 void
-csp_open_watch (csp_watch_t *watch, uint64_t seed)
+csp_open_watch (csp_watch_t *watch, const csp_watch_policy_t *policy,
+                int64_t after, uint64_t seed)
 {
   memset (watch, 0, sizeof *watch);
-  watch->kind = CSP_WATCH_LIST;
+  watch->policy = *policy;
+  watch->kind = after > 0 ? CSP_WATCH_FOLLOW : CSP_WATCH_LIST;
+  watch->revision = after;
   watch->first_page = true;
   csp_seed_random (&watch->random, seed);
 }
@@ -55,13 +51,13 @@
   csp_watch_call_t call = { .kind = watch->kind,
                             .first_page = watch->first_page,
                             .after_revision = watch->revision,
-                            .wait_ms = WATCH_WAIT_MS,
+                            .wait_ms = watch->policy.wait_ms,
                             .timeout_ms = LIST_TIMEOUT_MS,
                             .pause_ms = pause_ms (watch) };
 
   memcpy (call.after_key, watch->after_key, sizeof call.after_key);
   if (watch->kind == CSP_WATCH_FOLLOW)
-    call.timeout_ms = WATCH_WAIT_MS + ANSWER_SLACK_MS;
+    call.timeout_ms = watch->policy.wait_ms + watch->policy.slack_ms;
   return call;
 }
 
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -60,6 +60,10 @@
   ck_assert (csp_put_mirror_item (mirror, "s/a", NULL, 6));
   ck_assert (!csp_put_mirror_item (mirror, "s/a", "1", 5));
   ck_assert_str_eq (told, "s/a=1 s/a=- ");
+  /* One item tells nothing of the others' changes.  */
+  ck_assert_int_eq (csp_mirror_revision (mirror), 0);
+  csp_note_mirror_revision (mirror, 6);
+  csp_note_mirror_revision (mirror, 5);
   ck_assert_int_eq (csp_mirror_revision (mirror), 6);
 }
 END_TEST
@@ -99,6 +103,7 @@
   ck_assert_str_eq (told, "s/a=quote \" and\nline listed:= ");
   csp_put_mirror_item (mirror, "s/a", NULL, 10);
   csp_put_mirror_item (mirror, "s/c", "3", 11);
+  csp_note_mirror_revision (mirror, 11);
   told[0] = '\0';
   csp_clear_buffer (&text);
   ck_assert (csp_encode_mirror (mirror, 9, true, &text));
@@ -139,7 +144,9 @@
 
   csp_put_mirror_item (other, "s/a", "1", 5);
   csp_put_mirror_item (other, "s/b", "1", 9);
+  csp_note_mirror_revision (other, 9);
   csp_put_mirror_item (mirror, "s/c", "1", 4);
+  csp_note_mirror_revision (mirror, 4);
   told[0] = '\0';
   ck_assert (csp_encode_mirror (mirror, 0, true, &text));
   csp_append_buffer (&text, "", 1);
@@ -197,20 +204,60 @@
 }
 END_TEST
 
-/* Two hosts on one loop: the store turns one away.  It reads the other's
-   copy, hears of each change at once, and stops when the store is back.  */
-static csp_peer_address_t other_host;
-
-static size_t
-list_other (void *state, csp_peer_address_t *addresses, size_t room)
+/* Who reads where.  */
+static const struct
 {
-  (void)state;
-  (void)room;
-  addresses[0] = other_host;
-  return 1;
+  const char *what;
+  csp_mirror_facts_t facts;
+  csp_mirror_source_t source;
+} choices[] = {
+  { "a host that starts", { .reader_is_other = true }, CSP_SOURCE_STORE },
+  { "the reader", { .known = true }, CSP_SOURCE_STORE },
+  { "the others",
+    { .known = true, .reader_is_other = true },
+    CSP_SOURCE_READER },
+  { "the others, their reader gone",
+    { .known = true,
+      .reader_is_other = true,
+      .reader_failed = true,
+      .reader_failed_ms_ago = 100 },
+    CSP_SOURCE_STORE },
+  { "the others, a while later",
+    { .known = true,
+      .reader_is_other = true,
+      .reader_failed = true,
+      .reader_failed_ms_ago = 4000 },
+    CSP_SOURCE_READER },
+  { "a reader that the store turns away",
+    { .known = true, .store_away = true },
+    CSP_SOURCE_ANY_HOST },
+  { "a host that starts while the store is away",
+    { .store_away = true, .reader_is_other = true },
+    CSP_SOURCE_ANY_HOST },
+};
+
+START_TEST (a_host_reads_where_it_is_cheap_and_sure)
+{
+  ck_assert_msg (csp_choose_mirror_source (&choices[_i].facts)
+                     == choices[_i].source,
+                 "%s", choices[_i].what);
 }
+END_TEST
+
+/* A host for the tests below: a mirror, its feed, and a store that is played
+   by its port alone: nobody listens there.  */
+typedef struct
+{
+  csp_mirror_t *mirror;
+  csp_mirror_feed_t *feed;
+  struct sockaddr_in serve;
+  csp_peer_address_t reader; /* port 0: itself */
+} host_t;
 
-static uint16_t
+static uv_loop_t loop;
+static host_t hosts[2];
+
+static struct sockaddr_in
 free_port (void)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
@@ -222,48 +269,107 @@
                     0);
   getsockname (probe, (struct sockaddr *)&address, &size_bytes);
   close (probe);
-  return ntohs (address.sin_port);
+  return address;
+}
+
+static csp_peer_address_t
+peer_of (const struct sockaddr_in *address)
+{
+  csp_peer_address_t peer
+      = { ntohl (address->sin_addr.s_addr), ntohs (address->sin_port) };
+
+  return peer;
+}
+
+static size_t
+list_hosts (void *state, csp_peer_address_t *addresses, size_t room)
+{
+  const host_t *host = state;
+
+  (void)room;
+  addresses[0] = peer_of (&hosts[host == &hosts[0]].serve);
+  return 1;
+}
+
+static bool
+find_reader (void *state, csp_peer_address_t *reader)
+{
+  const host_t *host = state;
+
+  *reader = host->reader;
+  return reader->port != 0;
 }
 
 static void
-turn_until_told (uv_loop_t *loop, const char *awaited)
+write_call (void *state, const csp_watch_call_t *call, csp_buffer_t *request)
+{
+  (void)state;
+  (void)call;
+  csp_print_buffer (request, "GET / HTTP/1.1\r\n\r\n");
+}
+
+static void
+on_reach (void *state, bool away)
+{
+  host_t *host = state;
+
+  csp_note_store_reach (host->feed, away);
+}
+
+static const csp_follow_source_t no_store
+    = { .write_call = write_call,
+        .reach_changed = on_reach,
+        .policy = { .wait_ms = 600, .slack_ms = 500 } };
+
+static void
+open_host (host_t *host, csp_mirror_t *of)
+{
+  csp_mirror_feed_settings_t settings = { .serve = host->serve,
+                                          .store = free_port (),
+                                          .store_source = &no_store,
+                                          .store_state = host,
+                                          .list_hosts = list_hosts,
+                                          .find_reader = find_reader,
+                                          .hosts_state = host };
+
+  host->mirror = of;
+  host->feed = csp_open_mirror_feed (&loop, &settings, of, NULL);
+  ck_assert_ptr_nonnull (host->feed);
+}
+
+static void
+turn_until_told (const char *awaited)
 {
   while (strstr (told, awaited) == NULL)
-    uv_run (loop, UV_RUN_ONCE);
+    uv_run (&loop, UV_RUN_ONCE);
 }
 
+/* A host is cut off from the store, or starts while it is away.  It reads the
+   copy of a host that is not, and hears of each change at once.  */
 START_TEST (a_host_that_is_turned_away_follows_another)
 {
   static const csp_mirror_events_t silent = { 0 };
   csp_mirror_t *source = csp_create_mirror (&silent, NULL);
-  struct sockaddr_in none = { .sin_family = AF_INET };
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  csp_mirror_exchange_t *serving;
-  csp_mirror_exchange_t *following;
-  uv_loop_t loop;
+  csp_mirror_server_t *server;
 
   uv_loop_init (&loop);
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  address.sin_port = htons (free_port ());
-  other_host.ip = INADDR_LOOPBACK;
-  other_host.port = ntohs (address.sin_port);
-  serving = csp_open_mirror_exchange (&loop, &address, source, list_other,
-                                      NULL, NULL);
-  following = csp_open_mirror_exchange (&loop, &none, mirror, list_other, NULL,
-                                        NULL);
-  ck_assert_ptr_nonnull (serving);
-  ck_assert_ptr_nonnull (following);
+  hosts[0].serve = free_port ();
+  hosts[1].serve = free_port ();
+  hosts[0].reader.port = 0;
+  hosts[1].reader.port = 0;
   csp_put_mirror_item (source, "s/a", "1", 5);
-  csp_set_mirror_away (serving, false);
-  csp_set_mirror_away (following, true);
-  turn_until_told (&loop, "s/a=1 ");
-  csp_put_mirror_item (source, "s/a", NULL, 6);
+  csp_note_mirror_revision (source, 5);
+  server = csp_open_mirror_server (&loop, &hosts[0].serve, source);
+  csp_settle_mirror_server (server, true);
+  open_host (&hosts[1], mirror);
+  csp_note_store_reach (hosts[1].feed, true);
+  turn_until_told ("s/a=1 ");
   csp_put_mirror_item (source, "s/b", "2", 7);
-  csp_tell_mirror_followers (serving);
-  turn_until_told (&loop, "s/a=- s/b=2 ");
-  csp_set_mirror_away (following, false);
-  csp_close_mirror_exchange (following);
-  csp_close_mirror_exchange (serving);
+  csp_note_mirror_revision (source, 7);
+  csp_tell_mirror_server (server);
+  turn_until_told ("s/b=2 ");
+  csp_close_mirror_server (server);
+  csp_close_mirror_feed (hosts[1].feed);
   uv_run (&loop, UV_RUN_DEFAULT);
   ck_assert_int_eq (uv_loop_close (&loop), 0);
   csp_destroy_mirror (source);
@@ -288,6 +394,8 @@
   tcase_add_test (tcase, removals_are_forgotten_in_time);
   tcase_add_loop_test (tcase, what_is_no_mirror_is_refused, 0,
                        sizeof no_mirrors / sizeof no_mirrors[0]);
+  tcase_add_loop_test (tcase, a_host_reads_where_it_is_cheap_and_sure, 0,
+                       sizeof choices / sizeof choices[0]);
   tcase_add_test (tcase, a_host_that_is_turned_away_follows_another);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -7,7 +7,9 @@
 enum
 {
   SELF_BOOT = 100,
-  OTHER_BOOT = 200
+  OTHER_BOOT = 200,
+  HERE = 7,
+  ELSEWHERE = 8
 };
 
 static const csp_peer_address_t self = { 1, 10 };
@@ -19,7 +21,7 @@
 static void
 set_up (void)
 {
-  roster = csp_create_roster (self, SELF_BOOT, 1);
+  roster = csp_create_roster (self, SELF_BOOT, HERE, 1);
   ck_assert_ptr_nonnull (roster);
 }
 
@@ -167,6 +169,46 @@
 }
 END_TEST
 
+/* One host of a data centre reads the platform for all: live ones agree on it,
+   and a host that stops, dies or is elsewhere is none.  */
+START_TEST (hosts_of_a_data_centre_agree_on_a_reader)
+{
+  csp_peer_address_t hosts[] = { { 2, 10 }, { 3, 10 }, { 4, 10 }, { 5, 10 } };
+  csp_hello_t hello = hello_of (OTHER_BOOT, 1, true, 0);
+  csp_peer_address_t reader;
+  csp_roster_t *seen;
+  size_t i;
+  size_t j;
+
+  ck_assert_uint_eq (csp_pick_reader (roster).ip, self.ip);
+  hello.data_centre = ELSEWHERE;
+  csp_hear_peer (roster, hosts[3], &hello, 1000);
+  ck_assert_uint_eq (csp_pick_reader (roster).ip, self.ip);
+  hello.data_centre = HERE;
+  for (i = 0; i < 3; i++)
+    csp_hear_peer (roster, hosts[i], &hello, 1000);
+  reader = csp_pick_reader (roster);
+  /* Each of the others, seeing the rest, names the same.  */
+  for (i = 0; i < 3; i++)
+    {
+      seen = csp_create_roster (hosts[i], OTHER_BOOT + 1 + i, HERE, 1);
+      csp_hear_peer (seen, self, &hello, 1000);
+      for (j = 0; j < 3; j++)
+        csp_hear_peer (seen, hosts[j], &hello, 1000);
+      ck_assert_uint_eq (csp_pick_reader (seen).ip, reader.ip);
+      csp_destroy_roster (seen);
+    }
+  if (reader.ip == self.ip)
+    return;
+  hello.leaving = true;
+  hello.sequence = 2;
+  csp_hear_peer (roster, reader, &hello, 1100);
+  ck_assert_uint_ne (csp_pick_reader (roster).ip, reader.ip);
+  csp_expire_peers (roster, 9000);
+  ck_assert_uint_eq (csp_pick_reader (roster).ip, self.ip);
+}
+END_TEST
+
 START_TEST (a_datagram_survives_its_codec)
 {
   csp_hello_t hello = hello_of (OTHER_BOOT, 3, true, 0);
@@ -176,6 +218,7 @@
   size_t i;
 
   hello.load_count = CSP_HELLO_LOADS_MAX;
+  hello.data_centre = UINT32_MAX;
   hello.known_count = CSP_HELLO_KNOWN_MAX;
   for (i = 0; i < hello.load_count; i++)
     {
@@ -210,6 +253,7 @@
                        sizeof stories / sizeof stories[0]);
   tcase_add_test (tcase, a_silent_host_counts_no_more);
   tcase_add_test (tcase, hosts_are_found_through_others_and_asked_again);
+  tcase_add_test (tcase, hosts_of_a_data_centre_agree_on_a_reader);
   tcase_add_test (tcase, a_datagram_survives_its_codec);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/watch/watch-test.c
+++ b/tests/watch/watch-test.c
@@ -3,12 +3,13 @@
 #include <check.h>
 #include <stdlib.h>
 
+static const csp_watch_policy_t policy = { .wait_ms = 600, .slack_ms = 500 };
 static csp_watch_t watch;
 
 static void
 set_up (void)
 {
-  csp_open_watch (&watch, 5);
+  csp_open_watch (&watch, &policy, 0, 5);
 }
 
 START_TEST (pages_are_read_and_then_followed_from_the_first)
@@ -29,12 +30,25 @@
   /* What changed between the pages is seen once more.  */
   ck_assert_int_eq (call.after_revision, 40);
   ck_assert_uint_eq (call.pause_ms, 0);
-  ck_assert_uint_gt (call.timeout_ms, call.wait_ms);
+  ck_assert_uint_eq (call.wait_ms, 600);
+  ck_assert_uint_eq (call.timeout_ms, 1100);
   csp_note_watch_changes (&watch, 60);
   ck_assert_int_eq (csp_next_watch_call (&watch).after_revision, 60);
 }
 END_TEST
 
+/* What is known from elsewhere need not be listed again.  */
+START_TEST (a_known_revision_is_followed_at_once)
+{
+  csp_watch_call_t call;
+
+  csp_open_watch (&watch, &policy, 70, 5);
+  call = csp_next_watch_call (&watch);
+  ck_assert_int_eq (call.kind, CSP_WATCH_FOLLOW);
+  ck_assert_int_eq (call.after_revision, 70);
+}
+END_TEST
+
 /* A watch that failed goes on where it was; a page that failed is read anew
    from the first, as the pages are no snapshot; history that is gone makes a
    new listing.  */
@@ -73,7 +87,7 @@
   bool differ = false;
   int i;
 
-  csp_open_watch (&other, 6);
+  csp_open_watch (&other, &policy, 0, 6);
   for (i = 0; i < 50; i++)
     {
       uint32_t one_ms;
@@ -108,6 +122,7 @@
 
   tcase_add_checked_fixture (tcase, set_up, NULL);
   tcase_add_test (tcase, pages_are_read_and_then_followed_from_the_first);
+  tcase_add_test (tcase, a_known_revision_is_followed_at_once);
   tcase_add_loop_test (tcase, a_failure_costs_as_little_as_it_may, 0,
                        sizeof failures / sizeof failures[0]);
   tcase_add_test (tcase, pauses_grow_and_differ_between_hosts);
