--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -55,10 +55,12 @@
   csp_fleet_state_t state;
   int64_t warm_at_ms;
   int64_t lapses_at_ms;
-  uint64_t hash;           /* of the id, by which hosts speak of it */
-  csp_fleet_load_t own;    /* under way from this host */
-  csp_fleet_load_t others; /* from all other hosts, as last heard */
-  csp_peer_load_t told;    /* what was last told of our own */
+  uint64_t hash;             /* of the id, by which hosts speak of it */
+  uint32_t data_centre;      /* hash of its name */
+  csp_fleet_load_t own;      /* under way from this host */
+  csp_fleet_load_t others;   /* from all other hosts, as last heard */
+  csp_fleet_load_t reserved; /* given away here, not yet told by its host */
+  csp_peer_load_t told;      /* what was last told of our own */
   /* Share of recent requests that failed, and when it was last counted.  */
   double failing;
   int64_t counted_at_ms;
@@ -104,6 +106,8 @@
 csp_fleet_target_t *csp_fleet_at (const csp_fleet_t *fleet, size_t index);
 csp_fleet_target_t *csp_find_fleet_target (const csp_fleet_t *fleet,
                                            const char *id);
+csp_fleet_target_t *csp_find_hashed_target (const csp_fleet_t *fleet,
+                                            uint64_t hash);
 
 /* What the other hosts have under way is counted anew.  */
 void csp_clear_other_loads (csp_fleet_t *fleet);
@@ -113,10 +117,11 @@
 typedef struct
 {
   const char *service;
-  const char *data_centre; /* of this host */
+  uint32_t data_centre;    /* hash of the asking host's */
   bool by_memory;          /* model engines: tokens count, not requests */
   uint32_t memory_tokens;  /* of one engine */
   uint64_t tokens;         /* that the request takes there */
+  bool within_slots;       /* targets whose slots are taken don't count */
   bool is_copy;            /* a run's memory goes there, no prompt */
   double memory_share_max; /* fuller targets don't count; 0: all do */
   const csp_fleet_target_t *not_this;
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -26,7 +26,8 @@
      no more than itself.  */
   CSP_HELLO_MAX_BYTES = 1400,
   CSP_HELLO_LOADS_MAX = 36,
-  CSP_HELLO_KNOWN_MAX = 12
+  CSP_HELLO_KNOWN_MAX = 12,
+  CSP_HELLO_ASKS_MAX = 4
 };
 
 typedef struct
@@ -46,6 +47,36 @@
   uint32_t movable_tokens; /* of streams that would have to be moved */
 } csp_peer_load_t;
 
+/* A request that asks the host that decides for a place.  */
+typedef struct
+{
+  uint64_t id;
+  uint32_t service;      /* hash of its name */
+  uint32_t organisation; /* hash of its name */
+  uint32_t prompt_tokens;
+  uint32_t tokens;
+  uint32_t start_within_ms;
+  uint8_t urgency;
+} csp_hello_ask_t;
+
+/* What an ask for a place comes to.  */
+typedef enum
+{
+  CSP_ASK_WAITS,
+  CSP_ASK_PLACED,
+  CSP_ASK_REFUSED,
+  CSP_ASK_OUTCOME_COUNT
+} csp_ask_outcome_t;
+
+typedef struct
+{
+  csp_peer_address_t host; /* whom it is for; not in the datagram */
+  uint64_t id;
+  csp_ask_outcome_t outcome;
+  uint64_t target;         /* hash of its id, where placed */
+  uint32_t retry_after_ms; /* where refused */
+} csp_ask_answer_t;
+
 /* One datagram.  */
 typedef struct
 {
@@ -58,6 +89,12 @@
   csp_peer_load_t loads[CSP_HELLO_LOADS_MAX];
   size_t known_count;
   csp_peer_address_t known[CSP_HELLO_KNOWN_MAX];
+  size_t ask_count;
+  csp_hello_ask_t asks[CSP_HELLO_ASKS_MAX];
+  size_t answer_count;
+  csp_ask_answer_t answers[CSP_HELLO_ASKS_MAX];
+  size_t cancel_count;
+  uint64_t cancels[CSP_HELLO_ASKS_MAX];
 } csp_hello_t;
 
 /* Encode; false when memory fails.  */
@@ -101,6 +138,10 @@
    seconds, which costs a few calls more.  */
 csp_peer_address_t csp_pick_reader (const csp_roster_t *roster);
 
+/* The host that gives places at engines for all hosts: the first in that order
+   among all live ones.  */
+csp_peer_address_t csp_pick_decider (const csp_roster_t *roster);
+
 /* Some live hosts drawn by lot, to name to others.  */
 size_t csp_draw_known_peers (csp_roster_t *roster,
                              csp_peer_address_t *addresses, size_t room);
--- a/include/cowslipspoke/route.h
+++ b/include/cowslipspoke/route.h
@@ -116,6 +116,10 @@
 const csp_route_service_t *csp_get_route_service (const csp_routes_t *routes,
                                                   const char *name);
 
+/* The services one after another; NULL behind the last.  */
+const csp_route_service_t *csp_list_route_service (const csp_routes_t *routes,
+                                                   size_t index);
+
 /* One of a route's services, drawn by weight; NULL where all weigh
    nothing.  */
 const char *csp_draw_service (const csp_route_t *route, csp_random_t *random);
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -81,16 +81,23 @@
 {
   uint64_t tokens = target->own.tokens + target->own.backup_tokens
                     + target->others.tokens + target->others.backup_tokens
-                    + need->tokens;
+                    + target->reserved.tokens + need->tokens;
 
   return need->memory_tokens == 0 ? 0 : (double)tokens / need->memory_tokens;
 }
 
+static uint32_t
+runs_at (const csp_fleet_target_t *target)
+{
+  return target->own.requests + target->others.requests
+         + target->reserved.requests;
+}
+
 static double
 cost_of (const csp_fleet_target_t *target, const csp_fleet_need_t *need,
          int64_t now_ms)
 {
-  double runs = (double)target->own.requests + target->others.requests + 1;
+  double runs = (double)runs_at (target) + 1;
   double cost = runs * run_cost_ms;
   double share = memory_share (target, need);
 
@@ -101,7 +108,7 @@
   if (share > memory_comfort)
     cost += (share - memory_comfort) * memory_cost_ms;
   cost *= 1 + failing_weight * csp_fading_failures (target, now_ms);
-  if (strcmp (target->row.data_centre, need->data_centre) != 0)
+  if (target->data_centre != need->data_centre)
     cost += need->is_copy ? copy_elsewhere_cost_ms : elsewhere_cost_ms;
   if (now_ms < target->warm_at_ms)
     cost += warming_cost_ms;
@@ -111,6 +118,9 @@
 static bool
 may_get (const csp_fleet_target_t *target, const csp_fleet_need_t *need)
 {
+  if (need->within_slots && target->row.slots > 0
+      && runs_at (target) >= target->row.slots)
+    return false;
   if (need->memory_share_max > 0
       && memory_share (target, need) > need->memory_share_max)
     return false;
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -61,6 +61,17 @@
   return NULL;
 }
 
+csp_fleet_target_t *
+csp_find_hashed_target (const csp_fleet_t *fleet, uint64_t hash)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->count; i++)
+    if (fleet->targets[i]->hash == hash)
+      return fleet->targets[i];
+  return NULL;
+}
+
 static csp_fleet_target_t *
 add_target (csp_fleet_t *fleet, const char *id)
 {
@@ -110,6 +121,8 @@
   if (target == NULL)
     return false;
   target->row = *row;
+  target->data_centre
+      = (uint32_t)csp_hash_pair ("data_centre", row->data_centre);
   target->warm_at_ms = now_ms + row->warming_up_ms;
   /* One start of a target never takes its leaving back.  */
   if (target->state == CSP_FLEET_LEAVING)
@@ -186,20 +199,17 @@
 void
 csp_count_other_load (csp_fleet_t *fleet, const csp_peer_load_t *load)
 {
-  size_t i;
+  csp_fleet_target_t *target = csp_find_hashed_target (fleet, load->target);
+  csp_fleet_load_t *others;
 
-  for (i = 0; i < fleet->count; i++)
-    if (fleet->targets[i]->hash == load->target)
-      {
-        csp_fleet_load_t *others = &fleet->targets[i]->others;
-
-        others->requests += load->requests;
-        others->tokens += load->tokens;
-        others->backup_tokens += load->backup_tokens;
-        others->reading_tokens += load->reading_tokens;
-        others->movable_tokens += load->movable_tokens;
-        return;
-      }
+  if (target == NULL)
+    return;
+  others = &target->others;
+  others->requests += load->requests;
+  others->tokens += load->tokens;
+  others->backup_tokens += load->backup_tokens;
+  others->reading_tokens += load->reading_tokens;
+  others->movable_tokens += load->movable_tokens;
 }
 
 bool
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -211,13 +211,39 @@
 }
 
 void
-csp_send_attempt (csp_exchange_t *exchange)
+csp_send_first (csp_exchange_t *exchange, csp_fleet_target_t *target)
+{
+  exchange->attempts++;
+  csp_choose_backup (exchange, target);
+  if (!csp_send_to_target (exchange, target, NULL))
+    csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
+                       "no connection can be had");
+}
+
+void
+csp_place_alone (csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
-  csp_fleet_need_t need = { .data_centre = gateway->settings.data_centre,
-                            .not_this = exchange->target };
-  csp_fleet_target_t *target;
+  csp_fleet_need_t need = { .service = exchange->service->name,
+                            .data_centre = gateway->data_centre,
+                            .by_memory = exchange->service->is_engine,
+                            .memory_tokens = exchange->service->memory_tokens,
+                            .tokens = exchange->tokens,
+                            .not_this = exchange->failed_at };
+  csp_fleet_target_t *target = csp_choose_fleet_target (
+      gateway->fleet, &need, &gateway->random, csp_gateway_now_ms (gateway));
+
+  if (target == NULL || exchange->unreached > UNREACHED_TRIES_MAX)
+    csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
+                       "no target can take it");
+  else
+    csp_send_first (exchange, target);
+}
 
+void
+csp_send_attempt (csp_exchange_t *exchange)
+{
+  exchange->failed_at = exchange->target;
   csp_drop_attempt (exchange);
   csp_drop_backup (exchange);
   if (exchange->service == NULL)
@@ -225,29 +251,13 @@
       exchange->service = draw_service (exchange);
       if (exchange->service != NULL)
         csp_note_first_attempt (
-            csp_find_budget (gateway, exchange->service->name));
+            csp_find_budget (exchange->gateway, exchange->service->name));
     }
   if (exchange->service == NULL)
-    {
-      csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
-                         "the route has no service");
-      return;
-    }
-  need.service = exchange->service->name;
-  need.by_memory = exchange->service->is_engine;
-  need.memory_tokens = exchange->service->memory_tokens;
-  need.tokens = exchange->tokens;
-  target = csp_choose_fleet_target (gateway->fleet, &need, &gateway->random,
-                                    csp_gateway_now_ms (gateway));
-  exchange->attempts++;
-  if (target == NULL || exchange->unreached > UNREACHED_TRIES_MAX)
-    {
-      csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
-                         "no target can take it");
-      return;
-    }
-  csp_choose_backup (exchange, target);
-  if (!csp_send_to_target (exchange, target, NULL))
     csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
-                       "no connection can be had");
+                       "the route has no service");
+  else if (exchange->service->is_engine && exchange->unreached == 0)
+    csp_ask_for_place (exchange);
+  else
+    csp_place_alone (exchange);
 }
--- /dev/null
+++ b/source/gateway/gateway-dispatch.c
@@ -0,0 +1,291 @@
+#include "gateway/gateway-exchange-imp.h"
+
+#include "cowslipspoke/hash.h"
+
+#include <string.h>
+
+/* Asking for a place at an engine: of the host that decides, which may be this
+   one, and by ourselves where it says nothing.  */
+
+enum
+{
+  /* An ask or its answer may be lost; it comes again until something is
+     heard.  */
+  ASK_AGAIN_MS = 40,
+  /* While it waits the host that decides is asked now and then whether it
+     still knows it; another one may decide by now.  */
+  ASK_KEEP_MS = 250,
+  /* Without any answer for that long the host that decides is gone or cut
+     off: four asks.  */
+  ASK_SILENT_MS = 170,
+  /* What an engine reads before the first token, in tokens a ms, while others
+     run there.  */
+  READ_TOKENS_PER_MS = 7,
+  /* A request for whose first token it is nearly too late is still let wait
+     that long; refused at once it would be served nowhere.  */
+  START_LEAST_MS = 300
+};
+
+static void on_ask_timer (uv_timer_t *timer);
+
+/* How long it may wait for a place, so that its first token comes in time.  */
+static uint32_t
+start_within_ms (const csp_exchange_t *exchange)
+{
+  int64_t now_ms = csp_gateway_now_ms (exchange->gateway);
+  int64_t reading_ms = (int64_t)(exchange->prompt_tokens / READ_TOKENS_PER_MS);
+  int64_t left_ms = exchange->deadline_ms - now_ms;
+
+  if (exchange->route->objective_ms > 0)
+    left_ms = exchange->began_ms + exchange->route->objective_ms - now_ms;
+  left_ms -= reading_ms;
+  return left_ms > START_LEAST_MS ? (uint32_t)left_ms : START_LEAST_MS;
+}
+
+static csp_ask_t
+ask_of (const csp_exchange_t *exchange)
+{
+  const csp_gateway_t *gateway = exchange->gateway;
+  csp_ask_t ask = { .host = gateway->self,
+                    .id = exchange->ask_id,
+                    .data_centre = gateway->data_centre,
+                    .prompt_tokens = (uint32_t)exchange->prompt_tokens,
+                    .tokens = (uint32_t)exchange->tokens,
+                    .start_within_ms = start_within_ms (exchange),
+                    .urgency = (uint8_t)exchange->urgency };
+
+  if (exchange->organisation != NULL)
+    ask.organisation
+        = (uint32_t)csp_hash_pair ("organisation", exchange->organisation);
+  return ask;
+}
+
+static bool
+is_self (const csp_gateway_t *gateway, csp_peer_address_t host)
+{
+  return host.ip == gateway->self.ip && host.port == gateway->self.port;
+}
+
+static void
+send_ask (csp_exchange_t *exchange)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+  csp_peer_address_t decider = csp_pick_decider (gateway->roster);
+  csp_hello_t hello = { .ask_count = 1 };
+  csp_ask_t ask = ask_of (exchange);
+
+  if (is_self (gateway, decider))
+    {
+      csp_push_ask (gateway->dispatch, &ask, exchange->service->name,
+                    exchange->service->memory_tokens,
+                    csp_gateway_now_ms (gateway));
+      csp_take_own_answers (gateway);
+      return;
+    }
+  hello.asks[0].id = ask.id;
+  hello.asks[0].service
+      = (uint32_t)csp_hash_pair ("service", exchange->service->name);
+  hello.asks[0].organisation = ask.organisation;
+  hello.asks[0].prompt_tokens = ask.prompt_tokens;
+  hello.asks[0].tokens = ask.tokens;
+  hello.asks[0].start_within_ms = ask.start_within_ms;
+  hello.asks[0].urgency = ask.urgency;
+  csp_send_hello (gateway, &hello, &decider, 1);
+}
+
+void
+csp_ask_for_place (csp_exchange_t *exchange)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+
+  exchange->ask_id = ++gateway->next_ask_id;
+  exchange->asked_ms = csp_gateway_now_ms (gateway);
+  exchange->heard_ms = exchange->asked_ms;
+  exchange->asking = true;
+  exchange->ask_answered = false;
+  uv_timer_start (&exchange->move.timer, on_ask_timer, ASK_AGAIN_MS, 0);
+  send_ask (exchange);
+}
+
+static void
+on_ask_timer (uv_timer_t *timer)
+{
+  csp_exchange_t *exchange = timer->data;
+  int64_t now_ms = csp_gateway_now_ms (exchange->gateway);
+  int64_t silent_ms = now_ms - exchange->heard_ms;
+
+  if (exchange->over || !exchange->asking)
+    return;
+  if (silent_ms >= ASK_SILENT_MS + (exchange->ask_answered ? ASK_KEEP_MS : 0))
+    {
+      exchange->asking = false;
+      csp_place_alone (exchange);
+      return;
+    }
+  uv_timer_start (&exchange->move.timer, on_ask_timer,
+                  exchange->ask_answered && silent_ms < ASK_KEEP_MS
+                      ? ASK_KEEP_MS
+                      : ASK_AGAIN_MS,
+                  0);
+  send_ask (exchange);
+}
+
+void
+csp_drop_ask (csp_exchange_t *exchange)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+  csp_peer_address_t decider;
+  csp_hello_t hello = { .cancel_count = 1 };
+
+  if (!exchange->asking)
+    return;
+  exchange->asking = false;
+  uv_timer_stop (&exchange->move.timer);
+  decider = csp_pick_decider (gateway->roster);
+  if (is_self (gateway, decider))
+    {
+      csp_cancel_ask (gateway->dispatch, gateway->self, exchange->ask_id);
+      return;
+    }
+  hello.cancels[0] = exchange->ask_id;
+  csp_send_hello (gateway, &hello, &decider, 1);
+}
+
+static csp_exchange_t *
+find_asking (const csp_gateway_t *gateway, uint64_t id)
+{
+  csp_exchange_t *exchange;
+
+  for (exchange = gateway->exchanges; exchange != NULL;
+       exchange = exchange->next)
+    if (exchange->asking && exchange->ask_id == id)
+      return exchange;
+  return NULL;
+}
+
+/* The host that decides has answered one of our asks.  */
+static void
+take_own_answer (csp_gateway_t *gateway, const csp_ask_answer_t *answer)
+{
+  csp_exchange_t *exchange = find_asking (gateway, answer->id);
+  csp_fleet_target_t *target;
+
+  if (exchange == NULL)
+    return;
+  exchange->heard_ms = csp_gateway_now_ms (gateway);
+  exchange->ask_answered = true;
+  switch (answer->outcome)
+    {
+    case CSP_ASK_WAITS:
+    case CSP_ASK_OUTCOME_COUNT:
+      return;
+    case CSP_ASK_PLACED:
+      exchange->asking = false;
+      uv_timer_stop (&exchange->move.timer);
+      target = csp_find_hashed_target (gateway->fleet, answer->target);
+      if (target != NULL && target->state == CSP_FLEET_READY)
+        csp_send_first (exchange, target);
+      else
+        csp_place_alone (exchange);
+      return;
+    case CSP_ASK_REFUSED:
+      exchange->asking = false;
+      exchange->retry_after_ms = answer->retry_after_ms;
+      csp_fail_exchange (exchange, CSP_REASON_OVERLOADED,
+                         "the engines are full");
+      return;
+    }
+}
+
+void
+csp_take_answer_of_dispatch (void *state, const csp_ask_answer_t *answer)
+{
+  csp_gateway_t *gateway = state;
+  csp_hello_t hello = { .answer_count = 1 };
+
+  if (is_self (gateway, answer->host))
+    {
+      /* Without memory the ask comes again in a moment.  */
+      csp_append_buffer (&gateway->own_answers, answer, sizeof *answer);
+      return;
+    }
+  hello.answers[0] = *answer;
+  csp_send_hello (gateway, &hello, &answer->host, 1);
+}
+
+/* Answers to our own asks, when we decide ourselves, wait until the dispatch
+   has returned: what they begin may ask again, and the dispatch can't be
+   entered from within.  */
+void
+csp_take_own_answers (csp_gateway_t *gateway)
+{
+  csp_ask_answer_t answer;
+
+  if (gateway->taking_answers)
+    return;
+  gateway->taking_answers = true;
+  while (gateway->own_answers.size_bytes >= sizeof answer)
+    {
+      memcpy (&answer, gateway->own_answers.data, sizeof answer);
+      csp_consume_buffer (&gateway->own_answers, sizeof answer);
+      take_own_answer (gateway, &answer);
+    }
+  gateway->taking_answers = false;
+}
+
+void
+csp_pump_places (csp_gateway_t *gateway)
+{
+  csp_pump_dispatch (gateway->dispatch, csp_gateway_now_ms (gateway));
+  csp_take_own_answers (gateway);
+}
+
+/* A service by the hash of its name; NULL where no route has it.  */
+static const csp_route_service_t *
+find_hashed_service (const csp_gateway_t *gateway, uint32_t hash)
+{
+  const csp_route_service_t *service;
+  size_t i;
+
+  for (i = 0;
+       gateway->routes != NULL
+       && (service = csp_list_route_service (gateway->routes, i)) != NULL;
+       i++)
+    if ((uint32_t)csp_hash_pair ("service", service->name) == hash)
+      return service;
+  return NULL;
+}
+
+void
+csp_take_dispatch_hello (csp_gateway_t *gateway, csp_peer_address_t from,
+                         const csp_hello_t *hello)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  size_t i;
+
+  for (i = 0; i < hello->cancel_count; i++)
+    csp_cancel_ask (gateway->dispatch, from, hello->cancels[i]);
+  for (i = 0; i < hello->answer_count; i++)
+    take_own_answer (gateway, &hello->answers[i]);
+  for (i = 0; i < hello->ask_count; i++)
+    {
+      const csp_hello_ask_t *row = &hello->asks[i];
+      const csp_route_service_t *service
+          = find_hashed_service (gateway, row->service);
+      csp_ask_t ask = { .host = from,
+                        .id = row->id,
+                        .organisation = row->organisation,
+                        .data_centre = hello->data_centre,
+                        .prompt_tokens = row->prompt_tokens,
+                        .tokens = row->tokens,
+                        .start_within_ms = row->start_within_ms,
+                        .urgency = row->urgency };
+
+      /* A version of the routes that isn't here yet: its host will place the
+         request by itself.  */
+      if (service != NULL)
+        csp_push_ask (gateway->dispatch, &ask, service->name,
+                      service->memory_tokens, now_ms);
+    }
+  csp_take_own_answers (gateway);
+}
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -71,11 +71,20 @@
   bool body_whole;
   bool body_streams; /* longer than what is kept */
 
+  /* Asking for a place; the timer is that of the move, which comes later.  */
+  bool asking;
+  bool ask_answered;
+  uint64_t ask_id;
+  int64_t asked_ms;
+  int64_t heard_ms; /* last word of the host that decides */
+  uint32_t retry_after_ms;
+
   /* The attempt under way.  */
   csp_link_t *link;
   csp_fleet_target_t *target;
-  uint32_t attempts;  /* that a target may have got */
-  uint32_t unreached; /* targets that took no connection */
+  const csp_fleet_target_t *failed_at; /* for comparison only */
+  uint32_t attempts;                   /* that a target may have got */
+  uint32_t unreached;                  /* targets that took no connection */
   bool may_have_run;
   csp_verdict_t verdict;
 
@@ -112,6 +121,16 @@
 bool csp_send_to_target (csp_exchange_t *exchange, csp_fleet_target_t *target,
                          const char *copy);
 
+/* Send the first or a further whole attempt there; or choose where by what
+   this host knows.  */
+void csp_send_first (csp_exchange_t *exchange, csp_fleet_target_t *target);
+void csp_place_alone (csp_exchange_t *exchange);
+
+/* Dispatch: see gateway-dispatch.c.  Ask the host that decides for a place;
+   the request is sent, refused or placed alone later.  */
+void csp_ask_for_place (csp_exchange_t *exchange);
+void csp_drop_ask (csp_exchange_t *exchange);
+
 /* Close the connection of the attempt, and give back what it took.  */
 void csp_drop_attempt (csp_exchange_t *exchange);
 
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -44,6 +44,7 @@
   if (exchange->over)
     return;
   exchange->over = true;
+  csp_drop_ask (exchange);
   csp_drop_move (exchange);
   csp_drop_attempt (exchange);
   csp_drop_backup (exchange);
@@ -127,7 +128,8 @@
   if (!exchange->may_have_run)
     {
       gateway->counts.refused++;
-      retry_after_ms = REFUSED_RETRY_MS;
+      retry_after_ms = exchange->retry_after_ms > 0 ? exchange->retry_after_ms
+                                                    : REFUSED_RETRY_MS;
     }
   else
     gateway->counts.failed++;
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -1,6 +1,7 @@
 #ifndef COWSLIPSPOKE_GATEWAY_IMP_H
 #define COWSLIPSPOKE_GATEWAY_IMP_H
 
+#include "cowslipspoke/dispatch.h"
 #include "cowslipspoke/gateway.h"
 #include "cowslipspoke/http.h"
 #include "cowslipspoke/link.h"
@@ -94,6 +95,10 @@
   csp_routes_t *routes;
   csp_fleet_t *fleet;
   csp_roster_t *roster;
+  csp_dispatch_t *dispatch;
+  uint64_t next_ask_id;
+  csp_buffer_t own_answers; /* csp_ask_answer_t one after another */
+  bool taking_answers;
   uv_udp_t peers;
   uv_timer_t tell_timer;
   uv_timer_t greet_timer;
@@ -199,6 +204,20 @@
 bool csp_open_gateway_peers (csp_gateway_t *gateway);
 void csp_close_gateway_peers (csp_gateway_t *gateway);
 
+/* Send one datagram to some hosts.  */
+void csp_send_hello (csp_gateway_t *gateway, csp_hello_t *hello,
+                     const csp_peer_address_t *peers, size_t peer_count);
+
+/* Dispatch: see gateway-dispatch.c.  */
+void csp_take_answer_of_dispatch (void *state, const csp_ask_answer_t *answer);
+void csp_take_dispatch_hello (csp_gateway_t *gateway, csp_peer_address_t from,
+                              const csp_hello_t *hello);
+
+void csp_take_own_answers (csp_gateway_t *gateway);
+
+/* Give places that have come free.  */
+void csp_pump_places (csp_gateway_t *gateway);
+
 /* What is under way here has changed; the others hear of it in a moment.  */
 void csp_tell_load (csp_gateway_t *gateway);
 
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -73,7 +73,7 @@
 {
   csp_gateway_t *gateway = exchange->gateway;
   csp_fleet_need_t need = { .service = exchange->service->name,
-                            .data_centre = target->row.data_centre,
+                            .data_centre = target->data_centre,
                             .memory_share_max = share_max,
                             .by_memory = true,
                             .memory_tokens = exchange->service->memory_tokens,
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -60,9 +60,9 @@
 }
 
 /* Send now or not at all: a greeting that waits is an old one.  */
-static void
-send_hello (csp_gateway_t *gateway, csp_hello_t *hello,
-            const csp_peer_address_t *peers, size_t peer_count)
+void
+csp_send_hello (csp_gateway_t *gateway, csp_hello_t *hello,
+                const csp_peer_address_t *peers, size_t peer_count)
 {
   csp_buffer_t bytes = { 0 };
   size_t i;
@@ -133,12 +133,12 @@
       hello.loads[hello.load_count++] = load;
       if (hello.load_count < CSP_HELLO_LOADS_MAX)
         continue;
-      send_hello (gateway, &hello, peers, peer_count);
+      csp_send_hello (gateway, &hello, peers, peer_count);
       memset (&hello, 0, sizeof hello);
       sent = true;
     }
   if (hello.load_count > 0 || (whole && !sent))
-    send_hello (gateway, &hello, peers, peer_count);
+    csp_send_hello (gateway, &hello, peers, peer_count);
 }
 
 static void
@@ -204,16 +204,22 @@
              const struct sockaddr *from, unsigned flags)
 {
   csp_gateway_t *gateway = handle->data;
+  csp_peer_address_t peer;
   csp_hello_t hello;
 
   if (size_bytes <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0
       || !csp_decode_hello (room->base, (size_t)size_bytes, &hello))
     return;
-  if (csp_hear_peer (gateway->roster,
-                     peer_address ((const struct sockaddr_in *)from), &hello,
+  peer = peer_address ((const struct sockaddr_in *)from);
+  if (csp_hear_peer (gateway->roster, peer, &hello,
                      csp_gateway_now_ms (gateway))
       && (hello.whole || hello.load_count > 0))
-    count_others (gateway);
+    {
+      count_others (gateway);
+      if (csp_count_waiting_asks (gateway->dispatch) > 0)
+        csp_pump_places (gateway);
+    }
+  csp_take_dispatch_hello (gateway, peer, &hello);
 }
 
 size_t
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -202,6 +202,7 @@
 
   csp_expire_targets (gateway->fleet, csp_gateway_now_ms (gateway));
   csp_watch_streams (gateway);
+  csp_pump_places (gateway);
   if (gateway->stopping)
     step_stop (gateway);
 }
@@ -260,7 +261,11 @@
   uv_timer_init (&gateway->loop, &gateway->move_timer);
   gateway->move_timer.data = gateway;
   gateway->fleet = csp_create_fleet (on_target_left, on_target_freed, gateway);
-  if (gateway->fleet == NULL)
+  if (gateway->fleet != NULL)
+    gateway->dispatch
+        = csp_create_dispatch (gateway->fleet, csp_take_answer_of_dispatch,
+                               gateway, csp_random_seed ());
+  if (gateway->dispatch == NULL)
     goto fail;
   snprintf (message, message_bytes, "can't hear other hosts");
   if (!csp_open_gateway_peers (gateway)
@@ -291,6 +296,8 @@
   csp_close_gateway_pages (gateway);
   uv_run (&gateway->loop, UV_RUN_NOWAIT);
   on_wake (&gateway->wake);
+  csp_destroy_dispatch (gateway->dispatch);
+  csp_clear_buffer (&gateway->own_answers);
   csp_destroy_fleet (gateway->fleet);
   csp_release_routes (gateway->routes);
   uv_run (&gateway->loop, UV_RUN_NOWAIT);
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -9,50 +9,163 @@
   PORT_MAX = 65535
 };
 
-bool
-csp_encode_hello (const csp_hello_t *hello, csp_buffer_t *bytes)
+/* Rows of a message while it is packed.  */
+typedef struct
 {
   CspHello__Load loads[CSP_HELLO_LOADS_MAX];
   CspHello__Load *load_rows[CSP_HELLO_LOADS_MAX];
   CspHello__Address known[CSP_HELLO_KNOWN_MAX];
   CspHello__Address *known_rows[CSP_HELLO_KNOWN_MAX];
-  CspHello__Hello message = CSP_HELLO__HELLO__INIT;
-  uint8_t packed[CSP_HELLO_MAX_BYTES * 2];
+  CspHello__Ask asks[CSP_HELLO_ASKS_MAX];
+  CspHello__Ask *ask_rows[CSP_HELLO_ASKS_MAX];
+  CspHello__Answer answers[CSP_HELLO_ASKS_MAX];
+  CspHello__Answer *answer_rows[CSP_HELLO_ASKS_MAX];
+  uint64_t cancels[CSP_HELLO_ASKS_MAX];
+} rows_t;
+
+static void
+fill_loads (const csp_hello_t *hello, rows_t *rows)
+{
   size_t i;
 
   for (i = 0; i < hello->load_count; i++)
     {
-      csp_hello__load__init (&loads[i]);
-      loads[i].target = hello->loads[i].target;
-      loads[i].requests = hello->loads[i].requests;
-      loads[i].tokens = hello->loads[i].tokens;
-      loads[i].backup_tokens = hello->loads[i].backup_tokens;
-      loads[i].reading_tokens = hello->loads[i].reading_tokens;
-      loads[i].movable_tokens = hello->loads[i].movable_tokens;
-      load_rows[i] = &loads[i];
+      CspHello__Load *row = &rows->loads[i];
+
+      csp_hello__load__init (row);
+      row->target = hello->loads[i].target;
+      row->requests = hello->loads[i].requests;
+      row->tokens = hello->loads[i].tokens;
+      row->backup_tokens = hello->loads[i].backup_tokens;
+      row->reading_tokens = hello->loads[i].reading_tokens;
+      row->movable_tokens = hello->loads[i].movable_tokens;
+      rows->load_rows[i] = row;
     }
+}
+
+static void
+fill_known (const csp_hello_t *hello, rows_t *rows)
+{
+  size_t i;
+
   for (i = 0; i < hello->known_count; i++)
     {
-      csp_hello__address__init (&known[i]);
-      known[i].ip = hello->known[i].ip;
-      known[i].port = hello->known[i].port;
-      known_rows[i] = &known[i];
+      csp_hello__address__init (&rows->known[i]);
+      rows->known[i].ip = hello->known[i].ip;
+      rows->known[i].port = hello->known[i].port;
+      rows->known_rows[i] = &rows->known[i];
+    }
+}
+
+static void
+fill_asks (const csp_hello_t *hello, rows_t *rows)
+{
+  size_t i;
+
+  for (i = 0; i < hello->ask_count; i++)
+    {
+      CspHello__Ask *row = &rows->asks[i];
+
+      csp_hello__ask__init (row);
+      row->id = hello->asks[i].id;
+      row->service = hello->asks[i].service;
+      row->organisation = hello->asks[i].organisation;
+      row->prompt_tokens = hello->asks[i].prompt_tokens;
+      row->tokens = hello->asks[i].tokens;
+      row->start_within_ms = hello->asks[i].start_within_ms;
+      row->urgency = hello->asks[i].urgency;
+      rows->ask_rows[i] = row;
+    }
+}
+
+static void
+fill_answers (const csp_hello_t *hello, rows_t *rows)
+{
+  size_t i;
+
+  for (i = 0; i < hello->answer_count; i++)
+    {
+      CspHello__Answer *row = &rows->answers[i];
+
+      csp_hello__answer__init (row);
+      row->id = hello->answers[i].id;
+      row->outcome = hello->answers[i].outcome;
+      row->target = hello->answers[i].target;
+      row->retry_after_ms = hello->answers[i].retry_after_ms;
+      rows->answer_rows[i] = row;
     }
+  memcpy (rows->cancels, hello->cancels, sizeof rows->cancels);
+}
+
+bool
+csp_encode_hello (const csp_hello_t *hello, csp_buffer_t *bytes)
+{
+  CspHello__Hello message = CSP_HELLO__HELLO__INIT;
+  uint8_t packed[CSP_HELLO_MAX_BYTES * 2];
+  rows_t rows;
+
+  fill_loads (hello, &rows);
+  fill_known (hello, &rows);
+  fill_asks (hello, &rows);
+  fill_answers (hello, &rows);
   message.boot = hello->boot;
   message.sequence = hello->sequence;
   message.whole = hello->whole;
   message.leaving = hello->leaving;
   message.data_centre = hello->data_centre;
   message.n_loads = hello->load_count;
-  message.loads = load_rows;
+  message.loads = rows.load_rows;
   message.n_known = hello->known_count;
-  message.known = known_rows;
+  message.known = rows.known_rows;
+  message.n_asks = hello->ask_count;
+  message.asks = rows.ask_rows;
+  message.n_answers = hello->answer_count;
+  message.answers = rows.answer_rows;
+  message.n_cancels = hello->cancel_count;
+  message.cancels = rows.cancels;
   if (csp_hello__hello__get_packed_size (&message) > sizeof packed)
     return false;
   return csp_append_buffer (bytes, packed,
                             csp_hello__hello__pack (&message, packed));
 }
 
+static bool
+decode_asks (const CspHello__Hello *message, csp_hello_t *hello)
+{
+  size_t i;
+
+  if (message->n_asks > CSP_HELLO_ASKS_MAX
+      || message->n_answers > CSP_HELLO_ASKS_MAX
+      || message->n_cancels > CSP_HELLO_ASKS_MAX)
+    return false;
+  for (i = 0; i < message->n_asks; i++)
+    {
+      hello->asks[i].id = message->asks[i]->id;
+      hello->asks[i].service = message->asks[i]->service;
+      hello->asks[i].organisation = message->asks[i]->organisation;
+      hello->asks[i].prompt_tokens = message->asks[i]->prompt_tokens;
+      hello->asks[i].tokens = message->asks[i]->tokens;
+      hello->asks[i].start_within_ms = message->asks[i]->start_within_ms;
+      hello->asks[i].urgency = (uint8_t)message->asks[i]->urgency;
+    }
+  for (i = 0; i < message->n_answers; i++)
+    {
+      if (message->answers[i]->outcome >= CSP_ASK_OUTCOME_COUNT)
+        return false;
+      hello->answers[i].id = message->answers[i]->id;
+      hello->answers[i].outcome
+          = (csp_ask_outcome_t)message->answers[i]->outcome;
+      hello->answers[i].target = message->answers[i]->target;
+      hello->answers[i].retry_after_ms = message->answers[i]->retry_after_ms;
+    }
+  for (i = 0; i < message->n_cancels; i++)
+    hello->cancels[i] = message->cancels[i];
+  hello->ask_count = message->n_asks;
+  hello->answer_count = message->n_answers;
+  hello->cancel_count = message->n_cancels;
+  return true;
+}
+
 bool
 csp_decode_hello (const void *bytes, size_t size_bytes, csp_hello_t *hello)
 {
@@ -78,6 +191,7 @@
       hello->known[i].ip = message->known[i]->ip;
       hello->known[i].port = (uint16_t)message->known[i]->port;
     }
+  good = good && decode_asks (message, hello);
   if (good)
     {
       hello->boot = message->boot;
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -97,6 +97,96 @@
   assert(message->base.descriptor == &csp_hello__address__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   csp_hello__ask__init
+                     (CspHello__Ask         *message)
+{
+  static const CspHello__Ask init_value = CSP_HELLO__ASK__INIT;
+  *message = init_value;
+}
+size_t csp_hello__ask__get_packed_size
+                     (const CspHello__Ask *message)
+{
+  assert(message->base.descriptor == &csp_hello__ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_hello__ask__pack
+                     (const CspHello__Ask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_hello__ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_hello__ask__pack_to_buffer
+                     (const CspHello__Ask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_hello__ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspHello__Ask *
+       csp_hello__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspHello__Ask *)
+     protobuf_c_message_unpack (&csp_hello__ask__descriptor,
+                                allocator, len, data);
+}
+void   csp_hello__ask__free_unpacked
+                     (CspHello__Ask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_hello__ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   csp_hello__answer__init
+                     (CspHello__Answer         *message)
+{
+  static const CspHello__Answer init_value = CSP_HELLO__ANSWER__INIT;
+  *message = init_value;
+}
+size_t csp_hello__answer__get_packed_size
+                     (const CspHello__Answer *message)
+{
+  assert(message->base.descriptor == &csp_hello__answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_hello__answer__pack
+                     (const CspHello__Answer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_hello__answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_hello__answer__pack_to_buffer
+                     (const CspHello__Answer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_hello__answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspHello__Answer *
+       csp_hello__answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspHello__Answer *)
+     protobuf_c_message_unpack (&csp_hello__answer__descriptor,
+                                allocator, len, data);
+}
+void   csp_hello__answer__free_unpacked
+                     (CspHello__Answer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_hello__answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   csp_hello__hello__init
                      (CspHello__Hello         *message)
 {
@@ -296,7 +386,200 @@
   (ProtobufCMessageInit) csp_hello__address__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[7] =
+static const ProtobufCFieldDescriptor csp_hello__ask__field_descriptors[7] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "organisation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, organisation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompt_tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, prompt_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_within_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, start_within_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "urgency",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, urgency),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_hello__ask__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  2,   /* field[2] = organisation */
+  3,   /* field[3] = prompt_tokens */
+  1,   /* field[1] = service */
+  5,   /* field[5] = start_within_ms */
+  4,   /* field[4] = tokens */
+  6,   /* field[6] = urgency */
+};
+static const ProtobufCIntRange csp_hello__ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor csp_hello__ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_hello.Ask",
+  "Ask",
+  "CspHello__Ask",
+  "csp_hello",
+  sizeof(CspHello__Ask),
+  7,
+  csp_hello__ask__field_descriptors,
+  csp_hello__ask__field_indices_by_name,
+  1,  csp_hello__ask__number_ranges,
+  (ProtobufCMessageInit) csp_hello__ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_hello__answer__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Answer, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Answer, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Answer, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Answer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_hello__answer__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = outcome */
+  3,   /* field[3] = retry_after_ms */
+  2,   /* field[2] = target */
+};
+static const ProtobufCIntRange csp_hello__answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_hello__answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_hello.Answer",
+  "Answer",
+  "CspHello__Answer",
+  "csp_hello",
+  sizeof(CspHello__Answer),
+  4,
+  csp_hello__answer__field_descriptors,
+  csp_hello__answer__field_indices_by_name,
+  1,  csp_hello__answer__number_ranges,
+  (ProtobufCMessageInit) csp_hello__answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[10] =
 {
   {
     "boot",
@@ -382,9 +665,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asks",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_asks),
+    offsetof(CspHello__Hello, asks),
+    &csp_hello__ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_answers),
+    offsetof(CspHello__Hello, answers),
+    &csp_hello__answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancels",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(CspHello__Hello, n_cancels),
+    offsetof(CspHello__Hello, cancels),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__hello__field_indices_by_name[] = {
+  8,   /* field[8] = answers */
+  7,   /* field[7] = asks */
   0,   /* field[0] = boot */
+  9,   /* field[9] = cancels */
   6,   /* field[6] = data_centre */
   5,   /* field[5] = known */
   3,   /* field[3] = leaving */
@@ -395,7 +717,7 @@
 static const ProtobufCIntRange csp_hello__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor csp_hello__hello__descriptor =
 {
@@ -405,7 +727,7 @@
   "CspHello__Hello",
   "csp_hello",
   sizeof(CspHello__Hello),
-  7,
+  10,
   csp_hello__hello__field_descriptors,
   csp_hello__hello__field_indices_by_name,
   1,  csp_hello__hello__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -17,6 +17,8 @@
 
 typedef struct CspHello__Load CspHello__Load;
 typedef struct CspHello__Address CspHello__Address;
+typedef struct CspHello__Ask CspHello__Ask;
+typedef struct CspHello__Answer CspHello__Answer;
 typedef struct CspHello__Hello CspHello__Hello;
 
 
@@ -51,6 +53,35 @@
     , 0, 0 }
 
 
+struct  CspHello__Ask
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t service;
+  uint32_t organisation;
+  uint32_t prompt_tokens;
+  uint32_t tokens;
+  uint32_t start_within_ms;
+  uint32_t urgency;
+};
+#define CSP_HELLO__ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_hello__ask__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  CspHello__Answer
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t outcome;
+  uint64_t target;
+  uint32_t retry_after_ms;
+};
+#define CSP_HELLO__ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_hello__answer__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 struct  CspHello__Hello
 {
   ProtobufCMessage base;
@@ -63,10 +94,16 @@
   size_t n_known;
   CspHello__Address **known;
   uint32_t data_centre;
+  size_t n_asks;
+  CspHello__Ask **asks;
+  size_t n_answers;
+  CspHello__Answer **answers;
+  size_t n_cancels;
+  uint64_t *cancels;
 };
 #define CSP_HELLO__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__hello__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* CspHello__Load methods */
@@ -107,6 +144,44 @@
 void   csp_hello__address__free_unpacked
                      (CspHello__Address *message,
                       ProtobufCAllocator *allocator);
+/* CspHello__Ask methods */
+void   csp_hello__ask__init
+                     (CspHello__Ask         *message);
+size_t csp_hello__ask__get_packed_size
+                     (const CspHello__Ask   *message);
+size_t csp_hello__ask__pack
+                     (const CspHello__Ask   *message,
+                      uint8_t             *out);
+size_t csp_hello__ask__pack_to_buffer
+                     (const CspHello__Ask   *message,
+                      ProtobufCBuffer     *buffer);
+CspHello__Ask *
+       csp_hello__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_hello__ask__free_unpacked
+                     (CspHello__Ask *message,
+                      ProtobufCAllocator *allocator);
+/* CspHello__Answer methods */
+void   csp_hello__answer__init
+                     (CspHello__Answer         *message);
+size_t csp_hello__answer__get_packed_size
+                     (const CspHello__Answer   *message);
+size_t csp_hello__answer__pack
+                     (const CspHello__Answer   *message,
+                      uint8_t             *out);
+size_t csp_hello__answer__pack_to_buffer
+                     (const CspHello__Answer   *message,
+                      ProtobufCBuffer     *buffer);
+CspHello__Answer *
+       csp_hello__answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_hello__answer__free_unpacked
+                     (CspHello__Answer *message,
+                      ProtobufCAllocator *allocator);
 /* CspHello__Hello methods */
 void   csp_hello__hello__init
                      (CspHello__Hello         *message);
@@ -134,6 +209,12 @@
 typedef void (*CspHello__Address_Closure)
                  (const CspHello__Address *message,
                   void *closure_data);
+typedef void (*CspHello__Ask_Closure)
+                 (const CspHello__Ask *message,
+                  void *closure_data);
+typedef void (*CspHello__Answer_Closure)
+                 (const CspHello__Answer *message,
+                  void *closure_data);
 typedef void (*CspHello__Hello_Closure)
                  (const CspHello__Hello *message,
                   void *closure_data);
@@ -145,6 +226,8 @@
 
 extern const ProtobufCMessageDescriptor csp_hello__load__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__address__descriptor;
+extern const ProtobufCMessageDescriptor csp_hello__ask__descriptor;
+extern const ProtobufCMessageDescriptor csp_hello__answer__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__hello__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -272,6 +272,23 @@
   return reader;
 }
 
+csp_peer_address_t
+csp_pick_decider (const csp_roster_t *roster)
+{
+  csp_peer_address_t decider = roster->self;
+  size_t i;
+
+  for (i = 0; i < roster->count; i++)
+    {
+      const peer_t *peer = &roster->peers[i];
+
+      if (peer->live && !peer->leaving
+          && reading_order (peer->address) < reading_order (decider))
+        decider = peer->address;
+    }
+  return decider;
+}
+
 /* From a random place onwards, so that over some greetings all are named.  */
 size_t
 csp_draw_known_peers (csp_roster_t *roster, csp_peer_address_t *addresses,
--- a/source/route/route.c
+++ b/source/route/route.c
@@ -303,6 +303,14 @@
   return NULL;
 }
 
+const csp_route_service_t *
+csp_list_route_service (const csp_routes_t *routes, size_t index)
+{
+  const csp_route_service_t *services = routes->services.items;
+
+  return index < routes->services.count ? &services[index] : NULL;
+}
+
 const char *
 csp_draw_service (const csp_route_t *route, csp_random_t *random)
 {
--- a/tests/fleet/fleet-targets-test.c
+++ b/tests/fleet/fleet-targets-test.c
@@ -54,8 +54,8 @@
   csp_fleet_target_t *target;
 
   need.service = "s";
-  if (need.data_centre == NULL)
-    need.data_centre = "a";
+  if (need.data_centre == 0)
+    need.data_centre = (uint32_t)csp_hash_pair ("data_centre", "a");
   target = csp_choose_fleet_target (fleet, &need, &lots, now_ms);
   return target == NULL ? "none" : target->row.id;
 }
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -228,6 +228,21 @@
     }
   for (i = 0; i < hello.known_count; i++)
     hello.known[i] = other;
+  hello.ask_count = 1;
+  hello.asks[0].id = UINT64_MAX;
+  hello.asks[0].service = 1;
+  hello.asks[0].organisation = 2;
+  hello.asks[0].prompt_tokens = 3;
+  hello.asks[0].tokens = 4;
+  hello.asks[0].start_within_ms = 5;
+  hello.asks[0].urgency = 6;
+  hello.answer_count = 1;
+  hello.answers[0].id = 7;
+  hello.answers[0].outcome = CSP_ASK_REFUSED;
+  hello.answers[0].target = UINT64_MAX;
+  hello.answers[0].retry_after_ms = 8;
+  hello.cancel_count = 1;
+  hello.cancels[0] = 9;
   ck_assert (csp_encode_hello (&hello, &bytes));
   ck_assert_uint_le (bytes.size_bytes, CSP_HELLO_MAX_BYTES);
   ck_assert (csp_decode_hello (bytes.data, bytes.size_bytes, &back));
