--- a/include/cowslipspoke/log.h
+++ b/include/cowslipspoke/log.h
@@ -19,6 +19,7 @@
   CSP_EVENT_DRAIN_LIMIT = 105,
   CSP_EVENT_SETTINGS_READ = 106,
   CSP_EVENT_SETTINGS_BAD = 107,
+  CSP_EVENT_LINES_DROPPED = 108,
   CSP_EVENT_REQUEST_ENDED = 200,
   CSP_EVENT_REQUEST_REFUSED = 201,
   CSP_EVENT_REQUEST_RETRIED = 202,
@@ -114,7 +115,8 @@
 /* A field with a whole number.  */
 csp_field_t csp_number (const char *name, int64_t number);
 
-/* Write one event.  request_id may be NULL.  fields ends with a field of kind
+/* Write one event, unless lines come faster than the log's bound: those below
+   a warning are then left out, and counted.  request_id may be NULL.  fields ends with a field of kind
    CSP_FIELD_END.  Any thread may call it; log may be NULL, which drops the
    event.  */
 void csp_log_fields (csp_log_t *log, csp_event_t event, const char *request_id,
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -84,6 +84,7 @@
   uint64_t sequence; /* rises with each datagram of a boot */
   bool whole;        /* loads that aren't named are none */
   bool leaving;
+  bool blind;           /* the platform can't be reached from there */
   uint32_t data_centre; /* hash of its name */
   size_t load_count;
   csp_peer_load_t loads[CSP_HELLO_LOADS_MAX];
@@ -133,11 +134,14 @@
 size_t csp_count_live_peers (const csp_roster_t *roster);
 
 /* The host of the own data centre that reads the platform for all of it: the
-   first in an order by hash among the live ones that don't leave, this host
-   counted in.  Hosts that see others alive may choose differently for some
-   seconds, which costs a few calls more.  */
+   first in an order by hash among the live ones that reach the platform and
+   don't leave, this host counted in.  Hosts that see others alive may choose
+   differently for some seconds, which costs a few calls more.  */
 csp_peer_address_t csp_pick_reader (const csp_roster_t *roster);
 
+/* Whether this host itself reaches the platform.  */
+void csp_set_roster_blind (csp_roster_t *roster, bool blind);
+
 /* The host that gives places at engines for all hosts: the first in that order
    among all live ones.  */
 csp_peer_address_t csp_pick_decider (const csp_roster_t *roster);
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -127,6 +127,7 @@
       return;
     }
   gateway->counts.retries++;
+  csp_count (exchange->labels, CSP_COUNT_RETRIES, 1);
   csp_send_attempt (exchange);
 }
 
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -10,6 +10,7 @@
 enum
 {
   URGENCY_MAX = 9,
+  US_PER_MS = 1000,
   /* Targets tried one after another where none takes a connection; no byte
      has left then, so these are no repeats.  */
   UNREACHED_TRIES_MAX = 16
@@ -214,6 +215,10 @@
 csp_send_first (csp_exchange_t *exchange, csp_fleet_target_t *target)
 {
   exchange->attempts++;
+  csp_observe_time (
+      exchange->labels, CSP_TIME_WAITING,
+      (csp_gateway_now_ms (exchange->gateway) - exchange->began_ms)
+          * US_PER_MS);
   csp_choose_backup (exchange, target);
   if (!csp_send_to_target (exchange, target, NULL))
     csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -60,6 +60,7 @@
   const char *organisation; /* NULL where no key was asked for */
   uint32_t urgency;
   char request_id[CSP_REQUEST_ID_BYTES];
+  csp_labels_t labels; /* whom its times are counted for */
   int64_t began_ms;
   int64_t deadline_ms;
   uint64_t tokens; /* memory that the run is expected to take */
@@ -101,6 +102,7 @@
   int64_t last_data_ms;
   int64_t last_event_ms;
   int64_t worst_gap_ms; /* longest time between two events sent */
+  int64_t stalled_us;   /* what gaps had beyond a stall's least, in all */
   uint32_t moves;       /* to another target, in the middle of the stream */
   bool until_close;     /* the target's answer ends with its connection */
   int64_t stated_bytes; /* length that the target states */
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -96,6 +96,11 @@
   csp_caller_t *caller = exchange->caller;
 
   exchange->gateway->counts.answered++;
+  csp_count_end (exchange->gateway->times, exchange->labels, CSP_REASON_NONE,
+                 CSP_VERDICT_RAN);
+  if (exchange->events > 0)
+    csp_observe_time (exchange->labels, CSP_TIME_STALLED,
+                      exchange->stalled_us);
   log_end (exchange, CSP_EVENT_FORWARD_ENDED, NULL);
   exchange->caller = NULL;
   close_exchange (exchange);
@@ -133,6 +138,7 @@
     }
   else
     gateway->counts.failed++;
+  csp_count_end (gateway->times, exchange->labels, reason, exchange->verdict);
   if (begun)
     gateway->counts.streams_lost++;
   log_end (exchange, begun ? CSP_EVENT_STREAM_LOST : CSP_EVENT_FORWARD_REFUSED,
@@ -151,6 +157,7 @@
   if (exchange->over)
     return;
   exchange->gateway->counts.abandoned++;
+  csp_count (exchange->labels, CSP_COUNT_CANCELS, 1);
   log_end (exchange, CSP_EVENT_FORWARD_ABANDONED, NULL);
   exchange->caller = NULL;
   close_exchange (exchange);
@@ -359,6 +366,9 @@
       turn_away (exchange, status);
       return NULL;
     }
+  exchange->labels = csp_get_labels (gateway->times, exchange->organisation,
+                                     exchange->route->name);
+  csp_count (exchange->labels, CSP_COUNT_REQUESTS, 1);
   if (!fits_into_stop (exchange))
     {
       csp_fail_exchange (exchange, CSP_REASON_SHUTTING_DOWN,
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -5,6 +5,7 @@
 #include "cowslipspoke/gateway.h"
 #include "cowslipspoke/http.h"
 #include "cowslipspoke/link.h"
+#include "cowslipspoke/metrics.h"
 #include "cowslipspoke/page.h"
 #include "cowslipspoke/retry.h"
 #include "cowslipspoke/verdict.h"
@@ -117,9 +118,11 @@
   size_t budget_count;
   csp_service_budget_t budgets[CSP_BUDGETS_MAX];
   csp_gateway_counts_t counts;
+  csp_metrics_t *times;  /* histograms of each organisation and route */
   csp_caller_t *callers; /* all open connections */
   csp_exchange_t *exchanges;
   uint32_t caller_count;
+  bool blind;  /* the platform can't be reached from here */
   bool listed; /* a whole list of targets has been read */
   bool stopping;
   int64_t stop_began_ms;
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -239,6 +239,7 @@
 {
   exchange->gateway->counts.moves++;
   exchange->moves++;
+  csp_count (exchange->labels, CSP_COUNT_RESUMES, 1);
   log_move (exchange, "arrived", exchange->target);
   exchange->move.state = CSP_MOVE_NONE;
   exchange->move.tries = 0;
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -1,6 +1,7 @@
 #include "gateway/gateway-imp.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Readiness for the balancer and metrics for operators.  */
@@ -50,6 +51,18 @@
   return true;
 }
 
+/* The histograms of organisations and routes.  */
+static void
+append_times (const csp_gateway_t *gateway, csp_buffer_t *text)
+{
+  size_t size_bytes = 0;
+  char *times = csp_render_metrics (gateway->times, &size_bytes);
+
+  if (times != NULL)
+    csp_append_buffer (text, times, size_bytes);
+  free (times);
+}
+
 static void
 on_asked (void *state, csp_page_t *page, const csp_http_head_t *head)
 {
@@ -68,6 +81,7 @@
       return;
     }
   print_metrics (gateway, &text);
+  append_times (gateway, &text);
   csp_answer_page (page, STATUS_OK, "text/plain; version=0.0.4", text.data,
                    text.size_bytes);
   csp_clear_buffer (&text);
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -70,6 +70,7 @@
   hello->boot = gateway->boot;
   hello->sequence = ++gateway->hello_sequence;
   hello->leaving = gateway->stopping;
+  hello->blind = gateway->blind;
   hello->data_centre = gateway->data_centre;
   if (csp_encode_hello (hello, &bytes))
     for (i = 0; i < peer_count; i++)
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -11,7 +11,8 @@
 
 enum
 {
-  DECIMAL = 10
+  DECIMAL = 10,
+  US_PER_MS = 1000
 };
 
 /* Length of the first whole event, its empty line counted in; 0 where there
@@ -122,8 +123,18 @@
   int64_t now_ms = csp_gateway_now_ms (exchange->gateway);
   int64_t gap_ms = now_ms - exchange->last_event_ms;
 
-  if (exchange->answer_begun && gap_ms > exchange->worst_gap_ms)
-    exchange->worst_gap_ms = gap_ms;
+  if (exchange->answer_begun)
+    {
+      int64_t gap_us = gap_ms * US_PER_MS;
+
+      csp_observe_time (exchange->labels, CSP_TIME_BETWEEN_TOKENS, gap_us);
+      exchange->stalled_us += csp_stall_of_gap_us (gap_us);
+      if (gap_ms > exchange->worst_gap_ms)
+        exchange->worst_gap_ms = gap_ms;
+    }
+  else
+    csp_observe_time (exchange->labels, CSP_TIME_TO_FIRST_TOKEN,
+                      (now_ms - exchange->began_ms) * US_PER_MS);
   exchange->last_event_ms = now_ms;
 }
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -129,6 +129,8 @@
       break;
     case CSP_UPDATE_PLATFORM_AWAY:
     case CSP_UPDATE_PLATFORM_BACK:
+      gateway->blind = update->kind == CSP_UPDATE_PLATFORM_AWAY;
+      csp_set_roster_blind (gateway->roster, gateway->blind);
       csp_note_platform (gateway->fleet,
                          update->kind == CSP_UPDATE_PLATFORM_BACK, now_ms);
       break;
@@ -261,6 +263,9 @@
   uv_timer_init (&gateway->loop, &gateway->move_timer);
   gateway->move_timer.data = gateway;
   gateway->fleet = csp_create_fleet (on_target_left, on_target_freed, gateway);
+  gateway->times = csp_create_metrics (CSP_SERIES_MAX);
+  if (gateway->times == NULL)
+    goto fail;
   if (gateway->fleet != NULL)
     gateway->dispatch
         = csp_create_dispatch (gateway->fleet, csp_take_answer_of_dispatch,
@@ -306,6 +311,7 @@
     continue;
   uv_loop_close (&gateway->loop);
   csp_close_gateway_peers (gateway);
+  csp_destroy_metrics (gateway->times);
   free (gateway);
 }
 
--- a/source/log/event-table.c
+++ b/source/log/event-table.c
@@ -12,6 +12,7 @@
   { CSP_EVENT_DRAIN_LIMIT, CSP_LEVEL_WARNING, "drain-limit" },
   { CSP_EVENT_SETTINGS_READ, CSP_LEVEL_INFO, "settings-read" },
   { CSP_EVENT_SETTINGS_BAD, CSP_LEVEL_ERROR, "settings-bad" },
+  { CSP_EVENT_LINES_DROPPED, CSP_LEVEL_WARNING, "lines-dropped" },
   { CSP_EVENT_REQUEST_ENDED, CSP_LEVEL_INFO, "request-ended" },
   { CSP_EVENT_REQUEST_REFUSED, CSP_LEVEL_INFO, "request-refused" },
   { CSP_EVENT_REQUEST_RETRIED, CSP_LEVEL_INFO, "request-retried" },
--- a/source/log/log.c
+++ b/source/log/log.c
@@ -2,16 +2,33 @@
 
 #include <json-c/json.h>
 #include <log4c.h>
+#include <pthread.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  /* Lines a second, and how many may come at once.  A host of the planned size
+     ends 27 requests a second with a line or two each; a storm of refusals
+     would else take a small host's processor for its log.  Warnings and errors
+     are few and always written.  */
+  LINES_PER_S = 200,
+  LINES_BURST = 1000,
+  MS_PER_S = 1000
+};
+
 struct csp_log
 {
   log4c_category_t *category;
   csp_clock_t clock;
   csp_level_t least;
   FILE *stream;
+  pthread_mutex_t lock; /* guards what follows */
+  int64_t allowed_lines;
+  int64_t counted_ms;
+  int64_t dropped_lines;
   char host[64];
 };
 
@@ -53,6 +70,9 @@
   log->clock = *clock;
   log->least = least;
   log->stream = stderr;
+  pthread_mutex_init (&log->lock, NULL);
+  log->allowed_lines = LINES_BURST;
+  log->counted_ms = csp_now_ms (clock);
   snprintf (log->host, sizeof log->host, "%s", host);
   log->category = log4c_category_get ("cowslipspoke");
   appender = log4c_appender_get ("cowslipspoke");
@@ -88,6 +108,7 @@
   if (log == NULL)
     return;
   log4c_fini ();
+  pthread_mutex_destroy (&log->lock);
   free (log);
 }
 
@@ -124,19 +145,52 @@
   return NULL;
 }
 
-void
-csp_log_fields (csp_log_t *log, csp_event_t event, const char *request_id,
-                const csp_field_t *fields)
+/* Whether a line may be written now; *dropped tells how many were left out
+   since the last one that was.  */
+static bool
+may_write (csp_log_t *log, csp_level_t level, int64_t *dropped)
+{
+  bool may = true;
+  int64_t now_ms = csp_now_ms (&log->clock);
+  int64_t earned;
+
+  *dropped = 0;
+  if (level >= CSP_LEVEL_WARNING)
+    return true;
+  pthread_mutex_lock (&log->lock);
+  earned = (now_ms - log->counted_ms) * LINES_PER_S / MS_PER_S;
+  if (earned > 0)
+    {
+      log->allowed_lines += earned;
+      log->counted_ms = now_ms;
+    }
+  if (log->allowed_lines > LINES_BURST)
+    log->allowed_lines = LINES_BURST;
+  if (log->allowed_lines > 0)
+    {
+      log->allowed_lines--;
+      *dropped = log->dropped_lines;
+      log->dropped_lines = 0;
+    }
+  else
+    {
+      log->dropped_lines++;
+      may = false;
+    }
+  pthread_mutex_unlock (&log->lock);
+  return may;
+}
+
+static void
+write_fields (csp_log_t *log, const csp_event_row_t *row,
+              const char *request_id, const csp_field_t *fields)
 {
-  const csp_event_row_t *row = csp_find_event (event);
   json_object *line;
 
-  if (log == NULL || row == NULL || row->level < log->least)
-    return;
   line = json_object_new_object ();
   json_object_object_add (line, "at_ms",
                           json_object_new_int64 (csp_wall_ms (&log->clock)));
-  json_object_object_add (line, "event", json_object_new_int (event));
+  json_object_object_add (line, "event", json_object_new_int (row->event));
   json_object_object_add (line, "name", json_object_new_string (row->name));
   json_object_object_add (line, "host", json_object_new_string (log->host));
   if (request_id != NULL)
@@ -149,3 +203,23 @@
       json_object_to_json_string_ext (line, JSON_C_TO_STRING_PLAIN));
   json_object_put (line);
 }
+
+void
+csp_log_fields (csp_log_t *log, csp_event_t event, const char *request_id,
+                const csp_field_t *fields)
+{
+  const csp_event_row_t *row = csp_find_event (event);
+  int64_t dropped;
+
+  if (log == NULL || row == NULL || row->level < log->least
+      || !may_write (log, row->level, &dropped))
+    return;
+  if (dropped > 0)
+    {
+      const csp_field_t lost[]
+          = { csp_number ("lines", dropped), { CSP_FIELD_END } };
+
+      write_fields (log, csp_find_event (CSP_EVENT_LINES_DROPPED), NULL, lost);
+    }
+  write_fields (log, row, request_id, fields);
+}
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -112,6 +112,7 @@
   message.sequence = hello->sequence;
   message.whole = hello->whole;
   message.leaving = hello->leaving;
+  message.blind = hello->blind;
   message.data_centre = hello->data_centre;
   message.n_loads = hello->load_count;
   message.loads = rows.load_rows;
@@ -198,6 +199,7 @@
       hello->sequence = message->sequence;
       hello->whole = message->whole;
       hello->leaving = message->leaving;
+      hello->blind = message->blind;
       hello->data_centre = message->data_centre;
       hello->load_count = message->n_loads;
       hello->known_count = message->n_known;
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -579,7 +579,7 @@
   (ProtobufCMessageInit) csp_hello__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[10] =
+static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[11] =
 {
   {
     "boot",
@@ -701,10 +701,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blind",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Hello, blind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__hello__field_indices_by_name[] = {
   8,   /* field[8] = answers */
   7,   /* field[7] = asks */
+  10,   /* field[10] = blind */
   0,   /* field[0] = boot */
   9,   /* field[9] = cancels */
   6,   /* field[6] = data_centre */
@@ -717,7 +730,7 @@
 static const ProtobufCIntRange csp_hello__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor csp_hello__hello__descriptor =
 {
@@ -727,7 +740,7 @@
   "CspHello__Hello",
   "csp_hello",
   sizeof(CspHello__Hello),
-  10,
+  11,
   csp_hello__hello__field_descriptors,
   csp_hello__hello__field_indices_by_name,
   1,  csp_hello__hello__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -100,10 +100,11 @@
   CspHello__Answer **answers;
   size_t n_cancels;
   uint64_t *cancels;
+  protobuf_c_boolean blind;
 };
 #define CSP_HELLO__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__hello__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* CspHello__Load methods */
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -24,6 +24,7 @@
   uint64_t sequence;
   bool live;
   bool leaving;
+  bool blind;
   uint32_t data_centre;
   int64_t heard_ms;
   int64_t greet_at_ms;
@@ -37,6 +38,7 @@
   csp_peer_address_t self;
   uint64_t boot;
   uint32_t data_centre;
+  bool blind;
   csp_random_t random;
   size_t count;
   size_t room;
@@ -167,6 +169,7 @@
   peer->boot = hello->boot;
   peer->sequence = hello->sequence;
   peer->leaving = hello->leaving;
+  peer->blind = hello->blind;
   peer->data_centre = hello->data_centre;
   peer->heard_ms = now_ms;
   peer->live = true;
@@ -254,20 +257,31 @@
   return ((uint64_t)address.ip << 16 | address.port) * 0x9e3779b97f4a7c15U;
 }
 
+void
+csp_set_roster_blind (csp_roster_t *roster, bool blind)
+{
+  roster->blind = blind;
+}
+
+/* A reader that the store turns away would be named again and again by those
+   who follow it, each time to be found in doubt.  */
 csp_peer_address_t
 csp_pick_reader (const csp_roster_t *roster)
 {
   csp_peer_address_t reader = roster->self;
+  bool found = !roster->blind;
   size_t i;
 
   for (i = 0; i < roster->count; i++)
     {
       const peer_t *peer = &roster->peers[i];
 
-      if (peer->live && !peer->leaving
-          && peer->data_centre == roster->data_centre
-          && reading_order (peer->address) < reading_order (reader))
+      if (!peer->live || peer->leaving || peer->blind
+          || peer->data_centre != roster->data_centre)
+        continue;
+      if (!found || reading_order (peer->address) < reading_order (reader))
         reader = peer->address;
+      found = true;
     }
   return reader;
 }
--- a/tests/gateway/stream-test.c
+++ b/tests/gateway/stream-test.c
@@ -276,6 +276,10 @@
   read_until (caller, "two\n\n");
   finish_at (link_from);
   close (link_from);
+  ck_assert_ptr_nonnull (
+      strstr (fixture_page (&fixture, "/metrics"),
+              "cowslipspoke_organisation_time_to_first_token_seconds_count{"
+              "organisation=\"org-a\"} 1\n"));
 }
 END_TEST
 
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -200,8 +200,13 @@
     }
   if (reader.ip == self.ip)
     return;
-  hello.leaving = true;
+  hello.blind = true;
   hello.sequence = 2;
+  csp_hear_peer (roster, reader, &hello, 1050);
+  ck_assert_uint_ne (csp_pick_reader (roster).ip, reader.ip);
+  hello.blind = false;
+  hello.leaving = true;
+  hello.sequence = 3;
   csp_hear_peer (roster, reader, &hello, 1100);
   ck_assert_uint_ne (csp_pick_reader (roster).ip, reader.ip);
   csp_expire_peers (roster, 9000);
