--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,8 @@
 # What a deployment runs, and nothing else: see deploy/system.toml.
 deploy: $(GATEWAY)
 	@mkdir -p target
-	cp $(GATEWAY) target/cowslip-gateway
+	cp $(GATEWAY) target/cowslip-gateway.new
+	mv -f target/cowslip-gateway.new target/cowslip-gateway
 
 $(BUILD)/cowslipctl: $(call obj,$(CTL_SRC)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
--- a/include/cowslipspoke/watch.h
+++ b/include/cowslipspoke/watch.h
@@ -22,11 +22,13 @@
 };
 
 /* How long a source may hold a watch, and how much later its answer must be
-   here.  Their sum is how long a silent connection goes unseen.  */
+   here.  Their sum is how long a silent connection goes unseen.  The last
+   pause is how long the source's return may go unseen.  */
 typedef struct
 {
   uint32_t wait_ms;
   uint32_t slack_ms;
+  uint32_t pause_last_ms; /* between calls that fail one after another */
 } csp_watch_policy_t;
 
 typedef enum
--- a/source/follow/follow.c
+++ b/source/follow/follow.c
@@ -209,3 +209,9 @@
 {
   return follower->away;
 }
+
+void
+csp_set_follower_pause (csp_follower_t *follower, uint32_t last_ms)
+{
+  follower->watch.policy.pause_last_ms = last_ms;
+}
--- a/source/mirror/mirror-feed.c
+++ b/source/mirror/mirror-feed.c
@@ -11,9 +11,15 @@
 {
   /* How often the choice of the source is looked at.  */
   CHOOSE_MS = 100,
-  /* A reader that failed is left alone for as long as hosts take to agree that
-     it is gone, and to name another.  */
-  READER_PAUSE_MS = 3500,
+  /* A reader that failed is left alone for that long.  One that is gone is
+     tried some times until hosts agree on another, each time for 0.7 s without
+     news; one that was in doubt for a moment is followed again soon, since
+     meanwhile each host of its data centre is a call for each change.  */
+  READER_PAUSE_MS = 1000,
+  /* Calls at a store that is away are priced too.  The reader of a data centre
+     sees its return within half a second, and tells the others.  */
+  STORE_PAUSE_MS = 400,
+  STORE_PAUSE_OTHERS_MS = 1500,
   /* How long the store must have been back before removals are passed on: its
      own rows come back within about two seconds.  */
   SETTLED_AFTER_MS = 2500,
@@ -122,7 +128,9 @@
         .take_answer = take_answer,
         .doubted = on_host_doubted,
         .compacted_status = NO_STATUS,
-        .policy = { .wait_ms = HOST_WAIT_MS, .slack_ms = HOST_SLACK_MS } };
+        .policy = { .wait_ms = HOST_WAIT_MS,
+                    .slack_ms = HOST_SLACK_MS,
+                    .pause_last_ms = STORE_PAUSE_MS } };
 
 static void
 follow_host (csp_mirror_feed_t *feed, csp_peer_address_t host)
@@ -144,12 +152,16 @@
 }
 
 static void
-follow_store (csp_mirror_feed_t *feed)
+follow_store (csp_mirror_feed_t *feed, bool reads_for_others)
 {
   if (feed->store == NULL)
     feed->store = csp_open_follower (
         feed->loop, &feed->settings.store, feed->settings.store_source,
         csp_mirror_revision (feed->mirror), feed->settings.store_state);
+  if (feed->store != NULL)
+    csp_set_follower_pause (feed->store, reads_for_others
+                                             ? STORE_PAUSE_MS
+                                             : STORE_PAUSE_OTHERS_MS);
 }
 
 static void
@@ -196,7 +208,7 @@
     {
     case CSP_SOURCE_STORE:
       stop_host (feed);
-      follow_store (feed);
+      follow_store (feed, !facts.reader_is_other);
       break;
     case CSP_SOURCE_READER:
       csp_close_follower (feed->store);
@@ -204,7 +216,7 @@
       follow_reader (feed, reader);
       break;
     case CSP_SOURCE_ANY_HOST:
-      follow_store (feed);
+      follow_store (feed, !facts.reader_is_other);
       follow_any_host (feed);
       break;
     }
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -269,19 +269,22 @@
 csp_pick_reader (const csp_roster_t *roster)
 {
   csp_peer_address_t reader = roster->self;
-  bool found = !roster->blind;
+  bool reader_blind = roster->blind;
   size_t i;
 
   for (i = 0; i < roster->count; i++)
     {
       const peer_t *peer = &roster->peers[i];
+      bool earlier = reading_order (peer->address) < reading_order (reader);
 
-      if (!peer->live || peer->leaving || peer->blind
+      if (!peer->live || peer->leaving
           || peer->data_centre != roster->data_centre)
         continue;
-      if (!found || reading_order (peer->address) < reading_order (reader))
-        reader = peer->address;
-      found = true;
+      /* Where all are blind one of them still watches for the return.  */
+      if (peer->blind == reader_blind ? !earlier : peer->blind)
+        continue;
+      reader = peer->address;
+      reader_blind = peer->blind;
     }
   return reader;
 }
--- a/source/watch/watch.c
+++ b/source/watch/watch.c
@@ -7,12 +7,11 @@
 {
   /* A page of 1 MB from a slow store.  */
   LIST_TIMEOUT_MS = 1500,
-  /* Pauses after failures: doubling from the first to the last, drawn
+  /* Pauses after failures: doubling from the first to the policy's last, drawn
      between half and whole, so that hosts that failed together don't ask
-     together.  The last bounds how long the store's return goes unseen.  */
+     together.  */
   PAUSE_FIRST_MS = 50,
-  PAUSE_LAST_MS = 400,
-  PAUSE_DOUBLINGS = 3,
+  PAUSE_DOUBLINGS = 8,
   /* One failure may be a cut watch; two are a store that is away.  */
   AWAY_FAILURES = 2
 };
@@ -40,8 +39,8 @@
   doublings = watch->failures - 1 < PAUSE_DOUBLINGS ? watch->failures - 1
                                                     : PAUSE_DOUBLINGS;
   most_ms = (uint32_t)PAUSE_FIRST_MS << doublings;
-  if (most_ms > PAUSE_LAST_MS)
-    most_ms = PAUSE_LAST_MS;
+  if (most_ms > watch->policy.pause_last_ms)
+    most_ms = watch->policy.pause_last_ms;
   return most_ms / 2 + csp_random_below (&watch->random, most_ms / 2 + 1);
 }
 
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -226,7 +226,7 @@
     { .known = true,
       .reader_is_other = true,
       .reader_failed = true,
-      .reader_failed_ms_ago = 4000 },
+      .reader_failed_ms_ago = 1100 },
     CSP_SOURCE_READER },
   { "a reader that the store turns away",
     { .known = true, .store_away = true },
@@ -319,7 +319,7 @@
 static const csp_follow_source_t no_store
     = { .write_call = write_call,
         .reach_changed = on_reach,
-        .policy = { .wait_ms = 600, .slack_ms = 500 } };
+        .policy = { .wait_ms = 600, .slack_ms = 500, .pause_last_ms = 400 } };
 
 static void
 open_host (host_t *host, csp_mirror_t *of)
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -204,9 +204,18 @@
   hello.sequence = 2;
   csp_hear_peer (roster, reader, &hello, 1050);
   ck_assert_uint_ne (csp_pick_reader (roster).ip, reader.ip);
+  /* All are blind: one of them is named all the same.  */
+  csp_set_roster_blind (roster, true);
+  hello.sequence = 4;
+  for (i = 0; i < 3; i++)
+    csp_hear_peer (roster, hosts[i], &hello, 1060);
+  ck_assert_uint_eq (csp_pick_reader (roster).ip, reader.ip);
+  csp_set_roster_blind (roster, false);
+  ck_assert_uint_eq (csp_pick_reader (roster).ip, self.ip);
+  csp_set_roster_blind (roster, true);
   hello.blind = false;
   hello.leaving = true;
-  hello.sequence = 3;
+  hello.sequence = 5;
   csp_hear_peer (roster, reader, &hello, 1100);
   ck_assert_uint_ne (csp_pick_reader (roster).ip, reader.ip);
   csp_expire_peers (roster, 9000);
--- a/tests/watch/watch-test.c
+++ b/tests/watch/watch-test.c
@@ -3,7 +3,8 @@
 #include <check.h>
 #include <stdlib.h>
 
-static const csp_watch_policy_t policy = { .wait_ms = 600, .slack_ms = 500 };
+static const csp_watch_policy_t policy
+    = { .wait_ms = 600, .slack_ms = 500, .pause_last_ms = 400 };
 static csp_watch_t watch;
 
 static void
@@ -102,8 +103,8 @@
     }
   ck_assert (differ);
   ck_assert_uint_gt (most_ms, 200);
-  /* The store's return is seen within half a second.  */
-  ck_assert_uint_le (most_ms, 500);
+  /* The store's return is seen within the policy's time.  */
+  ck_assert_uint_le (most_ms, 400);
   ck_assert (csp_watch_is_away (&watch));
   csp_note_watch_page (&watch, 1, false, "");
   ck_assert (!csp_watch_is_away (&watch));
