--- /dev/null
+++ b/source/gateway/gateway-backup.c
@@ -0,0 +1,92 @@
+#include "gateway/gateway-move-imp.h"
+
+/* Where a run's memory is copied to as it grows.  */
+
+enum
+{
+  /* A copy of a prompt of 3,000 tokens was not there after 470 ms, of which it
+     takes 200 to 400 on an idle link.  */
+  BACKUP_SETTLES_MS = 600,
+  BACKUP_COPY_TIMES = 3
+};
+
+/* A copy that throws runs out of memory costs more than it saves: each of
+   those is read again.  With half of the streams backed up the others have
+   the link between targets to themselves when their target leaves.  */
+static const double backup_share_max = 0.75;
+
+void
+csp_drop_backup (csp_exchange_t *exchange)
+{
+  csp_fleet_target_t *backup = exchange->reserved_backup;
+
+  exchange->backup = NULL;
+  exchange->reserved_backup = NULL;
+  if (backup == NULL)
+    return;
+  backup->own.backup_tokens -= exchange->tokens;
+  backup->users--;
+}
+
+csp_fleet_target_t *
+csp_choose_elsewhere (csp_exchange_t *exchange,
+                      const csp_fleet_target_t *target, double share_max)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+  csp_fleet_need_t need = { .service = exchange->service->name,
+                            .data_centre = target->data_centre,
+                            .memory_share_max = share_max,
+                            .by_memory = true,
+                            .memory_tokens = exchange->service->memory_tokens,
+                            .tokens = exchange->tokens,
+                            .is_copy = true,
+                            .not_this = target,
+                            .nor_this = exchange->move.refused };
+
+  return csp_choose_fleet_target (gateway->fleet, &need, &gateway->random,
+                                  csp_gateway_now_ms (gateway));
+}
+
+void
+csp_choose_backup (csp_exchange_t *exchange, const csp_fleet_target_t *target)
+{
+  csp_fleet_target_t *backup;
+
+  csp_drop_backup (exchange);
+  if (exchange->route->kind != CSP_ROUTE_STREAM
+      || !exchange->service->takes_backups)
+    return;
+  backup = csp_choose_elsewhere (exchange, target, backup_share_max);
+  if (backup == NULL)
+    return;
+  backup->own.backup_tokens += exchange->tokens;
+  backup->users++;
+  exchange->backup = backup;
+  exchange->reserved_backup = backup;
+}
+
+/* Whether there may be a copy to go on from.  */
+bool
+csp_backup_stands (const csp_exchange_t *exchange)
+{
+  return exchange->backup != NULL
+         && (exchange->backup->state == CSP_FLEET_READY
+             || exchange->backup->state == CSP_FLEET_LAPSED)
+         && exchange->run_since_ms != 0;
+}
+
+/* Whether the copy is surely whole, so that a sound run may be given up for
+   it.  Copying begins with the run's first token; between data centres it
+   takes twice as long, and others may be on the link.  */
+bool
+csp_backup_is_whole (const csp_exchange_t *exchange)
+{
+  double copy_ms
+      = (double)exchange->prompt_tokens * exchange->service->copy_ms_per_token;
+  int64_t settles_ms
+      = BACKUP_SETTLES_MS + (int64_t)(BACKUP_COPY_TIMES * copy_ms);
+
+  return csp_backup_stands (exchange)
+         && csp_gateway_now_ms (exchange->gateway) - exchange->run_since_ms
+                >= settles_ms;
+}
--- /dev/null
+++ b/source/gateway/gateway-move-imp.h
@@ -0,0 +1,40 @@
+#ifndef COWSLIPSPOKE_GATEWAY_MOVE_IMP_H
+#define COWSLIPSPOKE_GATEWAY_MOVE_IMP_H
+
+#include "gateway/gateway-exchange-imp.h"
+
+enum
+{
+  /* Moves of one stream that may fail one after another.  */
+  CSP_MOVE_TRIES_MAX = 4
+};
+
+/* What the three parts of taking streams elsewhere share: backups, moves, and
+   whose turn it is.  */
+
+/* The best target but the given one that stays under a share of its memory;
+   0: under none.  NULL where there is none.  */
+csp_fleet_target_t *csp_choose_elsewhere (csp_exchange_t *exchange,
+                                          const csp_fleet_target_t *target,
+                                          double share_max);
+
+/* Whether there may be a copy to go on from.  */
+bool csp_backup_stands (const csp_exchange_t *exchange);
+
+/* Whether the copy is surely whole, so that a sound run may be given up for
+   it.  */
+bool csp_backup_is_whole (const csp_exchange_t *exchange);
+
+/* Begin to move a stream whose turn has come.  */
+void csp_begin_move (csp_exchange_t *exchange);
+
+/* Write a step of a move to the log.  */
+void csp_log_move (const csp_exchange_t *exchange, const char *step,
+                   const csp_fleet_target_t *to);
+
+/* How much longer the run will probably write, and whether it will end before
+   its target does.  */
+int64_t csp_expected_left_ms (const csp_exchange_t *exchange);
+bool csp_run_ends_in_time (const csp_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/source/gateway/gateway-turn.c
@@ -0,0 +1,208 @@
+#include "gateway/gateway-move-imp.h"
+
+#include <arpa/inet.h>
+
+/* Which streams leave a target, when, and in which order.  */
+
+enum
+{
+  /* A run whose end is nearer than this, by the guess of its length, ends
+     where it is: targets serve for a second and more behind their notice.  */
+  ENDS_SOON_MS = 500,
+  /* What one token takes in a batch that is half full.  */
+  TOKEN_MS = 10,
+  /* A run that has outlived its guess is expected to take a third more.  */
+  OUTLIVED_PART = 3,
+  /* Between the turns of two hosts: the last rest of a run and what the
+     estimate of its length is off.  */
+  TURN_MARGIN_MS = 40,
+  TURN_TICK_MS = 10,
+  /* Events come every 30 to 60 ms, and a batch that takes in long prompts
+     pauses for some tenths of a second.  */
+  SILENT_MS = 900
+};
+
+/* How much longer the run will probably write.  Guesses of the length are
+   right in the median and far off in the tails, so a run that has outlived its
+   guess goes on for some part of what it took so far.  */
+int64_t
+csp_expected_left_ms (const csp_exchange_t *exchange)
+{
+  int64_t took_ms
+      = csp_gateway_now_ms (exchange->gateway) - exchange->first_event_ms;
+  int64_t whole_ms = (int64_t)exchange->output_tokens * TOKEN_MS;
+  int64_t least_ms = took_ms / OUTLIVED_PART;
+
+  return whole_ms - took_ms > least_ms ? whole_ms - took_ms : least_ms;
+}
+
+/* Whether the run will probably end before its target does.  */
+bool
+csp_run_ends_in_time (const csp_exchange_t *exchange)
+{
+  return csp_expected_left_ms (exchange) < ENDS_SOON_MS
+         && csp_gateway_now_ms (exchange->gateway)
+                < exchange->target->left_at_ms + ENDS_SOON_MS;
+}
+
+/* Whether the stream waits for its turn to be moved.  */
+static bool
+waits_for_turn (const csp_exchange_t *exchange)
+{
+  return exchange->move.wanted && exchange->move.state == CSP_MOVE_NONE
+         && exchange->mode == CSP_ANSWER_STREAM && exchange->events > 0
+         && exchange->target != NULL
+         && exchange->move.tries < CSP_MOVE_TRIES_MAX
+         && !csp_run_ends_in_time (exchange);
+}
+
+static void
+on_move_timer (uv_timer_t *timer)
+{
+  csp_pump_moves (timer->data);
+}
+
+/* The streams of this host that leave one target go one after another, the
+   one that has longest to go first: what is nearly done may still end where
+   it is.  */
+void
+csp_pump_moves (csp_gateway_t *gateway)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  csp_exchange_t *best = NULL;
+  csp_exchange_t *exchange;
+  bool waiting = false;
+
+  for (exchange = gateway->exchanges; exchange != NULL;
+       exchange = exchange->next)
+    {
+      if (!waits_for_turn (exchange))
+        continue;
+      waiting = true;
+      if (exchange->target->moving || now_ms < exchange->target->turn_at_ms)
+        continue;
+      if (best == NULL
+          || csp_expected_left_ms (exchange) > csp_expected_left_ms (best))
+        best = exchange;
+    }
+  if (waiting)
+    uv_timer_start (&gateway->move_timer, on_move_timer, TURN_TICK_MS, 0);
+  if (best != NULL)
+    csp_begin_move (best);
+}
+
+/* Hosts move their streams from one target in turns, by what each has told of
+   its streams there: a run that is stopped waits for the copies that others
+   have put on the link before, and its caller sees a pause of tenths of a
+   second.  Each host knows the order and the lengths, so nobody has to be
+   asked; one that is gone leaves its turn empty.  */
+typedef struct
+{
+  const csp_fleet_target_t *target;
+  uint64_t own_rank;
+  uint64_t tokens_before;
+  uint32_t hosts_before;
+} turn_t;
+
+static uint64_t
+rank_of (uint64_t target, csp_peer_address_t peer)
+{
+  /* Knuth's multiplicative hash, so that turns differ by target.  */
+  return (((uint64_t)peer.ip << 16 | peer.port) ^ target)
+         * 0x9e3779b97f4a7c15U;
+}
+
+static void
+count_turn (void *state, csp_peer_address_t peer, const csp_peer_load_t *load)
+{
+  turn_t *turn = state;
+
+  if (load->target != turn->target->hash || load->movable_tokens == 0
+      || rank_of (load->target, peer) >= turn->own_rank)
+    return;
+  turn->tokens_before += load->movable_tokens;
+  turn->hosts_before++;
+}
+
+static int64_t
+own_turn_ms (const csp_gateway_t *gateway, const csp_fleet_target_t *target)
+{
+  const struct sockaddr_in *self = &gateway->settings.peers;
+  csp_peer_address_t own = { .ip = ntohl (self->sin_addr.s_addr),
+                             .port = ntohs (self->sin_port) };
+  turn_t turn = { .target = target, .own_rank = rank_of (target->hash, own) };
+  const csp_route_service_t *service = NULL;
+
+  if (gateway->routes != NULL)
+    service = csp_get_route_service (gateway->routes, target->row.service);
+  if (service == NULL || gateway->roster == NULL)
+    return 0;
+  csp_each_peer_load (gateway->roster, count_turn, &turn);
+  return (int64_t)((double)turn.tokens_before * service->copy_ms_per_token)
+         + turn.hosts_before * TURN_MARGIN_MS;
+}
+
+void
+csp_count_movable (csp_exchange_t *exchange, bool movable)
+{
+  csp_fleet_target_t *target = exchange->target;
+  uint64_t tokens = movable && exchange->backup == NULL
+                            && exchange->route->kind == CSP_ROUTE_STREAM
+                        ? exchange->tokens
+                        : 0;
+
+  if (target == NULL)
+    return;
+  target->own.movable_tokens += tokens - exchange->movable_tokens;
+  exchange->movable_tokens = tokens;
+}
+
+void
+csp_leave_target (csp_gateway_t *gateway, csp_fleet_target_t *target)
+{
+  csp_exchange_t *exchange = gateway->exchanges;
+
+  target->left_at_ms = csp_gateway_now_ms (gateway);
+  target->turn_at_ms
+      = csp_gateway_now_ms (gateway) + own_turn_ms (gateway, target);
+  while (exchange != NULL)
+    {
+      csp_exchange_t *next = exchange->next;
+
+      if (exchange->backup == target)
+        {
+          exchange->backup = NULL;
+          if (exchange->run_since_ms != 0)
+            csp_count_movable (exchange, true);
+        }
+      if (exchange->target == target)
+        csp_want_move (exchange);
+      exchange = next;
+    }
+}
+
+/* A target that lost power or was cut off says nothing more, and its
+   connection stays open.  One notices a stream that stands still; the caller
+   waits for seconds and then leaves.  */
+void
+csp_watch_streams (csp_gateway_t *gateway)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  csp_exchange_t *exchange = gateway->exchanges;
+
+  while (exchange != NULL)
+    {
+      csp_exchange_t *next = exchange->next;
+
+      if (exchange->events > 0 && exchange->mode == CSP_ANSWER_STREAM
+          && exchange->move.state == CSP_MOVE_NONE
+          && now_ms - exchange->last_data_ms >= SILENT_MS
+          && csp_caller_backlog (exchange->caller) == 0)
+        {
+          csp_log_move (exchange, "silent", exchange->backup);
+          exchange->last_data_ms = now_ms;
+          csp_rescue_stream (exchange);
+        }
+      exchange = next;
+    }
+}
--- a/tests/adapter/adapter-test.c
+++ b/tests/adapter/adapter-test.c
@@ -1,6 +1,8 @@
 #include "platform.h"
 
 #include <arpa/inet.h>
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -225,8 +227,6 @@
 {
   Suite *suite = suite_create ("adapter");
   TCase *tcase = tcase_create ("adapter");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tcase, a_configuration_is_decoded_once);
   tcase_add_test (tcase, a_split_route_has_its_weights);
@@ -238,8 +238,5 @@
   tcase_add_loop_test (tcase, settings_are_read_or_their_faults_told, 0,
                        sizeof settings_rows / sizeof settings_rows[0]);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/admission/admission-test.c
+++ b/tests/admission/admission-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/admission.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -247,8 +249,6 @@
 {
   Suite *suite = suite_create ("admission");
   TCase *tcase = tcase_create ("admission");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, a_burst_of_long_answers_leaves_room_to_grow);
@@ -261,8 +261,5 @@
   tcase_add_test (tcase, edges_of_admission);
   tcase_add_test (tcase, an_empty_ledger_is_empty);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/base/verdict-test.c
+++ b/tests/base/verdict-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/hash.h"
 #include "cowslipspoke/verdict.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -45,15 +47,10 @@
 {
   Suite *suite = suite_create ("base");
   TCase *tcase = tcase_create ("base");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tcase, every_reason_has_its_own_code);
   tcase_add_test (tcase, long_details_are_cut);
   tcase_add_test (tcase, sha256_matches_the_standard);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/configuration/configuration-test.c
+++ b/tests/configuration/configuration-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/configuration.h"
 #include "cowslipspoke/random.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -322,8 +324,6 @@
 {
   Suite *suite = suite_create ("configuration");
   TCase *tcase = tcase_create ("configuration");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_loop_test (tcase, only_higher_whole_and_good_revisions_are_taken,
                        0, sizeof take_cases / sizeof *take_cases);
@@ -334,8 +334,5 @@
   tcase_add_test (tcase, a_peer_that_is_too_far_behind_gets_the_whole);
   tcase_add_loop_test (tcase, a_follower_ends_with_the_same_content, 0, 50);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/configuration/spread-test.c
+++ b/tests/configuration/spread-test.c
@@ -1,5 +1,7 @@
 #include "support/fleet.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -333,8 +335,6 @@
 {
   Suite *suite = suite_create ("spread");
   TCase *tcase = tcase_create ("spread");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 120);
   tcase_add_loop_test (tcase, bursts_reach_all_with_few_reads, 0,
@@ -353,8 +353,5 @@
   tcase_add_test (tcase, crossed_answers_are_dropped);
   tcase_add_loop_test (tcase, random_faults_never_take_a_host_back, 0, 40);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/declaration/cowslipctl-test.c
+++ b/tests/declaration/cowslipctl-test.c
@@ -1,3 +1,5 @@
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -170,8 +172,6 @@
 {
   Suite *suite = suite_create ("cowslipctl");
   TCase *tcase = tcase_create ("cowslipctl");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, commands_print_and_exit_as_documented, 0,
@@ -179,8 +179,5 @@
   tcase_add_loop_test (tcase, status_tells_a_host_from_what_is_none, 0,
                        sizeof status_cases / sizeof status_cases[0]);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/declaration/declaration-rules-test.c
+++ b/tests/declaration/declaration-rules-test.c
@@ -1,5 +1,7 @@
 #include "../support/declared.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -185,15 +187,10 @@
 {
   Suite *suite = suite_create ("declaration-rules");
   TCase *tcase = tcase_create ("declaration-rules");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   ADD_LOOP (tcase, the_first_rule_that_holds_decides, decision_cases);
   tcase_add_test (tcase, terms_come_from_rule_class_route_and_organisation);
   ADD_LOOP (tcase, hidden_rules_are_found, cover_cases);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/declaration/declaration-test.c
+++ b/tests/declaration/declaration-test.c
@@ -1,6 +1,8 @@
 #include "../support/declared.h"
 #include "declaration/declaration-imp.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -370,8 +372,6 @@
 {
   Suite *suite = suite_create ("declaration");
   TCase *tcase = tcase_create ("declaration");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   ADD_LOOP (tcase, faults_are_named, fault_cases);
   tcase_add_test (tcase, names_and_keys_are_found);
@@ -381,8 +381,5 @@
   tcase_add_test (tcase, old_declarations_end_in_any_thread);
   tcase_add_test (tcase, the_page_has_every_member);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/dispatch.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -224,8 +226,6 @@
 {
   Suite *suite = suite_create ("dispatch");
   TCase *tcase = tcase_create ("dispatch");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, a_place_is_given_once);
@@ -236,8 +236,5 @@
   tcase_add_test (tcase, an_ask_that_waits_in_vain_is_refused_in_time);
   tcase_add_test (tcase, slots_are_places_too);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/fleet/fleet-targets-test.c
+++ b/tests/fleet/fleet-targets-test.c
@@ -2,6 +2,8 @@
 
 #include "cowslipspoke/hash.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -284,8 +286,6 @@
 {
   Suite *suite = suite_create ("fleet");
   TCase *tcase = tcase_create ("fleet");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_loop_test (tcase, the_list_says_who_may_get_requests, 0,
@@ -298,8 +298,5 @@
   tcase_add_test (tcase,
                   an_unreachable_target_is_left_alone_for_longer_each_time);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/fleet/fleet-test.c
+++ b/tests/fleet/fleet-test.c
@@ -1,5 +1,7 @@
 #include "../../bench/fleet.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -267,8 +269,6 @@
 {
   Suite *suite = suite_create ("fleet");
   TCase *tcase = tcase_create ("fleet");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 120);
   tcase_add_loop_test (tcase, preemptions_are_rare, 0,
@@ -282,8 +282,5 @@
   tcase_add_test (tcase, many_hosts_with_few_engines);
   tcase_add_test (tcase, plays_are_repeatable);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/gateway/gateway-test.c
+++ b/tests/gateway/gateway-test.c
@@ -1,5 +1,7 @@
 #include "gateway/gateway-fixture.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -408,8 +410,6 @@
 {
   Suite *suite = suite_create ("gateway");
   TCase *tcase = tcase_create ("gateway");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, set_up, tear_down);
@@ -429,8 +429,5 @@
   tcase_add_test (tcase, a_key_that_is_taken_away_is_refused);
   tcase_add_test (tcase, a_stop_answers_what_it_can_and_refuses_the_rest);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/gateway/stream-test.c
+++ b/tests/gateway/stream-test.c
@@ -1,6 +1,8 @@
 #include "gateway/gateway-fixture.h"
 
 #include <arpa/inet.h>
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -365,8 +367,6 @@
 {
   Suite *suite = suite_create ("stream");
   TCase *tcase = tcase_create ("stream");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, set_up, tear_down);
@@ -381,8 +381,5 @@
   tcase_add_test (tcase, a_run_past_its_guess_is_not_taken_for_nearly_done);
   tcase_add_test (tcase, a_silent_stream_goes_on_from_its_backup);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/handoff/handoff-test.c
+++ b/tests/handoff/handoff-test.c
@@ -4,6 +4,8 @@
 
 #include "cowslipspoke/handoff.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -438,14 +440,9 @@
 {
   Suite *suite = suite_create ("handoff");
   TCase *tcase = tcase_create ("cells");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_loop_test (tcase, each_step_against_each_failure, 0,
                        sizeof cells / sizeof cells[0]);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/handoff/interleaving-test.c
+++ b/tests/handoff/interleaving-test.c
@@ -6,6 +6,8 @@
 
 #include "world.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -492,14 +494,9 @@
 {
   Suite *suite = suite_create ("interleaving");
   TCase *tcase = tcase_create ("seeds");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, two_failures_at_once, 0, SEEDS);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/handoff/slot-table-test.c
+++ b/tests/handoff/slot-table-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/handoff.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -145,8 +147,6 @@
 {
   Suite *suite = suite_create ("slot-table");
   TCase *tcase = tcase_create ("slot-table");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tcase, commit_of_an_earlier_grant_is_refused);
   tcase_add_test (tcase, a_doubled_reserve_takes_one_slot);
@@ -154,8 +154,5 @@
   tcase_add_test (tcase, a_late_grant_is_given_back_at_once);
   tcase_add_test (tcase, a_confirmed_cancel_frees_the_slot);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/hostile/parsers-test.c
+++ b/tests/hostile/parsers-test.c
@@ -5,6 +5,8 @@
 #include "cowslipspoke/sse.h"
 #include "cowslipspoke/text.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -378,9 +380,7 @@
 {
   Suite *suite = suite_create ("hostile texts");
   TCase *tcase = tcase_create ("hostile texts");
-  SRunner *runner = srunner_create (suite);
   int row_count = sizeof rows / sizeof *rows;
-  int failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, mutated_texts_do_no_harm, 0, row_count);
@@ -392,8 +392,5 @@
                        sizeof encodings / sizeof *encodings);
   tcase_add_loop_test (tcase, class_names_are_plain, 0, 5);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/http/http-test.c
+++ b/tests/http/http-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/http.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -288,8 +290,6 @@
 {
   Suite *suite = suite_create ("http");
   TCase *cases = tcase_create ("http");
-  SRunner *runner;
-  int failed;
 
   tcase_add_loop_test (cases, test_requests, 0,
                        sizeof requests / sizeof requests[0]);
@@ -298,9 +298,5 @@
   tcase_add_test (cases, test_pipelined);
   tcase_add_test (cases, test_hop_fields);
   suite_add_tcase (suite, cases);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/json/json-reader-test.c
+++ b/tests/json/json-reader-test.c
@@ -3,6 +3,8 @@
 #include "cowslipspoke/random.h"
 #include "cowslipspoke/settings.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -254,8 +256,6 @@
 {
   Suite *suite = suite_create ("json-reader");
   TCase *tcase = tcase_create ("json-reader");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, odd_texts_are_refused, 0,
@@ -266,8 +266,5 @@
   tcase_add_loop_test (tcase, garbled_texts_are_taken_or_refused, 0,
                        TEXT_COUNT);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/length/length-test.c
+++ b/tests/length/length-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/length.h"
 #include "cowslipspoke/random.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <math.h>
 #include <stdlib.h>
@@ -155,8 +157,6 @@
 {
   Suite *suite = suite_create ("length");
   TCase *tcase = tcase_create ("length");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tcase, the_start_is_the_stated_mean);
   tcase_add_loop_test (tcase, learns_what_is_left, 0,
@@ -165,8 +165,5 @@
   tcase_add_test (tcase, old_answers_fade);
   tcase_add_test (tcase, keys_are_bounded);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/limit/limit-test.c
+++ b/tests/limit/limit-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/limit.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -191,8 +193,6 @@
 {
   Suite *suite = suite_create ("limit");
   TCase *tcase = tcase_create ("limit");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, NULL);
   tcase_add_loop_test (tcase, the_limit_holds_wherever_the_load_comes_in, 0,
@@ -203,8 +203,5 @@
   tcase_add_test (tcase, what_ran_without_a_rate_is_no_debt);
   tcase_add_test (tcase, long_answers_are_charged);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/link/link-test.c
+++ b/tests/link/link-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/link.h"
 
 #include <arpa/inet.h>
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -205,8 +207,6 @@
 {
   Suite *suite = suite_create ("link");
   TCase *tcase = tcase_create ("link");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 30);
   tcase_add_test (tcase, a_reset_right_behind_the_bytes_is_no_end);
@@ -215,8 +215,5 @@
                        sizeof kept / sizeof kept[0]);
   tcase_add_test (tcase, an_idle_link_that_speaks_is_lost);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/log/events-test.c
+++ b/tests/log/events-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/log.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -64,14 +66,9 @@
 {
   Suite *suite = suite_create ("log");
   TCase *tcase = tcase_create ("log");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tcase, the_catalogue_lists_what_the_code_writes);
   tcase_add_test (tcase, numbers_and_names_are_used_once);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/log/log-test.c
+++ b/tests/log/log-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/log.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -88,15 +90,10 @@
 {
   Suite *suite = suite_create ("log");
   TCase *tcase = tcase_create ("log");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, a_line_is_one_object);
   tcase_add_test (tcase, a_storm_of_lines_is_bounded_and_told);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/membership/membership-test.c
+++ b/tests/membership/membership-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/hash.h"
 #include "support/fleet.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -346,8 +348,6 @@
 {
   Suite *suite = suite_create ("membership");
   TCase *tcase = tcase_create ("membership");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 120);
   tcase_add_loop_test (tcase, strangers_are_refused, 0,
@@ -365,8 +365,5 @@
   tcase_add_loop_test (tcase, deaths_are_noticed_in_a_large_data_centre, 0, 3);
   tcase_add_test (tcase, summaries_reach_every_data_centre);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/metrics/metrics-test.c
+++ b/tests/metrics/metrics-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/metrics.h"
 #include "metrics/metrics-imp.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -290,8 +292,6 @@
 {
   Suite *suite = suite_create ("metrics");
   TCase *tcase = tcase_create ("metrics");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, names_beyond_the_bound_share_one_series);
@@ -303,8 +303,5 @@
   tcase_add_test (tcase, threads_lose_no_count);
   tcase_add_test (tcase, the_page_has_every_metric);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/mirror.h"
 
 #include <arpa/inet.h>
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -381,8 +383,6 @@
 {
   Suite *suite = suite_create ("mirror");
   TCase *tcase = tcase_create ("mirror");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, set_up, tear_down);
@@ -398,8 +398,5 @@
                        sizeof choices / sizeof choices[0]);
   tcase_add_test (tcase, a_host_that_is_turned_away_follows_another);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/once/interleaving-test.c
+++ b/tests/once/interleaving-test.c
@@ -6,6 +6,8 @@
 
 #include "world.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -523,14 +525,9 @@
 {
   Suite *suite = suite_create ("once-interleaving");
   TCase *tcase = tcase_create ("seeds");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 120);
   tcase_add_loop_test (tcase, no_key_runs_twice, 0, BATCHES);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/once/once-key-test.c
+++ b/tests/once/once-key-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/once.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -87,15 +89,10 @@
 {
   Suite *suite = suite_create ("once-key");
   TCase *tcase = tcase_create ("once-key");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tcase, organisations_are_separate);
   tcase_add_loop_test (tcase, keys_without_a_date_are_refused, 0, 13);
   tcase_add_test (tcase, a_forgotten_key_is_refused);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/once/once-test.c
+++ b/tests/once/once-test.c
@@ -3,6 +3,8 @@
 
 #include "cowslipspoke/once.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -438,15 +440,10 @@
 {
   Suite *suite = suite_create ("once");
   TCase *tcase = tcase_create ("once");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_loop_test (tcase, each_trouble_has_its_verdict, 0,
                        sizeof cells / sizeof cells[0]);
   tcase_add_test (tcase, a_host_unknown_to_a_peer_is_no_witness);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/order/order-split-test.c
+++ b/tests/order/order-split-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/order.h"
 #include "cowslipspoke/random.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -382,8 +384,6 @@
 {
   Suite *suite = suite_create ("order-split");
   TCase *tcase = tcase_create ("order-split");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, a_settled_engine_is_fenced_too, 0, 5);
@@ -393,8 +393,5 @@
   tcase_add_loop_test (tcase, an_ignoring_engine_in_bad_weather, 0, SEEDS);
   tcase_add_loop_test (tcase, a_stray_order_is_put_right_at_once, 0, 5);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/order/order-test.c
+++ b/tests/order/order-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/order.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -243,8 +245,6 @@
 {
   Suite *suite = suite_create ("order");
   TCase *tcase = tcase_create ("order");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_loop_test (tcase, orders_follow_wanted_and_report, 0,
                        sizeof rows / sizeof *rows);
@@ -252,8 +252,5 @@
   tcase_add_test (tcase, failures_pause_ever_longer);
   tcase_add_test (tcase, loads_keep_to_the_store_s_rate);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/ownership/ownership-test.c
+++ b/tests/ownership/ownership-test.c
@@ -1,5 +1,7 @@
 #include "support/fleet.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -292,8 +294,6 @@
 {
   Suite *suite = suite_create ("ownership");
   TCase *tcase = tcase_create ("ownership");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 120);
   tcase_add_loop_test (tcase, each_target_has_one_owner, 0,
@@ -311,8 +311,5 @@
                        sizeof found_cases / sizeof *found_cases);
   tcase_add_loop_test (tcase, random_cuts_end_with_one_owner, 0, 40);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/peer/peer-codec-test.c
+++ b/tests/peer/peer-codec-test.c
@@ -2,6 +2,8 @@
 #include "cowslipspoke/peer.h"
 #include "cowslipspoke/random.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -343,8 +345,6 @@
 {
   Suite *suite = suite_create ("peer codec");
   TCase *tcase = tcase_create ("peer codec");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, every_kind_has_a_row);
@@ -358,8 +358,5 @@
                        sizeof numbers / sizeof *numbers);
   tcase_add_test (tcase, counts_over_the_bounds_are_refused);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/placement/placement-test.c
+++ b/tests/placement/placement-test.c
@@ -2,6 +2,8 @@
 #include "cowslipspoke/peer-choice.h"
 #include "cowslipspoke/placement.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -299,8 +301,6 @@
 {
   Suite *suite = suite_create ("placement");
   TCase *tcase = tcase_create ("placement");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_loop_test (tcase, the_better_of_two_gets_it, 0,
@@ -313,8 +313,5 @@
   tcase_add_test (tcase, few_own_targets_are_judged_by_all);
   tcase_add_test (tcase, silence_is_noticed);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/platform/fetcher-test.c
+++ b/tests/platform/fetcher-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/fetcher.h"
 
 #include <arpa/inet.h>
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -126,14 +128,9 @@
 {
   Suite *suite = suite_create ("fetcher");
   TCase *tcase = tcase_create ("fetcher");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_loop_test (tcase, a_post_tells_whether_it_may_have_arrived, 0,
                        sizeof rows / sizeof *rows);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/platform/platform-answer-test.c
+++ b/tests/platform/platform-answer-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/platform.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -112,16 +114,11 @@
 {
   Suite *suite = suite_create ("platform answers");
   TCase *tcase = tcase_create ("platform answers");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_loop_test (tcase, only_whole_lists_are_read, 0,
                        sizeof list_cases / sizeof *list_cases);
   tcase_add_loop_test (tcase, only_whole_configurations_are_read, 0,
                        sizeof config_cases / sizeof *config_cases);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/preemption/preemption-test.c
+++ b/tests/preemption/preemption-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/preemption.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -140,8 +142,6 @@
 {
   Suite *suite = suite_create ("preemption");
   TCase *tcase = tcase_create ("preemption");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_loop_test (tcase, the_one_that_loses_least_gives_way, 0,
@@ -151,8 +151,5 @@
   tcase_add_test (tcase, no_more_than_needed);
   tcase_add_test (tcase, giving_way_raises_priority);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/queue/queue-test.c
+++ b/tests/queue/queue-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/queue.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -306,8 +308,6 @@
 {
   Suite *suite = suite_create ("queue");
   TCase *tcase = tcase_create ("queue");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, a_small_one_passes_the_largest);
@@ -322,8 +322,5 @@
   tcase_add_test (tcase, what_is_lent_is_taken_back);
   tcase_add_test (tcase, a_big_one_is_not_passed_for_ever);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/retry/retry-test.c
+++ b/tests/retry/retry-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/retry.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -120,16 +122,11 @@
 {
   Suite *suite = suite_create ("retry");
   TCase *tcase = tcase_create ("retry");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_loop_test (tcase, who_may_be_sent_again, 0,
                        sizeof rows / sizeof rows[0]);
   tcase_add_test (tcase, an_outage_is_not_multiplied);
   tcase_add_test (tcase, a_fresh_host_has_a_small_budget);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/roster.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -274,8 +276,6 @@
 {
   Suite *suite = suite_create ("roster");
   TCase *tcase = tcase_create ("roster");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_loop_test (tcase, the_newest_word_of_a_host_counts, 0,
@@ -285,8 +285,5 @@
   tcase_add_test (tcase, hosts_of_a_data_centre_agree_on_a_reader);
   tcase_add_test (tcase, a_datagram_survives_its_codec);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/route/route-test.c
+++ b/tests/route/route-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/route.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -121,8 +123,6 @@
 {
   Suite *suite = suite_create ("route");
   TCase *tcase = tcase_create ("route");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_loop_test (tcase, the_longest_prefix_of_the_host_decides, 0,
@@ -132,8 +132,5 @@
   tcase_add_test (tcase, services_are_drawn_by_weight);
   tcase_add_test (tcase, a_version_lives_while_it_is_used);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/settings/settings-test.c
+++ b/tests/settings/settings-test.c
@@ -1,6 +1,8 @@
 #include "cowslipspoke/settings.h"
 #include "settings/settings-imp.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
@@ -220,8 +222,6 @@
 {
   Suite *suite = suite_create ("settings");
   TCase *tcase = tcase_create ("settings");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_loop_test (tcase, faults_are_named, 0,
                        sizeof cases / sizeof cases[0]);
@@ -231,8 +231,5 @@
   tcase_add_test (tcase, options_go_over_the_file);
   tcase_add_test (tcase, the_page_has_every_key);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/shift/shift-test.c
+++ b/tests/shift/shift-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/shift.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <math.h>
 #include <stdlib.h>
@@ -89,16 +91,11 @@
 {
   Suite *suite = suite_create ("shift");
   TCase *tcase = tcase_create ("shift");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tcase, a_target_opens_by_doubling);
   tcase_add_loop_test (tcase, no_waves_between_data_centres, 0,
                        sizeof wave_rows / sizeof wave_rows[0]);
   tcase_add_test (tcase, pauses_and_trouble);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/stream/recovery-test.c
+++ b/tests/stream/recovery-test.c
@@ -2,6 +2,8 @@
 #include "cowslipspoke/recovery.h"
 #include "cowslipspoke/sse.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -287,8 +289,6 @@
 {
   Suite *suite = suite_create ("stream");
   TCase *tcase = tcase_create ("stream");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_loop_test (tcase, each_end_of_a_link_is_recovered_by_its_row, 0,
                        sizeof recovery_cases / sizeof recovery_cases[0]);
@@ -298,8 +298,5 @@
   tcase_add_test (tcase, events_survive_every_cut);
   tcase_add_test (tcase, a_line_beyond_the_limit_is_refused);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/watch/watch-test.c
+++ b/tests/watch/watch-test.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/watch.h"
 
+#include "support/run-suite.h"
+
 #include <check.h>
 #include <stdlib.h>
 
@@ -118,8 +120,6 @@
 {
   Suite *suite = suite_create ("watch");
   TCase *tcase = tcase_create ("watch");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tcase, set_up, NULL);
   tcase_add_test (tcase, pages_are_read_and_then_followed_from_the_first);
@@ -128,8 +128,5 @@
                        sizeof failures / sizeof failures[0]);
   tcase_add_test (tcase, pauses_grow_and_differ_between_hosts);
   suite_add_tcase (suite, tcase);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
