--- a/include/cowslipspoke/log.h
+++ b/include/cowslipspoke/log.h
@@ -116,9 +116,9 @@
 csp_field_t csp_number (const char *name, int64_t number);
 
 /* Write one event, unless lines come faster than the log's bound: those below
-   a warning are then left out, and counted.  request_id may be NULL.  fields ends with a field of kind
-   CSP_FIELD_END.  Any thread may call it; log may be NULL, which drops the
-   event.  */
+   a warning are then left out, and counted.  request_id may be NULL.  fields
+   ends with a field of kind CSP_FIELD_END.  Any thread may call it; log may be
+   NULL, which drops the event.  */
 void csp_log_fields (csp_log_t *log, csp_event_t event, const char *request_id,
                      const csp_field_t *fields);
 
--- a/tests/log/log-test.c
+++ b/tests/log/log-test.c
@@ -40,7 +40,7 @@
 static size_t
 count (const char *what)
 {
-  const char *at = text;
+  const char *at;
   size_t found = 0;
 
   fflush (stream);
