--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -100,8 +100,6 @@
    Call it now and then.  */
 void csp_expire_targets (csp_fleet_t *fleet, int64_t now_ms);
 
-/* Whether any target may get requests.  */
-bool csp_fleet_serves (const csp_fleet_t *fleet);
 size_t csp_fleet_size (const csp_fleet_t *fleet);
 csp_fleet_target_t *csp_fleet_at (const csp_fleet_t *fleet, size_t index);
 csp_fleet_target_t *csp_find_fleet_target (const csp_fleet_t *fleet,
--- a/include/cowslipspoke/follow.h
+++ b/include/cowslipspoke/follow.h
@@ -43,8 +43,6 @@
 
 /* Stop; no call is made afterwards.  */
 void csp_close_follower (csp_follower_t *follower);
-bool csp_follower_is_away (const csp_follower_t *follower);
-
 /* Pause longer or shorter between calls that fail.  */
 void csp_set_follower_pause (csp_follower_t *follower, uint32_t last_ms);
 
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -200,12 +200,30 @@
     dispatch->waiting_room--;
 }
 
+/* The product's queue, and where engines that are lost and come back by the
+   second ask for other figures: what got places half a minute ago says little
+   of what is free now, so the rate is measured over two seconds; and more wait
+   in vain than the rate says, so a request is refused on arrival already when
+   an eighth of the time that it has would do by the rate.  Those who wait in
+   vain lose more than those who are told at once: by 8 in place of 3, and two
+   seconds in place of ten, worth rises from 0.489 to 0.548 at 1.2 times the
+   memory of 48 engines.  */
+static csp_queue_policy_t
+queue_policy (void)
+{
+  csp_queue_policy_t policy = csp_default_queue_policy ();
+
+  policy.margin = 8;
+  policy.rate_half_life_ms = 2000;
+  return policy;
+}
+
 /* The pool of a service; the last one serves those that find no room.  */
 static pool_t *
 find_pool (csp_dispatch_t *dispatch, const char *service,
            uint32_t memory_tokens)
 {
-  csp_queue_policy_t policy = csp_default_queue_policy ();
+  csp_queue_policy_t policy = queue_policy ();
   pool_t *pool;
   size_t i;
 
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -212,18 +212,6 @@
   others->movable_tokens += load->movable_tokens;
 }
 
-bool
-csp_fleet_serves (const csp_fleet_t *fleet)
-{
-  size_t i;
-
-  for (i = 0; i < fleet->count; i++)
-    if (fleet->targets[i]->state == CSP_FLEET_READY
-        || fleet->targets[i]->state == CSP_FLEET_LAPSED)
-      return true;
-  return false;
-}
-
 size_t
 csp_fleet_size (const csp_fleet_t *fleet)
 {
--- a/source/follow/follow.c
+++ b/source/follow/follow.c
@@ -204,12 +204,6 @@
   uv_close ((uv_handle_t *)&follower->timer, free_closed);
 }
 
-bool
-csp_follower_is_away (const csp_follower_t *follower)
-{
-  return follower->away;
-}
-
 void
 csp_set_follower_pause (csp_follower_t *follower, uint32_t last_ms)
 {
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -76,7 +76,6 @@
   bool asking;
   bool ask_answered;
   uint64_t ask_id;
-  int64_t asked_ms;
   int64_t heard_ms; /* last word of the host that decides */
   uint32_t retry_after_ms;
 
--- a/source/gateway/gateway-move-imp.h
+++ b/source/gateway/gateway-move-imp.h
@@ -32,9 +32,7 @@
 void csp_log_move (const csp_exchange_t *exchange, const char *step,
                    const csp_fleet_target_t *to);
 
-/* How much longer the run will probably write, and whether it will end before
-   its target does.  */
-int64_t csp_expected_left_ms (const csp_exchange_t *exchange);
+/* Whether the run will probably end before its target does.  */
 bool csp_run_ends_in_time (const csp_exchange_t *exchange);
 
 #endif
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -25,8 +25,8 @@
 /* How much longer the run will probably write.  Guesses of the length are
    right in the median and far off in the tails, so a run that has outlived its
    guess goes on for some part of what it took so far.  */
-int64_t
-csp_expected_left_ms (const csp_exchange_t *exchange)
+static int64_t
+expected_left_ms (const csp_exchange_t *exchange)
 {
   int64_t took_ms
       = csp_gateway_now_ms (exchange->gateway) - exchange->first_event_ms;
@@ -40,7 +40,7 @@
 bool
 csp_run_ends_in_time (const csp_exchange_t *exchange)
 {
-  return csp_expected_left_ms (exchange) < ENDS_SOON_MS
+  return expected_left_ms (exchange) < ENDS_SOON_MS
          && csp_gateway_now_ms (exchange->gateway)
                 < exchange->target->left_at_ms + ENDS_SOON_MS;
 }
@@ -82,7 +82,7 @@
       if (exchange->target->moving || now_ms < exchange->target->turn_at_ms)
         continue;
       if (best == NULL
-          || csp_expected_left_ms (exchange) > csp_expected_left_ms (best))
+          || expected_left_ms (exchange) > expected_left_ms (best))
         best = exchange;
     }
   if (waiting)
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -209,6 +209,75 @@
 }
 END_TEST
 
+/* Half more is asked for than the engines can hold, for a minute: four places,
+   each taken for two seconds, and three asks a second.  Places don't stand
+   empty, and most of those who get none hear it at once and not when their
+   first token would be late.  */
+START_TEST (in_overload_most_hear_at_once)
+{
+  enum
+  {
+    STEP_MS = 10,
+    ASK_EVERY_MS = 333,
+    RUN_MS = 2000,
+    PLACES = 4,
+    PLAYED_MS = 60000,
+    ASK_PATIENCE_MS = 1200
+  };
+  int64_t ends_ms[PLACES] = { 0 };
+  uint64_t id = 0;
+  int placed = 0;
+  int at_once = 0;
+  int in_vain = 0;
+  int64_t now_ms;
+
+  for (now_ms = 0; now_ms < PLAYED_MS; now_ms += STEP_MS)
+    {
+      size_t i;
+
+      csp_clear_other_loads (fleet);
+      for (i = 0; i < PLACES; i++)
+        if (ends_ms[i] > now_ms)
+          {
+            csp_peer_load_t load
+                = { .target = csp_fleet_at (fleet, i % 2)->hash,
+                    .requests = 1,
+                    .tokens = RUN };
+
+            csp_count_other_load (fleet, &load);
+          }
+      answer_count = 0;
+      csp_pump_dispatch (dispatch, now_ms);
+      in_vain += answer_count > 0 && answers[0].outcome == CSP_ASK_REFUSED;
+      if (now_ms % ASK_EVERY_MS < STEP_MS)
+        {
+          csp_ask_t row = { .host = there,
+                            .id = ++id,
+                            .organisation = 1,
+                            .prompt_tokens = RUN / 2,
+                            .tokens = RUN,
+                            .start_within_ms = ASK_PATIENCE_MS };
+
+          csp_push_ask (dispatch, &row, "s", MEMORY, now_ms);
+          at_once += answers[answer_count - 1].outcome == CSP_ASK_REFUSED;
+        }
+      for (i = 0; i < answer_count; i++)
+        if (answers[i].outcome == CSP_ASK_PLACED)
+          {
+            size_t target = answers[i].target != csp_fleet_at (fleet, 0)->hash;
+            size_t place = ends_ms[target] > now_ms ? target + 2 : target;
+
+            ck_assert_int_le (ends_ms[place], now_ms);
+            ends_ms[place] = now_ms + RUN_MS;
+            placed++;
+          }
+    }
+  /* 120 places could be given in a minute.  */
+  ck_assert_int_ge (placed, 105);
+  ck_assert_int_gt (at_once, in_vain);
+}
+END_TEST
+
 /* An engine with memory left runs no more requests at once than it has
    slots.  */
 START_TEST (slots_are_places_too)
@@ -234,6 +303,7 @@
   tcase_add_test (tcase, an_ask_that_comes_again_is_answered_again);
   tcase_add_test (tcase, an_ask_that_is_over_waits_no_longer);
   tcase_add_test (tcase, an_ask_that_waits_in_vain_is_refused_in_time);
+  tcase_add_test (tcase, in_overload_most_hear_at_once);
   tcase_add_test (tcase, slots_are_places_too);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
