--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -79,7 +79,7 @@
       csp_push_ask (gateway->dispatch, &ask, exchange->service->name,
                     exchange->service->memory_tokens,
                     csp_gateway_now_ms (gateway));
-      take_own_answers (gateway);
+      csp_take_own_answers (gateway);
       return;
     }
   hello.asks[0].id = ask.id;
@@ -215,8 +215,8 @@
 /* Answers to our own asks, when we decide ourselves, wait until the dispatch
    has returned: what they begin may ask again, and the dispatch can't be
    entered from within.  */
-static void
-take_own_answers (csp_gateway_t *gateway)
+void
+csp_take_own_answers (csp_gateway_t *gateway)
 {
   csp_ask_answer_t answer;
 
@@ -236,7 +236,7 @@
 csp_pump_places (csp_gateway_t *gateway)
 {
   csp_pump_dispatch (gateway->dispatch, csp_gateway_now_ms (gateway));
-  take_own_answers (gateway);
+  csp_take_own_answers (gateway);
 }
 
 /* A service by the hash of its name; NULL where no route has it.  */
@@ -286,5 +286,5 @@
         csp_push_ask (gateway->dispatch, &ask, service->name,
                       service->memory_tokens, now_ms);
     }
-  take_own_answers (gateway);
+  csp_take_own_answers (gateway);
 }
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -216,6 +216,8 @@
 void csp_take_dispatch_hello (csp_gateway_t *gateway, csp_peer_address_t from,
                               const csp_hello_t *hello);
 
+void csp_take_own_answers (csp_gateway_t *gateway);
+
 /* Give places that have come free.  */
 void csp_pump_places (csp_gateway_t *gateway);
 
