--- a/tests/adapter/adapter-test.c
+++ b/tests/adapter/adapter-test.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 /* The adapter against the platform's own spellings.  */
@@ -222,6 +223,67 @@
 }
 END_TEST
 
+/* The program itself, as who runs it sees it.  */
+static const struct
+{
+  const char *arguments;
+  const char *settings; /* NULL: no variable names a file */
+  int exit_code;
+  const char *printed;
+} commands[] = {
+  { "--help", NULL, 0, "Usage: cowslip-gateway" },
+  { "--version", NULL, 0, "cowslip-gateway " },
+  { "--check-settings", NULL, 2, "COWSLIPSPOKE_CONFIG" },
+  { "--settings /none --check-settings", NULL, 2, "/none" },
+  { "--check-settings",
+    SETTINGS ("\"127.0.0.1:1\"", "\"stop_limit_s\":8,\"retry_extra\":58"), 0,
+    "" },
+  { "", SETTINGS ("\"here\"", "\"stop_limit_s\":8,\"retry_extra\":58"), 2,
+    "\"here\" is no ADDRESS:PORT" },
+  { "--other", NULL, 2, "no such option" },
+  { "more", NULL, 2, "more" },
+};
+
+START_TEST (the_command_line_tells_what_is_wrong)
+{
+  const char *build = getenv ("BUILD");
+  char path[] = "/tmp/adapter-settings-XXXXXX";
+  const char *settings = commands[_i].settings;
+  char command[400];
+  char printed[2000];
+  size_t printed_bytes;
+  FILE *program;
+  int status;
+
+  if (settings != NULL)
+    {
+      int file = mkstemp (path);
+
+      ck_assert_int_ge (file, 0);
+      ck_assert_int_eq (write (file, settings, strlen (settings)),
+                        (int)strlen (settings));
+      close (file);
+    }
+  snprintf (command, sizeof command,
+            "env -u COWSLIPSPOKE_CONFIG %s%s %s/cowslip-gateway %s 2>&1",
+            settings == NULL ? "" : "COWSLIPSPOKE_CONFIG=",
+            settings == NULL ? "" : path,
+            build == NULL ? "build/plain" : build, commands[_i].arguments);
+  program = popen (command, "r");
+  ck_assert_ptr_nonnull (program);
+  printed_bytes = fread (printed, 1, sizeof printed - 1, program);
+  printed[printed_bytes] = '\0';
+  status = pclose (program);
+  ck_assert_msg (WIFEXITED (status)
+                     && WEXITSTATUS (status) == commands[_i].exit_code,
+                 "%s: %s", commands[_i].arguments, printed);
+  ck_assert_msg (strstr (printed, commands[_i].printed) != NULL, "%s: %s",
+                 commands[_i].arguments, printed);
+  if (settings != NULL)
+    unlink (path);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -237,6 +299,8 @@
   tcase_add_test (tcase, a_run_is_copied_in_the_platforms_words);
   tcase_add_loop_test (tcase, settings_are_read_or_their_faults_told, 0,
                        sizeof settings_rows / sizeof settings_rows[0]);
+  tcase_add_loop_test (tcase, the_command_line_tells_what_is_wrong, 0,
+                       sizeof commands / sizeof commands[0]);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
