--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -200,14 +200,13 @@
     dispatch->waiting_room--;
 }
 
-/* The product's queue, and where engines that are lost and come back by the
-   second ask for other figures: what got places half a minute ago says little
-   of what is free now, so the rate is measured over two seconds; and more wait
-   in vain than the rate says, so a request is refused on arrival already when
-   an eighth of the time that it has would do by the rate.  Those who wait in
-   vain lose more than those who are told at once: by 8 in place of 3, and two
-   seconds in place of ten, worth rises from 0.489 to 0.548 at 1.2 times the
-   memory of 48 engines.  */
+/* The queue's usual figures but two.  Engines are lost and come back by the
+   second, and what got places half a minute ago says little of what is free
+   now; so the rate is measured over two seconds.  And more wait in vain than
+   the rate says, as those that are more urgent pass; so a request is refused
+   on arrival already when its wait by the rate is an eighth of the time that
+   it has.  At 1.2 times the memory of 48 engines, 66 in 100 long texts and 78
+   in 100 short ones come in time so, and 59 and 71 with the usual figures.  */
 static csp_queue_policy_t
 queue_policy (void)
 {
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -52,8 +52,7 @@
   return exchange->move.wanted && exchange->move.state == CSP_MOVE_NONE
          && exchange->mode == CSP_ANSWER_STREAM && exchange->events > 0
          && exchange->target != NULL
-         && exchange->move.tries < CSP_MOVE_TRIES_MAX
-         && !csp_run_ends_in_time (exchange);
+         && exchange->move.tries < CSP_MOVE_TRIES_MAX;
 }
 
 static void
@@ -78,8 +77,10 @@
     {
       if (!waits_for_turn (exchange))
         continue;
+      /* One that ends in time is looked at again: it may not.  */
       waiting = true;
-      if (exchange->target->moving || now_ms < exchange->target->turn_at_ms)
+      if (exchange->target->moving || now_ms < exchange->target->turn_at_ms
+          || csp_run_ends_in_time (exchange))
         continue;
       if (best == NULL
           || expected_left_ms (exchange) > expected_left_ms (best))
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -12,7 +12,7 @@
 {
   BACKLOG = 512,
   /* Lapsed targets and silent streams are looked at that often; a silent
-     stream is late within 180 ms in the users' days, and a glance at some
+     stream is late within 180 ms by the users' word, and a glance at some
      dozens of streams costs microseconds.  */
   TICK_MS = 100
 };
--- a/tests/gateway/stream-test.c
+++ b/tests/gateway/stream-test.c
@@ -342,6 +342,25 @@
 }
 END_TEST
 
+/* A run looked nearly done when its engine's notice came, and is left where it
+   is.  It writes on, with no other stream there that would make the host look
+   again; the engine ends and the text is cut.  */
+START_TEST (a_run_that_does_not_end_in_time_is_moved_after_all)
+{
+  int copy;
+
+  start_guessed_stream (false, 40);
+  add_second ();
+  fixture_leave (&fixture, listeners[0], ids[0], "engines");
+  fixture_settle (&fixture);
+  csp_advance_fake_clock (&fixture.fake, 600);
+  copy = target_accept (listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (copy, 0), "last=0"));
+  close (copy);
+  close (link_from);
+}
+END_TEST
+
 /* The engine's machine lost power: nothing comes any more and the connection
    stays open.  The caller would wait for seconds and then leave.  */
 START_TEST (a_silent_stream_goes_on_from_its_backup)
@@ -379,6 +398,7 @@
   tcase_add_test (tcase, a_young_run_is_not_given_up_for_its_backup);
   tcase_add_test (tcase, a_run_with_a_whole_backup_goes_on_there_at_once);
   tcase_add_test (tcase, a_run_past_its_guess_is_not_taken_for_nearly_done);
+  tcase_add_test (tcase, a_run_that_does_not_end_in_time_is_moved_after_all);
   tcase_add_test (tcase, a_silent_stream_goes_on_from_its_backup);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
