--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -4,6 +4,7 @@
 #include "cowslipspoke/buffer.h"
 #include "cowslipspoke/random.h"
 
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -36,6 +37,14 @@
   uint16_t port;
 } csp_peer_address_t;
 
+bool csp_is_same_peer (csp_peer_address_t a, csp_peer_address_t b);
+csp_peer_address_t csp_peer_of_socket (const struct sockaddr_in *address);
+struct sockaddr_in csp_socket_of_peer (csp_peer_address_t peer);
+
+/* A place in an order of hosts that all work out alike; another salt gives
+   another order.  */
+uint64_t csp_order_peer (csp_peer_address_t peer, uint64_t salt);
+
 /* What one host has under way at one target.  */
 typedef struct
 {
--- a/include/cowslipspoke/route.h
+++ b/include/cowslipspoke/route.h
@@ -42,7 +42,7 @@
   csp_route_kind_t kind;
   uint32_t timeout_ms;
   uint32_t objective_ms;
-  uint32_t gap_target_ms; /* longest pause between two events of a stream */
+  uint32_t longest_gap_ms; /* longest pause between two events of a stream */
   uint32_t attempts_max;
   uint32_t urgency; /* 0 is the most urgent */
   bool open_to_all; /* needs no key */
@@ -55,9 +55,8 @@
 {
   const char *name;
   bool is_engine;
-  bool takes_backups;       /* a run's memory can be copied as it grows */
-  bool moves_runs;          /* a run's memory can be copied on demand */
-  uint32_t connections_max; /* to one target, of all callers */
+  bool takes_backups; /* a run's memory can be copied as it grows */
+  bool moves_runs;    /* a run's memory can be copied on demand */
   uint32_t memory_tokens;
   double copy_ms_per_token; /* of a run's memory, within a data centre */
 } csp_route_service_t;
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -144,12 +144,6 @@
   dispatch->reserved_count = kept;
 }
 
-static bool
-is_from (csp_peer_address_t a, csp_peer_address_t b)
-{
-  return a.ip == b.ip && a.port == b.port;
-}
-
 static waiting_ask_t *
 find_waiting (csp_dispatch_t *dispatch, csp_peer_address_t host, uint64_t id)
 {
@@ -157,7 +151,7 @@
 
   for (i = 0; i < dispatch->waiting_room; i++)
     if (dispatch->waiting[i].used && dispatch->waiting[i].ask.id == id
-        && is_from (dispatch->waiting[i].ask.host, host))
+        && csp_is_same_peer (dispatch->waiting[i].ask.host, host))
       return &dispatch->waiting[i];
   return NULL;
 }
@@ -286,7 +280,7 @@
   for (i = 0; i < REMEMBERED; i++)
     if (dispatch->remembered[i].outcome != CSP_ASK_WAITS
         && dispatch->remembered[i].id == ask->id
-        && is_from (dispatch->remembered[i].host, ask->host))
+        && csp_is_same_peer (dispatch->remembered[i].host, ask->host))
       {
         dispatch->take (dispatch->state, &dispatch->remembered[i]);
         return true;
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -63,7 +63,7 @@
 static bool
 is_self (const csp_gateway_t *gateway, csp_peer_address_t host)
 {
-  return host.ip == gateway->self.ip && host.port == gateway->self.port;
+  return csp_is_same_peer (host, gateway->self);
 }
 
 static void
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -2,7 +2,6 @@
 
 #include "cowslipspoke/hash.h"
 
-#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -40,25 +39,6 @@
   csp_each_peer_load (gateway->roster, count_load, gateway->fleet);
 }
 
-static struct sockaddr_in
-socket_address (csp_peer_address_t peer)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-
-  address.sin_addr.s_addr = htonl (peer.ip);
-  address.sin_port = htons (peer.port);
-  return address;
-}
-
-static csp_peer_address_t
-peer_address (const struct sockaddr_in *address)
-{
-  csp_peer_address_t peer = { .ip = ntohl (address->sin_addr.s_addr),
-                              .port = ntohs (address->sin_port) };
-
-  return peer;
-}
-
 /* Send now or not at all: a greeting that waits is an old one.  */
 void
 csp_send_hello (csp_gateway_t *gateway, csp_hello_t *hello,
@@ -75,7 +55,7 @@
   if (csp_encode_hello (hello, &bytes))
     for (i = 0; i < peer_count; i++)
       {
-        struct sockaddr_in to = socket_address (peers[i]);
+        struct sockaddr_in to = csp_socket_of_peer (peers[i]);
         uv_buf_t buffer = uv_buf_init (bytes.data, (unsigned)bytes.size_bytes);
 
         uv_udp_try_send (&gateway->peers, &buffer, 1,
@@ -211,7 +191,7 @@
   if (size_bytes <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0
       || !csp_decode_hello (room->base, (size_t)size_bytes, &hello))
     return;
-  peer = peer_address ((const struct sockaddr_in *)from);
+  peer = csp_peer_of_socket ((const struct sockaddr_in *)from);
   if (csp_hear_peer (gateway->roster, peer, &hello,
                      csp_gateway_now_ms (gateway))
       && (hello.whole || hello.load_count > 0))
@@ -243,7 +223,7 @@
 
   pthread_mutex_lock (&gateway->live_lock);
   *reader = gateway->reader;
-  other = reader->ip != gateway->self.ip || reader->port != gateway->self.port;
+  other = !csp_is_same_peer (*reader, gateway->self);
   pthread_mutex_unlock (&gateway->live_lock);
   return other;
 }
@@ -256,7 +236,7 @@
   size_t i;
 
   pthread_mutex_init (&gateway->live_lock, NULL);
-  gateway->self = peer_address (&settings->peers);
+  gateway->self = csp_peer_of_socket (&settings->peers);
   gateway->reader = gateway->self;
   gateway->data_centre
       = (uint32_t)csp_hash_pair ("data_centre", settings->data_centre);
@@ -282,7 +262,7 @@
              != 0)
     return false;
   for (i = 0; i < settings->seed_count; i++)
-    csp_learn_peer (gateway->roster, peer_address (&settings->seeds[i]));
+    csp_learn_peer (gateway->roster, csp_peer_of_socket (&settings->seeds[i]));
   uv_timer_start (&gateway->greet_timer, on_greet, 0, GREET_TICK_MS);
   return true;
 }
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -1,7 +1,5 @@
 #include "gateway/gateway-move-imp.h"
 
-#include <arpa/inet.h>
-
 /* Which streams leave a target, when, and in which order.  */
 
 enum
@@ -105,21 +103,13 @@
   uint32_t hosts_before;
 } turn_t;
 
-static uint64_t
-rank_of (uint64_t target, csp_peer_address_t peer)
-{
-  /* Knuth's multiplicative hash, so that turns differ by target.  */
-  return (((uint64_t)peer.ip << 16 | peer.port) ^ target)
-         * 0x9e3779b97f4a7c15U;
-}
-
 static void
 count_turn (void *state, csp_peer_address_t peer, const csp_peer_load_t *load)
 {
   turn_t *turn = state;
 
   if (load->target != turn->target->hash || load->movable_tokens == 0
-      || rank_of (load->target, peer) >= turn->own_rank)
+      || csp_order_peer (peer, load->target) >= turn->own_rank)
     return;
   turn->tokens_before += load->movable_tokens;
   turn->hosts_before++;
@@ -128,10 +118,8 @@
 static int64_t
 own_turn_ms (const csp_gateway_t *gateway, const csp_fleet_target_t *target)
 {
-  const struct sockaddr_in *self = &gateway->settings.peers;
-  csp_peer_address_t own = { .ip = ntohl (self->sin_addr.s_addr),
-                             .port = ntohs (self->sin_port) };
-  turn_t turn = { .target = target, .own_rank = rank_of (target->hash, own) };
+  turn_t turn = { .target = target,
+                  .own_rank = csp_order_peer (gateway->self, target->hash) };
   const csp_route_service_t *service = NULL;
 
   if (gateway->routes != NULL)
--- a/source/mirror/mirror-feed.c
+++ b/source/mirror/mirror-feed.c
@@ -2,7 +2,6 @@
 
 #include "mirror/mirror-imp.h"
 
-#include <arpa/inet.h>
 #include <stdlib.h>
 
 const char csp_mirror_path[] = "/mirror?";
@@ -135,10 +134,8 @@
 static void
 follow_host (csp_mirror_feed_t *feed, csp_peer_address_t host)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct sockaddr_in address = csp_socket_of_peer (host);
 
-  address.sin_addr.s_addr = htonl (host.ip);
-  address.sin_port = htons (host.port);
   feed->host_address = host;
   feed->host = csp_open_follower (feed->loop, &address, &host_source,
                                   csp_mirror_revision (feed->mirror), feed);
@@ -182,9 +179,7 @@
 static void
 follow_reader (csp_mirror_feed_t *feed, csp_peer_address_t reader)
 {
-  if (feed->host != NULL
-      && (feed->host_address.ip != reader.ip
-          || feed->host_address.port != reader.port))
+  if (feed->host != NULL && !csp_is_same_peer (feed->host_address, reader))
     stop_host (feed);
   if (feed->host == NULL)
     follow_host (feed, reader);
--- /dev/null
+++ b/source/roster/peer-address.c
@@ -0,0 +1,36 @@
+#include "cowslipspoke/roster.h"
+
+#include <arpa/inet.h>
+
+bool
+csp_is_same_peer (csp_peer_address_t a, csp_peer_address_t b)
+{
+  return a.ip == b.ip && a.port == b.port;
+}
+
+csp_peer_address_t
+csp_peer_of_socket (const struct sockaddr_in *address)
+{
+  csp_peer_address_t peer = { .ip = ntohl (address->sin_addr.s_addr),
+                              .port = ntohs (address->sin_port) };
+
+  return peer;
+}
+
+struct sockaddr_in
+csp_socket_of_peer (csp_peer_address_t peer)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  address.sin_addr.s_addr = htonl (peer.ip);
+  address.sin_port = htons (peer.port);
+  return address;
+}
+
+/* Neighbouring addresses are often one rack; a multiplicative hash spreads
+   the order over them.  */
+uint64_t
+csp_order_peer (csp_peer_address_t peer, uint64_t salt)
+{
+  return (((uint64_t)peer.ip << 16 | peer.port) ^ salt) * 0x9e3779b97f4a7c15U;
+}
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -5,6 +5,8 @@
 
 enum
 {
+  /* The order in which hosts read and decide for the others.  */
+  READING_SALT = 0,
   /* Each host greets the others that often; at 91 hosts that is 91 datagrams
      a second each way.  */
   GREET_MS = 1000,
@@ -73,19 +75,13 @@
   free (roster);
 }
 
-static bool
-is_same (csp_peer_address_t a, csp_peer_address_t b)
-{
-  return a.ip == b.ip && a.port == b.port;
-}
-
 static peer_t *
 find_peer (csp_roster_t *roster, csp_peer_address_t address)
 {
   size_t i;
 
   for (i = 0; i < roster->count; i++)
-    if (is_same (roster->peers[i].address, address))
+    if (csp_is_same_peer (roster->peers[i].address, address))
       return &roster->peers[i];
   return NULL;
 }
@@ -116,7 +112,8 @@
 void
 csp_learn_peer (csp_roster_t *roster, csp_peer_address_t address)
 {
-  if (!is_same (address, roster->self) && find_peer (roster, address) == NULL)
+  if (!csp_is_same_peer (address, roster->self)
+      && find_peer (roster, address) == NULL)
     add_peer (roster, address);
 }
 
@@ -152,7 +149,7 @@
   peer_t *peer;
   size_t i;
 
-  if (hello->boot == roster->boot || is_same (from, roster->self))
+  if (hello->boot == roster->boot || csp_is_same_peer (from, roster->self))
     return false;
   peer = find_peer (roster, from);
   if (peer == NULL)
@@ -250,13 +247,6 @@
   return live;
 }
 
-/* Neighbouring addresses are often one rack; the order spreads over them.  */
-static uint64_t
-reading_order (csp_peer_address_t address)
-{
-  return ((uint64_t)address.ip << 16 | address.port) * 0x9e3779b97f4a7c15U;
-}
-
 void
 csp_set_roster_blind (csp_roster_t *roster, bool blind)
 {
@@ -275,7 +265,8 @@
   for (i = 0; i < roster->count; i++)
     {
       const peer_t *peer = &roster->peers[i];
-      bool earlier = reading_order (peer->address) < reading_order (reader);
+      bool earlier = csp_order_peer (peer->address, READING_SALT)
+                     < csp_order_peer (reader, READING_SALT);
 
       if (!peer->live || peer->leaving
           || peer->data_centre != roster->data_centre)
@@ -300,7 +291,8 @@
       const peer_t *peer = &roster->peers[i];
 
       if (peer->live && !peer->leaving
-          && reading_order (peer->address) < reading_order (decider))
+          && csp_order_peer (peer->address, READING_SALT)
+                 < csp_order_peer (decider, READING_SALT))
         decider = peer->address;
     }
   return decider;
--- a/tests/adapter/adapter-test.c
+++ b/tests/adapter/adapter-test.c
@@ -44,7 +44,7 @@
   ck_assert_uint_eq (route->objective_ms, 150);
   ck_assert_uint_eq (route->attempts_max, 2);
   ck_assert_uint_eq (route->urgency, 2);
-  ck_assert_uint_eq (route->gap_target_ms, 180);
+  ck_assert_uint_eq (route->longest_gap_ms, 180);
   ck_assert_str_eq (route->shares[0].service, "e");
   ck_assert_int_eq (csp_find_key (routes, "k2")->urgency, 1);
   service = csp_get_route_service (routes, "e");
