--- a/include/cowslipspoke/dispatch.h
+++ b/include/cowslipspoke/dispatch.h
@@ -33,6 +33,11 @@
   uint32_t tokens; /* memory that the run is expected to take */
   uint32_t start_within_ms;
   uint8_t urgency; /* 0 is the most urgent */
+  /* A stream that leaves a target asks where to go; the other fields of a new
+     request say nothing then.  */
+  uint64_t moves_from; /* hash of that target's id; 0: a new request */
+  uint64_t refused_at; /* hash of one that had no room; 0: none */
+  uint32_t left_ms;    /* how much longer the run will probably write */
 } csp_ask_t;
 
 typedef void (*csp_take_ask_answer_t) (void *state,
@@ -52,13 +57,15 @@
                    const char *service, uint32_t memory_tokens,
                    int64_t now_ms);
 
-/* The request is over, or its host has placed it by itself.  */
+/* The request is over, or its host has placed it by itself; a move that was
+   placed is done.  */
 void csp_cancel_ask (csp_dispatch_t *dispatch, csp_peer_address_t host,
                      uint64_t id);
 
 /* Serve what waits; call it when load has changed and a few times a second. */
 void csp_pump_dispatch (csp_dispatch_t *dispatch, int64_t now_ms);
 
+/* Requests and streams that load that changes may help.  */
 uint32_t csp_count_waiting_asks (const csp_dispatch_t *dispatch);
 
 #endif
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -66,6 +66,9 @@
   uint32_t tokens;
   uint32_t start_within_ms;
   uint8_t urgency;
+  uint64_t moves_from; /* hash of the target that a stream leaves; 0: none */
+  uint64_t refused_at; /* hash of one that had no room for it; 0: none */
+  uint32_t left_ms;    /* how much longer it will probably write */
 } csp_hello_ask_t;
 
 /* What an ask for a place comes to.  */
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -1,6 +1,5 @@
-#include "cowslipspoke/dispatch.h"
+#include "dispatch/dispatch-imp.h"
 
-#include "cowslipspoke/queue.h"
 #include "cowslipspoke/text.h"
 
 #include <stdlib.h>
@@ -13,64 +12,9 @@
 
 enum
 {
-  POOLS_MAX = 8,
-  WAITING_MAX = 4096,
-  ORGANISATIONS_MAX = 1024,
-  /* A place that was given counts here until its host's own word of it must
-     have come: a message there, one back, and the moment in which changes are
-     told together.  */
-  RESERVED_MS = 30,
-  RESERVED_MAX = 1024,
-  /* Answers that are remembered for asks that come again.  */
-  REMEMBERED = 512,
   URGENCY_MAX = 9
 };
 
-/* Engines of one service, and who waits for them.  */
-typedef struct
-{
-  char service[CSP_TARGET_NAME_BYTES];
-  uint32_t memory_tokens;
-  csp_queue_t *queue;
-} pool_t;
-
-typedef struct
-{
-  bool used;
-  uint64_t queue_id;
-  uint8_t pool;
-  uint32_t organisation;
-  csp_ask_t ask;
-} waiting_ask_t;
-
-typedef struct
-{
-  csp_fleet_target_t *target;
-  uint32_t tokens;
-  uint32_t reading_tokens;
-  int64_t until_ms;
-} reservation_t;
-
-struct csp_dispatch
-{
-  csp_fleet_t *fleet;
-  csp_take_ask_answer_t take;
-  void *state;
-  csp_random_t random;
-  uint64_t next_id;
-  size_t pool_count;
-  pool_t pools[POOLS_MAX];
-  size_t organisation_count;
-  uint32_t organisations[ORGANISATIONS_MAX];
-  size_t waiting_room; /* used entries lie below */
-  uint32_t waiting_count;
-  waiting_ask_t waiting[WAITING_MAX];
-  size_t reserved_count;
-  reservation_t reserved[RESERVED_MAX];
-  size_t remembered_next;
-  csp_ask_answer_t remembered[REMEMBERED];
-};
-
 csp_dispatch_t *
 csp_create_dispatch (csp_fleet_t *fleet, csp_take_ask_answer_t take,
                      void *state, uint64_t seed)
@@ -87,17 +31,6 @@
   return dispatch;
 }
 
-static void
-release (reservation_t *reservation)
-{
-  csp_fleet_target_t *target = reservation->target;
-
-  target->reserved.requests--;
-  target->reserved.tokens -= reservation->tokens;
-  target->reserved.reading_tokens -= reservation->reading_tokens;
-  target->users--;
-}
-
 void
 csp_destroy_dispatch (csp_dispatch_t *dispatch)
 {
@@ -105,46 +38,14 @@
 
   if (dispatch == NULL)
     return;
-  for (i = 0; i < dispatch->reserved_count; i++)
-    release (&dispatch->reserved[i]);
+  csp_release_all_moves (dispatch);
+  csp_release_all_reserved (dispatch);
   for (i = 0; i < dispatch->pool_count; i++)
     csp_destroy_queue (dispatch->pools[i].queue);
   free (dispatch);
 }
 
-static void
-reserve (csp_dispatch_t *dispatch, csp_fleet_target_t *target,
-         const csp_ask_t *ask, int64_t now_ms)
-{
-  reservation_t reservation = { .target = target,
-                                .tokens = ask->tokens,
-                                .reading_tokens = ask->prompt_tokens,
-                                .until_ms = now_ms + RESERVED_MS };
-
-  if (dispatch->reserved_count == RESERVED_MAX)
-    return;
-  target->reserved.requests++;
-  target->reserved.tokens += reservation.tokens;
-  target->reserved.reading_tokens += reservation.reading_tokens;
-  target->users++;
-  dispatch->reserved[dispatch->reserved_count++] = reservation;
-}
-
-static void
-expire_reserved (csp_dispatch_t *dispatch, int64_t now_ms)
-{
-  size_t kept = 0;
-  size_t i;
-
-  for (i = 0; i < dispatch->reserved_count; i++)
-    if (now_ms >= dispatch->reserved[i].until_ms)
-      release (&dispatch->reserved[i]);
-    else
-      dispatch->reserved[kept++] = dispatch->reserved[i];
-  dispatch->reserved_count = kept;
-}
-
-static waiting_ask_t *
+static csp_waiting_ask_t *
 find_waiting (csp_dispatch_t *dispatch, csp_peer_address_t host, uint64_t id)
 {
   size_t i;
@@ -156,7 +57,7 @@
   return NULL;
 }
 
-static waiting_ask_t *
+static csp_waiting_ask_t *
 find_queued (csp_dispatch_t *dispatch, uint64_t queue_id)
 {
   size_t i;
@@ -167,12 +68,12 @@
   return NULL;
 }
 
-static waiting_ask_t *
+static csp_waiting_ask_t *
 take_room (csp_dispatch_t *dispatch)
 {
   size_t i;
 
-  for (i = 0; i < WAITING_MAX; i++)
+  for (i = 0; i < CSP_DISPATCH_WAITING_MAX; i++)
     if (!dispatch->waiting[i].used)
       {
         dispatch->waiting[i].used = true;
@@ -185,7 +86,7 @@
 }
 
 static void
-give_room (csp_dispatch_t *dispatch, waiting_ask_t *waiting)
+give_room (csp_dispatch_t *dispatch, csp_waiting_ask_t *waiting)
 {
   waiting->used = false;
   dispatch->waiting_count--;
@@ -212,12 +113,12 @@
 }
 
 /* The pool of a service; the last one serves those that find no room.  */
-static pool_t *
+static csp_dispatch_pool_t *
 find_pool (csp_dispatch_t *dispatch, const char *service,
            uint32_t memory_tokens)
 {
   csp_queue_policy_t policy = queue_policy ();
-  pool_t *pool;
+  csp_dispatch_pool_t *pool;
   size_t i;
 
   for (i = 0; i < dispatch->pool_count; i++)
@@ -226,7 +127,7 @@
         dispatch->pools[i].memory_tokens = memory_tokens;
         return &dispatch->pools[i];
       }
-  if (dispatch->pool_count == POOLS_MAX)
+  if (dispatch->pool_count == CSP_DISPATCH_POOLS_MAX)
     return NULL;
   pool = &dispatch->pools[dispatch->pool_count];
   pool->queue = csp_create_queue (&policy);
@@ -247,50 +148,15 @@
   for (i = 0; i < dispatch->organisation_count; i++)
     if (dispatch->organisations[i] == organisation)
       return (uint32_t)i;
-  if (dispatch->organisation_count == ORGANISATIONS_MAX)
+  if (dispatch->organisation_count == CSP_DISPATCH_ORGANISATIONS_MAX)
     return 0;
   dispatch->organisations[dispatch->organisation_count++] = organisation;
   return (uint32_t)i;
 }
 
-static void
-answer (csp_dispatch_t *dispatch, const csp_ask_t *ask,
-        csp_ask_outcome_t outcome, uint64_t target, uint32_t retry_after_ms)
-{
-  csp_ask_answer_t told = { .host = ask->host,
-                            .id = ask->id,
-                            .outcome = outcome,
-                            .target = target,
-                            .retry_after_ms = retry_after_ms };
-
-  if (outcome != CSP_ASK_WAITS)
-    {
-      dispatch->remembered[dispatch->remembered_next] = told;
-      dispatch->remembered_next = (dispatch->remembered_next + 1) % REMEMBERED;
-    }
-  dispatch->take (dispatch->state, &told);
-}
-
-/* The answer to this ask was lost on its way.  */
-static bool
-answer_again (csp_dispatch_t *dispatch, const csp_ask_t *ask)
-{
-  size_t i;
-
-  for (i = 0; i < REMEMBERED; i++)
-    if (dispatch->remembered[i].outcome != CSP_ASK_WAITS
-        && dispatch->remembered[i].id == ask->id
-        && csp_is_same_peer (dispatch->remembered[i].host, ask->host))
-      {
-        dispatch->take (dispatch->state, &dispatch->remembered[i]);
-        return true;
-      }
-  return false;
-}
-
 static csp_fleet_target_t *
-find_place (csp_dispatch_t *dispatch, const pool_t *pool, const csp_ask_t *ask,
-            int64_t now_ms)
+find_place (csp_dispatch_t *dispatch, const csp_dispatch_pool_t *pool,
+            const csp_ask_t *ask, int64_t now_ms)
 {
   csp_fleet_need_t need = { .service = pool->service,
                             .data_centre = ask->data_centre,
@@ -305,8 +171,8 @@
 }
 
 static void
-push_waiting (csp_dispatch_t *dispatch, pool_t *pool, const csp_ask_t *ask,
-              int64_t now_ms)
+push_waiting (csp_dispatch_t *dispatch, csp_dispatch_pool_t *pool,
+              const csp_ask_t *ask, int64_t now_ms)
 {
   csp_waiting_t row = {
     .id = dispatch->next_id++,
@@ -318,18 +184,18 @@
     = (uint8_t)(URGENCY_MAX
                 - (ask->urgency < URGENCY_MAX ? ask->urgency : URGENCY_MAX))
   };
-  waiting_ask_t *waiting = take_room (dispatch);
+  csp_waiting_ask_t *waiting = take_room (dispatch);
   csp_error_t error = { .retry_after_ms = 0 };
 
   if (waiting == NULL)
     {
-      answer (dispatch, ask, CSP_ASK_REFUSED, 0, ask->start_within_ms);
+      csp_answer_ask (dispatch, ask, CSP_ASK_REFUSED, 0, ask->start_within_ms);
       return;
     }
   if (!csp_push_waiting (pool->queue, &row, now_ms, &error))
     {
       give_room (dispatch, waiting);
-      answer (dispatch, ask, CSP_ASK_REFUSED, 0, error.retry_after_ms);
+      csp_answer_ask (dispatch, ask, CSP_ASK_REFUSED, 0, error.retry_after_ms);
       return;
     }
   waiting->queue_id = row.id;
@@ -342,13 +208,21 @@
 csp_push_ask (csp_dispatch_t *dispatch, const csp_ask_t *ask,
               const char *service, uint32_t memory_tokens, int64_t now_ms)
 {
-  pool_t *pool = find_pool (dispatch, service, memory_tokens);
+  csp_dispatch_pool_t *pool = find_pool (dispatch, service, memory_tokens);
 
-  if (answer_again (dispatch, ask))
+  if (csp_answer_again (dispatch, ask))
     return;
   if (pool == NULL)
     {
-      answer (dispatch, ask, CSP_ASK_REFUSED, 0, ask->start_within_ms);
+      csp_answer_ask (dispatch, ask, CSP_ASK_REFUSED, 0, ask->start_within_ms);
+      return;
+    }
+  if (ask->moves_from != 0)
+    {
+      csp_push_move (dispatch, ask, (uint8_t)(pool - dispatch->pools), now_ms);
+      csp_pump_dispatch (dispatch, now_ms);
+      if (csp_move_waits (dispatch, ask->host, ask->id))
+        csp_answer_ask (dispatch, ask, CSP_ASK_WAITS, 0, 0);
       return;
     }
   if (find_waiting (dispatch, ask->host, ask->id) == NULL)
@@ -357,14 +231,15 @@
       csp_pump_dispatch (dispatch, now_ms);
     }
   if (find_waiting (dispatch, ask->host, ask->id) != NULL)
-    answer (dispatch, ask, CSP_ASK_WAITS, 0, 0);
+    csp_answer_ask (dispatch, ask, CSP_ASK_WAITS, 0, 0);
 }
 
 void
 csp_cancel_ask (csp_dispatch_t *dispatch, csp_peer_address_t host, uint64_t id)
 {
-  waiting_ask_t *waiting = find_waiting (dispatch, host, id);
+  csp_waiting_ask_t *waiting = find_waiting (dispatch, host, id);
 
+  csp_cancel_move (dispatch, host, id);
   if (waiting == NULL)
     return;
   csp_drop_waiting (dispatch->pools[waiting->pool].queue,
@@ -375,8 +250,8 @@
 /* Place one that waits.  It counts as served at once: how long it holds its
    place is known from the loads that hosts tell.  */
 static void
-place (csp_dispatch_t *dispatch, pool_t *pool, waiting_ask_t *waiting,
-       csp_fleet_target_t *target, int64_t now_ms)
+place (csp_dispatch_t *dispatch, csp_dispatch_pool_t *pool,
+       csp_waiting_ask_t *waiting, csp_fleet_target_t *target, int64_t now_ms)
 {
   csp_ask_t ask = waiting->ask;
 
@@ -384,39 +259,45 @@
   csp_settle_waiting (pool->queue, waiting->organisation, ask.tokens,
                       ask.tokens, now_ms);
   give_room (dispatch, waiting);
-  reserve (dispatch, target, &ask, now_ms);
-  answer (dispatch, &ask, CSP_ASK_PLACED, target->hash, 0);
+  csp_reserve_place (dispatch, target, ask.tokens, ask.prompt_tokens, now_ms);
+  csp_answer_ask (dispatch, &ask, CSP_ASK_PLACED, target->hash, 0);
 }
 
 static void
-expire_waiting (csp_dispatch_t *dispatch, pool_t *pool, int64_t now_ms)
+expire_waiting (csp_dispatch_t *dispatch, csp_dispatch_pool_t *pool,
+                int64_t now_ms)
 {
   csp_error_t error = { .retry_after_ms = 0 };
   csp_waiting_t row;
 
   while (csp_expire_waiting (pool->queue, now_ms, &row, &error))
     {
-      waiting_ask_t *waiting = find_queued (dispatch, row.id);
+      csp_waiting_ask_t *waiting = find_queued (dispatch, row.id);
 
       if (waiting == NULL)
         continue;
       csp_ask_t ask = waiting->ask;
 
       give_room (dispatch, waiting);
-      answer (dispatch, &ask, CSP_ASK_REFUSED, 0, error.retry_after_ms);
+      csp_answer_ask (dispatch, &ask, CSP_ASK_REFUSED, 0,
+                      error.retry_after_ms);
     }
 }
 
 static void
-pump_pool (csp_dispatch_t *dispatch, pool_t *pool, int64_t now_ms)
+pump_pool (csp_dispatch_t *dispatch, csp_dispatch_pool_t *pool, int64_t now_ms)
 {
   csp_waiting_t row;
   bool borrowing;
 
+  /* A stream that leaves a target and finds no room is lost within a second,
+     and what was read and written for it too; so what comes free goes to the
+     streams first.  New requests still take what is too small for those.  */
+  csp_pump_moves_of_pool (dispatch, (uint8_t)(pool - dispatch->pools), now_ms);
   csp_begin_pump (pool->queue, now_ms);
   while (csp_next_waiting (pool->queue, &row, &borrowing))
     {
-      waiting_ask_t *waiting = find_queued (dispatch, row.id);
+      csp_waiting_ask_t *waiting = find_queued (dispatch, row.id);
       csp_fleet_target_t *target
           = waiting == NULL
                 ? NULL
@@ -435,7 +316,7 @@
 {
   size_t i;
 
-  expire_reserved (dispatch, now_ms);
+  csp_expire_reserved (dispatch, now_ms);
   for (i = 0; i < dispatch->pool_count; i++)
     pump_pool (dispatch, &dispatch->pools[i], now_ms);
 }
@@ -443,5 +324,5 @@
 uint32_t
 csp_count_waiting_asks (const csp_dispatch_t *dispatch)
 {
-  return dispatch->waiting_count;
+  return dispatch->waiting_count + dispatch->move_count;
 }
--- a/source/gateway/gateway-backup.c
+++ b/source/gateway/gateway-backup.c
@@ -40,9 +40,11 @@
                             .memory_tokens = exchange->service->memory_tokens,
                             .tokens = exchange->tokens,
                             .is_copy = true,
-                            .not_this = target,
-                            .nor_this = exchange->move.refused };
+                            .not_this = target };
 
+  if (csp_gateway_now_ms (gateway) < exchange->move.refused_until_ms)
+    need.nor_this
+        = csp_find_hashed_target (gateway->fleet, exchange->move.refused_at);
   return csp_choose_fleet_target (gateway->fleet, &need, &gateway->random,
                                   csp_gateway_now_ms (gateway));
 }
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -1,4 +1,4 @@
-#include "gateway/gateway-exchange-imp.h"
+#include "gateway/gateway-move-imp.h"
 
 #include "cowslipspoke/hash.h"
 
@@ -57,6 +57,12 @@
   if (exchange->organisation != NULL)
     ask.organisation
         = (uint32_t)csp_hash_pair ("organisation", exchange->organisation);
+  if (!exchange->asks_to_move)
+    return ask;
+  ask.moves_from = exchange->target->hash;
+  ask.left_ms = (uint32_t)csp_expected_left_ms (exchange);
+  if (csp_gateway_now_ms (gateway) < exchange->move.refused_until_ms)
+    ask.refused_at = exchange->move.refused_at;
   return ask;
 }
 
@@ -90,11 +96,14 @@
   hello.asks[0].tokens = ask.tokens;
   hello.asks[0].start_within_ms = ask.start_within_ms;
   hello.asks[0].urgency = ask.urgency;
+  hello.asks[0].moves_from = ask.moves_from;
+  hello.asks[0].refused_at = ask.refused_at;
+  hello.asks[0].left_ms = ask.left_ms;
   csp_send_hello (gateway, &hello, &decider, 1);
 }
 
-void
-csp_ask_for_place (csp_exchange_t *exchange)
+static void
+begin_ask (csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
 
@@ -106,6 +115,33 @@
   send_ask (exchange);
 }
 
+void
+csp_ask_for_place (csp_exchange_t *exchange)
+{
+  exchange->asks_to_move = false;
+  begin_ask (exchange);
+}
+
+void
+csp_ask_to_move (csp_exchange_t *exchange)
+{
+  exchange->asks_to_move = true;
+  begin_ask (exchange);
+}
+
+static void
+go_on_alone (csp_exchange_t *exchange)
+{
+  exchange->asking = false;
+  if (!exchange->asks_to_move)
+    {
+      csp_place_alone (exchange);
+      return;
+    }
+  exchange->move.alone = true;
+  csp_pump_moves (exchange->gateway);
+}
+
 static void
 on_ask_timer (uv_timer_t *timer)
 {
@@ -117,8 +153,7 @@
     return;
   if (silent_ms >= ASK_SILENT_MS + (exchange->ask_answered ? ASK_KEEP_MS : 0))
     {
-      exchange->asking = false;
-      csp_place_alone (exchange);
+      go_on_alone (exchange);
       return;
     }
   uv_timer_start (&exchange->move.timer, on_ask_timer,
@@ -129,25 +164,40 @@
   send_ask (exchange);
 }
 
-void
-csp_drop_ask (csp_exchange_t *exchange)
+/* What was asked for isn't needed any more.  */
+static void
+cancel_ask (const csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
-  csp_peer_address_t decider;
-  csp_hello_t hello = { .cancel_count = 1 };
+  csp_peer_address_t decider = csp_pick_decider (gateway->roster);
+  csp_hello_t hello = { .cancel_count = 1, .cancels = { exchange->ask_id } };
 
-  if (!exchange->asking)
-    return;
-  exchange->asking = false;
-  uv_timer_stop (&exchange->move.timer);
-  decider = csp_pick_decider (gateway->roster);
   if (is_self (gateway, decider))
     {
       csp_cancel_ask (gateway->dispatch, gateway->self, exchange->ask_id);
-      return;
+      csp_pump_places (gateway);
     }
-  hello.cancels[0] = exchange->ask_id;
-  csp_send_hello (gateway, &hello, &decider, 1);
+  else
+    csp_send_hello (gateway, &hello, &decider, 1);
+}
+
+void
+csp_drop_ask (csp_exchange_t *exchange)
+{
+  if (!exchange->asking)
+    return;
+  exchange->asking = false;
+  uv_timer_stop (&exchange->move.timer);
+  cancel_ask (exchange);
+}
+
+void
+csp_release_move (csp_exchange_t *exchange)
+{
+  if (!exchange->move.granted)
+    return;
+  exchange->move.granted = false;
+  cancel_ask (exchange);
 }
 
 static csp_exchange_t *
@@ -162,12 +212,35 @@
   return NULL;
 }
 
+/* What was asked for is to be had at a target.  */
+static void
+take_place (csp_exchange_t *exchange, uint64_t target_hash)
+{
+  csp_fleet_target_t *target
+      = csp_find_hashed_target (exchange->gateway->fleet, target_hash);
+  bool ready = target != NULL && target->state == CSP_FLEET_READY;
+
+  exchange->asking = false;
+  uv_timer_stop (&exchange->move.timer);
+  if (exchange->asks_to_move)
+    {
+      exchange->move.granted = true;
+      if (csp_waits_for_move (exchange))
+        csp_begin_move (exchange, ready ? target : NULL);
+      else
+        csp_release_move (exchange);
+    }
+  else if (ready)
+    csp_send_first (exchange, target);
+  else
+    csp_place_alone (exchange);
+}
+
 /* The host that decides has answered one of our asks.  */
 static void
 take_own_answer (csp_gateway_t *gateway, const csp_ask_answer_t *answer)
 {
   csp_exchange_t *exchange = find_asking (gateway, answer->id);
-  csp_fleet_target_t *target;
 
   if (exchange == NULL)
     return;
@@ -179,15 +252,14 @@
     case CSP_ASK_OUTCOME_COUNT:
       return;
     case CSP_ASK_PLACED:
-      exchange->asking = false;
-      uv_timer_stop (&exchange->move.timer);
-      target = csp_find_hashed_target (gateway->fleet, answer->target);
-      if (target != NULL && target->state == CSP_FLEET_READY)
-        csp_send_first (exchange, target);
-      else
-        csp_place_alone (exchange);
+      take_place (exchange, answer->target);
       return;
     case CSP_ASK_REFUSED:
+      if (exchange->asks_to_move)
+        {
+          go_on_alone (exchange);
+          return;
+        }
       exchange->asking = false;
       exchange->retry_after_ms = answer->retry_after_ms;
       csp_fail_exchange (exchange, CSP_REASON_OVERLOADED,
@@ -264,6 +336,8 @@
 
   for (i = 0; i < hello->cancel_count; i++)
     csp_cancel_ask (gateway->dispatch, from, hello->cancels[i]);
+  if (hello->cancel_count > 0)
+    csp_pump_dispatch (gateway->dispatch, now_ms);
   for (i = 0; i < hello->answer_count; i++)
     take_own_answer (gateway, &hello->answers[i]);
   for (i = 0; i < hello->ask_count; i++)
@@ -278,7 +352,10 @@
                         .prompt_tokens = row->prompt_tokens,
                         .tokens = row->tokens,
                         .start_within_ms = row->start_within_ms,
-                        .urgency = row->urgency };
+                        .urgency = row->urgency,
+                        .moves_from = row->moves_from,
+                        .refused_at = row->refused_at,
+                        .left_ms = row->left_ms };
 
       /* A version of the routes that isn't here yet: its host will place the
          request by itself.  */
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -39,8 +39,12 @@
   uint16_t status; /* of the answer to the request to copy */
   uv_timer_t timer;
   uint8_t tries;
-  const csp_fleet_target_t *refused; /* had no room; for comparison only */
-  csp_fleet_target_t *from;          /* whose turn the move takes up */
+  uint64_t refused_at;      /* hash of the target that had no room last */
+  int64_t refused_until_ms; /* it isn't asked again before */
+  bool granted;      /* the host that decides has given it a turn and room */
+  bool alone;        /* that host says nothing; turns are worked out here */
+  int64_t ask_at_ms; /* not before, after a move that failed */
+  csp_fleet_target_t *from; /* whose turn the move takes up */
 } csp_move_t;
 
 struct csp_exchange
@@ -74,6 +78,7 @@
 
   /* Asking for a place; the timer is that of the move, which comes later.  */
   bool asking;
+  bool asks_to_move; /* not for a first place, but where a stream may go */
   bool ask_answered;
   uint64_t ask_id;
   int64_t heard_ms; /* last word of the host that decides */
@@ -133,6 +138,12 @@
 void csp_drop_ask (csp_exchange_t *exchange);
 
 /* Close the connection of the attempt, and give back what it took.  */
+/* Ask it where a stream that leaves its target may go, and when.  */
+void csp_ask_to_move (csp_exchange_t *exchange);
+
+/* A move that it gave a turn is done or has failed.  */
+void csp_release_move (csp_exchange_t *exchange);
+
 void csp_drop_attempt (csp_exchange_t *exchange);
 
 /* The target has answered with a first token.  */
--- a/source/gateway/gateway-move-imp.h
+++ b/source/gateway/gateway-move-imp.h
@@ -5,8 +5,11 @@
 
 enum
 {
-  /* Moves of one stream that may fail one after another.  */
-  CSP_MOVE_TRIES_MAX = 4
+  /* Moves of one stream that may fail one after another, and the pause behind
+     each: targets that have no room get some with each run that ends there,
+     all along the second and a half for which the source goes on.  */
+  CSP_MOVE_TRIES_MAX = 24,
+  CSP_MOVE_AGAIN_MS = 40
 };
 
 /* What the three parts of taking streams elsewhere share: backups, moves, and
@@ -25,8 +28,15 @@
    it.  */
 bool csp_backup_is_whole (const csp_exchange_t *exchange);
 
-/* Begin to move a stream whose turn has come.  */
-void csp_begin_move (csp_exchange_t *exchange);
+/* Begin to move a stream whose turn has come; to is NULL where this host has
+   to choose.  */
+void csp_begin_move (csp_exchange_t *exchange, csp_fleet_target_t *to);
+
+/* Whether it waits to be moved.  */
+bool csp_waits_for_move (const csp_exchange_t *exchange);
+
+/* How much longer its run will probably write.  */
+int64_t csp_expected_left_ms (const csp_exchange_t *exchange);
 
 /* Write a step of a move to the log.  */
 void csp_log_move (const csp_exchange_t *exchange, const char *step,
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -19,6 +19,9 @@
   /* A copy of a run at a target's limit of memory over a busy link; behind
      this the target itself is gone.  */
   MOVE_TIMEOUT_MS = 2000,
+  /* A target that had no room is left alone that long: what made it full is
+     told by then.  Where it is the only other one it is tried again.  */
+  REFUSED_FOR_MS = 100,
   STATUS_OK = 200,
   STATUS_NOT_FOUND = 404,
   STATUS_CONFLICT = 409
@@ -44,6 +47,7 @@
 {
   csp_move_t *move = &exchange->move;
 
+  csp_drop_ask (exchange);
   if (move->link != NULL)
     csp_close_link (move->link);
   move->link = NULL;
@@ -63,6 +67,7 @@
   move->state = CSP_MOVE_NONE;
   uv_timer_stop (&move->timer);
   csp_clear_buffer (&move->answer);
+  csp_release_move (exchange);
 }
 
 void
@@ -159,6 +164,8 @@
 
   exchange->gateway->counts.moves_failed++;
   csp_log_move (exchange, why, exchange->move.to);
+  exchange->move.ask_at_ms
+      = csp_gateway_now_ms (exchange->gateway) + CSP_MOVE_AGAIN_MS;
   csp_drop_move (exchange);
   if (!stopped)
     return;
@@ -242,7 +249,11 @@
       return;
     }
   if (move->status != STATUS_CONFLICT)
-    move->refused = move->to;
+    {
+      move->refused_at = move->to->hash;
+      move->refused_until_ms
+          = csp_gateway_now_ms (exchange->gateway) + REFUSED_FOR_MS;
+    }
   give_up_move (exchange, stopping ? "stop-refused" : "copy-refused");
 }
 
@@ -308,7 +319,11 @@
       || exchange->service == NULL || move->state != CSP_MOVE_NONE)
     return;
   if (!move->wanted)
-    move->tries = 0;
+    {
+      move->tries = 0;
+      move->alone = false;
+      move->ask_at_ms = 0;
+    }
   move->wanted = true;
   if (exchange->mode != CSP_ANSWER_STREAM || exchange->events == 0)
     return;
@@ -322,12 +337,23 @@
   csp_pump_moves (exchange->gateway);
 }
 
-/* Begin to move a stream: first a copy, while the run goes on.  */
-void
-csp_begin_move (csp_exchange_t *exchange)
+/* Where a stream goes when nobody has given it room.  Where all seem full the
+   targets decide: what was told of them is an upper bound, and a run that
+   stays is lost for sure.  */
+static csp_fleet_target_t *
+choose_alone (csp_exchange_t *exchange)
 {
-  csp_fleet_target_t *to;
+  csp_fleet_target_t *to
+      = csp_choose_elsewhere (exchange, exchange->target, move_share_max);
+
+  return to != NULL ? to
+                    : csp_choose_elsewhere (exchange, exchange->target, 0);
+}
 
+/* First a copy, while the run goes on.  */
+void
+csp_begin_move (csp_exchange_t *exchange, csp_fleet_target_t *to)
+{
   exchange->move.tries++;
   if (csp_backup_is_whole (exchange))
     {
@@ -336,15 +362,13 @@
                            "no connection to go on");
       return;
     }
-  if (!exchange->service->moves_runs)
-    return;
-  to = csp_choose_elsewhere (exchange, exchange->target, move_share_max);
-  /* Where all seem full the engines decide: what was told of them is an upper
-     bound, and a run that stays is lost for sure.  */
-  if (to == NULL)
-    to = csp_choose_elsewhere (exchange, exchange->target, 0);
-  if (to == NULL)
-    return;
+  if (to == NULL && exchange->service->moves_runs)
+    to = choose_alone (exchange);
+  if (to == NULL || !exchange->service->moves_runs)
+    {
+      csp_release_move (exchange);
+      return;
+    }
   reserve_move (exchange, to);
   copy_run (exchange, false);
 }
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -23,8 +23,8 @@
 /* How much longer the run will probably write.  Guesses of the length are
    right in the median and far off in the tails, so a run that has outlived its
    guess goes on for some part of what it took so far.  */
-static int64_t
-expected_left_ms (const csp_exchange_t *exchange)
+int64_t
+csp_expected_left_ms (const csp_exchange_t *exchange)
 {
   int64_t took_ms
       = csp_gateway_now_ms (exchange->gateway) - exchange->first_event_ms;
@@ -38,14 +38,13 @@
 bool
 csp_run_ends_in_time (const csp_exchange_t *exchange)
 {
-  return expected_left_ms (exchange) < ENDS_SOON_MS
+  return csp_expected_left_ms (exchange) < ENDS_SOON_MS
          && csp_gateway_now_ms (exchange->gateway)
                 < exchange->target->left_at_ms + ENDS_SOON_MS;
 }
 
-/* Whether the stream waits for its turn to be moved.  */
-static bool
-waits_for_turn (const csp_exchange_t *exchange)
+bool
+csp_waits_for_move (const csp_exchange_t *exchange)
 {
   return exchange->move.wanted && exchange->move.state == CSP_MOVE_NONE
          && exchange->mode == CSP_ANSWER_STREAM && exchange->events > 0
@@ -59,42 +58,65 @@
   csp_pump_moves (timer->data);
 }
 
-/* The streams of this host that leave one target go one after another, the
-   one that has longest to go first: what is nearly done may still end where
-   it is.  */
+/* Whether this host may begin the move by itself now.  */
+static bool
+has_own_turn (const csp_exchange_t *exchange, int64_t now_ms)
+{
+  return exchange->move.alone && !exchange->target->moving
+         && now_ms >= exchange->target->turn_at_ms;
+}
+
+/* Ask for a stream, or tell whether it may be moved unasked now.  */
+static bool
+ask_or_go (csp_exchange_t *exchange, int64_t now_ms)
+{
+  if (exchange->asking || now_ms < exchange->move.ask_at_ms
+      || csp_run_ends_in_time (exchange))
+    return false;
+  if (exchange->move.alone)
+    return has_own_turn (exchange, now_ms);
+  csp_ask_to_move (exchange);
+  return false;
+}
+
+/* The host that decides is asked for all streams of this host that leave a
+   target.  Where it says nothing they go one after another, the one that has
+   longest to go first: what is nearly done may still end where it is.  */
 void
 csp_pump_moves (csp_gateway_t *gateway)
 {
   int64_t now_ms = csp_gateway_now_ms (gateway);
+  csp_exchange_t *exchange = gateway->exchanges;
   csp_exchange_t *best = NULL;
-  csp_exchange_t *exchange;
   bool waiting = false;
 
-  for (exchange = gateway->exchanges; exchange != NULL;
-       exchange = exchange->next)
+  while (exchange != NULL)
     {
-      if (!waits_for_turn (exchange))
-        continue;
+      csp_exchange_t *next = exchange->next;
+
       /* One that ends in time is looked at again: it may not.  */
-      waiting = true;
-      if (exchange->target->moving || now_ms < exchange->target->turn_at_ms
-          || csp_run_ends_in_time (exchange))
-        continue;
-      if (best == NULL
-          || expected_left_ms (exchange) > expected_left_ms (best))
-        best = exchange;
+      if (csp_waits_for_move (exchange))
+        {
+          waiting = true;
+          if (ask_or_go (exchange, now_ms)
+              && (best == NULL
+                  || csp_expected_left_ms (exchange)
+                         > csp_expected_left_ms (best)))
+            best = exchange;
+        }
+      exchange = next;
     }
   if (waiting)
     uv_timer_start (&gateway->move_timer, on_move_timer, TURN_TICK_MS, 0);
   if (best != NULL)
-    csp_begin_move (best);
+    csp_begin_move (best, NULL);
 }
 
-/* Hosts move their streams from one target in turns, by what each has told of
-   its streams there: a run that is stopped waits for the copies that others
-   have put on the link before, and its caller sees a pause of tenths of a
-   second.  Each host knows the order and the lengths, so nobody has to be
-   asked; one that is gone leaves its turn empty.  */
+/* Where nobody decides hosts move their streams from one target in turns, by
+   what each has told of its streams there: a run that is stopped waits for the
+   copies that others have put on the link before, and its caller sees a pause
+   of tenths of a second.  Each host knows the order and the lengths, so nobody
+   has to be asked; one that is gone leaves its turn empty.  */
 typedef struct
 {
   const csp_fleet_target_t *target;
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -74,6 +74,9 @@
       row->tokens = hello->asks[i].tokens;
       row->start_within_ms = hello->asks[i].start_within_ms;
       row->urgency = hello->asks[i].urgency;
+      row->moves_from = hello->asks[i].moves_from;
+      row->refused_at = hello->asks[i].refused_at;
+      row->left_ms = hello->asks[i].left_ms;
       rows->ask_rows[i] = row;
     }
 }
@@ -148,6 +151,9 @@
       hello->asks[i].tokens = message->asks[i]->tokens;
       hello->asks[i].start_within_ms = message->asks[i]->start_within_ms;
       hello->asks[i].urgency = (uint8_t)message->asks[i]->urgency;
+      hello->asks[i].moves_from = message->asks[i]->moves_from;
+      hello->asks[i].refused_at = message->asks[i]->refused_at;
+      hello->asks[i].left_ms = message->asks[i]->left_ms;
     }
   for (i = 0; i < message->n_answers; i++)
     {
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -386,7 +386,7 @@
   (ProtobufCMessageInit) csp_hello__address__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor csp_hello__ask__field_descriptors[10] =
 {
   {
     "id",
@@ -472,11 +472,50 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "moves_from",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, moves_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_at",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, refused_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__ask__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  9,   /* field[9] = left_ms */
+  7,   /* field[7] = moves_from */
   2,   /* field[2] = organisation */
   3,   /* field[3] = prompt_tokens */
+  8,   /* field[8] = refused_at */
   1,   /* field[1] = service */
   5,   /* field[5] = start_within_ms */
   4,   /* field[4] = tokens */
@@ -485,7 +524,7 @@
 static const ProtobufCIntRange csp_hello__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor csp_hello__ask__descriptor =
 {
@@ -495,7 +534,7 @@
   "CspHello__Ask",
   "csp_hello",
   sizeof(CspHello__Ask),
-  7,
+  10,
   csp_hello__ask__field_descriptors,
   csp_hello__ask__field_indices_by_name,
   1,  csp_hello__ask__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -63,10 +63,13 @@
   uint32_t tokens;
   uint32_t start_within_ms;
   uint32_t urgency;
+  uint64_t moves_from;
+  uint64_t refused_at;
+  uint32_t left_ms;
 };
 #define CSP_HELLO__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  CspHello__Answer
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -252,6 +252,9 @@
   hello.asks[0].tokens = 4;
   hello.asks[0].start_within_ms = 5;
   hello.asks[0].urgency = 6;
+  hello.asks[0].moves_from = 7;
+  hello.asks[0].refused_at = 8;
+  hello.asks[0].left_ms = 9;
   hello.answer_count = 1;
   hello.answers[0].id = 7;
   hello.answers[0].outcome = CSP_ASK_REFUSED;
