--- a/include/cowslipspoke/dialect.h
+++ b/include/cowslipspoke/dialect.h
@@ -39,6 +39,12 @@
   uint64_t events; /* that the run has made */
 } csp_move_answer_t;
 
+/* What a target says of itself.  */
+typedef struct
+{
+  bool leaving;
+} csp_target_report_t;
+
 typedef struct
 {
   const char *names[CSP_NAME_COUNT];
@@ -50,6 +56,10 @@
                       const char *to, bool last, csp_buffer_t *request);
   bool (*read_move) (const char *body, size_t size_bytes,
                      csp_move_answer_t *answer);
+  /* A whole request that asks target how it is.  False when memory fails.  */
+  bool (*write_report) (const char *target, csp_buffer_t *request);
+  bool (*read_report) (const char *body, size_t size_bytes,
+                       csp_target_report_t *report);
   /* What CSP_NAME_GO_ON_FROM says of a copy.  */
   void (*write_copy) (const char *address, const char *handle, char *text,
                       size_t room_bytes);
--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -69,6 +69,8 @@
   uint32_t unreachable; /* connects in a row that failed */
   int64_t left_at_ms;   /* when this host heard that it leaves */
   int64_t turn_at_ms;   /* this host's turn to move streams from here */
+  bool told_by_itself;  /* that it leaves; the list didn't say so yet */
+  int64_t report_at_ms; /* not asked for a report before */
   bool moving;          /* a move of this host from here is under way */
   uint32_t users;       /* requests and links that point here */
   void *links;          /* idle connections, kept by the forwarder */
@@ -93,6 +95,9 @@
 /* A row was removed.  */
 void csp_unlist_target (csp_fleet_t *fleet, const char *id, int64_t now_ms);
 
+/* The target itself says that it leaves.  */
+void csp_note_target_leaves (csp_fleet_t *fleet, csp_fleet_target_t *target);
+
 /* The platform can't be read, or can be read again.  */
 void csp_note_platform (csp_fleet_t *fleet, bool reachable, int64_t now_ms);
 
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -159,6 +159,15 @@
     unlist (fleet, target, now_ms);
 }
 
+void
+csp_note_target_leaves (csp_fleet_t *fleet, csp_fleet_target_t *target)
+{
+  if (target->state != CSP_FLEET_READY && target->state != CSP_FLEET_LAPSED)
+    return;
+  target->told_by_itself = true;
+  set_state (fleet, target, CSP_FLEET_LEAVING);
+}
+
 void
 csp_note_platform (csp_fleet_t *fleet, bool reachable, int64_t now_ms)
 {
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -215,10 +215,10 @@
 csp_send_first (csp_exchange_t *exchange, csp_fleet_target_t *target)
 {
   exchange->attempts++;
-  csp_observe_time (
-      exchange->labels, CSP_TIME_WAITING,
-      (csp_gateway_now_ms (exchange->gateway) - exchange->began_ms)
-          * US_PER_MS);
+  exchange->waited_ms
+      = csp_gateway_now_ms (exchange->gateway) - exchange->began_ms;
+  csp_observe_time (exchange->labels, CSP_TIME_WAITING,
+                    exchange->waited_ms * US_PER_MS);
   csp_choose_backup (exchange, target);
   if (!csp_send_to_target (exchange, target, NULL))
     csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -83,6 +83,7 @@
   uint64_t ask_id;
   int64_t heard_ms; /* last word of the host that decides */
   uint32_t retry_after_ms;
+  int64_t waited_ms; /* for its last place, from its first byte; -1: none */
 
   /* The attempt under way.  */
   csp_link_t *link;
@@ -137,6 +138,12 @@
 void csp_ask_for_place (csp_exchange_t *exchange);
 void csp_drop_ask (csp_exchange_t *exchange);
 
+/* Ask it where a stream that leaves its target may go, and when.  */
+void csp_ask_to_move (csp_exchange_t *exchange);
+
+/* A move that it gave a turn is done or has failed.  */
+void csp_release_move (csp_exchange_t *exchange);
+
 /* Close the connection of the attempt, and give back what it took.  */
 /* Ask it where a stream that leaves its target may go, and when.  */
 void csp_ask_to_move (csp_exchange_t *exchange);
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -75,6 +75,7 @@
       csp_text ("verdict", csp_verdict_name (exchange->verdict)),
       csp_text ("detail", detail), csp_number ("attempts", exchange->attempts),
       csp_number ("events", (int64_t)exchange->events),
+      csp_number ("waited_ms", exchange->waited_ms),
       csp_number ("first_event_ms",
                   exchange->first_event_ms == 0
                       ? -1
@@ -303,6 +304,7 @@
   exchange->began_ms = began_ms;
   exchange->routes = csp_hold_routes (gateway->routes);
   exchange->verdict = CSP_VERDICT_NOT_RUN;
+  exchange->waited_ms = -1;
   uv_timer_init (&gateway->loop, &exchange->deadline);
   uv_timer_init (&gateway->loop, &exchange->move.timer);
   exchange->deadline.data = exchange;
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -21,6 +21,7 @@
      attempt   the request at one target
      stream    cuts an answer into whole events and knows the last id sent
      move      takes a stream to another target
+     report    asks targets themselves, when the platform says nothing
      page      readiness and metrics
 
    An exchange lives between csp_begin_exchange and csp_end_exchange; a caller
@@ -28,6 +29,7 @@
 
 typedef struct csp_caller csp_caller_t;
 typedef struct csp_exchange csp_exchange_t;
+typedef struct csp_report csp_report_t;
 
 enum
 {
@@ -76,6 +78,7 @@
   uint64_t streams_lost;
   uint64_t connections;
   uint64_t link_opens;
+  uint64_t reports; /* questions to targets whether they leave */
 } csp_gateway_counts_t;
 
 struct csp_gateway
@@ -121,6 +124,9 @@
   csp_metrics_t *times;  /* histograms of each organisation and route */
   csp_caller_t *callers; /* all open connections */
   csp_exchange_t *exchanges;
+  csp_report_t *reports; /* questions to targets that are under way */
+  int64_t news_ms;       /* when the list of targets last changed; 0: never */
+  int64_t news_usual_ms; /* usual time between two changes */
   uint32_t caller_count;
   bool blind;  /* the platform can't be reached from here */
   bool listed; /* a whole list of targets has been read */
@@ -203,6 +209,14 @@
 /* Streams that fell silent go on elsewhere.  Call it now and then.  */
 void csp_watch_streams (csp_gateway_t *gateway);
 
+/* Reports: see gateway-report.c.  The list of targets has changed.  */
+void csp_note_fleet_news (csp_gateway_t *gateway);
+
+/* Ask targets whether they leave, where the list should have changed and has
+   not.  Call it now and then.  */
+void csp_ask_reports (csp_gateway_t *gateway);
+void csp_drop_reports (csp_gateway_t *gateway);
+
 /* Peers: see gateway-peers.c.  False where the port can't be had.  */
 bool csp_open_gateway_peers (csp_gateway_t *gateway);
 void csp_close_gateway_peers (csp_gateway_t *gateway);
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -33,6 +33,7 @@
     { "streams_lost_total", "counter", counts->streams_lost },
     { "caller_connections_total", "counter", counts->connections },
     { "target_connections_total", "counter", counts->link_opens },
+    { "target_reports_total", "counter", counts->reports },
     { "ready", "gauge", csp_gateway_is_ready (gateway) },
     { "callers", "gauge", gateway->caller_count },
     { "targets", "gauge", csp_fleet_size (gateway->fleet) },
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -64,7 +64,8 @@
 
   CSP_LOG (gateway->log, CSP_EVENT_TARGET_LEAVING, NULL,
            csp_text ("target", target->row.id),
-           csp_number ("open_streams", target->own.requests));
+           csp_number ("open_streams", target->own.requests),
+           csp_text ("told_by", target->told_by_itself ? "target" : "list"));
   csp_leave_target (gateway, target);
 }
 
@@ -119,9 +120,11 @@
       take_routes (gateway, update->value.routes);
       break;
     case CSP_UPDATE_TARGET:
+      csp_note_fleet_news (gateway);
       csp_list_target (gateway->fleet, &update->value.target, now_ms);
       break;
     case CSP_UPDATE_TARGET_REMOVED:
+      csp_note_fleet_news (gateway);
       csp_unlist_target (gateway->fleet, update->value.target_id, now_ms);
       break;
     case CSP_UPDATE_LISTED:
@@ -204,6 +207,7 @@
 
   csp_expire_targets (gateway->fleet, csp_gateway_now_ms (gateway));
   csp_watch_streams (gateway);
+  csp_ask_reports (gateway);
   csp_pump_places (gateway);
   if (gateway->stopping)
     step_stop (gateway);
@@ -299,6 +303,7 @@
     return;
   csp_close_all_callers (gateway);
   csp_close_gateway_pages (gateway);
+  csp_drop_reports (gateway);
   uv_run (&gateway->loop, UV_RUN_NOWAIT);
   on_wake (&gateway->wake);
   csp_destroy_dispatch (gateway->dispatch);
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -45,6 +45,23 @@
   snprintf (text, room_bytes, "%s/%s", address, handle);
 }
 
+static bool
+write_report (const char *target, csp_buffer_t *request)
+{
+  return csp_print_buffer (request, "GET /report HTTP/1.1\r\nHost: %s\r\n\r\n",
+                           target);
+}
+
+static bool
+read_report (const char *body, size_t size_bytes, csp_target_report_t *report)
+{
+  static const char leaving[] = "leaving";
+
+  report->leaving = size_bytes == sizeof leaving - 1
+                    && memcmp (body, leaving, size_bytes) == 0;
+  return true;
+}
+
 static const csp_dialect_t dialect
     = { .names = { [CSP_NAME_REQUEST_ID] = "Request-Id",
                    [CSP_NAME_TIME_LEFT] = "Time-Left",
@@ -62,6 +79,8 @@
         .never_from_callers = never_from_callers,
         .write_move = write_move,
         .read_move = read_move,
+        .write_report = write_report,
+        .read_report = read_report,
         .write_copy = write_copy };
 
 static void *
--- a/tests/gateway/stream-test.c
+++ b/tests/gateway/stream-test.c
@@ -381,6 +381,92 @@
 }
 END_TEST
 
+/* The platform's store is down, and the engine is told to leave meanwhile: the
+   list of targets can't say so.  Without asking the engine the text is cut
+   when it goes.  */
+START_TEST (a_target_is_asked_when_the_platform_says_nothing)
+{
+  int report;
+
+  start_stream (false);
+  add_second ();
+  ck_assert_ptr_nonnull (
+      strstr (fixture_page (&fixture, "/metrics"),
+              "cowslipspoke_gateway_target_reports_total 0\n"));
+  csp_advance_fake_clock (&fixture.fake, 400);
+  report = target_accept (listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (report, 0), "GET /report"));
+  send_text (report, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nleaving");
+  /* The same connection, as nothing about it is in doubt.  */
+  ck_assert_ptr_nonnull (strstr (target_read (report, 0), "last=0"));
+  close (report);
+  close (link_from);
+}
+END_TEST
+
+/* The engine that was asked is well: nothing moves.  It is asked again later,
+   on the same connection.  */
+START_TEST (a_target_that_stays_is_asked_again)
+{
+  int report;
+
+  start_stream (false);
+  add_second ();
+  csp_advance_fake_clock (&fixture.fake, 400);
+  report = target_accept (listeners[0]);
+  target_read (report, 0);
+  send_text (report, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9\r\n"
+                     "Content-Length: 2\r\n\r\nok");
+  fixture_settle (&fixture);
+  csp_advance_fake_clock (&fixture.fake, 450);
+  ck_assert_ptr_nonnull (strstr (target_read (report, 0), "GET /report"));
+  send_chunk (link_from, EVENT ("2", "two"));
+  read_until (caller, "two\n\n");
+  finish_at (link_from);
+  close (report);
+  close (link_from);
+}
+END_TEST
+
+/* Wait until the gateway has noticed so many failures of moves.  */
+static void
+await_failed_moves (int count)
+{
+  char awaited[80];
+
+  snprintf (awaited, sizeof awaited,
+            "cowslipspoke_gateway_stream_moves_failed_total %d\n", count);
+  while (strstr (fixture_page (&fixture, "/metrics"), awaited) == NULL)
+    usleep (1000);
+}
+
+/* The engine chosen for a stream has no room.  There is some a moment later,
+   with each run that ends; a host that gives up after a few refusals loses the
+   text with its engine.  */
+START_TEST (a_refused_move_is_tried_again)
+{
+  int tries;
+  int copy;
+
+  start_stream (false);
+  add_second ();
+  fixture_leave (&fixture, listeners[0], ids[0], "engines");
+  for (tries = 0; tries < 8; tries++)
+    {
+      copy = target_accept (listeners[0]);
+      ck_assert_ptr_nonnull (strstr (target_read (copy, 0), "last=0"));
+      send_text (copy, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+      close (copy);
+      await_failed_moves (tries + 1);
+      csp_advance_fake_clock (&fixture.fake, 120);
+    }
+  send_chunk (link_from, EVENT ("2", "two"));
+  read_until (caller, "two\n\n");
+  finish_at (link_from);
+  close (link_from);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -400,6 +486,9 @@
   tcase_add_test (tcase, a_run_past_its_guess_is_not_taken_for_nearly_done);
   tcase_add_test (tcase, a_run_that_does_not_end_in_time_is_moved_after_all);
   tcase_add_test (tcase, a_silent_stream_goes_on_from_its_backup);
+  tcase_add_test (tcase, a_target_is_asked_when_the_platform_says_nothing);
+  tcase_add_test (tcase, a_target_that_stays_is_asked_again);
+  tcase_add_test (tcase, a_refused_move_is_tried_again);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
