--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -138,12 +138,6 @@
 void csp_ask_for_place (csp_exchange_t *exchange);
 void csp_drop_ask (csp_exchange_t *exchange);
 
-/* Ask it where a stream that leaves its target may go, and when.  */
-void csp_ask_to_move (csp_exchange_t *exchange);
-
-/* A move that it gave a turn is done or has failed.  */
-void csp_release_move (csp_exchange_t *exchange);
-
 /* Close the connection of the attempt, and give back what it took.  */
 /* Ask it where a stream that leaves its target may go, and when.  */
 void csp_ask_to_move (csp_exchange_t *exchange);
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -219,6 +219,7 @@
 
 /* Peers: see gateway-peers.c.  False where the port can't be had.  */
 bool csp_open_gateway_peers (csp_gateway_t *gateway);
+void csp_stop_gateway_peers (csp_gateway_t *gateway);
 void csp_close_gateway_peers (csp_gateway_t *gateway);
 
 /* Send one datagram to some hosts.  */
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -267,6 +267,16 @@
   return true;
 }
 
+void
+csp_stop_gateway_peers (csp_gateway_t *gateway)
+{
+  if (uv_handle_get_type ((uv_handle_t *)&gateway->peers) != UV_UDP)
+    return;
+  uv_udp_recv_stop (&gateway->peers);
+  uv_timer_stop (&gateway->tell_timer);
+  uv_timer_stop (&gateway->greet_timer);
+}
+
 void
 csp_close_gateway_peers (csp_gateway_t *gateway)
 {
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -296,6 +296,19 @@
     uv_close (handle, NULL);
 }
 
+/* Nothing new comes in and no timer runs any more.  The loop still turns while
+   connections close, and a datagram or a tick would meet what is freed by
+   then; one notices processes that crash at the end of a stop.  */
+static void
+stop_listening (csp_gateway_t *gateway)
+{
+  csp_stop_gateway_peers (gateway);
+  uv_timer_stop (&gateway->tick);
+  uv_timer_stop (&gateway->move_timer);
+  if (uv_handle_get_type ((uv_handle_t *)&gateway->front) == UV_TCP)
+    uv_close ((uv_handle_t *)&gateway->front, NULL);
+}
+
 void
 csp_destroy_gateway (csp_gateway_t *gateway)
 {
@@ -304,6 +317,7 @@
   csp_close_all_callers (gateway);
   csp_close_gateway_pages (gateway);
   csp_drop_reports (gateway);
+  stop_listening (gateway);
   uv_run (&gateway->loop, UV_RUN_NOWAIT);
   on_wake (&gateway->wake);
   csp_destroy_dispatch (gateway->dispatch);
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -104,11 +104,20 @@
 
 void
 fixture_open (fixture_t *fixture)
+{
+  static const struct sockaddr_in none;
+
+  fixture_open_at (fixture, &none);
+}
+
+void
+fixture_open_at (fixture_t *fixture, const struct sockaddr_in *peers)
 {
   csp_gateway_settings_t settings = { .host = "host-a",
                                       .data_centre = "dc-a",
                                       .front = loopback (0),
                                       .ready = loopback (0),
+                                      .peers = *peers,
                                       .stop_limit_ms = STOP_LIMIT_MS,
                                       .retry_share = 0.2,
                                       .retry_saved_max = 4 };
@@ -148,6 +157,8 @@
         fixture->running = false;
       csp_advance_fake_clock (&fixture->fake, STOP_LIMIT_MS);
     }
+  if (fixture->ended != NULL)
+    fixture->ended ();
   csp_destroy_gateway (fixture->gateway);
 }
 
--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -3,6 +3,7 @@
 
 #include "cowslipspoke/gateway.h"
 
+#include <netinet/in.h>
 #include <pthread.h>
 
 /* A gateway on loopback, on a thread of its own.  The test plays callers and
@@ -22,12 +23,16 @@
   pthread_t thread;
   bool running;
   uint64_t version;
+  void (*ended) (void); /* called when the run is over, before the end */
 } fixture_t;
 
 /* Routes, all at host "h": /safe/ (idempotent, two attempts) and /once/ go to
    service "plain", /open/ needs no key; /stream/ goes to "engines".  Key
    "key-a" belongs to organisation "org-a".  */
 void fixture_open (fixture_t *fixture);
+
+/* The same, hearing other hosts at an address.  */
+void fixture_open_at (fixture_t *fixture, const struct sockaddr_in *peers);
 void fixture_close (fixture_t *fixture);
 
 /* Publish the routes; with_key: key-a is among the keys.  */
--- a/tests/gateway/gateway-test.c
+++ b/tests/gateway/gateway-test.c
@@ -1,7 +1,9 @@
 #include "gateway/gateway-fixture.h"
 
+#include "cowslipspoke/roster.h"
 #include "support/run-suite.h"
 
+#include <arpa/inet.h>
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -405,6 +407,49 @@
 }
 END_TEST
 
+static struct sockaddr_in own_peers;
+
+/* Tell the gateway of loads, as another host would, and more often than it
+   hears in one turn of its loop.  */
+static void
+send_datagrams (void)
+{
+  int sender = socket (AF_INET, SOCK_DGRAM, 0);
+  csp_hello_t hello = { .boot = 1, .load_count = 1 };
+
+  for (hello.sequence = 1; hello.sequence <= 100; hello.sequence++)
+    {
+      csp_buffer_t bytes = { 0 };
+
+      ck_assert (csp_encode_hello (&hello, &bytes));
+      ck_assert_int_eq (sendto (sender, bytes.data, bytes.size_bytes, 0,
+                                (struct sockaddr *)&own_peers,
+                                sizeof own_peers),
+                        (int)bytes.size_bytes);
+      csp_clear_buffer (&bytes);
+    }
+  close (sender);
+}
+
+/* A host is stopped in order, and its connections are being closed, while
+   others go on telling it their loads.  It crashed there: its process ended
+   with a fault instead of in order.  */
+START_TEST (a_datagram_at_the_end_of_a_stop_is_not_heard)
+{
+  fixture_t own;
+
+  own_peers = (struct sockaddr_in){ .sin_family = AF_INET,
+                                    .sin_port = htons (8748) };
+  /* A loopback address of this process.  */
+  own_peers.sin_addr.s_addr
+      = htonl (0x7f400000U | ((uint32_t)getpid () & 0x1fffff));
+  fixture_open_at (&own, &own_peers);
+  own.ended = send_datagrams;
+  close (fixture_target (&own, "t-9", "engines"));
+  fixture_close (&own);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -428,6 +473,7 @@
   tcase_add_test (tcase, a_caller_that_leaves_stops_its_request);
   tcase_add_test (tcase, a_key_that_is_taken_away_is_refused);
   tcase_add_test (tcase, a_stop_answers_what_it_can_and_refuses_the_rest);
+  tcase_add_test (tcase, a_datagram_at_the_end_of_a_stop_is_not_heard);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
