--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make check      install what is declared, build and run all tests
 #   make demo       a small fleet on loopback, with failures, in a minute
 #   make bench      one line per measurement
+#   make soak       real gateways under faults, for the seeds SEEDS="1 50"
 #   make lint       clang-format and clang-tidy
 #   SANITIZE=address,undefined (or thread) builds into its own directory
 
@@ -40,9 +41,11 @@
 CTL_SRC := $(wildcard source/cowslipctl/*.c)
 STANDIN_SRC := $(wildcard tests/standin/standin-*.c)
 STANDIN_COMMON := $(filter-out $(STANDIN_SRC),$(wildcard tests/standin/*.c))
+SOAK_SRC := $(wildcard tests/soak/*.c)
 SUPPORT_SRC := $(wildcard tests/support/*.c) tests/gateway/gateway-fixture.c
 TEST_SRC := $(wildcard tests/*/*-test.c)
-SESSIONS := $(patsubst %.golden,./%.sh,$(wildcard tests/session/*.golden))
+SESSIONS := $(patsubst %.golden,./%.sh,$(wildcard tests/session/*.golden)) \
+  ./tests/soak/short.sh
 BENCH_SRC := $(wildcard bench/*-bench.c)
 BENCH_COMMON := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
 
@@ -50,16 +53,17 @@
 LIB := $(BUILD)/libcowslipspoke.a
 STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/%,$(STANDIN_SRC))
 GATEWAY := $(BUILD)/cowslip-gateway
-PROGRAMS := $(BUILD)/cowslipd $(BUILD)/cowslipctl $(GATEWAY) $(STANDINS)
+PROGRAMS := $(BUILD)/cowslipd $(BUILD)/cowslipctl $(GATEWAY) $(STANDINS) \
+  $(BUILD)/soak
 TESTS := $(patsubst %.c,$(BUILD)/%,$(TEST_SRC))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/%,$(BENCH_SRC))
 ALL_OBJ := $(call obj,$(LIB_SRC) $(ADAPTER_SRC) $(GATEWAY_SRC) $(DAEMON_SRC) $(CTL_SRC) $(STANDIN_SRC) \
-  $(STANDIN_COMMON) $(SUPPORT_SRC) $(TEST_SRC) $(BENCH_SRC) $(BENCH_COMMON))
+  $(STANDIN_COMMON) $(SOAK_SRC) $(SUPPORT_SRC) $(TEST_SRC) $(BENCH_SRC) $(BENCH_COMMON))
 FORMATTED = $(filter-out %.pb-c.c %.pb-c.h,$(shell \
   find include source platform tests bench -name '*.[ch]' 2>/dev/null | sort))
 TIDIED = $(filter %.c,$(FORMATTED))
 
-.PHONY: all deploy setup check check-run demo bench lint format tidy clean
+.PHONY: all deploy setup check check-run soak demo bench lint format tidy clean
 .SECONDARY:
 # A link that failed leaves a file behind, which the next run would take.
 .DELETE_ON_ERROR:
@@ -97,6 +101,9 @@
   $(call obj,$(STANDIN_COMMON)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/soak: $(call obj,$(SOAK_SRC)) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/tests/%-test: $(BUILD)/tests/%-test.o $(call obj,$(SUPPORT_SRC)) \
   $(call obj,$(ADAPTER_SRC)) $(call obj,$(BENCH_COMMON)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
@@ -111,6 +118,10 @@
 check-run: $(PROGRAMS) $(TESTS)
 	@BUILD=$(BUILD) sh tests/run.sh $(TESTS) $(SESSIONS)
 
+SEEDS ?= 1 50
+soak: $(PROGRAMS)
+	@BUILD=$(BUILD) sh tests/soak/soak.sh $(SEEDS)
+
 demo: setup
 	@$(MAKE) --no-print-directory all
 	@BUILD=$(BUILD) sh tests/demo.sh
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,275 @@
+#include "soak/soak.h"
+
+#include "cowslipspoke/text.h"
+
+#include <arpa/inet.h>
+#include <getopt.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* soak --program GATEWAY [--seed N] [--seconds S] [--hosts N] [--callers N]
+   [--work DIR]: one soak.  Prints its violations and one line at the end;
+   exits with 1 where a promise was broken.  */
+
+enum
+{
+  TICK_MS = 100,
+  HOSTS = 12,
+  CALLERS = 60,
+  SECONDS = 25,
+  FRONT_PORT = 8740,
+  READY_PORT = 8749,
+  PEERS_PORT = 8748,
+  FIRST_HOST = 10,
+  VIOLATIONS_SHOWN = 20,
+  ADDRESS_SPREAD = 200,
+  MS_PER_S = 1000
+};
+
+uint64_t
+soak_now_ms (const soak_t *soak)
+{
+  return uv_now (&soak->loop);
+}
+
+static void
+write_line (soak_t *soak, const char *rule, const char *format, va_list rest)
+{
+  fprintf (soak->journal, "%8.3f %s",
+           (double)(soak_now_ms (soak) - soak->began_ms) / MS_PER_S, rule);
+  vfprintf (soak->journal, format, rest);
+  fputc ('\n', soak->journal);
+  fflush (soak->journal);
+}
+
+void
+soak_note (soak_t *soak, const char *format, ...)
+{
+  va_list rest;
+
+  va_start (rest, format);
+  write_line (soak, "", format, rest);
+  va_end (rest);
+}
+
+void
+soak_violation (soak_t *soak, const char *rule, const char *format, ...)
+{
+  va_list rest;
+  char words[32];
+
+  snprintf (words, sizeof words, "VIOLATION %s ", rule);
+  va_start (rest, format);
+  write_line (soak, words, format, rest);
+  va_end (rest);
+  if (++soak->violations > VIOLATIONS_SHOWN)
+    return;
+  printf ("seed %llu at %.3f s: %s: ", (unsigned long long)soak->seed,
+          (double)(soak_now_ms (soak) - soak->began_ms) / MS_PER_S, rule);
+  va_start (rest, format);
+  vprintf (format, rest);
+  va_end (rest);
+  putchar ('\n');
+}
+
+struct sockaddr_in
+soak_address (const soak_t *soak, unsigned last, uint16_t port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  char text[32];
+
+  snprintf (text, sizeof text, "%s.%u", soak->address, last);
+  inet_pton (AF_INET, text, &address.sin_addr);
+  return address;
+}
+
+void
+soak_print_address (const struct sockaddr_in *address, char text[32])
+{
+  char host[INET_ADDRSTRLEN] = "";
+
+  inet_ntop (AF_INET, &address->sin_addr, host, sizeof host);
+  snprintf (text, 32, "%s:%u", host, ntohs (address->sin_port));
+}
+
+/* Each host has a loopback address of its own, so that all can use the same
+   ports; a second hundred goes to the next network.  */
+static void
+place_host (soak_t *soak, size_t number)
+{
+  host_t *host = &soak->hosts[number];
+  char address[24];
+
+  snprintf (address, sizeof address, "%s", soak->address);
+  /* The third number is even.  */
+  if (number >= ADDRESS_SPREAD)
+    soak->address[strlen (soak->address) - 1]++;
+  snprintf (host->name, sizeof host->name, "h%zu", number);
+  host->front = soak_address (
+      soak, (unsigned)(FIRST_HOST + number % ADDRESS_SPREAD), FRONT_PORT);
+  host->ready = host->front;
+  host->ready.sin_port = htons (READY_PORT);
+  host->peers = host->front;
+  host->peers.sin_port = htons (PEERS_PORT);
+  snprintf (soak->address, sizeof soak->address, "%s", address);
+  host->store = soak_address (soak, 4, 0);
+}
+
+static void
+open_hosts (soak_t *soak, const struct sockaddr_in *store)
+{
+  size_t i;
+
+  for (i = 0; i < soak->host_count; i++)
+    {
+      host_t *host = &soak->hosts[i];
+
+      place_host (soak, i);
+      host->store_proxy = proxy_open (&soak->loop, &host->store, store);
+      if (host->store_proxy == NULL)
+        abort ();
+    }
+  for (i = 0; i < soak->host_count; i++)
+    host_start (soak, &soak->hosts[i]);
+}
+
+static void
+reap (soak_t *soak)
+{
+  size_t i;
+
+  for (i = 0; i < soak->host_count; i++)
+    {
+      int status = 0;
+      pid_t pid = soak->hosts[i].pid;
+
+      if (pid != 0 && waitpid (pid, &status, WNOHANG) == pid)
+        host_exited (soak, pid, status);
+    }
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  soak_t *soak = timer->data;
+  size_t i;
+
+  reap (soak);
+  for (i = 0; i < soak->host_count; i++)
+    host_tick (soak, &soak->hosts[i]);
+  for (i = 0; i < soak->server_count; i++)
+    server_tick (soak->servers[i]);
+  plan_tick (soak);
+  if (soak_now_ms (soak) >= soak->began_ms + soak->length_ms)
+    uv_stop (&soak->loop);
+}
+
+static void
+run (soak_t *soak, size_t callers)
+{
+  struct sockaddr_in store = soak_address (soak, 1, 0);
+  uv_timer_t tick;
+  size_t i;
+
+  soak->store = store_open (soak, &store);
+  if (soak->store == NULL)
+    abort ();
+  soak_publish (soak);
+  for (i = 0; i < SOAK_ENGINES; i++)
+    server_open (soak, "engines");
+  for (i = 0; i < SOAK_PLAIN; i++)
+    {
+      server_open (soak, "plain-a");
+      server_open (soak, "plain-b");
+    }
+  open_hosts (soak, &store);
+  soak->callers = callers_open (soak, callers);
+  uv_timer_init (&soak->loop, &tick);
+  tick.data = soak;
+  uv_timer_start (&tick, on_tick, TICK_MS, TICK_MS);
+  uv_run (&soak->loop, UV_RUN_DEFAULT);
+  ledger_close (soak);
+  callers_stop (soak->callers);
+  host_end_all (soak);
+}
+
+static void
+read_options (int argc, char **argv, soak_t *soak, size_t *callers)
+{
+  static const struct option options[]
+      = { { "program", required_argument, NULL, 'p' },
+          { "seed", required_argument, NULL, 's' },
+          { "seconds", required_argument, NULL, 't' },
+          { "hosts", required_argument, NULL, 'h' },
+          { "callers", required_argument, NULL, 'c' },
+          { "work", required_argument, NULL, 'w' },
+          { NULL, 0, NULL, 0 } };
+  int option;
+
+  while ((option = getopt_long (argc, argv, "", options, NULL)) != -1)
+    switch (option)
+      {
+      case 'p':
+        soak->program = optarg;
+        break;
+      case 's':
+        soak->seed = strtoull (optarg, NULL, 10);
+        break;
+      case 't':
+        soak->length_ms = strtoull (optarg, NULL, 10) * MS_PER_S;
+        break;
+      case 'h':
+        soak->host_count = strtoul (optarg, NULL, 10);
+        break;
+      case 'c':
+        *callers = strtoul (optarg, NULL, 10);
+        break;
+      case 'w':
+        snprintf (soak->work, sizeof soak->work, "%s", optarg);
+        break;
+      default:
+        exit (2);
+      }
+  if (soak->program == NULL || soak->work[0] == '\0' || soak->host_count == 0
+      || soak->host_count > SOAK_HOSTS_MAX)
+    {
+      fprintf (stderr, "soak: --program and --work must be given\n");
+      exit (2);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static soak_t soak = { .host_count = HOSTS,
+                         .length_ms = (uint64_t)SECONDS * MS_PER_S,
+                         .seed = 1 };
+  size_t callers = CALLERS;
+  char journal[300];
+
+  read_options (argc, argv, &soak, &callers);
+  signal (SIGPIPE, SIG_IGN);
+  snprintf (journal, sizeof journal, "%s/journal", soak.work);
+  soak.journal = fopen (journal, "w");
+  soak.requests = calloc (SOAK_REQUESTS_MAX, sizeof *soak.requests);
+  if (soak.journal == NULL || soak.requests == NULL
+      || uv_loop_init (&soak.loop) != 0)
+    return 2;
+  /* Two soaks at once have different numbers.  */
+  snprintf (soak.address, sizeof soak.address, "127.%d.%d",
+            16 + (getpid () / ADDRESS_SPREAD) % ADDRESS_SPREAD,
+            2 * (getpid () % 100));
+  csp_seed_random (&soak.random, soak.seed);
+  soak.began_ms = soak_now_ms (&soak);
+  run (&soak, callers);
+  printf ("seed %llu: %zu requests, %u faults, %u violations\n",
+          (unsigned long long)soak.seed, soak.request_count, soak.faults,
+          soak.violations);
+  fclose (soak.journal);
+  return soak.violations == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Soaks by hand: soak.sh FIRST LAST [SECONDS [HOSTS [CALLERS [AT-ONCE]]]], one
+# for each seed from FIRST to LAST.  Logs of seeds that fail stay under
+# $BUILD/soaks.
+BUILD=${BUILD:-build/plain}
+first=$1
+last=$2
+export BUILD SECONDS_EACH="${3:-25}" HOSTS="${4:-12}" CALLERS="${5:-60}"
+seq "$first" "$last" | xargs -P "${6:-2}" -I{} sh -c '
+  work=$BUILD/soaks/{}
+  rm -rf "$work"
+  mkdir -p "$work"
+  "$BUILD/soak" --program "$BUILD/cowslip-gateway" --work "$work" --seed {} \
+    --seconds "$SECONDS_EACH" --hosts "$HOSTS" --callers "$CALLERS" &&
+    rm -rf "$work"'
