--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -53,6 +53,7 @@
 {
   csp_fleet_row_t row;
   csp_fleet_state_t state;
+  int64_t listed_ms; /* when its row last changed */
   int64_t warm_at_ms;
   int64_t lapses_at_ms;
   uint64_t hash;             /* of the id, by which hosts speak of it */
@@ -127,6 +128,10 @@
   bool within_slots;       /* targets whose slots are taken don't count */
   bool is_copy;            /* a run's memory goes there, no prompt */
   double memory_share_max; /* fuller targets don't count; 0: all do */
+  uint64_t prompt_tokens;  /* that the target has to read */
+  /* Targets that read more, with this prompt, don't count, unless they read
+     nothing else; half of it while they warm up.  0: all do.  */
+  uint64_t reading_tokens_max;
   const csp_fleet_target_t *not_this;
   const csp_fleet_target_t *nor_this;
 } csp_fleet_need_t;
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -127,6 +127,7 @@
   csp_report_t *reports; /* questions to targets that are under way */
   int64_t news_ms;       /* when the list of targets last changed; 0: never */
   int64_t news_usual_ms; /* usual time between two changes */
+  int64_t row_usual_ms;  /* usual time between two changes of one target */
   uint32_t caller_count;
   bool blind;  /* the platform can't be reached from here */
   bool listed; /* a whole list of targets has been read */
@@ -209,8 +210,8 @@
 /* Streams that fell silent go on elsewhere.  Call it now and then.  */
 void csp_watch_streams (csp_gateway_t *gateway);
 
-/* Reports: see gateway-report.c.  The list of targets has changed.  */
-void csp_note_fleet_news (csp_gateway_t *gateway);
+/* Reports: see gateway-report.c.  The list of targets is about to change.  */
+void csp_note_fleet_news (csp_gateway_t *gateway, const char *target_id);
 
 /* Ask targets whether they leave, where the list should have changed and has
    not.  Call it now and then.  */
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -2,14 +2,20 @@
 
 #include <stdlib.h>
 
-/* Asking targets themselves whether they leave.
+/* Asking targets themselves whether they leave, and whether they live.
 
    Failure: the platform's store falls silent, and an eighth of the engines is
    told to leave meanwhile.  Nobody here hears of it, and all streams there end
-   with their engines: 24 of the 63 that were lost on a day of 48 engines.  The
-   list of targets changes all the time, as each writes into it every second or
-   so; when nothing has changed for several times the usual, each host asks the
-   targets at which it has streams.  */
+   with their engines: 24 of the 63 that were lost on a day of 48 engines.
+   Longer silence leaves more and more engines in the list that are gone, until
+   some seconds behind the store's return; they look empty, and the host that
+   decides sends streams there that leave others: 40 of 112 that were lost on
+   another day were refused by such an engine, a third of a second later each.
+
+   The list changes all the time, as each target writes into it every second or
+   so.  When nothing has changed for several times the usual, or nothing of one
+   target, each host asks the targets at which it has runs, and the host that
+   decides asks all engines.  */
 
 enum
 {
@@ -22,6 +28,10 @@
   NEWS_TOGETHER_MS = 5,
   /* Weight of one more change in the usual time between two, as a part.  */
   NEWS_WEIGHT_PART = 8,
+  /* A target whose own row is that many times as old as rows usually get.  */
+  ROW_LATE_TIMES = 2,
+  /* Rows that are older say nothing of how often targets write.  */
+  ROW_AGE_MOST_MS = 10000,
   /* Reports are some hundred ms old by themselves, and an engine that leaves
      goes on for a second and a half.  */
   REPORT_AGAIN_MS = 400,
@@ -44,10 +54,17 @@
 };
 
 void
-csp_note_fleet_news (csp_gateway_t *gateway)
+csp_note_fleet_news (csp_gateway_t *gateway, const char *target_id)
 {
   int64_t now_ms = csp_gateway_now_ms (gateway);
   int64_t passed_ms = now_ms - gateway->news_ms;
+  const csp_fleet_target_t *target
+      = csp_find_fleet_target (gateway->fleet, target_id);
+  int64_t age_ms = target == NULL ? 0 : now_ms - target->listed_ms;
+
+  if (age_ms >= NEWS_TOGETHER_MS && age_ms < ROW_AGE_MOST_MS)
+    gateway->row_usual_ms
+        += (age_ms - gateway->row_usual_ms) / NEWS_WEIGHT_PART;
 
   if (gateway->news_ms != 0 && passed_ms >= NEWS_TOGETHER_MS)
     gateway->news_usual_ms
@@ -65,6 +82,34 @@
                 >= (late_ms > NEWS_LATE_MS ? late_ms : NEWS_LATE_MS);
 }
 
+/* Whether a target has to be asked whether it leaves or lives.  */
+static bool
+is_in_doubt (const csp_gateway_t *gateway, const csp_fleet_target_t *target,
+             int64_t now_ms)
+{
+  int64_t late_ms = gateway->row_usual_ms * ROW_LATE_TIMES;
+
+  return is_news_late (gateway, now_ms)
+         || (gateway->row_usual_ms > 0
+             && now_ms - target->listed_ms
+                    >= (late_ms > NEWS_LATE_MS ? late_ms : NEWS_LATE_MS));
+}
+
+/* Whether this host should ask it.  */
+static bool
+concerns_us (const csp_gateway_t *gateway, const csp_fleet_target_t *target)
+{
+  const csp_route_service_t *service;
+
+  if (target->own.tokens > 0)
+    return true;
+  if (gateway->routes == NULL
+      || !csp_is_same_peer (csp_pick_decider (gateway->roster), gateway->self))
+    return false;
+  service = csp_get_route_service (gateway->routes, target->row.service);
+  return service != NULL && service->is_engine;
+}
+
 static void
 end_report (csp_report_t *report, bool keeps_link)
 {
@@ -110,15 +155,26 @@
                       report->body.data, report->body.size_bytes, &told);
 
   end_report (report, true);
+  target->unreachable = 0;
   if (readable && told.leaving)
     csp_note_target_leaves (gateway->fleet, target);
 }
 
+/* It is gone, or cut off from here, and gets nothing new for a while.  */
+static void
+fail_report (csp_report_t *report)
+{
+  csp_note_unreachable (report->target, csp_gateway_now_ms (report->gateway));
+  end_report (report, false);
+}
+
 static void
 on_report_failed (void *state, csp_link_failure_t why)
 {
-  (void)why;
-  end_report (state, false);
+  if (why == CSP_LINK_UNREACHABLE)
+    fail_report (state);
+  else
+    end_report (state, false);
 }
 
 static const csp_link_events_t report_events
@@ -172,7 +228,7 @@
       csp_report_t *next = report->next;
 
       if (now_ms - report->asked_ms >= REPORT_TIMEOUT_MS)
-        end_report (report, false);
+        fail_report (report);
       report = next;
     }
 }
@@ -185,15 +241,15 @@
   size_t i;
 
   drop_late_reports (gateway, now_ms);
-  if (!is_news_late (gateway, now_ms))
-    return;
   for (i = 0; i < count; i++)
     {
       csp_fleet_target_t *target = csp_fleet_at (gateway->fleet, i);
 
-      if (target->own.tokens > 0 && now_ms >= target->report_at_ms
+      if (now_ms >= target->report_at_ms
           && (target->state == CSP_FLEET_READY
-              || target->state == CSP_FLEET_LAPSED))
+              || target->state == CSP_FLEET_LAPSED)
+          && is_in_doubt (gateway, target, now_ms)
+          && concerns_us (gateway, target))
         ask_target (gateway, target, now_ms);
     }
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -120,11 +120,11 @@
       take_routes (gateway, update->value.routes);
       break;
     case CSP_UPDATE_TARGET:
-      csp_note_fleet_news (gateway);
+      csp_note_fleet_news (gateway, update->value.target.id);
       csp_list_target (gateway->fleet, &update->value.target, now_ms);
       break;
     case CSP_UPDATE_TARGET_REMOVED:
-      csp_note_fleet_news (gateway);
+      csp_note_fleet_news (gateway, update->value.target_id);
       csp_unlist_target (gateway->fleet, update->value.target_id, now_ms);
       break;
     case CSP_UPDATE_LISTED:
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -253,6 +253,13 @@
   return listener;
 }
 
+void
+fixture_list (fixture_t *fixture, int listener, const char *id,
+              const char *service)
+{
+  list_target (fixture, listener, id, service, false);
+}
+
 void
 fixture_leave (fixture_t *fixture, int listener, const char *id,
                const char *service)
--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -41,6 +41,10 @@
 /* Open a target and list it; returns its listening socket.  */
 int fixture_target (fixture_t *fixture, const char *id, const char *service);
 
+/* List a target again as it is.  */
+void fixture_list (fixture_t *fixture, int listener, const char *id,
+                   const char *service);
+
 /* List a target again as leaving, or drop it from the list.  */
 void fixture_leave (fixture_t *fixture, int listener, const char *id,
                     const char *service);
--- a/tests/gateway/stream-test.c
+++ b/tests/gateway/stream-test.c
@@ -428,6 +428,31 @@
 }
 END_TEST
 
+/* Engines are gone whose rows outlive them, as the platform's store was down
+   when they went.  They look empty, and the host that decides would send to
+   them what leaves others.  It asks an engine whose row is older than rows
+   usually get, also where nothing of its own runs there.  */
+START_TEST (an_engine_whose_row_grows_old_is_asked)
+{
+  int other = fixture_target (&fixture, ids[1], "engines");
+  int report;
+  int beat;
+
+  listeners[1] = other;
+  caller = caller_open (&fixture);
+  for (beat = 0; beat < 40; beat++)
+    {
+      fixture_settle (&fixture);
+      csp_advance_fake_clock (&fixture.fake, 200);
+      fixture_list (&fixture, other, ids[1], "engines");
+    }
+  fixture_settle (&fixture);
+  report = target_accept (listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (report, 0), "GET /report"));
+  close (report);
+}
+END_TEST
+
 /* Wait until the gateway has noticed so many failures of moves.  */
 static void
 await_failed_moves (int count)
@@ -488,6 +513,7 @@
   tcase_add_test (tcase, a_silent_stream_goes_on_from_its_backup);
   tcase_add_test (tcase, a_target_is_asked_when_the_platform_says_nothing);
   tcase_add_test (tcase, a_target_that_stays_is_asked_again);
+  tcase_add_test (tcase, an_engine_whose_row_grows_old_is_asked);
   tcase_add_test (tcase, a_refused_move_is_tried_again);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
