--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 STANDIN_SRC := $(wildcard tests/standin/standin-*.c)
 STANDIN_COMMON := $(filter-out $(STANDIN_SRC),$(wildcard tests/standin/*.c))
 SOAK_SRC := $(wildcard tests/soak/*.c)
-SUPPORT_SRC := $(wildcard tests/support/*.c) tests/gateway/gateway-fixture.c
+SUPPORT_SRC := $(wildcard tests/support/*.c) tests/gateway/gateway-fixture.c \
+  tests/gateway/stream-fixture.c
 TEST_SRC := $(wildcard tests/*/*-test.c)
 SESSIONS := $(patsubst %.golden,./%.sh,$(wildcard tests/session/*.golden)) \
   ./tests/soak/short.sh
--- /dev/null
+++ b/source/gateway/gateway-caller-answer.c
@@ -0,0 +1,215 @@
+#include "gateway/gateway-caller-imp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Answers to one caller, and the end of its connection.  */
+
+enum
+{
+  /* Closing with unread bytes resets the connection, and the reset overtakes
+     the answer.  So the write side closes first, and the caller has this long
+     to read and close.  */
+  LINGER_MS = 1000,
+  HEAD_ROOM_BYTES = 512,
+  MS_PER_S = 1000
+};
+
+void
+csp_caller_closed (uv_handle_t *handle)
+{
+  csp_caller_t *caller = handle->data;
+
+  if (--caller->open_handles > 0)
+    return;
+  csp_destroy_http_reader (caller->reader);
+  csp_clear_buffer (&caller->pending);
+  free (caller);
+}
+
+/* Take the caller off the list; its handles close behind.  */
+static void
+forget_caller (csp_caller_t *caller)
+{
+  caller->closed = true;
+  caller->exchange = NULL;
+  if (caller->previous != NULL)
+    caller->previous->next = caller->next;
+  else
+    caller->gateway->callers = caller->next;
+  if (caller->next != NULL)
+    caller->next->previous = caller->previous;
+  caller->gateway->caller_count--;
+  uv_close ((uv_handle_t *)&caller->timer, csp_caller_closed);
+}
+
+void
+csp_close_caller (csp_caller_t *caller)
+{
+  csp_exchange_t *exchange = caller->exchange;
+
+  if (caller->closed)
+    return;
+  forget_caller (caller);
+  uv_close ((uv_handle_t *)&caller->tcp, csp_caller_closed);
+  if (exchange != NULL)
+    csp_abandon_exchange (exchange);
+}
+
+const csp_http_head_t *
+csp_caller_head (const csp_caller_t *caller)
+{
+  return csp_http_head (caller->reader);
+}
+
+static void
+on_written (uv_write_t *request, int status)
+{
+  csp_caller_t *caller = request->data;
+
+  if (caller->closed)
+    return;
+  if (status < 0)
+    csp_close_caller (caller);
+  else if (caller->exchange != NULL)
+    csp_caller_drained (caller->exchange);
+}
+
+void
+csp_write_caller (csp_caller_t *caller, const void *data, size_t size_bytes)
+{
+  if (!caller->closed)
+    csp_write_stream ((uv_stream_t *)&caller->tcp, data, size_bytes,
+                      on_written, caller);
+}
+
+size_t
+csp_caller_backlog (const csp_caller_t *caller)
+{
+  return caller->tcp.write_queue_size;
+}
+
+bool
+csp_caller_keeps (const csp_caller_t *caller)
+{
+  return caller->keeps && caller->request_whole && !caller->gateway->stopping;
+}
+
+static void
+on_linger_end (uv_timer_t *timer)
+{
+  csp_close_caller (timer->data);
+}
+
+static void
+on_shut_down (uv_shutdown_t *request, int status)
+{
+  (void)status;
+  free (request);
+}
+
+void
+csp_linger_caller (csp_caller_t *caller)
+{
+  uv_shutdown_t *request = malloc (sizeof *request);
+
+  caller->lingering = true;
+  csp_clear_buffer (&caller->pending);
+  if (request == NULL
+      || uv_shutdown (request, (uv_stream_t *)&caller->tcp, on_shut_down) != 0)
+    {
+      free (request);
+      csp_close_caller (caller);
+      return;
+    }
+  uv_timer_start (&caller->timer, on_linger_end, LINGER_MS, 0);
+  csp_pause_caller (caller, false);
+}
+
+void
+csp_finish_caller_answer (csp_caller_t *caller)
+{
+  bool keeps = csp_caller_keeps (caller);
+
+  caller->exchange = NULL;
+  if (caller->closed)
+    return;
+  if (!keeps)
+    {
+      csp_linger_caller (caller);
+      return;
+    }
+  csp_next_http_message (caller->reader, csp_reader_limits (caller->gateway),
+                         false);
+  caller->request_whole = false;
+  caller->in_body = false;
+  caller->paused = false;
+  caller->last_read_ms = csp_gateway_now_ms (caller->gateway);
+  csp_set_caller_timer (caller);
+  if (!caller->feeding)
+    csp_feed_caller (caller);
+}
+
+/* An answer to HTTP/1.0 ends with its connection, so only a reset shows that
+   it was cut.  Elsewhere the framing shows it, and an orderly close leaves the
+   caller the bytes that are on their way.  */
+void
+csp_abort_caller (csp_caller_t *caller)
+{
+  caller->exchange = NULL;
+  if (caller->closed)
+    return;
+  if (csp_caller_head (caller)->minor_version == 0
+      && uv_tcp_close_reset (&caller->tcp, csp_caller_closed) == 0)
+    forget_caller (caller);
+  else
+    csp_close_caller (caller);
+}
+
+void
+csp_answer_caller (csp_caller_t *caller, uint16_t status,
+                   uint32_t retry_after_ms, const char *detail)
+{
+  char body[HEAD_ROOM_BYTES];
+  csp_buffer_t answer = { 0 };
+  int body_bytes = snprintf (body, sizeof body, "{\"error\":\"%s\"}", detail);
+
+  csp_print_buffer (&answer,
+                    "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+                    "Content-Length: %d\r\n",
+                    status, csp_http_status_words (status), body_bytes);
+  if (retry_after_ms > 0)
+    csp_print_buffer (&answer, "Retry-After: %.3f\r\n",
+                      (double)retry_after_ms / MS_PER_S);
+  if (!csp_caller_keeps (caller))
+    csp_print_buffer (&answer, "Connection: close\r\n");
+  csp_append_buffer (&answer, "\r\n", 2);
+  if (strcmp (csp_caller_head (caller)->method, "HEAD") != 0)
+    csp_append_buffer (&answer, body, (size_t)body_bytes);
+  csp_write_caller (caller, answer.data, answer.size_bytes);
+  csp_clear_buffer (&answer);
+  csp_finish_caller_answer (caller);
+}
+
+void
+csp_close_idle_callers (csp_gateway_t *gateway)
+{
+  csp_caller_t *caller = gateway->callers;
+
+  while (caller != NULL)
+    {
+      csp_caller_t *next = caller->next;
+
+      if (!caller->lingering && caller->exchange == NULL
+          && !csp_http_began (caller->reader))
+        csp_linger_caller (caller);
+      caller = next;
+    }
+}
+
+void
+csp_close_all_callers (csp_gateway_t *gateway)
+{
+  while (gateway->callers != NULL)
+    csp_close_caller (gateway->callers);
+}
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -16,6 +16,10 @@
   /* A host that knows no configuration yet has one within a second or so,
      unless the platform is away; others know it.  */
   NO_CONFIGURATION_RETRY_MS = 500,
+  /* Another host takes at once what one that stops doesn't.  */
+  STOPPING_RETRY_MS = 50,
+  /* From a request to its first token where engines are busy.  */
+  STREAM_START_MS = 800,
   /* Room at targets changes within some requests' length.  */
   REFUSED_RETRY_MS = 400,
   /* Longest time that a caller may state; a day.  */
@@ -275,20 +279,24 @@
 /* Whether a request that comes during a stop can still be answered whole.
    One that is cut when the process ends is lost to its caller, who would have
    been served elsewhere; so only what fits into the time that is left is
-   taken, and streams, which outlast any stop, while the balancer still sends
-   callers here.  */
+   taken.  While the balancer still sends callers here that is all but a stream
+   that will probably be longer; afterwards it is what must end in time.  */
 static bool
 fits_into_stop (const csp_exchange_t *exchange)
 {
   const csp_gateway_t *gateway = exchange->gateway;
+  bool streams = exchange->route->kind == CSP_ROUTE_STREAM;
   int64_t passed_ms = csp_gateway_now_ms (gateway) - gateway->stop_began_ms;
   int64_t left_ms = (int64_t)gateway->settings.stop_limit_ms
                     - CSP_STOP_MARGIN_MS - passed_ms;
 
-  if (!gateway->stopping || passed_ms < CSP_STOP_NOTICE_MS)
+  if (!gateway->stopping)
     return true;
-  return exchange->route->kind != CSP_ROUTE_STREAM
-         && exchange->route->timeout_ms < left_ms;
+  if (passed_ms < CSP_STOP_NOTICE_MS)
+    return !streams
+           || STREAM_START_MS + (int64_t)exchange->output_tokens * CSP_TOKEN_MS
+                  < left_ms;
+  return !streams && exchange->route->timeout_ms < left_ms;
 }
 
 static csp_exchange_t *
@@ -371,14 +379,15 @@
   exchange->labels = csp_get_labels (gateway->times, exchange->organisation,
                                      exchange->route->name);
   csp_count (exchange->labels, CSP_COUNT_REQUESTS, 1);
+  set_tokens (exchange, head);
   if (!fits_into_stop (exchange))
     {
+      exchange->retry_after_ms = STOPPING_RETRY_MS;
       csp_fail_exchange (exchange, CSP_REASON_SHUTTING_DOWN,
                          "the host is stopping");
       return NULL;
     }
   set_deadline (exchange, head);
-  set_tokens (exchange, head);
   if (head->framing == CSP_BODY_NONE)
     {
       exchange->body_whole = true;
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -49,6 +49,8 @@
   /* Data centres are a millisecond or two apart; a target that takes no
      connection within this has no power or is cut off.  */
   CSP_CONNECT_TIMEOUT_MS = 400,
+  /* What one token of a stream takes in a batch that is half full.  */
+  CSP_TOKEN_MS = 10,
   /* In a stop: the balancer asks once a second and leaves a host out after
      two misses; until then new connections come.  */
   CSP_STOP_NOTICE_MS = 2500,
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -7,8 +7,6 @@
   /* A run whose end is nearer than this, by the guess of its length, ends
      where it is: targets serve for a second and more behind their notice.  */
   ENDS_SOON_MS = 500,
-  /* What one token takes in a batch that is half full.  */
-  TOKEN_MS = 10,
   /* A run that has outlived its guess is expected to take a third more.  */
   OUTLIVED_PART = 3,
   /* Between the turns of two hosts: the last rest of a run and what the
@@ -28,7 +26,7 @@
 {
   int64_t took_ms
       = csp_gateway_now_ms (exchange->gateway) - exchange->first_event_ms;
-  int64_t whole_ms = (int64_t)exchange->output_tokens * TOKEN_MS;
+  int64_t whole_ms = (int64_t)exchange->output_tokens * CSP_TOKEN_MS;
   int64_t least_ms = took_ms / OUTLIVED_PART;
 
   return whole_ms - took_ms > least_ms ? whole_ms - took_ms : least_ms;
--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -79,4 +79,12 @@
 /* Close with a reset, so that the peer sees no orderly end.  */
 void reset_socket (int socket);
 
+/* A request of a caller, and a target's answer to one.  */
+#define REQUEST(path, id)                                                     \
+  "GET " path " HTTP/1.1\r\nHost: h\r\nKey: key-a\r\nRequest-Id: " id         \
+  "\r\nTime-Left: 3000\r\n\r\n"
+#define ANSWER(id, body, length)                                              \
+  "HTTP/1.1 200 OK\r\nRequest-Id: " id                                        \
+  "\r\nSignature: s\r\nContent-Length: " length "\r\n\r\n" body
+
 #endif
--- a/tests/gateway/gateway-test.c
+++ b/tests/gateway/gateway-test.c
@@ -1,9 +1,7 @@
 #include "gateway/gateway-fixture.h"
 
-#include "cowslipspoke/roster.h"
 #include "support/run-suite.h"
 
-#include <arpa/inet.h>
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -25,13 +23,6 @@
   fixture_close (&fixture);
 }
 
-#define REQUEST(path, id)                                                     \
-  "GET " path " HTTP/1.1\r\nHost: h\r\nKey: key-a\r\nRequest-Id: " id         \
-  "\r\nTime-Left: 3000\r\n\r\n"
-#define ANSWER(id, body, length)                                              \
-  "HTTP/1.1 200 OK\r\nRequest-Id: " id                                        \
-  "\r\nSignature: s\r\nContent-Length: " length "\r\n\r\n" body
-
 START_TEST (a_request_goes_on_unchanged_and_its_answer_comes_back)
 {
   int target = fixture_target (&fixture, "t-1", "plain");
@@ -368,88 +359,6 @@
 }
 END_TEST
 
-/* A host is told to stop while callers are connected.  The balancer sees it at
-   once; requests on open connections are still answered, and say that the
-   connection closes; a stream that comes when the balancer has turned away
-   would be cut at the end, so it is refused with a promise.  */
-START_TEST (a_stop_answers_what_it_can_and_refuses_the_rest)
-{
-  int target = fixture_target (&fixture, "t-1", "plain");
-  int engine = fixture_target (&fixture, "t-2", "engines");
-  int caller = caller_open (&fixture);
-  int late = caller_open (&fixture);
-  const char *text;
-  int link;
-
-  ck_assert_ptr_nonnull (strstr (fixture_page (&fixture, "/readyz"), " 200 "));
-  fixture_update (&fixture, CSP_UPDATE_STOP);
-  while (strstr (fixture_page (&fixture, "/readyz"), " 503 ") == NULL)
-    continue;
-  send_text (caller, REQUEST ("/once/", "r1"));
-  link = target_accept (target);
-  target_read (link, 0);
-  send_text (late, "GET /stream/ HTTP/1.1\r\n");
-  csp_advance_fake_clock (&fixture.fake, 2600);
-  send_text (link, ANSWER ("r1", "ok", "2"));
-  text = read_until (caller, "ok");
-  ck_assert_ptr_nonnull (strstr (text, " 200 "));
-  ck_assert_ptr_nonnull (strstr (text, "Connection: close\r\n"));
-  ck_assert (is_closed (caller));
-  send_text (late, "Host: h\r\nKey: key-a\r\nRequest-Id: r2\r\n\r\n");
-  text = read_until (late, "\r\n\r\n");
-  ck_assert_ptr_nonnull (strstr (text, " 503 "));
-  ck_assert_ptr_nonnull (strstr (text, "Retry-After: "));
-  close (late);
-  close (caller);
-  close (link);
-  close (engine);
-  close (target);
-}
-END_TEST
-
-static struct sockaddr_in own_peers;
-
-/* Tell the gateway of loads, as another host would, and more often than it
-   hears in one turn of its loop.  */
-static void
-send_datagrams (void)
-{
-  int sender = socket (AF_INET, SOCK_DGRAM, 0);
-  csp_hello_t hello = { .boot = 1, .load_count = 1 };
-
-  for (hello.sequence = 1; hello.sequence <= 100; hello.sequence++)
-    {
-      csp_buffer_t bytes = { 0 };
-
-      ck_assert (csp_encode_hello (&hello, &bytes));
-      ck_assert_int_eq (sendto (sender, bytes.data, bytes.size_bytes, 0,
-                                (struct sockaddr *)&own_peers,
-                                sizeof own_peers),
-                        (int)bytes.size_bytes);
-      csp_clear_buffer (&bytes);
-    }
-  close (sender);
-}
-
-/* A host is stopped in order, and its connections are being closed, while
-   others go on telling it their loads.  It crashed there: its process ended
-   with a fault instead of in order.  */
-START_TEST (a_datagram_at_the_end_of_a_stop_is_not_heard)
-{
-  fixture_t own;
-
-  own_peers = (struct sockaddr_in){ .sin_family = AF_INET,
-                                    .sin_port = htons (8748) };
-  /* A loopback address of this process.  */
-  own_peers.sin_addr.s_addr
-      = htonl (0x7f400000U | ((uint32_t)getpid () & 0x1fffff));
-  fixture_open_at (&own, &own_peers);
-  own.ended = send_datagrams;
-  close (fixture_target (&own, "t-9", "engines"));
-  fixture_close (&own);
-}
-END_TEST
-
 int
 main (void)
 {
@@ -472,8 +381,6 @@
   tcase_add_test (tcase, an_idempotent_request_is_sent_again);
   tcase_add_test (tcase, a_caller_that_leaves_stops_its_request);
   tcase_add_test (tcase, a_key_that_is_taken_away_is_refused);
-  tcase_add_test (tcase, a_stop_answers_what_it_can_and_refuses_the_rest);
-  tcase_add_test (tcase, a_datagram_at_the_end_of_a_stop_is_not_heard);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
--- /dev/null
+++ b/tests/gateway/leave-test.c
@@ -0,0 +1,329 @@
+#include "gateway/stream-fixture.h"
+
+#include "support/run-suite.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Streams whose engine is told to leave.  */
+
+/* The engine will be taken away in a second and a half.  The run's memory is
+   copied while it goes on, then the run is stopped for the rest, and only when
+   the stop is confirmed it goes on elsewhere: never do two work at once, and
+   events that cross the stop still reach the caller.  */
+START_TEST (a_stream_leaves_its_target_by_two_copies)
+{
+  char awaited[64];
+  const char *text;
+  int copy;
+  int link;
+
+  start_stream (false);
+  add_second ();
+  fixture_leave (&stream.fixture, stream.listeners[0], stream_ids[0],
+                 "engines");
+  copy = target_accept (stream.listeners[0]);
+  text = target_read (copy, 0);
+  snprintf (awaited, sizeof awaited, "/move?id=r1&to=127.0.0.1:%u&last=0",
+            port_of (stream.listeners[1]));
+  ck_assert_msg (strstr (text, awaited) != NULL, "%s", text);
+  send_chunk (stream.link_from, EVENT ("2", "two"));
+  read_until (stream.caller, "two\n\n");
+  send_text (copy, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+  close (copy);
+  copy = target_accept (stream.listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (copy, 0), "last=1"));
+  send_chunk (stream.link_from, EVENT ("3", "three"));
+  close (stream.link_from);
+  read_until (stream.caller, "three\n\n");
+  send_text (copy, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+  link = target_accept (stream.listeners[1]);
+  text = target_read (link, 2);
+  snprintf (awaited, sizeof awaited, "Go-On-From: 127.0.0.1:%u/h1\r\n",
+            port_of (stream.listeners[0]));
+  ck_assert_msg (strstr (text, awaited) != NULL, "%s", text);
+  ck_assert_ptr_nonnull (strstr (text, "Last-Event-Id: 3\r\n"));
+  ck_assert_ptr_nonnull (strstr (text, "Target-Id: t-1\r\n"));
+  send_text (link, STREAM_HEAD);
+  send_chunk (link, EVENT ("4", "four"));
+  read_until (stream.caller, "four\n\n");
+  finish_at (link);
+  close (link);
+  close (copy);
+}
+END_TEST
+
+/* The other engine has no room for the rest.  The source still holds all of
+   the run, which goes on there, by the handle of its own answer.  */
+START_TEST (a_stopped_stream_without_room_goes_on_at_its_source)
+{
+  int copy;
+  int link;
+
+  start_stream (false);
+  add_second ();
+  fixture_leave (&stream.fixture, stream.listeners[0], stream_ids[0],
+                 "engines");
+  copy = target_accept (stream.listeners[0]);
+  target_read (copy, 0);
+  send_text (copy, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+  close (copy);
+  copy = target_accept (stream.listeners[0]);
+  target_read (copy, 0);
+  close (stream.link_from);
+  send_text (copy, "HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nh1");
+  link = target_accept (stream.listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (link, 2), "Target-Id: t-0\r\n"));
+  send_text (link, STREAM_HEAD);
+  send_chunk (link, EVENT ("2", "two"));
+  read_until (stream.caller, "two\n\n");
+  finish_at (link);
+  close (link);
+  close (copy);
+}
+END_TEST
+
+/* The stop is refused and the run goes on where it is: so does the stream.  */
+START_TEST (a_stream_that_was_not_stopped_goes_on)
+{
+  int copy;
+
+  start_stream (false);
+  add_second ();
+  fixture_leave (&stream.fixture, stream.listeners[0], stream_ids[0],
+                 "engines");
+  copy = target_accept (stream.listeners[0]);
+  target_read (copy, 0);
+  send_text (copy, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+  close (copy);
+  copy = target_accept (stream.listeners[0]);
+  target_read (copy, 0);
+  send_text (copy, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+  close (copy);
+  send_chunk (stream.link_from, EVENT ("2", "two"));
+  read_until (stream.caller, "two\n\n");
+  finish_at (stream.link_from);
+  close (stream.link_from);
+  ck_assert_ptr_nonnull (
+      strstr (fixture_page (&stream.fixture, "/metrics"),
+              "cowslipspoke_organisation_time_to_first_token_seconds_count{"
+              "organisation=\"org-a\"} 1\n"));
+}
+END_TEST
+
+/* A run that is too young has no whole copy at its backup yet.  Giving it up
+   for that copy loses it, so it is moved as if it had none.  */
+START_TEST (a_young_run_is_not_given_up_for_its_backup)
+{
+  int copy;
+
+  start_stream (true);
+  fixture_leave (&stream.fixture, stream.listeners[stream.from],
+                 stream_ids[stream.from], "engines");
+  copy = target_accept (stream.listeners[stream.from]);
+  ck_assert_ptr_nonnull (strstr (target_read (copy, 0), "last=0"));
+  close (copy);
+  close (stream.link_from);
+}
+END_TEST
+
+START_TEST (a_run_with_a_whole_backup_goes_on_there_at_once)
+{
+  int link;
+
+  start_stream (true);
+  csp_advance_fake_clock (&stream.fixture.fake, 2000);
+  fixture_leave (&stream.fixture, stream.listeners[stream.from],
+                 stream_ids[stream.from], "engines");
+  ck_assert (is_closed (stream.link_from));
+  close (stream.link_from);
+  link = target_accept (stream.listeners[1 - stream.from]);
+  ck_assert_ptr_nonnull (strstr (target_read (link, 2), "Go-On-From: "));
+  send_text (link, STREAM_HEAD);
+  send_chunk (link, EVENT ("2", "two"));
+  read_until (stream.caller, "two\n\n");
+  finish_at (link);
+  close (link);
+}
+END_TEST
+
+/* Guesses of the length are far off in the tails.  A run that has outlived its
+   guess many times over is not about to end: left where it is, it is lost with
+   its engine.  */
+START_TEST (a_run_past_its_guess_is_not_taken_for_nearly_done)
+{
+  int link;
+
+  start_guessed_stream (true, 10);
+  csp_advance_fake_clock (&stream.fixture.fake, 800);
+  send_chunk (stream.link_from, EVENT ("2", "two"));
+  read_until (stream.caller, "two\n\n");
+  csp_advance_fake_clock (&stream.fixture.fake, 800);
+  send_chunk (stream.link_from, EVENT ("3", "three"));
+  read_until (stream.caller, "three\n\n");
+  fixture_leave (&stream.fixture, stream.listeners[stream.from],
+                 stream_ids[stream.from], "engines");
+  ck_assert (is_closed (stream.link_from));
+  close (stream.link_from);
+  link = target_accept (stream.listeners[1 - stream.from]);
+  ck_assert_ptr_nonnull (strstr (target_read (link, 2), "Go-On-From: "));
+  close (link);
+}
+END_TEST
+
+/* A run looked nearly done when its engine's notice came, and is left where it
+   is.  It writes on, with no other stream there that would make the host look
+   again; the engine ends and the text is cut.  */
+START_TEST (a_run_that_does_not_end_in_time_is_moved_after_all)
+{
+  int copy;
+
+  start_guessed_stream (false, 40);
+  add_second ();
+  fixture_leave (&stream.fixture, stream.listeners[0], stream_ids[0],
+                 "engines");
+  fixture_settle (&stream.fixture);
+  csp_advance_fake_clock (&stream.fixture.fake, 600);
+  copy = target_accept (stream.listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (copy, 0), "last=0"));
+  close (copy);
+  close (stream.link_from);
+}
+END_TEST
+
+/* The platform's store is down, and the engine is told to leave meanwhile: the
+   list of targets can't say so.  Without asking the engine the text is cut
+   when it goes.  */
+START_TEST (a_target_is_asked_when_the_platform_says_nothing)
+{
+  int report;
+
+  start_stream (false);
+  add_second ();
+  ck_assert_ptr_nonnull (
+      strstr (fixture_page (&stream.fixture, "/metrics"),
+              "cowslipspoke_gateway_target_reports_total 0\n"));
+  csp_advance_fake_clock (&stream.fixture.fake, 400);
+  report = target_accept (stream.listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (report, 0), "GET /report"));
+  send_text (report, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nleaving");
+  /* The same connection, as nothing about it is in doubt.  */
+  ck_assert_ptr_nonnull (strstr (target_read (report, 0), "last=0"));
+  close (report);
+  close (stream.link_from);
+}
+END_TEST
+
+/* The engine that was asked is well: nothing moves.  It is asked again later,
+   on the same connection.  */
+START_TEST (a_target_that_stays_is_asked_again)
+{
+  int report;
+
+  start_stream (false);
+  add_second ();
+  csp_advance_fake_clock (&stream.fixture.fake, 400);
+  report = target_accept (stream.listeners[0]);
+  target_read (report, 0);
+  send_text (report, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9\r\n"
+                     "Content-Length: 2\r\n\r\nok");
+  fixture_settle (&stream.fixture);
+  csp_advance_fake_clock (&stream.fixture.fake, 450);
+  ck_assert_ptr_nonnull (strstr (target_read (report, 0), "GET /report"));
+  send_chunk (stream.link_from, EVENT ("2", "two"));
+  read_until (stream.caller, "two\n\n");
+  finish_at (stream.link_from);
+  close (report);
+  close (stream.link_from);
+}
+END_TEST
+
+/* Engines are gone whose rows outlive them, as the platform's store was down
+   when they went.  They look empty, and the host that decides would send to
+   them what leaves others.  It asks an engine whose row is older than rows
+   usually get, also where nothing of its own runs there.  */
+START_TEST (an_engine_whose_row_grows_old_is_asked)
+{
+  int other = fixture_target (&stream.fixture, stream_ids[1], "engines");
+  int report;
+  int beat;
+
+  stream.listeners[1] = other;
+  stream.caller = caller_open (&stream.fixture);
+  for (beat = 0; beat < 40; beat++)
+    {
+      fixture_settle (&stream.fixture);
+      csp_advance_fake_clock (&stream.fixture.fake, 200);
+      fixture_list (&stream.fixture, other, stream_ids[1], "engines");
+    }
+  fixture_settle (&stream.fixture);
+  report = target_accept (stream.listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (report, 0), "GET /report"));
+  close (report);
+}
+END_TEST
+
+/* Wait until the gateway has noticed so many failures of moves.  */
+static void
+await_failed_moves (int count)
+{
+  char awaited[80];
+
+  snprintf (awaited, sizeof awaited,
+            "cowslipspoke_gateway_stream_moves_failed_total %d\n", count);
+  while (strstr (fixture_page (&stream.fixture, "/metrics"), awaited) == NULL)
+    usleep (1000);
+}
+
+/* The engine chosen for a stream has no room.  There is some a moment later,
+   with each run that ends; a host that gives up after a few refusals loses the
+   text with its engine.  */
+START_TEST (a_refused_move_is_tried_again)
+{
+  int tries;
+  int copy;
+
+  start_stream (false);
+  add_second ();
+  fixture_leave (&stream.fixture, stream.listeners[0], stream_ids[0],
+                 "engines");
+  for (tries = 0; tries < 8; tries++)
+    {
+      copy = target_accept (stream.listeners[0]);
+      ck_assert_ptr_nonnull (strstr (target_read (copy, 0), "last=0"));
+      send_text (copy, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+      close (copy);
+      await_failed_moves (tries + 1);
+      csp_advance_fake_clock (&stream.fixture.fake, 120);
+    }
+  send_chunk (stream.link_from, EVENT ("2", "two"));
+  read_until (stream.caller, "two\n\n");
+  finish_at (stream.link_from);
+  close (stream.link_from);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("leave");
+  TCase *tcase = tcase_create ("leave");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, stream_set_up, stream_tear_down);
+  tcase_add_test (tcase, a_stream_leaves_its_target_by_two_copies);
+  tcase_add_test (tcase, a_stopped_stream_without_room_goes_on_at_its_source);
+  tcase_add_test (tcase, a_stream_that_was_not_stopped_goes_on);
+  tcase_add_test (tcase, a_young_run_is_not_given_up_for_its_backup);
+  tcase_add_test (tcase, a_run_with_a_whole_backup_goes_on_there_at_once);
+  tcase_add_test (tcase, a_run_past_its_guess_is_not_taken_for_nearly_done);
+  tcase_add_test (tcase, a_run_that_does_not_end_in_time_is_moved_after_all);
+  tcase_add_test (tcase, a_target_is_asked_when_the_platform_says_nothing);
+  tcase_add_test (tcase, a_target_that_stays_is_asked_again);
+  tcase_add_test (tcase, an_engine_whose_row_grows_old_is_asked);
+  tcase_add_test (tcase, a_refused_move_is_tried_again);
+  suite_add_tcase (suite, tcase);
+  return run_suite (suite);
+}
--- /dev/null
+++ b/tests/gateway/stream-fixture.c
@@ -0,0 +1,107 @@
+#include "gateway/stream-fixture.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/select.h>
+#include <unistd.h>
+
+stream_fixture_t stream;
+const char *const stream_ids[2] = { "t-0", "t-1" };
+
+void
+stream_set_up (void)
+{
+  fixture_open (&stream.fixture);
+  fixture_publish (&stream.fixture, true);
+  stream.listeners[0]
+      = fixture_target (&stream.fixture, stream_ids[0], "engines");
+}
+
+void
+stream_tear_down (void)
+{
+  close (stream.caller);
+  close (stream.listeners[0]);
+  close (stream.listeners[1]);
+  fixture_close (&stream.fixture);
+}
+
+void
+send_chunk (int socket, const char *text)
+{
+  char framed[512];
+
+  snprintf (framed, sizeof framed, "%zx\r\n%s\r\n", strlen (text), text);
+  send_text (socket, framed);
+}
+
+void
+start_guessed_stream (bool with_backup, int hint)
+{
+  const char *text;
+  char request[256];
+
+  if (with_backup)
+    stream.listeners[1]
+        = fixture_target (&stream.fixture, stream_ids[1], "engines");
+  stream.caller = caller_open (&stream.fixture);
+  snprintf (request, sizeof request,
+            "POST /stream/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
+            "Request-Id: r1\r\nTime-Left: 30000\r\nTokens: 100,2000\r\n"
+            "Output-Hint: %d\r\nContent-Length: 2\r\n\r\nhi",
+            hint);
+  send_text (stream.caller, request);
+  stream.from = 0;
+  if (with_backup)
+    {
+      fd_set ready;
+
+      FD_ZERO (&ready);
+      FD_SET (stream.listeners[0], &ready);
+      FD_SET (stream.listeners[1], &ready);
+      ck_assert_int_eq (select (stream.listeners[0] > stream.listeners[1]
+                                    ? stream.listeners[0] + 1
+                                    : stream.listeners[1] + 1,
+                                &ready, NULL, NULL, NULL),
+                        1);
+      stream.from = FD_ISSET (stream.listeners[1], &ready);
+    }
+  stream.link_from = target_accept (stream.listeners[stream.from]);
+  text = target_read (stream.link_from, 2);
+  ck_assert_int_eq (strstr (text, "Backup: ") != NULL, with_backup);
+  send_text (stream.link_from, STREAM_HEAD);
+  send_chunk (stream.link_from, EVENT ("1", "one"));
+  read_until (stream.caller, "one\n\n");
+}
+
+void
+start_stream (bool with_backup)
+{
+  start_guessed_stream (with_backup, 1000);
+}
+
+void
+add_second (void)
+{
+  stream.listeners[1]
+      = fixture_target (&stream.fixture, stream_ids[1], "engines");
+}
+
+unsigned
+port_of (int listener)
+{
+  struct sockaddr_in address = { 0 };
+  socklen_t size_bytes = sizeof address;
+
+  getsockname (listener, (struct sockaddr *)&address, &size_bytes);
+  return ntohs (address.sin_port);
+}
+
+void
+finish_at (int link)
+{
+  send_text (link, "0\r\n\r\n");
+  read_until (stream.caller, "0\r\n\r\n");
+}
