--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -242,6 +242,9 @@
       = (uint32_t)csp_hash_pair ("data_centre", settings->data_centre);
   gateway->boot = ((uint64_t)csp_wall_ms (&gateway->clock) << BOOT_RANDOM_BITS)
                   | (random & ((1U << BOOT_RANDOM_BITS) - 1));
+  /* Asks of this boot aren't taken for those of an earlier one, whose answers
+     the host that decides may remember.  */
+  gateway->next_ask_id = gateway->boot;
   gateway->roster = csp_create_roster (gateway->self, gateway->boot,
                                        gateway->data_centre, random);
   gateway->peer_room = calloc (CSP_ROSTER_MAX, sizeof *gateway->peer_room);
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -15,6 +15,9 @@
   GREET_SILENT_MS = 2000,
   /* Two greetings may be lost on a link that drops packets.  */
   SILENT_AFTER_MS = 3300,
+  /* Datagrams take milliseconds, and half a second on a full link; a boot that
+     lives greets every second.  */
+  BOOT_SILENT_MS = 1500,
   /* A machine that is away that long has another address or none.  */
   FORGET_AFTER_MS = 600000
 };
@@ -142,6 +145,17 @@
   peer->loads[peer->load_count++] = *load;
 }
 
+/* Boots are start times with some random bits, so a lower one is mostly a
+   datagram that was long on its way.  But a host whose calendar was stepped
+   back before it started again has a lower one too; were it not heard, its
+   load would go uncounted, and the host that decides fill engines twice.  The
+   boot before is silent by then.  */
+static bool
+is_replaced_boot (const peer_t *peer, uint64_t boot, int64_t now_ms)
+{
+  return boot < peer->boot && now_ms - peer->heard_ms < BOOT_SILENT_MS;
+}
+
 bool
 csp_hear_peer (csp_roster_t *roster, csp_peer_address_t from,
                const csp_hello_t *hello, int64_t now_ms)
@@ -156,12 +170,10 @@
     peer = add_peer (roster, from);
   if (peer == NULL)
     return false;
-  /* Boots are start times with some random bits, so a lower one is a datagram
-     that was long on its way.  */
-  if (hello->boot < peer->boot
+  if (is_replaced_boot (peer, hello->boot, now_ms)
       || (hello->boot == peer->boot && hello->sequence <= peer->sequence))
     return false;
-  if (hello->boot > peer->boot || hello->whole)
+  if (hello->boot != peer->boot || hello->whole)
     peer->load_count = 0;
   peer->boot = hello->boot;
   peer->sequence = hello->sequence;
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -274,6 +274,24 @@
 }
 END_TEST
 
+/* A host's calendar is stepped back by a minute and its process killed.  The
+   new boot has a lower number than the one that is known, and its load must
+   count all the same, once the old one has been silent.  */
+START_TEST (a_boot_behind_a_calendar_that_stepped_back_is_heard)
+{
+  csp_hello_t old = hello_of (OTHER_BOOT, 9, true, 4);
+  csp_hello_t late = hello_of (OTHER_BOOT - 1, 1, true, 7);
+  csp_hello_t new = hello_of (OTHER_BOOT - 1, 3, true, 2);
+
+  ck_assert (csp_hear_peer (roster, other, &old, 1000));
+  ck_assert (!csp_hear_peer (roster, other, &late, 2000));
+  ck_assert_uint_eq (requests (), 4);
+  ck_assert (csp_hear_peer (roster, other, &new, 2600));
+  ck_assert_uint_eq (requests (), 2);
+  ck_assert (!csp_hear_peer (roster, other, &new, 2700));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -287,6 +305,7 @@
   tcase_add_test (tcase, hosts_are_found_through_others_and_asked_again);
   tcase_add_test (tcase, hosts_of_a_data_centre_agree_on_a_reader);
   tcase_add_test (tcase, a_datagram_survives_its_codec);
+  tcase_add_test (tcase, a_boot_behind_a_calendar_that_stepped_back_is_heard);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
