--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -249,6 +249,7 @@
   caller->request = ledger_add (soak, kind, caller->host, caller->id);
   if (caller->request == NULL)
     return;
+  caller->request->deadline_ms = caller->request->sent_ms + left_ms;
   caller->status = 0;
   caller->closes = false;
   caller->text_bytes = 0;
--- a/tests/soak/soak-ledger.c
+++ b/tests/soak/soak-ledger.c
@@ -16,6 +16,8 @@
   /* Requests may still be on their way by the version before for that long.
    */
   ROLLBACK_MS = 250,
+  /* The host counts from the request's first byte.  */
+  DEADLINE_MARGIN_MS = 200,
   GRACE_PARTS = 6,
   GRACE_FULL_PARTS = 5,
   CUT_ALLOWED = 3,
@@ -239,7 +241,8 @@
 }
 
 /* A host that is stopped in order ends what it has begun, but for what is
-   still at work near the end of its time.  */
+   still at work near the end of its time, and what its caller's time has run
+   out for: a stream on a connection that fell silent lasts until then.  */
 void
 ledger_cut (soak_t *soak, request_t *request, const char *id)
 {
@@ -251,7 +254,8 @@
                         + SOAK_GRACE_MS * GRACE_FULL_PARTS / GRACE_PARTS;
 
   if (request->server == NULL || !server_is_calm (request->server)
-      || now_ms < host->disturbed_until_ms || host->stopped)
+      || now_ms < host->disturbed_until_ms || host->stopped
+      || now_ms + DEADLINE_MARGIN_MS >= request->deadline_ms)
     return;
   if (stops)
     soak_violation (soak, "LOST", "%s: cut as %s stops", id, host->name);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -56,6 +56,7 @@
   uint16_t host;
   uint32_t host_boot;
   uint64_t sent_ms;
+  uint64_t deadline_ms; /* when its caller's time is over */
   uint64_t left_ms;     /* when its caller hung up; 0: it didn't */
   uint64_t answered_ms; /* final answer; 0: none */
   uint16_t status;      /* of the answer; 0: none, or cut */
@@ -68,7 +69,7 @@
 
 typedef struct
 {
-  char name[16];
+  char name[24];
   struct sockaddr_in front;
   struct sockaddr_in ready;
   struct sockaddr_in peers;
