--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -117,6 +117,13 @@
 void csp_clear_other_loads (csp_fleet_t *fleet);
 void csp_count_other_load (csp_fleet_t *fleet, const csp_peer_load_t *load);
 
+/* Take back what was counted.  A load of a target that was unknown then was
+   not; it has to be counted when the target is added.  */
+void csp_uncount_other_load (csp_fleet_t *fleet, const csp_peer_load_t *load);
+
+/* How many targets have ever been added.  */
+uint64_t csp_fleet_additions (const csp_fleet_t *fleet);
+
 /* What a request needs of a target.  */
 typedef struct
 {
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -172,4 +172,8 @@
 void csp_each_peer_load (const csp_roster_t *roster, csp_take_load_t take,
                          void *state);
 
+/* Each load of one host; none where it isn't known.  */
+void csp_each_load_of_peer (csp_roster_t *roster, csp_peer_address_t address,
+                            csp_take_load_t take, void *state);
+
 #endif
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -74,6 +74,8 @@
 {
   double passed_ms = (double)(now_ms - target->counted_at_ms);
 
+  if (target->failing <= 0)
+    return 0;
   return target->failing * exp2 (-fmax (passed_ms, 0) / fade_half_ms);
 }
 
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -47,29 +47,70 @@
   for (i = 0; i < fleet->count; i++)
     free_target (fleet, fleet->targets[i]);
   free (fleet->targets);
+  free (fleet->index);
   free (fleet);
 }
 
-csp_fleet_target_t *
-csp_find_fleet_target (const csp_fleet_t *fleet, const char *id)
+static uint64_t
+hash_of_id (const char *id)
+{
+  return csp_hash_pair ("target", id);
+}
+
+/* The slot of a target with that hash, or the free one where it would be.  */
+static size_t
+find_slot (const csp_fleet_t *fleet, uint64_t hash)
+{
+  size_t slot = hash & (fleet->index_room - 1);
+
+  while (fleet->index[slot] != NULL && fleet->index[slot]->hash != hash)
+    slot = (slot + 1) & (fleet->index_room - 1);
+  return slot;
+}
+
+static void
+fill_index (csp_fleet_t *fleet)
 {
   size_t i;
 
+  memset (fleet->index, 0, fleet->index_room * sizeof *fleet->index);
   for (i = 0; i < fleet->count; i++)
-    if (strcmp (fleet->targets[i]->row.id, id) == 0)
-      return fleet->targets[i];
-  return NULL;
+    fleet->index[find_slot (fleet, fleet->targets[i]->hash)]
+        = fleet->targets[i];
+}
+
+/* Room for one more target in an index that stays half empty.  */
+static bool
+grow_index (csp_fleet_t *fleet)
+{
+  size_t room = fleet->index_room == 0 ? FIRST_ROOM * 2 : fleet->index_room;
+  csp_fleet_target_t **grown;
+
+  while (room < (fleet->count + 1) * 2)
+    room *= 2;
+  if (room == fleet->index_room)
+    return true;
+  grown = realloc (fleet->index, room * sizeof *grown);
+  if (grown == NULL)
+    return false;
+  fleet->index = grown;
+  fleet->index_room = room;
+  fill_index (fleet);
+  return true;
 }
 
 csp_fleet_target_t *
 csp_find_hashed_target (const csp_fleet_t *fleet, uint64_t hash)
 {
-  size_t i;
+  return fleet->index_room == 0 ? NULL : fleet->index[find_slot (fleet, hash)];
+}
 
-  for (i = 0; i < fleet->count; i++)
-    if (fleet->targets[i]->hash == hash)
-      return fleet->targets[i];
-  return NULL;
+csp_fleet_target_t *
+csp_find_fleet_target (const csp_fleet_t *fleet, const char *id)
+{
+  csp_fleet_target_t *target = csp_find_hashed_target (fleet, hash_of_id (id));
+
+  return target != NULL && strcmp (target->row.id, id) == 0 ? target : NULL;
 }
 
 static csp_fleet_target_t *
@@ -89,11 +130,16 @@
       fleet->room = room;
     }
   target = calloc (1, sizeof *target);
-  if (target == NULL)
-    return NULL;
+  if (target == NULL || !grow_index (fleet))
+    {
+      free (target);
+      return NULL;
+    }
   csp_copy_text (target->row.id, sizeof target->row.id, id);
-  target->hash = csp_hash_pair ("target", id);
+  target->hash = hash_of_id (id);
+  fleet->index[find_slot (fleet, target->hash)] = target;
   fleet->targets[fleet->count++] = target;
+  fleet->additions++;
   return target;
 }
 
@@ -193,7 +239,10 @@
       else
         fleet->targets[kept++] = target;
     }
+  if (kept == fleet->count)
+    return;
   fleet->count = kept;
+  fill_index (fleet);
 }
 
 void
@@ -205,6 +254,28 @@
     memset (&fleet->targets[i]->others, 0, sizeof (csp_fleet_load_t));
 }
 
+uint64_t
+csp_fleet_additions (const csp_fleet_t *fleet)
+{
+  return fleet->additions;
+}
+
+void
+csp_uncount_other_load (csp_fleet_t *fleet, const csp_peer_load_t *load)
+{
+  csp_fleet_target_t *target = csp_find_hashed_target (fleet, load->target);
+  csp_fleet_load_t *others;
+
+  if (target == NULL)
+    return;
+  others = &target->others;
+  others->requests -= load->requests;
+  others->tokens -= load->tokens;
+  others->backup_tokens -= load->backup_tokens;
+  others->reading_tokens -= load->reading_tokens;
+  others->movable_tokens -= load->movable_tokens;
+}
+
 void
 csp_count_other_load (csp_fleet_t *fleet, const csp_peer_load_t *load)
 {
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -236,6 +236,9 @@
 void csp_stop_gateway_peers (csp_gateway_t *gateway);
 void csp_close_gateway_peers (csp_gateway_t *gateway);
 
+/* Count what other hosts have told of a target that is new here.  */
+void csp_count_new_target (csp_gateway_t *gateway, const char *id);
+
 /* Send one datagram to some hosts.  */
 void csp_send_hello (csp_gateway_t *gateway, csp_hello_t *hello,
                      const csp_peer_address_t *peers, size_t peer_count);
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -37,6 +37,7 @@
     { "ready", "gauge", csp_gateway_is_ready (gateway) },
     { "callers", "gauge", gateway->caller_count },
     { "targets", "gauge", csp_fleet_size (gateway->fleet) },
+    { "peers", "gauge", csp_count_live_peers (gateway->roster) },
     { "routes_version", "gauge",
       gateway->routes == NULL ? 0 : csp_routes_version (gateway->routes) },
   };
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -31,6 +31,14 @@
   csp_count_other_load (state, load);
 }
 
+static void
+uncount_load (void *state, csp_peer_address_t peer,
+              const csp_peer_load_t *load)
+{
+  (void)peer;
+  csp_uncount_other_load (state, load);
+}
+
 /* What the other hosts have under way, counted anew.  */
 static void
 count_others (csp_gateway_t *gateway)
@@ -39,6 +47,52 @@
   csp_each_peer_load (gateway->roster, count_load, gateway->fleet);
 }
 
+/* A target whose loads are counted because it is new here.  */
+typedef struct
+{
+  csp_fleet_t *fleet;
+  uint64_t target; /* hash of its id */
+} new_target_t;
+
+static void
+count_load_of_new (void *state, csp_peer_address_t peer,
+                   const csp_peer_load_t *load)
+{
+  const new_target_t *new_target = state;
+
+  (void)peer;
+  if (load->target == new_target->target)
+    csp_count_other_load (new_target->fleet, load);
+}
+
+void
+csp_count_new_target (csp_gateway_t *gateway, const char *id)
+{
+  const csp_fleet_target_t *target
+      = csp_find_fleet_target (gateway->fleet, id);
+  new_target_t new_target = { .fleet = gateway->fleet };
+
+  if (target == NULL)
+    return;
+  new_target.target = target->hash;
+  csp_each_peer_load (gateway->roster, count_load_of_new, &new_target);
+}
+
+/* A host's word replaces its last one.  Counting all hosts anew for each
+   datagram took more than a host has at 300 hosts and 3,000 targets.  */
+static bool
+hear_peer (csp_gateway_t *gateway, csp_peer_address_t peer,
+           const csp_hello_t *hello)
+{
+  bool taken;
+
+  csp_each_load_of_peer (gateway->roster, peer, uncount_load, gateway->fleet);
+  taken = csp_hear_peer (gateway->roster, peer, hello,
+                         csp_gateway_now_ms (gateway));
+  csp_each_load_of_peer (gateway->roster, peer, count_load, gateway->fleet);
+  return taken;
+}
+
 /* Send now or not at all: a greeting that waits is an old one.  */
 void
 csp_send_hello (csp_gateway_t *gateway, csp_hello_t *hello,
@@ -206,14 +260,10 @@
       || !csp_decode_hello (room->base, (size_t)size_bytes, &hello))
     return;
   peer = csp_peer_of_socket ((const struct sockaddr_in *)from);
-  if (csp_hear_peer (gateway->roster, peer, &hello,
-                     csp_gateway_now_ms (gateway))
-      && (hello.whole || hello.load_count > 0))
-    {
-      count_others (gateway);
-      if (csp_count_waiting_asks (gateway->dispatch) > 0)
-        csp_pump_places (gateway);
-    }
+  if (hear_peer (gateway, peer, &hello)
+      && (hello.whole || hello.load_count > 0)
+      && csp_count_waiting_asks (gateway->dispatch) > 0)
+    csp_pump_places (gateway);
   csp_take_left (gateway, &hello);
   csp_take_dispatch_hello (gateway, peer, &hello);
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -109,6 +109,17 @@
            csp_number ("open_requests", gateway->caller_count));
 }
 
+static void
+list_target (csp_gateway_t *gateway, const csp_fleet_row_t *row,
+             int64_t now_ms)
+{
+  uint64_t additions = csp_fleet_additions (gateway->fleet);
+
+  csp_list_target (gateway->fleet, row, now_ms);
+  if (csp_fleet_additions (gateway->fleet) != additions)
+    csp_count_new_target (gateway, row->id);
+}
+
 static void
 apply_update (csp_gateway_t *gateway, const csp_update_t *update)
 {
@@ -120,7 +131,7 @@
       take_routes (gateway, update->value.routes);
       break;
     case CSP_UPDATE_TARGET:
-      csp_list_target (gateway->fleet, &update->value.target, now_ms);
+      list_target (gateway, &update->value.target, now_ms);
       break;
     case CSP_UPDATE_TARGET_REMOVED:
       csp_unlist_target (gateway->fleet, update->value.target_id, now_ms);
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -340,3 +340,14 @@
     for (j = 0; j < roster->peers[i].load_count; j++)
       take (state, roster->peers[i].address, &roster->peers[i].loads[j]);
 }
+
+void
+csp_each_load_of_peer (csp_roster_t *roster, csp_peer_address_t address,
+                       csp_take_load_t take, void *state)
+{
+  const peer_t *peer = find_peer (roster, address);
+  size_t i;
+
+  for (i = 0; peer != NULL && i < peer->load_count; i++)
+    take (state, address, &peer->loads[i]);
+}
--- a/tests/fleet/fleet-targets-test.c
+++ b/tests/fleet/fleet-targets-test.c
@@ -214,6 +214,70 @@
 }
 END_TEST
 
+/* A host's new word replaces its last one, whatever others told; and one that
+   told of a target before it was listed is not taken back from it.  */
+START_TEST (a_load_is_taken_back_as_it_was_counted)
+{
+  csp_peer_load_t load = { .target = csp_hash_pair ("target", "t"),
+                           .requests = 3,
+                           .tokens = 9000,
+                           .backup_tokens = 8,
+                           .reading_tokens = 7,
+                           .movable_tokens = 6 };
+  const csp_fleet_load_t none = { 0 };
+  uint64_t additions = csp_fleet_additions (fleet);
+  csp_fleet_target_t *target;
+
+  csp_count_other_load (fleet, &load);
+  target = list ("t", "a", false, 0);
+  ck_assert_uint_eq (csp_fleet_additions (fleet), additions + 1);
+  list ("t", "a", false, 0);
+  ck_assert_uint_eq (csp_fleet_additions (fleet), additions + 1);
+  ck_assert_mem_eq (&target->others, &none, sizeof none);
+  csp_count_other_load (fleet, &load);
+  csp_count_other_load (fleet, &load);
+  csp_uncount_other_load (fleet, &load);
+  ck_assert_uint_eq (target->others.tokens, 9000);
+  csp_uncount_other_load (fleet, &load);
+  ck_assert_mem_eq (&target->others, &none, sizeof none);
+}
+END_TEST
+
+/* Thousands of targets come and go.  Each is found by its id and its hash as
+   long as it is there, and not any more when it is gone.  */
+START_TEST (each_of_many_targets_is_found)
+{
+  enum
+  {
+    MANY = 3000
+  };
+  char id[16];
+  int i;
+
+  for (i = 0; i < MANY; i++)
+    {
+      snprintf (id, sizeof id, "t-%d", i);
+      list (id, "a", false, 0);
+      if (i % 3 == 0)
+        csp_unlist_target (fleet, id, 0);
+    }
+  csp_expire_targets (fleet, 0);
+  ck_assert_uint_eq (csp_fleet_size (fleet), MANY - MANY / 3);
+  for (i = 0; i < MANY; i++)
+    {
+      csp_fleet_target_t *target;
+
+      snprintf (id, sizeof id, "t-%d", i);
+      target = csp_find_fleet_target (fleet, id);
+      ck_assert_int_eq (target != NULL, i % 3 != 0);
+      ck_assert_ptr_eq (
+          csp_find_hashed_target (fleet, csp_hash_pair ("target", id)),
+          target);
+      ck_assert (target == NULL || strcmp (target->row.id, id) == 0);
+    }
+}
+END_TEST
+
 /* Several hosts look at the same two idle engines in the same moment.  */
 START_TEST (equals_are_drawn_by_lot)
 {
@@ -297,6 +361,8 @@
   tcase_add_test (tcase, a_failing_target_draws_no_load);
   tcase_add_test (tcase,
                   an_unreachable_target_is_left_alone_for_longer_each_time);
+  tcase_add_test (tcase, a_load_is_taken_back_as_it_was_counted);
+  tcase_add_test (tcase, each_of_many_targets_is_found);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -266,30 +266,77 @@
 }
 END_TEST
 
+/* Send the gateway what another host tells.  */
+static void
+tell (const csp_hello_t *hello)
+{
+  int sender = socket (AF_INET, SOCK_DGRAM, 0);
+  csp_buffer_t bytes = { 0 };
+
+  ck_assert (csp_encode_hello (hello, &bytes));
+  ck_assert_int_eq (sendto (sender, bytes.data, bytes.size_bytes, 0,
+                            (struct sockaddr *)&stream.peers,
+                            sizeof stream.peers),
+                    (int)bytes.size_bytes);
+  csp_clear_buffer (&bytes);
+  close (sender);
+}
+
+/* Another host fills an engine that has just come, and tells so before this
+   host has read of the engine.  Were that forgotten, this host would take the
+   full engine for an idle one.  */
+START_TEST (a_load_that_is_told_before_its_target_is_listed_counts)
+{
+  csp_hello_t hello = { .boot = 1,
+                        .sequence = 1,
+                        .leaving = true,
+                        .load_count = 1,
+                        .loads = { { .target = csp_hash_pair ("target", "t-1"),
+                                     .requests = 1,
+                                     .tokens = 100000 } } };
+  int callers[2];
+  int links[2];
+  size_t i;
+
+  tell (&hello);
+  while (strstr (fixture_page (&stream.fixture, "/metrics"),
+                 "cowslipspoke_gateway_peers 1\n")
+         == NULL)
+    continue;
+  add_second ();
+  for (i = 0; i < 2; i++)
+    {
+      callers[i] = caller_open (&stream.fixture);
+      send_text (callers[i], "GET /stream/ HTTP/1.1\r\nHost: h\r\n"
+                             "Key: key-a\r\nRequest-Id: r1\r\n"
+                             "Tokens: 100,2000\r\n\r\n");
+      links[i] = target_accept (stream.listeners[0]);
+      target_read (links[i], 0);
+    }
+  for (i = 0; i < 2; i++)
+    {
+      close (callers[i]);
+      close (links[i]);
+    }
+}
+END_TEST
+
 /* The platform says nothing, and the host that decides has asked an engine and
    heard that it leaves.  The others move their streams by its word.  */
 START_TEST (another_host_tells_that_a_target_leaves)
 {
-  int sender = socket (AF_INET, SOCK_DGRAM, 0);
   csp_hello_t hello = { .boot = 1,
                         .sequence = 1,
                         .leaving = true,
                         .left_count = 2,
                         .left = { 77, csp_hash_pair ("target", "t-0") } };
-  csp_buffer_t bytes = { 0 };
   int copy;
 
   start_stream (false);
   add_second ();
-  ck_assert (csp_encode_hello (&hello, &bytes));
-  ck_assert_int_eq (sendto (sender, bytes.data, bytes.size_bytes, 0,
-                            (struct sockaddr *)&stream.peers,
-                            sizeof stream.peers),
-                    (int)bytes.size_bytes);
+  tell (&hello);
   copy = target_accept (stream.listeners[0]);
   ck_assert_ptr_nonnull (strstr (target_read (copy, 0), "last=0"));
-  csp_clear_buffer (&bytes);
-  close (sender);
   close (copy);
   close (stream.link_from);
 }
@@ -352,6 +399,8 @@
   tcase_add_test (tcase, a_run_that_does_not_end_in_time_is_moved_after_all);
   tcase_add_test (tcase, a_target_is_asked_when_the_platform_says_nothing);
   tcase_add_test (tcase, engines_are_asked_until_the_list_is_sure_again);
+  tcase_add_test (tcase,
+                  a_load_that_is_told_before_its_target_is_listed_counts);
   tcase_add_test (tcase, another_host_tells_that_a_target_leaves);
   tcase_add_test (tcase, a_refused_move_is_tried_again);
   suite_add_tcase (suite, tcase);
