A host that woke late reads the host list at once

A host that was paused finds its read of the list timed out and asked again 2.0 s later, 11 ms before its stop ended, so it never heard of the host that had come. Ruled out: a shorter pause for all failures: 330 hosts would ask a platform that is away twice as often. Change: when the list is read is code of its own (list-watch); a read that was sent before a pause is repeated at once when it fails. Figures: list-watch test, the two rows behind a pause: due at once, 2,000 ms later without.

--- a/source/control/control-config.c
+++ b/source/control/control-config.c
@@ -9,9 +9,8 @@
      seconds; 330 hosts then read 165 times a second at most.  */
   HOSTS_WAIT_MS = 2000,
   HOSTS_GRACE_MS = 2000,
-  HOSTS_RETRY_MS = 2000,
-  /* A list that changes all the time is read once a second, no more.  */
-  HOSTS_GAP_MS = 1000,
+  /* Lists that are asked of peers while the platform is away.  */
+  HOSTS_PULL_GAP_MS = 1000,
   PATH_BYTES = 128
 };
 
@@ -225,16 +224,10 @@
 csp_take_hosts_read (csp_control_t *control,
                      const csp_control_command_t *command, int64_t now_ms)
 {
-  csp_host_watch_t *watch = &control->host_watch;
+  bool good = command->body != NULL
+              && read_host_list (control, command->body, now_ms);
 
-  watch->pending = false;
-  watch->next_ms = now_ms + HOSTS_RETRY_MS;
-  watch->away = command->body == NULL
-                || !read_host_list (control, command->body, now_ms);
-  if (watch->away)
-    return;
-  watch->next_ms = now_ms + HOSTS_GAP_MS;
-  watch->confirmed_ms = watch->asked_ms;
+  csp_note_list_read (&control->host_watch.reads, good, now_ms);
 }
 
 void
@@ -259,7 +252,7 @@
   csp_host_view_t view;
   size_t i;
 
-  if (!watch->away || now_ms < watch->next_pull_ms)
+  if (!watch->reads.away || now_ms < watch->next_pull_ms)
     return;
   message.u.hosts_ask.after = watch->version;
   for (i = 0; i < count; i++)
@@ -269,7 +262,7 @@
           || view.list_version <= watch->version
           || !csp_locate_peer (control, view.name, now_ms, &peer))
         continue;
-      watch->next_pull_ms = now_ms + HOSTS_GAP_MS;
+      watch->next_pull_ms = now_ms + HOSTS_PULL_GAP_MS;
       csp_send_peer (control, &peer, &message, 0, HOSTS_GRACE_MS);
       return;
     }
@@ -358,13 +351,14 @@
 {
   csp_host_watch_t *watch = &control->host_watch;
   char path[PATH_BYTES];
+  bool sent;
 
-  watch->asked_ms = now_ms;
   snprintf (path, sizeof path, "/v1/hosts?after=%lld&wait_ms=%u",
             (long long)watch->version, HOSTS_WAIT_MS);
-  watch->pending = csp_start_read (control, &control->platform, path,
-                                   HOSTS_WAIT_MS + HOSTS_GRACE_MS,
-                                   csp_new_command (CSP_COMMAND_HOSTS_READ));
+  sent = csp_start_read (control, &control->platform, path,
+                         HOSTS_WAIT_MS + HOSTS_GRACE_MS,
+                         csp_new_command (CSP_COMMAND_HOSTS_READ));
+  csp_note_list_asked (&watch->reads, sent, now_ms);
 }
 
 void
@@ -389,7 +383,7 @@
         break;
       }
   pull_hosts (control, now_ms);
-  if (!control->host_watch.pending && now_ms >= control->host_watch.next_ms)
+  if (csp_list_read_is_due (&control->host_watch.reads, now_ms))
     read_hosts (control, now_ms);
   atomic_store (&control->ready,
                 control->view != NULL && control->host_watch.version > 0);
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -13,6 +13,7 @@
 #include "cowslipspoke/intern.h"
 #include "cowslipspoke/length.h"
 #include "cowslipspoke/limit.h"
+#include "cowslipspoke/list-watch.h"
 #include "cowslipspoke/membership.h"
 #include "cowslipspoke/order.h"
 #include "cowslipspoke/ownership.h"
@@ -204,14 +205,8 @@
 
 typedef struct
 {
-  bool pending;
-  bool away;
+  csp_list_watch_t reads;
   int64_t version;
-  int64_t next_ms;
-  int64_t asked_ms;
-  /* Up to when the list is known to be the platform's: when the last answered
-     read was sent, since an answer may lie in the socket of a paused host.  */
-  int64_t confirmed_ms;
   int64_t next_pull_ms; /* from a peer */
   char *text;           /* the list as it came, for peers */
 } csp_host_watch_t;
--- a/source/control/control-once.c
+++ b/source/control/control-once.c
@@ -218,7 +218,7 @@
 static int64_t
 find_confirmed_ms (csp_control_t *control, int64_t now_ms)
 {
-  int64_t confirmed_ms = control->host_watch.confirmed_ms;
+  int64_t confirmed_ms = control->host_watch.reads.confirmed_ms;
   size_t known = csp_count_hosts (control->membership);
   csp_host_view_t view;
   size_t i;
--- a/source/control/control-peer.c
+++ b/source/control/control-peer.c
@@ -180,6 +180,8 @@
     {
       if (event.kind == CSP_MEMBER_EVENT_SILENT)
         csp_orphan_holder (control->slots, event.peer, now_ms);
+      if (event.kind == CSP_MEMBER_EVENT_WOKE_LATE)
+        csp_note_list_woke (&control->host_watch.reads, now_ms);
       CSP_LOG (control->context->log, member_events[event.kind], NULL,
                csp_text ("peer", event.peer),
                csp_text ("state", member_states[event.kind]),
