An engine that starts again under its id is another; entries of other writers

An engine may start again under its id and holds nothing of before; entries may come from other writers. Until now a restart was the same target: its load stayed counted, its kept connections were used, copies and backups there were gone on from. Change: what a target is, is decided in one place: fleet keys it by id and start (born), in the product's own index in place of a second one; earlier rows say nothing; what an engine says in its report counts as well. A copy under way to a target that leaves or starts again is given up while the run goes on; a run that was stopped for one that is gone goes on at its source.

--- a/include/cowslipspoke/dialect.h
+++ b/include/cowslipspoke/dialect.h
@@ -43,6 +43,7 @@
 typedef struct
 {
   bool leaving;
+  int64_t born_ms; /* when it started; 0: it doesn't say */
 } csp_target_report_t;
 
 typedef struct
--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -22,7 +22,10 @@
 /* A row of the platform's list.  */
 typedef struct
 {
-  char id[CSP_TARGET_ID_BYTES]; /* of one start of the target */
+  char id[CSP_TARGET_ID_BYTES];
+  /* When the target started, in Unix ms by its own calendar; 0: not told.  A
+     target may start again under its id, and holds nothing of before then.  */
+  int64_t born_ms;
   char service[CSP_TARGET_NAME_BYTES];
   char data_centre[CSP_TARGET_NAME_BYTES];
   struct sockaddr_in address;
@@ -55,7 +58,7 @@
   csp_fleet_state_t state;
   int64_t warm_at_ms;
   int64_t lapses_at_ms;
-  uint64_t hash;             /* of the id, by which hosts speak of it */
+  uint64_t hash;             /* of id and start, by which hosts speak of it */
   uint32_t data_centre;      /* hash of its name */
   csp_fleet_load_t own;      /* under way from this host */
   csp_fleet_load_t others;   /* from all other hosts, as last heard */
@@ -89,7 +92,9 @@
                                void *state);
 void csp_destroy_fleet (csp_fleet_t *fleet);
 
-/* A row was written or read; false when memory fails.  */
+/* A row was written or read; false when memory fails.  One of a new start
+   makes the target of the start before gone, and one of an earlier start is
+   passed over.  */
 bool csp_list_target (csp_fleet_t *fleet, const csp_fleet_row_t *row,
                       int64_t now_ms);
 
@@ -99,6 +104,12 @@
 /* The target itself says that it leaves.  */
 void csp_note_target_leaves (csp_fleet_t *fleet, csp_fleet_target_t *target);
 
+/* The target itself says when it started.  Where it has started again the one
+   that is given is gone, and another is listed in its place.  */
+void csp_note_target_born (csp_fleet_t *fleet,
+                           const csp_fleet_target_t *target, int64_t born_ms,
+                           int64_t now_ms);
+
 /* The platform can't be read, or can be read again.  */
 void csp_note_platform (csp_fleet_t *fleet, bool reachable, int64_t now_ms);
 
@@ -108,6 +119,7 @@
 
 size_t csp_fleet_size (const csp_fleet_t *fleet);
 csp_fleet_target_t *csp_fleet_at (const csp_fleet_t *fleet, size_t index);
+/* Its newest start.  */
 csp_fleet_target_t *csp_find_fleet_target (const csp_fleet_t *fleet,
                                            const char *id);
 csp_fleet_target_t *csp_find_hashed_target (const csp_fleet_t *fleet,
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -1,8 +1,21 @@
 #ifndef COWSLIPSPOKE_FLEET_IMP_H
 #define COWSLIPSPOKE_FLEET_IMP_H
 
+#include "base/index-imp.h"
 #include "cowslipspoke/fleet.h"
 
+#include <urcu/compiler.h>
+
+/* A target and how it is found.  Hosts tell thousands of loads a second, and
+   at 3,000 targets looking through all of them for each took more than the
+   host has.  */
+typedef struct
+{
+  csp_fleet_target_t target;
+  csp_index_node_t by_start;
+  csp_index_node_t by_id;
+} listed_target_t;
+
 struct csp_fleet
 {
   csp_fleet_left_t left;
@@ -11,11 +24,8 @@
   csp_fleet_target_t **targets;
   size_t count;
   size_t room;
-  /* Targets by hash of their ids, each in the first free slot from its hash
-     on.  Hosts tell thousands of loads a second, and at 3,000 targets looking
-     through all of them for each took more than the host has.  */
-  csp_fleet_target_t **index;
-  size_t index_room; /* a power of two; 0 before the first target */
+  csp_index_t by_start; /* by csp_fleet_target_t.hash */
+  csp_index_t by_id;
   uint64_t additions;
   bool platform_reachable;
   /* Removals up to then may be the platform's own outage.  */
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -3,6 +3,7 @@
 #include "cowslipspoke/hash.h"
 #include "cowslipspoke/text.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,29 +13,28 @@
      seconds of its return, says the platform's page; a little more for the
      way here.  */
   LAPSE_GRACE_MS = 2300,
-  FIRST_ROOM = 16
+  FIRST_ROOM = 16,
+  /* A time in milliseconds as a text.  */
+  BORN_TEXT_BYTES = 24
 };
 
-csp_fleet_t *
-csp_create_fleet (csp_fleet_left_t left, csp_fleet_freed_t freed, void *state)
+/* The listed target around what others see of it.  */
+static listed_target_t *
+listed_of (csp_fleet_target_t *target)
 {
-  csp_fleet_t *fleet = calloc (1, sizeof *fleet);
-
-  if (fleet == NULL)
-    return NULL;
-  fleet->left = left;
-  fleet->freed = freed;
-  fleet->state = state;
-  fleet->platform_reachable = true;
-  return fleet;
+  return caa_container_of (target, listed_target_t, target);
 }
 
 static void
 free_target (csp_fleet_t *fleet, csp_fleet_target_t *target)
 {
+  listed_target_t *listed = listed_of (target);
+
   if (fleet->freed != NULL)
     fleet->freed (fleet->state, target);
-  free (target);
+  csp_remove_from_index (&fleet->by_start, &listed->by_start);
+  csp_remove_from_index (&fleet->by_id, &listed->by_id);
+  free (listed);
 }
 
 void
@@ -46,77 +46,83 @@
     return;
   for (i = 0; i < fleet->count; i++)
     free_target (fleet, fleet->targets[i]);
+  csp_close_index (&fleet->by_start);
+  csp_close_index (&fleet->by_id);
   free (fleet->targets);
-  free (fleet->index);
   free (fleet);
 }
 
-static uint64_t
-hash_of_id (const char *id)
-{
-  return csp_hash_pair ("target", id);
-}
-
-/* The slot of a target with that hash, or the free one where it would be.  */
-static size_t
-find_slot (const csp_fleet_t *fleet, uint64_t hash)
+csp_fleet_t *
+csp_create_fleet (csp_fleet_left_t left, csp_fleet_freed_t freed, void *state)
 {
-  size_t slot = hash & (fleet->index_room - 1);
+  csp_fleet_t *fleet = calloc (1, sizeof *fleet);
 
-  while (fleet->index[slot] != NULL && fleet->index[slot]->hash != hash)
-    slot = (slot + 1) & (fleet->index_room - 1);
-  return slot;
+  if (fleet == NULL)
+    return NULL;
+  fleet->left = left;
+  fleet->freed = freed;
+  fleet->state = state;
+  fleet->platform_reachable = true;
+  if (csp_open_index (&fleet->by_start, FIRST_ROOM) == 0
+      && csp_open_index (&fleet->by_id, FIRST_ROOM) == 0)
+    return fleet;
+  csp_destroy_fleet (fleet);
+  return NULL;
 }
 
-static void
-fill_index (csp_fleet_t *fleet)
+static uint64_t
+hash_of_id (const char *id)
 {
-  size_t i;
-
-  memset (fleet->index, 0, fleet->index_room * sizeof *fleet->index);
-  for (i = 0; i < fleet->count; i++)
-    fleet->index[find_slot (fleet, fleet->targets[i]->hash)]
-        = fleet->targets[i];
+  return csp_hash_pair ("target", id);
 }
 
-/* Room for one more target in an index that stays half empty.  */
-static bool
-grow_index (csp_fleet_t *fleet)
+/* What hosts call one start of a target by.  Where starts aren't told it is
+   the hash of the id alone.  */
+static uint64_t
+hash_of_start (const char *id, int64_t born_ms)
 {
-  size_t room = fleet->index_room == 0 ? FIRST_ROOM * 2 : fleet->index_room;
-  csp_fleet_target_t **grown;
+  char born[BORN_TEXT_BYTES];
 
-  while (room < (fleet->count + 1) * 2)
-    room *= 2;
-  if (room == fleet->index_room)
-    return true;
-  grown = realloc (fleet->index, room * sizeof *grown);
-  if (grown == NULL)
-    return false;
-  fleet->index = grown;
-  fleet->index_room = room;
-  fill_index (fleet);
-  return true;
+  if (born_ms == 0)
+    return hash_of_id (id);
+  snprintf (born, sizeof born, "%lld", (long long)born_ms);
+  return hash_of_id (id) ^ csp_hash_pair ("born", born);
 }
 
 csp_fleet_target_t *
 csp_find_hashed_target (const csp_fleet_t *fleet, uint64_t hash)
 {
-  return fleet->index_room == 0 ? NULL : fleet->index[find_slot (fleet, hash)];
+  csp_index_node_t *node = csp_find_in_index (&fleet->by_start, hash);
+
+  return node == NULL
+             ? NULL
+             : &caa_container_of (node, listed_target_t, by_start)->target;
 }
 
+/* The newest start: an older one may still have requests under way.  */
 csp_fleet_target_t *
 csp_find_fleet_target (const csp_fleet_t *fleet, const char *id)
 {
-  csp_fleet_target_t *target = csp_find_hashed_target (fleet, hash_of_id (id));
+  csp_fleet_target_t *newest = NULL;
+  csp_index_node_t *node;
 
-  return target != NULL && strcmp (target->row.id, id) == 0 ? target : NULL;
+  for (node = csp_find_in_index (&fleet->by_id, hash_of_id (id)); node != NULL;
+       node = csp_find_next_in_index (node))
+    {
+      csp_fleet_target_t *target
+          = &caa_container_of (node, listed_target_t, by_id)->target;
+
+      if (strcmp (target->row.id, id) == 0
+          && (newest == NULL || target->row.born_ms > newest->row.born_ms))
+        newest = target;
+    }
+  return newest;
 }
 
 static csp_fleet_target_t *
-add_target (csp_fleet_t *fleet, const char *id)
+add_target (csp_fleet_t *fleet, const char *id, int64_t born_ms)
 {
-  csp_fleet_target_t *target;
+  listed_target_t *listed;
 
   if (fleet->count == fleet->room)
     {
@@ -129,18 +135,17 @@
       fleet->targets = grown;
       fleet->room = room;
     }
-  target = calloc (1, sizeof *target);
-  if (target == NULL || !grow_index (fleet))
-    {
-      free (target);
-      return NULL;
-    }
-  csp_copy_text (target->row.id, sizeof target->row.id, id);
-  target->hash = hash_of_id (id);
-  fleet->index[find_slot (fleet, target->hash)] = target;
-  fleet->targets[fleet->count++] = target;
+  listed = calloc (1, sizeof *listed);
+  if (listed == NULL)
+    return NULL;
+  csp_copy_text (listed->target.row.id, sizeof listed->target.row.id, id);
+  listed->target.row.born_ms = born_ms;
+  listed->target.hash = hash_of_start (id, born_ms);
+  csp_add_to_index (&fleet->by_start, &listed->by_start, listed->target.hash);
+  csp_add_to_index (&fleet->by_id, &listed->by_id, hash_of_id (id));
+  fleet->targets[fleet->count++] = &listed->target;
   fleet->additions++;
-  return target;
+  return &listed->target;
 }
 
 static void
@@ -156,17 +161,64 @@
     fleet->left (fleet->state, target);
 }
 
+/* A target whose start was not told so far tells it.  */
+static void
+learn_start (csp_fleet_t *fleet, csp_fleet_target_t *target, int64_t born_ms)
+{
+  listed_target_t *listed = listed_of (target);
+
+  target->row.born_ms = born_ms;
+  target->hash = hash_of_start (target->row.id, born_ms);
+  memset (&target->told, 0, sizeof target->told);
+  csp_remove_from_index (&fleet->by_start, &listed->by_start);
+  csp_add_to_index (&fleet->by_start, &listed->by_start, target->hash);
+}
+
+/* A target may start again under its id.  The new start holds nothing of the
+   one before: no run, no copy, no connection.  Taken for the same, it would be
+   asked to go on with runs that it doesn't have and sent requests over
+   connections that are dead, each of which its caller sees fail.  So a new
+   start is another target, and the one before is gone.  Rows overtake each
+   other on their way through other hosts; one of an earlier start says
+   nothing any more.  */
+static csp_fleet_target_t *
+find_start (csp_fleet_t *fleet, const csp_fleet_row_t *row)
+{
+  csp_fleet_target_t *target = csp_find_fleet_target (fleet, row->id);
+
+  if (target != NULL && row->born_ms > target->row.born_ms)
+    {
+      if (target->row.born_ms != 0)
+        {
+          set_state (fleet, target, CSP_FLEET_GONE);
+          target = NULL;
+        }
+      else
+        learn_start (fleet, target, row->born_ms);
+    }
+  return target != NULL ? target : add_target (fleet, row->id, row->born_ms);
+}
+
+static bool
+is_earlier_start (const csp_fleet_row_t *row, const csp_fleet_target_t *target)
+{
+  return row->born_ms != 0 && row->born_ms < target->row.born_ms;
+}
+
 bool
 csp_list_target (csp_fleet_t *fleet, const csp_fleet_row_t *row,
                  int64_t now_ms)
 {
-  csp_fleet_target_t *target = csp_find_fleet_target (fleet, row->id);
+  csp_fleet_target_t *target = find_start (fleet, row);
+  int64_t born_ms;
 
-  if (target == NULL)
-    target = add_target (fleet, row->id);
   if (target == NULL)
     return false;
+  if (is_earlier_start (row, target))
+    return true;
+  born_ms = target->row.born_ms;
   target->row = *row;
+  target->row.born_ms = born_ms;
   target->data_centre
       = (uint32_t)csp_hash_pair ("data_centre", row->data_centre);
   target->warm_at_ms = now_ms + row->warming_up_ms;
@@ -178,6 +230,20 @@
   return true;
 }
 
+void
+csp_note_target_born (csp_fleet_t *fleet, const csp_fleet_target_t *target,
+                      int64_t born_ms, int64_t now_ms)
+{
+  csp_fleet_row_t row = target->row;
+
+  if (born_ms <= row.born_ms)
+    return;
+  row.born_ms = born_ms;
+  row.leaving = false;
+  /* Without memory the list tells it.  */
+  csp_list_target (fleet, &row, now_ms);
+}
+
 /* While the platform is away its leases run out and live targets lose their
    rows.  Taking that at its word empties the fleet at the moment of the
    platform's return, and every request is refused for two seconds.  So such a
@@ -239,10 +305,7 @@
       else
         fleet->targets[kept++] = target;
     }
-  if (kept == fleet->count)
-    return;
   fleet->count = kept;
-  fill_index (fleet);
 }
 
 void
--- a/source/gateway/gateway-move-imp.h
+++ b/source/gateway/gateway-move-imp.h
@@ -32,6 +32,9 @@
    to choose.  */
 void csp_begin_move (csp_exchange_t *exchange, csp_fleet_target_t *to);
 
+/* The target that its run is copied to leaves or is gone.  */
+void csp_note_destination_left (csp_exchange_t *exchange);
+
 /* Whether it waits to be moved.  */
 bool csp_waits_for_move (const csp_exchange_t *exchange);
 
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -174,6 +174,17 @@
   csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT, why);
 }
 
+/* The second target leaves, or has started again, while the first copy is
+   under way: the run would have to move once more at once, or not find its
+   copy there.  It still goes on where it is, so another target is asked for
+   in time.  One that was stopped goes on as it can.  */
+void
+csp_note_destination_left (csp_exchange_t *exchange)
+{
+  if (exchange->move.state == CSP_MOVE_COPYING)
+    give_up_move (exchange, "destination-left");
+}
+
 static void
 on_copy_timeout (uv_timer_t *timer)
 {
@@ -201,14 +212,14 @@
 }
 
 /* The run stopped and its memory lies at the other target, or still at the
-   source where that had no room.  */
+   source where that had no room or is gone meanwhile.  */
 static void
 resume_stopped (csp_exchange_t *exchange, const csp_move_answer_t *answer)
 {
   const csp_dialect_t *dialect = exchange->gateway->dialect;
-  csp_fleet_target_t *to = exchange->move.status == STATUS_OK
-                               ? exchange->move.to
-                               : exchange->target;
+  bool copied = exchange->move.status == STATUS_OK
+                && exchange->move.to->state != CSP_FLEET_GONE;
+  csp_fleet_target_t *to = copied ? exchange->move.to : exchange->target;
   char address[CSP_ADDRESS_TEXT_BYTES];
   char copy[CSP_COPY_TEXT_BYTES];
 
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -174,7 +174,12 @@
 
   end_report (report, true);
   target->unreachable = 0;
-  if (!readable || !told.leaving)
+  if (!readable)
+    return;
+  csp_note_target_born (gateway->fleet, target, told.born_ms,
+                        csp_gateway_now_ms (gateway));
+  if (!told.leaving
+      || (told.born_ms != 0 && told.born_ms != target->row.born_ms))
     return;
   note_left (gateway, target);
   csp_note_target_leaves (gateway->fleet, target);
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -184,6 +184,8 @@
           if (exchange->run_since_ms != 0)
             csp_count_movable (exchange, true);
         }
+      if (exchange->move.to == target)
+        csp_note_destination_left (exchange);
       if (exchange->target == target)
         csp_want_move (exchange);
       exchange = next;
--- a/tests/adapter/adapter-test.c
+++ b/tests/adapter/adapter-test.c
@@ -102,6 +102,9 @@
 }
 END_TEST
 
+#define ENTRY(more)                                                           \
+  "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z\"," more "}"
+
 static const struct
 {
   const char *json;
@@ -121,8 +124,37 @@
   { "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z\"}",
     false, false },
   { "no json", false, false },
+  { ENTRY ("\"slots\":24,\"state\":\"ready\",\"born\":1784969129013"), true,
+    false },
+  { ENTRY ("\"state\":\"ready\",\"born\":\"1784969129013\""), false, false },
+  { ENTRY ("\"state\":\"ready\",\"born\":-4"), false, false },
+  { ENTRY ("\"state\":\"ready\",\"born\":1784969129013.5"), false, false },
+  { ENTRY ("\"state\":\"ready\",\"born\":null"), false, false },
+  { ENTRY ("\"state\":\"retired\""), false, false },
+  { ENTRY ("\"state\":7"), false, false },
+  { ENTRY ("\"state\":\"ready\",\"slots\":\"24\""), false, false },
+  { ENTRY ("\"state\":\"ready\",\"slots\":-1"), false, false },
+  { ENTRY ("\"state\":\"ready\",\"slots\":1e30"), false, false },
+  { ENTRY ("\"state\":\"ready\",\"cold_left_ms\":[]"), false, false },
+  { ENTRY ("\"state\":\"ready\",\"version\":\"\xff\xfe\""), false, false },
+  { ENTRY ("\"state\":\"ready\"") "{}", false, false },
+  { "{\"service\":[\"s\"],\"address\":\"10.128.0.9:8080\",\"zone\":\"z\","
+    "\"state\":\"ready\"}",
+    false, false },
+  { "{\"service\":\"s\",\"address\":\"10.128.0.9:0\",\"zone\":\"z\","
+    "\"state\":\"ready\"}",
+    false, false },
+  { "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[", false,
+    false },
+  { "[]", false, false },
+  { "null", false, false },
+  { "\"ready\"", false, false },
+  { "", false, false },
 };
 
+/* Another writer leaves an entry among the servers', or a server's is cut
+   short on its way.  Half of it taken, requests go to an address at which
+   nobody answers, and their callers wait for the connection's time limit.  */
 START_TEST (a_server_is_decoded_or_passed_over)
 {
   csp_fleet_row_t row;
--- a/tests/adapter/store-test.c
+++ b/tests/adapter/store-test.c
@@ -285,6 +285,37 @@
 }
 END_TEST
 
+/* What another writer may leave in the place of a server's entry.  */
+static const char *const spoilt_values[] = {
+  "\"***\"",      "null",          "7",        "\"e30=\"", "\"\"",
+  "\"/////w==\"", "{\"value\":1}", "\"AAAA\"", "[]",
+};
+
+/* A server's entry was good and is overwritten by another writer.  It names no
+   server to use now; requests that go there all the same meet whatever has its
+   address.  The server's own next entry brings it back; the others hold all
+   the while.  */
+START_TEST (an_entry_that_turns_bad_names_no_server)
+{
+  char body[8192];
+  int link = list_all ();
+
+  await_call (link, "/kv-watch?");
+  snprintf (body, sizeof body,
+            "{\"events\":[%s,{\"key\":\"servers/i-1\",\"value\":%s,"
+            "\"revision\":42},7,{\"key\":9}],\"as_of\":44}",
+            item ("servers/i-2", 41, SERVER ("ready")), spoilt_values[_i]);
+  answer (link, 200, body);
+  await_call (link, "/kv-watch?path_prefix=&after=44&");
+  await_page ("/metrics", "gateway_targets 1\n");
+  snprintf (body, sizeof body, "{\"events\":[%s],\"as_of\":45}",
+            item ("servers/i-1", 45, SERVER ("ready")));
+  answer (link, 200, body);
+  await_page ("/metrics", "gateway_targets 2\n");
+  close (link);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -300,6 +331,8 @@
   tcase_add_loop_test (tcase, a_call_that_failed_is_made_again, 0,
                        sizeof troubles / sizeof troubles[0]);
   tcase_add_test (tcase, bad_items_are_passed_over);
+  tcase_add_loop_test (tcase, an_entry_that_turns_bad_names_no_server, 0,
+                       sizeof spoilt_values / sizeof spoilt_values[0]);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -98,6 +98,56 @@
 }
 END_TEST
 
+/* The engine that the run was copied to has crashed by the time the run is
+   stopped, and its entry is gone.  A stream that is sent there ends; the
+   source still holds all of the run.  */
+START_TEST (a_stopped_stream_whose_destination_is_gone_stays_at_its_source)
+{
+  int copy = reach_the_stop ();
+  int link;
+
+  fixture_remove (&stream.fixture, stream_ids[1]);
+  fixture_settle (&stream.fixture);
+  close (stream.link_from);
+  send_text (copy, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+  link = target_accept (stream.listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (link, 2), "Target-Id: t-0\r\n"));
+  close (link);
+  close (copy);
+}
+END_TEST
+
+/* The second engine gets its notice while the run is still being copied there.
+   Stopped for it, the run would have to move once more with half of the time
+   gone; it goes on where it is and is copied to a third one.  */
+START_TEST (a_copy_to_an_engine_that_leaves_too_is_given_up)
+{
+  char awaited[64];
+  int third;
+  int copy;
+
+  start_stream (false);
+  add_second ();
+  fixture_leave (&stream.fixture, stream.listeners[0], stream_ids[0],
+                 "engines");
+  copy = target_accept (stream.listeners[0]);
+  target_read (copy, 0);
+  third = fixture_target (&stream.fixture, "t-2", "engines");
+  fixture_leave (&stream.fixture, stream.listeners[1], stream_ids[1],
+                 "engines");
+  ck_assert (is_closed (copy));
+  close (copy);
+  csp_advance_fake_clock (&stream.fixture.fake, 120);
+  copy = target_accept (stream.listeners[0]);
+  snprintf (awaited, sizeof awaited, "&to=127.0.0.1:%u&last=0",
+            port_of (third));
+  ck_assert_ptr_nonnull (strstr (target_read (copy, 0), awaited));
+  close (copy);
+  close (third);
+  close (stream.link_from);
+}
+END_TEST
+
 /* The stop is refused and the run goes on where it is: so does the stream.  */
 START_TEST (a_stream_that_was_not_stopped_goes_on)
 {
@@ -392,6 +442,9 @@
   tcase_add_checked_fixture (tcase, stream_set_up, stream_tear_down);
   tcase_add_test (tcase, a_stream_leaves_its_target_by_two_copies);
   tcase_add_test (tcase, a_stopped_stream_without_room_goes_on_at_its_source);
+  tcase_add_test (
+      tcase, a_stopped_stream_whose_destination_is_gone_stays_at_its_source);
+  tcase_add_test (tcase, a_copy_to_an_engine_that_leaves_too_is_given_up);
   tcase_add_test (tcase, a_stream_that_was_not_stopped_goes_on);
   tcase_add_test (tcase, a_young_run_is_not_given_up_for_its_backup);
   tcase_add_test (tcase, a_run_with_a_whole_backup_goes_on_there_at_once);
