Data centres that aren't reached get nothing; a host without engines sends callers elsewhere

Ruled out: readiness by a count of connections (trial of before, hardly ever true); hearing a host there as an end of a failure (a cut of one way is then taken for none). Change: reach, a decision by itself: a data centre counts as cut off once an exchange there failed and no target has answered since, or nothing was heard for 1.6 s; one question each half a second ends it. Its targets get nothing that may run once. A host that reaches no engine while some are listed isn't ready, refuses at once with the time until the balancer has left it out, closes behind each answer, and lets idle callers go.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -70,6 +70,7 @@
   /* Not chosen before, where there is another.  */
   int64_t avoid_until_ms;
   uint32_t unreachable; /* connects in a row that failed */
+  bool cut_off;         /* its data centre can't be reached from here */
   int64_t left_at_ms;   /* when this host heard that it leaves */
   int64_t turn_at_ms;   /* this host's turn to move streams from here */
   bool told_by_itself;  /* that it leaves; the list didn't say so yet */
@@ -151,6 +152,7 @@
   /* Targets that read more, with this prompt, don't count, unless they read
      nothing else; half of it while they warm up.  0: all do.  */
   uint64_t reading_tokens_max;
+  bool repeatable; /* it may go to a target that is cut off, if need be */
   const csp_fleet_target_t *not_this;
   const csp_fleet_target_t *nor_this;
 } csp_fleet_need_t;
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -143,7 +143,8 @@
 may_get (const csp_fleet_target_t *target, const csp_fleet_need_t *need,
          int64_t now_ms)
 {
-  if (reads_too_much (target, need, now_ms))
+  if (reads_too_much (target, need, now_ms)
+      || (target->cut_off && !need->repeatable))
     return false;
   if (need->within_slots && target->row.slots > 0
       && runs_at (target) >= target->row.slots)
@@ -189,7 +190,7 @@
   for (i = 0; i < fleet->count; i++)
     {
       csp_fleet_target_t *target = fleet->targets[i];
-      bool avoided = now_ms < target->avoid_until_ms
+      bool avoided = now_ms < target->avoid_until_ms || target->cut_off
                      || target->state == CSP_FLEET_LAPSED;
       double cost;
 
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -214,6 +214,7 @@
   bool not_run = csp_find_http_field (head, names[CSP_NAME_NOT_RUN]) != NULL
                  || head->status == STATUS_MISDIRECTED;
 
+  csp_note_target_answered (exchange->gateway, exchange->target);
   if (!answers_this (exchange, head))
     {
       take_failure (exchange, "the answer is to another request");
@@ -386,6 +387,8 @@
   csp_exchange_t *exchange = state;
   csp_gateway_t *gateway = exchange->gateway;
 
+  if (why == CSP_LINK_UNREACHABLE || why == CSP_LINK_RESET)
+    csp_note_target_failed (gateway, exchange->target);
   if (exchange->mode == CSP_ANSWER_PASSED)
     {
       csp_note_outcome (exchange->target, true, csp_gateway_now_ms (gateway));
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -232,18 +232,23 @@
 csp_place_alone (csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
-  csp_fleet_need_t need = { .service = exchange->service->name,
-                            .data_centre = gateway->data_centre,
-                            .by_memory = exchange->service->is_engine,
-                            .memory_tokens = exchange->service->memory_tokens,
-                            .tokens = exchange->tokens,
-                            .not_this = exchange->failed_at };
+  csp_fleet_need_t need
+      = { .service = exchange->service->name,
+          .data_centre = gateway->data_centre,
+          .by_memory = exchange->service->is_engine,
+          .memory_tokens = exchange->service->memory_tokens,
+          .tokens = exchange->tokens,
+          .repeatable = exchange->route->kind == CSP_ROUTE_IDEMPOTENT,
+          .not_this = exchange->failed_at };
   csp_fleet_target_t *target = csp_choose_fleet_target (
       gateway->fleet, &need, &gateway->random, csp_gateway_now_ms (gateway));
 
   if (target == NULL || exchange->unreached > UNREACHED_TRIES_MAX)
-    csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
-                       "no target can take it");
+    {
+      exchange->retry_after_ms = csp_isolated_retry_ms (gateway);
+      csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
+                         "no target can take it");
+    }
   else
     csp_send_first (exchange, target);
 }
@@ -264,7 +269,8 @@
   if (exchange->service == NULL)
     csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
                        "the route has no service");
-  else if (exchange->service->is_engine && exchange->unreached == 0)
+  else if (exchange->service->is_engine && exchange->unreached == 0
+           && exchange->gateway->alone_since_ms == 0)
     csp_ask_for_place (exchange);
   else
     csp_place_alone (exchange);
--- a/source/gateway/gateway-caller-answer.c
+++ b/source/gateway/gateway-caller-answer.c
@@ -92,7 +92,10 @@
 bool
 csp_caller_keeps (const csp_caller_t *caller)
 {
-  return caller->keeps && caller->request_whole && !caller->gateway->stopping;
+  const csp_gateway_t *gateway = caller->gateway;
+
+  return caller->keeps && caller->request_whole && !gateway->stopping
+         && !csp_is_isolated (gateway);
 }
 
 static void
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -218,7 +218,9 @@
 {
   csp_fleet_target_t *target
       = csp_find_hashed_target (exchange->gateway->fleet, target_hash);
-  bool ready = target != NULL && target->state == CSP_FLEET_READY;
+  /* The host that decides may reach what this one doesn't.  */
+  bool ready
+      = target != NULL && target->state == CSP_FLEET_READY && !target->cut_off;
 
   exchange->asking = false;
   uv_timer_stop (&exchange->move.timer);
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -7,6 +7,7 @@
 #include "cowslipspoke/link.h"
 #include "cowslipspoke/metrics.h"
 #include "cowslipspoke/page.h"
+#include "cowslipspoke/reach.h"
 #include "cowslipspoke/retry.h"
 #include "cowslipspoke/verdict.h"
 
@@ -22,6 +23,7 @@
      stream    cuts an answer into whole events and knows the last id sent
      move      takes a stream to another target
      report    asks targets themselves, when the platform says nothing
+     reach     what follows where a data centre is cut off
      page      readiness and metrics
 
    An exchange lives between csp_begin_exchange and csp_end_exchange; a caller
@@ -108,6 +110,8 @@
   csp_routes_t *routes;
   csp_fleet_t *fleet;
   csp_roster_t *roster;
+  csp_reach_t *reach;
+  int64_t alone_since_ms; /* no engine is reached; 0: one is */
   csp_dispatch_t *dispatch;
   uint64_t next_ask_id;
   csp_buffer_t own_answers; /* csp_ask_answer_t one after another */
@@ -227,10 +231,36 @@
    Call it now and then.  */
 void csp_ask_reports (csp_gateway_t *gateway);
 
+/* Whether its service runs models, by the routes in force.  */
+bool csp_is_engine_target (const csp_gateway_t *gateway,
+                           const csp_fleet_target_t *target);
+
+/* Ask one target how it is.  */
+void csp_ask_target (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                     int64_t now_ms);
+
 /* Another host tells which targets say that they leave.  */
 void csp_take_left (csp_gateway_t *gateway, const csp_hello_t *hello);
 void csp_drop_reports (csp_gateway_t *gateway);
 
+/* Reach: see gateway-reach.c.  Bytes of an answer came from a target.  */
+void csp_note_target_answered (csp_gateway_t *gateway,
+                               const csp_fleet_target_t *target);
+
+/* A target took no connection, or reset one.  */
+void csp_note_target_failed (csp_gateway_t *gateway,
+                             const csp_fleet_target_t *target);
+
+/* Judge anew which targets are cut off.  Call it now and then.  */
+void csp_judge_reach (csp_gateway_t *gateway);
+
+/* Whether this host has reached no engine for a while, though some are
+   listed.  */
+bool csp_is_isolated (const csp_gateway_t *gateway);
+
+/* When the balancer will have left such a host out; 0: it has.  */
+uint32_t csp_isolated_retry_ms (const csp_gateway_t *gateway);
+
 /* Peers: see gateway-peers.c.  False where the port can't be had.  */
 bool csp_open_gateway_peers (csp_gateway_t *gateway);
 void csp_stop_gateway_peers (csp_gateway_t *gateway);
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -260,6 +260,8 @@
       || !csp_decode_hello (room->base, (size_t)size_bytes, &hello))
     return;
   peer = csp_peer_of_socket ((const struct sockaddr_in *)from);
+  csp_note_host_heard (gateway->reach, hello.data_centre,
+                       csp_gateway_now_ms (gateway));
   if (hear_peer (gateway, peer, &hello)
       && (hello.whole || hello.load_count > 0)
       && csp_count_waiting_asks (gateway->dispatch) > 0)
@@ -312,8 +314,10 @@
   gateway->next_ask_id = gateway->boot;
   gateway->roster = csp_create_roster (gateway->self, gateway->boot,
                                        gateway->data_centre, random);
+  gateway->reach = csp_create_reach (gateway->data_centre);
   gateway->peer_room = calloc (CSP_ROSTER_MAX, sizeof *gateway->peer_room);
-  if (gateway->roster == NULL || gateway->peer_room == NULL)
+  if (gateway->roster == NULL || gateway->reach == NULL
+      || gateway->peer_room == NULL)
     return false;
   uv_timer_init (&gateway->loop, &gateway->tell_timer);
   gateway->tell_timer.data = gateway;
@@ -350,5 +354,6 @@
 {
   pthread_mutex_destroy (&gateway->live_lock);
   csp_destroy_roster (gateway->roster);
+  csp_destroy_reach (gateway->reach);
   free (gateway->peer_room);
 }
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -66,8 +66,9 @@
   gateway->heard_ms = now_ms;
 }
 
-static bool
-is_engine (const csp_gateway_t *gateway, const csp_fleet_target_t *target)
+bool
+csp_is_engine_target (const csp_gateway_t *gateway,
+                      const csp_fleet_target_t *target)
 {
   const csp_route_service_t *service = NULL;
 
@@ -148,6 +149,7 @@
 {
   csp_report_t *report = state;
 
+  csp_note_target_answered (report->gateway, report->target);
   report->status = head->status;
 }
 
@@ -189,8 +191,12 @@
 static void
 fail_report (csp_report_t *report)
 {
-  csp_note_unreachable (report->target, csp_gateway_now_ms (report->gateway));
+  csp_gateway_t *gateway = report->gateway;
+  const csp_fleet_target_t *target = report->target;
+
+  csp_note_unreachable (report->target, csp_gateway_now_ms (gateway));
   end_report (report, false);
+  csp_note_target_failed (gateway, target);
 }
 
 static void
@@ -208,8 +214,9 @@
         .ended = on_report_ended,
         .failed = on_report_failed };
 
-static void
-ask_target (csp_gateway_t *gateway, csp_fleet_target_t *target, int64_t now_ms)
+void
+csp_ask_target (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                int64_t now_ms)
 {
   csp_report_t *report = calloc (1, sizeof *report);
   char address[CSP_ADDRESS_TEXT_BYTES];
@@ -276,8 +283,8 @@
       if (now_ms >= target->report_at_ms
           && (target->state == CSP_FLEET_READY
               || target->state == CSP_FLEET_LAPSED)
-          && is_engine (gateway, target))
-        ask_target (gateway, target, now_ms);
+          && csp_is_engine_target (gateway, target))
+        csp_ask_target (gateway, target, now_ms);
     }
 }
 
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -169,6 +169,7 @@
   size_t ready_bytes;
 
   exchange->last_data_ms = csp_gateway_now_ms (exchange->gateway);
+  csp_note_target_answered (exchange->gateway, exchange->target);
   if (!csp_append_buffer (&exchange->kept, piece, piece_bytes)
       || exchange->kept.size_bytes > CSP_ANSWER_KEPT_BYTES)
     {
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -33,7 +33,8 @@
 bool
 csp_gateway_is_ready (const csp_gateway_t *gateway)
 {
-  return !gateway->stopping && gateway->routes != NULL && gateway->listed;
+  return !gateway->stopping && gateway->routes != NULL && gateway->listed
+         && !csp_is_isolated (gateway);
 }
 
 csp_retry_budget_t *
@@ -218,9 +219,14 @@
   csp_gateway_t *gateway = tick->data;
 
   csp_expire_targets (gateway->fleet, csp_gateway_now_ms (gateway));
+  csp_judge_reach (gateway);
   csp_watch_streams (gateway);
   csp_ask_reports (gateway);
   csp_pump_places (gateway);
+  /* The balancer leaves this host out by now; on connections that stay open
+     callers would go on being turned away.  */
+  if (csp_is_isolated (gateway) && csp_isolated_retry_ms (gateway) == 0)
+    csp_close_idle_callers (gateway);
   if (gateway->stopping)
     step_stop (gateway);
 }
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -229,7 +229,8 @@
 
   snprintf (row->id, sizeof row->id, "%s", id);
   snprintf (row->service, sizeof row->service, "%s", service);
-  snprintf (row->data_centre, sizeof row->data_centre, "dc-a");
+  snprintf (row->data_centre, sizeof row->data_centre, "%s",
+            fixture->targets_in == NULL ? "dc-a" : fixture->targets_in);
   row->slots = 8;
   row->leaving = leaving;
   getsockname (listener, (struct sockaddr *)&row->address, &size_bytes);
--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -24,6 +24,8 @@
   bool running;
   uint64_t version;
   void (*ended) (void); /* called when the run is over, before the end */
+  /* Where targets are listed; NULL: in the gateway's own data centre.  */
+  const char *targets_in;
 } fixture_t;
 
 /* Routes, all at host "h": /safe/ (idempotent, two attempts) and /once/ go to
