Streams that have ended are no longer told as ones to move

Cause: read in the code: an attempt that ends forgot its target before the stream was taken out of the tokens to be moved there, so they only grew. Where nobody decides, hosts wait for turns that are worked out from them: in time every turn came after the engine was gone. Change: the target is forgotten last. A test that hears what is told, failing without.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -42,11 +42,11 @@
   if (exchange->link != NULL)
     csp_close_link (exchange->link);
   exchange->link = NULL;
-  exchange->target = NULL;
   if (target == NULL)
     return;
   csp_note_prompt_read (exchange, target);
   csp_count_movable (exchange, false);
+  exchange->target = NULL;
   target->own.requests--;
   target->own.tokens -= exchange->tokens;
   target->users--;
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -371,6 +371,70 @@
 }
 END_TEST
 
+/* Read what the gateway tells another host until it tells of a stream that
+   would have to be moved; how many tokens.  */
+static uint32_t
+await_movable (int host)
+{
+  char room[CSP_HELLO_MAX_BYTES];
+  csp_hello_t hello;
+
+  for (;;)
+    {
+      ssize_t size_bytes = recv (host, room, sizeof room, 0);
+
+      ck_assert_int_gt (size_bytes, 0);
+      ck_assert (csp_decode_hello (room, (size_t)size_bytes, &hello));
+      if (hello.load_count > 0 && hello.loads[0].movable_tokens > 0)
+        return hello.loads[0].movable_tokens;
+    }
+}
+
+/* A host that the gateway has heard of and tells its loads.  */
+static int
+open_other_host (void)
+{
+  csp_hello_t hello = { .boot = 1, .sequence = 1, .leaving = true };
+  struct timeval wait = { .tv_sec = 5 };
+  csp_buffer_t bytes = { 0 };
+  int host = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+  setsockopt (host, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  ck_assert (csp_encode_hello (&hello, &bytes));
+  ck_assert_int_eq (sendto (host, bytes.data, bytes.size_bytes, 0,
+                            (struct sockaddr *)&stream.peers,
+                            sizeof stream.peers),
+                    (int)bytes.size_bytes);
+  csp_clear_buffer (&bytes);
+  while (strstr (fixture_page (&stream.fixture, "/metrics"),
+                 "cowslipspoke_gateway_peers 1\n")
+         == NULL)
+    continue;
+  return host;
+}
+
+/* Where nobody decides hosts move their streams from an engine in turns, by
+   what each told that it has to move there.  Streams that had ended stayed
+   counted, so after some minutes every other host waited for a turn that came
+   after the engine was gone, and its texts were cut.  */
+START_TEST (a_stream_that_has_ended_is_not_told_as_one_to_move)
+{
+  int host = open_other_host ();
+  uint32_t tokens;
+
+  start_stream (false);
+  tokens = await_movable (host);
+  finish_at (stream.link_from);
+  close (stream.link_from);
+  close (stream.caller);
+  start_stream (false);
+  ck_assert_uint_eq (await_movable (host), tokens);
+  finish_at (stream.link_from);
+  close (stream.link_from);
+  close (host);
+}
+END_TEST
+
 /* The platform says nothing, and the host that decides has asked an engine and
    heard that it leaves.  The others move their streams by its word.  */
 START_TEST (another_host_tells_that_a_target_leaves)
@@ -454,6 +518,7 @@
   tcase_add_test (tcase, engines_are_asked_until_the_list_is_sure_again);
   tcase_add_test (tcase,
                   a_load_that_is_told_before_its_target_is_listed_counts);
+  tcase_add_test (tcase, a_stream_that_has_ended_is_not_told_as_one_to_move);
   tcase_add_test (tcase, another_host_tells_that_a_target_leaves);
   tcase_add_test (tcase, a_refused_move_is_tried_again);
   suite_add_tcase (suite, tcase);
