cowslipctl losses and trace: why requests were lost, from logs alone

Change: losses, a slice by itself, takes hosts' log lines and tells for each route how requests ended and why (notice unseen, no room, copy refused, late or missing, link reset or silent, refused on arrival, waited in vain, ...), with the tokens that hung on it, and over time; trace prints all lines of a request in order. The product's own index macro in fleet as well. Open: texts that end with their host leave no line, so they aren't in the table; no plot yet.

--- a/source/cowslipctl/cowslipctl-imp.h
+++ b/source/cowslipctl/cowslipctl-imp.h
@@ -11,11 +11,14 @@
 };
 
 /* The commands; arguments are those behind the command's name, as many as it
-   takes.  Each returns an exit code.  */
+   takes or more where it takes any number of files, and NULL behind them. Each
+   returns an exit code.  */
 int ctl_check (char **arguments);
 int ctl_diff (char **arguments);
 int ctl_explain (char **arguments);
 int ctl_bundle (char **arguments);
 int ctl_status (char **arguments);
+int ctl_losses (char **arguments);
+int ctl_trace (char **arguments);
 
 #endif
--- a/source/cowslipctl/cowslipctl.c
+++ b/source/cowslipctl/cowslipctl.c
@@ -2,6 +2,7 @@
 #include "cowslipspoke/settings.h"
 
 #include <getopt.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -10,21 +11,27 @@
   const char *name;
   const char *arguments;
   int argument_count;
+  bool or_more;
   int (*run) (char **arguments);
   const char *help;
 } command_t;
 
 static const command_t commands[] = {
-  { "check", "DIR", 1, ctl_check,
+  { "check", "DIR", 1, false, ctl_check,
     "check declarations; print every fault, and rules that can never be "
     "reached" },
-  { "diff", "OLD NEW", 2, ctl_diff,
+  { "diff", "OLD NEW", 2, false, ctl_diff,
     "print what differs between two directories" },
-  { "explain", "DIR REQUEST.json", 2, ctl_explain,
+  { "explain", "DIR REQUEST.json", 2, false, ctl_explain,
     "print which rule decides a request, and why the ones before it do not" },
-  { "bundle", "DIR", 1, ctl_bundle,
+  { "bundle", "DIR", 1, false, ctl_bundle,
     "print the values that the platform publishes" },
-  { "status", "HOST:PORT|URL", 1, ctl_status, "print a host's own view" },
+  { "status", "HOST:PORT|URL", 1, false, ctl_status,
+    "print a host's own view" },
+  { "losses", "LOG...", 1, true, ctl_losses,
+    "print which requests were lost and why, by hosts' logs" },
+  { "trace", "ID LOG...", 2, true, ctl_trace,
+    "print all hosts' lines of a request in order" },
 };
 
 enum
@@ -69,7 +76,8 @@
       print_help (stderr);
       return CTL_EXIT_FAULTS;
     }
-  if (count - 1 != command->argument_count)
+  if (count - 1 < command->argument_count
+      || (count - 1 > command->argument_count && !command->or_more))
     {
       fprintf (stderr, "usage: cowslipctl %s %s\n", command->name,
                command->arguments);
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -4,8 +4,6 @@
 #include "base/index-imp.h"
 #include "cowslipspoke/fleet.h"
 
-#include <urcu/compiler.h>
-
 /* A target and how it is found.  Hosts tell thousands of loads a second, and
    at 3,000 targets looking through all of them for each took more than the
    host has.  */
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -22,7 +22,7 @@
 static listed_target_t *
 listed_of (csp_fleet_target_t *target)
 {
-  return caa_container_of (target, listed_target_t, target);
+  return CSP_INDEXED (target, listed_target_t, target);
 }
 
 static void
@@ -94,9 +94,8 @@
 {
   csp_index_node_t *node = csp_find_in_index (&fleet->by_start, hash);
 
-  return node == NULL
-             ? NULL
-             : &caa_container_of (node, listed_target_t, by_start)->target;
+  return node == NULL ? NULL
+                      : &CSP_INDEXED (node, listed_target_t, by_start)->target;
 }
 
 /* The newest start: an older one may still have requests under way.  */
@@ -110,7 +109,7 @@
        node = csp_find_next_in_index (node))
     {
       csp_fleet_target_t *target
-          = &caa_container_of (node, listed_target_t, by_id)->target;
+          = &CSP_INDEXED (node, listed_target_t, by_id)->target;
 
       if (strcmp (target->row.id, id) == 0
           && (newest == NULL || target->row.born_ms > newest->row.born_ms))
--- /dev/null
+++ b/tests/losses/losses-test.c
@@ -0,0 +1,127 @@
+#include "cowslipspoke/losses.h"
+
+#include "support/run-suite.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Requests whose hosts' logs tell why they were lost.  */
+
+#define END(event, detail, more)                                              \
+  "{\"at_ms\":9000,\"event\":" event ",\"host\":\"h1\","                      \
+  "\"request_id\":\"r1\",\"route\":\"texts\",\"target\":\"t1\","              \
+  "\"detail\":\"" detail "\",\"tokens\":4000" more "}"
+#define NOTICE(host)                                                          \
+  "{\"at_ms\":7000,\"event\":500,\"host\":\"" host "\",\"target\":\"t1\"}"
+#define STEP(step)                                                            \
+  "{\"at_ms\":8000,\"event\":215,\"host\":\"h1\",\"request_id\":\"r1\","      \
+  "\"step\":\"" step "\",\"target\":\"t1\"}"
+#define CUT END ("216", "the target closed the connection", "")
+
+enum
+{
+  LINES_MAX = 6
+};
+
+typedef struct
+{
+  const char *lines[LINES_MAX];
+  csp_loss_t loss;
+} row_t;
+
+static const row_t rows[] = {
+  { { "{\"at_ms\":1,\"event\":210,\"request_id\":\"r1\",\"route\":"
+      "\"texts\"}" },
+    CSP_LOSS_NONE },
+  { { CUT }, CSP_LOSS_NOTICE_UNSEEN },
+  { { NOTICE ("h2"), CUT }, CSP_LOSS_NOTICE_UNSEEN },
+  { { NOTICE ("h1"), CUT }, CSP_LOSS_NO_ROOM },
+  { { NOTICE ("h1"), STEP ("copy"), CUT }, CSP_LOSS_COPY_LATE },
+  { { NOTICE ("h1"), STEP ("copy"), STEP ("copy-refused"), CUT },
+    CSP_LOSS_COPY_REFUSED },
+  /* It had moved before, and then its next target left.  */
+  { { STEP ("copy"), STEP ("arrived"), NOTICE ("h1"), CUT },
+    CSP_LOSS_NO_ROOM },
+  { { END ("216", "the copy was not there", "") }, CSP_LOSS_COPY_MISSING },
+  { { END ("216", "the target reset the connection", "") },
+    CSP_LOSS_LINK_RESET },
+  { { STEP ("silent"), END ("214", "", "") }, CSP_LOSS_LINK_SILENT },
+  { { END ("214", "", "") }, CSP_LOSS_CALLER_LEFT },
+  { { END ("211", "the engines are full", ",\"took_ms\":4") },
+    CSP_LOSS_REFUSED_ON_ARRIVAL },
+  { { END ("211", "the engines are full", ",\"took_ms\":900") },
+    CSP_LOSS_WAITED_IN_VAIN },
+  { { END ("211", "no target can take it", "") }, CSP_LOSS_NO_TARGET },
+  { { END ("211", "the host is stopping", "") }, CSP_LOSS_HOST_STOPPING },
+  { { END ("211", "the time is over", "") }, CSP_LOSS_TIME_OVER },
+  { { END ("211", "the target failed", "") }, CSP_LOSS_TARGET_FAILED },
+  { { END ("211", "something new", "") }, CSP_LOSS_OTHER },
+};
+
+/* A caller's text stopped in the middle, and whoever is on call has only the
+   logs.  The last line names what the host saw; which of the causes it was is
+   told by the lines before.  */
+START_TEST (the_logs_tell_why_a_request_was_lost)
+{
+  csp_losses_t *losses = csp_create_losses ();
+  size_t i;
+
+  for (i = 0; i < LINES_MAX && rows[_i].lines[i] != NULL; i++)
+    ck_assert (csp_read_loss_line (losses, rows[_i].lines[i]));
+  ck_assert_msg (csp_count_losses (losses, "texts", rows[_i].loss) == 1,
+                 "not told as %s", csp_loss_name (rows[_i].loss));
+  csp_destroy_losses (losses);
+}
+END_TEST
+
+/* Logs hold lines of other programs, cut lines and other events.  */
+START_TEST (what_is_no_end_of_a_request_is_passed_over)
+{
+  csp_losses_t *losses = csp_create_losses ();
+
+  ck_assert (!csp_read_loss_line (losses, ""));
+  ck_assert (!csp_read_loss_line (losses, "a line of text"));
+  ck_assert (!csp_read_loss_line (losses, "{\"event\":21"));
+  ck_assert (!csp_read_loss_line (losses, "{\"no\":1}"));
+  ck_assert (csp_read_loss_line (losses, "{\"event\":100}"));
+  ck_assert (csp_read_loss_line (losses, "  33.5 host-1 " CUT));
+  ck_assert_uint_eq (csp_count_losses (losses, NULL, CSP_LOSS_NOTICE_UNSEEN),
+                     1);
+  ck_assert_uint_eq (
+      csp_count_losses (losses, "other", CSP_LOSS_NOTICE_UNSEEN), 0);
+  csp_destroy_losses (losses);
+}
+END_TEST
+
+START_TEST (the_table_has_a_row_for_each_route_and_cause)
+{
+  csp_losses_t *losses = csp_create_losses ();
+  char text[4096] = "";
+  FILE *stream = fmemopen (text, sizeof text, "w");
+
+  csp_read_loss_line (losses, CUT);
+  csp_read_loss_line (losses, CUT);
+  csp_print_losses (losses, stream);
+  fclose (stream);
+  ck_assert_ptr_nonnull (
+      strstr (text, "texts                    notice unseen                2"
+                    "         8000\n"));
+  ck_assert_ptr_nonnull (strstr (text, "0.0        notice unseen 2;\n"));
+  csp_destroy_losses (losses);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("losses");
+  TCase *tcase = tcase_create ("losses");
+
+  tcase_add_loop_test (tcase, the_logs_tell_why_a_request_was_lost, 0,
+                       sizeof rows / sizeof rows[0]);
+  tcase_add_test (tcase, what_is_no_end_of_a_request_is_passed_over);
+  tcase_add_test (tcase, the_table_has_a_row_for_each_route_and_cause);
+  suite_add_tcase (suite, tcase);
+  return run_suite (suite);
+}
