--- a/source/cowslipctl/ctl-losses.c
+++ b/source/cowslipctl/ctl-losses.c
@@ -84,10 +84,11 @@
 is_of_request (json_object *line, const char *id)
 {
   json_object *value = NULL;
+  const char *text = NULL;
 
-  return json_object_object_get_ex (line, "request_id", &value)
-         && json_object_is_type (value, json_type_string)
-         && strcmp (json_object_get_string (value), id) == 0;
+  if (json_object_object_get_ex (line, "request_id", &value))
+    text = json_object_get_string (value);
+  return text != NULL && strcmp (text, id) == 0;
 }
 
 static void
@@ -121,12 +122,13 @@
 {
   trace_t *trace = state;
   const char *brace = strchr (line, '{');
-  json_object *object = NULL;
+  json_object *object;
   json_object *at = NULL;
 
   /* Most lines are of other requests; parsing each takes far longer.  */
-  if (brace != NULL && strstr (brace, trace->id) != NULL)
-    object = json_tokener_parse (brace);
+  if (brace == NULL || strstr (brace, trace->id) == NULL)
+    return;
+  object = json_tokener_parse (brace);
   if (is_of_request (object, trace->id)
       && json_object_object_get_ex (object, "at_ms", &at))
     keep_line (trace, brace, json_object_get_int64 (at));
