--- a/include/cowslipspoke/follow.h
+++ b/include/cowslipspoke/follow.h
@@ -43,7 +43,13 @@
 
 /* Stop; no call is made afterwards.  */
 void csp_close_follower (csp_follower_t *follower);
-/* Pause longer or shorter between calls that fail.  */
-void csp_set_follower_pause (csp_follower_t *follower, uint32_t last_ms);
+
+/* Pause longer or shorter between calls that fail, and between watches that
+   are answered.  */
+void csp_set_follower_pace (csp_follower_t *follower, uint32_t pause_last_ms,
+                            uint32_t gap_ms);
+
+/* The source was away when it was last followed; its return will be told.  */
+void csp_set_follower_away (csp_follower_t *follower);
 
 #endif
--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -33,6 +33,9 @@
   struct sockaddr_in peers;   /* datagrams of other hosts; port 0: none */
   size_t seed_count;
   struct sockaddr_in seeds[CSP_GATEWAY_SEEDS_MAX];
+  /* What its processor and link can carry, in thousandths of a core; 0: not
+     known.  */
+  uint32_t capacity;
   /* How long a stop may take in all, before the process is killed.  */
   uint32_t stop_limit_ms;
   /* Extra arrivals at a service: this share of its requests, and what may be
@@ -46,8 +49,9 @@
   CSP_UPDATE_ROUTES,
   CSP_UPDATE_TARGET,
   CSP_UPDATE_TARGET_REMOVED,
-  CSP_UPDATE_LISTED,         /* the whole list of targets has been told */
-  CSP_UPDATE_PLATFORM_HEARD, /* it can be read, with or without news */
+  CSP_UPDATE_LISTED,          /* the whole list of targets has been told */
+  CSP_UPDATE_PLATFORM_HEARD,  /* it can be read, with or without news */
+  CSP_UPDATE_PLATFORM_LAPSES, /* its own rows may be missing for a while */
   CSP_UPDATE_PLATFORM_AWAY,
   CSP_UPDATE_PLATFORM_BACK,
   CSP_UPDATE_STOP
@@ -62,6 +66,7 @@
     csp_routes_t *routes; /* the forwarder's from now on */
     csp_fleet_row_t target;
     char target_id[CSP_TARGET_ID_BYTES];
+    uint32_t age_ms; /* since the platform itself was heard */
   } value;
 } csp_update_t;
 
@@ -86,10 +91,10 @@
 size_t csp_list_gateway_peers (csp_gateway_t *gateway,
                                csp_peer_address_t *addresses, size_t room);
 
-/* Which host reads the platform for this one's data centre; false where this
-   host does so itself.  For the control thread.  */
-bool csp_find_gateway_reader (csp_gateway_t *gateway,
-                              csp_peer_address_t *reader);
+/* Which hosts may read the platform for this one, best first.  For the control
+   thread.  */
+void csp_rank_gateway_readers (csp_gateway_t *gateway,
+                               csp_reader_ranks_t *ranks);
 
 /* Port of a listener that was opened on port 0, for tests.  */
 uint16_t csp_gateway_front_port (const csp_gateway_t *gateway);
--- a/include/cowslipspoke/reach.h
+++ b/include/cowslipspoke/reach.h
@@ -37,6 +37,9 @@
 void csp_note_host_heard (csp_reach_t *reach, uint32_t data_centre,
                           int64_t now_ms);
 
+/* How often hosts greet some host of each other data centre.  */
+void csp_note_greeting_period (csp_reach_t *reach, uint32_t period_ms);
+
 /* A target there took no connection, or broke or left an exchange without an
    answer.  */
 void csp_note_exchange_failed (csp_reach_t *reach, uint32_t data_centre,
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -11,25 +11,46 @@
 
 /* The other hosts of a deployment that nobody lists: found from a few seeds,
    which may be stale or down, and from what hosts say of each other; and what
-   each has under way at the targets.  Each host tells the others in single
-   datagrams.  A lost one is made good by the next whole one a second later,
-   and in a cut each side simply stops counting the other's load.
+   each has under way at the targets.  Hosts speak in single datagrams; a lost
+   one is made good by the next whole one a second later, and in a cut each
+   side simply stops counting the other's load.
 
    Load pattern: callers of one burst reach all hosts at once.  Hosts that
    know only their own requests pick the same idle target, whose streams then
    pause together while its neighbours stand empty.  One notices first tokens
-   that take seconds at a third of the fleet's capacity.  */
+   that take seconds at a third of the fleet's capacity.  So loads are told to
+   the hosts that decide, each change within milliseconds.
+
+   Load pattern: hundreds of hosts.  Where each greets and tells each other,
+   what a host sends and hears grows with their number, and all together with
+   its square: 78 kB a second for the busiest host at 30 hosts, 1,612 at 300,
+   most of it between data centres.  So a host greets a few others a second,
+   drawn by lot, some in each data centre, and names to them the hosts that
+   rank first, each with the time since it was last heard by anybody.  A word
+   reaches all hosts in a second or so, at a cost to each host that doesn't
+   grow with the fleet.  */
 
 enum
 {
-  CSP_ROSTER_MAX = 1024,
+  CSP_ROSTER_MAX = 4096,
   /* Below what Ethernet carries in one frame, so that a lost fragment loses
      no more than itself.  */
   CSP_HELLO_MAX_BYTES = 1400,
-  CSP_HELLO_LOADS_MAX = 36,
+  CSP_HELLO_LOADS_MAX = 28,
   CSP_HELLO_KNOWN_MAX = 12,
   CSP_HELLO_ASKS_MAX = 4,
-  CSP_HELLO_LEFT_MAX = 8
+  CSP_HELLO_LEFT_MAX = 8,
+  /* Whom loads are told, see csp_list_deciders.  */
+  CSP_DECIDERS_MAX = 3,
+  /* Hosts of one data centre and of the fleet that may read the platform for
+     others, best first.  */
+  CSP_READERS_NEAR_MAX = 4,
+  CSP_READERS_FLEET_MAX = 3
+};
+
+enum
+{
+  CSP_PEER_TEXT_BYTES = 32
 };
 
 typedef struct
@@ -42,10 +63,32 @@
 csp_peer_address_t csp_peer_of_socket (const struct sockaddr_in *address);
 struct sockaddr_in csp_socket_of_peer (csp_peer_address_t peer);
 
+/* Address and port as a text, for logs.  */
+void csp_print_peer (csp_peer_address_t peer, char text[CSP_PEER_TEXT_BYTES]);
+
 /* A place in an order of hosts that all work out alike; another salt gives
    another order.  */
 uint64_t csp_order_peer (csp_peer_address_t peer, uint64_t salt);
 
+/* A host as another one names it.  */
+typedef struct
+{
+  csp_peer_address_t address;
+  uint32_t data_centre; /* hash of its name */
+  uint32_t capacity;    /* see csp_set_roster_self */
+  uint32_t age_ms;      /* since its own last word, by whatever way it came */
+  uint32_t up_ms;       /* since its start, as of that word; no more than
+                           CSP_UP_TOLD_MAX_MS is told */
+  bool leaving;
+  bool blind;
+} csp_known_host_t;
+
+enum
+{
+  /* Beyond this all hosts count as equally old.  */
+  CSP_UP_TOLD_MAX_MS = 10000
+};
+
 /* What one host has under way at one target.  */
 typedef struct
 {
@@ -88,6 +131,8 @@
   csp_ask_outcome_t outcome;
   uint64_t target;         /* hash of its id, where placed */
   uint32_t retry_after_ms; /* where refused */
+  uint32_t pool_percent;   /* of the memory of all its engines that is given
+                              away, where placed */
 } csp_ask_answer_t;
 
 /* One datagram.  */
@@ -98,11 +143,14 @@
   bool whole;        /* loads that aren't named are none */
   bool leaving;
   bool blind;           /* the platform can't be reached from there */
+  bool wants_answer;    /* a greeting, which is answered by one that doesn't */
   uint32_t data_centre; /* hash of its name */
+  uint32_t capacity;
+  uint32_t up_ms;
   size_t load_count;
   csp_peer_load_t loads[CSP_HELLO_LOADS_MAX];
   size_t known_count;
-  csp_peer_address_t known[CSP_HELLO_KNOWN_MAX];
+  csp_known_host_t known[CSP_HELLO_KNOWN_MAX];
   size_t ask_count;
   csp_hello_ask_t asks[CSP_HELLO_ASKS_MAX];
   size_t answer_count;
@@ -128,6 +176,19 @@
                                  uint32_t data_centre, uint64_t seed);
 void csp_destroy_roster (csp_roster_t *roster);
 
+/* What this host tells of itself.  capacity: what its processor and its link
+   can carry, in thousandths of a core; 0: not known.  */
+void csp_set_roster_self (csp_roster_t *roster, uint32_t capacity,
+                          int64_t started_ms);
+
+/* Whether this host stops, and whether it can't reach the platform.  */
+void csp_set_roster_leaving (csp_roster_t *roster);
+void csp_set_roster_blind (csp_roster_t *roster, bool blind);
+
+/* Fill in what a datagram tells of this host itself.  */
+void csp_describe_self (const csp_roster_t *roster, csp_hello_t *hello,
+                        int64_t now_ms);
+
 /* Somebody named a host; it becomes live when it is heard.  */
 void csp_learn_peer (csp_roster_t *roster, csp_peer_address_t address);
 
@@ -136,35 +197,67 @@
 bool csp_hear_peer (csp_roster_t *roster, csp_peer_address_t from,
                     const csp_hello_t *hello, int64_t now_ms);
 
-/* Let go what fell silent.  True where the loads changed.  */
+/* Let go what fell silent.  True where the loads changed.  Call it a few
+   times a second: what is asked below is as of the last call.  */
 bool csp_expire_peers (csp_roster_t *roster, int64_t now_ms);
 
-/* Whom to greet now: live hosts each second, others that are known more
-   rarely.  Returns how many were written.  */
+/* Whom to greet now: one host of each other data centre and some of the own,
+   drawn by lot, and addresses that were never heard.  Returns how many were
+   written; each counts as greeted.  */
 size_t csp_list_due_peers (csp_roster_t *roster, int64_t now_ms,
                            csp_peer_address_t *addresses, size_t room);
 
-/* All live hosts.  */
+/* How often some host of another data centre is greeted, in ms.  */
+uint32_t csp_greeting_period_ms (const csp_roster_t *roster);
+
+/* All hosts that were heard lately, by themselves or through others.  */
 size_t csp_list_live_peers (const csp_roster_t *roster,
                             csp_peer_address_t *addresses, size_t room);
 size_t csp_count_live_peers (const csp_roster_t *roster);
 
-/* The host of the own data centre that reads the platform for all of it: the
-   first in an order by hash among the live ones that reach the platform and
-   don't leave, this host counted in.  Hosts that see others alive may choose
-   differently for some seconds, which costs a few calls more.  */
-csp_peer_address_t csp_pick_reader (const csp_roster_t *roster);
+/* Some live hosts drawn by lot.  */
+size_t csp_draw_peers (csp_roster_t *roster, csp_peer_address_t *addresses,
+                       size_t room);
 
-/* Whether this host itself reaches the platform.  */
-void csp_set_roster_blind (csp_roster_t *roster, bool blind);
+/* What to name to a host: those that rank first, for each duty, and others
+   drawn by lot.  Returns how many were written.  */
+size_t csp_name_known_hosts (csp_roster_t *roster, csp_peer_address_t to,
+                             csp_known_host_t *hosts, size_t room,
+                             int64_t now_ms);
 
-/* The host that gives places at engines for all hosts: the first in that order
-   among all live ones.  */
+/* The host that gives places at engines for all hosts.  Hosts with more
+   capacity come first, as each ask and each change of load comes to it; then
+   an order by hash.  One that has just started waits until the others have
+   told it their loads.  */
 csp_peer_address_t csp_pick_decider (const csp_roster_t *roster);
 
-/* Some live hosts drawn by lot, to name to others.  */
-size_t csp_draw_known_peers (csp_roster_t *roster,
-                             csp_peer_address_t *addresses, size_t room);
+/* Who is told all loads: the host that decides; the one that would decide
+   next, so that it knows all when it has to; and the first of this data
+   centre, so that one that is cut off is whole at once.  This host itself
+   isn't listed.  Returns how many were written.  */
+size_t csp_list_deciders (const csp_roster_t *roster,
+                          csp_peer_address_t hosts[CSP_DECIDERS_MAX]);
+
+/* A host that was asked for a place says nothing: another one is picked for a
+   while.  */
+void csp_avoid_decider (csp_roster_t *roster, csp_peer_address_t host,
+                        int64_t now_ms);
+
+/* Hosts that may read the platform for others, best first, this one counted
+   in: of this data centre, and of all.  Hosts that see others alive may choose
+   differently for a moment, which costs a few calls more.  */
+typedef struct
+{
+  csp_peer_address_t self;
+  size_t near_count;
+  csp_peer_address_t near[CSP_READERS_NEAR_MAX];
+  size_t fleet_count;
+  csp_peer_address_t fleet[CSP_READERS_FLEET_MAX];
+  size_t hosts;       /* live ones, this one counted in */
+  size_t blind_hosts; /* that can't reach the platform, of those */
+} csp_reader_ranks_t;
+
+void csp_rank_readers (const csp_roster_t *roster, csp_reader_ranks_t *ranks);
 
 /* Each load of each live host.  */
 typedef void (*csp_take_load_t) (void *state, csp_peer_address_t peer,
--- a/include/cowslipspoke/watch.h
+++ b/include/cowslipspoke/watch.h
@@ -11,6 +11,12 @@
    input or output of its own; an adapter makes the calls and hands over what
    they bring.
 
+   Load pattern: all hosts of a fleet start at once, and each lists the store.
+   Lists that may be some seconds old cost a store next to nothing, so the
+   first list is such a one, and a watch that doesn't wait tells at once what
+   has changed since.  */
+
+/*
    Failures it answers: a store that is away, slow or refuses some hosts (the
    hosts must not ask all at once when it is back), history that is gone
    (list anew), and a watch whose connection went silent (nothing tells, so
@@ -29,6 +35,7 @@
   uint32_t wait_ms;
   uint32_t slack_ms;
   uint32_t pause_last_ms; /* between calls that fail one after another */
+  uint32_t gap_ms;        /* between watches that are answered */
 } csp_watch_policy_t;
 
 typedef enum
@@ -42,6 +49,7 @@
 {
   csp_watch_kind_t kind;
   bool first_page;
+  bool stale_ok;                       /* a list of some seconds ago will do */
   char after_key[CSP_WATCH_KEY_BYTES]; /* "" on the first page */
   int64_t after_revision;
   uint32_t wait_ms;    /* how long the store may hold a watch */
@@ -60,6 +68,8 @@
 {
   csp_watch_kind_t kind;
   bool first_page;
+  bool stale_ok;
+  bool confirms; /* the next watch tells whether a stale list is current */
   char after_key[CSP_WATCH_KEY_BYTES];
   csp_watch_policy_t policy;
   int64_t revision;
--- a/source/dispatch/dispatch-room.c
+++ b/source/dispatch/dispatch-room.c
@@ -1,11 +1,14 @@
 #include "dispatch/dispatch-imp.h"
 
+#include <string.h>
+
 enum
 {
   /* A place that was given counts here until its host's own word of it must
      have come: a message there, one back, and the moment in which changes are
      told together.  */
-  RESERVED_MS = 30
+  RESERVED_MS = 30,
+  PERCENT = 100
 };
 
 static void
@@ -61,6 +64,23 @@
   dispatch->reserved_count = 0;
 }
 
+/* How full the engines of a target's service are in all.  Hosts hear of it
+   this way alone, since they don't know each other's loads.  */
+static uint32_t
+pool_percent (const csp_dispatch_t *dispatch, uint64_t target_hash)
+{
+  const csp_fleet_target_t *target
+      = csp_find_hashed_target (dispatch->fleet, target_hash);
+  double share = 0;
+  size_t i;
+
+  for (i = 0; target != NULL && i < dispatch->pool_count; i++)
+    if (strcmp (dispatch->pools[i].service, target->row.service) == 0)
+      share = csp_find_pool_share (dispatch->fleet, target->row.service,
+                                   dispatch->pools[i].memory_tokens, 0);
+  return (uint32_t)(share * PERCENT);
+}
+
 void
 csp_answer_ask (csp_dispatch_t *dispatch, const csp_ask_t *ask,
                 csp_ask_outcome_t outcome, uint64_t target,
@@ -72,6 +92,8 @@
                             .target = target,
                             .retry_after_ms = retry_after_ms };
 
+  if (outcome == CSP_ASK_PLACED)
+    told.pool_percent = pool_percent (dispatch, target);
   if (outcome != CSP_ASK_WAITS)
     {
       dispatch->remembered[dispatch->remembered_next] = told;
--- a/source/follow/follow.c
+++ b/source/follow/follow.c
@@ -205,7 +205,15 @@
 }
 
 void
-csp_set_follower_pause (csp_follower_t *follower, uint32_t last_ms)
+csp_set_follower_pace (csp_follower_t *follower, uint32_t pause_last_ms,
+                       uint32_t gap_ms)
 {
-  follower->watch.policy.pause_last_ms = last_ms;
+  follower->watch.policy.pause_last_ms = pause_last_ms;
+  follower->watch.policy.gap_ms = gap_ms;
+}
+
+void
+csp_set_follower_away (csp_follower_t *follower)
+{
+  follower->away = true;
 }
--- a/source/gateway/gateway-backup.c
+++ b/source/gateway/gateway-backup.c
@@ -63,11 +63,16 @@
 static bool
 backup_pays (const csp_exchange_t *exchange)
 {
+  double told_share
+      = csp_told_pool_share (exchange->gateway, exchange->service->name);
   const csp_route_service_t *service = exchange->service;
   double share
       = csp_find_pool_share (exchange->gateway->fleet, service->name,
                              service->memory_tokens, exchange->tokens);
 
+  /* What this host knows is mostly its own part.  */
+  if (share < told_share)
+    share = told_share;
   return share <= (service->moves_runs ? pool_share_max_beside_moves
                                        : pool_share_max);
 }
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -18,6 +18,9 @@
   /* Without any answer for that long the host that decides is gone or cut
      off: four asks.  */
   ASK_SILENT_MS = 170,
+  /* Hosts that are asked one after another: the one that decides, the next,
+     and the first of the own data centre; then it is half a second.  */
+  UNHEARD_MAX = 3,
   /* What an engine reads before the first token, in tokens a ms, while others
      run there.  */
   READ_TOKENS_PER_MS = 7,
@@ -76,11 +79,10 @@
 send_ask (csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
-  csp_peer_address_t decider = csp_pick_decider (gateway->roster);
   csp_hello_t hello = { .ask_count = 1 };
   csp_ask_t ask = ask_of (exchange);
 
-  if (is_self (gateway, decider))
+  if (is_self (gateway, exchange->asked))
     {
       csp_push_ask (gateway->dispatch, &ask, exchange->service->name,
                     exchange->service->memory_tokens,
@@ -99,15 +101,17 @@
   hello.asks[0].moves_from = ask.moves_from;
   hello.asks[0].refused_at = ask.refused_at;
   hello.asks[0].left_ms = ask.left_ms;
-  csp_send_hello (gateway, &hello, &decider, 1);
+  csp_send_hello (gateway, &hello, &exchange->asked, 1);
 }
 
+/* Ask the host that decides, as of now, as if for the first time.  */
 static void
-begin_ask (csp_exchange_t *exchange)
+start_asking (csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
 
   exchange->ask_id = ++gateway->next_ask_id;
+  exchange->asked = gateway->decider;
   exchange->heard_ms = csp_gateway_now_ms (gateway);
   exchange->asking = true;
   exchange->ask_answered = false;
@@ -115,6 +119,13 @@
   send_ask (exchange);
 }
 
+static void
+begin_ask (csp_exchange_t *exchange)
+{
+  exchange->unheard = 0;
+  start_asking (exchange);
+}
+
 void
 csp_ask_for_place (csp_exchange_t *exchange)
 {
@@ -142,18 +153,64 @@
   csp_pump_moves (exchange->gateway);
 }
 
+/* What was asked for isn't needed any more.  */
+static void
+cancel_ask (const csp_exchange_t *exchange)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+  csp_hello_t hello = { .cancel_count = 1, .cancels = { exchange->ask_id } };
+
+  if (is_self (gateway, exchange->asked))
+    {
+      csp_cancel_ask (gateway->dispatch, gateway->self, exchange->ask_id);
+      csp_pump_places (gateway);
+    }
+  else
+    csp_send_hello (gateway, &hello, &exchange->asked, 1);
+}
+
+/* The host that was asked says nothing.  Its place is taken for a while by the
+   next one, which has been told the same loads and decides as well; alone this
+   host would choose by its own requests, as hundreds of others do in that
+   moment, and all would meet at the same engines.  */
+static void
+ask_next (csp_exchange_t *exchange)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+
+  csp_avoid_decider (gateway->roster, exchange->asked,
+                     csp_gateway_now_ms (gateway));
+  csp_choose_deciders (gateway);
+  if (++exchange->unheard >= UNHEARD_MAX
+      || csp_is_same_peer (gateway->decider, exchange->asked))
+    {
+      go_on_alone (exchange);
+      return;
+    }
+  cancel_ask (exchange);
+  start_asking (exchange);
+}
+
 static void
 on_ask_timer (uv_timer_t *timer)
 {
   csp_exchange_t *exchange = timer->data;
-  int64_t now_ms = csp_gateway_now_ms (exchange->gateway);
-  int64_t silent_ms = now_ms - exchange->heard_ms;
+  const csp_gateway_t *gateway = exchange->gateway;
+  int64_t silent_ms = csp_gateway_now_ms (gateway) - exchange->heard_ms;
 
   if (exchange->over || !exchange->asking)
     return;
   if (silent_ms >= ASK_SILENT_MS + (exchange->ask_answered ? ASK_KEEP_MS : 0))
     {
-      go_on_alone (exchange);
+      ask_next (exchange);
+      return;
+    }
+  /* Another host decides by now, and the one that was asked isn't told what
+     changes any more.  */
+  if (!csp_is_same_peer (gateway->decider, exchange->asked))
+    {
+      cancel_ask (exchange);
+      start_asking (exchange);
       return;
     }
   uv_timer_start (&exchange->move.timer, on_ask_timer,
@@ -164,23 +221,6 @@
   send_ask (exchange);
 }
 
-/* What was asked for isn't needed any more.  */
-static void
-cancel_ask (const csp_exchange_t *exchange)
-{
-  csp_gateway_t *gateway = exchange->gateway;
-  csp_peer_address_t decider = csp_pick_decider (gateway->roster);
-  csp_hello_t hello = { .cancel_count = 1, .cancels = { exchange->ask_id } };
-
-  if (is_self (gateway, decider))
-    {
-      csp_cancel_ask (gateway->dispatch, gateway->self, exchange->ask_id);
-      csp_pump_places (gateway);
-    }
-  else
-    csp_send_hello (gateway, &hello, &decider, 1);
-}
-
 void
 csp_drop_ask (csp_exchange_t *exchange)
 {
@@ -254,6 +294,8 @@
     case CSP_ASK_OUTCOME_COUNT:
       return;
     case CSP_ASK_PLACED:
+      csp_note_pool_percent (gateway, exchange->service->name,
+                             answer->pool_percent);
       take_place (exchange, answer->target);
       return;
     case CSP_ASK_REFUSED:
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -80,8 +80,10 @@
   bool asking;
   bool asks_to_move; /* not for a first place, but where a stream may go */
   bool ask_answered;
+  uint8_t unheard; /* hosts in a row that did not answer it */
   uint64_t ask_id;
-  int64_t heard_ms; /* last word of the host that decides */
+  csp_peer_address_t asked; /* the host that decides, as of the ask */
+  int64_t heard_ms;         /* last word of the host that decides */
   uint32_t retry_after_ms;
   int64_t waited_ms; /* for its last place, from its first byte; -1: none */
 
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -61,11 +61,14 @@
   CSP_STOP_MARGIN_MS = 300
 };
 
-/* Retry budget of one service.  */
+/* What is known of one service beside its targets: its retry budget, and how
+   full its engines are by the word of the host that decides.  */
 typedef struct
 {
   char service[CSP_TARGET_NAME_BYTES];
   csp_retry_budget_t budget;
+  uint32_t pool_percent;
+  int64_t pool_told_ms; /* 0: never */
 } csp_service_budget_t;
 
 /* A target that says it leaves, to be told to the other hosts.  */
@@ -121,13 +124,15 @@
   uv_timer_t greet_timer;
   uint64_t boot;
   uint32_t data_centre; /* hash of its name, as hosts tell it */
-  int64_t tell_allowed; /* datagrams that may be sent now */
-  int64_t tell_counted_ms;
   uint64_t hello_sequence;
+  csp_peer_address_t decider; /* whom to ask for places; may be this host */
+  size_t decider_count;
+  csp_peer_address_t deciders[CSP_DECIDERS_MAX]; /* who is told our loads */
+  int64_t whole_at_ms;           /* when all loads are told them again */
   csp_peer_address_t *peer_room; /* CSP_ROSTER_MAX addresses, for one call */
   pthread_mutex_t live_lock;     /* guards what the control thread reads */
   csp_peer_address_t self;
-  csp_peer_address_t reader;
+  csp_reader_ranks_t readers;
   size_t live_count;
   csp_peer_address_t live[CSP_LIVE_PEERS_MAX];
   csp_random_t random;
@@ -157,6 +162,12 @@
 csp_retry_budget_t *csp_find_budget (csp_gateway_t *gateway,
                                      const char *service);
 
+/* How full the engines of a service are in all, as the host that decides has
+   told; 0 where it has not, or not lately.  */
+void csp_note_pool_percent (csp_gateway_t *gateway, const char *service,
+                            uint32_t percent);
+double csp_told_pool_share (csp_gateway_t *gateway, const char *service);
+
 /* Caller: see gateway-caller.c.  */
 void csp_accept_caller (csp_gateway_t *gateway, uv_stream_t *listener);
 const csp_http_head_t *csp_caller_head (const csp_caller_t *caller);
@@ -224,8 +235,8 @@
 /* Streams that fell silent go on elsewhere.  Call it now and then.  */
 void csp_watch_streams (csp_gateway_t *gateway);
 
-/* Reports: see gateway-report.c.  The platform was heard.  */
-void csp_note_platform_heard (csp_gateway_t *gateway);
+/* Reports: see gateway-report.c.  The platform was heard, so long ago.  */
+void csp_note_platform_heard (csp_gateway_t *gateway, uint32_t age_ms);
 
 /* Ask engines whether they leave and live, where the platform isn't heard.
    Call it now and then.  */
@@ -283,9 +294,14 @@
 /* Give places that have come free.  */
 void csp_pump_places (csp_gateway_t *gateway);
 
-/* What is under way here has changed; the others hear of it in a moment.  */
+/* Tell: see gateway-tell.c.  What is under way here has changed; the hosts
+   that decide hear of it in a moment.  */
+void csp_open_gateway_tell (csp_gateway_t *gateway);
 void csp_tell_load (csp_gateway_t *gateway);
 
+/* Who decides may have changed; who is new to it is told all.  */
+void csp_choose_deciders (csp_gateway_t *gateway);
+
 /* Pages: see gateway-page.c.  */
 bool csp_open_gateway_pages (csp_gateway_t *gateway, char *message,
                              size_t message_bytes);
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -5,20 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Telling the other hosts what is under way here, and hearing them.  */
+/* Greeting other hosts and hearing them.  */
 
 enum
 {
-  /* Changes of some moments are told together.  What the others don't know
-     yet they choose without: at 91 hosts and 60 prompts a second the first
-     token came after 973 ms in the median with 91 ms between change and
-     datagram, and after 695 ms with 2 ms.  */
-  TELL_MS = 2,
-  /* Datagrams that a host may send a second; beyond, changes wait and are
-     told together.  91 hosts need some 200 each.  */
-  TELL_RATE_PER_S = 2000,
-  TELL_BURST = 2000,
-  MS_PER_S = 1000,
   /* Greetings are due by the second; looked at that often.  */
   GREET_TICK_MS = 200,
   BOOT_RANDOM_BITS = 16
@@ -101,11 +91,8 @@
   csp_buffer_t bytes = { 0 };
   size_t i;
 
-  hello->boot = gateway->boot;
+  csp_describe_self (gateway->roster, hello, csp_gateway_now_ms (gateway));
   hello->sequence = ++gateway->hello_sequence;
-  hello->leaving = gateway->stopping;
-  hello->blind = gateway->blind;
-  hello->data_centre = gateway->data_centre;
   if (csp_encode_hello (hello, &bytes))
     for (i = 0; i < peer_count; i++)
       {
@@ -118,114 +105,15 @@
   csp_clear_buffer (&bytes);
 }
 
-static csp_peer_load_t
-load_of (const csp_fleet_target_t *target)
-{
-  csp_peer_load_t load
-      = { .target = target->hash,
-          .requests = target->own.requests,
-          .tokens = (uint32_t)target->own.tokens,
-          .backup_tokens = (uint32_t)target->own.backup_tokens,
-          .reading_tokens = (uint32_t)target->own.reading_tokens,
-          .movable_tokens = (uint32_t)target->own.movable_tokens };
-
-  return load;
-}
-
-static bool
-is_same_load (const csp_peer_load_t *a, const csp_peer_load_t *b)
-{
-  return a->requests == b->requests && a->tokens == b->tokens
-         && a->backup_tokens == b->backup_tokens
-         && a->reading_tokens == b->reading_tokens
-         && a->movable_tokens == b->movable_tokens;
-}
-
-/* Whether the others should hear of a load.  What is under way at a plain
-   service is over within some 30 ms, and three quarters of all requests go to
-   such; told to 90 hosts each they are most of what hosts tell, and as each
-   host may only send so much, the loads of engines wait behind them.  */
-static bool
-is_worth_telling (const csp_fleet_target_t *target,
-                  const csp_peer_load_t *load, bool whole)
-{
-  if (!target->is_engine && load->backup_tokens == 0
-      && target->told.backup_tokens == 0)
-    return false;
-  return whole ? load->requests > 0 || load->backup_tokens > 0
-               : !is_same_load (load, &target->told);
-}
-
-/* Send what of our loads is wanted, in as many datagrams as it takes.  whole:
-   all loads, and whom we know; else those that changed.  */
 static void
-tell_loads (csp_gateway_t *gateway, bool whole,
-            const csp_peer_address_t *peers, size_t peer_count)
+greet (csp_gateway_t *gateway, csp_peer_address_t peer)
 {
-  size_t count = csp_fleet_size (gateway->fleet);
-  csp_hello_t hello = { .whole = whole };
-  bool sent = false;
-  size_t i;
-
-  if (whole)
-    hello.known_count = csp_draw_known_peers (gateway->roster, hello.known,
-                                              CSP_HELLO_KNOWN_MAX);
-  for (i = 0; i < count; i++)
-    {
-      csp_fleet_target_t *target = csp_fleet_at (gateway->fleet, i);
-      csp_peer_load_t load = load_of (target);
+  csp_hello_t hello = { .wants_answer = true };
 
-      if (!is_worth_telling (target, &load, whole))
-        continue;
-      if (!whole)
-        target->told = load;
-      hello.loads[hello.load_count++] = load;
-      if (hello.load_count < CSP_HELLO_LOADS_MAX)
-        continue;
-      csp_send_hello (gateway, &hello, peers, peer_count);
-      memset (&hello, 0, sizeof hello);
-      sent = true;
-    }
-  if (hello.load_count > 0 || (whole && !sent))
-    csp_send_hello (gateway, &hello, peers, peer_count);
-}
-
-static void
-on_tell (uv_timer_t *timer)
-{
-  csp_gateway_t *gateway = timer->data;
-  csp_peer_address_t *peers = gateway->peer_room;
-  size_t count = csp_list_live_peers (gateway->roster, peers, CSP_ROSTER_MAX);
-
-  tell_loads (gateway, false, peers, count);
-}
-
-/* How long a change has to wait, so that the rate is kept.  */
-static uint64_t
-tell_wait_ms (csp_gateway_t *gateway)
-{
-  int64_t now_ms = csp_gateway_now_ms (gateway);
-  int64_t peers = (int64_t)csp_count_live_peers (gateway->roster);
-  int64_t earned
-      = (now_ms - gateway->tell_counted_ms) * TELL_RATE_PER_S / MS_PER_S;
-
-  gateway->tell_counted_ms = now_ms;
-  gateway->tell_allowed += earned;
-  if (gateway->tell_allowed > TELL_BURST)
-    gateway->tell_allowed = TELL_BURST;
-  gateway->tell_allowed -= peers;
-  if (gateway->tell_allowed >= 0)
-    return TELL_MS;
-  return (uint64_t)(-gateway->tell_allowed * MS_PER_S / TELL_RATE_PER_S)
-         + TELL_MS;
-}
-
-void
-csp_tell_load (csp_gateway_t *gateway)
-{
-  if (uv_is_active ((uv_handle_t *)&gateway->tell_timer))
-    return;
-  uv_timer_start (&gateway->tell_timer, on_tell, tell_wait_ms (gateway), 0);
+  hello.known_count = csp_name_known_hosts (gateway->roster, peer, hello.known,
+                                            CSP_HELLO_KNOWN_MAX,
+                                            csp_gateway_now_ms (gateway));
+  csp_send_hello (gateway, &hello, &peer, 1);
 }
 
 static void
@@ -235,17 +123,21 @@
   csp_peer_address_t *peers = gateway->peer_room;
   int64_t now_ms = csp_gateway_now_ms (gateway);
   size_t count;
+  size_t i;
 
   if (csp_expire_peers (gateway->roster, now_ms))
     count_others (gateway);
   pthread_mutex_lock (&gateway->live_lock);
-  gateway->live_count = csp_draw_known_peers (gateway->roster, gateway->live,
-                                              CSP_LIVE_PEERS_MAX);
-  gateway->reader = csp_pick_reader (gateway->roster);
+  gateway->live_count
+      = csp_draw_peers (gateway->roster, gateway->live, CSP_LIVE_PEERS_MAX);
+  csp_rank_readers (gateway->roster, &gateway->readers);
   pthread_mutex_unlock (&gateway->live_lock);
+  csp_note_greeting_period (gateway->reach,
+                            csp_greeting_period_ms (gateway->roster));
   count = csp_list_due_peers (gateway->roster, now_ms, peers, CSP_ROSTER_MAX);
-  if (count > 0)
-    tell_loads (gateway, true, peers, count);
+  for (i = 0; i < count; i++)
+    greet (gateway, peers[i]);
+  csp_choose_deciders (gateway);
 }
 
 static void
@@ -266,6 +158,9 @@
       && (hello.whole || hello.load_count > 0)
       && csp_count_waiting_asks (gateway->dispatch) > 0)
     csp_pump_places (gateway);
+  if (hello.wants_answer)
+    csp_send_hello (gateway, &(csp_hello_t){ .wants_answer = false }, &peer,
+                    1);
   csp_take_left (gateway, &hello);
   csp_take_dispatch_hello (gateway, peer, &hello);
 }
@@ -283,16 +178,12 @@
   return count;
 }
 
-bool
-csp_find_gateway_reader (csp_gateway_t *gateway, csp_peer_address_t *reader)
+void
+csp_rank_gateway_readers (csp_gateway_t *gateway, csp_reader_ranks_t *ranks)
 {
-  bool other;
-
   pthread_mutex_lock (&gateway->live_lock);
-  *reader = gateway->reader;
-  other = !csp_is_same_peer (*reader, gateway->self);
+  *ranks = gateway->readers;
   pthread_mutex_unlock (&gateway->live_lock);
-  return other;
 }
 
 bool
@@ -304,7 +195,6 @@
 
   pthread_mutex_init (&gateway->live_lock, NULL);
   gateway->self = csp_peer_of_socket (&settings->peers);
-  gateway->reader = gateway->self;
   gateway->data_centre
       = (uint32_t)csp_hash_pair ("data_centre", settings->data_centre);
   gateway->boot = ((uint64_t)csp_wall_ms (&gateway->clock) << BOOT_RANDOM_BITS)
@@ -319,8 +209,10 @@
   if (gateway->roster == NULL || gateway->reach == NULL
       || gateway->peer_room == NULL)
     return false;
-  uv_timer_init (&gateway->loop, &gateway->tell_timer);
-  gateway->tell_timer.data = gateway;
+  csp_set_roster_self (gateway->roster, settings->capacity,
+                       csp_gateway_now_ms (gateway));
+  csp_rank_readers (gateway->roster, &gateway->readers);
+  csp_open_gateway_tell (gateway);
   uv_timer_init (&gateway->loop, &gateway->greet_timer);
   gateway->greet_timer.data = gateway;
   uv_udp_init (&gateway->loop, &gateway->peers);
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -57,9 +57,12 @@
 }
 
 void
-csp_note_platform_heard (csp_gateway_t *gateway)
+csp_note_platform_heard (csp_gateway_t *gateway, uint32_t age_ms)
 {
-  int64_t now_ms = csp_gateway_now_ms (gateway);
+  int64_t now_ms = csp_gateway_now_ms (gateway) - age_ms;
+
+  if (now_ms <= gateway->heard_ms)
+    return;
 
   if (is_unheard (gateway, now_ms))
     gateway->doubt_until_ms = now_ms + DOUBT_MS;
@@ -274,7 +277,7 @@
   drop_late_reports (gateway, now_ms);
   tell_left (gateway);
   if ((!is_unheard (gateway, now_ms) && now_ms >= gateway->doubt_until_ms)
-      || !csp_is_same_peer (csp_pick_decider (gateway->roster), gateway->self))
+      || !csp_is_same_peer (gateway->decider, gateway->self))
     return;
   for (i = 0; i < count; i++)
     {
--- /dev/null
+++ b/source/gateway/gateway-tell.c
@@ -0,0 +1,168 @@
+#include "gateway/gateway-imp.h"
+
+#include <string.h>
+
+/* Telling what is under way here, to the hosts that decide.
+
+   Load pattern: hundreds of hosts, each of which begins and ends requests all
+   the time.  Told to all hosts, each change is hundreds of datagrams, and what
+   the busiest host carried grew with the square of their number.  Only who
+   decides needs each change; the others ask it.  So a change goes to three
+   hosts at most: the one that decides, the one that would be next, and the
+   first of the own data centre.  */
+
+enum
+{
+  /* Changes of some moments are told together.  What the host that decides
+     doesn't know yet it chooses without: at 91 hosts and 60 prompts a second
+     the first token came after 973 ms in the median with 91 ms between change
+     and datagram, and after 695 ms with 2 ms.  */
+  TELL_MS = 2,
+  /* All loads are told again that often, as datagrams get lost.  */
+  WHOLE_MS = 1000
+};
+
+static csp_peer_load_t
+load_of (const csp_fleet_target_t *target)
+{
+  csp_peer_load_t load
+      = { .target = target->hash,
+          .requests = target->own.requests,
+          .tokens = (uint32_t)target->own.tokens,
+          .backup_tokens = (uint32_t)target->own.backup_tokens,
+          .reading_tokens = (uint32_t)target->own.reading_tokens,
+          .movable_tokens = (uint32_t)target->own.movable_tokens };
+
+  return load;
+}
+
+static bool
+is_same_load (const csp_peer_load_t *a, const csp_peer_load_t *b)
+{
+  return a->requests == b->requests && a->tokens == b->tokens
+         && a->backup_tokens == b->backup_tokens
+         && a->reading_tokens == b->reading_tokens
+         && a->movable_tokens == b->movable_tokens;
+}
+
+/* Whether the others should hear of a load.  What is under way at a plain
+   service is over within some 30 ms, and three quarters of all requests go to
+   such; nobody decides about those for others.  */
+static bool
+is_worth_telling (const csp_fleet_target_t *target,
+                  const csp_peer_load_t *load, bool whole)
+{
+  if (!target->is_engine && load->backup_tokens == 0
+      && target->told.backup_tokens == 0)
+    return false;
+  return whole ? load->requests > 0 || load->backup_tokens > 0
+               : !is_same_load (load, &target->told);
+}
+
+/* Send what of our loads is wanted, in as many datagrams as it takes.  whole:
+   all loads; else those that changed.  */
+static void
+tell_loads (csp_gateway_t *gateway, bool whole,
+            const csp_peer_address_t *peers, size_t peer_count)
+{
+  size_t count = csp_fleet_size (gateway->fleet);
+  csp_hello_t hello = { .whole = whole };
+  bool sent = false;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      csp_fleet_target_t *target = csp_fleet_at (gateway->fleet, i);
+      csp_peer_load_t load = load_of (target);
+
+      if (!is_worth_telling (target, &load, whole))
+        continue;
+      if (!whole)
+        target->told = load;
+      hello.loads[hello.load_count++] = load;
+      if (hello.load_count < CSP_HELLO_LOADS_MAX)
+        continue;
+      csp_send_hello (gateway, &hello, peers, peer_count);
+      memset (&hello, 0, sizeof hello);
+      sent = true;
+    }
+  if (hello.load_count > 0 || (whole && !sent))
+    csp_send_hello (gateway, &hello, peers, peer_count);
+}
+
+static void
+on_tell (uv_timer_t *timer)
+{
+  csp_gateway_t *gateway = timer->data;
+
+  tell_loads (gateway, false, gateway->deciders, gateway->decider_count);
+}
+
+void
+csp_tell_load (csp_gateway_t *gateway)
+{
+  if (!uv_is_active ((uv_handle_t *)&gateway->tell_timer))
+    uv_timer_start (&gateway->tell_timer, on_tell, TELL_MS, 0);
+}
+
+static bool
+is_told (const csp_gateway_t *gateway, csp_peer_address_t host)
+{
+  size_t i;
+
+  for (i = 0; i < gateway->decider_count; i++)
+    if (csp_is_same_peer (gateway->deciders[i], host))
+      return true;
+  return false;
+}
+
+/* A host that is told from now on has to know all at once: it may have to
+   decide in the next moment.  */
+static void
+tell_new_deciders (csp_gateway_t *gateway, const csp_peer_address_t *hosts,
+                   size_t count)
+{
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    if (!is_told (gateway, hosts[i]))
+      tell_loads (gateway, true, &hosts[i], 1);
+}
+
+void
+csp_choose_deciders (csp_gateway_t *gateway)
+{
+  csp_peer_address_t hosts[CSP_DECIDERS_MAX];
+  size_t count = csp_list_deciders (gateway->roster, hosts);
+  csp_peer_address_t decider = csp_pick_decider (gateway->roster);
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+
+  if (!csp_is_same_peer (decider, gateway->decider))
+    {
+      char address[CSP_PEER_TEXT_BYTES];
+
+      csp_print_peer (decider, address);
+      CSP_LOG (gateway->log, CSP_EVENT_DECIDER_CHOSEN, NULL,
+               csp_text ("host", address),
+               csp_number ("is_this_host",
+                           csp_is_same_peer (decider, gateway->self)));
+    }
+  gateway->decider = decider;
+  if (now_ms >= gateway->whole_at_ms)
+    {
+      gateway->whole_at_ms = now_ms + WHOLE_MS;
+      tell_loads (gateway, true, hosts, count);
+    }
+  else
+    tell_new_deciders (gateway, hosts, count);
+  memcpy (gateway->deciders, hosts, sizeof hosts);
+  gateway->decider_count = count;
+}
+
+void
+csp_open_gateway_tell (csp_gateway_t *gateway)
+{
+  gateway->decider = gateway->self;
+  uv_timer_init (&gateway->loop, &gateway->tell_timer);
+  gateway->tell_timer.data = gateway;
+}
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -14,7 +14,11 @@
   /* Lapsed targets and silent streams are looked at that often; a silent
      stream is late within 180 ms by the users' word, and a glance at some
      dozens of streams costs microseconds.  */
-  TICK_MS = 100
+  TICK_MS = 100,
+  /* Word of how full the engines are counts that long: engines are lost and
+     come back by the second.  */
+  POOL_TOLD_FOR_MS = 2000,
+  PERCENT = 100
 };
 
 /* An update on its way between the threads.  */
@@ -37,8 +41,8 @@
          && !csp_is_isolated (gateway);
 }
 
-csp_retry_budget_t *
-csp_find_budget (csp_gateway_t *gateway, const char *service)
+static csp_service_budget_t *
+find_service_budget (csp_gateway_t *gateway, const char *service)
 {
   csp_retry_policy_t policy = csp_default_retry_policy ();
   csp_service_budget_t *budget;
@@ -46,16 +50,43 @@
 
   for (i = 0; i < gateway->budget_count; i++)
     if (strcmp (gateway->budgets[i].service, service) == 0)
-      return &gateway->budgets[i].budget;
+      return &gateway->budgets[i];
   if (gateway->budget_count == CSP_BUDGETS_MAX)
-    return &gateway->budgets[CSP_BUDGETS_MAX - 1].budget;
+    return &gateway->budgets[CSP_BUDGETS_MAX - 1];
   policy.retry_share = gateway->settings.retry_share;
   policy.retry_most = gateway->settings.retry_saved_max;
   policy.retry_start = gateway->settings.retry_saved_max;
   budget = &gateway->budgets[gateway->budget_count++];
   snprintf (budget->service, sizeof budget->service, "%s", service);
   csp_open_retry_budget (&budget->budget, &policy);
-  return &budget->budget;
+  return budget;
+}
+
+csp_retry_budget_t *
+csp_find_budget (csp_gateway_t *gateway, const char *service)
+{
+  return &find_service_budget (gateway, service)->budget;
+}
+
+void
+csp_note_pool_percent (csp_gateway_t *gateway, const char *service,
+                       uint32_t percent)
+{
+  csp_service_budget_t *row = find_service_budget (gateway, service);
+
+  row->pool_percent = percent;
+  row->pool_told_ms = csp_gateway_now_ms (gateway);
+}
+
+double
+csp_told_pool_share (csp_gateway_t *gateway, const char *service)
+{
+  const csp_service_budget_t *row = find_service_budget (gateway, service);
+
+  if (row->pool_told_ms == 0
+      || csp_gateway_now_ms (gateway) - row->pool_told_ms > POOL_TOLD_FOR_MS)
+    return 0;
+  return (double)row->pool_percent / PERCENT;
 }
 
 static void
@@ -105,6 +136,8 @@
   if (gateway->stopping)
     return;
   gateway->stopping = true;
+  csp_set_roster_leaving (gateway->roster);
+  csp_choose_deciders (gateway);
   gateway->stop_began_ms = csp_gateway_now_ms (gateway);
   CSP_LOG (gateway->log, CSP_EVENT_DRAINING, NULL,
            csp_number ("open_requests", gateway->caller_count));
@@ -141,7 +174,11 @@
       gateway->listed = true;
       break;
     case CSP_UPDATE_PLATFORM_HEARD:
-      csp_note_platform_heard (gateway);
+      csp_note_platform_heard (gateway, update->value.age_ms);
+      break;
+    case CSP_UPDATE_PLATFORM_LAPSES:
+      csp_note_platform (gateway->fleet, false, now_ms);
+      csp_note_platform (gateway->fleet, true, now_ms);
       break;
     case CSP_UPDATE_PLATFORM_AWAY:
     case CSP_UPDATE_PLATFORM_BACK:
--- a/source/mirror/mirror-feed.c
+++ b/source/mirror/mirror-feed.c
@@ -10,28 +10,43 @@
 {
   /* How often the choice of the source is looked at.  */
   CHOOSE_MS = 100,
-  /* A reader that failed is left alone for that long.  One that is gone is
-     tried some times until hosts agree on another, each time for 0.7 s without
-     news; one that was in doubt for a moment is followed again soon, since
-     meanwhile each host of its data centre is a call for each change.  */
-  READER_PAUSE_MS = 1000,
-  /* Calls at a store that is away are priced too.  The reader of a data centre
-     sees its return within half a second, and tells the others.  */
-  STORE_PAUSE_MS = 400,
-  STORE_PAUSE_OTHERS_MS = 1500,
-  /* How long the store must have been back before removals are passed on: its
+  /* A host that could not be followed is left alone for that long, and twice
+     as long for each further time, up to the last.  One that is gone is tried
+     some times until hosts have forgotten it, each time for 0.7 s; one that
+     was in doubt for a moment is followed again soon.  */
+  FAILED_FIRST_MS = 1000,
+  FAILED_DOUBLINGS = 2,
+  /* A host that is followed and has had no current word for that long is in
+     trouble itself; where another has, it would have asked the store by now.
+   */
+  STALE_AFTER_MS = 1500,
+  /* How long the store must have been back before removals are believed: its
      own rows come back within about two seconds.  */
-  SETTLED_AFTER_MS = 2500,
-  /* A reader says something that often, and is missed that much later: a
-     notice that is lost with it comes 0.7 s late, of the two or three seconds
-     that the users allow.  */
+  LAPSING_MS = 2500,
+  /* A host that the store turned away and that doesn't read it now is tried
+     again behind that, should its turn come.  */
+  BLIND_MS = 5000,
+  /* Hosts that the store turns away, from which on it is the store that is
+     away: two may be cut off by themselves.  */
+  OUTAGE_HOSTS = 3,
+  /* A host says something that often, and is missed that much later: a notice
+     that is lost with it comes 0.7 s late, of the two or three seconds that
+     the users allow.  */
   HOST_WAIT_MS = 400,
   HOST_SLACK_MS = 300,
+  HOST_PAUSE_MS = 400,
   HOSTS_MAX = 64,
   /* No status says that history is gone: the answer is then whole.  */
   NO_STATUS = 0
 };
 
+typedef struct
+{
+  csp_peer_address_t host;
+  uint32_t times; /* in a row */
+  uint64_t until_ms;
+} failed_t;
+
 struct csp_mirror_feed
 {
   uv_loop_t *loop;
@@ -42,35 +57,64 @@
   csp_follower_t *store;
   csp_follower_t *host;
   csp_peer_address_t host_address;
+  uint64_t host_since_ms;
   uv_timer_t timer;
-  csp_mirror_source_t source;
+  csp_mirror_role_t role;
+  bool confirmed;
+  bool starting; /* what reads the store does so for the start alone */
   bool store_away;
-  bool doubted;
-  bool reader_failed;
-  uint64_t reader_failed_ms;
-  uint64_t unsettled_until_ms;
+  bool outage;
+  uint64_t blind_until_ms;
+  uint64_t lapsing_until_ms;
+  uint64_t started_ms;
+  uint64_t fed_ms;
+  uint64_t host_fed_ms;
+  size_t failed_next;
+  failed_t failed[CSP_UPSTREAMS_FAILED_MAX];
   csp_random_t random;
+  double lot;
 };
 
-csp_mirror_source_t
-csp_choose_mirror_source (const csp_mirror_facts_t *facts)
+static void choose_source (csp_mirror_feed_t *feed);
+
+static uint64_t
+now_of (const csp_mirror_feed_t *feed)
 {
-  if (facts->store_away)
-    return CSP_SOURCE_ANY_HOST;
-  if (!facts->known || !facts->reader_is_other)
-    return CSP_SOURCE_STORE;
-  if (facts->reader_failed && facts->reader_failed_ms_ago < READER_PAUSE_MS)
-    return CSP_SOURCE_STORE;
-  return CSP_SOURCE_READER;
+  return uv_now (feed->loop);
+}
+
+static void
+tell_server (csp_mirror_feed_t *feed)
+{
+  csp_tell_mirror_server (
+      feed->server, feed->confirmed && csp_mirror_revision (feed->mirror) > 0,
+      feed->store_away || now_of (feed) < feed->lapsing_until_ms,
+      feed->fed_ms);
+}
+
+static void
+close_store (csp_mirror_feed_t *feed)
+{
+  csp_close_follower (feed->store);
+  feed->store = NULL;
 }
 
+/* What is known was current so long ago, by the word of the store or of a
+   host.  */
 static void
-update_settled (csp_mirror_feed_t *feed)
+note_current (csp_mirror_feed_t *feed, uint32_t age_ms)
 {
-  csp_settle_mirror_server (
-      feed->server, csp_mirror_revision (feed->mirror) > 0 && !feed->doubted
-                        && !feed->store_away
-                        && uv_now (feed->loop) >= feed->unsettled_until_ms);
+  uint64_t at_ms = now_of (feed) - age_ms;
+
+  if (at_ms > feed->fed_ms)
+    feed->fed_ms = at_ms;
+  if (!feed->confirmed)
+    {
+      feed->confirmed = true;
+      choose_source (feed);
+    }
+  if (feed->settings.heard != NULL)
+    feed->settings.heard (feed->settings.hosts_state, age_ms);
 }
 
 static void
@@ -84,41 +128,103 @@
       call->wait_ms);
 }
 
+static failed_t *
+find_failed (csp_mirror_feed_t *feed, csp_peer_address_t host)
+{
+  size_t i;
+
+  for (i = 0; i < CSP_UPSTREAMS_FAILED_MAX; i++)
+    if (csp_is_same_peer (feed->failed[i].host, host))
+      return &feed->failed[i];
+  return NULL;
+}
+
+/* Word that is older than what is known already comes from a host that follows
+   this one, or from one that is as badly off.  */
+static void
+take_word (csp_mirror_feed_t *feed, const csp_mirror_word_t *word)
+{
+  uint64_t now_ms = now_of (feed);
+  uint64_t at_ms = word->age_ms < now_ms ? now_ms - word->age_ms : 0;
+  failed_t *failed = find_failed (feed, feed->host_address);
+
+  if (word->lapsing)
+    feed->lapsing_until_ms = now_ms + LAPSING_MS;
+  if (at_ms > feed->host_fed_ms)
+    feed->host_fed_ms = at_ms;
+  if (word->age_ms >= STALE_AFTER_MS)
+    return;
+  if (failed != NULL)
+    failed->times = 0;
+  note_current (feed, word->age_ms);
+}
+
 static bool
 take_answer (void *state, const csp_watch_call_t *call, const char *body,
              csp_watch_t *watch)
 {
   csp_mirror_feed_t *feed = state;
+  csp_mirror_word_t word = { .age_ms = 0 };
   int64_t as_of = 0;
 
-  if (!csp_decode_mirror (feed->mirror, body, &as_of))
+  if (!csp_decode_mirror (feed->mirror, body, &word, &as_of))
     return false;
   if (call->kind == CSP_WATCH_LIST)
     csp_note_watch_page (watch, as_of, false, "");
   else
     csp_note_watch_changes (watch, as_of);
-  csp_note_mirror_fed (feed);
+  take_word (feed, &word);
+  tell_server (feed);
   return true;
 }
 
-static void choose_source (csp_mirror_feed_t *feed);
+static void
+note_failed (csp_mirror_feed_t *feed, csp_peer_address_t host)
+{
+  failed_t *failed = find_failed (feed, host);
+  uint32_t doublings;
+
+  if (failed == NULL)
+    {
+      failed = &feed->failed[feed->failed_next];
+      feed->failed_next = (feed->failed_next + 1) % CSP_UPSTREAMS_FAILED_MAX;
+      *failed = (failed_t){ .host = host };
+    }
+  doublings
+      = failed->times < FAILED_DOUBLINGS ? failed->times : FAILED_DOUBLINGS;
+  failed->times++;
+  failed->until_ms = now_of (feed) + ((uint64_t)FAILED_FIRST_MS << doublings);
+}
+
+static void
+stop_host (csp_mirror_feed_t *feed)
+{
+  csp_close_follower (feed->host);
+  feed->host = NULL;
+}
+
+/* What the followed host says can't be relied on: another is followed.  */
+static void
+leave_host (csp_mirror_feed_t *feed)
+{
+  char address[CSP_PEER_TEXT_BYTES];
+
+  csp_print_peer (feed->host_address, address);
+  note_failed (feed, feed->host_address);
+  stop_host (feed);
+  if (!feed->confirmed)
+    return;
+  CSP_LOG (feed->log, CSP_EVENT_READER_LOST, NULL, csp_text ("host", address),
+           csp_number ("revision", csp_mirror_revision (feed->mirror)),
+           csp_number ("unfed_ms", (int64_t)(now_of (feed) - feed->fed_ms)));
+}
 
-/* What the followed host says can't be relied on: read elsewhere at once.  */
 static void
 on_host_doubted (void *state)
 {
   csp_mirror_feed_t *feed = state;
 
-  csp_close_follower (feed->host);
-  feed->host = NULL;
-  if (feed->source == CSP_SOURCE_READER)
-    {
-      feed->doubted = true;
-      feed->reader_failed = true;
-      feed->reader_failed_ms = uv_now (feed->loop);
-      CSP_LOG (feed->log, CSP_EVENT_READER_LOST, NULL,
-               csp_number ("revision", csp_mirror_revision (feed->mirror)));
-    }
+  leave_host (feed);
   choose_source (feed);
 }
 
@@ -129,7 +235,7 @@
         .compacted_status = NO_STATUS,
         .policy = { .wait_ms = HOST_WAIT_MS,
                     .slack_ms = HOST_SLACK_MS,
-                    .pause_last_ms = STORE_PAUSE_MS } };
+                    .pause_last_ms = HOST_PAUSE_MS } };
 
 static void
 follow_host (csp_mirror_feed_t *feed, csp_peer_address_t host)
@@ -137,91 +243,163 @@
   struct sockaddr_in address = csp_socket_of_peer (host);
 
   feed->host_address = host;
+  feed->host_since_ms = now_of (feed);
   feed->host = csp_open_follower (feed->loop, &address, &host_source,
                                   csp_mirror_revision (feed->mirror), feed);
 }
 
 static void
-stop_host (csp_mirror_feed_t *feed)
+list_failed (const csp_mirror_feed_t *feed, csp_failed_upstreams_t *failed)
 {
-  csp_close_follower (feed->host);
-  feed->host = NULL;
+  size_t i;
+
+  failed->count = 0;
+  for (i = 0; i < CSP_UPSTREAMS_FAILED_MAX; i++)
+    if (now_of (feed) < feed->failed[i].until_ms)
+      failed->hosts[failed->count++] = feed->failed[i].host;
 }
 
-static void
-follow_store (csp_mirror_feed_t *feed, bool reads_for_others)
+static bool
+is_failed (const csp_failed_upstreams_t *failed, csp_peer_address_t host)
 {
-  if (feed->store == NULL)
-    feed->store = csp_open_follower (
-        feed->loop, &feed->settings.store, feed->settings.store_source,
-        csp_mirror_revision (feed->mirror), feed->settings.store_state);
-  if (feed->store != NULL)
-    csp_set_follower_pause (feed->store, reads_for_others
-                                             ? STORE_PAUSE_MS
-                                             : STORE_PAUSE_OTHERS_MS);
+  size_t i;
+
+  for (i = 0; i < failed->count; i++)
+    if (csp_is_same_peer (failed->hosts[i], host))
+      return true;
+  return false;
 }
 
 static void
-follow_any_host (csp_mirror_feed_t *feed)
+follow_any_host (csp_mirror_feed_t *feed, const csp_failed_upstreams_t *failed)
 {
   csp_peer_address_t hosts[HOSTS_MAX];
-  size_t count;
+  size_t count = feed->settings.list_hosts (feed->settings.hosts_state, hosts,
+                                            HOSTS_MAX);
+  size_t first = csp_random_below (&feed->random, (uint32_t)count);
+  size_t i;
 
-  if (feed->host != NULL)
-    return;
-  count = feed->settings.list_hosts (feed->settings.hosts_state, hosts,
-                                     HOSTS_MAX);
-  if (count > 0)
-    follow_host (feed,
-                 hosts[csp_random_below (&feed->random, (uint32_t)count)]);
+  for (i = 0; i < count; i++)
+    {
+      csp_peer_address_t host = hosts[(first + i) % count];
+
+      if (is_failed (failed, host))
+        continue;
+      follow_host (feed, host);
+      return;
+    }
+}
+
+/* Where several hosts are turned away none of them has current word, and one
+   is as good as another.  */
+static bool
+is_stale (const csp_mirror_feed_t *feed)
+{
+  uint64_t now_ms = now_of (feed);
+
+  return !feed->outage && now_ms - feed->host_since_ms >= STALE_AFTER_MS
+         && now_ms - feed->host_fed_ms >= STALE_AFTER_MS;
 }
 
 static void
-follow_reader (csp_mirror_feed_t *feed, csp_peer_address_t reader)
+choose_host (csp_mirror_feed_t *feed, csp_peer_address_t upstream)
 {
-  if (feed->host != NULL && !csp_is_same_peer (feed->host_address, reader))
+  csp_failed_upstreams_t failed;
+
+  if (feed->host != NULL && is_stale (feed))
+    leave_host (feed);
+  if (feed->host != NULL && upstream.port != 0
+      && !csp_is_same_peer (feed->host_address, upstream))
     stop_host (feed);
-  if (feed->host == NULL)
-    follow_host (feed, reader);
+  if (feed->host != NULL)
+    return;
+  list_failed (feed, &failed);
+  if (upstream.port != 0 && !is_failed (&failed, upstream))
+    follow_host (feed, upstream);
+  else
+    follow_any_host (feed, &failed);
 }
 
 static void
-choose_source (csp_mirror_feed_t *feed)
+choose_store (csp_mirror_feed_t *feed, const csp_mirror_choice_t *choice)
 {
-  csp_peer_address_t reader = { 0 };
-  csp_mirror_facts_t facts
-      = { .known = csp_mirror_revision (feed->mirror) > 0,
-          .store_away = feed->store_away,
-          .reader_is_other
-          = feed->settings.find_reader (feed->settings.hosts_state, &reader),
-          .reader_failed = feed->reader_failed,
-          .reader_failed_ms_ago
-          = (int64_t)(uv_now (feed->loop) - feed->reader_failed_ms) };
-
-  feed->source = csp_choose_mirror_source (&facts);
-  switch (feed->source)
+  if (!choice->store)
     {
-    case CSP_SOURCE_STORE:
-      stop_host (feed);
-      follow_store (feed, !facts.reader_is_other);
-      break;
-    case CSP_SOURCE_READER:
-      csp_close_follower (feed->store);
-      feed->store = NULL;
-      follow_reader (feed, reader);
-      break;
-    case CSP_SOURCE_ANY_HOST:
-      follow_store (feed, !facts.reader_is_other);
-      follow_any_host (feed);
-      break;
+      if (feed->store != NULL && feed->store_away)
+        feed->blind_until_ms = now_of (feed) + BLIND_MS;
+      close_store (feed);
+      return;
     }
-  update_settled (feed);
+  if (feed->store == NULL)
+    {
+      feed->store = csp_open_follower (
+          feed->loop, &feed->settings.store, feed->settings.store_source,
+          csp_mirror_revision (feed->mirror), feed->settings.store_state);
+      if (feed->store != NULL && feed->store_away)
+        csp_set_follower_away (feed->store);
+      if (feed->confirmed)
+        CSP_LOG (
+            feed->log, CSP_EVENT_STORE_READ, NULL,
+            csp_number ("role", feed->role),
+            csp_number ("unfed_ms", (int64_t)(now_of (feed) - feed->fed_ms)));
+    }
+  if (feed->store != NULL)
+    csp_set_follower_pace (feed->store, choice->store_pause_ms,
+                           choice->store_gap_ms);
+}
+
+/* A host that was turned away and doesn't read now counts as able to again
+   after a while; it would never be asked to otherwise.  */
+static void
+forget_blindness (csp_mirror_feed_t *feed)
+{
+  if (feed->store_away && feed->store == NULL
+      && now_of (feed) >= feed->blind_until_ms)
+    feed->settings.store_source->reach_changed (feed->settings.store_state,
+                                                false);
+}
+
+static void
+choose_source (csp_mirror_feed_t *feed)
+{
+  uint64_t now_ms = now_of (feed);
+  csp_failed_upstreams_t failed;
+  csp_reader_ranks_t ranks;
+  csp_peer_address_t upstream;
+  csp_mirror_facts_t facts;
+  csp_mirror_choice_t choice;
+
+  list_failed (feed, &failed);
+  feed->settings.rank_readers (feed->settings.hosts_state, &ranks);
+  feed->role = csp_choose_upstream (&ranks, &failed, &upstream);
+  feed->outage = ranks.blind_hosts >= OUTAGE_HOSTS;
+  facts = (csp_mirror_facts_t){ .role = feed->role,
+                                .confirmed = feed->confirmed,
+                                .reads_store
+                                = feed->store != NULL && !feed->starting,
+                                .up_ms = now_ms - feed->started_ms,
+                                .unfed_ms = now_ms - feed->fed_ms,
+                                .host_unfed_ms = now_ms - feed->host_fed_ms,
+                                .hosts = ranks.hosts,
+                                .outage = feed->outage,
+                                .lot = feed->lot };
+  choice = csp_choose_mirror_source (&facts);
+  feed->starting = !feed->confirmed;
+  choose_store (feed, &choice);
+  if (choice.host)
+    choose_host (feed, upstream);
+  else
+    stop_host (feed);
+  forget_blindness (feed);
 }
 
 static void
 on_tick (uv_timer_t *timer)
 {
-  choose_source (timer->data);
+  csp_mirror_feed_t *feed = timer->data;
+
+  choose_source (feed);
+  tell_server (feed);
 }
 
 csp_mirror_feed_t *
@@ -237,7 +415,10 @@
   feed->settings = *settings;
   feed->mirror = mirror;
   feed->log = log;
+  feed->started_ms = uv_now (loop);
+  feed->starting = true;
   csp_seed_random (&feed->random, csp_random_seed ());
+  feed->lot = csp_random_unit (&feed->random);
   if (settings->serve.sin_port != 0)
     {
       feed->server = csp_open_mirror_server (loop, &settings->serve, mirror);
@@ -265,35 +446,25 @@
   if (feed == NULL)
     return;
   stop_host (feed);
-  csp_close_follower (feed->store);
-  feed->store = NULL;
+  close_store (feed);
   csp_close_mirror_server (feed->server);
   feed->server = NULL;
   uv_close ((uv_handle_t *)&feed->timer, free_closed);
 }
 
 void
-csp_note_mirror_fed (csp_mirror_feed_t *feed)
+csp_note_mirror_fed (csp_mirror_feed_t *feed, bool current)
 {
-  feed->doubted = false;
-  update_settled (feed);
-  csp_tell_mirror_server (feed->server);
-  if (feed->settings.heard != NULL)
-    feed->settings.heard (feed->settings.hosts_state);
+  if (current)
+    note_current (feed, 0);
+  tell_server (feed);
 }
 
 void
 csp_note_store_reach (csp_mirror_feed_t *feed, bool away)
 {
   if (feed->store_away && !away)
-    feed->unsettled_until_ms = uv_now (feed->loop) + SETTLED_AFTER_MS;
+    feed->lapsing_until_ms = now_of (feed) + LAPSING_MS;
   feed->store_away = away;
-  choose_source (feed);
-}
-
-void
-csp_note_store_doubt (csp_mirror_feed_t *feed)
-{
-  feed->doubted = true;
-  update_settled (feed);
+  feed->blind_until_ms = now_of (feed) + BLIND_MS;
 }
--- a/source/mirror/mirror-server.c
+++ b/source/mirror/mirror-server.c
@@ -8,9 +8,12 @@
 
 enum
 {
-  /* Hosts that are kept waiting at once: those of a data centre and some that
-     the store turns away.  */
-  WAITING_MAX = 256,
+  /* Hosts that are kept waiting at once, at first: those of a data centre.  */
+  WAITING_FIRST = 64,
+  /* A mirror that is confirmed that much later than when a host asked is worth
+     an answer without news.  Hosts that follow each other would answer each
+     other without end otherwise, as ages are rounded on their way.  */
+  CONFIRMED_AGAIN_MS = 50,
   /* How often waits that are over are looked for.  */
   HOLD_TICK_MS = 50,
   STATUS_OK = 200,
@@ -23,6 +26,7 @@
   csp_page_t *page;
   int64_t after;
   uint64_t until_ms;
+  uint64_t fed_ms; /* of the mirror, as it was when the host asked */
 } waiting_t;
 
 struct csp_mirror_server
@@ -32,34 +36,47 @@
   csp_page_server_t *pages;
   uv_timer_t timer;
   bool settled;
+  bool lapsing;
+  uint64_t fed_ms;
   size_t waiting_count;
-  waiting_t waiting[WAITING_MAX];
+  size_t waiting_room;
+  waiting_t *waiting;
 };
 
 static void
 answer_mirror (csp_mirror_server_t *server, csp_page_t *page, int64_t after)
 {
+  csp_mirror_word_t word
+      = { .settled = server->settled,
+          .lapsing = server->lapsing,
+          .age_ms = (uint32_t)(uv_now (server->loop) - server->fed_ms) };
   csp_buffer_t text = { 0 };
 
-  csp_encode_mirror (server->mirror, after, server->settled, &text);
+  csp_encode_mirror (server->mirror, after, &word, &text);
   csp_answer_page (page, STATUS_OK, "application/json", text.data,
                    text.size_bytes);
   csp_clear_buffer (&text);
 }
 
+static bool
+has_to_wait (const csp_mirror_server_t *server, const waiting_t *waiting)
+{
+  return server->settled && uv_now (server->loop) < waiting->until_ms
+         && csp_mirror_revision (server->mirror) <= waiting->after
+         && server->fed_ms < waiting->fed_ms + CONFIRMED_AGAIN_MS;
+}
+
 /* Answer what waits and has something to hear, or whose time is over.  */
 static void
 answer_waiting (csp_mirror_server_t *server)
 {
-  uint64_t now_ms = uv_now (server->loop);
   size_t i = 0;
 
   while (i < server->waiting_count)
     {
       waiting_t waiting = server->waiting[i];
 
-      if (server->settled && now_ms < waiting.until_ms
-          && csp_mirror_revision (server->mirror) <= waiting.after)
+      if (has_to_wait (server, &waiting))
         {
           i++;
           continue;
@@ -87,16 +104,35 @@
   return at == NULL ? 0 : strtoll (at + strlen (name), NULL, DECIMAL);
 }
 
+/* False when memory fails.  */
+static bool
+keep_waiting (csp_mirror_server_t *server, const waiting_t *waiting)
+{
+  if (server->waiting_count == server->waiting_room)
+    {
+      size_t room = server->waiting_room == 0 ? WAITING_FIRST
+                                              : 2 * server->waiting_room;
+      waiting_t *grown = realloc (server->waiting, room * sizeof *grown);
+
+      if (grown == NULL)
+        return false;
+      server->waiting = grown;
+      server->waiting_room = room;
+    }
+  server->waiting[server->waiting_count++] = *waiting;
+  return true;
+}
+
 static void
 on_asked (void *state, csp_page_t *page, const csp_http_head_t *head)
 {
   csp_mirror_server_t *server = state;
   int64_t after = number_behind (head->target, "after=");
   int64_t wait_ms = number_behind (head->target, "wait_ms=");
-  waiting_t waiting
-      = { .page = page,
-          .after = after,
-          .until_ms = uv_now (server->loop) + (uint64_t)wait_ms };
+  waiting_t waiting = { .page = page,
+                        .after = after,
+                        .until_ms = uv_now (server->loop) + (uint64_t)wait_ms,
+                        .fed_ms = server->fed_ms };
 
   if (strncmp (head->target, csp_mirror_path, strlen (csp_mirror_path)) != 0)
     {
@@ -105,12 +141,11 @@
     }
   if (wait_ms <= 0 || after <= 0 || !server->settled
       || csp_mirror_revision (server->mirror) > after
-      || server->waiting_count == WAITING_MAX)
+      || !keep_waiting (server, &waiting))
     {
       answer_mirror (server, page, after);
       return;
     }
-  server->waiting[server->waiting_count++] = waiting;
   if (!uv_is_active ((uv_handle_t *)&server->timer))
     uv_timer_start (&server->timer, on_tick, HOLD_TICK_MS, HOLD_TICK_MS);
 }
@@ -157,7 +192,10 @@
 static void
 free_closed (uv_handle_t *handle)
 {
-  free (handle->data);
+  csp_mirror_server_t *server = handle->data;
+
+  free (server->waiting);
+  free (server);
 }
 
 void
@@ -170,17 +208,13 @@
 }
 
 void
-csp_settle_mirror_server (csp_mirror_server_t *server, bool settled)
+csp_tell_mirror_server (csp_mirror_server_t *server, bool settled,
+                        bool lapsing, uint64_t fed_ms)
 {
-  if (server == NULL || server->settled == settled)
+  if (server == NULL)
     return;
   server->settled = settled;
+  server->lapsing = lapsing;
+  server->fed_ms = fed_ms;
   answer_waiting (server);
 }
-
-void
-csp_tell_mirror_server (csp_mirror_server_t *server)
-{
-  if (server != NULL)
-    answer_waiting (server);
-}
--- a/source/mirror/mirror.c
+++ b/source/mirror/mirror.c
@@ -262,8 +262,8 @@
 }
 
 bool
-csp_encode_mirror (const csp_mirror_t *mirror, int64_t after, bool settled,
-                   csp_buffer_t *text)
+csp_encode_mirror (const csp_mirror_t *mirror, int64_t after,
+                   const csp_mirror_word_t *word, csp_buffer_t *text)
 {
   bool whole = after <= 0 || after < mirror->forgotten;
   json_object *object = json_object_new_object ();
@@ -279,7 +279,11 @@
   json_object_object_add (object, "as_of",
                           json_object_new_int64 (mirror->revision));
   json_object_object_add (object, "settled",
-                          json_object_new_boolean (settled));
+                          json_object_new_boolean (word->settled));
+  json_object_object_add (object, "lapsing",
+                          json_object_new_boolean (word->lapsing));
+  json_object_object_add (object, "age_ms",
+                          json_object_new_int64 (word->age_ms));
   json_object_object_add (object, "whole", json_object_new_boolean (whole));
   json_object_object_add (object, "items", items);
   json = json_object_to_json_string_ext (
@@ -323,8 +327,25 @@
          && json_object_get_boolean (value);
 }
 
+/* A host that doesn't tell an age is one that tells nothing old.  */
+static void
+read_word (json_object *object, csp_mirror_word_t *word)
+{
+  json_object *age = NULL;
+  int64_t age_ms = 0;
+
+  if (json_object_object_get_ex (object, "age_ms", &age))
+    age_ms = json_object_get_int64 (age);
+  if (age_ms < 0 || age_ms > UINT32_MAX)
+    age_ms = UINT32_MAX;
+  word->settled = flag_of (object, "settled");
+  word->lapsing = flag_of (object, "lapsing");
+  word->age_ms = (uint32_t)age_ms;
+}
+
 bool
-csp_decode_mirror (csp_mirror_t *mirror, const char *text, int64_t *as_of)
+csp_decode_mirror (csp_mirror_t *mirror, const char *text,
+                   csp_mirror_word_t *word, int64_t *as_of)
 {
   json_object *object = json_tokener_parse (text);
   json_object *items = NULL;
@@ -336,6 +357,9 @@
 
   if (good)
     {
+      read_word (object, word);
+      if (word->lapsing && mirror->events->lapsing != NULL)
+        mirror->events->lapsing (mirror->state);
       *as_of = json_object_get_int64 (revision);
       /* A listing that is older than what is known removes nothing.  */
       if (flag_of (object, "whole") && *as_of >= mirror->revision)
--- a/source/reach/reach.c
+++ b/source/reach/reach.c
@@ -4,10 +4,12 @@
 
 enum
 {
-  /* Hosts greet each second, and a greeting is a moment late.  A lossy link
-     drops some in a hundred; two lost ones in a row cost choices of a second,
-     no request.  */
+  /* Hosts greet some host of each other data centre each half a second, and
+     are answered; where there are many data centres, more rarely.  A lossy
+     link drops some in a hundred; three lost ones in a row cost choices of a
+     second, no request.  */
   SILENT_AFTER_MS = 1600,
+  SILENT_GREETINGS = 3,
   /* A cut heals unannounced; a question each half a second finds out soon
      enough, and costs a handful of questions a cut.  */
   ASK_AGAIN_MS = 500,
@@ -29,6 +31,7 @@
 struct csp_reach
 {
   uint32_t home;
+  uint32_t greeting_period_ms;
   size_t count;
   seen_t seen[DATA_CENTRES_MAX];
 };
@@ -110,9 +113,20 @@
 /* Nothing was ever heard of a data centre whose hosts are all down and that
    this host has sent nothing to; there is no reason to doubt it.  */
 static bool
-is_silent (const seen_t *seen, int64_t now_ms)
+is_silent (const csp_reach_t *reach, const seen_t *seen, int64_t now_ms)
 {
-  return seen->heard_ms != 0 && now_ms - seen->heard_ms >= SILENT_AFTER_MS;
+  int64_t silent_after_ms
+      = (int64_t)reach->greeting_period_ms * SILENT_GREETINGS;
+
+  if (silent_after_ms < SILENT_AFTER_MS)
+    silent_after_ms = SILENT_AFTER_MS;
+  return seen->heard_ms != 0 && now_ms - seen->heard_ms >= silent_after_ms;
+}
+
+void
+csp_note_greeting_period (csp_reach_t *reach, uint32_t period_ms)
+{
+  reach->greeting_period_ms = period_ms;
 }
 
 bool
@@ -120,7 +134,8 @@
 {
   const seen_t *seen = find_seen (reach, data_centre);
 
-  return seen == NULL || (seen->failed_ms == 0 && !is_silent (seen, now_ms));
+  return seen == NULL
+         || (seen->failed_ms == 0 && !is_silent (reach, seen, now_ms));
 }
 
 bool
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -51,10 +51,19 @@
 
   for (i = 0; i < hello->known_count; i++)
     {
-      csp_hello__address__init (&rows->known[i]);
-      rows->known[i].ip = hello->known[i].ip;
-      rows->known[i].port = hello->known[i].port;
-      rows->known_rows[i] = &rows->known[i];
+      const csp_known_host_t *host = &hello->known[i];
+      CspHello__Address *row = &rows->known[i];
+
+      csp_hello__address__init (row);
+      row->ip = host->address.ip;
+      row->port = host->address.port;
+      row->data_centre = host->data_centre;
+      row->capacity = host->capacity;
+      row->age_ms = host->age_ms;
+      row->up_ms = host->up_ms;
+      row->leaving = host->leaving;
+      row->blind = host->blind;
+      rows->known_rows[i] = row;
     }
 }
 
@@ -96,6 +105,7 @@
       row->outcome = hello->answers[i].outcome;
       row->target = hello->answers[i].target;
       row->retry_after_ms = hello->answers[i].retry_after_ms;
+      row->pool_percent = hello->answers[i].pool_percent;
       rows->answer_rows[i] = row;
     }
   memcpy (rows->cancels, hello->cancels, sizeof rows->cancels);
@@ -119,6 +129,9 @@
   message.leaving = hello->leaving;
   message.blind = hello->blind;
   message.data_centre = hello->data_centre;
+  message.capacity = hello->capacity;
+  message.up_ms = hello->up_ms;
+  message.wants_answer = hello->wants_answer;
   message.n_loads = hello->load_count;
   message.loads = rows.load_rows;
   message.n_known = hello->known_count;
@@ -172,6 +185,7 @@
           = (csp_ask_outcome_t)message->answers[i]->outcome;
       hello->answers[i].target = message->answers[i]->target;
       hello->answers[i].retry_after_ms = message->answers[i]->retry_after_ms;
+      hello->answers[i].pool_percent = message->answers[i]->pool_percent;
     }
   for (i = 0; i < message->n_cancels; i++)
     hello->cancels[i] = message->cancels[i];
@@ -202,9 +216,17 @@
     }
   for (i = 0; good && i < message->n_known; i++)
     {
-      good = message->known[i]->port <= PORT_MAX;
-      hello->known[i].ip = message->known[i]->ip;
-      hello->known[i].port = (uint16_t)message->known[i]->port;
+      const CspHello__Address *row = message->known[i];
+
+      good = row->port <= PORT_MAX;
+      hello->known[i]
+          = (csp_known_host_t){ .address = { row->ip, (uint16_t)row->port },
+                                .data_centre = row->data_centre,
+                                .capacity = row->capacity,
+                                .age_ms = row->age_ms,
+                                .up_ms = row->up_ms,
+                                .leaving = row->leaving,
+                                .blind = row->blind };
     }
   good = good && decode_asks (message, hello);
   if (good)
@@ -215,6 +237,9 @@
       hello->leaving = message->leaving;
       hello->blind = message->blind;
       hello->data_centre = message->data_centre;
+      hello->capacity = message->capacity;
+      hello->up_ms = message->up_ms;
+      hello->wants_answer = message->wants_answer;
       hello->load_count = message->n_loads;
       hello->known_count = message->n_known;
     }
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -335,7 +335,7 @@
   (ProtobufCMessageInit) csp_hello__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__address__field_descriptors[2] =
+static const ProtobufCFieldDescriptor csp_hello__address__field_descriptors[8] =
 {
   {
     "ip",
@@ -361,15 +361,93 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Address, data_centre),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Address, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Address, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "up_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Address, up_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Address, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blind",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Address, blind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__address__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  7,   /* field[7] = blind */
+  3,   /* field[3] = capacity */
+  2,   /* field[2] = data_centre */
   0,   /* field[0] = ip */
+  6,   /* field[6] = leaving */
   1,   /* field[1] = port */
+  5,   /* field[5] = up_ms */
 };
 static const ProtobufCIntRange csp_hello__address__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor csp_hello__address__descriptor =
 {
@@ -379,7 +457,7 @@
   "CspHello__Address",
   "csp_hello",
   sizeof(CspHello__Address),
-  2,
+  8,
   csp_hello__address__field_descriptors,
   csp_hello__address__field_indices_by_name,
   1,  csp_hello__address__number_ranges,
@@ -541,7 +619,7 @@
   (ProtobufCMessageInit) csp_hello__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__answer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor csp_hello__answer__field_descriptors[5] =
 {
   {
     "id",
@@ -591,17 +669,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pool_percent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Answer, pool_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__answer__field_indices_by_name[] = {
   0,   /* field[0] = id */
   1,   /* field[1] = outcome */
+  4,   /* field[4] = pool_percent */
   3,   /* field[3] = retry_after_ms */
   2,   /* field[2] = target */
 };
 static const ProtobufCIntRange csp_hello__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor csp_hello__answer__descriptor =
 {
@@ -611,14 +702,14 @@
   "CspHello__Answer",
   "csp_hello",
   sizeof(CspHello__Answer),
-  4,
+  5,
   csp_hello__answer__field_descriptors,
   csp_hello__answer__field_indices_by_name,
   1,  csp_hello__answer__number_ranges,
   (ProtobufCMessageInit) csp_hello__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[12] =
+static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[15] =
 {
   {
     "boot",
@@ -764,6 +855,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacity",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Hello, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "up_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Hello, up_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants_answer",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Hello, wants_answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__hello__field_indices_by_name[] = {
   8,   /* field[8] = answers */
@@ -771,18 +898,21 @@
   10,   /* field[10] = blind */
   0,   /* field[0] = boot */
   9,   /* field[9] = cancels */
+  12,   /* field[12] = capacity */
   6,   /* field[6] = data_centre */
   5,   /* field[5] = known */
   3,   /* field[3] = leaving */
   11,   /* field[11] = left */
   4,   /* field[4] = loads */
   1,   /* field[1] = sequence */
+  13,   /* field[13] = up_ms */
+  14,   /* field[14] = wants_answer */
   2,   /* field[2] = whole */
 };
 static const ProtobufCIntRange csp_hello__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor csp_hello__hello__descriptor =
 {
@@ -792,7 +922,7 @@
   "CspHello__Hello",
   "csp_hello",
   sizeof(CspHello__Hello),
-  12,
+  15,
   csp_hello__hello__field_descriptors,
   csp_hello__hello__field_indices_by_name,
   1,  csp_hello__hello__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -47,10 +47,16 @@
   ProtobufCMessage base;
   uint32_t ip;
   uint32_t port;
+  uint32_t data_centre;
+  uint32_t capacity;
+  uint32_t age_ms;
+  uint32_t up_ms;
+  protobuf_c_boolean leaving;
+  protobuf_c_boolean blind;
 };
 #define CSP_HELLO__ADDRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__address__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  CspHello__Ask
@@ -79,10 +85,11 @@
   uint32_t outcome;
   uint64_t target;
   uint32_t retry_after_ms;
+  uint32_t pool_percent;
 };
 #define CSP_HELLO__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__answer__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  CspHello__Hello
@@ -106,10 +113,13 @@
   protobuf_c_boolean blind;
   size_t n_left;
   uint64_t *left;
+  uint32_t capacity;
+  uint32_t up_ms;
+  protobuf_c_boolean wants_answer;
 };
 #define CSP_HELLO__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__hello__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
 
 
 /* CspHello__Load methods */
--- a/source/roster/peer-address.c
+++ b/source/roster/peer-address.c
@@ -1,6 +1,7 @@
 #include "cowslipspoke/roster.h"
 
 #include <arpa/inet.h>
+#include <stdio.h>
 
 bool
 csp_is_same_peer (csp_peer_address_t a, csp_peer_address_t b)
@@ -34,3 +35,13 @@
 {
   return (((uint64_t)peer.ip << 16 | peer.port) ^ salt) * 0x9e3779b97f4a7c15U;
 }
+
+void
+csp_print_peer (csp_peer_address_t peer, char text[CSP_PEER_TEXT_BYTES])
+{
+  struct sockaddr_in address = csp_socket_of_peer (peer);
+  char ip[INET_ADDRSTRLEN] = "";
+
+  inet_ntop (AF_INET, &address.sin_addr, ip, sizeof ip);
+  snprintf (text, CSP_PEER_TEXT_BYTES, "%s:%u", ip, peer.port);
+}
--- /dev/null
+++ b/source/roster/roster-greet.c
@@ -0,0 +1,240 @@
+#include "roster/roster-imp.h"
+
+#include <string.h>
+
+/* Whom a host greets, and whom it names.
+
+   What it costs a host doesn't grow with the fleet: a greeting in half a
+   second to some host of each other data centre, two a second in its own, each
+   answered, and a dozen hosts named in each.  What has to be known everywhere
+   soon is who ranks first; those are named in each greeting, so that within a
+   second or so each host has heard from somebody that they live.  */
+
+enum
+{
+  /* A data centre that says nothing counts as cut off after three greetings
+     and a half.  */
+  GREET_FAR_MS = 500,
+  /* Beyond ten data centres greetings come more rarely, so that there are no
+     more than 20 a second.  */
+  GREET_FAR_EACH_MS = 50,
+  GREET_NEAR_MS = 500,
+  /* Addresses that were never heard: seeds that are down.  */
+  GREET_UNHEARD_MS = 2000,
+  /* Data centres of the planned size are 28.  */
+  DATA_CENTRES_MAX = 64,
+  /* Hosts named for a duty: all that may get it next, of all and of this data
+     centre.  */
+  NAMED_FOR_DUTY = 2
+};
+
+/* Other data centres, as many as are known.  */
+static size_t
+list_data_centres (const csp_roster_t *roster,
+                   uint32_t data_centres[DATA_CENTRES_MAX])
+{
+  size_t count = 0;
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < roster->count && count < DATA_CENTRES_MAX; i++)
+    {
+      uint32_t data_centre = roster->peers[i].data_centre;
+
+      if (roster->peers[i].seen_ms == 0 || data_centre == roster->data_centre)
+        continue;
+      for (j = 0; j < count && data_centres[j] != data_centre; j++)
+        continue;
+      if (j == count)
+        data_centres[count++] = data_centre;
+    }
+  return count;
+}
+
+uint32_t
+csp_greeting_period_ms (const csp_roster_t *roster)
+{
+  uint32_t data_centres[DATA_CENTRES_MAX];
+  uint32_t period_ms
+      = (uint32_t)list_data_centres (roster, data_centres) * GREET_FAR_EACH_MS;
+
+  return period_ms > GREET_FAR_MS ? period_ms : GREET_FAR_MS;
+}
+
+/* Better to greet than another: one that answers, where there is one.  */
+static bool
+is_better_to_greet (const csp_roster_peer_t *a, const csp_roster_peer_t *b)
+{
+  if (a->live != b->live)
+    return a->live;
+  return a->unanswered < b->unanswered;
+}
+
+/* A host of a data centre, drawn by lot among the best to greet.  Where none
+   lives the silent ones are greeted: a cut heals unannounced.  */
+static csp_roster_peer_t *
+draw_of (csp_roster_t *roster, uint32_t data_centre)
+{
+  size_t first = csp_random_below (&roster->random, (uint32_t)roster->count);
+  csp_roster_peer_t *best = NULL;
+  size_t i;
+
+  for (i = 0; i < roster->count; i++)
+    {
+      csp_roster_peer_t *peer = &roster->peers[(first + i) % roster->count];
+
+      if (peer->seen_ms != 0 && peer->data_centre == data_centre
+          && (best == NULL || is_better_to_greet (peer, best)))
+        best = peer;
+    }
+  return best;
+}
+
+static size_t
+add_due (csp_roster_peer_t *peer, int64_t now_ms,
+         csp_peer_address_t *addresses, size_t count, size_t room)
+{
+  if (peer == NULL || count == room)
+    return count;
+  peer->greeted_ms = now_ms;
+  peer->unanswered++;
+  addresses[count] = peer->address;
+  return count + 1;
+}
+
+static size_t
+add_far (csp_roster_t *roster, int64_t now_ms, csp_peer_address_t *addresses,
+         size_t count, size_t room)
+{
+  uint32_t data_centres[DATA_CENTRES_MAX];
+  size_t data_centre_count = list_data_centres (roster, data_centres);
+  size_t i;
+
+  if (now_ms < roster->greet_far_at_ms)
+    return count;
+  roster->greet_far_at_ms = now_ms + csp_greeting_period_ms (roster);
+  for (i = 0; i < data_centre_count; i++)
+    count = add_due (draw_of (roster, data_centres[i]), now_ms, addresses,
+                     count, room);
+  return count;
+}
+
+static bool
+is_unheard_due (const csp_roster_peer_t *peer, int64_t now_ms)
+{
+  return peer->seen_ms == 0
+         && (peer->greeted_ms == 0
+             || now_ms - peer->greeted_ms >= GREET_UNHEARD_MS);
+}
+
+size_t
+csp_list_due_peers (csp_roster_t *roster, int64_t now_ms,
+                    csp_peer_address_t *addresses, size_t room)
+{
+  size_t count = 0;
+  size_t i;
+
+  if (roster->count == 0)
+    return 0;
+  for (i = 0; i < roster->count; i++)
+    if (is_unheard_due (&roster->peers[i], now_ms))
+      count = add_due (&roster->peers[i], now_ms, addresses, count, room);
+  count = add_far (roster, now_ms, addresses, count, room);
+  if (now_ms < roster->greet_near_at_ms)
+    return count;
+  roster->greet_near_at_ms = now_ms + GREET_NEAR_MS;
+  return add_due (draw_of (roster, roster->data_centre), now_ms, addresses,
+                  count, room);
+}
+
+size_t
+csp_draw_peers (csp_roster_t *roster, csp_peer_address_t *addresses,
+                size_t room)
+{
+  size_t first = csp_random_below (&roster->random, (uint32_t)roster->count);
+  size_t drawn = 0;
+  size_t i;
+
+  for (i = 0; i < roster->count && drawn < room; i++)
+    {
+      const csp_roster_peer_t *peer
+          = &roster->peers[(first + i) % roster->count];
+
+      if (peer->live)
+        addresses[drawn++] = peer->address;
+    }
+  return drawn;
+}
+
+/* Names being written.  */
+typedef struct
+{
+  const csp_roster_t *roster;
+  csp_peer_address_t to;
+  csp_known_host_t *hosts;
+  size_t room;
+  size_t count;
+  int64_t now_ms;
+} names_t;
+
+/* Name a peer once, and neither a host to itself nor one that isn't live.  */
+static void
+add_name (names_t *names, const csp_roster_peer_t *peer)
+{
+  size_t i;
+
+  if (names->count == names->room || !peer->live
+      || csp_is_same_peer (peer->address, names->to))
+    return;
+  for (i = 0; i < names->count; i++)
+    if (csp_is_same_peer (names->hosts[i].address, peer->address))
+      return;
+  names->hosts[names->count++] = (csp_known_host_t){
+    .address = peer->address,
+    .data_centre = peer->data_centre,
+    .capacity = peer->capacity,
+    .age_ms = (uint32_t)(names->now_ms - peer->seen_ms),
+    .up_ms = csp_told_up_ms (peer->seen_ms - peer->started_ms),
+    .leaving = peer->leaving,
+    .blind = peer->blind
+  };
+}
+
+static void
+add_ranked (names_t *names, csp_duty_t duty, bool near)
+{
+  csp_candidate_t ranked[NAMED_FOR_DUTY + 1];
+  size_t count
+      = csp_rank_hosts (names->roster, duty, near, ranked, NAMED_FOR_DUTY + 1);
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      const csp_roster_peer_t *peer
+          = csp_find_roster_peer (names->roster, ranked[i].address);
+
+      if (peer != NULL)
+        add_name (names, peer);
+    }
+}
+
+size_t
+csp_name_known_hosts (csp_roster_t *roster, csp_peer_address_t to,
+                      csp_known_host_t *hosts, size_t room, int64_t now_ms)
+{
+  size_t first = csp_random_below (&roster->random, (uint32_t)roster->count);
+  names_t names = {
+    .roster = roster, .to = to, .hosts = hosts, .room = room, .now_ms = now_ms
+  };
+  size_t i;
+
+  if (roster->count == 0)
+    return 0;
+  add_ranked (&names, CSP_DUTY_DECIDE, false);
+  add_ranked (&names, CSP_DUTY_READ, false);
+  add_ranked (&names, CSP_DUTY_DECIDE, true);
+  add_ranked (&names, CSP_DUTY_READ, true);
+  for (i = 0; i < roster->count && names.count < room; i++)
+    add_name (&names, &roster->peers[(first + i) % roster->count]);
+  return names.count;
+}
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -1,53 +1,22 @@
-#include "cowslipspoke/roster.h"
+#include "roster/roster-imp.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 enum
 {
-  /* The order in which hosts read and decide for the others.  */
-  READING_SALT = 0,
-  /* Each host greets the others that often; at 91 hosts that is 91 datagrams
-     a second each way.  */
-  GREET_MS = 1000,
-  /* Those that aren't heard: seeds that are down, and hosts behind a cut,
-     which heals unannounced.  */
-  GREET_SILENT_MS = 2000,
-  /* Two greetings may be lost on a link that drops packets.  */
+  /* Three greetings may be lost on a link that drops packets.  */
   SILENT_AFTER_MS = 3300,
+  /* In a large fleet the word of one host of many takes longer to come round:
+     a host hears some 25 datagrams a second, each of which names a few hosts
+     by lot.  */
+  LIVE_FOR_EACH_MS = 40,
   /* Datagrams take milliseconds, and half a second on a full link; a boot that
      lives greets every second.  */
   BOOT_SILENT_MS = 1500,
   /* A machine that is away that long has another address or none.  */
-  FORGET_AFTER_MS = 600000
-};
-
-typedef struct
-{
-  csp_peer_address_t address;
-  uint64_t boot;
-  uint64_t sequence;
-  bool live;
-  bool leaving;
-  bool blind;
-  uint32_t data_centre;
-  int64_t heard_ms;
-  int64_t greet_at_ms;
-  size_t load_count;
-  size_t load_room;
-  csp_peer_load_t *loads;
-} peer_t;
-
-struct csp_roster
-{
-  csp_peer_address_t self;
-  uint64_t boot;
-  uint32_t data_centre;
-  bool blind;
-  csp_random_t random;
-  size_t count;
-  size_t room;
-  peer_t *peers;
+  FORGET_AFTER_MS = 600000,
+  FIRST_ROOM = 16
 };
 
 csp_roster_t *
@@ -78,8 +47,49 @@
   free (roster);
 }
 
-static peer_t *
-find_peer (csp_roster_t *roster, csp_peer_address_t address)
+void
+csp_set_roster_self (csp_roster_t *roster, uint32_t capacity,
+                     int64_t started_ms)
+{
+  roster->capacity = capacity;
+  roster->started_ms = started_ms;
+  roster->now_ms = started_ms;
+}
+
+void
+csp_set_roster_leaving (csp_roster_t *roster)
+{
+  roster->leaving = true;
+}
+
+void
+csp_set_roster_blind (csp_roster_t *roster, bool blind)
+{
+  roster->blind = blind;
+}
+
+uint32_t
+csp_told_up_ms (int64_t up_ms)
+{
+  if (up_ms < 0)
+    return 0;
+  return up_ms < CSP_UP_TOLD_MAX_MS ? (uint32_t)up_ms : CSP_UP_TOLD_MAX_MS;
+}
+
+void
+csp_describe_self (const csp_roster_t *roster, csp_hello_t *hello,
+                   int64_t now_ms)
+{
+  hello->boot = roster->boot;
+  hello->leaving = roster->leaving;
+  hello->blind = roster->blind;
+  hello->data_centre = roster->data_centre;
+  hello->capacity = roster->capacity;
+  hello->up_ms = csp_told_up_ms (now_ms - roster->started_ms);
+}
+
+csp_roster_peer_t *
+csp_find_roster_peer (const csp_roster_t *roster, csp_peer_address_t address)
 {
   size_t i;
 
@@ -89,17 +99,17 @@
   return NULL;
 }
 
-static peer_t *
+static csp_roster_peer_t *
 add_peer (csp_roster_t *roster, csp_peer_address_t address)
 {
-  peer_t *peer;
+  csp_roster_peer_t *peer;
 
   if (roster->count == CSP_ROSTER_MAX)
     return NULL;
   if (roster->count == roster->room)
     {
-      size_t room = roster->room == 0 ? 16 : roster->room * 2;
-      peer_t *grown = realloc (roster->peers, room * sizeof *grown);
+      size_t room = roster->room == 0 ? FIRST_ROOM : roster->room * 2;
+      csp_roster_peer_t *grown = realloc (roster->peers, room * sizeof *grown);
 
       if (grown == NULL)
         return NULL;
@@ -116,12 +126,12 @@
 csp_learn_peer (csp_roster_t *roster, csp_peer_address_t address)
 {
   if (!csp_is_same_peer (address, roster->self)
-      && find_peer (roster, address) == NULL)
+      && csp_find_roster_peer (roster, address) == NULL)
     add_peer (roster, address);
 }
 
 static void
-set_load (peer_t *peer, const csp_peer_load_t *load)
+set_load (csp_roster_peer_t *peer, const csp_peer_load_t *load)
 {
   size_t i;
 
@@ -133,7 +143,7 @@
       }
   if (peer->load_count == peer->load_room)
     {
-      size_t room = peer->load_room == 0 ? 16 : peer->load_room * 2;
+      size_t room = peer->load_room == 0 ? FIRST_ROOM : peer->load_room * 2;
       csp_peer_load_t *grown = realloc (peer->loads, room * sizeof *grown);
 
       /* Without memory the load goes uncounted until the next whole one.  */
@@ -151,21 +161,82 @@
    load would go uncounted, and the host that decides fill engines twice.  The
    boot before is silent by then.  */
 static bool
-is_replaced_boot (const peer_t *peer, uint64_t boot, int64_t now_ms)
+is_replaced_boot (const csp_roster_peer_t *peer, uint64_t boot, int64_t now_ms)
 {
   return boot < peer->boot && now_ms - peer->heard_ms < BOOT_SILENT_MS;
 }
 
+/* How long a host counts as live behind its last word.  */
+static int64_t
+live_for_ms (const csp_roster_t *roster)
+{
+  int64_t for_ms = (int64_t)roster->count * LIVE_FOR_EACH_MS;
+
+  return for_ms > SILENT_AFTER_MS ? for_ms : SILENT_AFTER_MS;
+}
+
+static void
+judge_life (const csp_roster_t *roster, csp_roster_peer_t *peer,
+            int64_t now_ms)
+{
+  int64_t silent_ms = now_ms - peer->seen_ms;
+
+  peer->live = peer->seen_ms != 0 && silent_ms < live_for_ms (roster);
+  peer->current = peer->seen_ms != 0 && silent_ms < SILENT_AFTER_MS;
+}
+
+/* Another host names one.  Its word counts where it is newer than what is
+   known.  */
+static void
+hear_of (csp_roster_t *roster, const csp_known_host_t *host, int64_t now_ms)
+{
+  int64_t seen_ms = now_ms - (int64_t)host->age_ms;
+  csp_roster_peer_t *peer;
+
+  if (csp_is_same_peer (host->address, roster->self))
+    return;
+  peer = csp_find_roster_peer (roster, host->address);
+  if (peer == NULL)
+    peer = add_peer (roster, host->address);
+  if (peer == NULL || seen_ms <= peer->seen_ms)
+    return;
+  peer->seen_ms = seen_ms;
+  peer->data_centre = host->data_centre;
+  peer->capacity = host->capacity;
+  peer->started_ms = seen_ms - (int64_t)host->up_ms;
+  peer->leaving = host->leaving;
+  peer->blind = host->blind;
+  judge_life (roster, peer, now_ms);
+}
+
+static void
+hear_itself (csp_roster_t *roster, csp_roster_peer_t *peer,
+             const csp_hello_t *hello, int64_t now_ms)
+{
+  peer->boot = hello->boot;
+  peer->sequence = hello->sequence;
+  peer->leaving = hello->leaving;
+  peer->blind = hello->blind;
+  peer->data_centre = hello->data_centre;
+  peer->capacity = hello->capacity;
+  peer->started_ms = now_ms - (int64_t)hello->up_ms;
+  peer->heard_ms = now_ms;
+  peer->seen_ms = now_ms;
+  peer->unanswered = 0;
+  judge_life (roster, peer, now_ms);
+}
+
 bool
 csp_hear_peer (csp_roster_t *roster, csp_peer_address_t from,
                const csp_hello_t *hello, int64_t now_ms)
 {
-  peer_t *peer;
+  csp_roster_peer_t *peer;
   size_t i;
 
+  roster->now_ms = now_ms;
   if (hello->boot == roster->boot || csp_is_same_peer (from, roster->self))
     return false;
-  peer = find_peer (roster, from);
+  peer = csp_find_roster_peer (roster, from);
   if (peer == NULL)
     peer = add_peer (roster, from);
   if (peer == NULL)
@@ -175,17 +246,25 @@
     return false;
   if (hello->boot != peer->boot || hello->whole)
     peer->load_count = 0;
-  peer->boot = hello->boot;
-  peer->sequence = hello->sequence;
-  peer->leaving = hello->leaving;
-  peer->blind = hello->blind;
-  peer->data_centre = hello->data_centre;
-  peer->heard_ms = now_ms;
-  peer->live = true;
+  if (hello->whole || hello->load_count > 0)
+    peer->loads_ms = now_ms;
+  hear_itself (roster, peer, hello, now_ms);
   for (i = 0; i < hello->load_count; i++)
     set_load (peer, &hello->loads[i]);
   for (i = 0; i < hello->known_count; i++)
-    csp_learn_peer (roster, hello->known[i]);
+    hear_of (roster, &hello->known[i], now_ms);
+  return true;
+}
+
+/* A host tells its loads each second where this one may have to decide.  What
+   it told before that is old: it has ended, is cut off, or tells others by
+   now.  */
+static bool
+drop_old_loads (csp_roster_peer_t *peer, int64_t now_ms)
+{
+  if (peer->load_count == 0 || now_ms - peer->loads_ms < SILENT_AFTER_MS)
+    return false;
+  peer->load_count = 0;
   return true;
 }
 
@@ -196,18 +275,14 @@
   size_t kept = 0;
   size_t i;
 
+  roster->now_ms = now_ms;
   for (i = 0; i < roster->count; i++)
     {
-      peer_t peer = roster->peers[i];
-      int64_t silent_ms = now_ms - peer.heard_ms;
-
-      if (peer.live && silent_ms >= SILENT_AFTER_MS)
-        {
-          peer.live = false;
-          peer.load_count = 0;
-          changed = true;
-        }
-      if (peer.heard_ms != 0 && silent_ms >= FORGET_AFTER_MS)
+      csp_roster_peer_t peer = roster->peers[i];
+
+      judge_life (roster, &peer, now_ms);
+      changed = drop_old_loads (&peer, now_ms) || changed;
+      if (peer.seen_ms != 0 && now_ms - peer.seen_ms >= FORGET_AFTER_MS)
         free (peer.loads);
       else
         roster->peers[kept++] = peer;
@@ -216,25 +291,6 @@
   return changed;
 }
 
-size_t
-csp_list_due_peers (csp_roster_t *roster, int64_t now_ms,
-                    csp_peer_address_t *addresses, size_t room)
-{
-  size_t listed = 0;
-  size_t i;
-
-  for (i = 0; i < roster->count && listed < room; i++)
-    {
-      peer_t *peer = &roster->peers[i];
-
-      if (now_ms < peer->greet_at_ms)
-        continue;
-      peer->greet_at_ms = now_ms + (peer->live ? GREET_MS : GREET_SILENT_MS);
-      addresses[listed++] = peer->address;
-    }
-  return listed;
-}
-
 size_t
 csp_list_live_peers (const csp_roster_t *roster, csp_peer_address_t *addresses,
                      size_t room)
@@ -259,76 +315,6 @@
   return live;
 }
 
-void
-csp_set_roster_blind (csp_roster_t *roster, bool blind)
-{
-  roster->blind = blind;
-}
-
-/* A reader that the store turns away would be named again and again by those
-   who follow it, each time to be found in doubt.  */
-csp_peer_address_t
-csp_pick_reader (const csp_roster_t *roster)
-{
-  csp_peer_address_t reader = roster->self;
-  bool reader_blind = roster->blind;
-  size_t i;
-
-  for (i = 0; i < roster->count; i++)
-    {
-      const peer_t *peer = &roster->peers[i];
-      bool earlier = csp_order_peer (peer->address, READING_SALT)
-                     < csp_order_peer (reader, READING_SALT);
-
-      if (!peer->live || peer->leaving
-          || peer->data_centre != roster->data_centre)
-        continue;
-      /* Where all are blind one of them still watches for the return.  */
-      if (peer->blind == reader_blind ? !earlier : peer->blind)
-        continue;
-      reader = peer->address;
-      reader_blind = peer->blind;
-    }
-  return reader;
-}
-
-csp_peer_address_t
-csp_pick_decider (const csp_roster_t *roster)
-{
-  csp_peer_address_t decider = roster->self;
-  size_t i;
-
-  for (i = 0; i < roster->count; i++)
-    {
-      const peer_t *peer = &roster->peers[i];
-
-      if (peer->live && !peer->leaving
-          && csp_order_peer (peer->address, READING_SALT)
-                 < csp_order_peer (decider, READING_SALT))
-        decider = peer->address;
-    }
-  return decider;
-}
-
-/* From a random place onwards, so that over some greetings all are named.  */
-size_t
-csp_draw_known_peers (csp_roster_t *roster, csp_peer_address_t *addresses,
-                      size_t room)
-{
-  size_t first = csp_random_below (&roster->random, (uint32_t)roster->count);
-  size_t drawn = 0;
-  size_t i;
-
-  for (i = 0; i < roster->count && drawn < room; i++)
-    {
-      const peer_t *peer = &roster->peers[(first + i) % roster->count];
-
-      if (peer->live)
-        addresses[drawn++] = peer->address;
-    }
-  return drawn;
-}
-
 void
 csp_each_peer_load (const csp_roster_t *roster, csp_take_load_t take,
                     void *state)
@@ -345,7 +331,7 @@
 csp_each_load_of_peer (csp_roster_t *roster, csp_peer_address_t address,
                        csp_take_load_t take, void *state)
 {
-  const peer_t *peer = find_peer (roster, address);
+  const csp_roster_peer_t *peer = csp_find_roster_peer (roster, address);
   size_t i;
 
   for (i = 0; peer != NULL && i < peer->load_count; i++)
--- a/source/watch/watch.c
+++ b/source/watch/watch.c
@@ -13,7 +13,9 @@
   PAUSE_FIRST_MS = 50,
   PAUSE_DOUBLINGS = 8,
   /* One failure may be a cut watch; two are a store that is away.  */
-  AWAY_FAILURES = 2
+  AWAY_FAILURES = 2,
+  /* A watch that only asks whether there is news.  */
+  CONFIRM_WAIT_MS = 1
 };
 
 void
@@ -25,6 +27,7 @@
   watch->kind = after > 0 ? CSP_WATCH_FOLLOW : CSP_WATCH_LIST;
   watch->revision = after;
   watch->first_page = true;
+  watch->stale_ok = after <= 0;
   csp_seed_random (&watch->random, seed);
 }
 
@@ -49,25 +52,32 @@
 {
   csp_watch_call_t call = { .kind = watch->kind,
                             .first_page = watch->first_page,
+                            .stale_ok = watch->stale_ok,
                             .after_revision = watch->revision,
                             .wait_ms = watch->policy.wait_ms,
                             .timeout_ms = LIST_TIMEOUT_MS,
                             .pause_ms = pause_ms (watch) };
 
   memcpy (call.after_key, watch->after_key, sizeof call.after_key);
-  if (watch->kind == CSP_WATCH_FOLLOW)
-    call.timeout_ms = watch->policy.wait_ms + watch->policy.slack_ms;
+  if (watch->kind != CSP_WATCH_FOLLOW)
+    return call;
+  if (watch->confirms)
+    call.wait_ms = CONFIRM_WAIT_MS;
+  else if (watch->failures == 0)
+    call.pause_ms = watch->policy.gap_ms;
+  call.timeout_ms = watch->policy.wait_ms + watch->policy.slack_ms;
   return call;
 }
 
-/* Pages are no snapshot, so changes are followed from the first page's
-   revision: what changed between the pages is then seen once more.  */
+/* Pages are no snapshot, so changes are followed from the revision of the
+   oldest page, which is the first one unless pages may be stale: what changed
+   between the pages is then seen once more.  */
 void
 csp_note_watch_page (csp_watch_t *watch, int64_t as_of, bool has_more,
                      const char *last_key)
 {
   watch->failures = 0;
-  if (watch->first_page)
+  if (watch->first_page || as_of < watch->revision)
     watch->revision = as_of;
   watch->first_page = false;
   if (has_more)
@@ -76,6 +86,8 @@
       return;
     }
   watch->kind = CSP_WATCH_FOLLOW;
+  watch->confirms = watch->stale_ok;
+  watch->stale_ok = false;
   watch->after_key[0] = '\0';
 }
 
@@ -83,6 +95,7 @@
 csp_note_watch_changes (csp_watch_t *watch, int64_t as_of)
 {
   watch->failures = 0;
+  watch->confirms = false;
   if (as_of > watch->revision)
     watch->revision = as_of;
 }
@@ -94,6 +107,7 @@
   if (failure != CSP_WATCH_COMPACTED && watch->kind == CSP_WATCH_FOLLOW)
     return;
   watch->kind = CSP_WATCH_LIST;
+  watch->confirms = false;
   watch->first_page = true;
   watch->after_key[0] = '\0';
 }
--- a/tests/adapter/store-test.c
+++ b/tests/adapter/store-test.c
@@ -133,15 +133,25 @@
     continue;
 }
 
+/* Answer the watch that asks whether a stale list is current: nothing has
+   changed.  */
+static void
+confirm (int link)
+{
+  await_call (link, "/kv-watch?path_prefix=&after=40&wait_ms=1 ");
+  answer (link, 200, "{\"events\":[],\"as_of\":40}");
+}
+
 /* Answer the first listing by one page of a configuration and a server; the
    store's connection is returned.  */
 static int
-list_all (void)
+list_unconfirmed (void)
 {
   char body[8192];
   int link = target_accept (store);
 
-  await_call (link, "/kv-range?path_prefix= HTTP/1.1\r\nHost: store:1\r\n");
+  await_call (link, "/kv-range?path_prefix=&stale_ok=1 HTTP/1.1\r\n"
+                    "Host: store:1\r\n");
   snprintf (body, sizeof body,
             "{\"items\":[%s,%s,%s],\"has_more\":false,\"as_of\":40}",
             item ("op/config", 30, CONFIG ("7")),
@@ -151,12 +161,27 @@
   return link;
 }
 
+static int
+list_all (void)
+{
+  int link = list_unconfirmed ();
+
+  confirm (link);
+  return link;
+}
+
+/* All hosts start at once and each lists the store, by lists that may be some
+   seconds old.  A host that took callers by such a one would refuse a key that
+   was added a moment ago; so it asks first what has changed since.  */
 START_TEST (a_host_is_ready_when_it_has_read_the_store)
 {
   int link;
 
   ck_assert_ptr_nonnull (strstr (fixture_page (&fixture, "/readyz"), " 503 "));
-  link = list_all ();
+  link = list_unconfirmed ();
+  await_page ("/metrics", "gateway_targets 1\n");
+  ck_assert_ptr_nonnull (strstr (fixture_page (&fixture, "/readyz"), " 503 "));
+  confirm (link);
   await_page ("/readyz", " 200 ");
   await_page ("/metrics", "gateway_routes_version 7\n");
   await_page ("/metrics", "gateway_targets 1\n");
@@ -170,20 +195,21 @@
   char body[8192];
   int link = target_accept (store);
 
-  await_call (link, "/kv-range?path_prefix= ");
+  await_call (link, "/kv-range?path_prefix=&stale_ok=1 ");
   snprintf (body, sizeof body,
-            "{\"items\":[%s],\"has_more\":true,\"as_of\":40}",
+            "{\"items\":[%s],\"has_more\":true,\"as_of\":42}",
             item ("op/config", 30, CONFIG ("7")));
   answer (link, 200, body);
-  await_call (link, "/kv-range?path_prefix=&after=op/config ");
+  await_call (link, "/kv-range?path_prefix=&after=op/config&stale_ok=1 ");
   ck_assert_ptr_nonnull (strstr (fixture_page (&fixture, "/readyz"), " 503 "));
   snprintf (body, sizeof body,
-            "{\"items\":[%s],\"has_more\":false,\"as_of\":44}",
-            item ("servers/i-1", 42, SERVER ("ready")));
+            "{\"items\":[%s],\"has_more\":false,\"as_of\":40}",
+            item ("servers/i-1", 39, SERVER ("ready")));
   answer (link, 200, body);
+  /* From the oldest page's revision: what changed since is seen once more.  */
+  confirm (link);
   await_page ("/readyz", " 200 ");
-  /* From the first page's revision: what changed since is seen once more.  */
-  await_call (link, "/kv-watch?path_prefix=&after=40&");
+  await_call (link, "/kv-watch?path_prefix=&after=40&wait_ms=600 ");
   close (link);
 }
 END_TEST
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -118,6 +118,9 @@
                                       .front = loopback (0),
                                       .ready = loopback (0),
                                       .peers = *peers,
+                                      /* Hosts that tests play have none, so
+                                         that this one decides.  */
+                                      .capacity = 1000,
                                       .stop_limit_ms = STOP_LIMIT_MS,
                                       .retry_share = 0.2,
                                       .retry_saved_max = 4 };
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -371,10 +371,9 @@
 }
 END_TEST
 
-/* Read what the gateway tells another host until it tells of a stream that
-   would have to be moved; how many tokens.  */
-static uint32_t
-await_movable (int host)
+/* The next load that the gateway tells another host.  */
+static csp_peer_load_t
+await_load (int host)
 {
   char room[CSP_HELLO_MAX_BYTES];
   csp_hello_t hello;
@@ -385,16 +384,36 @@
 
       ck_assert_int_gt (size_bytes, 0);
       ck_assert (csp_decode_hello (room, (size_t)size_bytes, &hello));
-      if (hello.load_count > 0 && hello.loads[0].movable_tokens > 0)
-        return hello.loads[0].movable_tokens;
+      if (hello.load_count > 0)
+        return hello.loads[0];
     }
 }
 
-/* A host that the gateway has heard of and tells its loads.  */
+/* Read what the gateway tells another host until it tells of a stream that
+   would have to be moved; how many tokens.  */
+static uint32_t
+await_movable (int host)
+{
+  csp_peer_load_t load;
+
+  do
+    load = await_load (host);
+  while (load.movable_tokens == 0);
+  return load.movable_tokens;
+}
+
+static void
+await_no_request (int host)
+{
+  while (await_load (host).requests > 0)
+    continue;
+}
+
+/* A host that would decide next, and so is told the gateway's loads.  */
 static int
 open_other_host (void)
 {
-  csp_hello_t hello = { .boot = 1, .sequence = 1, .leaving = true };
+  csp_hello_t hello = { .boot = 1, .sequence = 1 };
   struct timeval wait = { .tv_sec = 5 };
   csp_buffer_t bytes = { 0 };
   int host = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
@@ -427,6 +446,9 @@
   finish_at (stream.link_from);
   close (stream.link_from);
   close (stream.caller);
+  /* An end and a start within the moment in which changes are told together
+     are none.  */
+  await_no_request (host);
   start_stream (false);
   ck_assert_uint_eq (await_movable (host), tokens);
   finish_at (stream.link_from);
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -35,8 +35,20 @@
   tell ("listed:", prefix, "");
 }
 
-static const csp_mirror_events_t events
-    = { .changed = on_changed, .listing_ended = on_listing_ended };
+static void
+on_lapsing (void *state)
+{
+  (void)state;
+  tell ("lapsing:", "", "");
+}
+
+static const csp_mirror_events_t events = { .changed = on_changed,
+                                            .listing_ended = on_listing_ended,
+                                            .lapsing = on_lapsing };
+
+/* What is said of a mirror that can be believed, and what was heard.  */
+static const csp_mirror_word_t sound = { .settled = true, .age_ms = 7 };
+static csp_mirror_word_t heard;
 
 static csp_mirror_t *mirror;
 
@@ -98,29 +110,32 @@
   csp_put_mirror_item (mirror, "s/b", NULL, 7);
   csp_note_mirror_revision (mirror, 9);
   told[0] = '\0';
-  ck_assert (csp_encode_mirror (mirror, 0, true, &text));
+  ck_assert (csp_encode_mirror (mirror, 0, &sound, &text));
   csp_append_buffer (&text, "", 1);
-  ck_assert (csp_decode_mirror (other, text.data, &as_of));
+  ck_assert (csp_decode_mirror (other, text.data, &heard, &as_of));
   ck_assert_int_eq (as_of, 9);
+  ck_assert_uint_eq (heard.age_ms, 7);
+  ck_assert (!heard.lapsing);
   ck_assert_str_eq (told, "s/a=quote \" and\nline listed:= ");
   csp_put_mirror_item (mirror, "s/a", NULL, 10);
   csp_put_mirror_item (mirror, "s/c", "3", 11);
   csp_note_mirror_revision (mirror, 11);
   told[0] = '\0';
   csp_clear_buffer (&text);
-  ck_assert (csp_encode_mirror (mirror, 9, true, &text));
+  ck_assert (csp_encode_mirror (mirror, 9, &sound, &text));
   csp_append_buffer (&text, "", 1);
-  ck_assert (csp_decode_mirror (other, text.data, &as_of));
+  ck_assert (csp_decode_mirror (other, text.data, &heard, &as_of));
   ck_assert_str_eq (told, "s/a=- s/c=3 ");
   csp_clear_buffer (&text);
   csp_destroy_mirror (other);
 }
 END_TEST
 
-/* The store has just come back and half of its rows have lapsed.  A host that
-   follows our mirror would take live targets for gone.  */
+/* A host that has just started has a list that may be seconds old.  Another
+   one that starts would take it for what is so now.  */
 START_TEST (an_unsettled_mirror_is_not_believed)
 {
+  static const csp_mirror_word_t unsettled = { .settled = false };
   csp_mirror_t *other = csp_create_mirror (&events, NULL);
   csp_buffer_t text = { 0 };
   int64_t as_of = 0;
@@ -128,15 +143,40 @@
   csp_put_mirror_item (other, "s/a", "1", 5);
   csp_put_mirror_item (mirror, "s/a", NULL, 7);
   told[0] = '\0';
-  ck_assert (csp_encode_mirror (mirror, 5, false, &text));
+  ck_assert (csp_encode_mirror (mirror, 5, &unsettled, &text));
   csp_append_buffer (&text, "", 1);
-  ck_assert (!csp_decode_mirror (other, text.data, &as_of));
+  ck_assert (!csp_decode_mirror (other, text.data, &heard, &as_of));
   ck_assert_str_eq (told, "");
   csp_clear_buffer (&text);
   csp_destroy_mirror (other);
 }
 END_TEST
 
+/* The store has just come back and half of its rows have lapsed.  A host that
+   follows our mirror, and never saw the store away, would take live targets
+   for gone and refuse every request for two seconds; so it is told before it
+   is told what is missing.  */
+START_TEST (a_follower_is_told_that_rows_may_be_missing)
+{
+  static const csp_mirror_word_t lapsing
+      = { .settled = true, .lapsing = true };
+  csp_mirror_t *other = csp_create_mirror (&events, NULL);
+  csp_buffer_t text = { 0 };
+  int64_t as_of = 0;
+
+  csp_put_mirror_item (other, "s/a", "1", 5);
+  csp_put_mirror_item (mirror, "s/a", NULL, 7);
+  csp_note_mirror_revision (mirror, 7);
+  told[0] = '\0';
+  ck_assert (csp_encode_mirror (mirror, 5, &lapsing, &text));
+  csp_append_buffer (&text, "", 1);
+  ck_assert (csp_decode_mirror (other, text.data, &heard, &as_of));
+  ck_assert_str_eq (told, "lapsing:= s/a=- ");
+  csp_clear_buffer (&text);
+  csp_destroy_mirror (other);
+}
+END_TEST
+
 /* The other host is behind: its list is older than what is known here.  */
 START_TEST (an_older_listing_removes_nothing)
 {
@@ -150,9 +190,9 @@
   csp_put_mirror_item (mirror, "s/c", "1", 4);
   csp_note_mirror_revision (mirror, 4);
   told[0] = '\0';
-  ck_assert (csp_encode_mirror (mirror, 0, true, &text));
+  ck_assert (csp_encode_mirror (mirror, 0, &sound, &text));
   csp_append_buffer (&text, "", 1);
-  ck_assert (csp_decode_mirror (other, text.data, &as_of));
+  ck_assert (csp_decode_mirror (other, text.data, &heard, &as_of));
   ck_assert_str_eq (told, "s/c=1 ");
   csp_clear_buffer (&text);
   csp_destroy_mirror (other);
@@ -176,13 +216,13 @@
       csp_put_mirror_item (mirror, key, NULL, revision++);
       told[0] = '\0';
     }
-  ck_assert (csp_encode_mirror (mirror, 2, true, &text));
+  ck_assert (csp_encode_mirror (mirror, 2, &sound, &text));
   csp_append_buffer (&text, "", 1);
   ck_assert_ptr_nonnull (strstr (text.data, "\"whole\":true"));
   ck_assert_ptr_nonnull (strstr (text.data, "s/stays"));
   ck_assert_uint_lt (text.size_bytes, 400);
   csp_clear_buffer (&text);
-  ck_assert (csp_encode_mirror (mirror, revision - 3, true, &text));
+  ck_assert (csp_encode_mirror (mirror, revision - 3, &sound, &text));
   csp_append_buffer (&text, "", 1);
   ck_assert_ptr_nonnull (strstr (text.data, "\"whole\":false"));
   csp_clear_buffer (&text);
@@ -202,7 +242,7 @@
 {
   int64_t as_of = 0;
 
-  ck_assert (!csp_decode_mirror (mirror, no_mirrors[_i], &as_of));
+  ck_assert (!csp_decode_mirror (mirror, no_mirrors[_i], &heard, &as_of));
 }
 END_TEST
 
@@ -211,38 +251,231 @@
 {
   const char *what;
   csp_mirror_facts_t facts;
-  csp_mirror_source_t source;
+  bool store;
+  bool host;
 } choices[] = {
-  { "a host that starts", { .reader_is_other = true }, CSP_SOURCE_STORE },
-  { "the reader", { .known = true }, CSP_SOURCE_STORE },
+  { "a host that starts",
+    { .role = CSP_MIRROR_FOLLOWS, .hosts = 9 },
+    true,
+    true },
+  { "the reader",
+    { .role = CSP_MIRROR_READS_FOR_ALL,
+      .confirmed = true,
+      .up_ms = 9000,
+      .hosts = 9 },
+    true,
+    false },
+  { "one that has started just now and has heard of few hosts",
+    { .role = CSP_MIRROR_READS_FOR_ALL,
+      .confirmed = true,
+      .up_ms = 400,
+      .hosts = 2 },
+    false,
+    true },
+  { "one that has heard of none",
+    { .role = CSP_MIRROR_READS_FOR_ALL,
+      .confirmed = true,
+      .up_ms = 400,
+      .hosts = 1 },
+    true,
+    false },
   { "the others",
-    { .known = true, .reader_is_other = true },
-    CSP_SOURCE_READER },
-  { "the others, their reader gone",
-    { .known = true,
-      .reader_is_other = true,
-      .reader_failed = true,
-      .reader_failed_ms_ago = 100 },
-    CSP_SOURCE_STORE },
-  { "the others, a while later",
-    { .known = true,
-      .reader_is_other = true,
-      .reader_failed = true,
-      .reader_failed_ms_ago = 1100 },
-    CSP_SOURCE_READER },
-  { "a reader that the store turns away",
-    { .known = true, .store_away = true },
-    CSP_SOURCE_ANY_HOST },
-  { "a host that starts while the store is away",
-    { .store_away = true, .reader_is_other = true },
-    CSP_SOURCE_ANY_HOST },
+    { .role = CSP_MIRROR_FOLLOWS,
+      .confirmed = true,
+      .unfed_ms = 900,
+      .hosts = 300 },
+    false,
+    true },
+  { "the first of a data centre, in a cut",
+    { .role = CSP_MIRROR_READS_FOR_NEAR,
+      .confirmed = true,
+      .unfed_ms = 1000,
+      .host_unfed_ms = 1000,
+      .hosts = 300 },
+    true,
+    true },
+  { "it has read for itself, and no host has had word yet",
+    { .role = CSP_MIRROR_READS_FOR_NEAR,
+      .confirmed = true,
+      .reads_store = true,
+      .unfed_ms = 10,
+      .host_unfed_ms = 2000,
+      .hosts = 300 },
+    true,
+    true },
+  { "a host has word again",
+    { .role = CSP_MIRROR_READS_FOR_NEAR,
+      .confirmed = true,
+      .reads_store = true,
+      .unfed_ms = 10,
+      .host_unfed_ms = 10,
+      .hosts = 300 },
+    false,
+    true },
+  { "one of many, in the same cut: others ask first",
+    { .role = CSP_MIRROR_FOLLOWS,
+      .confirmed = true,
+      .unfed_ms = 4900,
+      .host_unfed_ms = 4900,
+      .hosts = 300,
+      .lot = 0.5 },
+    false,
+    true },
+  { "its lot has come",
+    { .role = CSP_MIRROR_FOLLOWS,
+      .confirmed = true,
+      .unfed_ms = 5000,
+      .host_unfed_ms = 5000,
+      .hosts = 300,
+      .lot = 0.5 },
+    true,
+    true },
+  { "the store is away for all",
+    { .role = CSP_MIRROR_FOLLOWS,
+      .confirmed = true,
+      .unfed_ms = 5000,
+      .host_unfed_ms = 5000,
+      .hosts = 9,
+      .outage = true },
+    false,
+    true },
 };
 
 START_TEST (a_host_reads_where_it_is_cheap_and_sure)
 {
-  ck_assert_msg (csp_choose_mirror_source (&choices[_i].facts)
-                     == choices[_i].source,
-                 "%s", choices[_i].what);
+  csp_mirror_choice_t choice = csp_choose_mirror_source (&choices[_i].facts);
+
+  ck_assert_msg (choice.store == choices[_i].store, "%s", choices[_i].what);
+  ck_assert_msg (choice.host == choices[_i].host, "%s", choices[_i].what);
+}
+END_TEST
+
+/* A data centre of 300 hosts hears nobody, and all of them read the store in
+   the end: a watch of each is answered after 0.6 s at the latest, or at once
+   where targets come and go.  Together they make no more than 150 calls a
+   second then.  */
+START_TEST (all_hosts_together_ask_the_store_seldom)
+{
+  csp_mirror_facts_t facts = { .role = CSP_MIRROR_FOLLOWS,
+                               .confirmed = true,
+                               .unfed_ms = 60000,
+                               .host_unfed_ms = 60000 };
+  static const size_t fleets[] = { 9, 30, 100, 300 };
+  size_t i;
+
+  for (i = 0; i < sizeof fleets / sizeof fleets[0]; i++)
+    {
+      csp_mirror_choice_t choice;
+
+      facts.hosts = fleets[i];
+      choice = csp_choose_mirror_source (&facts);
+      ck_assert_uint_gt (choice.store_gap_ms, 0);
+      ck_assert_uint_le (fleets[i] * 1000 / choice.store_gap_ms, 150);
+    }
+}
+END_TEST
+
+#define HOST(number) ((csp_peer_address_t){ number, 10 })
+
+/* Whom a host follows.  Hosts are numbers: of its data centre and of all, the
+   best first, and those that failed a moment ago; 0 ends a list, and is nobody
+   in particular.  */
+static const struct
+{
+  const char *what;
+  uint32_t self;
+  uint32_t near[CSP_READERS_NEAR_MAX];
+  uint32_t fleet[CSP_READERS_FLEET_MAX];
+  uint32_t failed[CSP_UPSTREAMS_FAILED_MAX];
+  csp_mirror_role_t role;
+  uint32_t upstream;
+} upstreams[] = {
+  { "alone", 1, { 1 }, { 1 }, { 0 }, CSP_MIRROR_READS_FOR_ALL, 0 },
+  { "one of many",
+    9,
+    { 5, 6, 7, 8 },
+    { 1, 5, 2 },
+    { 0 },
+    CSP_MIRROR_FOLLOWS,
+    5 },
+  { "its first host died",
+    9,
+    { 5, 6, 7, 8 },
+    { 1, 5, 2 },
+    { 5 },
+    CSP_MIRROR_FOLLOWS,
+    6 },
+  { "the next one takes its place",
+    6,
+    { 5, 6, 7, 8 },
+    { 1, 5, 2 },
+    { 5 },
+    CSP_MIRROR_READS_FOR_NEAR,
+    1 },
+  { "the first of a data centre",
+    5,
+    { 5, 6, 7, 8 },
+    { 1, 5, 2 },
+    { 0 },
+    CSP_MIRROR_READS_FOR_NEAR,
+    1 },
+  { "the reader died, and it is the next",
+    5,
+    { 5, 6, 7, 8 },
+    { 1, 5, 2 },
+    { 1 },
+    CSP_MIRROR_READS_FOR_ALL,
+    0 },
+  { "the reader died, and another is the next",
+    4,
+    { 4, 6, 7, 8 },
+    { 1, 5, 2 },
+    { 1 },
+    CSP_MIRROR_READS_FOR_NEAR,
+    5 },
+  { "no reader can be followed",
+    4,
+    { 4, 6, 7, 8 },
+    { 1, 5, 2 },
+    { 1, 5, 2 },
+    CSP_MIRROR_READS_FOR_NEAR,
+    0 },
+  { "nobody near can be followed",
+    9,
+    { 5, 6, 7, 8 },
+    { 1, 5, 2 },
+    { 5, 6, 7, 8 },
+    CSP_MIRROR_FOLLOWS,
+    0 },
+};
+
+static size_t
+fill_hosts (const uint32_t *numbers, size_t room, csp_peer_address_t *hosts)
+{
+  size_t i;
+
+  for (i = 0; i < room && numbers[i] != 0; i++)
+    hosts[i] = HOST (numbers[i]);
+  return i;
+}
+
+START_TEST (who_is_followed_is_an_order_that_all_know)
+{
+  csp_reader_ranks_t ranks = { .self = HOST (upstreams[_i].self) };
+  csp_failed_upstreams_t failed;
+  csp_peer_address_t upstream;
+  csp_mirror_role_t role;
+
+  ranks.near_count
+      = fill_hosts (upstreams[_i].near, CSP_READERS_NEAR_MAX, ranks.near);
+  ranks.fleet_count
+      = fill_hosts (upstreams[_i].fleet, CSP_READERS_FLEET_MAX, ranks.fleet);
+  failed.count = fill_hosts (upstreams[_i].failed, CSP_UPSTREAMS_FAILED_MAX,
+                             failed.hosts);
+  role = csp_choose_upstream (&ranks, &failed, &upstream);
+  ck_assert_msg (role == upstreams[_i].role, "%s", upstreams[_i].what);
+  ck_assert_msg (upstream.ip == upstreams[_i].upstream, "%s: %u",
+                 upstreams[_i].what, upstream.ip);
 }
 END_TEST
 
@@ -253,7 +486,6 @@
   csp_mirror_t *mirror;
   csp_mirror_feed_t *feed;
   struct sockaddr_in serve;
-  csp_peer_address_t reader; /* port 0: itself */
 } host_t;
 
 static uv_loop_t loop;
@@ -293,20 +525,27 @@
   return 1;
 }
 
-static bool
-find_reader (void *state, csp_peer_address_t *reader)
+/* Each host ranks the other one before itself, so that it follows it.  */
+static void
+rank_readers (void *state, csp_reader_ranks_t *ranks)
 {
   const host_t *host = state;
 
-  *reader = host->reader;
-  return reader->port != 0;
+  *ranks = (csp_reader_ranks_t){ .self = peer_of (&host->serve),
+                                 .near_count = 2,
+                                 .hosts = 2 };
+  list_hosts (state, ranks->near, 1);
+  ranks->near[1] = ranks->self;
 }
 
+static int store_asked; /* calls to the store that failed, of all hosts */
+
 static void
 write_call (void *state, const csp_watch_call_t *call, csp_buffer_t *request)
 {
   (void)state;
   (void)call;
+  store_asked++;
   csp_print_buffer (request, "GET / HTTP/1.1\r\n\r\n");
 }
 
@@ -331,7 +570,7 @@
                                           .store_source = &no_store,
                                           .store_state = host,
                                           .list_hosts = list_hosts,
-                                          .find_reader = find_reader,
+                                          .rank_readers = rank_readers,
                                           .hosts_state = host };
 
   host->mirror = of;
@@ -357,18 +596,16 @@
   uv_loop_init (&loop);
   hosts[0].serve = free_port ();
   hosts[1].serve = free_port ();
-  hosts[0].reader.port = 0;
-  hosts[1].reader.port = 0;
   csp_put_mirror_item (source, "s/a", "1", 5);
   csp_note_mirror_revision (source, 5);
   server = csp_open_mirror_server (&loop, &hosts[0].serve, source);
-  csp_settle_mirror_server (server, true);
+  csp_tell_mirror_server (server, true, false, uv_now (&loop));
   open_host (&hosts[1], mirror);
   csp_note_store_reach (hosts[1].feed, true);
   turn_until_told ("s/a=1 ");
   csp_put_mirror_item (source, "s/b", "2", 7);
   csp_note_mirror_revision (source, 7);
-  csp_tell_mirror_server (server);
+  csp_tell_mirror_server (server, true, false, uv_now (&loop));
   turn_until_told ("s/b=2 ");
   csp_close_mirror_server (server);
   csp_close_mirror_feed (hosts[1].feed);
@@ -378,6 +615,41 @@
 }
 END_TEST
 
+/* Two hosts follow each other, each by an order in which the other comes
+   first, and neither reads the store.  Each would take the other's word for
+   the platform's, and none would hear of a notice any more; so word that goes
+   round grows old, and a host whose word is old reads the store.  */
+START_TEST (hosts_that_follow_each_other_notice)
+{
+  static const csp_mirror_events_t silent = { 0 };
+  csp_mirror_t *others = csp_create_mirror (&silent, NULL);
+  uint64_t until_ms;
+
+  uv_loop_init (&loop);
+  hosts[0].serve = free_port ();
+  hosts[1].serve = free_port ();
+  csp_put_mirror_item (mirror, "s/a", "1", 5);
+  csp_note_mirror_revision (mirror, 5);
+  csp_put_mirror_item (others, "s/a", "1", 5);
+  csp_note_mirror_revision (others, 5);
+  store_asked = 0;
+  open_host (&hosts[0], mirror);
+  open_host (&hosts[1], others);
+  csp_note_mirror_fed (hosts[0].feed, true);
+  csp_note_mirror_fed (hosts[1].feed, true);
+  uv_update_time (&loop);
+  until_ms = uv_now (&loop) + 10000;
+  while (store_asked == 0 && uv_now (&loop) < until_ms)
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_int_gt (store_asked, 0);
+  csp_close_mirror_feed (hosts[0].feed);
+  csp_close_mirror_feed (hosts[1].feed);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&loop), 0);
+  csp_destroy_mirror (others);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -390,13 +662,18 @@
   tcase_add_test (tcase, what_a_whole_listing_lacks_is_removed);
   tcase_add_test (tcase, a_mirror_is_followed_by_another);
   tcase_add_test (tcase, an_unsettled_mirror_is_not_believed);
+  tcase_add_test (tcase, a_follower_is_told_that_rows_may_be_missing);
   tcase_add_test (tcase, an_older_listing_removes_nothing);
   tcase_add_test (tcase, removals_are_forgotten_in_time);
   tcase_add_loop_test (tcase, what_is_no_mirror_is_refused, 0,
                        sizeof no_mirrors / sizeof no_mirrors[0]);
   tcase_add_loop_test (tcase, a_host_reads_where_it_is_cheap_and_sure, 0,
                        sizeof choices / sizeof choices[0]);
+  tcase_add_test (tcase, all_hosts_together_ask_the_store_seldom);
+  tcase_add_loop_test (tcase, who_is_followed_is_an_order_that_all_know, 0,
+                       sizeof upstreams / sizeof upstreams[0]);
   tcase_add_test (tcase, a_host_that_is_turned_away_follows_another);
+  tcase_add_test (tcase, hosts_that_follow_each_other_notice);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -146,82 +146,263 @@
 }
 END_TEST
 
-/* The cut heals unannounced, so it is still greeted, and all seeds were stale:
-   a host that another names is found through it.  */
-START_TEST (hosts_are_found_through_others_and_asked_again)
+/* All seeds but one were stale: a host that another names is found through it,
+   and greeted when it has said nothing yet by itself.  */
+START_TEST (hosts_are_found_through_others)
 {
   csp_peer_address_t due[4];
   csp_hello_t hello = hello_of (OTHER_BOOT, 1, true, 0);
 
   csp_learn_peer (roster, self);
   csp_learn_peer (roster, other);
-  ck_assert_uint_eq (csp_list_due_peers (roster, 0, due, 4), 1);
+  ck_assert_uint_eq (csp_list_due_peers (roster, 10, due, 4), 1);
   ck_assert_uint_eq (csp_list_due_peers (roster, 1999, due, 4), 0);
-  ck_assert_uint_eq (csp_list_due_peers (roster, 2000, due, 4), 1);
+  ck_assert_uint_eq (csp_list_due_peers (roster, 2010, due, 4), 1);
+  ck_assert_uint_eq (due[0].ip, other.ip);
+  hello.data_centre = HERE;
   hello.known_count = 2;
-  hello.known[0] = third;
-  hello.known[1] = self;
+  hello.known[0] = (csp_known_host_t){ .address = third,
+                                       .data_centre = ELSEWHERE,
+                                       .age_ms = 100 };
+  hello.known[1] = (csp_known_host_t){ .address = self };
   csp_hear_peer (roster, other, &hello, 2100);
+  ck_assert_uint_eq (csp_list_live_peers (roster, due, 4), 2);
+  ck_assert_uint_eq (csp_draw_peers (roster, due, 4), 2);
   ck_assert_uint_eq (csp_list_due_peers (roster, 4000, due, 4), 2);
-  ck_assert_uint_eq (csp_list_live_peers (roster, due, 4), 1);
-  ck_assert_uint_eq (due[0].ip, other.ip);
-  ck_assert_uint_eq (csp_draw_known_peers (roster, due, 4), 1);
-  csp_expire_peers (roster, 60000);
-  ck_assert_uint_eq (csp_list_due_peers (roster, 60000, due, 4), 2);
+  ck_assert_uint_eq (due[0].ip, third.ip);
+  ck_assert_uint_eq (due[1].ip, other.ip);
 }
 END_TEST
 
-/* One host of a data centre reads the platform for all: live ones agree on it,
-   and a host that stops, dies or is elsewhere is none.  */
-START_TEST (hosts_of_a_data_centre_agree_on_a_reader)
+/* A cut heals unannounced, so hosts that fell silent are greeted all the
+   same, and those that live before them.  */
+START_TEST (silent_hosts_are_greeted_where_none_lives)
 {
-  csp_peer_address_t hosts[] = { { 2, 10 }, { 3, 10 }, { 4, 10 }, { 5, 10 } };
+  csp_peer_address_t due[4];
   csp_hello_t hello = hello_of (OTHER_BOOT, 1, true, 0);
-  csp_peer_address_t reader;
+
+  hello.data_centre = ELSEWHERE;
+  csp_hear_peer (roster, other, &hello, 1000);
+  csp_hear_peer (roster, third, &hello, 1000);
+  csp_expire_peers (roster, 60000);
+  ck_assert_uint_eq (csp_count_live_peers (roster), 0);
+  ck_assert_uint_eq (csp_list_due_peers (roster, 60000, due, 4), 1);
+  hello.sequence = 2;
+  csp_hear_peer (roster, third, &hello, 60100);
+  ck_assert_uint_eq (csp_list_due_peers (roster, 60600, due, 4), 1);
+  ck_assert_uint_eq (due[0].ip, third.ip);
+}
+END_TEST
+
+/* Word of a host that comes through others late says less than what is known:
+   a host that died isn't alive again, and one that was heard a moment ago
+   isn't older for it.  */
+START_TEST (old_word_of_a_host_changes_nothing)
+{
+  csp_hello_t itself = hello_of (OTHER_BOOT, 1, true, 0);
+  csp_hello_t hello = hello_of (OTHER_BOOT + 1, 1, false, 0);
+
+  csp_hear_peer (roster, other, &itself, 1000);
+  csp_expire_peers (roster, 6000);
+  hello.known_count = 1;
+  hello.known[0]
+      = (csp_known_host_t){ .address = other, .age_ms = 5100, .blind = true };
+  csp_hear_peer (roster, third, &hello, 6000);
+  ck_assert_uint_eq (csp_count_live_peers (roster), 1);
+  itself.sequence = 2;
+  csp_hear_peer (roster, other, &itself, 6100);
+  hello.sequence = 2;
+  hello.known[0].age_ms = 300;
+  hello.known[0].leaving = true;
+  csp_hear_peer (roster, third, &hello, 6200);
+  csp_expire_peers (roster, 9300);
+  ck_assert_uint_eq (csp_count_live_peers (roster), 2);
+}
+END_TEST
+
+/* A host of a table of ranks.  */
+typedef struct
+{
+  csp_peer_address_t address;
+  uint32_t data_centre;
+  uint32_t capacity;
+  uint32_t up_ms;
+  bool blind;
+  bool leaving;
+} ranked_host_t;
+
+static void
+hear_host (csp_roster_t *by, const ranked_host_t *host, uint64_t sequence,
+           int64_t now_ms)
+{
+  csp_hello_t hello = { .boot = OTHER_BOOT + host->address.ip,
+                        .sequence = sequence,
+                        .data_centre = host->data_centre,
+                        .capacity = host->capacity,
+                        .up_ms = host->up_ms,
+                        .blind = host->blind,
+                        .leaving = host->leaving };
+
+  csp_hear_peer (by, host->address, &hello, now_ms);
+}
+
+/* Who decides among this host, with 100 thousandths of a core and up for 60 s,
+   and two others.  ip 0: this one.  */
+static const struct
+{
+  const char *what;
+  ranked_host_t hosts[2];
+  uint32_t decider_ip;
+} deciders[] = {
+  { "the one that can carry most",
+    { { { 2, 10 }, ELSEWHERE, 500, 10000, false, false },
+      { { 3, 10 }, HERE, 200, 10000, false, false } },
+    2 },
+  { "one that has just started knows nothing yet",
+    { { { 2, 10 }, ELSEWHERE, 500, 900, false, false },
+      { { 3, 10 }, HERE, 200, 10000, false, false } },
+    3 },
+  { "one that stops doesn't",
+    { { { 2, 10 }, ELSEWHERE, 500, 10000, false, true },
+      { { 3, 10 }, HERE, 200, 10000, false, true } },
+    1 },
+  { "one that doesn't reach the platform does",
+    { { { 2, 10 }, ELSEWHERE, 500, 10000, true, false },
+      { { 3, 10 }, HERE, 50, 10000, false, false } },
+    2 },
+};
+
+START_TEST (the_host_with_most_capacity_decides)
+{
+  size_t i;
+
+  csp_set_roster_self (roster, 100, -60000);
+  for (i = 0; i < 2; i++)
+    hear_host (roster, &deciders[_i].hosts[i], 1, 1000);
+  ck_assert_msg (csp_pick_decider (roster).ip == deciders[_i].decider_ip,
+                 "%s: %u", deciders[_i].what, csp_pick_decider (roster).ip);
+}
+END_TEST
+
+/* All hosts were without power for a second and start at once.  Nobody waits
+   for somebody who has been up for longer.  */
+START_TEST (where_all_have_just_started_one_decides_at_once)
+{
+  ranked_host_t large = { { 2, 10 }, ELSEWHERE, 500, 100, false, false };
+
+  csp_set_roster_self (roster, 100, 0);
+  hear_host (roster, &large, 1, 300);
+  ck_assert_uint_eq (csp_pick_decider (roster).ip, 2);
+}
+END_TEST
+
+/* The host that decides is paused or cut off and says nothing.  The next one
+   is asked, behind that the own data centre's, and a while later the first one
+   again.  All three have been told the loads.  */
+START_TEST (a_host_that_says_nothing_decides_no_more_for_a_while)
+{
+  static const ranked_host_t hosts[]
+      = { { { 2, 10 }, ELSEWHERE, 900, 10000, false, false },
+          { { 3, 10 }, ELSEWHERE, 400, 10000, false, false },
+          { { 4, 10 }, ELSEWHERE, 200, 10000, false, false },
+          { { 5, 10 }, HERE, 100, 10000, false, false } };
+  csp_peer_address_t told[CSP_DECIDERS_MAX];
+  size_t i;
+
+  csp_set_roster_self (roster, 10, -60000);
+  for (i = 0; i < 4; i++)
+    hear_host (roster, &hosts[i], 1, 1000);
+  ck_assert_uint_eq (csp_list_deciders (roster, told), 3);
+  ck_assert_uint_eq (told[0].ip, 2);
+  ck_assert_uint_eq (told[1].ip, 3);
+  ck_assert_uint_eq (told[2].ip, 5);
+  csp_avoid_decider (roster, hosts[0].address, 1100);
+  ck_assert_uint_eq (csp_pick_decider (roster).ip, 3);
+  csp_avoid_decider (roster, hosts[1].address, 1300);
+  ck_assert_uint_eq (csp_pick_decider (roster).ip, 5);
+  csp_expire_peers (roster, 3150);
+  ck_assert_uint_eq (csp_pick_decider (roster).ip, 2);
+}
+END_TEST
+
+static void
+check_same_order (const csp_reader_ranks_t *a, const csp_reader_ranks_t *b)
+{
+  size_t i;
+
+  ck_assert_uint_eq (a->near_count, b->near_count);
+  ck_assert_uint_eq (a->fleet_count, b->fleet_count);
+  for (i = 0; i < a->near_count; i++)
+    ck_assert (csp_is_same_peer (a->near[i], b->near[i]));
+  for (i = 0; i < a->fleet_count; i++)
+    ck_assert (csp_is_same_peer (a->fleet[i], b->fleet[i]));
+}
+
+/* One host reads the platform for the others: hosts agree on the order, and
+   one that stops, dies or doesn't reach the platform isn't first.  */
+START_TEST (hosts_agree_on_who_reads)
+{
+  ranked_host_t hosts[]
+      = { { { 2, 10 }, HERE, 100, 10000, false, false },
+          { { 3, 10 }, HERE, 100, 10000, false, false },
+          { { 4, 10 }, HERE, 100, 10000, false, false },
+          { { 5, 10 }, ELSEWHERE, 900, 10000, false, false } };
+  ranked_host_t itself = { { 1, 10 }, HERE, 100, 10000, false, false };
+  csp_reader_ranks_t ranks;
+  csp_reader_ranks_t theirs;
   csp_roster_t *seen;
+  size_t first = 0;
   size_t i;
   size_t j;
 
-  ck_assert_uint_eq (csp_pick_reader (roster).ip, self.ip);
-  hello.data_centre = ELSEWHERE;
-  csp_hear_peer (roster, hosts[3], &hello, 1000);
-  ck_assert_uint_eq (csp_pick_reader (roster).ip, self.ip);
-  hello.data_centre = HERE;
-  for (i = 0; i < 3; i++)
-    csp_hear_peer (roster, hosts[i], &hello, 1000);
-  reader = csp_pick_reader (roster);
-  /* Each of the others, seeing the rest, names the same.  */
+  csp_set_roster_self (roster, 100, -60000);
+  csp_rank_readers (roster, &ranks);
+  ck_assert_uint_eq (ranks.near_count, 1);
+  ck_assert_uint_eq (ranks.fleet[0].ip, self.ip);
+  for (i = 0; i < 4; i++)
+    hear_host (roster, &hosts[i], 1, 1000);
+  csp_rank_readers (roster, &ranks);
+  ck_assert_uint_eq (ranks.near_count, 4);
+  ck_assert_uint_eq (ranks.fleet_count, 3);
+  ck_assert_uint_eq (ranks.fleet[0].ip, 5);
+  ck_assert_uint_eq (ranks.hosts, 5);
   for (i = 0; i < 3; i++)
     {
-      seen = csp_create_roster (hosts[i], OTHER_BOOT + 1 + i, HERE, 1);
-      csp_hear_peer (seen, self, &hello, 1000);
-      for (j = 0; j < 3; j++)
-        csp_hear_peer (seen, hosts[j], &hello, 1000);
-      ck_assert_uint_eq (csp_pick_reader (seen).ip, reader.ip);
+      seen
+          = csp_create_roster (hosts[i].address, OTHER_BOOT + 90 + i, HERE, 1);
+      csp_set_roster_self (seen, 100, -60000);
+      hear_host (seen, &itself, 1, 1000);
+      for (j = 0; j < 4; j++)
+        if (j != i)
+          hear_host (seen, &hosts[j], 1, 1000);
+      csp_rank_readers (seen, &theirs);
+      check_same_order (&theirs, &ranks);
       csp_destroy_roster (seen);
+      if (hosts[i].address.ip == ranks.near[0].ip)
+        first = i;
+    }
+  /* The first of the others of this data centre is turned away.  */
+  hosts[first].blind = true;
+  hear_host (roster, &hosts[first], 2, 1050);
+  csp_rank_readers (roster, &theirs);
+  ck_assert_uint_eq (theirs.near[3].ip, hosts[first].address.ip);
+  ck_assert_uint_eq (theirs.blind_hosts, 1);
+  /* All are: the order is as if none were.  */
+  for (i = 0; i < 4; i++)
+    {
+      hosts[i].blind = true;
+      hear_host (roster, &hosts[i], 3, 1060);
     }
-  if (reader.ip == self.ip)
-    return;
-  hello.blind = true;
-  hello.sequence = 2;
-  csp_hear_peer (roster, reader, &hello, 1050);
-  ck_assert_uint_ne (csp_pick_reader (roster).ip, reader.ip);
-  /* All are blind: one of them is named all the same.  */
-  csp_set_roster_blind (roster, true);
-  hello.sequence = 4;
-  for (i = 0; i < 3; i++)
-    csp_hear_peer (roster, hosts[i], &hello, 1060);
-  ck_assert_uint_eq (csp_pick_reader (roster).ip, reader.ip);
-  csp_set_roster_blind (roster, false);
-  ck_assert_uint_eq (csp_pick_reader (roster).ip, self.ip);
   csp_set_roster_blind (roster, true);
-  hello.blind = false;
-  hello.leaving = true;
-  hello.sequence = 5;
-  csp_hear_peer (roster, reader, &hello, 1100);
-  ck_assert_uint_ne (csp_pick_reader (roster).ip, reader.ip);
+  csp_rank_readers (roster, &theirs);
+  check_same_order (&theirs, &ranks);
+  hosts[3].leaving = true;
+  hear_host (roster, &hosts[3], 4, 1070);
+  csp_rank_readers (roster, &theirs);
+  ck_assert_uint_ne (theirs.fleet[0].ip, 5);
   csp_expire_peers (roster, 9000);
-  ck_assert_uint_eq (csp_pick_reader (roster).ip, self.ip);
+  csp_rank_readers (roster, &theirs);
+  ck_assert_uint_eq (theirs.near_count, 1);
 }
 END_TEST
 
@@ -243,7 +424,16 @@
       hello.loads[i] = load;
     }
   for (i = 0; i < hello.known_count; i++)
-    hello.known[i] = other;
+    hello.known[i] = (csp_known_host_t){ .address = other,
+                                         .data_centre = UINT32_MAX,
+                                         .capacity = 500,
+                                         .age_ms = 3300,
+                                         .up_ms = CSP_UP_TOLD_MAX_MS,
+                                         .leaving = true,
+                                         .blind = true };
+  hello.capacity = 500;
+  hello.up_ms = CSP_UP_TOLD_MAX_MS;
+  hello.wants_answer = true;
   hello.ask_count = 1;
   hello.asks[0].id = UINT64_MAX;
   hello.asks[0].service = 1;
@@ -260,6 +450,7 @@
   hello.answers[0].outcome = CSP_ASK_REFUSED;
   hello.answers[0].target = UINT64_MAX;
   hello.answers[0].retry_after_ms = 8;
+  hello.answers[0].pool_percent = 100;
   hello.cancel_count = 1;
   hello.cancels[0] = 9;
   hello.left_count = CSP_HELLO_LEFT_MAX;
@@ -305,8 +496,14 @@
   tcase_add_loop_test (tcase, the_newest_word_of_a_host_counts, 0,
                        sizeof stories / sizeof stories[0]);
   tcase_add_test (tcase, a_silent_host_counts_no_more);
-  tcase_add_test (tcase, hosts_are_found_through_others_and_asked_again);
-  tcase_add_test (tcase, hosts_of_a_data_centre_agree_on_a_reader);
+  tcase_add_test (tcase, hosts_are_found_through_others);
+  tcase_add_test (tcase, silent_hosts_are_greeted_where_none_lives);
+  tcase_add_test (tcase, old_word_of_a_host_changes_nothing);
+  tcase_add_loop_test (tcase, the_host_with_most_capacity_decides, 0,
+                       sizeof deciders / sizeof deciders[0]);
+  tcase_add_test (tcase, where_all_have_just_started_one_decides_at_once);
+  tcase_add_test (tcase, a_host_that_says_nothing_decides_no_more_for_a_while);
+  tcase_add_test (tcase, hosts_agree_on_who_reads);
   tcase_add_test (tcase, a_datagram_survives_its_codec);
   tcase_add_test (tcase, a_boot_behind_a_calendar_that_stepped_back_is_heard);
   suite_add_tcase (suite, tcase);
--- a/tests/watch/watch-test.c
+++ b/tests/watch/watch-test.c
@@ -33,10 +33,47 @@
   /* What changed between the pages is seen once more.  */
   ck_assert_int_eq (call.after_revision, 40);
   ck_assert_uint_eq (call.pause_ms, 0);
-  ck_assert_uint_eq (call.wait_ms, 600);
   ck_assert_uint_eq (call.timeout_ms, 1100);
+  /* The list may be some seconds old; whether it is current is asked without
+     waiting.  */
+  ck_assert_uint_eq (call.wait_ms, 1);
   csp_note_watch_changes (&watch, 60);
-  ck_assert_int_eq (csp_next_watch_call (&watch).after_revision, 60);
+  call = csp_next_watch_call (&watch);
+  ck_assert_int_eq (call.after_revision, 60);
+  ck_assert_uint_eq (call.wait_ms, 600);
+  ck_assert_uint_eq (call.timeout_ms, 1100);
+}
+END_TEST
+
+/* The first list may be stale, and its later pages staler than the first: what
+   changed behind the oldest of them is followed.  A list that is read anew
+   because history is gone has to be current, as no watch tells what it lacks;
+   and a watch that failed asks again without waiting.  */
+START_TEST (only_the_first_list_may_be_stale)
+{
+  ck_assert (csp_next_watch_call (&watch).stale_ok);
+  csp_note_watch_page (&watch, 50, true, "servers/m");
+  ck_assert (csp_next_watch_call (&watch).stale_ok);
+  csp_note_watch_page (&watch, 40, false, "servers/z");
+  ck_assert_int_eq (csp_next_watch_call (&watch).after_revision, 40);
+  csp_note_watch_failure (&watch, CSP_WATCH_UNANSWERED);
+  ck_assert_uint_eq (csp_next_watch_call (&watch).wait_ms, 1);
+  csp_note_watch_failure (&watch, CSP_WATCH_COMPACTED);
+  ck_assert (!csp_next_watch_call (&watch).stale_ok);
+  csp_note_watch_page (&watch, 60, false, "servers/z");
+  ck_assert_uint_eq (csp_next_watch_call (&watch).wait_ms, 600);
+}
+END_TEST
+
+/* A host that reads for itself alone pauses between watches that are answered,
+   so that hundreds of them don't ask for each change.  */
+START_TEST (watches_have_a_gap_where_the_policy_says)
+{
+  csp_note_watch_page (&watch, 40, false, "servers/z");
+  csp_note_watch_changes (&watch, 41);
+  ck_assert_uint_eq (csp_next_watch_call (&watch).pause_ms, 0);
+  watch.policy.gap_ms = 700;
+  ck_assert_uint_eq (csp_next_watch_call (&watch).pause_ms, 700);
 }
 END_TEST
 
@@ -123,6 +160,8 @@
 
   tcase_add_checked_fixture (tcase, set_up, NULL);
   tcase_add_test (tcase, pages_are_read_and_then_followed_from_the_first);
+  tcase_add_test (tcase, only_the_first_list_may_be_stale);
+  tcase_add_test (tcase, watches_have_a_gap_where_the_policy_says);
   tcase_add_test (tcase, a_known_revision_is_followed_at_once);
   tcase_add_loop_test (tcase, a_failure_costs_as_little_as_it_may, 0,
                        sizeof failures / sizeof failures[0]);
