--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -38,10 +38,14 @@
   uint32_t capacity;
   /* How long a stop may take in all, before the process is killed.  */
   uint32_t stop_limit_ms;
-  /* Extra arrivals at a service: this share of its requests, and what may be
-     saved up by this host.  */
+  /* Extra arrivals at a service: this share of its requests; what this host
+     may save up of that, and has when it starts; and what all hosts together
+     may send beyond it, in any window.  */
   double retry_share;
   double retry_saved_max;
+  double retry_start;
+  uint32_t retry_extra;
+  uint32_t retry_window_ms;
 } csp_gateway_settings_t;
 
 typedef enum
--- a/include/cowslipspoke/retry.h
+++ b/include/cowslipspoke/retry.h
@@ -43,12 +43,15 @@
 
 csp_retry_policy_t csp_default_retry_policy (void);
 
-/* The budget of one host; a plain value.  */
+/* The budget of one host; a plain value.  leased: what it got beyond its own
+   from the fleet's, see retry-lease.h; good until leased_until_ms.  */
 typedef struct
 {
   csp_retry_policy_t policy;
   double retries;
   double hedges;
+  uint32_t leased;
+  int64_t leased_until_ms;
   uint64_t first_attempts;
   uint64_t retried;
   uint64_t hedged;
@@ -61,6 +64,11 @@
 /* A first attempt was sent.  */
 void csp_note_first_attempt (csp_retry_budget_t *budget);
 
+/* A lease came; what is left of the one before is let go, so that none is
+   kept beyond its time.  */
+void csp_take_retry_lease (csp_retry_budget_t *budget, uint32_t amount,
+                           int64_t until_ms);
+
 /* What is known of a request that could be sent again.  idempotent: by its
    mark, or by a key under which the targets run it once.  tokens_sent: the
    caller has seen some of the answer.  verdict: of the last attempt.
@@ -76,6 +84,7 @@
   int64_t needs_ms;
   uint32_t waiting;
   double load;
+  int64_t now_ms; /* matters where there are leases */
 } csp_retry_facts_t;
 
 /* Why a second attempt was made or not.  */
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -40,6 +40,7 @@
   CSP_HELLO_KNOWN_MAX = 12,
   CSP_HELLO_ASKS_MAX = 4,
   CSP_HELLO_LEFT_MAX = 8,
+  CSP_HELLO_LEASES_MAX = 2,
   /* Whom loads are told, see csp_list_deciders.  */
   CSP_DECIDERS_MAX = 3,
   /* Hosts of one data centre and of the fleet that may read the platform for
@@ -63,6 +64,9 @@
 csp_peer_address_t csp_peer_of_socket (const struct sockaddr_in *address);
 struct sockaddr_in csp_socket_of_peer (csp_peer_address_t peer);
 
+/* Address and port as one number; 0 is none.  */
+uint64_t csp_pack_peer (csp_peer_address_t peer);
+
 /* Address and port as a text, for logs.  */
 void csp_print_peer (csp_peer_address_t peer, char text[CSP_PEER_TEXT_BYTES]);
 
@@ -115,6 +119,14 @@
   uint32_t left_ms;    /* how much longer it will probably write */
 } csp_hello_ask_t;
 
+/* Retries beyond a host's own that it wants, or gets; see retry-lease.h.  */
+typedef struct
+{
+  uint32_t service; /* hash of its name */
+  uint64_t id;      /* of the asking host's choosing */
+  uint32_t amount;
+} csp_hello_lease_t;
+
 /* What an ask for a place comes to.  */
 typedef enum
 {
@@ -157,6 +169,11 @@
   csp_ask_answer_t answers[CSP_HELLO_ASKS_MAX];
   size_t cancel_count;
   uint64_t cancels[CSP_HELLO_ASKS_MAX];
+  uint64_t decider; /* whom the sender asks, see csp_pack_peer; 0: not told */
+  size_t want_count;
+  csp_hello_lease_t wants[CSP_HELLO_LEASES_MAX];
+  size_t lease_count;
+  csp_hello_lease_t leases[CSP_HELLO_LEASES_MAX];
   size_t left_count;
   uint64_t
       left[CSP_HELLO_LEFT_MAX]; /* hashes of targets that say they leave */
@@ -201,6 +218,13 @@
    times a second: what is asked below is as of the last call.  */
 bool csp_expire_peers (csp_roster_t *roster, int64_t now_ms);
 
+/* Hosts that ask this one for places, and all that are remembered, dead or
+   alive, this one counted in both; and data centres that are heard, the own
+   one counted in.  */
+size_t csp_count_askers (const csp_roster_t *roster);
+size_t csp_count_known_hosts (const csp_roster_t *roster);
+size_t csp_count_heard_data_centres (const csp_roster_t *roster);
+
 /* Whom to greet now: one host of each other data centre and some of the own,
    drawn by lot, and addresses that were never heard.  Returns how many were
    written; each counts as greeted.  */
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -97,9 +97,8 @@
                         head->fields[i].value);
 }
 
-/* Send the request once more, or end with an error.  */
-static void
-try_again (csp_exchange_t *exchange, csp_reason_t reason, const char *detail)
+static csp_retry_t
+decide_retry (csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
   csp_retry_facts_t facts
@@ -107,20 +106,38 @@
           .tokens_sent = exchange->answer_begun || exchange->body_streams,
           .verdict = exchange->verdict,
           .attempts = exchange->attempts,
-          .left_ms = exchange->deadline_ms - csp_gateway_now_ms (gateway) };
+          .left_ms = exchange->deadline_ms - csp_gateway_now_ms (gateway),
+          .now_ms = csp_gateway_now_ms (gateway) };
   bool spent = exchange->may_have_run
                && exchange->attempts >= exchange->route->attempts_max;
-  csp_retry_t decision = CSP_RETRY_ATTEMPTS;
 
-  if (!spent)
-    decision = csp_decide_retry (
-        csp_find_budget (gateway, exchange->service->name), &facts);
+  if (spent)
+    return CSP_RETRY_ATTEMPTS;
+  return csp_decide_retry (csp_find_budget (gateway, exchange->service->name),
+                           &facts);
+}
+
+void
+csp_try_again (csp_exchange_t *exchange, csp_reason_t reason,
+               const char *detail, bool may_wait)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+  csp_retry_t decision = decide_retry (exchange);
+
   CSP_LOG (gateway->log, CSP_EVENT_FORWARD_RETRIED, exchange->request_id,
-           csp_text ("target", exchange->target->row.id),
+           csp_text ("target", exchange->target == NULL
+                                   ? NULL
+                                   : exchange->target->row.id),
            csp_text ("verdict", csp_verdict_name (exchange->verdict)),
            csp_text ("detail", detail), csp_number ("decision", decision),
            csp_number ("attempts", exchange->attempts),
-           csp_number ("left_ms", facts.left_ms));
+           csp_number ("left_ms",
+                       exchange->deadline_ms - csp_gateway_now_ms (gateway)));
+  if (decision == CSP_RETRY_BUDGET && may_wait)
+    {
+      csp_await_lease (exchange, reason, detail);
+      return;
+    }
   if (decision != CSP_RETRY_YES)
     {
       csp_fail_exchange (exchange, reason, detail);
@@ -149,7 +166,8 @@
                            "the copy was not there");
       return;
     }
-  try_again (exchange, CSP_REASON_TARGET_REFUSED, "the target refused it");
+  csp_try_again (exchange, CSP_REASON_TARGET_REFUSED, "the target refused it",
+                 true);
 }
 
 /* The request may have run and there is no answer to pass on.  */
@@ -166,7 +184,7 @@
         csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT, detail);
       return;
     }
-  try_again (exchange, CSP_REASON_TARGET_FAILED, detail);
+  csp_try_again (exchange, CSP_REASON_TARGET_FAILED, detail, true);
 }
 
 /* Whether the head answers this very request.  A late second answer to the
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -256,7 +256,8 @@
 void
 csp_send_attempt (csp_exchange_t *exchange)
 {
-  exchange->failed_at = exchange->target;
+  if (exchange->target != NULL)
+    exchange->failed_at = exchange->target;
   csp_drop_attempt (exchange);
   csp_drop_backup (exchange);
   if (exchange->service == NULL)
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -355,9 +355,8 @@
   csp_take_own_answers (gateway);
 }
 
-/* A service by the hash of its name; NULL where no route has it.  */
-static const csp_route_service_t *
-find_hashed_service (const csp_gateway_t *gateway, uint32_t hash)
+const csp_route_service_t *
+csp_find_hashed_service (const csp_gateway_t *gateway, uint32_t hash)
 {
   const csp_route_service_t *service;
   size_t i;
@@ -388,7 +387,7 @@
     {
       const csp_hello_ask_t *row = &hello->asks[i];
       const csp_route_service_t *service
-          = find_hashed_service (gateway, row->service);
+          = csp_find_hashed_service (gateway, row->service);
       csp_ask_t ask = { .host = from,
                         .id = row->id,
                         .organisation = row->organisation,
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -95,6 +95,10 @@
   uint32_t unreached;                  /* targets that took no connection */
   bool may_have_run;
   csp_verdict_t verdict;
+  bool awaits_lease; /* it failed, and is sent again if a retry is lent */
+  csp_reason_t lease_reason; /* how it ends otherwise */
+  const char *lease_detail;
+  int64_t lease_until_ms;
 
   /* The answer.  */
   csp_answer_mode_t mode;
@@ -158,7 +162,17 @@
                     size_t piece_bytes);
 void csp_pass_body_end (csp_exchange_t *exchange);
 
-/* Answer: see gateway-answer.c.  What the attempt's link tells.  */
+/* Lease: see gateway-lease.c.  Wait for a retry to be lent, a moment at most;
+   then it is sent again, or ends as it would have.  */
+void csp_await_lease (csp_exchange_t *exchange, csp_reason_t reason,
+                      const char *detail);
+
+/* Answer: see gateway-answer.c.  Send the request once more, or end with an
+   error; one that has waited for a lease doesn't wait again.  */
+void csp_try_again (csp_exchange_t *exchange, csp_reason_t reason,
+                    const char *detail, bool may_wait);
+
+/* What the attempt's link tells.  */
 extern const csp_link_events_t csp_attempt_events;
 
 /* Stream: see gateway-stream.c.  Take bytes of an answer and send the whole
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -8,6 +8,7 @@
 #include "cowslipspoke/metrics.h"
 #include "cowslipspoke/page.h"
 #include "cowslipspoke/reach.h"
+#include "cowslipspoke/retry-lease.h"
 #include "cowslipspoke/retry.h"
 #include "cowslipspoke/verdict.h"
 
@@ -61,12 +62,16 @@
   CSP_STOP_MARGIN_MS = 300
 };
 
-/* What is known of one service beside its targets: its retry budget, and how
-   full its engines are by the word of the host that decides.  */
+/* What is known of one service beside its targets: its retry budget, what this
+   host lends to others of it while it decides, and how full its engines are by
+   the word of the host that decides.  */
 typedef struct
 {
   char service[CSP_TARGET_NAME_BYTES];
   csp_retry_budget_t budget;
+  csp_lease_pool_t leases;
+  uint64_t want_id;  /* of the question for a lease that is out; 0: none */
+  int64_t wanted_ms; /* when it was asked */
   uint32_t pool_percent;
   int64_t pool_told_ms; /* 0: never */
 } csp_service_budget_t;
@@ -126,6 +131,7 @@
   uint32_t data_centre; /* hash of its name, as hosts tell it */
   uint64_t hello_sequence;
   csp_peer_address_t decider; /* whom to ask for places; may be this host */
+  int64_t decider_since_ms;
   size_t decider_count;
   csp_peer_address_t deciders[CSP_DECIDERS_MAX]; /* who is told our loads */
   int64_t whole_at_ms;           /* when all loads are told them again */
@@ -159,6 +165,8 @@
 
 /* Whether the balancer may send callers here.  */
 bool csp_gateway_is_ready (const csp_gateway_t *gateway);
+csp_service_budget_t *csp_find_service_budget (csp_gateway_t *gateway,
+                                               const char *service);
 csp_retry_budget_t *csp_find_budget (csp_gateway_t *gateway,
                                      const char *service);
 
@@ -291,6 +299,18 @@
 
 void csp_take_own_answers (csp_gateway_t *gateway);
 
+/* A service by the hash of its name; NULL where no route has it.  */
+const csp_route_service_t *
+csp_find_hashed_service (const csp_gateway_t *gateway, uint32_t hash);
+
+/* Lease: see gateway-lease.c.  What hosts ask this one for, and what it got.
+ */
+void csp_take_lease_hello (csp_gateway_t *gateway, csp_peer_address_t from,
+                           const csp_hello_t *hello);
+
+/* Who decides has changed.  */
+void csp_note_lease_duties (csp_gateway_t *gateway);
+
 /* Give places that have come free.  */
 void csp_pump_places (csp_gateway_t *gateway);
 
--- /dev/null
+++ b/source/gateway/gateway-lease.c
@@ -0,0 +1,221 @@
+#include "gateway/gateway-exchange-imp.h"
+
+#include "cowslipspoke/hash.h"
+
+#include <string.h>
+
+/* Retries that are lent, see retry-lease.h.  A host that has spent its own
+   asks the host that decides, and keeps what failed for the moment that it
+   takes; the caller has most of its time left then.  */
+
+enum
+{
+  /* A message there and one back, and a moment on a busy host.  */
+  AWAIT_MS = 60,
+  /* A question or its answer may be lost.  */
+  WANT_AGAIN_MS = 25
+};
+
+static uint32_t
+hash_of_service (const char *service)
+{
+  return (uint32_t)csp_hash_pair ("service", service);
+}
+
+/* Data centres that have targets.  */
+static size_t
+count_listed_data_centres (const csp_gateway_t *gateway)
+{
+  size_t count = csp_fleet_size (gateway->fleet);
+  size_t distinct = 0;
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < count; i++)
+    {
+      uint32_t data_centre = csp_fleet_at (gateway->fleet, i)->data_centre;
+
+      for (j = 0; j < i; j++)
+        if (csp_fleet_at (gateway->fleet, j)->data_centre == data_centre)
+          break;
+      distinct += j == i;
+    }
+  return distinct;
+}
+
+static uint32_t
+grant (csp_gateway_t *gateway, csp_service_budget_t *row, uint32_t wanted)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  csp_lease_facts_t facts
+      = { .hosts_asking = csp_count_askers (gateway->roster),
+          .hosts_known = csp_count_known_hosts (gateway->roster),
+          .data_centres_heard = csp_count_heard_data_centres (gateway->roster),
+          .data_centres_listed = count_listed_data_centres (gateway) };
+  uint32_t granted;
+
+  csp_note_lease_duty (&row->leases,
+                       csp_is_same_peer (gateway->decider, gateway->self),
+                       now_ms);
+  granted = csp_grant_leases (&row->leases, &facts, wanted, now_ms);
+  CSP_LOG (gateway->log, CSP_EVENT_RETRIES_LENT, NULL,
+           csp_text ("service", row->service), csp_number ("wanted", wanted),
+           csp_number ("granted", granted),
+           csp_number ("leased", csp_count_leased (&row->leases, now_ms)),
+           csp_number ("hosts_asking", (int64_t)facts.hosts_asking),
+           csp_number ("hosts_known", (int64_t)facts.hosts_known));
+  return granted;
+}
+
+static bool
+awaits_from (const csp_exchange_t *exchange, const csp_service_budget_t *row)
+{
+  return exchange->awaits_lease
+         && strcmp (exchange->service->name, row->service) == 0;
+}
+
+static uint32_t
+count_awaiting (const csp_gateway_t *gateway, const csp_service_budget_t *row)
+{
+  const csp_exchange_t *exchange;
+  uint32_t count = 0;
+
+  for (exchange = gateway->exchanges; exchange != NULL;
+       exchange = exchange->next)
+    count += awaits_from (exchange, row);
+  return count;
+}
+
+/* Send again what waits, as far as the lease goes.  Where nothing is lent, all
+   that waits ends at once: what comes free comes free in seconds.  */
+static void
+take_lease (csp_gateway_t *gateway, csp_service_budget_t *row, uint32_t amount)
+{
+  csp_exchange_t *exchange = gateway->exchanges;
+
+  row->want_id = 0;
+  csp_take_retry_lease (&row->budget, amount, row->wanted_ms + CSP_LEASE_MS);
+  while (exchange != NULL && (amount == 0 || row->budget.leased > 0))
+    {
+      csp_exchange_t *next = exchange->next;
+
+      if (awaits_from (exchange, row))
+        {
+          exchange->awaits_lease = false;
+          uv_timer_stop (&exchange->move.timer);
+          csp_try_again (exchange, exchange->lease_reason,
+                         exchange->lease_detail, false);
+        }
+      exchange = next;
+    }
+}
+
+/* Ask for as many as wait.  What comes after that asks again.  */
+static void
+want_lease (csp_gateway_t *gateway, csp_service_budget_t *row)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  uint32_t wanted = count_awaiting (gateway, row);
+  csp_hello_t hello = { .want_count = 1 };
+
+  if (wanted == 0
+      || (row->want_id != 0 && now_ms - row->wanted_ms < WANT_AGAIN_MS))
+    return;
+  row->want_id = ++gateway->next_ask_id;
+  row->wanted_ms = now_ms;
+  if (csp_is_same_peer (gateway->decider, gateway->self))
+    {
+      take_lease (gateway, row, grant (gateway, row, wanted));
+      return;
+    }
+  hello.wants[0]
+      = (csp_hello_lease_t){ .service = hash_of_service (row->service),
+                             .id = row->want_id,
+                             .amount = wanted };
+  csp_send_hello (gateway, &hello, &gateway->decider, 1);
+}
+
+static void
+on_awaited (uv_timer_t *timer)
+{
+  csp_exchange_t *exchange = timer->data;
+  int64_t since_ms = csp_gateway_now_ms (exchange->gateway);
+
+  if (exchange->over || !exchange->awaits_lease)
+    return;
+  if (since_ms < exchange->lease_until_ms)
+    {
+      uv_timer_start (&exchange->move.timer, on_awaited, WANT_AGAIN_MS, 0);
+      want_lease (exchange->gateway,
+                  csp_find_service_budget (exchange->gateway,
+                                           exchange->service->name));
+      return;
+    }
+  exchange->awaits_lease = false;
+  csp_fail_exchange (exchange, exchange->lease_reason, exchange->lease_detail);
+}
+
+void
+csp_await_lease (csp_exchange_t *exchange, csp_reason_t reason,
+                 const char *detail)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+  csp_service_budget_t *row
+      = csp_find_service_budget (gateway, exchange->service->name);
+
+  if (row->leases.policy.extra == 0)
+    {
+      csp_fail_exchange (exchange, reason, detail);
+      return;
+    }
+  exchange->failed_at = exchange->target;
+  csp_drop_attempt (exchange);
+  exchange->awaits_lease = true;
+  exchange->lease_reason = reason;
+  exchange->lease_detail = detail;
+  exchange->lease_until_ms = csp_gateway_now_ms (gateway) + AWAIT_MS;
+  uv_timer_start (&exchange->move.timer, on_awaited, WANT_AGAIN_MS, 0);
+  want_lease (gateway, row);
+}
+
+static void
+answer_want (csp_gateway_t *gateway, csp_peer_address_t from,
+             const csp_hello_lease_t *want)
+{
+  const csp_route_service_t *service
+      = csp_find_hashed_service (gateway, want->service);
+  csp_hello_t hello = { .lease_count = 1, .leases = { *want } };
+
+  if (service == NULL)
+    return;
+  hello.leases[0].amount = grant (
+      gateway, csp_find_service_budget (gateway, service->name), want->amount);
+  csp_send_hello (gateway, &hello, &from, 1);
+}
+
+void
+csp_take_lease_hello (csp_gateway_t *gateway, csp_peer_address_t from,
+                      const csp_hello_t *hello)
+{
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < hello->want_count; i++)
+    answer_want (gateway, from, &hello->wants[i]);
+  for (i = 0; i < hello->lease_count; i++)
+    for (j = 0; j < gateway->budget_count; j++)
+      if (gateway->budgets[j].want_id == hello->leases[i].id
+          && hello->leases[i].id != 0)
+        take_lease (gateway, &gateway->budgets[j], hello->leases[i].amount);
+}
+
+void
+csp_note_lease_duties (csp_gateway_t *gateway)
+{
+  bool decides = csp_is_same_peer (gateway->decider, gateway->self);
+  size_t i;
+
+  for (i = 0; i < gateway->budget_count; i++)
+    csp_note_lease_duty (&gateway->budgets[i].leases, decides,
+                         csp_gateway_now_ms (gateway));
+}
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -162,6 +162,7 @@
     csp_send_hello (gateway, &(csp_hello_t){ .wants_answer = false }, &peer,
                     1);
   csp_take_left (gateway, &hello);
+  csp_take_lease_hello (gateway, peer, &hello);
   csp_take_dispatch_hello (gateway, peer, &hello);
 }
 
--- a/source/gateway/gateway-tell.c
+++ b/source/gateway/gateway-tell.c
@@ -66,7 +66,9 @@
             const csp_peer_address_t *peers, size_t peer_count)
 {
   size_t count = csp_fleet_size (gateway->fleet);
-  csp_hello_t hello = { .whole = whole };
+  csp_hello_t hello
+      = { .whole = whole,
+          .decider = whole ? csp_pack_peer (gateway->decider) : 0 };
   bool sent = false;
   size_t i;
 
@@ -141,6 +143,7 @@
     {
       char address[CSP_PEER_TEXT_BYTES];
 
+      gateway->decider_since_ms = now_ms;
       csp_print_peer (decider, address);
       CSP_LOG (gateway->log, CSP_EVENT_DECIDER_CHOSEN, NULL,
                csp_text ("host", address),
@@ -148,6 +151,7 @@
                            csp_is_same_peer (decider, gateway->self)));
     }
   gateway->decider = decider;
+  csp_note_lease_duties (gateway);
   if (now_ms >= gateway->whole_at_ms)
     {
       gateway->whole_at_ms = now_ms + WHOLE_MS;
@@ -163,6 +167,7 @@
 csp_open_gateway_tell (csp_gateway_t *gateway)
 {
   gateway->decider = gateway->self;
+  gateway->decider_since_ms = csp_gateway_now_ms (gateway);
   uv_timer_init (&gateway->loop, &gateway->tell_timer);
   gateway->tell_timer.data = gateway;
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -41,10 +41,13 @@
          && !csp_is_isolated (gateway);
 }
 
-static csp_service_budget_t *
-find_service_budget (csp_gateway_t *gateway, const char *service)
+csp_service_budget_t *
+csp_find_service_budget (csp_gateway_t *gateway, const char *service)
 {
   csp_retry_policy_t policy = csp_default_retry_policy ();
+  csp_lease_policy_t leases
+      = { .extra = gateway->settings.retry_extra,
+          .window_ms = gateway->settings.retry_window_ms };
   csp_service_budget_t *budget;
   size_t i;
 
@@ -55,24 +58,28 @@
     return &gateway->budgets[CSP_BUDGETS_MAX - 1];
   policy.retry_share = gateway->settings.retry_share;
   policy.retry_most = gateway->settings.retry_saved_max;
-  policy.retry_start = gateway->settings.retry_saved_max;
+  policy.retry_start = gateway->settings.retry_start;
   budget = &gateway->budgets[gateway->budget_count++];
   snprintf (budget->service, sizeof budget->service, "%s", service);
   csp_open_retry_budget (&budget->budget, &policy);
+  csp_open_lease_pool (&budget->leases, &leases, csp_gateway_now_ms (gateway));
+  csp_note_lease_duty (&budget->leases,
+                       csp_is_same_peer (gateway->decider, gateway->self),
+                       gateway->decider_since_ms);
   return budget;
 }
 
 csp_retry_budget_t *
 csp_find_budget (csp_gateway_t *gateway, const char *service)
 {
-  return &find_service_budget (gateway, service)->budget;
+  return &csp_find_service_budget (gateway, service)->budget;
 }
 
 void
 csp_note_pool_percent (csp_gateway_t *gateway, const char *service,
                        uint32_t percent)
 {
-  csp_service_budget_t *row = find_service_budget (gateway, service);
+  csp_service_budget_t *row = csp_find_service_budget (gateway, service);
 
   row->pool_percent = percent;
   row->pool_told_ms = csp_gateway_now_ms (gateway);
@@ -81,7 +88,7 @@
 double
 csp_told_pool_share (csp_gateway_t *gateway, const char *service)
 {
-  const csp_service_budget_t *row = find_service_budget (gateway, service);
+  const csp_service_budget_t *row = csp_find_service_budget (gateway, service);
 
   if (row->pool_told_ms == 0
       || csp_gateway_now_ms (gateway) - row->pool_told_ms > POOL_TOLD_FOR_MS)
--- /dev/null
+++ b/source/retry/retry-lease.c
@@ -0,0 +1,110 @@
+#include "cowslipspoke/retry-lease.h"
+
+#include <string.h>
+
+enum
+{
+  /* The other half is what hosts save up by themselves, one each; a fleet has
+     fewer hosts than half of what it may spend.  */
+  LEASED_PART = 2
+};
+
+/* For how long a grant counts: it may be spent at the end of its time, and
+   operators' windows that hold that moment end a window later.  */
+static int64_t
+counted_ms (const csp_lease_pool_t *pool)
+{
+  return CSP_LEASE_MS + (int64_t)pool->policy.window_ms;
+}
+
+/* Rounded up, so that nothing is forgotten early; a step is only half over
+   when the first of its grants is to be forgotten.  */
+static int64_t
+step_ms (const csp_lease_pool_t *pool)
+{
+  return counted_ms (pool) / (CSP_LEASE_STEPS - 2) + 1;
+}
+
+static int64_t
+step_of (const csp_lease_pool_t *pool, int64_t now_ms)
+{
+  return now_ms / step_ms (pool);
+}
+
+/* Forget the steps that lie back far enough.  */
+static void
+turn_steps (csp_lease_pool_t *pool, int64_t now_ms)
+{
+  int64_t step = step_of (pool, now_ms);
+
+  if (step - pool->step >= CSP_LEASE_STEPS)
+    memset (pool->granted, 0, sizeof pool->granted);
+  else
+    while (pool->step < step)
+      pool->granted[++pool->step % CSP_LEASE_STEPS] = 0;
+  if (pool->step < step)
+    pool->step = step;
+}
+
+void
+csp_open_lease_pool (csp_lease_pool_t *pool, const csp_lease_policy_t *policy,
+                     int64_t now_ms)
+{
+  *pool = (csp_lease_pool_t){ .policy = *policy };
+  pool->step = step_of (pool, now_ms);
+}
+
+void
+csp_note_lease_duty (csp_lease_pool_t *pool, bool decides, int64_t now_ms)
+{
+  if (decides && !pool->decides)
+    pool->decides_since_ms = now_ms;
+  pool->decides = decides;
+}
+
+uint32_t
+csp_count_leased (const csp_lease_pool_t *pool, int64_t now_ms)
+{
+  int64_t newest = step_of (pool, now_ms);
+  uint32_t leased = 0;
+  int64_t step;
+
+  for (step = newest - CSP_LEASE_STEPS + 1; step <= pool->step; step++)
+    if (step >= 0)
+      leased += pool->granted[step % CSP_LEASE_STEPS];
+  return leased;
+}
+
+/* This host's part of what the fleet lends.  */
+static uint32_t
+limit_of (const csp_lease_pool_t *pool, const csp_lease_facts_t *facts)
+{
+  uint64_t limit = pool->policy.extra / LEASED_PART;
+
+  if (facts->hosts_known == 0 || facts->data_centres_listed == 0)
+    return 0;
+  if (facts->hosts_asking < facts->hosts_known)
+    limit = limit * facts->hosts_asking / facts->hosts_known;
+  if (facts->data_centres_heard < facts->data_centres_listed)
+    limit = limit * facts->data_centres_heard / facts->data_centres_listed;
+  return (uint32_t)limit;
+}
+
+uint32_t
+csp_grant_leases (csp_lease_pool_t *pool, const csp_lease_facts_t *facts,
+                  uint32_t wanted, int64_t now_ms)
+{
+  uint32_t limit = limit_of (pool, facts);
+  uint32_t leased;
+
+  if (!pool->decides || now_ms - pool->decides_since_ms < counted_ms (pool))
+    return 0;
+  turn_steps (pool, now_ms);
+  leased = csp_count_leased (pool, now_ms);
+  if (leased >= limit)
+    return 0;
+  if (wanted > limit - leased)
+    wanted = limit - leased;
+  pool->granted[pool->step % CSP_LEASE_STEPS] += wanted;
+  return wanted;
+}
--- a/source/retry/retry.c
+++ b/source/retry/retry.c
@@ -41,6 +41,29 @@
       = fmin (budget->hedges + policy->hedge_share, policy->hedge_most);
 }
 
+void
+csp_take_retry_lease (csp_retry_budget_t *budget, uint32_t amount,
+                      int64_t until_ms)
+{
+  budget->leased = amount;
+  budget->leased_until_ms = until_ms;
+}
+
+/* Own retries go first: a lease that isn't used is nobody's for a while.  */
+static bool
+spend_retry (csp_retry_budget_t *budget, int64_t now_ms)
+{
+  if (budget->retries >= 1)
+    {
+      budget->retries -= 1;
+      return true;
+    }
+  if (budget->leased == 0 || now_ms >= budget->leased_until_ms)
+    return false;
+  budget->leased--;
+  return true;
+}
+
 static csp_retry_t
 deny (csp_retry_budget_t *budget, csp_retry_t why)
 {
@@ -59,9 +82,8 @@
     return deny (budget, CSP_RETRY_ATTEMPTS);
   if (facts->left_ms <= facts->needs_ms)
     return deny (budget, CSP_RETRY_DEADLINE);
-  if (budget->retries < 1)
+  if (!spend_retry (budget, facts->now_ms))
     return deny (budget, CSP_RETRY_BUDGET);
-  budget->retries -= 1;
   budget->retried++;
   return CSP_RETRY_YES;
 }
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -20,6 +20,10 @@
   CspHello__Ask *ask_rows[CSP_HELLO_ASKS_MAX];
   CspHello__Answer answers[CSP_HELLO_ASKS_MAX];
   CspHello__Answer *answer_rows[CSP_HELLO_ASKS_MAX];
+  CspHello__Lease wants[CSP_HELLO_LEASES_MAX];
+  CspHello__Lease *want_rows[CSP_HELLO_LEASES_MAX];
+  CspHello__Lease leases[CSP_HELLO_LEASES_MAX];
+  CspHello__Lease *lease_rows[CSP_HELLO_LEASES_MAX];
   uint64_t cancels[CSP_HELLO_ASKS_MAX];
   uint64_t left[CSP_HELLO_LEFT_MAX];
 } rows_t;
@@ -112,6 +116,22 @@
   memcpy (rows->left, hello->left, sizeof rows->left);
 }
 
+static void
+fill_leases (const csp_hello_lease_t *leases, size_t count,
+             CspHello__Lease *rows, CspHello__Lease **row_list)
+{
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      csp_hello__lease__init (&rows[i]);
+      rows[i].service = leases[i].service;
+      rows[i].id = leases[i].id;
+      rows[i].amount = leases[i].amount;
+      row_list[i] = &rows[i];
+    }
+}
+
 bool
 csp_encode_hello (const csp_hello_t *hello, csp_buffer_t *bytes)
 {
@@ -123,6 +143,9 @@
   fill_known (hello, &rows);
   fill_asks (hello, &rows);
   fill_answers (hello, &rows);
+  fill_leases (hello->wants, hello->want_count, rows.wants, rows.want_rows);
+  fill_leases (hello->leases, hello->lease_count, rows.leases,
+               rows.lease_rows);
   message.boot = hello->boot;
   message.sequence = hello->sequence;
   message.whole = hello->whole;
@@ -142,6 +165,11 @@
   message.answers = rows.answer_rows;
   message.n_cancels = hello->cancel_count;
   message.cancels = rows.cancels;
+  message.decider = hello->decider;
+  message.n_wants = hello->want_count;
+  message.wants = rows.want_rows;
+  message.n_leases = hello->lease_count;
+  message.leases = rows.lease_rows;
   message.n_left = hello->left_count;
   message.left = rows.left;
   if (csp_hello__hello__get_packed_size (&message) > sizeof packed)
@@ -195,13 +223,30 @@
   return true;
 }
 
+static size_t
+decode_leases (CspHello__Lease *const *rows, size_t count,
+               csp_hello_lease_t *leases)
+{
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      leases[i].service = rows[i]->service;
+      leases[i].id = rows[i]->id;
+      leases[i].amount = rows[i]->amount;
+    }
+  return count;
+}
+
 bool
 csp_decode_hello (const void *bytes, size_t size_bytes, csp_hello_t *hello)
 {
   CspHello__Hello *message
       = csp_hello__hello__unpack (NULL, size_bytes, bytes);
   bool good = message != NULL && message->n_loads <= CSP_HELLO_LOADS_MAX
-              && message->n_known <= CSP_HELLO_KNOWN_MAX;
+              && message->n_known <= CSP_HELLO_KNOWN_MAX
+              && message->n_wants <= CSP_HELLO_LEASES_MAX
+              && message->n_leases <= CSP_HELLO_LEASES_MAX;
   size_t i;
 
   memset (hello, 0, sizeof *hello);
@@ -240,6 +285,11 @@
       hello->capacity = message->capacity;
       hello->up_ms = message->up_ms;
       hello->wants_answer = message->wants_answer;
+      hello->decider = message->decider;
+      hello->want_count
+          = decode_leases (message->wants, message->n_wants, hello->wants);
+      hello->lease_count
+          = decode_leases (message->leases, message->n_leases, hello->leases);
       hello->load_count = message->n_loads;
       hello->known_count = message->n_known;
     }
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &csp_hello__answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   csp_hello__lease__init
+                     (CspHello__Lease         *message)
+{
+  static const CspHello__Lease init_value = CSP_HELLO__LEASE__INIT;
+  *message = init_value;
+}
+size_t csp_hello__lease__get_packed_size
+                     (const CspHello__Lease *message)
+{
+  assert(message->base.descriptor == &csp_hello__lease__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_hello__lease__pack
+                     (const CspHello__Lease *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_hello__lease__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_hello__lease__pack_to_buffer
+                     (const CspHello__Lease *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_hello__lease__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspHello__Lease *
+       csp_hello__lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspHello__Lease *)
+     protobuf_c_message_unpack (&csp_hello__lease__descriptor,
+                                allocator, len, data);
+}
+void   csp_hello__lease__free_unpacked
+                     (CspHello__Lease *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_hello__lease__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   csp_hello__hello__init
                      (CspHello__Hello         *message)
 {
@@ -709,7 +754,71 @@
   (ProtobufCMessageInit) csp_hello__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[15] =
+static const ProtobufCFieldDescriptor csp_hello__lease__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Lease, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Lease, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "amount",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Lease, amount),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_hello__lease__field_indices_by_name[] = {
+  2,   /* field[2] = amount */
+  1,   /* field[1] = id */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange csp_hello__lease__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor csp_hello__lease__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_hello.Lease",
+  "Lease",
+  "CspHello__Lease",
+  "csp_hello",
+  sizeof(CspHello__Lease),
+  3,
+  csp_hello__lease__field_descriptors,
+  csp_hello__lease__field_indices_by_name,
+  1,  csp_hello__lease__number_ranges,
+  (ProtobufCMessageInit) csp_hello__lease__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[18] =
 {
   {
     "boot",
@@ -891,6 +1000,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "decider",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Hello, decider),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_wants),
+    offsetof(CspHello__Hello, wants),
+    &csp_hello__lease__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leases",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_leases),
+    offsetof(CspHello__Hello, leases),
+    &csp_hello__lease__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__hello__field_indices_by_name[] = {
   8,   /* field[8] = answers */
@@ -900,19 +1045,22 @@
   9,   /* field[9] = cancels */
   12,   /* field[12] = capacity */
   6,   /* field[6] = data_centre */
+  15,   /* field[15] = decider */
   5,   /* field[5] = known */
+  17,   /* field[17] = leases */
   3,   /* field[3] = leaving */
   11,   /* field[11] = left */
   4,   /* field[4] = loads */
   1,   /* field[1] = sequence */
   13,   /* field[13] = up_ms */
+  16,   /* field[16] = wants */
   14,   /* field[14] = wants_answer */
   2,   /* field[2] = whole */
 };
 static const ProtobufCIntRange csp_hello__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor csp_hello__hello__descriptor =
 {
@@ -922,7 +1070,7 @@
   "CspHello__Hello",
   "csp_hello",
   sizeof(CspHello__Hello),
-  15,
+  18,
   csp_hello__hello__field_descriptors,
   csp_hello__hello__field_indices_by_name,
   1,  csp_hello__hello__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct CspHello__Address CspHello__Address;
 typedef struct CspHello__Ask CspHello__Ask;
 typedef struct CspHello__Answer CspHello__Answer;
+typedef struct CspHello__Lease CspHello__Lease;
 typedef struct CspHello__Hello CspHello__Hello;
 
 
@@ -92,6 +93,18 @@
     , 0, 0, 0, 0, 0 }
 
 
+struct  CspHello__Lease
+{
+  ProtobufCMessage base;
+  uint32_t service;
+  uint64_t id;
+  uint32_t amount;
+};
+#define CSP_HELLO__LEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_hello__lease__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  CspHello__Hello
 {
   ProtobufCMessage base;
@@ -116,10 +129,15 @@
   uint32_t capacity;
   uint32_t up_ms;
   protobuf_c_boolean wants_answer;
+  uint64_t decider;
+  size_t n_wants;
+  CspHello__Lease **wants;
+  size_t n_leases;
+  CspHello__Lease **leases;
 };
 #define CSP_HELLO__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__hello__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /* CspHello__Load methods */
@@ -198,6 +216,25 @@
 void   csp_hello__answer__free_unpacked
                      (CspHello__Answer *message,
                       ProtobufCAllocator *allocator);
+/* CspHello__Lease methods */
+void   csp_hello__lease__init
+                     (CspHello__Lease         *message);
+size_t csp_hello__lease__get_packed_size
+                     (const CspHello__Lease   *message);
+size_t csp_hello__lease__pack
+                     (const CspHello__Lease   *message,
+                      uint8_t             *out);
+size_t csp_hello__lease__pack_to_buffer
+                     (const CspHello__Lease   *message,
+                      ProtobufCBuffer     *buffer);
+CspHello__Lease *
+       csp_hello__lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_hello__lease__free_unpacked
+                     (CspHello__Lease *message,
+                      ProtobufCAllocator *allocator);
 /* CspHello__Hello methods */
 void   csp_hello__hello__init
                      (CspHello__Hello         *message);
@@ -231,6 +268,9 @@
 typedef void (*CspHello__Answer_Closure)
                  (const CspHello__Answer *message,
                   void *closure_data);
+typedef void (*CspHello__Lease_Closure)
+                 (const CspHello__Lease *message,
+                  void *closure_data);
 typedef void (*CspHello__Hello_Closure)
                  (const CspHello__Hello *message,
                   void *closure_data);
@@ -244,6 +284,7 @@
 extern const ProtobufCMessageDescriptor csp_hello__address__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__ask__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__answer__descriptor;
+extern const ProtobufCMessageDescriptor csp_hello__lease__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__hello__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/source/roster/peer-address.c
+++ b/source/roster/peer-address.c
@@ -3,6 +3,11 @@
 #include <arpa/inet.h>
 #include <stdio.h>
 
+enum
+{
+  PORT_BITS = 16
+};
+
 bool
 csp_is_same_peer (csp_peer_address_t a, csp_peer_address_t b)
 {
@@ -33,7 +38,13 @@
 uint64_t
 csp_order_peer (csp_peer_address_t peer, uint64_t salt)
 {
-  return (((uint64_t)peer.ip << 16 | peer.port) ^ salt) * 0x9e3779b97f4a7c15U;
+  return (csp_pack_peer (peer) ^ salt) * 0x9e3779b97f4a7c15U;
+}
+
+uint64_t
+csp_pack_peer (csp_peer_address_t peer)
+{
+  return (uint64_t)peer.ip << PORT_BITS | peer.port;
 }
 
 void
--- a/source/roster/roster-greet.c
+++ b/source/roster/roster-greet.c
@@ -28,9 +28,9 @@
   NAMED_FOR_DUTY = 2
 };
 
-/* Other data centres, as many as are known.  */
+/* Other data centres, as many as are known; of those that are heard.  */
 static size_t
-list_data_centres (const csp_roster_t *roster,
+list_data_centres (const csp_roster_t *roster, bool heard,
                    uint32_t data_centres[DATA_CENTRES_MAX])
 {
   size_t count = 0;
@@ -41,7 +41,8 @@
     {
       uint32_t data_centre = roster->peers[i].data_centre;
 
-      if (roster->peers[i].seen_ms == 0 || data_centre == roster->data_centre)
+      if (roster->peers[i].seen_ms == 0 || data_centre == roster->data_centre
+          || (heard && !roster->peers[i].current))
         continue;
       for (j = 0; j < count && data_centres[j] != data_centre; j++)
         continue;
@@ -51,12 +52,21 @@
   return count;
 }
 
+size_t
+csp_count_heard_data_centres (const csp_roster_t *roster)
+{
+  uint32_t data_centres[DATA_CENTRES_MAX];
+
+  return 1 + list_data_centres (roster, true, data_centres);
+}
+
 uint32_t
 csp_greeting_period_ms (const csp_roster_t *roster)
 {
   uint32_t data_centres[DATA_CENTRES_MAX];
   uint32_t period_ms
-      = (uint32_t)list_data_centres (roster, data_centres) * GREET_FAR_EACH_MS;
+      = (uint32_t)list_data_centres (roster, false, data_centres)
+        * GREET_FAR_EACH_MS;
 
   return period_ms > GREET_FAR_MS ? period_ms : GREET_FAR_MS;
 }
@@ -107,7 +117,7 @@
          size_t count, size_t room)
 {
   uint32_t data_centres[DATA_CENTRES_MAX];
-  size_t data_centre_count = list_data_centres (roster, data_centres);
+  size_t data_centre_count = list_data_centres (roster, false, data_centres);
   size_t i;
 
   if (now_ms < roster->greet_far_at_ms)
--- a/source/roster/roster-imp.h
+++ b/source/roster/roster-imp.h
@@ -26,6 +26,7 @@
   int64_t greeted_ms;     /* 0: never */
   uint32_t unanswered;    /* greetings in a row */
   int64_t avoid_until_ms; /* it doesn't decide before */
+  bool asks_here;         /* for places, when it last said whom it asks */
   int64_t loads_ms;       /* when it last told loads */
   size_t load_count;
   size_t load_room;
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -248,6 +248,8 @@
     peer->load_count = 0;
   if (hello->whole || hello->load_count > 0)
     peer->loads_ms = now_ms;
+  if (hello->decider != 0)
+    peer->asks_here = hello->decider == csp_pack_peer (roster->self);
   hear_itself (roster, peer, hello, now_ms);
   for (i = 0; i < hello->load_count; i++)
     set_load (peer, &hello->loads[i]);
@@ -291,6 +293,25 @@
   return changed;
 }
 
+size_t
+csp_count_known_hosts (const csp_roster_t *roster)
+{
+  return roster->count + 1;
+}
+
+/* One that is silent may have asked another host meanwhile.  */
+size_t
+csp_count_askers (const csp_roster_t *roster)
+{
+  size_t askers = 1;
+  size_t i;
+
+  for (i = 0; i < roster->count; i++)
+    askers += roster->peers[i].asks_here
+              && roster->now_ms - roster->peers[i].loads_ms < SILENT_AFTER_MS;
+  return askers;
+}
+
 size_t
 csp_list_live_peers (const csp_roster_t *roster, csp_peer_address_t *addresses,
                      size_t room)
--- a/tests/adapter/fuzz-test.c
+++ b/tests/adapter/fuzz-test.c
@@ -210,6 +210,8 @@
       ck_assert_uint_le (hello.answer_count, CSP_HELLO_ASKS_MAX);
       ck_assert_uint_le (hello.cancel_count, CSP_HELLO_ASKS_MAX);
       ck_assert_uint_le (hello.left_count, CSP_HELLO_LEFT_MAX);
+      ck_assert_uint_le (hello.want_count, CSP_HELLO_LEASES_MAX);
+      ck_assert_uint_le (hello.lease_count, CSP_HELLO_LEASES_MAX);
     }
   csp_clear_buffer (&bytes);
 }
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -123,12 +123,21 @@
                                       .capacity = 1000,
                                       .stop_limit_ms = STOP_LIMIT_MS,
                                       .retry_share = 0.2,
-                                      .retry_saved_max = 4 };
+                                      .retry_saved_max = 4,
+                                      .retry_start = 4 };
+  uint32_t lent_retries = fixture->lent_retries;
   csp_clock_t clock;
   char message[256];
 
   signal (SIGPIPE, SIG_IGN);
   memset (fixture, 0, sizeof *fixture);
+  if (lent_retries > 0)
+    {
+      settings.retry_share = 0;
+      settings.retry_start = 0;
+      settings.retry_extra = lent_retries;
+      settings.retry_window_ms = 10000;
+    }
   fixture->fake.steady_ms = 1000000;
   fixture->fake.wall_ms = 1000000;
   clock = csp_clock_of_fake (&fixture->fake);
--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -24,6 +24,9 @@
   bool running;
   uint64_t version;
   void (*ended) (void); /* called when the run is over, before the end */
+  /* Set before it is opened: hosts lend each other so many retries, and have
+     none of their own; 0: they have four and lend none.  */
+  uint32_t lent_retries;
   /* Where targets are listed; NULL: in the gateway's own data centre.  */
   const char *targets_in;
 } fixture_t;
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -406,6 +406,33 @@
 }
 END_TEST
 
+/* Leases are lent by how many hosts ask this one: those that said so lately,
+   and no more when they ask another or fall silent.  */
+START_TEST (hosts_that_ask_here_are_counted)
+{
+  csp_hello_t hello = hello_of (OTHER_BOOT, 1, true, 0);
+
+  hello.data_centre = ELSEWHERE;
+  hello.decider = csp_pack_peer (self);
+  csp_hear_peer (roster, other, &hello, 1000);
+  hello.decider = csp_pack_peer (other);
+  csp_hear_peer (roster, third, &hello, 1000);
+  ck_assert_uint_eq (csp_count_askers (roster), 2);
+  ck_assert_uint_eq (csp_count_known_hosts (roster), 3);
+  ck_assert_uint_eq (csp_count_heard_data_centres (roster), 2);
+  hello.sequence = 2;
+  csp_hear_peer (roster, other, &hello, 1500);
+  ck_assert_uint_eq (csp_count_askers (roster), 1);
+  hello.sequence = 3;
+  hello.decider = csp_pack_peer (self);
+  csp_hear_peer (roster, other, &hello, 2000);
+  csp_expire_peers (roster, 6000);
+  ck_assert_uint_eq (csp_count_askers (roster), 1);
+  ck_assert_uint_eq (csp_count_known_hosts (roster), 3);
+  ck_assert_uint_eq (csp_count_heard_data_centres (roster), 1);
+}
+END_TEST
+
 START_TEST (a_datagram_survives_its_codec)
 {
   csp_hello_t hello = hello_of (OTHER_BOOT, 3, true, 0);
@@ -453,6 +480,16 @@
   hello.answers[0].pool_percent = 100;
   hello.cancel_count = 1;
   hello.cancels[0] = 9;
+  hello.decider = UINT64_MAX;
+  hello.want_count = CSP_HELLO_LEASES_MAX;
+  hello.lease_count = CSP_HELLO_LEASES_MAX;
+  for (i = 0; i < CSP_HELLO_LEASES_MAX; i++)
+    {
+      hello.wants[i] = (csp_hello_lease_t){ .service = 1,
+                                            .id = UINT64_MAX,
+                                            .amount = 300 };
+      hello.leases[i] = hello.wants[i];
+    }
   hello.left_count = CSP_HELLO_LEFT_MAX;
   for (i = 0; i < hello.left_count; i++)
     hello.left[i] = UINT64_MAX - i;
@@ -504,6 +541,7 @@
   tcase_add_test (tcase, where_all_have_just_started_one_decides_at_once);
   tcase_add_test (tcase, a_host_that_says_nothing_decides_no_more_for_a_while);
   tcase_add_test (tcase, hosts_agree_on_who_reads);
+  tcase_add_test (tcase, hosts_that_ask_here_are_counted);
   tcase_add_test (tcase, a_datagram_survives_its_codec);
   tcase_add_test (tcase, a_boot_behind_a_calendar_that_stepped_back_is_heard);
   suite_add_tcase (suite, tcase);
