--- a/source/roster/roster-greet.c
+++ b/source/roster/roster-greet.c
@@ -261,7 +261,7 @@
   add_ranked (&names, CSP_DUTY_DECIDE, false);
   add_ranked (&names, CSP_DUTY_READ, false);
   add_ranked (&names, CSP_DUTY_DECIDE, true);
-  add_ranked (&names, CSP_DUTY_READ, true);
+  add_ranked (&names, CSP_DUTY_RELAY, true);
   for (i = 0; i < roster->count && names.count < room; i++)
     add_name (&names, &roster->peers[(first + i) % roster->count]);
   return names.count;
--- a/source/roster/roster-imp.h
+++ b/source/roster/roster-imp.h
@@ -79,8 +79,8 @@
 typedef enum
 {
   CSP_DUTY_DECIDE,
-  CSP_DUTY_READ,
-  CSP_DUTY_READ_IN_OUTAGE /* where no host reaches the platform */
+  CSP_DUTY_READ, /* the store, for all */
+  CSP_DUTY_RELAY /* what another host has read, to a data centre */
 } csp_duty_t;
 
 enum
--- a/source/roster/roster-rank.c
+++ b/source/roster/roster-rank.c
@@ -243,7 +243,13 @@
 /* Where the store is away for all, the hosts that tried to read it are all
    blind.  Taken for worse than the others, each would hand its place to one
    that has not tried yet, and that one tries: 107 hosts in one absence of six
-   seconds.  */
+   seconds.
+
+   The first host of a data centre may be blind all the same: it follows a host
+   elsewhere that isn't.  Were it passed over, and the other large hosts there,
+   the next would be one of dozens of small ones, about which hosts don't
+   agree, as they don't hear of each every second; they would follow each other
+   in vain, and send by a configuration of four seconds ago.  */
 void
 csp_rank_readers (const csp_roster_t *roster, csp_reader_ranks_t *ranks)
 {
@@ -255,9 +261,9 @@
   ranks->self = roster->self;
   ranks->blind_hosts = count_blind (roster);
   if (ranks->blind_hosts >= CSP_OUTAGE_HOSTS)
-    duty = CSP_DUTY_READ_IN_OUTAGE;
-  ranks->near_count
-      = csp_rank_hosts (roster, duty, true, ranked, CSP_READERS_NEAR_MAX);
+    duty = CSP_DUTY_RELAY;
+  ranks->near_count = csp_rank_hosts (roster, CSP_DUTY_RELAY, true, ranked,
+                                      CSP_READERS_NEAR_MAX);
   for (i = 0; i < ranks->near_count; i++)
     ranks->near[i] = ranked[i].address;
   ranks->fleet_count
