--- a/source/roster/roster-greet.c
+++ b/source/roster/roster-greet.c
@@ -27,8 +27,11 @@
   GREET_UNHEARD_MS = 2000,
   /* Data centres of the planned size are 28.  */
   DATA_CENTRES_MAX = 64,
-  /* Hosts named for a duty: all that may get it next, of all and of this data
-     centre.  */
+  /* Hosts named for each of four duties: who has it and who gets it next.  A
+     third of the names at least stays for others, drawn by lot; where all were
+     taken by those that rank first, small hosts knew nobody else, greeted
+     three hosts of a data centre in turns with two hundred others, and took it
+     for cut off whenever these were busy.  */
   NAMED_FOR_DUTY = 2
 };
 
@@ -231,9 +234,9 @@
 static void
 add_ranked (names_t *names, csp_duty_t duty, bool near)
 {
-  csp_candidate_t ranked[NAMED_FOR_DUTY + 1];
+  csp_candidate_t ranked[NAMED_FOR_DUTY];
   size_t count
-      = csp_rank_hosts (names->roster, duty, near, ranked, NAMED_FOR_DUTY + 1);
+      = csp_rank_hosts (names->roster, duty, near, ranked, NAMED_FOR_DUTY);
   size_t i;
 
   for (i = 0; i < count; i++)
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -439,6 +439,50 @@
 }
 END_TEST
 
+/* Two hundred hosts, of which a dozen rank first for some duty.  Were only
+   those named to others, small hosts would know nobody else; so a third of the
+   names are others, and over some greetings all come.  */
+START_TEST (hosts_that_rank_first_leave_room_for_others)
+{
+  enum
+  {
+    MANY = 200,
+    LARGE = 80
+  };
+  csp_known_host_t names[CSP_HELLO_KNOWN_MAX];
+  bool named[MANY + 2] = { false };
+  size_t all = 0;
+  uint32_t i;
+  size_t j;
+
+  csp_set_roster_self (roster, 100, -60000);
+  for (i = 0; i < MANY; i++)
+    {
+      ranked_host_t host = { { 2 + i, 10 },
+                             i % 4 == 0 ? HERE : ELSEWHERE + i % 4,
+                             i < LARGE ? 900 : 90,
+                             10000,
+                             false,
+                             false };
+
+      hear_host (roster, &host, 1, 1000);
+    }
+  for (i = 0; i < 300; i++)
+    {
+      size_t count = csp_name_known_hosts (roster, other, names,
+                                           CSP_HELLO_KNOWN_MAX, 1010);
+
+      ck_assert_uint_eq (count, CSP_HELLO_KNOWN_MAX);
+      for (j = 0; j < count; j++)
+        named[names[j].address.ip] = true;
+    }
+  for (i = 2; i < MANY + 2; i++)
+    all += named[i];
+  /* All but the one to whom they are named.  */
+  ck_assert_uint_eq (all, MANY - 1);
+}
+END_TEST
+
 /* The store turns all large hosts of a data centre away.  The others there go
    on following the same one, which follows a host elsewhere; else each would
    pick another of forty small ones, of which it happened to hear, and they
@@ -640,6 +684,7 @@
   tcase_add_test (tcase, a_host_that_says_nothing_decides_no_more_for_a_while);
   tcase_add_test (tcase, hosts_agree_on_who_reads);
   tcase_add_test (tcase, hosts_that_ask_here_are_counted);
+  tcase_add_test (tcase, hosts_that_rank_first_leave_room_for_others);
   tcase_add_test (tcase,
                   a_data_centre_follows_a_host_that_the_store_turns_away);
   tcase_add_test (tcase, an_outage_of_the_store_makes_no_host_a_worse_reader);
