--- a/source/mirror/mirror-choice.c
+++ b/source/mirror/mirror-choice.c
@@ -57,6 +57,12 @@
   size_t i;
 
   *upstream = (csp_peer_address_t){ 0 };
+  /* The first of all reads also where its data centre follows another one,
+     which the store turns away.  Were it to follow that one, which follows it,
+     nobody would read.  */
+  if (ranks->fleet_count > 0
+      && csp_is_same_peer (ranks->fleet[0], ranks->self))
+    return CSP_MIRROR_READS_FOR_ALL;
   for (i = 0; i < ranks->near_count
               && !csp_is_same_peer (ranks->near[i], ranks->self);
        i++)
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -433,6 +433,20 @@
     { 1 },
     CSP_MIRROR_READS_FOR_NEAR,
     5 },
+  { "it reads for all, and its data centre follows another",
+    6,
+    { 5, 6, 7, 8 },
+    { 6, 1, 2 },
+    { 0 },
+    CSP_MIRROR_READS_FOR_ALL,
+    0 },
+  { "the one that its data centre follows",
+    5,
+    { 5, 6, 7, 8 },
+    { 6, 1, 2 },
+    { 0 },
+    CSP_MIRROR_READS_FOR_NEAR,
+    6 },
   { "no reader can be followed",
     4,
     { 4, 6, 7, 8 },
@@ -459,6 +473,71 @@
   return i;
 }
 
+/* The store turns a third of the hosts away, the first ones among them: the
+   host that reads for all isn't the one that its data centre follows any more.
+   From whichever host one starts, following leads to the one that reads, in no
+   more than three steps; where it led round, configurations and notices
+   reached nobody there for four seconds.  Fleets, and who is turned away, are
+   drawn.  */
+START_TEST (following_leads_to_the_one_that_reads)
+{
+  enum
+  {
+    DATA_CENTRES = 4,
+    EACH = 6,
+    ALL = DATA_CENTRES * EACH,
+    STEPS = 3
+  };
+  static const csp_failed_upstreams_t none = { 0 };
+  csp_hello_t hellos[ALL] = { 0 };
+  size_t followed[ALL];
+  csp_mirror_role_t roles[ALL];
+  size_t readers = 0;
+  csp_random_t random;
+  size_t i;
+  size_t j;
+
+  csp_seed_random (&random, (uint64_t)_i + 1);
+  for (i = 0; i < ALL; i++)
+    {
+      hellos[i].boot = 100 + i;
+      hellos[i].sequence = 1;
+      hellos[i].data_centre = (uint32_t)(i / EACH);
+      hellos[i].capacity = csp_random_below (&random, 3) == 0 ? 500 : 120;
+      hellos[i].up_ms = CSP_UP_TOLD_MAX_MS;
+      hellos[i].blind = csp_random_below (&random, 3) == 0;
+    }
+  for (i = 0; i < ALL; i++)
+    {
+      csp_roster_t *roster = csp_create_roster (
+          HOST (1 + (uint32_t)i), hellos[i].boot, hellos[i].data_centre, 1);
+      csp_reader_ranks_t ranks;
+      csp_peer_address_t upstream;
+
+      csp_set_roster_self (roster, hellos[i].capacity, -60000);
+      csp_set_roster_blind (roster, hellos[i].blind);
+      for (j = 0; j < ALL; j++)
+        if (j != i)
+          csp_hear_peer (roster, HOST (1 + (uint32_t)j), &hellos[j], 1000);
+      csp_rank_readers (roster, &ranks);
+      roles[i] = csp_choose_upstream (&ranks, &none, &upstream);
+      followed[i] = upstream.ip == 0 ? i : upstream.ip - 1;
+      readers += roles[i] == CSP_MIRROR_READS_FOR_ALL;
+      csp_destroy_roster (roster);
+    }
+  ck_assert_uint_eq (readers, 1);
+  for (i = 0; i < ALL; i++)
+    {
+      size_t at = i;
+
+      for (j = 0; j < STEPS; j++)
+        at = followed[at];
+      ck_assert_msg (roles[at] == CSP_MIRROR_READS_FOR_ALL,
+                     "seed %d: host %zu follows in vain", _i + 1, i + 1);
+    }
+}
+END_TEST
+
 START_TEST (who_is_followed_is_an_order_that_all_know)
 {
   csp_reader_ranks_t ranks = { .self = HOST (upstreams[_i].self) };
@@ -813,6 +892,7 @@
   tcase_add_test (tcase, all_hosts_together_ask_the_store_seldom);
   tcase_add_loop_test (tcase, who_is_followed_is_an_order_that_all_know, 0,
                        sizeof upstreams / sizeof upstreams[0]);
+  tcase_add_loop_test (tcase, following_leads_to_the_one_that_reads, 0, 50);
   tcase_add_test (tcase, a_host_that_is_turned_away_follows_another);
   tcase_add_test (tcase, hosts_that_follow_each_other_notice);
   tcase_add_test (tcase, followers_are_as_many_as_may_and_named);
