--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -56,6 +56,8 @@
   CSP_UPDATE_LISTED,          /* the whole list of targets has been told */
   CSP_UPDATE_PLATFORM_HEARD,  /* it can be read, with or without news */
   CSP_UPDATE_PLATFORM_LAPSES, /* its own rows may be missing for a while */
+  CSP_UPDATE_SIGHTED, /* this host reads the platform and is answered, or not
+                       */
   CSP_UPDATE_PLATFORM_AWAY,
   CSP_UPDATE_PLATFORM_BACK,
   CSP_UPDATE_STOP
@@ -71,6 +73,7 @@
     csp_fleet_row_t target;
     char target_id[CSP_TARGET_ID_BYTES];
     uint32_t age_ms; /* since the platform itself was heard */
+    bool sighted;
   } value;
 } csp_update_t;
 
--- a/include/cowslipspoke/mirror.h
+++ b/include/cowslipspoke/mirror.h
@@ -208,6 +208,9 @@
      not it had news; age_ms: how long ago the platform said it.  NULL: nobody
      is.  */
   void (*heard) (void *state, uint32_t age_ms);
+  /* Told when this host begins to read the store and be answered, and when no
+     more; NULL: nobody is.  */
+  void (*sighted) (void *state, bool sighted);
   void *hosts_state;
 } csp_mirror_feed_settings_t;
 
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -89,6 +89,7 @@
                            CSP_UP_TOLD_MAX_MS is told */
   bool leaving;
   bool blind;
+  bool sighted;
 } csp_known_host_t;
 
 enum
@@ -159,6 +160,7 @@
   bool whole;        /* loads that aren't named are none */
   bool leaving;
   bool blind;           /* the platform can't be reached from there */
+  bool sighted;         /* it reads the platform, and is answered */
   bool wants_answer;    /* a greeting, which is answered by one that doesn't */
   uint32_t data_centre; /* hash of its name */
   uint32_t capacity;
@@ -202,9 +204,11 @@
 void csp_set_roster_self (csp_roster_t *roster, uint32_t capacity,
                           int64_t started_ms);
 
-/* Whether this host stops, and whether it can't reach the platform.  */
+/* Whether this host stops, can't reach the platform, or reads it now and is
+   answered.  */
 void csp_set_roster_leaving (csp_roster_t *roster);
 void csp_set_roster_blind (csp_roster_t *roster, bool blind);
+void csp_set_roster_sighted (csp_roster_t *roster, bool sighted);
 
 /* Fill in what a datagram tells of this host itself.  */
 void csp_describe_self (const csp_roster_t *roster, csp_hello_t *hello,
@@ -283,6 +287,7 @@
   csp_peer_address_t fleet[CSP_READERS_FLEET_MAX];
   size_t hosts;       /* live ones, this one counted in */
   size_t blind_hosts; /* that can't reach the platform, of those */
+  bool outage;        /* many can't, and nobody is known who can */
 } csp_reader_ranks_t;
 
 void csp_rank_readers (const csp_roster_t *roster, csp_reader_ranks_t *ranks);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -183,6 +183,9 @@
     case CSP_UPDATE_PLATFORM_HEARD:
       csp_note_platform_heard (gateway, update->value.age_ms);
       break;
+    case CSP_UPDATE_SIGHTED:
+      csp_set_roster_sighted (gateway->roster, update->value.sighted);
+      break;
     case CSP_UPDATE_PLATFORM_LAPSES:
       csp_note_platform (gateway->fleet, false, now_ms);
       csp_note_platform (gateway->fleet, true, now_ms);
--- a/source/mirror/mirror-feed.c
+++ b/source/mirror/mirror-feed.c
@@ -36,6 +36,9 @@
   /* A host that the store turned away and that doesn't read it now is tried
      again behind that, should its turn come.  */
   BLIND_MS = 5000,
+  /* A host that the store answered so lately reads it: without news it does
+     each 0.6 s.  */
+  SIGHTED_MS = 1200,
   /* A host says something that often, and is missed that much later: a notice
      that is lost with it comes 0.7 s late, of the two or three seconds that
      the users allow.  */
@@ -75,6 +78,8 @@
   bool confirmed;
   bool starting; /* what reads the store does so for the start alone */
   bool store_away;
+  bool sighted; /* as told */
+  uint64_t store_fed_ms;
   bool outage;
   uint64_t blind_until_ms;
   uint64_t lapsing_until_ms;
@@ -419,7 +424,7 @@
   list_failed (feed, &failed);
   feed->settings.rank_readers (feed->settings.hosts_state, &ranks);
   feed->role = csp_choose_upstream (&ranks, &failed, &upstream);
-  feed->outage = ranks.blind_hosts >= CSP_OUTAGE_HOSTS;
+  feed->outage = ranks.outage;
   facts = (csp_mirror_facts_t){ .role = feed->role,
                                 .confirmed = feed->confirmed,
                                 .reads_store
@@ -440,12 +445,28 @@
   forget_blindness (feed);
 }
 
+/* Others follow a host that reads the store and is answered before one that
+   has not tried.  */
+static void
+tell_sight (csp_mirror_feed_t *feed)
+{
+  bool sighted = feed->store != NULL && feed->confirmed && !feed->starting
+                 && now_of (feed) - feed->store_fed_ms < SIGHTED_MS;
+
+  if (sighted == feed->sighted)
+    return;
+  feed->sighted = sighted;
+  if (feed->settings.sighted != NULL)
+    feed->settings.sighted (feed->settings.hosts_state, sighted);
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
   csp_mirror_feed_t *feed = timer->data;
 
   choose_source (feed);
+  tell_sight (feed);
   tell_server (feed);
 }
 
@@ -504,7 +525,10 @@
 csp_note_mirror_fed (csp_mirror_feed_t *feed, bool current)
 {
   if (current)
-    note_current (feed, 0);
+    {
+      feed->store_fed_ms = now_of (feed);
+      note_current (feed, 0);
+    }
   tell_server (feed);
 }
 
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -67,6 +67,7 @@
       row->up_ms = host->up_ms;
       row->leaving = host->leaving;
       row->blind = host->blind;
+      row->sighted = host->sighted;
       rows->known_rows[i] = row;
     }
 }
@@ -151,6 +152,7 @@
   message.whole = hello->whole;
   message.leaving = hello->leaving;
   message.blind = hello->blind;
+  message.sighted = hello->sighted;
   message.data_centre = hello->data_centre;
   message.capacity = hello->capacity;
   message.up_ms = hello->up_ms;
@@ -271,7 +273,8 @@
                                 .age_ms = row->age_ms,
                                 .up_ms = row->up_ms,
                                 .leaving = row->leaving,
-                                .blind = row->blind };
+                                .blind = row->blind,
+                                .sighted = row->sighted };
     }
   good = good && decode_asks (message, hello);
   if (good)
@@ -281,6 +284,7 @@
       hello->whole = message->whole;
       hello->leaving = message->leaving;
       hello->blind = message->blind;
+      hello->sighted = message->sighted;
       hello->data_centre = message->data_centre;
       hello->capacity = message->capacity;
       hello->up_ms = message->up_ms;
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -380,7 +380,7 @@
   (ProtobufCMessageInit) csp_hello__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__address__field_descriptors[8] =
+static const ProtobufCFieldDescriptor csp_hello__address__field_descriptors[9] =
 {
   {
     "ip",
@@ -478,6 +478,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sighted",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Address, sighted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__address__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
@@ -487,12 +499,13 @@
   0,   /* field[0] = ip */
   6,   /* field[6] = leaving */
   1,   /* field[1] = port */
+  8,   /* field[8] = sighted */
   5,   /* field[5] = up_ms */
 };
 static const ProtobufCIntRange csp_hello__address__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor csp_hello__address__descriptor =
 {
@@ -502,7 +515,7 @@
   "CspHello__Address",
   "csp_hello",
   sizeof(CspHello__Address),
-  8,
+  9,
   csp_hello__address__field_descriptors,
   csp_hello__address__field_indices_by_name,
   1,  csp_hello__address__number_ranges,
@@ -818,7 +831,7 @@
   (ProtobufCMessageInit) csp_hello__lease__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[18] =
+static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[19] =
 {
   {
     "boot",
@@ -1036,6 +1049,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sighted",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Hello, sighted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__hello__field_indices_by_name[] = {
   8,   /* field[8] = answers */
@@ -1052,6 +1077,7 @@
   11,   /* field[11] = left */
   4,   /* field[4] = loads */
   1,   /* field[1] = sequence */
+  18,   /* field[18] = sighted */
   13,   /* field[13] = up_ms */
   16,   /* field[16] = wants */
   14,   /* field[14] = wants_answer */
@@ -1060,7 +1086,7 @@
 static const ProtobufCIntRange csp_hello__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor csp_hello__hello__descriptor =
 {
@@ -1070,7 +1096,7 @@
   "CspHello__Hello",
   "csp_hello",
   sizeof(CspHello__Hello),
-  18,
+  19,
   csp_hello__hello__field_descriptors,
   csp_hello__hello__field_indices_by_name,
   1,  csp_hello__hello__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -54,10 +54,11 @@
   uint32_t up_ms;
   protobuf_c_boolean leaving;
   protobuf_c_boolean blind;
+  protobuf_c_boolean sighted;
 };
 #define CSP_HELLO__ADDRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__address__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  CspHello__Ask
@@ -134,10 +135,11 @@
   CspHello__Lease **wants;
   size_t n_leases;
   CspHello__Lease **leases;
+  protobuf_c_boolean sighted;
 };
 #define CSP_HELLO__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__hello__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* CspHello__Load methods */
--- a/source/roster/roster-greet.c
+++ b/source/roster/roster-greet.c
@@ -232,7 +232,8 @@
     .age_ms = (uint32_t)(names->now_ms - peer->seen_ms),
     .up_ms = csp_told_up_ms (peer->seen_ms - peer->started_ms),
     .leaving = peer->leaving,
-    .blind = peer->blind
+    .blind = peer->blind,
+    .sighted = peer->sighted
   };
 }
 
--- a/source/roster/roster-imp.h
+++ b/source/roster/roster-imp.h
@@ -18,6 +18,7 @@
   bool current; /* so lately that it may do something for others */
   bool leaving;
   bool blind;
+  bool sighted;
   uint32_t data_centre;
   uint32_t capacity;
   int64_t started_ms;
@@ -42,6 +43,7 @@
   int64_t started_ms;
   bool leaving;
   bool blind;
+  bool sighted;
   int64_t now_ms; /* of the last call that said so */
   int64_t greet_near_at_ms;
   int64_t greet_far_at_ms;
@@ -66,6 +68,7 @@
   uint32_t capacity;
   int64_t up_ms;
   bool blind;
+  bool sighted;
   bool avoided;
 } csp_candidate_t;
 
--- a/source/roster/roster-rank.c
+++ b/source/roster/roster-rank.c
@@ -49,7 +49,8 @@
                                .data_centre = roster->data_centre,
                                .capacity = roster->capacity,
                                .up_ms = roster->now_ms - roster->started_ms,
-                               .blind = roster->blind };
+                               .blind = roster->blind,
+                               .sighted = roster->sighted };
       return !roster->leaving;
     }
   peer = &roster->peers[index - 1];
@@ -59,6 +60,7 @@
                            .capacity = peer->capacity,
                            .up_ms = roster->now_ms - peer->started_ms,
                            .blind = peer->blind,
+                           .sighted = peer->sighted,
                            .avoided = roster->now_ms < peer->avoid_until_ms };
   return peer->current && !peer->leaving;
 }
@@ -110,9 +112,13 @@
   uint32_t a_class = capacity_class (a->capacity);
   uint32_t b_class = capacity_class (b->capacity);
 
-  /* A reader that the store turns away would be named again and again by those
+  /* One that reads now goes on: where the store turns a third of the hosts
+     away, the next in the order may be one of those, and so may the next.  A
+     reader that the store turns away would be named again and again by those
      who follow it.  Where all are blind one of them still watches for the
      return.  */
+  if (duty == CSP_DUTY_READ && a->sighted != b->sighted)
+    return a->sighted;
   if (duty == CSP_DUTY_READ && a->blind != b->blind)
     return b->blind;
   if (a_settled != b_settled)
@@ -228,16 +234,21 @@
   return count;
 }
 
-static size_t
-count_blind (const csp_roster_t *roster)
+static void
+judge_outage (const csp_roster_t *roster, csp_reader_ranks_t *ranks)
 {
   csp_candidate_t candidate;
-  size_t blind = 0;
+  bool sighted = false;
   size_t i;
 
   for (i = 0; i <= roster->count; i++)
-    blind += csp_get_candidate (roster, i, &candidate) && candidate.blind;
-  return blind;
+    {
+      if (!csp_get_candidate (roster, i, &candidate))
+        continue;
+      ranks->blind_hosts += candidate.blind;
+      sighted = sighted || candidate.sighted;
+    }
+  ranks->outage = !sighted && ranks->blind_hosts >= CSP_OUTAGE_HOSTS;
 }
 
 /* Where the store is away for all, the hosts that tried to read it are all
@@ -259,8 +270,8 @@
 
   memset (ranks, 0, sizeof *ranks);
   ranks->self = roster->self;
-  ranks->blind_hosts = count_blind (roster);
-  if (ranks->blind_hosts >= CSP_OUTAGE_HOSTS)
+  judge_outage (roster, ranks);
+  if (ranks->outage)
     duty = CSP_DUTY_RELAY;
   ranks->near_count = csp_rank_hosts (roster, CSP_DUTY_RELAY, true, ranked,
                                       CSP_READERS_NEAR_MAX);
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -68,6 +68,12 @@
   roster->blind = blind;
 }
 
+void
+csp_set_roster_sighted (csp_roster_t *roster, bool sighted)
+{
+  roster->sighted = sighted;
+}
+
 uint32_t
 csp_told_up_ms (int64_t up_ms)
 {
@@ -83,6 +89,7 @@
   hello->boot = roster->boot;
   hello->leaving = roster->leaving;
   hello->blind = roster->blind;
+  hello->sighted = roster->sighted;
   hello->data_centre = roster->data_centre;
   hello->capacity = roster->capacity;
   hello->up_ms = csp_told_up_ms (now_ms - roster->started_ms);
@@ -206,6 +213,7 @@
   peer->started_ms = seen_ms - (int64_t)host->up_ms;
   peer->leaving = host->leaving;
   peer->blind = host->blind;
+  peer->sighted = host->sighted;
   judge_life (roster, peer, now_ms);
 }
 
@@ -217,6 +225,7 @@
   peer->sequence = hello->sequence;
   peer->leaving = hello->leaving;
   peer->blind = hello->blind;
+  peer->sighted = hello->sighted;
   peer->data_centre = hello->data_centre;
   peer->capacity = hello->capacity;
   peer->started_ms = now_ms - (int64_t)hello->up_ms;
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -439,6 +439,43 @@
 }
 END_TEST
 
+/* The store turns a third of the hosts away, more than make an outage, and
+   some hosts read it all the same.  Those are followed, whatever their rank:
+   taken for an outage, as all who tried by then were turned away, 81 of 295
+   hosts had no configuration for nine seconds.  */
+START_TEST (a_host_that_reads_ends_an_outage)
+{
+  csp_hello_t hello = { .boot = 9,
+                        .sequence = 1,
+                        .data_centre = ELSEWHERE,
+                        .capacity = 90,
+                        .up_ms = 10000,
+                        .sighted = true };
+  csp_reader_ranks_t ranks;
+  uint32_t i;
+
+  csp_set_roster_self (roster, 100, -60000);
+  for (i = 0; i < 3 * CSP_OUTAGE_HOSTS; i++)
+    {
+      ranked_host_t host
+          = { { 10 + i, 10 }, HERE, 900, 10000, i > CSP_OUTAGE_HOSTS, false };
+
+      hear_host (roster, &host, 1, 1000);
+    }
+  csp_rank_readers (roster, &ranks);
+  ck_assert (ranks.outage);
+  csp_hear_peer (roster, third, &hello, 1000);
+  csp_rank_readers (roster, &ranks);
+  ck_assert (!ranks.outage);
+  ck_assert (csp_is_same_peer (ranks.fleet[0], third));
+  hello.sequence = 2;
+  hello.sighted = false;
+  csp_hear_peer (roster, third, &hello, 1100);
+  csp_rank_readers (roster, &ranks);
+  ck_assert (ranks.outage);
+}
+END_TEST
+
 /* The store turns the first readers away.  That they are is named with them,
    as long as they would be first otherwise; forgotten instead, they count as
    first and able until they have been silent for three seconds.  */
@@ -626,10 +663,12 @@
                                          .age_ms = 3300,
                                          .up_ms = CSP_UP_TOLD_MAX_MS,
                                          .leaving = true,
-                                         .blind = true };
+                                         .blind = true,
+                                         .sighted = true };
   hello.capacity = 500;
   hello.up_ms = CSP_UP_TOLD_MAX_MS;
   hello.wants_answer = true;
+  hello.sighted = true;
   hello.ask_count = 1;
   hello.asks[0].id = UINT64_MAX;
   hello.asks[0].service = 1;
@@ -713,6 +752,7 @@
   tcase_add_test (tcase, hosts_that_ask_here_are_counted);
   tcase_add_test (tcase, hosts_that_rank_first_leave_room_for_others);
   tcase_add_test (tcase, readers_that_are_turned_away_are_named);
+  tcase_add_test (tcase, a_host_that_reads_ends_an_outage);
   tcase_add_test (tcase,
                   a_data_centre_follows_a_host_that_the_store_turns_away);
   tcase_add_test (tcase, an_outage_of_the_store_makes_no_host_a_worse_reader);
