--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -46,9 +46,8 @@
   /* Hosts of one data centre and of the fleet that may read the platform for
      others, best first.  */
   CSP_READERS_NEAR_MAX = 4,
-  /* Hosts that the store turns away, from which on it counts as away for all.
-     Where it turns a third away, six tries in a row meet one of those each
-     once in a thousand times.  */
+  /* Hosts that the store turns away, from which on it counts as away for all
+     while nobody is known whom it answers.  */
   CSP_OUTAGE_HOSTS = 6,
   CSP_READERS_FLEET_MAX = 3
 };
