Data centres can be cordoned: nothing new goes there, what runs ends there

Ruled out: a notice to each host of its own; the mirror carries the keys as it carries the rest, finds deletions that nobody saw, and is there before a host is ready. Change: a cordon is known by the fleet; choice of targets, kept room, backups and places that were given look at it, the last at the moment of sending.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -1,6 +1,7 @@
 #ifndef COWSLIPSPOKE_FLEET_H
 #define COWSLIPSPOKE_FLEET_H
 
+#include "cowslipspoke/cordon.h"
 #include "cowslipspoke/random.h"
 #include "cowslipspoke/roster.h"
 
@@ -71,6 +72,7 @@
   int64_t avoid_until_ms;
   uint32_t unreachable; /* connects in a row that failed */
   bool cut_off;         /* its data centre can't be reached from here */
+  bool cordoned;        /* operators let its data centre get nothing new */
   int64_t left_at_ms;   /* when this host heard that it leaves */
   int64_t gone_at_ms;   /* when it was seen to be gone; 0: it isn't */
   int64_t turn_at_ms;   /* this host's turn to move streams from here */
@@ -105,6 +107,20 @@
 /* A row was removed.  */
 void csp_unlist_target (csp_fleet_t *fleet, const char *id, int64_t now_ms);
 
+/* Operators cordon a data centre or lift its cordon, see cordon.h; it needs no
+   targets yet.  */
+csp_cordon_result_t csp_cordon_targets (csp_fleet_t *fleet,
+                                        const char *data_centre, bool cordoned,
+                                        int64_t now_ms);
+const csp_cordons_t *csp_fleet_cordons (const csp_fleet_t *fleet);
+
+/* Whether a target may be given anything new: it doesn't leave, and isn't
+   cordoned.  */
+bool csp_takes_new_work (const csp_fleet_target_t *target);
+
+/* Whether cordons alone keep a service from being served.  */
+bool csp_is_service_cordoned (const csp_fleet_t *fleet, const char *service);
+
 /* The target itself says that it leaves.  */
 void csp_note_target_leaves (csp_fleet_t *fleet, csp_fleet_target_t *target);
 
--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -53,6 +53,7 @@
   CSP_UPDATE_ROUTES,
   CSP_UPDATE_TARGET,
   CSP_UPDATE_TARGET_REMOVED,
+  CSP_UPDATE_CORDON,          /* a data centre gets nothing new, or does */
   CSP_UPDATE_LISTED,          /* the whole list of targets has been told */
   CSP_UPDATE_PLATFORM_HEARD,  /* it can be read, with or without news */
   CSP_UPDATE_PLATFORM_LAPSES, /* its own rows may be missing for a while */
@@ -72,6 +73,11 @@
     csp_routes_t *routes; /* the forwarder's from now on */
     csp_fleet_row_t target;
     char target_id[CSP_TARGET_ID_BYTES];
+    struct
+    {
+      char data_centre[CSP_CORDON_NAME_BYTES];
+      bool on; /* else it is lifted */
+    } cordon;
     uint32_t age_ms; /* since the platform itself was heard */
     bool sighted;
   } value;
--- a/source/dispatch/dispatch-move.c
+++ b/source/dispatch/dispatch-move.c
@@ -200,12 +200,11 @@
     keep_room (move, to);
 }
 
-/* The room may have gone with its target.  */
+/* The room may have gone with its target, or with its data centre.  */
 static void
 check_room (csp_dispatch_move_t *move)
 {
-  if (move->to == NULL || move->started || move->to->state == CSP_FLEET_READY
-      || move->to->state == CSP_FLEET_LAPSED)
+  if (move->to == NULL || move->started || csp_takes_new_work (move->to))
     return;
   give_up_room (move);
   move->to->users--;
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -234,9 +234,8 @@
   if (need->memory_share_max > 0
       && memory_share (target, need) > need->memory_share_max)
     return false;
-  return (target->state == CSP_FLEET_READY
-          || target->state == CSP_FLEET_LAPSED)
-         && target != need->not_this && target != need->nor_this
+  return csp_takes_new_work (target) && target != need->not_this
+         && target != need->nor_this
          && strcmp (target->row.service, need->service) == 0;
 }
 
@@ -251,7 +250,7 @@
     {
       const csp_fleet_target_t *target = fleet->targets[i];
 
-      if (target->state != CSP_FLEET_READY
+      if (target->state != CSP_FLEET_READY || target->cordoned
           || strcmp (target->row.service, service) != 0)
         continue;
       memory += memory_tokens;
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -25,6 +25,7 @@
   csp_index_t by_start; /* by csp_fleet_target_t.hash */
   csp_index_t by_id;
   uint64_t additions;
+  csp_cordons_t *cordons;
   bool platform_reachable;
   /* Removals up to then may be the platform's own outage.  */
   int64_t distrust_until_ms;
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -55,6 +55,7 @@
     free_target (fleet, fleet->targets[i]);
   csp_close_index (&fleet->by_start);
   csp_close_index (&fleet->by_id);
+  csp_destroy_cordons (fleet->cordons);
   free (fleet->targets);
   free (fleet);
 }
@@ -70,7 +71,9 @@
   fleet->freed = freed;
   fleet->state = state;
   fleet->platform_reachable = true;
-  if (csp_open_index (&fleet->by_start, FIRST_ROOM) == 0
+  fleet->cordons = csp_create_cordons ();
+  if (fleet->cordons != NULL
+      && csp_open_index (&fleet->by_start, FIRST_ROOM) == 0
       && csp_open_index (&fleet->by_id, FIRST_ROOM) == 0)
     return fleet;
   csp_destroy_fleet (fleet);
@@ -229,6 +232,8 @@
   target->row.born_ms = born_ms;
   target->data_centre
       = (uint32_t)csp_hash_pair ("data_centre", row->data_centre);
+  target->cordoned
+      = csp_find_cordon (fleet->cordons, row->data_centre) != NULL;
   target->warm_at_ms = now_ms + row->warming_up_ms;
   /* One start of a target never takes its leaving back.  */
   if (target->state == CSP_FLEET_LEAVING)
@@ -279,6 +284,60 @@
     unlist (fleet, target, now_ms);
 }
 
+csp_cordon_result_t
+csp_cordon_targets (csp_fleet_t *fleet, const char *data_centre, bool cordoned,
+                    int64_t now_ms)
+{
+  csp_cordon_result_t result
+      = csp_set_cordon (fleet->cordons, data_centre, cordoned, now_ms);
+  size_t i;
+
+  if (result != CSP_CORDON_CHANGED)
+    return result;
+  for (i = 0; i < fleet->count; i++)
+    if (strcmp (fleet->targets[i]->row.data_centre, data_centre) == 0)
+      fleet->targets[i]->cordoned = cordoned;
+  return result;
+}
+
+const csp_cordons_t *
+csp_fleet_cordons (const csp_fleet_t *fleet)
+{
+  return fleet->cordons;
+}
+
+/* Whether it serves, by the list.  */
+static bool
+is_serving (const csp_fleet_target_t *target)
+{
+  return target->state == CSP_FLEET_READY || target->state == CSP_FLEET_LAPSED;
+}
+
+bool
+csp_takes_new_work (const csp_fleet_target_t *target)
+{
+  return is_serving (target) && !target->cordoned;
+}
+
+bool
+csp_is_service_cordoned (const csp_fleet_t *fleet, const char *service)
+{
+  bool cordoned = false;
+  size_t i;
+
+  for (i = 0; i < fleet->count; i++)
+    {
+      const csp_fleet_target_t *target = fleet->targets[i];
+
+      if (!is_serving (target) || strcmp (target->row.service, service) != 0)
+        continue;
+      if (!target->cordoned)
+        return false;
+      cordoned = true;
+    }
+  return cordoned;
+}
+
 void
 csp_note_target_leaves (csp_fleet_t *fleet, csp_fleet_target_t *target)
 {
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -271,6 +271,9 @@
   if (exchange->service == NULL)
     csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
                        "the route has no service");
+  else if (csp_is_service_cordoned (exchange->gateway->fleet,
+                                    exchange->service->name))
+    csp_refuse_cordoned (exchange);
   else if (exchange->service->is_engine && exchange->unreached == 0
            && exchange->gateway->alone_since_ms == 0)
     csp_ask_for_place (exchange);
--- a/source/gateway/gateway-backup.c
+++ b/source/gateway/gateway-backup.c
@@ -99,9 +99,7 @@
 bool
 csp_backup_stands (const csp_exchange_t *exchange)
 {
-  return exchange->backup != NULL
-         && (exchange->backup->state == CSP_FLEET_READY
-             || exchange->backup->state == CSP_FLEET_LAPSED)
+  return exchange->backup != NULL && csp_takes_new_work (exchange->backup)
          && exchange->run_since_ms != 0;
 }
 
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -258,9 +258,10 @@
 {
   csp_fleet_target_t *target
       = csp_find_hashed_target (exchange->gateway->fleet, target_hash);
-  /* The host that decides may reach what this one doesn't.  */
-  bool ready
-      = target != NULL && target->state == CSP_FLEET_READY && !target->cut_off;
+  /* The host that decides may reach what this one doesn't, and may not have
+     heard yet that operators have cordoned it.  */
+  bool ready = target != NULL && target->state == CSP_FLEET_READY
+               && !target->cut_off && !target->cordoned;
 
   exchange->asking = false;
   uv_timer_stop (&exchange->move.timer);
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -139,6 +139,10 @@
 void csp_send_first (csp_exchange_t *exchange, csp_fleet_target_t *target);
 void csp_place_alone (csp_exchange_t *exchange);
 
+/* Cordon: see gateway-cordon.c.  Turn a request away whose service has no
+   target but cordoned ones.  */
+void csp_refuse_cordoned (csp_exchange_t *exchange);
+
 /* Dispatch: see gateway-dispatch.c.  Ask the host that decides for a place;
    the request is sent, refused or placed alone later.  */
 void csp_ask_for_place (csp_exchange_t *exchange);
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -24,6 +24,7 @@
      stream    cuts an answer into whole events and knows the last id sent
      move      takes a stream to another target
      report    asks targets themselves, when the platform says nothing
+     cordon    what operators let get nothing new
      reach     what follows where a data centre is cut off
      page      readiness and metrics
 
@@ -239,12 +240,25 @@
 /* A target leaves: streams go elsewhere.  */
 void csp_leave_target (csp_gateway_t *gateway, csp_fleet_target_t *target);
 
+/* Nothing goes on at a target any more: copies there are given up.  */
+void csp_forget_destination (csp_gateway_t *gateway,
+                             const csp_fleet_target_t *target);
+
 /* Begin the moves whose turn has come.  */
 void csp_pump_moves (csp_gateway_t *gateway);
 
 /* Streams that fell silent go on elsewhere.  Call it now and then.  */
 void csp_watch_streams (csp_gateway_t *gateway);
 
+/* Cordon: see gateway-cordon.c.  Operators cordon a data centre, or lift its
+   cordon.  */
+void csp_take_cordon (csp_gateway_t *gateway, const char *data_centre,
+                      bool cordoned);
+
+/* Whether a run whose memory lies there alone may still be gone on with.  */
+bool csp_may_resume_at (const csp_gateway_t *gateway,
+                        const csp_fleet_target_t *target);
+
 /* Reports: see gateway-report.c.  The platform was heard, so long ago.  */
 void csp_note_platform_heard (csp_gateway_t *gateway, uint32_t age_ms);
 
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -225,7 +225,10 @@
 
   csp_print_target_address (exchange->target, address);
   dialect->write_copy (address, answer->handle, copy, sizeof copy);
-  if (!resume_at (exchange, to, copy))
+  if (!csp_may_resume_at (exchange->gateway, to))
+    csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
+                       "the data centre is cordoned");
+  else if (!resume_at (exchange, to, copy))
     csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
                        "no connection to go on");
 }
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -56,6 +56,21 @@
   return true;
 }
 
+/* One line for each data centre that gets nothing new.  */
+static void
+print_cordons (const csp_gateway_t *gateway, csp_buffer_t *text)
+{
+  const csp_cordons_t *cordons = csp_fleet_cordons (gateway->fleet);
+  size_t count = csp_count_cordons (cordons);
+  size_t i;
+
+  csp_print_buffer (text, "# TYPE cowslipspoke_gateway_cordoned gauge\n");
+  for (i = 0; i < count; i++)
+    csp_print_buffer (text,
+                      "cowslipspoke_gateway_cordoned{data_centre=\"%s\"} 1\n",
+                      csp_cordon_at (cordons, i)->data_centre);
+}
+
 /* The histograms of organisations and routes.  */
 static void
 append_times (const csp_gateway_t *gateway, csp_buffer_t *text)
@@ -86,6 +101,7 @@
       return;
     }
   print_metrics (gateway, &text);
+  print_cordons (gateway, &text);
   append_times (gateway, &text);
   csp_answer_page (page, STATUS_OK, "text/plain; version=0.0.4", text.data,
                    text.size_bytes);
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -167,13 +167,11 @@
 }
 
 void
-csp_leave_target (csp_gateway_t *gateway, csp_fleet_target_t *target)
+csp_forget_destination (csp_gateway_t *gateway,
+                        const csp_fleet_target_t *target)
 {
   csp_exchange_t *exchange = gateway->exchanges;
 
-  target->left_at_ms = csp_gateway_now_ms (gateway);
-  target->turn_at_ms
-      = csp_gateway_now_ms (gateway) + own_turn_ms (gateway, target);
   while (exchange != NULL)
     {
       csp_exchange_t *next = exchange->next;
@@ -186,6 +184,24 @@
         }
       if (exchange->move.to == target)
         csp_note_destination_left (exchange);
+      exchange = next;
+    }
+}
+
+void
+csp_leave_target (csp_gateway_t *gateway, csp_fleet_target_t *target)
+{
+  csp_exchange_t *exchange;
+
+  target->left_at_ms = csp_gateway_now_ms (gateway);
+  target->turn_at_ms
+      = csp_gateway_now_ms (gateway) + own_turn_ms (gateway, target);
+  csp_forget_destination (gateway, target);
+  exchange = gateway->exchanges;
+  while (exchange != NULL)
+    {
+      csp_exchange_t *next = exchange->next;
+
       if (exchange->target == target)
         csp_want_move (exchange);
       exchange = next;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -177,6 +177,10 @@
     case CSP_UPDATE_TARGET_REMOVED:
       csp_unlist_target (gateway->fleet, update->value.target_id, now_ms);
       break;
+    case CSP_UPDATE_CORDON:
+      csp_take_cordon (gateway, update->value.cordon.data_centre,
+                       update->value.cordon.on);
+      break;
     case CSP_UPDATE_LISTED:
       gateway->listed = true;
       break;
--- a/source/log/event-table.c
+++ b/source/log/event-table.c
@@ -38,6 +38,8 @@
     "configuration-diverged" },
   { CSP_EVENT_READER_LOST, CSP_LEVEL_WARNING, "reader-lost" },
   { CSP_EVENT_STORE_READ, CSP_LEVEL_INFO, "store-read" },
+  { CSP_EVENT_CORDONED, CSP_LEVEL_WARNING, "cordoned" },
+  { CSP_EVENT_CORDON_LIFTED, CSP_LEVEL_INFO, "cordon-lifted" },
   { CSP_EVENT_PEER_ALIVE, CSP_LEVEL_INFO, "peer-alive" },
   { CSP_EVENT_PEER_SILENT, CSP_LEVEL_WARNING, "peer-silent" },
   { CSP_EVENT_PEER_REFUSED, CSP_LEVEL_WARNING, "peer-refused" },
--- a/tests/adapter/store-test.c
+++ b/tests/adapter/store-test.c
@@ -342,6 +342,88 @@
 }
 END_TEST
 
+/* What an operator, or anybody else, may leave as the value of an evacuation.
+   The key alone says it.  */
+static const char *const evacuation_values[] = {
+  "\"e30=\"", "\"\"", "\"***\"", "null", "7", "\"/////w==\"",
+};
+
+#define CORDONED "gateway_cordoned{data_centre=\"z\"} 1\n"
+
+/* The operator evacuates a zone and takes it back.  A host that reads the
+   value, or misses the key's deletion while the store forgets its history,
+   sends there what is lost, or leaves a quarter of the engines idle.  */
+START_TEST (a_zone_is_evacuated_and_taken_back)
+{
+  char body[8192];
+  int link = list_all ();
+
+  await_call (link, "/kv-watch?");
+  snprintf (body, sizeof body,
+            "{\"events\":[{\"key\":\"op/evacuate/z\",\"value\":%s,"
+            "\"revision\":41}],\"as_of\":41}",
+            evacuation_values[_i]);
+  answer (link, 200, body);
+  await_call (link, "/kv-watch?path_prefix=&after=41&");
+  await_page ("/metrics", CORDONED);
+  answer (link, 200,
+          "{\"events\":[{\"key\":\"op/evacuate/z\",\"revision\":42,"
+          "\"deleted\":true}],\"as_of\":42}");
+  await_call (link, "/kv-watch?path_prefix=&after=42&");
+  while (strstr (fixture_page (&fixture, "/metrics"), CORDONED) != NULL)
+    continue;
+  close (link);
+}
+END_TEST
+
+START_TEST (a_zone_that_was_taken_back_unseen_is_found)
+{
+  char body[8192];
+  int link = list_all ();
+
+  await_call (link, "/kv-watch?");
+  snprintf (body, sizeof body, "{\"events\":[%s],\"as_of\":41}",
+            item ("op/evacuate/z", 41, "{}"));
+  answer (link, 200, body);
+  await_page ("/metrics", CORDONED);
+  await_call (link, "/kv-watch?");
+  answer (link, 410, "{\"error\":\"compacted\"}");
+  close (link);
+  link = target_accept (store);
+  await_call (link, "/kv-range?path_prefix= ");
+  snprintf (body, sizeof body,
+            "{\"items\":[%s],\"has_more\":false,\"as_of\":90}",
+            item ("op/config", 30, CONFIG ("7")));
+  answer (link, 200, body);
+  while (strstr (fixture_page (&fixture, "/metrics"), CORDONED) != NULL)
+    continue;
+  close (link);
+}
+END_TEST
+
+/* Keys that name no zone, between good ones, change nothing.  */
+START_TEST (evacuations_without_a_name_are_passed_over)
+{
+  char body[8192];
+  int link = list_all ();
+
+  await_call (link, "/kv-watch?");
+  snprintf (
+      body, sizeof body, "{\"events\":[%s,%s,%s],\"as_of\":44}",
+      item ("op/evacuate/", 41, "{}"),
+      item ("op/evacuate/"
+            "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+            "aaaa",
+            42, "{}"),
+      item ("servers/i-2", 43, SERVER ("ready")));
+  answer (link, 200, body);
+  await_page ("/metrics", "gateway_targets 2\n");
+  ck_assert_ptr_null (
+      strstr (fixture_page (&fixture, "/metrics"), "gateway_cordoned{"));
+  close (link);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -359,6 +441,10 @@
   tcase_add_test (tcase, bad_items_are_passed_over);
   tcase_add_loop_test (tcase, an_entry_that_turns_bad_names_no_server, 0,
                        sizeof spoilt_values / sizeof spoilt_values[0]);
+  tcase_add_loop_test (tcase, a_zone_is_evacuated_and_taken_back, 0,
+                       sizeof evacuation_values / sizeof evacuation_values[0]);
+  tcase_add_test (tcase, a_zone_that_was_taken_back_unseen_is_found);
+  tcase_add_test (tcase, evacuations_without_a_name_are_passed_over);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
--- a/tests/dispatch/dispatch-move-test.c
+++ b/tests/dispatch/dispatch-move-test.c
@@ -34,15 +34,28 @@
 }
 
 static void
-list (const char *id, bool leaving)
+list_row (const char *id, const char *data_centre, bool leaving)
 {
   csp_fleet_row_t row = { .slots = 24, .leaving = leaving };
 
   snprintf (row.id, sizeof row.id, "%s", id);
   snprintf (row.service, sizeof row.service, "s");
+  snprintf (row.data_centre, sizeof row.data_centre, "%s", data_centre);
   ck_assert (csp_list_target (fleet, &row, 0));
 }
 
+static void
+list (const char *id, bool leaving)
+{
+  list_row (id, "near", leaving);
+}
+
+static void
+list_in (const char *id, const char *data_centre)
+{
+  list_row (id, data_centre, false);
+}
+
 static void
 set_up (void)
 {
@@ -267,6 +280,26 @@
 }
 END_TEST
 
+/* Operators cordon the data centre of an engine that kept room for a stream
+   that waits.  Moved there it would be lost with the power.  */
+START_TEST (room_in_a_cordoned_data_centre_is_found_elsewhere)
+{
+  list ("t", true);
+  list_in ("w", "other");
+  tell ("v", 2);
+  tell ("w", 2);
+  ask_to_move (1, "t", 3000, 0);
+  ask_to_move (2, "t", 1000, 0);
+  csp_clear_other_loads (fleet);
+  ck_assert_int_eq (csp_cordon_targets (fleet, "near", true, 5),
+                    CSP_CORDON_CHANGED);
+  csp_cancel_ask (dispatch, host, 1);
+  csp_pump_dispatch (dispatch, 10);
+  expect (2, CSP_ASK_PLACED);
+  ck_assert_uint_eq (last_answer (2)->target, hash_of ("w"));
+}
+END_TEST
+
 /* A host dies with a stream that waits and one that is under way, or its words
    are lost.  Others must not wait for them for long, and their room is free.
  */
@@ -323,6 +356,7 @@
   tcase_add_test (tcase, a_stream_without_room_goes_before_new_requests);
   tcase_add_test (tcase, a_target_that_refused_is_left_out);
   tcase_add_test (tcase, room_at_a_target_that_leaves_is_found_elsewhere);
+  tcase_add_test (tcase, room_in_a_cordoned_data_centre_is_found_elsewhere);
   tcase_add_test (tcase, streams_of_silent_hosts_are_dropped);
   tcase_add_test (tcase, a_move_that_is_under_way_is_answered_again);
   tcase_add_test (tcase, a_stream_of_an_unknown_target_is_refused);
--- /dev/null
+++ b/tests/fleet/fleet-cordon-test.c
@@ -0,0 +1,129 @@
+#include "cowslipspoke/fleet.h"
+
+#include "cowslipspoke/hash.h"
+
+#include "support/run-suite.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Data centres that operators have cordoned.  They take the power away some
+   seconds behind their word; a host that goes on choosing targets there loses
+   each of those requests, and its callers see answers that break off.  */
+
+static csp_fleet_t *fleet;
+static csp_random_t lots;
+
+static void
+set_up (void)
+{
+  csp_seed_random (&lots, 11);
+  fleet = csp_create_fleet (NULL, NULL, NULL);
+  ck_assert_ptr_nonnull (fleet);
+}
+
+static void
+tear_down (void)
+{
+  csp_destroy_fleet (fleet);
+}
+
+static void
+list (const char *id, const char *data_centre)
+{
+  csp_fleet_row_t row = { .slots = 8 };
+
+  snprintf (row.id, sizeof row.id, "%s", id);
+  snprintf (row.service, sizeof row.service, "s");
+  snprintf (row.data_centre, sizeof row.data_centre, "%s", data_centre);
+  ck_assert (csp_list_target (fleet, &row, 0));
+}
+
+/* What happens, one step after another: '+x' cordons data centre x, '-x' lifts
+   its cordon, 'x' alone lists a target t-x there; and where a request of data
+   centre a and a copy from there may go.  */
+static const struct
+{
+  const char *what;
+  const char *steps[6];
+  const char *chosen;
+  bool service_cordoned;
+} stories[] = {
+  { "both serve", { "a", "b" }, "t-a", false },
+  { "the own one is cordoned", { "a", "b", "+a" }, "t-b", false },
+  { "before a target there is listed", { "+a", "a", "b" }, "t-b", false },
+  { "an entry written anew changes nothing",
+    { "a", "b", "+a", "a" },
+    "t-b",
+    false },
+  { "all are cordoned", { "a", "b", "+a", "+b" }, "none", true },
+  { "one is taken back", { "a", "b", "+a", "+b", "-a" }, "t-a", false },
+  { "twice cordoned, once taken back",
+    { "a", "+a", "+a", "-a" },
+    "t-a",
+    false },
+  { "one that nobody knows", { "a", "+c" }, "t-a", false },
+  { "no targets at all", { "+a" }, "none", false },
+};
+
+START_TEST (a_cordoned_data_centre_gets_nothing_new)
+{
+  csp_fleet_need_t need
+      = { .service = "s",
+          .data_centre = (uint32_t)csp_hash_pair ("data_centre", "a") };
+  const char *const *step = stories[_i].steps;
+  const csp_fleet_target_t *chosen;
+  char id[16];
+  int copies;
+
+  for (; *step != NULL; step++)
+    if (**step == '+' || **step == '-')
+      csp_cordon_targets (fleet, *step + 1, **step == '+', 0);
+    else
+      {
+        snprintf (id, sizeof id, "t-%s", *step);
+        list (id, *step);
+      }
+  for (copies = 0; copies < 2; copies++)
+    {
+      need.is_copy = copies;
+      need.by_memory = copies;
+      chosen = csp_choose_fleet_target (fleet, &need, &lots, 1);
+      ck_assert_msg (
+          strcmp (chosen == NULL ? "none" : chosen->row.id, stories[_i].chosen)
+              == 0,
+          "%s", stories[_i].what);
+    }
+  ck_assert_msg (csp_is_service_cordoned (fleet, "s")
+                     == stories[_i].service_cordoned,
+                 "%s", stories[_i].what);
+}
+END_TEST
+
+/* What the engines there hold is no room for anybody: a pool whose half is
+   cordoned counts as full when the other half is.  */
+START_TEST (a_cordoned_engine_is_no_room)
+{
+  list ("t-a", "a");
+  list ("t-b", "b");
+  csp_find_fleet_target (fleet, "t-a")->own.tokens = 1000;
+  ck_assert_double_eq (csp_find_pool_share (fleet, "s", 1000, 0), 0.5);
+  csp_cordon_targets (fleet, "b", true, 0);
+  ck_assert_double_eq (csp_find_pool_share (fleet, "s", 1000, 0), 1.0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("fleet-cordon");
+  TCase *tcase = tcase_create ("fleet-cordon");
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_loop_test (tcase, a_cordoned_data_centre_gets_nothing_new, 0,
+                       sizeof stories / sizeof stories[0]);
+  tcase_add_test (tcase, a_cordoned_engine_is_no_room);
+  suite_add_tcase (suite, tcase);
+  return run_suite (suite);
+}
