Cold engines get what they stand, counted by who decides for the fleet

Ruled out: a share for each host: 57 a second over 60 hosts is less than one each. Placing by rate alone: hosts behind a cut or a takeover don't know what others gave. Change: places at cold engines are given by the host that decides alone, from the lease pool that lends retries (a grant counts for 1.5 s, a host that takes over waits as long, a cut divides it); half of the bound is given. Hosts that place by themselves, and backups, leave cold targets out. A data centre whose cordon is lifted counts as cold. Rate and time come with the services, overage and tolerance with the settings where a deployment has them.

--- a/include/cowslipspoke/dispatch.h
+++ b/include/cowslipspoke/dispatch.h
@@ -50,6 +50,11 @@
                                      uint64_t seed);
 void csp_destroy_dispatch (csp_dispatch_t *dispatch);
 
+/* Whether this host decides, and for how much of the fleet: it counts where
+   targets are cold, see warmup.h.  Call it whenever that changes.  */
+void csp_note_dispatch_duty (csp_dispatch_t *dispatch,
+                             const csp_warmup_duty_t *duty);
+
 /* An ask came, maybe not for the first time.  The answer is told before this
    returns: what it got, or that it waits.  service and memory_tokens are those
    of the engines that may run it.  */
--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -4,6 +4,7 @@
 #include "cowslipspoke/cordon.h"
 #include "cowslipspoke/random.h"
 #include "cowslipspoke/roster.h"
+#include "cowslipspoke/warmup.h"
 
 #include <netinet/in.h>
 #include <stdbool.h>
@@ -58,6 +59,7 @@
   csp_fleet_row_t row;
   csp_fleet_state_t state;
   int64_t warm_at_ms;
+  csp_warmup_t warmup; /* its places until then */
   int64_t lapses_at_ms;
   uint64_t hash;             /* of id and start, by which hosts speak of it */
   uint32_t data_centre;      /* hash of its name */
@@ -114,6 +116,21 @@
                                         int64_t now_ms);
 const csp_cordons_t *csp_fleet_cordons (const csp_fleet_t *fleet);
 
+/* What a service's targets stand while they are cold; bound_per_s of 0: any
+   load.  */
+bool csp_set_cold_bound (csp_fleet_t *fleet, const char *service,
+                         uint32_t cold_ms, uint32_t bound_per_s);
+
+/* Whether a target is cold, and may not get more than a bound.  */
+bool csp_is_paced (const csp_fleet_target_t *target, int64_t now_ms);
+
+/* Whether this host may give a place there, and that it has given one.  duty:
+   NULL where it gives none at cold targets.  */
+bool csp_may_give_place (csp_fleet_target_t *target,
+                         const csp_warmup_duty_t *duty, int64_t now_ms);
+void csp_note_place_given (csp_fleet_target_t *target,
+                           const csp_warmup_duty_t *duty, int64_t now_ms);
+
 /* Whether a target may be given anything new: it doesn't leave, and isn't
    cordoned.  */
 bool csp_takes_new_work (const csp_fleet_target_t *target);
@@ -174,6 +191,8 @@
      nothing else; half of it while they warm up.  0: all do.  */
   uint64_t reading_tokens_max;
   bool repeatable; /* it may go to a target that is cut off, if need be */
+  /* For whom this host gives places at cold targets; NULL: for nobody.  */
+  const csp_warmup_duty_t *duty;
   const csp_fleet_target_t *not_this;
   const csp_fleet_target_t *nor_this;
 } csp_fleet_need_t;
--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -46,6 +46,10 @@
   double retry_start;
   uint32_t retry_extra;
   uint32_t retry_window_ms;
+  /* A cold target may get its service's rate times the first and the second
+     more requests in a second, of all hosts together.  */
+  double cold_overage;
+  double cold_tolerance;
 } csp_gateway_settings_t;
 
 typedef enum
--- a/include/cowslipspoke/retry-lease.h
+++ b/include/cowslipspoke/retry-lease.h
@@ -37,6 +37,7 @@
 {
   uint32_t extra;     /* that the whole fleet may send in any window */
   uint32_t window_ms; /* in which operators count */
+  uint32_t lease_ms;  /* for which a grant may be used; 0: CSP_LEASE_MS */
 } csp_lease_policy_t;
 
 /* One service's pool; a plain value.  */
@@ -66,6 +67,10 @@
 void csp_note_lease_duty (csp_lease_pool_t *pool, bool decides,
                           int64_t now_ms);
 
+/* How many could be granted now.  */
+uint32_t csp_count_lendable (csp_lease_pool_t *pool,
+                             const csp_lease_facts_t *facts, int64_t now_ms);
+
 /* How many of the wanted retries a host may spend until CSP_LEASE_MS behind
    its question.  */
 uint32_t csp_grant_leases (csp_lease_pool_t *pool,
--- a/include/cowslipspoke/route.h
+++ b/include/cowslipspoke/route.h
@@ -59,6 +59,10 @@
   bool moves_runs;    /* a run's memory can be copied on demand */
   uint32_t memory_tokens;
   double copy_ms_per_token; /* of a run's memory, within a data centre */
+  /* Behind its start, and behind a cordon, a target is cold for that long, and
+     stands so many requests a second meanwhile; 0: any.  */
+  uint32_t cold_ms;
+  double cold_rate_per_s;
 } csp_route_service_t;
 
 /* What callers may send and how long they may take.  */
--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -69,6 +69,7 @@
   void *state;
   csp_random_t random;
   uint64_t next_id;
+  csp_warmup_duty_t duty;
   size_t pool_count;
   csp_dispatch_pool_t pools[CSP_DISPATCH_POOLS_MAX];
   size_t organisation_count;
--- a/source/dispatch/dispatch-move.c
+++ b/source/dispatch/dispatch-move.c
@@ -190,6 +190,7 @@
                             .memory_tokens = pool->memory_tokens,
                             .tokens = move->ask.tokens,
                             .is_copy = true,
+                            .duty = &dispatch->duty,
                             .not_this = move->from,
                             .nor_this = csp_find_hashed_target (
                                 dispatch->fleet, move->ask.refused_at) };
@@ -221,7 +222,7 @@
 
 /* The next stream whose links are free; NULL where there is none.  */
 static csp_dispatch_move_t *
-next_move (csp_dispatch_t *dispatch, uint8_t pool)
+next_move (csp_dispatch_t *dispatch, uint8_t pool, int64_t now_ms)
 {
   csp_dispatch_move_t *best = NULL;
   size_t i;
@@ -232,6 +233,7 @@
 
       if (move->used && move->pool == pool && move->to != NULL
           && !move->started && goes_before (move, best)
+          && csp_may_give_place (move->to, &dispatch->duty, now_ms)
           && !link_is_busy (dispatch, move->from)
           && !link_is_busy (dispatch, move->to))
         best = move;
@@ -247,6 +249,7 @@
 
   give_up_room (move);
   csp_reserve_place (dispatch, move->to, ask.tokens, 0, now_ms);
+  csp_note_place_given (move->to, &dispatch->duty, now_ms);
   move->started = true;
   move->started_ms = now_ms;
   csp_answer_ask (dispatch, &ask, CSP_ASK_PLACED, move->to->hash, 0);
@@ -270,6 +273,6 @@
       if (move->to == NULL)
         find_room (dispatch, move, now_ms);
     }
-  while ((move = next_move (dispatch, pool)) != NULL)
+  while ((move = next_move (dispatch, pool, now_ms)) != NULL)
     start_move (dispatch, move, now_ms);
 }
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -53,6 +53,13 @@
   free (dispatch);
 }
 
+void
+csp_note_dispatch_duty (csp_dispatch_t *dispatch,
+                        const csp_warmup_duty_t *duty)
+{
+  dispatch->duty = *duty;
+}
+
 static csp_waiting_ask_t *
 find_waiting (csp_dispatch_t *dispatch, csp_peer_address_t host, uint64_t id)
 {
@@ -174,7 +181,8 @@
                             .memory_share_max = place_share_max,
                             .tokens = ask->tokens,
                             .prompt_tokens = ask->prompt_tokens,
-                            .reading_tokens_max = READING_TOKENS_MAX };
+                            .reading_tokens_max = READING_TOKENS_MAX,
+                            .duty = &dispatch->duty };
 
   return csp_choose_fleet_target (dispatch->fleet, &need, &dispatch->random,
                                   now_ms);
@@ -271,6 +279,7 @@
   give_room (dispatch, waiting);
   csp_reserve_place (dispatch, target, ask.tokens, ask.prompt_tokens, now_ms);
   csp_note_prompt_given (target, ask.prompt_tokens, now_ms);
+  csp_note_place_given (target, &dispatch->duty, now_ms);
   csp_answer_ask (dispatch, &ask, CSP_ASK_PLACED, target->hash, 0);
 }
 
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -222,7 +222,7 @@
 }
 
 static bool
-may_get (const csp_fleet_target_t *target, const csp_fleet_need_t *need,
+may_get (csp_fleet_target_t *target, const csp_fleet_need_t *need,
          int64_t now_ms)
 {
   if (reads_too_much (target, need, now_ms)
@@ -234,8 +234,9 @@
   if (need->memory_share_max > 0
       && memory_share (target, need) > need->memory_share_max)
     return false;
-  return csp_takes_new_work (target) && target != need->not_this
-         && target != need->nor_this
+  return csp_takes_new_work (target)
+         && csp_may_give_place (target, need->duty, now_ms)
+         && target != need->not_this && target != need->nor_this
          && strcmp (target->row.service, need->service) == 0;
 }
 
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -14,6 +14,19 @@
   csp_index_node_t by_id;
 } listed_target_t;
 
+enum
+{
+  CSP_COLD_SERVICES_MAX = 16
+};
+
+/* What the targets of one service stand while they are cold.  */
+typedef struct
+{
+  char service[CSP_TARGET_NAME_BYTES];
+  uint32_t cold_ms;
+  uint32_t bound_per_s;
+} csp_cold_service_t;
+
 struct csp_fleet
 {
   csp_fleet_left_t left;
@@ -26,6 +39,8 @@
   csp_index_t by_id;
   uint64_t additions;
   csp_cordons_t *cordons;
+  size_t cold_count;
+  csp_cold_service_t cold[CSP_COLD_SERVICES_MAX];
   bool platform_reachable;
   /* Removals up to then may be the platform's own outage.  */
   int64_t distrust_until_ms;
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -150,6 +150,7 @@
   csp_copy_text (listed->target.row.id, sizeof listed->target.row.id, id);
   listed->target.row.born_ms = born_ms;
   listed->target.hash = hash_of_start (id, born_ms);
+  csp_open_warmup (&listed->target.warmup, 0);
   csp_add_to_index (&fleet->by_start, &listed->by_start, listed->target.hash);
   csp_add_to_index (&fleet->by_id, &listed->by_id, hash_of_id (id));
   fleet->targets[fleet->count++] = &listed->target;
@@ -216,6 +217,84 @@
   return row->born_ms != 0 && row->born_ms < target->row.born_ms;
 }
 
+static csp_cold_service_t *
+find_cold_service (csp_fleet_t *fleet, const char *service)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->cold_count; i++)
+    if (strcmp (fleet->cold[i].service, service) == 0)
+      return &fleet->cold[i];
+  return NULL;
+}
+
+static void
+pace_target (csp_fleet_t *fleet, csp_fleet_target_t *target)
+{
+  const csp_cold_service_t *cold
+      = find_cold_service (fleet, target->row.service);
+
+  csp_set_warmup_bound (&target->warmup, cold == NULL ? 0 : cold->bound_per_s);
+}
+
+bool
+csp_set_cold_bound (csp_fleet_t *fleet, const char *service, uint32_t cold_ms,
+                    uint32_t bound_per_s)
+{
+  csp_cold_service_t *cold = find_cold_service (fleet, service);
+  size_t i;
+
+  if (cold == NULL && bound_per_s == 0)
+    return true;
+  if (cold == NULL && fleet->cold_count == CSP_COLD_SERVICES_MAX)
+    return false;
+  if (cold == NULL)
+    {
+      cold = &fleet->cold[fleet->cold_count++];
+      csp_copy_text (cold->service, sizeof cold->service, service);
+    }
+  cold->cold_ms = cold_ms;
+  cold->bound_per_s = bound_per_s;
+  for (i = 0; i < fleet->count; i++)
+    pace_target (fleet, fleet->targets[i]);
+  return true;
+}
+
+/* Engines whose data centre is taken back may have become cold without a word
+   of their own so far.  */
+static void
+expect_cold (csp_fleet_t *fleet, csp_fleet_target_t *target, int64_t now_ms)
+{
+  const csp_cold_service_t *cold
+      = find_cold_service (fleet, target->row.service);
+
+  if (cold != NULL && target->warm_at_ms < now_ms + cold->cold_ms)
+    target->warm_at_ms = now_ms + cold->cold_ms;
+}
+
+bool
+csp_is_paced (const csp_fleet_target_t *target, int64_t now_ms)
+{
+  return target->warmup.bound_per_s > 0 && now_ms < target->warm_at_ms;
+}
+
+bool
+csp_may_give_place (csp_fleet_target_t *target, const csp_warmup_duty_t *duty,
+                    int64_t now_ms)
+{
+  return !csp_is_paced (target, now_ms)
+         || (duty != NULL
+             && csp_has_warmup_place (&target->warmup, duty, now_ms));
+}
+
+void
+csp_note_place_given (csp_fleet_target_t *target,
+                      const csp_warmup_duty_t *duty, int64_t now_ms)
+{
+  if (csp_is_paced (target, now_ms))
+    csp_take_warmup_place (&target->warmup, duty, now_ms);
+}
+
 bool
 csp_list_target (csp_fleet_t *fleet, const csp_fleet_row_t *row,
                  int64_t now_ms)
@@ -235,6 +314,7 @@
   target->cordoned
       = csp_find_cordon (fleet->cordons, row->data_centre) != NULL;
   target->warm_at_ms = now_ms + row->warming_up_ms;
+  pace_target (fleet, target);
   /* One start of a target never takes its leaving back.  */
   if (target->state == CSP_FLEET_LEAVING)
     return true;
@@ -295,8 +375,15 @@
   if (result != CSP_CORDON_CHANGED)
     return result;
   for (i = 0; i < fleet->count; i++)
-    if (strcmp (fleet->targets[i]->row.data_centre, data_centre) == 0)
-      fleet->targets[i]->cordoned = cordoned;
+    {
+      csp_fleet_target_t *target = fleet->targets[i];
+
+      if (strcmp (target->row.data_centre, data_centre) != 0)
+        continue;
+      target->cordoned = cordoned;
+      if (!cordoned)
+        expect_cold (fleet, target, now_ms);
+    }
   return result;
 }
 
--- a/source/gateway/gateway-backup.c
+++ b/source/gateway/gateway-backup.c
@@ -100,6 +100,8 @@
 csp_backup_stands (const csp_exchange_t *exchange)
 {
   return exchange->backup != NULL && csp_takes_new_work (exchange->backup)
+         && !csp_is_paced (exchange->backup,
+                           csp_gateway_now_ms (exchange->gateway))
          && exchange->run_since_ms != 0;
 }
 
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -327,6 +327,10 @@
 /* Who decides has changed.  */
 void csp_note_lease_duties (csp_gateway_t *gateway);
 
+/* For which part of the fleet this host decides, where targets are cold.  Call
+   it now and then.  */
+void csp_note_warmup_duty (csp_gateway_t *gateway);
+
 /* Give places that have come free.  */
 void csp_pump_places (csp_gateway_t *gateway);
 
--- a/source/gateway/gateway-lease.c
+++ b/source/gateway/gateway-lease.c
@@ -43,15 +43,35 @@
   return distinct;
 }
 
-static uint32_t
-grant (csp_gateway_t *gateway, csp_service_budget_t *row, uint32_t wanted)
+static csp_lease_facts_t
+facts_of_fleet (const csp_gateway_t *gateway)
 {
-  int64_t now_ms = csp_gateway_now_ms (gateway);
   csp_lease_facts_t facts
       = { .hosts_asking = csp_count_askers (gateway->roster),
           .hosts_known = csp_count_known_hosts (gateway->roster),
           .data_centres_heard = csp_count_heard_data_centres (gateway->roster),
           .data_centres_listed = count_listed_data_centres (gateway) };
+
+  return facts;
+}
+
+void
+csp_note_warmup_duty (csp_gateway_t *gateway)
+{
+  csp_warmup_duty_t duty
+      = { .decides = csp_is_same_peer (gateway->decider, gateway->self),
+          .decides_since_ms = gateway->decider_since_ms };
+
+  if (duty.decides)
+    duty.fleet = facts_of_fleet (gateway);
+  csp_note_dispatch_duty (gateway->dispatch, &duty);
+}
+
+static uint32_t
+grant (csp_gateway_t *gateway, csp_service_budget_t *row, uint32_t wanted)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  csp_lease_facts_t facts = facts_of_fleet (gateway);
   uint32_t granted;
 
   csp_note_lease_duty (&row->leases,
@@ -219,4 +239,5 @@
   for (i = 0; i < gateway->budget_count; i++)
     csp_note_lease_duty (&gateway->budgets[i].leases, decides,
                          csp_gateway_now_ms (gateway));
+  csp_note_warmup_duty (gateway);
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -115,6 +115,33 @@
   csp_drop_links (target);
 }
 
+/* Tell the fleet what the targets of each service stand while they are cold.
+ */
+static void
+bound_cold_targets (csp_gateway_t *gateway)
+{
+  const csp_gateway_settings_t *settings = &gateway->settings;
+  const csp_route_service_t *service;
+  size_t i;
+
+  for (i = 0; (service = csp_list_route_service (gateway->routes, i)) != NULL;
+       i++)
+    {
+      double bound = service->cold_rate_per_s * settings->cold_overage
+                     + settings->cold_tolerance;
+      bool bounded = service->cold_ms > 0 && service->cold_rate_per_s > 0;
+
+      if (!csp_set_cold_bound (gateway->fleet, service->name, service->cold_ms,
+                               bounded ? (uint32_t)bound : 0))
+        CSP_LOG (gateway->log, CSP_EVENT_CONFIGURATION_BAD, NULL,
+                 csp_number ("revision",
+                             (int64_t)csp_routes_version (gateway->routes)),
+                 csp_number ("refused_revision", -1),
+                 csp_text ("fault", "too many services whose targets are cold "
+                                    "behind their start"));
+    }
+}
+
 /* A boot that has shown a version's effect never acts on an older one.  */
 static void
 take_routes (csp_gateway_t *gateway, csp_routes_t *routes)
@@ -133,6 +160,7 @@
     }
   csp_release_routes (gateway->routes);
   gateway->routes = routes;
+  bound_cold_targets (gateway);
   CSP_LOG (gateway->log, CSP_EVENT_CONFIGURATION_TAKEN, NULL,
            csp_number ("revision", (int64_t)version));
 }
@@ -273,6 +301,7 @@
   csp_judge_reach (gateway);
   csp_watch_streams (gateway);
   csp_ask_reports (gateway);
+  csp_note_warmup_duty (gateway);
   csp_pump_places (gateway);
   /* The balancer leaves this host out by now; on connections that stay open
      callers would go on being turned away.  */
--- a/source/retry/retry-lease.c
+++ b/source/retry/retry-lease.c
@@ -14,7 +14,10 @@
 static int64_t
 counted_ms (const csp_lease_pool_t *pool)
 {
-  return CSP_LEASE_MS + (int64_t)pool->policy.window_ms;
+  int64_t lease_ms
+      = pool->policy.lease_ms > 0 ? pool->policy.lease_ms : CSP_LEASE_MS;
+
+  return lease_ms + (int64_t)pool->policy.window_ms;
 }
 
 /* Rounded up, so that nothing is forgotten early; a step is only half over
@@ -91,8 +94,8 @@
 }
 
 uint32_t
-csp_grant_leases (csp_lease_pool_t *pool, const csp_lease_facts_t *facts,
-                  uint32_t wanted, int64_t now_ms)
+csp_count_lendable (csp_lease_pool_t *pool, const csp_lease_facts_t *facts,
+                    int64_t now_ms)
 {
   uint32_t limit = limit_of (pool, facts);
   uint32_t leased;
@@ -101,10 +104,19 @@
     return 0;
   turn_steps (pool, now_ms);
   leased = csp_count_leased (pool, now_ms);
-  if (leased >= limit)
+  return leased < limit ? limit - leased : 0;
+}
+
+uint32_t
+csp_grant_leases (csp_lease_pool_t *pool, const csp_lease_facts_t *facts,
+                  uint32_t wanted, int64_t now_ms)
+{
+  uint32_t lendable = csp_count_lendable (pool, facts, now_ms);
+
+  if (wanted > lendable)
+    wanted = lendable;
+  if (wanted == 0)
     return 0;
-  if (wanted > limit - leased)
-    wanted = limit - leased;
   pool->granted[pool->step % CSP_LEASE_STEPS] += wanted;
   return wanted;
 }
--- a/tests/adapter/adapter-test.c
+++ b/tests/adapter/adapter-test.c
@@ -17,7 +17,8 @@
   "\"path_prefix\":\"/p/\",\"route_kind\":\"" kind "\",\"timeout_ms\":1200,"  \
   "\"slo_ms\":150,\"priority\":2,\"max_attempts\":2,\"public\":false,"        \
   "\"gap_target_ms\":180," extra "}],"                                        \
-  "\"services\":[{\"name\":\"e\",\"max_conns\":252,\"engine\":{"              \
+  "\"services\":[{\"name\":\"e\",\"max_conns\":252,\"cold_s\":1.5,"           \
+  "\"cold_per_s\":35.0,\"engine\":{"                                          \
   "\"kv_capacity\":34288,\"kv_bytes\":131072,\"link_mbps\":19000.0,"          \
   "\"moves\":true,\"backups\":true}},{\"name\":\"p\",\"max_conns\":110}],"    \
   "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"        \
@@ -52,7 +53,10 @@
              && service->moves_runs);
   ck_assert_uint_eq (service->memory_tokens, 34288);
   ck_assert_double_eq_tol (service->copy_ms_per_token, 0.0552, 0.0001);
-  ck_assert (!csp_get_route_service (routes, "p")->is_engine);
+  ck_assert_uint_eq (service->cold_ms, 1500);
+  ck_assert_double_eq (service->cold_rate_per_s, 35);
+  service = csp_get_route_service (routes, "p");
+  ck_assert (!service->is_engine && service->cold_rate_per_s <= 0);
   csp_release_routes (routes);
 }
 END_TEST
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -325,6 +325,46 @@
 }
 END_TEST
 
+/* A data centre has come back: one empty engine that is cold beside a full
+   one, and twenty short requests that waited.  Its slots and memory take them
+   all at once, it stands two a second, and it crashes.  */
+START_TEST (a_cold_engine_gets_no_more_than_it_stands)
+{
+  enum
+  {
+    ASKS = 20,
+    BOUND = 4
+  };
+  const csp_warmup_duty_t duty = { .decides = true,
+                                   .fleet = { .hosts_asking = 1,
+                                              .hosts_known = 1,
+                                              .data_centres_heard = 1,
+                                              .data_centres_listed = 1 } };
+  csp_fleet_row_t cold
+      = { .id = "v", .service = "s", .slots = 24, .warming_up_ms = 5000 };
+  csp_ask_t row = { .host = there,
+                    .organisation = 1,
+                    .tokens = 10,
+                    .start_within_ms = PATIENCE_MS };
+  int placed = 0;
+
+  ck_assert (csp_set_cold_bound (fleet, "s", 5000, BOUND));
+  csp_note_dispatch_duty (dispatch, &duty);
+  csp_unlist_target (fleet, "t", 0);
+  csp_unlist_target (fleet, "u", 0);
+  ck_assert (csp_list_target (fleet, &cold, 10000));
+  for (row.id = 1; row.id <= ASKS; row.id++)
+    {
+      csp_push_ask (dispatch, &row, "s", MEMORY, 10000);
+      placed += answers[answer_count - 1].outcome == CSP_ASK_PLACED;
+    }
+  ck_assert_int_eq (placed, BOUND / 2);
+  /* Warm, it takes what is left.  */
+  csp_pump_dispatch (dispatch, 15000);
+  ck_assert_uint_eq (csp_count_waiting_asks (dispatch), 0);
+}
+END_TEST
+
 /* One prompt alone is placed, however long it is.  */
 START_TEST (a_long_prompt_finds_an_engine_that_reads_nothing)
 {
@@ -357,6 +397,7 @@
   tcase_add_test (tcase, slots_are_places_too);
   tcase_add_test (
       tcase, a_new_engine_is_not_given_more_prompts_than_it_reads_in_time);
+  tcase_add_test (tcase, a_cold_engine_gets_no_more_than_it_stands);
   tcase_add_test (tcase, a_long_prompt_finds_an_engine_that_reads_nothing);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
--- a/tests/fleet/fleet-cordon-test.c
+++ b/tests/fleet/fleet-cordon-test.c
@@ -114,6 +114,53 @@
 }
 END_TEST
 
+/* A host that places by itself, while nobody decides, knows nothing of what
+   sixty others send in the same moment; so it leaves cold targets out.  A data
+   centre that is taken back may be cold without a word of it yet.  */
+static const struct
+{
+  const char *what;
+  uint32_t bound_per_s;
+  uint32_t warming_up_ms;
+  bool cordoned_before;
+  const char *chosen;
+} colds[] = {
+  { "a warm one", 10, 0, false, "t-a" },
+  { "a cold one", 10, 1000, false, "t-b" },
+  { "a cold one that stands any load", 0, 1000, false, "t-a" },
+  { "behind a cordon", 10, 0, true, "t-b" },
+  { "behind a cordon, where none grow cold", 0, 0, true, "t-a" },
+};
+
+START_TEST (a_host_alone_leaves_cold_targets_out)
+{
+  csp_fleet_need_t need
+      = { .service = "s",
+          .data_centre = (uint32_t)csp_hash_pair ("data_centre", "a") };
+  csp_fleet_row_t row = { .id = "t-a",
+                          .service = "s",
+                          .data_centre = "a",
+                          .warming_up_ms = colds[_i].warming_up_ms };
+  const csp_fleet_target_t *chosen;
+
+  ck_assert (csp_set_cold_bound (fleet, "s", 1000, colds[_i].bound_per_s));
+  list ("t-b", "b");
+  csp_find_fleet_target (fleet, "t-b")->own.requests = 20;
+  if (colds[_i].cordoned_before)
+    csp_cordon_targets (fleet, "a", true, 0);
+  ck_assert (csp_list_target (fleet, &row, 0));
+  if (colds[_i].cordoned_before)
+    csp_cordon_targets (fleet, "a", false, 0);
+  chosen = csp_choose_fleet_target (fleet, &need, &lots, 999);
+  ck_assert_msg (chosen != NULL
+                     && strcmp (chosen->row.id, colds[_i].chosen) == 0,
+                 "%s", colds[_i].what);
+  chosen = csp_choose_fleet_target (fleet, &need, &lots, 1001);
+  ck_assert_ptr_nonnull (chosen);
+  ck_assert_str_eq (chosen->row.id, "t-a");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -124,6 +171,8 @@
   tcase_add_loop_test (tcase, a_cordoned_data_centre_gets_nothing_new, 0,
                        sizeof stories / sizeof stories[0]);
   tcase_add_test (tcase, a_cordoned_engine_is_no_room);
+  tcase_add_loop_test (tcase, a_host_alone_leaves_cold_targets_out, 0,
+                       sizeof colds / sizeof colds[0]);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
