The soak evacuates zones and starts engines cold

Change: the stand-ins tell zones and cold engines (--zones), the ledger checks that no request reaches a zone 2.5 s behind its evacuation, and that a cold engine gets no more than 9 in a second of all hosts together.

--- a/tests/soak/soak-host.c
+++ b/tests/soak/soak-host.c
@@ -55,12 +55,14 @@
     soak_print_address (&soak->hosts[i % soak->host_count].peers, seeds[i]);
   fprintf (
       file,
-      "{\"host\":\"%s\",\"data_centre\":\"z\",\"callers\":\"%s\","
+      "{\"host\":\"%s\",\"data_centre\":\"%s\",\"callers\":\"%s\","
       "\"readiness\":\"%s\",\"metrics\":\"127.0.0.1:0\","
       "\"peers\":\"%s\",\"seeds\":[\"%s\",\"%s\",\"%s\"],\"store\":\"%s\","
-      "\"stop_limit_s\":%d,\"retry_share\":0.2,\"retry_extra\":58}\n",
-      host->name, addresses[0], addresses[1], addresses[2], seeds[0], seeds[1],
-      seeds[2], addresses[3], SOAK_GRACE_MS / 1000);
+      "\"stop_limit_s\":%d,\"retry_share\":0.2,\"retry_extra\":58,"
+      "\"cold_overage\":1.5,\"cold_tolerance\":3}\n",
+      host->name, zone_name (soak, 0), addresses[0], addresses[1],
+      addresses[2], seeds[0], seeds[1], seeds[2], addresses[3],
+      SOAK_GRACE_MS / 1000);
   fclose (file);
 }
 
--- a/tests/soak/soak-server-imp.h
+++ b/tests/soak/soak-server-imp.h
@@ -39,6 +39,7 @@
 struct server
 {
   soak_t *soak;
+  size_t number;
   char id[ID_BYTES];
   char service[ID_BYTES];
   char address[ADDRESS_BYTES]; /* as listed: its proxy */
@@ -53,6 +54,9 @@
   uint64_t hangs_until_ms;
   uint64_t spoiled_until_ms;
   uint64_t disturbed_until_ms;
+  uint64_t cold_until_ms;
+  uint64_t arrivals;
+  uint64_t arrivals_ms[SOAK_COLD_BOUND]; /* of the last requests, in turn */
   uint64_t beat_ms;
   uint32_t beats;
   uint32_t next_handle;
--- a/tests/soak/soak-server.c
+++ b/tests/soak/soak-server.c
@@ -283,6 +283,7 @@
       return;
     }
   check_leaving (server, message);
+  zone_check (server, message);
   if (from != NULL)
     server_resume_run (server, wire, message, from);
   else
@@ -314,16 +315,21 @@
 static void
 list_server (server_t *server)
 {
+  uint64_t now_ms = soak_now_ms (server->soak);
+  uint64_t cold_ms
+      = server->cold_until_ms > now_ms ? server->cold_until_ms - now_ms : 0;
   char key[64];
   char value[512];
 
   snprintf (key, sizeof key, "servers/%s", server->id);
   snprintf (value, sizeof value,
-            "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
-            "\"version\":\"1\",\"slots\":24,\"state\":\"%s\",\"seq\":%u}",
+            "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+            "\"version\":\"1\",\"slots\":24,\"state\":\"%s\",\"seq\":%u,"
+            "\"cold_left_ms\":%llu}",
             server->service, server->address,
+            zone_name (server->soak, server->number),
             server->state == SERVER_READY ? "ready" : "draining",
-            server->beats++);
+            server->beats++, (unsigned long long)cold_ms);
   store_put (server->soak->store, key, value);
 }
 
@@ -345,6 +351,10 @@
   if (server == NULL || soak->server_count == SOAK_SERVERS_MAX)
     abort ();
   server->soak = soak;
+  server->number = soak->server_count;
+  /* The first ones are there before anybody calls.  */
+  if (soak->zones && soak->callers != NULL)
+    server->cold_until_ms = soak_now_ms (soak) + SOAK_COLD_MS;
   snprintf (server->id, sizeof server->id, "i-%zu", soak->server_count);
   snprintf (server->service, sizeof server->service, "%s", service);
   server->listener = wire_listen (&soak->loop, &address, &events, server);
--- a/tests/soak/soak-store.c
+++ b/tests/soak/soak-store.c
@@ -333,23 +333,25 @@
   const char *service = plain[soak->flips % 2];
   char text[4096];
 
-  snprintf (
-      text, sizeof text,
-      "{\"version\":%u,\"limits\":{\"idle_timeout_ms\":15000},"
-      "\"services\":[{\"name\":\"plain-a\"},{\"name\":\"plain-b\"},"
-      "{\"name\":\"engines\",\"engine\":{\"kv_capacity\":30000,\"moves\":true,"
-      "\"backups\":true,\"link_mbps\":19000,\"kv_bytes\":131072}}],"
-      "\"routes\":["
-      "{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\","
-      "\"route_kind\":\"safe\",\"service\":\"%s\",\"timeout_ms\":3000,"
-      "\"max_attempts\":2,\"slo_ms\":300},"
-      "{\"name\":\"once\",\"host\":\"h\",\"path_prefix\":\"/once/\","
-      "\"route_kind\":\"unsafe\",\"service\":\"%s\",\"timeout_ms\":3000,"
-      "\"max_attempts\":1,\"slo_ms\":300},"
-      "{\"name\":\"stream\",\"host\":\"h\",\"path_prefix\":\"/stream/\","
-      "\"route_kind\":\"streaming\",\"service\":\"engines\","
-      "\"timeout_ms\":20000,\"max_attempts\":1,\"slo_ms\":1800}],"
-      "\"tenants\":[{\"name\":\"tenant-a\",\"api_keys\":[\"key-a\"]}]}",
-      (unsigned)(10 + 3 * soak->flips), service, service);
+  snprintf (text, sizeof text,
+            "{\"version\":%u,\"limits\":{\"idle_timeout_ms\":15000},"
+            "\"services\":[{\"name\":\"plain-a\"},{\"name\":\"plain-b\"},"
+            "{\"name\":\"engines\",\"cold_s\":%d,\"cold_per_s\":%d,\"engine\":"
+            "{\"kv_capacity\":30000,\"moves\":true,"
+            "\"backups\":true,\"link_mbps\":19000,\"kv_bytes\":131072}}],"
+            "\"routes\":["
+            "{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\","
+            "\"route_kind\":\"safe\",\"service\":\"%s\",\"timeout_ms\":3000,"
+            "\"max_attempts\":2,\"slo_ms\":300},"
+            "{\"name\":\"once\",\"host\":\"h\",\"path_prefix\":\"/once/\","
+            "\"route_kind\":\"unsafe\",\"service\":\"%s\",\"timeout_ms\":3000,"
+            "\"max_attempts\":1,\"slo_ms\":300},"
+            "{\"name\":\"stream\",\"host\":\"h\",\"path_prefix\":\"/stream/\","
+            "\"route_kind\":\"streaming\",\"service\":\"engines\","
+            "\"timeout_ms\":20000,\"max_attempts\":1,\"slo_ms\":1800}],"
+            "\"tenants\":[{\"name\":\"tenant-a\",\"api_keys\":[\"key-a\"]}]}",
+            (unsigned)(10 + 3 * soak->flips),
+            soak->zones ? SOAK_COLD_MS / 1000 : 0,
+            soak->zones ? SOAK_COLD_PER_S : 0, service, service);
   store_put (soak->store, "op/config", text);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -165,6 +165,7 @@
   for (i = 0; i < soak->server_count; i++)
     server_tick (soak->servers[i]);
   plan_tick (soak);
+  zone_tick (soak);
   if (soak_now_ms (soak) >= soak->began_ms + soak->length_ms)
     uv_stop (&soak->loop);
 }
@@ -208,6 +209,7 @@
           { "hosts", required_argument, NULL, 'h' },
           { "callers", required_argument, NULL, 'c' },
           { "work", required_argument, NULL, 'w' },
+          { "zones", no_argument, NULL, 'z' },
           { NULL, 0, NULL, 0 } };
   int option;
 
@@ -229,6 +231,9 @@
       case 'c':
         *callers = strtoul (optarg, NULL, 10);
         break;
+      case 'z':
+        soak->zones = true;
+        break;
       case 'w':
         snprintf (soak->work, sizeof soak->work, "%s", optarg);
         break;
@@ -265,6 +270,7 @@
             16 + (getpid () / ADDRESS_SPREAD) % ADDRESS_SPREAD,
             2 * (getpid () % 100));
   csp_seed_random (&soak.random, soak.seed);
+  csp_seed_random (&soak.zone_random, ~soak.seed);
   soak.began_ms = soak_now_ms (&soak);
   run (&soak, callers);
   printf ("seed %llu: %zu requests, %u faults, %u violations\n",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,6 +21,7 @@
      soak-caller  callers
      soak-host    gateways
      soak-ledger  what each request was promised, and what came of it
+     soak-zone    evacuated zones, cold engines
      soak-plan    which faults come when  */
 
 enum
@@ -35,7 +36,15 @@
   SOAK_DRAIN_MS = 2000,
   SOAK_APPLY_MS = 2000,
   SOAK_CONTACT_MS = 3000,
-  SOAK_GRACE_MS = 8000
+  SOAK_GRACE_MS = 8000,
+  SOAK_ZONES = 3,
+  /* The pages allow 5 s; the system's own aim is 1 s, and a busy machine adds
+     to it.  */
+  SOAK_EVACUATE_MS = 2500,
+  /* A cold engine stands 4 requests a second, half as many more, and 3.  */
+  SOAK_COLD_MS = 2000,
+  SOAK_COLD_PER_S = 4,
+  SOAK_COLD_BOUND = 9
 };
 
 typedef enum
@@ -107,6 +116,10 @@
   char work[256];
   char address[24]; /* first three numbers of the loopback addresses */
   bool quiet_end;   /* no more faults; callers go on */
+  bool zones;       /* zones are evacuated, new engines are cold */
+  csp_random_t zone_random;
+  uint64_t evacuated_ms[SOAK_ZONES]; /* acknowledged then; 0: it isn't */
+  uint64_t evacuated_until_ms[SOAK_ZONES];
   size_t host_count;
   host_t hosts[SOAK_HOSTS_MAX];
   size_t server_count;
@@ -220,6 +233,12 @@
 void ledger_event (const char *id, uint32_t number, char text[128]);
 uint32_t ledger_length (const soak_t *soak, const char *id);
 
+/* Zones: in which a server or host of a number stands, and what a request that
+   reaches a server may not do.  */
+const char *zone_name (const soak_t *soak, size_t number);
+void zone_tick (soak_t *soak);
+void zone_check (server_t *server, const wire_message_t *message);
+
 /* Plan: faults, until the quiet end.  */
 void plan_tick (soak_t *soak);
 
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -11,5 +11,5 @@
   rm -rf "$work"
   mkdir -p "$work"
   "$BUILD/soak" --program "$BUILD/cowslip-gateway" --work "$work" --seed {} \
-    --seconds "$SECONDS_EACH" --hosts "$HOSTS" --callers "$CALLERS" &&
+    --seconds "$SECONDS_EACH" --hosts "$HOSTS" --callers "$CALLERS" --zones &&
     rm -rf "$work"'
