Lists of targets are packed between hosts

Cause: at 300 hosts and 3,000 targets the first host of a data centre sends 2.7 MB a second of rows of 250 bytes, nine tenths of which stand in each other row; a host that starts on a link of 10 Mbit/s waits for the list. Ruled out: fewer followers for one host: each step more is notices later; a codec of our own: the rows are the platform's and are kept as they were read. Change: zlib at its quickest level for answers over 1,000 bytes, to hosts that say that they unpack; older ones get the text.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 CFLAGS := $(STD) -O2 -g $(WARN) $(SAN_FLAGS)
 LDFLAGS := -Wl,--as-needed $(SAN_FLAGS)
 LDLIBS := -lcivetweb -lcurl -lnng -lprotobuf-c -ljson-c -lyajl -llog4c \
-  -lurcu-memb -lurcu-common -luv -lhttp_parser -lcrypto -lpthread -lm
+  -lurcu-memb -lurcu-common -luv -lz -lhttp_parser -lcrypto -lpthread -lm
 CHECK_LIBS := -lcheck_pic -lsubunit -lrt
 
 # Generated codecs are committed; source/peer/peer.proto has the command.
--- a/source/follow/follow.c
+++ b/source/follow/follow.c
@@ -1,8 +1,10 @@
 #include "cowslipspoke/follow.h"
 
 #include "cowslipspoke/link.h"
+#include "cowslipspoke/pack.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 enum
 {
@@ -23,6 +25,7 @@
   csp_link_t *link;
   uv_timer_t timer;
   uint16_t status;
+  bool packed; /* the answer, see pack.h */
   csp_buffer_t answer;
   bool away;
   bool closed;
@@ -60,8 +63,10 @@
 on_answered (void *state, const csp_http_head_t *head)
 {
   csp_follower_t *follower = state;
+  const char *type = csp_find_http_field (head, "Content-Type");
 
   follower->status = head->status;
+  follower->packed = type != NULL && strcmp (type, csp_packed_type) == 0;
 }
 
 static void
@@ -74,6 +79,31 @@
     fail_call (follower, CSP_WATCH_UNANSWERED);
 }
 
+/* Unpack the answer in its place; false where it can't be.  */
+static bool
+unpack_answer (csp_follower_t *follower)
+{
+  csp_buffer_t text = { 0 };
+  bool good
+      = csp_unpack_bytes (follower->answer.data, follower->answer.size_bytes,
+                          ANSWER_MAX_BYTES, &text);
+
+  csp_clear_buffer (&follower->answer);
+  follower->answer = text;
+  return good;
+}
+
+static bool
+take_text (csp_follower_t *follower)
+{
+  if (follower->packed && !unpack_answer (follower))
+    return false;
+  return csp_append_buffer (&follower->answer, "", 1)
+         && follower->source->take_answer (follower->state, &follower->call,
+                                           follower->answer.data,
+                                           &follower->watch);
+}
+
 static void
 on_ended (void *state)
 {
@@ -95,10 +125,7 @@
     }
   follower->watch.failures = 0;
   note_reach (follower);
-  taken = csp_append_buffer (&follower->answer, "", 1)
-          && follower->source->take_answer (follower->state, &follower->call,
-                                            follower->answer.data,
-                                            &follower->watch);
+  taken = take_text (follower);
   if (follower->closed)
     return;
   if (taken)
@@ -135,6 +162,7 @@
                                     CONNECT_TIMEOUT_MS);
   csp_clear_buffer (&follower->answer);
   follower->status = 0;
+  follower->packed = false;
   uv_timer_start (&follower->timer, on_timeout, follower->call.timeout_ms, 0);
   if (follower->link == NULL)
     return;
--- a/source/mirror/mirror-feed.c
+++ b/source/mirror/mirror-feed.c
@@ -142,7 +142,8 @@
   const csp_mirror_feed_t *feed = state;
 
   csp_print_buffer (
-      request, "GET %safter=%lld&wait_ms=%u&host=%llu&first=%d HTTP/1.1\r\n",
+      request,
+      "GET %safter=%lld&wait_ms=%u&host=%llu&first=%d&packed=1 HTTP/1.1\r\n",
       csp_mirror_path, (long long)csp_mirror_revision (feed->mirror),
       call->wait_ms,
       (unsigned long long)csp_pack_peer (
--- a/source/mirror/mirror-server.c
+++ b/source/mirror/mirror-server.c
@@ -1,5 +1,6 @@
 #include "cowslipspoke/mirror.h"
 
+#include "cowslipspoke/pack.h"
 #include "cowslipspoke/page.h"
 #include "mirror/mirror-imp.h"
 
@@ -17,6 +18,8 @@
   COUNT_MS = 1000,
   /* How often waits that are over are looked for.  */
   HOLD_TICK_MS = 50,
+  /* Shorter texts go as they are: they fit into a packet with their head.  */
+  PACKED_LEAST_BYTES = 1000,
   STATUS_OK = 200,
   STATUS_NOT_FOUND = 404,
   DECIMAL = 10
@@ -25,6 +28,7 @@
 typedef struct
 {
   csp_page_t *page;
+  bool unpacks; /* the host takes what is packed */
   int64_t after;
   uint64_t until_ms;
   uint64_t fed_ms; /* of the mirror, as it was when the host asked */
@@ -55,8 +59,16 @@
 {
   int64_t after;
   csp_buffer_t text;
+  csp_buffer_t packed; /* none where that isn't worth it, or memory failed */
 } answer_t;
 
+static void
+clear_answer (answer_t *answer)
+{
+  csp_clear_buffer (&answer->text);
+  csp_clear_buffer (&answer->packed);
+}
+
 static void
 encode_answer (const csp_mirror_server_t *server, int64_t after,
                answer_t *answer)
@@ -68,9 +80,13 @@
 
   if (answer->text.size_bytes > 0 && answer->after == after)
     return;
-  csp_clear_buffer (&answer->text);
+  clear_answer (answer);
   answer->after = after;
   csp_encode_mirror (server->mirror, after, &word, &answer->text);
+  if (answer->text.size_bytes >= PACKED_LEAST_BYTES
+      && !csp_pack_bytes (answer->text.data, answer->text.size_bytes,
+                          &answer->packed))
+    csp_clear_buffer (&answer->packed);
 }
 
 /* What one follower costs, counted each second.  It falls by half at most: a
@@ -109,14 +125,29 @@
                    text->size_bytes);
 }
 
+/* A host that doesn't say that it unpacks is an older version's.  */
+static void
+send_answer (csp_mirror_server_t *server, const waiting_t *waiting,
+             const answer_t *answer)
+{
+  if (!waiting->unpacks || answer->packed.size_bytes == 0)
+    {
+      send_text (server, waiting->page, &answer->text);
+      return;
+    }
+  count_sent (server, answer->packed.size_bytes);
+  csp_answer_page (waiting->page, STATUS_OK, csp_packed_type,
+                   answer->packed.data, answer->packed.size_bytes);
+}
+
 static void
-answer_mirror (csp_mirror_server_t *server, csp_page_t *page, int64_t after)
+answer_at_once (csp_mirror_server_t *server, const waiting_t *waiting)
 {
-  answer_t answer = { .after = after };
+  answer_t answer = { .after = waiting->after };
 
-  encode_answer (server, after, &answer);
-  send_text (server, page, &answer.text);
-  csp_clear_buffer (&answer.text);
+  encode_answer (server, waiting->after, &answer);
+  send_answer (server, waiting, &answer);
+  clear_answer (&answer);
 }
 
 static bool
@@ -145,9 +176,9 @@
         }
       server->waiting[i] = server->waiting[--server->waiting_count];
       encode_answer (server, waiting.after, &answer);
-      send_text (server, waiting.page, &answer.text);
+      send_answer (server, &waiting, &answer);
     }
-  csp_clear_buffer (&answer.text);
+  clear_answer (&answer);
 }
 
 static void
@@ -214,10 +245,12 @@
   csp_mirror_server_t *server = state;
   int64_t after = number_behind (head->target, "after=");
   int64_t wait_ms = number_behind (head->target, "wait_ms=");
-  waiting_t waiting = { .page = page,
-                        .after = after,
-                        .until_ms = uv_now (server->loop) + (uint64_t)wait_ms,
-                        .fed_ms = server->fed_ms };
+  waiting_t waiting
+      = { .page = page,
+          .unpacks = number_behind (head->target, "packed=") != 0,
+          .after = after,
+          .until_ms = uv_now (server->loop) + (uint64_t)wait_ms,
+          .fed_ms = server->fed_ms };
 
   if (strncmp (head->target, csp_mirror_path, strlen (csp_mirror_path)) != 0)
     {
@@ -230,7 +263,7 @@
       || csp_mirror_revision (server->mirror) > after
       || !keep_waiting (server, &waiting))
     {
-      answer_mirror (server, page, after);
+      answer_at_once (server, &waiting);
       return;
     }
   if (!uv_is_active ((uv_handle_t *)&server->timer))
