Limits of targets apart from the list of them; losses name targets' own errors

A target that told by its report that it has started again kept the warm row of its start before. Change: fleet-limits.c; the causes target's own error and cordoned; a target that starts again counts as cold until its list says more.

--- a/include/cowslipspoke/losses.h
+++ b/include/cowslipspoke/losses.h
@@ -22,11 +22,13 @@
   CSP_LOSS_COPY_MISSING,  /* no copy was where the run was to go on */
   CSP_LOSS_LINK_RESET,    /* the connection to the target was reset */
   CSP_LOSS_LINK_SILENT,   /* the stream stood still until its caller left */
-  CSP_LOSS_TARGET_FAILED, /* the target answered with an error, or not */
+  CSP_LOSS_TARGET_FAILED, /* the target answered another request, or not */
+  CSP_LOSS_TARGET_ERROR,  /* an error of the target's own was passed on */
   CSP_LOSS_TARGET_REFUSED,
   CSP_LOSS_REFUSED_ON_ARRIVAL, /* no place was expected in time */
   CSP_LOSS_WAITED_IN_VAIN,     /* no place came in time */
   CSP_LOSS_NO_TARGET,          /* none is listed or can be reached */
+  CSP_LOSS_CORDONED,           /* operators let all of its targets be */
   CSP_LOSS_HOST_STOPPING,
   CSP_LOSS_TIME_OVER,
   CSP_LOSS_CALLER_LEFT,
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -46,6 +46,14 @@
   int64_t distrust_until_ms;
 };
 
+/* Bound a target by what its service stands while it is cold.  */
+void csp_pace_target (csp_fleet_t *fleet, csp_fleet_target_t *target);
+
+/* The target may be cold without having said so yet: it has started again, or
+   its data centre is taken back.  */
+void csp_expect_cold (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                      int64_t now_ms);
+
 /* The share of failures as of now: it fades while nothing is counted.  */
 double csp_fading_failures (const csp_fleet_target_t *target, int64_t now_ms);
 
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -217,84 +217,6 @@
   return row->born_ms != 0 && row->born_ms < target->row.born_ms;
 }
 
-static csp_cold_service_t *
-find_cold_service (csp_fleet_t *fleet, const char *service)
-{
-  size_t i;
-
-  for (i = 0; i < fleet->cold_count; i++)
-    if (strcmp (fleet->cold[i].service, service) == 0)
-      return &fleet->cold[i];
-  return NULL;
-}
-
-static void
-pace_target (csp_fleet_t *fleet, csp_fleet_target_t *target)
-{
-  const csp_cold_service_t *cold
-      = find_cold_service (fleet, target->row.service);
-
-  csp_set_warmup_bound (&target->warmup, cold == NULL ? 0 : cold->bound_per_s);
-}
-
-bool
-csp_set_cold_bound (csp_fleet_t *fleet, const char *service, uint32_t cold_ms,
-                    uint32_t bound_per_s)
-{
-  csp_cold_service_t *cold = find_cold_service (fleet, service);
-  size_t i;
-
-  if (cold == NULL && bound_per_s == 0)
-    return true;
-  if (cold == NULL && fleet->cold_count == CSP_COLD_SERVICES_MAX)
-    return false;
-  if (cold == NULL)
-    {
-      cold = &fleet->cold[fleet->cold_count++];
-      csp_copy_text (cold->service, sizeof cold->service, service);
-    }
-  cold->cold_ms = cold_ms;
-  cold->bound_per_s = bound_per_s;
-  for (i = 0; i < fleet->count; i++)
-    pace_target (fleet, fleet->targets[i]);
-  return true;
-}
-
-/* Engines whose data centre is taken back may have become cold without a word
-   of their own so far.  */
-static void
-expect_cold (csp_fleet_t *fleet, csp_fleet_target_t *target, int64_t now_ms)
-{
-  const csp_cold_service_t *cold
-      = find_cold_service (fleet, target->row.service);
-
-  if (cold != NULL && target->warm_at_ms < now_ms + cold->cold_ms)
-    target->warm_at_ms = now_ms + cold->cold_ms;
-}
-
-bool
-csp_is_paced (const csp_fleet_target_t *target, int64_t now_ms)
-{
-  return target->warmup.bound_per_s > 0 && now_ms < target->warm_at_ms;
-}
-
-bool
-csp_may_give_place (csp_fleet_target_t *target, const csp_warmup_duty_t *duty,
-                    int64_t now_ms)
-{
-  return !csp_is_paced (target, now_ms)
-         || (duty != NULL
-             && csp_has_warmup_place (&target->warmup, duty, now_ms));
-}
-
-void
-csp_note_place_given (csp_fleet_target_t *target,
-                      const csp_warmup_duty_t *duty, int64_t now_ms)
-{
-  if (csp_is_paced (target, now_ms))
-    csp_take_warmup_place (&target->warmup, duty, now_ms);
-}
-
 bool
 csp_list_target (csp_fleet_t *fleet, const csp_fleet_row_t *row,
                  int64_t now_ms)
@@ -314,7 +236,7 @@
   target->cordoned
       = csp_find_cordon (fleet->cordons, row->data_centre) != NULL;
   target->warm_at_ms = now_ms + row->warming_up_ms;
-  pace_target (fleet, target);
+  csp_pace_target (fleet, target);
   /* One start of a target never takes its leaving back.  */
   if (target->state == CSP_FLEET_LEAVING)
     return true;
@@ -328,13 +250,15 @@
                       int64_t born_ms, int64_t now_ms)
 {
   csp_fleet_row_t row = target->row;
+  bool started_again = row.born_ms != 0;
 
   if (born_ms <= row.born_ms)
     return;
   row.born_ms = born_ms;
   row.leaving = false;
   /* Without memory the list tells it.  */
-  csp_list_target (fleet, &row, now_ms);
+  if (csp_list_target (fleet, &row, now_ms) && started_again)
+    csp_expect_cold (fleet, csp_find_fleet_target (fleet, row.id), now_ms);
 }
 
 /* While the platform is away its leases run out and live targets lose their
@@ -364,67 +288,6 @@
     unlist (fleet, target, now_ms);
 }
 
-csp_cordon_result_t
-csp_cordon_targets (csp_fleet_t *fleet, const char *data_centre, bool cordoned,
-                    int64_t now_ms)
-{
-  csp_cordon_result_t result
-      = csp_set_cordon (fleet->cordons, data_centre, cordoned, now_ms);
-  size_t i;
-
-  if (result != CSP_CORDON_CHANGED)
-    return result;
-  for (i = 0; i < fleet->count; i++)
-    {
-      csp_fleet_target_t *target = fleet->targets[i];
-
-      if (strcmp (target->row.data_centre, data_centre) != 0)
-        continue;
-      target->cordoned = cordoned;
-      if (!cordoned)
-        expect_cold (fleet, target, now_ms);
-    }
-  return result;
-}
-
-const csp_cordons_t *
-csp_fleet_cordons (const csp_fleet_t *fleet)
-{
-  return fleet->cordons;
-}
-
-/* Whether it serves, by the list.  */
-static bool
-is_serving (const csp_fleet_target_t *target)
-{
-  return target->state == CSP_FLEET_READY || target->state == CSP_FLEET_LAPSED;
-}
-
-bool
-csp_takes_new_work (const csp_fleet_target_t *target)
-{
-  return is_serving (target) && !target->cordoned;
-}
-
-bool
-csp_is_service_cordoned (const csp_fleet_t *fleet, const char *service)
-{
-  bool cordoned = false;
-  size_t i;
-
-  for (i = 0; i < fleet->count; i++)
-    {
-      const csp_fleet_target_t *target = fleet->targets[i];
-
-      if (!is_serving (target) || strcmp (target->row.service, service) != 0)
-        continue;
-      if (!target->cordoned)
-        return false;
-      cordoned = true;
-    }
-  return cordoned;
-}
-
 void
 csp_note_target_leaves (csp_fleet_t *fleet, csp_fleet_target_t *target)
 {
--- a/source/losses/losses.c
+++ b/source/losses/losses.c
@@ -16,6 +16,7 @@
   /* Causes over time are shown in so many parts of the logs' time.  */
   PARTS = 20,
   FIRST_ROOM = 256,
+  STATUS_SERVER_ERROR = 500,
   /* A request that was turned away sooner than this never waited for a place:
      the answer of the host that decides takes some milliseconds.  */
   ARRIVAL_MS = 60
@@ -31,10 +32,12 @@
   [CSP_LOSS_LINK_RESET] = "link reset",
   [CSP_LOSS_LINK_SILENT] = "link silent",
   [CSP_LOSS_TARGET_FAILED] = "target failed",
+  [CSP_LOSS_TARGET_ERROR] = "target's own error",
   [CSP_LOSS_TARGET_REFUSED] = "target refused",
   [CSP_LOSS_REFUSED_ON_ARRIVAL] = "refused on arrival",
   [CSP_LOSS_WAITED_IN_VAIN] = "waited in vain",
   [CSP_LOSS_NO_TARGET] = "no target",
+  [CSP_LOSS_CORDONED] = "cordoned",
   [CSP_LOSS_HOST_STOPPING] = "host stopping",
   [CSP_LOSS_TIME_OVER] = "time over",
   [CSP_LOSS_CALLER_LEFT] = "caller left",
@@ -217,6 +220,8 @@
     { "the target refused it", CSP_LOSS_TARGET_REFUSED },
     { "no target can take it", CSP_LOSS_NO_TARGET },
     { "the route has no service", CSP_LOSS_NO_TARGET },
+    { "all data centres of its service are cordoned", CSP_LOSS_CORDONED },
+    { "the data centre is cordoned", CSP_LOSS_CORDONED },
     { "the host is stopping", CSP_LOSS_HOST_STOPPING },
     { "the time is over", CSP_LOSS_TIME_OVER },
     { "the target failed", CSP_LOSS_TARGET_FAILED },
@@ -250,7 +255,9 @@
   switch (number_of (line, "event"))
     {
     case CSP_EVENT_FORWARD_ENDED:
-      return CSP_LOSS_NONE;
+      return number_of (line, "status") >= STATUS_SERVER_ERROR
+                 ? CSP_LOSS_TARGET_ERROR
+                 : CSP_LOSS_NONE;
     case CSP_EVENT_FORWARD_ABANDONED:
       return note != NULL && note->silent ? CSP_LOSS_LINK_SILENT
                                           : CSP_LOSS_CALLER_LEFT;
--- a/tests/fleet/fleet-cordon-test.c
+++ b/tests/fleet/fleet-cordon-test.c
@@ -161,6 +161,25 @@
 }
 END_TEST
 
+/* An engine tells by its own report that it has started again, before the list
+   does.  It is cold by then, and its new entry will say so.  */
+START_TEST (a_target_that_starts_again_is_cold)
+{
+  csp_fleet_row_t row
+      = { .id = "t", .service = "s", .data_centre = "a", .born_ms = 5 };
+  const csp_fleet_target_t *target;
+
+  ck_assert (csp_set_cold_bound (fleet, "s", 1000, 10));
+  ck_assert (csp_list_target (fleet, &row, 0));
+  target = csp_find_fleet_target (fleet, "t");
+  ck_assert (!csp_is_paced (target, 1));
+  csp_note_target_born (fleet, target, 6, 100);
+  target = csp_find_fleet_target (fleet, "t");
+  ck_assert (csp_is_paced (target, 1099));
+  ck_assert (!csp_is_paced (target, 1100));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -173,6 +192,7 @@
   tcase_add_test (tcase, a_cordoned_engine_is_no_room);
   tcase_add_loop_test (tcase, a_host_alone_leaves_cold_targets_out, 0,
                        sizeof colds / sizeof colds[0]);
+  tcase_add_test (tcase, a_target_that_starts_again_is_cold);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
--- a/tests/losses/losses-test.c
+++ b/tests/losses/losses-test.c
@@ -56,6 +56,12 @@
   { { END ("211", "the host is stopping", "") }, CSP_LOSS_HOST_STOPPING },
   { { END ("211", "the time is over", "") }, CSP_LOSS_TIME_OVER },
   { { END ("211", "the target failed", "") }, CSP_LOSS_TARGET_FAILED },
+  { { END ("210", "", ",\"status\":200") }, CSP_LOSS_NONE },
+  { { END ("210", "", ",\"status\":404") }, CSP_LOSS_NONE },
+  { { END ("210", "", ",\"status\":500") }, CSP_LOSS_TARGET_ERROR },
+  { { END ("211", "all data centres of its service are cordoned", "") },
+    CSP_LOSS_CORDONED },
+  { { END ("216", "the data centre is cordoned", "") }, CSP_LOSS_CORDONED },
   { { END ("211", "something new", "") }, CSP_LOSS_OTHER },
 };
 
