Names of cordoned data centres are escaped in the metrics

Cause: the gauge wrote an operator's name as it is; a quote or line end in it forges lines of the scrape.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -117,7 +117,7 @@
 const csp_cordons_t *csp_fleet_cordons (const csp_fleet_t *fleet);
 
 /* What a service's targets stand while they are cold; bound_per_s of 0: any
-   load.  */
+   load.  False where more services than a host keeps have a bound.  */
 bool csp_set_cold_bound (csp_fleet_t *fleet, const char *service,
                          uint32_t cold_ms, uint32_t bound_per_s);
 
--- a/include/cowslipspoke/metrics.h
+++ b/include/cowslipspoke/metrics.h
@@ -104,6 +104,12 @@
 double csp_estimate_quantile_ms (const csp_series_t *series, csp_time_t time,
                                  double share);
 
+/* Write a name as the value of a label.  Names come from declarations, callers
+   and operators: a quote or line end in one would let it forge other lines,
+   and a byte that is no text spoils the whole scrape.  What doesn't fit is cut
+   off; twice the name's bytes and one more fit all.  */
+void csp_escape_label (const char *name, char *escaped, size_t room_bytes);
+
 /* All counters as Prometheus text (version 0.0.4); the caller frees it.  */
 char *csp_render_metrics (const csp_metrics_t *metrics, size_t *size_bytes);
 
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -62,13 +62,17 @@
 {
   const csp_cordons_t *cordons = csp_fleet_cordons (gateway->fleet);
   size_t count = csp_count_cordons (cordons);
+  char name[2 * CSP_CORDON_NAME_BYTES + 1];
   size_t i;
 
   csp_print_buffer (text, "# TYPE cowslipspoke_gateway_cordoned gauge\n");
   for (i = 0; i < count; i++)
-    csp_print_buffer (text,
-                      "cowslipspoke_gateway_cordoned{data_centre=\"%s\"} 1\n",
-                      csp_cordon_at (cordons, i)->data_centre);
+    {
+      csp_escape_label (csp_cordon_at (cordons, i)->data_centre, name,
+                        sizeof name);
+      csp_print_buffer (
+          text, "cowslipspoke_gateway_cordoned{data_centre=\"%s\"} 1\n", name);
+    }
 }
 
 /* The histograms of organisations and routes.  */
--- a/source/metrics/metrics-render.c
+++ b/source/metrics/metrics-render.c
@@ -22,15 +22,13 @@
   const csp_series_table_t *table;
 } family_t;
 
-/* Names come from declarations and callers.  A quote or line end in one would
-   let it forge other lines, and a byte that is no text spoils the whole
-   scrape.  */
-static void
-escape_name (const char *name, char escaped[ESCAPED_BYTES])
+void
+csp_escape_label (const char *name, char *escaped, size_t room_bytes)
 {
   size_t used = 0;
 
-  for (; *name != '\0'; name++)
+  /* The last two bytes are for an escaped one and the end.  */
+  for (; *name != '\0' && used + 2 < room_bytes; name++)
     {
       if (*name == '\\' || *name == '"')
         escaped[used++] = '\\';
@@ -117,7 +115,7 @@
   uint64_t below = 0;
   int i;
 
-  escape_name (series_name, name);
+  csp_escape_label (series_name, name, sizeof name);
   for (i = 0; i < CSP_BOUNDS; i++)
     {
       below += times->buckets[i];
@@ -170,7 +168,7 @@
   for (i = 0; i <= count; i++)
     {
       series = series_at (family->table, i, count);
-      escape_name (series->name, name);
+      csp_escape_label (series->name, name, sizeof name);
       fprintf (stream, PREFIX "%s_%s_total{%s=\"%s\"} %" PRIu64 "\n",
                family->label, row->name, family->label, name,
                add_up_count (series, counter));
--- a/tests/gateway/cordon-test.c
+++ b/tests/gateway/cordon-test.c
@@ -189,6 +189,18 @@
 }
 END_TEST
 
+/* Somebody cordons what is no data centre, by a name that would forge a line
+   of the metrics.  */
+START_TEST (a_strange_name_forges_no_metrics)
+{
+  cordon ("x\"} 7\nforged 1", true);
+  ck_assert_ptr_nonnull (strstr (fixture_page (&stream.fixture, "/metrics"),
+                                 "{data_centre=\"x\\\"} 7?forged 1\"} 1\n"));
+  ck_assert_ptr_null (
+      strstr (fixture_page (&stream.fixture, "/metrics"), "\nforged"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -205,6 +217,7 @@
   tcase_add_loop_test (
       tcase, a_stopped_run_goes_on_in_a_cordoned_data_centre_for_a_moment, 0,
       sizeof late_stops / sizeof late_stops[0]);
+  tcase_add_test (tcase, a_strange_name_forges_no_metrics);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
