A lost attempt is logged with a fingerprint of what was asked

Callers saw 502s and cut texts whenever an engine ended; which request was beside each end couldn't be told from the logs, as every attempt of a caller has an id of its own.

Event 218 attempt-lost names the target and a fingerprint of method, host, path, organisation and body. It is worked out only where an attempt is lost. No decision changes.

--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -1,5 +1,7 @@
 #include "gateway/gateway-exchange-imp.h"
 
+#include "cowslipspoke/fingerprint.h"
+
 #include <string.h>
 
 /* What comes back from a target: whether it is the answer to this request,
@@ -399,12 +401,35 @@
         [CSP_LINK_RESET] = "the target reset the connection",
         [CSP_LINK_MALFORMED] = "the target sent what is no answer" };
 
+/* Its target ended, or let go of the connection.  */
+static void
+note_attempt_lost (csp_exchange_t *exchange, csp_link_failure_t why)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+  char fingerprint[CSP_FINGERPRINT_TEXT_BYTES];
+
+  if ((why != CSP_LINK_CLOSED && why != CSP_LINK_RESET)
+      || !csp_link_sent (exchange->link))
+    return;
+  csp_print_fingerprint (csp_exchange_fingerprint (exchange), fingerprint);
+  CSP_LOG (
+      gateway->log, CSP_EVENT_ATTEMPT_LOST, exchange->request_id,
+      csp_text ("target", exchange->target->row.id),
+      csp_text ("fingerprint", fingerprint),
+      csp_text ("detail", failure_details[why]),
+      csp_number ("events", (int64_t)exchange->events),
+      csp_number ("sent_ms",
+                  csp_gateway_now_ms (gateway) - exchange->sent_at_ms),
+      csp_number ("target_requests", (int64_t)exchange->target->own.requests));
+}
+
 static void
 on_failed (void *state, csp_link_failure_t why)
 {
   csp_exchange_t *exchange = state;
   csp_gateway_t *gateway = exchange->gateway;
 
+  note_attempt_lost (exchange, why);
   if (why == CSP_LINK_UNREACHABLE || why == CSP_LINK_RESET)
     csp_note_target_failed (gateway, exchange->target);
   if (exchange->mode == CSP_ANSWER_PASSED)
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -1,5 +1,7 @@
 #include "gateway/gateway-exchange-imp.h"
 
+#include "cowslipspoke/fingerprint.h"
+
 #include <arpa/inet.h>
 #include <string.h>
 #include <strings.h>
@@ -27,6 +29,24 @@
             ntohs (target->row.address.sin_port));
 }
 
+uint64_t
+csp_exchange_fingerprint (csp_exchange_t *exchange)
+{
+  const csp_http_head_t *head = csp_caller_head (exchange->caller);
+  const char *host = csp_find_http_field (head, "Host");
+  csp_request_identity_t identity
+      = { .method = head->method,
+          .host = host == NULL ? "" : host,
+          .target = head->target,
+          .organisation = exchange->organisation,
+          .body = exchange->body.data,
+          .body_bytes = exchange->body.size_bytes };
+
+  if (exchange->fingerprint == 0)
+    exchange->fingerprint = csp_fingerprint_request (&identity);
+  return exchange->fingerprint;
+}
+
 void
 csp_note_prompt_read (csp_exchange_t *exchange, csp_fleet_target_t *target)
 {
@@ -191,6 +211,7 @@
   exchange->mode = CSP_ANSWER_NONE;
   exchange->run_since_ms = 0;
   exchange->last_data_ms = csp_gateway_now_ms (exchange->gateway);
+  exchange->sent_at_ms = exchange->last_data_ms;
   csp_start_link_request (link, &csp_attempt_events, exchange,
                           strcmp (head->method, "HEAD") == 0);
   write_head (exchange, target, copy, &out);
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -72,6 +72,7 @@
   uint64_t output_tokens;  /* expected */
   uint64_t reading_tokens; /* counted at the target as being read */
   uint64_t movable_tokens; /* counted at the target as to be moved */
+  uint64_t fingerprint;    /* see fingerprint.h; 0: not worked out yet */
   csp_buffer_t body;
   bool body_whole;
   bool body_streams; /* longer than what is kept */
@@ -90,6 +91,7 @@
   /* The attempt under way.  */
   csp_link_t *link;
   csp_fleet_target_t *target;
+  int64_t sent_at_ms;                  /* when the target was written to */
   const csp_fleet_target_t *failed_at; /* for comparison only */
   uint32_t attempts;                   /* that a target may have got */
   uint32_t unreached;                  /* targets that took no connection */
@@ -161,6 +163,10 @@
 void csp_note_prompt_read (csp_exchange_t *exchange,
                            csp_fleet_target_t *target);
 
+/* What the request is, whatever its id: see fingerprint.h.  Its body, or its
+   first piece where it is long, has come.  */
+uint64_t csp_exchange_fingerprint (csp_exchange_t *exchange);
+
 /* Pass a piece of the body on.  */
 void csp_pass_body (csp_exchange_t *exchange, const char *piece,
                     size_t piece_bytes);
