--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -126,11 +126,14 @@
                                       .retry_saved_max = 4,
                                       .retry_start = 4 };
   uint32_t lent_retries = fixture->lent_retries;
+  const struct sockaddr_in *seed = fixture->seed;
   csp_clock_t clock;
   char message[256];
 
   signal (SIGPIPE, SIG_IGN);
   memset (fixture, 0, sizeof *fixture);
+  if (seed != NULL)
+    settings.seeds[settings.seed_count++] = *seed;
   if (lent_retries > 0)
     {
       settings.retry_share = 0;
--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -27,6 +27,8 @@
   /* Set before it is opened: hosts lend each other so many retries, and have
      none of their own; 0: they have four and lend none.  */
   uint32_t lent_retries;
+  /* Another host that it knows from its start; NULL: none.  */
+  const struct sockaddr_in *seed;
   /* Where targets are listed; NULL: in the gateway's own data centre.  */
   const char *targets_in;
 } fixture_t;
--- /dev/null
+++ b/tests/gateway/quarantine-test.c
@@ -0,0 +1,167 @@
+#include "gateway/gateway-fixture.h"
+
+#include "support/run-suite.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* A request under which targets end comes again and again, through any host.
+ */
+
+enum
+{
+  HOSTS = 2,
+  WAIT_MS = 10000,
+  STRIKES = 3
+};
+
+static fixture_t hosts[HOSTS];
+static struct sockaddr_in peers[HOSTS];
+
+static void
+set_up (void)
+{
+  size_t i;
+
+  for (i = 0; i < HOSTS; i++)
+    {
+      peers[i] = (struct sockaddr_in){ .sin_family = AF_INET,
+                                       .sin_port = htons (8748 + i) };
+      /* A loopback address of this process.  */
+      peers[i].sin_addr.s_addr
+          = htonl (0x7f400000U | ((uint32_t)getpid () & 0x1fffff));
+    }
+  for (i = 0; i < HOSTS; i++)
+    {
+      hosts[i].seed = &peers[HOSTS - 1 - i];
+      fixture_open_at (&hosts[i], &peers[i]);
+      fixture_publish (&hosts[i], true);
+    }
+}
+
+static void
+tear_down (void)
+{
+  size_t i;
+
+  for (i = 0; i < HOSTS; i++)
+    fixture_close (&hosts[i]);
+}
+
+static void
+send_request (int caller, const char *id, const char *body)
+{
+  char request[300];
+
+  snprintf (request, sizeof request,
+            "POST /once/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
+            "Request-Id: %s\r\nTime-Left: 3000\r\nContent-Length: %zu\r\n\r\n"
+            "%s",
+            id, strlen (body), body);
+  send_text (caller, request);
+}
+
+/* Send a request through a host whose only target ends under it.  */
+static void
+end_target (fixture_t *host, const char *target_id, const char *body)
+{
+  int listener = fixture_target (host, target_id, "plain");
+  int caller = caller_open (host);
+  int link;
+
+  send_request (caller, target_id, body);
+  link = target_accept (listener);
+  target_read (link, strlen (body));
+  close (listener);
+  close (link);
+  ck_assert_ptr_nonnull (strstr (read_until (caller, "\r\n\r\n"), " 502 "));
+  close (caller);
+  fixture_remove (host, target_id);
+  fixture_settle (host);
+}
+
+/* Whether a request reaches a host's next target rather than being refused.
+   The answer stands in *answer where it is.  */
+static bool
+reaches_target (fixture_t *host, const char *body, const char **answer)
+{
+  int listener = fixture_target (host, "t-next", "plain");
+  int caller = caller_open (host);
+  struct pollfd ready[] = { { .fd = listener, .events = POLLIN },
+                            { .fd = caller, .events = POLLIN } };
+  bool reached;
+
+  send_request (caller, "next", body);
+  ck_assert_int_gt (poll (ready, 2, WAIT_MS), 0);
+  reached = ready[0].revents != 0;
+  if (!reached)
+    *answer = read_until (caller, "\r\n\r\n");
+  close (caller);
+  close (listener);
+  fixture_remove (host, "t-next");
+  fixture_settle (host);
+  return reached;
+}
+
+/* Guards against a request that ends one target after another.  */
+START_TEST (a_request_under_which_three_targets_ended_reaches_no_other)
+{
+  const char *answer = NULL;
+
+  end_target (&hosts[0], "t-1", "poison");
+  end_target (&hosts[0], "t-2", "poison");
+  end_target (&hosts[0], "t-3", "poison");
+  ck_assert (!reaches_target (&hosts[0], "poison", &answer));
+  ck_assert_ptr_nonnull (strstr (answer, " 503 "));
+  ck_assert_ptr_nonnull (strstr (answer, "Retry-After: "));
+}
+END_TEST
+
+/* Guards against hosts that each count only what they met themselves.  */
+START_TEST (targets_that_ended_through_several_hosts_count_together)
+{
+  const char *answer = NULL;
+
+  end_target (&hosts[0], "t-1", "poison");
+  end_target (&hosts[1], "t-2", "poison");
+  end_target (&hosts[0], "t-3", "poison");
+  while (strstr (fixture_page (&hosts[1], "/metrics"), "quarantined 1")
+         == NULL)
+    ck_assert (!reaches_target (&hosts[0], "poison", &answer));
+  ck_assert (!reaches_target (&hosts[1], "poison", &answer));
+  ck_assert_ptr_nonnull (strstr (answer, " 503 "));
+}
+END_TEST
+
+/* Guards against refusing what was merely beside it.  */
+START_TEST (other_requests_are_served_all_the_same)
+{
+  const char *answer = NULL;
+
+  end_target (&hosts[0], "t-1", "poison");
+  end_target (&hosts[0], "t-2", "poison");
+  end_target (&hosts[0], "t-3", "poison");
+  ck_assert (reaches_target (&hosts[0], "another", &answer));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("gateway-quarantine");
+  TCase *tests = tcase_create ("gateway-quarantine");
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests,
+                  a_request_under_which_three_targets_ended_reaches_no_other);
+  tcase_add_test (tests,
+                  targets_that_ended_through_several_hosts_count_together);
+  tcase_add_test (tests, other_requests_are_served_all_the_same);
+  suite_add_tcase (suite, tests);
+  return run_suite (suite);
+}
