Targets that ask for a wait get it

What callers saw: a target that turns a request away with 503 and Retry-After was tried again 0.15 s later, and refused again; where all targets of a service ask for a wait, callers came back every 0.4 s for nothing.

Cause: Retry-After of a target was passed over; a refusal only made the target less liked for 0.15 s.

Change: the wait is read in the same place as the word of leaving (whole seconds and fractions; 0 is none, more than an hour counts as one, what is no number is logged and passed over; the longest of several holds). It is this host's own: it sends the target nothing till then, neither requests, moves, rescues nor questions, and names it in its asks, so that the host that decides gives no place there. Where all targets of a service want a wait, requests and what waits for a place are turned away at once with the shortest of the waits and a part by lot, so that callers don't come back all at once.

Built two ways: with the names in the asks, and by refusing the place at the host alone, which then chooses by itself past the host that decides. Only the first keeps places counted; the second stands behind it for more than eight names or a wait that came with the place on its way.

--- a/include/cowslipspoke/dispatch.h
+++ b/include/cowslipspoke/dispatch.h
@@ -38,6 +38,9 @@
   uint64_t moves_from; /* hash of that target's id; 0: a new request */
   uint64_t refused_at; /* hash of one that had no room; 0: none */
   uint32_t left_ms;    /* how much longer the run will probably write */
+  size_t backoff_count;
+  uint64_t backoffs[CSP_ASK_BACKOFFS_MAX]; /* hashes of targets that have asked
+                                              its host for a wait */
 } csp_ask_t;
 
 typedef void (*csp_take_ask_answer_t) (void *state,
--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -72,12 +72,13 @@
   int64_t counted_at_ms;
   /* Not chosen before, where there is another.  */
   int64_t avoid_until_ms;
-  uint32_t unreachable; /* connects in a row that failed */
-  bool cut_off;         /* its data centre can't be reached from here */
-  bool cordoned;        /* operators let its data centre get nothing new */
-  int64_t left_at_ms;   /* when this host heard that it leaves */
-  int64_t gone_at_ms;   /* when it was seen to be gone; 0: it isn't */
-  int64_t turn_at_ms;   /* this host's turn to move streams from here */
+  int64_t backoff_until_ms; /* it wants nothing from this host before */
+  uint32_t unreachable;     /* connects in a row that failed */
+  bool cut_off;             /* its data centre can't be reached from here */
+  bool cordoned;            /* operators let its data centre get nothing new */
+  int64_t left_at_ms;       /* when this host heard that it leaves */
+  int64_t gone_at_ms;       /* when it was seen to be gone; 0: it isn't */
+  int64_t turn_at_ms;       /* this host's turn to move streams from here */
   bool leaves;          /* somebody said so; one start never takes it back */
   bool told_by_itself;  /* that it leaves; the list didn't say so yet */
   int64_t report_at_ms; /* not asked for a report before */
@@ -136,6 +137,21 @@
    cordoned.  */
 bool csp_takes_new_work (const csp_fleet_target_t *target);
 
+/* The target asked this host to send it nothing for a while.  */
+void csp_back_off_target (csp_fleet_target_t *target, uint32_t for_ms,
+                          int64_t now_ms);
+bool csp_is_backed_off (const csp_fleet_target_t *target, int64_t now_ms);
+
+/* How long until the first target of a service wants something from this host
+   again, where all that serve have asked for a wait; else 0.  */
+uint32_t csp_service_backoff_ms (const csp_fleet_t *fleet, const char *service,
+                                 int64_t now_ms);
+
+/* The targets of a service that have asked for one, by their hashes; returns
+   how many were written.  */
+size_t csp_list_backed_off (const csp_fleet_t *fleet, const char *service,
+                            int64_t now_ms, uint64_t *targets, size_t room);
+
 /* Whether cordons alone keep a service from being served.  */
 bool csp_is_service_cordoned (const csp_fleet_t *fleet, const char *service);
 
@@ -196,6 +212,10 @@
   const csp_warmup_duty_t *duty;
   const csp_fleet_target_t *not_this;
   const csp_fleet_target_t *nor_this;
+  bool own; /* sent by this host: what asked it for a wait doesn't count */
+  /* Nor do these, by their hashes, where another host sends it.  */
+  const uint64_t *backoffs;
+  size_t backoff_count;
 } csp_fleet_need_t;
 
 /* The target that suits a request best; NULL where none may get it.  */
--- a/include/cowslipspoke/http.h
+++ b/include/cowslipspoke/http.h
@@ -122,6 +122,11 @@
 const char *csp_find_http_field (const csp_http_head_t *head,
                                  const char *name);
 
+/* Seconds as Retry-After gives them, whole or with a fraction; what is beyond
+   the range counts as its end.  False where the value is none, as a date or a
+   negative number.  */
+bool csp_read_http_seconds (const char *value, uint32_t *time_ms);
+
 /* Whether a field concerns one connection only, so that it isn't passed on:
    those of RFC 9110, section 7.6.1, and those that Connection names.  */
 bool csp_is_hop_field (const csp_http_head_t *head, const char *name);
--- a/include/cowslipspoke/losses.h
+++ b/include/cowslipspoke/losses.h
@@ -29,6 +29,7 @@
   CSP_LOSS_WAITED_IN_VAIN,     /* no place came in time */
   CSP_LOSS_NO_TARGET,          /* none is listed or can be reached */
   CSP_LOSS_CORDONED,           /* operators let all of its targets be */
+  CSP_LOSS_BACKED_OFF,         /* all targets had asked for a wait */
   CSP_LOSS_QUARANTINED,        /* targets had ended under the request */
   CSP_LOSS_HOST_STOPPING,
   CSP_LOSS_TIME_OVER,
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -43,6 +43,8 @@
   CSP_HELLO_LEFT_MAX = 8,
   CSP_HELLO_LEASES_MAX = 2,
   CSP_HELLO_SUSPECTS_MAX = 4,
+  /* Targets that an ask leaves out.  */
+  CSP_ASK_BACKOFFS_MAX = 8,
   /* Whom loads are told, see csp_list_deciders.  */
   CSP_DECIDERS_MAX = 3,
   /* Hosts of one data centre and of the fleet that may read the platform for
@@ -123,6 +125,9 @@
   uint64_t moves_from; /* hash of the target that a stream leaves; 0: none */
   uint64_t refused_at; /* hash of one that had no room for it; 0: none */
   uint32_t left_ms;    /* how much longer it will probably write */
+  size_t backoff_count;
+  uint64_t backoffs[CSP_ASK_BACKOFFS_MAX]; /* hashes of targets that have asked
+                                              its host for a wait */
 } csp_hello_ask_t;
 
 /* Retries beyond a host's own that it wants, or gets; see retry-lease.h.  */
--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -86,6 +86,11 @@
   csp_dispatch_move_t moves[CSP_DISPATCH_MOVES_MAX];
 };
 
+/* dispatch.c  */
+
+/* An ask comes again; its host may have been asked for other waits since.  */
+void csp_copy_backoffs (csp_ask_t *ask, const csp_ask_t *again);
+
 /* dispatch-room.c  */
 
 /* Count a place that was given until its host's own word of it has come.  */
--- a/source/dispatch/dispatch-move.c
+++ b/source/dispatch/dispatch-move.c
@@ -113,6 +113,7 @@
     {
       move->asked_ms = now_ms;
       move->ask.refused_at = ask->refused_at;
+      csp_copy_backoffs (&move->ask, ask);
       if (move->started)
         csp_answer_ask (dispatch, ask, CSP_ASK_PLACED, move->to->hash, 0);
       return;
@@ -191,6 +192,8 @@
                             .tokens = move->ask.tokens,
                             .is_copy = true,
                             .duty = &dispatch->duty,
+                            .backoffs = move->ask.backoffs,
+                            .backoff_count = move->ask.backoff_count,
                             .not_this = move->from,
                             .nor_this = csp_find_hashed_target (
                                 dispatch->fleet, move->ask.refused_at) };
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -182,7 +182,9 @@
                             .tokens = ask->tokens,
                             .prompt_tokens = ask->prompt_tokens,
                             .reading_tokens_max = READING_TOKENS_MAX,
-                            .duty = &dispatch->duty };
+                            .duty = &dispatch->duty,
+                            .backoffs = ask->backoffs,
+                            .backoff_count = ask->backoff_count };
 
   return csp_choose_fleet_target (dispatch->fleet, &need, &dispatch->random,
                                   now_ms);
@@ -222,11 +224,19 @@
   waiting->ask = *ask;
 }
 
+void
+csp_copy_backoffs (csp_ask_t *ask, const csp_ask_t *again)
+{
+  ask->backoff_count = again->backoff_count;
+  memcpy (ask->backoffs, again->backoffs, sizeof ask->backoffs);
+}
+
 void
 csp_push_ask (csp_dispatch_t *dispatch, const csp_ask_t *ask,
               const char *service, uint32_t memory_tokens, int64_t now_ms)
 {
   csp_dispatch_pool_t *pool = find_pool (dispatch, service, memory_tokens);
+  csp_waiting_ask_t *waiting;
 
   if (csp_answer_again (dispatch, ask))
     return;
@@ -243,7 +253,10 @@
         csp_answer_ask (dispatch, ask, CSP_ASK_WAITS, 0, 0);
       return;
     }
-  if (find_waiting (dispatch, ask->host, ask->id) == NULL)
+  waiting = find_waiting (dispatch, ask->host, ask->id);
+  if (waiting != NULL)
+    csp_copy_backoffs (&waiting->ask, ask);
+  else
     {
       push_waiting (dispatch, pool, ask, now_ms);
       csp_pump_dispatch (dispatch, now_ms);
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -221,12 +221,28 @@
          && reading + need->prompt_tokens > most;
 }
 
+/* Whether it has asked the host that would send it this for a wait.  */
+static bool
+wants_a_wait (const csp_fleet_target_t *target, const csp_fleet_need_t *need,
+              int64_t now_ms)
+{
+  size_t i;
+
+  if (need->own && csp_is_backed_off (target, now_ms))
+    return true;
+  for (i = 0; i < need->backoff_count; i++)
+    if (need->backoffs[i] == target->hash)
+      return true;
+  return false;
+}
+
 static bool
 may_get (csp_fleet_target_t *target, const csp_fleet_need_t *need,
          int64_t now_ms)
 {
   if (reads_too_much (target, need, now_ms)
-      || (target->cut_off && !need->repeatable))
+      || (target->cut_off && !need->repeatable)
+      || wants_a_wait (target, need, now_ms))
     return false;
   if (need->within_slots && target->row.slots > 0
       && runs_at (target) >= target->row.slots)
--- a/source/fleet/fleet-limits.c
+++ b/source/fleet/fleet-limits.c
@@ -5,7 +5,17 @@
 #include <string.h>
 
 /* Targets that are sound and may get nothing, or only so much: those in data
-   centres that operators have cordoned, and cold ones.  */
+   centres that operators have cordoned, cold ones, and those that have asked
+   for a wait.
+
+   Load pattern: a target is swamped and says for how long it wants to be left
+   alone.  Where hosts try it again at once it spends its time on refusals.  */
+
+enum
+{
+  /* A target that asks for more is taken not to know what it says.  */
+  BACKOFF_MAX_MS = 3600000
+};
 
 static csp_cold_service_t *
 find_cold_service (csp_fleet_t *fleet, const char *service)
@@ -144,3 +154,58 @@
     }
   return cordoned;
 }
+
+void
+csp_back_off_target (csp_fleet_target_t *target, uint32_t for_ms,
+                     int64_t now_ms)
+{
+  int64_t until_ms
+      = now_ms + (for_ms < BACKOFF_MAX_MS ? for_ms : BACKOFF_MAX_MS);
+
+  if (until_ms > target->backoff_until_ms)
+    target->backoff_until_ms = until_ms;
+}
+
+bool
+csp_is_backed_off (const csp_fleet_target_t *target, int64_t now_ms)
+{
+  return now_ms < target->backoff_until_ms;
+}
+
+uint32_t
+csp_service_backoff_ms (const csp_fleet_t *fleet, const char *service,
+                        int64_t now_ms)
+{
+  int64_t least_ms = 0;
+  size_t i;
+
+  for (i = 0; i < fleet->count; i++)
+    {
+      const csp_fleet_target_t *target = fleet->targets[i];
+      int64_t left_ms = target->backoff_until_ms - now_ms;
+
+      if (!csp_takes_new_work (target)
+          || strcmp (target->row.service, service) != 0)
+        continue;
+      if (left_ms <= 0)
+        return 0;
+      if (least_ms == 0 || left_ms < least_ms)
+        least_ms = left_ms;
+    }
+  return (uint32_t)least_ms;
+}
+
+size_t
+csp_list_backed_off (const csp_fleet_t *fleet, const char *service,
+                     int64_t now_ms, uint64_t *targets, size_t room)
+{
+  size_t listed = 0;
+  size_t i;
+
+  for (i = 0; i < fleet->count && listed < room; i++)
+    if (csp_is_backed_off (fleet->targets[i], now_ms)
+        && csp_takes_new_work (fleet->targets[i])
+        && strcmp (fleet->targets[i]->row.service, service) == 0)
+      targets[listed++] = fleet->targets[i]->hash;
+  return listed;
+}
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -260,7 +260,8 @@
           .memory_tokens = exchange->service->memory_tokens,
           .tokens = exchange->tokens,
           .repeatable = exchange->route->kind == CSP_ROUTE_IDEMPOTENT,
-          .not_this = exchange->failed_at };
+          .not_this = exchange->failed_at,
+          .own = true };
   csp_fleet_target_t *target = csp_choose_fleet_target (
       gateway->fleet, &need, &gateway->random, csp_gateway_now_ms (gateway));
 
@@ -297,6 +298,8 @@
   else if (csp_is_service_cordoned (exchange->gateway->fleet,
                                     exchange->service->name))
     csp_refuse_cordoned (exchange);
+  else if (csp_is_service_backed_off (exchange))
+    csp_refuse_backed_off (exchange);
   else if (exchange->service->is_engine && exchange->unreached == 0
            && exchange->gateway->alone_since_ms == 0)
     csp_ask_for_place (exchange);
--- a/source/gateway/gateway-backup.c
+++ b/source/gateway/gateway-backup.c
@@ -50,7 +50,8 @@
                             .memory_tokens = exchange->service->memory_tokens,
                             .tokens = exchange->tokens,
                             .is_copy = true,
-                            .not_this = target };
+                            .not_this = target,
+                            .own = true };
 
   if (csp_gateway_now_ms (gateway) < exchange->move.refused_until_ms)
     need.nor_this
@@ -99,9 +100,11 @@
 bool
 csp_backup_stands (const csp_exchange_t *exchange)
 {
+  int64_t now_ms = csp_gateway_now_ms (exchange->gateway);
+
   return exchange->backup != NULL && csp_takes_new_work (exchange->backup)
-         && !csp_is_paced (exchange->backup,
-                           csp_gateway_now_ms (exchange->gateway))
+         && !csp_is_paced (exchange->backup, now_ms)
+         && !csp_is_backed_off (exchange->backup, now_ms)
          && exchange->run_since_ms != 0;
 }
 
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -60,6 +60,9 @@
   if (exchange->organisation != NULL)
     ask.organisation
         = (uint32_t)csp_hash_pair ("organisation", exchange->organisation);
+  ask.backoff_count = csp_list_backed_off (
+      gateway->fleet, exchange->service->name, csp_gateway_now_ms (gateway),
+      ask.backoffs, CSP_ASK_BACKOFFS_MAX);
   if (!exchange->asks_to_move)
     return ask;
   ask.moves_from = exchange->target->hash;
@@ -101,6 +104,8 @@
   hello.asks[0].moves_from = ask.moves_from;
   hello.asks[0].refused_at = ask.refused_at;
   hello.asks[0].left_ms = ask.left_ms;
+  hello.asks[0].backoff_count = ask.backoff_count;
+  memcpy (hello.asks[0].backoffs, ask.backoffs, sizeof ask.backoffs);
   csp_send_hello (gateway, &hello, &exchange->asked, 1);
 }
 
@@ -259,9 +264,12 @@
   csp_fleet_target_t *target
       = csp_find_hashed_target (exchange->gateway->fleet, target_hash);
   /* The host that decides may reach what this one doesn't, and may not have
-     heard yet that operators have cordoned it.  */
-  bool ready = target != NULL && target->state == CSP_FLEET_READY
-               && !target->cut_off && !target->cordoned;
+     heard yet that operators have cordoned it, or that it has asked this host
+     for a wait.  */
+  bool ready
+      = target != NULL && target->state == CSP_FLEET_READY && !target->cut_off
+        && !target->cordoned
+        && !csp_is_backed_off (target, csp_gateway_now_ms (exchange->gateway));
 
   exchange->asking = false;
   uv_timer_stop (&exchange->move.timer);
@@ -399,7 +407,10 @@
                         .urgency = row->urgency,
                         .moves_from = row->moves_from,
                         .refused_at = row->refused_at,
-                        .left_ms = row->left_ms };
+                        .left_ms = row->left_ms,
+                        .backoff_count = row->backoff_count };
+
+      memcpy (ask.backoffs, row->backoffs, sizeof ask.backoffs);
 
       /* A version of the routes that isn't here yet: its host will place the
          request by itself.  */
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -156,6 +156,11 @@
 /* It got a whole answer.  */
 void csp_note_request_answered (csp_exchange_t *exchange);
 
+/* Word: see gateway-word.c.  Whether all targets of its service have asked
+   this host for a wait; and turn it away for that reason.  */
+bool csp_is_service_backed_off (const csp_exchange_t *exchange);
+void csp_refuse_backed_off (csp_exchange_t *exchange);
+
 /* Dispatch: see gateway-dispatch.c.  Ask the host that decides for a place;
    the request is sent, refused or placed alone later.  */
 void csp_ask_for_place (csp_exchange_t *exchange);
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -103,6 +103,7 @@
   uint64_t connections;
   uint64_t link_opens;
   uint64_t reports;            /* questions to targets whether they leave */
+  uint64_t backoffs;           /* waits that targets asked for */
   uint64_t quarantined;        /* requests under which targets ended */
   uint64_t quarantine_refused; /* attempts of theirs that were not made */
 } csp_gateway_counts_t;
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -34,6 +34,7 @@
     { "caller_connections_total", "counter", counts->connections },
     { "target_connections_total", "counter", counts->link_opens },
     { "target_reports_total", "counter", counts->reports },
+    { "target_backoffs_total", "counter", counts->backoffs },
     { "quarantined_total", "counter", counts->quarantined },
     { "quarantine_refused_total", "counter", counts->quarantine_refused },
     { "suspects", "gauge", csp_count_suspects (gateway->quarantine) },
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -298,7 +298,7 @@
       csp_fleet_target_t *target
           = csp_fleet_at (gateway->fleet, (first + i) % count);
 
-      if (now_ms >= target->report_at_ms
+      if (now_ms >= target->report_at_ms && !csp_is_backed_off (target, now_ms)
           && (target->state == CSP_FLEET_READY
               || target->state == CSP_FLEET_LAPSED)
           && csp_is_engine_target (gateway, target))
--- a/source/gateway/gateway-word.c
+++ b/source/gateway/gateway-word.c
@@ -1,11 +1,16 @@
-#include "gateway/gateway-imp.h"
+#include "gateway/gateway-exchange-imp.h"
 
 /* What targets say of themselves in the heads of their answers, whatever the
-   answer is: that they leave.  */
+   answer is: that they leave, and that they want nothing for a while.  */
 
 enum
 {
-  STATUS_MISDIRECTED = 421
+  STATUS_MISDIRECTED = 421,
+  STATUS_UNAVAILABLE = 503,
+  /* Hosts and callers that were told the same moment come back by lot within
+     a part of the wait.  */
+  SPREAD_LEAST_MS = 200,
+  SPREAD_PARTS = 4
 };
 
 bool
@@ -15,13 +20,80 @@
          != NULL;
 }
 
+/* What waits for a place would be told the same only when it gets one.  */
+static void
+refuse_waiting (csp_gateway_t *gateway)
+{
+  csp_exchange_t *exchange = gateway->exchanges;
+
+  while (exchange != NULL)
+    {
+      csp_exchange_t *next = exchange->next;
+
+      if (!exchange->over && exchange->asking && !exchange->asks_to_move
+          && csp_is_service_backed_off (exchange))
+        csp_refuse_backed_off (exchange);
+      exchange = next;
+    }
+}
+
+static void
+take_backoff (csp_gateway_t *gateway, csp_fleet_target_t *target,
+              const char *retry_after)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  uint32_t wait_ms;
+
+  if (!csp_read_http_seconds (retry_after, &wait_ms))
+    {
+      CSP_LOG (gateway->log, CSP_EVENT_BACKOFF_BAD, NULL,
+               csp_text ("target", target->row.id),
+               csp_text ("value", retry_after));
+      return;
+    }
+  csp_back_off_target (target, wait_ms, now_ms);
+  gateway->counts.backoffs++;
+  CSP_LOG (gateway->log, CSP_EVENT_TARGET_BACKED_OFF, NULL,
+           csp_text ("target", target->row.id),
+           csp_number ("wait_ms", wait_ms),
+           csp_number ("left_ms", target->backoff_until_ms - now_ms));
+  refuse_waiting (gateway);
+}
+
 void
 csp_take_target_word (csp_gateway_t *gateway, csp_fleet_target_t *target,
                       const csp_http_head_t *head)
 {
+  const char *retry_after = csp_find_http_field (head, "Retry-After");
+
   /* Another target answers at the address; it speaks of itself.  */
   if (head->status == STATUS_MISDIRECTED)
     return;
   if (csp_says_it_leaves (gateway, head))
     csp_hear_target_leaves (gateway, target);
+  if (head->status == STATUS_UNAVAILABLE && retry_after != NULL)
+    take_backoff (gateway, target, retry_after);
+}
+
+bool
+csp_is_service_backed_off (const csp_exchange_t *exchange)
+{
+  return csp_service_backoff_ms (exchange->gateway->fleet,
+                                 exchange->service->name,
+                                 csp_gateway_now_ms (exchange->gateway))
+         > 0;
+}
+
+void
+csp_refuse_backed_off (csp_exchange_t *exchange)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+  uint32_t left_ms = csp_service_backoff_ms (
+      gateway->fleet, exchange->service->name, csp_gateway_now_ms (gateway));
+  uint32_t spread_ms = left_ms / SPREAD_PARTS + SPREAD_LEAST_MS;
+
+  exchange->retry_after_ms
+      = left_ms + csp_random_below (&gateway->random, spread_ms);
+  csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
+                     "all targets of its service want a wait");
 }
--- a/source/http/http-field.c
+++ b/source/http/http-field.c
@@ -15,6 +15,33 @@
   return NULL;
 }
 
+enum
+{
+  DECIMAL = 10,
+  MS_PER_S = 1000
+};
+
+bool
+csp_read_http_seconds (const char *value, uint32_t *time_ms)
+{
+  uint64_t total_ms = 0;
+  uint32_t digit_ms = MS_PER_S / DECIMAL;
+  const char *at = value;
+
+  if (*at < '0' || *at > '9')
+    return false;
+  for (; *at >= '0' && *at <= '9'; at++)
+    if (total_ms <= UINT32_MAX)
+      total_ms = total_ms * DECIMAL + (uint64_t)(*at - '0') * MS_PER_S;
+  if (*at == '.')
+    for (at++; *at >= '0' && *at <= '9'; at++, digit_ms /= DECIMAL)
+      total_ms += (uint64_t)(*at - '0') * digit_ms;
+  if (at[strspn (at, " \t")] != '\0')
+    return false;
+  *time_ms = total_ms < UINT32_MAX ? (uint32_t)total_ms : UINT32_MAX;
+  return true;
+}
+
 static const char *const hop_fields[]
     = { "Connection",     "Keep-Alive",         "Proxy-Connection", "TE",
         "Trailer",        "Transfer-Encoding",  "Upgrade",          "Expect",
--- a/source/log/event-table.c
+++ b/source/log/event-table.c
@@ -54,6 +54,8 @@
   { CSP_EVENT_TARGET_LOST, CSP_LEVEL_WARNING, "target-lost" },
   { CSP_EVENT_DATA_CENTRE_CUT, CSP_LEVEL_WARNING, "data-centre-cut" },
   { CSP_EVENT_DATA_CENTRE_REACHED, CSP_LEVEL_INFO, "data-centre-reached" },
+  { CSP_EVENT_TARGET_BACKED_OFF, CSP_LEVEL_INFO, "target-backed-off" },
+  { CSP_EVENT_BACKOFF_BAD, CSP_LEVEL_WARNING, "backoff-bad" },
   { CSP_EVENT_KEY_REFUSED, CSP_LEVEL_INFO, "key-refused" },
   { CSP_EVENT_ORDER_SENT, CSP_LEVEL_INFO, "order-sent" },
   { CSP_EVENT_ORDER_DONE, CSP_LEVEL_INFO, "order-done" },
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -18,6 +18,7 @@
   CspHello__Address *known_rows[CSP_HELLO_KNOWN_MAX];
   CspHello__Ask asks[CSP_HELLO_ASKS_MAX];
   CspHello__Ask *ask_rows[CSP_HELLO_ASKS_MAX];
+  uint64_t backoffs[CSP_HELLO_ASKS_MAX][CSP_ASK_BACKOFFS_MAX];
   CspHello__Answer answers[CSP_HELLO_ASKS_MAX];
   CspHello__Answer *answer_rows[CSP_HELLO_ASKS_MAX];
   CspHello__Lease wants[CSP_HELLO_LEASES_MAX];
@@ -96,6 +97,10 @@
       row->moves_from = hello->asks[i].moves_from;
       row->refused_at = hello->asks[i].refused_at;
       row->left_ms = hello->asks[i].left_ms;
+      memcpy (rows->backoffs[i], hello->asks[i].backoffs,
+              sizeof rows->backoffs[i]);
+      row->n_backoffs = hello->asks[i].backoff_count;
+      row->backoffs = rows->backoffs[i];
       rows->ask_rows[i] = row;
     }
 }
@@ -235,6 +240,11 @@
       hello->asks[i].moves_from = message->asks[i]->moves_from;
       hello->asks[i].refused_at = message->asks[i]->refused_at;
       hello->asks[i].left_ms = message->asks[i]->left_ms;
+      if (message->asks[i]->n_backoffs > CSP_ASK_BACKOFFS_MAX)
+        return false;
+      hello->asks[i].backoff_count = message->asks[i]->n_backoffs;
+      memcpy (hello->asks[i].backoffs, message->asks[i]->backoffs,
+              message->asks[i]->n_backoffs * sizeof (uint64_t));
     }
   for (i = 0; i < message->n_answers; i++)
     {
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -567,7 +567,7 @@
   (ProtobufCMessageInit) csp_hello__address__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__ask__field_descriptors[10] =
+static const ProtobufCFieldDescriptor csp_hello__ask__field_descriptors[11] =
 {
   {
     "id",
@@ -689,8 +689,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backoffs",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(CspHello__Ask, n_backoffs),
+    offsetof(CspHello__Ask, backoffs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__ask__field_indices_by_name[] = {
+  10,   /* field[10] = backoffs */
   0,   /* field[0] = id */
   9,   /* field[9] = left_ms */
   7,   /* field[7] = moves_from */
@@ -705,7 +718,7 @@
 static const ProtobufCIntRange csp_hello__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor csp_hello__ask__descriptor =
 {
@@ -715,7 +728,7 @@
   "CspHello__Ask",
   "csp_hello",
   sizeof(CspHello__Ask),
-  10,
+  11,
   csp_hello__ask__field_descriptors,
   csp_hello__ask__field_indices_by_name,
   1,  csp_hello__ask__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -75,10 +75,12 @@
   uint64_t moves_from;
   uint64_t refused_at;
   uint32_t left_ms;
+  size_t n_backoffs;
+  uint64_t *backoffs;
 };
 #define CSP_HELLO__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  CspHello__Answer
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -114,6 +114,44 @@
 }
 END_TEST
 
+static csp_ask_outcome_t
+ask_without (uint64_t id, const char *left_out, int64_t now_ms)
+{
+  csp_ask_t row = { .host = there,
+                    .id = id,
+                    .organisation = 1,
+                    .tokens = RUN,
+                    .start_within_ms = PATIENCE_MS };
+
+  if (left_out != NULL)
+    row.backoffs[row.backoff_count++]
+        = csp_find_fleet_target (fleet, left_out)->hash;
+  csp_push_ask (dispatch, &row, "s", MEMORY, now_ms);
+  return answers[answer_count - 1].outcome;
+}
+
+/* Guards against places at an engine that has asked the host for a wait, which
+   the host can't use.  */
+START_TEST (an_ask_gets_no_place_at_an_engine_that_it_leaves_out)
+{
+  uint64_t id;
+
+  for (id = 1; id <= 2; id++)
+    {
+      ck_assert_int_eq (ask_without (id, "t", 1000), CSP_ASK_PLACED);
+      ck_assert_uint_eq (answers[answer_count - 1].target,
+                         csp_find_fleet_target (fleet, "u")->hash);
+    }
+  ck_assert_int_eq (ask_without (3, "t", 1000), CSP_ASK_WAITS);
+  /* Its wait is over.  */
+  ask_without (3, NULL, 1100);
+  csp_pump_dispatch (dispatch, 1110);
+  ck_assert_int_eq (answers[answer_count - 1].outcome, CSP_ASK_PLACED);
+  ck_assert_uint_eq (answers[answer_count - 1].target,
+                     csp_find_fleet_target (fleet, "t")->hash);
+}
+END_TEST
+
 /* The hosts' own words of the runs replace what was counted here; until a run
    ends, nobody else gets its place.  */
 START_TEST (a_place_that_is_free_again_goes_to_who_waits)
@@ -389,6 +427,7 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, a_place_is_given_once);
   tcase_add_test (tcase, a_place_that_is_free_again_goes_to_who_waits);
+  tcase_add_test (tcase, an_ask_gets_no_place_at_an_engine_that_it_leaves_out);
   tcase_add_test (tcase, a_large_organisation_does_not_starve_a_small_one);
   tcase_add_test (tcase, an_ask_that_comes_again_is_answered_again);
   tcase_add_test (tcase, an_ask_that_is_over_waits_no_longer);
--- a/tests/http/http-test.c
+++ b/tests/http/http-test.c
@@ -285,6 +285,44 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *value;
+  bool readable;
+  uint32_t time_ms;
+} seconds[] = {
+  { "0", true, 0 },
+  { "3", true, 3000 },
+  { "120", true, 120000 },
+  { "0.5", true, 500 },
+  { "2.25", true, 2250 },
+  { "1.", true, 1000 },
+  { "0.0019", true, 1 },
+  { "7 ", true, 7000 },
+  { "1000000000", true, UINT32_MAX },
+  { "99999999999999999999999999", true, UINT32_MAX },
+  { "-1", false, 0 },
+  { "+1", false, 0 },
+  { ".5", false, 0 },
+  { "", false, 0 },
+  { "soon", false, 0 },
+  { "3s", false, 0 },
+  { "1e3", false, 0 },
+  { "1.2.3", false, 0 },
+  { "Wed, 21 Oct 2015 07:28:00 GMT", false, 0 },
+};
+
+START_TEST (test_seconds)
+{
+  uint32_t time_ms = 0;
+
+  ck_assert_msg (csp_read_http_seconds (seconds[_i].value, &time_ms)
+                     == seconds[_i].readable,
+                 "%s", seconds[_i].value);
+  ck_assert_uint_eq (time_ms, seconds[_i].time_ms);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -297,6 +335,8 @@
                        sizeof answers / sizeof answers[0]);
   tcase_add_test (cases, test_pipelined);
   tcase_add_test (cases, test_hop_fields);
+  tcase_add_loop_test (cases, test_seconds, 0,
+                       sizeof seconds / sizeof seconds[0]);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
 }
--- a/tests/losses/losses-test.c
+++ b/tests/losses/losses-test.c
@@ -62,6 +62,8 @@
   { { END ("211", "all data centres of its service are cordoned", "") },
     CSP_LOSS_CORDONED },
   { { END ("216", "the data centre is cordoned", "") }, CSP_LOSS_CORDONED },
+  { { END ("211", "all targets of its service want a wait", "") },
+    CSP_LOSS_BACKED_OFF },
   { { END ("211", "targets ended under this request", "") },
     CSP_LOSS_QUARANTINED },
   { { END ("216", "targets ended under this request", "") },
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -713,6 +713,25 @@
 }
 END_TEST
 
+START_TEST (an_ask_that_leaves_targets_out_survives_its_codec)
+{
+  csp_hello_t hello = { .boot = 1, .sequence = 2, .ask_count = 1 };
+  csp_buffer_t bytes = { 0 };
+  csp_hello_t back;
+  size_t i;
+
+  hello.asks[0].id = 3;
+  hello.asks[0].backoff_count = CSP_ASK_BACKOFFS_MAX;
+  for (i = 0; i < CSP_ASK_BACKOFFS_MAX; i++)
+    hello.asks[0].backoffs[i] = UINT64_MAX - i;
+  ck_assert (csp_encode_hello (&hello, &bytes));
+  ck_assert_uint_le (bytes.size_bytes, CSP_HELLO_MAX_BYTES);
+  ck_assert (csp_decode_hello (bytes.data, bytes.size_bytes, &back));
+  ck_assert_mem_eq (&hello, &back, sizeof hello);
+  csp_clear_buffer (&bytes);
+}
+END_TEST
+
 /* Guards against a greeting that names suspects and doesn't fit a frame.  */
 START_TEST (a_full_greeting_with_suspects_fits_a_frame)
 {
@@ -799,6 +818,7 @@
   tcase_add_test (tcase, a_seed_that_is_not_up_yet_is_greeted_soon_again);
   tcase_add_test (tcase, a_datagram_survives_its_codec);
   tcase_add_test (tcase, a_full_greeting_with_suspects_fits_a_frame);
+  tcase_add_test (tcase, an_ask_that_leaves_targets_out_survives_its_codec);
   tcase_add_test (tcase, a_boot_behind_a_calendar_that_stepped_back_is_heard);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
