Greetings name what is held before fresh strikes

A target that ends leaves a strike for each request that ran there, dozens at once, and a greeting names four. A host that starts in that moment heard of those first, and of the request that ends targets by its turn.

--- a/source/quarantine/quarantine.c
+++ b/source/quarantine/quarantine.c
@@ -38,10 +38,20 @@
   int64_t answered_at_ms;
 } sound_row_t;
 
+/* What a greeting names, the first kind before the second: a target that ends
+   leaves dozens of single strikes behind, and a host that has just started
+   must hear of what is held all the same.  */
+typedef enum
+{
+  NAMED_HELD,
+  NAMED_SUSPECT,
+  NAMED_KINDS
+} named_t;
+
 struct csp_quarantine
 {
-  size_t count; /* rows in use */
-  size_t next;  /* the row whose turn to be named is next */
+  size_t count;             /* rows in use */
+  size_t next[NAMED_KINDS]; /* the row whose turn to be named is next */
   suspect_row_t rows[CSP_SUSPECTS_MAX];
   sound_row_t sound[SOUND_ROOM];
 };
@@ -276,29 +286,36 @@
 }
 
 static bool
-is_worth_naming (const suspect_row_t *row, int64_t now_ms)
+is_named (const suspect_row_t *row, named_t kind, int64_t now_ms)
 {
-  return row->request != 0
-         && (row->strike_count > 1 || now_ms - row->struck_at_ms < FRESH_MS);
+  bool held = row->strike_count == CSP_STRIKES_MAX;
+
+  if (row->request == 0 || held != (kind == NAMED_HELD))
+    return false;
+  return row->strike_count > 1 || now_ms - row->struck_at_ms < FRESH_MS;
 }
 
 size_t
 csp_name_suspects (csp_quarantine_t *quarantine, csp_suspect_t *suspects,
                    size_t room, int64_t now_ms)
 {
-  size_t first = quarantine->next;
   size_t named = 0;
+  named_t kind;
   size_t i;
 
-  for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTS_MAX && named < room;
-       i++)
+  for (kind = NAMED_HELD; quarantine->count > 0 && kind < NAMED_KINDS; kind++)
     {
-      size_t at = (first + i) % CSP_SUSPECTS_MAX;
+      size_t first = quarantine->next[kind];
 
-      if (!is_worth_naming (&quarantine->rows[at], now_ms))
-        continue;
-      suspects[named++] = describe (&quarantine->rows[at], now_ms);
-      quarantine->next = at + 1;
+      for (i = 0; i < CSP_SUSPECTS_MAX && named < room; i++)
+        {
+          size_t at = (first + i) % CSP_SUSPECTS_MAX;
+
+          if (!is_named (&quarantine->rows[at], kind, now_ms))
+            continue;
+          suspects[named++] = describe (&quarantine->rows[at], now_ms);
+          quarantine->next[kind] = at + 1;
+        }
     }
   return named;
 }
--- a/tests/quarantine/quarantine-test.c
+++ b/tests/quarantine/quarantine-test.c
@@ -171,6 +171,27 @@
 }
 END_TEST
 
+/* Guards against a host that starts while targets end, and hears of all that
+   was beside them first.  */
+START_TEST (what_is_held_is_named_before_fresh_strikes)
+{
+  csp_suspect_t named[2];
+  uint64_t i;
+
+  for (i = 0; i < 100; i++)
+    csp_strike_request (here, 1000 + i, 1, 10);
+  csp_strike_request (here, REQUEST, 1, 10);
+  csp_strike_request (here, REQUEST, 2, 10);
+  csp_strike_request (here, REQUEST, 3, 10);
+  for (i = 0; i < 10; i++)
+    {
+      ck_assert_uint_eq (csp_name_suspects (here, named, 2, 20), 2);
+      ck_assert_uint_eq (named[0].request, REQUEST);
+      ck_assert_uint_eq (named[1].request, 1000 + i);
+    }
+}
+END_TEST
+
 START_TEST (a_host_that_has_answered_it_says_so)
 {
   csp_clear_request (there, REQUEST, 5);
@@ -430,6 +451,7 @@
   tcase_add_test (tests, strikes_of_several_hosts_add_up);
   tcase_add_test (tests, a_host_that_starts_learns_what_is_held);
   tcase_add_test (tests, a_hold_is_not_prolonged_by_words_that_go_round);
+  tcase_add_test (tests, what_is_held_is_named_before_fresh_strikes);
   tcase_add_test (tests, a_host_that_has_answered_it_says_so);
   tcase_add_test (tests, only_who_has_told_a_strike_tells_that_it_was_wrong);
   tcase_add_test (tests, a_fresh_strike_is_told_twice);
