The soak plays requests that end servers, and what servers say in answers

Now one caller sends a request under which each server ends, again and again through any host; servers say that they leave seconds before the store does; swamped ones answer 503 with Retry-After. The ledger holds the three rules from what callers and servers see. Each has draws of its own, so that a seed has the same other faults with and without.

--- a/tests/soak/short.sh
+++ b/tests/soak/short.sh
@@ -8,12 +8,13 @@
 runs=0
 failures=0
 grep -v '^#' "$here/seeds" >"$work/seeds"
-while read -r seed zones seconds hosts callers cause; do
+while read -r seed plays seconds hosts callers cause; do
   runs=$((runs + 1))
   mkdir -p "$work/$seed"
   if "$BUILD/soak" --program "$BUILD/cowslip-gateway" --work "$work/$seed" \
     --seed "$seed" --seconds "$seconds" --hosts "$hosts" \
-    --callers "$callers" $(test "$zones" = zones && echo --zones); then
+    --callers "$callers" \
+    $(test "$plays" = - || echo "--$plays" | sed 's/,/ --/g'); then
     rm -rf "${work:?}/$seed"
   else
     failures=$((failures + 1))
--- a/tests/soak/soak-host.c
+++ b/tests/soak/soak-host.c
@@ -111,10 +111,12 @@
     {
     case SIGSTOP:
       host->stopped = true;
+      host->frozen_ms = soak_now_ms (soak);
       host_disturb (soak, host, 0);
       break;
     case SIGCONT:
       host->stopped = false;
+      host->frozen_ms = soak_now_ms (soak);
       host_disturb (soak, host, 0);
       break;
     case SIGTERM:
--- a/tests/soak/soak-ledger.c
+++ b/tests/soak/soak-ledger.c
@@ -94,7 +94,10 @@
   const char *tenant = wire_field (message, "X-Tenant");
   char body[WIRE_TEXT_BYTES];
 
-  ledger_body (id, body);
+  if (request->poison != 0)
+    poison_body (request->poison, body);
+  else
+    ledger_body (id, body);
   if (strcmp (message->target, paths[request->kind]) != 0
       || strcmp (message->method, request->kind == KIND_SAFE ? "GET" : "POST")
              != 0
@@ -287,7 +290,7 @@
         soak_violation (soak, "REFUSED", "%08x%08zx got %u and ran",
                         (unsigned)soak->seed, i, request->status);
       /* The last of them may be cut by the end of the soak.  */
-      if (!soak->quiet_end || request->left_ms != 0
+      if (!soak->quiet_end || request->left_ms != 0 || request->poison != 0
           || request->sent_ms + SOAK_CONTACT_MS
                  < soak->began_ms + soak->length_ms
           || request->sent_ms + SOAK_CONTACT_MS / 2
--- a/tests/soak/soak-server-imp.h
+++ b/tests/soak/soak-server-imp.h
@@ -36,6 +36,16 @@
   bool used;
 } copy_t;
 
+/* What a server has told one start of a host.  */
+typedef struct
+{
+  uint32_t boot;
+  uint64_t told_ms; /* an answer that says that it leaves came through; 0 */
+  uint64_t wait_from_ms;
+  uint64_t wait_until_ms;
+  uint32_t arrivals; /* within that wait */
+} host_word_t;
+
 struct server
 {
   soak_t *soak;
@@ -55,6 +65,9 @@
   uint64_t spoiled_until_ms;
   uint64_t disturbed_until_ms;
   uint64_t cold_until_ms;
+  uint64_t untold_until_ms; /* it leaves, and the store isn't told before */
+  uint64_t swamped_until_ms;
+  host_word_t *words; /* one for each host; NULL: none was told any */
   uint64_t arrivals;
   uint64_t arrivals_ms[SOAK_COLD_BOUND]; /* of the last requests, in turn */
   uint64_t beat_ms;
@@ -86,6 +99,12 @@
 void server_take_move (server_t *server, wire_t *wire,
                        const wire_message_t *message);
 
+/* The field of its answers that says that it leaves; "" while it doesn't.  */
+const char *server_word (const server_t *server);
+
+/* Whether the server ends under what it runs; the run is over then.  */
+bool poison_ends (run_t *run);
+
 /* Who asked for a copy has gone.  */
 void server_forget_asker (void *asker);
 
--- a/tests/soak/soak-server.c
+++ b/tests/soak/soak-server.c
@@ -89,16 +89,17 @@
       case 1: /* the answer breaks off */
         wire_print (wire,
                     "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                    "X-Engine-Signature: s.%s\r\nContent-Length: 500\r\n\r\n"
+                    "X-Engine-Signature: s.%s\r\n%sContent-Length: 500\r\n\r\n"
                     "half",
-                    id, id);
+                    id, id, server_word (server));
         wire_close (wire);
         return;
       case 2: /* an error of its own */
         wire_print (wire,
                     "HTTP/1.1 500 Error\r\nX-Attempt-Id: %s\r\n"
-                    "X-Engine-Signature: s.%s\r\nContent-Length: 3\r\n\r\nerr",
-                    id, id);
+                    "X-Engine-Signature: s.%s\r\n%sContent-Length: 3\r\n\r\n"
+                    "err",
+                    id, id, server_word (server));
         return;
       default: /* and a second answer behind it */
         wire_print (wire,
@@ -112,9 +113,9 @@
       }
   wire_print (wire,
               "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-              "X-Engine-Signature: s.%s\r\nKeep-Alive: timeout=8\r\n"
+              "X-Engine-Signature: s.%s\r\n%sKeep-Alive: timeout=8\r\n"
               "Content-Length: %zu\r\n\r\n%s",
-              id, id, strlen (body), body);
+              id, id, server_word (server), strlen (body), body);
 }
 
 static void
@@ -147,10 +148,10 @@
   if (!run->head_sent)
     wire_print (wire,
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                "X-Engine-Signature: s.%s\r\nKeep-Alive: timeout=8\r\n"
+                "X-Engine-Signature: s.%s\r\n%sKeep-Alive: timeout=8\r\n"
                 "Content-Type: text/event-stream\r\n"
                 "Transfer-Encoding: chunked\r\n\r\n",
-                run->id, run->id);
+                run->id, run->id, server_word (server));
   run->head_sent = true;
   if (run->next_event <= run->length)
     send_event (run);
@@ -175,6 +176,8 @@
       uv_timer_start (timer, on_step, EVENT_MS, 0);
       return;
     }
+  if (poison_ends (run))
+    return;
   if (run->length == 0)
     {
       answer_plain (run);
@@ -284,6 +287,10 @@
     }
   check_leaving (server, message);
   zone_check (server, message);
+  poison_check (server, ledger_find (server->soak,
+                                     wire_field (message, "X-Attempt-Id")));
+  if (word_turns_away (server, wire, message))
+    return;
   if (from != NULL)
     server_resume_run (server, wire, message, from);
   else
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -12,8 +12,9 @@
 #include <unistd.h>
 
 /* soak --program GATEWAY [--seed N] [--seconds S] [--hosts N] [--callers N]
-   [--work DIR]: one soak.  Prints its violations and one line at the end;
-   exits with 1 where a promise was broken.  */
+   [--work DIR] [--zones] [--poison] [--words]: one soak.  Prints its
+   violations and one line at the end; exits with 1 where a promise was broken.
+ */
 
 enum
 {
@@ -166,6 +167,8 @@
     server_tick (soak->servers[i]);
   plan_tick (soak);
   zone_tick (soak);
+  poison_tick (soak);
+  word_tick (soak);
   if (soak_now_ms (soak) >= soak->began_ms + soak->length_ms)
     uv_stop (&soak->loop);
 }
@@ -210,6 +213,8 @@
           { "callers", required_argument, NULL, 'c' },
           { "work", required_argument, NULL, 'w' },
           { "zones", no_argument, NULL, 'z' },
+          { "poison", no_argument, NULL, 'x' },
+          { "words", no_argument, NULL, 'd' },
           { NULL, 0, NULL, 0 } };
   int option;
 
@@ -234,6 +239,12 @@
       case 'z':
         soak->zones = true;
         break;
+      case 'x':
+        soak->plays_poison = true;
+        break;
+      case 'd':
+        soak->words = true;
+        break;
       case 'w':
         snprintf (soak->work, sizeof soak->work, "%s", optarg);
         break;
@@ -272,7 +283,12 @@
   csp_seed_random (&soak.random, soak.seed);
   csp_seed_random (&soak.zone_random, ~soak.seed);
   soak.began_ms = soak_now_ms (&soak);
+  if (soak.plays_poison)
+    poison_open (&soak);
+  if (soak.words)
+    word_open (&soak);
   run (&soak, callers);
+  poison_close (&soak);
   printf ("seed %llu: %zu requests, %u faults, %u violations\n",
           (unsigned long long)soak.seed, soak.request_count, soak.faults,
           soak.violations);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,6 +22,8 @@
      soak-host    gateways
      soak-ledger  what each request was promised, and what came of it
      soak-zone    evacuated zones, cold engines
+     soak-poison  requests that end servers
+     soak-word    what servers say of themselves in answers
      soak-plan    which faults come when  */
 
 enum
@@ -73,6 +75,7 @@
   uint16_t runs;        /* begun anew, not gone on with */
   uint16_t running;     /* at servers now */
   uint32_t events;      /* that the caller has got */
+  uint32_t poison;      /* number of its series, see soak-poison; 0: none */
   bool complete;
 } request_t;
 
@@ -91,6 +94,7 @@
   bool in_rotation;
   uint8_t misses;
   uint64_t started_ms;
+  uint64_t frozen_ms; /* last time that it was, or went on */
   uint64_t terminated_ms;
   uint64_t restart_at_ms;
   uint64_t continue_at_ms;
@@ -104,6 +108,7 @@
 typedef struct soak soak_t;
 typedef struct store store_t;
 typedef struct callers callers_t;
+typedef struct poison poison_t;
 
 struct soak
 {
@@ -118,6 +123,11 @@
   bool quiet_end;   /* no more faults; callers go on */
   bool zones;       /* zones are evacuated, new engines are cold */
   csp_random_t zone_random;
+  bool plays_poison;
+  poison_t *poison; /* NULL: none is played */
+  csp_random_t poison_random;
+  bool words; /* servers say in answers that they leave, or want a wait */
+  csp_random_t word_random;
   uint64_t evacuated_ms[SOAK_ZONES]; /* acknowledged then; 0: it isn't */
   uint64_t evacuated_until_ms[SOAK_ZONES];
   size_t host_count;
@@ -239,6 +249,26 @@
 void zone_tick (soak_t *soak);
 void zone_check (server_t *server, const wire_message_t *message);
 
+/* Poison: requests that end each server that runs them; the text of one, and
+   whether one that reaches a server should not.  */
+void poison_open (soak_t *soak);
+void poison_tick (soak_t *soak);
+void poison_body (uint32_t series, char text[WIRE_TEXT_BYTES]);
+void poison_check (server_t *server, const request_t *request);
+void poison_close (soak_t *soak);
+
+/* Word: what servers tell hosts in their answers.  The head of an answer has
+   come to a caller.  */
+void word_open (soak_t *soak);
+void word_tick (soak_t *soak);
+void word_passed_on (soak_t *soak, const request_t *request,
+                     const wire_message_t *head);
+
+/* A request reaches a server: check what the server has told its host.  True
+   where it was turned away.  */
+bool word_turns_away (server_t *server, wire_t *wire,
+                      const wire_message_t *message);
+
 /* Plan: faults, until the quiet end.  */
 void plan_tick (soak_t *soak);
 
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -11,5 +11,6 @@
   rm -rf "$work"
   mkdir -p "$work"
   "$BUILD/soak" --program "$BUILD/cowslip-gateway" --work "$work" --seed {} \
-    --seconds "$SECONDS_EACH" --hosts "$HOSTS" --callers "$CALLERS" --zones &&
+    --seconds "$SECONDS_EACH" --hosts "$HOSTS" --callers "$CALLERS" --zones \
+    --poison --words &&
     rm -rf "$work"'
