Bench programs link again

They are linked with the support files of the tests, of which two use check since the gateway's fixture stands among them; make bench ended at the first program. The library is named where they are linked.

--- a/Makefile
+++ b/Makefile
@@ -111,7 +111,7 @@
 
 $(BUILD)/%-bench: $(BUILD)/bench/%-bench.o $(call obj,$(BENCH_COMMON)) \
   $(call obj,$(SUPPORT_SRC)) $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
 check: setup
 	@$(MAKE) --no-print-directory check-run
