Greetings name two suspects at most

With four held requests each greeting and its answer carried 168 bytes more, 4 kB a second at 24 of them: all that a host has for such words. With two it is half, and a host that starts still hears of 48 rows a second.

--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -7,6 +7,13 @@
 /* Requests under which targets end, see quarantine.h: noting strikes, telling
    other hosts, and refusing what is held.  */
 
+enum
+{
+  /* Suspects in one greeting.  A host sends and answers some two dozen a
+     second, and has 4 kB a second for all that hosts tell each other.  */
+  GREETED_SUSPECTS_MAX = 2
+};
+
 static const char refusal_detail[] = "targets ended under this request";
 
 bool
@@ -108,9 +115,9 @@
 void
 csp_name_gateway_suspects (csp_gateway_t *gateway, csp_hello_t *hello)
 {
-  hello->suspect_count = csp_name_suspects (
-      gateway->quarantine, hello->suspects, CSP_HELLO_SUSPECTS_MAX,
-      csp_gateway_now_ms (gateway));
+  hello->suspect_count
+      = csp_name_suspects (gateway->quarantine, hello->suspects,
+                           GREETED_SUSPECTS_MAX, csp_gateway_now_ms (gateway));
 }
 
 void
