--- a/tests/gateway/quarantine-test.c
+++ b/tests/gateway/quarantine-test.c
@@ -141,6 +141,29 @@
 }
 END_TEST
 
+/* Guards against a target that has the request in its queue, and ends when its
+   turn comes.  */
+START_TEST (what_waits_at_a_target_ends_with_the_third_strike)
+{
+  int listener = fixture_target (&hosts[0], "t-4", "plain");
+  int caller = caller_open (&hosts[0]);
+  int link;
+
+  send_request (caller, "waits", "poison");
+  link = target_accept (listener);
+  target_read (link, strlen ("poison"));
+  fixture_remove (&hosts[0], "t-4");
+  end_target (&hosts[0], "t-1", "poison");
+  end_target (&hosts[0], "t-2", "poison");
+  end_target (&hosts[0], "t-3", "poison");
+  ck_assert_ptr_nonnull (strstr (read_until (caller, "\r\n\r\n"), " 502 "));
+  ck_assert (is_closed (link));
+  close (link);
+  close (listener);
+  close (caller);
+}
+END_TEST
+
 /* Guards against refusing what was merely beside it.  */
 START_TEST (other_requests_are_served_all_the_same)
 {
@@ -163,6 +186,7 @@
                   a_request_under_which_three_targets_ended_reaches_no_other);
   tcase_add_test (tests,
                   targets_that_ended_through_several_hosts_count_together);
+  tcase_add_test (tests, what_waits_at_a_target_ends_with_the_third_strike);
   tcase_add_test (tests, other_requests_are_served_all_the_same);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
