--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -47,6 +47,15 @@
   return exchange->mode != CSP_ANSWER_NONE || exchange->events > 0;
 }
 
+/* Whether it is the request.  One whose body is still coming isn't known yet;
+   it is looked at when it is sent.  */
+static bool
+is_request (csp_exchange_t *exchange, uint64_t fingerprint)
+{
+  return !exchange->over && exchange->service != NULL
+         && csp_exchange_fingerprint (exchange) == fingerprint;
+}
+
 /* What waits, or waits at a target for its turn, would end one more target
    when it runs.  not_this: the exchange that is being dealt with.  */
 static void
@@ -59,8 +68,8 @@
     {
       csp_exchange_t *next = exchange->next;
 
-      if (exchange != not_this && !exchange->over
-          && exchange->fingerprint == fingerprint && !has_answer (exchange))
+      if (exchange != not_this && !has_answer (exchange)
+          && is_request (exchange, fingerprint))
         {
           exchange->may_have_run = csp_exchange_may_have_run (exchange);
           csp_refuse_quarantined (exchange);
