--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -235,7 +235,7 @@
                  || head->status == STATUS_MISDIRECTED;
 
   csp_note_target_answered (exchange->gateway, exchange->target);
-  csp_take_target_word (exchange->gateway, exchange->target, head);
+  csp_take_target_state (exchange->gateway, exchange->target, head);
   if (!answers_this (exchange, head))
     {
       take_failure (exchange, "the answer is to another request");
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -156,8 +156,9 @@
 /* It got a whole answer.  */
 void csp_note_request_answered (csp_exchange_t *exchange);
 
-/* Word: see gateway-word.c.  Whether all targets of its service have asked
-   this host for a wait; and turn it away for that reason.  */
+/* Target state: see gateway-target-state.c.  Whether all targets of its
+   service have asked this host for a wait; and turn it away for that reason.
+ */
 bool csp_is_service_backed_off (const csp_exchange_t *exchange);
 void csp_refuse_backed_off (csp_exchange_t *exchange);
 
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -27,7 +27,7 @@
      report    asks targets themselves, when the platform says nothing
      cordon    what operators let get nothing new
      quarantine  requests under which targets end
-     word      what targets say of themselves in their answers
+     target-state  what targets say of themselves in their answers
      reach     what follows where a data centre is cut off
      page      readiness and metrics
 
@@ -283,15 +283,14 @@
 
 /* A target itself says that it leaves: it gets nothing new, and the other
    hosts are told.  */
-void csp_hear_target_leaves (csp_gateway_t *gateway,
-                             csp_fleet_target_t *target);
-
-/* Word: see gateway-word.c.  What the head of a target's answer says of the
-   target.  */
-void csp_take_target_word (csp_gateway_t *gateway, csp_fleet_target_t *target,
-                           const csp_http_head_t *head);
-bool csp_says_it_leaves (const csp_gateway_t *gateway,
-                         const csp_http_head_t *head);
+void csp_announce_leaving (csp_gateway_t *gateway, csp_fleet_target_t *target);
+
+/* Target state: see gateway-target-state.c.  What the head of a target's
+   answer says of the target.  */
+void csp_take_target_state (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                            const csp_http_head_t *head);
+bool csp_says_leaving (const csp_gateway_t *gateway,
+                       const csp_http_head_t *head);
 
 /* Another host tells which targets say that they leave.  */
 void csp_take_left (csp_gateway_t *gateway, const csp_hello_t *hello);
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -200,7 +200,7 @@
   csp_exchange_t *exchange = state;
 
   exchange->move.status = head->status;
-  csp_take_target_word (exchange->gateway, exchange->target, head);
+  csp_take_target_state (exchange->gateway, exchange->target, head);
 }
 
 static void
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -112,7 +112,7 @@
 }
 
 void
-csp_hear_target_leaves (csp_gateway_t *gateway, csp_fleet_target_t *target)
+csp_announce_leaving (csp_gateway_t *gateway, csp_fleet_target_t *target)
 {
   csp_left_t left = { .target = target->hash, .times = TOLD_TIMES };
 
@@ -165,7 +165,7 @@
 
   csp_note_target_answered (report->gateway, report->target);
   report->status = head->status;
-  report->leaving = csp_says_it_leaves (report->gateway, head);
+  report->leaving = csp_says_leaving (report->gateway, head);
 }
 
 static void
@@ -199,7 +199,7 @@
   if (!told.leaving
       || (told.born_ms != 0 && told.born_ms != target->row.born_ms))
     return;
-  csp_hear_target_leaves (gateway, target);
+  csp_announce_leaving (gateway, target);
 }
 
 /* It is gone, or cut off from here, and gets nothing new for a while.  */
--- a/source/gateway/gateway-word.c
+++ b/source/gateway/gateway-target-state.c
@@ -14,7 +14,7 @@
 };
 
 bool
-csp_says_it_leaves (const csp_gateway_t *gateway, const csp_http_head_t *head)
+csp_says_leaving (const csp_gateway_t *gateway, const csp_http_head_t *head)
 {
   return csp_find_http_field (head, gateway->dialect->names[CSP_NAME_LEAVING])
          != NULL;
@@ -61,16 +61,16 @@
 }
 
 void
-csp_take_target_word (csp_gateway_t *gateway, csp_fleet_target_t *target,
-                      const csp_http_head_t *head)
+csp_take_target_state (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                       const csp_http_head_t *head)
 {
   const char *retry_after = csp_find_http_field (head, "Retry-After");
 
   /* Another target answers at the address; it speaks of itself.  */
   if (head->status == STATUS_MISDIRECTED)
     return;
-  if (csp_says_it_leaves (gateway, head))
-    csp_hear_target_leaves (gateway, target);
+  if (csp_says_leaving (gateway, head))
+    csp_announce_leaving (gateway, target);
   if (head->status == STATUS_UNAVAILABLE && retry_after != NULL)
     take_backoff (gateway, target, retry_after);
 }
--- a/tests/soak/soak-word.c
+++ b/tests/soak/soak-announce.c
@@ -26,17 +26,17 @@
 };
 
 void
-word_open (soak_t *soak)
+announce_open (soak_t *soak)
 {
-  csp_seed_random (&soak->word_random, soak->seed ^ 0x3aed);
+  csp_seed_random (&soak->announce_random, soak->seed ^ 0x3aed);
 }
 
 const char *
-server_word (const server_t *server)
+server_leaving_field (const server_t *server)
 {
   bool leaves = server->state == SERVER_LEAVING || server->untold_until_ms > 0;
 
-  return server->soak->words && leaves ? "Server-Leaving: 1\r\n" : "";
+  return server->soak->announces && leaves ? "Server-Leaving: 1\r\n" : "";
 }
 
 /* A ready server of a service that keeps enough others; NULL where none.  */
@@ -44,7 +44,7 @@
 draw_server (soak_t *soak)
 {
   server_t *server = soak->servers[csp_random_below (
-      &soak->word_random, (uint32_t)soak->server_count)];
+      &soak->announce_random, (uint32_t)soak->server_count)];
   size_t others = 0;
   size_t i;
 
@@ -69,7 +69,7 @@
   soak->faults++;
   server->untold_until_ms
       = now_ms + UNTOLD_LEAST_MS
-        + csp_random_below (&soak->word_random, UNTOLD_SPREAD_MS);
+        + csp_random_below (&soak->announce_random, UNTOLD_SPREAD_MS);
   soak_note (soak, "%s leaves, and says so in its answers alone", server->id);
   server_open (soak, server->service);
 }
@@ -84,7 +84,7 @@
   soak->faults++;
   server->swamped_until_ms
       = now_ms + SWAMPED_LEAST_MS
-        + csp_random_below (&soak->word_random, SWAMPED_SPREAD_MS);
+        + csp_random_below (&soak->announce_random, SWAMPED_SPREAD_MS);
   soak_note (soak, "%s is swamped until %.1f s", server->id,
              (double)(server->swamped_until_ms - soak->began_ms) / 1000);
 }
@@ -105,36 +105,36 @@
 }
 
 void
-word_tick (soak_t *soak)
+announce_tick (soak_t *soak)
 {
   uint64_t now_ms = soak_now_ms (soak);
 
-  if (!soak->words || now_ms < soak->began_ms + QUIET_START_MS)
+  if (!soak->announces || now_ms < soak->began_ms + QUIET_START_MS)
     return;
   tell_store (soak, now_ms);
   if (soak->quiet_end)
     return;
-  if (csp_random_below (&soak->word_random, PER_MILLE) < LEAVES_OF_1000)
+  if (csp_random_below (&soak->announce_random, PER_MILLE) < LEAVES_OF_1000)
     begin_leaving (soak, now_ms);
-  if (csp_random_below (&soak->word_random, PER_MILLE) < SWAMPED_OF_1000)
+  if (csp_random_below (&soak->announce_random, PER_MILLE) < SWAMPED_OF_1000)
     begin_swamped (soak, now_ms);
 }
 
 /* What a server has told one start of a host.  */
-static host_word_t *
-word_of (server_t *server, size_t host)
+static announced_t *
+announced_to (server_t *server, size_t host)
 {
   soak_t *soak = server->soak;
-  host_word_t *word;
+  announced_t *told;
 
-  if (server->words == NULL)
-    server->words = calloc (soak->host_count, sizeof *server->words);
-  if (server->words == NULL)
+  if (server->announced == NULL)
+    server->announced = calloc (soak->host_count, sizeof *server->announced);
+  if (server->announced == NULL)
     abort ();
-  word = &server->words[host];
-  if (word->boot != soak->hosts[host].boot)
-    *word = (host_word_t){ .boot = soak->hosts[host].boot };
-  return word;
+  told = &server->announced[host];
+  if (told->boot != soak->hosts[host].boot)
+    *told = (announced_t){ .boot = soak->hosts[host].boot };
+  return told;
 }
 
 /* Whether its link or its host has had a fault since.  */
@@ -146,45 +146,45 @@
 }
 
 void
-word_passed_on (soak_t *soak, const request_t *request,
-                const wire_message_t *head)
+announce_passed_on (soak_t *soak, const request_t *request,
+                    const wire_message_t *head)
 {
-  host_word_t *word;
+  announced_t *told;
 
   if (wire_field (head, "Server-Leaving") == NULL || request->server == NULL)
     return;
-  word = word_of ((server_t *)request->server, request->host);
-  if (word->told_ms == 0 && request->host_boot == word->boot)
-    word->told_ms = soak_now_ms (soak);
+  told = announced_to ((server_t *)request->server, request->host);
+  if (told->leaving_ms == 0 && request->host_boot == told->boot)
+    told->leaving_ms = soak_now_ms (soak);
 }
 
 static void
-check_leaving (const server_t *server, const host_word_t *word,
+check_leaving (const server_t *server, const announced_t *told,
                const request_t *request, const char *id)
 {
   soak_t *soak = server->soak;
 
-  if (word->told_ms == 0 || request->host_boot != word->boot
-      || request->sent_ms <= word->told_ms + SOAK_DRAIN_MS
-      || is_excused (server, &soak->hosts[request->host], word->told_ms))
+  if (told->leaving_ms == 0 || request->host_boot != told->boot
+      || request->sent_ms <= told->leaving_ms + SOAK_DRAIN_MS
+      || is_excused (server, &soak->hosts[request->host], told->leaving_ms))
     return;
   soak_violation (soak, "DRAIN",
                   "%s reached %s %llu ms behind an answer that said that it "
                   "leaves",
                   id, server->id,
-                  (unsigned long long)(soak_now_ms (soak) - word->told_ms));
+                  (unsigned long long)(soak_now_ms (soak) - told->leaving_ms));
 }
 
 static void
-check_wait (const server_t *server, host_word_t *word,
+check_wait (const server_t *server, announced_t *told,
             const request_t *request, const char *id)
 {
   soak_t *soak = server->soak;
   uint64_t now_ms = soak_now_ms (soak);
 
-  if (now_ms <= word->wait_from_ms + ON_WAY_MS || now_ms >= word->wait_until_ms
-      || is_excused (server, &soak->hosts[request->host], word->wait_from_ms)
-      || ++word->arrivals != ARRIVALS_MAX + 1)
+  if (now_ms <= told->wait_from_ms + ON_WAY_MS || now_ms >= told->wait_until_ms
+      || is_excused (server, &soak->hosts[request->host], told->wait_from_ms)
+      || ++told->arrivals != ARRIVALS_MAX + 1)
     return;
   soak_violation (soak, "BUDGET", "%s is the third at %s within its wait", id,
                   server->id);
@@ -192,40 +192,41 @@
 
 /* Turn it away for a while, some of it in fractions.  */
 static void
-ask_to_wait (server_t *server, host_word_t *word, wire_t *wire)
+ask_to_wait (server_t *server, announced_t *told, wire_t *wire)
 {
   uint64_t now_ms = soak_now_ms (server->soak);
   uint64_t wait_ms = server->swamped_until_ms - now_ms;
 
-  if (now_ms >= word->wait_until_ms)
+  if (now_ms >= told->wait_until_ms)
     {
-      word->wait_from_ms = now_ms;
-      word->arrivals = 0;
+      told->wait_from_ms = now_ms;
+      told->arrivals = 0;
     }
-  if (now_ms + wait_ms > word->wait_until_ms)
-    word->wait_until_ms = now_ms + wait_ms;
+  if (now_ms + wait_ms > told->wait_until_ms)
+    told->wait_until_ms = now_ms + wait_ms;
   wire_print (wire,
               "HTTP/1.1 503 Swamped\r\nX-Not-Executed: 1\r\n%s"
               "Retry-After: %.3f\r\nContent-Length: 0\r\n\r\n",
-              server_word (server), (double)wait_ms / 1000);
+              server_leaving_field (server), (double)wait_ms / 1000);
 }
 
 bool
-word_turns_away (server_t *server, wire_t *wire, const wire_message_t *message)
+announce_turns_away (server_t *server, wire_t *wire,
+                     const wire_message_t *message)
 {
   const char *id = wire_field (message, "X-Attempt-Id");
   soak_t *soak = server->soak;
   const request_t *request = ledger_find (soak, id);
-  host_word_t *word;
+  announced_t *told;
 
-  if (!soak->words || request == NULL
+  if (!soak->announces || request == NULL
       || request->host_boot != soak->hosts[request->host].boot)
     return false;
-  word = word_of (server, request->host);
-  check_leaving (server, word, request, id);
-  check_wait (server, word, request, id);
+  told = announced_to (server, request->host);
+  check_leaving (server, told, request, id);
+  check_wait (server, told, request, id);
   if (soak_now_ms (soak) >= server->swamped_until_ms)
     return false;
-  ask_to_wait (server, word, wire);
+  ask_to_wait (server, told, wire);
   return true;
 }
--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -133,7 +133,7 @@
       soak_violation (caller->soak, "MIXED", "an answer that nobody awaits");
       return;
     }
-  word_passed_on (caller->soak, caller->request, head);
+  announce_passed_on (caller->soak, caller->request, head);
   caller->status = head->status;
   caller->closes = closes != NULL && strcmp (closes, "close") == 0;
   caller->signed_well = id != NULL && strcmp (id, caller->id) == 0
--- a/tests/soak/soak-server-imp.h
+++ b/tests/soak/soak-server-imp.h
@@ -40,11 +40,11 @@
 typedef struct
 {
   uint32_t boot;
-  uint64_t told_ms; /* an answer that says that it leaves came through; 0 */
+  uint64_t leaving_ms; /* an answer that says so came through; 0: none */
   uint64_t wait_from_ms;
   uint64_t wait_until_ms;
   uint32_t arrivals; /* within that wait */
-} host_word_t;
+} announced_t;
 
 struct server
 {
@@ -67,7 +67,7 @@
   uint64_t cold_until_ms;
   uint64_t untold_until_ms; /* it leaves, and the store isn't told before */
   uint64_t swamped_until_ms;
-  host_word_t *words; /* one for each host; NULL: none was told any */
+  announced_t *announced; /* one for each host; NULL: none was told any */
   uint64_t arrivals;
   uint64_t arrivals_ms[SOAK_COLD_BOUND]; /* of the last requests, in turn */
   uint64_t beat_ms;
@@ -100,7 +100,7 @@
                        const wire_message_t *message);
 
 /* The field of its answers that says that it leaves; "" while it doesn't.  */
-const char *server_word (const server_t *server);
+const char *server_leaving_field (const server_t *server);
 
 /* Whether the server ends under what it runs; the run is over then.  */
 bool poison_ends (run_t *run);
--- a/tests/soak/soak-server.c
+++ b/tests/soak/soak-server.c
@@ -91,7 +91,7 @@
                     "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
                     "X-Engine-Signature: s.%s\r\n%sContent-Length: 500\r\n\r\n"
                     "half",
-                    id, id, server_word (server));
+                    id, id, server_leaving_field (server));
         wire_close (wire);
         return;
       case 2: /* an error of its own */
@@ -99,7 +99,7 @@
                     "HTTP/1.1 500 Error\r\nX-Attempt-Id: %s\r\n"
                     "X-Engine-Signature: s.%s\r\n%sContent-Length: 3\r\n\r\n"
                     "err",
-                    id, id, server_word (server));
+                    id, id, server_leaving_field (server));
         return;
       default: /* and a second answer behind it */
         wire_print (wire,
@@ -115,7 +115,7 @@
               "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
               "X-Engine-Signature: s.%s\r\n%sKeep-Alive: timeout=8\r\n"
               "Content-Length: %zu\r\n\r\n%s",
-              id, id, server_word (server), strlen (body), body);
+              id, id, server_leaving_field (server), strlen (body), body);
 }
 
 static void
@@ -151,7 +151,7 @@
                 "X-Engine-Signature: s.%s\r\n%sKeep-Alive: timeout=8\r\n"
                 "Content-Type: text/event-stream\r\n"
                 "Transfer-Encoding: chunked\r\n\r\n",
-                run->id, run->id, server_word (server));
+                run->id, run->id, server_leaving_field (server));
   run->head_sent = true;
   if (run->next_event <= run->length)
     send_event (run);
@@ -289,7 +289,7 @@
   zone_check (server, message);
   poison_check (server, ledger_find (server->soak,
                                      wire_field (message, "X-Attempt-Id")));
-  if (word_turns_away (server, wire, message))
+  if (announce_turns_away (server, wire, message))
     return;
   if (from != NULL)
     server_resume_run (server, wire, message, from);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -12,7 +12,7 @@
 #include <unistd.h>
 
 /* soak --program GATEWAY [--seed N] [--seconds S] [--hosts N] [--callers N]
-   [--work DIR] [--zones] [--poison] [--words]: one soak.  Prints its
+   [--work DIR] [--zones] [--poison] [--announce]: one soak.  Prints its
    violations and one line at the end; exits with 1 where a promise was broken.
  */
 
@@ -168,7 +168,7 @@
   plan_tick (soak);
   zone_tick (soak);
   poison_tick (soak);
-  word_tick (soak);
+  announce_tick (soak);
   if (soak_now_ms (soak) >= soak->began_ms + soak->length_ms)
     uv_stop (&soak->loop);
 }
@@ -214,7 +214,7 @@
           { "work", required_argument, NULL, 'w' },
           { "zones", no_argument, NULL, 'z' },
           { "poison", no_argument, NULL, 'x' },
-          { "words", no_argument, NULL, 'd' },
+          { "announce", no_argument, NULL, 'd' },
           { NULL, 0, NULL, 0 } };
   int option;
 
@@ -243,7 +243,7 @@
         soak->plays_poison = true;
         break;
       case 'd':
-        soak->words = true;
+        soak->announces = true;
         break;
       case 'w':
         snprintf (soak->work, sizeof soak->work, "%s", optarg);
@@ -285,8 +285,8 @@
   soak.began_ms = soak_now_ms (&soak);
   if (soak.plays_poison)
     poison_open (&soak);
-  if (soak.words)
-    word_open (&soak);
+  if (soak.announces)
+    announce_open (&soak);
   run (&soak, callers);
   poison_close (&soak);
   printf ("seed %llu: %zu requests, %u faults, %u violations\n",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,7 +23,7 @@
      soak-ledger  what each request was promised, and what came of it
      soak-zone    evacuated zones, cold engines
      soak-poison  requests that end servers
-     soak-word    what servers say of themselves in answers
+     soak-announce    what servers say of themselves in answers
      soak-plan    which faults come when  */
 
 enum
@@ -126,8 +126,8 @@
   bool plays_poison;
   poison_t *poison; /* NULL: none is played */
   csp_random_t poison_random;
-  bool words; /* servers say in answers that they leave, or want a wait */
-  csp_random_t word_random;
+  bool announces; /* servers say in answers that they leave, or want a wait */
+  csp_random_t announce_random;
   uint64_t evacuated_ms[SOAK_ZONES]; /* acknowledged then; 0: it isn't */
   uint64_t evacuated_until_ms[SOAK_ZONES];
   size_t host_count;
@@ -257,17 +257,17 @@
 void poison_check (server_t *server, const request_t *request);
 void poison_close (soak_t *soak);
 
-/* Word: what servers tell hosts in their answers.  The head of an answer has
-   come to a caller.  */
-void word_open (soak_t *soak);
-void word_tick (soak_t *soak);
-void word_passed_on (soak_t *soak, const request_t *request,
-                     const wire_message_t *head);
+/* Announce: what servers tell hosts in their answers.  The head of an answer
+   has come to a caller.  */
+void announce_open (soak_t *soak);
+void announce_tick (soak_t *soak);
+void announce_passed_on (soak_t *soak, const request_t *request,
+                         const wire_message_t *head);
 
 /* A request reaches a server: check what the server has told its host.  True
    where it was turned away.  */
-bool word_turns_away (server_t *server, wire_t *wire,
-                      const wire_message_t *message);
+bool announce_turns_away (server_t *server, wire_t *wire,
+                          const wire_message_t *message);
 
 /* Plan: faults, until the quiet end.  */
 void plan_tick (soak_t *soak);
