--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -1,7 +1,5 @@
 #include "gateway/gateway-exchange-imp.h"
 
-#include "cowslipspoke/fingerprint.h"
-
 #include <arpa/inet.h>
 #include <string.h>
 #include <strings.h>
@@ -29,24 +27,6 @@
             ntohs (target->row.address.sin_port));
 }
 
-uint64_t
-csp_exchange_fingerprint (csp_exchange_t *exchange)
-{
-  const csp_http_head_t *head = csp_caller_head (exchange->caller);
-  const char *host = csp_find_http_field (head, "Host");
-  csp_request_identity_t identity
-      = { .method = head->method,
-          .host = host == NULL ? "" : host,
-          .target = head->target,
-          .organisation = exchange->organisation,
-          .body = exchange->body.data,
-          .body_bytes = exchange->body.size_bytes };
-
-  if (exchange->fingerprint == 0)
-    exchange->fingerprint = csp_fingerprint_request (&identity);
-  return exchange->fingerprint;
-}
-
 void
 csp_note_prompt_read (csp_exchange_t *exchange, csp_fleet_target_t *target)
 {
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -145,7 +145,12 @@
    target but cordoned ones.  */
 void csp_refuse_cordoned (csp_exchange_t *exchange);
 
-/* Quarantine: see gateway-quarantine.c.  Whether the request may not be sent
+/* Quarantine: see gateway-quarantine.c.  What the request is, whatever its id:
+   see fingerprint.h.  Its body, or its first piece where it is long, has
+   come.  */
+uint64_t csp_exchange_fingerprint (csp_exchange_t *exchange);
+
+/* Whether the request may not be sent
    to any target; and end it for that reason.  */
 bool csp_is_quarantined (csp_exchange_t *exchange);
 void csp_refuse_quarantined (csp_exchange_t *exchange);
@@ -167,23 +172,19 @@
 void csp_ask_for_place (csp_exchange_t *exchange);
 void csp_drop_ask (csp_exchange_t *exchange);
 
-/* Close the connection of the attempt, and give back what it took.  */
 /* Ask it where a stream that leaves its target may go, and when.  */
 void csp_ask_to_move (csp_exchange_t *exchange);
 
 /* A move that it gave a turn is done or has failed.  */
 void csp_release_move (csp_exchange_t *exchange);
 
+/* Close the connection of the attempt, and give back what it took.  */
 void csp_drop_attempt (csp_exchange_t *exchange);
 
 /* The target has answered with a first token.  */
 void csp_note_prompt_read (csp_exchange_t *exchange,
                            csp_fleet_target_t *target);
 
-/* What the request is, whatever its id: see fingerprint.h.  Its body, or its
-   first piece where it is long, has come.  */
-uint64_t csp_exchange_fingerprint (csp_exchange_t *exchange);
-
 /* Pass a piece of the body on.  */
 void csp_pass_body (csp_exchange_t *exchange, const char *piece,
                     size_t piece_bytes);
--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -16,6 +16,24 @@
 
 static const char refusal_detail[] = "targets ended under this request";
 
+uint64_t
+csp_exchange_fingerprint (csp_exchange_t *exchange)
+{
+  const csp_http_head_t *head = csp_caller_head (exchange->caller);
+  const char *host = csp_find_http_field (head, "Host");
+  csp_request_identity_t identity
+      = { .method = head->method,
+          .host = host == NULL ? "" : host,
+          .target = head->target,
+          .organisation = exchange->organisation,
+          .body = exchange->body.data,
+          .body_bytes = exchange->body.size_bytes };
+
+  if (exchange->fingerprint == 0)
+    exchange->fingerprint = csp_fingerprint_request (&identity);
+  return exchange->fingerprint;
+}
+
 bool
 csp_is_quarantined (csp_exchange_t *exchange)
 {
