Only a success takes strikes back

Any whole answer did. A target that fails part of its requests answers 500 without running them, and so did one of those to a request under which two had ended: its strikes were gone and none was counted for a minute, in which it could end one target after another. Found by going through what else may answer such a request; the test failed for 500 and 504 before.

--- a/include/cowslipspoke/quarantine.h
+++ b/include/cowslipspoke/quarantine.h
@@ -17,9 +17,10 @@
    order of words doesn't matter and a lost one may come again.  At three
    strikes the request is quarantined: no host sends it anywhere until the hold
    is over, and one more strike behind that holds it twice as long.  A whole
-   answer shows that the request is sound and takes all strikes back; what was
-   answered lately gets none, since many callers send the same short request
-   and some of them are beside each crash.  */
+   success shows that the request is sound and takes all strikes back; what was
+   served lately gets none, since many callers send the same short request and
+   some of them are beside each crash.  An error shows nothing: a failing
+   target answers so without running the request.  */
 
 enum
 {
@@ -46,7 +47,7 @@
   CSP_SUSPECT_AS_BEFORE,
   CSP_SUSPECT_STRUCK,
   CSP_SUSPECT_QUARANTINED, /* by this one */
-  CSP_SUSPECT_SOUND        /* it was answered lately: nothing is counted */
+  CSP_SUSPECT_SOUND        /* it was served lately: nothing is counted */
 } csp_suspect_change_t;
 
 typedef struct csp_quarantine csp_quarantine_t;
@@ -65,7 +66,7 @@
                                         const csp_suspect_t *told,
                                         int64_t now_ms);
 
-/* The request got a whole answer.  True where that took strikes back that
+/* The request got a whole success.  True where that took strikes back that
    this host had told, so that it has to tell this too.  */
 bool csp_clear_request (csp_quarantine_t *quarantine, uint64_t request,
                         int64_t now_ms);
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -333,7 +333,8 @@
 {
   csp_link_t *link = exchange->link;
 
-  csp_note_request_answered (exchange);
+  if (is_success (exchange->status))
+    csp_note_request_served (exchange);
   exchange->link = NULL;
   csp_give_link_back (exchange->gateway, exchange->target, link);
 }
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -150,16 +150,16 @@
    come.  */
 uint64_t csp_exchange_fingerprint (csp_exchange_t *exchange);
 
-/* Whether the request may not be sent
-   to any target; and end it for that reason.  */
+/* Whether the request may not be sent to any target; and end it for that
+   reason.  */
 bool csp_is_quarantined (csp_exchange_t *exchange);
 void csp_refuse_quarantined (csp_exchange_t *exchange);
 
 /* Its target let go of the connection before the answer's end.  */
 void csp_note_target_ended (csp_exchange_t *exchange);
 
-/* It got a whole answer.  */
-void csp_note_request_answered (csp_exchange_t *exchange);
+/* It got a whole success.  */
+void csp_note_request_served (csp_exchange_t *exchange);
 
 /* Target state: see gateway-target-state.c.  Whether all targets of its
    service have asked this host for a wait; and turn it away for that reason.
--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -186,7 +186,7 @@
 }
 
 void
-csp_note_request_answered (csp_exchange_t *exchange)
+csp_note_request_served (csp_exchange_t *exchange)
 {
   clear_request (exchange->gateway, csp_exchange_fingerprint (exchange),
                  "self");
--- a/source/quarantine/quarantine.c
+++ b/source/quarantine/quarantine.c
@@ -11,7 +11,7 @@
   HOLD_DOUBLINGS_MAX = 4,
   /* Strikes that didn't suffice, and holds that ended, are forgotten.  */
   FORGET_MS = 600000,
-  /* An answer shows for that long that a request is sound.  */
+  /* A success shows for that long that a request is sound.  */
   SOUND_MS = 60000,
   SOUND_ROOM = 4096,
   /* A single strike is named in greetings that long.  */
@@ -35,7 +35,7 @@
 typedef struct
 {
   uint64_t request;
-  int64_t answered_at_ms;
+  int64_t served_at_ms;
 } sound_row_t;
 
 /* What a greeting names, the first kind before the second: a target that ends
@@ -120,7 +120,7 @@
 {
   const sound_row_t *row = &quarantine->sound[request % SOUND_ROOM];
 
-  return row->request == request && now_ms - row->answered_at_ms < SOUND_MS;
+  return row->request == request && now_ms - row->served_at_ms < SOUND_MS;
 }
 
 static int64_t
@@ -236,7 +236,7 @@
   bool own = row != NULL && row->own;
 
   sound->request = request;
-  sound->answered_at_ms = now_ms;
+  sound->served_at_ms = now_ms;
   if (row != NULL)
     give_up_row (quarantine, row);
   return own;
--- a/tests/gateway/quarantine-test.c
+++ b/tests/gateway/quarantine-test.c
@@ -164,6 +164,54 @@
 }
 END_TEST
 
+/* Let a host's only target answer a request.  */
+static void
+answer_target (fixture_t *host, const char *id, const char *body,
+               const char *status)
+{
+  int listener = fixture_target (host, id, "plain");
+  int caller = caller_open (host);
+  char answer_text[200];
+  int link;
+
+  send_request (caller, id, body);
+  link = target_accept (listener);
+  target_read (link, strlen (body));
+  snprintf (answer_text, sizeof answer_text,
+            "HTTP/1.1 %s\r\nRequest-Id: %s\r\nSignature: s\r\n"
+            "Content-Length: 2\r\n\r\nok",
+            status, id);
+  send_text (link, answer_text);
+  read_until (caller, "ok");
+  close (caller);
+  close (listener);
+  close (link);
+  fixture_remove (host, id);
+  fixture_settle (host);
+}
+
+static const struct
+{
+  const char *status;
+  bool held;
+} answers_between[] = {
+  { "200 OK", false },
+  /* A failing target answers so without running anything.  */
+  { "500 Error", true },
+  { "504 Timeout", true },
+};
+
+/* Guards against a failing target whose error is taken for a sound run.  */
+START_TEST (only_a_success_takes_strikes_back)
+{
+  end_target (&hosts[0], "t-1", "poison");
+  end_target (&hosts[0], "t-2", "poison");
+  answer_target (&hosts[0], "t-3", "poison", answers_between[_i].status);
+  end_target (&hosts[0], "t-4", "poison");
+  ck_assert (reaches_target (&hosts[0], "poison") != answers_between[_i].held);
+}
+END_TEST
+
 /* Guards against refusing what was merely beside it.  */
 START_TEST (other_requests_are_served_all_the_same)
 {
@@ -187,6 +235,8 @@
   tcase_add_test (tests,
                   targets_that_ended_through_several_hosts_count_together);
   tcase_add_test (tests, what_waits_at_a_target_ends_with_the_third_strike);
+  tcase_add_loop_test (tests, only_a_success_takes_strikes_back, 0,
+                       sizeof answers_between / sizeof answers_between[0]);
   tcase_add_test (tests, other_requests_are_served_all_the_same);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
