A stopped run doesn't go on at an engine that has asked for a wait meanwhile

A destination that was swamped while a run was copied there got the run all the same; of several streams that leave one engine for it that is more than the two that may still come. The source holds the run, and it goes on there, as where the destination is gone. The test failed before.

--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -213,13 +213,16 @@
 }
 
 /* The run stopped and its memory lies at the other target, or still at the
-   source where that had no room or is gone meanwhile.  */
+   source where that had no room, is gone meanwhile or has asked for a wait.
+ */
 static void
 resume_stopped (csp_exchange_t *exchange, const csp_move_answer_t *answer)
 {
   const csp_dialect_t *dialect = exchange->gateway->dialect;
   bool copied = exchange->move.status == STATUS_OK
-                && exchange->move.to->state != CSP_FLEET_GONE;
+                && exchange->move.to->state != CSP_FLEET_GONE
+                && !csp_is_backed_off (exchange->move.to,
+                                       csp_gateway_now_ms (exchange->gateway));
   csp_fleet_target_t *to = copied ? exchange->move.to : exchange->target;
   char address[CSP_ADDRESS_TEXT_BYTES];
   char copy[CSP_COPY_TEXT_BYTES];
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -117,6 +117,32 @@
 }
 END_TEST
 
+/* Guards against a run that goes on at an engine that has asked for a wait
+   while the run was copied there; its source still holds it.  */
+START_TEST (
+    a_stopped_stream_whose_destination_wants_a_wait_stays_at_its_source)
+{
+  int copy = reach_the_stop ();
+  int caller = caller_open (&stream.fixture);
+  int link;
+
+  send_text (caller, REQUEST ("/stream/", "r2"));
+  link = target_accept (stream.listeners[1]);
+  target_read (link, 0);
+  send_text (link, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRetry-After: 5\r\n"
+                   "Content-Length: 0\r\n\r\n");
+  read_until (caller, " 503 ");
+  close (link);
+  close (caller);
+  close (stream.link_from);
+  send_text (copy, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+  link = target_accept (stream.listeners[0]);
+  ck_assert_ptr_nonnull (strstr (target_read (link, 2), "Target-Id: t-0\r\n"));
+  close (link);
+  close (copy);
+}
+END_TEST
+
 /* The second engine gets its notice while the run is still being copied there.
    Stopped for it, the run would have to move once more with half of the time
    gone; it goes on where it is and is copied to a third one.  */
@@ -550,6 +576,9 @@
   tcase_add_test (tcase, a_stopped_stream_without_room_goes_on_at_its_source);
   tcase_add_test (
       tcase, a_stopped_stream_whose_destination_is_gone_stays_at_its_source);
+  tcase_add_test (
+      tcase,
+      a_stopped_stream_whose_destination_wants_a_wait_stays_at_its_source);
   tcase_add_test (tcase, a_copy_to_an_engine_that_leaves_too_is_given_up);
   tcase_add_test (tcase, a_stream_that_was_not_stopped_goes_on);
   tcase_add_test (tcase, a_young_run_is_not_given_up_for_its_backup);
