--- a/tests/platform-names.sh
+++ b/tests/platform-names.sh
@@ -8,7 +8,7 @@
   X-Length-Hint X-Request-Priority X-Weight-Versions X-Kv-Backup X-Pin-Ms
   X-Hold X-Instance-Id Kv-From Kv-Fetch kv-move kv-range kv-watch kv-handle
   kv_capacity kv_bytes route_kind max_attempts slo_ms api_keys
-  max_conns gap_target_ms op/config servers/ internal_ports COWSLIPSPOKE_CONFIG'
+  max_conns gap_target_ms Server-Leaving op/config servers/ internal_ports COWSLIPSPOKE_CONFIG'
 found=0
 for name in $names; do
   if grep -rnwF --include='*.[ch]' -e "$name" include source bench tests |
