A host that starts learns of long holds too

A word whose last strike was over ten minutes old was passed over, though a hold that was doubled lasts twenty and more; hosts would have forgotten it one by one as they started again, each worth a target. A word counts up to the longest hold and what it is remembered for behind it. The test failed before.

--- a/source/quarantine/quarantine.c
+++ b/source/quarantine/quarantine.c
@@ -11,6 +11,8 @@
   HOLD_DOUBLINGS_MAX = 4,
   /* Strikes that didn't suffice, and holds that ended, are forgotten.  */
   FORGET_MS = 600000,
+  /* The oldest strike that still counts: the last of the longest hold.  */
+  STRIKE_AGE_MAX_MS = (HOLD_MS << HOLD_DOUBLINGS_MAX) + FORGET_MS,
   /* A success shows for that long that a request is sound.  */
   SOUND_MS = 60000,
   SOUND_ROOM = 4096,
@@ -206,7 +208,7 @@
   size_t i;
 
   if (told->request == 0 || told->strike_count == 0
-      || told->age_ms > FORGET_MS)
+      || told->age_ms > STRIKE_AGE_MAX_MS)
     return CSP_SUSPECT_AS_BEFORE;
   if (is_sound (quarantine, told->request, now_ms))
     return CSP_SUSPECT_SOUND;
--- a/tests/quarantine/quarantine-test.c
+++ b/tests/quarantine/quarantine-test.c
@@ -141,6 +141,25 @@
 }
 END_TEST
 
+/* Guards against a long hold that hosts forget one by one as they start.  */
+START_TEST (a_host_that_starts_learns_of_a_hold_that_was_doubled)
+{
+  const int64_t first_trial_ms = HOLD_MS + 100;
+  const int64_t second_trial_ms = first_trial_ms + 2 * HOLD_MS + 100;
+
+  csp_strike_request (here, REQUEST, 1, 10);
+  csp_strike_request (here, REQUEST, 2, 10);
+  csp_strike_request (here, REQUEST, 3, 10);
+  csp_strike_request (here, REQUEST, 4, first_trial_ms);
+  csp_strike_request (here, REQUEST, 5, second_trial_ms);
+  ck_assert_int_eq (greet (here, there, second_trial_ms + FORGET_MS + 1),
+                    CSP_SUSPECT_QUARANTINED);
+  ck_assert_uint_eq (
+      csp_quarantine_left_ms (there, REQUEST, second_trial_ms + FORGET_MS + 1),
+      4 * HOLD_MS - FORGET_MS - 1);
+}
+END_TEST
+
 /* Guards against a hold that never ends: each word is some milliseconds older
    than it says.  */
 START_TEST (a_hold_is_not_prolonged_by_words_that_go_round)
@@ -450,6 +469,7 @@
                        sizeof strike_cases / sizeof strike_cases[0]);
   tcase_add_test (tests, strikes_of_several_hosts_add_up);
   tcase_add_test (tests, a_host_that_starts_learns_what_is_held);
+  tcase_add_test (tests, a_host_that_starts_learns_of_a_hold_that_was_doubled);
   tcase_add_test (tests, a_hold_is_not_prolonged_by_words_that_go_round);
   tcase_add_test (tests, what_is_held_is_named_before_fresh_strikes);
   tcase_add_test (tests, a_host_that_has_answered_it_says_so);
