Empty lists of a datagram are not copied by a null pointer

The decoder copied the targets that an ask leaves out, and those of a suspect, by memcpy also where there are none and the list is NULL: harmless with this compiler, undefined by the standard, and it ended hosts built with the sanitizer at their first ask.

--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -215,6 +215,17 @@
                             csp_hello__hello__pack (&message, packed));
 }
 
+/* There is no list where it is empty.  Returns its length.  */
+static size_t
+copy_hashes (const uint64_t *from, size_t count, uint64_t *to)
+{
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    to[i] = from[i];
+  return count;
+}
+
 static bool
 decode_asks (const CspHello__Hello *message, csp_hello_t *hello)
 {
@@ -242,9 +253,9 @@
       hello->asks[i].left_ms = message->asks[i]->left_ms;
       if (message->asks[i]->n_backoffs > CSP_ASK_BACKOFFS_MAX)
         return false;
-      hello->asks[i].backoff_count = message->asks[i]->n_backoffs;
-      memcpy (hello->asks[i].backoffs, message->asks[i]->backoffs,
-              message->asks[i]->n_backoffs * sizeof (uint64_t));
+      hello->asks[i].backoff_count = copy_hashes (message->asks[i]->backoffs,
+                                                  message->asks[i]->n_backoffs,
+                                                  hello->asks[i].backoffs);
     }
   for (i = 0; i < message->n_answers; i++)
     {
@@ -296,9 +307,8 @@
       if (row->n_targets > CSP_STRIKES_MAX)
         return false;
       suspect->request = row->request;
-      suspect->strike_count = row->n_targets;
-      memcpy (suspect->targets, row->targets,
-              row->n_targets * sizeof *row->targets);
+      suspect->strike_count
+          = copy_hashes (row->targets, row->n_targets, suspect->targets);
       suspect->age_ms = row->age_ms;
       suspect->trials = row->trials;
     }
