A move that is given up is looked at again

Callers: a text whose engine leaves was cut off when its copy failed more than 10 ms after it began and no other text waited for a move. Cause: csp_start_due_moves keeps its timer only while a stream waits; a stream that is being copied doesn't wait, so the timer stops, and give_up_move put the stream back among the waiting without starting it. Change: give_up_move starts the timer unless it runs already.

--- a/source/gateway/gateway-move-imp.h
+++ b/source/gateway/gateway-move-imp.h
@@ -31,6 +31,9 @@
    choose the target.  */
 void csp_begin_move (csp_exchange_t *exchange, csp_fleet_target_t *to);
 
+/* Check in a moment whether a waiting stream may begin its move.  */
+void csp_schedule_move_check (csp_gateway_t *gateway);
+
 /* The target that the run is copied to leaves or is gone.  */
 void csp_note_destination_left (csp_exchange_t *exchange);
 
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -170,7 +170,10 @@
       = csp_gateway_now_ms (exchange->gateway) + CSP_MOVE_RETRY_MS;
   csp_drop_move (exchange);
   if (!stopped)
-    return;
+    {
+      csp_schedule_move_check (exchange->gateway);
+      return;
+    }
   if (csp_has_usable_backup (exchange) && resume_from_backup (exchange))
     return;
   csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT, why);
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -58,6 +58,13 @@
   csp_start_due_moves (timer->data);
 }
 
+void
+csp_schedule_move_check (csp_gateway_t *gateway)
+{
+  if (!uv_is_active ((uv_handle_t *)&gateway->move_timer))
+    uv_timer_start (&gateway->move_timer, on_move_timer, TURN_TICK_MS, 0);
+}
+
 /* Whether this host may begin the move without the decider now.  */
 static bool
 has_own_turn (const csp_exchange_t *exchange, int64_t now_ms)
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -588,6 +588,43 @@
 }
 END_TEST
 
+/* Let the gateway's loop run until every timer due within this time has fired;
+   its timers take real time.  */
+static void
+await_timers (int64_t due_ms)
+{
+  csp_clock_t clock = csp_system_clock ();
+  int64_t until_ms = csp_now_ms (&clock) + due_ms;
+
+  while (csp_now_ms (&clock) < until_ms)
+    fixture_get_page (&stream.fixture, "/metrics");
+  fixture_get_page (&stream.fixture, "/metrics");
+}
+
+/* Guards against a stream that nobody checks again: its copy fails later than
+   the timer that began it, and no other stream waits for a move.  */
+START_TEST (a_stream_whose_copy_fails_late_is_moved_again)
+{
+  int move_link;
+
+  start_stream (false);
+  add_second_engine ();
+  fixture_mark_leaving (&stream.fixture, stream.listeners[0],
+                        stream_engine_ids[0], "engines");
+  move_link = accept_target_connection (stream.listeners[0]);
+  read_target_request (move_link, 0);
+  await_timers (50);
+  reset_socket (move_link);
+  await_failed_moves (1);
+  csp_advance_fake_clock (&stream.fixture.fake_clock, 120);
+  move_link = accept_target_connection (stream.listeners[0]);
+  ck_assert_ptr_nonnull (
+      strstr (read_target_request (move_link, 0), "last=0"));
+  close (move_link);
+  close (stream.source_link);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -619,6 +656,7 @@
   tcase_add_test (tcase, an_ended_stream_is_not_reported_as_movable);
   tcase_add_test (tcase, a_leaving_notice_of_another_host_moves_streams);
   tcase_add_test (tcase, a_refused_move_is_tried_again);
+  tcase_add_test (tcase, a_stream_whose_copy_fails_late_is_moved_again);
   tcase_add_test (tcase, many_engines_are_queried_in_batches);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
