The session on waiting waits for the load that rules see

Seen once: under the rule on load the third long answer never started. Cause: a host measures the load of its pools on each tick of 100 ms, and a rule on arrival uses the last measure. On a busy machine the next answer came before a tick after the end of the one before, and the rule turned it away. Ruled out: a grant that is released late. It now waits until the pool's load is 0 before an answer that must be let in, and until it is 0.6 or more before the one that must be turned away; what it expects is unchanged. /status shows the load of each pool for that.

--- a/source/control/control-status.c
+++ b/source/control/control-status.c
@@ -112,6 +112,9 @@
       row = json_object_new_object ();
       add_text (row, "name", control->pools[i].name);
       add_number (row, "waiting", csp_queue_length (control->pools[i].queue));
+      json_object_object_add (row, "load",
+                              json_object_new_double (csp_find_pool_load (
+                                  control, control->pools[i].name)));
       json_object_array_add (list, row);
     }
   return list;
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -431,6 +431,14 @@
   request "$1" GET /status | grep -q "\"revision\": *$config_revision,"
 }
 
+# has_pool_load HOST POOL TEST: the load that rules see there passes the test,
+# as in '>= 0.6'.
+has_pool_load() {
+  load=$(request "$1" GET /status | tr -d ' \n' |
+    sed -n "s/.*\"name\":\"$2\",\"waiting\":[0-9]*,\"load\":\([0-9.]*\).*/\1/p")
+  [ -n "$load" ] && awk "BEGIN { exit !($load $3) }"
+}
+
 # text BYTES: prints prompt text of that size; a token has about four bytes.
 text() {
   head -c "$1" /dev/zero | tr '\0' a
--- a/tests/session/waited.sh
+++ b/tests/session/waited.sh
@@ -25,8 +25,10 @@
 }
 
 # fill N: starts the Nth generation on the tight engine.  Its prompt takes two
-# thirds of the memory, and the one of wait_behind needs half.
+# thirds of the memory, and the one of wait_behind needs half.  A host measures
+# load ten times a second, so an answer's start or end doesn't show at once.
 fill() {
+  wait_until 5 has_pool_load h1 tight '== 0'
   call_later full h1 --model m-tight --tokens 700 --prompt "$(text 6400)"
   wait_until 5 has_started t1 "$1"
 }
@@ -56,6 +58,7 @@
 echo "# a rule on load: let in, and turned away while that runs"
 fill $((starts + 3))
 wait_until 5 has_made t1 20
+wait_until 5 has_pool_load h1 tight '>= 0.6'
 wait_behind
 finish full 1q
 echo "# and let in when it has ended"
