The copy of the store's list finds its rows by an index

Callers: after a start or a restart a small host was without targets for seconds in a fleet of thousands of targets. Cause: each row of a list was searched for among all rows before it, and the end of a listing began a new search for each row that it removed. 24,000 rows took 2,516 ms of processor time, 6,000 a sixteenth of it: 1.3 s on a host with an eighth of a core. Second cause, of bytes: the older half of more than 1,024 removals was dropped in the order in which the rows were added, not in which they were removed. In a release a follower a moment behind was then sent the whole list; with 6,000 targets from the 1,100th removal on. Change: an index by key; one pass at the end of a listing; removals are dropped by revision, and kept until they outnumber the live rows, from where on the whole list is the shorter answer.

--- a/include/cowslipspoke/mirror.h
+++ b/include/cowslipspoke/mirror.h
@@ -25,8 +25,9 @@
 enum
 {
   CSP_MIRROR_KEY_BYTES = 201,
-  /* Removed items that are kept, so that followers learn of the removals. */
-  CSP_MIRROR_REMOVED_MAX = 1024
+  /* Removed items are kept, so that followers learn of the removals: as many
+     as there are live ones, and at least these.  */
+  CSP_MIRROR_REMOVED_MIN = 1024
 };
 
 typedef struct
--- a/source/mirror/mirror.c
+++ b/source/mirror/mirror.c
@@ -1,5 +1,6 @@
 #include "cowslipspoke/mirror.h"
 
+#include "base/index-imp.h"
 #include "cowslipspoke/text.h"
 
 #include <json-c/json.h>
@@ -16,6 +17,7 @@
 {
   csp_mirror_item_t item;
   bool listed;
+  csp_index_node_t by_key;
 } entry_t;
 
 struct csp_mirror
@@ -25,6 +27,7 @@
   entry_t **entries;
   size_t count;
   size_t capacity;
+  csp_index_t by_key;
   size_t removed_count;
   int64_t revision;
   /* Removals up to this revision may have been dropped.  */
@@ -40,12 +43,16 @@
     return NULL;
   mirror->events = events;
   mirror->state = state;
-  return mirror;
+  if (csp_open_index (&mirror->by_key, INITIAL_CAPACITY) == 0)
+    return mirror;
+  free (mirror);
+  return NULL;
 }
 
 static void
-destroy_entry (entry_t *entry)
+destroy_entry (csp_mirror_t *mirror, entry_t *entry)
 {
+  csp_remove_from_index (&mirror->by_key, &entry->by_key);
   free (entry->item.value);
   free (entry);
 }
@@ -58,7 +65,8 @@
   if (mirror == NULL)
     return;
   for (i = 0; i < mirror->count; i++)
-    destroy_entry (mirror->entries[i]);
+    destroy_entry (mirror, mirror->entries[i]);
+  csp_close_index (&mirror->by_key);
   free (mirror->entries);
   free (mirror);
 }
@@ -66,11 +74,16 @@
 static entry_t *
 find_entry (const csp_mirror_t *mirror, const char *key)
 {
-  size_t i;
+  csp_index_node_t *node
+      = csp_find_in_index (&mirror->by_key, csp_mix_name (key));
 
-  for (i = 0; i < mirror->count; i++)
-    if (strcmp (mirror->entries[i]->item.key, key) == 0)
-      return mirror->entries[i];
+  for (; node != NULL; node = csp_find_next_in_index (node))
+    {
+      entry_t *entry = CSP_INDEX_ENTRY (node, entry_t, by_key);
+
+      if (strcmp (entry->item.key, key) == 0)
+        return entry;
+    }
   return NULL;
 }
 
@@ -98,37 +111,78 @@
   if (entry == NULL)
     return NULL;
   csp_copy_text (entry->item.key, sizeof entry->item.key, key);
+  csp_add_to_index (&mirror->by_key, &entry->by_key, csp_mix_name (key));
   mirror->entries[mirror->count++] = entry;
   return entry;
 }
 
-/* Removals accumulate as targets come and go.  Drop the older half of them; a
-   follower that is further behind gets all items.  */
+/* Removals accumulate as targets come and go.  Those up to a revision are
+   dropped; a follower that is further behind gets all items.  */
 static void
-drop_old_removals (csp_mirror_t *mirror)
+drop_removals_up_to (csp_mirror_t *mirror, int64_t revision)
 {
-  size_t drop = mirror->removed_count / 2;
   size_t kept = 0;
   size_t i;
 
-  if (mirror->removed_count <= CSP_MIRROR_REMOVED_MAX)
-    return;
   for (i = 0; i < mirror->count; i++)
     {
       entry_t *entry = mirror->entries[i];
 
-      if (entry->item.value != NULL || drop == 0)
+      if (entry->item.value != NULL || entry->item.revision > revision)
         {
           mirror->entries[kept++] = entry;
           continue;
         }
-      drop--;
       mirror->removed_count--;
-      if (entry->item.revision > mirror->dropped_revision)
-        mirror->dropped_revision = entry->item.revision;
-      destroy_entry (entry);
+      destroy_entry (mirror, entry);
     }
   mirror->count = kept;
+  if (revision > mirror->dropped_revision)
+    mirror->dropped_revision = revision;
+}
+
+static int
+compare_revisions (const void *a, const void *b)
+{
+  int64_t first = *(const int64_t *)a;
+  int64_t second = *(const int64_t *)b;
+
+  return (first > second) - (first < second);
+}
+
+/* The revision up to which half of the removals happened; 0 when memory
+   fails.  */
+static int64_t
+find_median_removal (const csp_mirror_t *mirror)
+{
+  int64_t *revisions = calloc (mirror->removed_count, sizeof *revisions);
+  int64_t median = 0;
+  size_t count = 0;
+  size_t i;
+
+  if (revisions == NULL)
+    return 0;
+  for (i = 0; i < mirror->count; i++)
+    if (mirror->entries[i]->item.value == NULL)
+      revisions[count++] = mirror->entries[i]->item.revision;
+  qsort (revisions, count, sizeof *revisions, compare_revisions);
+  median = revisions[count / 2];
+  free (revisions);
+  return median;
+}
+
+/* Removals are kept until they outnumber the live items: from then on all
+   items are the shorter answer.  */
+static void
+drop_old_removals (csp_mirror_t *mirror)
+{
+  size_t live_count = mirror->count - mirror->removed_count;
+  size_t max_count = live_count > CSP_MIRROR_REMOVED_MIN
+                         ? live_count
+                         : CSP_MIRROR_REMOVED_MIN;
+
+  if (mirror->removed_count > max_count)
+    drop_removals_up_to (mirror, find_median_removal (mirror));
 }
 
 /* A new value for an item; the mirror owns it from now on.  */
@@ -147,9 +201,10 @@
   free (old);
 }
 
-bool
-csp_put_mirror_item (csp_mirror_t *mirror, const char *key, const char *value,
-                     int64_t revision)
+/* As csp_put_mirror_item, but keeps all removals.  */
+static bool
+put_item (csp_mirror_t *mirror, const char *key, const char *value,
+          int64_t revision)
 {
   entry_t *entry = find_entry (mirror, key);
   char *copy = NULL;
@@ -175,6 +230,15 @@
   set_value (mirror, entry, copy, revision);
   if (mirror->events->item_changed != NULL)
     mirror->events->item_changed (mirror->state, &entry->item);
+  return true;
+}
+
+bool
+csp_put_mirror_item (csp_mirror_t *mirror, const char *key, const char *value,
+                     int64_t revision)
+{
+  if (!put_item (mirror, key, value, revision))
+    return false;
   drop_old_removals (mirror);
   return true;
 }
@@ -195,41 +259,31 @@
       mirror->entries[i]->listed = false;
 }
 
-/* The next live item up to a revision that the listing doesn't hold; NULL if
-   there is none.  */
-static const csp_mirror_item_t *
-find_unlisted (const csp_mirror_t *mirror, const char *prefix, int64_t as_of)
+/* Whether an item is live and the listing, as of that revision, lacks it.  */
+static bool
+is_unlisted (const entry_t *entry, const char *prefix, int64_t as_of)
 {
-  size_t i;
-
-  for (i = 0; i < mirror->count; i++)
-    {
-      const entry_t *entry = mirror->entries[i];
-
-      if (!entry->listed && entry->item.value != NULL
-          && entry->item.revision <= as_of
-          && has_prefix (&entry->item, prefix))
-        return &entry->item;
-    }
-  return NULL;
+  return !entry->listed && entry->item.value != NULL
+         && entry->item.revision <= as_of && has_prefix (&entry->item, prefix);
 }
 
 void
 csp_end_mirror_listing (csp_mirror_t *mirror, const char *prefix,
                         int64_t as_of)
 {
-  const csp_mirror_item_t *item;
-  char key[CSP_MIRROR_KEY_BYTES];
+  size_t i;
 
-  while ((item = find_unlisted (mirror, prefix, as_of)) != NULL)
+  for (i = 0; i < mirror->count; i++)
     {
-      csp_copy_text (key, sizeof key, item->key);
+      const csp_mirror_item_t *item = &mirror->entries[i]->item;
+
       /* The item's removal has a later revision than the item, by at least
          one.  */
-      csp_put_mirror_item (mirror, key, NULL,
-                           item->revision < as_of ? as_of
-                                                  : item->revision + 1);
+      if (is_unlisted (mirror->entries[i], prefix, as_of))
+        put_item (mirror, item->key, NULL,
+                  item->revision < as_of ? as_of : item->revision + 1);
     }
+  drop_old_removals (mirror);
   csp_note_mirror_revision (mirror, as_of);
   if (mirror->events->listing_ended != NULL)
     mirror->events->listing_ended (mirror->state, prefix);
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -210,7 +210,7 @@
   int i;
 
   csp_put_mirror_item (mirror, "s/stays", "1", revision++);
-  for (i = 0; i < 3 * CSP_MIRROR_REMOVED_MAX; i++)
+  for (i = 0; i < 3 * CSP_MIRROR_REMOVED_MIN; i++)
     {
       snprintf (key, sizeof key, "s/%d", i);
       csp_put_mirror_item (mirror, key, "1", revision++);
@@ -230,6 +230,74 @@
 }
 END_TEST
 
+enum
+{
+  FLEET_TARGETS = 6000,
+  PLANNED_TARGETS = 12000,
+  /* Of a host with an eighth of a core, a second.  */
+  LISTING_MAX_CPU_MS = 120,
+  MS_PER_S = 1000
+};
+
+static void
+put_target (int number, const char *value, int64_t revision)
+{
+  char key[32];
+
+  snprintf (key, sizeof key, "s/%d", number);
+  csp_put_mirror_item (mirror, key, value, revision);
+}
+
+/* Whether a follower that knows all up to a revision is sent all items.  */
+static bool
+is_sent_all_items (int64_t revision)
+{
+  csp_buffer_t text = { 0 };
+  bool whole;
+
+  ck_assert (csp_encode_mirror (mirror, revision, &settled_status, &text));
+  csp_append_buffer (&text, "", 1);
+  whole = strstr (text.data, "\"whole\":true") != NULL;
+  csp_clear_buffer (&text);
+  return whole;
+}
+
+/* Guards against a release of half of the fleet in which followers that are a
+   second behind are sent the whole list, as targets are removed in another
+   order than they were added.  */
+START_TEST (a_release_sends_followers_only_the_changes)
+{
+  const int step = 4001; /* no divisor in common with the fleet's size */
+  int64_t revision = 1;
+  int i;
+
+  for (i = 0; i < FLEET_TARGETS; i++)
+    put_target (i, "1", revision++);
+  for (i = 0; i < FLEET_TARGETS / 2; i++)
+    {
+      put_target ((int)((long)i * step % FLEET_TARGETS), NULL, revision++);
+      if (i % 100 == 0)
+        ck_assert_msg (!is_sent_all_items (revision - 100), "removal %d", i);
+    }
+}
+END_TEST
+
+/* Guards against a start that searches the whole list for each of its rows: a
+   small host of a fleet twice the planned size couldn't serve for minutes.  */
+START_TEST (the_first_list_takes_time_in_proportion_to_its_rows)
+{
+  clock_t began = clock ();
+  int i;
+
+  for (i = 0; i < 2 * PLANNED_TARGETS; i++)
+    put_target (i, "1", 1 + i);
+  csp_begin_mirror_listing (mirror, "");
+  csp_end_mirror_listing (mirror, "", 2 * PLANNED_TARGETS);
+  ck_assert_int_lt ((clock () - began) * MS_PER_S / CLOCKS_PER_SEC,
+                    2 * LISTING_MAX_CPU_MS);
+}
+END_TEST
+
 static const char *const malformed_messages[]
     = { "",
         "{",
@@ -896,6 +964,9 @@
   tcase_add_test (tcase, lapsing_is_reported_before_removals);
   tcase_add_test (tcase, an_older_listing_removes_nothing);
   tcase_add_test (tcase, old_removals_are_dropped);
+  tcase_add_test (tcase, a_release_sends_followers_only_the_changes);
+  tcase_add_test (tcase,
+                  the_first_list_takes_time_in_proportion_to_its_rows);
   tcase_add_loop_test (tcase, malformed_messages_are_refused, 0,
                        sizeof malformed_messages
                            / sizeof malformed_messages[0]);
