--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -271,8 +271,8 @@
      yet that operators have cordoned the target, or that the target has asked
      this host to back off.  */
   bool ready
-      = target != NULL && target->state == CSP_FLEET_READY && !target->group->cut_off
-        && !target->cordoned
+      = target != NULL && target->state == CSP_FLEET_READY
+        && !target->group->cut_off && !target->cordoned
         && !csp_is_backed_off (target, csp_gateway_now_ms (exchange->gateway));
 
   exchange->asking = false;
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -965,8 +965,7 @@
   tcase_add_test (tcase, an_older_listing_removes_nothing);
   tcase_add_test (tcase, old_removals_are_dropped);
   tcase_add_test (tcase, a_release_sends_followers_only_the_changes);
-  tcase_add_test (tcase,
-                  the_first_list_takes_time_in_proportion_to_its_rows);
+  tcase_add_test (tcase, the_first_list_takes_time_in_proportion_to_its_rows);
   tcase_add_loop_test (tcase, malformed_messages_are_refused, 0,
                        sizeof malformed_messages
                            / sizeof malformed_messages[0]);
