Hosts log only targets that they use when these leave

Cause: target-leaving is written for each target on each host. Change: a host writes it where it has a request or a connection at the target, which is what cowslipctl losses and OPERATIONS.md need it for; targets_left_total counts all. Test: an_unused_target_that_leaves_is_counted.

--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -111,6 +111,14 @@
              : &CSP_INDEX_ENTRY (node, target_entry_t, by_start)->target;
 }
 
+/* Hash by which this host finds an id; unlike the one that hosts exchange, it
+   costs next to nothing.  */
+static uint64_t
+local_hash_of_id (const char *id)
+{
+  return csp_mix_name (id);
+}
+
 /* Returns the newest start: an older one may still have requests under
    way.  */
 csp_fleet_target_t *
@@ -119,8 +127,8 @@
   csp_fleet_target_t *newest = NULL;
   csp_index_node_t *node;
 
-  for (node = csp_find_in_index (&fleet->by_id, hash_of_id (id)); node != NULL;
-       node = csp_find_next_in_index (node))
+  for (node = csp_find_in_index (&fleet->by_id, local_hash_of_id (id));
+       node != NULL; node = csp_find_next_in_index (node))
     {
       csp_fleet_target_t *target
           = &CSP_INDEX_ENTRY (node, target_entry_t, by_id)->target;
@@ -158,7 +166,7 @@
   entry->target.hash = hash_of_start (id, born_ms);
   csp_init_warmup (&entry->target.warmup, 0);
   csp_add_to_index (&fleet->by_start, &entry->by_start, entry->target.hash);
-  csp_add_to_index (&fleet->by_id, &entry->by_id, hash_of_id (id));
+  csp_add_to_index (&fleet->by_id, &entry->by_id, local_hash_of_id (id));
   fleet->targets[fleet->count++] = &entry->target;
   fleet->additions++;
   return &entry->target;
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -105,8 +105,9 @@
   uint64_t connections;
   uint64_t link_opens;
   uint64_t status_queries;
-  uint64_t backoffs;    /* backoffs that targets asked for */
-  uint64_t quarantined; /* requests whose targets ended while they ran */
+  uint64_t targets_left; /* targets that began to leave or are gone */
+  uint64_t backoffs;     /* backoffs that targets asked for */
+  uint64_t quarantined;  /* requests whose targets ended while they ran */
   /* Attempts of those requests that were refused.  */
   uint64_t quarantine_refused;
 } csp_gateway_counts_t;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -102,10 +102,14 @@
 {
   csp_gateway_t *gateway = state;
 
-  CSP_LOG (gateway->log, CSP_EVENT_TARGET_LEAVING, NULL,
-           csp_text ("target", target->row.id),
-           csp_number ("open_streams", target->own.requests),
-           csp_text ("told_by", target->self_announced ? "target" : "list"));
+  gateway->counts.targets_left++;
+  /* Each of hundreds of hosts would log each of thousands of targets when a
+     data centre is lost.  */
+  if (target->users > 0)
+    CSP_LOG (gateway->log, CSP_EVENT_TARGET_LEAVING, NULL,
+             csp_text ("target", target->row.id),
+             csp_number ("open_streams", target->own.requests),
+             csp_text ("told_by", target->self_announced ? "target" : "list"));
   csp_drain_target (gateway, target);
 }
 
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -625,6 +625,20 @@
 }
 END_TEST
 
+/* Guards against a log that grows with hosts times targets: a target that this
+   host doesn't use is only counted.  */
+START_TEST (an_unused_target_that_leaves_is_counted)
+{
+  add_second_engine ();
+  fixture_mark_leaving (&stream.fixture, stream.listeners[1],
+                        stream_engine_ids[1], "engines");
+  fixture_await_updates (&stream.fixture);
+  ck_assert_ptr_nonnull (
+      strstr (fixture_get_page (&stream.fixture, "/metrics"),
+              "cowslipspoke_gateway_targets_left_total 1\n"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -657,6 +671,7 @@
   tcase_add_test (tcase, a_leaving_notice_of_another_host_moves_streams);
   tcase_add_test (tcase, a_refused_move_is_tried_again);
   tcase_add_test (tcase, a_stream_whose_copy_fails_late_is_moved_again);
+  tcase_add_test (tcase, an_unused_target_that_leaves_is_counted);
   tcase_add_test (tcase, many_engines_are_queried_in_batches);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
