Followers fall back to the store within the required time at any size

Cause: a host that follows others waits 1.6 s and up to 5 ms for each live host before it reads the store itself: 3.1 s at 300 hosts, 4.5 s at 584 and 6.6 s at 1,000, against a requirement of 4 s for notices and 5 s for keys. Change: the spread ends at 2 s. Up to 400 hosts nothing changes. Beyond, calls come faster: 292 a second at 584 hosts and 1,200 at 2,400 at most, below the 2,000 that the smallest store bears, and most hosts get items from those that fell back before them. Ways weighed: fewer hosts that fall back (a share by lot, the others wait for them) makes the time depend on whom those serve; not built. Test: the_last_follower_falls_back_in_time at 30 to 2,400 hosts; 600, 1,200 and 2,400 failed before.

--- a/source/mirror/mirror-choice.c
+++ b/source/mirror/mirror-choice.c
@@ -1,5 +1,7 @@
 #include "mirror/mirror-imp.h"
 
+#include <math.h>
+
 enum
 {
   /* A host that has just started doesn't know the hosts that rank before it;
@@ -16,13 +18,14 @@
      hosts of all data centres already retry and announce its return.  With a
      shorter wait 214 other hosts called in an outage of eight seconds.  */
   OUTAGE_FALLBACK_MS = 20000,
-  /* Followers fall back to the store one after another, at most 200 a second,
-     so that the last of 300 does so 3.1 s after its last current items; the
-     requirement is 4 s.  */
+  /* Followers fall back to the store one after another, 200 a second.  In a
+     large fleet more of them do at once, as the last one must have current
+     items within the required 4 s.  */
   FOLLOWER_SPREAD_MS = 5,
+  FOLLOWER_SPREAD_MAX_MS = 2000,
   /* Gap between the watches of a follower that reads the store, for each live
-     host, so that all of them make at most 100 calls a second.  The maximum of
-     2 s keeps a notice that a target leaves within the required 4 s.  */
+     host, so that all of them make at most 100 calls a second, or one each in
+     2 s if that is more: a notice that a target leaves may take 4 s.  */
   FOLLOWER_GAP_PER_HOST_MS = 10,
   FOLLOWER_GAP_MAX_MS = 2000,
   /* A follower stops reading the store once items from hosts are this fresh.
@@ -94,13 +97,13 @@
 static uint64_t
 store_fallback_ms (const csp_mirror_facts_t *facts)
 {
-  double spread_ms
-      = facts->random_share * (double)facts->live_hosts * FOLLOWER_SPREAD_MS;
+  double spread_ms = fmin ((double)facts->live_hosts * FOLLOWER_SPREAD_MS,
+                           FOLLOWER_SPREAD_MAX_MS);
 
   if (facts->role == CSP_MIRROR_DATA_CENTRE_READER)
     return DATA_CENTRE_READER_FALLBACK_MS;
   return (facts->store_outage ? OUTAGE_FALLBACK_MS : FOLLOWER_FALLBACK_MS)
-         + (uint64_t)spread_ms;
+         + (uint64_t)(facts->random_share * spread_ms);
 }
 
 static uint32_t
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -423,6 +423,29 @@
 }
 END_TEST
 
+enum
+{
+  CURRENT_WITHIN_MS = 4000
+};
+
+static const size_t fleet_sizes[] = { 30, 300, 600, 1200, 2400 };
+
+/* Guards against a fallback that takes longer the more hosts there are: the
+   last hosts of a large fleet would apply a revoked key or a leaving target
+   too late.  */
+START_TEST (the_last_follower_falls_back_in_time)
+{
+  csp_mirror_facts_t facts = { .role = CSP_MIRROR_FOLLOWER,
+                               .confirmed = true,
+                               .stale_ms = CURRENT_WITHIN_MS,
+                               .host_stale_ms = CURRENT_WITHIN_MS,
+                               .live_hosts = fleet_sizes[_i],
+                               .random_share = 1 };
+
+  ck_assert (csp_choose_mirror_source (&facts).read_store);
+}
+END_TEST
+
 /* The 300 hosts of a data centre are cut off from all others and end up
    reading the store, each with a watch that is answered within 0.6 s, or at
    once when targets change.  Together they must make at most 150 calls a
@@ -971,6 +994,8 @@
                            / sizeof malformed_messages[0]);
   tcase_add_loop_test (tcase, the_source_depends_on_role_and_data_age, 0,
                        sizeof source_cases / sizeof source_cases[0]);
+  tcase_add_loop_test (tcase, the_last_follower_falls_back_in_time, 0,
+                       sizeof fleet_sizes / sizeof fleet_sizes[0]);
   tcase_add_test (tcase, total_store_call_rate_is_bounded);
   tcase_add_loop_test (tcase, upstreams_are_chosen_by_a_shared_rank_order, 0,
                        sizeof upstream_cases / sizeof upstream_cases[0]);
