Hosts that start at once share one encoded list

Callers: after a power failure the fleet was slow to serve again, or didn't at 300 hosts. Cause: a host encodes and packs all items anew for each host that has none yet: 38 ms of processor time for 6,000 rows, and a first host of a data centre is asked by a hundred at once. It answers nobody within the second and a half that they wait; they ask others, and all begin anew. Hosts that have just started themselves and have nothing to tell encoded what they had read so far in the same way, which the receiver ignores. Change: all items are encoded once for those who ask within half a second; they are told the greater age, and ask for the changes since. A host that isn't settled sends no items. Until the cost of a follower is measured, it is estimated from the size of the list, so that at most half of a link goes to lists in the first second.

--- a/include/cowslipspoke/mirror.h
+++ b/include/cowslipspoke/mirror.h
@@ -80,8 +80,12 @@
 void csp_note_mirror_revision (csp_mirror_t *mirror, int64_t revision);
 int64_t csp_mirror_revision (const csp_mirror_t *mirror);
 
-/* Encode the changes after a revision as JSON, or all items if after is 0 or
-   older than the removals that are kept.  False when memory fails.  */
+/* Whether a follower that knows all changes up to a revision needs all items,
+   as the revision is 0 or older than the removals that are kept.  */
+bool csp_needs_whole_mirror (const csp_mirror_t *mirror, int64_t after);
+
+/* Encode the changes after a revision as JSON, or all items if they are
+   needed.  An unsettled host sends no items.  False when memory fails.  */
 bool csp_encode_mirror (const csp_mirror_t *mirror, int64_t after,
                         const csp_mirror_status_t *status, csp_buffer_t *text);
 
@@ -140,7 +144,13 @@
    once.  If no host has current items, the first host of a data centre reads
    the store itself within a second; the others follow at random times, each
    the less often the more hosts there are, so that all of them make no more
-   calls than a few readers.  */
+   calls than a few readers.
+
+   Load pattern: all hosts restart at once, and the list has thousands of items
+   of some hundred bytes.  If each host read it, the store's link would be full
+   for ten seconds.  So a host that has just started reads the first page,
+   which has the configuration, and the rest only if it ranks first or if no
+   host has provided the items after a while.  */
 typedef enum
 {
   CSP_MIRROR_FLEET_READER,
@@ -185,6 +195,7 @@
 {
   bool read_store;
   bool follow_host;
+  bool hold_list; /* don't read further pages of the store's list yet */
   uint32_t store_max_backoff_ms; /* between calls that fail */
   uint32_t store_watch_gap_ms;   /* between watches that are answered */
 } csp_mirror_choice_t;
--- a/source/mirror/mirror-server.c
+++ b/source/mirror/mirror-server.c
@@ -19,6 +19,14 @@
   RATE_PERIOD_MS = 1000,
   /* How often held requests are checked for the end of their wait.  */
   HOLD_TICK_MS = 50,
+  /* All items are encoded once for the followers that ask for them within this
+     time: hundreds do after a power failure, and encoding thousands of items
+     takes tens of milliseconds.  Followers then ask for the changes since.  */
+  WHOLE_ANSWER_VALID_MS = 500,
+  /* Until the cost of a follower is measured, all items count as the changes
+     of this many seconds.  With a tenth of the link for followers, half of it
+     may carry lists in the first second.  */
+  WHOLE_ANSWER_SECONDS = 5,
   /* Shorter texts are sent uncompressed: they fit into one packet with their
      header.  */
   PACKED_MIN_BYTES = 1000,
@@ -27,6 +35,15 @@
   DECIMAL = 10
 };
 
+/* An encoded answer, reused for requests after the same revision: followers
+   that are up to date all wait for changes after the same one.  */
+typedef struct
+{
+  int64_t after;
+  csp_buffer_t text;
+  csp_buffer_t packed; /* empty if the text is short or memory failed */
+} answer_t;
+
 typedef struct
 {
   csp_page_connection_t *page;
@@ -50,20 +67,13 @@
   uint64_t sent_bytes; /* since count_start_ms */
   uint64_t count_start_ms;
   uint64_t follower_bytes_per_s;
+  answer_t whole_answer;
+  uint64_t whole_encoded_ms;
   size_t held_count;
   size_t held_capacity;
   held_request_t *held_requests;
 };
 
-/* An encoded answer, reused for requests after the same revision: followers
-   that are up to date all wait for changes after the same one.  */
-typedef struct
-{
-  int64_t after;
-  csp_buffer_t text;
-  csp_buffer_t packed; /* empty if the text is short or memory failed */
-} answer_t;
-
 static void
 clear_answer (answer_t *answer)
 {
@@ -71,18 +81,18 @@
   csp_clear_buffer (&answer->packed);
 }
 
+/* sent_within_ms: how much later the answer may still be sent, which counts as
+   its age.  */
 static void
 encode_answer (const csp_mirror_server_t *server, int64_t after,
-               answer_t *answer)
+               uint32_t sent_within_ms, answer_t *answer)
 {
   csp_mirror_status_t status
       = { .settled = server->settled,
           .lapsing = server->lapsing,
-          .age_ms
-          = (uint32_t)(uv_now (server->loop) - server->current_at_ms) };
+          .age_ms = (uint32_t)(uv_now (server->loop) - server->current_at_ms)
+                    + sent_within_ms };
 
-  if (answer->text.size_bytes > 0 && answer->after == after)
-    return;
   clear_answer (answer);
   answer->after = after;
   csp_encode_mirror (server->mirror, after, &status, &answer->text);
@@ -92,6 +102,26 @@
     csp_clear_buffer (&answer->packed);
 }
 
+/* The answer with all items.  */
+static const answer_t *
+find_whole_answer (csp_mirror_server_t *server)
+{
+  answer_t *answer = &server->whole_answer;
+  uint64_t now_ms = uv_now (server->loop);
+
+  if (answer->text.size_bytes > 0
+      && now_ms < server->whole_encoded_ms + WHOLE_ANSWER_VALID_MS)
+    return answer;
+  encode_answer (server, 0, WHOLE_ANSWER_VALID_MS, answer);
+  server->whole_encoded_ms = now_ms;
+  if (server->follower_bytes_per_s == 0)
+    server->follower_bytes_per_s
+        = (answer->packed.size_bytes > 0 ? answer->packed.size_bytes
+                                         : answer->text.size_bytes)
+          / WHOLE_ANSWER_SECONDS;
+  return answer;
+}
+
 /* Measure each second what one follower costs.  The value falls by half at
    most, since a quiet second may be followed by a busy one.  */
 static void
@@ -149,7 +179,13 @@
 {
   answer_t answer = { .after = request->after };
 
-  encode_answer (server, request->after, &answer);
+  if (server->settled
+      && csp_needs_whole_mirror (server->mirror, request->after))
+    {
+      send_answer (server, request, find_whole_answer (server));
+      return;
+    }
+  encode_answer (server, request->after, 0, &answer);
   send_answer (server, request, &answer);
   clear_answer (&answer);
 }
@@ -180,7 +216,13 @@
           continue;
         }
       server->held_requests[i] = server->held_requests[--server->held_count];
-      encode_answer (server, request.after, &answer);
+      if (csp_needs_whole_mirror (server->mirror, request.after))
+        {
+          answer_at_once (server, &request);
+          continue;
+        }
+      if (answer.text.size_bytes == 0 || answer.after != request.after)
+        encode_answer (server, request.after, 0, &answer);
       send_answer (server, &request, &answer);
     }
   clear_answer (&answer);
@@ -324,6 +366,7 @@
 {
   csp_mirror_server_t *server = handle->data;
 
+  clear_answer (&server->whole_answer);
   free (server->held_requests);
   free (server);
 }
@@ -343,6 +386,8 @@
 {
   if (server == NULL)
     return;
+  if (settled != server->settled || lapsing != server->lapsing)
+    clear_answer (&server->whole_answer);
   server->settled = settled;
   server->lapsing = lapsing;
   server->current_at_ms = current_at_ms;
--- a/source/mirror/mirror.c
+++ b/source/mirror/mirror.c
@@ -316,18 +316,25 @@
   return object;
 }
 
+bool
+csp_needs_whole_mirror (const csp_mirror_t *mirror, int64_t after)
+{
+  return after <= 0 || after < mirror->dropped_revision;
+}
+
 bool
 csp_encode_mirror (const csp_mirror_t *mirror, int64_t after,
                    const csp_mirror_status_t *status, csp_buffer_t *text)
 {
-  bool whole = after <= 0 || after < mirror->dropped_revision;
+  bool whole = csp_needs_whole_mirror (mirror, after);
   json_object *object = json_object_new_object ();
   json_object *items = json_object_new_array ();
   const char *json;
   size_t i;
   bool good;
 
-  for (i = 0; i < mirror->count; i++)
+  /* A receiver ignores the items of a host that isn't settled.  */
+  for (i = 0; status->settled && i < mirror->count; i++)
     if (whole ? mirror->entries[i]->item.value != NULL
               : mirror->entries[i]->item.revision > after)
       json_object_array_add (items, encode_item (&mirror->entries[i]->item));
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -821,6 +821,123 @@
 }
 END_TEST
 
+enum
+{
+  STARTING_HOSTS = 100,
+  /* Half a core, for the first second of the two after a power failure.  */
+  STARTING_MAX_CPU_MS = 500,
+  LIST_MIN_BYTES = 20000,
+  ROW_BYTES = 300
+};
+
+/* Fills a mirror with rows of a usual length.  */
+static void
+put_fleet (csp_mirror_t *fleet)
+{
+  char key[32];
+  char value[ROW_BYTES];
+  int i;
+
+  for (i = 0; i < FLEET_TARGETS; i++)
+    {
+      snprintf (key, sizeof key, "s/%d", i);
+      snprintf (value, sizeof value,
+                "{\"service\":\"engines\",\"address\":\"10.0.%d.%d:8080\","
+                "\"zone\":\"cardiff\",\"version\":\"v1\",\"slots\":24,"
+                "\"state\":\"ready\",\"models\":[{\"name\":\"m\"}]}",
+                i / 250, i % 250);
+      csp_put_mirror_item (fleet, key, value, 1 + i);
+    }
+  csp_note_mirror_revision (fleet, FLEET_TARGETS);
+}
+
+/* Ask for all items without waiting for the answer.  */
+static int
+ask_for_list (const struct sockaddr_in *address)
+{
+  static const char request[]
+      = "GET /mirror?after=0&wait_ms=400&packed=1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  int client = socket (AF_INET, SOCK_STREAM, 0);
+
+  ck_assert_int_eq (
+      connect (client, (const struct sockaddr *)address, sizeof *address), 0);
+  ck_assert_int_eq (send (client, request, sizeof request - 1, 0),
+                    (int)sizeof request - 1);
+  return client;
+}
+
+static size_t
+receive_available (int client)
+{
+  static char bytes[65536];
+  size_t received = 0;
+  ssize_t count;
+
+  while ((count = recv (client, bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
+    received += (size_t)count;
+  return received;
+}
+
+/* Guards against a power failure after which the first host of a data centre
+   encodes the list of thousands of targets for each of its followers anew and
+   answers nobody in time.  */
+START_TEST (starting_hosts_share_one_encoded_list)
+{
+  csp_mirror_t *fleet = csp_create_mirror (&events, NULL);
+  size_t received[STARTING_HOSTS] = { 0 };
+  int clients[STARTING_HOSTS];
+  size_t waiting = STARTING_HOSTS;
+  csp_mirror_server_t *server;
+  clock_t began;
+  size_t i;
+
+  uv_loop_init (&loop);
+  hosts[0].serve = free_port ();
+  put_fleet (fleet);
+  server = csp_open_mirror_server (&loop, &hosts[0].serve, LINK, fleet);
+  csp_update_mirror_server (server, true, false, uv_now (&loop));
+  began = clock ();
+  for (i = 0; i < STARTING_HOSTS; i++)
+    {
+      clients[i] = ask_for_list (&hosts[0].serve);
+      uv_run (&loop, UV_RUN_NOWAIT);
+    }
+  while (waiting > 0)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      for (waiting = 0, i = 0; i < STARTING_HOSTS; i++)
+        {
+          received[i] += receive_available (clients[i]);
+          waiting += received[i] < LIST_MIN_BYTES;
+        }
+    }
+  ck_assert_int_lt ((clock () - began) * MS_PER_S / CLOCKS_PER_SEC,
+                    STARTING_MAX_CPU_MS);
+  for (i = 0; i < STARTING_HOSTS; i++)
+    close (clients[i]);
+  csp_close_mirror_server (server);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&loop), 0);
+  csp_destroy_mirror (fleet);
+}
+END_TEST
+
+/* Guards against hosts that have just started and send each other what they
+   have read of the list so far, which the others ignore.  */
+START_TEST (an_unsettled_host_sends_no_items)
+{
+  csp_mirror_t *fleet = csp_create_mirror (&events, NULL);
+  csp_mirror_status_t unsettled = { .settled = false };
+  csp_buffer_t text = { 0 };
+
+  put_fleet (fleet);
+  ck_assert (csp_encode_mirror (fleet, 0, &unsettled, &text));
+  ck_assert_uint_lt (text.size_bytes, 200);
+  csp_clear_buffer (&text);
+  csp_destroy_mirror (fleet);
+}
+END_TEST
+
 /* Fifty hosts of a data centre follow its first one, whose link fills up as it
    sends each change to each of them.  So it serves only as many as the link
    can carry, here four, and redirects the others to those; all hosts must
@@ -1006,6 +1123,8 @@
   tcase_add_test (tcase, followers_are_limited_and_named_in_redirects);
   tcase_add_loop_test (tcase, the_follower_limit_depends_on_link_bandwidth, 0,
                        sizeof limits / sizeof limits[0]);
+  tcase_add_test (tcase, starting_hosts_share_one_encoded_list);
+  tcase_add_test (tcase, an_unsettled_host_sends_no_items);
   tcase_add_test (tcase, redirected_followers_receive_all_changes);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
