Hosts that start read the first page of the store's list and wait for others

Cause: each host reads the whole list from the store at its start while it also asks other hosts: 6,002 rows are 2.2 MB in the store's form, 584 hosts at once 1.3 GB, ten seconds of the store's link of 1,000 Mbit/s. A host without items that gets none from another asks the next at once, up to hundreds a second, while all have just started and have none. Change: the first page, which has the configuration, is read at once as before. More pages are read by the hosts that rank first half a second behind their start, and by the others when no host has provided for 1.6 to 3.6 s. A list of one page is read as before. Ways weighed: a lot for each host before it reads anything makes configurations late, and sites of a few hosts wait for nothing. Test: starting_hosts_read_a_long_list_in_turn (the rule didn't exist).

--- a/include/cowslipspoke/follow.h
+++ b/include/cowslipspoke/follow.h
@@ -50,6 +50,9 @@
 void csp_set_follower_pace (csp_follower_t *follower, uint32_t max_backoff_ms,
                             uint32_t gap_ms);
 
+/* While a list is held, no page after its first one is read.  */
+void csp_hold_follower_list (csp_follower_t *follower, bool hold);
+
 /* Record that the source was unreachable when it was last followed, so that
    its return is reported.  */
 void csp_set_follower_unreachable (csp_follower_t *follower);
--- a/source/follow/follow.c
+++ b/source/follow/follow.c
@@ -9,6 +9,8 @@
 enum
 {
   CONNECT_TIMEOUT_MS = 500,
+  /* How often a follower whose list is held checks whether it still is.  */
+  HOLD_CHECK_MS = 50,
   /* Enough for a page of 1 MB, encoded, with some other fields.  */
   ANSWER_MAX_BYTES = 8 << 20,
   STATUS_OK = 200
@@ -28,6 +30,7 @@
   bool packed; /* the answer is compressed, see pack.h */
   csp_buffer_t answer;
   bool unreachable;
+  bool holds_list; /* further pages wait */
   bool closed;
 };
 
@@ -181,11 +184,20 @@
   send_call (timer->data);
 }
 
+static void
+on_hold_check (uv_timer_t *timer)
+{
+  schedule_call (timer->data);
+}
+
 static void
 schedule_call (csp_follower_t *follower)
 {
   follower->call = csp_next_watch_call (&follower->watch);
-  if (follower->call.delay_ms == 0)
+  if (follower->holds_list && follower->call.kind == CSP_WATCH_LIST
+      && !follower->call.first_page)
+    uv_timer_start (&follower->timer, on_hold_check, HOLD_CHECK_MS, 0);
+  else if (follower->call.delay_ms == 0)
     send_call (follower);
   else
     uv_timer_start (&follower->timer, on_delay_end, follower->call.delay_ms,
@@ -242,6 +254,12 @@
   follower->watch.policy.gap_ms = gap_ms;
 }
 
+void
+csp_hold_follower_list (csp_follower_t *follower, bool hold)
+{
+  follower->holds_list = hold;
+}
+
 void
 csp_set_follower_unreachable (csp_follower_t *follower)
 {
--- a/source/mirror/mirror-choice.c
+++ b/source/mirror/mirror-choice.c
@@ -7,6 +7,9 @@
   /* A host that has just started doesn't know the hosts that rank before it;
      it learns of them within half a second.  */
   FLEET_READER_MIN_UP_MS = 800,
+  /* From this uptime on a host that takes itself for a reader reads the whole
+     list; a few that don't know better yet do no harm.  */
+  READER_LIST_MIN_UP_MS = 500,
   /* How long a host waits for current items before it reads the store itself.
      The store answers each 0.6 s without changes, a busy host is some tenths
      late, and notices come 1.5 to 2 s before engines leave.  Followers wait
@@ -106,6 +109,15 @@
          + (uint64_t)(facts->random_share * spread_ms);
 }
 
+/* The uptime from which on a host that has no current items yet reads more
+   than the first page of the store's list.  */
+static uint64_t
+list_min_up_ms (const csp_mirror_facts_t *facts)
+{
+  return facts->role == CSP_MIRROR_FOLLOWER ? store_fallback_ms (facts)
+                                            : READER_LIST_MIN_UP_MS;
+}
+
 static uint32_t
 follower_gap_ms (const csp_mirror_facts_t *facts)
 {
@@ -129,6 +141,7 @@
   if (!facts->confirmed)
     {
       choice.read_store = true;
+      choice.hold_list = facts->up_ms < list_min_up_ms (facts);
       return choice;
     }
   if (facts->role == CSP_MIRROR_FLEET_READER)
--- a/source/mirror/mirror-feed.c
+++ b/source/mirror/mirror-feed.c
@@ -277,7 +277,11 @@
   csp_mirror_feed_t *feed = state;
 
   abandon_upstream (feed);
-  choose_source (feed);
+  /* Until this host knows who has items, the next try is at the next tick: the
+     others may all have just started as well, and answer at once that they
+     have none.  */
+  if (feed->confirmed)
+    choose_source (feed);
 }
 
 static const csp_follow_source_t host_source
@@ -394,9 +398,11 @@
                  csp_number ("unfed_ms", (int64_t)(loop_now_ms (feed)
                                                    - feed->current_at_ms)));
     }
-  if (feed->store_follower != NULL)
-    csp_set_follower_pace (feed->store_follower, choice->store_max_backoff_ms,
-                           choice->store_watch_gap_ms);
+  if (feed->store_follower == NULL)
+    return;
+  csp_set_follower_pace (feed->store_follower, choice->store_max_backoff_ms,
+                         choice->store_watch_gap_ms);
+  csp_hold_follower_list (feed->store_follower, choice->hold_list);
 }
 
 /* If this host no longer reads the store, report it as reachable again after a
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -423,6 +423,48 @@
 }
 END_TEST
 
+/* A host without current items, and whether it reads the rest of the store's
+   list.  */
+static const struct
+{
+  const char *what;
+  csp_mirror_facts_t facts;
+  bool reads_rest;
+} start_cases[] = {
+  { "a host that doesn't know the others yet",
+    { .role = CSP_MIRROR_FLEET_READER, .up_ms = 100, .live_hosts = 1 },
+    false },
+  { "the fleet's reader",
+    { .role = CSP_MIRROR_FLEET_READER, .up_ms = 500, .live_hosts = 30 },
+    true },
+  { "the first host of a data centre",
+    { .role = CSP_MIRROR_DATA_CENTRE_READER, .up_ms = 500, .live_hosts = 30 },
+    true },
+  { "a follower that others may still provide for",
+    { .role = CSP_MIRROR_FOLLOWER, .up_ms = 1500, .live_hosts = 600 },
+    false },
+  { "the last of many followers that nobody provides for",
+    { .role = CSP_MIRROR_FOLLOWER,
+      .up_ms = 4000,
+      .live_hosts = 2400,
+      .random_share = 1 },
+    true },
+};
+
+/* Guards against a restart of a large fleet in which each host reads a list of
+   thousands of items from the store, whose link is full for ten seconds.  */
+START_TEST (starting_hosts_read_a_long_list_in_turn)
+{
+  csp_mirror_choice_t choice
+      = csp_choose_mirror_source (&start_cases[_i].facts);
+
+  ck_assert_msg (choice.read_store && choice.follow_host, "%s",
+                 start_cases[_i].what);
+  ck_assert_msg (choice.hold_list != start_cases[_i].reads_rest, "%s",
+                 start_cases[_i].what);
+}
+END_TEST
+
 enum
 {
   CURRENT_WITHIN_MS = 4000
@@ -1111,6 +1153,8 @@
                            / sizeof malformed_messages[0]);
   tcase_add_loop_test (tcase, the_source_depends_on_role_and_data_age, 0,
                        sizeof source_cases / sizeof source_cases[0]);
+  tcase_add_loop_test (tcase, starting_hosts_read_a_long_list_in_turn, 0,
+                       sizeof start_cases / sizeof start_cases[0]);
   tcase_add_loop_test (tcase, the_last_follower_falls_back_in_time, 0,
                        sizeof fleet_sizes / sizeof fleet_sizes[0]);
   tcase_add_test (tcase, total_store_call_rate_is_bounded);
