Engines that run requests are queried first while the platform is silent

Cause: while the store can't be read the decider asks engines whether they leave, at most 300 a second, all in turn. With 300 engines each is asked each second, with 5,720 each 19 s, and an engine that leaves runs on for 2 to 5 s: its streams are lost. Change: two thirds of the queries go to engines that run requests, as hosts report them, and what is left to the others. The fleet's traffic keeps some hundreds of 5,720 engines busy, so each of these is asked about once a second; the bound grows with the requests, not with the fleet. Ways weighed: more queries (a larger constant; the decider's processor binds); only busy engines (streams would move to engines that are gone).

--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -166,7 +166,7 @@
   csp_caller_t *callers; /* all open connections */
   csp_exchange_t *exchanges;
   csp_status_query_t *status_queries;
-  size_t next_query_index; /* in the fleet */
+  size_t next_query_index[2]; /* in the fleet; of idle and busy targets */
   size_t leaving_notice_count;
   csp_leaving_notice_t leaving_notices[CSP_HELLO_LEAVING_MAX];
   int64_t platform_read_ms; /* when the platform was last read; 0: never */
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -34,8 +34,12 @@
      s would be 7,500 queries a second, more than the decider can make: it
      would answer no ask in the seconds after the store stops or all hosts
      start.  Half a core makes 300 a second beside its other work; 300 engines
-     or fewer are queried often enough, and more take turns.  */
+     or fewer are queried often enough; of more, those that run requests come
+     first and the others take turns.  */
   QUERIES_PER_TICK = 30,
+  /* Of those, for engines without requests, which may get a stream that
+     moves.  */
+  IDLE_QUERIES_PER_TICK = 10,
   QUERY_TIMEOUT_MS = 400,
   /* A link that loses three datagrams in a hundred loses three in a row once
      in 37,000 times.  */
@@ -282,36 +286,65 @@
     }
 }
 
-void
-csp_query_targets (csp_gateway_t *gateway)
+static bool
+has_requests (const csp_fleet_target_t *target)
+{
+  return target->own.requests + target->others.requests
+             + target->reserved.requests
+         > 0;
+}
+
+static bool
+is_query_due (const csp_gateway_t *gateway, const csp_fleet_target_t *target,
+              int64_t now_ms)
+{
+  return now_ms >= target->report_at_ms && !csp_is_backed_off (target, now_ms)
+         && (target->state == CSP_FLEET_READY
+             || target->state == CSP_FLEET_LAPSED)
+         && csp_is_engine_service (gateway, target->row.service);
+}
+
+/* Query some of the engines that run requests, or of those that run none, in
+   turns.  Returns how many were queried.  */
+static size_t
+query_some (csp_gateway_t *gateway, bool busy, size_t max_count,
+            int64_t now_ms)
 {
-  int64_t now_ms = csp_gateway_now_ms (gateway);
   size_t count = csp_fleet_size (gateway->fleet);
-  size_t first = count == 0 ? 0 : gateway->next_query_index % count;
+  size_t first = count == 0 ? 0 : gateway->next_query_index[busy] % count;
   size_t asked = 0;
   size_t i;
 
+  for (i = 0; i < count && asked < max_count; i++)
+    {
+      csp_fleet_target_t *target
+          = csp_fleet_at (gateway->fleet, (first + i) % count);
+
+      if (has_requests (target) != busy
+          || !is_query_due (gateway, target, now_ms))
+        continue;
+      csp_query_target (gateway, target, now_ms);
+      asked++;
+    }
+  gateway->next_query_index[busy] = first + i;
+  return asked;
+}
+
+void
+csp_query_targets (csp_gateway_t *gateway)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  size_t asked;
+
   fail_late_queries (gateway, now_ms);
   send_leaving_notices (gateway);
   if ((!is_platform_silent (gateway, now_ms)
        && now_ms >= gateway->query_until_ms)
       || !csp_is_same_peer (gateway->decider, gateway->self))
     return;
-  for (i = 0; i < count && asked < QUERIES_PER_TICK; i++)
-    {
-      csp_fleet_target_t *target
-          = csp_fleet_at (gateway->fleet, (first + i) % count);
-
-      if (now_ms >= target->report_at_ms && !csp_is_backed_off (target, now_ms)
-          && (target->state == CSP_FLEET_READY
-              || target->state == CSP_FLEET_LAPSED)
-          && csp_is_engine_service (gateway, target->row.service))
-        {
-          csp_query_target (gateway, target, now_ms);
-          asked++;
-        }
-    }
-  gateway->next_query_index = first + i;
+  asked = query_some (gateway, true, QUERIES_PER_TICK - IDLE_QUERIES_PER_TICK,
+                      now_ms);
+  query_some (gateway, false, QUERIES_PER_TICK - asked, now_ms);
 }
 
 void
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -6,6 +6,7 @@
 
 #include <check.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -297,6 +298,22 @@
   csp_advance_fake_clock (&stream.fixture.fake_clock, silent_ms);
 }
 
+enum
+{
+  MANY_ENGINES = 6000
+};
+
+static int
+count_queries (void)
+{
+  static const char name[] = "\ncowslipspoke_gateway_target_reports_total ";
+  const char *row
+      = strstr (fixture_get_page (&stream.fixture, "/metrics"), name);
+
+  ck_assert_ptr_nonnull (row);
+  return (int)strtol (row + sizeof name - 1, NULL, 10);
+}
+
 static bool
 has_query_count (int query_count)
 {
@@ -381,6 +398,37 @@
 }
 END_TEST
 
+/* Guards against a stream that is lost while the platform is silent, as its
+   engine's turn to be queried comes after thousands of idle ones.  */
+START_TEST (engines_that_run_streams_are_queried_first)
+{
+  char id[16];
+  int report;
+  int i;
+
+  start_stream (false);
+  add_second_engine ();
+  for (i = 1; i < MANY_ENGINES; i++)
+    {
+      snprintf (id, sizeof id, "many-%d", i);
+      fixture_list_target (&stream.fixture, stream.listeners[1], id,
+                           "engines");
+    }
+  fixture_await_updates (&stream.fixture);
+  silence_platform (800);
+  report = accept_target_connection (stream.listeners[0]);
+  read_target_request (report, 0);
+  send_text (report, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9\r\n"
+                     "Content-Length: 2\r\n\r\nok");
+  csp_advance_fake_clock (&stream.fixture.fake_clock, 450);
+  ck_assert_ptr_nonnull (
+      strstr (read_target_request (report, 0), "GET /report"));
+  ck_assert_int_lt (count_queries (), MANY_ENGINES / 2);
+  close (report);
+  close (stream.source_link);
+}
+END_TEST
+
 /* Send the gateway a datagram of another host.  */
 static void
 send_hello (const csp_hello_t *hello)
@@ -673,6 +721,7 @@
   tcase_add_test (tcase, a_stream_whose_copy_fails_late_is_moved_again);
   tcase_add_test (tcase, an_unused_target_that_leaves_is_counted);
   tcase_add_test (tcase, many_engines_are_queried_in_batches);
+  tcase_add_test (tcase, engines_that_run_streams_are_queried_first);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
