Lists don't count as the cost of a follower

Cause: a host limits its followers by the bytes that each cost in the last second, and counted the list that a new follower gets once. After a power failure the first host of a data centre measured the lists of a hundred hosts against the few that it had admitted, fell to the minimum of four followers for seconds, and sent the others round in redirects. Change: only changes and redirects are counted; until they are measured the estimate from the list's size holds. Test: lists_do_not_lower_the_follower_limit; before, the 16th host was redirected.

--- a/source/mirror/mirror-server.c
+++ b/source/mirror/mirror-server.c
@@ -122,8 +122,8 @@
   return answer;
 }
 
-/* Measure each second what one follower costs.  The value falls by half at
-   most, since a quiet second may be followed by a busy one.  */
+/* Measure each second what the changes for one follower cost.  The value falls
+   by half at most, since a quiet second may be followed by a busy one.  */
 static void
 count_sent (csp_mirror_server_t *server, size_t size_bytes)
 {
@@ -158,20 +158,19 @@
                            text->size_bytes);
 }
 
-/* A host of an older version doesn't ask for compressed answers.  */
-static void
-send_answer (csp_mirror_server_t *server, const held_request_t *request,
-             const answer_t *answer)
+/* Returns the size.  A host of an older version doesn't ask for compressed
+   answers.  */
+static size_t
+send_answer (const held_request_t *request, const answer_t *answer)
 {
-  if (!request->accepts_packed || answer->packed.size_bytes == 0)
-    {
-      send_text (server, request->page, &answer->text);
-      return;
-    }
-  count_sent (server, answer->packed.size_bytes);
+  bool packed = request->accepts_packed && answer->packed.size_bytes > 0;
+  const csp_buffer_t *body = packed ? &answer->packed : &answer->text;
+
   csp_answer_page_request (request->page, STATUS_OK,
-                           csp_compressed_content_type, answer->packed.data,
-                           answer->packed.size_bytes);
+                           packed ? csp_compressed_content_type
+                                  : "application/json",
+                           body->data, body->size_bytes);
+  return body->size_bytes;
 }
 
 static void
@@ -182,11 +181,12 @@
   if (server->settled
       && csp_needs_whole_mirror (server->mirror, request->after))
     {
-      send_answer (server, request, find_whole_answer (server));
+      /* Not counted as a cost of followers: it is sent once.  */
+      send_answer (request, find_whole_answer (server));
       return;
     }
   encode_answer (server, request->after, 0, &answer);
-  send_answer (server, request, &answer);
+  count_sent (server, send_answer (request, &answer));
   clear_answer (&answer);
 }
 
@@ -223,7 +223,7 @@
         }
       if (answer.text.size_bytes == 0 || answer.after != request.after)
         encode_answer (server, request.after, 0, &answer);
-      send_answer (server, &request, &answer);
+      count_sent (server, send_answer (&request, &answer));
     }
   clear_answer (&answer);
 }
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -866,6 +866,7 @@
 enum
 {
   STARTING_HOSTS = 100,
+  LISTED_HOSTS = 15,
   /* Half a core, for the first second of the two after a power failure.  */
   STARTING_MAX_CPU_MS = 500,
   LIST_MIN_BYTES = 20000,
@@ -893,18 +894,21 @@
   csp_note_mirror_revision (fleet, FLEET_TARGETS);
 }
 
-/* Ask for all items without waiting for the answer.  */
+/* Ask as a host for the changes after a revision without waiting for the
+   answer.  */
 static int
-ask_for_list (const struct sockaddr_in *address)
+ask_for_items (const struct sockaddr_in *address, int host, int after)
 {
-  static const char request[]
-      = "GET /mirror?after=0&wait_ms=400&packed=1 HTTP/1.1\r\nHost: h\r\n\r\n";
   int client = socket (AF_INET, SOCK_STREAM, 0);
+  char request[128];
+  int size_bytes = snprintf (request, sizeof request,
+                             "GET /mirror?after=%d&wait_ms=1&host=%d&first=0"
+                             "&packed=1 HTTP/1.1\r\nHost: h\r\n\r\n",
+                             after, host);
 
   ck_assert_int_eq (
       connect (client, (const struct sockaddr *)address, sizeof *address), 0);
-  ck_assert_int_eq (send (client, request, sizeof request - 1, 0),
-                    (int)sizeof request - 1);
+  ck_assert_int_eq (send (client, request, (size_t)size_bytes, 0), size_bytes);
   return client;
 }
 
@@ -941,7 +945,7 @@
   began = clock ();
   for (i = 0; i < STARTING_HOSTS; i++)
     {
-      clients[i] = ask_for_list (&hosts[0].serve);
+      clients[i] = ask_for_items (&hosts[0].serve, 0, 0);
       uv_run (&loop, UV_RUN_NOWAIT);
     }
   while (waiting > 0)
@@ -964,6 +968,53 @@
 }
 END_TEST
 
+/* Read what a host is answered.  */
+static void
+read_answer (int client, char *text, size_t text_bytes)
+{
+  ssize_t size_bytes = 0;
+
+  while (size_bytes <= 0)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      size_bytes = recv (client, text, text_bytes - 1, MSG_DONTWAIT);
+    }
+  text[size_bytes] = '\0';
+  close (client);
+}
+
+/* Guards against lists that count as changes: after a power failure the first
+   host of a data centre would serve the minimum of followers for seconds and
+   send the others round in redirects.  */
+START_TEST (lists_do_not_lower_the_follower_limit)
+{
+  static char text[65536];
+  csp_mirror_t *fleet = csp_create_mirror (&events, NULL);
+  csp_mirror_server_t *server;
+  uint64_t measured_at_ms;
+  int i;
+
+  uv_loop_init (&loop);
+  hosts[0].serve = free_port ();
+  put_fleet (fleet);
+  server = csp_open_mirror_server (&loop, &hosts[0].serve, LINK, fleet);
+  csp_update_mirror_server (server, true, false, uv_now (&loop));
+  for (i = 1; i <= LISTED_HOSTS; i++)
+    read_answer (ask_for_items (&hosts[0].serve, i, 0), text, sizeof text);
+  measured_at_ms = uv_now (&loop) + MS_PER_S;
+  while (uv_now (&loop) < measured_at_ms)
+    uv_run (&loop, UV_RUN_NOWAIT);
+  read_answer (ask_for_items (&hosts[0].serve, 1, 1), text, sizeof text);
+  read_answer (ask_for_items (&hosts[0].serve, LISTED_HOSTS + 1, 1), text,
+               sizeof text);
+  ck_assert_ptr_null (strstr (text, "elsewhere"));
+  csp_close_mirror_server (server);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&loop), 0);
+  csp_destroy_mirror (fleet);
+}
+END_TEST
+
 /* Guards against hosts that have just started and send each other what they
    have read of the list so far, which the others ignore.  */
 START_TEST (an_unsettled_host_sends_no_items)
@@ -1168,6 +1219,7 @@
   tcase_add_loop_test (tcase, the_follower_limit_depends_on_link_bandwidth, 0,
                        sizeof limits / sizeof limits[0]);
   tcase_add_test (tcase, starting_hosts_share_one_encoded_list);
+  tcase_add_test (tcase, lists_do_not_lower_the_follower_limit);
   tcase_add_test (tcase, an_unsettled_host_sends_no_items);
   tcase_add_test (tcase, redirected_followers_receive_all_changes);
   suite_add_tcase (suite, tcase);
