Every organisation has a queue of its own at the decider

Cause: the table that maps organisations to queues had 1,024 entries, and all organisations beyond shared one queue without a word: at the planned 1,600 a large one among the last 576 starved the other 575. Change: an index that grows; queues grow with it already. An entry is 32 bytes: 51 kB at 1,600, 102 kB at 3,200. Test: late_organisations_have_queues_of_their_own at 3,200 (twice the planned size); before, the small organisation waited behind 100 requests of another one.

--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -1,6 +1,7 @@
 #ifndef CSP_DISPATCH_IMP_H
 #define CSP_DISPATCH_IMP_H
 
+#include "base/index-imp.h"
 #include "cowslipspoke/dispatch.h"
 #include "cowslipspoke/queue.h"
 
@@ -15,7 +16,6 @@
 {
   CSP_DISPATCH_POOLS_MAX = 8,
   CSP_DISPATCH_WAITING_MAX = 4096,
-  CSP_DISPATCH_ORGANISATIONS_MAX = 1024,
   CSP_DISPATCH_RESERVED_MAX = 1024,
   /* Answers kept to answer repeated asks.  */
   CSP_DISPATCH_RECENT_ANSWERS = 512,
@@ -32,6 +32,14 @@
   csp_queue_t *queue;
 } csp_dispatch_pool_t;
 
+/* An organisation's number in the queues; 0 is shared by those for which
+   memory allocation failed.  */
+typedef struct
+{
+  csp_index_node_t by_hash;
+  uint32_t number;
+} csp_dispatch_organisation_t;
+
 typedef struct
 {
   bool used;
@@ -72,9 +80,9 @@
   csp_decider_role_t role;
   size_t pool_count;
   csp_dispatch_pool_t pools[CSP_DISPATCH_POOLS_MAX];
-  size_t organisation_count;
-  uint32_t organisations[CSP_DISPATCH_ORGANISATIONS_MAX];
-  size_t waiting_end; /* used entries are below this index */
+  uint32_t organisation_count;
+  csp_index_t organisations; /* of csp_dispatch_organisation_t, by hash */
+  size_t waiting_end;        /* used entries are below this index */
   uint32_t waiting_count;
   csp_waiting_ask_t waiting[CSP_DISPATCH_WAITING_MAX];
   size_t reserved_count;
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -13,6 +13,7 @@
 enum
 {
   URGENCY_MAX = 9,
+  ORGANISATIONS_EXPECTED = 256,
   /* Maximum prompt tokens that an engine processes at once.  It processes all
      prompts together, beside its runs, at about 5 tokens a ms, so each is done
      only when all are; this many take 0.9 s, half of the usual time to first
@@ -37,7 +38,27 @@
   dispatch->state = state;
   dispatch->next_id = 1;
   csp_seed_random (&dispatch->random, seed);
-  return dispatch;
+  if (csp_open_index (&dispatch->organisations, ORGANISATIONS_EXPECTED) == 0)
+    return dispatch;
+  free (dispatch);
+  return NULL;
+}
+
+static void
+free_organisations (csp_dispatch_t *dispatch)
+{
+  csp_index_t *index = &dispatch->organisations;
+  size_t i;
+
+  for (i = 0; i < index->bucket_count; i++)
+    while (index->buckets[i] != NULL)
+      {
+        csp_index_node_t *node = index->buckets[i];
+
+        csp_remove_from_index (index, node);
+        free (CSP_INDEX_ENTRY (node, csp_dispatch_organisation_t, by_hash));
+      }
+  csp_close_index (index);
 }
 
 void
@@ -51,6 +72,7 @@
   csp_release_all_reservations (dispatch);
   for (i = 0; i < dispatch->pool_count; i++)
     csp_destroy_queue (dispatch->pools[i].queue);
+  free_organisations (dispatch);
   free (dispatch);
 }
 
@@ -156,20 +178,27 @@
   return pool;
 }
 
-/* Maps an organisation to a small number; organisations beyond the table share
-   number 0.  */
 static uint32_t
-map_organisation (csp_dispatch_t *dispatch, uint32_t organisation)
+add_organisation (csp_dispatch_t *dispatch, uint32_t hash)
 {
-  size_t i;
+  csp_dispatch_organisation_t *organisation = calloc (1, sizeof *organisation);
 
-  for (i = 0; i < dispatch->organisation_count; i++)
-    if (dispatch->organisations[i] == organisation)
-      return (uint32_t)i;
-  if (dispatch->organisation_count == CSP_DISPATCH_ORGANISATIONS_MAX)
+  if (organisation == NULL)
     return 0;
-  dispatch->organisations[dispatch->organisation_count++] = organisation;
-  return (uint32_t)i;
+  organisation->number = ++dispatch->organisation_count;
+  csp_add_to_index (&dispatch->organisations, &organisation->by_hash, hash);
+  return organisation->number;
+}
+
+/* Maps an organisation to a small number.  */
+static uint32_t
+map_organisation (csp_dispatch_t *dispatch, uint32_t hash)
+{
+  csp_index_node_t *node = csp_find_in_index (&dispatch->organisations, hash);
+
+  if (node == NULL)
+    return add_organisation (dispatch, hash);
+  return CSP_INDEX_ENTRY (node, csp_dispatch_organisation_t, by_hash)->number;
 }
 
 static csp_fleet_target_t *
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -201,6 +201,38 @@
 }
 END_TEST
 
+enum
+{
+  ORGANISATIONS = 3200
+};
+
+/* Guards against organisations that share a queue, as there are more of them
+   than a table holds.  */
+START_TEST (late_organisations_have_queues_of_their_own)
+{
+  size_t before = 0;
+  uint64_t id;
+
+  for (id = 1; id <= ORGANISATIONS; id++)
+    {
+      answer_count = 0;
+      report_runs (0);
+      push_ask (other_host, id, (uint32_t)id, 1000);
+      csp_cancel_ask (dispatch, other_host, id);
+    }
+  report_runs (2);
+  for (id = 1; id <= 100; id++)
+    push_ask (other_host, 10000 + id, ORGANISATIONS - 1, 5000);
+  push_ask (this_host, 20000, ORGANISATIONS, 5001);
+  answer_count = 0;
+  report_runs (0);
+  csp_pump_dispatch (dispatch, 5100);
+  while (before < answer_count && answers[before].id != 20000)
+    before++;
+  ck_assert_uint_lt (before, answer_count);
+}
+END_TEST
+
 /* Datagrams get lost: a repeated ask is answered again, and no second
    placement is counted.  */
 START_TEST (repeated_ask_is_answered_again)
@@ -431,6 +463,7 @@
   tcase_add_test (tcase, freed_capacity_goes_to_waiting_ask);
   tcase_add_test (tcase, ask_is_not_placed_on_backed_off_engine);
   tcase_add_test (tcase, large_organisation_does_not_starve_small_one);
+  tcase_add_test (tcase, late_organisations_have_queues_of_their_own);
   tcase_add_test (tcase, repeated_ask_is_answered_again);
   tcase_add_test (tcase, cancelled_ask_stops_waiting);
   tcase_add_test (tcase, unplaced_ask_is_refused_in_time);
