The decider reserves each placement of a burst

Cause: reservations, which count a placement for 30 ms until its host reports it, had a table of 1,024 entries; further ones weren't counted, and their room was given again. At a steady rate it binds at 34,000 placements a second, in a burst (all hosts ask at once after an outage) at 1,024. Test: each_placement_of_a_burst_is_reserved (2,400 at one moment; 1,024 were counted before).

--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -16,7 +16,6 @@
 {
   CSP_DISPATCH_POOLS_MAX = 8,
   CSP_DISPATCH_WAITING_MAX = 4096,
-  CSP_DISPATCH_RESERVED_MAX = 1024,
   /* Answers kept to answer repeated asks.  */
   CSP_DISPATCH_RECENT_ANSWERS = 512,
   /* Maximum number of streams that are leaving targets at the same time.  At
@@ -86,7 +85,8 @@
   uint32_t waiting_count;
   csp_waiting_ask_t waiting[CSP_DISPATCH_WAITING_MAX];
   size_t reserved_count;
-  csp_reservation_t reserved[CSP_DISPATCH_RESERVED_MAX];
+  size_t reserved_capacity;
+  csp_reservation_t *reserved;
   size_t next_recent_answer;
   csp_ask_answer_t recent_answers[CSP_DISPATCH_RECENT_ANSWERS];
   size_t move_end; /* used entries are below this index */
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -70,6 +70,7 @@
     return;
   csp_release_all_moves (dispatch);
   csp_release_all_reservations (dispatch);
+  free (dispatch->reserved);
   for (i = 0; i < dispatch->pool_count; i++)
     csp_destroy_queue (dispatch->pools[i].queue);
   free_organisations (dispatch);
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -233,6 +233,38 @@
 }
 END_TEST
 
+enum
+{
+  BURST = 2400,
+  ENGINES = BURST / 2
+};
+
+/* Guards against places that are given twice, as more were given than a table
+   of reservations holds before their hosts report them.  */
+START_TEST (each_placement_of_a_burst_is_reserved)
+{
+  size_t reserved = 0;
+  uint64_t id;
+  size_t i;
+
+  for (i = 0; i < ENGINES; i++)
+    {
+      char name[16];
+
+      snprintf (name, sizeof name, "e-%zu", i);
+      list_target (name, 24);
+    }
+  for (id = 1; id <= BURST; id++)
+    {
+      answer_count = 0;
+      ck_assert_int_eq (push_ask (other_host, id, 1, 1000), CSP_ASK_PLACED);
+    }
+  for (i = 0; i < csp_fleet_size (fleet); i++)
+    reserved += csp_fleet_at (fleet, i)->reserved.requests;
+  ck_assert_uint_eq (reserved, BURST);
+}
+END_TEST
+
 /* Datagrams get lost: a repeated ask is answered again, and no second
    placement is counted.  */
 START_TEST (repeated_ask_is_answered_again)
@@ -464,6 +496,7 @@
   tcase_add_test (tcase, ask_is_not_placed_on_backed_off_engine);
   tcase_add_test (tcase, large_organisation_does_not_starve_small_one);
   tcase_add_test (tcase, late_organisations_have_queues_of_their_own);
+  tcase_add_test (tcase, each_placement_of_a_burst_is_reserved);
   tcase_add_test (tcase, repeated_ask_is_answered_again);
   tcase_add_test (tcase, cancelled_ask_stops_waiting);
   tcase_add_test (tcase, unplaced_ask_is_refused_in_time);
