--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -78,9 +78,9 @@
   int64_t warm_at_ms;
   /* Until then chosen only if no other target is available.  */
   int64_t avoid_until_ms;
-  int64_t backoff_until_ms;  /* the target asked this host to wait until then */
-  csp_fleet_load_t own;      /* under way from this host */
-  csp_fleet_load_t others;   /* from all other hosts, as last reported */
+  int64_t backoff_until_ms; /* the target asked this host to wait until then */
+  csp_fleet_load_t own;     /* under way from this host */
+  csp_fleet_load_t others;  /* from all other hosts, as last reported */
   csp_fleet_load_t reserved; /* assigned here, not yet reported by its host */
   double recent_prompt_tokens; /* recently assigned prompt tokens, decaying */
   int64_t
