Callers of a host that has just started wait for its configuration

Cause: a host without a configuration refused at once with Retry-After 0.5 s; hosts had one 1.25 s behind their start in the median, and callers come back once. Change: until a host has a configuration and its targets, a second at most, it doesn't accept connections: callers wait in the listener's queue, where they wait for a new connection anyway, and are then served. Behind that second it refuses as before. Ways weighed: a longer Retry-After makes every caller wait for the slowest host, and drafts miss their time; hosts that serve with the first page of the list would all crowd on the same 199 targets. Test: callers_of_a_starting_host_wait_for_its_configuration (503 before); a_host_without_configuration_answers_503 now lets the second pass.

--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -120,6 +120,8 @@
   csp_log_t *log;
   uv_loop_t loop;
   uv_tcp_t caller_listener;
+  bool caller_waits; /* a connection that is not accepted yet */
+  int64_t started_ms;
   csp_page_server_t *readiness_page;
   csp_page_server_t *metrics_page;
   uv_async_t wake;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -18,6 +18,10 @@
   /* A report of how full the engines are is valid this long: engines are lost
      and return every second.  */
   POOL_SHARE_VALID_MS = 2000,
+  /* Callers' connections wait this long from the start for a configuration and
+     a list of targets.  Callers wait a second for their connection, and many
+     try only twice.  */
+  ACCEPT_WITHIN_MS = 1000,
   PERCENT = 100
 };
 
@@ -245,6 +249,28 @@
     }
 }
 
+/* Load pattern: all hosts restart at once, and callers reach them before they
+   have a configuration.  A caller that is refused comes back once, perhaps to
+   a host that has none yet either; in the listener's queue it waits for some
+   tenths of a second and is served.  */
+static bool
+may_accept (const csp_gateway_t *gateway)
+{
+  return gateway->stopping
+         || (gateway->routes != NULL && gateway->targets_listed)
+         || csp_gateway_now_ms (gateway) - gateway->started_ms
+                >= ACCEPT_WITHIN_MS;
+}
+
+static void
+accept_waiting_caller (csp_gateway_t *gateway)
+{
+  if (!gateway->caller_waits || !may_accept (gateway))
+    return;
+  gateway->caller_waits = false;
+  csp_accept_caller (gateway, (uv_stream_t *)&gateway->caller_listener);
+}
+
 static void
 on_wake (uv_async_t *wake)
 {
@@ -260,6 +286,7 @@
       apply_update (gateway, &queued->update);
       free (queued);
     }
+  accept_waiting_caller (gateway);
 }
 
 bool
@@ -319,15 +346,21 @@
      callers would still be refused.  */
   if (csp_is_isolated (gateway) && csp_isolated_retry_ms (gateway) == 0)
     csp_close_idle_callers (gateway);
+  accept_waiting_caller (gateway);
   if (gateway->stopping)
     step_stop (gateway);
 }
 
+/* The loop reports no further connection until this one is accepted.  */
 static void
 on_connection (uv_stream_t *listener, int status)
 {
-  if (status == 0)
-    csp_accept_caller (listener->data, listener);
+  csp_gateway_t *gateway = listener->data;
+
+  if (status != 0)
+    return;
+  gateway->caller_waits = true;
+  accept_waiting_caller (gateway);
 }
 
 static bool
@@ -365,6 +398,7 @@
   gateway->dialect = dialect;
   gateway->clock = *clock;
   gateway->log = log;
+  gateway->started_ms = csp_gateway_now_ms (gateway);
   csp_seed_random (&gateway->random, csp_random_seed ());
   cds_wfcq_init (&gateway->updates_head, &gateway->updates_tail);
   if (uv_loop_init (&gateway->loop) != 0)
@@ -432,6 +466,7 @@
   csp_cancel_status_queries (gateway);
   stop_listening (gateway);
   uv_run (&gateway->loop, UV_RUN_NOWAIT);
+  gateway->caller_waits = false;
   on_wake (&gateway->wake);
   csp_destroy_dispatch (gateway->dispatch);
   csp_clear_buffer (&gateway->local_answers);
--- a/tests/gateway/gateway-test.c
+++ b/tests/gateway/gateway-test.c
@@ -10,11 +10,18 @@
 
 static fixture_t fixture;
 
+enum
+{
+  /* Callers of a host that has just started wait so long at most.  */
+  START_MS = 1000
+};
+
 static void
 set_up (void)
 {
   fixture_open (&fixture);
   fixture_publish_routes (&fixture, true);
+  fixture_send_update (&fixture, CSP_UPDATE_TARGETS_LISTED);
 }
 
 static void
@@ -108,6 +115,7 @@
       strstr (fixture_get_page (&fresh, "/readyz"), " 503 "));
   caller = open_caller (&fresh);
   send_text (caller, REQUEST ("/once/", "r1"));
+  csp_advance_fake_clock (&fresh.fake_clock, START_MS);
   text = read_until (caller, "\r\n\r\n");
   ck_assert_ptr_nonnull (strstr (text, " 503 "));
   ck_assert_ptr_nonnull (strstr (text, "Retry-After: "));
@@ -116,6 +124,42 @@
 }
 END_TEST
 
+/* Guards against a restart of all hosts in which callers are refused, come
+   back once and are refused again, though the hosts have a configuration and
+   targets some tenths of a second later.  */
+START_TEST (callers_of_a_starting_host_wait_for_its_configuration)
+{
+  fixture_t fresh = { .seed = NULL };
+  int callers[2];
+  int target;
+  int link;
+  size_t i;
+
+  fixture_open (&fresh);
+  for (i = 0; i < 2; i++)
+    {
+      callers[i] = open_caller (&fresh);
+      send_text (callers[i], REQUEST ("/once/", "r1"));
+    }
+  /* The gateway has seen the connections when it has answered this.  */
+  fixture_get_page (&fresh, "/readyz");
+  csp_advance_fake_clock (&fresh.fake_clock, START_MS / 2);
+  fixture_publish_routes (&fresh, true);
+  target = fixture_add_target (&fresh, "t-1", "plain");
+  for (i = 0; i < 2; i++)
+    {
+      link = accept_target_connection (target);
+      read_target_request (link, 0);
+      send_text (link, ANSWER ("r1", "ok", "2"));
+      read_until (callers[i], "\r\n\r\nok");
+      close (link);
+      close (callers[i]);
+    }
+  close (target);
+  fixture_close (&fresh);
+}
+END_TEST
+
 START_TEST (requests_of_one_connection_are_answered_in_order)
 {
   int target = fixture_add_target (&fixture, "t-1", "plain");
@@ -404,6 +448,8 @@
   tcase_add_loop_test (tcase, a_request_that_cannot_be_served_is_refused, 0,
                        sizeof refused_requests / sizeof refused_requests[0]);
   tcase_add_test (tcase, a_host_without_configuration_answers_503);
+  tcase_add_test (tcase,
+                  callers_of_a_starting_host_wait_for_its_configuration);
   tcase_add_test (tcase, requests_of_one_connection_are_answered_in_order);
   tcase_add_test (tcase, a_long_chunked_body_is_forwarded_as_it_arrives);
   tcase_add_loop_test (tcase, a_503_is_sent_only_if_the_request_has_not_run, 0,
