A host that was paused doesn't drain when it continues

It then ended. Cause: SIGCONT interrupts sigwaitinfo (EINTR) even where no handler is set. cowslipd took each return of it for a SIGTERM, and drained: event 102 in the log in the same millisecond as woke-late. In plain builds the calls of session paused-host fit into the drain notice, so it passed. Change: both waits for signals begin anew on EINTR.

--- a/source/cowslipd/cowslipd.c
+++ b/source/cowslipd/cowslipd.c
@@ -1,4 +1,5 @@
 #include <curl/curl.h>
+#include <errno.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -34,14 +35,19 @@
   pthread_sigmask (SIG_BLOCK, signals, NULL);
 }
 
-/* Wait up to ms for SIGTERM or SIGINT; returns true if one arrived.  */
+/* Wait up to ms for SIGTERM or SIGINT; returns true if one arrived.  SIGSTOP
+   and SIGCONT interrupt the call, and the wait begins anew.  */
 static bool
 wait_for_signal (const sigset_t *signals, int64_t ms)
 {
   struct timespec timeout
       = { ms / MS_PER_S, (long)(ms % MS_PER_S) * NS_PER_MS };
+  int signal_number;
 
-  return sigtimedwait (signals, NULL, &timeout) > 0;
+  do
+    signal_number = sigtimedwait (signals, NULL, &timeout);
+  while (signal_number < 0 && errno == EINTR);
+  return signal_number > 0;
 }
 
 /* The readiness check fails first, so that the load balancer stops sending
@@ -110,7 +116,8 @@
   printf ("ready http=%u peer=%u\n", csp_entry_port (entry),
           csp_control_peer_port (control));
   fflush (stdout);
-  sigwaitinfo (signals, NULL);
+  while (sigwaitinfo (signals, NULL) < 0 && errno == EINTR)
+    ;
   csp_set_control_leaving (control);
   drain (entry, context, signals);
   wait_for_claims (control, context, signals);
--- a/tests/session/paused-host.sh
+++ b/tests/session/paused-host.sh
@@ -23,6 +23,8 @@
 signal_to h2 CONT
 echo "# the stream that was open at h2"
 finish held
+echo "# h2 has not begun to drain"
+status_of h2 /ready
 echo "# h2 serves again"
 call h2 --tokens 10 --repeat 30 | sed 's/ first_p50.*//'
 echo "# 91 requests, 91 starts"
