The session on peers' certificates waits until its hosts are ready

Cause: the session waited until the two hosts heard each other. A host hears a peer as soon as its heartbeat comes, also before it has read the host list itself. With a host that is paused over the publication and a platform that is away behind it (trial), /status says "alive" while /ready is 503 and the list's version 0, and a call gets the same answer; 0.1 s later, with the list from a peer, the call is served. Ruled out: a target that failed and was tried; the refusal came from a host without any target. It now waits for readiness too, and expects the same.

--- a/tests/session/peer-tls.sh
+++ b/tests/session/peer-tls.sh
@@ -47,6 +47,7 @@
 start_host h3
 start_host h4 --settings "$tls/bad.json"
 publish_hosts
+wait_ready h1 h2
 wait_until 15 is_alive h1 h2
 wait_until 15 is_alive h2 h1
 echo "# with certificates of the deployment"
