A host that knows more than the kept list gets a newer one

Callers would see targets that have left for half a second longer. Cause: the list that a host encodes once for all that start is kept for 0.5 s. Change: the kept list is sent only to a host that doesn't know more, and only while the removals behind it are kept.

--- a/source/mirror/mirror-server.c
+++ b/source/mirror/mirror-server.c
@@ -68,6 +68,7 @@
   uint64_t count_start_ms;
   uint64_t follower_bytes_per_s;
   answer_t whole_answer;
+  int64_t whole_revision;
   uint64_t whole_encoded_ms;
   size_t held_count;
   size_t held_capacity;
@@ -102,18 +103,31 @@
     csp_clear_buffer (&answer->packed);
 }
 
-/* The answer with all items.  */
+/* Whether the answer with all items may be sent again to a host that knows all
+   changes up to a revision.  A host that gets an older list, or one that is
+   older than the removals that are kept, asks for the list again.  */
+static bool
+is_whole_answer_valid (const csp_mirror_server_t *server, int64_t after)
+{
+  return server->whole_answer.text.size_bytes > 0
+         && uv_now (server->loop)
+                < server->whole_encoded_ms + WHOLE_ANSWER_VALID_MS
+         && after <= server->whole_revision
+         && !csp_needs_whole_mirror (server->mirror, server->whole_revision);
+}
+
+/* The answer with all items for a host that knows all changes up to a
+   revision.  */
 static const answer_t *
-find_whole_answer (csp_mirror_server_t *server)
+find_whole_answer (csp_mirror_server_t *server, int64_t after)
 {
   answer_t *answer = &server->whole_answer;
-  uint64_t now_ms = uv_now (server->loop);
 
-  if (answer->text.size_bytes > 0
-      && now_ms < server->whole_encoded_ms + WHOLE_ANSWER_VALID_MS)
+  if (is_whole_answer_valid (server, after))
     return answer;
   encode_answer (server, 0, WHOLE_ANSWER_VALID_MS, answer);
-  server->whole_encoded_ms = now_ms;
+  server->whole_encoded_ms = uv_now (server->loop);
+  server->whole_revision = csp_mirror_revision (server->mirror);
   if (server->follower_bytes_per_s == 0)
     server->follower_bytes_per_s
         = (answer->packed.size_bytes > 0 ? answer->packed.size_bytes
@@ -182,7 +196,7 @@
       && csp_needs_whole_mirror (server->mirror, request->after))
     {
       /* Not counted as a cost of followers: it is sent once.  */
-      send_answer (request, find_whole_answer (server));
+      send_answer (request, find_whole_answer (server, request->after));
       return;
     }
   encode_answer (server, request->after, 0, &answer);
--- a/tests/mirror/mirror-pack-test.c
+++ b/tests/mirror/mirror-pack-test.c
@@ -2,6 +2,7 @@
 #include "cowslipspoke/mirror.h"
 #include "cowslipspoke/pack.h"
 
+#include "support/free-port.h"
 #include "support/run-suite.h"
 
 #include <arpa/inet.h>
@@ -34,17 +35,10 @@
 set_up (void)
 {
   static const csp_mirror_events_t no_events = { 0 };
-  socklen_t size_bytes = sizeof address;
-  int probe = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   char key[32];
   int i;
 
-  address = (struct sockaddr_in){ .sin_family = AF_INET };
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ck_assert_int_eq (bind (probe, (struct sockaddr *)&address, sizeof address),
-                    0);
-  getsockname (probe, (struct sockaddr *)&address, &size_bytes);
-  close (probe);
+  address = find_free_port ();
   uv_loop_init (&loop);
   mirror = csp_create_mirror (&no_events, NULL);
   for (i = 0; i < ROWS; i++)
