A load report looks at the targets whose load has changed

Callers: the processor of a host that carries requests goes into control. Cause: 2 ms behind each change of its load a host looked at every target for one that differs from what it last reported. The work grew with requests times targets. Change: what changes this host's load at a target puts the target on a list, once; a report takes the list. The full report each second still looks at all. Ruled out: a report at longer intervals; the decider places without what it hasn't heard, which the first token pays for.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -274,6 +274,14 @@
                                    const char *service, uint32_t memory_tokens,
                                    uint64_t tokens);
 
+/* Records that this host's own load at a target has changed since it was last
+   reported.  */
+void csp_note_own_load_changed (csp_fleet_t *fleet,
+                                csp_fleet_target_t *target);
+
+/* Takes a target whose own load has changed; NULL if there is none.  */
+csp_fleet_target_t *csp_take_changed_load (csp_fleet_t *fleet);
+
 /* The decider has assigned a prompt to the target.  */
 void csp_note_prompt_assigned (csp_fleet_target_t *target,
                                uint32_t prompt_tokens, int64_t now_ms);
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -4,6 +4,8 @@
 #include "base/index-imp.h"
 #include "cowslipspoke/fleet.h"
 
+#include <urcu/list.h>
+
 /* A target and its index nodes.  Hosts report thousands of loads per second;
    at 3,000 targets a linear search for each took more CPU time than the host
    has.  */
@@ -12,6 +14,7 @@
   csp_fleet_target_t target;
   csp_index_node_t by_start;
   csp_index_node_t by_id;
+  struct cds_list_head changed_load; /* among the fleet's; empty: it isn't */
 } target_entry_t;
 
 enum
@@ -42,6 +45,7 @@
   csp_index_t by_start; /* by csp_fleet_target_t.hash */
   csp_index_t by_id;
   uint64_t additions;
+  struct cds_list_head changed_loads;
   csp_cordons_t *cordons;
   size_t cold_limit_count;
   csp_cold_limit_t cold_limits[CSP_COLD_LIMITS_MAX];
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -39,6 +39,7 @@
   if (fleet->on_free != NULL)
     fleet->on_free (fleet->state, target);
   csp_leave_group (target);
+  cds_list_del (&entry->changed_load);
   csp_remove_from_index (&fleet->by_start, &entry->by_start);
   csp_remove_from_index (&fleet->by_id, &entry->by_id);
   free (entry);
@@ -73,6 +74,7 @@
   fleet->on_free = on_free;
   fleet->state = state;
   fleet->platform_reachable = true;
+  CDS_INIT_LIST_HEAD (&fleet->changed_loads);
   fleet->cordons = csp_create_cordons ();
   if (fleet->cordons != NULL
       && csp_open_index (&fleet->by_start, INITIAL_CAPACITY) == 0
@@ -165,6 +167,7 @@
   entry->target.row.start_unix_ms = born_ms;
   entry->target.hash = hash_of_start (id, born_ms);
   csp_init_warmup (&entry->target.warmup, 0);
+  CDS_INIT_LIST_HEAD (&entry->changed_load);
   csp_add_to_index (&fleet->by_start, &entry->by_start, entry->target.hash);
   csp_add_to_index (&fleet->by_id, &entry->by_id, local_hash_of_id (id));
   fleet->targets[fleet->count++] = &entry->target;
@@ -198,6 +201,28 @@
     fleet->on_leave (fleet->state, target);
 }
 
+void
+csp_note_own_load_changed (csp_fleet_t *fleet, csp_fleet_target_t *target)
+{
+  target_entry_t *entry = entry_of_target (target);
+
+  if (cds_list_empty (&entry->changed_load))
+    cds_list_add_tail (&entry->changed_load, &fleet->changed_loads);
+}
+
+csp_fleet_target_t *
+csp_take_changed_load (csp_fleet_t *fleet)
+{
+  target_entry_t *entry;
+
+  if (cds_list_empty (&fleet->changed_loads))
+    return NULL;
+  entry = cds_list_first_entry (&fleet->changed_loads, target_entry_t,
+                                changed_load);
+  cds_list_del_init (&entry->changed_load);
+  return &entry->target;
+}
+
 /* Sets the start of a target whose start was unknown so far.  */
 static void
 set_start (csp_fleet_t *fleet, csp_fleet_target_t *target, int64_t born_ms)
@@ -207,6 +232,7 @@
   target->row.start_unix_ms = born_ms;
   target->hash = hash_of_start (target->row.id, born_ms);
   memset (&target->reported_load, 0, sizeof target->reported_load);
+  csp_note_own_load_changed (fleet, target);
   csp_remove_from_index (&fleet->by_start, &entry->by_start);
   csp_add_to_index (&fleet->by_start, &entry->by_start, target->hash);
 }
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -32,6 +32,7 @@
 {
   target->own.prefill_tokens -= exchange->reading_tokens;
   exchange->reading_tokens = 0;
+  csp_note_own_load_changed (exchange->gateway->fleet, target);
 }
 
 void
@@ -50,6 +51,7 @@
   target->own.requests--;
   target->own.tokens -= exchange->tokens;
   target->users--;
+  csp_note_own_load_changed (exchange->gateway->fleet, target);
   if (target->is_engine)
     csp_schedule_load_report (exchange->gateway);
 }
@@ -189,6 +191,7 @@
   if (copy == NULL)
     exchange->reading_tokens = exchange->prompt_tokens;
   target->own.prefill_tokens += exchange->reading_tokens;
+  csp_note_own_load_changed (exchange->gateway->fleet, target);
   target->is_engine = exchange->service->is_engine;
   if (target->is_engine)
     csp_schedule_load_report (exchange->gateway);
--- a/source/gateway/gateway-backup.c
+++ b/source/gateway/gateway-backup.c
@@ -36,6 +36,7 @@
     return;
   backup->own.backup_tokens -= exchange->tokens;
   backup->users--;
+  csp_note_own_load_changed (exchange->gateway->fleet, backup);
 }
 
 csp_fleet_target_t *
@@ -93,6 +94,7 @@
     return;
   backup->own.backup_tokens += exchange->tokens;
   backup->users++;
+  csp_note_own_load_changed (exchange->gateway->fleet, backup);
   exchange->backup = backup;
   exchange->reserved_backup = backup;
 }
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -390,6 +390,7 @@
    load to the deciders, sent after a short delay.  */
 void csp_open_load_reports (csp_gateway_t *gateway);
 void csp_schedule_load_report (csp_gateway_t *gateway);
+void csp_report_changed_loads (csp_gateway_t *gateway);
 
 /* Update the list of deciders; a new one is sent all loads.  */
 void csp_choose_deciders (csp_gateway_t *gateway);
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -39,6 +39,7 @@
   exchange->move.destination = to;
   to->own.backup_tokens += exchange->tokens;
   to->users++;
+  csp_note_own_load_changed (exchange->gateway->fleet, to);
   csp_schedule_load_report (exchange->gateway);
 }
 
@@ -55,6 +56,7 @@
     {
       move->destination->own.backup_tokens -= exchange->tokens;
       move->destination->users--;
+      csp_note_own_load_changed (exchange->gateway->fleet, move->destination);
       csp_schedule_load_report (exchange->gateway);
     }
   move->destination = NULL;
--- a/source/gateway/gateway-tell.c
+++ b/source/gateway/gateway-tell.c
@@ -46,59 +46,79 @@
          && a->movable_tokens == b->movable_tokens;
 }
 
-/* Whether the deciders need this load.  Three quarters of all requests go to
-   plain services, end there within some 30 ms, and are not placed by the
-   decider, so those are left out.  */
+/* Three quarters of all requests go to plain services, end there within some
+   30 ms, and are not placed by the decider, so it doesn't need their loads. */
 static bool
-must_report (const csp_fleet_target_t *target, const csp_peer_load_t *load,
-             bool whole)
+is_placed_by_decider (const csp_fleet_target_t *target,
+                      const csp_peer_load_t *load)
 {
-  if (!target->is_engine && load->backup_tokens == 0
-      && target->reported_load.backup_tokens == 0)
-    return false;
-  return whole ? load->requests > 0 || load->backup_tokens > 0
-               : !is_same_load (load, &target->reported_load);
+  return target->is_engine || load->backup_tokens > 0
+         || target->reported_load.backup_tokens > 0;
 }
 
-/* Send this host's loads, in as many datagrams as needed: all
-   loads if whole, else those that changed.  */
+/* Add a load to a hello, which is sent once it is full.  */
 static void
-send_loads (csp_gateway_t *gateway, bool whole,
-            const csp_peer_address_t *peers, size_t peer_count)
+add_load (csp_gateway_t *gateway, csp_hello_t *hello,
+          const csp_peer_load_t *load, const csp_peer_address_t *peers,
+          size_t peer_count)
+{
+  hello->loads[hello->load_count++] = *load;
+  if (hello->load_count < CSP_HELLO_LOADS_MAX)
+    return;
+  csp_send_hello (gateway, hello, peers, peer_count);
+  memset (hello, 0, sizeof *hello);
+}
+
+/* Send all of this host's loads.  Without any, an empty report replaces the
+   one before.  */
+static void
+report_all_loads (csp_gateway_t *gateway, const csp_peer_address_t *peers,
+                  size_t peer_count)
 {
   size_t count = csp_fleet_size (gateway->fleet);
-  csp_hello_t hello
-      = { .is_full_report = whole,
-          .decider = whole ? csp_pack_peer (gateway->decider) : 0 };
-  bool sent = false;
+  csp_hello_t hello = { .is_full_report = true,
+                        .decider = csp_pack_peer (gateway->decider) };
   size_t i;
 
   for (i = 0; i < count; i++)
     {
-      csp_fleet_target_t *target = csp_fleet_at (gateway->fleet, i);
+      const csp_fleet_target_t *target = csp_fleet_at (gateway->fleet, i);
       csp_peer_load_t load = make_load (target);
 
-      if (!must_report (target, &load, whole))
-        continue;
-      if (!whole)
-        target->reported_load = load;
-      hello.loads[hello.load_count++] = load;
-      if (hello.load_count < CSP_HELLO_LOADS_MAX)
-        continue;
-      csp_send_hello (gateway, &hello, peers, peer_count);
-      memset (&hello, 0, sizeof hello);
-      sent = true;
+      if ((load.requests > 0 || load.backup_tokens > 0)
+          && is_placed_by_decider (target, &load))
+        add_load (gateway, &hello, &load, peers, peer_count);
     }
-  if (hello.load_count > 0 || (whole && !sent))
+  if (hello.load_count > 0 || hello.is_full_report)
     csp_send_hello (gateway, &hello, peers, peer_count);
 }
 
+void
+csp_report_changed_loads (csp_gateway_t *gateway)
+{
+  csp_hello_t hello = { .is_full_report = false };
+  csp_fleet_target_t *target;
+
+  while ((target = csp_take_changed_load (gateway->fleet)) != NULL)
+    {
+      csp_peer_load_t load = make_load (target);
+
+      if (is_same_load (&load, &target->reported_load)
+          || !is_placed_by_decider (target, &load))
+        continue;
+      target->reported_load = load;
+      add_load (gateway, &hello, &load, gateway->deciders,
+                gateway->decider_count);
+    }
+  if (hello.load_count > 0)
+    csp_send_hello (gateway, &hello, gateway->deciders,
+                    gateway->decider_count);
+}
+
 static void
 on_load_report_timer (uv_timer_t *timer)
 {
-  csp_gateway_t *gateway = timer->data;
-
-  send_loads (gateway, false, gateway->deciders, gateway->decider_count);
+  csp_report_changed_loads (timer->data);
 }
 
 void
@@ -130,7 +150,7 @@
 
   for (i = 0; i < count; i++)
     if (!gets_load_reports (gateway, hosts[i]))
-      send_loads (gateway, true, &hosts[i], 1);
+      report_all_loads (gateway, &hosts[i], 1);
 }
 
 void
@@ -157,7 +177,7 @@
   if (now_ms >= gateway->full_report_at_ms)
     {
       gateway->full_report_at_ms = now_ms + FULL_REPORT_PERIOD_MS;
-      send_loads (gateway, true, hosts, count);
+      report_all_loads (gateway, hosts, count);
     }
   else
     report_to_new_deciders (gateway, hosts, count);
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -178,6 +178,7 @@
     return;
   target->own.movable_tokens += tokens - exchange->movable_tokens;
   exchange->movable_tokens = tokens;
+  csp_note_own_load_changed (exchange->gateway->fleet, target);
 }
 
 void
--- a/tests/fleet/fleet-targets-test.c
+++ b/tests/fleet/fleet-targets-test.c
@@ -362,6 +362,37 @@
 }
 END_TEST
 
+/* Guards against a report of loads that repeats a target, misses one whose
+   start has become known, or reads one that was freed.  */
+START_TEST (a_changed_load_is_taken_once)
+{
+  csp_fleet_row_t row = { .slots = 8, .start_unix_ms = 7 };
+  csp_fleet_target_t *first = list ("a", "dc", false, 1000);
+  csp_fleet_target_t *second = list ("b", "dc", false, 1000);
+
+  ck_assert_ptr_null (csp_take_changed_load (fleet));
+  csp_note_own_load_changed (fleet, second);
+  csp_note_own_load_changed (fleet, first);
+  csp_note_own_load_changed (fleet, second);
+  ck_assert_ptr_eq (csp_take_changed_load (fleet), second);
+  ck_assert_ptr_eq (csp_take_changed_load (fleet), first);
+  ck_assert_ptr_null (csp_take_changed_load (fleet));
+
+  snprintf (row.id, sizeof row.id, "a");
+  snprintf (row.service, sizeof row.service, "s");
+  snprintf (row.data_centre, sizeof row.data_centre, "dc");
+  ck_assert (csp_update_target (fleet, &row, 1000));
+  ck_assert_ptr_eq (csp_take_changed_load (fleet), first);
+
+  csp_note_own_load_changed (fleet, second);
+  csp_remove_target (fleet, "b", 2000);
+  csp_expire_targets (fleet, 2000);
+  csp_expire_targets (fleet, 60000);
+  ck_assert_uint_eq (csp_fleet_size (fleet), 1);
+  ck_assert_ptr_null (csp_take_changed_load (fleet));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -380,6 +411,7 @@
                   an_unreachable_target_is_avoided_for_longer_each_time);
   tcase_add_test (tcase, a_load_is_subtracted_as_it_was_added);
   tcase_add_test (tcase, each_of_many_targets_is_found);
+  tcase_add_test (tcase, a_changed_load_is_taken_once);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
