Tables of hosts and data centres say when they are full, or grow

Read in the source: a host kept 64 data centres and ignored further ones without a word; they counted as reachable while they were cut off, and requests that may run once were sent there and lost. Of 4,096 hosts further ones were ignored as silently: no duty, no notice from here. Change: the table of data centres grows. Test: each_of_many_data_centres_is_tracked (100 of them) failed before; hosts_beyond_the_table_are_counted.

--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -152,6 +152,8 @@
   /* The hosts that get this host's loads.  */
   csp_peer_address_t deciders[CSP_DECIDERS_MAX];
   int64_t full_report_at_ms; /* when all loads are sent again */
+  uint64_t hosts_refused;    /* as of the last hello tick */
+  bool hosts_full;           /* hosts were refused in the last hello tick */
   /* CSP_ROSTER_MAX addresses, scratch space of one call.  */
   csp_peer_address_t *peer_scratch;
   pthread_mutex_t live_lock; /* guards readers and live_peers */
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -47,6 +47,8 @@
     { "targets", "gauge", csp_count_listed_targets (gateway->fleet) },
     { "retries_lent_total", "counter", counts->retries_lent },
     { "peers", "gauge", csp_count_live_peers (gateway->roster) },
+    { "hosts_refused_total", "counter",
+      csp_count_refused_hosts (gateway->roster) },
     { "decides", "gauge", csp_is_same_peer (gateway->decider, gateway->self) },
     { "asked_by", "gauge", csp_count_asking_hosts (gateway->roster) },
     { "routes_version", "gauge",
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -129,6 +129,20 @@
   csp_send_hello (gateway, &hello, &peer, 1);
 }
 
+/* Logs once that hosts are ignored; again after none was for a tick.  */
+static void
+log_refused_hosts (csp_gateway_t *gateway)
+{
+  uint64_t refused = csp_count_refused_hosts (gateway->roster);
+  bool full = refused > gateway->hosts_refused;
+
+  if (full && !gateway->hosts_full)
+    CSP_LOG (gateway->log, CSP_EVENT_HOSTS_FULL, NULL,
+             csp_number ("refused", (int64_t)refused));
+  gateway->hosts_refused = refused;
+  gateway->hosts_full = full;
+}
+
 static void
 on_hello_timer (uv_timer_t *timer)
 {
@@ -140,6 +154,7 @@
 
   if (csp_expire_peers (gateway->roster, now_ms))
     recount_peer_loads (gateway);
+  log_refused_hosts (gateway);
   pthread_mutex_lock (&gateway->live_lock);
   gateway->live_peer_count = csp_sample_live_peers (
       gateway->roster, gateway->live_peers, CSP_LIVE_PEERS_MAX);
--- a/source/log/event-table.c
+++ b/source/log/event-table.c
@@ -50,6 +50,7 @@
   { CSP_EVENT_OWNERSHIP_MOVED, CSP_LEVEL_INFO, "ownership-moved" },
   { CSP_EVENT_WOKE_LATE, CSP_LEVEL_WARNING, "woke-late" },
   { CSP_EVENT_DECIDER_CHOSEN, CSP_LEVEL_INFO, "decider-chosen" },
+  { CSP_EVENT_HOSTS_FULL, CSP_LEVEL_WARNING, "hosts-full" },
   { CSP_EVENT_TARGET_LEAVING, CSP_LEVEL_INFO, "target-leaving" },
   { CSP_EVENT_TARGET_LOST, CSP_LEVEL_WARNING, "target-lost" },
   { CSP_EVENT_DATA_CENTRE_CUT, CSP_LEVEL_WARNING, "data-centre-cut" },
--- a/source/reach/reach.c
+++ b/source/reach/reach.c
@@ -13,9 +13,7 @@
   /* A partition ends without notice.  A probe every half second detects that
      soon enough, and costs only a few probes per partition.  */
   PROBE_PERIOD_MS = 500,
-  /* The planned size is 28 data centres.  Data centres beyond this table
-     aren't tracked and count as reachable.  */
-  DATA_CENTRES_MAX = 64
+  INITIAL_CAPACITY = 8
 };
 
 typedef struct
@@ -33,7 +31,8 @@
   uint32_t home;
   uint32_t hello_period_ms;
   size_t count;
-  data_centre_state_t states[DATA_CENTRES_MAX];
+  size_t capacity;
+  data_centre_state_t *states;
 };
 
 csp_reach_t *
@@ -49,6 +48,8 @@
 void
 csp_destroy_reach (csp_reach_t *reach)
 {
+  if (reach != NULL)
+    free (reach->states);
   free (reach);
 }
 
@@ -63,16 +64,32 @@
   return NULL;
 }
 
+static bool
+grow_states (csp_reach_t *reach)
+{
+  size_t capacity
+      = reach->capacity == 0 ? INITIAL_CAPACITY : 2 * reach->capacity;
+  data_centre_state_t *grown;
+
+  if (reach->count < reach->capacity)
+    return true;
+  grown = realloc (reach->states, capacity * sizeof *grown);
+  if (grown == NULL)
+    return false;
+  reach->states = grown;
+  reach->capacity = capacity;
+  return true;
+}
+
 /* Returns the row of a data centre, added if it is new; NULL for this host's
-   own data centre and when the table is full.  */
+   own data centre and when memory fails.  */
 static data_centre_state_t *
 get_state (csp_reach_t *reach, uint32_t data_centre)
 {
   data_centre_state_t *state
       = (data_centre_state_t *)find_state (reach, data_centre);
 
-  if (state != NULL || data_centre == reach->home
-      || reach->count == DATA_CENTRES_MAX)
+  if (state != NULL || data_centre == reach->home || !grow_states (reach))
     return state;
   state = &reach->states[reach->count++];
   *state = (data_centre_state_t){ .data_centre = data_centre };
--- a/source/roster/roster-imp.h
+++ b/source/roster/roster-imp.h
@@ -50,6 +50,7 @@
   int64_t next_local_hello_ms;
   int64_t next_remote_hello_ms;
   csp_random_t random;
+  uint64_t refused; /* additions of hosts to the full table */
   size_t count;
   size_t peers_allocated;
   csp_roster_peer_t *peers;
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -113,7 +113,10 @@
   csp_roster_peer_t *peer;
 
   if (roster->count == CSP_ROSTER_MAX)
-    return NULL;
+    {
+      roster->refused++;
+      return NULL;
+    }
   if (roster->count == roster->peers_allocated)
     {
       size_t allocated = roster->peers_allocated == 0
@@ -320,6 +323,12 @@
   return roster->count + 1;
 }
 
+uint64_t
+csp_count_refused_hosts (const csp_roster_t *roster)
+{
+  return roster->refused;
+}
+
 /* Hosts that are silent may have chosen another decider meanwhile and aren't
    counted.  */
 size_t
--- a/tests/reach/reach-test.c
+++ b/tests/reach/reach-test.c
@@ -8,6 +8,7 @@
 {
   HOME = 1,
   ELSEWHERE = 2,
+  DATA_CENTRES = 100,
   STEPS_MAX = 6
 };
 
@@ -131,6 +132,21 @@
 }
 END_TEST
 
+/* Guards against a fleet of many data centres in which the last ones to be
+   heard of count as reachable while they are cut off.  */
+START_TEST (each_of_many_data_centres_is_tracked)
+{
+  csp_reach_t *reach = csp_create_reach (HOME);
+  uint32_t i;
+
+  for (i = 0; i < DATA_CENTRES; i++)
+    csp_note_exchange_failed (reach, ELSEWHERE + i, 1000);
+  for (i = 0; i < DATA_CENTRES; i++)
+    ck_assert (!csp_is_reachable (reach, ELSEWHERE + i, 1001));
+  csp_destroy_reach (reach);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -141,6 +157,7 @@
       tcase, observed_events_decide_whether_a_data_centre_is_reachable, 0,
       sizeof cases / sizeof *cases);
   tcase_add_test (tcase, an_unreachable_data_centre_is_probed_periodically);
+  tcase_add_test (tcase, each_of_many_data_centres_is_tracked);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -133,6 +133,20 @@
 }
 END_TEST
 
+/* Guards against a table of hosts that is full and says nothing.  */
+START_TEST (hosts_beyond_the_table_are_counted)
+{
+  uint32_t i;
+
+  for (i = 0; i < CSP_ROSTER_MAX; i++)
+    csp_add_peer_address (roster, (csp_peer_address_t){ 1000 + i, 10 });
+  ck_assert_uint_eq (csp_count_known_hosts (roster), 1 + CSP_ROSTER_MAX);
+  ck_assert_uint_eq (csp_count_refused_hosts (roster), 0);
+  csp_add_peer_address (roster, (csp_peer_address_t){ 1000 + i, 10 });
+  ck_assert_uint_eq (csp_count_refused_hosts (roster), 1);
+}
+END_TEST
+
 /* A host fails or is cut off: its requests end with it, or continue without
    being counted.  */
 START_TEST (the_load_of_a_silent_host_expires)
@@ -836,6 +850,7 @@
   tcase_add_test (tcase, a_full_hello_with_suspects_fits_a_frame);
   tcase_add_test (tcase, an_ask_with_backoffs_survives_its_codec);
   tcase_add_test (tcase, a_lower_boot_after_a_clock_step_is_accepted);
+  tcase_add_test (tcase, hosts_beyond_the_table_are_counted);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
