Replies to hosts that know enough cost no ranking

A reply ranked all hosts before it found that it needs to name none. It now looks at the number that the other named first.

--- a/source/roster/roster-greet.c
+++ b/source/roster/roster-greet.c
@@ -318,8 +318,12 @@
                         csp_known_host_t hosts[CSP_HELLO_KNOWN_MAX],
                         int64_t now_ms)
 {
-  size_t count = csp_choose_known_hosts (roster, to, hosts,
-                                         CSP_HELLO_KNOWN_MAX, now_ms);
+  bool just_started = hello->up_ms < STARTUP_MS;
+  size_t count;
 
-  return hello->up_ms < STARTUP_MS || hello->known_count < count ? count : 0;
+  if (!just_started && hello->known_count == CSP_HELLO_KNOWN_MAX)
+    return 0;
+  count = csp_choose_known_hosts (roster, to, hosts, CSP_HELLO_KNOWN_MAX,
+                                  now_ms);
+  return just_started || hello->known_count < count ? count : 0;
 }
