--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -118,9 +118,10 @@
   int64_t last_data_ms;
   int64_t last_event_ms;
   int64_t worst_gap_ms; /* longest time between two events sent */
-  int64_t stalled_us;   /* sum of gap times beyond the stall threshold */
-  uint32_t moves;       /* moves to another target while streaming */
-  bool until_close; /* the target's answer ends when its connection closes */
+  int64_t worst_gap_end_ms;
+  int64_t stalled_us; /* sum of gap times beyond the stall threshold */
+  uint32_t moves;     /* moves to another target while streaming */
+  bool until_close;   /* the target's answer ends when its connection closes */
   int64_t stated_bytes; /* length that the target states */
 
   /* The target that the run's memory is copied to as it grows.  */
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -88,6 +88,10 @@
                       ? -1
                       : exchange->first_event_ms - exchange->began_ms),
       csp_number ("worst_gap_ms", exchange->worst_gap_ms),
+      csp_number ("worst_gap_at_ms",
+                  exchange->worst_gap_ms == 0
+                      ? -1
+                      : exchange->worst_gap_end_ms - exchange->began_ms),
       csp_number ("moves", exchange->moves),
       csp_number ("tokens", (int64_t)exchange->tokens),
       csp_number ("took_ms",
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -131,7 +131,10 @@
       csp_observe_time (exchange->labels, CSP_TIME_BETWEEN_TOKENS, gap_us);
       exchange->stalled_us += csp_compute_stall_us (gap_us);
       if (gap_ms > exchange->worst_gap_ms)
-        exchange->worst_gap_ms = gap_ms;
+        {
+          exchange->worst_gap_ms = gap_ms;
+          exchange->worst_gap_end_ms = now_ms;
+        }
     }
   else
     csp_observe_time (exchange->labels, CSP_TIME_TO_FIRST_TOKEN,
