--- a/tests/mirror/mirror-server-test.c
+++ b/tests/mirror/mirror-server-test.c
@@ -25,6 +25,8 @@
 static const csp_mirror_events_t no_events = { 0 };
 static uv_loop_t loop;
 static struct sockaddr_in serve; /* of the server under test */
+static csp_mirror_t *fleet;
+static csp_mirror_server_t *server;
 
 enum
 {
@@ -38,7 +40,7 @@
 
 /* Fills a mirror with rows of a usual length.  */
 static void
-put_fleet (csp_mirror_t *fleet)
+put_fleet (void)
 {
   char key[32];
   char value[ROW_BYTES];
@@ -57,6 +59,27 @@
   csp_note_mirror_revision (fleet, FLEET_TARGETS);
 }
 
+static void
+set_up (void)
+{
+  uv_loop_init (&loop);
+  serve = find_free_port ();
+  fleet = csp_create_mirror (&no_events, NULL);
+  ck_assert_ptr_nonnull (fleet);
+  put_fleet ();
+  server = csp_open_mirror_server (&loop, &serve, LINK, fleet);
+  csp_update_mirror_server (server, true, false, uv_now (&loop));
+}
+
+static void
+tear_down (void)
+{
+  csp_close_mirror_server (server);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&loop), 0);
+  csp_destroy_mirror (fleet);
+}
+
 /* Ask as a host for the changes after a revision without waiting for the
    answer.  */
 static int
@@ -92,19 +115,12 @@
    answers nobody in time.  */
 START_TEST (starting_hosts_share_one_encoded_list)
 {
-  csp_mirror_t *fleet = csp_create_mirror (&no_events, NULL);
   size_t received[STARTING_HOSTS] = { 0 };
   int clients[STARTING_HOSTS];
   size_t waiting = STARTING_HOSTS;
-  csp_mirror_server_t *server;
   clock_t began;
   size_t i;
 
-  uv_loop_init (&loop);
-  serve = find_free_port ();
-  put_fleet (fleet);
-  server = csp_open_mirror_server (&loop, &serve, LINK, fleet);
-  csp_update_mirror_server (server, true, false, uv_now (&loop));
   began = clock ();
   for (i = 0; i < STARTING_HOSTS; i++)
     {
@@ -124,10 +140,6 @@
                     STARTING_MAX_CPU_MS);
   for (i = 0; i < STARTING_HOSTS; i++)
     close (clients[i]);
-  csp_close_mirror_server (server);
-  uv_run (&loop, UV_RUN_DEFAULT);
-  ck_assert_int_eq (uv_loop_close (&loop), 0);
-  csp_destroy_mirror (fleet);
 }
 END_TEST
 
@@ -152,16 +164,9 @@
 START_TEST (lists_do_not_lower_the_follower_limit)
 {
   static char text[65536];
-  csp_mirror_t *fleet = csp_create_mirror (&no_events, NULL);
-  csp_mirror_server_t *server;
   uint64_t measured_at_ms;
   int i;
 
-  uv_loop_init (&loop);
-  serve = find_free_port ();
-  put_fleet (fleet);
-  server = csp_open_mirror_server (&loop, &serve, LINK, fleet);
-  csp_update_mirror_server (server, true, false, uv_now (&loop));
   for (i = 1; i <= LISTED_HOSTS; i++)
     read_answer (ask_for_items (i, 0, true), text, sizeof text);
   measured_at_ms = uv_now (&loop) + MS_PER_S;
@@ -170,10 +175,6 @@
   read_answer (ask_for_items (1, 1, true), text, sizeof text);
   read_answer (ask_for_items (LISTED_HOSTS + 1, 1, true), text, sizeof text);
   ck_assert_ptr_null (strstr (text, "elsewhere"));
-  csp_close_mirror_server (server);
-  uv_run (&loop, UV_RUN_DEFAULT);
-  ck_assert_int_eq (uv_loop_close (&loop), 0);
-  csp_destroy_mirror (fleet);
 }
 END_TEST
 
@@ -197,17 +198,10 @@
    get it again and again.  */
 START_TEST (a_host_that_knows_more_than_the_kept_list_gets_a_newer_one)
 {
-  csp_mirror_t *fleet = csp_create_mirror (&no_events, NULL);
-  csp_mirror_server_t *server;
   int revision = FLEET_TARGETS;
   char key[32];
   int i;
 
-  uv_loop_init (&loop);
-  serve = find_free_port ();
-  put_fleet (fleet);
-  server = csp_open_mirror_server (&loop, &serve, LINK, fleet);
-  csp_update_mirror_server (server, true, false, uv_now (&loop));
   ck_assert_int_eq (ask_for_revision (0), revision);
   for (i = 0; i < RELEASED_TARGETS; i++)
     {
@@ -218,10 +212,6 @@
   ck_assert (csp_needs_whole_mirror (fleet, FLEET_TARGETS + 1));
   ck_assert_int_eq (ask_for_revision (FLEET_TARGETS + 1), revision);
   ck_assert_int_eq (ask_for_revision (FLEET_TARGETS + 1), revision);
-  csp_close_mirror_server (server);
-  uv_run (&loop, UV_RUN_DEFAULT);
-  ck_assert_int_eq (uv_loop_close (&loop), 0);
-  csp_destroy_mirror (fleet);
 }
 END_TEST
 
@@ -229,15 +219,12 @@
    have read of the list so far, which the others ignore.  */
 START_TEST (an_unsettled_host_sends_no_items)
 {
-  csp_mirror_t *fleet = csp_create_mirror (&no_events, NULL);
   csp_mirror_status_t unsettled = { .settled = false };
   csp_buffer_t text = { 0 };
 
-  put_fleet (fleet);
   ck_assert (csp_encode_mirror (fleet, 0, &unsettled, &text));
   ck_assert_uint_lt (text.size_bytes, 200);
   csp_clear_buffer (&text);
-  csp_destroy_mirror (fleet);
 }
 END_TEST
 
@@ -315,16 +302,19 @@
 {
   Suite *suite = suite_create ("mirror-server");
   TCase *tcase = tcase_create ("mirror-server");
+  TCase *plain = tcase_create ("followers");
 
   tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, starting_hosts_share_one_encoded_list);
   tcase_add_test (tcase, lists_do_not_lower_the_follower_limit);
   tcase_add_test (tcase,
                   a_host_that_knows_more_than_the_kept_list_gets_a_newer_one);
   tcase_add_test (tcase, an_unsettled_host_sends_no_items);
-  tcase_add_test (tcase, followers_are_limited_and_named_in_redirects);
-  tcase_add_loop_test (tcase, the_follower_limit_depends_on_link_bandwidth, 0,
+  tcase_add_test (plain, followers_are_limited_and_named_in_redirects);
+  tcase_add_loop_test (plain, the_follower_limit_depends_on_link_bandwidth, 0,
                        sizeof limits / sizeof limits[0]);
   suite_add_tcase (suite, tcase);
+  suite_add_tcase (suite, plain);
   return run_suite (suite);
 }
