--- a/source/dispatch/dispatch-room.c
+++ b/source/dispatch/dispatch-room.c
@@ -1,12 +1,10 @@
+#include "base/array-imp.h"
 #include "dispatch/dispatch-imp.h"
 
-#include <stdlib.h>
-
 #include <string.h>
 
 enum
 {
-  INITIAL_CAPACITY = 64,
   /* A placement counts as a reservation until the host's own report of it must
      have arrived: a message there, one back, and the time for which changes
      are batched.  */
@@ -25,22 +23,6 @@
   target->users--;
 }
 
-static bool
-grow_reservations (csp_dispatch_t *dispatch)
-{
-  size_t capacity = dispatch->reserved_capacity == 0
-                        ? INITIAL_CAPACITY
-                        : dispatch->reserved_capacity * 2;
-  csp_reservation_t *grown
-      = realloc (dispatch->reserved, capacity * sizeof *grown);
-
-  if (grown == NULL)
-    return false;
-  dispatch->reserved = grown;
-  dispatch->reserved_capacity = capacity;
-  return true;
-}
-
 /* When memory allocation fails the placement isn't counted until its host
    reports it.  */
 void
@@ -51,10 +33,13 @@
                                     .tokens = tokens,
                                     .reading_tokens = reading_tokens,
                                     .until_ms = now_ms + RESERVATION_MS };
+  csp_reservation_t *reserved
+      = csp_grow_array (dispatch->reserved, dispatch->reserved_count,
+                        &dispatch->reserved_capacity, sizeof *reserved);
 
-  if (dispatch->reserved_count == dispatch->reserved_capacity
-      && !grow_reservations (dispatch))
+  if (reserved == NULL)
     return;
+  dispatch->reserved = reserved;
   target->reserved.requests++;
   target->reserved.tokens += reservation.tokens;
   target->reserved.prefill_tokens += reservation.reading_tokens;
--- a/source/fleet/fleet-group.c
+++ b/source/fleet/fleet-group.c
@@ -12,11 +12,6 @@
    What is the same for all targets of a group is kept once, so that a host's
    periodic work grows with the number of groups and not of targets.  */
 
-enum
-{
-  INITIAL_CAPACITY = 16
-};
-
 static csp_fleet_group_t *
 find_group (const csp_fleet_t *fleet, const csp_fleet_row_t *row)
 {
@@ -33,30 +28,20 @@
   return NULL;
 }
 
-static bool
-grow_groups (csp_fleet_t *fleet)
-{
-  size_t capacity = fleet->group_capacity == 0 ? INITIAL_CAPACITY
-                                               : fleet->group_capacity * 2;
-  csp_fleet_group_t **grown
-      = realloc (fleet->groups, capacity * sizeof (csp_fleet_group_t *));
-
-  if (grown == NULL)
-    return false;
-  fleet->groups = grown;
-  fleet->group_capacity = capacity;
-  return true;
-}
-
 csp_fleet_group_t *
 csp_find_or_add_group (csp_fleet_t *fleet, const csp_fleet_row_t *row)
 {
   csp_fleet_group_t *group = find_group (fleet, row);
+  csp_fleet_group_t **groups;
 
   if (group != NULL)
     return group;
-  if (fleet->group_count == fleet->group_capacity && !grow_groups (fleet))
+  groups
+      = csp_grow_array (fleet->groups, fleet->group_count,
+                        &fleet->group_capacity, sizeof (csp_fleet_group_t *));
+  if (groups == NULL)
     return NULL;
+  fleet->groups = groups;
   group = calloc (1, sizeof *group);
   if (group == NULL)
     return NULL;
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -1,6 +1,7 @@
 #ifndef COWSLIPSPOKE_FLEET_IMP_H
 #define COWSLIPSPOKE_FLEET_IMP_H
 
+#include "base/array-imp.h"
 #include "base/index-imp.h"
 #include "cowslipspoke/fleet.h"
 
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -147,19 +147,13 @@
 add_target (csp_fleet_t *fleet, const char *id, int64_t born_ms)
 {
   target_entry_t *entry;
+  csp_fleet_target_t **targets
+      = csp_grow_array (fleet->targets, fleet->count, &fleet->capacity,
+                        sizeof (csp_fleet_target_t *));
 
-  if (fleet->count == fleet->capacity)
-    {
-      size_t capacity
-          = fleet->capacity == 0 ? INITIAL_CAPACITY : fleet->capacity * 2;
-      csp_fleet_target_t **grown
-          = realloc (fleet->targets, capacity * sizeof (csp_fleet_target_t *));
-
-      if (grown == NULL)
-        return NULL;
-      fleet->targets = grown;
-      fleet->capacity = capacity;
-    }
+  if (targets == NULL)
+    return NULL;
+  fleet->targets = targets;
   entry = calloc (1, sizeof *entry);
   if (entry == NULL)
     return NULL;
--- a/source/mirror/mirror-server.c
+++ b/source/mirror/mirror-server.c
@@ -1,5 +1,6 @@
 #include "cowslipspoke/mirror.h"
 
+#include "base/array-imp.h"
 #include "cowslipspoke/pack.h"
 #include "cowslipspoke/page.h"
 #include "mirror/mirror-imp.h"
@@ -9,8 +10,6 @@
 
 enum
 {
-  /* The hosts of one data centre.  */
-  HELD_INITIAL_CAPACITY = 64,
   /* A held request is answered without changes once the items have been
      confirmed this much later than at the time of the request.  Without this
      minimum, hosts that follow each other would answer each other endlessly,
@@ -286,18 +285,13 @@
 static bool
 hold_request (csp_mirror_server_t *server, const held_request_t *request)
 {
-  if (server->held_count == server->held_capacity)
-    {
-      size_t capacity = server->held_capacity == 0 ? HELD_INITIAL_CAPACITY
-                                                   : 2 * server->held_capacity;
-      held_request_t *grown
-          = realloc (server->held_requests, capacity * sizeof *grown);
-
-      if (grown == NULL)
-        return false;
-      server->held_requests = grown;
-      server->held_capacity = capacity;
-    }
+  held_request_t *requests
+      = csp_grow_array (server->held_requests, server->held_count,
+                        &server->held_capacity, sizeof *requests);
+
+  if (requests == NULL)
+    return false;
+  server->held_requests = requests;
   server->held_requests[server->held_count++] = *request;
   return true;
 }
--- a/source/mirror/mirror.c
+++ b/source/mirror/mirror.c
@@ -1,5 +1,6 @@
 #include "cowslipspoke/mirror.h"
 
+#include "base/array-imp.h"
 #include "base/index-imp.h"
 #include "cowslipspoke/text.h"
 
@@ -91,22 +92,16 @@
 static entry_t *
 add_entry (csp_mirror_t *mirror, const char *key)
 {
+  entry_t **entries;
   entry_t *entry;
 
   if (strlen (key) >= CSP_MIRROR_KEY_BYTES)
     return NULL;
-  if (mirror->count == mirror->capacity)
-    {
-      size_t capacity
-          = mirror->capacity == 0 ? INITIAL_CAPACITY : mirror->capacity * 2;
-      entry_t **grown
-          = realloc (mirror->entries, capacity * sizeof *mirror->entries);
-
-      if (grown == NULL)
-        return NULL;
-      mirror->entries = grown;
-      mirror->capacity = capacity;
-    }
+  entries = csp_grow_array (mirror->entries, mirror->count, &mirror->capacity,
+                            sizeof (entry_t *));
+  if (entries == NULL)
+    return NULL;
+  mirror->entries = entries;
   entry = calloc (1, sizeof *entry);
   if (entry == NULL)
     return NULL;
--- a/source/reach/reach.c
+++ b/source/reach/reach.c
@@ -1,5 +1,7 @@
 #include "cowslipspoke/reach.h"
 
+#include "base/array-imp.h"
+
 #include <stdlib.h>
 
 enum
@@ -12,8 +14,7 @@
   SILENT_HELLOS = 3,
   /* A partition ends without notice.  A probe every half second detects that
      soon enough, and costs only a few probes per partition.  */
-  PROBE_PERIOD_MS = 500,
-  INITIAL_CAPACITY = 8
+  PROBE_PERIOD_MS = 500
 };
 
 typedef struct
@@ -64,23 +65,6 @@
   return NULL;
 }
 
-static bool
-grow_states (csp_reach_t *reach)
-{
-  size_t capacity
-      = reach->capacity == 0 ? INITIAL_CAPACITY : 2 * reach->capacity;
-  data_centre_state_t *grown;
-
-  if (reach->count < reach->capacity)
-    return true;
-  grown = realloc (reach->states, capacity * sizeof *grown);
-  if (grown == NULL)
-    return false;
-  reach->states = grown;
-  reach->capacity = capacity;
-  return true;
-}
-
 /* Returns the row of a data centre, added if it is new; NULL for this host's
    own data centre and when memory fails.  */
 static data_centre_state_t *
@@ -88,9 +72,15 @@
 {
   data_centre_state_t *state
       = (data_centre_state_t *)find_state (reach, data_centre);
+  data_centre_state_t *states;
 
-  if (state != NULL || data_centre == reach->home || !grow_states (reach))
+  if (state != NULL || data_centre == reach->home)
     return state;
+  states = csp_grow_array (reach->states, reach->count, &reach->capacity,
+                           sizeof *states);
+  if (states == NULL)
+    return NULL;
+  reach->states = states;
   state = &reach->states[reach->count++];
   *state = (data_centre_state_t){ .data_centre = data_centre };
   return state;
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -1,3 +1,4 @@
+#include "base/array-imp.h"
 #include "roster/roster-imp.h"
 
 #include <stdlib.h>
@@ -15,8 +16,7 @@
      running boot sends hellos every second.  */
   BOOT_TIMEOUT_MS = 1500,
   /* A machine that was away for that long has another address or none.  */
-  PEER_RETENTION_MS = 600000,
-  INITIAL_CAPACITY = 16
+  PEER_RETENTION_MS = 600000
 };
 
 csp_roster_t *
@@ -110,6 +110,7 @@
 static csp_roster_peer_t *
 add_peer (csp_roster_t *roster, csp_peer_address_t address)
 {
+  csp_roster_peer_t *peers;
   csp_roster_peer_t *peer;
 
   if (roster->count == CSP_ROSTER_MAX)
@@ -117,19 +118,11 @@
       roster->refused++;
       return NULL;
     }
-  if (roster->count == roster->peers_allocated)
-    {
-      size_t allocated = roster->peers_allocated == 0
-                             ? INITIAL_CAPACITY
-                             : roster->peers_allocated * 2;
-      csp_roster_peer_t *grown
-          = realloc (roster->peers, allocated * sizeof *grown);
-
-      if (grown == NULL)
-        return NULL;
-      roster->peers = grown;
-      roster->peers_allocated = allocated;
-    }
+  peers = csp_grow_array (roster->peers, roster->count,
+                          &roster->peers_allocated, sizeof *peers);
+  if (peers == NULL)
+    return NULL;
+  roster->peers = peers;
   peer = &roster->peers[roster->count++];
   memset (peer, 0, sizeof *peer);
   peer->address = address;
@@ -147,6 +140,7 @@
 static void
 set_load (csp_roster_peer_t *peer, const csp_peer_load_t *load)
 {
+  csp_peer_load_t *loads;
   size_t i;
 
   for (i = 0; i < peer->load_count; i++)
@@ -155,21 +149,12 @@
         peer->loads[i] = *load;
         return;
       }
-  if (peer->load_count == peer->loads_allocated)
-    {
-      size_t allocated = peer->loads_allocated == 0
-                             ? INITIAL_CAPACITY
-                             : peer->loads_allocated * 2;
-      csp_peer_load_t *grown
-          = realloc (peer->loads, allocated * sizeof *grown);
-
-      /* If memory allocation fails the load isn't counted until the next full
-         report.  */
-      if (grown == NULL)
-        return;
-      peer->loads = grown;
-      peer->loads_allocated = allocated;
-    }
+  /* When memory fails the load isn't counted until the next full report.  */
+  loads = csp_grow_array (peer->loads, peer->load_count,
+                          &peer->loads_allocated, sizeof *loads);
+  if (loads == NULL)
+    return;
+  peer->loads = loads;
   peer->loads[peer->load_count++] = *load;
 }
 
