--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -13,6 +13,28 @@
 
 /* Streams whose engine is about to leave.  */
 
+/* A stream runs at the first of two engines, which is leaving.  */
+static void
+start_leaving_stream (void)
+{
+  start_stream (false);
+  add_second_engine ();
+  fixture_mark_leaving (&stream.fixture, stream.listeners[0],
+                        stream_engine_ids[0], "engines");
+}
+
+/* As above; returns the connection on which its run is to be copied.  */
+static int
+start_first_copy (void)
+{
+  int move_link;
+
+  start_leaving_stream ();
+  move_link = accept_target_connection (stream.listeners[0]);
+  read_target_request (move_link, 0);
+  return move_link;
+}
+
 /* The engine is taken away in a second and a half.  The run's memory is copied
    while the run continues; then the run is stopped and the rest is copied.  It
    continues elsewhere only after the stop is confirmed, so that two engines
@@ -25,10 +47,7 @@
   int move_link;
   int link;
 
-  start_stream (false);
-  add_second_engine ();
-  fixture_mark_leaving (&stream.fixture, stream.listeners[0],
-                        stream_engine_ids[0], "engines");
+  start_leaving_stream ();
   move_link = accept_target_connection (stream.listeners[0]);
   text = read_target_request (move_link, 0);
   snprintf (expected, sizeof expected, "/move?id=r1&to=127.0.0.1:%u&last=0",
@@ -68,12 +87,7 @@
 {
   int move_link;
 
-  start_stream (false);
-  add_second_engine ();
-  fixture_mark_leaving (&stream.fixture, stream.listeners[0],
-                        stream_engine_ids[0], "engines");
-  move_link = accept_target_connection (stream.listeners[0]);
-  read_target_request (move_link, 0);
+  move_link = start_first_copy ();
   send_text (move_link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
   close (move_link);
   move_link = accept_target_connection (stream.listeners[0]);
@@ -160,12 +174,7 @@
   int third;
   int move_link;
 
-  start_stream (false);
-  add_second_engine ();
-  fixture_mark_leaving (&stream.fixture, stream.listeners[0],
-                        stream_engine_ids[0], "engines");
-  move_link = accept_target_connection (stream.listeners[0]);
-  read_target_request (move_link, 0);
+  move_link = start_first_copy ();
   third = fixture_add_target (&stream.fixture, "t-2", "engines");
   fixture_mark_leaving (&stream.fixture, stream.listeners[1],
                         stream_engine_ids[1], "engines");
@@ -615,10 +624,7 @@
   int tries;
   int move_link;
 
-  start_stream (false);
-  add_second_engine ();
-  fixture_mark_leaving (&stream.fixture, stream.listeners[0],
-                        stream_engine_ids[0], "engines");
+  start_leaving_stream ();
   for (tries = 0; tries < 8; tries++)
     {
       move_link = accept_target_connection (stream.listeners[0]);
@@ -655,12 +661,7 @@
 {
   int move_link;
 
-  start_stream (false);
-  add_second_engine ();
-  fixture_mark_leaving (&stream.fixture, stream.listeners[0],
-                        stream_engine_ids[0], "engines");
-  move_link = accept_target_connection (stream.listeners[0]);
-  read_target_request (move_link, 0);
+  move_link = start_first_copy ();
   await_timers (50);
   reset_socket (move_link);
   await_failed_moves (1);
