--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -246,10 +246,10 @@
    includes this host or its own data centre.  */
 size_t csp_count_asking_hosts (const csp_roster_t *roster);
 size_t csp_count_known_hosts (const csp_roster_t *roster);
+size_t csp_count_reachable_data_centres (const csp_roster_t *roster);
 
 /* How often a host wasn't added, as CSP_ROSTER_MAX others are known.  */
 uint64_t csp_count_refused_hosts (const csp_roster_t *roster);
-size_t csp_count_reachable_data_centres (const csp_roster_t *roster);
 
 /* Chooses the hosts that get a hello now: a random one of each other data
    centre and of this one when those are due, and addresses that never
