Rate limits that targets state are read, logged and shown

The field is decoded in platform/, and each target keeps the newest value. An answer without the field ends the limit only if its request was sent after the newest answer with a limit had arrived. No decision reads any of it: rate-report-test has the order of reports and the values that are no rates, rate-test the gauges.

--- a/include/cowslipspoke/dialect.h
+++ b/include/cowslipspoke/dialect.h
@@ -28,9 +28,11 @@
   CSP_HEADER_BACKUP, /* ADDRESS:PORT to which the run's memory is copied */
   CSP_HEADER_CONTINUE_FROM, /* copy from which a stream continues */
   /* Set by targets.  */
-  CSP_HEADER_SIGNATURE, /* marks the answer as a target's */
-  CSP_HEADER_NOT_RUN,   /* the target did not run the request */
-  CSP_HEADER_LEAVING,   /* set, with any value, by a target that leaves */
+  CSP_HEADER_SIGNATURE,  /* marks the answer as a target's */
+  CSP_HEADER_NOT_RUN,    /* the target did not run the request */
+  CSP_HEADER_LEAVING,    /* set, with any value, by a target that leaves */
+  CSP_HEADER_RATE_LIMIT, /* requests per second that the target takes from all
+                            hosts together */
   CSP_HEADER_COUNT
 } csp_header_t;
 
--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -3,6 +3,7 @@
 
 #include "cowslipspoke/cordon.h"
 #include "cowslipspoke/random.h"
+#include "cowslipspoke/rate-limit.h"
 #include "cowslipspoke/roster.h"
 #include "cowslipspoke/warmup.h"
 
@@ -89,7 +90,8 @@
   double failure_share;
   int64_t failure_share_at_ms;
   csp_fleet_row_t row;
-  csp_warmup_t warmup; /* limits new requests until it is warm */
+  csp_warmup_t warmup;         /* limits new requests until it is warm */
+  csp_rate_limit_t rate_limit; /* that it states itself */
   int64_t lapses_at_ms;
   csp_peer_load_t
       reported_load;        /* what this host last reported of its own load */
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -28,6 +28,7 @@
      cordon        applies the operators' cordons
      quarantine    refuses requests that make targets end
      target-state  handles what targets report of themselves in answers
+     rate          handles rate limits that targets state
      reach         handles data centres that are cut off
      page          readiness and metrics
 
@@ -305,13 +306,19 @@
 void csp_announce_leaving (csp_gateway_t *gateway, csp_fleet_target_t *target);
 
 /* Target state: see gateway-target-state.c.  Apply what the head of a target's
-   answer says about the target itself.  */
+   answer says about the target itself.  sent_ms: when the request was sent
+   that the target ran and answers; 0: another answer.  */
 void csp_handle_target_state (csp_gateway_t *gateway,
                               csp_fleet_target_t *target,
-                              const csp_http_head_t *head);
+                              const csp_http_head_t *head, int64_t sent_ms);
 bool csp_head_announces_leaving (const csp_gateway_t *gateway,
                                  const csp_http_head_t *head);
 
+/* Rate limits: see gateway-rate.c.  Apply the limit that an answer states, or
+   its absence; sent_ms as in csp_handle_target_state.  */
+void csp_handle_rate_limit (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                            const csp_http_head_t *head, int64_t sent_ms);
+
 /* Another host reports targets that leave.  */
 void csp_handle_leaving_notices (csp_gateway_t *gateway,
                                  const csp_hello_t *hello);
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -207,7 +207,7 @@
   csp_exchange_t *exchange = state;
 
   exchange->move.status = head->status;
-  csp_handle_target_state (exchange->gateway, exchange->target, head);
+  csp_handle_target_state (exchange->gateway, exchange->target, head, 0);
 }
 
 static void
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -9,7 +9,8 @@
 enum
 {
   STATUS_OK = 200,
-  STATUS_UNAVAILABLE = 503
+  STATUS_UNAVAILABLE = 503,
+  RATE_LIMIT_LINES_MAX = 64
 };
 
 static bool
@@ -85,6 +86,35 @@
     }
 }
 
+/* One line per target that states a rate limit, up to a maximum.  */
+static void
+print_rate_limits (const csp_gateway_t *gateway, csp_buffer_t *text)
+{
+  size_t count = csp_fleet_size (gateway->fleet);
+  char name[2 * CSP_TARGET_ID_BYTES + 1];
+  size_t limited = 0;
+  size_t i;
+
+  csp_print_buffer (text,
+                    "# TYPE cowslipspoke_gateway_target_rate_limit gauge\n");
+  for (i = 0; i < count; i++)
+    {
+      const csp_fleet_target_t *target = csp_fleet_at (gateway->fleet, i);
+
+      if (!target->rate_limit.limited || target->state == CSP_FLEET_GONE
+          || ++limited > RATE_LIMIT_LINES_MAX)
+        continue;
+      csp_escape_label (target->row.id, name, sizeof name);
+      csp_print_buffer (
+          text, "cowslipspoke_gateway_target_rate_limit{target=\"%s\"} %g\n",
+          name, target->rate_limit.max_per_s);
+    }
+  csp_print_buffer (text,
+                    "# TYPE cowslipspoke_gateway_rate_limited_targets gauge\n"
+                    "cowslipspoke_gateway_rate_limited_targets %zu\n",
+                    limited);
+}
+
 /* Append the histograms of organisations and routes.  */
 static void
 append_times (const csp_gateway_t *gateway, csp_buffer_t *text)
@@ -117,6 +147,7 @@
     }
   print_metrics (gateway, &text);
   print_cordons (gateway, &text);
+  print_rate_limits (gateway, &text);
   append_times (gateway, &text);
   csp_answer_page_request (page, STATUS_OK, "text/plain; version=0.0.4",
                            text.data, text.size_bytes);
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -173,6 +173,7 @@
   csp_note_target_answered (query->gateway, query->target);
   query->status = head->status;
   query->leaving = csp_head_announces_leaving (query->gateway, head);
+  csp_handle_rate_limit (query->gateway, query->target, head, 0);
 }
 
 static void
--- a/source/gateway/gateway-target-state.c
+++ b/source/gateway/gateway-target-state.c
@@ -1,7 +1,8 @@
 #include "gateway/gateway-exchange-imp.h"
 
 /* What targets report of themselves in the heads of their answers, independent
-   of the answer: that they leave, or that hosts should back off.  */
+   of the answer: that they leave, that hosts should back off, or a rate
+   limit.  */
 
 enum
 {
@@ -65,7 +66,7 @@
 
 void
 csp_handle_target_state (csp_gateway_t *gateway, csp_fleet_target_t *target,
-                         const csp_http_head_t *head)
+                         const csp_http_head_t *head, int64_t sent_ms)
 {
   const char *retry_after = csp_find_http_field (head, "Retry-After");
 
@@ -74,6 +75,7 @@
     return;
   if (csp_head_announces_leaving (gateway, head))
     csp_announce_leaving (gateway, target);
+  csp_handle_rate_limit (gateway, target, head, sent_ms);
   if (head->status == STATUS_UNAVAILABLE && retry_after != NULL)
     handle_backoff (gateway, target, retry_after);
 }
