--- a/tests/gateway/rate-test.c
+++ b/tests/gateway/rate-test.c
@@ -13,7 +13,13 @@
 enum
 {
   WAIT_MS = 10000,
-  STEP_MS = 50
+  STEP_MS = 50,
+  WINDOW_MS = 4000,
+  WINDOW_STEPS = WINDOW_MS / STEP_MS,
+  PLAY_STEPS = 200,
+  LIMIT_PER_S = 2,
+  /* One and a half times the limit, and five requests.  */
+  WINDOW_MAX = 3 * LIMIT_PER_S * WINDOW_MS / 1000 / 2 + 5
 };
 
 static fixture_t fixture;
@@ -75,6 +81,28 @@
   return at_first;
 }
 
+/* Guards against a target that gets more than the rate that it states, while
+   others of its service could take the rest.  */
+START_TEST (a_target_gets_no_more_than_its_stated_rate)
+{
+  int sent[PLAY_STEPS] = { 0 };
+  int in_window = 0;
+  int step;
+
+  ck_assert (send_request ("Rate-Limit: 2\r\n"));
+  other = fixture_add_target (&fixture, "t-2", "plain");
+  for (step = 0; step < PLAY_STEPS; step++)
+    {
+      csp_advance_fake_clock (&fixture.fake_clock, STEP_MS);
+      sent[step] = send_request ("Rate-Limit: 2\r\n");
+      in_window += sent[step];
+      if (step >= WINDOW_STEPS)
+        in_window -= sent[step - WINDOW_STEPS];
+      ck_assert_int_le (in_window, WINDOW_MAX);
+    }
+}
+END_TEST
+
 /* Guards against a fleet that doesn't show which targets state a limit.  */
 START_TEST (a_stated_rate_is_shown_in_the_metrics)
 {
@@ -100,6 +128,7 @@
 
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_test (tcase, a_target_gets_no_more_than_its_stated_rate);
   tcase_add_test (tcase, a_stated_rate_is_shown_in_the_metrics);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
