The decider's part of a fleet limit is one function

Lent retries and grants for cold targets already work out which part of a limit this host may grant from who asks it and which data centres it reaches; limits that targets state need the same. csp_decider_share replaces the arithmetic in the lease pool, and the decider's role moves beside it. Where hosts and data centres are both cut off the product is rounded once instead of twice, so that up to one more lease is granted, still within the part.

--- a/include/cowslipspoke/retry-lease.h
+++ b/include/cowslipspoke/retry-lease.h
@@ -60,6 +60,19 @@
   size_t data_centres_listed; /* that have targets */
 } csp_lease_facts_t;
 
+/* Whether this host is the decider, and what it knows of the fleet.  */
+typedef struct
+{
+  bool decides;
+  int64_t decides_since_ms;
+  csp_lease_facts_t fleet;
+} csp_decider_role_t;
+
+/* Returns the part of a limit of the whole fleet that this host may grant as
+   the decider, 0 to 1: below 1 where a partition or a change of decider leaves
+   some hosts to another one.  */
+double csp_decider_share (const csp_lease_facts_t *facts);
+
 void csp_init_lease_pool (csp_lease_pool_t *pool,
                           const csp_lease_policy_t *policy, int64_t now_ms);
 
--- a/include/cowslipspoke/warmup.h
+++ b/include/cowslipspoke/warmup.h
@@ -26,14 +26,6 @@
    arrive together.  Hosts that place requests without the decider skip cold
    targets.  */
 
-/* Whether this host is the decider, and what it knows of the fleet.  */
-typedef struct
-{
-  bool decides;
-  int64_t decides_since_ms;
-  csp_lease_facts_t fleet;
-} csp_decider_role_t;
-
 /* The limit of one target; a plain value.  */
 typedef struct
 {
--- a/source/retry/retry-lease.c
+++ b/source/retry/retry-lease.c
@@ -10,6 +10,10 @@
   LEASED_DIVISOR = 2
 };
 
+/* Makes up for the rounding of a share, as 3 hosts of 9 are a whole number of
+   leases.  */
+static const double rounding_error = 1e-6;
+
 /* Returns for how long a grant counts: it may be used just before it expires,
    and operators' windows with that moment end up to a window later.  */
 static int64_t
@@ -80,19 +84,28 @@
   return leased;
 }
 
+static double
+share_of (size_t count, size_t total)
+{
+  return count < total ? (double)count / (double)total : 1;
+}
+
+double
+csp_decider_share (const csp_lease_facts_t *facts)
+{
+  if (facts->hosts_known == 0 || facts->data_centres_listed == 0)
+    return 0;
+  return share_of (facts->hosts_asking, facts->hosts_known)
+         * share_of (facts->data_centres_live, facts->data_centres_listed);
+}
+
 /* Returns this host's part of the fleet's leases.  */
 static uint32_t
 lease_limit (const csp_lease_pool_t *pool, const csp_lease_facts_t *facts)
 {
-  uint64_t limit = pool->policy.max_per_window / LEASED_DIVISOR;
+  uint32_t limit = pool->policy.max_per_window / LEASED_DIVISOR;
 
-  if (facts->hosts_known == 0 || facts->data_centres_listed == 0)
-    return 0;
-  if (facts->hosts_asking < facts->hosts_known)
-    limit = limit * facts->hosts_asking / facts->hosts_known;
-  if (facts->data_centres_live < facts->data_centres_listed)
-    limit = limit * facts->data_centres_live / facts->data_centres_listed;
-  return (uint32_t)limit;
+  return (uint32_t)(limit * csp_decider_share (facts) + rounding_error);
 }
 
 uint32_t
