--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -75,6 +75,7 @@
   csp_fleet_state_t state;
   uint32_t data_centre; /* hash of its name */
   bool cordoned;        /* operators have cordoned its data centre */
+  bool rate_limited;    /* as in rate_limit */
   uint64_t hash; /* of id and start; identifies the target between hosts */
   int64_t warm_at_ms;
   /* Until then chosen only if no other target is available.  */
@@ -149,15 +150,32 @@
 /* Whether a target is cold and has a limit on new requests.  */
 bool csp_is_cold_limited (const csp_fleet_target_t *target, int64_t now_ms);
 
-/* Whether this host may assign a request there under the limit for cold
-   targets, and that it has assigned one.  role: NULL where this host may
-   assign nothing to cold targets.  */
+/* Whether this host may assign a request there under the limits of cold
+   targets and those that targets state, and that it has assigned one.  role:
+   NULL where this host may assign nothing to such targets.  */
 bool csp_may_assign_request (csp_fleet_target_t *target,
                              const csp_decider_role_t *role, int64_t now_ms);
 void csp_note_request_assigned (csp_fleet_target_t *target,
                                 const csp_decider_role_t *role,
                                 int64_t now_ms);
 
+/* Applies what an answer of a target, here or at another host, says of its
+   rate limit.  */
+csp_rate_change_t csp_note_target_rate (csp_fleet_t *fleet,
+                                        csp_fleet_target_t *target,
+                                        const csp_rate_report_t *report,
+                                        int64_t now_ms);
+
+/* Writes some of the limits that have not ended long ago, others at each call.
+   Returns how many were written.  */
+size_t csp_list_target_rates (csp_fleet_t *fleet, csp_hello_rate_t *rates,
+                              size_t max_count, int64_t now_ms);
+
+/* The time until this host may ask for a grant at one of a service's limited
+   targets; 0 if it may now or there are none.  */
+uint32_t csp_service_rate_wait_ms (csp_fleet_t *fleet, const char *service,
+                                   int64_t now_ms);
+
 /* Whether a target may get new requests: it isn't leaving and isn't
    cordoned.  */
 bool csp_takes_new_work (const csp_fleet_target_t *target);
@@ -250,9 +268,12 @@
      limit.  */
   uint64_t prefill_tokens_max;
   bool repeatable; /* may go to a target that is cut off, as a last resort */
-  /* Under which this host may assign requests to cold targets; NULL: it may
-     not.  */
+  /* Under which this host may assign requests to cold and rate limited
+     targets; NULL: it may not.  */
   const csp_decider_role_t *role;
+  /* The decider can be asked for a grant before the request is sent to a rate
+     limited target.  */
+  bool asks_rate_grant;
   const csp_fleet_target_t *excluded;
   const csp_fleet_target_t *also_excluded;
   bool sent_by_this_host; /* sent by this host: its backoffs apply */
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -4,6 +4,7 @@
 #include "cowslipspoke/buffer.h"
 #include "cowslipspoke/quarantine.h"
 #include "cowslipspoke/random.h"
+#include "cowslipspoke/rate-limit.h"
 
 #include <netinet/in.h>
 #include <stdbool.h>
@@ -42,6 +43,8 @@
   CSP_HELLO_LEAVING_MAX = 8,
   CSP_HELLO_LEASES_MAX = 2,
   CSP_HELLO_SUSPECTS_MAX = 4,
+  CSP_HELLO_RATES_MAX = 4,
+  CSP_HELLO_GRANTS_MAX = 2,
   /* Backed-off targets that an ask can exclude.  */
   CSP_ASK_BACKOFFS_MAX = 8,
   /* Hosts that get load reports, see csp_list_deciders.  */
@@ -139,6 +142,24 @@
   uint32_t amount;
 } csp_hello_lease_t;
 
+/* What a host knows of a target's rate limit.  */
+typedef struct
+{
+  uint64_t target; /* hash of its id */
+  csp_rate_report_t report;
+} csp_hello_rate_t;
+
+/* A request for a grant to send one request to a rate limited target, or the
+   answer.  */
+typedef struct
+{
+  uint64_t target; /* hash of its id */
+  uint64_t id;     /* chosen by the requesting host; 0: the request was already
+                      sent without a grant and is only counted */
+  bool granted;
+  uint32_t wait_ms; /* when to ask again, if not granted */
+} csp_hello_grant_t;
+
 /* The outcome of an ask.  */
 typedef enum
 {
@@ -188,6 +209,12 @@
   csp_hello_lease_t lease_requests[CSP_HELLO_LEASES_MAX];
   size_t lease_count;
   csp_hello_lease_t leases[CSP_HELLO_LEASES_MAX];
+  size_t rate_count;
+  csp_hello_rate_t rates[CSP_HELLO_RATES_MAX];
+  size_t grant_request_count;
+  csp_hello_grant_t grant_requests[CSP_HELLO_GRANTS_MAX];
+  size_t grant_count;
+  csp_hello_grant_t grants[CSP_HELLO_GRANTS_MAX];
   size_t leaving_target_count;
   uint64_t leaving_targets[CSP_HELLO_LEAVING_MAX]; /* hashes of targets that
                                         announced that they leave */
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -245,6 +245,16 @@
   return false;
 }
 
+/* Whether the sending host may ask for a grant to send the request there.  */
+static bool
+may_ask_grant (const csp_fleet_target_t *target, const csp_fleet_need_t *need,
+               int64_t now_ms)
+{
+  return need->asks_rate_grant && target->rate_limited
+         && !csp_is_cold_limited (target, now_ms)
+         && csp_may_ask_rate_grant (&target->rate_limit, now_ms);
+}
+
 static bool
 is_eligible (csp_fleet_target_t *target, const csp_fleet_need_t *need,
              int64_t now_ms)
@@ -261,7 +271,8 @@
       && memory_share (target, need) > need->memory_share_max)
     return false;
   return csp_takes_new_work (target)
-         && csp_may_assign_request (target, need->role, now_ms)
+         && (csp_may_assign_request (target, need->role, now_ms)
+             || may_ask_grant (target, need, now_ms))
          && target != need->excluded && target != need->also_excluded;
 }
 
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -16,6 +16,7 @@
   csp_index_node_t by_start;
   csp_index_node_t by_id;
   struct cds_list_head changed_load; /* among the fleet's; empty: it isn't */
+  struct cds_list_head stated_rate;  /* the same */
 } target_entry_t;
 
 enum
@@ -47,6 +48,8 @@
   csp_index_t by_id;
   uint64_t additions;
   struct cds_list_head changed_loads;
+  /* Targets that state a rate limit or lately did.  */
+  struct cds_list_head stated_rates;
   csp_cordons_t *cordons;
   size_t cold_limit_count;
   csp_cold_limit_t cold_limits[CSP_COLD_LIMITS_MAX];
@@ -59,6 +62,9 @@
   int64_t removals_unreliable_until_ms;
 };
 
+/* The entry that contains a target.  */
+target_entry_t *csp_entry_of_target (csp_fleet_target_t *target);
+
 /* The group of a row, added if it is new; NULL when memory allocation
    fails.  */
 csp_fleet_group_t *csp_find_or_add_group (csp_fleet_t *fleet,
--- a/source/fleet/fleet-limits.c
+++ b/source/fleet/fleet-limits.c
@@ -80,9 +80,13 @@
 csp_may_assign_request (csp_fleet_target_t *target,
                         const csp_decider_role_t *role, int64_t now_ms)
 {
-  return !csp_is_cold_limited (target, now_ms)
+  if (csp_is_cold_limited (target, now_ms)
+      && (role == NULL
+          || !csp_has_warmup_grant (&target->warmup, role, now_ms)))
+    return false;
+  return !target->rate_limited
          || (role != NULL
-             && csp_has_warmup_grant (&target->warmup, role, now_ms));
+             && csp_has_rate_grant (&target->rate_limit, role, now_ms));
 }
 
 void
@@ -91,6 +95,8 @@
 {
   if (csp_is_cold_limited (target, now_ms))
     csp_take_warmup_grant (&target->warmup, role, now_ms);
+  if (target->rate_limited)
+    csp_charge_rate_limit (&target->rate_limit, role, now_ms);
 }
 
 csp_cordon_result_t
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -24,9 +24,8 @@
   START_TEXT_BYTES = 24
 };
 
-/* The entry that contains a target.  */
-static target_entry_t *
-entry_of_target (csp_fleet_target_t *target)
+target_entry_t *
+csp_entry_of_target (csp_fleet_target_t *target)
 {
   return CSP_INDEX_ENTRY (target, target_entry_t, target);
 }
@@ -34,12 +33,13 @@
 static void
 free_target (csp_fleet_t *fleet, csp_fleet_target_t *target)
 {
-  target_entry_t *entry = entry_of_target (target);
+  target_entry_t *entry = csp_entry_of_target (target);
 
   if (fleet->on_free != NULL)
     fleet->on_free (fleet->state, target);
   csp_leave_group (target);
   cds_list_del (&entry->changed_load);
+  cds_list_del (&entry->stated_rate);
   csp_remove_from_index (&fleet->by_start, &entry->by_start);
   csp_remove_from_index (&fleet->by_id, &entry->by_id);
   free (entry);
@@ -75,6 +75,7 @@
   fleet->state = state;
   fleet->platform_reachable = true;
   CDS_INIT_LIST_HEAD (&fleet->changed_loads);
+  CDS_INIT_LIST_HEAD (&fleet->stated_rates);
   fleet->cordons = csp_create_cordons ();
   if (fleet->cordons != NULL
       && csp_open_index (&fleet->by_start, INITIAL_CAPACITY) == 0
@@ -162,6 +163,7 @@
   entry->target.hash = hash_of_start (id, born_ms);
   csp_init_warmup (&entry->target.warmup, 0);
   CDS_INIT_LIST_HEAD (&entry->changed_load);
+  CDS_INIT_LIST_HEAD (&entry->stated_rate);
   csp_add_to_index (&fleet->by_start, &entry->by_start, entry->target.hash);
   csp_add_to_index (&fleet->by_id, &entry->by_id, local_hash_of_id (id));
   fleet->targets[fleet->count++] = &entry->target;
@@ -198,7 +200,7 @@
 void
 csp_note_own_load_changed (csp_fleet_t *fleet, csp_fleet_target_t *target)
 {
-  target_entry_t *entry = entry_of_target (target);
+  target_entry_t *entry = csp_entry_of_target (target);
 
   if (cds_list_empty (&entry->changed_load))
     cds_list_add_tail (&entry->changed_load, &fleet->changed_loads);
@@ -221,7 +223,7 @@
 static void
 set_start (csp_fleet_t *fleet, csp_fleet_target_t *target, int64_t born_ms)
 {
-  target_entry_t *entry = entry_of_target (target);
+  target_entry_t *entry = csp_entry_of_target (target);
 
   target->row.start_unix_ms = born_ms;
   target->hash = hash_of_start (target->row.id, born_ms);
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -237,6 +237,28 @@
                        "no connection can be had");
 }
 
+/* Refuse a request that no target can take.  */
+static void
+refuse_unplaced (csp_exchange_t *exchange)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+  uint32_t wait_ms = csp_service_rate_wait_ms (
+      gateway->fleet, exchange->service->name, csp_gateway_now_ms (gateway));
+
+  exchange->retry_after_ms = csp_isolated_retry_ms (gateway);
+  if (wait_ms == 0)
+    {
+      csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
+                         "no target can take it");
+      return;
+    }
+  gateway->counts.rate_refused++;
+  if (exchange->retry_after_ms < wait_ms)
+    exchange->retry_after_ms = wait_ms;
+  csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
+                     "its targets are at their rate limits");
+}
+
 void
 csp_place_locally (csp_exchange_t *exchange)
 {
@@ -249,16 +271,15 @@
           .tokens = exchange->tokens,
           .repeatable = exchange->route->kind == CSP_ROUTE_IDEMPOTENT,
           .excluded = exchange->failed_target,
+          .asks_rate_grant = true,
           .sent_by_this_host = true };
   csp_fleet_target_t *target = csp_choose_fleet_target (
       gateway->fleet, &need, &gateway->random, csp_gateway_now_ms (gateway));
 
   if (target == NULL || exchange->connect_failures > CONNECT_FAILURES_MAX)
-    {
-      exchange->retry_after_ms = csp_isolated_retry_ms (gateway);
-      csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
-                         "no target can take it");
-    }
+    refuse_unplaced (exchange);
+  else if (target->rate_limited)
+    csp_await_grant (exchange, target);
   else
     csp_start_attempt (exchange, target);
 }
--- a/source/gateway/gateway-backup.c
+++ b/source/gateway/gateway-backup.c
@@ -107,7 +107,7 @@
   return exchange->backup != NULL && csp_takes_new_work (exchange->backup)
          && !csp_is_cold_limited (exchange->backup, now_ms)
          && !csp_is_backed_off (exchange->backup, now_ms)
-         && exchange->run_started_ms != 0;
+         && !exchange->backup->rate_limited && exchange->run_started_ms != 0;
 }
 
 /* Copying begins with the run's first token; between data centres it takes
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -104,6 +104,10 @@
   csp_reason_t lease_reason; /* reason of the failure without a lease */
   const char *lease_detail;
   int64_t lease_until_ms;
+  uint64_t grant_id;     /* of the request for a grant that it awaits; 0: it
+                            awaits none */
+  uint64_t grant_target; /* hash of the target's id */
+  int64_t grant_asked_ms;
 
   /* The answer.  */
   csp_answer_mode_t answer_mode;
@@ -201,6 +205,10 @@
 void csp_await_lease (csp_exchange_t *exchange, csp_reason_t reason,
                       const char *detail);
 
+/* Grant: see gateway-grant.c.  Ask for a grant to send the request to a rate
+   limited target; then it is sent there or placed again.  */
+void csp_await_grant (csp_exchange_t *exchange, csp_fleet_target_t *target);
+
 /* Answer: see gateway-answer.c.  Send the request once more, or fail it with
    the given reason.  may_wait is false once the request has waited for a
    lease.  */
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -28,7 +28,8 @@
      cordon        applies the operators' cordons
      quarantine    refuses requests that make targets end
      target-state  handles what targets report of themselves in answers
-     rate          handles rate limits that targets state
+     rate          handles rate limits that targets state, and reports them
+     grant         asks the decider before a limited target is sent a request
      reach         handles data centres that are cut off
      page          readiness and metrics
 
@@ -90,6 +91,14 @@
   uint8_t sends_left;
 } csp_leaving_notice_t;
 
+/* A report to the other hosts that a target's rate limit has begun or
+   ended.  */
+typedef struct
+{
+  uint64_t target; /* hash of its id */
+  uint8_t sends_left;
+} csp_rate_notice_t;
+
 /* Counters of the forwarder, served as metrics.  */
 typedef struct
 {
@@ -111,6 +120,8 @@
   uint64_t quarantined;  /* requests whose targets ended while they ran */
   /* Attempts of those requests that were refused.  */
   uint64_t quarantine_refused;
+  uint64_t rate_grants;  /* by this host as the decider, to itself too */
+  uint64_t rate_refused; /* requests rejected for lack of a grant */
 } csp_gateway_counts_t;
 
 struct csp_gateway
@@ -174,6 +185,8 @@
   size_t next_query_index[2]; /* in the fleet; of idle and busy targets */
   size_t leaving_notice_count;
   csp_leaving_notice_t leaving_notices[CSP_HELLO_LEAVING_MAX];
+  size_t rate_notice_count;
+  csp_rate_notice_t rate_notices[CSP_HELLO_RATES_MAX];
   int64_t platform_read_ms; /* when the platform was last read; 0: never */
   int64_t query_until_ms;   /* even if the platform is read again */
   uint32_t caller_count;
@@ -319,6 +332,28 @@
 void csp_handle_rate_limit (csp_gateway_t *gateway, csp_fleet_target_t *target,
                             const csp_http_head_t *head, int64_t sent_ms);
 
+/* Send reports of limits that began or ended once more.  Call it
+   periodically.  */
+void csp_repeat_rate_notices (csp_gateway_t *gateway);
+
+/* What this host knows of a target's limit, for a hello.  */
+csp_hello_rate_t csp_make_hello_rate (const csp_gateway_t *gateway,
+                                      const csp_fleet_target_t *target);
+
+/* Add some limits to a periodic hello; and handle those of another host.  */
+void csp_add_rates_to_hello (csp_gateway_t *gateway, csp_hello_t *hello);
+void csp_handle_rates (csp_gateway_t *gateway, csp_peer_address_t from,
+                       const csp_hello_t *hello);
+
+/* Grants: see gateway-grant.c.  Handle other hosts' requests for grants, and
+   the answers to those of this host.  */
+void csp_handle_grant_hello (csp_gateway_t *gateway, csp_peer_address_t from,
+                             const csp_hello_t *hello);
+
+/* A request was sent to a rate limited target without a grant.  */
+void csp_report_ungranted_request (csp_gateway_t *gateway,
+                                   csp_fleet_target_t *target);
+
 /* Another host reports targets that leave.  */
 void csp_handle_leaving_notices (csp_gateway_t *gateway,
                                  const csp_hello_t *hello);
@@ -376,6 +411,9 @@
 /* The decider has changed.  */
 void csp_note_decider_change (csp_gateway_t *gateway);
 
+/* Whether this host is the decider, and for which part of the fleet.  */
+csp_decider_role_t csp_get_decider_role (const csp_gateway_t *gateway);
+
 /* Update for which part of the fleet this host decides; cold targets are
    bounded by that part.  Call it periodically.  */
 void csp_update_decider_role (csp_gateway_t *gateway);
--- a/source/gateway/gateway-lease.c
+++ b/source/gateway/gateway-lease.c
@@ -35,8 +35,8 @@
   return facts;
 }
 
-void
-csp_update_decider_role (csp_gateway_t *gateway)
+csp_decider_role_t
+csp_get_decider_role (const csp_gateway_t *gateway)
 {
   csp_decider_role_t role
       = { .decides = csp_is_same_peer (gateway->decider, gateway->self),
@@ -44,6 +44,14 @@
 
   if (role.decides)
     role.fleet = collect_lease_facts (gateway);
+  return role;
+}
+
+void
+csp_update_decider_role (csp_gateway_t *gateway)
+{
+  csp_decider_role_t role = csp_get_decider_role (gateway);
+
   csp_set_decider_role (gateway->dispatch, &role);
 }
 
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -243,9 +243,16 @@
   else if (!csp_may_resume_at (exchange->gateway, to))
     csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
                        "the data centre is cordoned");
-  else if (!resume_at (exchange, to, copy))
-    csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
-                       "no connection to go on");
+  else
+    {
+      /* The run is lost unless it goes on at its source, so it doesn't wait
+         for a grant there.  */
+      if (!copied && to->rate_limited)
+        csp_report_ungranted_request (exchange->gateway, to);
+      if (!resume_at (exchange, to, copy))
+        csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
+                           "no connection to go on");
+    }
 }
 
 static void
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -39,6 +39,8 @@
     { "target_backoffs_total", "counter", counts->backoffs },
     { "quarantined_total", "counter", counts->quarantined },
     { "quarantine_refused_total", "counter", counts->quarantine_refused },
+    { "rate_grants_total", "counter", counts->rate_grants },
+    { "rate_refused_total", "counter", counts->rate_refused },
     { "suspects", "gauge", csp_count_suspects (gateway->quarantine) },
     { "quarantined", "gauge",
       csp_count_quarantined (gateway->quarantine,
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -117,6 +117,7 @@
       gateway->roster, peer, hello.known_hosts, CSP_HELLO_KNOWN_MAX,
       csp_gateway_now_ms (gateway));
   csp_add_suspects_to_hello (gateway, &hello);
+  csp_add_rates_to_hello (gateway, &hello);
   csp_send_hello (gateway, &hello, &peer, 1);
 }
 
@@ -130,6 +131,7 @@
                                               reply.known_hosts,
                                               csp_gateway_now_ms (gateway));
   csp_add_suspects_to_hello (gateway, &reply);
+  csp_add_rates_to_hello (gateway, &reply);
   csp_send_hello (gateway, &reply, &peer, 1);
 }
 
@@ -195,6 +197,8 @@
     answer_hello (gateway, peer, &hello);
   csp_handle_leaving_notices (gateway, &hello);
   csp_handle_suspects (gateway, peer, &hello);
+  csp_handle_rates (gateway, peer, &hello);
+  csp_handle_grant_hello (gateway, peer, &hello);
   csp_handle_lease_hello (gateway, peer, &hello);
   csp_handle_dispatch_hello (gateway, peer, &hello);
 }
--- a/source/gateway/gateway-rate.c
+++ b/source/gateway/gateway-rate.c
@@ -2,11 +2,17 @@
 
 #include <strings.h>
 
-/* Rate limits that targets state in their answers, see rate-limit.h.  */
+/* Rate limits that targets state in their answers, see rate-limit.h.
+
+   All hosts hear at once when a limit begins or ends, and the deciders of each
+   other value.  Periodic hellos repeat limits for hosts that have just started
+   or missed a report.  */
 
 enum
 {
-  MILLI = 1000
+  MILLI = 1000,
+  /* A datagram may be lost.  */
+  NOTICE_SENDS = 2
 };
 
 /* A limit that differs by less from the last one logged isn't logged.  */
@@ -35,7 +41,73 @@
            csp_number ("age_ms", report->age_ms));
 }
 
+csp_hello_rate_t
+csp_make_hello_rate (const csp_gateway_t *gateway,
+                     const csp_fleet_target_t *target)
+{
+  return (csp_hello_rate_t){ .target = target->hash,
+                             .report = csp_make_rate_report (
+                                 &target->rate_limit,
+                                 csp_gateway_now_ms (gateway)) };
+}
+
+/* Send the reports that are due to all hosts.  */
 static void
+send_notices (csp_gateway_t *gateway)
+{
+  csp_hello_t hello = { .rate_count = 0 };
+  size_t remaining = 0;
+  size_t i;
+
+  for (i = 0; i < gateway->rate_notice_count; i++)
+    {
+      csp_rate_notice_t *notice = &gateway->rate_notices[i];
+      const csp_fleet_target_t *target
+          = csp_find_target_by_hash (gateway->fleet, notice->target);
+
+      if (target != NULL)
+        hello.rates[hello.rate_count++]
+            = csp_make_hello_rate (gateway, target);
+      if (--notice->sends_left > 0)
+        gateway->rate_notices[remaining++] = *notice;
+    }
+  gateway->rate_notice_count = remaining;
+  if (hello.rate_count > 0)
+    csp_send_hello (gateway, &hello, gateway->peer_scratch,
+                    csp_list_live_peers (gateway->roster,
+                                         gateway->peer_scratch,
+                                         CSP_ROSTER_MAX));
+}
+
+void
+csp_repeat_rate_notices (csp_gateway_t *gateway)
+{
+  send_notices (gateway);
+}
+
+static void
+report_to_all (csp_gateway_t *gateway, const csp_fleet_target_t *target)
+{
+  csp_rate_notice_t notice
+      = { .target = target->hash, .sends_left = NOTICE_SENDS };
+
+  while (gateway->rate_notice_count == CSP_HELLO_RATES_MAX)
+    send_notices (gateway);
+  gateway->rate_notices[gateway->rate_notice_count++] = notice;
+  send_notices (gateway);
+}
+
+static void
+report_to_deciders (csp_gateway_t *gateway, const csp_fleet_target_t *target)
+{
+  csp_hello_t hello = { .rate_count = 1 };
+
+  hello.rates[0] = csp_make_hello_rate (gateway, target);
+  csp_send_hello (gateway, &hello, gateway->deciders, gateway->decider_count);
+}
+
+/* Apply a report and log what it changes.  */
+static csp_rate_change_t
 note_rate_report (csp_gateway_t *gateway, csp_fleet_target_t *target,
                   const csp_rate_report_t *report, const char *told_by)
 {
@@ -43,23 +115,55 @@
   int64_t now_ms = csp_gateway_now_ms (gateway);
   int64_t began_ms = limit->changed_ms;
 
-  switch (csp_note_rate_report (limit, report, now_ms))
+  csp_rate_change_t change
+      = csp_note_target_rate (gateway->fleet, target, report, now_ms);
+
+  switch (change)
     {
     case CSP_RATE_UNCHANGED:
-      return;
+      break;
     case CSP_RATE_BEGAN:
       log_limit (gateway, target, report, told_by);
-      return;
+      break;
     case CSP_RATE_CHANGED:
       if (is_change_logged (limit))
         log_limit (gateway, target, report, told_by);
-      return;
+      break;
     case CSP_RATE_ENDED:
       CSP_LOG (gateway->log, CSP_EVENT_RATE_LIMIT_ENDED, NULL,
                csp_text ("target", target->row.id),
                csp_text ("told_by", told_by),
                csp_number ("held_ms", now_ms - began_ms));
-      return;
+      break;
+    }
+  return change;
+}
+
+void
+csp_add_rates_to_hello (csp_gateway_t *gateway, csp_hello_t *hello)
+{
+  hello->rate_count = csp_list_target_rates (gateway->fleet, hello->rates,
+                                             CSP_HELLO_RATES_MAX,
+                                             csp_gateway_now_ms (gateway));
+}
+
+void
+csp_handle_rates (csp_gateway_t *gateway, csp_peer_address_t from,
+                  const csp_hello_t *hello)
+{
+  char host[CSP_PEER_TEXT_BYTES];
+  size_t i;
+
+  if (hello->rate_count == 0)
+    return;
+  csp_format_peer (from, host);
+  for (i = 0; i < hello->rate_count; i++)
+    {
+      csp_fleet_target_t *target
+          = csp_find_target_by_hash (gateway->fleet, hello->rates[i].target);
+
+      if (target != NULL)
+        note_rate_report (gateway, target, &hello->rates[i].report, host);
     }
 }
 
@@ -109,5 +213,16 @@
       return;
     }
   target->rate_limit.bad_logged = false;
-  note_rate_report (gateway, target, &report, "target");
+  switch (note_rate_report (gateway, target, &report, "target"))
+    {
+    case CSP_RATE_UNCHANGED:
+      return;
+    case CSP_RATE_CHANGED:
+      report_to_deciders (gateway, target);
+      return;
+    case CSP_RATE_BEGAN:
+    case CSP_RATE_ENDED:
+      report_to_all (gateway, target);
+      return;
+    }
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -340,6 +340,7 @@
   csp_query_targets (gateway);
   csp_expire_suspects (gateway->quarantine, csp_gateway_now_ms (gateway));
   csp_broadcast_suspects (gateway);
+  csp_repeat_rate_notices (gateway);
   csp_update_decider_role (gateway);
   csp_place_waiting_asks (gateway);
   /* The balancer no longer sends callers here; on connections that stay open
--- a/source/rate/rate-report.c
+++ b/source/rate/rate-report.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/* Any larger limit is as good as none.  */
-static const double rate_max_per_s = 1e6;
-
 enum
 {
   DECIMAL = 10
@@ -26,7 +23,7 @@
   if (!is_digit (*at))
     return false;
   for (; is_digit (*at); at++)
-    if (rate < rate_max_per_s)
+    if (rate < CSP_RATE_MAX_PER_S)
       rate = rate * DECIMAL + (*at - '0');
   if (*at == '.')
     for (at++; is_digit (*at); at++)
@@ -36,7 +33,7 @@
       }
   if (at[strspn (at, " \t")] != '\0')
     return false;
-  *max_per_s = rate < rate_max_per_s ? rate : rate_max_per_s;
+  *max_per_s = rate < CSP_RATE_MAX_PER_S ? rate : CSP_RATE_MAX_PER_S;
   return true;
 }
 
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -31,6 +31,12 @@
   CspHello__Suspect *suspect_rows[CSP_HELLO_SUSPECTS_MAX];
   csp_suspect_t suspect_copies[CSP_HELLO_SUSPECTS_MAX];
   uint64_t cleared[CSP_HELLO_SUSPECTS_MAX];
+  CspHello__Rate rates[CSP_HELLO_RATES_MAX];
+  CspHello__Rate *rate_rows[CSP_HELLO_RATES_MAX];
+  CspHello__Grant grant_requests[CSP_HELLO_GRANTS_MAX];
+  CspHello__Grant *grant_request_rows[CSP_HELLO_GRANTS_MAX];
+  CspHello__Grant grants[CSP_HELLO_GRANTS_MAX];
+  CspHello__Grant *grant_rows[CSP_HELLO_GRANTS_MAX];
 } rows_t;
 
 static void
@@ -163,6 +169,42 @@
     }
 }
 
+static void
+fill_rates (const csp_hello_t *hello, rows_t *rows)
+{
+  size_t i;
+
+  for (i = 0; i < hello->rate_count; i++)
+    {
+      const csp_rate_report_t *report = &hello->rates[i].report;
+      CspHello__Rate *row = &rows->rates[i];
+
+      csp_hello__rate__init (row);
+      row->target = hello->rates[i].target;
+      row->max_per_s = report->max_per_s;
+      row->age_ms = report->age_ms;
+      row->ended = report->ended;
+      rows->rate_rows[i] = row;
+    }
+}
+
+static void
+fill_grants (const csp_hello_grant_t *grants, size_t count,
+             CspHello__Grant *rows, CspHello__Grant **row_list)
+{
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      csp_hello__grant__init (&rows[i]);
+      rows[i].target = grants[i].target;
+      rows[i].id = grants[i].id;
+      rows[i].granted = grants[i].granted;
+      rows[i].wait_ms = grants[i].wait_ms;
+      row_list[i] = &rows[i];
+    }
+}
+
 bool
 csp_encode_hello (const csp_hello_t *hello, csp_buffer_t *bytes)
 {
@@ -179,6 +221,11 @@
                rows.want_rows);
   fill_leases (hello->leases, hello->lease_count, rows.leases,
                rows.lease_rows);
+  fill_rates (hello, &rows);
+  fill_grants (hello->grant_requests, hello->grant_request_count,
+               rows.grant_requests, rows.grant_request_rows);
+  fill_grants (hello->grants, hello->grant_count, rows.grants,
+               rows.grant_rows);
   message.boot = hello->boot;
   message.sequence = hello->sequence;
   message.whole = hello->is_full_report;
@@ -210,6 +257,12 @@
   message.suspects = rows.suspect_rows;
   message.n_cleared = hello->cleared_count;
   message.cleared = rows.cleared;
+  message.n_rates = hello->rate_count;
+  message.rates = rows.rate_rows;
+  message.n_grant_requests = hello->grant_request_count;
+  message.grant_requests = rows.grant_request_rows;
+  message.n_grants = hello->grant_count;
+  message.grants = rows.grant_rows;
   if (csp_hello__hello__get_packed_size (&message) > sizeof packed)
     return false;
   return csp_append_buffer (bytes, packed,
@@ -321,6 +374,44 @@
   return true;
 }
 
+/* False if a rate isn't a number within its bounds.  */
+static bool
+decode_rates (const CspHello__Hello *message, csp_hello_t *hello)
+{
+  size_t i;
+
+  if (message->n_rates > CSP_HELLO_RATES_MAX)
+    return false;
+  for (i = 0; i < message->n_rates; i++)
+    {
+      const CspHello__Rate *row = message->rates[i];
+
+      if (!(row->max_per_s >= 0 && row->max_per_s <= CSP_RATE_MAX_PER_S))
+        return false;
+      hello->rates[i]
+          = (csp_hello_rate_t){ .target = row->target,
+                                .report = { .ended = row->ended,
+                                            .max_per_s = row->max_per_s,
+                                            .age_ms = row->age_ms } };
+    }
+  hello->rate_count = message->n_rates;
+  return true;
+}
+
+static size_t
+decode_grants (CspHello__Grant *const *rows, size_t count,
+               csp_hello_grant_t *grants)
+{
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    grants[i] = (csp_hello_grant_t){ .target = rows[i]->target,
+                                     .id = rows[i]->id,
+                                     .granted = rows[i]->granted,
+                                     .wait_ms = rows[i]->wait_ms };
+  return count;
+}
+
 bool
 csp_decode_hello (const void *bytes, size_t size_bytes, csp_hello_t *hello)
 {
@@ -329,7 +420,9 @@
   bool valid = message != NULL && message->n_loads <= CSP_HELLO_LOADS_MAX
                && message->n_known <= CSP_HELLO_KNOWN_MAX
                && message->n_wants <= CSP_HELLO_LEASES_MAX
-               && message->n_leases <= CSP_HELLO_LEASES_MAX;
+               && message->n_leases <= CSP_HELLO_LEASES_MAX
+               && message->n_grant_requests <= CSP_HELLO_GRANTS_MAX
+               && message->n_grants <= CSP_HELLO_GRANTS_MAX;
   size_t i;
 
   memset (hello, 0, sizeof *hello);
@@ -358,7 +451,7 @@
                                 .platform_read = row->sighted };
     }
   valid = valid && decode_asks (message, hello)
-          && decode_suspects (message, hello);
+          && decode_suspects (message, hello) && decode_rates (message, hello);
   if (valid)
     {
       hello->boot = message->boot;
@@ -376,6 +469,11 @@
           message->wants, message->n_wants, hello->lease_requests);
       hello->lease_count
           = decode_leases (message->leases, message->n_leases, hello->leases);
+      hello->grant_request_count
+          = decode_grants (message->grant_requests, message->n_grant_requests,
+                           hello->grant_requests);
+      hello->grant_count
+          = decode_grants (message->grants, message->n_grants, hello->grants);
       hello->load_count = message->n_loads;
       hello->known_count = message->n_known;
     }
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -277,6 +277,96 @@
   assert(message->base.descriptor == &csp_hello__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   csp_hello__rate__init
+                     (CspHello__Rate         *message)
+{
+  static const CspHello__Rate init_value = CSP_HELLO__RATE__INIT;
+  *message = init_value;
+}
+size_t csp_hello__rate__get_packed_size
+                     (const CspHello__Rate *message)
+{
+  assert(message->base.descriptor == &csp_hello__rate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_hello__rate__pack
+                     (const CspHello__Rate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_hello__rate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_hello__rate__pack_to_buffer
+                     (const CspHello__Rate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_hello__rate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspHello__Rate *
+       csp_hello__rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspHello__Rate *)
+     protobuf_c_message_unpack (&csp_hello__rate__descriptor,
+                                allocator, len, data);
+}
+void   csp_hello__rate__free_unpacked
+                     (CspHello__Rate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_hello__rate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   csp_hello__grant__init
+                     (CspHello__Grant         *message)
+{
+  static const CspHello__Grant init_value = CSP_HELLO__GRANT__INIT;
+  *message = init_value;
+}
+size_t csp_hello__grant__get_packed_size
+                     (const CspHello__Grant *message)
+{
+  assert(message->base.descriptor == &csp_hello__grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_hello__grant__pack
+                     (const CspHello__Grant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_hello__grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_hello__grant__pack_to_buffer
+                     (const CspHello__Grant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_hello__grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspHello__Grant *
+       csp_hello__grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspHello__Grant *)
+     protobuf_c_message_unpack (&csp_hello__grant__descriptor,
+                                allocator, len, data);
+}
+void   csp_hello__grant__free_unpacked
+                     (CspHello__Grant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_hello__grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   csp_hello__hello__init
                      (CspHello__Hello         *message)
 {
@@ -966,7 +1056,161 @@
   (ProtobufCMessageInit) csp_hello__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[21] =
+static const ProtobufCFieldDescriptor csp_hello__rate__field_descriptors[4] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Rate, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Rate, max_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Rate, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Rate, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_hello__rate__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  3,   /* field[3] = ended */
+  1,   /* field[1] = max_per_s */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange csp_hello__rate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_hello__rate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_hello.Rate",
+  "Rate",
+  "CspHello__Rate",
+  "csp_hello",
+  sizeof(CspHello__Rate),
+  4,
+  csp_hello__rate__field_descriptors,
+  csp_hello__rate__field_indices_by_name,
+  1,  csp_hello__rate__number_ranges,
+  (ProtobufCMessageInit) csp_hello__rate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_hello__grant__field_descriptors[4] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Grant, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Grant, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Grant, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Grant, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_hello__grant__field_indices_by_name[] = {
+  2,   /* field[2] = granted */
+  1,   /* field[1] = id */
+  0,   /* field[0] = target */
+  3,   /* field[3] = wait_ms */
+};
+static const ProtobufCIntRange csp_hello__grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_hello__grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_hello.Grant",
+  "Grant",
+  "CspHello__Grant",
+  "csp_hello",
+  sizeof(CspHello__Grant),
+  4,
+  csp_hello__grant__field_descriptors,
+  csp_hello__grant__field_indices_by_name,
+  1,  csp_hello__grant__number_ranges,
+  (ProtobufCMessageInit) csp_hello__grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[24] =
 {
   {
     "boot",
@@ -1220,6 +1464,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rates",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_rates),
+    offsetof(CspHello__Hello, rates),
+    &csp_hello__rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grant_requests",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_grant_requests),
+    offsetof(CspHello__Hello, grant_requests),
+    &csp_hello__grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grants",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_grants),
+    offsetof(CspHello__Hello, grants),
+    &csp_hello__grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__hello__field_indices_by_name[] = {
   8,   /* field[8] = answers */
@@ -1231,11 +1511,14 @@
   20,   /* field[20] = cleared */
   6,   /* field[6] = data_centre */
   15,   /* field[15] = decider */
+  22,   /* field[22] = grant_requests */
+  23,   /* field[23] = grants */
   5,   /* field[5] = known */
   17,   /* field[17] = leases */
   3,   /* field[3] = leaving */
   11,   /* field[11] = left */
   4,   /* field[4] = loads */
+  21,   /* field[21] = rates */
   1,   /* field[1] = sequence */
   18,   /* field[18] = sighted */
   19,   /* field[19] = suspects */
@@ -1247,7 +1530,7 @@
 static const ProtobufCIntRange csp_hello__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor csp_hello__hello__descriptor =
 {
@@ -1257,7 +1540,7 @@
   "CspHello__Hello",
   "csp_hello",
   sizeof(CspHello__Hello),
-  21,
+  24,
   csp_hello__hello__field_descriptors,
   csp_hello__hello__field_indices_by_name,
   1,  csp_hello__hello__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -21,6 +21,8 @@
 typedef struct CspHello__Answer CspHello__Answer;
 typedef struct CspHello__Lease CspHello__Lease;
 typedef struct CspHello__Suspect CspHello__Suspect;
+typedef struct CspHello__Rate CspHello__Rate;
+typedef struct CspHello__Grant CspHello__Grant;
 typedef struct CspHello__Hello CspHello__Hello;
 
 
@@ -123,6 +125,32 @@
     , 0, 0,NULL, 0, 0 }
 
 
+struct  CspHello__Rate
+{
+  ProtobufCMessage base;
+  uint64_t target;
+  double max_per_s;
+  uint32_t age_ms;
+  protobuf_c_boolean ended;
+};
+#define CSP_HELLO__RATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_hello__rate__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  CspHello__Grant
+{
+  ProtobufCMessage base;
+  uint64_t target;
+  uint64_t id;
+  protobuf_c_boolean granted;
+  uint32_t wait_ms;
+};
+#define CSP_HELLO__GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_hello__grant__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 struct  CspHello__Hello
 {
   ProtobufCMessage base;
@@ -157,10 +185,16 @@
   CspHello__Suspect **suspects;
   size_t n_cleared;
   uint64_t *cleared;
+  size_t n_rates;
+  CspHello__Rate **rates;
+  size_t n_grant_requests;
+  CspHello__Grant **grant_requests;
+  size_t n_grants;
+  CspHello__Grant **grants;
 };
 #define CSP_HELLO__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__hello__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* CspHello__Load methods */
@@ -277,6 +311,44 @@
 void   csp_hello__suspect__free_unpacked
                      (CspHello__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* CspHello__Rate methods */
+void   csp_hello__rate__init
+                     (CspHello__Rate         *message);
+size_t csp_hello__rate__get_packed_size
+                     (const CspHello__Rate   *message);
+size_t csp_hello__rate__pack
+                     (const CspHello__Rate   *message,
+                      uint8_t             *out);
+size_t csp_hello__rate__pack_to_buffer
+                     (const CspHello__Rate   *message,
+                      ProtobufCBuffer     *buffer);
+CspHello__Rate *
+       csp_hello__rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_hello__rate__free_unpacked
+                     (CspHello__Rate *message,
+                      ProtobufCAllocator *allocator);
+/* CspHello__Grant methods */
+void   csp_hello__grant__init
+                     (CspHello__Grant         *message);
+size_t csp_hello__grant__get_packed_size
+                     (const CspHello__Grant   *message);
+size_t csp_hello__grant__pack
+                     (const CspHello__Grant   *message,
+                      uint8_t             *out);
+size_t csp_hello__grant__pack_to_buffer
+                     (const CspHello__Grant   *message,
+                      ProtobufCBuffer     *buffer);
+CspHello__Grant *
+       csp_hello__grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_hello__grant__free_unpacked
+                     (CspHello__Grant *message,
+                      ProtobufCAllocator *allocator);
 /* CspHello__Hello methods */
 void   csp_hello__hello__init
                      (CspHello__Hello         *message);
@@ -316,6 +388,12 @@
 typedef void (*CspHello__Suspect_Closure)
                  (const CspHello__Suspect *message,
                   void *closure_data);
+typedef void (*CspHello__Rate_Closure)
+                 (const CspHello__Rate *message,
+                  void *closure_data);
+typedef void (*CspHello__Grant_Closure)
+                 (const CspHello__Grant *message,
+                  void *closure_data);
 typedef void (*CspHello__Hello_Closure)
                  (const CspHello__Hello *message,
                   void *closure_data);
@@ -331,6 +409,8 @@
 extern const ProtobufCMessageDescriptor csp_hello__answer__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__lease__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__suspect__descriptor;
+extern const ProtobufCMessageDescriptor csp_hello__rate__descriptor;
+extern const ProtobufCMessageDescriptor csp_hello__grant__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__hello__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/gateway/rate-test.c
+++ b/tests/gateway/rate-test.c
@@ -1,17 +1,22 @@
 #include "gateway/gateway-fixture.h"
 
+#include "cowslipspoke/hash.h"
+#include "cowslipspoke/roster.h"
 #include "support/run-suite.h"
 
+#include <arpa/inet.h>
 #include <check.h>
 #include <poll.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /* Rate limits that targets state in their answers.  */
 
 enum
 {
+  HOSTS = 2,
   WAIT_MS = 10000,
   STEP_MS = 50,
   WINDOW_MS = 4000,
@@ -19,28 +24,98 @@
   PLAY_STEPS = 200,
   LIMIT_PER_S = 2,
   /* One and a half times the limit, and five requests.  */
-  WINDOW_MAX = 3 * LIMIT_PER_S * WINDOW_MS / 1000 / 2 + 5
+  WINDOW_MAX = 3 * LIMIT_PER_S * WINDOW_MS / 1000 / 2 + 5,
+  /* Nine tenths of what the target takes in the play but for its first second,
+     in which there is no grant yet.  */
+  PLAY_MIN = (PLAY_STEPS * STEP_MS / 1000 - 1) * LIMIT_PER_S * 9 / 10,
+  /* Until there is a grant again, at any limit in this file.  */
+  GRANT_STEP_MS = 2000,
+  BURST_REQUESTS = 60
 };
 
-static fixture_t fixture;
+typedef enum
+{
+  AT_LIMITED,
+  AT_OTHER,
+  REFUSED
+} outcome_t;
+
+static fixture_t hosts[HOSTS];
+static struct sockaddr_in addresses[HOSTS];
 static int limited;
 static int other;
+static char refusal[1000]; /* to the last refused request */
 
 static void
-set_up (void)
+open_alone (void)
 {
-  fixture_open (&fixture);
-  fixture_publish_routes (&fixture, true);
-  limited = fixture_add_target (&fixture, "t-1", "plain");
+  fixture_open (&hosts[0]);
+  fixture_publish_routes (&hosts[0], true);
   other = -1;
 }
 
 static void
-tear_down (void)
+close_alone (void)
 {
+  fixture_close (&hosts[0]);
   close (limited);
   close (other);
-  fixture_close (&fixture);
+}
+
+static void
+open_hosts (void)
+{
+  size_t i;
+
+  for (i = 0; i < HOSTS; i++)
+    {
+      addresses[i] = (struct sockaddr_in){ .sin_family = AF_INET,
+                                           .sin_port = htons (8748 + i) };
+      /* A loopback address that no other test process uses.  */
+      addresses[i].sin_addr.s_addr
+          = htonl (0x7f400000U | ((uint32_t)getpid () & 0x1fffff));
+    }
+  for (i = 0; i < HOSTS; i++)
+    {
+      hosts[i].seed = &addresses[HOSTS - 1 - i];
+      fixture_open_at (&hosts[i], &addresses[i]);
+      fixture_publish_routes (&hosts[i], true);
+    }
+  other = -1;
+}
+
+static void
+close_hosts (void)
+{
+  size_t i;
+
+  close_alone ();
+  for (i = 1; i < HOSTS; i++)
+    fixture_close (&hosts[i]);
+}
+
+/* Open a target and list it at all hosts.  */
+static int
+add_target (const char *id)
+{
+  int listener = fixture_add_target (&hosts[0], id, "plain");
+  size_t i;
+
+  for (i = 1; i < HOSTS; i++)
+    {
+      fixture_list_target (&hosts[i], listener, id, "plain");
+      fixture_await_updates (&hosts[i]);
+    }
+  return listener;
+}
+
+static void
+advance_clocks (int64_t by_ms)
+{
+  size_t i;
+
+  for (i = 0; i < HOSTS; i++)
+    csp_advance_fake_clock (&hosts[i].fake_clock, by_ms);
 }
 
 static void
@@ -58,65 +133,148 @@
   close (link);
 }
 
-/* Send a request; the target that gets it answers.  Returns whether that is
-   the first target, which adds the given fields.  */
-static bool
-send_request (const char *fields)
+/* Send a request through a host.  The limited target adds the given fields to
+   its answer.  */
+static outcome_t
+send_request (size_t host, const char *fields)
 {
-  int caller = open_caller (&fixture);
+  int caller = open_caller (&hosts[host]);
   struct pollfd ready[] = { { .fd = limited, .events = POLLIN },
                             { .fd = other, .events = POLLIN },
                             { .fd = caller, .events = POLLIN } };
-  bool at_first;
+  outcome_t outcome = REFUSED;
 
   send_text (caller, REQUEST ("/once/", "r1"));
   ck_assert_int_gt (poll (ready, 3, WAIT_MS), 0);
-  at_first = ready[0].revents != 0;
-  if (at_first)
-    answer (limited, fields);
-  if (ready[1].revents != 0)
-    answer (other, "");
-  read_until (caller, "\r\n\r\n");
+  if (ready[0].revents != 0)
+    {
+      answer (limited, fields);
+      outcome = AT_LIMITED;
+    }
+  else if (ready[1].revents != 0)
+    {
+      answer (other, "");
+      outcome = AT_OTHER;
+    }
+  snprintf (refusal, sizeof refusal, "%s", read_until (caller, "\r\n\r\n"));
   close (caller);
-  return at_first;
+  return outcome;
+}
+
+/* Whether a host's metrics show this limit of the limited target.  */
+static bool
+shows_limit (size_t host, const char *value)
+{
+  char line[100];
+
+  snprintf (line, sizeof line, "target_rate_limit{target=\"t-1\"} %s\n",
+            value);
+  return strstr (fixture_get_page (&hosts[host], "/metrics"), line) != NULL;
+}
+
+static void
+await_limit (size_t host, const char *value)
+{
+  int tries;
+
+  for (tries = 0; !shows_limit (host, value); tries++)
+    {
+      ck_assert_int_lt (tries, WAIT_MS);
+      poll (NULL, 0, 1);
+    }
 }
 
-/* Guards against a target that gets more than the rate that it states, while
-   others of its service could take the rest.  */
+/* Guards against a target that gets more than the rate that it states, or far
+   less, while others of its service could take the rest.  */
 START_TEST (a_target_gets_no_more_than_its_stated_rate)
 {
   int sent[PLAY_STEPS] = { 0 };
   int in_window = 0;
+  int in_play = 0;
   int step;
 
-  ck_assert (send_request ("Rate-Limit: 2\r\n"));
-  other = fixture_add_target (&fixture, "t-2", "plain");
+  limited = fixture_add_target (&hosts[0], "t-1", "plain");
+  ck_assert_int_eq (send_request (0, "Rate-Limit: 2\r\n"), AT_LIMITED);
+  other = fixture_add_target (&hosts[0], "t-2", "plain");
   for (step = 0; step < PLAY_STEPS; step++)
     {
-      csp_advance_fake_clock (&fixture.fake_clock, STEP_MS);
-      sent[step] = send_request ("Rate-Limit: 2\r\n");
+      csp_advance_fake_clock (&hosts[0].fake_clock, STEP_MS);
+      sent[step] = send_request (0, "Rate-Limit: 2\r\n") == AT_LIMITED;
+      in_play += sent[step];
       in_window += sent[step];
       if (step >= WINDOW_STEPS)
         in_window -= sent[step - WINDOW_STEPS];
       ck_assert_int_le (in_window, WINDOW_MAX);
     }
+  ck_assert_int_ge (in_play, PLAY_MIN);
+}
+END_TEST
+
+/* Guards against hosts that each send what a target takes from all.  */
+START_TEST (hosts_share_the_rate_that_a_target_states)
+{
+  int in_burst = 0;
+  int i;
+
+  limited = add_target ("t-1");
+  ck_assert_int_eq (send_request (0, "Rate-Limit: 2\r\n"), AT_LIMITED);
+  await_limit (1, "2");
+  other = add_target ("t-2");
+  advance_clocks (GRANT_STEP_MS);
+  for (i = 0; i < BURST_REQUESTS; i++)
+    in_burst
+        += send_request ((size_t)i % HOSTS, "Rate-Limit: 2\r\n") == AT_LIMITED;
+  ck_assert_int_le (in_burst, WINDOW_MAX);
+}
+END_TEST
+
+/* Guards against requests that are held, or refused without the time to come
+   back, when no target may take them.  */
+START_TEST (a_request_without_a_grant_is_refused_at_once)
+{
+  limited = fixture_add_target (&hosts[0], "t-1", "plain");
+  ck_assert_int_eq (send_request (0, "Rate-Limit: 0.5\r\n"), AT_LIMITED);
+  advance_clocks (STEP_MS);
+  ck_assert_int_eq (send_request (0, ""), REFUSED);
+  ck_assert_ptr_nonnull (strstr (refusal, " 503 "));
+  ck_assert_ptr_nonnull (strstr (refusal, "Retry-After: "));
+  ck_assert_ptr_null (strstr (refusal, "Retry-After: 0\r"));
+  advance_clocks (GRANT_STEP_MS);
+  advance_clocks (GRANT_STEP_MS);
+  ck_assert_int_eq (send_request (0, "Rate-Limit: 0.5\r\n"), AT_LIMITED);
+}
+END_TEST
+
+/* Guards against a target that gets nothing for ever because it stated a limit
+   of 0, or a value that is no limit.  */
+START_TEST (a_limit_of_zero_can_end)
+{
+  int i;
+
+  limited = fixture_add_target (&hosts[0], "t-1", "plain");
+  ck_assert_int_eq (send_request (0, "Rate-Limit: 0\r\n"), AT_LIMITED);
+  advance_clocks (3 * GRANT_STEP_MS);
+  ck_assert_int_eq (send_request (0, ""), AT_LIMITED);
+  for (i = 0; i < BURST_REQUESTS; i++)
+    ck_assert_int_eq (send_request (0, "Rate-Limit: -1\r\n"), AT_LIMITED);
 }
 END_TEST
 
 /* Guards against a fleet that doesn't show which targets state a limit.  */
 START_TEST (a_stated_rate_is_shown_in_the_metrics)
 {
-  send_request ("Rate-Limit: 3.5\r\n");
-  ck_assert_ptr_nonnull (strstr (fixture_get_page (&fixture, "/metrics"),
-                                 "target_rate_limit{target=\"t-1\"} 3.5\n"));
-  csp_advance_fake_clock (&fixture.fake_clock, STEP_MS);
-  send_request ("Rate-Limit: 1\r\nRate-Limit: 2\r\n");
-  send_request ("Rate-Limit: 3,5\r\n");
-  ck_assert_ptr_nonnull (strstr (fixture_get_page (&fixture, "/metrics"),
-                                 "target_rate_limit{target=\"t-1\"} 3.5\n"));
-  send_request ("");
-  ck_assert_ptr_null (strstr (fixture_get_page (&fixture, "/metrics"),
-                              "target_rate_limit{target=\"t-1\"}"));
+  limited = fixture_add_target (&hosts[0], "t-1", "plain");
+  send_request (0, "Rate-Limit: 3.5\r\n");
+  ck_assert (shows_limit (0, "3.5"));
+  advance_clocks (GRANT_STEP_MS);
+  ck_assert_int_eq (send_request (0, "Rate-Limit: 1\r\nRate-Limit: 2\r\n"),
+                    AT_LIMITED);
+  advance_clocks (GRANT_STEP_MS);
+  ck_assert_int_eq (send_request (0, "Rate-Limit: 3,5\r\n"), AT_LIMITED);
+  ck_assert (shows_limit (0, "3.5"));
+  advance_clocks (GRANT_STEP_MS);
+  ck_assert_int_eq (send_request (0, ""), AT_LIMITED);
+  ck_assert (!shows_limit (0, "3.5"));
 }
 END_TEST
 
@@ -124,12 +282,19 @@
 main (void)
 {
   Suite *suite = suite_create ("rate");
-  TCase *tcase = tcase_create ("rate");
+  TCase *alone = tcase_create ("one host");
+  TCase *together = tcase_create ("two hosts");
 
-  tcase_set_timeout (tcase, 60);
-  tcase_add_checked_fixture (tcase, set_up, tear_down);
-  tcase_add_test (tcase, a_target_gets_no_more_than_its_stated_rate);
-  tcase_add_test (tcase, a_stated_rate_is_shown_in_the_metrics);
-  suite_add_tcase (suite, tcase);
+  tcase_set_timeout (alone, 60);
+  tcase_add_checked_fixture (alone, open_alone, close_alone);
+  tcase_add_test (alone, a_target_gets_no_more_than_its_stated_rate);
+  tcase_add_test (alone, a_request_without_a_grant_is_refused_at_once);
+  tcase_add_test (alone, a_limit_of_zero_can_end);
+  tcase_add_test (alone, a_stated_rate_is_shown_in_the_metrics);
+  suite_add_tcase (suite, alone);
+  tcase_set_timeout (together, 60);
+  tcase_add_checked_fixture (together, open_hosts, close_hosts);
+  tcase_add_test (together, hosts_share_the_rate_that_a_target_states);
+  suite_add_tcase (suite, together);
   return run_suite (suite);
 }
--- a/tests/soak/soak-announce.c
+++ b/tests/soak/soak-announce.c
@@ -129,9 +129,8 @@
     begin_overload (soak, now_ms);
 }
 
-/* What a server has announced to the current process of a host.  */
-static announcements_t *
-find_announcements (server_t *server, size_t host)
+announcements_t *
+server_find_announcements (server_t *server, size_t host)
 {
   soak_t *soak = server->soak;
   announcements_t *announcements;
@@ -167,7 +166,7 @@
   if (wire_field (head, "Server-Leaving") == NULL || request->server == NULL)
     return;
   announcements
-      = find_announcements ((server_t *)request->server, request->host);
+      = server_find_announcements ((server_t *)request->server, request->host);
   if (announcements->leaving_ms == 0
       && request->host_incarnation == announcements->incarnation)
     announcements->leaving_ms = soak_now_ms (soak);
@@ -226,9 +225,10 @@
   if (now_ms + wait_ms > announcements->wait_until_ms)
     announcements->wait_until_ms = now_ms + wait_ms;
   wire_print (wire,
-              "HTTP/1.1 503 Swamped\r\nX-Not-Executed: 1\r\n%s"
+              "HTTP/1.1 503 Swamped\r\nX-Not-Executed: 1\r\n%s%s"
               "Retry-After: %.3f\r\nContent-Length: 0\r\n\r\n",
-              server_leaving_field (server), (double)wait_ms / 1000);
+              server_leaving_field (server), server_rate_field (server),
+              (double)wait_ms / 1000);
 }
 
 bool
@@ -243,7 +243,7 @@
   if (!soak->announce_enabled || request == NULL
       || request->host_incarnation != soak->hosts[request->host].incarnation)
     return false;
-  announcements = find_announcements (server, request->host);
+  announcements = server_find_announcements (server, request->host);
   check_leaving (server, announcements, request, id);
   check_wait (server, announcements, request, id);
   if (soak_now_ms (soak) >= server->overloaded_until_ms)
--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -139,6 +139,7 @@
       return;
     }
   announce_head_delivered (caller->soak, caller->request, head);
+  rate_head_delivered (caller->soak, caller->request, head);
   caller->status = head->status;
   caller->closes = closes != NULL && strcmp (closes, "close") == 0;
   caller->signature_matches
--- a/tests/soak/soak-server-imp.h
+++ b/tests/soak/soak-server-imp.h
@@ -10,7 +10,8 @@
   RUNS_MAX = 64,
   COPIES_MAX = 64,
   ID_BYTES = 32,
-  ADDRESS_BYTES = 32
+  ADDRESS_BYTES = 32,
+  COUNTED_MAX = 128
 };
 
 /* A request that runs on a server.  */
@@ -44,7 +45,9 @@
                           none */
   uint64_t wait_from_ms;
   uint64_t wait_until_ms;
-  uint32_t arrivals; /* requests that arrived within that wait */
+  uint32_t arrivals;     /* requests that arrived within that wait */
+  uint64_t rate_told_ms; /* when an answer with the server's newest rate limit
+                            reached a caller; 0: none */
 } announcements_t;
 
 struct server
@@ -73,6 +76,13 @@
                                   after its own announcement; 0: none */
   uint64_t overloaded_until_ms;
   announcements_t *announcements; /* for each host; NULL: none yet */
+  double rate_per_s;
+  uint64_t rate_stated_ms; /* 0: it has stated none */
+  uint64_t rate_until_ms;
+  char rate_field[40];
+  size_t counted;
+  uint64_t counted_ms[COUNTED_MAX]; /* ring of requests, see soak-rate.c */
+  bool rate_exceeded;
   uint64_t arrivals;
   uint64_t arrivals_ms[SOAK_COLD_BOUND]; /* of the last requests, as a ring */
   uint64_t next_heartbeat_ms;
@@ -110,6 +120,12 @@
    doesn't.  */
 const char *server_leaving_field (const server_t *server);
 
+/* The header field with the server's rate limit; "" while it states none.  */
+const char *server_rate_field (server_t *server);
+
+/* What the server has announced to the current process of a host.  */
+announcements_t *server_find_announcements (server_t *server, size_t host);
+
 /* Crashes the server if the run's request is poison.  Returns whether it
    did; the run is freed then.  */
 bool poison_crashes_server (run_t *run);
--- a/tests/soak/soak-server.c
+++ b/tests/soak/soak-server.c
@@ -87,35 +87,39 @@
         wire_reset (wire);
         return;
       case 1: /* the answer is truncated */
-        wire_print (wire,
-                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                    "X-Engine-Signature: s.%s\r\n%sContent-Length: 500\r\n\r\n"
-                    "half",
-                    id, id, server_leaving_field (server));
+        wire_print (
+            wire,
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+            "X-Engine-Signature: s.%s\r\n%s%sContent-Length: 500\r\n\r\n"
+            "half",
+            id, id, server_leaving_field (server), server_rate_field (server));
         wire_close (wire);
         return;
       case 2: /* the server answers with an error */
         wire_print (wire,
                     "HTTP/1.1 500 Error\r\nX-Attempt-Id: %s\r\n"
-                    "X-Engine-Signature: s.%s\r\n%sContent-Length: 3\r\n\r\n"
+                    "X-Engine-Signature: s.%s\r\n%s%sContent-Length: 3\r\n\r\n"
                     "err",
-                    id, id, server_leaving_field (server));
+                    id, id, server_leaving_field (server),
+                    server_rate_field (server));
         return;
       default: /* a second, unrequested answer follows */
         wire_print (wire,
                     "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                    "X-Engine-Signature: s.%s\r\nContent-Length: %zu\r\n\r\n%s"
-                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+                    "X-Engine-Signature: s.%s\r\n%sContent-Length: %zu\r\n\r\n"
+                    "%sHTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
                     "X-Engine-Signature: s.%s\r\nContent-Length: 5\r\n\r\n"
                     "extra",
-                    id, id, strlen (body), body, id, id);
+                    id, id, server_rate_field (server), strlen (body), body,
+                    id, id);
         return;
       }
   wire_print (wire,
               "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-              "X-Engine-Signature: s.%s\r\n%sKeep-Alive: timeout=8\r\n"
+              "X-Engine-Signature: s.%s\r\n%s%sKeep-Alive: timeout=8\r\n"
               "Content-Length: %zu\r\n\r\n%s",
-              id, id, server_leaving_field (server), strlen (body), body);
+              id, id, server_leaving_field (server),
+              server_rate_field (server), strlen (body), body);
 }
 
 static void
@@ -148,10 +152,11 @@
   if (!run->head_sent)
     wire_print (wire,
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                "X-Engine-Signature: s.%s\r\n%sKeep-Alive: timeout=8\r\n"
+                "X-Engine-Signature: s.%s\r\n%s%sKeep-Alive: timeout=8\r\n"
                 "Content-Type: text/event-stream\r\n"
                 "Transfer-Encoding: chunked\r\n\r\n",
-                run->id, run->id, server_leaving_field (server));
+                run->id, run->id, server_leaving_field (server),
+                server_rate_field (server));
   run->head_sent = true;
   if (run->next_event <= run->length)
     send_event (run);
@@ -293,6 +298,9 @@
   zone_check (server, message);
   poison_check (server, ledger_find (server->soak,
                                      wire_field (message, "X-Attempt-Id")));
+  rate_check (server,
+              ledger_find (server->soak, wire_field (message, "X-Attempt-Id")),
+              wire_field (message, "X-Attempt-Id"));
   if (announce_refuse_request (server, wire, message))
     return;
   if (from != NULL)
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -12,8 +12,9 @@
 #include <unistd.h>
 
 /* soak --program GATEWAY [--seed N] [--seconds S] [--hosts N] [--callers N]
-   [--work DIR] [--zones] [--poison] [--announce]: runs one soak.  Prints its
-   violations and a summary line; exits with 1 if there was a violation.  */
+   [--work DIR] [--zones] [--poison] [--announce] [--rates]: runs one soak.
+   Prints its violations and a summary line; exits with 1 if there was a
+   violation.  */
 
 enum
 {
@@ -172,6 +173,7 @@
   zone_tick (soak);
   poison_tick (soak);
   announce_tick (soak);
+  rate_tick (soak);
   if (soak_now_ms (soak) >= soak->began_ms + soak->length_ms)
     uv_stop (&soak->loop);
 }
@@ -218,6 +220,7 @@
           { "zones", no_argument, NULL, 'z' },
           { "poison", no_argument, NULL, 'x' },
           { "announce", no_argument, NULL, 'd' },
+          { "rates", no_argument, NULL, 'r' },
           { NULL, 0, NULL, 0 } };
   int option;
 
@@ -248,6 +251,9 @@
       case 'd':
         soak->announce_enabled = true;
         break;
+      case 'r':
+        soak->rate_enabled = true;
+        break;
       case 'w':
         snprintf (soak->work, sizeof soak->work, "%s", optarg);
         break;
@@ -290,6 +296,8 @@
     poison_open (&soak);
   if (soak.announce_enabled)
     announce_open (&soak);
+  if (soak.rate_enabled)
+    rate_open (&soak);
   run (&soak, callers);
   poison_close (&soak);
   printf ("seed %llu: %zu requests, %u faults, %u violations\n",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,6 +25,7 @@
      soak-zone      evacuated zones and cold engines
      soak-poison    requests that crash servers
      soak-announce  what servers announce in their answers
+     soak-rate      rate limits that servers state in their answers
      soak-plan      which faults happen when  */
 
 enum
@@ -133,6 +134,8 @@
   bool announce_enabled; /* servers announce in answers that they leave or want
                             a wait */
   csp_random_t announce_random;
+  bool rate_enabled; /* servers state rate limits */
+  csp_random_t rate_random;
   uint64_t evacuated_ms[SOAK_ZONES]; /* when the evacuation was acknowledged;
                                         0: not evacuated */
   uint64_t evacuated_until_ms[SOAK_ZONES];
@@ -280,6 +283,14 @@
 bool announce_refuse_request (server_t *server, wire_t *wire,
                               const wire_message_t *message);
 
+/* Rate limits that servers state: the same; rate_check counts a request that
+   reaches a server.  */
+void rate_open (soak_t *soak);
+void rate_tick (soak_t *soak);
+void rate_head_delivered (soak_t *soak, const request_t *request,
+                          const wire_message_t *head);
+void rate_check (server_t *server, const request_t *request, const char *id);
+
 /* Injects faults until the last seconds of the soak, which are free of them.
  */
 void plan_tick (soak_t *soak);
