A stream is moved once its request is cleared

Callers: a text whose request was quarantined while its engine began to leave was cut off at the engine's end, although the request had been cleared.

Cause: csp_start_due_moves looks at streams by its timer only while one waits, and a quarantined stream doesn't wait. When another host reported that the request was served, nobody looked at the stream again.

Change: lifting a quarantine considers the request's streams at leaving targets. a_stream_is_moved_once_its_request_is_cleared failed in 3 of 3 runs before ("no connection came"), passes in 3 of 3.

--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -168,9 +168,30 @@
     csp_broadcast_suspects (gateway);
 }
 
+/* Move the request's streams from targets that began to leave while it was
+   quarantined.  not_this is the exchange that is being handled.  */
+static void
+move_cleared_streams (csp_gateway_t *gateway, uint64_t fingerprint,
+                      const csp_exchange_t *not_this)
+{
+  csp_exchange_t *exchange = gateway->exchanges;
+
+  while (exchange != NULL)
+    {
+      csp_exchange_t *next = exchange->next;
+
+      if (exchange != not_this && is_request (exchange, fingerprint)
+          && exchange->target != NULL
+          && (exchange->target->state == CSP_FLEET_LEAVING
+              || exchange->target->state == CSP_FLEET_GONE))
+        csp_consider_move (exchange);
+      exchange = next;
+    }
+}
+
 static void
 clear_request (csp_gateway_t *gateway, uint64_t fingerprint,
-               const char *reported_by)
+               const char *reported_by, const csp_exchange_t *not_this)
 {
   int64_t now_ms = csp_gateway_now_ms (gateway);
   bool held
@@ -185,13 +206,14 @@
   csp_print_fingerprint (fingerprint, text);
   CSP_LOG (gateway->log, CSP_EVENT_QUARANTINE_LIFTED, NULL,
            csp_text ("fingerprint", text), csp_text ("told_by", reported_by));
+  move_cleared_streams (gateway, fingerprint, not_this);
 }
 
 void
 csp_note_request_served (csp_exchange_t *exchange)
 {
   clear_request (exchange->gateway, csp_exchange_fingerprint (exchange),
-                 "self");
+                 "self", exchange);
 }
 
 void
@@ -206,7 +228,7 @@
     return;
   csp_format_peer (from, host);
   for (i = 0; i < hello->cleared_count; i++)
-    clear_request (gateway, hello->cleared[i], host);
+    clear_request (gateway, hello->cleared[i], host, NULL);
   for (i = 0; i < hello->suspect_count; i++)
     switch (csp_merge_suspect (gateway->quarantine, &hello->suspects[i],
                                csp_gateway_now_ms (gateway)))
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -1,5 +1,6 @@
 #include "gateway/stream-fixture.h"
 
+#include "cowslipspoke/fingerprint.h"
 #include "cowslipspoke/hash.h"
 #include "cowslipspoke/roster.h"
 #include "support/run-suite.h"
@@ -688,6 +689,53 @@
 }
 END_TEST
 
+static void
+await_metric (const char *line)
+{
+  while (strstr (fixture_get_page (&stream.fixture, "/metrics"), line) == NULL)
+    continue;
+}
+
+/* Guards against a stream that stays at a leaving target because its request
+   was quarantined when the target began to leave, though it isn't any
+   more.  */
+START_TEST (a_stream_is_moved_once_its_request_is_cleared)
+{
+  const csp_request_identity_t identity = { .method = "POST",
+                                            .host = "h",
+                                            .target = "/stream/",
+                                            .organisation = "org-a",
+                                            .body = "hi",
+                                            .body_bytes = 2 };
+  uint64_t request = csp_fingerprint_request (&identity);
+  csp_hello_t suspected = {
+    .boot = 1,
+    .sequence = 1,
+    .suspect_count = 1,
+    .suspects
+    = { { .request = request, .strike_count = 3, .targets = { 1, 2, 3 } } }
+  };
+  csp_hello_t cleared = {
+    .boot = 1, .sequence = 2, .cleared_count = 1, .cleared = { request }
+  };
+  int move_link;
+
+  start_stream (false);
+  add_second_engine ();
+  send_hello (&suspected);
+  await_metric ("cowslipspoke_gateway_quarantined 1\n");
+  fixture_mark_leaving (&stream.fixture, stream.listeners[0],
+                        stream_engine_ids[0], "engines");
+  await_metric ("cowslipspoke_gateway_targets_left_total 1\n");
+  send_hello (&cleared);
+  move_link = accept_target_connection (stream.listeners[0]);
+  ck_assert_ptr_nonnull (
+      strstr (read_target_request (move_link, 0), "last=0"));
+  close (move_link);
+  close (stream.source_link);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -720,6 +768,7 @@
   tcase_add_test (tcase, a_leaving_notice_of_another_host_moves_streams);
   tcase_add_test (tcase, a_refused_move_is_tried_again);
   tcase_add_test (tcase, a_stream_whose_copy_fails_late_is_moved_again);
+  tcase_add_test (tcase, a_stream_is_moved_once_its_request_is_cleared);
   tcase_add_test (tcase, an_unused_target_that_leaves_is_counted);
   tcase_add_test (tcase, many_engines_are_queried_in_batches);
   tcase_add_test (tcase, engines_that_run_streams_are_queried_first);
