--- a/tests/gateway/rate-test.c
+++ b/tests/gateway/rate-test.c
@@ -1,6 +1,5 @@
 #include "gateway/gateway-fixture.h"
 
-#include "cowslipspoke/hash.h"
 #include "cowslipspoke/roster.h"
 #include "support/run-suite.h"
 
@@ -30,7 +29,9 @@
   PLAY_MIN = (PLAY_STEPS * STEP_MS / 1000 - 1) * LIMIT_PER_S * 9 / 10,
   /* Until there is a grant again, at any limit in this file.  */
   GRANT_STEP_MS = 2000,
-  BURST_REQUESTS = 60
+  BURST_REQUESTS = 60,
+  DECIDER_CAPACITY = 5000,
+  DECIDER_UP_MS = 60000
 };
 
 typedef enum
@@ -63,7 +64,7 @@
 }
 
 static void
-open_hosts (void)
+set_addresses (void)
 {
   size_t i;
 
@@ -75,6 +76,14 @@
       addresses[i].sin_addr.s_addr
           = htonl (0x7f400000U | ((uint32_t)getpid () & 0x1fffff));
     }
+}
+
+static void
+open_hosts (void)
+{
+  size_t i;
+
+  set_addresses ();
   for (i = 0; i < HOSTS; i++)
     {
       hosts[i].seed = &addresses[HOSTS - 1 - i];
@@ -133,18 +142,25 @@
   close (link);
 }
 
-/* Send a request through a host.  The limited target adds the given fields to
-   its answer.  */
-static outcome_t
-send_request (size_t host, const char *fields)
+static int
+open_request (size_t host)
 {
   int caller = open_caller (&hosts[host]);
+
+  send_text (caller, REQUEST ("/once/", "r1"));
+  return caller;
+}
+
+/* Wait until a target gets the request, and let it answer; the limited target
+   adds the given fields.  */
+static outcome_t
+await_outcome (int caller, const char *fields)
+{
   struct pollfd ready[] = { { .fd = limited, .events = POLLIN },
                             { .fd = other, .events = POLLIN },
                             { .fd = caller, .events = POLLIN } };
   outcome_t outcome = REFUSED;
 
-  send_text (caller, REQUEST ("/once/", "r1"));
   ck_assert_int_gt (poll (ready, 3, WAIT_MS), 0);
   if (ready[0].revents != 0)
     {
@@ -161,6 +177,12 @@
   return outcome;
 }
 
+static outcome_t
+send_request (size_t host, const char *fields)
+{
+  return await_outcome (open_request (host), fields);
+}
+
 /* Whether a host's metrics show this limit of the limited target.  */
 static bool
 shows_limit (size_t host, const char *value)
@@ -278,12 +300,117 @@
 }
 END_TEST
 
+/* Another host, which decides for the gateway as it is larger.  */
+static int decider;
+static uint64_t decider_sequence;
+
+static void
+send_from_decider (csp_hello_t *hello)
+{
+  csp_buffer_t bytes = { 0 };
+
+  hello->boot = 1;
+  hello->sequence = ++decider_sequence;
+  hello->capacity = DECIDER_CAPACITY;
+  hello->up_ms = DECIDER_UP_MS;
+  ck_assert (csp_encode_hello (hello, &bytes));
+  ck_assert_int_gt (sendto (decider, bytes.data, bytes.size_bytes, 0,
+                            (struct sockaddr *)&addresses[0],
+                            sizeof addresses[0]),
+                    0);
+  csp_clear_buffer (&bytes);
+}
+
+static void
+open_beside_decider (void)
+{
+  struct timeval wait = { .tv_sec = WAIT_MS / 1000 };
+  csp_hello_t hello = { .reply_requested = false };
+
+  set_addresses ();
+  hosts[0].seed = NULL;
+  fixture_open_at (&hosts[0], &addresses[0]);
+  fixture_publish_routes (&hosts[0], true);
+  limited = fixture_add_target (&hosts[0], "t-1", "plain");
+  other = -1;
+  decider_sequence = 0;
+  decider = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  setsockopt (decider, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  ck_assert_int_eq (
+      bind (decider, (struct sockaddr *)&addresses[1], sizeof addresses[1]),
+      0);
+  ck_assert_int_eq (send_request (0, "Rate-Limit: 2\r\n"), AT_LIMITED);
+  while (strstr (fixture_get_page (&hosts[0], "/metrics"),
+                 "cowslipspoke_gateway_decides 0\n")
+         == NULL)
+    send_from_decider (&hello);
+}
+
+static void
+close_beside_decider (void)
+{
+  close_alone ();
+  close (decider);
+}
+
+static csp_hello_grant_t
+await_grant_request (void)
+{
+  char datagram[CSP_HELLO_MAX_BYTES];
+  csp_hello_t hello;
+
+  for (;;)
+    {
+      ssize_t size_bytes = recv (decider, datagram, sizeof datagram, 0);
+
+      ck_assert_int_gt (size_bytes, 0);
+      ck_assert (csp_decode_hello (datagram, (size_t)size_bytes, &hello));
+      if (hello.grant_request_count == 0)
+        continue;
+      ck_assert_uint_eq (hello.rate_count, 1);
+      ck_assert_double_eq (hello.rates[0].report.max_per_s, 2);
+      return hello.grant_requests[0];
+    }
+}
+
+static const struct
+{
+  const char *name;
+  bool answered;
+  bool granted;
+  int64_t after_ms;
+  outcome_t outcome;
+} grants[] = {
+  { "a grant", true, true, 10, AT_LIMITED },
+  { "a refusal", true, false, 10, REFUSED },
+  { "a grant that comes late", true, true, CSP_RATE_GRANT_MS + 1, REFUSED },
+  { "no answer", false, false, 100, REFUSED },
+};
+
+/* Guards against a request that is sent without a grant, or with one that is
+   too old, as after a pause of the host.  */
+START_TEST (a_request_is_sent_only_with_a_fresh_grant)
+{
+  int caller = open_request (0);
+  csp_hello_t hello = { .grant_count = grants[_i].answered };
+
+  hello.grants[0] = await_grant_request ();
+  hello.grants[0].granted = grants[_i].granted;
+  hello.grants[0].wait_ms = 100;
+  csp_advance_fake_clock (&hosts[0].fake_clock, grants[_i].after_ms);
+  send_from_decider (&hello);
+  ck_assert_msg (await_outcome (caller, "") == grants[_i].outcome, "%s",
+                 grants[_i].name);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("rate");
   TCase *alone = tcase_create ("one host");
   TCase *together = tcase_create ("two hosts");
+  TCase *asking = tcase_create ("asking");
 
   tcase_set_timeout (alone, 60);
   tcase_add_checked_fixture (alone, open_alone, close_alone);
@@ -296,5 +423,11 @@
   tcase_add_checked_fixture (together, open_hosts, close_hosts);
   tcase_add_test (together, hosts_share_the_rate_that_a_target_states);
   suite_add_tcase (suite, together);
+  tcase_set_timeout (asking, 60);
+  tcase_add_checked_fixture (asking, open_beside_decider,
+                             close_beside_decider);
+  tcase_add_loop_test (asking, a_request_is_sent_only_with_a_fresh_grant, 0,
+                       sizeof grants / sizeof grants[0]);
+  suite_add_tcase (suite, asking);
   return run_suite (suite);
 }
