Callers refused at a rate limit come back spread

A host that waits for its next grant told all callers of that time the same moment, at which it has one grant. They get up to a quarter more by lot, as callers of targets that want a wait do; both use csp_spread_wait_ms.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -254,7 +254,7 @@
     }
   gateway->counts.rate_refused++;
   if (exchange->retry_after_ms < wait_ms)
-    exchange->retry_after_ms = wait_ms;
+    exchange->retry_after_ms = csp_spread_wait_ms (gateway, wait_ms);
   csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
                      "its targets are at their rate limits");
 }
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -176,6 +176,9 @@
 bool csp_is_service_backed_off (const csp_exchange_t *exchange);
 void csp_refuse_backed_off (csp_exchange_t *exchange);
 
+/* When a caller should come back after a wait that others are given too.  */
+uint32_t csp_spread_wait_ms (csp_gateway_t *gateway, uint32_t wait_ms);
+
 /* Dispatch: see gateway-dispatch.c.  Ask the decider for a placement; the
    request
    is sent, refused or placed locally later.  */
--- a/source/gateway/gateway-target-state.c
+++ b/source/gateway/gateway-target-state.c
@@ -89,16 +89,22 @@
          > 0;
 }
 
+uint32_t
+csp_spread_wait_ms (csp_gateway_t *gateway, uint32_t wait_ms)
+{
+  uint32_t spread_ms = wait_ms / SPREAD_DIVISOR + SPREAD_MIN_MS;
+
+  return wait_ms + csp_random_below (&gateway->random, spread_ms);
+}
+
 void
 csp_refuse_backed_off (csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
   uint32_t left_ms = csp_service_backoff_ms (
       gateway->fleet, exchange->service->name, csp_gateway_now_ms (gateway));
-  uint32_t spread_ms = left_ms / SPREAD_DIVISOR + SPREAD_MIN_MS;
 
-  exchange->retry_after_ms
-      = left_ms + csp_random_below (&gateway->random, spread_ms);
+  exchange->retry_after_ms = csp_spread_wait_ms (gateway, left_ms);
   csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
                      "all targets of its service want a wait");
 }
