Notices about targets share one list and one broadcast

Periodic hellos name two limits: 25 bytes each, in the dozens of hellos that a host sends and gets in a second.

--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -43,7 +43,7 @@
   CSP_HELLO_LEAVING_MAX = 8,
   CSP_HELLO_LEASES_MAX = 2,
   CSP_HELLO_SUSPECTS_MAX = 4,
-  CSP_HELLO_RATES_MAX = 4,
+  CSP_HELLO_RATES_MAX = 8,
   CSP_HELLO_GRANTS_MAX = 2,
   /* Backed-off targets that an ask can exclude.  */
   CSP_ASK_BACKOFFS_MAX = 8,
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -24,6 +24,7 @@
      attempt       one attempt to send the request to a target
      stream        splits an answer into whole events, tracks the last id sent
      move          moves a running stream to another target
+     notice        notices about targets, sent to all hosts
      report        queries targets while the platform can't be read
      cordon        applies the operators' cordons
      quarantine    refuses requests that make targets end
@@ -55,6 +56,8 @@
   /* Services with a retry budget of their own; any further ones share the last
      budget.  */
   CSP_BUDGETS_MAX = 16,
+  /* Notices of one kind that wait to be repeated; fit into a hello.  */
+  CSP_NOTICES_MAX = 8,
   /* Live hosts offered to the control thread.  */
   CSP_LIVE_PEERS_MAX = 64,
   /* Data centres are one or two milliseconds apart; a target that accepts no
@@ -84,20 +87,17 @@
   int64_t pool_reported_ms; /* 0: never */
 } csp_service_budget_t;
 
-/* A notice to the other hosts that a target leaves.  */
+/* Targets of which the other hosts are notified, several times each since
+   datagrams may be lost.  */
 typedef struct
 {
-  uint64_t target; /* hash of its id */
-  uint8_t sends_left;
-} csp_leaving_notice_t;
-
-/* A report to the other hosts that a target's rate limit has begun or
-   ended.  */
-typedef struct
-{
-  uint64_t target; /* hash of its id */
-  uint8_t sends_left;
-} csp_rate_notice_t;
+  size_t count;
+  struct
+  {
+    uint64_t target; /* hash of its id */
+    uint8_t sends_left;
+  } rows[CSP_NOTICES_MAX];
+} csp_notices_t;
 
 /* Counters of the forwarder, served as metrics.  */
 typedef struct
@@ -183,12 +183,10 @@
   csp_exchange_t *exchanges;
   csp_status_query_t *status_queries;
   size_t next_query_index[2]; /* in the fleet; of idle and busy targets */
-  size_t leaving_notice_count;
-  csp_leaving_notice_t leaving_notices[CSP_HELLO_LEAVING_MAX];
-  size_t rate_notice_count;
-  csp_rate_notice_t rate_notices[CSP_HELLO_RATES_MAX];
-  int64_t platform_read_ms; /* when the platform was last read; 0: never */
-  int64_t query_until_ms;   /* even if the platform is read again */
+  csp_notices_t leaving_notices;
+  csp_notices_t rate_notices; /* of limits that have begun or ended */
+  int64_t platform_read_ms;   /* when the platform was last read; 0: never */
+  int64_t query_until_ms;     /* even if the platform is read again */
   uint32_t caller_count;
   bool platform_unreachable; /* the platform can't be reached from here */
   bool targets_listed;       /* a complete list of targets has been read */
@@ -391,6 +389,18 @@
 void csp_send_hello (csp_gateway_t *gateway, csp_hello_t *hello,
                      const csp_peer_address_t *peers, size_t peer_count);
 
+/* Send one datagram to each live host.  */
+void csp_broadcast_hello (csp_gateway_t *gateway, csp_hello_t *hello);
+
+/* Notices: see gateway-notice.c.  False when there are too many; they have to
+   be taken first.  */
+bool csp_add_notice (csp_notices_t *notices, uint64_t target);
+
+/* Write the targets that are due, in order to send notices of them.  Returns
+   how many.  */
+size_t csp_take_notices (csp_notices_t *notices,
+                         uint64_t targets[CSP_NOTICES_MAX]);
+
 /* Dispatch: see gateway-dispatch.c.  */
 void csp_deliver_ask_answer (void *state, const csp_ask_answer_t *answer);
 void csp_handle_dispatch_hello (csp_gateway_t *gateway,
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -108,6 +108,14 @@
   csp_clear_buffer (&bytes);
 }
 
+void
+csp_broadcast_hello (csp_gateway_t *gateway, csp_hello_t *hello)
+{
+  csp_send_hello (gateway, hello, gateway->peer_scratch,
+                  csp_list_live_peers (gateway->roster, gateway->peer_scratch,
+                                       CSP_ROSTER_MAX));
+}
+
 static void
 send_periodic_hello (csp_gateway_t *gateway, csp_peer_address_t peer)
 {
--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -115,14 +115,6 @@
   end_unanswered (gateway, fingerprint, not_this);
 }
 
-static void
-send_to_all (csp_gateway_t *gateway, csp_hello_t *hello)
-{
-  csp_send_hello (gateway, hello, gateway->peer_scratch,
-                  csp_list_live_peers (gateway->roster, gateway->peer_scratch,
-                                       CSP_ROSTER_MAX));
-}
-
 void
 csp_broadcast_suspects (csp_gateway_t *gateway)
 {
@@ -135,7 +127,7 @@
           csp_gateway_now_ms (gateway));
       if (hello.suspect_count == 0)
         return;
-      send_to_all (gateway, &hello);
+      csp_broadcast_hello (gateway, &hello);
       if (hello.suspect_count < CSP_HELLO_SUSPECTS_MAX)
         return;
     }
@@ -200,7 +192,7 @@
   char text[CSP_FINGERPRINT_TEXT_BYTES];
 
   if (csp_clear_request (gateway->quarantine, fingerprint, now_ms))
-    send_to_all (gateway, &hello);
+    csp_broadcast_hello (gateway, &hello);
   if (!held)
     return;
   csp_print_fingerprint (fingerprint, text);
--- a/source/gateway/gateway-rate.c
+++ b/source/gateway/gateway-rate.c
@@ -11,8 +11,9 @@
 enum
 {
   MILLI = 1000,
-  /* A datagram may be lost.  */
-  NOTICE_SENDS = 2
+  /* Each takes 25 bytes, and a host sends and gets dozens of hellos a
+     second.  */
+  PERIODIC_RATES_MAX = 2
 };
 
 /* A limit that differs by less from the last one logged isn't logged.  */
@@ -51,50 +52,33 @@
                                  csp_gateway_now_ms (gateway)) };
 }
 
-/* Send the reports that are due to all hosts.  */
-static void
-send_notices (csp_gateway_t *gateway)
+void
+csp_repeat_rate_notices (csp_gateway_t *gateway)
 {
   csp_hello_t hello = { .rate_count = 0 };
-  size_t remaining = 0;
+  uint64_t targets[CSP_NOTICES_MAX];
+  size_t count = csp_take_notices (&gateway->rate_notices, targets);
   size_t i;
 
-  for (i = 0; i < gateway->rate_notice_count; i++)
+  for (i = 0; i < count; i++)
     {
-      csp_rate_notice_t *notice = &gateway->rate_notices[i];
       const csp_fleet_target_t *target
-          = csp_find_target_by_hash (gateway->fleet, notice->target);
+          = csp_find_target_by_hash (gateway->fleet, targets[i]);
 
       if (target != NULL)
         hello.rates[hello.rate_count++]
             = csp_make_hello_rate (gateway, target);
-      if (--notice->sends_left > 0)
-        gateway->rate_notices[remaining++] = *notice;
     }
-  gateway->rate_notice_count = remaining;
   if (hello.rate_count > 0)
-    csp_send_hello (gateway, &hello, gateway->peer_scratch,
-                    csp_list_live_peers (gateway->roster,
-                                         gateway->peer_scratch,
-                                         CSP_ROSTER_MAX));
-}
-
-void
-csp_repeat_rate_notices (csp_gateway_t *gateway)
-{
-  send_notices (gateway);
+    csp_broadcast_hello (gateway, &hello);
 }
 
 static void
 report_to_all (csp_gateway_t *gateway, const csp_fleet_target_t *target)
 {
-  csp_rate_notice_t notice
-      = { .target = target->hash, .sends_left = NOTICE_SENDS };
-
-  while (gateway->rate_notice_count == CSP_HELLO_RATES_MAX)
-    send_notices (gateway);
-  gateway->rate_notices[gateway->rate_notice_count++] = notice;
-  send_notices (gateway);
+  while (!csp_add_notice (&gateway->rate_notices, target->hash))
+    csp_repeat_rate_notices (gateway);
+  csp_repeat_rate_notices (gateway);
 }
 
 static void
@@ -143,7 +127,7 @@
 csp_add_rates_to_hello (csp_gateway_t *gateway, csp_hello_t *hello)
 {
   hello->rate_count = csp_list_target_rates (gateway->fleet, hello->rates,
-                                             CSP_HELLO_RATES_MAX,
+                                             PERIODIC_RATES_MAX,
                                              csp_gateway_now_ms (gateway));
 }
 
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -41,9 +41,6 @@
      moves.  */
   IDLE_QUERIES_PER_TICK = 10,
   QUERY_TIMEOUT_MS = 400,
-  /* A link that loses three datagrams in a hundred loses three in a row once
-     in 37,000 times.  */
-  NOTICE_SENDS = 3,
   REPORT_MAX_BYTES = 65536,
   STATUS_OK = 200
 };
@@ -92,42 +89,25 @@
   return service != NULL && service->is_engine;
 }
 
-/* Send notices of leaving targets to the other hosts, several times since
-   datagrams may be lost.  */
+/* Send the notices of leaving targets that are due.  */
 static void
 send_leaving_notices (csp_gateway_t *gateway)
 {
   csp_hello_t hello = { .leaving_target_count = 0 };
-  size_t remaining = 0;
-  size_t i;
-
-  for (i = 0; i < gateway->leaving_notice_count; i++)
-    {
-      csp_leaving_notice_t *notice = &gateway->leaving_notices[i];
 
-      hello.leaving_targets[hello.leaving_target_count++] = notice->target;
-      if (--notice->sends_left > 0)
-        gateway->leaving_notices[remaining++] = *notice;
-    }
-  gateway->leaving_notice_count = remaining;
+  hello.leaving_target_count
+      = csp_take_notices (&gateway->leaving_notices, hello.leaving_targets);
   if (hello.leaving_target_count > 0)
-    csp_send_hello (gateway, &hello, gateway->peer_scratch,
-                    csp_list_live_peers (gateway->roster,
-                                         gateway->peer_scratch,
-                                         CSP_ROSTER_MAX));
+    csp_broadcast_hello (gateway, &hello);
 }
 
 void
 csp_announce_leaving (csp_gateway_t *gateway, csp_fleet_target_t *target)
 {
-  csp_leaving_notice_t notice
-      = { .target = target->hash, .sends_left = NOTICE_SENDS };
-
   if (target->leaves)
     return;
-  while (gateway->leaving_notice_count == CSP_HELLO_LEAVING_MAX)
+  while (!csp_add_notice (&gateway->leaving_notices, target->hash))
     send_leaving_notices (gateway);
-  gateway->leaving_notices[gateway->leaving_notice_count++] = notice;
   send_leaving_notices (gateway);
   csp_note_target_leaves (gateway->fleet, target);
 }
