--- a/source/rate/rate-grant.c
+++ b/source/rate/rate-grant.c
@@ -17,8 +17,8 @@
 enum
 {
   MS_PER_S = 1000,
-  /* Also how long it can take until a host hears that a limit has ended, so
-     not longer.  */
+  /* A host that missed the report of a limit's end hears of it when it asks,
+     so it asks at least this often.  */
   ASK_AGAIN_MAX_MS = 5000,
   /* For a host that has asked one that isn't the decider.  */
   ASK_OTHER_MS = 100
--- a/tests/fleet/fleet-backoff-test.c
+++ b/tests/fleet/fleet-backoff-test.c
@@ -138,6 +138,7 @@
   CONDITION_CORDONED,
   CONDITION_COLD,
   CONDITION_CUT_OFF,
+  CONDITION_RATE_LIMITED,
   CONDITION_COUNT
 } condition_t;
 
@@ -145,6 +146,7 @@
 set_condition (condition_t condition)
 {
   csp_fleet_target_t *target = target_of ("t");
+  const csp_rate_report_t stated = { .max_per_s = 1 };
 
   switch (condition)
     {
@@ -164,6 +166,9 @@
     case CONDITION_CUT_OFF:
       target->group->cut_off = true;
       break;
+    case CONDITION_RATE_LIMITED:
+      csp_note_target_rate (fleet, target, &stated, 1);
+      break;
     case CONDITION_COUNT:
       break;
     }
@@ -174,6 +179,7 @@
 clear_condition (condition_t condition)
 {
   csp_fleet_target_t *target = target_of ("t");
+  const csp_rate_report_t ended = { .ended = true };
 
   switch (condition)
     {
@@ -190,6 +196,9 @@
     case CONDITION_CUT_OFF:
       target->group->cut_off = false;
       break;
+    case CONDITION_RATE_LIMITED:
+      csp_note_target_rate (fleet, target, &ended, 2);
+      break;
     case CONDITION_LEAVING:
     case CONDITION_COUNT:
       break;
--- a/tests/losses/losses-test.c
+++ b/tests/losses/losses-test.c
@@ -64,6 +64,8 @@
   { { END ("216", "the data centre is cordoned", "") }, CSP_LOSS_CORDONED },
   { { END ("211", "all targets of its service want a wait", "") },
     CSP_LOSS_BACKED_OFF },
+  { { END ("211", "its targets are at their rate limits", "") },
+    CSP_LOSS_RATE_LIMITED },
   { { END ("211", "targets ended under this request", "") },
     CSP_LOSS_QUARANTINED },
   { { END ("216", "targets ended under this request", "") },
