Only a success without a rate limit ends it

An error or a refusal may be written by another part of a target than the one that states its limit. Until now a 500 without the field ended the limit for all hosts, and the next success began it again. rate-test: an_error_without_a_limit_does_not_end_it failed for the 500 before.

--- a/include/cowslipspoke/rate-limit.h
+++ b/include/cowslipspoke/rate-limit.h
@@ -24,9 +24,9 @@
 
    Only the host that got an answer reads it, so hosts report limits to each
    other.  Reports may be lost, and an old one may arrive after a newer one.
-   An answer that states no limit ends it only if its request was sent after
-   the newest answer with a limit had arrived; otherwise the target may have
-   written it first.  */
+   A successful answer that states no limit ends it, but only if its request
+   was sent after the newest answer with a limit had arrived; otherwise the
+   target may have written it first.  */
 
 enum
 {
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -239,11 +239,11 @@
   bool not_run = csp_find_http_field (head, names[CSP_HEADER_NOT_RUN]) != NULL
                  || head->status == STATUS_MISDIRECTED;
   bool answers_this = answers_this_request (exchange, head);
+  bool served = answers_this && !not_run && is_success (head->status);
 
   csp_note_target_answered (exchange->gateway, exchange->target);
   csp_handle_target_state (exchange->gateway, exchange->target, head,
-                           answers_this && !not_run ? exchange->sent_at_ms
-                                                    : 0);
+                           served ? exchange->sent_at_ms : 0);
   if (!answers_this)
     {
       handle_failure (exchange, "the answer is to another request");
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -318,7 +318,7 @@
 
 /* Target state: see gateway-target-state.c.  Apply what the head of a target's
    answer says about the target itself.  sent_ms: when the request was sent
-   that the target ran and answers; 0: another answer.  */
+   that it answers with success; 0: another answer.  */
 void csp_handle_target_state (csp_gateway_t *gateway,
                               csp_fleet_target_t *target,
                               const csp_http_head_t *head, int64_t sent_ms);
--- a/source/gateway/gateway-rate.c
+++ b/source/gateway/gateway-rate.c
@@ -98,7 +98,6 @@
   csp_rate_limit_t *limit = &target->rate_limit;
   int64_t now_ms = csp_gateway_now_ms (gateway);
   int64_t began_ms = limit->changed_ms;
-
   csp_rate_change_t change
       = csp_note_target_rate (gateway->fleet, target, report, now_ms);
 
--- a/source/rate/rate-report.c
+++ b/source/rate/rate-report.c
@@ -56,8 +56,7 @@
                       int64_t now_ms)
 {
   int64_t at_ms = now_ms - report->age_ms;
-  bool changes = report->max_per_s < limit->max_per_s
-                 || report->max_per_s > limit->max_per_s;
+  bool changes = report->max_per_s != limit->max_per_s;
   bool was_limited = limit->limited;
 
   if (report->ended)
@@ -73,16 +72,20 @@
   return CSP_RATE_BEGAN;
 }
 
+static uint32_t
+clamp_age_ms (int64_t age_ms)
+{
+  if (age_ms < 0)
+    return 0;
+  return age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
+}
+
 csp_rate_report_t
 csp_make_rate_report (const csp_rate_limit_t *limit, int64_t now_ms)
 {
   int64_t at_ms = limit->limited ? limit->stated_ms : limit->ended_ms;
-  int64_t age_ms = now_ms - at_ms;
 
   return (csp_rate_report_t){ .ended = !limit->limited,
                               .max_per_s = limit->max_per_s,
-                              .age_ms = age_ms < 0 ? 0
-                                        : age_ms < UINT32_MAX
-                                            ? (uint32_t)age_ms
-                                            : UINT32_MAX };
+                              .age_ms = clamp_age_ms (now_ms - at_ms) };
 }
--- a/source/retry/retry-lease.c
+++ b/source/retry/retry-lease.c
@@ -10,8 +10,8 @@
   LEASED_DIVISOR = 2
 };
 
-/* Makes up for the rounding of a share, as 3 hosts of 9 are a whole number of
-   leases.  */
+/* A third of 6 leases is 2, though the product may come out slightly
+   lower.  */
 static const double rounding_error = 1e-6;
 
 /* Returns for how long a grant counts: it may be used just before it expires,
--- a/tests/gateway/rate-test.c
+++ b/tests/gateway/rate-test.c
@@ -128,15 +128,15 @@
 }
 
 static void
-answer (int listener, const char *fields)
+answer (int listener, const char *status, const char *fields)
 {
   char text[200];
   int link = accept_target_connection (listener);
 
   snprintf (text, sizeof text,
-            "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n"
+            "HTTP/1.1 %s\r\nRequest-Id: r1\r\nSignature: s\r\n"
             "Content-Length: 2\r\nConnection: close\r\n%s\r\nok",
-            fields);
+            status, fields);
   read_target_request (link, 0);
   send_text (link, text);
   close (link);
@@ -152,9 +152,9 @@
 }
 
 /* Wait until a target gets the request, and let it answer; the limited target
-   adds the given fields.  */
+   with the given status and fields.  */
 static outcome_t
-await_outcome (int caller, const char *fields)
+await_outcome (int caller, const char *status, const char *fields)
 {
   struct pollfd ready[] = { { .fd = limited, .events = POLLIN },
                             { .fd = other, .events = POLLIN },
@@ -164,12 +164,12 @@
   ck_assert_int_gt (poll (ready, 3, WAIT_MS), 0);
   if (ready[0].revents != 0)
     {
-      answer (limited, fields);
+      answer (limited, status, fields);
       outcome = AT_LIMITED;
     }
   else if (ready[1].revents != 0)
     {
-      answer (other, "");
+      answer (other, "200 OK", "");
       outcome = AT_OTHER;
     }
   snprintf (refusal, sizeof refusal, "%s", read_until (caller, "\r\n\r\n"));
@@ -180,7 +180,7 @@
 static outcome_t
 send_request (size_t host, const char *fields)
 {
-  return await_outcome (open_request (host), fields);
+  return await_outcome (open_request (host), "200 OK", fields);
 }
 
 /* Whether a host's metrics show this limit of the limited target.  */
@@ -282,6 +282,26 @@
 }
 END_TEST
 
+/* Guards against a limit that ends with an answer that says nothing of it, as
+   another part of the target may write errors and refusals.  */
+START_TEST (an_error_without_a_limit_does_not_end_it)
+{
+  static const struct
+  {
+    const char *status;
+    const char *fields;
+  } answers[] = { { "500 Error", "" }, { "503 Full", "Not-Run: 1\r\n" } };
+
+  limited = fixture_add_target (&hosts[0], "t-1", "plain");
+  send_request (0, "Rate-Limit: 3.5\r\n");
+  advance_clocks (GRANT_STEP_MS);
+  ck_assert_int_eq (
+      await_outcome (open_request (0), answers[_i].status, answers[_i].fields),
+      AT_LIMITED);
+  ck_assert (shows_limit (0, "3.5"));
+}
+END_TEST
+
 /* Guards against a fleet that doesn't show which targets state a limit.  */
 START_TEST (a_stated_rate_is_shown_in_the_metrics)
 {
@@ -399,8 +419,8 @@
   hello.grants[0].wait_ms = 100;
   csp_advance_fake_clock (&hosts[0].fake_clock, grants[_i].after_ms);
   send_from_decider (&hello);
-  ck_assert_msg (await_outcome (caller, "") == grants[_i].outcome, "%s",
-                 grants[_i].name);
+  ck_assert_msg (await_outcome (caller, "200 OK", "") == grants[_i].outcome,
+                 "%s", grants[_i].name);
 }
 END_TEST
 
@@ -417,6 +437,7 @@
   tcase_add_test (alone, a_target_gets_no_more_than_its_stated_rate);
   tcase_add_test (alone, a_request_without_a_grant_is_refused_at_once);
   tcase_add_test (alone, a_limit_of_zero_can_end);
+  tcase_add_loop_test (alone, an_error_without_a_limit_does_not_end_it, 0, 2);
   tcase_add_test (alone, a_stated_rate_is_shown_in_the_metrics);
   suite_add_tcase (suite, alone);
   tcase_set_timeout (together, 60);
