A follower hears of items that came and went before its source's list

Cause: the hosts that refused had the cordons at revision 173. The store was silent while they were lifted, and forgot its history. Hosts that started afterwards listed the store: they never knew the cordons, so they had no removal to pass on, and answered followers at 173 with the changes since. The same holds for a host that lists anew behind a gap. Evidence: the hosts that listed by themselves and had known the cordons lifted them (311); those that followed a host that had just started took revision 16 of the configuration, and no 311.

--- a/source/mirror/mirror.c
+++ b/source/mirror/mirror.c
@@ -33,6 +33,10 @@
   int64_t revision;
   /* Removals up to this revision may have been dropped.  */
   int64_t dropped_revision;
+  /* Items may have come and gone unseen between these revisions: what was
+     known before the last listing, and that of the listing.  */
+  int64_t unseen_after;
+  int64_t unseen_before;
 };
 
 csp_mirror_t *
@@ -262,6 +266,19 @@
          && entry->item.revision <= as_of && has_prefix (&entry->item, prefix);
 }
 
+/* A follower that knows items which came and went unseen here can't be told of
+   their removal.  */
+static void
+note_unseen_changes (csp_mirror_t *mirror, int64_t as_of)
+{
+  if (as_of <= mirror->revision)
+    return;
+  if (mirror->unseen_before > mirror->dropped_revision)
+    mirror->dropped_revision = mirror->unseen_before;
+  mirror->unseen_after = mirror->revision;
+  mirror->unseen_before = as_of;
+}
+
 void
 csp_end_mirror_listing (csp_mirror_t *mirror, const char *prefix,
                         int64_t as_of)
@@ -279,6 +296,7 @@
                   item->revision < as_of ? as_of : item->revision + 1);
     }
   drop_old_removals (mirror);
+  note_unseen_changes (mirror, as_of);
   csp_note_mirror_revision (mirror, as_of);
   if (mirror->events->listing_ended != NULL)
     mirror->events->listing_ended (mirror->state, prefix);
@@ -314,7 +332,8 @@
 bool
 csp_needs_whole_mirror (const csp_mirror_t *mirror, int64_t after)
 {
-  return after <= 0 || after < mirror->dropped_revision;
+  return after <= 0 || after < mirror->dropped_revision
+         || (after > mirror->unseen_after && after < mirror->unseen_before);
 }
 
 bool
--- a/tests/mirror/mirror-test.c
+++ b/tests/mirror/mirror-test.c
@@ -100,6 +100,48 @@
 }
 END_TEST
 
+/* Revisions at which a host knew all items before it listed them anew, if it
+   did, and those that a follower has; the list is of revision 20.  */
+static const struct
+{
+  int64_t known;
+  int64_t follower;
+  bool whole;
+} gaps[] = {
+  { 0, 10, true }, /* the host has just started */
+  { 8, 10, true }, /* it missed what came and went behind 8 */
+  { 10, 10, false }, { 12, 10, false }, { 0, 20, false }, { 0, 21, false },
+};
+
+/* Guards against a follower that keeps an item for ever because its new source
+   never knew the item and so has no removal of it, such as a cordon that was
+   lifted before the source started.  */
+START_TEST (a_follower_is_told_of_items_that_its_source_never_knew)
+{
+  csp_mirror_t *follower = csp_create_mirror (&events, NULL);
+  csp_buffer_t text = { 0 };
+  int64_t as_of = 0;
+
+  csp_note_mirror_revision (mirror, gaps[_i].known);
+  csp_begin_mirror_listing (mirror, "");
+  csp_put_mirror_item (mirror, "s/a", "1", 5);
+  csp_end_mirror_listing (mirror, "", 20);
+  csp_put_mirror_item (follower, "s/a", "1", 5);
+  csp_put_mirror_item (follower, "cordon", "1", 9);
+  csp_note_mirror_revision (follower, gaps[_i].follower);
+  ck_assert_int_eq (csp_needs_whole_mirror (mirror, gaps[_i].follower),
+                    gaps[_i].whole);
+  event_log[0] = '\0';
+  csp_encode_mirror (mirror, gaps[_i].follower, &settled_status, &text);
+  csp_append_buffer (&text, "", 1);
+  ck_assert (
+      csp_decode_mirror (follower, text.data, &received_status, &as_of));
+  ck_assert_str_eq (event_log, gaps[_i].whole ? "cordon=- listed:= " : "");
+  csp_clear_buffer (&text);
+  csp_destroy_mirror (follower);
+}
+END_TEST
+
 /* Another host reads the mirror: first all items, then the changes.  */
 START_TEST (a_follower_receives_all_items_then_changes)
 {
@@ -941,6 +983,9 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, the_newest_revision_of_an_item_wins);
   tcase_add_test (tcase, items_missing_from_a_full_listing_are_removed);
+  tcase_add_loop_test (tcase,
+                       a_follower_is_told_of_items_that_its_source_never_knew,
+                       0, sizeof gaps / sizeof gaps[0]);
   tcase_add_test (tcase, a_follower_receives_all_items_then_changes);
   tcase_add_test (tcase, an_unsettled_mirror_is_rejected);
   tcase_add_test (tcase, lapsing_is_reported_before_removals);
