The soak counts texts that still run at its end as served

By the gateways' logs all 115 were answered: the 12 are texts sent 1.5 to 2 s before the soak ended, with 91 to 119 events, the last within the last tenth of a second. The check asked for an ended answer, which long texts can't have.

--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -174,6 +174,7 @@
           return;
         }
       request->events++;
+      request->last_event_ms = soak_now_ms (caller->soak);
       caller->text_bytes -= size_bytes;
       memmove (caller->text, caller->text + size_bytes,
                caller->text_bytes + 1);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -79,6 +79,7 @@
   uint16_t starts;        /* runs from the beginning, without resumes */
   uint16_t active_runs;   /* runs in progress */
   uint32_t events;        /* events received by the caller */
+  uint64_t last_event_ms; /* when the last of them came */
   uint32_t poison_series; /* poison series, see soak-poison; 0: not poison */
   bool complete;
 } request_t;
