--- a/source/rate/rate-grant.c
+++ b/source/rate/rate-grant.c
@@ -7,10 +7,7 @@
 static const double min_rate_per_s = 0.2;
 
 /* Unused tokens are kept for this long, and two in any case, as a host that
-   may ask again does so only with its next request.  In any four seconds a
-   target can get the grants of four and a half, these, and what two deciders
-   grant while one takes over from the other; one and a half times the limit
-   and five requests are more than that.  */
+   may ask again does so only with its next request.  */
 static const double bucket_s = 0.25;
 static const double bucket_min = 2;
 
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -455,6 +455,13 @@
   close (sender);
 }
 
+static void
+await_metric (const char *line)
+{
+  while (strstr (fixture_get_page (&stream.fixture, "/metrics"), line) == NULL)
+    continue;
+}
+
 /* Another host fills a new engine and reports the load before this host has
    read the engine from the list.  If the report were lost, this host would
    take the full engine for an idle one.  */
@@ -472,10 +479,7 @@
   size_t i;
 
   send_hello (&hello);
-  while (strstr (fixture_get_page (&stream.fixture, "/metrics"),
-                 "cowslipspoke_gateway_peers 1\n")
-         == NULL)
-    continue;
+  await_metric ("cowslipspoke_gateway_peers 1\n");
   add_second_engine ();
   for (i = 0; i < 2; i++)
     {
@@ -549,10 +553,7 @@
                             sizeof stream.datagram_address),
                     (int)bytes.size_bytes);
   csp_clear_buffer (&bytes);
-  while (strstr (fixture_get_page (&stream.fixture, "/metrics"),
-                 "cowslipspoke_gateway_peers 1\n")
-         == NULL)
-    continue;
+  await_metric ("cowslipspoke_gateway_peers 1\n");
   return peer_socket;
 }
 
@@ -612,9 +613,7 @@
 
   snprintf (expected, sizeof expected,
             "cowslipspoke_gateway_stream_moves_failed_total %d\n", count);
-  while (strstr (fixture_get_page (&stream.fixture, "/metrics"), expected)
-         == NULL)
-    usleep (1000);
+  await_metric (expected);
 }
 
 /* The engine chosen for a stream has no free memory.  Memory becomes free
@@ -689,13 +688,6 @@
 }
 END_TEST
 
-static void
-await_metric (const char *line)
-{
-  while (strstr (fixture_get_page (&stream.fixture, "/metrics"), line) == NULL)
-    continue;
-}
-
 /* Guards against a stream that stays at a leaving target because its request
    was quarantined when the target began to leave, though it isn't any
    more.  */
