Interfaces of traffic classes, engine speeds and damping

Two deployments compete for engine memory and have engines of uneven speed (docs/design/competing-load.md has what was measured and what is built). This commit only adds what the parts share, so that they can be built side by side: the fields of loads and asks between hosts, the headers of the three parts, and what routes declare about event streams, summed up by service. No decision changes.

A hello holds 13 loads in place of 20, as each has four more fields and must fit into one frame: the codec's test has the largest hello, which had 1,672 bytes with 20 and fits into 1,400 with 13.

--- a/include/cowslipspoke/dispatch.h
+++ b/include/cowslipspoke/dispatch.h
@@ -35,6 +35,7 @@
   uint32_t tokens; /* expected memory of the run */
   uint32_t start_within_ms;
   uint8_t urgency; /* 0 is the most urgent */
+  csp_traffic_class_t traffic_class;
   /* Set for a stream that leaves a target and asks where to move.  It doesn't
      use organisation, data_centre, prompt_tokens, start_within_ms and
      urgency.  */
@@ -49,6 +50,16 @@
 typedef void (*csp_deliver_ask_answer_t) (void *state,
                                           const csp_ask_answer_t *answer);
 
+/* The engines that may run a request.  */
+typedef struct
+{
+  const char *name;
+  uint32_t memory_tokens; /* of one engine */
+  bool has_classes;       /* see traffic-class.h */
+  /* Longest pause between two events that its routes allow; 0: any.  */
+  uint32_t longest_gap_ms;
+} csp_dispatch_service_t;
+
 typedef struct csp_dispatch csp_dispatch_t;
 
 csp_dispatch_t *csp_create_dispatch (csp_fleet_t *fleet,
@@ -63,11 +74,9 @@
                            const csp_decider_role_t *role);
 
 /* Handles a new or repeated ask.  The answer (a placement, a refusal or that
-   the ask waits) is delivered before this returns.  service and memory_tokens
-   describe the engines that may run the request.  */
+   the ask waits) is delivered before this returns.  */
 void csp_push_ask (csp_dispatch_t *dispatch, const csp_ask_t *ask,
-                   const char *service, uint32_t memory_tokens,
-                   int64_t now_ms);
+                   const csp_dispatch_service_t *service, int64_t now_ms);
 
 /* Removes an ask: the request has ended or its host has placed it by itself,
    or the move that was placed is done.  */
--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -2,9 +2,11 @@
 #define COWSLIPSPOKE_FLEET_H
 
 #include "cowslipspoke/cordon.h"
+#include "cowslipspoke/damping.h"
 #include "cowslipspoke/random.h"
 #include "cowslipspoke/rate-limit.h"
 #include "cowslipspoke/roster.h"
+#include "cowslipspoke/speed.h"
 #include "cowslipspoke/warmup.h"
 
 #include <netinet/in.h>
@@ -91,8 +93,13 @@
   double failure_share;
   int64_t failure_share_at_ms;
   csp_fleet_row_t row;
-  csp_warmup_t warmup;         /* limits new requests until it is warm */
-  csp_rate_limit_t rate_limit; /* that it states itself */
+  csp_warmup_t warmup;          /* limits new requests until it is warm */
+  csp_rate_limit_t rate_limit;  /* that it states itself */
+  csp_speed_sample_t own_speed; /* measured by this host */
+  csp_speed_t speed;            /* by all hosts' reports */
+  uint32_t own_failures;        /* attempts that this host has lost there */
+  int64_t own_failed_ms;        /* when it lost the last of them */
+  csp_damping_t damping;
   int64_t lapses_at_ms;
   csp_peer_load_t
       reported_load;        /* what this host last reported of its own load */
@@ -255,11 +262,14 @@
 typedef struct
 {
   const char *service;
-  uint32_t data_centre;    /* hash of the sending host's */
-  bool by_memory;          /* model engines: load is tokens, not requests */
-  uint32_t memory_tokens;  /* of one engine */
-  uint64_t tokens;         /* memory that the request takes there */
-  bool within_slots;       /* exclude targets without a free slot */
+  uint32_t data_centre;   /* hash of the sending host's */
+  bool by_memory;         /* model engines: load is tokens, not requests */
+  uint32_t memory_tokens; /* of one engine */
+  uint64_t tokens;        /* memory that the request takes there */
+  bool within_slots;      /* exclude targets without a free slot */
+  uint32_t left_ms;       /* copies: expected remaining time of the run */
+  /* Longest pause between two events that is allowed; 0: any.  */
+  uint32_t longest_gap_ms;
   bool is_copy;            /* copies a run's memory; no prompt is read */
   double memory_share_max; /* excludes targets beyond it; 0: no limit */
   uint64_t prompt_tokens;  /* that the target has to read */
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -5,6 +5,7 @@
 #include "cowslipspoke/quarantine.h"
 #include "cowslipspoke/random.h"
 #include "cowslipspoke/rate-limit.h"
+#include "cowslipspoke/traffic-class.h"
 
 #include <netinet/in.h>
 #include <stdbool.h>
@@ -37,7 +38,7 @@
   /* Below the payload of an Ethernet frame, so that datagrams aren't
      fragmented.  */
   CSP_HELLO_MAX_BYTES = 1400,
-  CSP_HELLO_LOADS_MAX = 20,
+  CSP_HELLO_LOADS_MAX = 13,
   CSP_HELLO_KNOWN_MAX = 18,
   CSP_HELLO_ASKS_MAX = 4,
   CSP_HELLO_LEAVING_MAX = 8,
@@ -112,6 +113,12 @@
   uint32_t backup_tokens;
   uint32_t prefill_tokens; /* of prompts without a first token yet */
   uint32_t movable_tokens; /* of streams that must move if the target leaves */
+  /* Times between two events of a run there, in us, as this host observes
+     them; 0: unknown.  */
+  uint32_t event_us;         /* the usual one */
+  uint32_t longest_event_us; /* the longest one lately */
+  uint32_t failures;         /* attempts lost there since the target's start */
+  uint32_t failure_age_ms;   /* since the last of them */
 } csp_peer_load_t;
 
 /* A request for a placement, sent to the decider.  */
@@ -124,6 +131,7 @@
   uint32_t tokens;
   uint32_t start_within_ms;
   uint8_t urgency;
+  csp_traffic_class_t traffic_class;
   uint64_t moves_from; /* hash of a moving stream's target; 0: none */
   uint64_t refused_at; /* hash of a target that refused it for lack of
                           capacity; 0: none */
--- a/include/cowslipspoke/route.h
+++ b/include/cowslipspoke/route.h
@@ -67,6 +67,11 @@
      limit.  */
   uint32_t cold_ms;
   double cold_rate_per_s;
+  /* Of the routes with event streams to this service, set by csp_seal_routes;
+     0: none declares one.  */
+  uint32_t shortest_objective_ms;
+  uint32_t longest_objective_ms;
+  uint32_t shortest_gap_limit_ms; /* the shortest longest_gap_ms */
 } csp_route_service_t;
 
 /* What callers may send and how long they may take.  */
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -154,17 +154,16 @@
 /* Returns the pool of a service and creates it if there is none; NULL when the
    table is full or memory is short.  */
 static csp_dispatch_pool_t *
-find_pool (csp_dispatch_t *dispatch, const char *service,
-           uint32_t memory_tokens)
+find_pool (csp_dispatch_t *dispatch, const csp_dispatch_service_t *service)
 {
   csp_queue_policy_t policy = queue_policy ();
   csp_dispatch_pool_t *pool;
   size_t i;
 
   for (i = 0; i < dispatch->pool_count; i++)
-    if (strcmp (dispatch->pools[i].service, service) == 0)
+    if (strcmp (dispatch->pools[i].service, service->name) == 0)
       {
-        dispatch->pools[i].memory_tokens = memory_tokens;
+        dispatch->pools[i].memory_tokens = service->memory_tokens;
         return &dispatch->pools[i];
       }
   if (dispatch->pool_count == CSP_DISPATCH_POOLS_MAX)
@@ -173,8 +172,8 @@
   pool->queue = csp_create_queue (&policy);
   if (pool->queue == NULL)
     return NULL;
-  csp_copy_text (pool->service, sizeof pool->service, service);
-  pool->memory_tokens = memory_tokens;
+  csp_copy_text (pool->service, sizeof pool->service, service->name);
+  pool->memory_tokens = service->memory_tokens;
   dispatch->pool_count++;
   return pool;
 }
@@ -268,9 +267,9 @@
 
 void
 csp_push_ask (csp_dispatch_t *dispatch, const csp_ask_t *ask,
-              const char *service, uint32_t memory_tokens, int64_t now_ms)
+              const csp_dispatch_service_t *service, int64_t now_ms)
 {
-  csp_dispatch_pool_t *pool = find_pool (dispatch, service, memory_tokens);
+  csp_dispatch_pool_t *pool = find_pool (dispatch, service);
   csp_waiting_ask_t *waiting;
 
   if (csp_resend_ask_answer (dispatch, ask))
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -58,7 +58,10 @@
                     .prompt_tokens = (uint32_t)exchange->prompt_tokens,
                     .tokens = (uint32_t)exchange->tokens,
                     .start_within_ms = start_within_ms (exchange),
-                    .urgency = (uint8_t)exchange->urgency };
+                    .urgency = (uint8_t)exchange->urgency,
+                    .traffic_class = csp_classify_request (
+                        exchange->route->objective_ms,
+                        exchange->service->longest_objective_ms) };
 
   if (exchange->organisation != NULL)
     ask.organisation
@@ -81,6 +84,18 @@
   return csp_is_same_peer (host, gateway->self);
 }
 
+static csp_dispatch_service_t
+describe_service (const csp_route_service_t *service)
+{
+  return (csp_dispatch_service_t){
+    .name = service->name,
+    .memory_tokens = service->memory_tokens,
+    .has_classes = csp_has_traffic_classes (service->shortest_objective_ms,
+                                            service->longest_objective_ms),
+    .longest_gap_ms = service->shortest_gap_limit_ms
+  };
+}
+
 static void
 send_ask (csp_exchange_t *exchange)
 {
@@ -90,8 +105,9 @@
 
   if (is_self (gateway, exchange->asked_host))
     {
-      csp_push_ask (gateway->dispatch, &ask, exchange->service->name,
-                    exchange->service->memory_tokens,
+      csp_dispatch_service_t service = describe_service (exchange->service);
+
+      csp_push_ask (gateway->dispatch, &ask, &service,
                     csp_gateway_now_ms (gateway));
       csp_handle_local_answers (gateway);
       return;
@@ -104,6 +120,7 @@
   hello.asks[0].tokens = ask.tokens;
   hello.asks[0].start_within_ms = ask.start_within_ms;
   hello.asks[0].urgency = ask.urgency;
+  hello.asks[0].traffic_class = ask.traffic_class;
   hello.asks[0].moves_from = ask.moves_from;
   hello.asks[0].refused_at = ask.refused_at;
   hello.asks[0].expected_remaining_ms = ask.left_ms;
@@ -409,6 +426,7 @@
                         .tokens = row->tokens,
                         .start_within_ms = row->start_within_ms,
                         .urgency = row->urgency,
+                        .traffic_class = row->traffic_class,
                         .moves_from = row->moves_from,
                         .refused_at = row->refused_at,
                         .left_ms = row->expected_remaining_ms,
@@ -419,8 +437,11 @@
       /* An unknown service belongs to routes that this host doesn't have yet;
          the asking host will place the request locally.  */
       if (service != NULL)
-        csp_push_ask (gateway->dispatch, &ask, service->name,
-                      service->memory_tokens, now_ms);
+        {
+          csp_dispatch_service_t described = describe_service (service);
+
+          csp_push_ask (gateway->dispatch, &ask, &described, now_ms);
+        }
     }
   csp_handle_local_answers (gateway);
 }
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -55,6 +55,10 @@
       row->backup_tokens = hello->loads[i].backup_tokens;
       row->reading_tokens = hello->loads[i].prefill_tokens;
       row->movable_tokens = hello->loads[i].movable_tokens;
+      row->event_us = hello->loads[i].event_us;
+      row->longest_event_us = hello->loads[i].longest_event_us;
+      row->failures = hello->loads[i].failures;
+      row->failure_age_ms = hello->loads[i].failure_age_ms;
       rows->load_rows[i] = row;
     }
 }
@@ -100,6 +104,7 @@
       row->tokens = hello->asks[i].tokens;
       row->start_within_ms = hello->asks[i].start_within_ms;
       row->urgency = hello->asks[i].urgency;
+      row->traffic_class = hello->asks[i].traffic_class;
       row->moves_from = hello->asks[i].moves_from;
       row->refused_at = hello->asks[i].refused_at;
       row->left_ms = hello->asks[i].expected_remaining_ms;
@@ -303,6 +308,10 @@
       hello->asks[i].tokens = message->asks[i]->tokens;
       hello->asks[i].start_within_ms = message->asks[i]->start_within_ms;
       hello->asks[i].urgency = (uint8_t)message->asks[i]->urgency;
+      if (message->asks[i]->traffic_class >= CSP_CLASS_COUNT)
+        return false;
+      hello->asks[i].traffic_class
+          = (csp_traffic_class_t)message->asks[i]->traffic_class;
       hello->asks[i].moves_from = message->asks[i]->moves_from;
       hello->asks[i].refused_at = message->asks[i]->refused_at;
       hello->asks[i].expected_remaining_ms = message->asks[i]->left_ms;
@@ -434,6 +443,10 @@
       hello->loads[i].backup_tokens = message->loads[i]->backup_tokens;
       hello->loads[i].prefill_tokens = message->loads[i]->reading_tokens;
       hello->loads[i].movable_tokens = message->loads[i]->movable_tokens;
+      hello->loads[i].event_us = message->loads[i]->event_us;
+      hello->loads[i].longest_event_us = message->loads[i]->longest_event_us;
+      hello->loads[i].failures = message->loads[i]->failures;
+      hello->loads[i].failure_age_ms = message->loads[i]->failure_age_ms;
     }
   for (i = 0; valid && i < message->n_known; i++)
     {
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -412,7 +412,7 @@
   assert(message->base.descriptor == &csp_hello__hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor csp_hello__load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor csp_hello__load__field_descriptors[10] =
 {
   {
     "target",
@@ -486,9 +486,61 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "event_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Load, event_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "longest_event_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Load, longest_event_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Load, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_age_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Load, failure_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__load__field_indices_by_name[] = {
   3,   /* field[3] = backup_tokens */
+  6,   /* field[6] = event_us */
+  9,   /* field[9] = failure_age_ms */
+  8,   /* field[8] = failures */
+  7,   /* field[7] = longest_event_us */
   5,   /* field[5] = movable_tokens */
   4,   /* field[4] = reading_tokens */
   1,   /* field[1] = requests */
@@ -498,7 +550,7 @@
 static const ProtobufCIntRange csp_hello__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor csp_hello__load__descriptor =
 {
@@ -508,7 +560,7 @@
   "CspHello__Load",
   "csp_hello",
   sizeof(CspHello__Load),
-  6,
+  10,
   csp_hello__load__field_descriptors,
   csp_hello__load__field_indices_by_name,
   1,  csp_hello__load__number_ranges,
@@ -657,7 +709,7 @@
   (ProtobufCMessageInit) csp_hello__address__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__ask__field_descriptors[11] =
+static const ProtobufCFieldDescriptor csp_hello__ask__field_descriptors[12] =
 {
   {
     "id",
@@ -791,6 +843,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "traffic_class",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Ask, traffic_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__ask__field_indices_by_name[] = {
   10,   /* field[10] = backoffs */
@@ -803,12 +867,13 @@
   1,   /* field[1] = service */
   5,   /* field[5] = start_within_ms */
   4,   /* field[4] = tokens */
+  11,   /* field[11] = traffic_class */
   6,   /* field[6] = urgency */
 };
 static const ProtobufCIntRange csp_hello__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor csp_hello__ask__descriptor =
 {
@@ -818,7 +883,7 @@
   "CspHello__Ask",
   "csp_hello",
   sizeof(CspHello__Ask),
-  11,
+  12,
   csp_hello__ask__field_descriptors,
   csp_hello__ask__field_indices_by_name,
   1,  csp_hello__ask__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -40,10 +40,14 @@
   uint32_t backup_tokens;
   uint32_t reading_tokens;
   uint32_t movable_tokens;
+  uint32_t event_us;
+  uint32_t longest_event_us;
+  uint32_t failures;
+  uint32_t failure_age_ms;
 };
 #define CSP_HELLO__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  CspHello__Address
@@ -79,10 +83,11 @@
   uint32_t left_ms;
   size_t n_backoffs;
   uint64_t *backoffs;
+  uint32_t traffic_class;
 };
 #define CSP_HELLO__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  CspHello__Answer
--- a/source/route/route.c
+++ b/source/route/route.c
@@ -194,9 +194,46 @@
                           - (a->organisation > b->organisation);
 }
 
+static uint32_t
+min_if_set (uint32_t current, uint32_t value)
+{
+  return current == 0 || (value != 0 && value < current) ? value : current;
+}
+
+/* Applies what a route requires of event streams to its services.  */
+static void
+apply_stream_limits (csp_routes_t *routes, const csp_gateway_route_t *route)
+{
+  csp_route_service_t *services = routes->services.items;
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < route->share_count; i++)
+    for (j = 0; j < routes->services.count; j++)
+      {
+        csp_route_service_t *service = &services[j];
+
+        if (strcmp (service->name, route->shares[i].service) != 0)
+          continue;
+        service->shortest_objective_ms
+            = min_if_set (service->shortest_objective_ms, route->objective_ms);
+        service->shortest_gap_limit_ms = min_if_set (
+            service->shortest_gap_limit_ms, route->longest_gap_ms);
+        if (route->objective_ms > service->longest_objective_ms)
+          service->longest_objective_ms = route->objective_ms;
+      }
+}
+
 void
 csp_seal_routes (csp_routes_t *routes)
 {
+  const csp_gateway_route_t *route = routes->routes.items;
+  const csp_gateway_route_t *end = route + routes->routes.count;
+
+  for (; route < end; route++)
+    if (route->kind == CSP_ROUTE_STREAM)
+      apply_stream_limits (routes, route);
+
   if (routes->routes.count > 0)
     qsort (routes->routes.items, routes->routes.count,
            sizeof (csp_gateway_route_t), compare_routes);
--- a/tests/dispatch/dispatch-move-test.c
+++ b/tests/dispatch/dispatch-move-test.c
@@ -17,6 +17,9 @@
   ENGINES = 4
 };
 
+static const csp_dispatch_service_t service
+    = { .name = "s", .memory_tokens = MEMORY };
+
 static csp_fleet_t *fleet;
 static csp_dispatch_t *dispatch;
 static csp_ask_answer_t answers[ANSWERS_MAX];
@@ -101,7 +104,7 @@
                     .moves_from = hash_target (from),
                     .left_ms = left_ms };
 
-  csp_push_ask (dispatch, &row, "s", MEMORY, now_ms);
+  csp_push_ask (dispatch, &row, &service, now_ms);
 }
 
 static void
@@ -114,7 +117,7 @@
                     .tokens = RUN,
                     .start_within_ms = 2000 };
 
-  csp_push_ask (dispatch, &row, "s", MEMORY, now_ms);
+  csp_push_ask (dispatch, &row, &service, now_ms);
 }
 
 /* The last answer to an ask; CSP_ASK_OUTCOME_COUNT: none.  */
@@ -152,10 +155,10 @@
   csp_expire_targets (fleet, 2);
   csp_expire_targets (fleet, 1500);
   row.id = 1;
-  csp_push_ask (dispatch, &row, "s", MEMORY, 1500);
+  csp_push_ask (dispatch, &row, &service, 1500);
   expect_outcome (1, CSP_ASK_PLACED);
   row.id = 2;
-  csp_push_ask (dispatch, &row, "s", MEMORY, 1500);
+  csp_push_ask (dispatch, &row, &service, 1500);
   expect_outcome (2, CSP_ASK_WAITS);
 }
 END_TEST
@@ -257,11 +260,11 @@
   report_runs ("v", 2);
   row.moves_from = hash_target ("t");
   row.refused_at = hash_target ("w");
-  csp_push_ask (dispatch, &row, "s", MEMORY, 0);
+  csp_push_ask (dispatch, &row, &service, 0);
   expect_outcome (1, CSP_ASK_WAITS);
   /* Later its host allows that engine again, as there is no other.  */
   row.refused_at = 0;
-  csp_push_ask (dispatch, &row, "s", MEMORY, 250);
+  csp_push_ask (dispatch, &row, &service, 250);
   expect_outcome (1, CSP_ASK_PLACED);
 }
 END_TEST
@@ -342,7 +345,7 @@
 {
   csp_ask_t row = { .host = host, .id = 1, .tokens = RUN, .moves_from = 77 };
 
-  csp_push_ask (dispatch, &row, "s", MEMORY, 0);
+  csp_push_ask (dispatch, &row, &service, 0);
   expect_outcome (1, CSP_ASK_REFUSED);
 }
 END_TEST
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -18,6 +18,9 @@
   ANSWERS_MAX = 512
 };
 
+static const csp_dispatch_service_t service
+    = { .name = "s", .memory_tokens = MEMORY };
+
 static csp_fleet_t *fleet;
 static csp_dispatch_t *dispatch;
 static csp_ask_answer_t answers[ANSWERS_MAX];
@@ -73,7 +76,7 @@
                     .tokens = RUN,
                     .start_within_ms = PATIENCE_MS };
 
-  csp_push_ask (dispatch, &row, "s", MEMORY, now_ms);
+  csp_push_ask (dispatch, &row, &service, now_ms);
   ck_assert_uint_gt (answer_count, 0);
   ck_assert_uint_eq (answers[answer_count - 1].id, id);
   ck_assert_uint_eq (answers[answer_count - 1].host.ip, host.ip);
@@ -126,7 +129,7 @@
   if (excluded != NULL)
     row.backoffs[row.backoff_count++]
         = csp_find_fleet_target (fleet, excluded)->hash;
-  csp_push_ask (dispatch, &row, "s", MEMORY, now_ms);
+  csp_push_ask (dispatch, &row, &service, now_ms);
   return answers[answer_count - 1].outcome;
 }
 
@@ -361,7 +364,7 @@
                             .tokens = RUN,
                             .start_within_ms = ASK_PATIENCE_MS };
 
-          csp_push_ask (dispatch, &row, "s", MEMORY, now_ms);
+          csp_push_ask (dispatch, &row, &service, now_ms);
           refused_at_once
               += answers[answer_count - 1].outcome == CSP_ASK_REFUSED;
         }
@@ -413,7 +416,7 @@
   csp_remove_target (fleet, "u", 0);
   for (row.id = 1; row.id <= 3; row.id++)
     {
-      csp_push_ask (dispatch, &row, "s", MEMORY, 1000);
+      csp_push_ask (dispatch, &row, &service, 1000);
       placed += answers[answer_count - 1].outcome == CSP_ASK_PLACED;
     }
   ck_assert_int_eq (placed, 2);
@@ -459,7 +462,7 @@
   ck_assert (csp_update_target (fleet, &cold, 10000));
   for (row.id = 1; row.id <= ASKS; row.id++)
     {
-      csp_push_ask (dispatch, &row, "s", MEMORY, 10000);
+      csp_push_ask (dispatch, &row, &service, 10000);
       placed += answers[answer_count - 1].outcome == CSP_ASK_PLACED;
     }
   ck_assert_int_eq (placed, BOUND / 2);
@@ -479,7 +482,7 @@
                     .tokens = 9500,
                     .start_within_ms = PATIENCE_MS };
 
-  csp_push_ask (dispatch, &row, "s", MEMORY, 1000);
+  csp_push_ask (dispatch, &row, &service, 1000);
   ck_assert_int_eq (answers[answer_count - 1].outcome, CSP_ASK_PLACED);
 }
 END_TEST
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -681,7 +681,8 @@
   hello.known_count = CSP_HELLO_KNOWN_MAX;
   for (i = 0; i < hello.load_count; i++)
     {
-      csp_peer_load_t load = { UINT64_MAX - i, 24, 34000, 34000, 9000, 34000 };
+      csp_peer_load_t load = { UINT64_MAX - i, 24,     34000,   34000, 9000,
+                               34000,          900000, 9000000, 10000, 60000 };
 
       hello.loads[i] = load;
     }
