--- /dev/null
+++ b/include/cowslipspoke/traffic-cost.h
@@ -0,0 +1,39 @@
+#ifndef COWSLIPSPOKE_TRAFFIC_COST_H
+#define COWSLIPSPOKE_TRAFFIC_COST_H
+
+#include "cowslipspoke/traffic-class.h"
+
+#include <stdint.h>
+
+/* The cost of a request in a service with traffic classes: memory x time.
+
+   Load pattern: short and long requests compete for engine memory.  Charged by
+   its tokens, a short request costs two thirds of a long one but uses a
+   twentieth of its memory x time, so organisations with short requests get
+   less than their share.
+
+   The unit is the time for which the pool's mean request uses its memory, so
+   that the mean request costs its tokens, as in services without classes.  */
+
+/* What is learnt of a pool's requests.  All zero: nothing yet.  */
+typedef struct
+{
+  uint32_t samples; /* up to a maximum */
+  double mean_tokens;
+  double mean_token_ms; /* of all requests */
+  uint32_t class_samples[CSP_CLASS_COUNT];
+  double class_token_ms[CSP_CLASS_COUNT]; /* means of each class */
+} csp_traffic_cost_t;
+
+/* Adds a request to the means and returns its cost.  tokens: its prompt and
+   its expected output.  */
+uint32_t csp_charge_request (csp_traffic_cost_t *cost,
+                             csp_traffic_class_t traffic_class,
+                             uint32_t prompt_tokens, uint32_t tokens);
+
+/* The mean cost of a class's requests, at least 1.  Zero when the class has
+   had none.  */
+uint32_t csp_mean_class_cost (const csp_traffic_cost_t *cost,
+                              csp_traffic_class_t traffic_class);
+
+#endif
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -1,4 +1,5 @@
 #include "fleet/fleet-imp.h"
+#include "fleet/nominal-speed-imp.h"
 
 #include <math.h>
 #include <string.h>
@@ -37,16 +38,6 @@
    avoided is tried again.  */
 static const double failure_half_life_ms = 4000.0;
 
-/* Prompt tokens that a busy engine reads per ms: half of the rate without
-   other runs, as it reads between their steps.  */
-static const double busy_prefill_tokens_per_ms = 7.0;
-
-/* Prompt tokens that an engine without other runs reads per ms.  */
-static const double idle_prefill_tokens_per_ms = 14.0;
-
-/* Time per output token of a run beside some others.  */
-static const double decode_token_ms = 9.0;
-
 /* What one more run costs all others at an engine, over its length, and what a
    request costs the next at a plain service.  */
 static const double run_cost_ms = 40.0;
--- /dev/null
+++ b/source/traffic/traffic-cost.c
@@ -0,0 +1,72 @@
+#include "cowslipspoke/traffic-cost.h"
+
+#include "fleet/nominal-speed-imp.h"
+
+#include <math.h>
+
+enum
+{
+  /* Requests over which the means are taken; later ones replace earlier ones
+     by a moving average.  The planned first deployment has some 60 requests a
+     second, so the means follow the load within a few seconds.  */
+  SAMPLES_MAX = 256
+};
+
+static double
+compute_token_ms (uint32_t prompt_tokens, uint32_t tokens)
+{
+  uint32_t output_tokens = tokens > prompt_tokens ? tokens - prompt_tokens : 0;
+
+  return (double)tokens
+         * ((double)prompt_tokens / idle_prefill_tokens_per_ms
+            + (double)output_tokens * decode_token_ms);
+}
+
+static void
+add_sample (double *mean, uint32_t samples, double value)
+{
+  *mean += (value - *mean) / (double)samples;
+}
+
+static void
+count_sample (uint32_t *samples)
+{
+  if (*samples < SAMPLES_MAX)
+    (*samples)++;
+}
+
+static uint32_t
+scale_cost (const csp_traffic_cost_t *cost, double token_ms)
+{
+  double tokens = token_ms * cost->mean_tokens / cost->mean_token_ms;
+
+  return (uint32_t)fmin (fmax (round (tokens), 1), UINT32_MAX);
+}
+
+uint32_t
+csp_charge_request (csp_traffic_cost_t *cost,
+                    csp_traffic_class_t traffic_class, uint32_t prompt_tokens,
+                    uint32_t tokens)
+{
+  double token_ms = compute_token_ms (prompt_tokens, tokens);
+
+  count_sample (&cost->samples);
+  count_sample (&cost->class_samples[traffic_class]);
+  add_sample (&cost->mean_tokens, cost->samples, tokens);
+  add_sample (&cost->mean_token_ms, cost->samples, token_ms);
+  add_sample (&cost->class_token_ms[traffic_class],
+              cost->class_samples[traffic_class], token_ms);
+  /* Nothing but empty requests so far.  */
+  if (cost->mean_token_ms <= 0)
+    return tokens;
+  return scale_cost (cost, token_ms);
+}
+
+uint32_t
+csp_mean_class_cost (const csp_traffic_cost_t *cost,
+                     csp_traffic_class_t traffic_class)
+{
+  if (cost->class_samples[traffic_class] == 0 || cost->mean_token_ms <= 0)
+    return 0;
+  return scale_cost (cost, cost->class_token_ms[traffic_class]);
+}
