One fixture for the tests of the dispatch

dispatch-test and dispatch-move-test each had a copy of the fleet, the decider and the recorded answers, and the tests of traffic classes need them too. They move to tests/dispatch/dispatch-fixture.c.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 STANDIN_COMMON := $(filter-out $(STANDIN_SRC),$(wildcard tests/standin/*.c))
 SOAK_SRC := $(wildcard tests/soak/*.c)
 SUPPORT_SRC := $(wildcard tests/support/*.c) tests/gateway/gateway-fixture.c \
-  tests/gateway/stream-fixture.c
+  tests/gateway/stream-fixture.c tests/dispatch/dispatch-fixture.c
 TEST_SRC := $(wildcard tests/*/*-test.c)
 SESSIONS := $(patsubst %.golden,./%.sh,$(wildcard tests/session/*.golden)) \
   ./tests/soak/short.sh
--- a/tests/dispatch/dispatch-move-test.c
+++ b/tests/dispatch/dispatch-move-test.c
@@ -1,10 +1,7 @@
-#include "cowslipspoke/dispatch.h"
-
+#include "dispatch/dispatch-fixture.h"
 #include "support/run-suite.h"
 
 #include <check.h>
-#include <stdio.h>
-#include <string.h>
 
 /* Streams that leave engines.  There are four engines with memory for 10,000
    tokens each; a run takes 4,000, so two runs fit on an engine.  */
@@ -13,50 +10,25 @@
 {
   MEMORY = 10000,
   RUN = 4000,
-  ANSWERS_MAX = 64,
   ENGINES = 4
 };
 
 static const csp_dispatch_service_t service
     = { .name = "s", .memory_tokens = MEMORY };
 
-static csp_fleet_t *fleet;
-static csp_dispatch_t *dispatch;
-static csp_ask_answer_t answers[ANSWERS_MAX];
-static size_t answer_count;
-
 static const csp_peer_address_t host = { 9, 10 };
 static const char *const ids[ENGINES] = { "t", "u", "v", "w" };
 
-static void
-record_answer (void *state, const csp_ask_answer_t *answer)
-{
-  (void)state;
-  ck_assert_uint_lt (answer_count, ANSWERS_MAX);
-  answers[answer_count++] = *answer;
-}
-
-static void
-list_row (const char *id, const char *data_centre, bool leaving)
-{
-  csp_fleet_row_t row = { .slots = 24, .leaving = leaving };
-
-  snprintf (row.id, sizeof row.id, "%s", id);
-  snprintf (row.service, sizeof row.service, "s");
-  snprintf (row.data_centre, sizeof row.data_centre, "%s", data_centre);
-  ck_assert (csp_update_target (fleet, &row, 0));
-}
-
 static void
 list_target (const char *id, bool leaving)
 {
-  list_row (id, "near", leaving);
+  list_engine (id, "near", 24, leaving);
 }
 
 static void
 list_target_in (const char *id, const char *data_centre)
 {
-  list_row (id, data_centre, false);
+  list_engine (id, data_centre, 24, false);
 }
 
 static void
@@ -64,21 +36,11 @@
 {
   size_t i;
 
-  answer_count = 0;
-  fleet = csp_create_fleet (NULL, NULL, NULL);
-  dispatch = csp_create_dispatch (fleet, record_answer, NULL, 3);
-  ck_assert_ptr_nonnull (dispatch);
+  open_dispatch ();
   for (i = 0; i < ENGINES; i++)
     list_target (ids[i], false);
 }
 
-static void
-tear_down (void)
-{
-  csp_destroy_dispatch (dispatch);
-  csp_destroy_fleet (fleet);
-}
-
 static uint64_t
 hash_target (const char *id)
 {
@@ -356,7 +318,7 @@
   Suite *suite = suite_create ("dispatch-move");
   TCase *tcase = tcase_create ("dispatch-move");
 
-  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_checked_fixture (tcase, set_up, close_dispatch);
   tcase_add_test (tcase, streams_leave_target_unlisted_without_notice);
   tcase_add_test (tcase, one_copy_at_a_time_from_a_target);
   tcase_add_test (tcase, one_copy_at_a_time_to_a_target);
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -1,11 +1,8 @@
-#include "cowslipspoke/dispatch.h"
-
+#include "dispatch/dispatch-fixture.h"
 #include "support/run-suite.h"
 
 #include <check.h>
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 
 /* Two engines with memory for 10,000 tokens each, and asks of 4,000 tokens:
    four fit, the others wait.  */
@@ -14,57 +11,29 @@
 {
   MEMORY = 10000,
   RUN = 4000,
-  PATIENCE_MS = 2000,
-  ANSWERS_MAX = 512
+  PATIENCE_MS = 2000
 };
 
 static const csp_dispatch_service_t service
     = { .name = "s", .memory_tokens = MEMORY };
 
-static csp_fleet_t *fleet;
-static csp_dispatch_t *dispatch;
-static csp_ask_answer_t answers[ANSWERS_MAX];
-static size_t answer_count;
-
 static const csp_peer_address_t this_host = { 0, 0 };
 static const csp_peer_address_t other_host = { 9, 10 };
 
-static void
-record_answer (void *state, const csp_ask_answer_t *answer)
-{
-  (void)state;
-  ck_assert_uint_lt (answer_count, ANSWERS_MAX);
-  answers[answer_count++] = *answer;
-}
-
 static void
 list_target (const char *id, uint32_t slots)
 {
-  csp_fleet_row_t row = { .slots = slots };
-
-  snprintf (row.id, sizeof row.id, "%s", id);
-  snprintf (row.service, sizeof row.service, "s");
-  ck_assert (csp_update_target (fleet, &row, 0));
+  list_engine (id, "", slots, false);
 }
 
 static void
 set_up (void)
 {
-  answer_count = 0;
-  fleet = csp_create_fleet (NULL, NULL, NULL);
-  dispatch = csp_create_dispatch (fleet, record_answer, NULL, 3);
-  ck_assert_ptr_nonnull (dispatch);
+  open_dispatch ();
   list_target ("t", 24);
   list_target ("u", 24);
 }
 
-static void
-tear_down (void)
-{
-  csp_destroy_dispatch (dispatch);
-  csp_destroy_fleet (fleet);
-}
-
 static csp_ask_outcome_t
 push_ask (csp_peer_address_t host, uint64_t id, uint32_t organisation,
           int64_t now_ms)
@@ -493,7 +462,7 @@
   Suite *suite = suite_create ("dispatch");
   TCase *tcase = tcase_create ("dispatch");
 
-  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_checked_fixture (tcase, set_up, close_dispatch);
   tcase_add_test (tcase, capacity_is_placed_once);
   tcase_add_test (tcase, freed_capacity_goes_to_waiting_ask);
   tcase_add_test (tcase, ask_is_not_placed_on_backed_off_engine);
