Each pool of the dispatch has one queue per traffic class

One queue served short urgent and long regular requests. A long request that doesn't fit blocks the queue after 2 s, and a pump ends once it has skipped 16 organisations, so urgent requests were refused while there was room for them.

In a service with classes each class now has its own queue, cost is memory x time, and the class that is tried next follows the shares. A waiting ask keeps its class and its charged cost, as routes and the unit may change meanwhile. Refusals are judged, and the time to retry computed, by the class's own queue. The credit of a round is the class's mean cost; with the default an organisation would be served some 13 urgent requests in a row. A class uses at most half of the table of waiting asks. The pools move to dispatch-pool.c.

Placed and refused requests (on arrival, after a wait) and waiting ones are counted by class.

Tested: dispatch (14), dispatch-move (11) and dispatch-class (16). Of the 15 before the last case: no hold 1, default quantum 1, cancel in the wrong queue 1, urgent queue never expired 2, cost by time without classes 7.

--- a/include/cowslipspoke/dispatch.h
+++ b/include/cowslipspoke/dispatch.h
@@ -87,6 +87,20 @@
    a second.  */
 void csp_pump_dispatch (csp_dispatch_t *dispatch, int64_t now_ms);
 
+/* What the decider did with requests of a traffic class, over all services.
+   In a service without classes all requests are regular.  */
+typedef struct
+{
+  uint64_t placed;
+  uint64_t refused_on_arrival;
+  uint64_t refused_after_wait;
+  uint32_t waiting; /* now */
+} csp_class_counts_t;
+
+const csp_class_counts_t *
+csp_get_class_counts (const csp_dispatch_t *dispatch,
+                      csp_traffic_class_t traffic_class);
+
 /* Number of waiting requests and of moves; a change of load may help them.  */
 uint32_t csp_count_waiting_asks (const csp_dispatch_t *dispatch);
 
--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -4,10 +4,13 @@
 #include "base/index-imp.h"
 #include "cowslipspoke/dispatch.h"
 #include "cowslipspoke/queue.h"
+#include "cowslipspoke/traffic-cost.h"
+#include "cowslipspoke/traffic-share.h"
 
 /* Files:
 
-   dispatch.c       queues, placement and refusal
+   dispatch.c       placement and refusal
+   dispatch-pool.c  the pools and their queues
    dispatch-move.c  which streams leave a target, where to and when
    dispatch-room.c  reservations until the hosts report the load, and repeated
                     answers  */
@@ -23,12 +26,18 @@
   CSP_DISPATCH_MOVES_MAX = 1024
 };
 
-/* The engines of one service and the queue for them.  */
+/* The engines of one service and the queues for them.  Each traffic class has
+   its own: a long request that doesn't fit blocks the queue it is in, and a
+   pump ends once it has skipped a number of organisations.  */
 typedef struct
 {
   char service[CSP_FLEET_NAME_BYTES];
   uint32_t memory_tokens;
-  csp_queue_t *queue;
+  bool has_classes;
+  csp_queue_t *queues[CSP_CLASS_COUNT]; /* NULL while a class isn't used */
+  csp_traffic_cost_t cost;
+  csp_traffic_share_t share;
+  bool is_pumped[CSP_CLASS_COUNT]; /* the class is done in this pump */
 } csp_dispatch_pool_t;
 
 /* An organisation's number in the queues; 0 is shared by those for which
@@ -44,7 +53,9 @@
   bool used;
   uint64_t queue_id;
   uint8_t pool;
+  csp_traffic_class_t traffic_class; /* whose queue it is in */
   uint32_t organisation;
+  uint32_t cost_tokens; /* charged; the unit may have changed since */
   csp_ask_t ask;
 } csp_waiting_ask_t;
 
@@ -84,6 +95,7 @@
   size_t waiting_end;        /* used entries are below this index */
   uint32_t waiting_count;
   csp_waiting_ask_t waiting[CSP_DISPATCH_WAITING_MAX];
+  csp_class_counts_t class_counts[CSP_CLASS_COUNT];
   size_t reserved_count;
   size_t reserved_capacity;
   csp_reservation_t *reserved;
@@ -100,6 +112,34 @@
    since.  */
 void csp_copy_backoffs (csp_ask_t *ask, const csp_ask_t *again);
 
+/* dispatch-pool.c  */
+
+/* Returns the pool of a service and creates it if there is none; NULL when the
+   table is full or memory allocation fails.  */
+csp_dispatch_pool_t *
+csp_find_dispatch_pool (csp_dispatch_t *dispatch,
+                        const csp_dispatch_service_t *service);
+void csp_close_dispatch_pool (csp_dispatch_pool_t *pool);
+
+/* The class in whose queue an ask waits.  */
+csp_traffic_class_t csp_get_ask_class (const csp_dispatch_pool_t *pool,
+                                       const csp_ask_t *ask);
+
+/* The cost that an ask is charged.  */
+uint32_t csp_charge_ask (csp_dispatch_pool_t *pool, const csp_ask_t *ask);
+
+/* Functions of the loop that serves a pool, see csp_begin_pump.  Returns false
+   when nothing more can be served.  */
+void csp_begin_pool_pump (csp_dispatch_pool_t *pool, int64_t now_ms);
+bool csp_find_next_in_pool (csp_dispatch_pool_t *pool, int64_t now_ms,
+                            csp_waiting_request_t *queued,
+                            csp_traffic_class_t *traffic_class);
+
+/* Takes the request that was found and settles it, as how long it uses the
+   engine is known from the loads that hosts report.  */
+void csp_take_from_pool (csp_dispatch_pool_t *pool,
+                         const csp_waiting_ask_t *waiting, int64_t now_ms);
+
 /* dispatch-room.c  */
 
 /* Counts a placement as load of the target until the asking host's own load
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -72,7 +72,7 @@
   csp_release_all_reservations (dispatch);
   free (dispatch->reserved);
   for (i = 0; i < dispatch->pool_count; i++)
-    csp_destroy_queue (dispatch->pools[i].queue);
+    csp_close_dispatch_pool (&dispatch->pools[i]);
   free_organisations (dispatch);
   free (dispatch);
 }
@@ -106,16 +106,25 @@
   return NULL;
 }
 
+/* Where there are classes, none may fill the table: requests of the other
+   would be refused although their own queue is short.  */
 static csp_waiting_ask_t *
-allocate_waiting (csp_dispatch_t *dispatch)
+allocate_waiting (csp_dispatch_t *dispatch, const csp_dispatch_pool_t *pool,
+                  csp_traffic_class_t traffic_class)
 {
   size_t i;
 
+  if (pool->has_classes
+      && dispatch->class_counts[traffic_class].waiting
+             >= CSP_DISPATCH_WAITING_MAX / CSP_CLASS_COUNT)
+    return NULL;
   for (i = 0; i < CSP_DISPATCH_WAITING_MAX; i++)
     if (!dispatch->waiting[i].used)
       {
         dispatch->waiting[i].used = true;
+        dispatch->waiting[i].traffic_class = traffic_class;
         dispatch->waiting_count++;
+        dispatch->class_counts[traffic_class].waiting++;
         if (i >= dispatch->waiting_end)
           dispatch->waiting_end = i + 1;
         return &dispatch->waiting[i];
@@ -128,56 +137,12 @@
 {
   waiting->used = false;
   dispatch->waiting_count--;
+  dispatch->class_counts[waiting->traffic_class].waiting--;
   while (dispatch->waiting_end > 0
          && !dispatch->waiting[dispatch->waiting_end - 1].used)
     dispatch->waiting_end--;
 }
 
-/* The default policy except for two parameters.  Engines are lost and come
-   back within seconds, so the rate of half a minute ago says little about the
-   free capacity now; the rate is measured over two seconds.  And more requests
-   expire than the rate predicts, as more urgent ones overtake; so a request is
-   refused on arrival when its predicted wait exceeds an eighth of its
-   remaining time.  At 1.2 times the memory of 48 engines, 66 in 100 long
-   answers and 78 in 100 short ones are in time with these parameters, and 59
-   and 71 with the defaults.  */
-static csp_queue_policy_t
-queue_policy (void)
-{
-  csp_queue_policy_t policy = csp_default_queue_policy ();
-
-  policy.wait_margin = 8;
-  policy.rate_half_life_ms = 2000;
-  return policy;
-}
-
-/* Returns the pool of a service and creates it if there is none; NULL when the
-   table is full or memory is short.  */
-static csp_dispatch_pool_t *
-find_pool (csp_dispatch_t *dispatch, const csp_dispatch_service_t *service)
-{
-  csp_queue_policy_t policy = queue_policy ();
-  csp_dispatch_pool_t *pool;
-  size_t i;
-
-  for (i = 0; i < dispatch->pool_count; i++)
-    if (strcmp (dispatch->pools[i].service, service->name) == 0)
-      {
-        dispatch->pools[i].memory_tokens = service->memory_tokens;
-        return &dispatch->pools[i];
-      }
-  if (dispatch->pool_count == CSP_DISPATCH_POOLS_MAX)
-    return NULL;
-  pool = &dispatch->pools[dispatch->pool_count];
-  pool->queue = csp_create_queue (&policy);
-  if (pool->queue == NULL)
-    return NULL;
-  csp_copy_text (pool->service, sizeof pool->service, service->name);
-  pool->memory_tokens = service->memory_tokens;
-  dispatch->pool_count++;
-  return pool;
-}
-
 static uint32_t
 add_organisation (csp_dispatch_t *dispatch, uint32_t hash)
 {
@@ -222,6 +187,16 @@
                                   now_ms);
 }
 
+/* Refuses an ask that doesn't wait.  */
+static void
+refuse_on_arrival (csp_dispatch_t *dispatch, const csp_ask_t *ask,
+                   csp_traffic_class_t traffic_class, uint32_t retry_after_ms)
+{
+  if (ask->moves_from == 0)
+    dispatch->class_counts[traffic_class].refused_on_arrival++;
+  csp_send_ask_answer (dispatch, ask, CSP_ASK_REFUSED, 0, retry_after_ms);
+}
+
 static void
 push_waiting (csp_dispatch_t *dispatch, csp_dispatch_pool_t *pool,
               const csp_ask_t *ask, int64_t now_ms)
@@ -229,32 +204,33 @@
   csp_waiting_request_t queued = {
     .id = dispatch->next_id++,
     .organisation = map_organisation (dispatch, ask->organisation),
-    .cost_tokens = ask->tokens,
+    .cost_tokens = csp_charge_ask (pool, ask),
     .start_by_ms = now_ms + ask->start_within_ms,
     .arrived_ms = now_ms,
     .priority
     = (uint8_t)(URGENCY_MAX
                 - (ask->urgency < URGENCY_MAX ? ask->urgency : URGENCY_MAX))
   };
-  csp_waiting_ask_t *waiting = allocate_waiting (dispatch);
+  csp_traffic_class_t traffic_class = csp_get_ask_class (pool, ask);
+  csp_waiting_ask_t *waiting
+      = allocate_waiting (dispatch, pool, traffic_class);
   csp_error_t error = { .retry_after_ms = 0 };
 
   if (waiting == NULL)
     {
-      csp_send_ask_answer (dispatch, ask, CSP_ASK_REFUSED, 0,
-                           ask->start_within_ms);
+      refuse_on_arrival (dispatch, ask, traffic_class, ask->start_within_ms);
       return;
     }
-  if (!csp_push_waiting (pool->queue, &queued, now_ms, &error))
+  if (!csp_push_waiting (pool->queues[traffic_class], &queued, now_ms, &error))
     {
       free_waiting (dispatch, waiting);
-      csp_send_ask_answer (dispatch, ask, CSP_ASK_REFUSED, 0,
-                           error.retry_after_ms);
+      refuse_on_arrival (dispatch, ask, traffic_class, error.retry_after_ms);
       return;
     }
   waiting->queue_id = queued.id;
   waiting->pool = (uint8_t)(pool - dispatch->pools);
   waiting->organisation = queued.organisation;
+  waiting->cost_tokens = queued.cost_tokens;
   waiting->ask = *ask;
 }
 
@@ -269,15 +245,15 @@
 csp_push_ask (csp_dispatch_t *dispatch, const csp_ask_t *ask,
               const csp_dispatch_service_t *service, int64_t now_ms)
 {
-  csp_dispatch_pool_t *pool = find_pool (dispatch, service);
+  csp_dispatch_pool_t *pool = csp_find_dispatch_pool (dispatch, service);
   csp_waiting_ask_t *waiting;
 
   if (csp_resend_ask_answer (dispatch, ask))
     return;
   if (pool == NULL)
     {
-      csp_send_ask_answer (dispatch, ask, CSP_ASK_REFUSED, 0,
-                           ask->start_within_ms);
+      refuse_on_arrival (dispatch, ask, CSP_CLASS_REGULAR,
+                         ask->start_within_ms);
       return;
     }
   if (ask->moves_from != 0)
@@ -308,13 +284,13 @@
   csp_cancel_move (dispatch, host, id);
   if (waiting == NULL)
     return;
-  csp_drop_waiting (dispatch->pools[waiting->pool].queue,
-                    waiting->organisation, waiting->queue_id);
+  csp_drop_waiting (
+      dispatch->pools[waiting->pool].queues[waiting->traffic_class],
+      waiting->organisation, waiting->queue_id);
   free_waiting (dispatch, waiting);
 }
 
-/* Places a waiting request.  It is settled in the queue at once, as how long
-   it uses the engine is known from the loads that hosts report.  */
+/* Places the waiting request that was found.  */
 static void
 place_waiting (csp_dispatch_t *dispatch, csp_dispatch_pool_t *pool,
                csp_waiting_ask_t *waiting, csp_fleet_target_t *target,
@@ -322,9 +298,8 @@
 {
   csp_ask_t ask = waiting->ask;
 
-  csp_take_waiting (pool->queue, now_ms);
-  csp_settle_waiting (pool->queue, waiting->organisation, ask.tokens,
-                      ask.tokens, now_ms);
+  csp_take_from_pool (pool, waiting, now_ms);
+  dispatch->class_counts[waiting->traffic_class].placed++;
   free_waiting (dispatch, waiting);
   csp_reserve_capacity (dispatch, target, ask.tokens, ask.prompt_tokens,
                         now_ms);
@@ -334,13 +309,12 @@
 }
 
 static void
-expire_waiting (csp_dispatch_t *dispatch, csp_dispatch_pool_t *pool,
-                int64_t now_ms)
+expire_waiting (csp_dispatch_t *dispatch, csp_queue_t *queue, int64_t now_ms)
 {
   csp_error_t error = { .retry_after_ms = 0 };
   csp_waiting_request_t queued;
 
-  while (csp_expire_waiting (pool->queue, now_ms, &queued, &error))
+  while (csp_expire_waiting (queue, now_ms, &queued, &error))
     {
       csp_waiting_ask_t *waiting = find_queued (dispatch, queued.id);
 
@@ -348,6 +322,7 @@
         continue;
       csp_ask_t ask = waiting->ask;
 
+      dispatch->class_counts[waiting->traffic_class].refused_after_wait++;
       free_waiting (dispatch, waiting);
       csp_send_ask_answer (dispatch, &ask, CSP_ASK_REFUSED, 0,
                            error.retry_after_ms);
@@ -358,14 +333,15 @@
 pump_pool (csp_dispatch_t *dispatch, csp_dispatch_pool_t *pool, int64_t now_ms)
 {
   csp_waiting_request_t queued;
-  bool borrowing;
+  csp_traffic_class_t traffic_class;
+  size_t i;
 
   /* A stream that must leave a target and finds no capacity is lost within a
      second, along with the work done for it.  So free capacity goes to moving
      streams first; new requests get what is too small for those.  */
   csp_pump_pool_moves (dispatch, (uint8_t)(pool - dispatch->pools), now_ms);
-  csp_begin_pump (pool->queue, now_ms);
-  while (csp_next_waiting (pool->queue, &queued, &borrowing))
+  csp_begin_pool_pump (pool, now_ms);
+  while (csp_find_next_in_pool (pool, now_ms, &queued, &traffic_class))
     {
       csp_waiting_ask_t *waiting = find_queued (dispatch, queued.id);
       csp_fleet_target_t *target
@@ -374,11 +350,13 @@
                 : choose_ask_target (dispatch, pool, &waiting->ask, now_ms);
 
       if (target == NULL)
-        csp_skip_waiting (pool->queue);
+        csp_skip_waiting (pool->queues[traffic_class]);
       else
         place_waiting (dispatch, pool, waiting, target, now_ms);
     }
-  expire_waiting (dispatch, pool, now_ms);
+  for (i = 0; i < CSP_CLASS_COUNT; i++)
+    if (pool->queues[i] != NULL)
+      expire_waiting (dispatch, pool->queues[i], now_ms);
 }
 
 void
@@ -396,3 +374,10 @@
 {
   return dispatch->waiting_count + dispatch->move_count;
 }
+
+const csp_class_counts_t *
+csp_get_class_counts (const csp_dispatch_t *dispatch,
+                      csp_traffic_class_t traffic_class)
+{
+  return &dispatch->class_counts[traffic_class];
+}
