Targets of the gateway fixture listen at an address of their process

Cause: in runs side by side, leave-test failed with "the request ends at" in tests that accept a connection of their gateway. All test processes bound their listeners to 127.0.0.1 with ports chosen by the kernel. stream_tear_down closes the listeners while the gateway still runs, and fixture_close advances the fake clock by seconds, so that the gateway queries the targets once more. When another process had bound the same port meanwhile, it accepted this connection in place of its own gateway's; the foreign gateway closed it 1 to 2 ms later. The product is not at fault, and no timeout in real time is involved.

Change: fixture_add_target binds to a loopback address made from the process id, as the datagram sockets do. Tests compare the whole address where they compared 127.0.0.1 and the port. No check and no time limit is changed.

--- a/tests/gateway/cordon-test.c
+++ b/tests/gateway/cordon-test.c
@@ -137,8 +137,8 @@
   close (move_link);
   csp_advance_fake_clock (&stream.fixture.fake_clock, 120);
   move_link = accept_target_connection (stream.listeners[0]);
-  snprintf (expected, sizeof expected, "&to=127.0.0.1:%u&last=0",
-            get_port (third));
+  snprintf (expected, sizeof expected, "&to=%s&last=0",
+            format_listener_address (third));
   ck_assert_ptr_nonnull (
       strstr (read_target_request (move_link, 0), expected));
   close (move_link);
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -104,6 +104,20 @@
   return address;
 }
 
+/* A free port at a loopback address that no other test process uses.  With
+   one address for all processes, a gateway whose test has closed a listener
+   could connect to a listener that another process has bound to the same port
+   since, and be taken there for the gateway under test.  */
+static struct sockaddr_in
+choose_target_address (void)
+{
+  struct sockaddr_in address = loopback (0);
+
+  address.sin_addr.s_addr
+      = htonl (0x7f200000U | ((uint32_t)getpid () & 0x1fffff));
+  return address;
+}
+
 void
 fixture_open (fixture_t *fixture)
 {
@@ -262,7 +276,7 @@
 fixture_add_target (fixture_t *fixture, const char *id, const char *service)
 {
   int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  struct sockaddr_in address = loopback (0);
+  struct sockaddr_in address = choose_target_address ();
   struct timeval wait = { .tv_sec = WAIT_S };
 
   ck_assert_int_eq (
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -51,8 +51,8 @@
   start_leaving_stream ();
   move_link = accept_target_connection (stream.listeners[0]);
   text = read_target_request (move_link, 0);
-  snprintf (expected, sizeof expected, "/move?id=r1&to=127.0.0.1:%u&last=0",
-            get_port (stream.listeners[1]));
+  snprintf (expected, sizeof expected, "/move?id=r1&to=%s&last=0",
+            format_listener_address (stream.listeners[1]));
   ck_assert_msg (strstr (text, expected) != NULL, "%s", text);
   send_chunk (stream.source_link, EVENT ("2", "two"));
   read_until (stream.caller, "two\n\n");
@@ -67,8 +67,8 @@
   send_text (move_link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
   link = accept_target_connection (stream.listeners[1]);
   text = read_target_request (link, 2);
-  snprintf (expected, sizeof expected, "Go-On-From: 127.0.0.1:%u/h1\r\n",
-            get_port (stream.listeners[0]));
+  snprintf (expected, sizeof expected, "Go-On-From: %s/h1\r\n",
+            format_listener_address (stream.listeners[0]));
   ck_assert_msg (strstr (text, expected) != NULL, "%s", text);
   ck_assert_ptr_nonnull (strstr (text, "Last-Event-Id: 3\r\n"));
   ck_assert_ptr_nonnull (strstr (text, "Target-Id: t-1\r\n"));
@@ -183,8 +183,8 @@
   close (move_link);
   csp_advance_fake_clock (&stream.fixture.fake_clock, 120);
   move_link = accept_target_connection (stream.listeners[0]);
-  snprintf (expected, sizeof expected, "&to=127.0.0.1:%u&last=0",
-            get_port (third));
+  snprintf (expected, sizeof expected, "&to=%s&last=0",
+            format_listener_address (third));
   ck_assert_ptr_nonnull (
       strstr (read_target_request (move_link, 0), expected));
   close (move_link);
--- a/tests/gateway/stream-fixture.c
+++ b/tests/gateway/stream-fixture.c
@@ -95,14 +95,20 @@
       = fixture_add_target (&stream.fixture, stream_engine_ids[1], "engines");
 }
 
-unsigned
-get_port (int listener)
+const char *
+format_listener_address (int listener)
 {
+  static char text[INET_ADDRSTRLEN + sizeof ":65535"];
   struct sockaddr_in address = { 0 };
   socklen_t size_bytes = sizeof address;
+  size_t host_bytes;
 
   getsockname (listener, (struct sockaddr *)&address, &size_bytes);
-  return ntohs (address.sin_port);
+  inet_ntop (AF_INET, &address.sin_addr, text, sizeof text);
+  host_bytes = strlen (text);
+  snprintf (text + host_bytes, sizeof text - host_bytes, ":%u",
+            ntohs (address.sin_port));
+  return text;
 }
 
 void
--- a/tests/gateway/stream-fixture.h
+++ b/tests/gateway/stream-fixture.h
@@ -41,7 +41,8 @@
 /* List the second engine, once the stream runs.  */
 void add_second_engine (void);
 
-unsigned get_port (int listener);
+/* Address and port as the gateway writes them; valid until the next call.  */
+const char *format_listener_address (int listener);
 
 /* Let the engine end the stream, and wait until the caller has received the
    end.  */
--- a/tests/gateway/stream-test.c
+++ b/tests/gateway/stream-test.c
@@ -23,8 +23,8 @@
   reset_socket (stream.source_link);
   link = accept_target_connection (stream.listeners[1 - stream.source]);
   text = read_target_request (link, 2);
-  snprintf (expected, sizeof expected, "Go-On-From: 127.0.0.1:%u/r1\r\n",
-            get_port (stream.listeners[1 - stream.source]));
+  snprintf (expected, sizeof expected, "Go-On-From: %s/r1\r\n",
+            format_listener_address (stream.listeners[1 - stream.source]));
   ck_assert_msg (strstr (text, expected) != NULL, "%s", text);
   ck_assert_ptr_nonnull (strstr (text, "Last-Event-Id: 1\r\n"));
   ck_assert_ptr_nonnull (strstr (text, "\r\n\r\nhi"));
