The stream fixture ends the gateway before it closes the test's sockets

Cause: stream_tear_down closed the listeners first, and the stopping gateway still connected to their ports, which other processes could have bound since. A test without a caller or a second engine also closed descriptor 0 twice while the gateway's thread opened sockets, so the second close could have hit one of the gateway's. This second effect was read in the code, not seen.

Change: the gateway ends first; descriptors that are not open are -1.

--- a/tests/gateway/stream-fixture.c
+++ b/tests/gateway/stream-fixture.c
@@ -18,19 +18,23 @@
                                                   .sin_port = htons (8748) };
   stream.datagram_address.sin_addr.s_addr
       = htonl (0x7f600000U | ((uint32_t)getpid () & 0x1fffff));
+  stream.caller = -1;
+  stream.listeners[1] = -1;
   fixture_open_at (&stream.fixture, &stream.datagram_address);
   fixture_publish_routes (&stream.fixture, true);
   stream.listeners[0]
       = fixture_add_target (&stream.fixture, stream_engine_ids[0], "engines");
 }
 
+/* The gateway ends first, since it still connects to the listeners while it
+   stops.  */
 void
 stream_tear_down (void)
 {
+  fixture_close (&stream.fixture);
   close (stream.caller);
   close (stream.listeners[0]);
   close (stream.listeners[1]);
-  fixture_close (&stream.fixture);
 }
 
 void
