--- a/tests/gateway/stream-fixture.c
+++ b/tests/gateway/stream-fixture.c
@@ -18,19 +18,23 @@
                                                   .sin_port = htons (8748) };
   stream.datagram_address.sin_addr.s_addr
       = htonl (0x7f600000U | ((uint32_t)getpid () & 0x1fffff));
+  stream.caller = -1;
+  stream.listeners[1] = -1;
   fixture_open_at (&stream.fixture, &stream.datagram_address);
   fixture_publish_routes (&stream.fixture, true);
   stream.listeners[0]
       = fixture_add_target (&stream.fixture, stream_engine_ids[0], "engines");
 }
 
+/* The gateway ends first, since it still connects to the listeners while it
+   stops.  */
 void
 stream_tear_down (void)
 {
+  fixture_close (&stream.fixture);
   close (stream.caller);
   close (stream.listeners[0]);
   close (stream.listeners[1]);
-  fixture_close (&stream.fixture);
 }
 
 void
@@ -95,14 +99,20 @@
       = fixture_add_target (&stream.fixture, stream_engine_ids[1], "engines");
 }
 
-unsigned
-get_port (int listener)
+const char *
+format_listener_address (int listener)
 {
+  static char text[INET_ADDRSTRLEN + sizeof ":65535"];
   struct sockaddr_in address = { 0 };
   socklen_t size_bytes = sizeof address;
+  size_t host_bytes;
 
   getsockname (listener, (struct sockaddr *)&address, &size_bytes);
-  return ntohs (address.sin_port);
+  inet_ntop (AF_INET, &address.sin_addr, text, sizeof text);
+  host_bytes = strlen (text);
+  snprintf (text + host_bytes, sizeof text - host_bytes, ":%u",
+            ntohs (address.sin_port));
+  return text;
 }
 
 void
