The cost of a placement has a file of its own

Cause: fleet-choose.c holds the eligibility of targets, the cost and the outcomes, and the speed of engines adds to the cost. The nominal speed stood in two files.

Costs move to fleet-cost.c without a change; the nominal speed of an engine is named once, in nominal-speed.h.

Tested: fleet-test, fleet-risk-test, fleet-targets-test, dispatch-test, dispatch-move-test.

--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -87,4 +87,16 @@
 double csp_decayed_failure_share (const csp_fleet_target_t *target,
                                   int64_t now_ms);
 
+/* fleet-cost.c  */
+
+/* Expected delay by sending the request there, in ms.  */
+double csp_cost_of_target (const csp_fleet_target_t *target,
+                           const csp_fleet_need_t *need, int64_t now_ms);
+
+/* The share of an engine's memory in use with this request.  */
+double csp_memory_share (const csp_fleet_target_t *target,
+                         const csp_fleet_need_t *need);
+
+uint32_t csp_assigned_runs (const csp_fleet_target_t *target);
+
 #endif
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -1,6 +1,7 @@
 #include "gateway/gateway-move-imp.h"
 
 #include "cowslipspoke/hash.h"
+#include "cowslipspoke/nominal-speed.h"
 
 #include <string.h>
 
@@ -21,9 +22,6 @@
   /* Deciders tried in turn: the current one, the next, and the first of this
      data centre.  By then half a second has passed.  */
   SILENT_DECIDERS_MAX = 3,
-  /* Prompt tokens that an engine reads in a ms before the first token, while
-     other runs are in progress.  */
-  PREFILL_TOKENS_PER_MS = 7,
   /* A request whose first token is nearly too late may still wait this long;
      refused at once, it would be served nowhere.  */
   START_WITHIN_MIN_MS = 300
@@ -38,7 +36,7 @@
 {
   int64_t now_ms = csp_gateway_now_ms (exchange->gateway);
   int64_t reading_ms
-      = (int64_t)(exchange->prompt_tokens / PREFILL_TOKENS_PER_MS);
+      = (int64_t)(exchange->prompt_tokens / CSP_BUSY_PREFILL_TOKENS_PER_MS);
   int64_t left_ms = exchange->deadline_ms - now_ms;
 
   if (exchange->route->objective_ms > 0)
