Placement weighs the observed speed of each engine

Cause: a third of a deployment's engines takes 1.7 times the nominal time and two thirds 0.7 times; long runs and moved streams were sent to the slow ones as if all had one speed, and prompts made their streams pause for 265 ms where the routes allow 180.

The cost of prompts is multiplied by the target's slowness, and the run's extra time, or a moved stream's, is a cost. A target whose streams would pause for too long is chosen only if no other can take the request, but before those that probably don't answer.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -183,6 +183,19 @@
 uint32_t csp_service_rate_wait_ms (csp_fleet_t *fleet, const char *service,
                                    int64_t now_ms);
 
+/* What is known of the speed of a service's targets, as of the last choice
+   among them; see speed.h.  */
+typedef struct
+{
+  char service[CSP_FLEET_NAME_BYTES];
+  double stretch;
+  int64_t rate_at_ms; /* not rated again before */
+} csp_service_speed_t;
+
+size_t csp_count_rated_services (const csp_fleet_t *fleet);
+const csp_service_speed_t *csp_rated_service_at (const csp_fleet_t *fleet,
+                                                 size_t index);
+
 /* Whether a target may get new requests: it isn't leaving and isn't
    cordoned.  */
 bool csp_takes_new_work (const csp_fleet_target_t *target);
--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -28,6 +28,7 @@
 {
   char service[CSP_FLEET_NAME_BYTES];
   uint32_t memory_tokens;
+  uint32_t longest_gap_ms; /* see csp_dispatch_service_t */
   csp_queue_t *queue;
 } csp_dispatch_pool_t;
 
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -164,6 +164,7 @@
     if (strcmp (dispatch->pools[i].service, service->name) == 0)
       {
         dispatch->pools[i].memory_tokens = service->memory_tokens;
+        dispatch->pools[i].longest_gap_ms = service->longest_gap_ms;
         return &dispatch->pools[i];
       }
   if (dispatch->pool_count == CSP_DISPATCH_POOLS_MAX)
@@ -174,6 +175,7 @@
     return NULL;
   csp_copy_text (pool->service, sizeof pool->service, service->name);
   pool->memory_tokens = service->memory_tokens;
+  pool->longest_gap_ms = service->longest_gap_ms;
   dispatch->pool_count++;
   return pool;
 }
@@ -214,6 +216,7 @@
                             .tokens = ask->tokens,
                             .prompt_tokens = ask->prompt_tokens,
                             .prefill_tokens_max = READING_TOKENS_MAX,
+                            .longest_gap_ms = pool->longest_gap_ms,
                             .role = &dispatch->role,
                             .backoffs = ask->backoffs,
                             .backoff_count = ask->backoff_count };
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -31,6 +31,15 @@
   UNREACHABLE_DOUBLINGS = 4
 };
 
+/* A target of a later rank is chosen only if none of an earlier one is
+   eligible.  */
+typedef enum
+{
+  RANK_USUAL,
+  RANK_PAUSES, /* streams there would pause for longer than allowed */
+  RANK_AVOIDED /* it will probably fail the request */
+} choice_rank_t;
+
 double
 csp_decayed_failure_share (const csp_fleet_target_t *target, int64_t now_ms)
 {
@@ -104,31 +113,45 @@
          && target != need->excluded && target != need->also_excluded;
 }
 
+static choice_rank_t
+rank_target (const csp_fleet_target_t *target, const csp_fleet_need_t *need,
+             double stretch, int64_t now_ms)
+{
+  if (now_ms < target->avoid_until_ms || target->group->cut_off
+      || target->state == CSP_FLEET_LAPSED)
+    return RANK_AVOIDED;
+  return csp_would_pause_streams (target, need, stretch) ? RANK_PAUSES
+                                                         : RANK_USUAL;
+}
+
 csp_fleet_target_t *
 csp_choose_fleet_target (csp_fleet_t *fleet, const csp_fleet_need_t *need,
                          csp_random_t *random, int64_t now_ms)
 {
+  double stretch
+      = need->by_memory
+            ? csp_rate_service_targets (fleet, need->service, now_ms)
+            : 1;
   csp_fleet_target_t *best = NULL;
   double best_cost = INFINITY;
-  bool best_avoided = true;
+  choice_rank_t best_rank = RANK_AVOIDED;
   size_t i;
 
   for (i = 0; i < fleet->count; i++)
     {
       csp_fleet_target_t *target = fleet->targets[i];
-      bool avoided = now_ms < target->avoid_until_ms || target->group->cut_off
-                     || target->state == CSP_FLEET_LAPSED;
+      choice_rank_t rank = rank_target (target, need, stretch, now_ms);
       double cost;
 
-      if (!is_eligible (target, need, now_ms) || (avoided && !best_avoided))
+      if (!is_eligible (target, need, now_ms) || rank > best_rank)
         continue;
       cost = csp_cost_of_target (target, need, now_ms)
              + tie_break_ms * csp_random_unit (random);
-      if (cost < best_cost || (best_avoided && !avoided))
+      if (cost < best_cost || rank < best_rank)
         {
           best = target;
           best_cost = cost;
-          best_avoided = avoided;
+          best_rank = rank;
         }
     }
   return best;
--- a/source/fleet/fleet-cost.c
+++ b/source/fleet/fleet-cost.c
@@ -61,7 +61,9 @@
   /* Half-life of the prompt tokens that an engine has read lately: long enough
      to cover some arrivals of each kind, and no longer than an engine's load
      stays the same.  */
-  PROMPT_HALF_LIFE_MS = 2000
+  PROMPT_HALF_LIFE_MS = 2000,
+  /* A run of this nominal length will probably see prompts of others.  */
+  LONG_RUN_MS = 1000
 };
 
 /* Memory that is assigned at a target: runs, copies and reservations.  */
@@ -128,21 +130,30 @@
              : 0;
 }
 
+static uint64_t
+prefill_tokens (const csp_fleet_target_t *target)
+{
+  return target->own.prefill_tokens + target->others.prefill_tokens;
+}
+
 /* Expected delay by prompts: those ahead of this one, the runs that this
-   prompt delays, and the prompts that will delay this run.  */
+   prompt delays, and the prompts that will delay this run.  All of it is
+   longer at a slow target, and so is the run itself.  */
 static double
 prompt_cost (const csp_fleet_target_t *target, const csp_fleet_need_t *need,
              int64_t now_ms)
 {
+  double slowness = csp_get_slowness (&target->speed);
   double ahead
-      = (double)(target->own.prefill_tokens + target->others.prefill_tokens)
-        / CSP_BUSY_PREFILL_TOKENS_PER_MS;
+      = (double)prefill_tokens (target) / CSP_BUSY_PREFILL_TOKENS_PER_MS;
   double delay_of_runs = (double)need->prompt_tokens
                          / CSP_IDLE_PREFILL_TOKENS_PER_MS
                          * (double)csp_assigned_runs (target);
 
-  return ahead + delay_of_runs
-         + run_ms (need) * prompt_time_share (target, now_ms);
+  return (ahead + delay_of_runs
+          + run_ms (need) * prompt_time_share (target, now_ms))
+             * slowness
+         + run_ms (need) * (slowness - 1);
 }
 
 static double
@@ -155,6 +166,23 @@
   return remote_run_cost_ms + remote_run_time_factor * run_ms (need);
 }
 
+/* While streams run at the target a prompt makes them pause; later prompts do
+   the same to a long run, and those that are read now to a stream that moves
+   there.  */
+bool
+csp_would_pause_streams (const csp_fleet_target_t *target,
+                         const csp_fleet_need_t *need, double stretch)
+{
+  if (!need->by_memory
+      || !csp_may_pause_too_long (&target->speed, stretch,
+                                  need->longest_gap_ms))
+    return false;
+  if (need->is_copy)
+    return prefill_tokens (target) + target->reserved.prefill_tokens > 0;
+  return target->own.movable_tokens + target->others.movable_tokens > 0
+         || run_ms (need) > LONG_RUN_MS;
+}
+
 double
 csp_cost_of_target (const csp_fleet_target_t *target,
                     const csp_fleet_need_t *need, int64_t now_ms)
@@ -165,6 +193,8 @@
 
   if (need->by_memory && !need->is_copy)
     cost += prompt_cost (target, need, now_ms);
+  else
+    cost += need->left_ms * (csp_get_slowness (&target->speed) - 1);
   if (share > memory_cost_threshold)
     cost += (share - memory_cost_threshold) * memory_cost_ms;
   cost *= 1 + failure_cost_factor * csp_decayed_failure_share (target, now_ms);
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -50,6 +50,12 @@
   struct cds_list_head changed_loads;
   /* Targets that state a rate limit or lately did.  */
   struct cds_list_head stated_rates;
+  size_t service_speed_count;
+  size_t service_speed_capacity;
+  csp_service_speed_t *service_speeds;
+  /* Used while a service's targets are rated.  */
+  size_t rated_capacity;
+  csp_speed_t **rated;
   csp_cordons_t *cordons;
   size_t cold_limit_count;
   csp_cold_limit_t cold_limits[CSP_COLD_LIMITS_MAX];
@@ -99,4 +105,16 @@
 
 uint32_t csp_assigned_runs (const csp_fleet_target_t *target);
 
+/* Whether streams at the target, or this one, will probably pause for longer
+   than allowed if it is sent there.  stretch: of the service.  */
+bool csp_would_pause_streams (const csp_fleet_target_t *target,
+                              const csp_fleet_need_t *need, double stretch);
+
+/* fleet-speed.c  */
+
+/* Rates a service's targets, unless this was done lately.  Returns the
+   service's stretch.  */
+double csp_rate_service_targets (csp_fleet_t *fleet, const char *service,
+                                 int64_t now_ms);
+
 #endif
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -58,6 +58,8 @@
   csp_close_index (&fleet->by_id);
   csp_destroy_cordons (fleet->cordons);
   csp_free_groups (fleet);
+  free (fleet->service_speeds);
+  free (fleet->rated);
   free (fleet->targets);
   free (fleet);
 }
