--- a/tests/gateway/stream-fixture.c
+++ b/tests/gateway/stream-fixture.c
@@ -1,5 +1,7 @@
 #include "gateway/stream-fixture.h"
 
+#include "cowslipspoke/hash.h"
+
 #include <arpa/inet.h>
 #include <check.h>
 #include <stdio.h>
@@ -111,3 +113,65 @@
   send_text (link, "0\r\n\r\n");
   read_until (stream.caller, "0\r\n\r\n");
 }
+
+void
+await_metric (const char *line)
+{
+  while (strstr (fixture_get_page (&stream.fixture, "/metrics"), line) == NULL)
+    continue;
+}
+
+static void
+send_hello_from (int sender, const csp_hello_t *hello)
+{
+  csp_buffer_t bytes = { 0 };
+
+  ck_assert (csp_encode_hello (hello, &bytes));
+  ck_assert_int_eq (sendto (sender, bytes.data, bytes.size_bytes, 0,
+                            (struct sockaddr *)&stream.datagram_address,
+                            sizeof stream.datagram_address),
+                    (int)bytes.size_bytes);
+  csp_clear_buffer (&bytes);
+}
+
+void
+send_hello (const csp_hello_t *hello)
+{
+  int sender = socket (AF_INET, SOCK_DGRAM, 0);
+
+  send_hello_from (sender, hello);
+  close (sender);
+}
+
+int
+open_peer_host (void)
+{
+  csp_hello_t hello = { .boot = 1, .sequence = 1 };
+  struct timeval wait = { .tv_sec = 5 };
+  int peer_socket = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+  setsockopt (peer_socket, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  send_hello_from (peer_socket, &hello);
+  await_metric ("cowslipspoke_gateway_peers 1\n");
+  return peer_socket;
+}
+
+csp_peer_load_t
+receive_load (int peer_socket, const char *id)
+{
+  uint64_t target = csp_hash_pair ("target", id);
+  char datagram[CSP_HELLO_MAX_BYTES];
+
+  for (;;)
+    {
+      ssize_t size_bytes = recv (peer_socket, datagram, sizeof datagram, 0);
+      csp_hello_t hello;
+      size_t i;
+
+      ck_assert_int_gt (size_bytes, 0);
+      ck_assert (csp_decode_hello (datagram, (size_t)size_bytes, &hello));
+      for (i = 0; i < hello.load_count; i++)
+        if (hello.loads[i].target == target)
+          return hello.loads[i];
+    }
+}
--- a/tests/gateway/stream-fixture.h
+++ b/tests/gateway/stream-fixture.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_STREAM_FIXTURE_H
 #define TESTS_STREAM_FIXTURE_H
 
+#include "cowslipspoke/roster.h"
 #include "gateway/gateway-fixture.h"
 
 #include <stdbool.h>
@@ -47,4 +48,18 @@
    end.  */
 void finish_stream (int link);
 
+/* Wait until the metrics contain a line.  */
+void await_metric (const char *line);
+
+/* Send the gateway a datagram of another host.  */
+void send_hello (const csp_hello_t *hello);
+
+/* Open a host that would be the next decider and therefore gets the gateway's
+   loads.  */
+int open_peer_host (void);
+
+/* Receive the next load at an engine that the gateway reports to another
+   host.  */
+csp_peer_load_t receive_load (int peer_socket, const char *id);
+
 #endif
