--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -33,6 +33,7 @@
 {
   char service[CSP_FLEET_NAME_BYTES];
   uint32_t memory_tokens;
+  uint32_t longest_gap_ms; /* see csp_dispatch_service_t */
   bool has_classes;
   csp_queue_t *queues[CSP_CLASS_COUNT]; /* NULL while a class isn't used */
   csp_traffic_cost_t cost;
--- a/source/dispatch/dispatch-pool.c
+++ b/source/dispatch/dispatch-pool.c
@@ -75,6 +75,7 @@
   if (pool == NULL)
     return NULL;
   pool->memory_tokens = service->memory_tokens;
+  pool->longest_gap_ms = service->longest_gap_ms;
   set_classes (pool, service->has_classes);
   return pool;
 }
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -179,6 +179,7 @@
                             .tokens = ask->tokens,
                             .prompt_tokens = ask->prompt_tokens,
                             .prefill_tokens_max = READING_TOKENS_MAX,
+                            .longest_gap_ms = pool->longest_gap_ms,
                             .role = &dispatch->role,
                             .backoffs = ask->backoffs,
                             .backoff_count = ask->backoff_count };
--- a/source/traffic/traffic-cost.c
+++ b/source/traffic/traffic-cost.c
@@ -1,6 +1,6 @@
 #include "cowslipspoke/traffic-cost.h"
 
-#include "fleet/nominal-speed-imp.h"
+#include "cowslipspoke/nominal-speed.h"
 
 #include <math.h>
 
@@ -18,8 +18,8 @@
   uint32_t output_tokens = tokens > prompt_tokens ? tokens - prompt_tokens : 0;
 
   return (double)tokens
-         * ((double)prompt_tokens / idle_prefill_tokens_per_ms
-            + (double)output_tokens * decode_token_ms);
+         * ((double)prompt_tokens / CSP_IDLE_PREFILL_TOKENS_PER_MS
+            + (double)output_tokens * CSP_DECODE_TOKEN_MS);
 }
 
 static void
