--- a/include/cowslipspoke/route.h
+++ b/include/cowslipspoke/route.h
@@ -46,6 +46,9 @@
   uint32_t attempts_max;
   uint32_t urgency;      /* 0 is the most urgent */
   bool allows_anonymous; /* needs no key */
+  /* Event streams only: a lost request may run again, and a stream may be
+     resumed at another target without a copy of its run.  */
+  bool resumable;
   size_t share_count;
   csp_route_share_t shares[CSP_ROUTE_SHARES_MAX];
 } csp_gateway_route_t;
--- a/tests/adapter/adapter-test.c
+++ b/tests/adapter/adapter-test.c
@@ -61,6 +61,35 @@
 }
 END_TEST
 
+/* Guards against a stream that is sent again although the operator did not
+   allow it: only true, as a boolean, allows it.  */
+static const struct
+{
+  const char *member;
+  bool resumable;
+} resumable_rows[]
+    = { { "\"resumable\":true", true },   { "\"resumable\":false", false },
+        { "\"other\":true", false },      { "\"resumable\":\"true\"", false },
+        { "\"resumable\":1", false },     { "\"resumable\":null", false },
+        { "\"resumable\":[true]", false } };
+
+START_TEST (resumable_is_decoded)
+{
+  const char *fault = NULL;
+  char text[2000];
+  csp_routes_t *routes;
+
+  snprintf (text, sizeof text,
+            CONFIG ("7", "streaming", "%s,\"service\":\"e\""),
+            resumable_rows[_i].member);
+  routes = csp_decode_configuration (text, &fault);
+  ck_assert_msg (routes != NULL, "%s", fault);
+  ck_assert_int_eq (csp_match_route (routes, "h", "/p/x")->resumable,
+                    resumable_rows[_i].resumable);
+  csp_release_routes (routes);
+}
+END_TEST
+
 START_TEST (split_route_is_decoded_with_its_weights)
 {
   const char *fault = NULL;
@@ -332,6 +361,8 @@
   TCase *tcase = tcase_create ("adapter");
 
   tcase_add_test (tcase, configuration_is_decoded);
+  tcase_add_loop_test (tcase, resumable_is_decoded, 0,
+                       sizeof resumable_rows / sizeof resumable_rows[0]);
   tcase_add_test (tcase, split_route_is_decoded_with_its_weights);
   tcase_add_loop_test (tcase, invalid_configuration_is_refused, 0,
                        sizeof invalid_configs / sizeof invalid_configs[0]);
