A retried request drops the partial answer of its lost attempt

Cause: a target that is lost in the middle of a buffered answer leaves its bytes in the buffer. If the next attempt was answered with an error status, the caller got those bytes in front of the error's body, and a Content-Length that covered both. A successful next answer cleared the buffer.

Change: sending an attempt clears the buffer.

Tested: gateway-test, 32 checks pass. The new row of an_idempotent_request_is_retried failed without the change.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -292,6 +292,7 @@
     exchange->failed_target = exchange->target;
   csp_drop_attempt (exchange);
   csp_drop_backup (exchange);
+  csp_clear_buffer (&exchange->buffered);
   if (exchange->service == NULL)
     {
       exchange->service = draw_service (exchange);
--- a/tests/gateway/gateway-test.c
+++ b/tests/gateway/gateway-test.c
@@ -337,7 +337,21 @@
 END_TEST
 
 /* An idempotent request is sent once more when its target fails, and the
-   caller sees only the second answer.  */
+   caller sees only the second answer, without a part of the first one.  */
+static const struct
+{
+  const char *failure;
+  const char *answer;
+  const char *status;
+} retry_rows[] = {
+  { "HTTP/1.1 500 Oops\r\nRequest-Id: r1\r\n"
+    "Signature: s\r\nContent-Length: 0\r\n\r\n",
+    ANSWER ("r1", "ok", "2"), " 200 " },
+  { ANSWER ("r1", "half", "9"),
+    "HTTP/1.1 404 No\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok",
+    " 404 " },
+};
+
 START_TEST (an_idempotent_request_is_retried)
 {
   int first = fixture_add_target (&fixture, "t-1", "plain");
@@ -350,14 +364,14 @@
   link = accept_target_connection (first);
   read_target_request (link, 0);
   second = fixture_add_target (&fixture, "t-2", "plain");
-  send_text (link, "HTTP/1.1 500 Oops\r\nRequest-Id: r1\r\n"
-                   "Signature: s\r\nContent-Length: 0\r\n\r\n");
+  send_text (link, retry_rows[_i].failure);
   close (link);
   link = accept_target_connection (second);
   read_target_request (link, 0);
-  send_text (link, ANSWER ("r1", "ok", "2"));
+  send_text (link, retry_rows[_i].answer);
   text = read_until (caller, "ok");
-  ck_assert_ptr_nonnull (strstr (text, " 200 "));
+  ck_assert_ptr_nonnull (strstr (text, retry_rows[_i].status));
+  ck_assert_ptr_null (strstr (text, "half"));
   close (caller);
   close (link);
   close (first);
@@ -456,7 +470,8 @@
                        sizeof attempt_endings / sizeof attempt_endings[0]);
   tcase_add_test (tcase, a_reset_after_the_last_bytes_is_not_an_orderly_end);
   tcase_add_test (tcase, a_duplicate_answer_is_not_sent_to_the_next_request);
-  tcase_add_test (tcase, an_idempotent_request_is_retried);
+  tcase_add_loop_test (tcase, an_idempotent_request_is_retried, 0,
+                       sizeof retry_rows / sizeof retry_rows[0]);
   tcase_add_test (tcase, a_disconnected_caller_cancels_its_request);
   tcase_add_test (tcase, a_removed_key_is_refused);
   tcase_add_test (tcase, an_older_configuration_is_ignored);
