Resume lost streams of resumable routes without a copy

Cause: an engine that ends takes its streams with it. A stream without a copy was cut off, and a request lost before its first event was refused, although operators declare that such requests may be resumed or run again.

Change: where the route is resumable, a request lost before its first event is sent again like an idempotent one, also after a 5xx of its target. After the first event it is sent to another target with the id of the last event sent and without the field for a copy. A copy is preferred where there is one. Both count as attempts, draw on the retry budget, may wait for a lease and are placed by the decider; targets at which a run of the request was lost are excluded through the list of backoffs in the ask. A stream is cut as before where no attempt, budget, time or target is left, where the request is quarantined, and where an event without a number was sent, since such an event can't be recognised when it comes again. A silent stream leaves a target that is no longer listed.

Conditions on the run at the current target now test run_started_ms and not events, which differ only for a stream resumed without a copy. The route /stream/ of the fixture has two attempts, so that tests of streams that are not resumable don't pass for lack of attempts.

--- a/include/cowslipspoke/dispatch.h
+++ b/include/cowslipspoke/dispatch.h
@@ -43,8 +43,9 @@
   uint64_t refused_at; /* hash of a target that had no capacity; 0: none */
   uint32_t left_ms;    /* expected remaining time of the run */
   size_t backoff_count;
-  uint64_t backoffs[CSP_ASK_BACKOFFS_MAX]; /* hashes of targets that asked
-                                              its host to back off */
+  /* Hashes of targets that asked its host to back off, or at which a run of
+     this request was lost.  */
+  uint64_t backoffs[CSP_ASK_BACKOFFS_MAX];
 } csp_ask_t;
 
 typedef void (*csp_deliver_ask_answer_t) (void *state,
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -107,8 +107,8 @@
 {
   csp_gateway_t *gateway = exchange->gateway;
   csp_retry_facts_t facts
-      = { .idempotent = exchange->route->kind == CSP_ROUTE_IDEMPOTENT,
-          .tokens_sent = exchange->answer_begun || exchange->body_streams,
+      = { .idempotent = csp_may_repeat (exchange),
+          .tokens_sent = csp_blocks_retry (exchange),
           .verdict = exchange->verdict,
           .attempts = exchange->attempts,
           .left_ms = exchange->deadline_ms - csp_gateway_now_ms (gateway),
@@ -167,9 +167,7 @@
   exchange->verdict = CSP_VERDICT_NOT_RUN;
   if (exchange->move.state == CSP_MOVE_RESUMING)
     {
-      if (!csp_try_resume_stream (exchange))
-        csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
-                           "the copy was not there");
+      csp_resume_or_cut (exchange, "the copy was not there");
       return;
     }
   csp_retry_or_fail (exchange, CSP_REASON_TARGET_REFUSED,
@@ -184,10 +182,10 @@
                     csp_gateway_now_ms (exchange->gateway));
   exchange->verdict = CSP_VERDICT_MAY_HAVE_RUN;
   exchange->may_have_run = true;
+  csp_note_run_lost (exchange);
   if (exchange->events > 0)
     {
-      if (!csp_try_resume_stream (exchange))
-        csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT, detail);
+      csp_handle_broken_stream (exchange, detail);
       return;
     }
   csp_retry_or_fail (exchange, CSP_REASON_TARGET_FAILED, detail, true);
@@ -263,8 +261,7 @@
       return;
     }
   if (exchange->events > 0 || promises_not_run (head->status)
-      || (head->status >= STATUS_SERVER_ERROR
-          && exchange->route->kind == CSP_ROUTE_IDEMPOTENT
+      || (head->status >= STATUS_SERVER_ERROR && csp_may_repeat (exchange)
           && exchange->attempts < exchange->route->attempts_max))
     {
       handle_failure (exchange, "the target failed");
@@ -362,6 +359,7 @@
       return;
     }
   finish_attempt (exchange);
+  csp_complete_resume (exchange);
   if (!exchange->answer_begun)
     {
       send_buffered_answer (exchange);
@@ -461,11 +459,9 @@
     }
   csp_note_unreachable (exchange->target, csp_gateway_now_ms (gateway));
   exchange->verdict = CSP_VERDICT_NOT_RUN;
-  if (exchange->events > 0)
+  if (exchange->events > 0 && !exchange->resume.pending)
     {
-      if (!csp_try_resume_stream (exchange))
-        csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
-                           failure_details[why]);
+      csp_handle_broken_stream (exchange, failure_details[why]);
       return;
     }
   /* No byte was sent, so this was no attempt and costs no retry.  */
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -105,9 +105,11 @@
       csp_print_buffer (out, "%s: %s\r\n", names[CSP_HEADER_BACKUP], address);
     }
   if (copy != NULL)
-    csp_print_buffer (out, "%s: %s\r\n%s: %s\r\n",
-                      names[CSP_HEADER_CONTINUE_FROM], copy,
-                      names[CSP_HEADER_LAST_EVENT], exchange->last_event);
+    csp_print_buffer (out, "%s: %s\r\n", names[CSP_HEADER_CONTINUE_FROM],
+                      copy);
+  if (copy != NULL || exchange->resume.pending)
+    csp_print_buffer (out, "%s: %s\r\n", names[CSP_HEADER_LAST_EVENT],
+                      exchange->last_event);
 }
 
 static void
@@ -227,10 +229,14 @@
 csp_start_attempt (csp_exchange_t *exchange, csp_fleet_target_t *target)
 {
   exchange->attempts++;
-  exchange->waited_ms
-      = csp_gateway_now_ms (exchange->gateway) - exchange->began_ms;
-  csp_observe_time (exchange->labels, CSP_TIME_WAITING,
-                    exchange->waited_ms * US_PER_MS);
+  /* A resumed stream got its first placement before.  */
+  if (!exchange->resume.pending)
+    {
+      exchange->waited_ms
+          = csp_gateway_now_ms (exchange->gateway) - exchange->began_ms;
+      csp_observe_time (exchange->labels, CSP_TIME_WAITING,
+                        exchange->waited_ms * US_PER_MS);
+    }
   csp_choose_backup (exchange, target);
   if (!csp_send_to_target (exchange, target, NULL))
     csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
@@ -263,16 +269,17 @@
 csp_place_locally (csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
-  csp_fleet_need_t need
-      = { .service = exchange->service->name,
-          .data_centre = gateway->data_centre,
-          .by_memory = exchange->service->is_engine,
-          .memory_tokens = exchange->service->memory_tokens,
-          .tokens = exchange->tokens,
-          .repeatable = exchange->route->kind == CSP_ROUTE_IDEMPOTENT,
-          .excluded = exchange->failed_target,
-          .asks_rate_grant = true,
-          .sent_by_this_host = true };
+  csp_fleet_need_t need = { .service = exchange->service->name,
+                            .data_centre = gateway->data_centre,
+                            .by_memory = exchange->service->is_engine,
+                            .memory_tokens = exchange->service->memory_tokens,
+                            .tokens = exchange->tokens,
+                            .repeatable = csp_may_repeat (exchange),
+                            .excluded = exchange->failed_target,
+                            .backoffs = exchange->resume.lost_targets,
+                            .backoff_count = exchange->resume.lost_count,
+                            .asks_rate_grant = true,
+                            .sent_by_this_host = true };
   csp_fleet_target_t *target = csp_choose_fleet_target (
       gateway->fleet, &need, &gateway->random, csp_gateway_now_ms (gateway));
 
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -40,9 +40,11 @@
   int64_t reading_ms
       = (int64_t)(exchange->prompt_tokens / PREFILL_TOKENS_PER_MS);
   int64_t left_ms = exchange->deadline_ms - now_ms;
+  int64_t wanted_ms = exchange->resume.pending ? exchange->resume.since_ms
+                                               : exchange->began_ms;
 
   if (exchange->route->objective_ms > 0)
-    left_ms = exchange->began_ms + exchange->route->objective_ms - now_ms;
+    left_ms = wanted_ms + exchange->route->objective_ms - now_ms;
   left_ms -= reading_ms;
   return left_ms > START_WITHIN_MIN_MS ? (uint32_t)left_ms
                                        : START_WITHIN_MIN_MS;
@@ -70,7 +72,10 @@
       gateway->fleet, exchange->service->name, csp_gateway_now_ms (gateway),
       ask.backoffs, CSP_ASK_BACKOFFS_MAX);
   if (!exchange->asks_to_move)
-    return ask;
+    {
+      csp_exclude_lost_targets (exchange, &ask);
+      return ask;
+    }
   ask.moves_from = exchange->target->hash;
   ask.left_ms = (uint32_t)csp_expected_remaining_ms (exchange);
   if (csp_gateway_now_ms (gateway) < exchange->move.refused_until_ms)
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -8,7 +8,10 @@
   CSP_GATEWAY_REQUEST_ID_BYTES = 80,
   CSP_EVENT_ID_BYTES = 32,
   CSP_ADDRESS_TEXT_BYTES = 32,
-  CSP_COPY_TEXT_BYTES = 128
+  CSP_COPY_TEXT_BYTES = 128,
+  /* More than a request's attempts; of further ones the oldest are
+     forgotten.  */
+  CSP_LOST_TARGETS_MAX = 4
 };
 
 /* How the answer is sent to the caller.  */
@@ -47,6 +50,17 @@
   csp_fleet_target_t *source; /* the target whose turn this move occupies */
 } csp_move_t;
 
+/* Resuming a stream without a copy of its run.  */
+typedef struct
+{
+  bool pending;     /* no event has come yet from the target that resumes it */
+  bool unnumbered;  /* an event was sent whose id is not a number */
+  int64_t since_ms; /* when the run was lost */
+  size_t lost_count;
+  /* Targets at which a run of this request was lost, as hashes.  */
+  uint64_t lost_targets[CSP_LOST_TARGETS_MAX];
+} csp_resume_t;
+
 struct csp_exchange
 {
   csp_gateway_t *gateway;
@@ -133,6 +147,7 @@
   csp_fleet_target_t *reserved_backup;
   int64_t run_started_ms; /* first event of the run at this target; 0: none */
   csp_move_t move;
+  csp_resume_t resume;
 };
 
 /* Attempt: see gateway-attempt.c.  Send the request to a target; if no target
@@ -260,6 +275,36 @@
                         const csp_fleet_target_t *target);
 void csp_drop_backup (csp_exchange_t *exchange);
 
+/* Resume: see gateway-resume.c.  Whether the request may run more than once.
+ */
+bool csp_may_repeat (const csp_exchange_t *exchange);
+
+/* Whether the request can't be sent again, as its body is no longer held or
+   the caller has received a part of an answer that can't be resumed.  */
+bool csp_blocks_retry (const csp_exchange_t *exchange);
+
+/* The run at the current target is lost: where the request may be repeated,
+   it isn't sent to that target again.  */
+void csp_note_run_lost (csp_exchange_t *exchange);
+
+/* Let the decider place the request at none of the targets that lost it.  */
+void csp_exclude_lost_targets (const csp_exchange_t *exchange, csp_ask_t *ask);
+
+/* The attempt broke in the middle of a stream: resume it at another target,
+   from a copy where there is one, or cut it off.  */
+void csp_handle_broken_stream (csp_exchange_t *exchange, const char *detail);
+
+/* There is no copy: send the request again to have the stream resumed after
+   the last event sent, or cut it off.  */
+void csp_resume_or_cut (csp_exchange_t *exchange, const char *detail);
+
+/* Whether the stream, if it is silent and has no copy, is to be resumed
+   because its target is no longer listed.  */
+bool csp_may_leave_gone_target (const csp_exchange_t *exchange);
+
+/* The target that resumes the stream has sent an event, or its end.  */
+void csp_complete_resume (csp_exchange_t *exchange);
+
 void csp_print_target_address (const csp_fleet_target_t *target,
                                char text[CSP_ADDRESS_TEXT_BYTES]);
 
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -24,6 +24,7 @@
      attempt       one attempt to send the request to a target
      stream        splits an answer into whole events, tracks the last id sent
      move          moves a running stream to another target
+     resume        resumes a lost stream without a copy of its run
      notice        notices about targets, sent to all hosts
      report        queries targets while the platform can't be read
      cordon        applies the operators' cordons
@@ -111,6 +112,7 @@
   uint64_t retries_lent; /* by this host as the decider, to itself too */
   uint64_t moves;
   uint64_t moves_failed;
+  uint64_t resumes; /* streams resumed without a copy */
   uint64_t streams_lost;
   uint64_t connections;
   uint64_t link_opens;
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -96,6 +96,7 @@
   char saved_copy[CSP_COPY_TEXT_BYTES];
 
   csp_log_move (exchange, "resume", to);
+  csp_note_run_lost (exchange);
   snprintf (saved_copy, sizeof saved_copy, "%s", copy);
   csp_drop_move (exchange);
   csp_drop_attempt (exchange);
@@ -178,7 +179,7 @@
     }
   if (csp_has_usable_backup (exchange) && resume_from_backup (exchange))
     return;
-  csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT, why);
+  csp_resume_or_cut (exchange, why);
 }
 
 /* The destination leaves or has restarted during the first copy: the run would
@@ -241,8 +242,7 @@
     csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
                        "targets ended under this request");
   else if (!csp_may_resume_at (exchange->gateway, to))
-    csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
-                       "the data centre is cordoned");
+    csp_resume_or_cut (exchange, "the data centre is cordoned");
   else
     {
       /* The run is lost unless it goes on at its source, so it doesn't wait
@@ -250,8 +250,7 @@
       if (!copied && to->rate_limited)
         csp_report_ungranted_request (exchange->gateway, to);
       if (!resume_at (exchange, to, copy))
-        csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
-                           "no connection to go on");
+        csp_resume_or_cut (exchange, "no connection to go on");
     }
 }
 
@@ -362,13 +361,13 @@
       move->ask_at_ms = 0;
     }
   move->wanted = true;
-  if (exchange->answer_mode != CSP_ANSWER_STREAM || exchange->events == 0)
+  if (exchange->answer_mode != CSP_ANSWER_STREAM
+      || exchange->run_started_ms == 0)
     return;
   if (csp_backup_is_whole (exchange) && !csp_run_ends_in_time (exchange))
     {
       if (!resume_from_backup (exchange))
-        csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
-                           "no connection to go on");
+        csp_resume_or_cut (exchange, "no connection to go on");
       return;
     }
   csp_start_due_moves (exchange->gateway);
@@ -395,8 +394,7 @@
   if (csp_backup_is_whole (exchange))
     {
       if (!resume_from_backup (exchange))
-        csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
-                           "no connection to go on");
+        csp_resume_or_cut (exchange, "no connection to go on");
       return;
     }
   if (to == NULL && exchange->service->supports_kv_moves)
--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -63,7 +63,8 @@
 static bool
 has_answer (const csp_exchange_t *exchange)
 {
-  return exchange->answer_mode != CSP_ANSWER_NONE || exchange->events > 0;
+  return exchange->answer_mode != CSP_ANSWER_NONE
+         || (exchange->events > 0 && !exchange->resume.pending);
 }
 
 /* Whether the exchange carries the request.  One whose body is still
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -76,6 +76,14 @@
     }
 }
 
+/* Whether the id can be compared with others, so that an event that comes
+   again is recognised.  */
+static bool
+is_event_number (const char *id)
+{
+  return id[0] != '\0' && id[strspn (id, "0123456789")] == '\0';
+}
+
 /* Ids increase; an event whose id doesn't was sent before the run resumed at
    this target.  */
 static bool
@@ -110,6 +118,7 @@
                    kept->size_bytes - done_bytes);
           continue;
         }
+      exchange->resume.unnumbered |= !is_event_number (id);
       if (id[0] != '\0')
         csp_copy_text (exchange->last_event, sizeof exchange->last_event, id);
       exchange->events++;
@@ -191,6 +200,7 @@
       csp_note_prompt_read (exchange, exchange->target);
       csp_count_movable (exchange, true);
       csp_schedule_load_report (exchange->gateway);
+      csp_complete_resume (exchange);
     }
   if (exchange->move.state == CSP_MOVE_RESUMING)
     csp_complete_move (exchange);
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -46,8 +46,8 @@
 csp_waits_for_move (csp_exchange_t *exchange)
 {
   return exchange->move.wanted && exchange->move.state == CSP_MOVE_NONE
-         && exchange->answer_mode == CSP_ANSWER_STREAM && exchange->events > 0
-         && exchange->target != NULL
+         && exchange->answer_mode == CSP_ANSWER_STREAM
+         && exchange->run_started_ms != 0 && exchange->target != NULL
          && exchange->move.tries < CSP_MOVE_TRIES_MAX
          && !csp_is_quarantined (exchange);
 }
@@ -235,14 +235,18 @@
     {
       csp_exchange_t *next = exchange->next;
 
-      if (exchange->events > 0 && exchange->answer_mode == CSP_ANSWER_STREAM
-          && exchange->move.state == CSP_MOVE_NONE
+      if (!exchange->ended && exchange->run_started_ms != 0
+          && exchange->answer_mode == CSP_ANSWER_STREAM
+          && (exchange->move.state == CSP_MOVE_NONE
+              || csp_may_leave_gone_target (exchange))
           && now_ms - exchange->last_data_ms >= SILENT_MS
           && csp_caller_backlog (exchange->caller) == 0)
         {
           csp_log_move (exchange, "silent", exchange->backup);
           exchange->last_data_ms = now_ms;
-          csp_try_resume_stream (exchange);
+          if (!csp_try_resume_stream (exchange)
+              && csp_may_leave_gone_target (exchange))
+            csp_resume_or_cut (exchange, "the target is gone");
         }
       exchange = next;
     }
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -194,6 +194,7 @@
                                 .attempts_max = attempts,
                                 .urgency = 2,
                                 .allows_anonymous = open_to_all,
+                                .resumable = strcmp (prefix, "/resume/") == 0,
                                 .share_count = 1,
                                 .shares = { { service, 1 } } };
 
@@ -223,7 +224,8 @@
   add_route (routes, "/safe/", CSP_ROUTE_IDEMPOTENT, 2, "plain", false);
   add_route (routes, "/once/", CSP_ROUTE_AT_MOST_ONCE, 1, "plain", false);
   add_route (routes, "/open/", CSP_ROUTE_AT_MOST_ONCE, 1, "plain", true);
-  add_route (routes, "/stream/", CSP_ROUTE_STREAM, 1, "engines", false);
+  add_route (routes, "/stream/", CSP_ROUTE_STREAM, 2, "engines", false);
+  add_route (routes, "/resume/", CSP_ROUTE_STREAM, 2, "engines", false);
   ck_assert (csp_add_organisation (routes, "org-a", 3));
   if (with_key)
     ck_assert (csp_add_key (routes, "key-a"));
--- a/tests/gateway/stream-fixture.c
+++ b/tests/gateway/stream-fixture.c
@@ -53,10 +53,10 @@
                                               stream_engine_ids[1], "engines");
   stream.caller = open_caller (&stream.fixture);
   snprintf (request, sizeof request,
-            "POST /stream/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
+            "POST %s HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
             "Request-Id: r1\r\nTime-Left: 30000\r\nTokens: 100,2000\r\n"
             "Output-Hint: %d\r\nContent-Length: 2\r\n\r\nhi",
-            output_hint);
+            stream.path == NULL ? "/stream/" : stream.path, output_hint);
   send_text (stream.caller, request);
   stream.source = 0;
   if (with_backup)
--- a/tests/gateway/stream-fixture.h
+++ b/tests/gateway/stream-fixture.h
@@ -15,6 +15,7 @@
   int source;      /* index of the engine that got the request */
   int source_link; /* the gateway's connection to it */
   int caller;
+  const char *path;                    /* of the request; NULL: /stream/ */
   struct sockaddr_in datagram_address; /* where the gateway receives datagrams
                                           of other hosts */
 } stream_fixture_t;
