A resumed stream isn't ended by an answer that is no stream

Cause: an answer to a resumed request that held no whole event but ended in order was appended to the caller's stream, which then looked complete.

Change: until the first event of the target that resumes a stream, an incomplete event at the end of its answer counts as a lost attempt. A test for a leased retry is added, which was missing.

--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -350,10 +350,10 @@
 {
   /* An answer without framing ends the same way when its run is stopped for a
      move, so its end proves nothing then; an incomplete event shows that the
-     answer broke off.  */
-  if (exchange->until_close
-      && (exchange->move.state == CSP_MOVE_STOPPING
-          || exchange->buffered.size_bytes > 0))
+     answer broke off, or that a resumed stream's answer is none.  */
+  if ((exchange->until_close && exchange->move.state == CSP_MOVE_STOPPING)
+      || ((exchange->until_close || exchange->resume.pending)
+          && exchange->buffered.size_bytes > 0))
     {
       handle_failure (exchange, "the stream broke off");
       return;
--- a/tests/gateway/resume-test.c
+++ b/tests/gateway/resume-test.c
@@ -13,6 +13,7 @@
 {
   PLACEMENT_OVER_MS = 5000, /* no request waits as long for a placement */
   SILENT_MS = 1000,
+  SETTLED_MS = 12100, /* until then a new decider leases no retries */
   NO_REQUEST_MS = 100
 };
 
@@ -156,8 +157,8 @@
   const char *next;
 } lost_rows[] = { { "", SERVED },
                   { STREAM_HEAD, SERVED },
-                  { STREAM_HEAD "f\r\n" CUT_EVENT "\r\n", SERVED },
-                  { STREAM_HEAD "f\r\n" CUT_EVENT "\r\n", REJECTED },
+                  { STREAM_HEAD "e\r\n" CUT_EVENT "\r\n", SERVED },
+                  { STREAM_HEAD "e\r\n" CUT_EVENT "\r\n", REJECTED },
                   { EMPTY_ANSWER ("500 No", ""), SERVED },
                   { EMPTY_ANSWER ("503 No", ""), SERVED } };
 
@@ -183,8 +184,9 @@
 }
 END_TEST
 
-/* Guards against more runs than the operator allows: both attempts are lost
-   while a third engine is free.  */
+/* Guards against more runs than the operator allows, and against an answer
+   that ends as if complete without being one: both attempts are lost while a
+   third engine is free.  */
 START_TEST (a_stream_that_is_lost_again_is_cut_off)
 {
   int link;
@@ -195,6 +197,8 @@
   close (stream.listeners[0]);
   stream.listeners[0] = fixture_add_target (&stream.fixture, "t-2", "engines");
   send_text (link, STREAM_HEAD);
+  if (_i == 0)
+    send_text (link, "e\r\n" CUT_EVENT "\r\n0\r\n\r\n");
   break_stream (link);
   expect_cut ();
 }
@@ -245,6 +249,17 @@
 }
 END_TEST
 
+/* Guards against a stream that is cut although other hosts leave retries
+   over.  */
+START_TEST (a_lost_stream_is_resumed_with_a_leased_retry)
+{
+  csp_advance_fake_clock (&stream.fixture.fake_clock, SETTLED_MS);
+  start_two ("/resume/");
+  break_stream (stream.source_link);
+  finish_resumed (accept_resume (1, "Last-Event-Id: 1\r\n"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -260,12 +275,13 @@
   tcase_add_loop_test (tcase,
                        a_request_lost_before_its_first_event_runs_elsewhere, 0,
                        sizeof lost_rows / sizeof lost_rows[0]);
-  tcase_add_test (tcase, a_stream_that_is_lost_again_is_cut_off);
+  tcase_add_loop_test (tcase, a_stream_that_is_lost_again_is_cut_off, 0, 2);
   tcase_add_loop_test (tcase, a_stream_that_can_not_be_resumed_is_cut_off, 0,
                        sizeof cut_rows / sizeof cut_rows[0]);
   tcase_add_test (tcase, a_lost_stream_without_another_engine_is_cut_off);
   tcase_add_checked_fixture (spent, set_up_without_budget, stream_tear_down);
   tcase_add_test (spent, a_lost_stream_without_a_budget_is_cut_off);
+  tcase_add_test (spent, a_lost_stream_is_resumed_with_a_leased_retry);
   suite_add_tcase (suite, tcase);
   suite_add_tcase (suite, spent);
   return run_suite (suite);
