Format a comment of the gateway's test fixture

Cause: clang-format would wrap the comment on the fixture's routes elsewhere.

Change: the comment is wrapped as the formatter does it.

--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -38,8 +38,8 @@
 
 /* Routes, all at host "h": /safe/ (idempotent, two attempts) and /once/ go to
    service "plain"; so does /open/, which needs no key; /stream/ and /resume/
-   (resumable), both with two attempts, go to "engines".  Key "key-a" belongs to
-   organisation "org-a".  */
+   (resumable), both with two attempts, go to "engines".  Key "key-a" belongs
+   to organisation "org-a".  */
 void fixture_open (fixture_t *fixture);
 
 /* Like fixture_open, with a socket at this address for datagrams of other
