--- a/include/cowslipspoke/damping.h
+++ b/include/cowslipspoke/damping.h
@@ -12,7 +12,8 @@
 
    Hosts report with their loads how many attempts they have lost at a target.
    Two hosts have to report losses, so that a host or a data centre that is cut
-   off from a target doesn't speak for the others.  A damped target gets
+   off from a target doesn't speak for the others; where no other host lives,
+   two losses of the only host count.  A damped target gets
    nothing; then it is on probation for as long as it was damped, with a
    bounded number of short requests.  Each further time doubles the duration.
    Every decider computes the same from the same reports.  */
@@ -46,7 +47,7 @@
   uint64_t host;             /* see csp_pack_peer */
   uint32_t host_data_centre; /* hash of its name */
   uint32_t target_data_centre;
-  bool is_only_host; /* no other host is known */
+  bool is_only_host; /* no other host is known to live */
   uint32_t failures; /* sum over all hosts, this report included */
   uint32_t age_ms;   /* of the host's last loss */
 } csp_damping_report_t;
