Deciders place nothing at damped targets

The fleet keeps a list of the targets with losses, so that the periodic work grows with their number only, and a flag beside the members that a choice reads of each target. At most a fifth of a service's ready targets is damped, in each data centre and in all of them, and at least one; beyond that, the target that was damped first is on probation early.

Tested: tests/damping/damping-fleet-test (6 checks) replays the measured load: ten requests of ten hosts lost in a down time without reports, at most three with them.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -66,7 +66,8 @@
   uint32_t data_centre; /* hash of its name */
   size_t target_count;  /* including those that are gone but not freed */
   size_t ready_count;
-  bool cut_off; /* the data centre can't be reached from this host */
+  size_t damped_count; /* as of the last csp_limit_dampings */
+  bool cut_off;        /* the data centre can't be reached from this host */
 } csp_fleet_group_t;
 
 /* A choice among thousands of targets reads the members up to
@@ -78,6 +79,7 @@
   uint32_t data_centre; /* hash of its name */
   bool cordoned;        /* operators have cordoned its data centre */
   bool rate_limited;    /* as in rate_limit */
+  bool restrained;      /* damped or on probation, as in damping */
   uint64_t hash; /* of id and start; identifies the target between hosts */
   int64_t warm_at_ms;
   /* Until then chosen only if no other target is available.  */
@@ -99,6 +101,7 @@
   csp_speed_t speed;            /* by all hosts' reports */
   uint32_t own_failures;        /* attempts that this host has lost there */
   int64_t own_failed_ms;        /* when it lost the last of them */
+  uint32_t peer_failures;       /* that all other hosts report */
   csp_damping_t damping;
   int64_t lapses_at_ms;
   csp_peer_load_t
@@ -183,6 +186,41 @@
 uint32_t csp_service_rate_wait_ms (csp_fleet_t *fleet, const char *service,
                                    int64_t now_ms);
 
+/* Attempts that all hosts have lost at a target, as far as known here.  */
+uint32_t csp_count_target_failures (const csp_fleet_target_t *target);
+
+/* Takes the count as known if it has fallen: a host has ended or restarted, or
+   doesn't report an old loss any more.  */
+void csp_settle_target_failures (csp_fleet_target_t *target);
+
+/* Applies losses that a host has reported, or this host's own; returns true if
+   the target is damped by them.  csp_limit_dampings has to follow.  */
+bool csp_note_target_loss (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                           const csp_damping_report_t *report, int64_t now_ms);
+
+/* Called for each target that is on probation or trusted from now on;
+   released: earlier than due, as too many targets were damped.  */
+typedef struct
+{
+  void (*on_changed) (void *state, const csp_fleet_target_t *target,
+                      bool released);
+  void *state;
+} csp_damping_watch_t;
+
+/* Releases targets into probation where more are damped than may be.  */
+void csp_limit_dampings (csp_fleet_t *fleet, const csp_damping_watch_t *watch,
+                         int64_t now_ms);
+
+/* Ends dampings and probations whose time is over.  Call it periodically.  */
+void csp_update_dampings (csp_fleet_t *fleet, const csp_damping_watch_t *watch,
+                          int64_t now_ms);
+
+/* Whether any target has losses or is or was damped; and how many ready
+   targets are in a state.  */
+bool csp_has_lossy_targets (csp_fleet_t *fleet);
+size_t csp_count_dampings (const csp_fleet_t *fleet,
+                           csp_damping_state_t state);
+
 /* Whether a target may get new requests: it isn't leaving and isn't
    cordoned.  */
 bool csp_takes_new_work (const csp_fleet_target_t *target);
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -255,6 +255,16 @@
          && csp_may_ask_rate_grant (&target->rate_limit, now_ms);
 }
 
+/* Whether damping lets the decider place the request there.  */
+static bool
+is_allowed_by_damping (const csp_fleet_target_t *target,
+                       const csp_fleet_need_t *need, int64_t now_ms)
+{
+  return !target->restrained || need->role == NULL
+         || csp_damping_allows (&target->damping, assigned_runs (target),
+                                (uint32_t)run_ms (need), now_ms);
+}
+
 static bool
 is_eligible (csp_fleet_target_t *target, const csp_fleet_need_t *need,
              int64_t now_ms)
@@ -262,7 +272,8 @@
   if (strcmp (target->group->service, need->service) != 0
       || exceeds_prompt_limit (target, need, now_ms)
       || (target->group->cut_off && !need->repeatable)
-      || is_backed_off_for_sender (target, need, now_ms))
+      || is_backed_off_for_sender (target, need, now_ms)
+      || !is_allowed_by_damping (target, need, now_ms))
     return false;
   if (need->within_slots && assigned_runs (target) > 0 && target->row.slots > 0
       && assigned_runs (target) >= target->row.slots)
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -17,6 +17,7 @@
   csp_index_node_t by_id;
   struct cds_list_head changed_load; /* among the fleet's; empty: it isn't */
   struct cds_list_head stated_rate;  /* the same */
+  struct cds_list_head has_losses;   /* the same */
 } target_entry_t;
 
 enum
@@ -50,6 +51,9 @@
   struct cds_list_head changed_loads;
   /* Targets that state a rate limit or lately did.  */
   struct cds_list_head stated_rates;
+  /* Targets with losses that hosts still report, and those that were damped
+     not long ago.  */
+  struct cds_list_head lossy_targets;
   csp_cordons_t *cordons;
   size_t cold_limit_count;
   csp_cold_limit_t cold_limits[CSP_COLD_LIMITS_MAX];
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -40,6 +40,7 @@
   csp_leave_group (target);
   cds_list_del (&entry->changed_load);
   cds_list_del (&entry->stated_rate);
+  cds_list_del (&entry->has_losses);
   csp_remove_from_index (&fleet->by_start, &entry->by_start);
   csp_remove_from_index (&fleet->by_id, &entry->by_id);
   free (entry);
@@ -76,6 +77,7 @@
   fleet->platform_reachable = true;
   CDS_INIT_LIST_HEAD (&fleet->changed_loads);
   CDS_INIT_LIST_HEAD (&fleet->stated_rates);
+  CDS_INIT_LIST_HEAD (&fleet->lossy_targets);
   fleet->cordons = csp_create_cordons ();
   if (fleet->cordons != NULL
       && csp_open_index (&fleet->by_start, INITIAL_CAPACITY) == 0
@@ -164,6 +166,7 @@
   csp_init_warmup (&entry->target.warmup, 0);
   CDS_INIT_LIST_HEAD (&entry->changed_load);
   CDS_INIT_LIST_HEAD (&entry->stated_rate);
+  CDS_INIT_LIST_HEAD (&entry->has_losses);
   csp_add_to_index (&fleet->by_start, &entry->by_start, entry->target.hash);
   csp_add_to_index (&fleet->by_id, &entry->by_id, local_hash_of_id (id));
   fleet->targets[fleet->count++] = &entry->target;
@@ -394,7 +397,10 @@
   size_t i;
 
   for (i = 0; i < fleet->count; i++)
-    memset (&fleet->targets[i]->others, 0, sizeof (csp_fleet_load_t));
+    {
+      memset (&fleet->targets[i]->others, 0, sizeof (csp_fleet_load_t));
+      fleet->targets[i]->peer_failures = 0;
+    }
 }
 
 uint64_t
@@ -417,6 +423,7 @@
   others->backup_tokens -= load->backup_tokens;
   others->prefill_tokens -= load->prefill_tokens;
   others->movable_tokens -= load->movable_tokens;
+  target->peer_failures -= load->failures;
 }
 
 void
@@ -433,6 +440,7 @@
   others->backup_tokens += load->backup_tokens;
   others->prefill_tokens += load->prefill_tokens;
   others->movable_tokens += load->movable_tokens;
+  target->peer_failures += load->failures;
 }
 
 size_t
--- /dev/null
+++ b/tests/damping/damping-fleet-test.c
@@ -0,0 +1,264 @@
+#include "cowslipspoke/dispatch.h"
+#include "support/run-suite.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Damping at a decider: what is placed at a target that flaps, and how many
+   targets are damped at a time.  */
+
+enum
+{
+  HOSTS = 10,
+  MEMORY_TOKENS = 20000,
+  RUN_TOKENS = 3000,
+  SHORT_TOKENS = 60, /* runs for half a second */
+  BEGIN_MS = 100000,
+  /* The load that was measured: ten attempts in a down time of 0.7 s.  */
+  ATTEMPT_EACH_MS = 70,
+  UP_MS = 1000,
+  DOWN_MS = 700,
+  PERIODS = 4,
+  PLAY_MS = PERIODS * (UP_MS + DOWN_MS),
+  REPORT_MS = 2,
+  SETTLED_MS = 40 /* reservations have ended */
+};
+
+static csp_fleet_t *fleet;
+static csp_dispatch_t *dispatch;
+static csp_ask_answer_t answer;
+static uint64_t next_ask;
+static size_t released;
+
+static void
+record_answer (void *state, const csp_ask_answer_t *given)
+{
+  (void)state;
+  answer = *given;
+}
+
+static void
+record_change (void *state, const csp_fleet_target_t *target, bool early)
+{
+  (void)state;
+  (void)target;
+  released += early;
+}
+
+static const csp_damping_watch_t watch = { .on_changed = record_change };
+
+static csp_fleet_target_t *
+list_target (const char *id, const char *data_centre, int64_t start_unix_ms)
+{
+  csp_fleet_row_t row = { .slots = 24, .start_unix_ms = start_unix_ms };
+
+  snprintf (row.id, sizeof row.id, "%s", id);
+  snprintf (row.service, sizeof row.service, "s");
+  snprintf (row.data_centre, sizeof row.data_centre, "%s", data_centre);
+  ck_assert (csp_update_target (fleet, &row, BEGIN_MS));
+  return csp_find_fleet_target (fleet, id);
+}
+
+static void
+set_up (void)
+{
+  fleet = csp_create_fleet (NULL, NULL, NULL);
+  dispatch = csp_create_dispatch (fleet, record_answer, NULL, 7);
+  ck_assert_ptr_nonnull (dispatch);
+  next_ask = 1;
+  released = 0;
+}
+
+static void
+tear_down (void)
+{
+  csp_destroy_dispatch (dispatch);
+  csp_destroy_fleet (fleet);
+}
+
+/* Report a load of a host, as csp_apply_reported_losses does.  */
+static void
+report_load (csp_fleet_target_t *target, uint64_t host, uint32_t failures,
+             int64_t now_ms)
+{
+  csp_peer_load_t load = { .target = target->hash, .failures = failures };
+  csp_damping_report_t report = { .host = host };
+
+  csp_add_peer_load (fleet, &load);
+  report.failures = csp_count_target_failures (target);
+  csp_note_target_loss (fleet, target, &report, now_ms);
+  csp_limit_dampings (fleet, &watch, now_ms);
+}
+
+/* Ask for a placement from a host.  Returns the target; NULL: it waits.  */
+static csp_fleet_target_t *
+ask (uint32_t host, uint32_t tokens, int64_t now_ms)
+{
+  const csp_dispatch_service_t service
+      = { .name = "s", .memory_tokens = MEMORY_TOKENS };
+  csp_ask_t row = { .host = { host, 1 },
+                    .id = next_ask++,
+                    .tokens = tokens,
+                    .start_within_ms = 1000 };
+
+  csp_push_ask (dispatch, &row, &service, now_ms);
+  csp_cancel_ask (dispatch, row.host, row.id);
+  return answer.outcome == CSP_ASK_PLACED
+             ? csp_find_target_by_hash (fleet, answer.target)
+             : NULL;
+}
+
+/* Play a target that fails every second before a decider of ten hosts.  The
+   other target carries load, so that the flapping one looks best.  Returns the
+   largest number of requests lost in one down time.  */
+static uint32_t
+play_flapping_target (bool reports)
+{
+  csp_fleet_target_t *flapping = list_target ("t", "", 0);
+  csp_fleet_target_t *steady = list_target ("u", "", 0);
+  csp_peer_load_t load
+      = { .target = steady->hash, .requests = 4, .tokens = 4 * RUN_TOKENS };
+  uint32_t lost[PERIODS] = { 0 };
+  uint32_t most = 0;
+  int64_t at_ms;
+
+  csp_add_peer_load (fleet, &load);
+  for (at_ms = 0; at_ms < PLAY_MS; at_ms += ATTEMPT_EACH_MS)
+    {
+      uint32_t host = 1 + (uint32_t)(at_ms / ATTEMPT_EACH_MS) % HOSTS;
+      uint32_t *count = &lost[at_ms / (UP_MS + DOWN_MS)];
+      int64_t now_ms = BEGIN_MS + at_ms;
+
+      csp_update_dampings (fleet, &watch, now_ms);
+      csp_pump_dispatch (dispatch, now_ms);
+      if (ask (host, RUN_TOKENS, now_ms) != flapping
+          || at_ms % (UP_MS + DOWN_MS) < UP_MS)
+        continue;
+      if (reports)
+        report_load (flapping, host, 1, now_ms + REPORT_MS);
+      most = ++*count > most ? *count : most;
+    }
+  return most;
+}
+
+/* Guards against a target that is filled each time it comes up: each of ten
+   hosts lost a request there within 0.7 s.  */
+START_TEST (flapping_target_loses_few_requests)
+{
+  ck_assert_uint_le (play_flapping_target (true), 3);
+}
+END_TEST
+
+/* The load of the test above loses ten requests where no host reports.  */
+START_TEST (flapping_target_loses_many_without_reports)
+{
+  ck_assert_uint_eq (play_flapping_target (false), HOSTS);
+}
+END_TEST
+
+static void
+damp (csp_fleet_target_t *target, int64_t now_ms)
+{
+  report_load (target, 1, 1, now_ms);
+  report_load (target, 2, 1, now_ms);
+}
+
+/* Guards against probation that lets long runs or many requests in, and
+   against a success or a loss there that isn't counted.  */
+START_TEST (target_on_probation_gets_one_short_request)
+{
+  csp_fleet_target_t *target = list_target ("t", "", 0);
+  int64_t now_ms = BEGIN_MS;
+
+  damp (target, now_ms);
+  ck_assert_ptr_null (ask (1, SHORT_TOKENS, now_ms));
+  now_ms += UP_MS;
+  csp_update_dampings (fleet, &watch, now_ms);
+  ck_assert_uint_eq (csp_count_dampings (fleet, CSP_TARGET_ON_PROBATION), 1);
+  ck_assert_ptr_null (ask (1, RUN_TOKENS, now_ms));
+  ck_assert_ptr_eq (ask (1, SHORT_TOKENS, now_ms), target);
+  ck_assert_ptr_null (ask (1, SHORT_TOKENS, now_ms));
+  csp_note_damping_success (&target->damping);
+  now_ms += SETTLED_MS;
+  csp_pump_dispatch (dispatch, now_ms);
+  ck_assert_ptr_eq (ask (1, SHORT_TOKENS, now_ms), target);
+  ck_assert_ptr_eq (ask (1, SHORT_TOKENS, now_ms), target);
+  report_load (target, 3, 1, now_ms + 1);
+  ck_assert_uint_eq (target->damping.duration_ms, 2 * UP_MS);
+}
+END_TEST
+
+/* Guards against damping most of a service: losses at ten of ten targets in
+   two data centres may damp one in each.  */
+START_TEST (at_most_a_fifth_is_damped)
+{
+  csp_fleet_target_t *targets[10];
+  char id[8];
+  size_t i;
+
+  for (i = 0; i < 10; i++)
+    {
+      snprintf (id, sizeof id, "t-%zu", i);
+      targets[i] = list_target (id, i % 2 == 0 ? "a" : "b", 0);
+    }
+  for (i = 0; i < 10; i++)
+    {
+      damp (targets[i], BEGIN_MS + (int64_t)i);
+      ck_assert_uint_eq (csp_count_dampings (fleet, CSP_TARGET_DAMPED),
+                         i == 0 ? 1 : 2);
+    }
+  ck_assert_uint_eq (released, 8);
+  ck_assert_int_eq (targets[0]->damping.state, CSP_TARGET_ON_PROBATION);
+  ck_assert_int_eq (targets[9]->damping.state, CSP_TARGET_DAMPED);
+}
+END_TEST
+
+/* Guards against a limit by data centre alone: with one target in each of
+   four, one of the four may be damped.  */
+START_TEST (limit_holds_for_whole_service)
+{
+  const char *const data_centres[] = { "a", "b", "c", "d" };
+  csp_fleet_target_t *targets[4];
+  size_t i;
+
+  for (i = 0; i < 4; i++)
+    targets[i] = list_target (data_centres[i], data_centres[i], 0);
+  for (i = 0; i < 4; i++)
+    damp (targets[i], BEGIN_MS + (int64_t)i);
+  ck_assert_uint_eq (csp_count_dampings (fleet, CSP_TARGET_DAMPED), 1);
+  ck_assert_int_eq (targets[3]->damping.state, CSP_TARGET_DAMPED);
+}
+END_TEST
+
+/* Guards against a restarted target that is held back for what its earlier
+   start lost.  */
+START_TEST (new_start_is_trusted)
+{
+  csp_fleet_target_t *restarted;
+
+  damp (list_target ("t", "", 1000), BEGIN_MS);
+  ck_assert_ptr_null (ask (1, RUN_TOKENS, BEGIN_MS));
+  restarted = list_target ("t", "", 2000);
+  ck_assert_int_eq (restarted->damping.state, CSP_TARGET_TRUSTED);
+  ck_assert_ptr_eq (ask (1, RUN_TOKENS, BEGIN_MS), restarted);
+  ck_assert_uint_eq (csp_count_dampings (fleet, CSP_TARGET_DAMPED), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("damping-fleet");
+  TCase *tests = tcase_create ("decider");
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_add_test (tests, flapping_target_loses_few_requests);
+  tcase_add_test (tests, flapping_target_loses_many_without_reports);
+  tcase_add_test (tests, target_on_probation_gets_one_short_request);
+  tcase_add_test (tests, at_most_a_fifth_is_damped);
+  tcase_add_test (tests, limit_holds_for_whole_service);
+  tcase_add_test (tests, new_start_is_trusted);
+  suite_add_tcase (suite, tests);
+  return run_suite (suite);
+}
