Hosts report lost attempts, and deciders damp targets by them

74 requests were lost in 6 s at four flapping engines, each loss met by another host. A host now counts attempts whose connection an engine refused, closed or reset before the end of the answer, and reports the count with its loads: within 2 ms, and for 10 s in full reports, even without a request there. It doesn't count them where the engine is leaving or gone, the request is quarantined, or the engine answered with an error or that it didn't run the request. Deciders apply losses before they place waiting requests. A host's request counts as served on probation if the host reports fewer requests there and no new loss.

Tested: tests/gateway/damping-test (10 checks), seen failing with each of these taken out in turn: the engine's leaving, error answers, malformed answers, refused connections, full reports, applying reports. Not covered by a test: a loss that leaves all other numbers of a load as they were. Gateway, dispatch, fleet and log tests pass, those of damping and the gateway also with address and undefined-behaviour sanitizers.

--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -1,7 +1,5 @@
 #include "gateway/gateway-exchange-imp.h"
 
-#include "cowslipspoke/fingerprint.h"
-
 #include <string.h>
 
 /* Answers of targets: whether an answer belongs to this request, whether the
@@ -343,7 +341,10 @@
   csp_link_t *link = exchange->link;
 
   if (is_success (exchange->status))
-    csp_note_request_served (exchange);
+    {
+      csp_note_damping_success (&exchange->target->damping);
+      csp_note_request_served (exchange);
+    }
   exchange->link = NULL;
   csp_release_link (exchange->gateway, exchange->target, link);
 }
@@ -358,6 +359,7 @@
       && (exchange->move.state == CSP_MOVE_STOPPING
           || exchange->buffered.size_bytes > 0))
     {
+      csp_note_attempt_broke_off (exchange);
       handle_failure (exchange, "the stream broke off");
       return;
     }
@@ -415,36 +417,13 @@
         [CSP_LINK_RESET] = "the target reset the connection",
         [CSP_LINK_MALFORMED] = "the target sent what is no answer" };
 
-/* The target closed or reset the connection.  */
-static void
-note_attempt_lost (csp_exchange_t *exchange, csp_link_failure_t why)
-{
-  csp_gateway_t *gateway = exchange->gateway;
-  char fingerprint[CSP_FINGERPRINT_TEXT_BYTES];
-
-  if ((why != CSP_LINK_CLOSED && why != CSP_LINK_RESET)
-      || !csp_link_has_sent (exchange->link))
-    return;
-  csp_print_fingerprint (csp_exchange_fingerprint (exchange), fingerprint);
-  CSP_LOG (
-      gateway->log, CSP_EVENT_ATTEMPT_LOST, exchange->request_id,
-      csp_text ("target", exchange->target->row.id),
-      csp_text ("fingerprint", fingerprint),
-      csp_text ("detail", failure_details[why]),
-      csp_number ("events", (int64_t)exchange->events),
-      csp_number ("sent_ms",
-                  csp_gateway_now_ms (gateway) - exchange->sent_at_ms),
-      csp_number ("target_requests", (int64_t)exchange->target->own.requests));
-  csp_note_connection_lost (exchange);
-}
-
 static void
 on_failed (void *state, csp_link_failure_t why)
 {
   csp_exchange_t *exchange = state;
   csp_gateway_t *gateway = exchange->gateway;
 
-  note_attempt_lost (exchange, why);
+  csp_note_attempt_lost (exchange, why, failure_details[why]);
   if (why == CSP_LINK_UNREACHABLE || why == CSP_LINK_RESET)
     csp_note_target_failed (gateway, exchange->target);
   if (exchange->answer_mode == CSP_ANSWER_FORWARDED)
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -167,6 +167,16 @@
    strike against the request.  */
 void csp_note_connection_lost (csp_exchange_t *exchange);
 
+/* Damping: see gateway-damping.c.  The attempt's connection was refused, or
+   ended before the answer's end; count a strike against the request and a loss
+   against the target.  */
+void csp_note_attempt_lost (csp_exchange_t *exchange, csp_link_failure_t why,
+                            const char *detail);
+
+/* The connection was closed in the middle of an event, in an answer without
+   framing.  */
+void csp_note_attempt_broke_off (csp_exchange_t *exchange);
+
 /* The request got a complete, successful answer.  */
 void csp_note_request_served (csp_exchange_t *exchange);
 
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -31,6 +31,7 @@
      target-state  handles what targets report of themselves in answers
      rate          handles rate limits that targets state, and reports them
      grant         asks the decider before a limited target is sent a request
+     damping       counts losses at targets and damps those that flap
      reach         handles data centres that are cut off
      page          readiness and metrics
 
@@ -122,6 +123,7 @@
   uint64_t quarantine_refused;
   uint64_t rate_grants;  /* by this host as the decider, to itself too */
   uint64_t rate_refused; /* requests rejected for lack of a grant */
+  uint64_t dampings;     /* of targets, by this host as the decider */
 } csp_gateway_counts_t;
 
 struct csp_gateway
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -17,6 +17,7 @@
 print_metrics (const csp_gateway_t *gateway, csp_buffer_t *text)
 {
   const csp_gateway_counts_t *counts = &gateway->counts;
+  bool decides = csp_is_same_peer (gateway->decider, gateway->self);
   const struct
   {
     const char *name;
@@ -52,7 +53,13 @@
     { "peers", "gauge", csp_count_live_peers (gateway->roster) },
     { "hosts_refused_total", "counter",
       csp_count_refused_hosts (gateway->roster) },
-    { "decides", "gauge", csp_is_same_peer (gateway->decider, gateway->self) },
+    { "decides", "gauge", decides },
+    { "dampings_total", "counter", counts->dampings },
+    { "damped_targets", "gauge",
+      decides ? csp_count_dampings (gateway->fleet, CSP_TARGET_DAMPED) : 0 },
+    { "probation_targets", "gauge",
+      decides ? csp_count_dampings (gateway->fleet, CSP_TARGET_ON_PROBATION)
+              : 0 },
     { "asked_by", "gauge", csp_count_asking_hosts (gateway->roster) },
     { "routes_version", "gauge",
       gateway->routes == NULL ? 0 : csp_routes_version (gateway->routes) },
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -1,4 +1,4 @@
-#include "gateway/gateway-imp.h"
+#include "gateway/gateway-damping-imp.h"
 
 #include "cowslipspoke/hash.h"
 
@@ -76,13 +76,17 @@
 record_peer_hello (csp_gateway_t *gateway, csp_peer_address_t peer,
                    const csp_hello_t *hello)
 {
+  csp_remembered_loads_t before;
   bool taken;
 
+  csp_remember_loads (gateway, peer, &before);
   csp_visit_loads_of_peer (gateway->roster, peer, uncount_load,
                            gateway->fleet);
   taken = csp_receive_hello (gateway->roster, peer, hello,
                              csp_gateway_now_ms (gateway));
   csp_visit_loads_of_peer (gateway->roster, peer, count_load, gateway->fleet);
+  if (taken)
+    csp_apply_reported_losses (gateway, peer, hello, &before);
   return taken;
 }
 
--- a/source/gateway/gateway-tell.c
+++ b/source/gateway/gateway-tell.c
@@ -1,4 +1,4 @@
-#include "gateway/gateway-imp.h"
+#include "gateway/gateway-damping-imp.h"
 
 #include <string.h>
 
@@ -24,7 +24,7 @@
 };
 
 static csp_peer_load_t
-make_load (const csp_fleet_target_t *target)
+make_load (const csp_gateway_t *gateway, const csp_fleet_target_t *target)
 {
   csp_peer_load_t load
       = { .target = target->hash,
@@ -34,6 +34,7 @@
           .prefill_tokens = (uint32_t)target->own.prefill_tokens,
           .movable_tokens = (uint32_t)target->own.movable_tokens };
 
+  csp_fill_load_failures (gateway, target, &load);
   return load;
 }
 
@@ -43,7 +44,8 @@
   return a->requests == b->requests && a->tokens == b->tokens
          && a->backup_tokens == b->backup_tokens
          && a->prefill_tokens == b->prefill_tokens
-         && a->movable_tokens == b->movable_tokens;
+         && a->movable_tokens == b->movable_tokens
+         && a->failures == b->failures;
 }
 
 /* Three quarters of all requests go to plain services, end there within some
@@ -83,9 +85,10 @@
   for (i = 0; i < count; i++)
     {
       const csp_fleet_target_t *target = csp_fleet_at (gateway->fleet, i);
-      csp_peer_load_t load = make_load (target);
+      csp_peer_load_t load = make_load (gateway, target);
 
-      if ((load.requests > 0 || load.backup_tokens > 0)
+      if ((load.requests > 0 || load.backup_tokens > 0
+           || csp_reports_recent_failure (&load))
           && is_placed_by_decider (target, &load))
         add_load (gateway, &hello, &load, peers, peer_count);
     }
@@ -101,7 +104,7 @@
 
   while ((target = csp_take_changed_load (gateway->fleet)) != NULL)
     {
-      csp_peer_load_t load = make_load (target);
+      csp_peer_load_t load = make_load (gateway, target);
 
       if (is_same_load (&load, &target->reported_load)
           || !is_placed_by_decider (target, &load))
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -1,4 +1,4 @@
-#include "gateway/gateway-imp.h"
+#include "gateway/gateway-damping-imp.h"
 
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -342,6 +342,7 @@
   csp_broadcast_suspects (gateway);
   csp_repeat_rate_notices (gateway);
   csp_update_decider_role (gateway);
+  csp_update_target_dampings (gateway);
   csp_place_waiting_asks (gateway);
   /* The balancer no longer sends callers here; on connections that stay open
      callers would still be refused.  */
--- /dev/null
+++ b/tests/gateway/damping-test.c
@@ -0,0 +1,209 @@
+#include "gateway/stream-fixture.h"
+
+#include "cowslipspoke/hash.h"
+#include "cowslipspoke/roster.h"
+#include "support/run-suite.h"
+
+#include <check.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Attempts that a gateway loses at engines, and what other hosts report.  */
+
+enum
+{
+  WAIT_S = 5,
+  DAMPED_MS = 1000,
+  FULL_REPORT_MS = 1000,
+  FAILED_AGO_MS = 200
+};
+
+static int peer; /* socket of a host that gets the gateway's loads */
+static uint64_t peer_sequence;
+
+static void
+send_peer_hello (csp_hello_t *hello)
+{
+  csp_buffer_t bytes = { 0 };
+
+  hello->boot = 1;
+  hello->sequence = ++peer_sequence;
+  ck_assert (csp_encode_hello (hello, &bytes));
+  ck_assert_int_gt (sendto (peer, bytes.data, bytes.size_bytes, 0,
+                            (struct sockaddr *)&stream.datagram_address,
+                            sizeof stream.datagram_address),
+                    0);
+  csp_clear_buffer (&bytes);
+}
+
+static void
+await_metric (const char *line)
+{
+  while (strstr (fixture_get_page (&stream.fixture, "/metrics"), line) == NULL)
+    continue;
+}
+
+static void
+set_up (void)
+{
+  csp_hello_t hello = { .capacity = 0 };
+  struct timeval wait = { .tv_sec = WAIT_S };
+
+  stream_set_up ();
+  peer = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  peer_sequence = 0;
+  setsockopt (peer, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  send_peer_hello (&hello);
+  await_metric ("cowslipspoke_gateway_peers 1\n");
+}
+
+static void
+tear_down (void)
+{
+  close (peer);
+  stream_tear_down ();
+}
+
+/* Receive reports until one has this many requests under way at the engine.
+ */
+static csp_peer_load_t
+receive_load (uint32_t requests)
+{
+  char datagram[CSP_HELLO_MAX_BYTES];
+  csp_hello_t hello = { .load_count = 0 };
+
+  while (hello.load_count == 0 || hello.loads[0].requests != requests)
+    {
+      ssize_t size_bytes = recv (peer, datagram, sizeof datagram, 0);
+
+      ck_assert_int_gt (size_bytes, 0);
+      ck_assert (csp_decode_hello (datagram, (size_t)size_bytes, &hello));
+    }
+  return hello.loads[0];
+}
+
+/* How the only attempt ends: an answer, and whether the engine then closes or
+   resets its connection.  */
+static const struct
+{
+  const char *answer;
+  bool resets;
+  bool leaves;
+  uint32_t failures;
+} endings[] = {
+  { "", true, false, 1 },
+  { "", false, false, 1 },
+  { STREAM_HEAD "5\r\nid: 1", true, false, 1 },
+  { STREAM_HEAD "0\r\n\r\n", false, false, 0 },
+  { "", true, true, 0 },
+  { "HTTP/1.1 500 No\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\n", true,
+    false, 0 },
+  { "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", false, false, 0 },
+  { "what is no answer\r\n\r\n", false, false, 0 },
+};
+
+/* Guards against losses that hosts don't tell each other or a new decider, and
+   against those that aren't the engine's fault.  */
+START_TEST (lost_attempts_are_reported)
+{
+  csp_peer_load_t load;
+  int link;
+
+  stream.caller = open_caller (&stream.fixture);
+  send_text (stream.caller, REQUEST ("/stream/", "r1"));
+  link = accept_target_connection (stream.listeners[0]);
+  read_target_request (link, 0);
+  receive_load (1);
+  if (endings[_i].leaves)
+    fixture_mark_leaving (&stream.fixture, stream.listeners[0], "t-0",
+                          "engines");
+  fixture_await_updates (&stream.fixture);
+  send_text (link, endings[_i].answer);
+  if (endings[_i].resets)
+    reset_socket (link);
+  else
+    close (link);
+  ck_assert_uint_eq (receive_load (0).failures, endings[_i].failures);
+  if (endings[_i].failures == 0)
+    return;
+  /* A full report repeats it, though nothing is under way there.  */
+  csp_advance_fake_clock (&stream.fixture.fake_clock, FULL_REPORT_MS);
+  load = receive_load (0);
+  ck_assert_uint_eq (load.failures, endings[_i].failures);
+  ck_assert_uint_ge (load.failure_age_ms, FULL_REPORT_MS);
+}
+END_TEST
+
+/* Guards against refused connections that aren't counted.  */
+START_TEST (refused_connections_are_reported)
+{
+  csp_peer_load_t load;
+
+  close (stream.listeners[0]);
+  stream.listeners[0] = -1;
+  stream.caller = open_caller (&stream.fixture);
+  send_text (stream.caller, REQUEST ("/stream/", "r1"));
+  load = receive_load (0);
+  ck_assert_uint_eq (load.target, csp_hash_pair ("target", "t-0"));
+  ck_assert_uint_eq (load.failures, 1);
+}
+END_TEST
+
+static void
+report_peer_failures (uint32_t failures, uint32_t requests)
+{
+  csp_hello_t hello = { .load_count = 1,
+                        .loads = { { .target = csp_hash_pair ("target", "t-0"),
+                                     .requests = requests,
+                                     .failures = failures,
+                                     .failure_age_ms = FAILED_AGO_MS } } };
+
+  send_peer_hello (&hello);
+}
+
+/* Guards against an engine that is filled again after two hosts have lost
+   attempts there.  */
+START_TEST (losses_of_two_hosts_damp_an_engine)
+{
+  csp_fake_clock_t *clock = &stream.fixture.fake_clock;
+  int caller;
+  int link;
+
+  start_stream (false);
+  report_peer_failures (1, 0);
+  reset_socket (stream.source_link);
+  await_metric ("cowslipspoke_gateway_damped_targets 1\n");
+  await_metric ("cowslipspoke_gateway_dampings_total 1\n");
+  add_second_engine ();
+  caller = open_caller (&stream.fixture);
+  send_text (caller, REQUEST ("/stream/", "r1"));
+  link = accept_target_connection (stream.listeners[1]);
+  csp_advance_fake_clock (clock, DAMPED_MS);
+  await_metric ("cowslipspoke_gateway_probation_targets 1\n");
+  /* Lost before the probation.  */
+  report_peer_failures (2, 1);
+  /* The peer's request was served.  */
+  report_peer_failures (2, 0);
+  csp_advance_fake_clock (clock, DAMPED_MS);
+  await_metric ("cowslipspoke_gateway_probation_targets 0\n");
+  await_metric ("cowslipspoke_gateway_damped_targets 0\n");
+  close (caller);
+  close (link);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("gateway damping");
+  TCase *tests = tcase_create ("engines");
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_add_loop_test (tests, lost_attempts_are_reported, 0,
+                       sizeof endings / sizeof endings[0]);
+  tcase_add_test (tests, refused_connections_are_reported);
+  tcase_add_test (tests, losses_of_two_hosts_damp_an_engine);
+  suite_add_tcase (suite, tests);
+  return run_suite (suite);
+}
