Losses of one moment don't damp a released target again

Where many targets lose attempts at once, more are damped than may be, and the first are released into probation. The further losses of the same moment, reported a few ms later, would have damped them again and doubled the duration each time, up to 16 s. Losses before the time at which a damping would have ended are no evidence now (csp_damping_t.counted_from_ms).

The test at the gateway also checks that a success that another host's load shows raises what is allowed on probation, and waits until a report is applied before it advances the clock.

The new case was seen failing with the old rule, and the gateway's check without successes.

--- a/include/cowslipspoke/damping.h
+++ b/include/cowslipspoke/damping.h
@@ -31,6 +31,7 @@
   csp_damping_state_t state;
   uint32_t times;          /* damped since it was last sound for long enough */
   int64_t changed_ms;      /* when the state began */
+  int64_t counted_from_ms; /* losses before are no evidence */
   uint32_t duration_ms;    /* of the current or last damping */
   uint32_t allowed;        /* requests at a time while on probation */
   uint32_t served;         /* since the number allowed was last raised */
@@ -64,7 +65,10 @@
    changed.  Call it periodically.  */
 bool csp_update_damping (csp_damping_t *damping, int64_t now_ms);
 
-/* Ends a damping early: too many targets of the service are damped.  */
+/* Ends a damping early: too many targets of the service are damped.  Until it
+   would have ended, losses don't damp the target again: where many targets
+   fail at once, the further losses of that moment would double the duration
+   again and again.  */
 void csp_release_damping (csp_damping_t *damping, int64_t now_ms);
 
 /* Whether a request may be placed there that is expected to run for run_ms,
--- a/source/damping/damping.c
+++ b/source/damping/damping.c
@@ -42,6 +42,7 @@
 
   damping->duration_ms = FIRST_DAMPING_MS << doublings;
   damping->times++;
+  damping->counted_from_ms = now_ms + (int64_t)damping->duration_ms;
   change_state (damping, CSP_TARGET_DAMPED, now_ms);
 }
 
@@ -53,7 +54,7 @@
 {
   int64_t apart_ms = lost_ms - damping->failed_ms;
 
-  if (damping->failed_ms == 0 || damping->failed_ms < damping->changed_ms
+  if (damping->failed_ms == 0 || damping->failed_ms < damping->counted_from_ms
       || apart_ms > EVIDENCE_MS || -apart_ms > EVIDENCE_MS)
     return false;
   return report->is_only_host
@@ -62,13 +63,13 @@
                  || report->host_data_centre == report->target_data_centre));
 }
 
-/* Whether the loss damps the target.  What was lost before the current state
-   began has been counted, or was under way when the target was damped.  */
+/* Whether the loss damps the target.  What was lost before the end of a
+   damping has been counted, or was under way when it began.  */
 static bool
 is_evidence (const csp_damping_t *damping, const csp_damping_report_t *report,
              int64_t lost_ms)
 {
-  if (lost_ms < damping->changed_ms)
+  if (lost_ms < damping->counted_from_ms)
     return false;
   switch (damping->state)
     {
--- a/tests/damping/damping-test.c
+++ b/tests/damping/damping-test.c
@@ -21,6 +21,7 @@
      O  the same of the only host
      U  a loss whose report is lost
      A  a loss is reported late: host, age in ms
+     X  too many targets are damped: it is released
      R  all hosts restart and forget their losses
    and what the state is: T trusted, D damped, P on probation.  */
 static const struct
@@ -43,6 +44,9 @@
     "U0 U0 L0,1,1 R100 L200,2,1 T200 L300,3,1 L310,2,1 D310" },
   { "a new decider takes recent losses as evidence", "A0,1,1900 A1,2,300 D1" },
   { "a new decider ignores old losses", "A0,1,2000 A1,2,9000 A2,3,2000 T2" },
+  { "losses of the same moment don't damp a released target",
+    "L0,1,1 L1,2,1 X2 P2 L3,3,1 L900,4,1 P1001 T1002 L1003,3,1 L1004,4,1 "
+    "D1004" },
   { "a report of what was lost before doesn't end a probation",
     "L0,1,1 L1,2,1 A1100,3,1095 A1200,4,300 P1200 A1300,4,10 D1300" },
 };
@@ -89,6 +93,8 @@
         report.failures = ++failures;
       if (kind == 'R')
         failures = 0;
+      if (kind == 'X')
+        csp_release_damping (&damping, BEGIN_MS + at_ms);
       if (strchr ("TDP", kind) != NULL)
         check_state (&damping, kind, cases[_i].name, at_ms);
       else if (strchr ("LOA", kind) != NULL)
--- a/tests/gateway/damping-test.c
+++ b/tests/gateway/damping-test.c
@@ -16,9 +16,14 @@
   WAIT_S = 5,
   DAMPED_MS = 1000,
   FULL_REPORT_MS = 1000,
+  RESERVED_MS = 40, /* a placement isn't counted twice any more */
   FAILED_AGO_MS = 200
 };
 
+#define SHORT_REQUEST                                                         \
+  "GET /stream/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\nRequest-Id: r1\r\n"      \
+  "Time-Left: 30000\r\nTokens: 100,10\r\n\r\n"
+
 static int peer; /* socket of a host that gets the gateway's loads */
 static uint64_t peer_sequence;
 
@@ -65,21 +70,25 @@
   stream_tear_down ();
 }
 
+static void
+receive_hello (csp_hello_t *hello)
+{
+  char datagram[CSP_HELLO_MAX_BYTES];
+  ssize_t size_bytes = recv (peer, datagram, sizeof datagram, 0);
+
+  ck_assert_int_gt (size_bytes, 0);
+  ck_assert (csp_decode_hello (datagram, (size_t)size_bytes, hello));
+}
+
 /* Receive reports until one has this many requests under way at the engine.
  */
 static csp_peer_load_t
 receive_load (uint32_t requests)
 {
-  char datagram[CSP_HELLO_MAX_BYTES];
   csp_hello_t hello = { .load_count = 0 };
 
   while (hello.load_count == 0 || hello.loads[0].requests != requests)
-    {
-      ssize_t size_bytes = recv (peer, datagram, sizeof datagram, 0);
-
-      ck_assert_int_gt (size_bytes, 0);
-      ck_assert (csp_decode_hello (datagram, (size_t)size_bytes, &hello));
-    }
+    receive_hello (&hello);
   return hello.loads[0];
 }
 
@@ -150,46 +159,64 @@
 }
 END_TEST
 
+/* Report the peer's load, and wait until the gateway has applied it.  */
 static void
-report_peer_failures (uint32_t failures, uint32_t requests)
+report_peer_load (uint32_t failures, uint32_t requests)
 {
-  csp_hello_t hello = { .load_count = 1,
+  csp_hello_t hello = { .reply_requested = true,
+                        .load_count = 1,
                         .loads = { { .target = csp_hash_pair ("target", "t-0"),
                                      .requests = requests,
                                      .failures = failures,
                                      .failure_age_ms = FAILED_AGO_MS } } };
 
   send_peer_hello (&hello);
+  do
+    receive_hello (&hello);
+  while (hello.reply_requested || hello.is_full_report
+         || hello.load_count > 0);
 }
 
 /* Guards against an engine that is filled again after two hosts have lost
-   attempts there.  */
+   attempts there, and against a probation that other hosts' successes don't
+   ease.  */
 START_TEST (losses_of_two_hosts_damp_an_engine)
 {
   csp_fake_clock_t *clock = &stream.fixture.fake_clock;
-  int caller;
-  int link;
+  int callers[3];
+  int links[3];
+  size_t i;
 
   start_stream (false);
-  report_peer_failures (1, 0);
+  report_peer_load (1, 0);
   reset_socket (stream.source_link);
   await_metric ("cowslipspoke_gateway_damped_targets 1\n");
   await_metric ("cowslipspoke_gateway_dampings_total 1\n");
   add_second_engine ();
-  caller = open_caller (&stream.fixture);
-  send_text (caller, REQUEST ("/stream/", "r1"));
-  link = accept_target_connection (stream.listeners[1]);
-  csp_advance_fake_clock (clock, DAMPED_MS);
-  await_metric ("cowslipspoke_gateway_probation_targets 1\n");
-  /* Lost before the probation.  */
-  report_peer_failures (2, 1);
-  /* The peer's request was served.  */
-  report_peer_failures (2, 0);
+  for (i = 0; i < 3; i++)
+    {
+      csp_advance_fake_clock (clock, RESERVED_MS);
+      callers[i] = open_caller (&stream.fixture);
+      send_text (callers[i], SHORT_REQUEST);
+      links[i] = accept_target_connection (stream.listeners[i == 0 ? 1 : 0]);
+      if (i > 0)
+        continue;
+      fixture_mark_leaving (&stream.fixture, stream.listeners[1], "t-1",
+                            "engines");
+      csp_advance_fake_clock (clock, DAMPED_MS);
+      await_metric ("cowslipspoke_gateway_probation_targets 1\n");
+      /* A loss before the probation, and a request that is served.  */
+      report_peer_load (2, 1);
+      report_peer_load (2, 0);
+    }
   csp_advance_fake_clock (clock, DAMPED_MS);
   await_metric ("cowslipspoke_gateway_probation_targets 0\n");
   await_metric ("cowslipspoke_gateway_damped_targets 0\n");
-  close (caller);
-  close (link);
+  for (i = 0; i < 3; i++)
+    {
+      close (callers[i]);
+      close (links[i]);
+    }
 }
 END_TEST
 
