Counts of damped targets follow each change

With every damping all targets with losses were counted again, and the first damped one was searched for: where thousands of targets lose attempts at once, the decider's work would grow with the square of their number. Damped targets are now in a list of their own, in the order of their damping, and each group's count follows the changes of damping and of readiness. So a damped target that begins to leave makes room at once.

Tested: tests/damping/damping-fleet-test (10 checks), also with address and undefined-behaviour sanitizers; the checks of the limits by data centre and by service and of the leaving target were seen failing with each taken out. tests/fleet pass.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -66,7 +66,7 @@
   uint32_t data_centre; /* hash of its name */
   size_t target_count;  /* including those that are gone but not freed */
   size_t ready_count;
-  size_t damped_count; /* as of the last csp_limit_dampings */
+  size_t damped_count; /* ready ones that are damped */
   bool cut_off;        /* the data centre can't be reached from this host */
 } csp_fleet_group_t;
 
@@ -207,11 +207,16 @@
   void *state;
 } csp_damping_watch_t;
 
-/* Releases targets into probation where more are damped than may be.  */
-void csp_limit_dampings (csp_fleet_t *fleet, const csp_damping_watch_t *watch,
-                         int64_t now_ms);
+/* Releases targets into probation where more are damped than may be, after one
+   of this group was damped.  */
+void csp_limit_dampings (csp_fleet_t *fleet, csp_fleet_group_t *group,
+                         const csp_damping_watch_t *watch, int64_t now_ms);
 
-/* Ends dampings and probations whose time is over.  Call it periodically.  */
+/* Ends dampings and probations whose time is over, of one target or of all;
+   call the latter periodically.  */
+void csp_update_target_damping (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                                const csp_damping_watch_t *watch,
+                                int64_t now_ms);
 void csp_update_dampings (csp_fleet_t *fleet, const csp_damping_watch_t *watch,
                           int64_t now_ms);
 
--- a/source/fleet/fleet-damping.c
+++ b/source/fleet/fleet-damping.c
@@ -22,38 +22,63 @@
 }
 
 bool
-csp_note_target_loss (csp_fleet_t *fleet, csp_fleet_target_t *target,
-                      const csp_damping_report_t *report, int64_t now_ms)
+csp_is_counted_damped (const csp_fleet_target_t *target)
+{
+  return target->state == CSP_FLEET_READY
+         && target->damping.state == CSP_TARGET_DAMPED;
+}
+
+/* Follows a change of the damping: puts the target into the list of the damped
+   ones, which is in the order of their damping, or of the others with losses,
+   and updates the count.  Nothing is recounted, as a decider may get thousands
+   of losses at once.  */
+static void
+follow_damping (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                bool was_counted)
 {
   target_entry_t *entry = csp_entry_of_target (target);
-  bool damped = csp_note_damping_report (&target->damping, report, now_ms);
+  bool damped = target->damping.state == CSP_TARGET_DAMPED;
 
   target->restrained = target->damping.state != CSP_TARGET_TRUSTED;
-  if (cds_list_empty (&entry->has_losses))
-    cds_list_add_tail (&entry->has_losses, &fleet->lossy_targets);
-  return damped;
+  target->group->damped_count += csp_is_counted_damped (target);
+  target->group->damped_count -= was_counted;
+  cds_list_del (&entry->has_losses);
+  cds_list_add_tail (&entry->has_losses,
+                     damped ? &fleet->damped_targets : &fleet->lossy_targets);
 }
 
 bool
-csp_has_lossy_targets (csp_fleet_t *fleet)
+csp_note_target_loss (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                      const csp_damping_report_t *report, int64_t now_ms)
 {
-  return !cds_list_empty (&fleet->lossy_targets);
+  bool was_counted = csp_is_counted_damped (target);
+  bool damped = csp_note_damping_report (&target->damping, report, now_ms);
+
+  follow_damping (fleet, target, was_counted);
+  return damped;
 }
 
-static bool
-is_counted (const csp_fleet_target_t *target, csp_damping_state_t state)
+bool
+csp_has_lossy_targets (csp_fleet_t *fleet)
 {
-  return target->damping.state == state && target->state == CSP_FLEET_READY;
+  return !cds_list_empty (&fleet->lossy_targets)
+         || !cds_list_empty (&fleet->damped_targets);
 }
 
 size_t
 csp_count_dampings (const csp_fleet_t *fleet, csp_damping_state_t state)
 {
+  const struct cds_list_head *list = state == CSP_TARGET_DAMPED
+                                         ? &fleet->damped_targets
+                                         : &fleet->lossy_targets;
   const target_entry_t *entry;
   size_t count = 0;
 
-  cds_list_for_each_entry (entry, &fleet->lossy_targets, has_losses) count
-      += is_counted (&entry->target, state);
+  cds_list_for_each_entry (entry, list, has_losses)
+  {
+    count += entry->target.damping.state == state
+             && entry->target.state == CSP_FLEET_READY;
+  }
   return count;
 }
 
@@ -79,92 +104,92 @@
   return count;
 }
 
-static void
-count_damped (csp_fleet_t *fleet)
-{
-  target_entry_t *entry;
-  size_t i;
-
-  for (i = 0; i < fleet->group_count; i++)
-    fleet->groups[i]->damped_count = 0;
-  cds_list_for_each_entry (entry, &fleet->lossy_targets, has_losses)
-      entry->target.group->damped_count
-      += is_counted (&entry->target, CSP_TARGET_DAMPED);
-}
-
 /* Releases the target of a service that was damped first, in one group or in
-   all of them (group is NULL).  */
-static void
+   all of them (group is NULL).  False if there is none.  */
+static bool
 release_first (csp_fleet_t *fleet, const char *service,
                const csp_fleet_group_t *group,
                const csp_damping_watch_t *watch, int64_t now_ms)
 {
-  csp_fleet_target_t *first = NULL;
   target_entry_t *entry;
 
-  cds_list_for_each_entry (entry, &fleet->lossy_targets, has_losses)
+  cds_list_for_each_entry (entry, &fleet->damped_targets, has_losses)
   {
     csp_fleet_target_t *target = &entry->target;
 
-    if (is_counted (target, CSP_TARGET_DAMPED)
-        && strcmp (target->group->service, service) == 0
-        && (group == NULL || target->group == group)
-        && (first == NULL
-            || target->damping.changed_ms < first->damping.changed_ms))
-      first = target;
+    if (!csp_is_counted_damped (target)
+        || strcmp (target->group->service, service) != 0
+        || (group != NULL && target->group != group))
+      continue;
+    csp_release_damping (&target->damping, now_ms);
+    follow_damping (fleet, target, true);
+    watch->on_changed (watch->state, target, true);
+    return true;
   }
-  if (first == NULL)
-    return;
-  csp_release_damping (&first->damping, now_ms);
-  first->group->damped_count--;
-  watch->on_changed (watch->state, first, true);
+  return false;
 }
 
 void
-csp_limit_dampings (csp_fleet_t *fleet, const csp_damping_watch_t *watch,
-                    int64_t now_ms)
+csp_limit_dampings (csp_fleet_t *fleet, csp_fleet_group_t *group,
+                    const csp_damping_watch_t *watch, int64_t now_ms)
 {
-  size_t i;
+  service_count_t count;
 
-  if (!csp_has_lossy_targets (fleet))
+  while (group->damped_count
+             > csp_max_damped_targets ((uint32_t)group->ready_count)
+         && release_first (fleet, group->service, group, watch, now_ms))
+    continue;
+  if (group->damped_count == 0)
     return;
-  count_damped (fleet);
-  for (i = 0; i < fleet->group_count; i++)
-    {
-      csp_fleet_group_t *group = fleet->groups[i];
-      service_count_t count;
-
-      while (group->damped_count
-             > csp_max_damped_targets ((uint32_t)group->ready_count))
-        release_first (fleet, group->service, group, watch, now_ms);
-      if (group->damped_count == 0)
-        continue;
-      for (count = count_service (fleet, group->service);
-           count.damped > csp_max_damped_targets ((uint32_t)count.ready);
-           count.damped--)
-        release_first (fleet, group->service, NULL, watch, now_ms);
-    }
+  count = count_service (fleet, group->service);
+  while (count.damped > csp_max_damped_targets ((uint32_t)count.ready)
+         && release_first (fleet, group->service, NULL, watch, now_ms))
+    count.damped--;
 }
 
 void
-csp_update_dampings (csp_fleet_t *fleet, const csp_damping_watch_t *watch,
-                     int64_t now_ms)
+csp_update_target_damping (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                           const csp_damping_watch_t *watch, int64_t now_ms)
+{
+  bool was_counted = csp_is_counted_damped (target);
+
+  if (!csp_update_damping (&target->damping, now_ms))
+    return;
+  follow_damping (fleet, target, was_counted);
+  if (target->state != CSP_FLEET_GONE)
+    watch->on_changed (watch->state, target, false);
+}
+
+static void
+update_list (csp_fleet_t *fleet, struct cds_list_head *list,
+             const csp_damping_watch_t *watch, int64_t now_ms)
 {
   target_entry_t *entry;
   target_entry_t *next;
 
-  cds_list_for_each_entry_safe (entry, next, &fleet->lossy_targets, has_losses)
+  cds_list_for_each_entry_safe (entry, next, list, has_losses)
   {
     csp_fleet_target_t *target = &entry->target;
 
     csp_settle_target_failures (target);
-    if (csp_update_damping (&target->damping, now_ms)
-        && target->state != CSP_FLEET_GONE)
-      watch->on_changed (watch->state, target, false);
-    target->restrained = target->damping.state != CSP_TARGET_TRUSTED;
+    csp_update_target_damping (fleet, target, watch, now_ms);
     if (!target->restrained && target->damping.times == 0
         && target->damping.known_failures == 0)
       cds_list_del_init (&entry->has_losses);
   }
-  csp_limit_dampings (fleet, watch, now_ms);
+}
+
+void
+csp_update_dampings (csp_fleet_t *fleet, const csp_damping_watch_t *watch,
+                     int64_t now_ms)
+{
+  size_t i;
+
+  if (!csp_has_lossy_targets (fleet))
+    return;
+  update_list (fleet, &fleet->damped_targets, watch, now_ms);
+  update_list (fleet, &fleet->lossy_targets, watch, now_ms);
+  /* Fewer targets may be ready.  */
+  for (i = 0; i < fleet->group_count; i++)
+    csp_limit_dampings (fleet, fleet->groups[i], watch, now_ms);
 }
--- a/source/fleet/fleet-group.c
+++ b/source/fleet/fleet-group.c
@@ -63,6 +63,7 @@
     return;
   group->target_count--;
   group->ready_count -= target->state == CSP_FLEET_READY;
+  group->damped_count -= csp_is_counted_damped (target);
   target->group = NULL;
 }
 
@@ -76,6 +77,7 @@
   target->data_centre = group->data_centre;
   group->target_count++;
   group->ready_count += target->state == CSP_FLEET_READY;
+  group->damped_count += csp_is_counted_damped (target);
 }
 
 void
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -51,8 +51,9 @@
   struct cds_list_head changed_loads;
   /* Targets that state a rate limit or lately did.  */
   struct cds_list_head stated_rates;
-  /* Targets with losses that hosts still report, and those that were damped
-     not long ago.  */
+  /* Targets that are damped, in the order of their damping; and others with
+     losses that hosts still report, or that were damped not long ago.  */
+  struct cds_list_head damped_targets;
   struct cds_list_head lossy_targets;
   csp_cordons_t *cordons;
   size_t cold_limit_count;
@@ -87,6 +88,9 @@
 void csp_assume_cold (csp_fleet_t *fleet, csp_fleet_target_t *target,
                       int64_t now_ms);
 
+/* Whether the target is in its group's damped_count.  */
+bool csp_is_counted_damped (const csp_fleet_target_t *target);
+
 /* The target's failure share, decayed to now_ms.  */
 double csp_decayed_failure_share (const csp_fleet_target_t *target,
                                   int64_t now_ms);
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -77,6 +77,7 @@
   fleet->platform_reachable = true;
   CDS_INIT_LIST_HEAD (&fleet->changed_loads);
   CDS_INIT_LIST_HEAD (&fleet->stated_rates);
+  CDS_INIT_LIST_HEAD (&fleet->damped_targets);
   CDS_INIT_LIST_HEAD (&fleet->lossy_targets);
   fleet->cordons = csp_create_cordons ();
   if (fleet->cordons != NULL
@@ -191,8 +192,10 @@
   fleet->ending_count -= is_ending (target->state);
   fleet->ending_count += is_ending (state);
   target->group->ready_count -= target->state == CSP_FLEET_READY;
-  target->group->ready_count += state == CSP_FLEET_READY;
+  target->group->damped_count -= csp_is_counted_damped (target);
   target->state = state;
+  target->group->ready_count += state == CSP_FLEET_READY;
+  target->group->damped_count += csp_is_counted_damped (target);
   target->leaves |= state == CSP_FLEET_LEAVING;
   if (state != CSP_FLEET_GONE)
     target->gone_at_ms = 0;
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -94,14 +94,14 @@
     return;
   /* What is due is logged first.  */
   if (target->restrained)
-    csp_update_target_dampings (gateway);
+    csp_update_target_damping (gateway->fleet, target, &watch, now_ms);
   cause = target->restrained    ? "lost on probation"
           : report.is_only_host ? "lost by the only host"
                                 : "lost by two hosts";
   if (!csp_note_target_loss (gateway->fleet, target, &report, now_ms))
     return;
   log_damping (gateway, target, cause, reported_by);
-  csp_limit_dampings (gateway->fleet, &watch, now_ms);
+  csp_limit_dampings (gateway->fleet, target->group, &watch, now_ms);
 }
 
 /* Whether the lost attempt counts against its target.  */
--- a/tests/damping/damping-fleet-test.c
+++ b/tests/damping/damping-fleet-test.c
@@ -88,7 +88,7 @@
   csp_add_peer_load (fleet, &load);
   report.failures = csp_count_target_failures (target);
   csp_note_target_loss (fleet, target, &report, now_ms);
-  csp_limit_dampings (fleet, &watch, now_ms);
+  csp_limit_dampings (fleet, target->group, &watch, now_ms);
 }
 
 /* Ask for a placement from a host.  Returns the target; NULL: it waits.  */
@@ -189,33 +189,57 @@
 {
   size_t targets;
   size_t data_centres;
+  size_t failing; /* every so many targets */
   size_t max_damped;
-} limits[] = { { 10, 2, 2 }, { 10, 1, 2 }, { 4, 4, 1 }, { 1, 1, 1 } };
+} limits[] = { { 10, 2, 1, 2 },
+               { 10, 1, 1, 2 },
+               { 10, 2, 2, 1 }, /* all of one data centre */
+               { 4, 4, 1, 1 },
+               { 1, 1, 1, 1 } };
 
 /* Guards against damping most of a service, or of a data centre, where all
    targets lose attempts.  */
 START_TEST (at_most_a_fifth_is_damped)
 {
-  csp_fleet_target_t *targets[10];
   size_t count = limits[_i].targets;
-  char text[2] = "";
   size_t i;
 
   for (i = 0; i < count; i++)
     {
+      char id[2] = { (char)('a' + i), 0 };
       char data_centre[2] = { (char)('a' + i % limits[_i].data_centres), 0 };
 
-      text[0] = (char)('a' + i);
-      targets[i] = list_target (text, data_centre, 0);
+      list_target (id, data_centre, 0);
+    }
+  for (i = 0; i < count; i += limits[_i].failing)
+    {
+      csp_fleet_target_t *target = csp_fleet_at (fleet, i);
+
+      damp (target, BEGIN_MS + (int64_t)i);
+      ck_assert_int_eq (target->damping.state, CSP_TARGET_DAMPED);
     }
-  for (i = 0; i < count; i++)
-    damp (targets[i], BEGIN_MS + (int64_t)i);
   ck_assert_uint_eq (csp_count_dampings (fleet, CSP_TARGET_DAMPED),
                      limits[_i].max_damped);
-  ck_assert_uint_eq (released, count - limits[_i].max_damped);
-  /* The last one.  */
-  ck_assert_int_eq (csp_find_fleet_target (fleet, text)->damping.state,
-                    CSP_TARGET_DAMPED);
+  ck_assert_uint_eq (released,
+                     count / limits[_i].failing - limits[_i].max_damped);
+}
+END_TEST
+
+/* Guards against a damped target that takes the only place of the limit
+   although it has begun to leave.  */
+START_TEST (leaving_target_is_not_counted)
+{
+  csp_fleet_target_t *first = list_target ("t", "", 0);
+  csp_fleet_target_t *second = list_target ("u", "", 0);
+
+  damp (first, BEGIN_MS);
+  csp_note_target_leaves (fleet, first);
+  damp (second, BEGIN_MS + 1);
+  ck_assert_int_eq (second->damping.state, CSP_TARGET_DAMPED);
+  ck_assert_uint_eq (csp_count_dampings (fleet, CSP_TARGET_DAMPED), 1);
+  ck_assert_uint_eq (released, 0);
+  csp_update_dampings (fleet, &watch, BEGIN_MS + 4 * UP_MS);
+  ck_assert_uint_eq (second->group->damped_count, 0);
 }
 END_TEST
 
@@ -270,6 +294,7 @@
   tcase_add_test (tests, target_on_probation_gets_one_short_request);
   tcase_add_loop_test (tests, at_most_a_fifth_is_damped, 0,
                        sizeof limits / sizeof limits[0]);
+  tcase_add_test (tests, leaving_target_is_not_counted);
   tcase_add_test (tests, new_start_is_trusted);
   tcase_add_test (tests, waiting_move_leaves_damped_destination);
   suite_add_tcase (suite, tests);
