--- a/include/cowslipspoke/damping.h
+++ b/include/cowslipspoke/damping.h
@@ -12,7 +12,8 @@
 
    Hosts report with their loads how many attempts they have lost at a target.
    Two hosts have to report losses, so that a host or a data centre that is cut
-   off from a target doesn't speak for the others.  A damped target gets
+   off from a target doesn't speak for the others; where no other host lives,
+   two losses of the only host count.  A damped target gets
    nothing; then it is on probation for as long as it was damped, with a
    bounded number of short requests.  Each further time doubles the duration.
    Every decider computes the same from the same reports.  */
@@ -30,6 +31,7 @@
   csp_damping_state_t state;
   uint32_t times;          /* damped since it was last sound for long enough */
   int64_t changed_ms;      /* when the state began */
+  int64_t counted_from_ms; /* losses before are no evidence */
   uint32_t duration_ms;    /* of the current or last damping */
   uint32_t allowed;        /* requests at a time while on probation */
   uint32_t served;         /* since the number allowed was last raised */
@@ -46,7 +48,7 @@
   uint64_t host;             /* see csp_pack_peer */
   uint32_t host_data_centre; /* hash of its name */
   uint32_t target_data_centre;
-  bool is_only_host; /* no other host is known */
+  bool is_only_host; /* no other host is known to live */
   uint32_t failures; /* sum over all hosts, this report included */
   uint32_t age_ms;   /* of the host's last loss */
 } csp_damping_report_t;
@@ -63,7 +65,10 @@
    changed.  Call it periodically.  */
 bool csp_update_damping (csp_damping_t *damping, int64_t now_ms);
 
-/* Ends a damping early: too many targets of the service are damped.  */
+/* Ends a damping early: too many targets of the service are damped.  Until it
+   would have ended, losses don't damp the target again: where many targets
+   fail at once, the further losses of that moment would double the duration
+   again and again.  */
 void csp_release_damping (csp_damping_t *damping, int64_t now_ms);
 
 /* Whether a request may be placed there that is expected to run for run_ms,
--- a/source/fleet/fleet-cost.c
+++ b/source/fleet/fleet-cost.c
@@ -120,9 +120,8 @@
   return tokens_per_ms / CSP_IDLE_PREFILL_TOKENS_PER_MS;
 }
 
-/* The expected decode time of the run.  */
-static double
-run_ms (const csp_fleet_need_t *need)
+double
+csp_expected_run_ms (const csp_fleet_need_t *need)
 {
   return need->tokens > need->prompt_tokens
              ? (double)(need->tokens - need->prompt_tokens)
@@ -151,9 +150,9 @@
                          * (double)csp_assigned_runs (target);
 
   return (ahead + delay_of_runs
-          + run_ms (need) * prompt_time_share (target, now_ms))
+          + csp_expected_run_ms (need) * prompt_time_share (target, now_ms))
              * slowness
-         + run_ms (need) * (slowness - 1);
+         + csp_expected_run_ms (need) * (slowness - 1);
 }
 
 static double
@@ -163,7 +162,8 @@
     return remote_copy_cost_ms;
   if (!need->by_memory)
     return remote_cost_ms;
-  return remote_run_cost_ms + remote_run_time_factor * run_ms (need);
+  return remote_run_cost_ms
+         + remote_run_time_factor * csp_expected_run_ms (need);
 }
 
 /* While streams run at the target a prompt makes them pause; later prompts do
@@ -180,7 +180,7 @@
   if (need->is_copy)
     return prefill_tokens (target) + target->reserved.prefill_tokens > 0;
   return target->own.movable_tokens + target->others.movable_tokens > 0
-         || run_ms (need) > LONG_RUN_MS;
+         || csp_expected_run_ms (need) > LONG_RUN_MS;
 }
 
 double
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -17,6 +17,7 @@
   csp_index_node_t by_id;
   struct cds_list_head changed_load; /* among the fleet's; empty: it isn't */
   struct cds_list_head stated_rate;  /* the same */
+  struct cds_list_head has_losses;   /* the same */
 } target_entry_t;
 
 enum
@@ -56,6 +57,10 @@
   /* Used while a service's targets are rated.  */
   size_t rated_capacity;
   csp_speed_t **rated;
+  /* Targets that are damped, in the order of their damping; and others with
+     losses that hosts still report, or that were damped not long ago.  */
+  struct cds_list_head damped_targets;
+  struct cds_list_head lossy_targets;
   csp_cordons_t *cordons;
   size_t cold_limit_count;
   csp_cold_limit_t cold_limits[CSP_COLD_LIMITS_MAX];
@@ -89,6 +94,9 @@
 void csp_assume_cold (csp_fleet_t *fleet, csp_fleet_target_t *target,
                       int64_t now_ms);
 
+/* Whether the target is in its group's damped_count.  */
+bool csp_is_counted_damped (const csp_fleet_target_t *target);
+
 /* The target's failure share, decayed to now_ms.  */
 double csp_decayed_failure_share (const csp_fleet_target_t *target,
                                   int64_t now_ms);
@@ -105,6 +113,9 @@
 
 uint32_t csp_assigned_runs (const csp_fleet_target_t *target);
 
+/* The expected decode time of a run at the nominal speed.  */
+double csp_expected_run_ms (const csp_fleet_need_t *need);
+
 /* Whether streams at the target, or this one, will probably pause for longer
    than allowed if it is sent there.  stretch: of the service.  */
 bool csp_would_pause_streams (const csp_fleet_target_t *target,
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -40,6 +40,7 @@
   csp_leave_group (target);
   cds_list_del (&entry->changed_load);
   cds_list_del (&entry->stated_rate);
+  cds_list_del (&entry->has_losses);
   csp_remove_from_index (&fleet->by_start, &entry->by_start);
   csp_remove_from_index (&fleet->by_id, &entry->by_id);
   free (entry);
@@ -78,6 +79,8 @@
   fleet->platform_reachable = true;
   CDS_INIT_LIST_HEAD (&fleet->changed_loads);
   CDS_INIT_LIST_HEAD (&fleet->stated_rates);
+  CDS_INIT_LIST_HEAD (&fleet->damped_targets);
+  CDS_INIT_LIST_HEAD (&fleet->lossy_targets);
   fleet->cordons = csp_create_cordons ();
   if (fleet->cordons != NULL
       && csp_open_index (&fleet->by_start, INITIAL_CAPACITY) == 0
@@ -166,6 +169,7 @@
   csp_init_warmup (&entry->target.warmup, 0);
   CDS_INIT_LIST_HEAD (&entry->changed_load);
   CDS_INIT_LIST_HEAD (&entry->stated_rate);
+  CDS_INIT_LIST_HEAD (&entry->has_losses);
   csp_add_to_index (&fleet->by_start, &entry->by_start, entry->target.hash);
   csp_add_to_index (&fleet->by_id, &entry->by_id, local_hash_of_id (id));
   fleet->targets[fleet->count++] = &entry->target;
@@ -190,8 +194,10 @@
   fleet->ending_count -= is_ending (target->state);
   fleet->ending_count += is_ending (state);
   target->group->ready_count -= target->state == CSP_FLEET_READY;
-  target->group->ready_count += state == CSP_FLEET_READY;
+  target->group->damped_count -= csp_is_counted_damped (target);
   target->state = state;
+  target->group->ready_count += state == CSP_FLEET_READY;
+  target->group->damped_count += csp_is_counted_damped (target);
   target->leaves |= state == CSP_FLEET_LEAVING;
   if (state != CSP_FLEET_GONE)
     target->gone_at_ms = 0;
@@ -396,7 +402,10 @@
   size_t i;
 
   for (i = 0; i < fleet->count; i++)
-    memset (&fleet->targets[i]->others, 0, sizeof (csp_fleet_load_t));
+    {
+      memset (&fleet->targets[i]->others, 0, sizeof (csp_fleet_load_t));
+      fleet->targets[i]->peer_failures = 0;
+    }
 }
 
 uint64_t
@@ -419,6 +428,7 @@
   others->backup_tokens -= load->backup_tokens;
   others->prefill_tokens -= load->prefill_tokens;
   others->movable_tokens -= load->movable_tokens;
+  target->peer_failures -= load->failures;
 }
 
 void
@@ -435,6 +445,7 @@
   others->backup_tokens += load->backup_tokens;
   others->prefill_tokens += load->prefill_tokens;
   others->movable_tokens += load->movable_tokens;
+  target->peer_failures += load->failures;
 }
 
 size_t
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -1,4 +1,4 @@
-#include "gateway/gateway-imp.h"
+#include "gateway/gateway-damping-imp.h"
 
 #include "cowslipspoke/hash.h"
 
@@ -76,17 +76,21 @@
 record_peer_hello (csp_gateway_t *gateway, csp_peer_address_t peer,
                    const csp_hello_t *hello)
 {
+  csp_remembered_loads_t before;
   bool taken;
 
+  csp_remember_loads (gateway, peer, &before);
   csp_visit_loads_of_peer (gateway->roster, peer, uncount_load,
                            gateway->fleet);
   taken = csp_receive_hello (gateway->roster, peer, hello,
                              csp_gateway_now_ms (gateway));
   csp_visit_loads_of_peer (gateway->roster, peer, count_load, gateway->fleet);
+  if (!taken)
+    return false;
   /* Only what has just come: recorded loads are visited many times.  */
-  if (taken)
-    csp_merge_reported_speeds (gateway, hello);
-  return taken;
+  csp_merge_reported_speeds (gateway, hello);
+  csp_apply_reported_losses (gateway, peer, hello, &before);
+  return true;
 }
 
 /* Send now or drop: a delayed hello would be out of date.  */
--- a/source/gateway/gateway-tell.c
+++ b/source/gateway/gateway-tell.c
@@ -1,4 +1,4 @@
-#include "gateway/gateway-imp.h"
+#include "gateway/gateway-damping-imp.h"
 
 #include <string.h>
 
@@ -24,7 +24,7 @@
 };
 
 static csp_peer_load_t
-make_load (const csp_fleet_target_t *target, int64_t now_ms)
+make_load (const csp_gateway_t *gateway, const csp_fleet_target_t *target)
 {
   csp_peer_load_t load
       = { .target = target->hash,
@@ -34,7 +34,8 @@
           .prefill_tokens = (uint32_t)target->own.prefill_tokens,
           .movable_tokens = (uint32_t)target->own.movable_tokens };
 
-  csp_fill_load_speed (target, now_ms, &load);
+  csp_fill_load_speed (target, csp_gateway_now_ms (gateway), &load);
+  csp_fill_load_failures (gateway, target, &load);
   return load;
 }
 
@@ -47,6 +48,7 @@
          && load->backup_tokens == reported->backup_tokens
          && load->prefill_tokens == reported->prefill_tokens
          && load->movable_tokens == reported->movable_tokens
+         && load->failures == reported->failures
          && !csp_is_speed_news (load->event_us, load->longest_event_us,
                                 reported->event_us,
                                 reported->longest_event_us);
@@ -99,9 +101,10 @@
   for (i = 0; i < count; i++)
     {
       csp_fleet_target_t *target = csp_fleet_at (gateway->fleet, i);
-      csp_peer_load_t load = make_load (target, now_ms);
+      csp_peer_load_t load = make_load (gateway, target);
 
-      if ((load.requests == 0 && load.backup_tokens == 0)
+      if ((load.requests == 0 && load.backup_tokens == 0
+           && !csp_reports_recent_failure (&load))
           || !is_placed_by_decider (target, &load))
         continue;
       merge_own_speed (target, &load, now_ms);
@@ -120,7 +123,7 @@
 
   while ((target = csp_take_changed_load (gateway->fleet)) != NULL)
     {
-      csp_peer_load_t load = make_load (target, now_ms);
+      csp_peer_load_t load = make_load (gateway, target);
 
       if (is_same_load (&load, &target->reported_load)
           || !is_placed_by_decider (target, &load))
