Only services with several slow engines are rated, by their fastest steps

Now a host keeps the lower decile, a target counts as slow from 1.75 times the median, and none does unless a tenth of the targets, and at least two, are slow. A measurement that is older than 10 s isn't reported: a host with load but without events repeated it for ever, and the decider took it as new.

--- a/include/cowslipspoke/speed.h
+++ b/include/cowslipspoke/speed.h
@@ -14,9 +14,10 @@
    pause for longer than allowed while a prompt is read there.
 
    Each host measures the intervals between events of its own streams and
-   reports them with its loads; the decider merges the reports.  A target that
-   isn't slower than the median by half counts as usual, so that a service with
-   even engines is placed as if all had one speed.  */
+   reports them with its loads; the decider merges the reports.  A target whose
+   usual interval is under 1.75 times the median counts as usual, and so do all
+   unless a tenth of the targets is slower, so that a service with even engines
+   is placed as if all had one speed.  */
 
 enum
 {
@@ -27,7 +28,7 @@
    value, 0 at first.  */
 typedef struct
 {
-  double usual_ms;   /* lower quartile of the intervals */
+  double usual_ms;   /* lower decile of the intervals */
   double longest_ms; /* decaying, as of longest_at_ms */
   int64_t longest_at_ms;
   int64_t noted_ms; /* when the last interval ended */
@@ -42,7 +43,8 @@
 /* What this host reports, in us; 0 while it has too few intervals.  The usual
    interval is known after 4 intervals and the longest one after 16, so a
    report that has the longest one stands for 16 intervals.  */
-uint32_t csp_report_usual_us (const csp_speed_sample_t *sample);
+uint32_t csp_report_usual_us (const csp_speed_sample_t *sample,
+                              int64_t now_ms);
 uint32_t csp_report_longest_us (const csp_speed_sample_t *sample,
                                 int64_t now_ms);
 
@@ -75,7 +77,7 @@
 double csp_rate_speeds (csp_speed_t **speeds, size_t count, int64_t now_ms);
 
 /* Usual interval of the target relative to the service's median: 1, or at
-   least 1.5.  */
+   least 1.75.  */
 double csp_get_slowness (const csp_speed_t *speed);
 
 /* Whether streams at the target will probably pause for longer than allowed
--- a/source/gateway/gateway-speed.c
+++ b/source/gateway/gateway-speed.c
@@ -15,7 +15,7 @@
 csp_fill_load_speed (const csp_fleet_target_t *target, int64_t now_ms,
                      csp_peer_load_t *load)
 {
-  load->event_us = csp_report_usual_us (&target->own_speed);
+  load->event_us = csp_report_usual_us (&target->own_speed, now_ms);
   load->longest_event_us = csp_report_longest_us (&target->own_speed, now_ms);
 }
 
--- a/source/speed/speed.c
+++ b/source/speed/speed.c
@@ -17,6 +17,10 @@
   /* A service with fewer rated targets is not rated: its median would be any
      of them.  */
   RATED_TARGETS_MIN = 4,
+  UNEVEN_TARGETS_MIN = 2,
+  /* A host reports what it measured within this time.  It may have load there
+     without any events.  */
+  REPORTED_MS = 10000,
   /* Measurements that weren't renewed for this long are dropped.  A slow
      target gets few runs, so nothing else would show that it has
      recovered.  */
@@ -27,15 +31,16 @@
 /* An event that follows within this time waited in a buffer.  */
 static const double interval_min_ms = 1.0;
 
-/* The estimated quantile of the intervals.  An engine reads prompts beside its
-   runs for about half of its time, and is in slow spells for 15 in 100 of it,
-   so its usual steps are the shortest quarter.  */
-static const double quantile = 0.25;
+/* The estimated quantile of the intervals.  Under load an engine reads prompts
+   beside its runs for most of its time, which doubles the intervals; what is
+   compared is its speed without them, so the estimate is near the shortest
+   ones.  The very shortest would follow events that arrived together.  */
+static const double quantile = 0.1;
 
-/* Size of a step, as a share of the estimate.  A spell of 0.6 s, some ten
-   intervals of a stream, raises the estimate by an eighth, and an engine that
-   stays slow counts as slow after about 40 intervals.  */
-static const double step_share = 0.05;
+/* Size of a step, as a share of the estimate.  Prompts that are read for a
+   second, some 16 intervals of a stream, raise the estimate by a quarter, and
+   an engine that has become slow counts as slow after about 40.  */
+static const double step_share = 0.15;
 
 static const double longest_half_life_ms = 10000.0;
 
@@ -43,7 +48,15 @@
    at each change of their loads, so a report says little by itself.  */
 static const double report_weight = 0.25;
 
-static const double slowness_min = 1.5;
+/* Far enough from the factors of 1.3 between engines of one kind, and of 2
+   between an engine that reads prompts and one that doesn't, on which the
+   estimates depend a little.  */
+static const double slowness_min = 1.75;
+
+/* Targets are rated only in a service of which at least this share is slow,
+   and at least UNEVEN_TARGETS_MIN.  */
+static const double min_slow_share = 0.1;
+
 static const double median_rank = 0.5;
 static const double stretch_rank = 0.9;
 static const double news_share = 0.2;
@@ -56,7 +69,7 @@
   return longest_ms * exp2 (-passed_ms / longest_half_life_ms);
 }
 
-/* The lower quartile of the first intervals.  Steps from the first one would
+/* The quantile of the first intervals.  Steps from the first one would
    either take long to converge or follow a slow spell at the start.  */
 static double
 note_first_interval (csp_speed_sample_t *sample, double interval_ms)
@@ -70,7 +83,7 @@
 }
 
 /* Moves the estimate towards the interval, but not past it.  Steps up are
-   shorter than steps down by the odds of the quartile, so that they balance
+   shorter than steps down by the odds of the quantile, so that they balance
    there.  Steps in proportion to the estimate work at any speed.  */
 static double
 step_towards (double usual_ms, double interval_ms)
@@ -107,17 +120,26 @@
   return (uint32_t)fmin (time_ms * US_PER_MS, UINT32_MAX);
 }
 
+static bool
+is_reported (const csp_speed_sample_t *sample, uint32_t min_samples,
+             int64_t now_ms)
+{
+  return sample->samples >= min_samples
+         && now_ms - sample->noted_ms <= REPORTED_MS;
+}
+
 uint32_t
-csp_report_usual_us (const csp_speed_sample_t *sample)
+csp_report_usual_us (const csp_speed_sample_t *sample, int64_t now_ms)
 {
-  return sample->samples < USUAL_SAMPLES_MIN ? 0
-                                             : us_from_ms (sample->usual_ms);
+  return is_reported (sample, USUAL_SAMPLES_MIN, now_ms)
+             ? us_from_ms (sample->usual_ms)
+             : 0;
 }
 
 uint32_t
 csp_report_longest_us (const csp_speed_sample_t *sample, int64_t now_ms)
 {
-  if (sample->samples < LONGEST_SAMPLES_MIN)
+  if (!is_reported (sample, LONGEST_SAMPLES_MIN, now_ms))
     return 0;
   return us_from_ms (
       fmax (decay_longest (sample->longest_ms, sample->longest_at_ms, now_ms),
@@ -224,6 +246,18 @@
   return rated;
 }
 
+/* Whether enough targets are slow.  A single one may only have read prompts
+   all the time lately.  speeds: in ascending order of the usual interval.  */
+static bool
+is_uneven (csp_speed_t *const *speeds, size_t count, double median_ms)
+{
+  size_t first_slow = (size_t)((double)count * (1 - min_slow_share));
+
+  if (first_slow > count - UNEVEN_TARGETS_MIN)
+    first_slow = count - UNEVEN_TARGETS_MIN;
+  return speeds[first_slow]->usual_ms >= slowness_min * median_ms;
+}
+
 double
 csp_rate_speeds (csp_speed_t **speeds, size_t count, int64_t now_ms)
 {
@@ -235,8 +269,9 @@
     return 1;
   qsort (speeds, rated, sizeof *speeds, compare_usual);
   median_ms = speeds[(size_t)((double)rated * median_rank)]->usual_ms;
-  for (i = 0; i < rated; i++)
-    speeds[i]->slowness = speeds[i]->usual_ms / median_ms;
+  if (is_uneven (speeds, rated, median_ms))
+    for (i = 0; i < rated; i++)
+      speeds[i]->slowness = speeds[i]->usual_ms / median_ms;
   qsort (speeds, rated, sizeof *speeds, compare_stretch);
   return stretch_of (speeds[(size_t)((double)rated * stretch_rank)]);
 }
