Gateway's damping test compiles again

Change: the test's own receive_load has another name; its await_metric was the same as the fixture's and goes. No check changes.

--- a/tests/gateway/damping-test.c
+++ b/tests/gateway/damping-test.c
@@ -42,13 +42,6 @@
   csp_clear_buffer (&bytes);
 }
 
-static void
-await_metric (const char *line)
-{
-  while (strstr (fixture_get_page (&stream.fixture, "/metrics"), line) == NULL)
-    continue;
-}
-
 static void
 set_up (void)
 {
@@ -83,7 +76,7 @@
 /* Receive reports until one has this many requests under way at the engine.
  */
 static csp_peer_load_t
-receive_load (uint32_t requests)
+receive_own_load (uint32_t requests)
 {
   csp_hello_t hello = { .load_count = 0 };
 
@@ -123,7 +116,7 @@
   send_text (stream.caller, REQUEST ("/stream/", "r1"));
   link = accept_target_connection (stream.listeners[0]);
   read_target_request (link, 0);
-  receive_load (1);
+  receive_own_load (1);
   if (endings[_i].leaves)
     fixture_mark_leaving (&stream.fixture, stream.listeners[0], "t-0",
                           "engines");
@@ -133,12 +126,12 @@
     reset_socket (link);
   else
     close (link);
-  ck_assert_uint_eq (receive_load (0).failures, endings[_i].failures);
+  ck_assert_uint_eq (receive_own_load (0).failures, endings[_i].failures);
   if (endings[_i].failures == 0)
     return;
   /* A full report repeats it, though nothing is under way there.  */
   csp_advance_fake_clock (&stream.fixture.fake_clock, FULL_REPORT_MS);
-  load = receive_load (0);
+  load = receive_own_load (0);
   ck_assert_uint_eq (load.failures, endings[_i].failures);
   ck_assert_uint_ge (load.failure_age_ms, FULL_REPORT_MS);
 }
@@ -153,7 +146,7 @@
   stream.listeners[0] = -1;
   stream.caller = open_caller (&stream.fixture);
   send_text (stream.caller, REQUEST ("/stream/", "r1"));
-  load = receive_load (0);
+  load = receive_own_load (0);
   ck_assert_uint_eq (load.target, csp_hash_pair ("target", "t-0"));
   ck_assert_uint_eq (load.failures, 1);
 }
