The limit on dampings counts probation, and releases to trusted

Cause: the limit released targets into probation, so a failure of one moment at most targets of a service put them all on probation, which refused every long request of a healthy service. Change: targets on probation count against the limit of a fifth. A released target is trusted, with the number of dampings that it had before; it keeps counted_from_ms, so the same burst doesn't damp it again. The list of damped targets holds those on probation too, and an entry moves only when it is damped or trusted, as the one damped first is released first. Tested: tests/damping, tests/gateway/damping-test. The changed case of losses_damp_a_target and the new test most_targets_take_long_requests_after_a_common_failure failed before: a released target was on probation instead of trusted.

--- a/include/cowslipspoke/damping.h
+++ b/include/cowslipspoke/damping.h
@@ -65,10 +65,11 @@
    changed.  Call it periodically.  */
 bool csp_update_damping (csp_damping_t *damping, int64_t now_ms);
 
-/* Ends a damping early: too many targets of the service are damped.  Until it
-   would have ended, losses don't damp the target again: where many targets
-   fail at once, the further losses of that moment would double the duration
-   again and again.  */
+/* Revokes a damping and its probation: too many targets of the service are
+   restrained, and on probation they would all refuse long requests.  The
+   target is trusted, and the damping isn't counted.  Until it would have
+   ended, losses don't damp the target again: where many targets fail at once,
+   the further losses of that moment would damp them again and again.  */
 void csp_release_damping (csp_damping_t *damping, int64_t now_ms);
 
 /* Whether a request may be placed there that is expected to run for run_ms,
@@ -76,7 +77,8 @@
 bool csp_damping_allows (const csp_damping_t *damping, uint32_t under_way,
                          uint32_t run_ms, int64_t now_ms);
 
-/* How many of a number of ready targets may be damped at a time.  */
+/* How many of a number of ready targets may be damped or on probation at a
+   time.  */
 uint32_t csp_max_damped_targets (uint32_t ready_count);
 
 #endif
--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -66,7 +66,7 @@
   uint32_t data_centre; /* hash of its name */
   size_t target_count;  /* including those that are gone but not freed */
   size_t ready_count;
-  size_t damped_count; /* ready ones that are damped */
+  size_t damped_count; /* ready ones that are damped or on probation */
   bool cut_off;        /* the data centre can't be reached from this host */
 } csp_fleet_group_t;
 
--- a/source/damping/damping.c
+++ b/source/damping/damping.c
@@ -34,13 +34,18 @@
   damping->served = 0;
 }
 
+/* The duration of a damping after a number of earlier ones.  */
+static uint32_t
+find_duration_ms (uint32_t earlier)
+{
+  return FIRST_DAMPING_MS << (earlier < MAX_DOUBLINGS ? earlier
+                                                      : MAX_DOUBLINGS);
+}
+
 static void
 damp (csp_damping_t *damping, int64_t now_ms)
 {
-  uint32_t doublings
-      = damping->times < MAX_DOUBLINGS ? damping->times : MAX_DOUBLINGS;
-
-  damping->duration_ms = FIRST_DAMPING_MS << doublings;
+  damping->duration_ms = find_duration_ms (damping->times);
   damping->times++;
   damping->counted_from_ms = now_ms + (int64_t)damping->duration_ms;
   change_state (damping, CSP_TARGET_DAMPED, now_ms);
@@ -157,8 +162,12 @@
 void
 csp_release_damping (csp_damping_t *damping, int64_t now_ms)
 {
-  if (damping->state == CSP_TARGET_DAMPED)
-    change_state (damping, CSP_TARGET_ON_PROBATION, now_ms);
+  if (damping->state == CSP_TARGET_TRUSTED)
+    return;
+  damping->times--;
+  damping->duration_ms
+      = damping->times > 0 ? find_duration_ms (damping->times - 1) : 0;
+  change_state (damping, CSP_TARGET_TRUSTED, now_ms);
 }
 
 bool
--- a/source/fleet/fleet-damping.c
+++ b/source/fleet/fleet-damping.c
@@ -25,26 +25,31 @@
 csp_is_counted_damped (const csp_fleet_target_t *target)
 {
   return target->state == CSP_FLEET_READY
-         && target->damping.state == CSP_TARGET_DAMPED;
+         && target->damping.state != CSP_TARGET_TRUSTED;
 }
 
 /* Follows a change of the damping: puts the target into the list of the damped
-   ones, which is in the order of their damping, or of the others with losses,
-   and updates the count.  Nothing is recounted, as a decider may get thousands
-   of losses at once.  */
+   ones or of the others with losses, and updates the count.  Nothing is
+   recounted, as a decider may get thousands of losses at once.  A damped
+   target keeps its place through further losses and its probation, as the one
+   damped first is released first.  */
 static void
 follow_damping (csp_fleet_t *fleet, csp_fleet_target_t *target,
-                bool was_counted)
+                bool was_counted, bool is_damped_now)
 {
   target_entry_t *entry = csp_entry_of_target (target);
-  bool damped = target->damping.state == CSP_TARGET_DAMPED;
+  bool restrained = target->damping.state != CSP_TARGET_TRUSTED;
+  bool moves = is_damped_now || restrained != target->restrained
+               || cds_list_empty (&entry->has_losses);
 
-  target->restrained = target->damping.state != CSP_TARGET_TRUSTED;
+  target->restrained = restrained;
   target->group->damped_count += csp_is_counted_damped (target);
   target->group->damped_count -= was_counted;
+  if (!moves)
+    return;
   cds_list_del (&entry->has_losses);
-  cds_list_add_tail (&entry->has_losses,
-                     damped ? &fleet->damped_targets : &fleet->lossy_targets);
+  cds_list_add_tail (&entry->has_losses, restrained ? &fleet->damped_targets
+                                                    : &fleet->lossy_targets);
 }
 
 bool
@@ -54,7 +59,7 @@
   bool was_counted = csp_is_counted_damped (target);
   bool damped = csp_note_damping_report (&target->damping, report, now_ms);
 
-  follow_damping (fleet, target, was_counted);
+  follow_damping (fleet, target, was_counted, damped);
   return damped;
 }
 
@@ -68,13 +73,10 @@
 size_t
 csp_count_dampings (const csp_fleet_t *fleet, csp_damping_state_t state)
 {
-  const struct cds_list_head *list = state == CSP_TARGET_DAMPED
-                                         ? &fleet->damped_targets
-                                         : &fleet->lossy_targets;
   const target_entry_t *entry;
   size_t count = 0;
 
-  cds_list_for_each_entry (entry, list, has_losses)
+  cds_list_for_each_entry (entry, &fleet->damped_targets, has_losses)
   {
     count += entry->target.damping.state == state
              && entry->target.state == CSP_FLEET_READY;
@@ -82,7 +84,8 @@
   return count;
 }
 
-/* Ready and damped targets of a service, in all data centres.  */
+/* Ready targets of a service, and those damped or on probation, in all data
+   centres.  */
 typedef struct
 {
   size_t ready;
@@ -122,7 +125,7 @@
         || (group != NULL && target->group != group))
       continue;
     csp_release_damping (&target->damping, now_ms);
-    follow_damping (fleet, target, true);
+    follow_damping (fleet, target, true, false);
     watch->on_changed (watch->state, target, true);
     return true;
   }
@@ -155,7 +158,7 @@
 
   if (!csp_update_damping (&target->damping, now_ms))
     return;
-  follow_damping (fleet, target, was_counted);
+  follow_damping (fleet, target, was_counted, false);
   if (target->state != CSP_FLEET_GONE)
     watch->on_changed (watch->state, target, false);
 }
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -57,8 +57,9 @@
   /* Used while a service's targets are rated.  */
   size_t rated_capacity;
   csp_speed_t **rated;
-  /* Targets that are damped, in the order of their damping; and others with
-     losses that hosts still report, or that were damped not long ago.  */
+  /* Targets that are damped or on probation, in the order of their damping;
+     and others with losses that hosts still report, or that were damped not
+     long ago.  */
   struct cds_list_head damped_targets;
   struct cds_list_head lossy_targets;
   csp_cordons_t *cordons;
--- a/tests/damping/damping-fleet-test.c
+++ b/tests/damping/damping-fleet-test.c
@@ -225,6 +225,32 @@
 }
 END_TEST
 
+/* Guards against a service whose long requests are refused after a failure of
+   one moment at most of its targets, as each of them is on probation.  */
+START_TEST (most_targets_take_long_requests_after_a_common_failure)
+{
+  csp_fleet_target_t *targets[5];
+  size_t i;
+
+  for (i = 0; i < 5; i++)
+    targets[i] = list_target ((char[2]){ (char)('a' + i), 0 }, "", 0);
+  for (i = 0; i < 5; i++)
+    damp (targets[i], BEGIN_MS + (int64_t)i);
+  for (i = 0; i < 4; i++)
+    {
+      ck_assert_int_eq (targets[i]->damping.state, CSP_TARGET_TRUSTED);
+      ck_assert_uint_eq (targets[i]->damping.times, 0);
+    }
+  csp_update_dampings (fleet, &watch, BEGIN_MS + UP_MS + 5);
+  ck_assert_int_eq (targets[4]->damping.state, CSP_TARGET_ON_PROBATION);
+  /* A target on probation takes a place of the limit.  */
+  report_load (targets[0], 3, 1, BEGIN_MS + UP_MS + 6);
+  report_load (targets[0], 4, 1, BEGIN_MS + UP_MS + 6);
+  ck_assert_int_eq (targets[0]->damping.state, CSP_TARGET_DAMPED);
+  ck_assert_int_eq (targets[4]->damping.state, CSP_TARGET_TRUSTED);
+}
+END_TEST
+
 /* Guards against a damped target that takes the only place of the limit
    although it has begun to leave.  */
 START_TEST (leaving_target_is_not_counted)
@@ -294,6 +320,8 @@
   tcase_add_test (tests, target_on_probation_gets_one_short_request);
   tcase_add_loop_test (tests, at_most_a_fifth_is_damped, 0,
                        sizeof limits / sizeof limits[0]);
+  tcase_add_test (tests,
+                  most_targets_take_long_requests_after_a_common_failure);
   tcase_add_test (tests, leaving_target_is_not_counted);
   tcase_add_test (tests, new_start_is_trusted);
   tcase_add_test (tests, waiting_move_leaves_damped_destination);
