A damped target is used where its service has no other; copies on probation

Cause: a damped target was ineligible, so a service with one target, or whose other targets are cordoned or gone, placed nothing while it was damped. And the expected run of a copy was computed from its tokens as for a new request, so the copy of a run that nearly ended was refused on probation. Change: a rank after the avoided ones for targets that damping doesn't allow. It is used only if the service has no ready target that damping allows and that takes new work; a full one counts, one in a data centre that is cut off doesn't. This is noted in the loop that chooses, so it costs no second one. For a copy the expected run is its remaining time. The new tests last_target_of_a_service_is_used_though_damped and copy_on_probation_is_judged_by_the_time_left failed before (no target). Two tests that want a refusal at a damped target have a second, full target now, as they had only the damped one.

--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -36,8 +36,11 @@
 typedef enum
 {
   RANK_USUAL,
-  RANK_PAUSES, /* streams there would pause for longer than allowed */
-  RANK_AVOIDED /* it will probably fail the request */
+  RANK_PAUSES,  /* streams there would pause for longer than allowed */
+  RANK_AVOIDED, /* it will probably fail the request */
+  /* Damping doesn't allow the request there, and it allows it at no other
+     target of the service.  */
+  RANK_DAMPED
 } choice_rank_t;
 
 double
@@ -96,20 +99,30 @@
 is_allowed_by_damping (const csp_fleet_target_t *target,
                        const csp_fleet_need_t *need, int64_t now_ms)
 {
+  uint32_t run_ms
+      = need->is_copy ? need->left_ms : (uint32_t)csp_expected_run_ms (need);
+
   return !target->restrained || need->role == NULL
          || csp_damping_allows (&target->damping, csp_assigned_runs (target),
-                                (uint32_t)csp_expected_run_ms (need), now_ms);
+                                run_ms, now_ms);
+}
+
+/* Whether a target that damping allows would take the request once it has
+   capacity, so that damped ones aren't used instead.  */
+static bool
+will_take_requests (const csp_fleet_target_t *target)
+{
+  return target->state == CSP_FLEET_READY && csp_takes_new_work (target)
+         && !target->group->cut_off;
 }
 
 static bool
 is_eligible (csp_fleet_target_t *target, const csp_fleet_need_t *need,
              int64_t now_ms)
 {
-  if (strcmp (target->group->service, need->service) != 0
-      || exceeds_prompt_limit (target, need, now_ms)
+  if (exceeds_prompt_limit (target, need, now_ms)
       || (target->group->cut_off && !need->repeatable)
-      || is_backed_off_for_sender (target, need, now_ms)
-      || !is_allowed_by_damping (target, need, now_ms))
+      || is_backed_off_for_sender (target, need, now_ms))
     return false;
   if (need->within_slots && csp_assigned_runs (target) > 0
       && target->row.slots > 0
@@ -145,15 +158,23 @@
             : 1;
   csp_fleet_target_t *best = NULL;
   double best_cost = INFINITY;
-  choice_rank_t best_rank = RANK_AVOIDED;
+  choice_rank_t best_rank = RANK_DAMPED;
+  bool has_allowed = false;
   size_t i;
 
   for (i = 0; i < fleet->count; i++)
     {
       csp_fleet_target_t *target = fleet->targets[i];
-      choice_rank_t rank = rank_target (target, need, stretch, now_ms);
+      choice_rank_t rank = RANK_DAMPED;
       double cost;
 
+      if (strcmp (target->group->service, need->service) != 0)
+        continue;
+      if (is_allowed_by_damping (target, need, now_ms))
+        {
+          rank = rank_target (target, need, stretch, now_ms);
+          has_allowed = has_allowed || will_take_requests (target);
+        }
       if (!is_eligible (target, need, now_ms) || rank > best_rank)
         continue;
       cost = csp_cost_of_target (target, need, now_ms)
@@ -165,7 +186,7 @@
           best_rank = rank;
         }
     }
-  return best;
+  return best_rank == RANK_DAMPED && has_allowed ? NULL : best;
 }
 
 void
--- a/tests/damping/damping-fleet-test.c
+++ b/tests/damping/damping-fleet-test.c
@@ -109,6 +109,17 @@
              : NULL;
 }
 
+/* List a target without capacity for another run.  */
+static void
+list_full_target (const char *id)
+{
+  csp_peer_load_t load = { .target = list_target (id, "", 0)->hash,
+                           .requests = 8,
+                           .tokens = MEMORY_TOKENS };
+
+  csp_add_peer_load (fleet, &load);
+}
+
 /* Play a target that fails every second before a decider of ten hosts.  The
    other target carries load, so that the flapping one looks best.  Returns the
    largest number of requests lost in one down time.  */
@@ -167,6 +178,7 @@
   csp_fleet_target_t *target = list_target ("t", "", 0);
   int64_t now_ms = BEGIN_MS;
 
+  list_full_target ("full");
   damp (target, now_ms);
   ck_assert_ptr_null (ask (1, SHORT_TOKENS, now_ms));
   now_ms += UP_MS;
@@ -269,12 +281,62 @@
 }
 END_TEST
 
+/* Guards against a service that refuses everything while its only target, or
+   the only one that isn't cordoned or gone, is damped; and against a damped
+   target that gets what a busy service has no capacity for.  */
+START_TEST (last_target_of_a_service_is_used_though_damped)
+{
+  csp_fleet_target_t *target = list_target ("t", "", 0);
+  csp_fleet_target_t *other;
+
+  damp (target, BEGIN_MS);
+  ck_assert_ptr_eq (ask (1, RUN_TOKENS, BEGIN_MS), target);
+  list_full_target ("full");
+  other = csp_find_fleet_target (fleet, "full");
+  ck_assert_ptr_null (ask (1, RUN_TOKENS, BEGIN_MS));
+  other->cordoned = true;
+  ck_assert_ptr_eq (ask (1, RUN_TOKENS, BEGIN_MS), target);
+  other->cordoned = false;
+  ck_assert_ptr_null (ask (1, RUN_TOKENS, BEGIN_MS));
+  csp_note_target_leaves (fleet, other);
+  ck_assert_ptr_eq (ask (1, RUN_TOKENS, BEGIN_MS), target);
+}
+END_TEST
+
+/* Guards against a copy of a long run that nearly ends and is refused on
+   probation, and against one of a run that goes on for long.  */
+START_TEST (copy_on_probation_is_judged_by_the_time_left)
+{
+  csp_decider_role_t role = { 0 };
+  csp_fleet_need_t need
+      = { .service = "s", .role = &role, .tokens = RUN_TOKENS };
+  csp_random_t random;
+  csp_fleet_target_t *target = list_target ("t", "", 0);
+
+  csp_seed_random (&random, 1);
+  list_target ("from", "", 0);
+  need.excluded = csp_find_fleet_target (fleet, "from");
+  need.is_copy = true;
+  damp (target, BEGIN_MS);
+  csp_update_dampings (fleet, &watch, BEGIN_MS + UP_MS);
+  need.left_ms = 900;
+  ck_assert_ptr_eq (
+      csp_choose_fleet_target (fleet, &need, &random, BEGIN_MS + UP_MS),
+      target);
+  need.left_ms = 1100;
+  need.tokens = SHORT_TOKENS;
+  ck_assert_ptr_null (
+      csp_choose_fleet_target (fleet, &need, &random, BEGIN_MS + UP_MS));
+}
+END_TEST
+
 /* Guards against a restarted target that is held back for what its earlier
    start lost.  */
 START_TEST (new_start_is_trusted)
 {
   csp_fleet_target_t *restarted;
 
+  list_full_target ("full");
   damp (list_target ("t", "", 1000), BEGIN_MS);
   ck_assert_ptr_null (ask (1, RUN_TOKENS, BEGIN_MS));
   restarted = list_target ("t", "", 2000);
@@ -323,6 +385,8 @@
   tcase_add_test (tests,
                   most_targets_take_long_requests_after_a_common_failure);
   tcase_add_test (tests, leaving_target_is_not_counted);
+  tcase_add_test (tests, last_target_of_a_service_is_used_though_damped);
+  tcase_add_test (tests, copy_on_probation_is_judged_by_the_time_left);
   tcase_add_test (tests, new_start_is_trusted);
   tcase_add_test (tests, waiting_move_leaves_damped_destination);
   suite_add_tcase (suite, tests);
