A cut-off host can't keep a target damped alone

Cause: on probation any single loss damped the target again, so one host that is cut off could keep a healthy target damped. Change: a single loss is enough only from the target's data centre or from another host than the one whose loss damped it (evidence_host in csp_damping_t); else the usual evidence is needed. Tested: tests/damping, tests/gateway/damping-test. Four of the six new cases of losses_damp_a_target failed before: P was expected and the target was damped; the other two guard what stays.

--- a/include/cowslipspoke/damping.h
+++ b/include/cowslipspoke/damping.h
@@ -40,6 +40,7 @@
   int64_t failed_ms;
   uint64_t failed_host;
   uint32_t failed_data_centre;
+  uint64_t evidence_host; /* whose loss damped the target */
 } csp_damping_t;
 
 /* Losses that one host reports.  */
--- a/source/damping/damping.c
+++ b/source/damping/damping.c
@@ -43,8 +43,9 @@
 }
 
 static void
-damp (csp_damping_t *damping, int64_t now_ms)
+damp (csp_damping_t *damping, uint64_t host, int64_t now_ms)
 {
+  damping->evidence_host = host;
   damping->duration_ms = find_duration_ms (damping->times);
   damping->times++;
   damping->counted_from_ms = now_ms + (int64_t)damping->duration_ms;
@@ -68,6 +69,17 @@
                  || report->host_data_centre == report->target_data_centre));
 }
 
+/* Whether one loss is enough to damp the target again.  A host elsewhere that
+   is cut off from a healthy target would keep it damped alone.  */
+static bool
+ends_probation (const csp_damping_t *damping,
+                const csp_damping_report_t *report, int64_t lost_ms)
+{
+  return report->host_data_centre == report->target_data_centre
+         || report->host != damping->evidence_host
+         || is_confirmed (damping, report, lost_ms);
+}
+
 /* Whether the loss damps the target.  What was lost before the end of a
    damping has been counted, or was under way when it began.  */
 static bool
@@ -83,7 +95,7 @@
     case CSP_TARGET_DAMPED:
       return false;
     case CSP_TARGET_ON_PROBATION:
-      return true;
+      return ends_probation (damping, report, lost_ms);
     }
   return false;
 }
@@ -109,7 +121,7 @@
       damping->failed_data_centre = report->host_data_centre;
     }
   if (damps)
-    damp (damping, now_ms);
+    damp (damping, report->host, now_ms);
   return damps;
 }
 
--- a/tests/damping/damping-test.c
+++ b/tests/damping/damping-test.c
@@ -47,6 +47,17 @@
   { "losses of the same moment don't damp a released target",
     "L0,1,1 L1,2,1 X2 T2 L3,3,1 L900,4,1 T1000 L1001,3,1 L1002,4,1 D1002 "
     "P2002" },
+  { "a host that is cut off doesn't end probation after probation",
+    "L0,1,1 L1,2,2 D1 L1100,2,2 P1100 L1200,2,2 P1200 T2001" },
+  { "a cut-off host's loss and another's are evidence on probation",
+    "L0,1,1 L1,2,2 D1 L1100,2,2 P1100 L1101,3,1 D1101" },
+  { "another host's loss ends a probation", "L0,1,1 L1,2,2 L1100,3,2 D1100" },
+  { "a loss near the target ends a probation",
+    "L0,1,2 L1,2,1 L1100,2,1 D1100" },
+  { "others' losses while damped don't help a cut-off host",
+    "L0,1,1 L1,2,2 L2,3,1 L1100,2,2 P1100" },
+  { "the only host needs two losses on probation too",
+    "O0,1,2 O1,1,2 O1100,1,2 P1100 O1170,1,2 D1170" },
   { "a report of what was lost before doesn't end a probation",
     "L0,1,1 L1,2,1 A1100,3,1095 A1200,4,300 P1200 A1300,4,10 D1300" },
 };
