--- a/source/damping/damping.c
+++ b/source/damping/damping.c
@@ -34,13 +34,19 @@
   damping->served = 0;
 }
 
-static void
-damp (csp_damping_t *damping, int64_t now_ms)
+/* The duration of a damping after a number of earlier ones.  */
+static uint32_t
+find_duration_ms (uint32_t earlier)
 {
-  uint32_t doublings
-      = damping->times < MAX_DOUBLINGS ? damping->times : MAX_DOUBLINGS;
+  return FIRST_DAMPING_MS << (earlier < MAX_DOUBLINGS ? earlier
+                                                      : MAX_DOUBLINGS);
+}
 
-  damping->duration_ms = FIRST_DAMPING_MS << doublings;
+static void
+damp (csp_damping_t *damping, uint64_t host, int64_t now_ms)
+{
+  damping->evidence_host = host;
+  damping->duration_ms = find_duration_ms (damping->times);
   damping->times++;
   damping->counted_from_ms = now_ms + (int64_t)damping->duration_ms;
   change_state (damping, CSP_TARGET_DAMPED, now_ms);
@@ -63,6 +69,17 @@
                  || report->host_data_centre == report->target_data_centre));
 }
 
+/* Whether one loss is enough to damp the target again.  A host elsewhere that
+   is cut off from a healthy target would keep it damped alone.  */
+static bool
+ends_probation (const csp_damping_t *damping,
+                const csp_damping_report_t *report, int64_t lost_ms)
+{
+  return report->host_data_centre == report->target_data_centre
+         || report->host != damping->evidence_host
+         || is_confirmed (damping, report, lost_ms);
+}
+
 /* Whether the loss damps the target.  What was lost before the end of a
    damping has been counted, or was under way when it began.  */
 static bool
@@ -78,7 +95,7 @@
     case CSP_TARGET_DAMPED:
       return false;
     case CSP_TARGET_ON_PROBATION:
-      return true;
+      return ends_probation (damping, report, lost_ms);
     }
   return false;
 }
@@ -104,7 +121,7 @@
       damping->failed_data_centre = report->host_data_centre;
     }
   if (damps)
-    damp (damping, now_ms);
+    damp (damping, report->host, now_ms);
   return damps;
 }
 
@@ -157,8 +174,12 @@
 void
 csp_release_damping (csp_damping_t *damping, int64_t now_ms)
 {
-  if (damping->state == CSP_TARGET_DAMPED)
-    change_state (damping, CSP_TARGET_ON_PROBATION, now_ms);
+  if (damping->state == CSP_TARGET_TRUSTED)
+    return;
+  damping->times--;
+  damping->duration_ms
+      = damping->times > 0 ? find_duration_ms (damping->times - 1) : 0;
+  change_state (damping, CSP_TARGET_TRUSTED, now_ms);
 }
 
 bool
--- a/tests/damping/damping-fleet-test.c
+++ b/tests/damping/damping-fleet-test.c
@@ -109,6 +109,17 @@
              : NULL;
 }
 
+/* List a target without capacity for another run.  */
+static void
+list_full_target (const char *id)
+{
+  csp_peer_load_t load = { .target = list_target (id, "", 0)->hash,
+                           .requests = 8,
+                           .tokens = MEMORY_TOKENS };
+
+  csp_add_peer_load (fleet, &load);
+}
+
 /* Play a target that fails every second before a decider of ten hosts.  The
    other target carries load, so that the flapping one looks best.  Returns the
    largest number of requests lost in one down time.  */
@@ -167,6 +178,7 @@
   csp_fleet_target_t *target = list_target ("t", "", 0);
   int64_t now_ms = BEGIN_MS;
 
+  list_full_target ("full");
   damp (target, now_ms);
   ck_assert_ptr_null (ask (1, SHORT_TOKENS, now_ms));
   now_ms += UP_MS;
@@ -225,6 +237,32 @@
 }
 END_TEST
 
+/* Guards against a service whose long requests are refused after a failure of
+   one moment at most of its targets, as each of them is on probation.  */
+START_TEST (most_targets_take_long_requests_after_a_common_failure)
+{
+  csp_fleet_target_t *targets[5];
+  size_t i;
+
+  for (i = 0; i < 5; i++)
+    targets[i] = list_target ((char[2]){ (char)('a' + i), 0 }, "", 0);
+  for (i = 0; i < 5; i++)
+    damp (targets[i], BEGIN_MS + (int64_t)i);
+  for (i = 0; i < 4; i++)
+    {
+      ck_assert_int_eq (targets[i]->damping.state, CSP_TARGET_TRUSTED);
+      ck_assert_uint_eq (targets[i]->damping.times, 0);
+    }
+  csp_update_dampings (fleet, &watch, BEGIN_MS + UP_MS + 5);
+  ck_assert_int_eq (targets[4]->damping.state, CSP_TARGET_ON_PROBATION);
+  /* A target on probation takes a place of the limit.  */
+  report_load (targets[0], 3, 1, BEGIN_MS + UP_MS + 6);
+  report_load (targets[0], 4, 1, BEGIN_MS + UP_MS + 6);
+  ck_assert_int_eq (targets[0]->damping.state, CSP_TARGET_DAMPED);
+  ck_assert_int_eq (targets[4]->damping.state, CSP_TARGET_TRUSTED);
+}
+END_TEST
+
 /* Guards against a damped target that takes the only place of the limit
    although it has begun to leave.  */
 START_TEST (leaving_target_is_not_counted)
@@ -243,12 +281,62 @@
 }
 END_TEST
 
+/* Guards against a service that refuses everything while its only target, or
+   the only one that isn't cordoned or gone, is damped; and against a damped
+   target that gets what a busy service has no capacity for.  */
+START_TEST (last_target_of_a_service_is_used_though_damped)
+{
+  csp_fleet_target_t *target = list_target ("t", "", 0);
+  csp_fleet_target_t *other;
+
+  damp (target, BEGIN_MS);
+  ck_assert_ptr_eq (ask (1, RUN_TOKENS, BEGIN_MS), target);
+  list_full_target ("full");
+  other = csp_find_fleet_target (fleet, "full");
+  ck_assert_ptr_null (ask (1, RUN_TOKENS, BEGIN_MS));
+  other->cordoned = true;
+  ck_assert_ptr_eq (ask (1, RUN_TOKENS, BEGIN_MS), target);
+  other->cordoned = false;
+  ck_assert_ptr_null (ask (1, RUN_TOKENS, BEGIN_MS));
+  csp_note_target_leaves (fleet, other);
+  ck_assert_ptr_eq (ask (1, RUN_TOKENS, BEGIN_MS), target);
+}
+END_TEST
+
+/* Guards against a copy of a long run that nearly ends and is refused on
+   probation, and against one of a run that goes on for long.  */
+START_TEST (copy_on_probation_is_judged_by_the_time_left)
+{
+  csp_decider_role_t role = { 0 };
+  csp_fleet_need_t need
+      = { .service = "s", .role = &role, .tokens = RUN_TOKENS };
+  csp_random_t random;
+  csp_fleet_target_t *target = list_target ("t", "", 0);
+
+  csp_seed_random (&random, 1);
+  list_target ("from", "", 0);
+  need.excluded = csp_find_fleet_target (fleet, "from");
+  need.is_copy = true;
+  damp (target, BEGIN_MS);
+  csp_update_dampings (fleet, &watch, BEGIN_MS + UP_MS);
+  need.left_ms = 900;
+  ck_assert_ptr_eq (
+      csp_choose_fleet_target (fleet, &need, &random, BEGIN_MS + UP_MS),
+      target);
+  need.left_ms = 1100;
+  need.tokens = SHORT_TOKENS;
+  ck_assert_ptr_null (
+      csp_choose_fleet_target (fleet, &need, &random, BEGIN_MS + UP_MS));
+}
+END_TEST
+
 /* Guards against a restarted target that is held back for what its earlier
    start lost.  */
 START_TEST (new_start_is_trusted)
 {
   csp_fleet_target_t *restarted;
 
+  list_full_target ("full");
   damp (list_target ("t", "", 1000), BEGIN_MS);
   ck_assert_ptr_null (ask (1, RUN_TOKENS, BEGIN_MS));
   restarted = list_target ("t", "", 2000);
@@ -294,7 +382,11 @@
   tcase_add_test (tests, target_on_probation_gets_one_short_request);
   tcase_add_loop_test (tests, at_most_a_fifth_is_damped, 0,
                        sizeof limits / sizeof limits[0]);
+  tcase_add_test (tests,
+                  most_targets_take_long_requests_after_a_common_failure);
   tcase_add_test (tests, leaving_target_is_not_counted);
+  tcase_add_test (tests, last_target_of_a_service_is_used_though_damped);
+  tcase_add_test (tests, copy_on_probation_is_judged_by_the_time_left);
   tcase_add_test (tests, new_start_is_trusted);
   tcase_add_test (tests, waiting_move_leaves_damped_destination);
   suite_add_tcase (suite, tests);
