Don't complete a resumed stream without an event of its target

Cause: while a stream waited to be resumed, any end of the answer that left no incomplete event completed it. A 200 with Content-Length 0, a 204, a chunked answer without events and an unframed answer whose connection closed all ended the caller's answer as if it were complete.

Change: the end counts only where the answer has status 200 and framing and an event came in it, also one that was sent before and is dropped. Otherwise the attempt has failed: the stream is resumed again or cut off.

Tested: five new rows of a_stream_that_is_lost_again_is_cut_off failed before ("no end after ..."): the caller's answer was completed. a_resumed_stream_without_further_events_is_completed guards the other side and passed before too. gateway resume, stream and leave tests pass.

--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -346,20 +346,39 @@
   csp_release_link (exchange->gateway, exchange->target, link);
 }
 
+/* Whether the end of the answer of a target that has sent no new event shows
+   that the stream is complete.  The target must have run the request: an empty
+   answer, or one that a closed connection ends, doesn't prove that.  */
+static bool
+ends_resumed_stream (const csp_exchange_t *exchange)
+{
+  return exchange->status == STATUS_OK && !exchange->until_close
+         && exchange->resume.repeats && exchange->buffered.size_bytes == 0;
+}
+
 static void
 end_stream (csp_exchange_t *exchange)
 {
+  bool lost = exchange->resume.pending && !ends_resumed_stream (exchange);
+  bool broke_off = (exchange->until_close || exchange->resume.pending)
+                   && exchange->buffered.size_bytes > 0;
+
   /* An answer without framing ends the same way when its run is stopped for a
      move, so its end proves nothing then; an incomplete event shows that the
      answer broke off, or that a resumed stream's answer is none.  */
-  if ((exchange->until_close && exchange->move.state == CSP_MOVE_STOPPING)
-      || ((exchange->until_close || exchange->resume.pending)
-          && exchange->buffered.size_bytes > 0))
+  if (broke_off
+      || (exchange->until_close
+          && (lost || exchange->move.state == CSP_MOVE_STOPPING)))
     {
       csp_note_attempt_broke_off (exchange);
       handle_failure (exchange, "the stream broke off");
       return;
     }
+  if (lost)
+    {
+      handle_failure (exchange, "the stream was not resumed");
+      return;
+    }
   finish_attempt (exchange);
   csp_complete_resume (exchange);
   if (!exchange->answer_begun)
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -54,6 +54,7 @@
 typedef struct
 {
   bool pending;     /* no event has come yet from the target that resumes it */
+  bool repeats;     /* while pending: an event came that was already sent */
   bool unnumbered;  /* an event was sent whose id is not a number */
   int64_t since_ms; /* when the run was lost */
   size_t lost_count;
--- a/source/gateway/gateway-resume.c
+++ b/source/gateway/gateway-resume.c
@@ -105,6 +105,7 @@
   exchange->run_started_ms = 0;
   exchange->connect_failures = 0;
   exchange->resume.pending = true;
+  exchange->resume.repeats = false;
   exchange->resume.since_ms = csp_gateway_now_ms (exchange->gateway);
   csp_retry_or_fail (exchange, CSP_REASON_STREAM_CUT, detail, true);
 }
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -112,6 +112,7 @@
       read_event_id (kept->data + done_bytes, event_bytes, id);
       if (was_sent (exchange, id))
         {
+          exchange->resume.repeats = true;
           kept->size_bytes -= event_bytes;
           memmove (kept->data + done_bytes,
                    kept->data + done_bytes + event_bytes,
--- a/tests/gateway/resume-test.c
+++ b/tests/gateway/resume-test.c
@@ -21,6 +21,8 @@
 #define EMPTY_ANSWER(status, field)                                           \
   "HTTP/1.1 " status "\r\nRequest-Id: r1\r\n" field "Content-Length: "        \
   "0\r\n\r\n"
+#define UNFRAMED_HEAD                                                         \
+  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n\r\n"
 
 static void
 set_up (void)
@@ -186,7 +188,21 @@
 
 /* Guards against more runs than the operator allows, and against an answer
    that ends as if complete without being one: both attempts are lost while a
-   third engine is free.  */
+   third engine is free.  The second engine closes its connection after these
+   bytes, or breaks the stream.  */
+static const struct
+{
+  const char *answer;
+  bool breaks;
+} lost_again_rows[]
+    = { { STREAM_HEAD "e\r\n" CUT_EVENT "\r\n0\r\n\r\n", true },
+        { STREAM_HEAD, true },
+        { STREAM_HEAD "0\r\n\r\n", false },
+        { EMPTY_ANSWER ("200 OK", "Signature: s\r\n"), false },
+        { EMPTY_ANSWER ("204 No", "Signature: s\r\n"), false },
+        { UNFRAMED_HEAD, false },
+        { UNFRAMED_HEAD EVENT ("1", "one"), false } };
+
 START_TEST (a_stream_that_is_lost_again_is_cut_off)
 {
   int link;
@@ -196,14 +212,31 @@
   link = accept_resume (1, "Last-Event-Id: 1\r\n");
   close (stream.listeners[0]);
   stream.listeners[0] = fixture_add_target (&stream.fixture, "t-2", "engines");
-  send_text (link, STREAM_HEAD);
-  if (_i == 0)
-    send_text (link, "e\r\n" CUT_EVENT "\r\n0\r\n\r\n");
-  break_stream (link);
+  send_text (link, lost_again_rows[_i].answer);
+  if (lost_again_rows[_i].breaks)
+    break_stream (link);
+  else
+    close (link);
   expect_cut ();
 }
 END_TEST
 
+/* Guards against a stream that is cut although it is complete: its engine was
+   lost between the last event and the end.  */
+START_TEST (a_resumed_stream_without_further_events_is_completed)
+{
+  int link;
+
+  start_two ("/resume/");
+  break_stream (stream.source_link);
+  link = accept_resume (1, "Last-Event-Id: 1\r\n");
+  send_text (link, STREAM_HEAD);
+  send_chunk (link, EVENT ("1", "one"));
+  finish_stream (link);
+  close (link);
+}
+END_TEST
+
 /* Guards against a second run of a request that may run only once; and against
    repeated events, as one without a number can't be told from one that was
    sent.  */
@@ -275,7 +308,9 @@
   tcase_add_loop_test (tcase,
                        a_request_lost_before_its_first_event_runs_elsewhere, 0,
                        sizeof lost_rows / sizeof lost_rows[0]);
-  tcase_add_loop_test (tcase, a_stream_that_is_lost_again_is_cut_off, 0, 2);
+  tcase_add_loop_test (tcase, a_stream_that_is_lost_again_is_cut_off, 0,
+                       sizeof lost_again_rows / sizeof lost_again_rows[0]);
+  tcase_add_test (tcase, a_resumed_stream_without_further_events_is_completed);
   tcase_add_loop_test (tcase, a_stream_that_can_not_be_resumed_is_cut_off, 0,
                        sizeof cut_rows / sizeof cut_rows[0]);
   tcase_add_test (tcase, a_lost_stream_without_another_engine_is_cut_off);
