Resumed streams leave a target that is gone before its first event

Cause: the check for silent streams skipped runs without a first event. A resumed run whose target lost power and left the list waited until the request's deadline.

Change: a pending resume with an open link to a target in state gone is watched for silence too, and resumed again or cut off.

Tested: a_resumed_stream_leaves_an_engine_that_is_gone (no head, head only) failed before: the caller's answer was still open after 2 s. gateway resume test passes.

--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -222,6 +222,22 @@
     }
 }
 
+/* Whether a run at a target is to be watched for silence.  A run that was sent
+   again reads its prompt first, so it is watched only where its target is
+   gone.  */
+static bool
+may_be_silent (const csp_exchange_t *exchange)
+{
+  if (exchange->ended)
+    return false;
+  if (exchange->resume.pending)
+    return exchange->link != NULL && csp_may_leave_gone_target (exchange);
+  return exchange->run_started_ms != 0
+         && exchange->answer_mode == CSP_ANSWER_STREAM
+         && (exchange->move.state == CSP_MOVE_NONE
+             || csp_may_leave_gone_target (exchange));
+}
+
 /* A target that lost power or was cut off sends nothing more while its
    connection stays open; without this check the caller would wait for seconds
    and then disconnect.  */
@@ -235,10 +251,7 @@
     {
       csp_exchange_t *next = exchange->next;
 
-      if (!exchange->ended && exchange->run_started_ms != 0
-          && exchange->answer_mode == CSP_ANSWER_STREAM
-          && (exchange->move.state == CSP_MOVE_NONE
-              || csp_may_leave_gone_target (exchange))
+      if (may_be_silent (exchange)
           && now_ms - exchange->last_data_ms >= SILENT_MS
           && csp_caller_backlog (exchange->caller) == 0)
         {
--- a/tests/gateway/resume-test.c
+++ b/tests/gateway/resume-test.c
@@ -13,7 +13,8 @@
 {
   PLACEMENT_OVER_MS = 5000, /* no request waits as long for a placement */
   SILENT_MS = 1000,
-  SETTLED_MS = 12100, /* until then a new decider leases no retries */
+  SETTLED_MS = 12100,   /* until then a new decider leases no retries */
+  CUT_WITHIN_MS = 2000, /* the deadline is seconds later */
   NO_REQUEST_MS = 100
 };
 
@@ -145,6 +146,30 @@
 }
 END_TEST
 
+/* Guards against a resumed stream that waits until its deadline for an engine
+   that is no longer listed and has sent no event, or only the head of its
+   answer.  Its attempts are used up, so the stream is cut off.  */
+START_TEST (a_resumed_stream_leaves_an_engine_that_is_gone)
+{
+  struct pollfd end = { .events = POLLRDHUP };
+  int link;
+
+  start_two ("/resume/");
+  end.fd = stream.caller;
+  break_stream (stream.source_link);
+  link = accept_resume (1, "Last-Event-Id: 1\r\n");
+  if (_i == 1)
+    send_text (link, STREAM_HEAD);
+  fixture_remove_target (&stream.fixture, stream_engine_ids[1]);
+  fixture_await_updates (&stream.fixture);
+  csp_advance_fake_clock (&stream.fixture.fake_clock, SILENT_MS);
+  ck_assert_int_eq (poll (&end, 1, CUT_WITHIN_MS), 1);
+  expect_cut ();
+  ck_assert (await_close (link));
+  close (link);
+}
+END_TEST
+
 /* Guards against an error for a request that another engine can run: the first
    one fails before its first event, after these bytes.  The caller's own id of
    the last event is passed on to both.  No byte of the lost answer is in the
@@ -305,6 +330,8 @@
   tcase_add_test (tcase, a_lost_stream_is_resumed_without_a_copy);
   tcase_add_test (tcase, a_stream_whose_copy_is_missing_is_resumed_without_it);
   tcase_add_test (tcase, a_silent_stream_leaves_an_engine_that_is_gone);
+  tcase_add_loop_test (tcase, a_resumed_stream_leaves_an_engine_that_is_gone,
+                       0, 2);
   tcase_add_loop_test (tcase,
                        a_request_lost_before_its_first_event_runs_elsewhere, 0,
                        sizeof lost_rows / sizeof lost_rows[0]);
