--- a/tests/gateway/resume-test.c
+++ b/tests/gateway/resume-test.c
@@ -13,7 +13,8 @@
 {
   PLACEMENT_OVER_MS = 5000, /* no request waits as long for a placement */
   SILENT_MS = 1000,
-  SETTLED_MS = 12100, /* until then a new decider leases no retries */
+  SETTLED_MS = 12100,   /* until then a new decider leases no retries */
+  CUT_WITHIN_MS = 2000, /* the deadline is seconds later */
   NO_REQUEST_MS = 100
 };
 
@@ -21,6 +22,8 @@
 #define EMPTY_ANSWER(status, field)                                           \
   "HTTP/1.1 " status "\r\nRequest-Id: r1\r\n" field "Content-Length: "        \
   "0\r\n\r\n"
+#define UNFRAMED_HEAD                                                         \
+  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n\r\n"
 
 static void
 set_up (void)
@@ -143,6 +146,30 @@
 }
 END_TEST
 
+/* Guards against a resumed stream that waits until its deadline for an engine
+   that is no longer listed and has sent no event, or only the head of its
+   answer.  Its attempts are used up, so the stream is cut off.  */
+START_TEST (a_resumed_stream_leaves_an_engine_that_is_gone)
+{
+  struct pollfd end = { .events = POLLRDHUP };
+  int link;
+
+  start_two ("/resume/");
+  end.fd = stream.caller;
+  break_stream (stream.source_link);
+  link = accept_resume (1, "Last-Event-Id: 1\r\n");
+  if (_i == 1)
+    send_text (link, STREAM_HEAD);
+  fixture_remove_target (&stream.fixture, stream_engine_ids[1]);
+  fixture_await_updates (&stream.fixture);
+  csp_advance_fake_clock (&stream.fixture.fake_clock, SILENT_MS);
+  ck_assert_int_eq (poll (&end, 1, CUT_WITHIN_MS), 1);
+  expect_cut ();
+  ck_assert (await_close (link));
+  close (link);
+}
+END_TEST
+
 /* Guards against an error for a request that another engine can run: the first
    one fails before its first event, after these bytes.  The caller's own id of
    the last event is passed on to both.  No byte of the lost answer is in the
@@ -186,7 +213,21 @@
 
 /* Guards against more runs than the operator allows, and against an answer
    that ends as if complete without being one: both attempts are lost while a
-   third engine is free.  */
+   third engine is free.  The second engine closes its connection after these
+   bytes, or breaks the stream.  */
+static const struct
+{
+  const char *answer;
+  bool breaks;
+} lost_again_rows[]
+    = { { STREAM_HEAD "e\r\n" CUT_EVENT "\r\n0\r\n\r\n", true },
+        { STREAM_HEAD, true },
+        { STREAM_HEAD "0\r\n\r\n", false },
+        { EMPTY_ANSWER ("200 OK", "Signature: s\r\n"), false },
+        { EMPTY_ANSWER ("204 No", "Signature: s\r\n"), false },
+        { UNFRAMED_HEAD, false },
+        { UNFRAMED_HEAD EVENT ("1", "one"), false } };
+
 START_TEST (a_stream_that_is_lost_again_is_cut_off)
 {
   int link;
@@ -196,14 +237,31 @@
   link = accept_resume (1, "Last-Event-Id: 1\r\n");
   close (stream.listeners[0]);
   stream.listeners[0] = fixture_add_target (&stream.fixture, "t-2", "engines");
-  send_text (link, STREAM_HEAD);
-  if (_i == 0)
-    send_text (link, "e\r\n" CUT_EVENT "\r\n0\r\n\r\n");
-  break_stream (link);
+  send_text (link, lost_again_rows[_i].answer);
+  if (lost_again_rows[_i].breaks)
+    break_stream (link);
+  else
+    close (link);
   expect_cut ();
 }
 END_TEST
 
+/* Guards against a stream that is cut although it is complete: its engine was
+   lost between the last event and the end.  */
+START_TEST (a_resumed_stream_without_further_events_is_completed)
+{
+  int link;
+
+  start_two ("/resume/");
+  break_stream (stream.source_link);
+  link = accept_resume (1, "Last-Event-Id: 1\r\n");
+  send_text (link, STREAM_HEAD);
+  send_chunk (link, EVENT ("1", "one"));
+  finish_stream (link);
+  close (link);
+}
+END_TEST
+
 /* Guards against a second run of a request that may run only once; and against
    repeated events, as one without a number can't be told from one that was
    sent.  */
@@ -272,10 +330,14 @@
   tcase_add_test (tcase, a_lost_stream_is_resumed_without_a_copy);
   tcase_add_test (tcase, a_stream_whose_copy_is_missing_is_resumed_without_it);
   tcase_add_test (tcase, a_silent_stream_leaves_an_engine_that_is_gone);
+  tcase_add_loop_test (tcase, a_resumed_stream_leaves_an_engine_that_is_gone,
+                       0, 2);
   tcase_add_loop_test (tcase,
                        a_request_lost_before_its_first_event_runs_elsewhere, 0,
                        sizeof lost_rows / sizeof lost_rows[0]);
-  tcase_add_loop_test (tcase, a_stream_that_is_lost_again_is_cut_off, 0, 2);
+  tcase_add_loop_test (tcase, a_stream_that_is_lost_again_is_cut_off, 0,
+                       sizeof lost_again_rows / sizeof lost_again_rows[0]);
+  tcase_add_test (tcase, a_resumed_stream_without_further_events_is_completed);
   tcase_add_loop_test (tcase, a_stream_that_can_not_be_resumed_is_cut_off, 0,
                        sizeof cut_rows / sizeof cut_rows[0]);
   tcase_add_test (tcase, a_lost_stream_without_another_engine_is_cut_off);
