Count waiting asks per service for the bound of a class

Cause: the bound of half of the table of waiting asks counted a class's asks over all services. A service without classes, whose requests are all regular, could make a service with classes refuse its regular requests while half of the table was free.

Change: each pool counts its entries by class, and a class of a pool with classes is bounded by that count. The table is still shared: a service without classes isn't bounded, so that it is served as before.

Tested: waiting_class_leaves_room_for_others; its row with 2,049 waiting asks of another service failed before the change (refused instead of waiting). dispatch-class-queue, dispatch-class, dispatch, dispatch-move and dispatch-speed tests pass.

--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -38,7 +38,8 @@
   csp_queue_t *queues[CSP_CLASS_COUNT]; /* NULL while a class isn't used */
   csp_traffic_cost_t cost;
   csp_traffic_share_t share;
-  bool is_pumped[CSP_CLASS_COUNT]; /* the class is done in this pump */
+  uint32_t waiting[CSP_CLASS_COUNT]; /* entries of the table of asks */
+  bool is_pumped[CSP_CLASS_COUNT];   /* the class is done in this pump */
 } csp_dispatch_pool_t;
 
 /* An organisation's number in the queues; 0 is shared by those for which
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -106,23 +106,26 @@
   return NULL;
 }
 
-/* Where there are classes, none may fill the table: requests of the other
-   would be refused although their own queue is short.  */
+/* In a pool with classes, none may fill the table: requests of the other would
+   be refused although their own queue is short.  The requests of other pools
+   don't count, as their number says nothing about this pool's queues.  */
 static csp_waiting_ask_t *
-allocate_waiting (csp_dispatch_t *dispatch, const csp_dispatch_pool_t *pool,
+allocate_waiting (csp_dispatch_t *dispatch, csp_dispatch_pool_t *pool,
                   csp_traffic_class_t traffic_class)
 {
   size_t i;
 
   if (pool->has_classes
-      && dispatch->class_counts[traffic_class].waiting
+      && pool->waiting[traffic_class]
              >= CSP_DISPATCH_WAITING_MAX / CSP_CLASS_COUNT)
     return NULL;
   for (i = 0; i < CSP_DISPATCH_WAITING_MAX; i++)
     if (!dispatch->waiting[i].used)
       {
         dispatch->waiting[i].used = true;
+        dispatch->waiting[i].pool = (uint8_t)(pool - dispatch->pools);
         dispatch->waiting[i].traffic_class = traffic_class;
+        pool->waiting[traffic_class]++;
         dispatch->waiting_count++;
         dispatch->class_counts[traffic_class].waiting++;
         if (i >= dispatch->waiting_end)
@@ -136,6 +139,7 @@
 free_waiting (csp_dispatch_t *dispatch, csp_waiting_ask_t *waiting)
 {
   waiting->used = false;
+  dispatch->pools[waiting->pool].waiting[waiting->traffic_class]--;
   dispatch->waiting_count--;
   dispatch->class_counts[waiting->traffic_class].waiting--;
   while (dispatch->waiting_end > 0
@@ -229,7 +233,6 @@
       return;
     }
   waiting->queue_id = queued.id;
-  waiting->pool = (uint8_t)(pool - dispatch->pools);
   waiting->organisation = queued.organisation;
   waiting->cost_tokens = queued.cost_tokens;
   waiting->ask = *ask;
--- a/tests/dispatch/dispatch-class-queue-test.c
+++ b/tests/dispatch/dispatch-class-queue-test.c
@@ -172,24 +172,37 @@
 }
 END_TEST
 
-/* Guards against a class whose waiting requests fill the table that both
-   use.  */
-START_TEST (waiting_class_leaves_room_for_the_other)
+/* Regular requests that wait for a service, and the class of a request for
+   "s", which has classes.  */
+static const struct
 {
-  enum
-  {
-    ASKS = 5000
-  };
+  csp_dispatch_service_t service;
+  int asks;
+  csp_ask_outcome_t last;
+  csp_traffic_class_t next_class;
+} crowds[] = {
+  { { "s", ONE_RUN, true, 0 }, 2049, CSP_ASK_REFUSED, URGENT },
+  { { "other", ONE_RUN, false, 0 }, 2049, CSP_ASK_WAITS, REGULAR },
+};
+
+/* Guards against a class whose waiting requests fill the table that all use,
+   and against a service that uses up the part of another one's class.  */
+START_TEST (waiting_class_leaves_room_for_others)
+{
+  csp_dispatch_service_t own = service;
   int i;
 
   report_tokens (ONE_RUN);
-  for (i = 0; i < ASKS; i++)
+  service = crowds[_i].service;
+  for (i = 0; i < crowds[_i].asks; i++)
     {
       answer_count = 0;
       push_ask (REGULAR, 1 + (uint32_t)i % 100, 1000);
     }
-  ck_assert_int_eq (answers[0].outcome, CSP_ASK_REFUSED);
-  ck_assert_int_eq (ask_once (URGENT, 1000).outcome, CSP_ASK_WAITS);
+  ck_assert_int_eq (answers[0].outcome, crowds[_i].last);
+  service = own;
+  ck_assert_int_eq (ask_once (crowds[_i].next_class, 1000).outcome,
+                    CSP_ASK_WAITS);
 }
 END_TEST
 
@@ -233,7 +246,8 @@
   tcase_add_test (tcase, classes_take_turns_at_the_only_place);
   tcase_add_test (tcase, refusal_follows_own_queue);
   tcase_add_test (tcase, requests_keep_their_class_when_classes_go);
-  tcase_add_test (tcase, waiting_class_leaves_room_for_the_other);
+  tcase_add_loop_test (tcase, waiting_class_leaves_room_for_others, 0,
+                       sizeof crowds / sizeof crowds[0]);
   tcase_add_test (tcase, organisations_take_turns_in_urgent_class);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
