Limit a hold of urgent requests by the time they may wait

Cause: while a regular request whose turn it is doesn't fit, urgent requests were held for 400 ms whatever their objective. Requests that must start within 0.23 s (an objective of 0.3 s) were refused during the hold although an engine had memory for them.

Change: a hold takes at most a quarter of the time that the urgent request which came last may wait, and at most 400 ms as before; urgent requests then pass for as long. The pool keeps this as an estimate, as csp_queue_t has no interface for the request that is due first. An urgent request that comes during a hold and may wait less shortens it.

Tested: hold_leaves_time_for_urgent_requests (dispatch-class-queue) failed before the change: the request was refused instead of placed. hold_is_limited_by_urgent_wait (traffic-share) needs the new function; with the limit taken out of it 5 rows failed, and with the limit applied only when a hold begins the row 9000, 230 failed (400 ms instead of 57). The tests in tests/traffic, tests/dispatch and tests/queue pass.

--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -232,6 +232,8 @@
       refuse_on_arrival (dispatch, ask, traffic_class, error.retry_after_ms);
       return;
     }
+  if (traffic_class == CSP_CLASS_URGENT)
+    csp_note_urgent_wait (&pool->share, ask->start_within_ms);
   waiting->queue_id = queued.id;
   waiting->organisation = queued.organisation;
   waiting->cost_tokens = queued.cost_tokens;
--- a/source/traffic/traffic-share.c
+++ b/source/traffic/traffic-share.c
@@ -6,11 +6,14 @@
 enum
 {
   PLACED_HALF_LIFE_MS = 4000,
-  /* How long urgent requests are held for a regular one, and then let pass.  A
-     short run ends within 0.3 s at the nominal speed, so within the hold most
-     engines have room for a long one; and an urgent request that must start
-     within 1.1 s is still in time after it.  */
-  HOLD_MS = 400
+  /* How long urgent requests are held for a regular one, and then let pass, at
+     most.  A short run ends within 0.3 s at the nominal speed, so within the
+     hold most engines have room for a long one.  */
+  HOLD_MS_MAX = 400,
+  /* A hold takes at most the time that an urgent request may wait divided by
+     this.  With 400 ms always, urgent requests that must start within 0.23 s
+     were refused during a hold.  */
+  HOLD_DIVISOR = 4
 };
 
 /* Maximum share of the urgent class with which it goes first.  */
@@ -36,6 +39,13 @@
     share->blocked = false;
 }
 
+void
+csp_note_urgent_wait (csp_traffic_share_t *share, uint32_t start_within_ms)
+{
+  if (start_within_ms > 0)
+    share->urgent_wait_ms = start_within_ms;
+}
+
 double
 csp_urgent_share (const csp_traffic_share_t *share)
 {
@@ -45,15 +55,32 @@
   return all > 0 ? share->placed[CSP_CLASS_URGENT] / all : 0;
 }
 
+static int64_t
+limit_hold_ms (const csp_traffic_share_t *share)
+{
+  int64_t limit_ms = share->urgent_wait_ms / HOLD_DIVISOR;
+
+  return share->urgent_wait_ms > 0 && limit_ms < HOLD_MS_MAX ? limit_ms
+                                                             : HOLD_MS_MAX;
+}
+
+/* An urgent request that comes during a hold and may wait less shortens it.
+   The urgent class then passes until the hold and as long a pass would have
+   ended.  */
 static bool
 is_urgent_held (csp_traffic_share_t *share, int64_t now_ms)
 {
-  if (!share->blocked || now_ms - share->blocked_since_ms >= 2 * HOLD_MS)
+  int64_t limit_ms = limit_hold_ms (share);
+
+  if (!share->blocked
+      || now_ms - share->blocked_since_ms >= 2 * share->hold_ms)
     {
       share->blocked = true;
       share->blocked_since_ms = now_ms;
+      share->hold_ms = limit_ms;
     }
-  return now_ms - share->blocked_since_ms < HOLD_MS;
+  return now_ms - share->blocked_since_ms
+         < (share->hold_ms < limit_ms ? share->hold_ms : limit_ms);
 }
 
 static bool
--- a/tests/dispatch/dispatch-class-queue-test.c
+++ b/tests/dispatch/dispatch-class-queue-test.c
@@ -18,6 +18,7 @@
 
 static csp_dispatch_service_t service;
 static uint64_t next_id;
+static uint32_t urgent_within_ms;
 
 static void
 set_up (void)
@@ -28,6 +29,7 @@
                                       .memory_tokens = ONE_RUN,
                                       .has_classes = true };
   next_id = 1;
+  urgent_within_ms = 1157;
 }
 
 /* The class of an ask is in its id.  */
@@ -47,7 +49,7 @@
                     .organisation = organisation,
                     .prompt_tokens = urgent ? 2400 : 3000,
                     .tokens = urgent ? 2412 : 3750,
-                    .start_within_ms = urgent ? 1157 : 3572,
+                    .start_within_ms = urgent ? urgent_within_ms : 3572,
                     .traffic_class = traffic_class };
 
   csp_push_ask (dispatch, &ask, &service, now_ms);
@@ -236,6 +238,26 @@
 }
 END_TEST
 
+/* The urgent class is above its share, and a regular request waits that
+   doesn't fit.  Guards against a hold that outlasts the time in which an
+   urgent request can be placed.  */
+START_TEST (hold_leaves_time_for_urgent_requests)
+{
+  int64_t now_ms;
+
+  urgent_within_ms = 230;
+  ck_assert_int_eq (ask_once (URGENT, 1000).outcome, CSP_ASK_PLACED);
+  pump_with (ONE_RUN / 3, 1000 + STEP_MS);
+  ck_assert_int_eq (ask_once (REGULAR, 1100).outcome, CSP_ASK_WAITS);
+  ck_assert_int_eq (ask_once (URGENT, 1100).outcome, CSP_ASK_WAITS);
+  answer_count = 0;
+  for (now_ms = 1100; answer_count == 0; now_ms += STEP_MS)
+    pump_with (ONE_RUN / 3, now_ms);
+  ck_assert_uint_eq (class_of (&answers[0]), URGENT);
+  ck_assert_int_eq (answers[0].outcome, CSP_ASK_PLACED);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -249,6 +271,7 @@
   tcase_add_loop_test (tcase, waiting_class_leaves_room_for_others, 0,
                        sizeof crowds / sizeof crowds[0]);
   tcase_add_test (tcase, organisations_take_turns_in_urgent_class);
+  tcase_add_test (tcase, hold_leaves_time_for_urgent_requests);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
--- a/tests/traffic/traffic-share-test.c
+++ b/tests/traffic/traffic-share-test.c
@@ -114,6 +114,41 @@
 }
 END_TEST
 
+/* How long urgent requests may wait when a hold begins and during it, and when
+   it ends.  */
+static const struct
+{
+  uint32_t first_ms;
+  uint32_t later_ms;
+  int64_t hold_ms;
+} holds[] = {
+  { 230, 230, 57 },  { 230, 0, 57 },    { 1600, 1600, 400 },
+  { 9000, 230, 57 }, { 230, 9000, 57 }, { 3, 3, 0 },
+};
+
+/* Guards against a hold that takes most of the time in which an urgent request
+   can be placed, and against one that begins again before any was.  */
+START_TEST (hold_is_limited_by_urgent_wait)
+{
+  const csp_class_queue_state_t queues[CSP_CLASS_COUNT] = {
+    [CSP_CLASS_REGULAR] = { true, true }, [CSP_CLASS_URGENT] = { true, false }
+  };
+  csp_traffic_share_t share = { 0 };
+  int64_t held_ms = 0;
+
+  csp_note_class_placed (&share, CSP_CLASS_URGENT, 1000, NOW_MS);
+  csp_note_urgent_wait (&share, holds[_i].first_ms);
+  csp_choose_next_class (&share, queues, NOW_MS);
+  csp_note_urgent_wait (&share, holds[_i].later_ms);
+  while ((int)csp_choose_next_class (&share, queues, NOW_MS + held_ms) == NONE)
+    held_ms++;
+  ck_assert_int_eq (held_ms, holds[_i].hold_ms);
+  ck_assert_int_eq (
+      csp_choose_next_class (&share, queues, NOW_MS + held_ms * 3 / 2),
+      URGENT);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -125,6 +160,8 @@
   tcase_add_loop_test (tcase, placed_cost_decays, 0,
                        sizeof ages / sizeof ages[0]);
   tcase_add_test (tcase, hold_starts_anew_after_placement);
+  tcase_add_loop_test (tcase, hold_is_limited_by_urgent_wait, 0,
+                       sizeof holds / sizeof holds[0]);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
