--- a/tests/dispatch/dispatch-class-queue-test.c
+++ b/tests/dispatch/dispatch-class-queue-test.c
@@ -18,6 +18,7 @@
 
 static csp_dispatch_service_t service;
 static uint64_t next_id;
+static uint32_t urgent_within_ms;
 
 static void
 set_up (void)
@@ -28,6 +29,7 @@
                                       .memory_tokens = ONE_RUN,
                                       .has_classes = true };
   next_id = 1;
+  urgent_within_ms = 1157;
 }
 
 /* The class of an ask is in its id.  */
@@ -47,7 +49,7 @@
                     .organisation = organisation,
                     .prompt_tokens = urgent ? 2400 : 3000,
                     .tokens = urgent ? 2412 : 3750,
-                    .start_within_ms = urgent ? 1157 : 3572,
+                    .start_within_ms = urgent ? urgent_within_ms : 3572,
                     .traffic_class = traffic_class };
 
   csp_push_ask (dispatch, &ask, &service, now_ms);
@@ -102,17 +104,6 @@
 }
 END_TEST
 
-static void
-expect_short_retries (void)
-{
-  size_t i;
-
-  for (i = 0; i < answer_count; i++)
-    if (answers[i].outcome == CSP_ASK_REFUSED
-        && class_of (&answers[i]) == URGENT)
-      ck_assert_uint_lt (answers[i].retry_after_ms, 3000);
-}
-
 /* Twenty regular requests wait, and one was placed in 0.6 s.  Guards against
    urgent requests that are refused for the wait of regular ones, or told to
    come back after it.  */
@@ -121,6 +112,7 @@
   const csp_class_counts_t *regular;
   const csp_class_counts_t *urgent;
   csp_ask_answer_t answer;
+  int64_t now_ms;
   int i;
 
   report_tokens (ONE_RUN);
@@ -136,10 +128,14 @@
   for (i = 0; i < 3; i++)
     ck_assert_int_eq (ask_once (URGENT, 1600).outcome, CSP_ASK_WAITS);
   /* One is placed, one can't start in time at this rate, and one doesn't.  */
-  pump_with (0, 2200);
-  expect_short_retries ();
-  pump_with (ONE_RUN, 2800);
-  expect_short_retries ();
+  for (now_ms = 2200; now_ms <= 2800; now_ms += 600)
+    {
+      pump_with (now_ms == 2200 ? 0 : ONE_RUN, now_ms);
+      for (i = 0; i < (int)answer_count; i++)
+        if (answers[i].outcome == CSP_ASK_REFUSED
+            && class_of (&answers[i]) == URGENT)
+          ck_assert_uint_lt (answers[i].retry_after_ms, 3000);
+    }
   ck_assert_uint_eq (regular->placed, 1);
   ck_assert_uint_eq (regular->refused_on_arrival, 1);
   ck_assert_uint_eq (regular->refused_after_wait + regular->waiting, 19);
@@ -172,24 +168,30 @@
 }
 END_TEST
 
-/* Guards against a class whose waiting requests fill the table that both
-   use.  */
-START_TEST (waiting_class_leaves_room_for_the_other)
+/* The services for which regular requests wait.  */
+static const csp_dispatch_service_t crowded[]
+    = { { "s", ONE_RUN, true, 0 }, { "other", ONE_RUN, false, 0 } };
+
+/* Guards against a class whose waiting requests fill the table that all use,
+   and against a service that uses up the part of another one's class.  */
+START_TEST (waiting_class_leaves_room_for_others)
 {
-  enum
-  {
-    ASKS = 5000
-  };
+  csp_dispatch_service_t own = service;
+  bool has_classes = crowded[_i].has_classes;
   int i;
 
   report_tokens (ONE_RUN);
-  for (i = 0; i < ASKS; i++)
+  service = crowded[_i];
+  for (i = 0; i <= 2048; i++)
     {
       answer_count = 0;
       push_ask (REGULAR, 1 + (uint32_t)i % 100, 1000);
     }
-  ck_assert_int_eq (answers[0].outcome, CSP_ASK_REFUSED);
-  ck_assert_int_eq (ask_once (URGENT, 1000).outcome, CSP_ASK_WAITS);
+  ck_assert_int_eq (answers[0].outcome,
+                    has_classes ? CSP_ASK_REFUSED : CSP_ASK_WAITS);
+  service = own;
+  ck_assert_int_eq (ask_once (has_classes ? URGENT : REGULAR, 1000).outcome,
+                    CSP_ASK_WAITS);
 }
 END_TEST
 
@@ -223,6 +225,26 @@
 }
 END_TEST
 
+/* The urgent class is above its share, and a regular request waits that
+   doesn't fit.  Guards against a hold that outlasts the time in which an
+   urgent request can be placed.  */
+START_TEST (hold_leaves_time_for_urgent_requests)
+{
+  int64_t now_ms;
+
+  urgent_within_ms = 230;
+  ck_assert_int_eq (ask_once (URGENT, 1000).outcome, CSP_ASK_PLACED);
+  pump_with (ONE_RUN / 3, 1000 + STEP_MS);
+  ck_assert_int_eq (ask_once (REGULAR, 1100).outcome, CSP_ASK_WAITS);
+  ck_assert_int_eq (ask_once (URGENT, 1100).outcome, CSP_ASK_WAITS);
+  answer_count = 0;
+  for (now_ms = 1100; answer_count == 0; now_ms += STEP_MS)
+    pump_with (ONE_RUN / 3, now_ms);
+  ck_assert_uint_eq (class_of (&answers[0]), URGENT);
+  ck_assert_int_eq (answers[0].outcome, CSP_ASK_PLACED);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -233,8 +255,10 @@
   tcase_add_test (tcase, classes_take_turns_at_the_only_place);
   tcase_add_test (tcase, refusal_follows_own_queue);
   tcase_add_test (tcase, requests_keep_their_class_when_classes_go);
-  tcase_add_test (tcase, waiting_class_leaves_room_for_the_other);
+  tcase_add_loop_test (tcase, waiting_class_leaves_room_for_others, 0,
+                       sizeof crowded / sizeof crowded[0]);
   tcase_add_test (tcase, organisations_take_turns_in_urgent_class);
+  tcase_add_test (tcase, hold_leaves_time_for_urgent_requests);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
