Losses of ending targets are ignored, and lossy targets are forgotten

Cause: losses that hosts report of a target that is leaving or gone damped it. A target stayed in the list of those with losses for as long as a host reported its count, so every report was compared for it. Old losses filled the loads that a host remembers of a report. A report that states billions of requests held the loop that counts successes for seconds. Change: losses of a target that ends are settled and aren't evidence later. A target leaves the list when its last loss is older than 10 s and no damping is remembered; its known count is 0 then, so that the next loss that isn't old is new whatever the count is. Loads are remembered for losses of the last 10 s only. At most 2048 successes are counted, which raise the number of requests on probation to its maximum. The 10 s are one constant in damping.h.

--- a/include/cowslipspoke/damping.h
+++ b/include/cowslipspoke/damping.h
@@ -18,6 +18,14 @@
    bounded number of short requests.  Each further time doubles the duration.
    Every decider computes the same from the same reports.  */
 
+enum
+{
+  /* Hosts report a loss for this long even without requests at the target, and
+     deciders remember it as long: a host that becomes decider needs those of
+     the last 2 s, and reports may be lost.  */
+  CSP_LOSS_REPORTED_MS = 10000
+};
+
 typedef enum
 {
   CSP_TARGET_TRUSTED,
--- a/source/fleet/fleet-damping.c
+++ b/source/fleet/fleet-damping.c
@@ -52,13 +52,30 @@
                                                     : &fleet->lossy_targets);
 }
 
+/* Losses of a target that ends are no fault of its next state.  */
+static void
+ignore_losses (csp_damping_t *damping, uint32_t failures, int64_t now_ms)
+{
+  damping->known_failures = failures;
+  if (damping->counted_from_ms < now_ms)
+    damping->counted_from_ms = now_ms;
+}
+
 bool
 csp_note_target_loss (csp_fleet_t *fleet, csp_fleet_target_t *target,
                       const csp_damping_report_t *report, int64_t now_ms)
 {
   bool was_counted = csp_is_counted_damped (target);
-  bool damped = csp_note_damping_report (&target->damping, report, now_ms);
-
+  bool damped = false;
+
+  /* A forgotten loss that is still reported.  */
+  if (cds_list_empty (&csp_entry_of_target (target)->has_losses)
+      && report->age_ms >= CSP_LOSS_REPORTED_MS)
+    return false;
+  if (target->state == CSP_FLEET_LEAVING || target->state == CSP_FLEET_GONE)
+    ignore_losses (&target->damping, report->failures, now_ms);
+  else
+    damped = csp_note_damping_report (&target->damping, report, now_ms);
   follow_damping (fleet, target, was_counted, damped);
   return damped;
 }
@@ -163,6 +180,14 @@
     watch->on_changed (watch->state, target, false);
 }
 
+/* Whether the target has nothing left that damping depends on.  */
+static bool
+is_forgotten (const csp_fleet_target_t *target, int64_t now_ms)
+{
+  return !target->restrained && target->damping.times == 0
+         && now_ms - target->damping.failed_ms > CSP_LOSS_REPORTED_MS;
+}
+
 static void
 update_list (csp_fleet_t *fleet, struct cds_list_head *list,
              const csp_damping_watch_t *watch, int64_t now_ms)
@@ -176,9 +201,12 @@
 
     csp_settle_target_failures (target);
     csp_update_target_damping (fleet, target, watch, now_ms);
-    if (!target->restrained && target->damping.times == 0
-        && target->damping.known_failures == 0)
-      cds_list_del_init (&entry->has_losses);
+    if (!is_forgotten (target, now_ms))
+      continue;
+    cds_list_del_init (&entry->has_losses);
+    /* Counts that fall aren't followed any more, so the next loss that isn't
+       old is a new one whatever the count.  */
+    target->damping.known_failures = 0;
   }
 }
 
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -13,10 +13,9 @@
 enum
 {
   STATUS_OK_END = 300,
-  /* Hosts report a loss for this long even without requests at the target: a
-     host that becomes decider needs those of the last 2 s, and reports may be
-     lost.  */
-  LOSS_REPORTED_MS = 10000,
+  /* Successes that raise the number of requests allowed on probation to its
+     maximum.  A report may state any number.  */
+  COUNTED_SUCCESSES_MAX = 2048,
   /* An older loss is no evidence, whatever its age.  */
   LOSS_AGE_MAX_MS = 3600000
 };
@@ -189,7 +188,7 @@
 bool
 csp_reports_recent_failure (const csp_peer_load_t *load)
 {
-  return load->failures > 0 && load->failure_age_ms < LOSS_REPORTED_MS;
+  return load->failures > 0 && load->failure_age_ms < CSP_LOSS_REPORTED_MS;
 }
 
 typedef struct
@@ -214,7 +213,7 @@
 
   (void)peer;
   if (loads->count < CSP_REMEMBERED_LOADS_MAX
-      && (load->failures > 0
+      && (csp_reports_recent_failure (load)
           || is_on_probation (csp_find_target_by_hash (fleet, load->target))))
     loads->loads[loads->count++] = *load;
 }
@@ -238,14 +237,16 @@
 note_successes (csp_fleet_target_t *target, const csp_peer_load_t *load,
                 const csp_remembered_loads_t *before)
 {
+  uint32_t counted = 0;
   uint32_t served;
   size_t i;
 
   for (i = 0; i < before->count; i++)
     if (before->loads[i].target == load->target
         && before->loads[i].failures == load->failures)
-      for (served = load->requests; served < before->loads[i].requests;
-           served++)
+      for (served = load->requests; served < before->loads[i].requests
+                                    && counted < COUNTED_SUCCESSES_MAX;
+           served++, counted++)
         csp_note_damping_success (&target->damping);
 }
 
--- a/tests/damping/damping-fleet-test.c
+++ b/tests/damping/damping-fleet-test.c
@@ -281,6 +281,62 @@
 }
 END_TEST
 
+/* Guards against a target released in place of one that was damped earlier and
+   has had further losses since.  */
+START_TEST (first_damped_target_is_released_first)
+{
+  csp_fleet_target_t *targets[11];
+  size_t i;
+
+  for (i = 0; i < 11; i++)
+    targets[i] = list_target ((char[2]){ (char)('a' + i), 0 }, "", 0);
+  damp (targets[0], BEGIN_MS);
+  damp (targets[1], BEGIN_MS + 1);
+  report_load (targets[0], 3, 1, BEGIN_MS + 2);
+  damp (targets[2], BEGIN_MS + 3);
+  ck_assert_int_eq (targets[0]->damping.state, CSP_TARGET_TRUSTED);
+  ck_assert_int_eq (targets[1]->damping.state, CSP_TARGET_DAMPED);
+}
+END_TEST
+
+/* Guards against a target that leaves and is damped for it, and against its
+   losses counting later, when it takes requests again.  */
+START_TEST (losses_of_a_leaving_target_are_settled)
+{
+  csp_fleet_target_t *target = list_target ("t", "", 0);
+  csp_damping_report_t late = { .host = 2, .failures = 2, .age_ms = 1 };
+
+  csp_note_target_leaves (fleet, target);
+  damp (target, BEGIN_MS);
+  ck_assert_int_eq (target->damping.state, CSP_TARGET_TRUSTED);
+  ck_assert_uint_eq (target->damping.known_failures, 2);
+  target->state = CSP_FLEET_READY;
+  ck_assert (!csp_note_target_loss (fleet, target, &late, BEGIN_MS + 1));
+}
+END_TEST
+
+/* Guards against targets with an old loss that are looked at for ever, and
+   against a new loss there that is taken for the old one.  */
+START_TEST (target_is_forgotten_after_its_last_loss)
+{
+  csp_fleet_target_t *target = list_target ("t", "", 0);
+  csp_peer_load_t dropped = { .target = target->hash, .failures = 1 };
+  csp_damping_report_t old = { .host = 1, .failures = 1, .age_ms = 10001 };
+  int64_t now_ms = BEGIN_MS + 10001;
+
+  report_load (target, 1, 1, BEGIN_MS);
+  csp_update_dampings (fleet, &watch, now_ms - 1);
+  ck_assert (csp_has_lossy_targets (fleet));
+  csp_update_dampings (fleet, &watch, now_ms);
+  ck_assert (!csp_has_lossy_targets (fleet));
+  ck_assert (!csp_note_target_loss (fleet, target, &old, now_ms));
+  ck_assert (!csp_has_lossy_targets (fleet));
+  csp_subtract_peer_load (fleet, &dropped);
+  damp (target, now_ms);
+  ck_assert_int_eq (target->damping.state, CSP_TARGET_DAMPED);
+}
+END_TEST
+
 /* Guards against a service that refuses everything while its only target, or
    the only one that isn't cordoned or gone, is damped; and against a damped
    target that gets what a busy service has no capacity for.  */
@@ -385,6 +441,9 @@
   tcase_add_test (tests,
                   most_targets_take_long_requests_after_a_common_failure);
   tcase_add_test (tests, leaving_target_is_not_counted);
+  tcase_add_test (tests, first_damped_target_is_released_first);
+  tcase_add_test (tests, losses_of_a_leaving_target_are_settled);
+  tcase_add_test (tests, target_is_forgotten_after_its_last_loss);
   tcase_add_test (tests, last_target_of_a_service_is_used_though_damped);
   tcase_add_test (tests, copy_on_probation_is_judged_by_the_time_left);
   tcase_add_test (tests, new_start_is_trusted);
