Test: a report of too many requests on probation

The gateway's test of probation reports UINT32_MAX requests, then none. Tested: tests/gateway/damping-test.

--- a/tests/gateway/damping-test.c
+++ b/tests/gateway/damping-test.c
@@ -201,6 +201,9 @@
       /* A loss before the probation, and a request that is served.  */
       report_peer_load (2, 1);
       report_peer_load (2, 0);
+      /* More than any host can serve takes no longer than usual.  */
+      report_peer_load (2, UINT32_MAX);
+      report_peer_load (2, 0);
     }
   csp_advance_fake_clock (clock, DAMPED_MS);
   await_metric ("cowslipspoke_gateway_probation_targets 0\n");
