Test: the second engine is full instead of leaving

Since a damped or restrained target is used where its service has no other, the test of probation no longer needed the successes that the peer reports. The second engine now has a load without capacity. Tested: tests/gateway/damping-test passes; it times out if the successes of other hosts aren't noted.

--- a/tests/gateway/damping-test.c
+++ b/tests/gateway/damping-test.c
@@ -17,7 +17,8 @@
   DAMPED_MS = 1000,
   FULL_REPORT_MS = 1000,
   RESERVED_MS = 40, /* a placement isn't counted twice any more */
-  FAILED_AGO_MS = 200
+  FAILED_AGO_MS = 200,
+  FULL_TOKENS = 1000000000
 };
 
 #define SHORT_REQUEST                                                         \
@@ -170,6 +171,18 @@
          || hello.load_count > 0);
 }
 
+/* Report a load that leaves no capacity at an engine.  */
+static void
+fill_engine (const char *id)
+{
+  csp_hello_t hello = { .load_count = 1,
+                        .loads = { { .target = csp_hash_pair ("target", id),
+                                     .requests = 1,
+                                     .tokens = FULL_TOKENS } } };
+
+  send_peer_hello (&hello);
+}
+
 /* Guards against an engine that is filled again after two hosts have lost
    attempts there, and against a probation that other hosts' successes don't
    ease.  */
@@ -194,8 +207,7 @@
       links[i] = accept_target_connection (stream.listeners[i == 0 ? 1 : 0]);
       if (i > 0)
         continue;
-      fixture_mark_leaving (&stream.fixture, stream.listeners[1], "t-1",
-                            "engines");
+      fill_engine ("t-1");
       csp_advance_fake_clock (clock, DAMPED_MS);
       await_metric ("cowslipspoke_gateway_probation_targets 1\n");
       /* A loss before the probation, and a request that is served.  */
