Test: old losses don't fill the loads that are remembered

With all losses remembered, the load on probation has no room and its success isn't noted: the test timed out. Tested: tests/gateway/damping-test.

--- a/source/gateway/gateway-damping-imp.h
+++ b/source/gateway/gateway-damping-imp.h
@@ -20,7 +20,7 @@
 };
 
 /* Loads that a host has reported, before its next report replaces them: those
-   with losses and those at targets on probation.  */
+   with recent losses and those at targets on probation.  */
 typedef struct
 {
   size_t count;
--- a/tests/gateway/damping-test.c
+++ b/tests/gateway/damping-test.c
@@ -18,6 +18,8 @@
   FULL_REPORT_MS = 1000,
   RESERVED_MS = 40, /* a placement isn't counted twice any more */
   FAILED_AGO_MS = 200,
+  OLD_LOSSES = 33,
+  OLD_MS = 20000,
   FULL_TOKENS = 1000000000
 };
 
@@ -153,6 +155,25 @@
 }
 END_TEST
 
+/* Report old losses at other targets, more than the loads that a gateway
+   remembers of a report.  */
+static void
+report_old_losses (void)
+{
+  csp_hello_t hello = { .load_count = CSP_HELLO_LOADS_MAX };
+  uint64_t target = 0;
+  size_t i;
+
+  while (target < OLD_LOSSES)
+    {
+      for (i = 0; i < CSP_HELLO_LOADS_MAX; i++)
+        hello.loads[i] = (csp_peer_load_t){ .target = ++target,
+                                            .failures = 1,
+                                            .failure_age_ms = OLD_MS };
+      send_peer_hello (&hello);
+    }
+}
+
 /* Report the peer's load, and wait until the gateway has applied it.  */
 static void
 report_peer_load (uint32_t failures, uint32_t requests)
@@ -194,6 +215,7 @@
   size_t i;
 
   start_stream (false);
+  report_old_losses ();
   report_peer_load (1, 0);
   reset_socket (stream.source_link);
   await_metric ("cowslipspoke_gateway_damped_targets 1\n");
