--- a/tests/gateway/damping-test.c
+++ b/tests/gateway/damping-test.c
@@ -17,7 +17,10 @@
   DAMPED_MS = 1000,
   FULL_REPORT_MS = 1000,
   RESERVED_MS = 40, /* a placement isn't counted twice any more */
-  FAILED_AGO_MS = 200
+  FAILED_AGO_MS = 200,
+  OLD_LOSSES = 33,
+  OLD_MS = 20000,
+  FULL_TOKENS = 1000000000
 };
 
 #define SHORT_REQUEST                                                         \
@@ -152,6 +155,25 @@
 }
 END_TEST
 
+/* Report old losses at other targets, more than the loads that a gateway
+   remembers of a report.  */
+static void
+report_old_losses (void)
+{
+  csp_hello_t hello = { .load_count = CSP_HELLO_LOADS_MAX };
+  uint64_t target = 0;
+  size_t i;
+
+  while (target < OLD_LOSSES)
+    {
+      for (i = 0; i < CSP_HELLO_LOADS_MAX; i++)
+        hello.loads[i] = (csp_peer_load_t){ .target = ++target,
+                                            .failures = 1,
+                                            .failure_age_ms = OLD_MS };
+      send_peer_hello (&hello);
+    }
+}
+
 /* Report the peer's load, and wait until the gateway has applied it.  */
 static void
 report_peer_load (uint32_t failures, uint32_t requests)
@@ -170,6 +192,18 @@
          || hello.load_count > 0);
 }
 
+/* Report a load that leaves no capacity at an engine.  */
+static void
+fill_engine (const char *id)
+{
+  csp_hello_t hello = { .load_count = 1,
+                        .loads = { { .target = csp_hash_pair ("target", id),
+                                     .requests = 1,
+                                     .tokens = FULL_TOKENS } } };
+
+  send_peer_hello (&hello);
+}
+
 /* Guards against an engine that is filled again after two hosts have lost
    attempts there, and against a probation that other hosts' successes don't
    ease.  */
@@ -181,6 +215,7 @@
   size_t i;
 
   start_stream (false);
+  report_old_losses ();
   report_peer_load (1, 0);
   reset_socket (stream.source_link);
   await_metric ("cowslipspoke_gateway_damped_targets 1\n");
@@ -194,13 +229,15 @@
       links[i] = accept_target_connection (stream.listeners[i == 0 ? 1 : 0]);
       if (i > 0)
         continue;
-      fixture_mark_leaving (&stream.fixture, stream.listeners[1], "t-1",
-                            "engines");
+      fill_engine ("t-1");
       csp_advance_fake_clock (clock, DAMPED_MS);
       await_metric ("cowslipspoke_gateway_probation_targets 1\n");
       /* A loss before the probation, and a request that is served.  */
       report_peer_load (2, 1);
       report_peer_load (2, 0);
+      /* More than any host can serve takes no longer than usual.  */
+      report_peer_load (2, UINT32_MAX);
+      report_peer_load (2, 0);
     }
   csp_advance_fake_clock (clock, DAMPED_MS);
   await_metric ("cowslipspoke_gateway_probation_targets 0\n");
