Estimate the remaining time of runs without an event by their output

Cause: before the first event first_event_ms is 0, so the time taken was the steady clock's value and a third of the host's uptime was taken as the run's remaining time. Backups are chosen then, and slow engines were never taken for one. The value was also cast to 32 bits without a limit.

Change: such a run has taken no time; asks and placements use a value that is limited to 32 bits.

Tested: a_short_run_may_have_its_backup_at_a_slow_engine failed before (the backup was at a loaded engine). gateway speed test passes, three times.

--- a/source/gateway/gateway-backup.c
+++ b/source/gateway/gateway-backup.c
@@ -44,17 +44,16 @@
                          const csp_fleet_target_t *target, double share_max)
 {
   csp_gateway_t *gateway = exchange->gateway;
-  csp_fleet_need_t need
-      = { .service = exchange->service->name,
-          .data_centre = target->data_centre,
-          .memory_share_max = share_max,
-          .by_memory = true,
-          .memory_tokens = exchange->service->memory_tokens,
-          .tokens = exchange->tokens,
-          .is_copy = true,
-          .left_ms = (uint32_t)csp_expected_remaining_ms (exchange),
-          .excluded = target,
-          .sent_by_this_host = true };
+  csp_fleet_need_t need = { .service = exchange->service->name,
+                            .data_centre = target->data_centre,
+                            .memory_share_max = share_max,
+                            .by_memory = true,
+                            .memory_tokens = exchange->service->memory_tokens,
+                            .tokens = exchange->tokens,
+                            .is_copy = true,
+                            .left_ms = csp_expected_left_ms (exchange),
+                            .excluded = target,
+                            .sent_by_this_host = true };
 
   if (csp_gateway_now_ms (gateway) < exchange->move.refused_until_ms)
     need.also_excluded = csp_find_target_by_hash (
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -75,7 +75,7 @@
       return ask;
     }
   ask.moves_from = exchange->target->hash;
-  ask.left_ms = (uint32_t)csp_expected_remaining_ms (exchange);
+  ask.left_ms = csp_expected_left_ms (exchange);
   if (csp_gateway_now_ms (gateway) < exchange->move.refused_until_ms)
     ask.refused_at = exchange->move.refusing_target;
   return ask;
--- a/source/gateway/gateway-move-imp.h
+++ b/source/gateway/gateway-move-imp.h
@@ -43,6 +43,9 @@
 /* Expected time until the run ends.  */
 int64_t csp_expected_remaining_ms (const csp_exchange_t *exchange);
 
+/* The same, limited to the range of asks and placements.  */
+uint32_t csp_expected_left_ms (const csp_exchange_t *exchange);
+
 /* Write a step of a move to the log.  */
 void csp_log_move (const csp_exchange_t *exchange, const char *step,
                    const csp_fleet_target_t *to);
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -21,12 +21,14 @@
 
 /* Estimates of the output length are right in the median and far off in the
    tails, so a run that is longer than estimated is expected to continue for a
-   part of its time so far.  */
+   part of its time so far.  Before its first event it has taken none.  */
 int64_t
 csp_expected_remaining_ms (const csp_exchange_t *exchange)
 {
-  int64_t took_ms
-      = csp_gateway_now_ms (exchange->gateway) - exchange->first_event_ms;
+  int64_t took_ms = exchange->first_event_ms == 0
+                        ? 0
+                        : csp_gateway_now_ms (exchange->gateway)
+                              - exchange->first_event_ms;
   int64_t expected_total_ms = (int64_t)exchange->output_tokens * CSP_TOKEN_MS;
   int64_t min_ms = took_ms / OVERDUE_DIVISOR;
 
@@ -34,6 +36,14 @@
                                               : min_ms;
 }
 
+uint32_t
+csp_expected_left_ms (const csp_exchange_t *exchange)
+{
+  int64_t left_ms = csp_expected_remaining_ms (exchange);
+
+  return left_ms < UINT32_MAX ? (uint32_t)left_ms : UINT32_MAX;
+}
+
 bool
 csp_run_ends_in_time (const csp_exchange_t *exchange)
 {
--- a/tests/gateway/speed-test.c
+++ b/tests/gateway/speed-test.c
@@ -159,13 +159,14 @@
 }
 END_TEST
 
-/* Guards against reports of other hosts that aren't merged: engine t-1 takes
-   twice the median, so a stream goes to t-0 although that runs another.  */
-START_TEST (reports_of_other_hosts_rate_engines)
+/* List further engines and report the loads of all: engine t-1 takes twice the
+   median.  */
+static void
+report_engines (int listeners[ENGINES], const uint32_t requests[ENGINES],
+                uint64_t other_tokens)
 {
   csp_hello_t hello
       = { .boot = 1, .sequence = 1, .leaving = true, .load_count = ENGINES };
-  int listeners[ENGINES];
   size_t i;
 
   for (i = 0; i < ENGINES; i++)
@@ -177,8 +178,8 @@
           = i == 0 ? -1 : fixture_add_target (&stream.fixture, id, "engines");
       hello.loads[i]
           = (csp_peer_load_t){ .target = csp_hash_pair ("target", id),
-                               .requests = i == 1 ? 0 : 1,
-                               .tokens = i > 1 ? 99000 : 0,
+                               .requests = requests[i],
+                               .tokens = i > 1 ? other_tokens : 0,
                                .event_us
                                = i == 1 ? 2 * INTERVAL_US : INTERVAL_US,
                                .longest_event_us = 2 * INTERVAL_US };
@@ -186,6 +187,26 @@
   fixture_await_updates (&stream.fixture);
   send_hello (&hello);
   await_metric ("cowslipspoke_gateway_peers 1\n");
+}
+
+static void
+close_engines (const int listeners[ENGINES])
+{
+  size_t i;
+
+  close (stream.source_link);
+  for (i = 1; i < ENGINES; i++)
+    close (listeners[i]);
+}
+
+/* Guards against reports of other hosts that aren't merged: engine t-1 takes
+   twice the median, so a stream goes to t-0 although that runs another.  */
+START_TEST (reports_of_other_hosts_rate_engines)
+{
+  static const uint32_t requests[ENGINES] = { 1, 0, 1, 1 };
+  int listeners[ENGINES];
+
+  report_engines (listeners, requests, 99000);
   start_stream (false);
   await_metric ("cowslipspoke_gateway_target_slowness{target=\"t-1\"} 2.00\n"
                 "# TYPE cowslipspoke_gateway_slow_targets gauge\n"
@@ -193,9 +214,32 @@
   await_metric ("cowslipspoke_gateway_service_stretch{service=\"engines\"}"
                 " 2.00\n");
   finish_stream (stream.source_link);
-  close (stream.source_link);
-  for (i = 1; i < ENGINES; i++)
-    close (listeners[i]);
+  close_engines (listeners);
+}
+END_TEST
+
+/* Guards against the host's uptime counting as the time that a run takes: a
+   short run is backed up at the slow engine, which is idle, since the others
+   run ten streams each.  */
+START_TEST (a_short_run_may_have_its_backup_at_a_slow_engine)
+{
+  static const uint32_t requests[ENGINES] = { 0, 0, 10, 10 };
+  char backup[64];
+  int listeners[ENGINES];
+  const char *text;
+
+  report_engines (listeners, requests, 0);
+  stream.caller = open_caller (&stream.fixture);
+  send_text (stream.caller,
+             "POST /stream/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
+             "Request-Id: r1\r\nTime-Left: 30000\r\nTokens: 100,2000\r\n"
+             "Output-Hint: 10\r\nContent-Length: 2\r\n\r\nhi");
+  stream.source_link = accept_target_connection (stream.listeners[0]);
+  text = read_target_request (stream.source_link, 2);
+  snprintf (backup, sizeof backup, "Backup: %s\r\n",
+            format_listener_address (listeners[1]));
+  ck_assert_msg (strstr (text, backup) != NULL, "no %s in %s", backup, text);
+  close_engines (listeners);
 }
 END_TEST
 
@@ -211,6 +255,7 @@
   tcase_add_test (tcase, a_move_is_not_an_interval);
   tcase_add_test (tcase, a_caller_that_holds_back_is_not_an_interval);
   tcase_add_test (tcase, reports_of_other_hosts_rate_engines);
+  tcase_add_test (tcase, a_short_run_may_have_its_backup_at_a_slow_engine);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
