Comments don't make a stream unresumable

Cause: each block of a stream counted as an event, so a comment or a retry line, which has no id, marked the stream as one that can't be resumed.

Change: only a block with a data line, or with an id that is no number, does. Where no id was sent, the caller's own Last-Event-Id is passed on again. Until a resumed run sends an event, blocks without data are dropped: they don't show that the run continues, so they don't complete the resume.

Tested: a_stream_with_comments_is_resumed and a_stream_of_only_comments_starts_again failed before (no connection came to the second engine), as did the row with a comment of a_stream_that_is_lost_again_is_cut_off (the answer was completed). gateway resume test passes.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -56,6 +56,14 @@
     csp_schedule_load_report (exchange->gateway);
 }
 
+/* Whether the stream is sent again from where the caller asked for it, since
+   no event with an id was sent.  */
+static bool
+restarts_stream (const csp_exchange_t *exchange)
+{
+  return exchange->resume.pending && exchange->last_event[0] == '\0';
+}
+
 /* Whether a caller's header field is forwarded to the target.  */
 static bool
 is_forwarded_field (const csp_exchange_t *exchange,
@@ -76,7 +84,7 @@
   for (blocked = dialect->never_from_callers; *blocked != NULL; blocked++)
     if (strcasecmp (*blocked, name) == 0)
       return false;
-  if (exchange->events > 0
+  if (exchange->events > 0 && !restarts_stream (exchange)
       && strcasecmp (dialect->names[CSP_HEADER_LAST_EVENT], name) == 0)
     return false;
   return !csp_is_hop_by_hop_field (head, name);
@@ -107,7 +115,8 @@
   if (copy != NULL)
     csp_print_buffer (out, "%s: %s\r\n", names[CSP_HEADER_CONTINUE_FROM],
                       copy);
-  if (copy != NULL || exchange->resume.pending)
+  if (copy != NULL
+      || (exchange->resume.pending && !restarts_stream (exchange)))
     csp_print_buffer (out, "%s: %s\r\n", names[CSP_HEADER_LAST_EVENT],
                       exchange->last_event);
 }
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -76,6 +76,31 @@
     }
 }
 
+/* Whether the block has data.  Others, such as comments and reconnection
+   times, are no events.  */
+static bool
+has_event_data (const char *block, size_t size_bytes)
+{
+  static const char name[] = "data";
+  const size_t name_bytes = sizeof name - 1;
+  const char *end = block + size_bytes;
+  const char *line = block;
+
+  while (line < end)
+    {
+      const char *newline = memchr (line, '\n', (size_t)(end - line));
+
+      if (newline == NULL)
+        return false;
+      if ((size_t)(newline - line) >= name_bytes
+          && memcmp (line, name, name_bytes) == 0
+          && strchr (":\r\n", line[name_bytes]) != NULL)
+        return true;
+      line = newline + 1;
+    }
+  return false;
+}
+
 /* Whether the id can be compared with others, so that an event that comes
    again is recognised.  */
 static bool
@@ -95,7 +120,9 @@
 }
 
 /* Count the complete events at the front of the buffer and drop those that
-   were already sent.  Returns how many bytes to send to the caller.  */
+   were already sent.  Blocks without data are dropped until the first event of
+   a resumed run, since they don't show that it runs.  Returns how many bytes
+   to send to the caller.  */
 static size_t
 collect_events (csp_exchange_t *exchange)
 {
@@ -108,18 +135,21 @@
          > 0)
     {
       char id[CSP_EVENT_ID_BYTES];
+      bool has_data = has_event_data (kept->data + done_bytes, event_bytes);
 
       read_event_id (kept->data + done_bytes, event_bytes, id);
-      if (was_sent (exchange, id))
+      if (was_sent (exchange, id)
+          || (exchange->resume.pending && done_bytes == 0 && !has_data))
         {
-          exchange->resume.repeats = true;
+          exchange->resume.repeats |= has_data;
           kept->size_bytes -= event_bytes;
           memmove (kept->data + done_bytes,
                    kept->data + done_bytes + event_bytes,
                    kept->size_bytes - done_bytes);
           continue;
         }
-      exchange->resume.unnumbered |= !is_event_number (id);
+      exchange->resume.unnumbered
+          |= (has_data || id[0] != '\0') && !is_event_number (id);
       if (id[0] != '\0')
         csp_copy_text (exchange->last_event, sizeof exchange->last_event, id);
       exchange->events++;
--- a/tests/gateway/resume-test.c
+++ b/tests/gateway/resume-test.c
@@ -112,6 +112,44 @@
 }
 END_TEST
 
+/* Guards against a stream that is cut because of blocks that are no events,
+   which have no id.  */
+START_TEST (a_stream_with_comments_is_resumed)
+{
+  start_two ("/resume/");
+  send_chunk (stream.source_link, ": wait\n\nretry: 10\r\n\r\n");
+  read_until (stream.caller, "retry: 10\r\n\r\n");
+  break_stream (stream.source_link);
+  finish_resumed (accept_resume (1, "Last-Event-Id: 1\r\n"));
+}
+END_TEST
+
+/* Guards against an empty id, or none, in place of the caller's own one where
+   only a comment was sent.  */
+START_TEST (a_stream_of_only_comments_starts_again)
+{
+  int link;
+
+  stream.caller = open_caller (&stream.fixture);
+  send_text (stream.caller,
+             "POST /resume/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
+             "Request-Id: r1\r\nLast-Event-Id: 7\r\nTime-Left: 30000\r\n"
+             "Tokens: 100,2000\r\nContent-Length: 2\r\n\r\nhi");
+  link = accept_resume (0, "Last-Event-Id: 7\r\n");
+  add_second_engine ();
+  send_text (link, STREAM_HEAD);
+  send_chunk (link, ": wait\n\n");
+  read_until (stream.caller, ": wait\n\n");
+  break_stream (link);
+  link = accept_resume (1, "Last-Event-Id: 7\r\n");
+  send_text (link, STREAM_HEAD);
+  send_chunk (link, EVENT ("8", "eight"));
+  read_until (stream.caller, "eight\n\n");
+  finish_stream (link);
+  close (link);
+}
+END_TEST
+
 /* Guards against a stream that is cut because its copy is missing.  */
 START_TEST (a_stream_whose_copy_is_missing_is_resumed_without_it)
 {
@@ -223,6 +261,7 @@
     = { { STREAM_HEAD "e\r\n" CUT_EVENT "\r\n0\r\n\r\n", true },
         { STREAM_HEAD, true },
         { STREAM_HEAD "0\r\n\r\n", false },
+        { STREAM_HEAD "3\r\n:\n\n\r\n0\r\n\r\n", false },
         { EMPTY_ANSWER ("200 OK", "Signature: s\r\n"), false },
         { EMPTY_ANSWER ("204 No", "Signature: s\r\n"), false },
         { UNFRAMED_HEAD, false },
@@ -328,6 +367,8 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, set_up, stream_tear_down);
   tcase_add_test (tcase, a_lost_stream_is_resumed_without_a_copy);
+  tcase_add_test (tcase, a_stream_with_comments_is_resumed);
+  tcase_add_test (tcase, a_stream_of_only_comments_starts_again);
   tcase_add_test (tcase, a_stream_whose_copy_is_missing_is_resumed_without_it);
   tcase_add_test (tcase, a_silent_stream_leaves_an_engine_that_is_gone);
   tcase_add_loop_test (tcase, a_resumed_stream_leaves_an_engine_that_is_gone,
