Name both move states that may leave a target that is gone

Cause: the check compared move states by order, so a new state could change its meaning unseen; send_events had a stray blank line.

Change: both states are named; the line is removed. No change of behaviour.

Tested: gateway resume, stream and leave tests pass.

--- a/source/gateway/gateway-resume.c
+++ b/source/gateway/gateway-resume.c
@@ -115,7 +115,8 @@
 {
   return is_resumable (exchange) && exchange->target != NULL
          && exchange->target->state == CSP_FLEET_GONE
-         && exchange->move.state <= CSP_MOVE_COPYING;
+         && (exchange->move.state == CSP_MOVE_NONE
+             || exchange->move.state == CSP_MOVE_COPYING);
 }
 
 void
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -210,7 +210,6 @@
   csp_buffer_t out = { 0 };
 
   note_gap (exchange);
-
   if (!exchange->answer_begun)
     {
       exchange->first_event_ms = csp_gateway_now_ms (exchange->gateway);
