Soak: flapping and slow engines, urgent and resumable routes

Cause: the soak knew none of the parts for competing load. The rule FLAP bounds what is sent to the flapping engine in its second and later down times.

--- a/tests/soak/soak-plan.c
+++ b/tests/soak/soak-plan.c
@@ -259,6 +259,7 @@
   end_due_faults (soak);
   soak->faults_ended = passed_ms + FAULT_FREE_END_MS >= soak->length_ms;
   if (passed_ms < FAULT_FREE_START_MS || soak->faults_ended
+      || uneven_is_calm (soak)
       || csp_random_below (&soak->random, PER_CENT) >= FAULT_PER_CENT)
     return;
   soak->faults++;
--- a/tests/soak/soak-proxy.c
+++ b/tests/soak/soak-proxy.c
@@ -57,6 +57,8 @@
   proxy_mode_t mode;
   uint32_t delay_ms;
   pair_t *pairs;
+  proxy_closed_t closed; /* NULL: none */
+  void *closed_context;
 };
 
 static char read_buffer[READ_BYTES];
@@ -216,7 +218,16 @@
                 const uv_buf_t *buffer)
 {
   pair_t *pair = stream->data;
+  proxy_t *proxy = pair->proxy;
 
+  if (proxy->mode == PROXY_CLOSE && size_bytes > 0)
+    {
+      if (proxy->closed != NULL)
+        proxy->closed (proxy->closed_context, buffer->base,
+                       (size_t)size_bytes);
+      close_pair (pair, false);
+      return;
+    }
   queue_bytes (&pair->to_server, size_bytes, buffer->base);
 }
 
@@ -357,6 +368,13 @@
     }
 }
 
+void
+proxy_watch_closed (proxy_t *proxy, proxy_closed_t closed, void *context)
+{
+  proxy->closed = closed;
+  proxy->closed_context = context;
+}
+
 proxy_mode_t
 proxy_mode (const proxy_t *proxy)
 {
