Targets in data centres without hosts can be damped

Where all known hosts, live or not, are in one data centre, two of them are evidence; a data centre that is cut off from others still isn't.

The case in damping-test failed without the change.

--- a/include/cowslipspoke/damping.h
+++ b/include/cowslipspoke/damping.h
@@ -58,6 +58,8 @@
   uint32_t host_data_centre; /* hash of its name */
   uint32_t target_data_centre;
   bool is_only_host; /* no other host is known to live */
+  /* All known hosts are in one data centre, so no other can confirm.  */
+  bool is_only_data_centre;
   uint32_t failures; /* sum over all hosts, this report included */
   uint32_t age_ms;   /* of the host's last loss */
 } csp_damping_report_t;
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -283,6 +283,9 @@
 size_t csp_count_known_hosts (const csp_roster_t *roster);
 size_t csp_count_reachable_data_centres (const csp_roster_t *roster);
 
+/* The number of data centres with known hosts, live or not.  */
+size_t csp_count_known_data_centres (const csp_roster_t *roster);
+
 /* How often a host wasn't added, as CSP_ROSTER_MAX others are known.  */
 uint64_t csp_count_refused_hosts (const csp_roster_t *roster);
 
--- a/source/damping/damping.c
+++ b/source/damping/damping.c
@@ -65,7 +65,8 @@
     return false;
   return report->is_only_host
          || (damping->failed_host != report->host
-             && (damping->failed_data_centre != report->host_data_centre
+             && (report->is_only_data_centre
+                 || damping->failed_data_centre != report->host_data_centre
                  || report->host_data_centre == report->target_data_centre));
 }
 
--- a/source/roster/roster-greet.c
+++ b/source/roster/roster-greet.c
@@ -79,6 +79,14 @@
   return 1 + list_data_centres (roster, true, data_centres);
 }
 
+size_t
+csp_count_known_data_centres (const csp_roster_t *roster)
+{
+  uint32_t data_centres[DATA_CENTRES_MAX];
+
+  return 1 + list_data_centres (roster, false, data_centres);
+}
+
 uint32_t
 csp_remote_hello_period_ms (const csp_roster_t *roster)
 {
--- a/tests/damping/damping-test.c
+++ b/tests/damping/damping-test.c
@@ -19,6 +19,7 @@
 /* Steps: a kind, the time in ms, and two numbers.
      L  a host loses an attempt and reports it: host, data centre
      O  the same of the only host
+     C  the same of a host where all hosts are in one data centre
      U  a loss whose report is lost
      A  a loss is reported late: host, age in ms
      X  too many targets are damped: it is released
@@ -37,6 +38,8 @@
     "L0,1,1 L100,1,1 L200,1,1 T200" },
   { "a data centre that is cut off damps nothing",
     "L0,1,2 L100,2,2 L200,3,2 T200 L300,4,3 D300" },
+  { "where all hosts are in one data centre, two of them are evidence",
+    "C0,1,2 T0 C10,1,2 T10 C20,2,2 D20" },
   { "losses far apart are no evidence", "L0,1,1 L2001,2,1 T2001" },
   { "the only host needs two losses", "O0,1,1 T0 O70,1,1 D70" },
   { "a lost report is made up for by the next", "L0,1,1 U50 A900,2,850 D900" },
@@ -97,10 +100,11 @@
               .host_data_centre = kind == 'A' ? 1 : number,
               .target_data_centre = 1,
               .is_only_host = kind == 'O',
+              .is_only_data_centre = kind == 'C',
               .age_ms = kind == 'A' ? number : 0 };
 
       csp_update_damping (&damping, BEGIN_MS + at_ms);
-      if (strchr ("LOUA", kind) != NULL)
+      if (strchr ("LOCUA", kind) != NULL)
         report.failures = ++failures;
       if (kind == 'R')
         failures = 0;
@@ -108,7 +112,7 @@
         csp_release_damping (&damping, BEGIN_MS + at_ms);
       if (strchr ("TDP", kind) != NULL)
         check_state (&damping, kind, cases[_i].name, at_ms);
-      else if (strchr ("LOA", kind) != NULL)
+      else if (strchr ("LOCA", kind) != NULL)
         csp_note_damping_report (&damping, &report, BEGIN_MS + at_ms);
     }
 }
