The limit on dampings keeps the target that fails most often

In the log i-0 was damped for the third time, for 4 s; then another of the few engines was damped, and as one may be at a time, the one damped first, i-0, was released and filled, with losses no evidence until its damping would have ended. Now the one that was damped the fewest times is released, of these the first.

target_damped_most_often_is_kept failed without the change.

--- a/source/fleet/fleet-damping.c
+++ b/source/fleet/fleet-damping.c
@@ -31,8 +31,8 @@
 /* Follows a change of the damping: puts the target into the list of the damped
    ones or of the others with losses, and updates the count.  Nothing is
    recounted, as a decider may get thousands of losses at once.  A damped
-   target keeps its place through further losses and its probation, as the one
-   damped first is released first.  */
+   target keeps its place through further losses and its probation, as of
+   those damped as often the one damped first is released first.  */
 static void
 follow_damping (csp_fleet_t *fleet, csp_fleet_target_t *target,
                 bool was_counted, bool is_damped_now)
@@ -124,29 +124,35 @@
   return count;
 }
 
-/* Releases the target of a service that was damped first, in one group or in
-   all of them (group is NULL).  False if there is none.  */
+/* Releases the target of a service that was damped the fewest times, of these
+   the one that was damped first, in one group or in all of them (group is
+   NULL).  One that was damped again and again will probably fail again.  False
+   if there is none.  */
 static bool
-release_first (csp_fleet_t *fleet, const char *service,
-               const csp_fleet_group_t *group,
-               const csp_damping_watch_t *watch, int64_t now_ms)
+release_one (csp_fleet_t *fleet, const char *service,
+             const csp_fleet_group_t *group, const csp_damping_watch_t *watch,
+             int64_t now_ms)
 {
+  csp_fleet_target_t *released = NULL;
   target_entry_t *entry;
 
   cds_list_for_each_entry (entry, &fleet->damped_targets, has_losses)
   {
     csp_fleet_target_t *target = &entry->target;
 
-    if (!csp_is_counted_damped (target)
-        || strcmp (target->group->service, service) != 0
-        || (group != NULL && target->group != group))
-      continue;
-    csp_release_damping (&target->damping, now_ms);
-    follow_damping (fleet, target, true, false);
-    watch->on_changed (watch->state, target, true);
-    return true;
+    if (csp_is_counted_damped (target)
+        && strcmp (target->group->service, service) == 0
+        && (group == NULL || target->group == group)
+        && (released == NULL
+            || target->damping.times < released->damping.times))
+      released = target;
   }
-  return false;
+  if (released == NULL)
+    return false;
+  csp_release_damping (&released->damping, now_ms);
+  follow_damping (fleet, released, true, false);
+  watch->on_changed (watch->state, released, true);
+  return true;
 }
 
 void
@@ -157,13 +163,13 @@
 
   while (group->damped_count
              > csp_max_damped_targets ((uint32_t)group->ready_count)
-         && release_first (fleet, group->service, group, watch, now_ms))
+         && release_one (fleet, group->service, group, watch, now_ms))
     continue;
   if (group->damped_count == 0)
     return;
   count = count_service (fleet, group->service);
   while (count.damped > csp_max_damped_targets ((uint32_t)count.ready)
-         && release_first (fleet, group->service, NULL, watch, now_ms))
+         && release_one (fleet, group->service, NULL, watch, now_ms))
     count.damped--;
 }
 
--- a/tests/damping/damping-fleet-test.c
+++ b/tests/damping/damping-fleet-test.c
@@ -299,6 +299,23 @@
 }
 END_TEST
 
+/* Guards against a target that fails again and again and is released for one
+   that has failed once.  */
+START_TEST (target_damped_most_often_is_kept)
+{
+  csp_fleet_target_t *flapping = list_target ("a", "", 0);
+  csp_fleet_target_t *other = list_target ("b", "", 0);
+
+  damp (flapping, BEGIN_MS);
+  csp_update_dampings (fleet, &watch, BEGIN_MS + 1000);
+  report_load (flapping, 3, 2, BEGIN_MS + 1100);
+  ck_assert_uint_eq (flapping->damping.times, 2);
+  damp (other, BEGIN_MS + 1200);
+  ck_assert_int_eq (flapping->damping.state, CSP_TARGET_DAMPED);
+  ck_assert_int_eq (other->damping.state, CSP_TARGET_TRUSTED);
+}
+END_TEST
+
 /* Guards against a target that leaves and is damped for it, and against its
    losses counting later, when it takes requests again.  */
 START_TEST (losses_of_a_leaving_target_are_settled)
@@ -442,6 +459,7 @@
                   most_targets_take_long_requests_after_a_common_failure);
   tcase_add_test (tests, leaving_target_is_not_counted);
   tcase_add_test (tests, first_damped_target_is_released_first);
+  tcase_add_test (tests, target_damped_most_often_is_kept);
   tcase_add_test (tests, losses_of_a_leaving_target_are_settled);
   tcase_add_test (tests, target_is_forgotten_after_its_last_loss);
   tcase_add_test (tests, last_target_of_a_service_is_used_though_damped);
