The roster is only looked at for new losses

Each load with losses in each datagram made the decider pass over the roster twice, for whether other hosts and data centres are known, though most loads repeat a loss that is known and are then dropped. The check comes first now. A constant that nothing used goes.

No behaviour changes: damping-test, damping-fleet-test, gateway's damping-test, target-says-test and leave-test pass; tidy and format are clean.

--- a/source/damping/damping.c
+++ b/source/damping/damping.c
@@ -8,7 +8,6 @@
 enum
 {
   FIRST_DAMPING_MS = 1000,
-  MAX_DAMPING_MS = 16000,
   MAX_DOUBLINGS = 4, /* from the first to the longest damping */
   /* Losses of two hosts within this time are evidence, and older ones are
      none.  A down time of 0.7 s loses some ten attempts.  */
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -87,12 +87,12 @@
   const char *cause;
 
   report.failures = csp_count_target_failures (target);
+  if (report.failures <= target->damping.known_failures)
+    return;
   report.target_data_centre = target->data_centre;
   report.is_only_host = csp_count_live_peers (gateway->roster) == 0;
   report.is_only_data_centre
       = csp_count_known_data_centres (gateway->roster) == 1;
-  if (report.failures <= target->damping.known_failures)
-    return;
   /* What is due is logged first.  */
   if (target->restrained)
     csp_update_target_damping (gateway->fleet, target, &watch, now_ms);
