Report which services a host reaches no target of

What an operator saw of hosts without a path to any target: refusals with "no target can take it", and a line for each other data centre. Nothing told a failed connection from a full target, named the own data centre, or said when the paths were back.

Each host now records how its new connections to a service's targets fare (service-reach.h). Lines 525 and 526 say when it reaches none and when it does again, the lines of ended requests count the targets that accepted no connection, and two metrics count both. No decision uses this yet.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -63,6 +63,7 @@
 {
   char service[CSP_FLEET_NAME_BYTES];
   char data_centre_name[CSP_FLEET_NAME_BYTES];
+  uint32_t service_hash;
   uint32_t data_centre; /* hash of its name */
   size_t target_count;  /* including those that are gone but not freed */
   size_t ready_count;
--- a/include/cowslipspoke/link.h
+++ b/include/cowslipspoke/link.h
@@ -64,6 +64,9 @@
    the link guarantees that the request isn't run.  */
 bool csp_link_has_sent (const csp_link_t *link);
 
+/* Whether the connection carried a request before this one.  */
+bool csp_link_is_reused (const csp_link_t *link);
+
 /* Stops or resumes reading the answer; used while its consumer is slow.  */
 void csp_pause_link (csp_link_t *link, bool pause);
 
--- a/source/fleet/fleet-group.c
+++ b/source/fleet/fleet-group.c
@@ -48,6 +48,7 @@
   csp_copy_text (group->service, sizeof group->service, row->service);
   csp_copy_text (group->data_centre_name, sizeof group->data_centre_name,
                  row->data_centre);
+  group->service_hash = (uint32_t)csp_hash_pair ("service", row->service);
   group->data_centre
       = (uint32_t)csp_hash_pair ("data_centre", row->data_centre);
   fleet->groups[fleet->group_count++] = group;
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -238,6 +238,7 @@
   bool served = answers_this && !not_run && is_success (head->status);
 
   csp_note_target_answered (exchange->gateway, exchange->target);
+  csp_note_link_answered (exchange->gateway, exchange->target, exchange->link);
   csp_handle_target_state (exchange->gateway, exchange->target, head,
                            served ? exchange->sent_at_ms : 0);
   if (!answers_this)
@@ -443,6 +444,9 @@
   csp_note_attempt_lost (exchange, why, failure_details[why]);
   if (why == CSP_LINK_UNREACHABLE || why == CSP_LINK_RESET)
     csp_note_target_failed (gateway, exchange->target);
+  if (why == CSP_LINK_UNREACHABLE
+      || (why == CSP_LINK_RESET && exchange->answer_mode == CSP_ANSWER_NONE))
+    csp_note_link_failed (gateway, exchange->target, exchange->link);
   if (exchange->answer_mode == CSP_ANSWER_FORWARDED)
     {
       csp_note_outcome (exchange->target, true, csp_gateway_now_ms (gateway));
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -81,6 +81,7 @@
       csp_number ("status", exchange->status),
       csp_text ("verdict", csp_verdict_name (exchange->verdict)),
       csp_text ("detail", detail), csp_number ("attempts", exchange->attempts),
+      csp_number ("connect_failures", exchange->connect_failures),
       csp_number ("events", (int64_t)exchange->events),
       csp_number ("waited_ms", exchange->waited_ms),
       csp_number ("first_event_ms",
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -11,6 +11,7 @@
 #include "cowslipspoke/reach.h"
 #include "cowslipspoke/retry-lease.h"
 #include "cowslipspoke/retry.h"
+#include "cowslipspoke/service-reach.h"
 #include "cowslipspoke/verdict.h"
 
 #include <pthread.h>
@@ -34,6 +35,7 @@
      grant         asks the decider before a limited target is sent a request
      damping       counts losses at targets and damps those that flap
      reach         handles data centres that are cut off
+     paths         records how new connections to targets fare
      page          readiness and metrics
 
    An exchange lives from csp_begin_exchange until it is finished, failed or
@@ -117,6 +119,7 @@
   uint64_t streams_lost;
   uint64_t connections;
   uint64_t link_opens;
+  uint64_t links_failed; /* new connections to targets without an answer */
   uint64_t status_queries;
   uint64_t targets_left; /* targets that began to leave or are gone */
   uint64_t backoffs;     /* backoffs that targets asked for */
@@ -149,6 +152,7 @@
   csp_fleet_t *fleet;
   csp_roster_t *roster;
   csp_reach_t *reach;
+  csp_service_reach_t *service_reach;
   int64_t isolated_since_ms; /* no engine is reachable; 0: one is */
   csp_dispatch_t *dispatch;
   csp_quarantine_t *quarantine;
@@ -370,6 +374,19 @@
 void csp_note_target_failed (csp_gateway_t *gateway,
                              const csp_fleet_target_t *target);
 
+/* Paths: see gateway-paths.c.  A target has answered over the connection, or
+   the connection has failed before the first byte of an answer; connections
+   that carried an earlier request don't count.  */
+void csp_note_link_answered (csp_gateway_t *gateway,
+                             const csp_fleet_target_t *target,
+                             const csp_link_t *link);
+void csp_note_link_failed (csp_gateway_t *gateway,
+                           const csp_fleet_target_t *target,
+                           const csp_link_t *link);
+
+/* Log which services became unreached or reached.  Call it periodically.  */
+void csp_log_service_reach (csp_gateway_t *gateway);
+
 /* Update which targets are cut off.  Call it periodically.  */
 void csp_update_reachability (csp_gateway_t *gateway);
 
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -13,6 +13,15 @@
   RATE_LIMIT_LINES_MAX = 64
 };
 
+static uint64_t
+count_unreached_services (const csp_gateway_t *gateway)
+{
+  uint32_t services[CSP_BUDGETS_MAX];
+
+  return csp_list_unreached_services (gateway->service_reach, services,
+                                      CSP_BUDGETS_MAX);
+}
+
 static bool
 print_metrics (const csp_gateway_t *gateway, csp_buffer_t *text)
 {
@@ -37,6 +46,8 @@
     { "streams_lost_total", "counter", counts->streams_lost },
     { "caller_connections_total", "counter", counts->connections },
     { "target_connections_total", "counter", counts->link_opens },
+    { "target_connections_failed_total", "counter", counts->links_failed },
+    { "unreached_services", "gauge", count_unreached_services (gateway) },
     { "target_reports_total", "counter", counts->status_queries },
     { "target_backoffs_total", "counter", counts->backoffs },
     { "quarantined_total", "counter", counts->quarantined },
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -260,10 +260,11 @@
   gateway->roster = csp_create_roster (gateway->self, gateway->boot,
                                        gateway->data_centre, random);
   gateway->reach = csp_create_reach (gateway->data_centre);
+  gateway->service_reach = csp_create_service_reach ();
   gateway->peer_scratch
       = calloc (CSP_ROSTER_MAX, sizeof *gateway->peer_scratch);
   if (gateway->roster == NULL || gateway->reach == NULL
-      || gateway->peer_scratch == NULL)
+      || gateway->service_reach == NULL || gateway->peer_scratch == NULL)
     return false;
   csp_set_roster_local_info (gateway->roster, settings->capacity,
                              csp_gateway_now_ms (gateway));
@@ -305,5 +306,6 @@
   pthread_mutex_destroy (&gateway->live_lock);
   csp_destroy_roster (gateway->roster);
   csp_destroy_reach (gateway->reach);
+  csp_destroy_service_reach (gateway->service_reach);
   free (gateway->peer_scratch);
 }
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -151,6 +151,7 @@
   csp_status_query_t *query = state;
 
   csp_note_target_answered (query->gateway, query->target);
+  csp_note_link_answered (query->gateway, query->target, query->link);
   query->status = head->status;
   query->leaving = csp_head_announces_leaving (query->gateway, head);
   csp_handle_rate_limit (query->gateway, query->target, head, 0);
@@ -199,6 +200,7 @@
   const csp_fleet_target_t *target = query->target;
 
   csp_note_unreachable (query->target, csp_gateway_now_ms (gateway));
+  csp_note_link_failed (gateway, query->target, query->link);
   end_query (query, false);
   csp_note_target_failed (gateway, target);
 }
--- a/source/link/link.c
+++ b/source/link/link.c
@@ -27,6 +27,7 @@
   bool sent;
   bool request_complete;
   bool answer_complete;
+  bool reused;
   bool headless;
   bool unexpected_bytes;
   bool reading;
@@ -292,6 +293,7 @@
 csp_start_link_request (csp_link_t *link, const csp_link_events_t *events,
                         void *state, bool headless)
 {
+  link->reused = link->answer_complete;
   link->events = events;
   link->events_state = state;
   link->lost = NULL;
@@ -332,6 +334,12 @@
   return link->sent;
 }
 
+bool
+csp_link_is_reused (const csp_link_t *link)
+{
+  return link->reused;
+}
+
 void
 csp_pause_link (csp_link_t *link, bool pause)
 {
--- a/source/log/event-table.c
+++ b/source/log/event-table.c
@@ -66,6 +66,8 @@
   { CSP_EVENT_TARGET_DAMPED, CSP_LEVEL_WARNING, "target-damped" },
   { CSP_EVENT_TARGET_ON_PROBATION, CSP_LEVEL_INFO, "target-on-probation" },
   { CSP_EVENT_TARGET_TRUSTED, CSP_LEVEL_INFO, "target-trusted" },
+  { CSP_EVENT_SERVICE_UNREACHED, CSP_LEVEL_WARNING, "service-unreached" },
+  { CSP_EVENT_SERVICE_REACHED, CSP_LEVEL_INFO, "service-reached" },
   { CSP_EVENT_KEY_REFUSED, CSP_LEVEL_INFO, "key-refused" },
   { CSP_EVENT_ORDER_SENT, CSP_LEVEL_INFO, "order-sent" },
   { CSP_EVENT_ORDER_DONE, CSP_LEVEL_INFO, "order-done" },
--- /dev/null
+++ b/tests/reach/service-reach-test.c
@@ -0,0 +1,123 @@
+#include "cowslipspoke/service-reach.h"
+
+#include "support/run-suite.h"
+
+#include <check.h>
+
+enum
+{
+  SERVICE = 7,
+  OTHER_SERVICE = 8,
+  STEPS_MAX = 5
+};
+
+typedef enum
+{
+  NOTHING,
+  ANSWERED,
+  FAILED
+} step_kind_t;
+
+typedef struct
+{
+  step_kind_t kind;
+  uint32_t service;
+  uint64_t target;
+} step_t;
+
+static const struct
+{
+  const char *name;
+  size_t ready_count;
+  step_t steps[STEPS_MAX];
+  bool reached;
+} cases[] = {
+  { "nothing is known", 3, { { 0 } }, true },
+  { "one of several fails", 3, { { FAILED, SERVICE, 1 } }, true },
+  { "the only one fails", 1, { { FAILED, SERVICE, 1 } }, false },
+  { "one fails again and again",
+    3,
+    { { FAILED, SERVICE, 1 }, { FAILED, SERVICE, 1 } },
+    true },
+  { "two fail", 3, { { FAILED, SERVICE, 1 }, { FAILED, SERVICE, 2 } }, false },
+  { "two fail, with an answer between them",
+    3,
+    { { FAILED, SERVICE, 1 },
+      { ANSWERED, SERVICE, 0 },
+      { FAILED, SERVICE, 2 } },
+    true },
+  { "an answer after that",
+    3,
+    { { FAILED, SERVICE, 1 },
+      { FAILED, SERVICE, 2 },
+      { ANSWERED, SERVICE, 0 } },
+    true },
+  { "targets of another service answer",
+    3,
+    { { FAILED, SERVICE, 1 },
+      { ANSWERED, OTHER_SERVICE, 0 },
+      { FAILED, SERVICE, 2 } },
+    false },
+  { "targets of another service fail",
+    3,
+    { { FAILED, OTHER_SERVICE, 1 }, { FAILED, OTHER_SERVICE, 2 } },
+    true },
+};
+
+START_TEST (service_is_unreached_after_two_targets_fail)
+{
+  csp_service_reach_t *reach = csp_create_service_reach ();
+  uint32_t listed[2] = { 0 };
+  size_t i;
+
+  for (i = 0; i < STEPS_MAX; i++)
+    {
+      const step_t *step = &cases[_i].steps[i];
+
+      if (step->kind == ANSWERED)
+        csp_note_connection_answered (reach, step->service);
+      else if (step->kind == FAILED)
+        csp_note_connection_failed (reach, step->service, step->target,
+                                    cases[_i].ready_count, 1000);
+    }
+  ck_assert_msg (csp_is_service_reached (reach, SERVICE) == cases[_i].reached,
+                 "%s", cases[_i].name);
+  ck_assert_msg (csp_take_service_reach_change (reach, SERVICE)
+                     == !cases[_i].reached,
+                 "%s", cases[_i].name);
+  ck_assert (!csp_take_service_reach_change (reach, SERVICE));
+  csp_list_unreached_services (reach, listed, 2);
+  ck_assert (cases[_i].reached || listed[0] == SERVICE);
+  csp_destroy_service_reach (reach);
+}
+END_TEST
+
+START_TEST (unreached_service_is_probed_until_an_answer)
+{
+  csp_service_reach_t *reach = csp_create_service_reach ();
+
+  ck_assert (!csp_take_service_probe (reach, SERVICE, 1000));
+  csp_note_connection_failed (reach, SERVICE, 1, 1, 1000);
+  ck_assert (csp_take_service_probe (reach, SERVICE, 1000));
+  ck_assert (!csp_take_service_probe (reach, SERVICE, 1499));
+  ck_assert (csp_take_service_probe (reach, SERVICE, 1500));
+  ck_assert_int_eq (csp_service_unreached_ms (reach, SERVICE, 1700), 700);
+  csp_note_connection_answered (reach, SERVICE);
+  ck_assert (!csp_take_service_probe (reach, SERVICE, 9000));
+  ck_assert_int_eq (csp_service_unreached_ms (reach, SERVICE, 9000), 0);
+  csp_destroy_service_reach (reach);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("service-reach");
+  TCase *tcase = tcase_create ("service-reach");
+
+  tcase_add_loop_test (tcase, service_is_unreached_after_two_targets_fail, 0,
+                       sizeof cases / sizeof cases[0]);
+  tcase_add_test (tcase, unreached_service_is_probed_until_an_answer);
+  suite_add_tcase (suite, tcase);
+  return run_suite (suite);
+}
