Test, red: a host without paths to targets refuses what another host could serve

Two hosts list the same targets; the first one's connections to them are refused, hang, or are reset. Its callers get 503 "no target can take it", 503 at the end of their time, and 504.

--- /dev/null
+++ b/tests/gateway/relay-test.c
@@ -0,0 +1,230 @@
+#include "gateway/gateway-fixture.h"
+
+#include "support/run-suite.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* A host loses its paths to all targets, while another host reaches them.  */
+
+enum
+{
+  HOSTS = 2,
+  TARGETS = 2,
+  FILLERS = 4,
+  WAIT_MS = 10000
+};
+
+/* How connections to targets fail at the host that is cut off.  */
+typedef enum
+{
+  CUT_REFUSED, /* nothing listens */
+  CUT_HANGING, /* the connection is never accepted */
+  CUT_RESET    /* the connection is accepted and reset */
+} cut_t;
+
+static fixture_t hosts[HOSTS]; /* the first one is cut off */
+static struct sockaddr_in addresses[HOSTS];
+static const char *const target_ids[TARGETS] = { "t-1", "t-2" };
+static int cut_sockets[TARGETS];
+static int fillers[TARGETS][FILLERS];
+static int targets[TARGETS];
+
+static void
+set_up (void)
+{
+  size_t i;
+
+  for (i = 0; i < HOSTS; i++)
+    {
+      addresses[i] = (struct sockaddr_in){ .sin_family = AF_INET,
+                                           .sin_port = htons (8748) };
+      /* A loopback address that no other test process uses.  */
+      addresses[i].sin_addr.s_addr = htonl (
+          0x7f400000U | ((((uint32_t)getpid () * HOSTS) + i) & 0x1fffff));
+    }
+  for (i = 0; i < HOSTS; i++)
+    {
+      hosts[i].seed = &addresses[HOSTS - 1 - i];
+      fixture_open_at (&hosts[i], &addresses[i]);
+      fixture_publish_routes (&hosts[i], true);
+    }
+  for (i = 0; i < HOSTS; i++)
+    while (
+        strstr (fixture_get_page (&hosts[i], "/metrics"), "_gateway_peers 1\n")
+        == NULL)
+      continue;
+}
+
+static void
+tear_down (void)
+{
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < HOSTS; i++)
+    fixture_close (&hosts[i]);
+  for (i = 0; i < TARGETS; i++)
+    {
+      close (cut_sockets[i]);
+      close (targets[i]);
+      for (j = 0; j < FILLERS; j++)
+        if (fillers[i][j] > 0)
+          close (fillers[i][j]);
+    }
+}
+
+/* A socket at an address of its own, to which connections fail.  */
+static int
+open_cut_socket (cut_t cut, int filling[FILLERS])
+{
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct timeval wait = { .tv_sec = WAIT_MS / 1000 };
+  socklen_t size_bytes = sizeof address;
+  size_t i;
+
+  address.sin_addr.s_addr
+      = htonl (0x7f200000U | ((uint32_t)getpid () & 0x1fffff));
+  ck_assert_int_eq (
+      bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  getsockname (listener, (struct sockaddr *)&address, &size_bytes);
+  if (cut == CUT_REFUSED)
+    return listener;
+  ck_assert_int_eq (listen (listener, cut == CUT_HANGING ? 0 : 16), 0);
+  setsockopt (listener, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  for (i = 0; cut == CUT_HANGING && i < FILLERS; i++)
+    {
+      filling[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (filling[i], (struct sockaddr *)&address, sizeof address);
+    }
+  return listener;
+}
+
+static void
+list_targets (cut_t cut, const char *service)
+{
+  size_t i;
+
+  for (i = 0; i < TARGETS; i++)
+    {
+      targets[i] = fixture_add_target (&hosts[1], target_ids[i], service);
+      cut_sockets[i] = open_cut_socket (cut, fillers[i]);
+      fixture_list_target (&hosts[0], cut_sockets[i], target_ids[i], service);
+    }
+  fixture_send_update (&hosts[0], CSP_UPDATE_TARGETS_LISTED);
+  fixture_await_updates (&hosts[0]);
+}
+
+/* Wait for input at any of these sockets; returns the first one's index.  */
+static size_t
+await_input (const int *sockets, size_t count)
+{
+  struct pollfd ready[TARGETS + 1] = { { .fd = -1 } };
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    ready[i] = (struct pollfd){ .fd = sockets[i], .events = POLLIN };
+  ck_assert_int_gt (poll (ready, count, WAIT_MS), 0);
+  for (i = 0; i < count - 1; i++)
+    if (ready[i].revents != 0)
+      break;
+  return i;
+}
+
+static void
+send_request (int caller, const char *path, const char *id)
+{
+  char request[300];
+
+  snprintf (request, sizeof request,
+            "POST %s HTTP/1.1\r\nHost: h\r\nKey: key-a\r\nRequest-Id: %s\r\n"
+            "Time-Left: 3000\r\nTokens: 100,200\r\nContent-Length: 2\r\n"
+            "\r\nhi",
+            path, id);
+  send_text (caller, request);
+}
+
+/* The host that is cut off learns it from requests that may be repeated.  */
+static void
+reset_first_requests (const char *path)
+{
+  size_t i;
+
+  for (i = 0; i < TARGETS; i++)
+    {
+      int caller = open_caller (&hosts[0]);
+      int sockets[TARGETS + 1] = { cut_sockets[0], cut_sockets[1], caller };
+      size_t ready;
+
+      send_request (caller, path, "first");
+      while ((ready = await_input (sockets, TARGETS + 1)) < TARGETS)
+        reset_socket (accept_target_connection (cut_sockets[ready]));
+      close (caller);
+    }
+}
+
+static const struct
+{
+  cut_t cut;
+  const char *service;
+  const char *first_path; /* of requests that show the cut; NULL: none */
+  const char *path;
+} cases[] = { { CUT_REFUSED, "plain", NULL, "/once/x" },
+              { CUT_REFUSED, "engines", NULL, "/stream/x" },
+              { CUT_HANGING, "plain", NULL, "/once/x" },
+              { CUT_HANGING, "engines", NULL, "/stream/x" },
+              { CUT_RESET, "plain", "/safe/x", "/once/x" } };
+
+/* Guards against a caller being refused at its first try by a host that has
+   lost its paths to all targets, though another host reaches them.  */
+START_TEST (request_at_a_cut_host_is_served_through_another_host)
+{
+  int caller;
+  int link;
+  size_t served_by;
+  const char *text;
+
+  list_targets (cases[_i].cut, cases[_i].service);
+  if (cases[_i].first_path != NULL)
+    reset_first_requests (cases[_i].first_path);
+  caller = open_caller (&hosts[0]);
+  send_request (caller, cases[_i].path, "r1");
+  served_by
+      = await_input ((int[]){ targets[0], targets[1], caller }, TARGETS + 1);
+  ck_assert_msg (served_by < TARGETS, "the caller got: %s",
+                 read_until (caller, "\r\n\r\n"));
+  link = accept_target_connection (targets[served_by]);
+  text = read_target_request (link, 2);
+  ck_assert_ptr_nonnull (strstr (text, "Request-Id: r1\r\n"));
+  ck_assert_ptr_nonnull (strstr (text, "Organisation: org-a\r\n"));
+  ck_assert_ptr_null (strstr (text, "key-a"));
+  send_text (link, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n"
+                   "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n");
+  text = read_until (caller, "data: a\n\n");
+  ck_assert_ptr_nonnull (strstr (text, " 200 "));
+  ck_assert_ptr_nonnull (strstr (text, "Signature: s\r\n"));
+  close (link);
+  close (caller);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("relay");
+  TCase *tcase = tcase_create ("relay");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_loop_test (tcase,
+                       request_at_a_cut_host_is_served_through_another_host, 0,
+                       sizeof cases / sizeof cases[0]);
+  suite_add_tcase (suite, tcase);
+  return run_suite (suite);
+}
