Leave out targets that this host's new connections don't reach

What callers saw: at a host without paths to targets each request tried them again, up to 0.4 s a connection that hung, until its time was over (503 "the time is over" after 1.2 s) or no target was left.

Cause: a failed connection was remembered for a target as a time of 0.25 to 4 s for which others are preferred, and for its data centre unless that was the host's own. Behind that time requests were the probes.

Probes find out when the path is back: engines are asked for their state, targets of plain services by the health check that operators declare. A target that is silent for 0.3 s under a request is probed over another connection, which tells a dead connection from a slow target; nothing ends by it.

Ruled out: silence of a target alone, which a sound one may show for a second.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -106,8 +106,15 @@
   csp_damping_t damping;
   int64_t lapses_at_ms;
   csp_peer_load_t
-      reported_load;        /* what this host last reported of its own load */
-  uint32_t unreachable;     /* consecutive failed connects */
+      reported_load;    /* what this host last reported of its own load */
+  uint32_t unreachable; /* consecutive failed connects */
+  /* When the first new connection failed since the last that was answered; 0:
+     none.  Connections that are already open may still work.  */
+  int64_t path_failed_ms;
+  uint32_t idle_link_count;
+  int64_t heard_ms;    /* when bytes of any answer last came from it */
+  int64_t probe_at_ms; /* it isn't probed before */
+  bool probing;
   int64_t leave_seen_at_ms; /* when this host learnt that it leaves */
   int64_t gone_at_ms;     /* when it was first seen to be gone; 0: it isn't */
   int64_t may_move_at_ms; /* from when this host may move streams away */
@@ -335,6 +342,9 @@
      limit.  */
   uint64_t prefill_tokens_max;
   bool repeatable; /* may go to a target that is cut off, as a last resort */
+  /* Excludes targets that this host reaches neither by a new connection nor by
+     an idle one.  */
+  bool only_reached;
   /* Under which this host may assign requests to cold and rate limited
      targets; NULL: it may not.  */
   const csp_decider_role_t *role;
@@ -381,7 +391,23 @@
 void csp_note_outcome (csp_fleet_target_t *target, bool failed,
                        int64_t now_ms);
 
-/* A connection to the target failed.  */
+/* Whether this host reaches the target, as far as it knows; and whether it
+   reaches some that take new work not.  */
+bool csp_is_target_reached (const csp_fleet_target_t *target);
+bool csp_has_unreached_targets (const csp_fleet_t *fleet, const char *service);
+
+/* A new connection to the target failed, or was answered.  */
+void csp_note_path_failed (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                           int64_t now_ms);
+void csp_note_path_works (csp_fleet_t *fleet, csp_fleet_target_t *target);
+
+/* Writes targets whose paths failed and that are to be tried again, at most
+   max_count; returns how many were written.  */
+size_t csp_list_paths_to_probe (const csp_fleet_t *fleet, int64_t now_ms,
+                                csp_fleet_target_t **targets,
+                                size_t max_count);
+
+/* A connection to the target failed; it is avoided for a while.  */
 void csp_note_unreachable (csp_fleet_target_t *target, int64_t now_ms);
 
 /* The target refused a request because it is full, or another target answered
--- a/include/cowslipspoke/link.h
+++ b/include/cowslipspoke/link.h
@@ -64,6 +64,10 @@
    the link guarantees that the request isn't run.  */
 bool csp_link_has_sent (const csp_link_t *link);
 
+/* Whether the link failed because the connection wasn't established in
+   time.  */
+bool csp_link_timed_out (const csp_link_t *link);
+
 /* Whether the connection carried a request before this one.  */
 bool csp_link_is_reused (const csp_link_t *link);
 
--- a/include/cowslipspoke/route.h
+++ b/include/cowslipspoke/route.h
@@ -62,6 +62,8 @@
   bool supports_kv_backups; /* a stream's KV memory can be backed up as it
                                grows */
   bool supports_kv_moves;   /* a stream's KV memory can be copied on demand */
+  /* Path of its targets' health checks; NULL: none is declared.  */
+  const char *health_path;
   uint32_t memory_tokens;
   /* The time to copy a stream's KV memory within a data centre.  */
   double copy_ms_per_token;
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -122,6 +122,7 @@
 {
   if (exceeds_prompt_limit (target, need, now_ms)
       || (target->group->cut_off && !need->repeatable)
+      || (need->only_reached && !csp_is_target_reached (target))
       || is_backed_off_for_sender (target, need, now_ms))
     return false;
   if (need->within_slots && csp_assigned_runs (target) > 0
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -44,7 +44,8 @@
   size_t group_count;
   size_t group_capacity;
   csp_fleet_group_t **groups;
-  size_t ending_count;  /* targets that are lapsed or gone */
+  size_t ending_count; /* targets that are lapsed or gone */
+  size_t failed_path_count;
   csp_index_t by_start; /* by csp_fleet_target_t.hash */
   csp_index_t by_id;
   uint64_t additions;
--- /dev/null
+++ b/source/fleet/fleet-path.c
@@ -0,0 +1,73 @@
+#include "fleet/fleet-imp.h"
+
+#include <string.h>
+
+/* Which targets this host reaches.
+
+   Load pattern: a host loses its paths to some targets or to all, which other
+   hosts still reach.  Each request that tried such a target would spend up to
+   the time limit of a connection on it, so requests leave it out until a probe
+   was answered.  */
+
+bool
+csp_is_target_reached (const csp_fleet_target_t *target)
+{
+  return !target->group->cut_off
+         && (target->path_failed_ms == 0 || target->idle_link_count > 0);
+}
+
+bool
+csp_has_unreached_targets (const csp_fleet_t *fleet, const char *service)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->count; i++)
+    {
+      const csp_fleet_target_t *target = fleet->targets[i];
+
+      if (csp_takes_new_work (target) && !csp_is_target_reached (target)
+          && strcmp (target->group->service, service) == 0)
+        return true;
+    }
+  return false;
+}
+
+void
+csp_note_path_failed (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                      int64_t now_ms)
+{
+  if (target->path_failed_ms != 0)
+    return;
+  target->path_failed_ms = now_ms;
+  fleet->failed_path_count++;
+}
+
+void
+csp_note_path_works (csp_fleet_t *fleet, csp_fleet_target_t *target)
+{
+  if (target->path_failed_ms == 0)
+    return;
+  target->path_failed_ms = 0;
+  fleet->failed_path_count--;
+}
+
+size_t
+csp_list_paths_to_probe (const csp_fleet_t *fleet, int64_t now_ms,
+                         csp_fleet_target_t **targets, size_t max_count)
+{
+  size_t count = 0;
+  size_t i;
+
+  if (fleet->failed_path_count == 0)
+    return 0;
+  for (i = 0; i < fleet->count && count < max_count; i++)
+    {
+      csp_fleet_target_t *target = fleet->targets[i];
+
+      if (target->path_failed_ms != 0 && target->state == CSP_FLEET_READY
+          && !target->probing && now_ms >= target->avoid_until_ms
+          && now_ms >= target->probe_at_ms)
+        targets[count++] = target;
+    }
+  return count;
+}
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -37,6 +37,7 @@
 
   if (fleet->on_free != NULL)
     fleet->on_free (fleet->state, target);
+  csp_note_path_works (fleet, target);
   csp_leave_group (target);
   cds_list_del (&entry->changed_load);
   cds_list_del (&entry->stated_rate);
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -290,9 +290,18 @@
                             .backoff_count = exchange->resume.lost_count,
                             .asks_rate_grant = true,
                             .sent_by_this_host = true };
-  csp_fleet_target_t *target = csp_choose_fleet_target (
-      gateway->fleet, &need, &gateway->random, csp_gateway_now_ms (gateway));
+  csp_fleet_target_t *target;
 
+  need.only_reached = true;
+  target = csp_choose_fleet_target (gateway->fleet, &need, &gateway->random,
+                                    csp_gateway_now_ms (gateway));
+  if (target == NULL)
+    {
+      need.only_reached = false;
+      target
+          = csp_choose_fleet_target (gateway->fleet, &need, &gateway->random,
+                                     csp_gateway_now_ms (gateway));
+    }
   if (target == NULL || exchange->connect_failures > CONNECT_FAILURES_MAX)
     refuse_unplaced (exchange);
   else if (target->rate_limited)
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -292,7 +292,7 @@
      this host to back off.  */
   bool ready
       = target != NULL && target->state == CSP_FLEET_READY
-        && !target->group->cut_off && !target->cordoned
+        && csp_is_target_reached (target) && !target->cordoned
         && !csp_is_backed_off (target, csp_gateway_now_ms (exchange->gateway));
 
   exchange->asking = false;
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -276,6 +276,10 @@
 csp_link_t *csp_acquire_link (csp_gateway_t *gateway,
                               csp_fleet_target_t *target);
 
+/* A new connection, even where there are idle ones.  */
+csp_link_t *csp_open_target_link (csp_gateway_t *gateway,
+                                  const csp_fleet_target_t *target);
+
 /* Keep a connection for the next request, or close it.  */
 void csp_release_link (csp_gateway_t *gateway, csp_fleet_target_t *target,
                        csp_link_t *link);
@@ -321,6 +325,11 @@
 void csp_query_target (csp_gateway_t *gateway, csp_fleet_target_t *target,
                        int64_t now_ms);
 
+/* Try a new connection to a target with a status query, or with a health check
+   where it isn't an engine.  False where its service declares none.  */
+bool csp_probe_target (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                       int64_t now_ms);
+
 /* A target itself reports that it leaves: it gets no new work, and the other
    hosts are notified.  */
 void csp_announce_leaving (csp_gateway_t *gateway, csp_fleet_target_t *target);
@@ -368,7 +377,7 @@
 
 /* Reach: see gateway-reach.c.  Bytes of an answer came from a target.  */
 void csp_note_target_answered (csp_gateway_t *gateway,
-                               const csp_fleet_target_t *target);
+                               csp_fleet_target_t *target);
 
 /* A target accepted no connection, or reset one.  */
 void csp_note_target_failed (csp_gateway_t *gateway,
@@ -378,12 +387,15 @@
    the connection has failed before the first byte of an answer; connections
    that carried an earlier request don't count.  */
 void csp_note_link_answered (csp_gateway_t *gateway,
-                             const csp_fleet_target_t *target,
+                             csp_fleet_target_t *target,
                              const csp_link_t *link);
-void csp_note_link_failed (csp_gateway_t *gateway,
-                           const csp_fleet_target_t *target,
+void csp_note_link_failed (csp_gateway_t *gateway, csp_fleet_target_t *target,
                            const csp_link_t *link);
 
+/* Try new connections to targets that this host doesn't reach, and to those
+   that leave requests unanswered.  Call it periodically.  */
+void csp_probe_paths (csp_gateway_t *gateway);
+
 /* Log which services became unreached or reached.  Call it periodically.  */
 void csp_log_service_reach (csp_gateway_t *gateway);
 
--- a/source/gateway/gateway-links.c
+++ b/source/gateway/gateway-links.c
@@ -37,10 +37,19 @@
     if (idle->links[i].link == link)
       {
         idle->links[i] = idle->links[--idle->count];
+        target->idle_link_count = (uint32_t)idle->count;
         return;
       }
 }
 
+csp_link_t *
+csp_open_target_link (csp_gateway_t *gateway, const csp_fleet_target_t *target)
+{
+  gateway->counts.link_opens++;
+  return csp_open_link (&gateway->loop, &target->row.address,
+                        CSP_CONNECT_TIMEOUT_MS);
+}
+
 csp_link_t *
 csp_acquire_link (csp_gateway_t *gateway, csp_fleet_target_t *target)
 {
@@ -51,13 +60,12 @@
     {
       idle_link_t last = idle->links[--idle->count];
 
+      target->idle_link_count = (uint32_t)idle->count;
       if (now_ms < last.usable_until_ms)
         return last.link;
       csp_close_link (last.link);
     }
-  gateway->counts.link_opens++;
-  return csp_open_link (&gateway->loop, &target->row.address,
-                        CSP_CONNECT_TIMEOUT_MS);
+  return csp_open_target_link (gateway, target);
 }
 
 void
@@ -79,7 +87,7 @@
   idle->links[idle->count].link = link;
   idle->links[idle->count].usable_until_ms
       = csp_gateway_now_ms (gateway) + usable_ms - IDLE_MARGIN_MS;
-  idle->count++;
+  target->idle_link_count = (uint32_t)++idle->count;
   csp_watch_idle_link (link, forget_link, target);
 }
 
@@ -95,4 +103,5 @@
     csp_close_link (idle->links[i].link);
   free (idle);
   target->links = NULL;
+  target->idle_link_count = 0;
 }
--- a/source/gateway/gateway-reach.c
+++ b/source/gateway/gateway-reach.c
@@ -108,11 +108,11 @@
 }
 
 void
-csp_note_target_answered (csp_gateway_t *gateway,
-                          const csp_fleet_target_t *target)
+csp_note_target_answered (csp_gateway_t *gateway, csp_fleet_target_t *target)
 {
+  target->heard_ms = csp_gateway_now_ms (gateway);
   csp_note_target_answer_from (gateway->reach, target->data_centre,
-                               csp_gateway_now_ms (gateway));
+                               target->heard_ms);
 }
 
 void
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -56,6 +56,8 @@
   csp_buffer_t body;
   uint16_t status;
   bool leaving; /* by its answer's head */
+  bool is_probe;
+  bool is_health_check;
   int64_t asked_ms;
 };
 
@@ -141,6 +143,8 @@
   if (query->next != NULL)
     query->next->previous = query->previous;
   query->target->users--;
+  if (query->is_probe)
+    query->target->probing = false;
   csp_clear_buffer (&query->body);
   free (query);
 }
@@ -174,7 +178,7 @@
   csp_gateway_t *gateway = query->gateway;
   csp_fleet_target_t *target = query->target;
   csp_target_report_t report = { .leaving = false };
-  bool readable = query->status == STATUS_OK
+  bool readable = query->status == STATUS_OK && !query->is_health_check
                   && gateway->dialect->read_report (
                       query->body.data, query->body.size_bytes, &report);
 
@@ -219,22 +223,21 @@
                                                 .ended = on_query_ended,
                                                 .failed = on_query_failed };
 
-void
-csp_query_target (csp_gateway_t *gateway, csp_fleet_target_t *target,
-                  int64_t now_ms)
+/* Returns NULL if memory or the connection fails.  */
+static csp_status_query_t *
+start_query (csp_gateway_t *gateway, csp_fleet_target_t *target,
+             csp_link_t *link, int64_t now_ms)
 {
   csp_status_query_t *query = calloc (1, sizeof *query);
-  char address[CSP_ADDRESS_TEXT_BYTES];
-  csp_buffer_t request = { 0 };
 
-  if (query == NULL)
-    return;
-  query->link = csp_acquire_link (gateway, target);
-  if (query->link == NULL)
+  if (query == NULL || link == NULL)
     {
+      if (link != NULL)
+        csp_close_link (link);
       free (query);
-      return;
+      return NULL;
     }
+  query->link = link;
   query->gateway = gateway;
   query->target = target;
   query->asked_ms = now_ms;
@@ -245,12 +248,67 @@
   target->users++;
   target->report_at_ms = now_ms + QUERY_PERIOD_MS;
   csp_start_link_request (query->link, &query_events, query, false);
-  csp_print_target_address (target, address);
-  gateway->dialect->write_report (address, &request);
+  gateway->counts.status_queries++;
+  return query;
+}
+
+/* Sends the query; health_path: that of a target that has no reports.  */
+static void
+send_query (csp_status_query_t *query, const char *health_path)
+{
+  char address[CSP_ADDRESS_TEXT_BYTES];
+  csp_buffer_t request = { 0 };
+
+  csp_print_target_address (query->target, address);
+  if (health_path == NULL)
+    query->gateway->dialect->write_report (address, &request);
+  else
+    csp_print_buffer (&request, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+                      health_path, address);
   csp_write_link (query->link, request.data, request.size_bytes);
   csp_finish_link_request (query->link);
   csp_clear_buffer (&request);
-  gateway->counts.status_queries++;
+}
+
+void
+csp_query_target (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                  int64_t now_ms)
+{
+  csp_status_query_t *query = start_query (
+      gateway, target, csp_acquire_link (gateway, target), now_ms);
+
+  if (query != NULL)
+    send_query (query, NULL);
+}
+
+bool
+csp_probe_target (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                  int64_t now_ms)
+{
+  const csp_route_service_t *service
+      = csp_find_route_service (gateway->routes, target->row.service);
+  csp_status_query_t *query;
+
+  if (service == NULL || (!service->is_engine && service->health_path == NULL))
+    return false;
+  query = start_query (gateway, target, csp_open_target_link (gateway, target),
+                       now_ms);
+  if (query == NULL)
+    return true;
+  query->is_probe = true;
+  query->is_health_check = !service->is_engine;
+  target->probing = true;
+  send_query (query, service->is_engine ? NULL : service->health_path);
+  return true;
+}
+
+/* The connection was accepted, so the target is there, but it is silent for
+   now.  */
+static void
+end_silent_probe (csp_status_query_t *query)
+{
+  csp_note_unreachable (query->target, csp_gateway_now_ms (query->gateway));
+  end_query (query, false);
 }
 
 /* A target that lost power never answers.  */
@@ -264,7 +322,12 @@
       csp_status_query_t *next = query->next;
 
       if (now_ms - query->asked_ms >= QUERY_TIMEOUT_MS)
-        fail_query (query);
+        {
+          if (query->is_probe && csp_link_has_sent (query->link))
+            end_silent_probe (query);
+          else
+            fail_query (query);
+        }
       query = next;
     }
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -336,6 +336,7 @@
 
   csp_expire_targets (gateway->fleet, csp_gateway_now_ms (gateway));
   csp_update_reachability (gateway);
+  csp_probe_paths (gateway);
   csp_log_service_reach (gateway);
   csp_resume_silent_streams (gateway);
   csp_query_targets (gateway);
--- a/source/link/link.c
+++ b/source/link/link.c
@@ -28,6 +28,7 @@
   bool request_complete;
   bool answer_complete;
   bool reused;
+  bool timed_out;
   bool headless;
   bool unexpected_bytes;
   bool reading;
@@ -253,8 +254,10 @@
 {
   csp_link_t *link = timer->data;
 
-  if (link->state == LINK_CONNECTING)
-    fail_link (link, CSP_LINK_UNREACHABLE);
+  if (link->state != LINK_CONNECTING)
+    return;
+  link->timed_out = true;
+  fail_link (link, CSP_LINK_UNREACHABLE);
 }
 
 csp_link_t *
@@ -334,6 +337,12 @@
   return link->sent;
 }
 
+bool
+csp_link_timed_out (const csp_link_t *link)
+{
+  return link->timed_out;
+}
+
 bool
 csp_link_is_reused (const csp_link_t *link)
 {
--- a/source/route/route.c
+++ b/source/route/route.c
@@ -110,7 +110,10 @@
     return false;
   *stored = *service;
   stored->name = copy_string (routes, service->name);
-  return stored->name != NULL;
+  if (service->health_path != NULL)
+    stored->health_path = copy_string (routes, service->health_path);
+  return stored->name != NULL
+         && (service->health_path == NULL || stored->health_path != NULL);
 }
 
 bool
--- a/tests/fleet/fleet-targets-test.c
+++ b/tests/fleet/fleet-targets-test.c
@@ -362,6 +362,46 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  bool path_failed;
+  uint32_t idle_links;
+  bool cut_off;
+  bool reached;
+} paths[] = { { "nothing failed", false, 0, false, true },
+              { "a connection failed", true, 0, false, false },
+              { "an older connection lives on", true, 1, false, true },
+              { "its data centre is cut off", false, 1, true, false } };
+
+/* Guards against requests that each spend their time on a connection that has
+   just failed for others.  */
+START_TEST (target_without_a_path_is_left_out)
+{
+  csp_fleet_target_t *target = list ("t", "b", false, 0);
+  csp_fleet_need_t need = { .only_reached = true, .repeatable = true };
+  csp_fleet_target_t *probes[2];
+
+  if (paths[_i].path_failed)
+    csp_note_path_failed (fleet, target, 1000);
+  target->idle_link_count = paths[_i].idle_links;
+  target->group->cut_off = paths[_i].cut_off;
+  ck_assert_msg (strcmp (choose (need, 1000), paths[_i].reached ? "t" : "none")
+                     == 0,
+                 "%s", paths[_i].name);
+  ck_assert_msg (csp_has_unreached_targets (fleet, "s") != paths[_i].reached,
+                 "%s", paths[_i].name);
+  /* It is still used where there is no other way.  */
+  ck_assert_str_eq (choose ((csp_fleet_need_t){ .repeatable = true }, 1000),
+                    "t");
+  ck_assert_uint_eq (csp_list_paths_to_probe (fleet, 1000, probes, 2),
+                     paths[_i].path_failed);
+  csp_note_path_works (fleet, target);
+  ck_assert_uint_eq (csp_list_paths_to_probe (fleet, 1000, probes, 2), 0);
+  ck_assert (target->group->cut_off || csp_is_target_reached (target));
+}
+END_TEST
+
 /* Guards against a report of loads that repeats a target, misses one whose
    start has become known, or reads one that was freed.  */
 START_TEST (a_changed_load_is_taken_once)
@@ -409,6 +449,8 @@
   tcase_add_test (tcase, a_failing_target_attracts_no_load);
   tcase_add_test (tcase,
                   an_unreachable_target_is_avoided_for_longer_each_time);
+  tcase_add_loop_test (tcase, target_without_a_path_is_left_out, 0,
+                       sizeof paths / sizeof paths[0]);
   tcase_add_test (tcase, a_load_is_subtracted_as_it_was_added);
   tcase_add_test (tcase, each_of_many_targets_is_found);
   tcase_add_test (tcase, a_changed_load_is_taken_once);
