Relay requests to hosts that reach targets

Cause: a host could serve a request only over its own connections. Refusing at once is true and of no use to a caller that tries once, readiness takes the balancer two seconds and means nothing where a whole data centre is cut off.

A host now passes such a request on to a host that reaches targets, over a listener for hosts alone. It offers the request first; only when the other host has accepted, within 0.25 s, is it sent, so that a paused, stopping or cut host never runs it late, and the request may be offered to up to three. The other host places it as one of its own (placement, limits, quarantine, damping, budget of refusals); attempts and retries stay with the first host, which leaves the other one a single attempt. What is relayed once isn't relayed again. Answers come back unchanged; what the other host says itself is marked: refused, unserved (another host may serve it), failed (may have run). Hosts report in their hellos where they accept, and which services they don't reach. A host that can relay stays ready.

--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -33,6 +33,9 @@
   struct sockaddr_in metrics_address; /* port 0: no listener */
   /* Receives datagrams of other hosts; port 0: none.  */
   struct sockaddr_in datagram_address;
+  /* Accepts requests that other hosts relay, and sends those of this host from
+     the same address; family 0: this host neither relays nor accepts.  */
+  struct sockaddr_in relay_address;
   size_t seed_count;
   struct sockaddr_in seeds[CSP_GATEWAY_SEEDS_MAX];
   /* What the host's processor and link can carry, in thousandths of a core; 0:
--- a/include/cowslipspoke/link.h
+++ b/include/cowslipspoke/link.h
@@ -44,6 +44,12 @@
 csp_link_t *csp_open_link (uv_loop_t *loop, const struct sockaddr_in *address,
                            uint32_t connect_timeout_ms);
 
+/* The same, from a given address of this host with any port.  */
+csp_link_t *csp_open_link_from (uv_loop_t *loop,
+                                const struct sockaddr_in *source,
+                                const struct sockaddr_in *address,
+                                uint32_t connect_timeout_ms);
+
 /* Begins a request.  headless: it is a HEAD request, whose answer has no
    body.  */
 void csp_start_link_request (csp_link_t *link, const csp_link_events_t *events,
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -5,6 +5,7 @@
 #include "cowslipspoke/quarantine.h"
 #include "cowslipspoke/random.h"
 #include "cowslipspoke/rate-limit.h"
+#include "cowslipspoke/relay.h"
 #include "cowslipspoke/traffic-class.h"
 
 #include <netinet/in.h>
@@ -46,6 +47,7 @@
   CSP_HELLO_SUSPECTS_MAX = 4,
   CSP_HELLO_RATES_MAX = 8,
   CSP_HELLO_GRANTS_MAX = 2,
+  CSP_HELLO_UNREACHED_MAX = 8,
   /* Backed-off targets that an ask can exclude.  */
   CSP_ASK_BACKOFFS_MAX = 8,
   /* Hosts that get load reports, see csp_list_deciders.  */
@@ -226,6 +228,12 @@
   size_t leaving_target_count;
   uint64_t leaving_targets[CSP_HELLO_LEAVING_MAX]; /* hashes of targets that
                                         announced that they leave */
+  /* Where the sender accepts requests that other hosts relay, and the services
+     (hashes of their names) that it reaches no target of.  0: the hello
+     reports neither.  */
+  uint16_t relay_port;
+  size_t unreached_count;
+  uint32_t unreached[CSP_HELLO_UNREACHED_MAX];
   size_t suspect_count;
   csp_suspect_t suspects[CSP_HELLO_SUSPECTS_MAX];
   size_t cleared_count;
@@ -322,6 +330,31 @@
                                csp_known_host_t hosts[CSP_HELLO_KNOWN_MAX],
                                int64_t now_ms);
 
+/* A host that requests can be relayed through.  */
+typedef struct
+{
+  csp_peer_address_t host;
+  uint16_t relay_port;
+} csp_relay_host_t;
+
+/* Picks a random live host for relayed requests to a service, those with more
+   capacity more often; false if there is none.  Hosts that are leaving, that
+   report that they don't reach the service, or that are avoided are left
+   out.  */
+bool csp_pick_relay_host (csp_roster_t *roster, uint32_t service,
+                          int64_t now_ms, csp_relay_host_t *picked);
+bool csp_has_relay_host (const csp_roster_t *roster, uint32_t service,
+                         int64_t now_ms);
+
+/* How the host has answered an offer to relay a request, or that it
+   hasn't.  */
+void csp_note_offer_result (csp_roster_t *roster, csp_peer_address_t host,
+                            csp_offer_result_t result, int64_t now_ms);
+
+/* The live host with this IP address; NULL if there is none.  */
+const csp_peer_address_t *csp_find_live_host_by_ip (const csp_roster_t *roster,
+                                                    uint32_t ip);
+
 /* Returns the host that decides on placements for all hosts.  Hosts with more
    capacity come first, as each ask and each change of load goes to the
    decider; then a hash decides.  A host that has just started comes last until
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -1,6 +1,7 @@
 #include "gateway/gateway-exchange-imp.h"
 
 #include <string.h>
+#include <strings.h>
 
 /* Answers of targets: whether an answer belongs to this request, whether the
    request ran, and how the answer is sent to the caller.  */
@@ -95,7 +96,8 @@
   csp_print_buffer (&exchange->head, "HTTP/1.1 %u %s\r\n", head->status,
                     csp_http_reason_phrase (head->status));
   for (i = 0; i < head->field_count; i++)
-    if (!csp_is_hop_by_hop_field (head, head->fields[i].name))
+    if (!csp_is_hop_by_hop_field (head, head->fields[i].name)
+        && strcasecmp (head->fields[i].name, CSP_RELAY_FIELD) != 0)
       csp_print_buffer (&exchange->head, "%s: %s\r\n", head->fields[i].name,
                         head->fields[i].value);
 }
@@ -113,7 +115,7 @@
           .now_ms = csp_gateway_now_ms (gateway) };
   bool attempts_exhausted
       = exchange->may_have_run
-        && exchange->attempts >= exchange->route->attempts_max;
+        && exchange->attempts >= csp_attempts_max (exchange);
 
   if (attempts_exhausted)
     return CSP_RETRY_ATTEMPTS_USED_UP;
@@ -149,9 +151,26 @@
     }
   gateway->counts.retries++;
   csp_add_count (exchange->labels, CSP_COUNT_RETRIES, 1);
+  exchange->relay.offers = 0;
   csp_send_attempt (exchange);
 }
 
+uint32_t
+csp_attempts_max (const csp_exchange_t *exchange)
+{
+  return exchange->relay.received ? 1 : exchange->route->attempts_max;
+}
+
+/* What a target of this host has done; another host notes it of the targets
+   that it relayed a request to.  */
+static void
+note_outcome (csp_exchange_t *exchange, bool failed)
+{
+  if (exchange->target != NULL)
+    csp_note_outcome (exchange->target, failed,
+                      csp_gateway_now_ms (exchange->gateway));
+}
+
 /* The target states that it did not run the request.  */
 static void
 handle_refusal (csp_exchange_t *exchange, uint16_t status)
@@ -172,12 +191,10 @@
                      "the target refused it", true);
 }
 
-/* The request may have run, and there is no answer to forward.  */
-static void
-handle_failure (csp_exchange_t *exchange, const char *detail)
+void
+csp_fail_attempt (csp_exchange_t *exchange, const char *detail)
 {
-  csp_note_outcome (exchange->target, true,
-                    csp_gateway_now_ms (exchange->gateway));
+  note_outcome (exchange, true);
   exchange->verdict = CSP_VERDICT_MAY_HAVE_RUN;
   exchange->may_have_run = true;
   csp_note_run_lost (exchange);
@@ -227,28 +244,12 @@
   csp_clear_buffer (&exchange->buffered);
 }
 
-static void
-on_answered (void *state, const csp_http_head_t *head)
+void
+csp_accept_answer (csp_exchange_t *exchange, const csp_http_head_t *head)
 {
-  csp_exchange_t *exchange = state;
-  const char *const *names = exchange->gateway->dialect->names;
-  bool not_run = csp_find_http_field (head, names[CSP_HEADER_NOT_RUN]) != NULL
-                 || head->status == STATUS_MISDIRECTED;
-  bool answers_this = answers_this_request (exchange, head);
-  bool served = answers_this && !not_run && is_success (head->status);
-
-  csp_note_target_answered (exchange->gateway, exchange->target);
-  csp_note_link_answered (exchange->gateway, exchange->target, exchange->link);
-  csp_handle_target_state (exchange->gateway, exchange->target, head,
-                           served ? exchange->sent_at_ms : 0);
-  if (!answers_this)
-    {
-      handle_failure (exchange, "the answer is to another request");
-      return;
-    }
-  if (not_run)
+  if (!answers_this_request (exchange, head))
     {
-      handle_refusal (exchange, head->status);
+      csp_fail_attempt (exchange, "the answer is to another request");
       return;
     }
   if (is_success (head->status))
@@ -256,14 +257,14 @@
       if (is_whole_success (exchange, head))
         handle_success (exchange, head);
       else
-        handle_failure (exchange, "the answer is not the target's");
+        csp_fail_attempt (exchange, "the answer is not the target's");
       return;
     }
   if (exchange->events > 0 || promises_not_run (head->status)
       || (head->status >= STATUS_SERVER_ERROR && csp_may_repeat (exchange)
-          && exchange->attempts < exchange->route->attempts_max))
+          && exchange->attempts < csp_attempts_max (exchange)))
     {
-      handle_failure (exchange, "the target failed");
+      csp_fail_attempt (exchange, "the target failed");
       return;
     }
   exchange->verdict = CSP_VERDICT_RAN;
@@ -273,6 +274,26 @@
   exchange->answer_mode = CSP_ANSWER_BUFFERED;
 }
 
+static void
+on_answered (void *state, const csp_http_head_t *head)
+{
+  csp_exchange_t *exchange = state;
+  const char *const *names = exchange->gateway->dialect->names;
+  bool not_run = csp_find_http_field (head, names[CSP_HEADER_NOT_RUN]) != NULL
+                 || head->status == STATUS_MISDIRECTED;
+  bool answers_this = answers_this_request (exchange, head);
+  bool served = answers_this && !not_run && is_success (head->status);
+
+  csp_note_target_answered (exchange->gateway, exchange->target);
+  csp_note_link_answered (exchange->gateway, exchange->target, exchange->link);
+  csp_handle_target_state (exchange->gateway, exchange->target, head,
+                           served ? exchange->sent_at_ms : 0);
+  if (answers_this && not_run)
+    handle_refusal (exchange, head->status);
+  else
+    csp_accept_answer (exchange, head);
+}
+
 /* Forward a piece of an answer that is too long for the buffer.  */
 static void
 forward_piece (csp_exchange_t *exchange, const char *piece, size_t piece_bytes)
@@ -310,8 +331,8 @@
   csp_clear_buffer (&exchange->buffered);
 }
 
-static void
-on_body (void *state, const char *piece, size_t piece_bytes)
+void
+csp_handle_answer_body (void *state, const char *piece, size_t piece_bytes)
 {
   csp_exchange_t *exchange = state;
 
@@ -338,6 +359,11 @@
 {
   csp_link_t *link = exchange->link;
 
+  if (exchange->target == NULL)
+    {
+      csp_drop_attempt (exchange);
+      return;
+    }
   if (is_success (exchange->status))
     {
       csp_note_damping_success (&exchange->target->damping);
@@ -372,12 +398,12 @@
           && (lost || exchange->move.state == CSP_MOVE_STOPPING)))
     {
       csp_note_attempt_broke_off (exchange);
-      handle_failure (exchange, "the stream broke off");
+      csp_fail_attempt (exchange, "the stream broke off");
       return;
     }
   if (lost)
     {
-      handle_failure (exchange, "the stream was not resumed");
+      csp_fail_attempt (exchange, "the stream was not resumed");
       return;
     }
   finish_attempt (exchange);
@@ -400,17 +426,16 @@
   csp_finish_exchange (exchange);
 }
 
-static void
-on_ended (void *state)
+void
+csp_handle_answer_end (void *state)
 {
   csp_exchange_t *exchange = state;
 
-  csp_note_outcome (exchange->target, exchange->status >= STATUS_SERVER_ERROR,
-                    csp_gateway_now_ms (exchange->gateway));
+  note_outcome (exchange, exchange->status >= STATUS_SERVER_ERROR);
   switch (exchange->answer_mode)
     {
     case CSP_ANSWER_NONE:
-      handle_failure (exchange, "the answer has no head");
+      csp_fail_attempt (exchange, "the answer has no head");
       break;
     case CSP_ANSWER_BUFFERED:
       finish_attempt (exchange);
@@ -456,7 +481,7 @@
     }
   if (why != CSP_LINK_UNREACHABLE)
     {
-      handle_failure (exchange, failure_details[why]);
+      csp_fail_attempt (exchange, failure_details[why]);
       return;
     }
   csp_note_unreachable (exchange->target, csp_gateway_now_ms (gateway));
@@ -469,12 +494,13 @@
   /* No byte was sent, so this was no attempt and costs no retry.  */
   exchange->attempts--;
   exchange->connect_failures++;
+  exchange->connect_timed_out |= csp_link_timed_out (exchange->link);
   csp_send_attempt (exchange);
 }
 
 /* The target's socket can be written again.  */
-static void
-on_drained (void *state)
+void
+csp_handle_link_drained (void *state)
 {
   csp_exchange_t *exchange = state;
 
@@ -482,11 +508,12 @@
     csp_pause_caller (exchange->caller, false);
 }
 
-const csp_link_events_t csp_attempt_events = { .answered = on_answered,
-                                               .body = on_body,
-                                               .ended = on_ended,
-                                               .failed = on_failed,
-                                               .drained = on_drained };
+const csp_link_events_t csp_attempt_events
+    = { .answered = on_answered,
+        .body = csp_handle_answer_body,
+        .ended = csp_handle_answer_end,
+        .failed = on_failed,
+        .drained = csp_handle_link_drained };
 
 void
 csp_resume_target_reads (csp_exchange_t *exchange)
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -13,7 +13,9 @@
   US_PER_MS = 1000,
   /* Targets tried in turn while none accepts a connection.  No byte has been
      sent by then, so these do not count as retries.  */
-  CONNECT_FAILURES_MAX = 16
+  CONNECT_FAILURES_MAX = 16,
+  /* One target may just have ended.  */
+  CONNECT_FAILURES_BEFORE_RELAY = 2
 };
 
 void
@@ -43,6 +45,7 @@
   if (exchange->link != NULL)
     csp_close_link (exchange->link);
   exchange->link = NULL;
+  exchange->relay.state = CSP_RELAY_NONE;
   if (target == NULL)
     return;
   csp_note_prompt_read (exchange, target);
@@ -64,6 +67,12 @@
   return exchange->resume.pending && exchange->last_event[0] == '\0';
 }
 
+bool
+csp_resumes_after_event (const csp_exchange_t *exchange)
+{
+  return exchange->resume.pending && !restarts_stream (exchange);
+}
+
 /* Whether a caller's header field is forwarded to the target.  */
 static bool
 is_forwarded_field (const csp_exchange_t *exchange,
@@ -115,8 +124,7 @@
   if (copy != NULL)
     csp_print_buffer (out, "%s: %s\r\n", names[CSP_HEADER_CONTINUE_FROM],
                       copy);
-  if (copy != NULL
-      || (exchange->resume.pending && !restarts_stream (exchange)))
+  if (copy != NULL || csp_resumes_after_event (exchange))
     csp_print_buffer (out, "%s: %s\r\n", names[CSP_HEADER_LAST_EVENT],
                       exchange->last_event);
 }
@@ -134,6 +142,13 @@
       csp_print_buffer (out, "%s: %s\r\n", head->fields[i].name,
                         head->fields[i].value);
   write_own_fields (exchange, target, copy, out);
+}
+
+static void
+write_framing (const csp_exchange_t *exchange, csp_buffer_t *out)
+{
+  const csp_http_head_t *head = csp_caller_request_head (exchange->caller);
+
   if (head->framing == CSP_BODY_CHUNKED && !exchange->body_whole)
     csp_print_buffer (out, "Transfer-Encoding: chunked\r\n");
   else if (head->framing == CSP_BODY_CHUNKED)
@@ -184,12 +199,37 @@
   csp_finish_link_request (exchange->link);
 }
 
+void
+csp_send_request (csp_exchange_t *exchange, const csp_link_events_t *events,
+                  csp_buffer_t *head)
+{
+  const csp_http_head_t *request = csp_caller_request_head (exchange->caller);
+  csp_link_t *link = exchange->link;
+
+  exchange->answer_mode = CSP_ANSWER_NONE;
+  exchange->run_started_ms = 0;
+  exchange->paced_event_ms = 0;
+  exchange->last_data_ms = csp_gateway_now_ms (exchange->gateway);
+  exchange->sent_at_ms = exchange->last_data_ms;
+  csp_start_link_request (link, events, exchange,
+                          strcmp (request->method, "HEAD") == 0);
+  write_framing (exchange, head);
+  if (!sends_chunked_body (exchange))
+    csp_append_buffer (head, exchange->body.data, exchange->body.size_bytes);
+  csp_write_link (link, head->data, head->size_bytes);
+  csp_clear_buffer (head);
+  if (sends_chunked_body (exchange))
+    csp_forward_body (exchange, exchange->body.data,
+                      exchange->body.size_bytes);
+  if (exchange->body_whole)
+    csp_finish_link_request (link);
+}
+
 bool
 csp_send_to_target (csp_exchange_t *exchange, csp_fleet_target_t *target,
                     const char *copy)
 {
   csp_link_t *link = csp_acquire_link (exchange->gateway, target);
-  const csp_http_head_t *head = csp_caller_request_head (exchange->caller);
   csp_buffer_t out = { 0 };
 
   if (link == NULL)
@@ -206,23 +246,8 @@
   target->is_engine = exchange->service->is_engine;
   if (target->is_engine)
     csp_schedule_load_report (exchange->gateway);
-  exchange->answer_mode = CSP_ANSWER_NONE;
-  exchange->run_started_ms = 0;
-  exchange->paced_event_ms = 0;
-  exchange->last_data_ms = csp_gateway_now_ms (exchange->gateway);
-  exchange->sent_at_ms = exchange->last_data_ms;
-  csp_start_link_request (link, &csp_attempt_events, exchange,
-                          strcmp (head->method, "HEAD") == 0);
   write_head (exchange, target, copy, &out);
-  if (!sends_chunked_body (exchange))
-    csp_append_buffer (&out, exchange->body.data, exchange->body.size_bytes);
-  csp_write_link (link, out.data, out.size_bytes);
-  csp_clear_buffer (&out);
-  if (sends_chunked_body (exchange))
-    csp_forward_body (exchange, exchange->body.data,
-                      exchange->body.size_bytes);
-  if (exchange->body_whole)
-    csp_finish_link_request (link);
+  csp_send_request (exchange, &csp_attempt_events, &out);
   return true;
 }
 
@@ -264,6 +289,7 @@
   exchange->retry_after_ms = csp_isolated_retry_ms (gateway);
   if (wait_ms == 0)
     {
+      csp_set_relay_answer (exchange->caller, CSP_RELAY_UNSERVED);
       csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
                          "no target can take it");
       return;
@@ -275,6 +301,23 @@
                      "its targets are at their rate limits");
 }
 
+/* Whether connections to targets that seemed to be reached have failed for
+   this request.  */
+static bool
+spends_time_connecting (const csp_exchange_t *exchange)
+{
+  return exchange->connect_failures >= CONNECT_FAILURES_BEFORE_RELAY
+         || exchange->connect_timed_out;
+}
+
+static bool
+may_be_reached_elsewhere (const csp_exchange_t *exchange)
+{
+  return exchange->connect_failures > 0
+         || csp_has_unreached_targets (exchange->gateway->fleet,
+                                       exchange->service->name);
+}
+
 void
 csp_place_locally (csp_exchange_t *exchange)
 {
@@ -290,11 +333,15 @@
                             .backoff_count = exchange->resume.lost_count,
                             .asks_rate_grant = true,
                             .sent_by_this_host = true };
-  csp_fleet_target_t *target;
+  csp_fleet_target_t *target = NULL;
 
   need.only_reached = true;
-  target = csp_choose_fleet_target (gateway->fleet, &need, &gateway->random,
-                                    csp_gateway_now_ms (gateway));
+  if (!spends_time_connecting (exchange))
+    target = csp_choose_fleet_target (gateway->fleet, &need, &gateway->random,
+                                      csp_gateway_now_ms (gateway));
+  if (target == NULL && may_be_reached_elsewhere (exchange)
+      && csp_relay_request (exchange))
+    return;
   if (target == NULL)
     {
       need.only_reached = false;
@@ -322,7 +369,7 @@
   if (exchange->service == NULL)
     {
       exchange->service = draw_service (exchange);
-      if (exchange->service != NULL)
+      if (exchange->service != NULL && !exchange->relay.received)
         csp_note_first_attempt (csp_find_retry_budget (
             exchange->gateway, exchange->service->name));
     }
@@ -336,6 +383,8 @@
     csp_refuse_cordoned (exchange);
   else if (csp_is_service_backed_off (exchange))
     csp_refuse_backed_off (exchange);
+  else if (csp_prefers_relay (exchange))
+    csp_place_locally (exchange);
   else if (exchange->service->is_engine && exchange->connect_failures == 0
            && exchange->gateway->isolated_since_ms == 0)
     csp_ask_for_placement (exchange);
--- a/source/gateway/gateway-caller-answer.c
+++ b/source/gateway/gateway-caller-answer.c
@@ -94,6 +94,9 @@
 {
   const csp_gateway_t *gateway = caller->gateway;
 
+  /* Another host sends its request behind its offer.  */
+  if (caller->is_relay)
+    return caller->keep_alive && caller->request_whole;
   return caller->keep_alive && caller->request_whole && !gateway->stopping
          && !csp_is_isolated (gateway);
 }
@@ -181,6 +184,9 @@
                     "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
                     "Content-Length: %d\r\n",
                     status, csp_http_reason_phrase (status), body_bytes);
+  if (caller->is_relay)
+    csp_print_buffer (&answer, "%s: %s\r\n", CSP_RELAY_FIELD,
+                      caller->relay_answer);
   if (retry_after_ms > 0)
     csp_print_buffer (&answer, "Retry-After: %.3f\r\n",
                       (double)retry_after_ms / MS_PER_S);
@@ -194,6 +200,28 @@
   csp_finish_caller_answer (caller);
 }
 
+void
+csp_answer_caller_without_body (csp_caller_t *caller)
+{
+  static const char answer[] = "HTTP/1.1 204 No Content\r\n\r\n";
+
+  csp_write_caller (caller, answer, sizeof answer - 1);
+  csp_finish_caller_answer (caller);
+}
+
+bool
+csp_caller_is_relay (const csp_caller_t *caller, csp_peer_address_t *host)
+{
+  *host = caller->relayed_from;
+  return caller->is_relay;
+}
+
+void
+csp_set_relay_answer (csp_caller_t *caller, const char *answer)
+{
+  caller->relay_answer = answer;
+}
+
 void
 csp_close_idle_callers (csp_gateway_t *gateway)
 {
--- a/source/gateway/gateway-caller-imp.h
+++ b/source/gateway/gateway-caller-imp.h
@@ -27,6 +27,9 @@
   bool keep_alive;
   bool lingering; /* the last answer is written; unread bytes are dropped */
   bool closed;
+  bool is_relay; /* another host that relays requests */
+  csp_peer_address_t relayed_from;
+  const char *relay_answer; /* in the next answer of this host to it */
 };
 
 /* Reading: the operator's limits for the caller's next request.  */
@@ -41,6 +44,10 @@
 /* Answering: close the caller's handles and abandon its exchange.  */
 void csp_close_caller (csp_caller_t *caller);
 
+/* Answer what another host has sent unless it is a relayed request; then
+   return false.  */
+bool csp_handle_relay_offer (csp_caller_t *caller);
+
 /* Close callback of the caller's handles.  */
 void csp_caller_closed (uv_handle_t *handle);
 
--- a/source/gateway/gateway-caller.c
+++ b/source/gateway/gateway-caller.c
@@ -90,6 +90,8 @@
   caller->keep_alive = head->keep_alive;
   caller->in_body = head->framing != CSP_BODY_NONE;
   caller->request_whole = !caller->in_body;
+  if (caller->is_relay && csp_handle_relay_offer (caller))
+    return;
   if (caller->in_body && expect != NULL && head->minor_version > 0)
     csp_write_caller (caller, "HTTP/1.1 100 Continue\r\n\r\n", 25);
   caller->exchange
@@ -247,13 +249,13 @@
                   due_ms > now_ms ? (uint64_t)(due_ms - now_ms) : 1, 0);
 }
 
-void
+csp_caller_t *
 csp_accept_caller (csp_gateway_t *gateway, uv_stream_t *listener)
 {
   csp_caller_t *caller = calloc (1, sizeof *caller);
 
   if (caller == NULL)
-    return;
+    return NULL;
   caller->reader
       = csp_create_http_reader (CSP_HTTP_REQUEST, csp_reader_limits (gateway));
   if (caller->reader == NULL
@@ -261,7 +263,7 @@
     {
       csp_destroy_http_reader (caller->reader);
       free (caller);
-      return;
+      return NULL;
     }
   uv_timer_init (&gateway->loop, &caller->timer);
   caller->open_handles = 2;
@@ -278,9 +280,10 @@
   if (uv_accept (listener, (uv_stream_t *)&caller->tcp) != 0)
     {
       csp_close_caller (caller);
-      return;
+      return NULL;
     }
   uv_tcp_nodelay (&caller->tcp, 1);
   csp_pause_caller (caller, false);
   csp_set_caller_timer (caller);
+  return caller;
 }
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -388,6 +388,12 @@
   csp_handle_local_answers (gateway);
 }
 
+uint32_t
+csp_service_hash (const csp_route_service_t *service)
+{
+  return (uint32_t)csp_hash_pair ("service", service->name);
+}
+
 const csp_route_service_t *
 csp_find_service_by_hash (const csp_gateway_t *gateway, uint32_t hash)
 {
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -62,6 +62,24 @@
   uint64_t lost_targets[CSP_LOST_TARGETS_MAX];
 } csp_resume_t;
 
+typedef enum
+{
+  CSP_RELAY_NONE,
+  CSP_RELAY_OFFERED, /* no byte of the request was sent */
+  CSP_RELAY_SENT
+} csp_relay_state_t;
+
+/* Relaying the request through another host.  */
+typedef struct
+{
+  csp_relay_state_t state;
+  csp_offer_result_t result; /* of the current offer, by its answer's head */
+  csp_peer_address_t host;   /* the last one that it was offered to */
+  uint8_t offers;
+  bool received; /* another host relays the request to this one */
+  csp_peer_address_t from;
+} csp_relay_t;
+
 struct csp_exchange
 {
   csp_gateway_t *gateway;
@@ -113,6 +131,7 @@
   const csp_fleet_target_t *failed_target; /* for comparison only */
   uint32_t attempts;         /* attempts that a target may have received */
   uint32_t connect_failures; /* targets that accepted no connection */
+  bool connect_timed_out;    /* one of those connections hung */
   bool may_have_run;
   csp_verdict_t verdict;
   bool awaits_lease; /* failed; sent again if a retry lease is granted */
@@ -152,6 +171,7 @@
   int64_t run_started_ms; /* first event of the run at this target; 0: none */
   csp_move_t move;
   csp_resume_t resume;
+  csp_relay_t relay;
 };
 
 /* Attempt: see gateway-attempt.c.  Send the request to a target; if no target
@@ -168,6 +188,33 @@
 void csp_start_attempt (csp_exchange_t *exchange, csp_fleet_target_t *target);
 void csp_place_locally (csp_exchange_t *exchange);
 
+/* Write the head, of which the framing is still missing, and the body.  */
+void csp_send_request (csp_exchange_t *exchange,
+                       const csp_link_events_t *events, csp_buffer_t *head);
+
+/* Whether the request asks for what follows the last event sent.  */
+bool csp_resumes_after_event (const csp_exchange_t *exchange);
+
+/* How many targets may get the request from this host.  */
+uint32_t csp_attempts_max (const csp_exchange_t *exchange);
+
+/* Relay: see gateway-relay.c.  Offer the request to another host; false where
+   there is none.  An offer that fails ends in another one, or in
+   csp_place_locally.  */
+bool csp_relay_request (csp_exchange_t *exchange);
+
+/* Whether the request is to be relayed before a target is looked for.  */
+bool csp_prefers_relay (const csp_exchange_t *exchange);
+
+/* Callbacks of the connection to the other host, once the request was
+   sent.  */
+extern const csp_link_events_t csp_relay_events;
+
+/* End the exchange with a status that rejects the request as such.  */
+void csp_reject_exchange (csp_exchange_t *exchange, uint16_t status);
+
+uint32_t csp_service_hash (const csp_route_service_t *service);
+
 /* Cordon: see gateway-cordon.c.  Refuse a request whose service has only
    cordoned targets.  */
 void csp_refuse_cordoned (csp_exchange_t *exchange);
@@ -247,8 +294,20 @@
 void csp_retry_or_fail (csp_exchange_t *exchange, csp_reason_t reason,
                         const char *detail, bool may_wait);
 
-/* Callbacks of the attempt's connection.  */
+/* Callbacks of the attempt's connection; and parts of them that hold for a
+   connection to another host too.  */
 extern const csp_link_events_t csp_attempt_events;
+void csp_handle_answer_body (void *state, const char *piece,
+                             size_t piece_bytes);
+void csp_handle_answer_end (void *state);
+void csp_handle_link_drained (void *state);
+
+/* Take the head of an answer, unless it says that the request has not run.  */
+void csp_accept_answer (csp_exchange_t *exchange, const csp_http_head_t *head);
+
+/* The request may have run, and there is no answer to forward: send it once
+   more, or end it.  */
+void csp_fail_attempt (csp_exchange_t *exchange, const char *detail);
 
 /* Stream: see gateway-stream.c.  Handle bytes of an answer and send the whole
    events among them.  */
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -48,6 +48,7 @@
   if (exchange->ended)
     return;
   exchange->ended = true;
+  exchange->gateway->relayed_count -= exchange->relay.received;
   csp_drop_ask (exchange);
   csp_drop_move (exchange);
   csp_drop_attempt (exchange);
@@ -64,10 +65,24 @@
   uv_close ((uv_handle_t *)&exchange->move.timer, free_closed);
 }
 
+/* The other host of a relayed request; NULL where it isn't relayed.  */
+static const char *
+format_relay_host (const csp_exchange_t *exchange,
+                   char host[CSP_PEER_TEXT_BYTES])
+{
+  if (!exchange->relay.received && exchange->relay.state != CSP_RELAY_SENT)
+    return NULL;
+  csp_format_peer (exchange->relay.received ? exchange->relay.from
+                                            : exchange->relay.host,
+                   host);
+  return host;
+}
+
 static void
 log_end (const csp_exchange_t *exchange, csp_event_t event, const char *detail)
 {
   const csp_gateway_t *gateway = exchange->gateway;
+  char relay[CSP_PEER_TEXT_BYTES];
 
   CSP_LOG (
       gateway->log, event, exchange->request_id,
@@ -82,6 +97,8 @@
       csp_text ("verdict", csp_verdict_name (exchange->verdict)),
       csp_text ("detail", detail), csp_number ("attempts", exchange->attempts),
       csp_number ("connect_failures", exchange->connect_failures),
+      csp_text (exchange->relay.received ? "relayed_from" : "relayed_to",
+                format_relay_host (exchange, relay)),
       csp_number ("events", (int64_t)exchange->events),
       csp_number ("waited_ms", exchange->waited_ms),
       csp_number ("first_event_ms",
@@ -150,7 +167,10 @@
                                                     : REFUSED_RETRY_MS;
     }
   else
-    gateway->counts.failed++;
+    {
+      csp_set_relay_answer (caller, CSP_RELAY_FAILED);
+      gateway->counts.failed++;
+    }
   csp_count_request_end (gateway->request_metrics, exchange->labels, reason,
                          exchange->verdict);
   if (begun)
@@ -187,7 +207,8 @@
 csp_exchange_may_have_run (const csp_exchange_t *exchange)
 {
   return exchange->may_have_run
-         || (exchange->link != NULL && csp_link_has_sent (exchange->link));
+         || (exchange->relay.state != CSP_RELAY_OFFERED
+             && exchange->link != NULL && csp_link_has_sent (exchange->link));
 }
 
 static void
@@ -323,6 +344,10 @@
   exchange->routes = csp_retain_routes (gateway->routes);
   exchange->verdict = CSP_VERDICT_NOT_RUN;
   exchange->waited_ms = -1;
+  exchange->relay.received
+      = csp_caller_is_relay (caller, &exchange->relay.from);
+  gateway->relayed_count += exchange->relay.received;
+  gateway->counts.relayed += exchange->relay.received;
   uv_timer_init (&gateway->loop, &exchange->deadline);
   uv_timer_init (&gateway->loop, &exchange->move.timer);
   exchange->deadline.data = exchange;
@@ -336,8 +361,8 @@
 }
 
 /* Reject a request before any work was done for it.  */
-static void
-reject_request (csp_exchange_t *exchange, uint16_t status)
+void
+csp_reject_exchange (csp_exchange_t *exchange, uint16_t status)
 {
   csp_caller_t *caller = exchange->caller;
 
@@ -383,7 +408,7 @@
   status = check_route_and_key (exchange, head);
   if (status != 0)
     {
-      reject_request (exchange, status);
+      csp_reject_exchange (exchange, status);
       return NULL;
     }
   exchange->labels = csp_get_labels (
@@ -393,6 +418,7 @@
   if (!can_finish_before_stop (exchange))
     {
       exchange->retry_after_ms = STOPPING_RETRY_MS;
+      csp_set_relay_answer (caller, CSP_RELAY_UNSERVED);
       csp_fail_exchange (exchange, CSP_REASON_SHUTTING_DOWN,
                          "the host is stopping");
       return NULL;
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -18,6 +18,14 @@
 #include <urcu/wfcqueue.h>
 #include <uv.h>
 
+/* A field of messages between hosts: what a relayed request is, and in answers
+   that aren't a target's what became of it.  */
+#define CSP_RELAY_FIELD "Cowslip-Relay"
+#define CSP_RELAY_REFUSED "refused"   /* not run; final */
+#define CSP_RELAY_UNSERVED "unserved" /* not run; another host may serve it   \
+                                       */
+#define CSP_RELAY_FAILED "failed"     /* may have run */
+
 /* Parts of the forwarder, all on the traffic thread:
 
      caller        one caller's connection: reads requests, writes answers
@@ -35,6 +43,8 @@
      grant         asks the decider before a limited target is sent a request
      damping       counts losses at targets and damps those that flap
      reach         handles data centres that are cut off
+     relay         passes requests on to other hosts
+     relay-accept  accepts requests of other hosts
      paths         records how new connections to targets fare
      page          readiness and metrics
 
@@ -128,7 +138,12 @@
   uint64_t quarantine_refused;
   uint64_t rate_grants;  /* by this host as the decider, to itself too */
   uint64_t rate_refused; /* requests rejected for lack of a grant */
-  uint64_t dampings;     /* of targets, by this host as the decider */
+  uint64_t relays;       /* requests that were relayed to other hosts */
+  uint64_t relays_refused;
+  uint64_t relay_offers_failed;
+  uint64_t relayed;         /* requests that other hosts relayed to this one */
+  uint64_t relay_strangers; /* connections that came from no live host */
+  uint64_t dampings;        /* of targets, by this host as the decider */
 } csp_gateway_counts_t;
 
 struct csp_gateway
@@ -139,7 +154,10 @@
   csp_log_t *log;
   uv_loop_t loop;
   uv_tcp_t caller_listener;
-  bool caller_waits; /* a connection that is not accepted yet */
+  uv_tcp_t relay_listener;
+  uint16_t relay_port; /* 0: this host neither relays nor accepts requests */
+  uint32_t relayed_count; /* open requests that other hosts relay */
+  bool caller_waits;      /* a connection that is not accepted yet */
   int64_t started_ms;
   csp_page_server_t *readiness_page;
   csp_page_server_t *metrics_page;
@@ -220,7 +238,8 @@
 double csp_reported_pool_share (csp_gateway_t *gateway, const char *service);
 
 /* Caller: see gateway-caller.c.  */
-void csp_accept_caller (csp_gateway_t *gateway, uv_stream_t *listener);
+csp_caller_t *csp_accept_caller (csp_gateway_t *gateway,
+                                 uv_stream_t *listener);
 const csp_http_head_t *csp_caller_request_head (const csp_caller_t *caller);
 
 /* Write bytes of the answer; a broken connection is noticed on its read
@@ -246,6 +265,15 @@
 void csp_answer_caller (csp_caller_t *caller, uint16_t status,
                         uint32_t retry_after_ms, const char *detail);
 
+/* Send an answer of this host that accepts an offer.  */
+void csp_answer_caller_without_body (csp_caller_t *caller);
+
+/* Whether the caller is another host that relays a request, and which; and
+   what an answer of this host tells it, one of CSP_RELAY_....  */
+bool csp_caller_is_relay (const csp_caller_t *caller,
+                          csp_peer_address_t *host);
+void csp_set_relay_answer (csp_caller_t *caller, const char *answer);
+
 /* Close callers without a request in progress; for a stop.  */
 void csp_close_idle_callers (csp_gateway_t *gateway);
 void csp_close_all_callers (csp_gateway_t *gateway);
@@ -383,6 +411,14 @@
 void csp_note_target_failed (csp_gateway_t *gateway,
                              const csp_fleet_target_t *target);
 
+/* Relay: see gateway-relay-accept.c.  Open the listener for other hosts.  */
+bool csp_open_relay (csp_gateway_t *gateway, char *message,
+                     size_t message_bytes);
+
+/* Report in a hello where and for which services this host accepts relayed
+   requests.  */
+void csp_add_relay_to_hello (const csp_gateway_t *gateway, csp_hello_t *hello);
+
 /* Paths: see gateway-paths.c.  A target has answered over the connection, or
    the connection has failed before the first byte of an answer; connections
    that carried an earlier request don't count.  */
--- a/source/gateway/gateway-paths.c
+++ b/source/gateway/gateway-paths.c
@@ -9,9 +9,11 @@
   /* Each probe of an unreached target is a connection, and the target may be
      down.  */
   PROBE_PERIOD_MS = 250,
-  /* Targets of plain services answer sooner, and engines with runs of this
-     host send events more often.  */
+  /* Targets of plain services answer sooner, and engines send events of a run
+     more often.  */
   SILENT_MS = 300,
+  /* Engines read a prompt before the first event.  */
+  SILENT_START_MS = 1000,
   SILENT_PROBE_PERIOD_MS = 1000
 };
 
@@ -118,12 +120,17 @@
        exchange = exchange->next)
     {
       csp_fleet_target_t *target = exchange->target;
+      int64_t silent_ms = exchange->service != NULL
+                                  && exchange->service->is_engine
+                                  && exchange->run_started_ms == 0
+                              ? SILENT_START_MS
+                              : SILENT_MS;
 
       if (target == NULL || exchange->link == NULL
           || target->state != CSP_FLEET_READY || target->probing
           || now_ms < target->probe_at_ms
-          || now_ms - exchange->last_data_ms < SILENT_MS
-          || now_ms - target->heard_ms < SILENT_MS)
+          || now_ms - exchange->last_data_ms < silent_ms
+          || now_ms - target->heard_ms < silent_ms)
         continue;
       target->probe_at_ms = now_ms + SILENT_PROBE_PERIOD_MS;
       csp_probe_target (gateway, target, now_ms);
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -131,6 +131,7 @@
   hello.known_count = csp_choose_known_hosts (
       gateway->roster, peer, hello.known_hosts, CSP_HELLO_KNOWN_MAX,
       csp_gateway_now_ms (gateway));
+  csp_add_relay_to_hello (gateway, &hello);
   csp_add_suspects_to_hello (gateway, &hello);
   csp_add_rates_to_hello (gateway, &hello);
   csp_send_hello (gateway, &hello, &peer, 1);
@@ -145,6 +146,7 @@
   reply.known_count = csp_choose_reply_hosts (gateway->roster, peer, hello,
                                               reply.known_hosts,
                                               csp_gateway_now_ms (gateway));
+  csp_add_relay_to_hello (gateway, &reply);
   csp_add_suspects_to_hello (gateway, &reply);
   csp_add_rates_to_hello (gateway, &reply);
   csp_send_hello (gateway, &reply, &peer, 1);
--- a/source/gateway/gateway-reach.c
+++ b/source/gateway/gateway-reach.c
@@ -20,7 +20,8 @@
   BALANCER_NOTICE_MS = 2200
 };
 
-/* Ready engines that this host reaches, and those that are cut off.  */
+/* Ready engines that this host or one that it can relay requests to reaches,
+   and those that are cut off.  */
 typedef struct
 {
   size_t reached;
@@ -53,7 +54,9 @@
   if (group->ready_count == 0
       || !csp_is_engine_service (gateway, group->service))
     return;
-  if (!cut)
+  if ((!cut
+       && csp_is_service_reached (gateway->service_reach, group->service_hash))
+      || csp_has_relay_host (gateway->roster, group->service_hash, now_ms))
     engines->reached += group->ready_count;
   else
     engines->cut_off += group->ready_count;
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -189,7 +189,7 @@
   int64_t from_ms = exchange->paced_event_ms;
 
   exchange->paced_event_ms = exchange->last_event_ms;
-  if (from_ms != 0 && exchange->target->is_engine)
+  if (from_ms != 0 && exchange->target != NULL && exchange->target->is_engine)
     csp_note_target_interval (exchange->gateway, exchange->target,
                               exchange->last_event_ms - from_ms);
 }
@@ -234,7 +234,8 @@
   size_t ready_bytes;
 
   exchange->last_data_ms = csp_gateway_now_ms (exchange->gateway);
-  csp_note_target_answered (exchange->gateway, exchange->target);
+  if (exchange->target != NULL)
+    csp_note_target_answered (exchange->gateway, exchange->target);
   if (!csp_append_buffer (&exchange->buffered, piece, piece_bytes)
       || exchange->buffered.size_bytes > CSP_ANSWER_BUFFER_MAX_BYTES)
     {
@@ -250,7 +251,8 @@
   if (first)
     {
       exchange->run_started_ms = exchange->last_data_ms;
-      csp_note_prompt_read (exchange, exchange->target);
+      if (exchange->target != NULL)
+        csp_note_prompt_read (exchange, exchange->target);
       csp_count_movable (exchange, true);
       csp_schedule_load_report (exchange->gateway);
       csp_complete_resume (exchange);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -430,6 +430,7 @@
   snprintf (message, message_bytes, "can't receive datagrams of other hosts");
   if (!csp_open_gateway_peers (gateway)
       || !open_caller_listener (gateway, message, message_bytes)
+      || !csp_open_relay (gateway, message, message_bytes)
       || !csp_open_gateway_pages (gateway, message, message_bytes))
     goto fail;
   return gateway;
@@ -458,6 +459,8 @@
   uv_timer_stop (&gateway->move_timer);
   if (uv_handle_get_type ((uv_handle_t *)&gateway->caller_listener) == UV_TCP)
     uv_close ((uv_handle_t *)&gateway->caller_listener, NULL);
+  if (uv_handle_get_type ((uv_handle_t *)&gateway->relay_listener) == UV_TCP)
+    uv_close ((uv_handle_t *)&gateway->relay_listener, NULL);
 }
 
 void
--- a/source/link/link.c
+++ b/source/link/link.c
@@ -263,6 +263,14 @@
 csp_link_t *
 csp_open_link (uv_loop_t *loop, const struct sockaddr_in *address,
                uint32_t connect_timeout_ms)
+{
+  return csp_open_link_from (loop, NULL, address, connect_timeout_ms);
+}
+
+csp_link_t *
+csp_open_link_from (uv_loop_t *loop, const struct sockaddr_in *source,
+                    const struct sockaddr_in *address,
+                    uint32_t connect_timeout_ms)
 {
   csp_link_t *link = calloc (1, sizeof *link);
 
@@ -281,9 +289,11 @@
   link->connect.data = link;
   link->open_handles = 2;
   link->state = LINK_CONNECTING;
-  if (uv_tcp_connect (&link->connect, &link->tcp,
-                      (const struct sockaddr *)address, on_connected)
-      != 0)
+  if ((source != NULL
+       && uv_tcp_bind (&link->tcp, (const struct sockaddr *)source, 0) != 0)
+      || uv_tcp_connect (&link->connect, &link->tcp,
+                         (const struct sockaddr *)address, on_connected)
+             != 0)
     {
       csp_close_link (link);
       return NULL;
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -268,6 +268,9 @@
   message.grant_requests = rows.grant_request_rows;
   message.n_grants = hello->grant_count;
   message.grants = rows.grant_rows;
+  message.relay_port = hello->relay_port;
+  message.n_unreached = hello->unreached_count;
+  message.unreached = (uint32_t *)hello->unreached;
   if (csp_hello__hello__get_packed_size (&message) > sizeof packed)
     return false;
   return csp_append_buffer (bytes, packed,
@@ -431,7 +434,9 @@
                && message->n_wants <= CSP_HELLO_LEASES_MAX
                && message->n_leases <= CSP_HELLO_LEASES_MAX
                && message->n_grant_requests <= CSP_HELLO_GRANTS_MAX
-               && message->n_grants <= CSP_HELLO_GRANTS_MAX;
+               && message->n_grants <= CSP_HELLO_GRANTS_MAX
+               && message->n_unreached <= CSP_HELLO_UNREACHED_MAX
+               && message->relay_port <= PORT_MAX;
   size_t i;
 
   memset (hello, 0, sizeof *hello);
@@ -487,6 +492,11 @@
                            hello->grant_requests);
       hello->grant_count
           = decode_grants (message->grants, message->n_grants, hello->grants);
+      hello->relay_port = (uint16_t)message->relay_port;
+      hello->unreached_count = message->n_unreached;
+      if (message->n_unreached > 0)
+        memcpy (hello->unreached, message->unreached,
+                message->n_unreached * sizeof hello->unreached[0]);
       hello->load_count = message->n_loads;
       hello->known_count = message->n_known;
     }
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -1275,7 +1275,7 @@
   (ProtobufCMessageInit) csp_hello__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[24] =
+static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[26] =
 {
   {
     "boot",
@@ -1565,6 +1565,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay_port",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Hello, relay_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unreached",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(CspHello__Hello, n_unreached),
+    offsetof(CspHello__Hello, unreached),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__hello__field_indices_by_name[] = {
   8,   /* field[8] = answers */
@@ -1584,9 +1608,11 @@
   11,   /* field[11] = left */
   4,   /* field[4] = loads */
   21,   /* field[21] = rates */
+  24,   /* field[24] = relay_port */
   1,   /* field[1] = sequence */
   18,   /* field[18] = sighted */
   19,   /* field[19] = suspects */
+  25,   /* field[25] = unreached */
   13,   /* field[13] = up_ms */
   16,   /* field[16] = wants */
   14,   /* field[14] = wants_answer */
@@ -1595,7 +1621,7 @@
 static const ProtobufCIntRange csp_hello__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor csp_hello__hello__descriptor =
 {
@@ -1605,7 +1631,7 @@
   "CspHello__Hello",
   "csp_hello",
   sizeof(CspHello__Hello),
-  24,
+  26,
   csp_hello__hello__field_descriptors,
   csp_hello__hello__field_indices_by_name,
   1,  csp_hello__hello__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -196,10 +196,13 @@
   CspHello__Grant **grant_requests;
   size_t n_grants;
   CspHello__Grant **grants;
+  uint32_t relay_port;
+  size_t n_unreached;
+  uint32_t *unreached;
 };
 #define CSP_HELLO__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__hello__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /* CspHello__Load methods */
--- a/source/roster/roster-imp.h
+++ b/source/roster/roster-imp.h
@@ -7,7 +7,8 @@
 
      roster.c        the table of hosts: received hellos, expiry, loads
      roster-greet.c  which hosts get a hello, and which are named in it
-     roster-rank.c   which host performs which duty for the others  */
+     roster-rank.c   which host performs which duty for the others
+     roster-relay.c  which host serves requests that this one can't  */
 
 typedef struct
 {
@@ -28,6 +29,11 @@
   int64_t hello_sent_ms;  /* last hello sent to it; 0: never */
   uint32_t unanswered_hellos; /* consecutive hellos without an answer */
   int64_t avoid_until_ms;     /* not chosen as decider before */
+  uint16_t relay_port;        /* 0: unknown */
+  size_t unreached_count;
+  uint32_t unreached[CSP_HELLO_UNREACHED_MAX];
+  int64_t relay_avoided_until_ms;
+  uint32_t unanswered_offers; /* consecutive offers to relay */
   bool uses_this_decider;     /* its last hello that named a decider named this
                                  host */
   int64_t loads_reported_ms;  /* when it last reported loads */
--- a/source/roster/roster.c
+++ b/source/roster/roster.c
@@ -230,6 +230,12 @@
   peer->last_hello_ms = now_ms;
   peer->last_report_ms = now_ms;
   peer->unanswered_hellos = 0;
+  if (hello->relay_port != 0)
+    {
+      peer->relay_port = hello->relay_port;
+      peer->unreached_count = hello->unreached_count;
+      memcpy (peer->unreached, hello->unreached, sizeof peer->unreached);
+    }
   update_liveness (roster, peer, now_ms);
 }
 
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -150,6 +150,8 @@
 
   signal (SIGPIPE, SIG_IGN);
   memset (fixture, 0, sizeof *fixture);
+  settings.relay_address = *datagram_address;
+  settings.relay_address.sin_port = 0;
   if (seed != NULL)
     settings.seeds[settings.seed_count++] = *seed;
   if (fleet_retry_limit > 0)
