Place requests in data centres that only the decider doesn't reach

Cause: the decider left out engines in data centres that it didn't reach, for the requests of all hosts. It keeps by data centre whether an exchange with a target failed, which says nothing of the others where only its own paths are lost.

It now leaves a data centre out for others only if nothing came from its hosts since the exchange failed, or they are silent for several hellos: then the whole side is cut off. A host that is given an engine that it doesn't reach places the request itself or relays it, as before. With the old rule the new test of dispatch fails; the table of reach covers when a cut counts for all.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -69,6 +69,7 @@
   size_t ready_count;
   size_t damped_count; /* ready ones that are damped or on probation */
   bool cut_off;        /* the data centre can't be reached from this host */
+  bool cut_for_all;    /* nor from the others that this host hears */
 } csp_fleet_group_t;
 
 /* A choice among thousands of targets reads the members up to the speed's
@@ -345,6 +346,8 @@
   /* Excludes targets that this host reaches neither by a new connection nor by
      an idle one.  */
   bool only_reached;
+  bool for_any_host; /* another host may send it: only what is cut off for all
+                        is out of reach */
   /* Under which this host may assign requests to cold and rate limited
      targets; NULL: it may not.  */
   const csp_decider_role_t *role;
--- a/include/cowslipspoke/reach.h
+++ b/include/cowslipspoke/reach.h
@@ -51,6 +51,13 @@
 bool csp_is_reachable (const csp_reach_t *reach, uint32_t data_centre,
                        int64_t now_ms);
 
+/* Whether other hosts of this host's side don't reach the data centre either:
+   nothing has come from its hosts since an exchange with one of its targets
+   failed, or for several hello periods.  Where its hosts are heard, only this
+   host may have lost its paths to the targets.  */
+bool csp_is_cut_for_all (const csp_reach_t *reach, uint32_t data_centre,
+                         int64_t now_ms);
+
 /* Whether reachability has changed since the last call for this data
    centre.  */
 bool csp_take_reach_change (csp_reach_t *reach, uint32_t data_centre,
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -107,13 +107,21 @@
                                 run_ms, now_ms);
 }
 
+static bool
+is_cut_off (const csp_fleet_target_t *target, const csp_fleet_need_t *need)
+{
+  return need->for_any_host ? target->group->cut_for_all
+                            : target->group->cut_off;
+}
+
 /* Whether a target that damping allows would take the request once it has
    capacity, so that damped ones aren't used instead.  */
 static bool
-will_take_requests (const csp_fleet_target_t *target)
+will_take_requests (const csp_fleet_target_t *target,
+                    const csp_fleet_need_t *need)
 {
   return target->state == CSP_FLEET_READY && csp_takes_new_work (target)
-         && !target->group->cut_off;
+         && !is_cut_off (target, need);
 }
 
 static bool
@@ -121,7 +129,7 @@
              int64_t now_ms)
 {
   if (exceeds_prompt_limit (target, need, now_ms)
-      || (target->group->cut_off && !need->repeatable)
+      || (is_cut_off (target, need) && !need->repeatable)
       || (need->only_reached && !csp_is_target_reached (target))
       || is_backed_off_for_sender (target, need, now_ms))
     return false;
@@ -142,7 +150,7 @@
 rank_target (const csp_fleet_target_t *target, const csp_fleet_need_t *need,
              double stretch, int64_t now_ms)
 {
-  if (now_ms < target->avoid_until_ms || target->group->cut_off
+  if (now_ms < target->avoid_until_ms || is_cut_off (target, need)
       || target->state == CSP_FLEET_LAPSED)
     return RANK_AVOIDED;
   return csp_would_pause_streams (target, need, stretch) ? RANK_PAUSES
@@ -174,7 +182,7 @@
       if (is_allowed_by_damping (target, need, now_ms))
         {
           rank = rank_target (target, need, stretch, now_ms);
-          has_allowed = has_allowed || will_take_requests (target);
+          has_allowed = has_allowed || will_take_requests (target, need);
         }
       if (!is_eligible (target, need, now_ms) || rank > best_rank)
         continue;
--- a/source/gateway/gateway-reach.c
+++ b/source/gateway/gateway-reach.c
@@ -51,6 +51,8 @@
              cut ? CSP_EVENT_DATA_CENTRE_CUT : CSP_EVENT_DATA_CENTRE_REACHED,
              NULL, csp_text ("data_centre", group->data_centre_name));
   group->cut_off = cut;
+  group->cut_for_all
+      = csp_is_cut_for_all (gateway->reach, group->data_centre, now_ms);
   if (group->ready_count == 0
       || !csp_is_engine_service (gateway, group->service))
     return;
--- a/source/reach/reach.c
+++ b/source/reach/reach.c
@@ -151,6 +151,17 @@
          || (state->failed_ms == 0 && !is_silent (reach, state, now_ms));
 }
 
+bool
+csp_is_cut_for_all (const csp_reach_t *reach, uint32_t data_centre,
+                    int64_t now_ms)
+{
+  const data_centre_state_t *state = find_state (reach, data_centre);
+
+  return state != NULL
+         && ((state->failed_ms != 0 && state->received_ms <= state->failed_ms)
+             || is_silent (reach, state, now_ms));
+}
+
 bool
 csp_take_reach_change (csp_reach_t *reach, uint32_t data_centre,
                        int64_t now_ms)
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -71,6 +71,21 @@
     }
 }
 
+/* Guards against a decider that has lost its own paths to engines and refuses
+   the requests of all other hosts, which reach them.  */
+START_TEST (engine_that_only_the_decider_does_not_reach_is_used)
+{
+  size_t i;
+
+  for (i = 0; i < csp_count_fleet_groups (fleet); i++)
+    csp_fleet_group_at (fleet, i)->cut_off = true;
+  ck_assert_int_eq (push_ask (other_host, 1, 1, 0), CSP_ASK_PLACED);
+  for (i = 0; i < csp_count_fleet_groups (fleet); i++)
+    csp_fleet_group_at (fleet, i)->cut_for_all = true;
+  ck_assert_int_eq (push_ask (other_host, 2, 1, 0), CSP_ASK_WAITS);
+}
+END_TEST
+
 /* Five hosts see the last free capacity at the same moment.  If each used it,
    the engine would evict four runs and recompute them.  */
 START_TEST (capacity_is_placed_once)
@@ -463,6 +478,7 @@
   TCase *tcase = tcase_create ("dispatch");
 
   tcase_add_checked_fixture (tcase, set_up, close_dispatch);
+  tcase_add_test (tcase, engine_that_only_the_decider_does_not_reach_is_used);
   tcase_add_test (tcase, capacity_is_placed_once);
   tcase_add_test (tcase, freed_capacity_goes_to_waiting_ask);
   tcase_add_test (tcase, ask_is_not_placed_on_backed_off_engine);
--- a/tests/reach/reach-test.c
+++ b/tests/reach/reach-test.c
@@ -36,15 +36,23 @@
   uint32_t data_centre;
   int64_t at_ms;
   bool reachable;
+  bool cut_for_all;
 } cases[] = {
-  { "nothing was ever received", { { 0 } }, 0, ELSEWHERE, 90000, true },
-  { "answers", { { ANSWER, 1000, ELSEWHERE } }, 1, ELSEWHERE, 2000, true },
+  { "nothing was ever received", { { 0 } }, 0, ELSEWHERE, 90000, true, false },
+  { "answers",
+    { { ANSWER, 1000, ELSEWHERE } },
+    1,
+    ELSEWHERE,
+    2000,
+    true,
+    false },
   { "connections are reset as the partition begins",
     { { ANSWER, 1000, ELSEWHERE }, { FAILED, 1010, ELSEWHERE } },
     2,
     ELSEWHERE,
     1011,
-    false },
+    false,
+    true },
   { "datagrams of its hosts still arrive in a one-way partition",
     { { ANSWER, 1000, ELSEWHERE },
       { FAILED, 1010, ELSEWHERE },
@@ -52,32 +60,43 @@
     3,
     ELSEWHERE,
     1501,
+    false,
     false },
   { "one target crashed, another answers",
     { { FAILED, 1010, ELSEWHERE }, { ANSWER, 1030, ELSEWHERE } },
     2,
     ELSEWHERE,
     1030,
-    true },
+    true,
+    false },
   { "silence, no longer than between two hellos",
     { { RECEIVED, 1000, ELSEWHERE } },
     1,
     ELSEWHERE,
     2500,
+    true,
+    false },
+  { "silence",
+    { { RECEIVED, 1000, ELSEWHERE } },
+    1,
+    ELSEWHERE,
+    2600,
+    false,
     true },
-  { "silence", { { RECEIVED, 1000, ELSEWHERE } }, 1, ELSEWHERE, 2600, false },
   { "received again after a silence",
     { { RECEIVED, 1000, ELSEWHERE }, { RECEIVED, 9000, ELSEWHERE } },
     2,
     ELSEWHERE,
     9001,
-    true },
+    true,
+    false },
   { "this host's own data centre",
     { { FAILED, 1000, HOME } },
     1,
     HOME,
     9000,
-    true },
+    true,
+    false },
 };
 
 /* Guards against sending requests into a partition: what was sent can't be
@@ -109,6 +128,10 @@
       csp_is_reachable (reach, cases[_i].data_centre, cases[_i].at_ms)
           == cases[_i].reachable,
       "%s", cases[_i].name);
+  ck_assert_msg (
+      csp_is_cut_for_all (reach, cases[_i].data_centre, cases[_i].at_ms)
+          == cases[_i].cut_for_all,
+      "%s", cases[_i].name);
   csp_destroy_reach (reach);
 }
 END_TEST
