Don't blame targets for a host's lost paths

Cause: each attempt that can't connect counts as a loss of its target, and two hosts that are cut off look like two witnesses. One request at such a host counted 17 losses at four engines.

A loss by a failed connection no longer counts once connections to two targets of the service have failed within two seconds without an answer between: the fault is then on the host's side. A single engine that refuses connections is still counted. Failures at different times no longer add up to an unreached service.

The new test of damping failed with 17 losses and sees one. What remains: the resets of open connections at the moment of the cut still count, as they do when engines crash.

--- a/include/cowslipspoke/service-reach.h
+++ b/include/cowslipspoke/service-reach.h
@@ -16,7 +16,8 @@
    each request on connections that fail.
 
    A service counts as unreached once new connections to two of its targets, or
-   to its only one, have failed and none has succeeded since.  Two targets that
+   to its only one, have failed within two seconds and none has succeeded
+   since.  Two targets that
    end at the same time look the same until a connection to a third one
    succeeds.  An unreached service is probed periodically; an answer to a probe
    makes it reached again.  */
@@ -41,6 +42,10 @@
 bool csp_is_service_reached (const csp_service_reach_t *reach,
                              uint32_t service);
 
+/* Whether connections to two targets have failed, so that the fault is
+   probably on this host's side.  */
+bool csp_has_lost_paths (const csp_service_reach_t *reach, uint32_t service);
+
 /* How long the service has been unreached; 0 if it is reached.  */
 int64_t csp_service_unreached_ms (const csp_service_reach_t *reach,
                                   uint32_t service, int64_t now_ms);
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -466,12 +466,12 @@
   csp_exchange_t *exchange = state;
   csp_gateway_t *gateway = exchange->gateway;
 
-  csp_note_attempt_lost (exchange, why, failure_details[why]);
-  if (why == CSP_LINK_UNREACHABLE || why == CSP_LINK_RESET)
-    csp_note_target_failed (gateway, exchange->target);
   if (why == CSP_LINK_UNREACHABLE
       || (why == CSP_LINK_RESET && exchange->answer_mode == CSP_ANSWER_NONE))
     csp_note_link_failed (gateway, exchange->target, exchange->link);
+  csp_note_attempt_lost (exchange, why, failure_details[why]);
+  if (why == CSP_LINK_UNREACHABLE || why == CSP_LINK_RESET)
+    csp_note_target_failed (gateway, exchange->target);
   if (exchange->answer_mode == CSP_ANSWER_FORWARDED)
     {
       csp_note_outcome (exchange->target, true, csp_gateway_now_ms (gateway));
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -105,7 +105,8 @@
   csp_limit_dampings (gateway->fleet, target->group, &watch, now_ms);
 }
 
-/* Whether the lost attempt counts against its target.  */
+/* Whether the lost attempt counts against its target.  One of several that
+   can't be connected to says more about this host.  */
 static bool
 is_target_failure (csp_exchange_t *exchange, csp_link_failure_t why)
 {
@@ -114,6 +115,8 @@
                    && exchange->status >= STATUS_OK_END;
 
   return target->is_engine && why != CSP_LINK_MALFORMED && !has_error
+         && !csp_has_lost_paths (exchange->gateway->service_reach,
+                                 target->group->service_hash)
          && target->state != CSP_FLEET_LEAVING
          && target->state != CSP_FLEET_GONE
          && exchange->move.state != CSP_MOVE_STOPPING
--- a/source/reach/service-reach.c
+++ b/source/reach/service-reach.c
@@ -8,6 +8,9 @@
 {
   /* Distinct targets whose connections have to fail.  */
   FAILED_TARGETS_MIN = 2,
+  /* Targets that end at different times don't add up.  A connection may hang
+     for 0.4 s, and a failed one is probed again within this time.  */
+  FAILURE_VALID_MS = 2000,
   /* A partition ends without notice.  While the service is unreached, its
      requests take a longer way, so probes are frequent; there are a few per
      partition.  */
@@ -19,7 +22,11 @@
   uint32_t service;
   /* Targets whose connections failed since the last that was answered.  */
   size_t failed_count;
-  uint64_t failed_targets[FAILED_TARGETS_MIN];
+  struct
+  {
+    uint64_t target;
+    int64_t failed_ms;
+  } failed[FAILED_TARGETS_MIN];
   int64_t unreached_since_ms; /* 0: reached */
   int64_t next_probe_ms;
   bool reported_unreached;
@@ -89,15 +96,30 @@
 }
 
 static void
-add_failed_target (service_state_t *state, uint64_t target)
+drop_old_failures (service_state_t *state, int64_t now_ms)
 {
+  size_t kept = 0;
   size_t i;
 
   for (i = 0; i < state->failed_count; i++)
-    if (state->failed_targets[i] == target)
-      return;
-  if (state->failed_count < FAILED_TARGETS_MIN)
-    state->failed_targets[state->failed_count++] = target;
+    if (now_ms - state->failed[i].failed_ms < FAILURE_VALID_MS)
+      state->failed[kept++] = state->failed[i];
+  state->failed_count = kept;
+}
+
+static void
+add_failed_target (service_state_t *state, uint64_t target, int64_t now_ms)
+{
+  size_t i = 0;
+
+  while (i < state->failed_count && state->failed[i].target != target)
+    i++;
+  if (i == FAILED_TARGETS_MIN)
+    return;
+  state->failed[i].target = target;
+  state->failed[i].failed_ms = now_ms;
+  if (i == state->failed_count)
+    state->failed_count++;
 }
 
 void
@@ -109,7 +131,8 @@
 
   if (state == NULL)
     return;
-  add_failed_target (state, target);
+  drop_old_failures (state, now_ms);
+  add_failed_target (state, target, now_ms);
   if (state->unreached_since_ms != 0
       || (state->failed_count < FAILED_TARGETS_MIN
           && state->failed_count < ready_count))
@@ -126,6 +149,14 @@
   return state == NULL || state->unreached_since_ms == 0;
 }
 
+bool
+csp_has_lost_paths (const csp_service_reach_t *reach, uint32_t service)
+{
+  const service_state_t *state = find_state (reach, service);
+
+  return state != NULL && state->failed_count == FAILED_TARGETS_MIN;
+}
+
 int64_t
 csp_service_unreached_ms (const csp_service_reach_t *reach, uint32_t service,
                           int64_t now_ms)
--- a/tests/gateway/damping-test.c
+++ b/tests/gateway/damping-test.c
@@ -250,6 +250,44 @@
 }
 END_TEST
 
+enum
+{
+  CUT_TARGETS = 4
+};
+
+/* Guards against a host that has lost its own paths to all engines and makes
+   the decider take them from all hosts.  */
+START_TEST (host_without_paths_reports_no_losses)
+{
+  csp_hello_t hello = { .load_count = 0 };
+  uint32_t failures = 0;
+  int refusing[CUT_TARGETS];
+  size_t i;
+
+  fixture_remove_target (&stream.fixture, stream_engine_ids[0]);
+  for (i = 0; i < CUT_TARGETS; i++)
+    {
+      char id[] = "cut-0";
+
+      id[4] = (char)('0' + i);
+      refusing[i] = fixture_add_target (&stream.fixture, id, "engines");
+      shutdown (refusing[i], SHUT_RDWR);
+    }
+  stream.caller = open_caller (&stream.fixture);
+  send_text (stream.caller, REQUEST ("/stream/", "r1"));
+  ck_assert_ptr_nonnull (
+      strstr (read_until (stream.caller, "\r\n\r\n"), " 503 "));
+  csp_advance_fake_clock (&stream.fixture.fake_clock, FULL_REPORT_MS);
+  while (!hello.is_full_report || hello.load_count == 0)
+    receive_hello (&hello);
+  for (i = 0; i < hello.load_count; i++)
+    failures += hello.loads[i].failures;
+  ck_assert_uint_eq (failures, 1);
+  for (i = 0; i < CUT_TARGETS; i++)
+    close (refusing[i]);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -260,6 +298,7 @@
   tcase_add_loop_test (tests, lost_attempts_are_reported, 0,
                        sizeof endings / sizeof endings[0]);
   tcase_add_test (tests, refused_connections_are_reported);
+  tcase_add_test (tests, host_without_paths_reports_no_losses);
   tcase_add_test (tests, losses_of_two_hosts_damp_an_engine);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
--- a/tests/reach/service-reach-test.c
+++ b/tests/reach/service-reach-test.c
@@ -23,6 +23,7 @@
   step_kind_t kind;
   uint32_t service;
   uint64_t target;
+  int64_t after_ms; /* since the step before */
 } step_t;
 
 static const struct
@@ -31,54 +32,76 @@
   size_t ready_count;
   step_t steps[STEPS_MAX];
   bool reached;
+  bool paths_lost;
 } cases[] = {
-  { "nothing is known", 3, { { 0 } }, true },
-  { "one of several fails", 3, { { FAILED, SERVICE, 1 } }, true },
-  { "the only one fails", 1, { { FAILED, SERVICE, 1 } }, false },
+  { "nothing is known", 3, { { 0 } }, true, false },
+  { "one of several fails", 3, { { FAILED, SERVICE, 1, 0 } }, true, false },
+  { "the only one fails", 1, { { FAILED, SERVICE, 1, 0 } }, false, false },
   { "one fails again and again",
     3,
-    { { FAILED, SERVICE, 1 }, { FAILED, SERVICE, 1 } },
+    { { FAILED, SERVICE, 1, 0 }, { FAILED, SERVICE, 1, 0 } },
+    true,
+    false },
+  { "two fail",
+    3,
+    { { FAILED, SERVICE, 1, 0 }, { FAILED, SERVICE, 2, 0 } },
+    false,
     true },
-  { "two fail", 3, { { FAILED, SERVICE, 1 }, { FAILED, SERVICE, 2 } }, false },
   { "two fail, with an answer between them",
     3,
-    { { FAILED, SERVICE, 1 },
-      { ANSWERED, SERVICE, 0 },
-      { FAILED, SERVICE, 2 } },
-    true },
-  { "an answer after that",
+    { { FAILED, SERVICE, 1, 0 },
+      { ANSWERED, SERVICE, 0, 0 },
+      { FAILED, SERVICE, 2, 0 } },
+    true,
+    false },
+  { "two fail within a while",
     3,
-    { { FAILED, SERVICE, 1 },
-      { FAILED, SERVICE, 2 },
-      { ANSWERED, SERVICE, 0 } },
+    { { FAILED, SERVICE, 1, 0 }, { FAILED, SERVICE, 2, 1999 } },
+    false,
     true },
-  { "targets of another service answer",
+  { "two fail at different times",
     3,
-    { { FAILED, SERVICE, 1 },
-      { ANSWERED, OTHER_SERVICE, 0 },
-      { FAILED, SERVICE, 2 } },
+    { { FAILED, SERVICE, 1, 0 }, { FAILED, SERVICE, 2, 2000 } },
+    true,
     false },
-  { "targets of another service fail",
+  { "two fail, then one answers",
     3,
-    { { FAILED, OTHER_SERVICE, 1 }, { FAILED, OTHER_SERVICE, 2 } },
+    { { FAILED, SERVICE, 1, 0 },
+      { FAILED, SERVICE, 2, 0 },
+      { ANSWERED, SERVICE, 0, 0 } },
+    true,
+    false },
+  { "targets of another service answer",
+    3,
+    { { FAILED, SERVICE, 1, 0 },
+      { ANSWERED, OTHER_SERVICE, 0, 0 },
+      { FAILED, SERVICE, 2, 0 } },
+    false,
     true },
+  { "targets of another service fail",
+    3,
+    { { FAILED, OTHER_SERVICE, 1, 0 }, { FAILED, OTHER_SERVICE, 2, 0 } },
+    true,
+    false },
 };
 
 START_TEST (service_is_unreached_after_two_targets_fail)
 {
   csp_service_reach_t *reach = csp_create_service_reach ();
   uint32_t listed[2] = { 0 };
+  int64_t now_ms = 1000;
   size_t i;
 
   for (i = 0; i < STEPS_MAX; i++)
     {
       const step_t *step = &cases[_i].steps[i];
 
+      now_ms += step->after_ms;
       if (step->kind == ANSWERED)
         csp_note_connection_answered (reach, step->service);
       else if (step->kind == FAILED)
         csp_note_connection_failed (reach, step->service, step->target,
-                                    cases[_i].ready_count, 1000);
+                                    cases[_i].ready_count, now_ms);
     }
   ck_assert_msg (csp_is_service_reached (reach, SERVICE) == cases[_i].reached,
                  "%s", cases[_i].name);
@@ -86,6 +109,8 @@
                      == !cases[_i].reached,
                  "%s", cases[_i].name);
   ck_assert (!csp_take_service_reach_change (reach, SERVICE));
+  ck_assert_msg (csp_has_lost_paths (reach, SERVICE) == cases[_i].paths_lost,
+                 "%s", cases[_i].name);
   csp_list_unreached_services (reach, listed, 2);
   ck_assert (cases[_i].reached || listed[0] == SERVICE);
   csp_destroy_service_reach (reach);
