Relay engine requests of hosts that reach only a part of the engines

Cause: the decider knows nothing of a host's paths and gave it engines that it didn't reach; the host then chose by its own knowledge, without the decider's count.

Where it doesn't reach more than a quarter, it relays the request.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -399,6 +399,16 @@
 bool csp_is_target_reached (const csp_fleet_target_t *target);
 bool csp_has_unreached_targets (const csp_fleet_t *fleet, const char *service);
 
+/* Writes the hashes of a service's targets that this host doesn't reach, at
+   most max_count; returns how many were written.  */
+size_t csp_list_unreached_targets (const csp_fleet_t *fleet,
+                                   const char *service, uint64_t *targets,
+                                   size_t max_count);
+
+/* Whether this host reaches at least three quarters of the service's targets
+   that take new work.  */
+bool csp_reaches_most_targets (const csp_fleet_t *fleet, const char *service);
+
 /* A new connection to the target failed, or was answered.  */
 void csp_note_path_failed (csp_fleet_t *fleet, csp_fleet_target_t *target,
                            int64_t now_ms);
--- a/source/fleet/fleet-path.c
+++ b/source/fleet/fleet-path.c
@@ -9,6 +9,12 @@
    the time limit of a connection on it, so requests leave it out until a probe
    was answered.  */
 
+enum
+{
+  /* A host reaches most targets if it doesn't reach one in so many.  */
+  UNREACHED_DIVISOR = 4
+};
+
 bool
 csp_is_target_reached (const csp_fleet_target_t *target)
 {
@@ -16,20 +22,50 @@
          && (target->path_failed_ms == 0 || target->idle_link_count > 0);
 }
 
+size_t
+csp_list_unreached_targets (const csp_fleet_t *fleet, const char *service,
+                            uint64_t *targets, size_t max_count)
+{
+  size_t count = 0;
+  size_t i;
+
+  for (i = 0; i < fleet->count && count < max_count; i++)
+    {
+      const csp_fleet_target_t *target = fleet->targets[i];
+
+      if (csp_takes_new_work (target) && !csp_is_target_reached (target)
+          && strcmp (target->group->service, service) == 0)
+        targets[count++] = target->hash;
+    }
+  return count;
+}
+
 bool
 csp_has_unreached_targets (const csp_fleet_t *fleet, const char *service)
 {
+  uint64_t target;
+
+  return csp_list_unreached_targets (fleet, service, &target, 1) > 0;
+}
+
+bool
+csp_reaches_most_targets (const csp_fleet_t *fleet, const char *service)
+{
+  size_t count = 0;
+  size_t unreached = 0;
   size_t i;
 
   for (i = 0; i < fleet->count; i++)
     {
       const csp_fleet_target_t *target = fleet->targets[i];
 
-      if (csp_takes_new_work (target) && !csp_is_target_reached (target)
-          && strcmp (target->group->service, service) == 0)
-        return true;
+      if (!csp_takes_new_work (target)
+          || strcmp (target->group->service, service) != 0)
+        continue;
+      count++;
+      unreached += !csp_is_target_reached (target);
     }
-  return false;
+  return unreached * UNREACHED_DIVISOR <= count;
 }
 
 void
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -383,8 +383,8 @@
     csp_refuse_cordoned (exchange);
   else if (csp_is_service_backed_off (exchange))
     csp_refuse_backed_off (exchange);
-  else if (csp_prefers_relay (exchange))
-    csp_place_locally (exchange);
+  else if (csp_prefers_relay (exchange) && csp_relay_request (exchange))
+    return;
   else if (exchange->service->is_engine && exchange->connect_failures == 0
            && exchange->gateway->isolated_since_ms == 0)
     csp_ask_for_placement (exchange);
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -69,6 +69,10 @@
   ask.backoff_count = csp_list_backed_off (
       gateway->fleet, exchange->service->name, csp_gateway_now_ms (gateway),
       ask.backoffs, CSP_ASK_BACKOFFS_MAX);
+  ask.backoff_count
+      += csp_list_unreached_targets (gateway->fleet, exchange->service->name,
+                                     ask.backoffs + ask.backoff_count,
+                                     CSP_ASK_BACKOFFS_MAX - ask.backoff_count);
   if (!exchange->asks_to_move)
     {
       csp_exclude_lost_targets (exchange, &ask);
--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -227,14 +227,19 @@
   return true;
 }
 
+/* The decider places requests on all engines.  Those of a host that reaches a
+   few would wait for these while others are free, and make the queue look
+   longer than it is.  */
 bool
 csp_prefers_relay (const csp_exchange_t *exchange)
 {
   const csp_gateway_t *gateway = exchange->gateway;
+  const csp_route_service_t *service = exchange->service;
 
   return !csp_is_service_reached (gateway->service_reach,
-                                  csp_service_hash (exchange->service))
-         && may_relay (exchange);
+                                  csp_service_hash (service))
+         || (service->is_engine
+             && !csp_reaches_most_targets (gateway->fleet, service->name));
 }
 
 /* The other host has refused the request itself.  */
--- a/tests/fleet/fleet-targets-test.c
+++ b/tests/fleet/fleet-targets-test.c
@@ -381,6 +381,7 @@
   csp_fleet_target_t *target = list ("t", "b", false, 0);
   csp_fleet_need_t need = { .only_reached = true, .repeatable = true };
   csp_fleet_target_t *probes[2];
+  uint64_t unreached[2] = { 0 };
 
   if (paths[_i].path_failed)
     csp_note_path_failed (fleet, target, 1000);
@@ -391,6 +392,10 @@
                  "%s", paths[_i].name);
   ck_assert_msg (csp_has_unreached_targets (fleet, "s") != paths[_i].reached,
                  "%s", paths[_i].name);
+  ck_assert_uint_eq (csp_list_unreached_targets (fleet, "s", unreached, 2),
+                     !paths[_i].reached);
+  ck_assert (paths[_i].reached || unreached[0] == target->hash);
+  ck_assert (csp_reaches_most_targets (fleet, "s") == paths[_i].reached);
   /* It is still used where there is no other way.  */
   ck_assert_str_eq (choose ((csp_fleet_need_t){ .repeatable = true }, 1000),
                     "t");
