Keep the field between hosts out of requests to targets

A relayed request carried Cowslip-Relay on to its target: the accepting host forwarded every field that it doesn't set itself. It leaves this one out now.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -93,6 +93,8 @@
   for (blocked = dialect->never_from_callers; *blocked != NULL; blocked++)
     if (strcasecmp (*blocked, name) == 0)
       return false;
+  if (exchange->relay.received && strcasecmp (CSP_RELAY_FIELD, name) == 0)
+    return false;
   if (exchange->events > 0 && !restarts_stream (exchange)
       && strcasecmp (dialect->names[CSP_HEADER_LAST_EVENT], name) == 0)
     return false;
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -17,6 +17,7 @@
   HOSTS = 2,
   TARGETS = 2,
   FILLERS = 4,
+  SOCKETS_MAX = 2 * TARGETS + 1,
   WAIT_MS = 10000
 };
 
@@ -125,7 +126,7 @@
 static size_t
 await_input (const int *sockets, size_t count)
 {
-  struct pollfd ready[TARGETS + 1] = { { .fd = -1 } };
+  struct pollfd ready[SOCKETS_MAX] = { { .fd = -1 } };
   size_t i;
 
   for (i = 0; i < count; i++)
@@ -155,12 +156,15 @@
 reset_first_request (const char *path)
 {
   int caller = open_caller (&hosts[0]);
-  int sockets[TARGETS + 1] = { cut_sockets[0], cut_sockets[1], caller };
+  int sockets[SOCKETS_MAX]
+      = { cut_sockets[0], cut_sockets[1], targets[0], targets[1], caller };
   size_t ready;
 
   send_request (caller, path, "first");
-  while ((ready = await_input (sockets, TARGETS + 1)) < TARGETS)
-    reset_socket (accept_target_connection (cut_sockets[ready]));
+  /* A connection that is reset before the host has seen it accepted costs no
+     attempt, and then the request is relayed already.  */
+  while ((ready = await_input (sockets, SOCKETS_MAX)) < SOCKETS_MAX - 1)
+    reset_socket (accept_target_connection (sockets[ready]));
   close (caller);
 }
 
@@ -196,9 +200,10 @@
                  read_until (caller, "\r\n\r\n"));
   link = accept_target_connection (targets[served_by]);
   text = read_target_request (link, 2);
-  ck_assert_ptr_nonnull (strstr (text, "Request-Id: r1\r\n"));
+  ck_assert_msg (strstr (text, "Request-Id: r1\r\n") != NULL, "%s", text);
   ck_assert_ptr_nonnull (strstr (text, "Organisation: org-a\r\n"));
   ck_assert_ptr_null (strstr (text, "key-a"));
+  ck_assert_ptr_null (strstr (text, "Cowslip-Relay"));
   send_text (link, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n"
                    "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n");
   text = read_until (caller, "data: a\n\n");
