Wait longer than a second before a silent run goes on elsewhere

A stream with a backup went on at another engine after 0.9 s, while the first one would work on it again: two runs at once.

A listed target now has 1.5 s; one that is gone from the list or leaving still 0.9 s. A dead engine therefore goes unseen 0.6 s longer where its connections hang; where they are refused or reset nothing changes, and callers keep a stream for at least two seconds. A late answer to a status query is silence as well: it no longer counts as a failed path, unless a new connection fails.

stream-test: the new case (silent for 1.4 s) failed before.

--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -302,13 +302,20 @@
   return true;
 }
 
-/* The connection was accepted, so the target is there, but it is silent for
-   now.  */
+/* The target is silent for now, which a sound one may be for a second.  Where
+   an older connection was used it may be dead, which a new one shows.  */
 static void
-end_silent_probe (csp_status_query_t *query)
+end_silent_query (csp_status_query_t *query)
 {
-  csp_note_unreachable (query->target, csp_gateway_now_ms (query->gateway));
+  csp_gateway_t *gateway = query->gateway;
+  csp_fleet_target_t *target = query->target;
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  bool reused = csp_link_is_reused (query->link);
+
+  csp_note_unreachable (target, now_ms);
   end_query (query, false);
+  if (reused && !target->probing)
+    csp_probe_target (gateway, target, now_ms);
 }
 
 /* A target that lost power never answers.  */
@@ -323,8 +330,8 @@
 
       if (now_ms - query->asked_ms >= QUERY_TIMEOUT_MS)
         {
-          if (query->is_probe && csp_link_has_sent (query->link))
-            end_silent_probe (query);
+          if (csp_link_has_sent (query->link))
+            end_silent_query (query);
           else
             fail_query (query);
         }
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -16,7 +16,10 @@
   TURN_TICK_MS = 10,
   /* Events come every 30 to 60 ms, but a batch that reads long prompts pauses
      for some tenths of a second.  */
-  SILENT_MS = 900
+  SILENT_MS = 900,
+  /* A sound target may send nothing for a second and go on with the run, which
+     then ran twice.  */
+  SILENT_SOUND_MS = 1500
 };
 
 /* Estimates of the output length are right in the median and far off in the
@@ -248,6 +251,14 @@
              || csp_may_leave_gone_target (exchange));
 }
 
+static int64_t
+silence_limit_ms (const csp_exchange_t *exchange)
+{
+  return exchange->target != NULL && exchange->target->state == CSP_FLEET_READY
+             ? SILENT_SOUND_MS
+             : SILENT_MS;
+}
+
 /* A target that lost power or was cut off sends nothing more while its
    connection stays open; without this check the caller would wait for seconds
    and then disconnect.  */
@@ -262,7 +273,7 @@
       csp_exchange_t *next = exchange->next;
 
       if (may_be_silent (exchange)
-          && now_ms - exchange->last_data_ms >= SILENT_MS
+          && now_ms - exchange->last_data_ms >= silence_limit_ms (exchange)
           && csp_caller_backlog (exchange->caller) == 0)
         {
           csp_log_move (exchange, "silent", exchange->backup);
