--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -116,6 +116,9 @@
   int64_t heard_ms;    /* when bytes of any answer last came from it */
   int64_t probe_at_ms; /* it isn't probed before */
   bool probing;
+  /* From when on a request may try the path, as the target can't be probed; 0:
+     none may.  */
+  int64_t trial_since_ms;
   int64_t leave_seen_at_ms; /* when this host learnt that it leaves */
   int64_t gone_at_ms;     /* when it was first seen to be gone; 0: it isn't */
   int64_t may_move_at_ms; /* from when this host may move streams away */
@@ -414,6 +417,11 @@
                            int64_t now_ms);
 void csp_note_path_works (csp_fleet_t *fleet, csp_fleet_target_t *target);
 
+/* The target's service declares no way to probe it, so requests find out
+   whether its path works: those that may be repeated at once, others only
+   after some seconds.  */
+void csp_let_requests_try_path (csp_fleet_target_t *target, int64_t now_ms);
+
 /* Writes targets whose paths failed and that are to be tried again, at most
    max_count; returns how many were written.  */
 size_t csp_list_paths_to_probe (const csp_fleet_t *fleet, int64_t now_ms,
--- a/source/fleet/fleet-choose.c
+++ b/source/fleet/fleet-choose.c
@@ -130,7 +130,8 @@
 {
   if (exceeds_prompt_limit (target, need, now_ms)
       || (is_cut_off (target, need) && !need->repeatable)
-      || (need->only_reached && !csp_is_target_reached (target))
+      || (need->only_reached
+          && !csp_may_use_path (target, need->repeatable, now_ms))
       || is_backed_off_for_sender (target, need, now_ms))
     return false;
   if (need->within_slots && csp_assigned_runs (target) > 0
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -25,6 +25,11 @@
   CSP_COLD_LIMITS_MAX = 16
 };
 
+/* Whether a request that goes only to targets in reach may go there; see
+   fleet-path.c.  */
+bool csp_may_use_path (const csp_fleet_target_t *target, bool repeatable,
+                       int64_t now_ms);
+
 /* The limit on a service's targets while they are cold.  */
 typedef struct
 {
--- a/source/fleet/fleet-path.c
+++ b/source/fleet/fleet-path.c
@@ -12,7 +12,10 @@
 enum
 {
   /* A host reaches most targets if it doesn't reach one in so many.  */
-  UNREACHED_DIVISOR = 4
+  UNREACHED_DIVISOR = 4,
+  /* A request that may run only once is lost where the connection is accepted
+     and then reset.  */
+  TRIAL_FOR_ALL_MS = 5000
 };
 
 bool
@@ -22,6 +25,23 @@
          && (target->path_failed_ms == 0 || target->idle_link_count > 0);
 }
 
+bool
+csp_may_use_path (const csp_fleet_target_t *target, bool repeatable,
+                  int64_t now_ms)
+{
+  return csp_is_target_reached (target)
+         || (target->trial_since_ms != 0 && !target->group->cut_off
+             && (repeatable
+                 || now_ms - target->trial_since_ms >= TRIAL_FOR_ALL_MS));
+}
+
+void
+csp_let_requests_try_path (csp_fleet_target_t *target, int64_t now_ms)
+{
+  if (target->trial_since_ms == 0)
+    target->trial_since_ms = now_ms;
+}
+
 size_t
 csp_list_unreached_targets (const csp_fleet_t *fleet, const char *service,
                             uint64_t *targets, size_t max_count)
@@ -72,6 +92,7 @@
 csp_note_path_failed (csp_fleet_t *fleet, csp_fleet_target_t *target,
                       int64_t now_ms)
 {
+  target->trial_since_ms = 0;
   if (target->path_failed_ms != 0)
     return;
   target->path_failed_ms = now_ms;
@@ -84,6 +105,7 @@
   if (target->path_failed_ms == 0)
     return;
   target->path_failed_ms = 0;
+  target->trial_since_ms = 0;
   fleet->failed_path_count--;
 }
 
@@ -101,8 +123,8 @@
       csp_fleet_target_t *target = fleet->targets[i];
 
       if (target->path_failed_ms != 0 && target->state == CSP_FLEET_READY
-          && !target->probing && now_ms >= target->avoid_until_ms
-          && now_ms >= target->probe_at_ms)
+          && !target->probing && target->trial_since_ms == 0
+          && now_ms >= target->avoid_until_ms && now_ms >= target->probe_at_ms)
         targets[count++] = target;
     }
   return count;
--- a/source/gateway/gateway-paths.c
+++ b/source/gateway/gateway-paths.c
@@ -65,13 +65,12 @@
   csp_log_service_reach (gateway);
 }
 
-/* Without a health check the next request tries the target.  */
 static void
 probe_path (csp_gateway_t *gateway, csp_fleet_target_t *target, int64_t now_ms)
 {
   target->probe_at_ms = now_ms + PROBE_PERIOD_MS;
   if (!csp_probe_target (gateway, target, now_ms))
-    csp_note_path_works (gateway->fleet, target);
+    csp_let_requests_try_path (target, now_ms);
 }
 
 /* A random target of each data centre: that the service is unreached may be
--- a/tests/fleet/fleet-targets-test.c
+++ b/tests/fleet/fleet-targets-test.c
@@ -401,6 +401,14 @@
                     "t");
   ck_assert_uint_eq (csp_list_paths_to_probe (fleet, 1000, probes, 2),
                      paths[_i].path_failed);
+  if (paths[_i].path_failed && !paths[_i].reached)
+    {
+      csp_let_requests_try_path (target, 1000);
+      ck_assert_str_eq (choose (need, 1000), "t");
+      need.repeatable = false;
+      ck_assert_str_eq (choose (need, 5999), "none");
+      ck_assert_str_eq (choose (need, 6000), "t");
+    }
   csp_note_path_works (fleet, target);
   ck_assert_uint_eq (csp_list_paths_to_probe (fleet, 1000, probes, 2), 0);
   ck_assert (target->group->cut_off || csp_is_target_reached (target));
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -164,7 +164,18 @@
   /* A connection that is reset before the host has seen it accepted costs no
      attempt, and then the request is relayed already.  */
   while ((ready = await_input (sockets, SOCKETS_MAX)) < SOCKETS_MAX - 1)
-    reset_socket (accept_target_connection (sockets[ready]));
+    {
+      int link = accept_target_connection (sockets[ready]);
+
+      if (ready < TARGETS)
+        reset_socket (link);
+      else
+        {
+          read_target_request (link, 2);
+          send_text (link, ANSWER ("first", "", "0"));
+          close (link);
+        }
+    }
   close (caller);
 }
 
