--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -36,6 +36,9 @@
   /* Accepts requests that other hosts relay, and sends those of this host from
      the same address; family 0: this host neither relays nor accepts.  */
   struct sockaddr_in relay_address;
+  /* Where connections to targets come from, with port 0; family 0: the system
+     chooses.  */
+  struct sockaddr_in source_address;
   size_t seed_count;
   struct sockaddr_in seeds[CSP_GATEWAY_SEEDS_MAX];
   /* What the host's processor and link can carry, in thousandths of a core; 0:
--- a/tests/soak/soak-host.c
+++ b/tests/soak/soak-host.c
@@ -18,7 +18,8 @@
   FAILED_PROBES_MAX = 2,
   SEEDS = 3,
   SETTINGS_BYTES = 1024,
-  PATH_BYTES = 300
+  PATH_BYTES = 300,
+  RELAY_PORT = 7200
 };
 
 bool
@@ -40,7 +41,9 @@
 static void
 write_settings (soak_t *soak, const host_t *host, const char *path)
 {
-  char addresses[4][32];
+  struct sockaddr_in source = host->peer_address;
+  struct sockaddr_in relay = host->peer_address;
+  char addresses[6][32];
   char seeds[SEEDS][32];
   FILE *file = fopen (path, "w");
   /* Losses that only hosts of another zone see don't damp an engine, so the
@@ -54,6 +57,10 @@
   soak_print_address (&host->ready_address, addresses[1]);
   soak_print_address (&host->peer_address, addresses[2]);
   soak_print_address (&host->store_address, addresses[3]);
+  source.sin_port = 0;
+  relay.sin_port = htons (RELAY_PORT);
+  soak_print_address (&source, addresses[4]);
+  soak_print_address (&relay, addresses[5]);
   for (i = 0; i < SEEDS; i++)
     soak_print_address (&soak->hosts[i % soak->host_count].peer_address,
                         seeds[i]);
@@ -62,11 +69,12 @@
       "{\"host\":\"%s\",\"data_centre\":\"%s\",\"callers\":\"%s\","
       "\"readiness\":\"%s\",\"metrics\":\"127.0.0.1:0\","
       "\"peers\":\"%s\",\"seeds\":[\"%s\",\"%s\",\"%s\"],\"store\":\"%s\","
-      "\"stop_limit_s\":%d,\"retry_share\":0.2,\"retry_extra\":58,"
+      "\"source\":\"%s\",\"relay\":\"%s\",\"stop_limit_s\":%d,\"retry_share\":"
+      "0.2,\"retry_extra\":58,"
       "\"cold_overage\":1.5,\"cold_tolerance\":3}\n",
       host->name, zone_name (soak, zone), addresses[0], addresses[1],
-      addresses[2], seeds[0], seeds[1], seeds[2], addresses[3],
-      SOAK_GRACE_MS / 1000);
+      addresses[2], seeds[0], seeds[1], seeds[2], addresses[3], addresses[4],
+      addresses[5], SOAK_GRACE_MS / 1000);
   fclose (file);
 }
 
--- a/tests/soak/soak-ledger.c
+++ b/tests/soak/soak-ledger.c
@@ -303,6 +303,8 @@
         && now_ms < host->terminated_ms
                         + SOAK_GRACE_MS * GRACE_FULL_PARTS / GRACE_PARTS;
 
+  if (cut_may_relay (soak, request))
+    return;
   if (request->server == NULL || !server_is_undisturbed (request->server)
       || now_ms < host->disturbed_until_ms || host->paused
       || now_ms + DEADLINE_MARGIN_MS >= request->deadline_ms)
@@ -348,6 +350,7 @@
     {
       const request_t *request = &soak->requests[i];
 
+      cut_count_request (soak, request, is_served (soak, request));
       if (request->kind != KIND_SAFE && promises_not_executed (request->status)
           && request->starts > 0)
         soak_report_violation (soak, "REFUSED", "%08x%08zx got %u and ran",
@@ -364,6 +367,7 @@
       sent++;
       served += is_served (soak, request);
     }
+  cut_check_final (soak);
   if (sent > 0 && served * PER_CENT < sent * 90)
     soak_report_violation (soak, "RECOVER",
                            "%u of %u served after the faults ended", served,
--- a/tests/soak/soak-proxy.c
+++ b/tests/soak/soak-proxy.c
@@ -59,6 +59,8 @@
   pair_t *pairs;
   proxy_closed_t closed; /* NULL: none */
   void *closed_context;
+  proxy_filter_t refuses; /* NULL: none */
+  void *filter_context;
 };
 
 static char read_buffer[READ_BYTES];
@@ -270,6 +272,20 @@
   direction->timer.data = direction;
 }
 
+static bool
+is_refused (const pair_t *pair)
+{
+  const proxy_t *proxy = pair->proxy;
+  struct sockaddr_in client = { 0 };
+  int size_bytes = sizeof client;
+
+  return proxy->refuses != NULL
+         && uv_tcp_getpeername (&pair->client, (struct sockaddr *)&client,
+                                &size_bytes)
+                == 0
+         && proxy->refuses (proxy->filter_context, &client);
+}
+
 static void
 on_connection (uv_stream_t *stream, int status)
 {
@@ -295,7 +311,7 @@
   init_direction (&pair->to_client, pair, &pair->server, &pair->client, true);
   pair->open_handles = 4;
   if (uv_accept (stream, (uv_stream_t *)&pair->client) != 0
-      || proxy->mode == PROXY_REFUSE)
+      || proxy->mode == PROXY_REFUSE || is_refused (pair))
     {
       close_pair (pair, true);
       return;
@@ -389,3 +405,25 @@
   for (pair = proxy->pairs; pair != NULL; pair = pair->next)
     pair->silent = true;
 }
+
+void
+proxy_set_filter (proxy_t *proxy, proxy_filter_t refuses, void *context)
+{
+  proxy->refuses = refuses;
+  proxy->filter_context = context;
+}
+
+void
+proxy_reset_refused (proxy_t *proxy)
+{
+  pair_t *pair = proxy->pairs;
+
+  while (pair != NULL)
+    {
+      pair_t *next = pair->next;
+
+      if (is_refused (pair))
+        close_pair (pair, true);
+      pair = next;
+    }
+}
--- a/tests/soak/soak-proxy.h
+++ b/tests/soak/soak-proxy.h
@@ -42,6 +42,13 @@
                                 size_t size_bytes);
 void proxy_watch_closed (proxy_t *proxy, proxy_closed_t closed, void *context);
 
+/* Connections from addresses for which the filter returns true are reset as
+   they come; proxy_reset_refused resets those that are open.  */
+typedef bool (*proxy_filter_t) (void *context,
+                                const struct sockaddr_in *client);
+void proxy_set_filter (proxy_t *proxy, proxy_filter_t refuses, void *context);
+void proxy_reset_refused (proxy_t *proxy);
+
 /* Open connections carry no data any more, but stay open; new ones pass.  */
 void proxy_silence_all (proxy_t *proxy);
 
--- a/tests/soak/soak-server.c
+++ b/tests/soak/soak-server.c
@@ -386,6 +386,7 @@
   server->proxy = proxy_open (&soak->loop, &server->listed_address, &address);
   if (server->proxy == NULL)
     abort ();
+  proxy_set_filter (server->proxy, cut_refuses, soak);
   soak_print_address (&server->listed_address, server->address);
   soak->servers[soak->server_count++] = server;
   list_server (server);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -12,9 +12,9 @@
 #include <unistd.h>
 
 /* soak --program GATEWAY [--seed N] [--seconds S] [--hosts N] [--callers N]
-   [--work DIR] [--zones] [--poison] [--announce] [--rates] [--uneven]: runs
-   one soak. Prints its violations and a summary line; exits with 1 if there
-   was a violation.  */
+   [--work DIR] [--zones] [--poison] [--announce] [--rates] [--uneven]
+   [--cuts]: runs one soak. Prints its violations and a summary line; exits
+   with 1 if there was a violation.  */
 
 enum
 {
@@ -174,6 +174,7 @@
   poison_tick (soak);
   announce_tick (soak);
   rate_tick (soak);
+  cut_tick (soak);
   if (soak_now_ms (soak) >= soak->began_ms + soak->length_ms)
     uv_stop (&soak->loop);
 }
@@ -222,6 +223,7 @@
           { "announce", no_argument, NULL, 'd' },
           { "rates", no_argument, NULL, 'r' },
           { "uneven", no_argument, NULL, 'u' },
+          { "cuts", no_argument, NULL, 'k' },
           { NULL, 0, NULL, 0 } };
   int option;
 
@@ -258,6 +260,9 @@
       case 'u':
         soak->uneven_enabled = true;
         break;
+      case 'k':
+        soak->cuts_enabled = true;
+        break;
       case 'w':
         snprintf (soak->work, sizeof soak->work, "%s", optarg);
         break;
@@ -304,6 +309,8 @@
     rate_open (&soak);
   if (soak.uneven_enabled)
     uneven_open (&soak);
+  if (soak.cuts_enabled)
+    cut_open (&soak);
   run (&soak, callers);
   poison_close (&soak);
   if (soak.uneven_enabled)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,6 +27,7 @@
      soak-announce  what servers announce in their answers
      soak-rate      rate limits that servers state in their answers
      soak-uneven    a flapping engine, slow engines, competing routes
+     soak-cut       hosts that reach no server
      soak-plan      which faults happen when  */
 
 enum
@@ -110,6 +111,7 @@
   /* The host counts as undisturbed only some time after its last fault
      ended.  */
   uint64_t disturbed_until_ms;
+  bool is_cut;            /* it loses its paths to all servers, see soak-cut */
   uint32_t switches_seen; /* newest switch that its requests used */
   uint64_t switches_seen_ms;
 } host_t;
@@ -159,6 +161,15 @@
   csp_random_t announce_random;
   bool rate_enabled; /* servers state rate limits */
   csp_random_t rate_random;
+  bool cuts_enabled; /* hosts lose their paths to all servers */
+  csp_random_t cut_random;
+  uint64_t cut_begins_ms;
+  uint64_t cut_ends_ms;
+  bool cut_resets; /* open connections are reset */
+  bool cut_begun;
+  uint32_t cut_sent[2]; /* first tries meanwhile: at other hosts, at hosts
+                           without paths */
+  uint32_t cut_served[2];
   bool uneven_enabled;
   uneven_t uneven;
   uint64_t evacuated_ms[SOAK_ZONES]; /* when the evacuation was acknowledged;
@@ -327,6 +338,16 @@
 uint32_t uneven_scale_ms (const server_t *server, uint32_t ms);
 void uneven_print (const soak_t *soak);
 
+/* Cuts: cut_refuses is the filter of the servers' proxies.  cut_may_relay: the
+   request is at a host that relays it, which another host may lose.
+   cut_count_request counts a request of the ledger.  */
+void cut_open (soak_t *soak);
+void cut_tick (soak_t *soak);
+bool cut_refuses (void *context, const struct sockaddr_in *client);
+bool cut_may_relay (const soak_t *soak, const request_t *request);
+void cut_count_request (soak_t *soak, const request_t *request, bool served);
+void cut_check_final (soak_t *soak);
+
 /* Injects faults until the last seconds of the soak, which are free of them.
  */
 void plan_tick (soak_t *soak);
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -12,5 +12,5 @@
   mkdir -p "$work"
   "$BUILD/soak" --program "$BUILD/cowslip-gateway" --work "$work" --seed {} \
     --seconds "$SECONDS_EACH" --hosts "$HOSTS" --callers "$CALLERS" --zones \
-    --poison --announce --rates --uneven &&
+    --poison --announce --rates --uneven --cuts &&
     rm -rf "$work"'
