Leave targets alone that bear few refusals

The users' pages say that a target may state how many requests it can turn away in a second for lack of room before it fails. Nothing read that: each host tries a full target again after 0.15 s, all of nine together 60 times a second.

A host that such a target refused sends it nothing for its share of half the limit, by the hosts that it knows, up to 5 s; its asks name the target, so the decider leaves it out too; where all targets of a service pause, callers are refused at once with the time until the first one's pause ends.

The tests of the statement (fractions, 0, negative, unreadable, 10^9) failed before.

--- a/include/cowslipspoke/dialect.h
+++ b/include/cowslipspoke/dialect.h
@@ -33,6 +33,8 @@
   CSP_HEADER_LEAVING,    /* set, with any value, by a target that leaves */
   CSP_HEADER_RATE_LIMIT, /* requests per second that the target takes from all
                             hosts together */
+  CSP_HEADER_REFUSAL_LIMIT, /* refusals per second for lack of capacity beyond
+                               which the target fails */
   CSP_HEADER_COUNT
 } csp_header_t;
 
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -173,14 +173,17 @@
 
 /* The target states that it did not run the request.  */
 static void
-handle_refusal (csp_exchange_t *exchange, uint16_t status)
+handle_refusal (csp_exchange_t *exchange, const csp_http_head_t *head)
 {
   csp_gateway_t *gateway = exchange->gateway;
+  uint16_t status = head->status;
 
   csp_avoid_target (exchange->target,
                     status == STATUS_MISDIRECTED ? MISDIRECTED_AVOID_MS
                                                  : FULL_AVOID_MS,
                     csp_gateway_now_ms (gateway));
+  if (status != STATUS_MISDIRECTED)
+    csp_handle_refusal_limit (gateway, exchange->target, head);
   exchange->verdict = CSP_VERDICT_NOT_RUN;
   if (exchange->move.state == CSP_MOVE_RESUMING)
     {
@@ -289,7 +292,7 @@
   csp_handle_target_state (exchange->gateway, exchange->target, head,
                            served ? exchange->sent_at_ms : 0);
   if (answers_this && not_run)
-    handle_refusal (exchange, head->status);
+    handle_refusal (exchange, head);
   else
     csp_accept_answer (exchange, head);
 }
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -9,6 +9,7 @@
 #include "cowslipspoke/page.h"
 #include "cowslipspoke/quarantine.h"
 #include "cowslipspoke/reach.h"
+#include "cowslipspoke/refusal-limit.h"
 #include "cowslipspoke/retry-lease.h"
 #include "cowslipspoke/retry.h"
 #include "cowslipspoke/service-reach.h"
@@ -19,12 +20,12 @@
 #include <uv.h>
 
 /* A field of messages between hosts: what a relayed request is, and in answers
-   that aren't a target's what became of it.  */
+   that aren't a target's what became of it: not run, not run but another host
+   may serve it, or may have run.  */
 #define CSP_RELAY_FIELD "Cowslip-Relay"
-#define CSP_RELAY_REFUSED "refused"   /* not run; final */
-#define CSP_RELAY_UNSERVED "unserved" /* not run; another host may serve it   \
-                                       */
-#define CSP_RELAY_FAILED "failed"     /* may have run */
+#define CSP_RELAY_REFUSED "refused"
+#define CSP_RELAY_UNSERVED "unserved"
+#define CSP_RELAY_FAILED "failed"
 
 /* Parts of the forwarder, all on the traffic thread:
 
@@ -131,9 +132,10 @@
   uint64_t link_opens;
   uint64_t links_failed; /* new connections to targets without an answer */
   uint64_t status_queries;
-  uint64_t targets_left; /* targets that began to leave or are gone */
-  uint64_t backoffs;     /* backoffs that targets asked for */
-  uint64_t quarantined;  /* requests whose targets ended while they ran */
+  uint64_t targets_left;   /* targets that began to leave or are gone */
+  uint64_t refusal_pauses; /* after refusals of targets that state a limit */
+  uint64_t backoffs;       /* backoffs that targets asked for */
+  uint64_t quarantined;    /* requests whose targets ended while they ran */
   /* Attempts of those requests that were refused.  */
   uint64_t quarantine_refused;
   uint64_t rate_grants;  /* by this host as the decider, to itself too */
@@ -368,6 +370,12 @@
 void csp_handle_target_state (csp_gateway_t *gateway,
                               csp_fleet_target_t *target,
                               const csp_http_head_t *head, int64_t sent_ms);
+
+/* The target refused a request for lack of capacity; it may state how many
+   refusals it bears, see refusal-limit.h.  */
+void csp_handle_refusal_limit (csp_gateway_t *gateway,
+                               csp_fleet_target_t *target,
+                               const csp_http_head_t *head);
 bool csp_head_announces_leaving (const csp_gateway_t *gateway,
                                  const csp_http_head_t *head);
 
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -56,6 +56,7 @@
     { "unreached_services", "gauge", count_unreached_services (gateway) },
     { "target_reports_total", "counter", counts->status_queries },
     { "target_backoffs_total", "counter", counts->backoffs },
+    { "refusal_pauses_total", "counter", counts->refusal_pauses },
     { "quarantined_total", "counter", counts->quarantined },
     { "quarantine_refused_total", "counter", counts->quarantine_refused },
     { "rate_grants_total", "counter", counts->rate_grants },
--- a/source/gateway/gateway-target-state.c
+++ b/source/gateway/gateway-target-state.c
@@ -64,6 +64,31 @@
   refuse_waiting_requests (gateway);
 }
 
+void
+csp_handle_refusal_limit (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                          const csp_http_head_t *head)
+{
+  const char *value = csp_find_http_field (
+      head, gateway->dialect->names[CSP_HEADER_REFUSAL_LIMIT]);
+  double max_per_s;
+  uint32_t pause_ms;
+
+  if (value == NULL)
+    return;
+  if (!csp_parse_rate (value, &max_per_s))
+    {
+      CSP_LOG (gateway->log, CSP_EVENT_BACKOFF_BAD, NULL,
+               csp_text ("target", target->row.id), csp_text ("value", value));
+      return;
+    }
+  pause_ms = csp_refusal_pause_ms (max_per_s,
+                                   csp_count_live_peers (gateway->roster) + 1);
+  csp_back_off_target (gateway->fleet, target, pause_ms,
+                       csp_gateway_now_ms (gateway));
+  gateway->counts.refusal_pauses++;
+  refuse_waiting_requests (gateway);
+}
+
 void
 csp_handle_target_state (csp_gateway_t *gateway, csp_fleet_target_t *target,
                          const csp_http_head_t *head, int64_t sent_ms)
--- a/tests/gateway/target-says-test.c
+++ b/tests/gateway/target-says-test.c
@@ -244,6 +244,40 @@
 }
 END_TEST
 
+/* A refusal's statement of how many the target bears, and whether the host
+   then leaves it alone for longer than usual.  */
+static const struct
+{
+  const char *field;
+  bool pauses;
+} refusals[] = { { "", false },
+                 { "Refusal-Limit: 2\r\n", true },
+                 { "Refusal-Limit: 0.5\r\n", true },
+                 { "Refusal-Limit: 0\r\n", true },
+                 { "Refusal-Limit: -1\r\n", false },
+                 { "Refusal-Limit: soon\r\n", false },
+                 { "Refusal-Limit: 1000000000\r\n", true } };
+
+/* Guards against a full target that fails because hosts try it again and
+   again.  */
+START_TEST (target_that_bears_few_refusals_is_left_alone)
+{
+  char answer[200];
+  const char *page;
+
+  snprintf (answer, sizeof answer,
+            "HTTP/1.1 503 No\r\nNot-Run: 1\r\nRequest-Id: r1\r\n%s"
+            "Content-Length: 0\r\n\r\n",
+            refusals[_i].field);
+  send_to_first ("plain", "/once/", answer);
+  fixture_await_updates (&fixture);
+  page = fixture_get_page (&fixture, "/metrics");
+  ck_assert_ptr_nonnull (strstr (page, refusals[_i].pauses
+                                           ? "refusal_pauses_total 1\n"
+                                           : "refusal_pauses_total 0\n"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -264,6 +298,8 @@
   tcase_add_loop_test (tests,
                        callers_get_retry_after_when_all_targets_back_off, 0,
                        sizeof services / sizeof services[0]);
+  tcase_add_loop_test (tests, target_that_bears_few_refusals_is_left_alone, 0,
+                       sizeof refusals / sizeof refusals[0]);
   tcase_add_test (tests, headers_of_another_target_at_the_address_are_ignored);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
