--- a/tests/soak/soak-cut.c
+++ b/tests/soak/soak-cut.c
@@ -73,6 +73,8 @@
                   soak->cut_resets ? "are reset" : "live on");
   for (i = 0; i < soak->server_count && soak->cut_resets; i++)
     {
+      if (server_state (soak->servers[i]) == SERVER_GONE)
+        continue;
       server_mark_disturbed (soak->servers[i], soak_now_ms (soak));
       proxy_reset_refused (server_proxy (soak->servers[i]));
     }
