Count what became of relayed requests

cowslipctl losses has two causes more: refused where it was relayed, and lost there or on the way. The end of a relayed request at the host that it was relayed to isn't counted again.

--- a/include/cowslipspoke/losses.h
+++ b/include/cowslipspoke/losses.h
@@ -30,10 +30,12 @@
   CSP_LOSS_REFUSED_ON_ARRIVAL,  /* no capacity was expected in time */
   CSP_LOSS_NO_CAPACITY_IN_TIME, /* waited, but no capacity became free */
   CSP_LOSS_NO_TARGET,           /* no target is listed or reachable */
-  CSP_LOSS_CORDONED,     /* all its targets' data centres are cordoned */
-  CSP_LOSS_BACKED_OFF,   /* all targets had asked for backoff */
-  CSP_LOSS_RATE_LIMITED, /* all targets were at the limits that they state */
-  CSP_LOSS_QUARANTINED,  /* targets ended while serving the request */
+  CSP_LOSS_CORDONED,      /* all its targets' data centres are cordoned */
+  CSP_LOSS_BACKED_OFF,    /* all targets had asked for backoff */
+  CSP_LOSS_RATE_LIMITED,  /* all targets were at the limits that they state */
+  CSP_LOSS_RELAY_REFUSED, /* refused by the host that it was relayed to */
+  CSP_LOSS_RELAY_LOST,    /* lost at or with the host that it was relayed to */
+  CSP_LOSS_QUARANTINED,   /* targets ended while serving the request */
   CSP_LOSS_HOST_STOPPING,
   CSP_LOSS_TIME_OVER,
   CSP_LOSS_CALLER_LEFT,
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -236,6 +236,7 @@
 
   if (link == NULL)
     return false;
+  exchange->relay.sent = false;
   exchange->link = link;
   exchange->target = target;
   target->users++;
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -75,6 +75,7 @@
   csp_relay_state_t state;
   csp_offer_result_t result; /* of the current offer, by its answer's head */
   csp_peer_address_t host;   /* the last one that it was offered to */
+  bool sent;                 /* the last attempt was sent to that host */
   uint8_t offers;
   bool received; /* another host relays the request to this one */
   csp_peer_address_t from;
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -70,7 +70,7 @@
 format_relay_host (const csp_exchange_t *exchange,
                    char host[CSP_PEER_TEXT_BYTES])
 {
-  if (!exchange->relay.received && exchange->relay.state != CSP_RELAY_SENT)
+  if (!exchange->relay.received && !exchange->relay.sent)
     return NULL;
   csp_format_peer (exchange->relay.received ? exchange->relay.from
                                             : exchange->relay.host,
--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -112,6 +112,7 @@
 
   uv_timer_stop (&exchange->move.timer);
   exchange->relay.state = CSP_RELAY_SENT;
+  exchange->relay.sent = true;
   exchange->attempts++;
   gateway->counts.relays++;
   if (!exchange->resume.pending)
@@ -266,7 +267,6 @@
       || !csp_parse_http_seconds (retry_after, &exchange->retry_after_ms))
     exchange->retry_after_ms = 0;
   gateway->counts.relays_refused++;
-  csp_drop_attempt (exchange);
   csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
                      "the host that it was relayed to refused it");
 }
--- a/source/losses/losses.c
+++ b/source/losses/losses.c
@@ -40,6 +40,8 @@
   [CSP_LOSS_CORDONED] = "cordoned",
   [CSP_LOSS_BACKED_OFF] = "targets asked for a wait",
   [CSP_LOSS_RATE_LIMITED] = "targets at their rate limits",
+  [CSP_LOSS_RELAY_REFUSED] = "refused where it was relayed",
+  [CSP_LOSS_RELAY_LOST] = "lost where it was relayed",
   [CSP_LOSS_QUARANTINED] = "quarantined",
   [CSP_LOSS_HOST_STOPPING] = "host stopping",
   [CSP_LOSS_TIME_OVER] = "time over",
@@ -234,6 +236,9 @@
     { "the data centre is cordoned", CSP_LOSS_CORDONED },
     { "all targets of its service want a wait", CSP_LOSS_BACKED_OFF },
     { "its targets are at their rate limits", CSP_LOSS_RATE_LIMITED },
+    { "the host that it was relayed to refused it", CSP_LOSS_RELAY_REFUSED },
+    { "the host that it was relayed to failed it", CSP_LOSS_RELAY_LOST },
+    { "the host that it was relayed to broke off", CSP_LOSS_RELAY_LOST },
     { "targets ended under this request", CSP_LOSS_QUARANTINED },
     { "the host is stopping", CSP_LOSS_HOST_STOPPING },
     { "the time is over", CSP_LOSS_TIME_OVER },
@@ -314,12 +319,16 @@
       = (request_end_t){ .at_ms = at_ms, .loss = loss };
 }
 
+/* The host that relayed the request reports its end too.  */
 static void
 record_end (csp_losses_t *losses, json_object *line)
 {
   csp_loss_t loss = classify_end (losses, line);
-  route_row_t *route = get_or_add_route (losses, get_text (line, "route"));
+  route_row_t *route;
 
+  if (get_text (line, "relayed_from")[0] != '\0')
+    return;
+  route = get_or_add_route (losses, get_text (line, "route"));
   route->requests[loss]++;
   route->tokens[loss] += (uint64_t)get_number (line, "tokens");
   append_end (losses, get_number (line, "at_ms"), loss);
--- a/tests/losses/losses-test.c
+++ b/tests/losses/losses-test.c
@@ -70,6 +70,16 @@
     CSP_LOSS_QUARANTINED },
   { { END ("216", "targets ended under this request", "") },
     CSP_LOSS_QUARANTINED },
+  { { END ("211", "the host that it was relayed to refused it", "") },
+    CSP_LOSS_RELAY_REFUSED },
+  { { END ("211", "the host that it was relayed to failed it", "") },
+    CSP_LOSS_RELAY_LOST },
+  { { END ("216", "the host that it was relayed to broke off", "") },
+    CSP_LOSS_RELAY_LOST },
+  /* Its end at the host that it was relayed to isn't counted again.  */
+  { { END ("211", "the time is over", ",\"relayed_from\":\"10.0.0.1:1\""),
+      END ("211", "the time is over", ",\"relayed_from\":null") },
+    CSP_LOSS_TIME_OVER },
   { { END ("211", "something new", "") }, CSP_LOSS_OTHER },
 };
 
