--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -127,5 +127,6 @@
 /* Port of a listener that was opened on port 0, for tests.  */
 uint16_t csp_gateway_caller_port (const csp_gateway_t *gateway);
 uint16_t csp_gateway_readiness_port (const csp_gateway_t *gateway);
+uint16_t csp_gateway_relay_port (const csp_gateway_t *gateway);
 
 #endif
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -513,3 +513,9 @@
 {
   return csp_page_server_port (gateway->readiness_page);
 }
+
+uint16_t
+csp_gateway_relay_port (const csp_gateway_t *gateway)
+{
+  return gateway->relay_port;
+}
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -225,6 +225,90 @@
 }
 END_TEST
 
+/* Guards against two hosts without paths that pass a request to each other
+   until its time is over.  */
+START_TEST (request_is_refused_where_no_host_reaches_a_target)
+{
+  const char *text;
+  size_t i;
+  int caller;
+
+  list_targets (CUT_REFUSED, "plain");
+  for (i = 0; i < TARGETS; i++)
+    {
+      shutdown (targets[i], SHUT_RDWR);
+      close (targets[i]);
+    }
+  caller = open_caller (&hosts[0]);
+  send_request (caller, "/once/x", "r1");
+  text = read_until (caller, "}");
+  ck_assert_ptr_nonnull (strstr (text, " 503 "));
+  ck_assert_ptr_nonnull (strstr (text, "no target can take it"));
+  /* The refusal of the other host, which this one doesn't pass on as it is. */
+  ck_assert_ptr_null (strstr (text, "Cowslip-Relay"));
+  ck_assert_ptr_nonnull (
+      strstr (fixture_get_page (&hosts[1], "/metrics"), "relayed_total 1\n"));
+  ck_assert_ptr_nonnull (
+      strstr (fixture_get_page (&hosts[0], "/metrics"), "relayed_total 0\n"));
+  close (caller);
+}
+END_TEST
+
+/* Guards against callers that use the listener for hosts, where no key of the
+   first host was checked.  */
+START_TEST (stranger_gets_no_answer_from_the_relay_listener)
+{
+  struct sockaddr_in address = addresses[0];
+  int stranger = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool reset;
+
+  address.sin_port = htons (csp_gateway_relay_port (hosts[0].gateway));
+  ck_assert_int_eq (
+      connect (stranger, (struct sockaddr *)&address, sizeof address), 0);
+  send (stranger, "GET /relay HTTP/1.1\r\n\r\n", 23, MSG_NOSIGNAL);
+  ck_assert_str_eq (read_to_end (stranger, &reset), "");
+  close (stranger);
+}
+END_TEST
+
+static const struct
+{
+  const char *field;
+  const char *answer;
+} offers[] = {
+  { "Cowslip-Relay: offer; service=00000001; routes=1\r\n", " 204 " },
+  { "Cowslip-Relay: offer; service=00000001; routes=9\r\n", "older-routes" },
+  { "Cowslip-Relay: offer; service=; routes=x\r\n", ": bad\r\n" },
+  { "Cowslip-Relay: other\r\n", ": bad\r\n" },
+  { "", " 400 " },
+};
+
+/* Guards against offers of another version that end a host, or that it takes
+   for requests.  */
+START_TEST (offer_gets_a_clear_answer)
+{
+  struct sockaddr_in address = addresses[0];
+  struct sockaddr_in source = addresses[1];
+  struct timeval wait = { .tv_sec = WAIT_MS / 1000 };
+  int host = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  char request[200];
+
+  setsockopt (host, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  address.sin_port = htons (csp_gateway_relay_port (hosts[0].gateway));
+  source.sin_port = 0;
+  list_targets (CUT_REFUSED, "plain");
+  ck_assert_int_eq (bind (host, (struct sockaddr *)&source, sizeof source), 0);
+  ck_assert_int_eq (
+      connect (host, (struct sockaddr *)&address, sizeof address), 0);
+  snprintf (request, sizeof request,
+            "GET /relay HTTP/1.1\r\nHost: r\r\n%s\r\n", offers[_i].field);
+  send_text (host, request);
+  ck_assert_ptr_nonnull (
+      strstr (read_until (host, "\r\n\r\n"), offers[_i].answer));
+  close (host);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -236,6 +320,10 @@
   tcase_add_loop_test (tcase,
                        request_at_a_cut_host_is_served_through_another_host, 0,
                        sizeof cases / sizeof cases[0]);
+  tcase_add_test (tcase, request_is_refused_where_no_host_reaches_a_target);
+  tcase_add_test (tcase, stranger_gets_no_answer_from_the_relay_listener);
+  tcase_add_loop_test (tcase, offer_gets_a_clear_answer, 0,
+                       sizeof offers / sizeof offers[0]);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
