Relay requests with the largest head that callers may send

The second host read relayed requests under the callers' own limit and refused one whose head was near it (431), as the first host adds two fields; the caller's error said "unknown key". The listener for hosts allows 256 bytes more, and a status that the other host gave has a detail of its own. The new test failed with 431.

--- a/source/gateway/gateway-caller-answer.c
+++ b/source/gateway/gateway-caller-answer.c
@@ -145,8 +145,7 @@
       csp_linger_caller (caller);
       return;
     }
-  csp_reset_http_reader (caller->reader, csp_reader_limits (caller->gateway),
-                         false);
+  csp_reset_http_reader (caller->reader, csp_reader_limits (caller), false);
   caller->request_whole = false;
   caller->in_body = false;
   caller->paused = false;
--- a/source/gateway/gateway-caller-imp.h
+++ b/source/gateway/gateway-caller-imp.h
@@ -33,7 +33,7 @@
 };
 
 /* Reading: the operator's limits for the caller's next request.  */
-csp_http_limits_t csp_reader_limits (const csp_gateway_t *gateway);
+csp_http_limits_t csp_reader_limits (const csp_caller_t *caller);
 
 /* Parse the bytes that came after the last request.  */
 void csp_parse_caller_input (csp_caller_t *caller);
--- a/source/gateway/gateway-caller.c
+++ b/source/gateway/gateway-caller.c
@@ -12,6 +12,8 @@
   PENDING_MAX_BYTES = 65536,
   /* Limits until a configuration is known.  */
   FIRST_HEAD_BYTES = 16384,
+  /* What the first host adds to the head of a relayed request.  */
+  RELAY_FIELDS_BYTES = 256,
   FIRST_BODY_BYTES = 4194304,
   FIRST_HEAD_TIMEOUT_MS = 3000,
   FIRST_IDLE_TIMEOUT_MS = 15000,
@@ -32,12 +34,14 @@
 }
 
 csp_http_limits_t
-csp_reader_limits (const csp_gateway_t *gateway)
+csp_reader_limits (const csp_caller_t *caller)
 {
-  csp_caller_limits_t limits = current_limits (gateway);
+  csp_caller_limits_t limits = current_limits (caller->gateway);
   csp_http_limits_t reader = { .head_max_bytes = limits.head_max_bytes,
                                .body_max_bytes = limits.body_max_bytes };
 
+  if (caller->is_relay)
+    reader.head_max_bytes += RELAY_FIELDS_BYTES;
   return reader;
 }
 
@@ -256,8 +260,9 @@
 
   if (caller == NULL)
     return NULL;
+  caller->gateway = gateway;
   caller->reader
-      = csp_create_http_reader (CSP_HTTP_REQUEST, csp_reader_limits (gateway));
+      = csp_create_http_reader (CSP_HTTP_REQUEST, csp_reader_limits (caller));
   if (caller->reader == NULL
       || uv_tcp_init (&gateway->loop, &caller->tcp) != 0)
     {
@@ -269,7 +274,6 @@
   caller->open_handles = 2;
   caller->tcp.data = caller;
   caller->timer.data = caller;
-  caller->gateway = gateway;
   caller->next = gateway->callers;
   if (caller->next != NULL)
     caller->next->previous = caller;
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -360,6 +360,15 @@
   return exchange;
 }
 
+static const char *
+rejection_detail (uint16_t status)
+{
+  if (status == STATUS_NOT_FOUND)
+    return "no such route";
+  return status == STATUS_UNAUTHORIZED ? "unknown key"
+                                       : "the request is refused";
+}
+
 /* Reject a request before any work was done for it.  */
 void
 csp_reject_exchange (csp_exchange_t *exchange, uint16_t status)
@@ -374,9 +383,7 @@
                        (int64_t)csp_routes_version (exchange->routes)));
   exchange->caller = NULL;
   close_exchange (exchange);
-  csp_answer_caller (caller, status, 0,
-                     status == STATUS_NOT_FOUND ? "no such route"
-                                                : "unknown key");
+  csp_answer_caller (caller, status, 0, rejection_detail (status));
 }
 
 csp_exchange_t *
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -18,6 +18,8 @@
   TARGETS = 2,
   FILLERS = 4,
   SOCKETS_MAX = 2 * TARGETS + 1,
+  HEAD_MAX_BYTES = 2000, /* of the fixture */
+  HEAD_PADDING_BYTES = HEAD_MAX_BYTES - 105,
   WAIT_MS = 10000
 };
 
@@ -309,6 +311,37 @@
 }
 END_TEST
 
+/* Guards against a head that is as large as callers may send and that the
+   fields between hosts make too large for the second host.  */
+START_TEST (largest_head_is_relayed)
+{
+  char padding[HEAD_PADDING_BYTES + 1] = "";
+  char request[HEAD_MAX_BYTES + 1];
+  int caller;
+  int link;
+  size_t served_by;
+
+  list_targets (CUT_REFUSED, "plain");
+  memset (padding, 'x', HEAD_PADDING_BYTES);
+  snprintf (request, sizeof request,
+            "POST /once/x HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
+            "Request-Id: r1\r\nContent-Length: 0\r\nPadding: %s\r\n\r\n",
+            padding);
+  caller = open_caller (&hosts[0]);
+  send_text (caller, request);
+  served_by
+      = await_input ((int[]){ targets[0], targets[1], caller }, TARGETS + 1);
+  ck_assert_msg (served_by < TARGETS, "the caller got: %s",
+                 read_until (caller, "\r\n\r\n"));
+  link = accept_target_connection (targets[served_by]);
+  read_target_request (link, 0);
+  send_text (link, ANSWER ("r1", "", "0"));
+  ck_assert_ptr_nonnull (strstr (read_until (caller, "\r\n\r\n"), " 200 "));
+  close (link);
+  close (caller);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -320,6 +353,7 @@
   tcase_add_loop_test (tcase,
                        request_at_a_cut_host_is_served_through_another_host, 0,
                        sizeof cases / sizeof cases[0]);
+  tcase_add_test (tcase, largest_head_is_relayed);
   tcase_add_test (tcase, request_is_refused_where_no_host_reaches_a_target);
   tcase_add_test (tcase, stranger_gets_no_answer_from_the_relay_listener);
   tcase_add_loop_test (tcase, offer_gets_a_clear_answer, 0,
