--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -104,7 +104,7 @@
   for (i = 0; cut == CUT_HANGING && i < FILLERS; i++)
     {
       filling[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect (filling[i], (struct sockaddr *)&address, sizeof address);
+      (void)connect (filling[i], (struct sockaddr *)&address, sizeof address);
     }
   return listener;
 }
