--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -20,12 +20,15 @@
   US_PER_MS = 1000
 };
 
+/* A body that is too long for the buffer is forwarded as it comes, which would
+   be before the offer is accepted.  */
 static bool
 may_relay (const csp_exchange_t *exchange)
 {
   const csp_gateway_t *gateway = exchange->gateway;
 
   return gateway->relay_port != 0 && !exchange->relay.received
+         && !exchange->body_streams
          && exchange->relay.offers < OFFERS_MAX
          && exchange->deadline_ms - csp_gateway_now_ms (gateway)
                 >= LEFT_MIN_MS;
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -18,7 +18,8 @@
   TARGETS = 2,
   FILLERS = 4,
   SOCKETS_MAX = 2 * TARGETS + 1,
-  HEAD_MAX_BYTES = 2000, /* of the fixture */
+  STREAMED_BODY_BYTES = 100000, /* more than is buffered */
+  HEAD_MAX_BYTES = 2000,        /* of the fixture */
   HEAD_PADDING_BYTES = HEAD_MAX_BYTES - 105,
   WAIT_MS = 10000
 };
@@ -227,6 +228,28 @@
 }
 END_TEST
 
+/* Guards against pieces of a body that is still coming and that would be sent
+   before the other host has accepted the request.  */
+START_TEST (request_with_a_streamed_body_is_not_relayed)
+{
+  static char body[STREAMED_BODY_BYTES];
+  int caller;
+
+  list_targets (CUT_REFUSED, "plain");
+  memset (body, 'b', sizeof body);
+  caller = open_caller (&hosts[0]);
+  send_text (caller, "POST /once/x HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
+                     "Request-Id: r1\r\nContent-Length: 200000\r\n\r\n");
+  send_bytes (caller, body, sizeof body);
+  ck_assert_ptr_nonnull (strstr (read_until (caller, "\r\n\r\n"), " 503 "));
+  ck_assert_ptr_nonnull (strstr (fixture_get_page (&hosts[0], "/metrics"),
+                                 "gateway_relays_total 0\n"));
+  ck_assert_ptr_nonnull (strstr (fixture_get_page (&hosts[0], "/metrics"),
+                                 "relay_offers_failed_total 0\n"));
+  close (caller);
+}
+END_TEST
+
 /* Guards against two hosts without paths that pass a request to each other
    until its time is over.  */
 START_TEST (request_is_refused_where_no_host_reaches_a_target)
@@ -354,6 +377,7 @@
                        request_at_a_cut_host_is_served_through_another_host, 0,
                        sizeof cases / sizeof cases[0]);
   tcase_add_test (tcase, largest_head_is_relayed);
+  tcase_add_test (tcase, request_with_a_streamed_body_is_not_relayed);
   tcase_add_test (tcase, request_is_refused_where_no_host_reaches_a_target);
   tcase_add_test (tcase, stranger_gets_no_answer_from_the_relay_listener);
   tcase_add_loop_test (tcase, offer_gets_a_clear_answer, 0,
