--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -250,32 +250,45 @@
 }
 END_TEST
 
-/* Guards against two hosts without paths that pass a request to each other
-   until its time is over.  */
+static const cut_t cuts_of_both[] = { CUT_REFUSED, CUT_HANGING };
+
+/* Guards against two hosts without paths that pass a request to each other, or
+   try one target after another, until its time is over.  */
 START_TEST (request_is_refused_where_no_host_reaches_a_target)
 {
+  int other_fillers[TARGETS][FILLERS] = { { 0 } };
+  int others[TARGETS];
   const char *text;
   size_t i;
+  size_t j;
   int caller;
 
-  list_targets (CUT_REFUSED, "plain");
+  list_targets (cuts_of_both[_i], "plain");
   for (i = 0; i < TARGETS; i++)
     {
-      shutdown (targets[i], SHUT_RDWR);
-      close (targets[i]);
+      others[i] = open_cut_socket (cuts_of_both[_i], other_fillers[i]);
+      fixture_list_target (&hosts[1], others[i], target_ids[i], "plain");
     }
+  fixture_await_updates (&hosts[1]);
   caller = open_caller (&hosts[0]);
   send_request (caller, "/once/x", "r1");
   text = read_until (caller, "}");
   ck_assert_ptr_nonnull (strstr (text, " 503 "));
-  ck_assert_ptr_nonnull (strstr (text, "no target can take it"));
-  /* The refusal of the other host, which this one doesn't pass on as it is. */
+  ck_assert_msg (strstr (text, "no target can take it") != NULL, "%s", text);
+  /* What the other host said isn't for callers.  */
   ck_assert_ptr_null (strstr (text, "Cowslip-Relay"));
   ck_assert_ptr_nonnull (
       strstr (fixture_get_page (&hosts[1], "/metrics"), "relayed_total 1\n"));
   ck_assert_ptr_nonnull (
       strstr (fixture_get_page (&hosts[0], "/metrics"), "relayed_total 0\n"));
   close (caller);
+  for (i = 0; i < TARGETS; i++)
+    {
+      close (others[i]);
+      for (j = 0; j < FILLERS; j++)
+        if (other_fillers[i][j] > 0)
+          close (other_fillers[i][j]);
+    }
 }
 END_TEST
 
@@ -378,7 +391,9 @@
                        sizeof cases / sizeof cases[0]);
   tcase_add_test (tcase, largest_head_is_relayed);
   tcase_add_test (tcase, request_with_a_streamed_body_is_not_relayed);
-  tcase_add_test (tcase, request_is_refused_where_no_host_reaches_a_target);
+  tcase_add_loop_test (tcase,
+                       request_is_refused_where_no_host_reaches_a_target, 0,
+                       sizeof cuts_of_both / sizeof cuts_of_both[0]);
   tcase_add_test (tcase, stranger_gets_no_answer_from_the_relay_listener);
   tcase_add_loop_test (tcase, offer_gets_a_clear_answer, 0,
                        sizeof offers / sizeof offers[0]);
