--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -345,8 +345,8 @@
   if (target == NULL && may_be_reached_elsewhere (exchange)
       && csp_relay_request (exchange))
     return;
-  /* Targets that refuse at once are tried as a last resort; where one hung, the
-     request's time would be spent on others that hang.  */
+  /* Targets that refuse at once are tried as a last resort; where one hung,
+     the request's time would be spent on others that hang.  */
   if (target == NULL)
     {
       need.only_reached = exchange->connect_timed_out;
--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -28,8 +28,7 @@
   const csp_gateway_t *gateway = exchange->gateway;
 
   return gateway->relay_port != 0 && !exchange->relay.received
-         && !exchange->body_streams
-         && exchange->relay.offers < OFFERS_MAX
+         && !exchange->body_streams && exchange->relay.offers < OFFERS_MAX
          && exchange->deadline_ms - csp_gateway_now_ms (gateway)
                 >= LEFT_MIN_MS;
 }
