--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -250,6 +250,119 @@
 }
 END_TEST
 
+/* Tell the first host of another one, with so much capacity that offers go
+   there first.  Returns the listener where those come.  */
+static int
+open_silent_host (void)
+{
+  struct sockaddr_in address = addresses[0];
+  struct timeval wait = { .tv_sec = WAIT_MS / 1000 };
+  csp_hello_t hello = { .boot = 1, .sequence = 1, .capacity = UINT32_MAX / 2 };
+  csp_buffer_t bytes = { 0 };
+  socklen_t size_bytes = sizeof address;
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int datagrams = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr
+      = htonl (0x7f700000U | ((uint32_t)getpid () & 0x0fffff));
+  address.sin_port = 0;
+  ck_assert_int_eq (
+      bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  ck_assert_int_eq (listen (listener, 16), 0);
+  setsockopt (listener, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  getsockname (listener, (struct sockaddr *)&address, &size_bytes);
+  hello.relay_port = ntohs (address.sin_port);
+  address.sin_port = 0;
+  ck_assert_int_eq (
+      bind (datagrams, (struct sockaddr *)&address, sizeof address), 0);
+  ck_assert (csp_encode_hello (&hello, &bytes));
+  sendto (datagrams, bytes.data, bytes.size_bytes, 0,
+          (struct sockaddr *)&addresses[0], sizeof addresses[0]);
+  csp_clear_buffer (&bytes);
+  while (
+      strstr (fixture_get_page (&hosts[0], "/metrics"), "_gateway_peers 2\n")
+      == NULL)
+    continue;
+  close (datagrams);
+  return listener;
+}
+
+/* Guards against a request that a paused host reads later and runs, while its
+   caller was told otherwise.  */
+START_TEST (request_is_not_sent_to_a_host_that_is_silent)
+{
+  int caller;
+  int link;
+  int offer;
+  int silent;
+  size_t served_by;
+
+  list_targets (CUT_REFUSED, "plain");
+  silent = open_silent_host ();
+  caller = open_caller (&hosts[0]);
+  send_request (caller, "/once/x", "r1");
+  offer = accept_target_connection (silent);
+  ck_assert_ptr_null (strstr (read_target_request (offer, 0), "r1"));
+  served_by
+      = await_input ((int[]){ targets[0], targets[1], caller }, TARGETS + 1);
+  ck_assert_msg (served_by < TARGETS, "the caller got: %s",
+                 read_until (caller, "\r\n\r\n"));
+  /* No byte follows the offer.  */
+  ck_assert (await_close (offer));
+  link = accept_target_connection (targets[served_by]);
+  read_target_request (link, 2);
+  send_text (link, ANSWER ("r1", "", "0"));
+  ck_assert_ptr_nonnull (strstr (read_until (caller, "\r\n\r\n"), " 200 "));
+  close (link);
+  close (offer);
+  close (silent);
+  close (caller);
+}
+END_TEST
+
+static const struct
+{
+  const char *path;
+  bool repeated;
+} ended[] = { { "/once/x", false }, { "/safe/x", true } };
+
+/* Guards against a request that runs twice, or that is called not run, as the
+   host that accepted it ends.  */
+START_TEST (request_may_have_run_at_a_host_that_ends)
+{
+  int caller;
+  int link;
+  int offer;
+  int silent;
+
+  list_targets (CUT_REFUSED, "plain");
+  silent = open_silent_host ();
+  caller = open_caller (&hosts[0]);
+  send_request (caller, ended[_i].path, "r1");
+  offer = accept_target_connection (silent);
+  read_target_request (offer, 0);
+  send_text (offer, "HTTP/1.1 204 No Content\r\n\r\n");
+  ck_assert_ptr_nonnull (
+      strstr (read_target_request (offer, 2), "Cowslip-Relay: request\r\n"));
+  close (offer);
+  if (ended[_i].repeated)
+    {
+      size_t served_by = await_input (
+          (int[]){ targets[0], targets[1], caller }, TARGETS + 1);
+
+      ck_assert_uint_lt (served_by, TARGETS);
+      link = accept_target_connection (targets[served_by]);
+      read_target_request (link, 2);
+      send_text (link, ANSWER ("r1", "", "0"));
+      close (link);
+    }
+  ck_assert_ptr_nonnull (strstr (read_until (caller, "\r\n\r\n"),
+                                 ended[_i].repeated ? " 200 " : " 502 "));
+  close (silent);
+  close (caller);
+}
+END_TEST
+
 static const cut_t cuts_of_both[] = { CUT_REFUSED, CUT_HANGING };
 
 /* Guards against two hosts without paths that pass a request to each other, or
@@ -389,6 +502,9 @@
   tcase_add_loop_test (tcase,
                        request_at_a_cut_host_is_served_through_another_host, 0,
                        sizeof cases / sizeof cases[0]);
+  tcase_add_test (tcase, request_is_not_sent_to_a_host_that_is_silent);
+  tcase_add_loop_test (tcase, request_may_have_run_at_a_host_that_ends, 0,
+                       sizeof ended / sizeof ended[0]);
   tcase_add_test (tcase, largest_head_is_relayed);
   tcase_add_test (tcase, request_with_a_streamed_body_is_not_relayed);
   tcase_add_loop_test (tcase,
