Count connections that engines end, also at hosts without paths

One of the two had lost its own paths, and none of its losses counted any more.

Only connections that can't be made say something about the host; that an engine ended an open one is a loss wherever it is seen.

--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -115,8 +115,9 @@
                    && exchange->status >= STATUS_OK_END;
 
   return target->is_engine && why != CSP_LINK_MALFORMED && !has_error
-         && !csp_has_lost_paths (exchange->gateway->service_reach,
-                                 target->group->service_hash)
+         && !(why == CSP_LINK_UNREACHABLE
+              && csp_has_lost_paths (exchange->gateway->service_reach,
+                                     target->group->service_hash))
          && target->state != CSP_FLEET_LEAVING
          && target->state != CSP_FLEET_GONE
          && exchange->move.state != CSP_MOVE_STOPPING
