--- a/source/gateway/gateway-paths.c
+++ b/source/gateway/gateway-paths.c
@@ -45,26 +45,6 @@
                                 target->group->service_hash);
 }
 
-/* Where new connections are refused, open ones may live on; where they hang,
-   open ones hang as well.  */
-void
-csp_note_link_failed (csp_gateway_t *gateway, csp_fleet_target_t *target,
-                      const csp_link_t *link)
-{
-  int64_t now_ms = csp_gateway_now_ms (gateway);
-  uint32_t service = target->group->service_hash;
-
-  if (csp_link_is_reused (link))
-    return;
-  gateway->counts.links_failed++;
-  csp_note_path_failed (gateway->fleet, target, now_ms);
-  if (csp_link_timed_out (link))
-    csp_close_idle_links (target);
-  csp_note_connection_failed (gateway->service_reach, service, target->hash,
-                              count_ready_targets (gateway, service), now_ms);
-  csp_log_service_reach (gateway);
-}
-
 static void
 probe_path (csp_gateway_t *gateway, csp_fleet_target_t *target, int64_t now_ms)
 {
@@ -108,6 +88,29 @@
       probe_service (gateway, services[i], now_ms);
 }
 
+/* Where new connections are refused, open ones may live on; where they hang,
+   open ones hang as well.  */
+void
+csp_note_link_failed (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                      const csp_link_t *link)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  uint32_t service = target->group->service_hash;
+
+  if (csp_link_is_reused (link))
+    return;
+  gateway->counts.links_failed++;
+  csp_note_path_failed (gateway->fleet, target, now_ms);
+  if (csp_link_timed_out (link))
+    csp_close_idle_links (target);
+  csp_note_connection_failed (gateway->service_reach, service, target->hash,
+                              count_ready_targets (gateway, service), now_ms);
+  csp_log_service_reach (gateway);
+  /* Where other targets are reached, requests take the longer way only until
+     the first probe is answered.  */
+  probe_unreached_services (gateway, now_ms);
+}
+
 /* A connection that was silent for a while may be dead.  Whether its target is
    still reached is tried with another one; the request itself goes on.  */
 static void
