Name leaving targets in offers

The first host knew; the host that the request was relayed to had started since, and such a target is told to hosts only when it says so and by the list, seconds later.

Offers name up to eight targets that have announced to the offering host that they leave.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -275,6 +275,11 @@
    none.  */
 bool csp_is_service_cordoned (const csp_fleet_t *fleet, const char *service);
 
+/* Writes the hashes of targets that have announced that they leave, at most
+   max_count; returns how many were written.  */
+size_t csp_list_announced_leaving (const csp_fleet_t *fleet, uint64_t *targets,
+                                   size_t max_count);
+
 /* The target itself announced that it leaves.  */
 void csp_note_target_leaves (csp_fleet_t *fleet, csp_fleet_target_t *target);
 
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -361,6 +361,20 @@
   set_state (fleet, target, CSP_FLEET_LEAVING);
 }
 
+size_t
+csp_list_announced_leaving (const csp_fleet_t *fleet, uint64_t *targets,
+                            size_t max_count)
+{
+  size_t count = 0;
+  size_t i;
+
+  for (i = 0; i < fleet->count && count < max_count; i++)
+    if (fleet->targets[i]->self_announced
+        && fleet->targets[i]->state == CSP_FLEET_LEAVING)
+      targets[count++] = fleet->targets[i]->hash;
+  return count;
+}
+
 void
 csp_note_platform (csp_fleet_t *fleet, bool reachable, int64_t now_ms)
 {
--- a/source/gateway/gateway-relay-accept.c
+++ b/source/gateway/gateway-relay-accept.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Accepting requests that other hosts relay; see relay.h.  Their connections
@@ -13,6 +14,7 @@
 enum
 {
   LISTEN_BACKLOG = 128,
+  HEXADECIMAL = 16,
   STATUS_BAD_REQUEST = 400,
   STATUS_UNAVAILABLE = 503
 };
@@ -54,8 +56,27 @@
   csp_close_caller (caller);
 }
 
+/* Targets that have announced to the offering host that they leave.  */
+static void
+note_offered_leaving (csp_gateway_t *gateway, const char *offer)
+{
+  static const char field[] = "; leaving=";
+  const char *at = strstr (offer, field);
+  char *end = NULL;
+
+  for (at = at == NULL ? "" : at + strlen (field); *at != '\0';
+       at = *end == ',' ? end + 1 : "")
+    {
+      csp_fleet_target_t *target = csp_find_target_by_hash (
+          gateway->fleet, strtoull (at, &end, HEXADECIMAL));
+
+      if (target != NULL)
+        csp_note_target_leaves (gateway->fleet, target);
+    }
+}
+
 static csp_offer_result_t
-judge_offer (const csp_gateway_t *gateway, const char *offer)
+judge_offer (csp_gateway_t *gateway, const char *offer)
 {
   unsigned service = 0;
   unsigned long long version = 0;
@@ -67,6 +88,7 @@
   if (sscanf (offer, "offer; service=%8x; routes=%llu", &service, &version)
       != 2)
     return CSP_OFFER_BAD;
+  note_offered_leaving (gateway, offer);
   facts.offered_version = version;
   if (facts.has_routes)
     facts.routes_version = csp_routes_version (gateway->routes);
--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -17,6 +17,8 @@
   OFFERS_MAX = 3,
   /* With less time left no other host can serve the request.  */
   LEFT_MIN_MS = 30,
+  /* Targets named in an offer.  */
+  OFFERED_LEAVING_MAX = 8,
   US_PER_MS = 1000
 };
 
@@ -183,6 +185,26 @@
     fail_offer (exchange, CSP_OFFER_UNANSWERED);
 }
 
+/* The other host may have started after a target announced that it leaves.  */
+static void
+write_offer (const csp_exchange_t *exchange, csp_buffer_t *out)
+{
+  uint64_t leaving[OFFERED_LEAVING_MAX];
+  size_t count = csp_list_announced_leaving (exchange->gateway->fleet, leaving,
+                                             OFFERED_LEAVING_MAX);
+  size_t i;
+
+  csp_print_buffer (out,
+                    "GET /relay HTTP/1.1\r\nHost: relay\r\n"
+                    "%s: offer; service=%08x; routes=%llu",
+                    CSP_RELAY_FIELD, csp_service_hash (exchange->service),
+                    (unsigned long long)csp_routes_version (exchange->routes));
+  for (i = 0; i < count; i++)
+    csp_print_buffer (out, "%s%016llx", i == 0 ? "; leaving=" : ",",
+                      (unsigned long long)leaving[i]);
+  csp_print_buffer (out, "\r\n\r\n");
+}
+
 static void
 send_offer (csp_exchange_t *exchange, const csp_relay_host_t *to)
 {
@@ -205,11 +227,7 @@
   exchange->relay.state = CSP_RELAY_OFFERED;
   uv_timer_start (&exchange->move.timer, on_offer_timer, OFFER_TIMEOUT_MS, 0);
   csp_start_link_request (exchange->link, &offer_events, exchange, false);
-  csp_print_buffer (&out,
-                    "GET /relay HTTP/1.1\r\nHost: relay\r\n"
-                    "%s: offer; service=%08x; routes=%llu\r\n\r\n",
-                    CSP_RELAY_FIELD, csp_service_hash (exchange->service),
-                    (unsigned long long)csp_routes_version (exchange->routes));
+  write_offer (exchange, &out);
   csp_write_link (exchange->link, out.data, out.size_bytes);
   csp_finish_link_request (exchange->link);
   csp_clear_buffer (&out);
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -1,5 +1,6 @@
 #include "gateway/gateway-fixture.h"
 
+#include "cowslipspoke/hash.h"
 #include "support/run-suite.h"
 
 #include <arpa/inet.h>
@@ -430,10 +431,40 @@
   { "Cowslip-Relay: offer; service=00000001; routes=1\r\n", " 204 " },
   { "Cowslip-Relay: offer; service=00000001; routes=9\r\n", "older-routes" },
   { "Cowslip-Relay: offer; service=; routes=x\r\n", ": bad\r\n" },
+  { "Cowslip-Relay: offer; service=1; routes=1; leaving=,x,1,\r\n", " 204 " },
   { "Cowslip-Relay: other\r\n", ": bad\r\n" },
   { "", " 400 " },
 };
 
+/* Guards against a relayed request that reaches a target which has told only
+   the first host that it leaves.  */
+START_TEST (offer_names_targets_that_leave)
+{
+  struct sockaddr_in address = addresses[0];
+  struct sockaddr_in source = addresses[1];
+  struct timeval wait = { .tv_sec = WAIT_MS / 1000 };
+  int host = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  char request[200];
+
+  setsockopt (host, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  address.sin_port = htons (csp_gateway_relay_port (hosts[0].gateway));
+  source.sin_port = 0;
+  list_targets (CUT_REFUSED, "plain");
+  ck_assert_int_eq (bind (host, (struct sockaddr *)&source, sizeof source), 0);
+  ck_assert_int_eq (
+      connect (host, (struct sockaddr *)&address, sizeof address), 0);
+  snprintf (request, sizeof request,
+            "GET /relay HTTP/1.1\r\nHost: r\r\nCowslip-Relay: offer; "
+            "service=1; routes=1; leaving=%016llx\r\n\r\n",
+            (unsigned long long)csp_hash_pair ("target", target_ids[0]));
+  send_text (host, request);
+  read_until (host, " 204 ");
+  ck_assert_ptr_nonnull (strstr (fixture_get_page (&hosts[0], "/metrics"),
+                                 "targets_left_total 1\n"));
+  close (host);
+}
+END_TEST
+
 /* Guards against offers of another version that end a host, or that it takes
    for requests.  */
 START_TEST (offer_gets_a_clear_answer)
@@ -511,6 +542,7 @@
                        request_is_refused_where_no_host_reaches_a_target, 0,
                        sizeof cuts_of_both / sizeof cuts_of_both[0]);
   tcase_add_test (tcase, stranger_gets_no_answer_from_the_relay_listener);
+  tcase_add_test (tcase, offer_names_targets_that_leave);
   tcase_add_loop_test (tcase, offer_gets_a_clear_answer, 0,
                        sizeof offers / sizeof offers[0]);
   suite_add_tcase (suite, tcase);
