--- a/tests/soak/soak-host.c
+++ b/tests/soak/soak-host.c
@@ -86,7 +86,8 @@
   char log[PATH_BYTES];
   int descriptor;
 
-  snprintf (log, sizeof log, "%s/%s.log", soak->work, host->name);
+  snprintf (log, sizeof log, "%s/%s.%u.log", soak->work, host->name,
+            host->incarnation);
   descriptor = open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   dup2 (descriptor, STDOUT_FILENO);
   dup2 (descriptor, STDERR_FILENO);
