Accept a partly cut host's offer only where most targets are reached

More than a quarter of the engines had ended and were still listed; each host took that for lost paths and relayed to another one that reached no more.

An offer says whether its host reaches some targets or none; a host that doesn't reach three quarters itself takes only the latter. The new test got 204 before.

--- a/source/gateway/gateway-relay-accept.c
+++ b/source/gateway/gateway-relay-accept.c
@@ -75,6 +75,21 @@
     }
 }
 
+/* A host that reaches some targets offers a request to one that reaches most;
+   where many targets are down, no host does.  */
+static bool
+reaches_service (const csp_gateway_t *gateway, uint32_t hash,
+                 const char *offer)
+{
+  const csp_route_service_t *service
+      = csp_find_service_by_hash (gateway, hash);
+
+  if (!csp_is_service_reached (gateway->service_reach, hash))
+    return false;
+  return strstr (offer, "; reached=some") == NULL || service == NULL
+         || csp_reaches_most_targets (gateway->fleet, service->name);
+}
+
 static csp_offer_result_t
 judge_offer (csp_gateway_t *gateway, const char *offer)
 {
@@ -92,8 +107,7 @@
   facts.offered_version = version;
   if (facts.has_routes)
     facts.routes_version = csp_routes_version (gateway->routes);
-  facts.service_reached
-      = csp_is_service_reached (gateway->service_reach, service);
+  facts.service_reached = reaches_service (gateway, service, offer);
   return csp_judge_offer (&facts);
 }
 
--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -189,6 +189,9 @@
 static void
 write_offer (const csp_exchange_t *exchange, csp_buffer_t *out)
 {
+  uint32_t service = csp_service_hash (exchange->service);
+  bool reached
+      = csp_is_service_reached (exchange->gateway->service_reach, service);
   uint64_t leaving[OFFERED_LEAVING_MAX];
   size_t count = csp_list_announced_leaving (exchange->gateway->fleet, leaving,
                                              OFFERED_LEAVING_MAX);
@@ -196,9 +199,10 @@
 
   csp_print_buffer (out,
                     "GET /relay HTTP/1.1\r\nHost: relay\r\n"
-                    "%s: offer; service=%08x; routes=%llu",
-                    CSP_RELAY_FIELD, csp_service_hash (exchange->service),
-                    (unsigned long long)csp_routes_version (exchange->routes));
+                    "%s: offer; service=%08x; routes=%llu; reached=%s",
+                    CSP_RELAY_FIELD, service,
+                    (unsigned long long)csp_routes_version (exchange->routes),
+                    reached ? "some" : "none");
   for (i = 0; i < count; i++)
     csp_print_buffer (out, "%s%016llx", i == 0 ? "; leaving=" : ",",
                       (unsigned long long)leaving[i]);
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -465,6 +465,54 @@
 }
 END_TEST
 
+/* Guards against hosts that relay to each other because many engines are down,
+   and not because they have lost their paths.  */
+START_TEST (offer_of_a_host_that_reaches_some_is_refused_by_another_such_host)
+{
+  struct sockaddr_in address = addresses[0];
+  struct sockaddr_in source = addresses[1];
+  struct timeval wait = { .tv_sec = WAIT_MS / 1000 };
+  int host = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int caller;
+  int down;
+  char request[200];
+
+  setsockopt (host, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  address.sin_port = htons (csp_gateway_relay_port (hosts[0].gateway));
+  source.sin_port = 0;
+  list_targets (CUT_REFUSED, "plain");
+  fixture_remove_target (&hosts[0], target_ids[1]);
+  fixture_list_target (&hosts[0], targets[1], "t-3", "plain");
+  fixture_await_updates (&hosts[0]);
+  /* One of two targets is down, which a request finds out.  */
+  caller = open_caller (&hosts[0]);
+  while (strstr (fixture_get_page (&hosts[0], "/metrics"),
+                 "target_connections_failed_total 0\n")
+         != NULL)
+    {
+      send_request (caller, "/once/x", "r1");
+      down = accept_target_connection (targets[1]);
+      read_target_request (down, 2);
+      send_text (down, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n"
+                       "Connection: close\r\nContent-Length: 0\r\n\r\n");
+      read_until (caller, "\r\n\r\n");
+      close (down);
+    }
+  ck_assert_int_eq (bind (host, (struct sockaddr *)&source, sizeof source), 0);
+  ck_assert_int_eq (
+      connect (host, (struct sockaddr *)&address, sizeof address), 0);
+  snprintf (request, sizeof request,
+            "GET /relay HTTP/1.1\r\nHost: r\r\nCowslip-Relay: offer; "
+            "service=%08x; routes=1; reached=%s\r\n\r\n",
+            (uint32_t)csp_hash_pair ("service", "plain"),
+            _i == 0 ? "some" : "none");
+  send_text (host, request);
+  read_until (host, _i == 0 ? ": unreached\r\n" : " 204 ");
+  close (host);
+  close (caller);
+}
+END_TEST
+
 /* Guards against offers of another version that end a host, or that it takes
    for requests.  */
 START_TEST (offer_gets_a_clear_answer)
@@ -542,6 +590,9 @@
                        request_is_refused_where_no_host_reaches_a_target, 0,
                        sizeof cuts_of_both / sizeof cuts_of_both[0]);
   tcase_add_test (tcase, stranger_gets_no_answer_from_the_relay_listener);
+  tcase_add_loop_test (
+      tcase, offer_of_a_host_that_reaches_some_is_refused_by_another_such_host,
+      0, 2);
   tcase_add_test (tcase, offer_names_targets_that_leave);
   tcase_add_loop_test (tcase, offer_gets_a_clear_answer, 0,
                        sizeof offers / sizeof offers[0]);
