Send one probe at a time to a target

Two connections to one engine were then under way, the probe of the service and that of its data centre, and an answer to the older one proved nothing.

--- a/source/gateway/gateway-reach.c
+++ b/source/gateway/gateway-reach.c
@@ -33,11 +33,13 @@
 probe_group (csp_gateway_t *gateway, const csp_fleet_group_t *group,
              int64_t now_ms)
 {
-  if (csp_take_reach_probe (gateway->reach, group->data_centre, now_ms))
-    csp_query_target (
-        gateway,
-        csp_pick_ready_target (gateway->fleet, group, &gateway->random),
-        now_ms);
+  csp_fleet_target_t *target;
+
+  if (!csp_take_reach_probe (gateway->reach, group->data_centre, now_ms))
+    return;
+  target = csp_pick_ready_target (gateway->fleet, group, &gateway->random);
+  if (!target->probing)
+    csp_probe_target (gateway, target, now_ms);
 }
 
 static void
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -335,11 +335,12 @@
   csp_gateway_t *gateway = tick->data;
 
   csp_expire_targets (gateway->fleet, csp_gateway_now_ms (gateway));
+  /* Ends late queries, so that others may be sent.  */
+  csp_query_targets (gateway);
   csp_update_reachability (gateway);
   csp_probe_paths (gateway);
   csp_log_service_reach (gateway);
   csp_resume_silent_streams (gateway);
-  csp_query_targets (gateway);
   csp_expire_suspects (gateway->quarantine, csp_gateway_now_ms (gateway));
   csp_broadcast_suspects (gateway);
   csp_repeat_rate_notices (gateway);
