--- a/include/cowslipspoke/service-reach.h
+++ b/include/cowslipspoke/service-reach.h
@@ -17,10 +17,9 @@
 
    A service counts as unreached once new connections to two of its targets, or
    to its only one, have failed within two seconds and none has succeeded
-   since.  Two targets that
-   end at the same time look the same until a connection to a third one
-   succeeds.  An unreached service is probed periodically; an answer to a probe
-   makes it reached again.  */
+   since.  Two targets that end at the same time look the same until a
+   connection to a third one succeeds.  An unreached service is probed
+   periodically; an answer to a probe makes it reached again.  */
 
 typedef struct csp_service_reach csp_service_reach_t;
 
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -264,17 +264,22 @@
 }
 
 void
-csp_start_attempt (csp_exchange_t *exchange, csp_fleet_target_t *target)
+csp_count_attempt (csp_exchange_t *exchange)
 {
   exchange->attempts++;
   /* A resumed stream got its first placement before.  */
-  if (!exchange->resume.pending)
-    {
-      exchange->waited_ms
-          = csp_gateway_now_ms (exchange->gateway) - exchange->began_ms;
-      csp_observe_time (exchange->labels, CSP_TIME_WAITING,
-                        exchange->waited_ms * US_PER_MS);
-    }
+  if (exchange->resume.pending)
+    return;
+  exchange->waited_ms
+      = csp_gateway_now_ms (exchange->gateway) - exchange->began_ms;
+  csp_observe_time (exchange->labels, CSP_TIME_WAITING,
+                    exchange->waited_ms * US_PER_MS);
+}
+
+void
+csp_start_attempt (csp_exchange_t *exchange, csp_fleet_target_t *target)
+{
+  csp_count_attempt (exchange);
   csp_choose_backup (exchange, target);
   if (!csp_send_to_target (exchange, target, NULL))
     csp_fail_exchange (exchange, CSP_REASON_NO_TARGET,
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -120,8 +120,7 @@
       return;
     }
   hello.asks[0].id = ask.id;
-  hello.asks[0].service
-      = (uint32_t)csp_hash_pair ("service", exchange->service->name);
+  hello.asks[0].service = csp_service_hash (exchange->service);
   hello.asks[0].organisation = ask.organisation;
   hello.asks[0].prompt_tokens = ask.prompt_tokens;
   hello.asks[0].tokens = ask.tokens;
@@ -408,7 +407,7 @@
        gateway->routes != NULL
        && (service = csp_get_route_service_at (gateway->routes, i)) != NULL;
        i++)
-    if ((uint32_t)csp_hash_pair ("service", service->name) == hash)
+    if (csp_service_hash (service) == hash)
       return service;
   return NULL;
 }
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -184,6 +184,9 @@
 bool csp_send_to_target (csp_exchange_t *exchange, csp_fleet_target_t *target,
                          const char *copy);
 
+/* Count an attempt that is about to be sent, and the time until it.  */
+void csp_count_attempt (csp_exchange_t *exchange);
+
 /* Start a whole attempt, the first or a later one, at the given target; or
    choose the target by what this host knows.  */
 void csp_start_attempt (csp_exchange_t *exchange, csp_fleet_target_t *target);
--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -18,8 +18,7 @@
   /* With less time left no other host can serve the request.  */
   LEFT_MIN_MS = 30,
   /* Targets named in an offer.  */
-  OFFERED_LEAVING_MAX = 8,
-  US_PER_MS = 1000
+  OFFERED_LEAVING_MAX = 8
 };
 
 /* A body that is too long for the buffer is forwarded as it comes, which would
@@ -117,14 +116,8 @@
   uv_timer_stop (&exchange->move.timer);
   exchange->relay.state = CSP_RELAY_SENT;
   exchange->relay.sent = true;
-  exchange->attempts++;
   gateway->counts.relays++;
-  if (!exchange->resume.pending)
-    {
-      exchange->waited_ms = csp_gateway_now_ms (gateway) - exchange->began_ms;
-      csp_observe_time (exchange->labels, CSP_TIME_WAITING,
-                        exchange->waited_ms * US_PER_MS);
-    }
+  csp_count_attempt (exchange);
   write_relayed_head (exchange, &out);
   csp_send_request (exchange, &csp_relay_events, &out);
 }
