Relay requests only to hosts with the same version of the routes

Cause: a host accepted an offer if its routes were at least as new as the offering host's. One request went through a host that had the next version already, the next request through one that hadn't.

Change: the versions must be equal; an offer between two versions is refused as other-routes and made to another host.

--- a/include/cowslipspoke/relay.h
+++ b/include/cowslipspoke/relay.h
@@ -23,7 +23,7 @@
   CSP_OFFER_ACCEPTED,
   CSP_OFFER_BAD,          /* can't be parsed */
   CSP_OFFER_STOPPING,     /* the other host is stopping */
-  CSP_OFFER_OLDER_ROUTES, /* it has an older version of the routes */
+  CSP_OFFER_OTHER_ROUTES, /* it has another version of the routes */
   CSP_OFFER_UNREACHED,    /* it reaches no target of the service either */
   CSP_OFFER_FULL,         /* it relays as many requests as it may */
   CSP_OFFER_UNANSWERED,   /* no answer in time, or no connection */
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -10,7 +10,7 @@
      descriptors.  */
   RELAYED_MAX = 256,
   /* A new version of the routes reaches all hosts within milliseconds.  */
-  OLDER_ROUTES_MS = 50,
+  OTHER_ROUTES_MS = 50,
   FULL_MS = 100,
   /* A host that reaches a service again reports it within a second.  */
   UNREACHED_MS = 500,
@@ -28,7 +28,7 @@
     = { [CSP_OFFER_ACCEPTED] = { "accepted", 0 },
         [CSP_OFFER_BAD] = { "bad", STOPPING_MS },
         [CSP_OFFER_STOPPING] = { "stopping", STOPPING_MS },
-        [CSP_OFFER_OLDER_ROUTES] = { "older-routes", OLDER_ROUTES_MS },
+        [CSP_OFFER_OTHER_ROUTES] = { "other-routes", OTHER_ROUTES_MS },
         [CSP_OFFER_UNREACHED] = { "unreached", UNREACHED_MS },
         [CSP_OFFER_FULL] = { "full", FULL_MS },
         [CSP_OFFER_UNANSWERED] = { "unanswered", UNANSWERED_FIRST_MS } };
@@ -38,8 +38,10 @@
 {
   if (facts->stopping)
     return CSP_OFFER_STOPPING;
-  if (!facts->has_routes || facts->routes_version < facts->offered_version)
-    return CSP_OFFER_OLDER_ROUTES;
+  /* A caller whose requests are relayed through several hosts must not meet
+     a newer configuration and then an older one.  */
+  if (!facts->has_routes || facts->routes_version != facts->offered_version)
+    return CSP_OFFER_OTHER_ROUTES;
   if (!facts->service_reached)
     return CSP_OFFER_UNREACHED;
   if (facts->relayed_count >= RELAYED_MAX)
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -22,7 +22,8 @@
   STREAMED_BODY_BYTES = 100000, /* more than is buffered */
   HEAD_MAX_BYTES = 2000,        /* of the fixture */
   HEAD_PADDING_BYTES = HEAD_MAX_BYTES - 105,
-  WAIT_MS = 10000
+  WAIT_MS = 10000,
+  ROUTES_VERSION = 9
 };
 
 /* How connections to targets fail at the host that is cut off.  */
@@ -111,6 +112,19 @@
   return listener;
 }
 
+/* Offers are accepted only between hosts with one version of the routes.  */
+static void
+publish_routes_at_all_hosts (uint64_t version)
+{
+  size_t i;
+
+  for (i = 0; i < HOSTS; i++)
+    {
+      hosts[i].routes_version = version - 1;
+      fixture_await_updates (&hosts[i]);
+    }
+}
+
 static void
 list_targets (cut_t cut, const char *service)
 {
@@ -123,7 +137,7 @@
       fixture_list_target (&hosts[0], cut_sockets[i], target_ids[i], service);
     }
   fixture_send_update (&hosts[0], CSP_UPDATE_TARGETS_LISTED);
-  fixture_await_updates (&hosts[0]);
+  publish_routes_at_all_hosts (ROUTES_VERSION);
 }
 
 /* Wait for input at any of these sockets; returns the first one's index.  */
@@ -383,7 +397,7 @@
       others[i] = open_cut_socket (cuts_of_both[_i], other_fillers[i]);
       fixture_list_target (&hosts[1], others[i], target_ids[i], "plain");
     }
-  fixture_await_updates (&hosts[1]);
+  publish_routes_at_all_hosts (ROUTES_VERSION + 1);
   caller = open_caller (&hosts[0]);
   send_request (caller, "/once/x", "r1");
   text = read_until (caller, "}");
@@ -428,10 +442,11 @@
   const char *field;
   const char *answer;
 } offers[] = {
-  { "Cowslip-Relay: offer; service=00000001; routes=1\r\n", " 204 " },
-  { "Cowslip-Relay: offer; service=00000001; routes=9\r\n", "older-routes" },
+  { "Cowslip-Relay: offer; service=00000001; routes=9\r\n", " 204 " },
+  { "Cowslip-Relay: offer; service=00000001; routes=8\r\n", "other-routes" },
+  { "Cowslip-Relay: offer; service=00000001; routes=10\r\n", "other-routes" },
   { "Cowslip-Relay: offer; service=; routes=x\r\n", ": bad\r\n" },
-  { "Cowslip-Relay: offer; service=1; routes=1; leaving=,x,1,\r\n", " 204 " },
+  { "Cowslip-Relay: offer; service=1; routes=9; leaving=,x,1,\r\n", " 204 " },
   { "Cowslip-Relay: other\r\n", ": bad\r\n" },
   { "", " 400 " },
 };
@@ -455,7 +470,7 @@
       connect (host, (struct sockaddr *)&address, sizeof address), 0);
   snprintf (request, sizeof request,
             "GET /relay HTTP/1.1\r\nHost: r\r\nCowslip-Relay: offer; "
-            "service=1; routes=1; leaving=%016llx\r\n\r\n",
+            "service=1; routes=9; leaving=%016llx\r\n\r\n",
             (unsigned long long)csp_hash_pair ("target", target_ids[0]));
   send_text (host, request);
   read_until (host, " 204 ");
@@ -483,7 +498,7 @@
   list_targets (CUT_REFUSED, "plain");
   fixture_remove_target (&hosts[0], target_ids[1]);
   fixture_list_target (&hosts[0], targets[1], "t-3", "plain");
-  fixture_await_updates (&hosts[0]);
+  publish_routes_at_all_hosts (ROUTES_VERSION + 1);
   /* One of two targets is down, which a request finds out.  */
   caller = open_caller (&hosts[0]);
   while (strstr (fixture_get_page (&hosts[0], "/metrics"),
@@ -503,7 +518,7 @@
       connect (host, (struct sockaddr *)&address, sizeof address), 0);
   snprintf (request, sizeof request,
             "GET /relay HTTP/1.1\r\nHost: r\r\nCowslip-Relay: offer; "
-            "service=%08x; routes=1; reached=%s\r\n\r\n",
+            "service=%08x; routes=10; reached=%s\r\n\r\n",
             (uint32_t)csp_hash_pair ("service", "plain"),
             _i == 0 ? "some" : "none");
   send_text (host, request);
