--- a/include/cowslipspoke/dialect.h
+++ b/include/cowslipspoke/dialect.h
@@ -18,6 +18,7 @@
   CSP_HEADER_REMAINING_TIME, /* the request's remaining time in ms */
   CSP_HEADER_KEY,            /* the caller's API key as the whole value */
   CSP_HEADER_TOKENS,         /* "PROMPT,OUTPUT_MAX" */
+  CSP_HEADER_PROMPT_PARTS,   /* see prompt-parts.h */
   CSP_HEADER_OUTPUT_HINT,    /* the caller's estimate of the output tokens */
   CSP_HEADER_LAST_EVENT, /* id of the last event received; the stream continues
                           after it */
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -2,6 +2,7 @@
 #include "gateway/gateway-exchange-imp.h"
 
 #include "cowslipspoke/fingerprint.h"
+#include "cowslipspoke/prompt-parts.h"
 
 /* Damping of targets that lose attempts, see damping.h: counting this host's
    losses, applying those that other hosts report, and logging.
@@ -145,16 +146,22 @@
 note_connection_ended (csp_exchange_t *exchange, const char *detail)
 {
   csp_gateway_t *gateway = exchange->gateway;
+  int64_t now_ms = csp_gateway_now_ms (gateway);
   char fingerprint[CSP_FINGERPRINT_TEXT_BYTES];
+  char parts[CSP_PROMPT_PARTS_TEXT_BYTES];
 
+  csp_format_prompt_parts (csp_exchange_parts (exchange), parts);
   csp_print_fingerprint (csp_exchange_fingerprint (exchange), fingerprint);
   CSP_LOG (
       gateway->log, CSP_EVENT_ATTEMPT_LOST, exchange->request_id,
       csp_text ("target", exchange->target->row.id),
-      csp_text ("fingerprint", fingerprint), csp_text ("detail", detail),
+      csp_text ("fingerprint", fingerprint), csp_text ("parts", parts),
+      csp_text ("detail", detail),
       csp_number ("events", (int64_t)exchange->events),
-      csp_number ("sent_ms",
-                  csp_gateway_now_ms (gateway) - exchange->sent_at_ms),
+      csp_number ("sent_ms", now_ms - exchange->sent_at_ms),
+      csp_number ("run_ms", exchange->run_started_ms == 0
+                                ? -1
+                                : now_ms - exchange->run_started_ms),
       csp_number ("target_requests", (int64_t)exchange->target->own.requests));
   csp_note_connection_lost (exchange);
 }
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -107,6 +107,8 @@
   uint64_t reading_tokens; /* counted in the target's prompts being read */
   uint64_t movable_tokens; /* counted in the target's streams to move */
   uint64_t fingerprint;    /* see fingerprint.h; 0: not computed yet */
+  bool parts_read;
+  csp_prompt_parts_t parts;
   csp_buffer_t body;
   bool body_whole;
   bool body_streams; /* longer than the buffer, so forwarded as it comes */
@@ -228,6 +230,10 @@
    piece of a long body, has come.  */
 uint64_t csp_exchange_fingerprint (csp_exchange_t *exchange);
 
+/* The parts of the prompt that the request shares with others.  Valid once it
+   has a service.  */
+const csp_prompt_parts_t *csp_exchange_parts (csp_exchange_t *exchange);
+
 /* Whether the request is quarantined and may not be sent to any target; and
    end it for that reason.  */
 bool csp_is_quarantined (csp_exchange_t *exchange);
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -7,6 +7,7 @@
 #include "cowslipspoke/link.h"
 #include "cowslipspoke/metrics.h"
 #include "cowslipspoke/page.h"
+#include "cowslipspoke/prompt-parts.h"
 #include "cowslipspoke/quarantine.h"
 #include "cowslipspoke/reach.h"
 #include "cowslipspoke/refusal-limit.h"
--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -34,6 +34,20 @@
   return exchange->fingerprint;
 }
 
+const csp_prompt_parts_t *
+csp_exchange_parts (csp_exchange_t *exchange)
+{
+  const char *name
+      = exchange->gateway->dialect->names[CSP_HEADER_PROMPT_PARTS];
+
+  if (!exchange->parts_read)
+    csp_read_prompt_parts (
+        csp_find_http_field (csp_caller_request_head (exchange->caller), name),
+        csp_service_hash (exchange->service), &exchange->parts);
+  exchange->parts_read = true;
+  return &exchange->parts;
+}
+
 bool
 csp_is_quarantined (csp_exchange_t *exchange)
 {
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -68,6 +68,7 @@
                    [CSP_HEADER_KEY] = "Key",
                    [CSP_HEADER_TOKENS] = "Tokens",
                    [CSP_HEADER_OUTPUT_HINT] = "Output-Hint",
+                   [CSP_HEADER_PROMPT_PARTS] = "Prompt-Parts",
                    [CSP_HEADER_LAST_EVENT] = "Last-Event-Id",
                    [CSP_HEADER_ORGANISATION] = "Organisation",
                    [CSP_HEADER_TARGET_ID] = "Target-Id",
