Test: a part of prompts under which targets end

Reproduces the incident without engines of its own: two hosts, four targets that end under requests that are different but for one part of their prompts (first, middle, last shared one), sound requests served between them.

--- a/tests/gateway/quarantine-test.c
+++ b/tests/gateway/quarantine-test.c
@@ -9,23 +9,30 @@
 #include <string.h>
 #include <unistd.h>
 
-/* A request that makes targets end is sent again and again, through any
-   host.  */
+/* A request that makes targets end is sent again and again, through any host;
+   or many requests that share the part of a prompt which does so.  */
 
 enum
 {
   HOSTS = 2,
-  WAIT_MS = 10000
+  WAIT_MS = 10000,
+  /* Targets that end under a part until it is surely held, and the time
+     between two of them.  */
+  ENDS = 4,
+  BETWEEN_ENDS_MS = 700,
+  BODY_BYTES = 16
 };
 
 static fixture_t hosts[HOSTS];
 static struct sockaddr_in datagram_addresses[HOSTS];
+static const char *prompt_parts; /* of the requests to send; NULL: none */
 
 static void
 set_up (void)
 {
   size_t i;
 
+  prompt_parts = NULL;
   for (i = 0; i < HOSTS; i++)
     {
       datagram_addresses[i]
@@ -59,9 +66,9 @@
 
   snprintf (request, sizeof request,
             "POST /once/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
-            "Request-Id: %s\r\nTime-Left: 3000\r\nContent-Length: %zu\r\n\r\n"
-            "%s",
-            id, strlen (body), body);
+            "Request-Id: %s\r\nTime-Left: 3000\r\nPrompt-Parts: %s\r\n"
+            "Content-Length: %zu\r\n\r\n%s",
+            id, prompt_parts == NULL ? "" : prompt_parts, strlen (body), body);
   send_text (caller, request);
 }
 
@@ -230,6 +237,65 @@
 }
 END_TEST
 
+/* Targets end under requests that have nothing but one part in common, sound
+   ones are served beside; all share the first part.  */
+static void
+end_targets_under_part (const char *guilty, const char *sound)
+{
+  char name[BODY_BYTES];
+  size_t i;
+
+  for (i = 0; i < ENDS; i++)
+    {
+      prompt_parts = guilty;
+      snprintf (name, sizeof name, "guilty-%zu", i);
+      end_target_during_request (&hosts[i % HOSTS], name, name);
+      prompt_parts = sound;
+      csp_advance_fake_clock (&hosts[0].fake_clock, BETWEEN_ENDS_MS);
+      csp_advance_fake_clock (&hosts[1].fake_clock, BETWEEN_ENDS_MS);
+      snprintf (name, sizeof name, "sound-%zu", i);
+      answer_at_target (&hosts[i % HOSTS], name, name, "200 OK");
+    }
+}
+
+static void
+await_held_part (fixture_t *host)
+{
+  while (strstr (fixture_get_page (host, "/metrics"), "_held_parts 1\n")
+         == NULL)
+    continue;
+}
+
+static const struct
+{
+  const char *guilty; /* parts of the requests under which targets end */
+  const char *sound;  /* parts of the requests beside them */
+} shared_parts[] = {
+  { "bad:9,e1:1,1:1", "c0:9,e1:1,2:1" },
+  { "c0:9,bad:9,1:1", "c0:9,e1:1,2:1" },
+  { "c0:9,e1:9,bad:9,1:1", "c0:9,e1:1,f1:1,2:1" },
+};
+
+/* Guards against a part of prompts under which target after target ends, as no
+   two requests with it are alike.  */
+START_TEST (a_part_under_which_targets_ended_reaches_no_other)
+{
+  size_t i;
+
+  end_targets_under_part (shared_parts[_i].guilty, shared_parts[_i].sound);
+  for (i = 0; i < HOSTS; i++)
+    {
+      await_held_part (&hosts[i]);
+      prompt_parts = shared_parts[_i].guilty;
+      ck_assert (!reaches_target (&hosts[i], "one more"));
+      ck_assert_ptr_nonnull (strstr (refusal, " 503 "));
+      ck_assert_ptr_nonnull (strstr (refusal, "Retry-After: "));
+      prompt_parts = shared_parts[_i].sound;
+      ck_assert (reaches_target (&hosts[i], "one more"));
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -245,6 +311,9 @@
                        sizeof intervening_answers
                            / sizeof intervening_answers[0]);
   tcase_add_test (tests, other_requests_are_still_served);
+  tcase_add_loop_test (tests,
+                       a_part_under_which_targets_ended_reaches_no_other, 0,
+                       sizeof shared_parts / sizeof shared_parts[0]);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
 }
