Hold parts of prompts under which targets end

Cause: hosts tell a request by the hash of all of it. Each of these was new, had one strike and never reached the third, although every host knew the ends and every request named the part that they have in common. The class of fault: evidence is gathered under the identity of a request, while the harm belongs to something that requests share.

Change: each end of a target is also a strike against the shared parts of the requests there that hadn't been answering for a second. Hosts tell each other their strikes; an answer that began later and came whole, or ran on for half a second, takes them back. A part with four strikes that no more suspicious part explains is held at all hosts: requests with it are refused at once, those that wait at targets are closed, and neither a placement, a rescue nor a move sends one. The hold ends with a trial, one request at one host.

Why it works: a part that all requests share is served again and again while the guilty one never is; where nothing is served, ends are put down first to the part whose last sound answer is oldest.

--- /dev/null
+++ b/include/cowslipspoke/part-quarantine.h
@@ -0,0 +1,170 @@
+#ifndef COWSLIPSPOKE_PART_QUARANTINE_H
+#define COWSLIPSPOKE_PART_QUARANTINE_H
+
+#include "cowslipspoke/prompt-parts.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Quarantine of prompt parts that crash the targets that run them.
+
+   Load pattern: one part of a prompt crashes every target that begins to
+   answer a request with it.  The requests differ from one another, come
+   through all hosts, and share their other parts with sound requests.  A
+   quarantine of single requests (see quarantine.h) never sees one of them
+   twice, and the fleet loses a target per request.
+
+   Each target that ends is a strike against the parts of the requests there
+   that had not been answering for some time.  Hosts exchange strikes and keep
+   the union.  An answer that began after a strike and came whole, or ran on,
+   shows that its parts are sound and takes the strike back; an older answer
+   shows nothing, as a part may begin to crash targets at any time.
+
+   A part is held when it has CSP_PART_STRIKES_HELD strikes that no more
+   suspicious part explains.  Parts of which the last sound answer began
+   longer ago are more suspicious, so a part that all requests share gives way
+   to the one that only the crashing requests have.  Ends at one moment can
+   have a cause of their own, a failed data centre for instance; they hold a
+   part only if other requests to the service have been served since.
+
+   A hold ends with a trial: one request at a time is let through, first by
+   the host that began the hold.  A further strike renews and doubles the
+   hold.  */
+
+enum
+{
+  CSP_PART_STRIKES_HELD = 4,
+  /* Strikes that are kept for each part.  */
+  CSP_PART_STRIKES_KEPT = 8,
+  /* Size of a host's table of parts with strikes.  */
+  CSP_SUSPECTED_PARTS_MAX = 256,
+  /* An answer that has run on for this long shows that its parts are
+     sound.  */
+  CSP_PART_SOUND_AFTER_MS = 500,
+  /* A request that has been answering for this long when its target ends gets
+     no strike.  */
+  CSP_PART_INNOCENT_AFTER_MS = 1000
+};
+
+/* A target ended while a request with the part was there.  */
+typedef struct
+{
+  uint64_t part;
+  uint64_t target;   /* hash of the target incarnation */
+  uint32_t position; /* of the part in the prompt; 0: the first */
+  uint32_t age_ms;
+} csp_part_strike_t;
+
+/* An answer that shows that the part is sound began this long ago.  */
+typedef struct
+{
+  uint64_t part;
+  uint32_t age_ms;
+} csp_sound_part_t;
+
+typedef struct
+{
+  uint64_t part;
+  uint32_t left_ms;       /* of the hold */
+  uint32_t strike_age_ms; /* since the last strike */
+  uint32_t failed_trials; /* expired holds that were followed by a strike */
+} csp_held_part_t;
+
+/* The effect of a strike or of another host's hold.  */
+typedef enum
+{
+  CSP_PART_UNCHANGED,
+  CSP_PART_STRUCK,
+  CSP_PART_HELD, /* its hold has just begun */
+  CSP_PART_SOUND /* an answer that began later shows that it is sound */
+} csp_part_change_t;
+
+/* Hosts whose strikes an answer has taken back, packed as by csp_pack_peer,
+   and whether it ended the part's hold.  */
+typedef struct
+{
+  size_t reporter_count;
+  uint64_t reporters[CSP_PART_STRIKES_KEPT];
+  bool lifted;
+  bool held_here; /* this host had begun the hold */
+} csp_part_acquittal_t;
+
+/* Tells whether a target that had a strike at a time has not been heard of
+   since.  */
+typedef struct
+{
+  bool (*has_ended) (void *state, uint64_t target, int64_t at_ms);
+  void *state;
+} csp_target_ends_t;
+
+typedef struct csp_part_quarantine csp_part_quarantine_t;
+
+/* Returns NULL when out of memory.  */
+csp_part_quarantine_t *csp_create_part_quarantine (void);
+void csp_destroy_part_quarantine (csp_part_quarantine_t *quarantine);
+
+/* Records a strike.  reporter: the host that saw it, packed; 0: this host,
+   which will broadcast it.  */
+csp_part_change_t csp_add_part_strike (csp_part_quarantine_t *quarantine,
+                                       const csp_part_strike_t *strike,
+                                       uint64_t reporter, int64_t now_ms);
+
+/* Records that an answer that began at began_ms shows that the part is
+   sound.  */
+csp_part_acquittal_t csp_note_sound_part (csp_part_quarantine_t *quarantine,
+                                          uint64_t part, int64_t began_ms,
+                                          int64_t now_ms);
+
+/* The last answer that shows that the part is sound; false if none is
+   known.  */
+bool csp_find_sound_part (const csp_part_quarantine_t *quarantine,
+                          uint64_t part, csp_sound_part_t *sound,
+                          int64_t now_ms);
+
+/* Begins the holds that are due, of parts that this host has strikes against,
+   and lists those parts.  Call it periodically.  */
+size_t csp_hold_suspected_parts (csp_part_quarantine_t *quarantine,
+                                 const csp_target_ends_t *ends,
+                                 uint64_t *parts, size_t capacity,
+                                 int64_t now_ms);
+
+/* Adopts a hold of another host.  */
+csp_part_change_t csp_merge_held_part (csp_part_quarantine_t *quarantine,
+                                       const csp_held_part_t *held,
+                                       int64_t now_ms);
+
+/* Returns the longest remaining hold of any of the parts; 0 when a request
+   with them may be sent.  */
+uint32_t csp_held_part_left_ms (const csp_part_quarantine_t *quarantine,
+                                const csp_prompt_parts_t *parts,
+                                int64_t now_ms);
+
+/* A request with these parts is sent to a target; of a part on trial no other
+   one is, until that one has an answer or some time has passed.  */
+void csp_begin_part_trials (csp_part_quarantine_t *quarantine,
+                            const csp_prompt_parts_t *parts, int64_t now_ms);
+
+/* List what has to be broadcast now, and count one broadcast for each.  */
+size_t csp_take_part_strikes (csp_part_quarantine_t *quarantine,
+                              csp_part_strike_t *strikes, size_t capacity,
+                              int64_t now_ms);
+size_t csp_take_held_parts (csp_part_quarantine_t *quarantine,
+                            csp_held_part_t *held, size_t capacity,
+                            int64_t now_ms);
+
+/* Lists held parts to include in a hello, round robin.  */
+size_t csp_list_held_parts (csp_part_quarantine_t *quarantine,
+                            csp_held_part_t *held, size_t capacity,
+                            int64_t now_ms);
+
+/* Drops old strikes and holds that expired long ago.  Call it
+   periodically.  */
+void csp_expire_part_strikes (csp_part_quarantine_t *quarantine,
+                              int64_t now_ms);
+
+size_t csp_count_suspected_parts (const csp_part_quarantine_t *quarantine);
+size_t csp_count_held_parts (const csp_part_quarantine_t *quarantine,
+                             int64_t now_ms);
+
+#endif
--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -2,6 +2,7 @@
 #define COWSLIPSPOKE_ROSTER_H
 
 #include "cowslipspoke/buffer.h"
+#include "cowslipspoke/part-quarantine.h"
 #include "cowslipspoke/quarantine.h"
 #include "cowslipspoke/random.h"
 #include "cowslipspoke/rate-limit.h"
@@ -45,6 +46,9 @@
   CSP_HELLO_LEAVING_MAX = 8,
   CSP_HELLO_LEASES_MAX = 2,
   CSP_HELLO_SUSPECTS_MAX = 4,
+  CSP_HELLO_PART_STRIKES_MAX = 16,
+  CSP_HELLO_HELD_PARTS_MAX = 4,
+  CSP_HELLO_SOUND_PARTS_MAX = 16,
   CSP_HELLO_RATES_MAX = 8,
   CSP_HELLO_GRANTS_MAX = 2,
   CSP_HELLO_UNREACHED_MAX = 8,
@@ -78,6 +82,7 @@
 
 /* Packs address and port into one number; 0 is none.  */
 uint64_t csp_pack_peer (csp_peer_address_t peer);
+csp_peer_address_t csp_unpack_peer (uint64_t packed);
 
 /* Formats address and port for logs.  */
 void csp_format_peer (csp_peer_address_t peer, char text[CSP_PEER_TEXT_BYTES]);
@@ -238,6 +243,12 @@
   csp_suspect_t suspects[CSP_HELLO_SUSPECTS_MAX];
   size_t cleared_count;
   uint64_t cleared[CSP_HELLO_SUSPECTS_MAX]; /* requests cleared of suspicion */
+  size_t part_strike_count;
+  csp_part_strike_t part_strikes[CSP_HELLO_PART_STRIKES_MAX];
+  size_t held_part_count;
+  csp_held_part_t held_parts[CSP_HELLO_HELD_PARTS_MAX];
+  size_t sound_part_count;
+  csp_sound_part_t sound_parts[CSP_HELLO_SOUND_PARTS_MAX];
 } csp_hello_t;
 
 /* Encodes a hello; false when memory allocation fails or the hello is too
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -371,6 +371,11 @@
     {
       csp_note_damping_success (&exchange->target->damping);
       csp_note_request_served (exchange);
+      /* A target that ends closes its connections too.  */
+      if (!exchange->until_close)
+        csp_note_parts_sound (exchange, exchange->run_started_ms != 0
+                                            ? exchange->run_started_ms
+                                            : exchange->sent_at_ms);
     }
   exchange->link = NULL;
   csp_release_link (exchange->gateway, exchange->target, link);
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -236,6 +236,7 @@
 
   if (link == NULL)
     return false;
+  csp_begin_exchange_trial (exchange);
   exchange->relay.sent = false;
   exchange->link = link;
   exchange->target = target;
@@ -279,6 +280,11 @@
 void
 csp_start_attempt (csp_exchange_t *exchange, csp_fleet_target_t *target)
 {
+  if (csp_is_quarantined (exchange))
+    {
+      csp_refuse_quarantined (exchange);
+      return;
+    }
   csp_count_attempt (exchange);
   csp_choose_backup (exchange, target);
   if (!csp_send_to_target (exchange, target, NULL))
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -164,6 +164,7 @@
                                 : now_ms - exchange->run_started_ms),
       csp_number ("target_requests", (int64_t)exchange->target->own.requests));
   csp_note_connection_lost (exchange);
+  csp_note_part_strikes (exchange);
 }
 
 void
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -109,6 +109,8 @@
   uint64_t fingerprint;    /* see fingerprint.h; 0: not computed yet */
   bool parts_read;
   csp_prompt_parts_t parts;
+  /* Start of the run that has shown that the parts are sound; 0: none.  */
+  int64_t sound_run_ms;
   csp_buffer_t body;
   bool body_whole;
   bool body_streams; /* longer than the buffer, so forwarded as it comes */
@@ -239,6 +241,40 @@
 bool csp_is_quarantined (csp_exchange_t *exchange);
 void csp_refuse_quarantined (csp_exchange_t *exchange);
 
+/* Whether an exchange carries a fingerprint, or a part.  */
+typedef bool (*csp_exchange_match_t) (csp_exchange_t *exchange,
+                                      uint64_t value);
+
+/* End the exchanges that match a value and wait here or in a target's queue:
+   each would end one more target when it runs.  not_this is the exchange that
+   is being handled; NULL: none is.  */
+void csp_end_unanswered (csp_gateway_t *gateway, csp_exchange_match_t matches,
+                         uint64_t value, const csp_exchange_t *not_this);
+
+/* Move the matching streams from targets that began to leave while they were
+   quarantined.  */
+void csp_move_cleared_streams (csp_gateway_t *gateway,
+                               csp_exchange_match_t matches, uint64_t value,
+                               const csp_exchange_t *not_this);
+
+/* Part: see gateway-part.c.  The longest remaining hold of the request's
+   parts; 0 where it may be sent.  */
+uint32_t csp_exchange_part_hold_ms (csp_exchange_t *exchange);
+
+/* The request is sent to a target: it is the trial of those of its parts whose
+   hold is over.  */
+void csp_begin_exchange_trial (csp_exchange_t *exchange);
+
+/* The target ended: count a strike against each part.  */
+void csp_note_part_strikes (csp_exchange_t *exchange);
+
+/* An answer that began at began_ms came whole.  */
+void csp_note_parts_sound (csp_exchange_t *exchange, int64_t began_ms);
+
+/* An event has come: see whether the run has gone on for long enough to show
+   that the parts are sound.  */
+void csp_note_parts_run_on (csp_exchange_t *exchange);
+
 /* The target closed or reset the connection before the answer's end: count a
    strike against the request.  */
 void csp_note_connection_lost (csp_exchange_t *exchange);
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -40,6 +40,7 @@
      report        queries targets while the platform can't be read
      cordon        applies the operators' cordons
      quarantine    refuses requests that make targets end
+     part          refuses requests with parts that make targets end
      target-state  handles what targets report of themselves in answers
      rate          handles rate limits that targets state, and reports them
      grant         asks the decider before a limited target is sent a request
@@ -139,9 +140,11 @@
   uint64_t quarantined;    /* requests whose targets ended while they ran */
   /* Attempts of those requests that were refused.  */
   uint64_t quarantine_refused;
-  uint64_t rate_grants;  /* by this host as the decider, to itself too */
-  uint64_t rate_refused; /* requests rejected for lack of a grant */
-  uint64_t relays;       /* requests that were relayed to other hosts */
+  uint64_t parts_held;    /* holds of prompt parts that have begun here */
+  uint64_t parts_refused; /* attempts refused for a held part */
+  uint64_t rate_grants;   /* by this host as the decider, to itself too */
+  uint64_t rate_refused;  /* requests rejected for lack of a grant */
+  uint64_t relays;        /* requests that were relayed to other hosts */
   uint64_t relays_refused;
   uint64_t relay_offers_failed;
   uint64_t relayed;         /* requests that other hosts relayed to this one */
@@ -177,6 +180,7 @@
   int64_t isolated_since_ms; /* no engine is reachable; 0: one is */
   csp_dispatch_t *dispatch;
   csp_quarantine_t *quarantine;
+  csp_part_quarantine_t *part_quarantine;
   uint64_t next_ask_id;
   csp_buffer_t local_answers; /* a sequence of csp_ask_answer_t */
   bool handling_answers;
@@ -517,6 +521,13 @@
 /* Add some suspects to a periodic hello.  */
 void csp_add_suspects_to_hello (csp_gateway_t *gateway, csp_hello_t *hello);
 
+/* Parts: see gateway-part.c.  Begin and broadcast the holds that are due, and
+   broadcast this host's strikes.  Call it periodically.  */
+void csp_update_held_parts (csp_gateway_t *gateway);
+void csp_add_held_parts_to_hello (csp_gateway_t *gateway, csp_hello_t *hello);
+void csp_handle_part_hello (csp_gateway_t *gateway, csp_peer_address_t from,
+                            const csp_hello_t *hello);
+
 /* Handle the suspects of another host, and the requests that it has
    cleared.  */
 void csp_handle_suspects (csp_gateway_t *gateway, csp_peer_address_t from,
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -133,6 +133,7 @@
       csp_gateway_now_ms (gateway));
   csp_add_relay_to_hello (gateway, &hello);
   csp_add_suspects_to_hello (gateway, &hello);
+  csp_add_held_parts_to_hello (gateway, &hello);
   csp_add_rates_to_hello (gateway, &hello);
   csp_send_hello (gateway, &hello, &peer, 1);
 }
@@ -148,6 +149,7 @@
                                               csp_gateway_now_ms (gateway));
   csp_add_relay_to_hello (gateway, &reply);
   csp_add_suspects_to_hello (gateway, &reply);
+  csp_add_held_parts_to_hello (gateway, &reply);
   csp_add_rates_to_hello (gateway, &reply);
   csp_send_hello (gateway, &reply, &peer, 1);
 }
@@ -215,6 +217,7 @@
     answer_hello (gateway, peer, &hello);
   csp_handle_leaving_notices (gateway, &hello);
   csp_handle_suspects (gateway, peer, &hello);
+  csp_handle_part_hello (gateway, peer, &hello);
   csp_handle_rates (gateway, peer, &hello);
   csp_handle_grant_hello (gateway, peer, &hello);
   csp_handle_lease_hello (gateway, peer, &hello);
--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -14,7 +14,8 @@
   PERIODIC_SUSPECTS_MAX = 2
 };
 
-static const char refusal_detail[] = "targets ended under this request";
+static const char request_detail[] = "targets ended under this request";
+static const char part_detail[] = "targets ended under a part of its prompt";
 
 uint64_t
 csp_exchange_fingerprint (csp_exchange_t *exchange)
@@ -48,28 +49,40 @@
   return &exchange->parts;
 }
 
-bool
-csp_is_quarantined (csp_exchange_t *exchange)
+/* The remaining hold of the request itself; 0: none.  */
+static uint32_t
+request_hold_ms (csp_exchange_t *exchange)
 {
   csp_gateway_t *gateway = exchange->gateway;
 
-  return csp_count_suspects (gateway->quarantine) > 0
-         && csp_quarantine_left_ms (gateway->quarantine,
-                                    csp_exchange_fingerprint (exchange),
-                                    csp_gateway_now_ms (gateway))
-                > 0;
+  if (csp_count_suspects (gateway->quarantine) == 0)
+    return 0;
+  return csp_quarantine_left_ms (gateway->quarantine,
+                                 csp_exchange_fingerprint (exchange),
+                                 csp_gateway_now_ms (gateway));
+}
+
+bool
+csp_is_quarantined (csp_exchange_t *exchange)
+{
+  return request_hold_ms (exchange) > 0
+         || csp_exchange_part_hold_ms (exchange) > 0;
 }
 
 void
 csp_refuse_quarantined (csp_exchange_t *exchange)
 {
-  csp_gateway_t *gateway = exchange->gateway;
-
-  gateway->counts.quarantine_refused++;
-  exchange->retry_after_ms = csp_quarantine_left_ms (
-      gateway->quarantine, csp_exchange_fingerprint (exchange),
-      csp_gateway_now_ms (gateway));
-  csp_fail_exchange (exchange, CSP_REASON_QUARANTINED, refusal_detail);
+  csp_gateway_counts_t *counts = &exchange->gateway->counts;
+  uint32_t request_ms = request_hold_ms (exchange);
+  uint32_t part_ms = csp_exchange_part_hold_ms (exchange);
+
+  if (request_ms > 0)
+    counts->quarantine_refused++;
+  else
+    counts->parts_refused++;
+  exchange->retry_after_ms = request_ms > part_ms ? request_ms : part_ms;
+  csp_fail_exchange (exchange, CSP_REASON_QUARANTINED,
+                     request_ms > 0 ? request_detail : part_detail);
 }
 
 /* Whether its answer has begun, so that it runs without harm to its
@@ -90,12 +103,9 @@
          && csp_exchange_fingerprint (exchange) == fingerprint;
 }
 
-/* End the exchanges of a quarantined request that wait here or in a target's
-   queue: each would end one more target when it runs.  not_this is the
-   exchange that is being handled.  */
-static void
-end_unanswered (csp_gateway_t *gateway, uint64_t fingerprint,
-                const csp_exchange_t *not_this)
+void
+csp_end_unanswered (csp_gateway_t *gateway, csp_exchange_match_t matches,
+                    uint64_t value, const csp_exchange_t *not_this)
 {
   csp_exchange_t *exchange = gateway->exchanges;
 
@@ -104,7 +114,7 @@
       csp_exchange_t *next = exchange->next;
 
       if (exchange != not_this && !has_answer (exchange)
-          && is_request (exchange, fingerprint))
+          && matches (exchange, value))
         {
           exchange->may_have_run = csp_exchange_may_have_run (exchange);
           csp_refuse_quarantined (exchange);
@@ -127,7 +137,7 @@
                                       gateway->quarantine, fingerprint,
                                       csp_gateway_now_ms (gateway))),
            csp_text ("told_by", reported_by));
-  end_unanswered (gateway, fingerprint, not_this);
+  csp_end_unanswered (gateway, is_request, fingerprint, not_this);
 }
 
 void
@@ -175,11 +185,9 @@
     csp_broadcast_suspects (gateway);
 }
 
-/* Move the request's streams from targets that began to leave while it was
-   quarantined.  not_this is the exchange that is being handled.  */
-static void
-move_cleared_streams (csp_gateway_t *gateway, uint64_t fingerprint,
-                      const csp_exchange_t *not_this)
+void
+csp_move_cleared_streams (csp_gateway_t *gateway, csp_exchange_match_t matches,
+                          uint64_t value, const csp_exchange_t *not_this)
 {
   csp_exchange_t *exchange = gateway->exchanges;
 
@@ -187,8 +195,8 @@
     {
       csp_exchange_t *next = exchange->next;
 
-      if (exchange != not_this && is_request (exchange, fingerprint)
-          && exchange->target != NULL
+      if (exchange != not_this && exchange->target != NULL
+          && matches (exchange, value)
           && (exchange->target->state == CSP_FLEET_LEAVING
               || exchange->target->state == CSP_FLEET_GONE))
         csp_consider_move (exchange);
@@ -213,7 +221,7 @@
   csp_print_fingerprint (fingerprint, text);
   CSP_LOG (gateway->log, CSP_EVENT_QUARANTINE_LIFTED, NULL,
            csp_text ("fingerprint", text), csp_text ("told_by", reported_by));
-  move_cleared_streams (gateway, fingerprint, not_this);
+  csp_move_cleared_streams (gateway, is_request, fingerprint, not_this);
 }
 
 void
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -257,6 +257,8 @@
       csp_schedule_load_report (exchange->gateway);
       csp_complete_resume (exchange);
     }
+  else
+    csp_note_parts_run_on (exchange);
   if (exchange->move.state == CSP_MOVE_RESUMING)
     csp_complete_move (exchange);
   else if (first && exchange->move.wanted)
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -343,6 +343,7 @@
   csp_resume_silent_streams (gateway);
   csp_expire_suspects (gateway->quarantine, csp_gateway_now_ms (gateway));
   csp_broadcast_suspects (gateway);
+  csp_update_held_parts (gateway);
   csp_repeat_rate_notices (gateway);
   csp_update_decider_role (gateway);
   csp_update_target_dampings (gateway);
@@ -421,7 +422,9 @@
   gateway->fleet = csp_create_fleet (on_target_left, on_target_freed, gateway);
   gateway->request_metrics = csp_create_metrics (CSP_SERIES_MAX);
   gateway->quarantine = csp_create_quarantine ();
-  if (gateway->request_metrics == NULL || gateway->quarantine == NULL)
+  gateway->part_quarantine = csp_create_part_quarantine ();
+  if (gateway->request_metrics == NULL || gateway->quarantine == NULL
+      || gateway->part_quarantine == NULL)
     goto fail;
   if (gateway->fleet != NULL)
     gateway->dispatch = csp_create_dispatch (
@@ -488,6 +491,7 @@
   csp_close_gateway_peers (gateway);
   csp_destroy_metrics (gateway->request_metrics);
   csp_destroy_quarantine (gateway->quarantine);
+  csp_destroy_part_quarantine (gateway->part_quarantine);
   free (gateway);
 }
 
--- /dev/null
+++ b/source/quarantine/part-quarantine-imp.h
@@ -0,0 +1,80 @@
+#ifndef COWSLIPSPOKE_PART_QUARANTINE_IMP_H
+#define COWSLIPSPOKE_PART_QUARANTINE_IMP_H
+
+#include "cowslipspoke/part-quarantine.h"
+
+/* The table of parts with strikes.
+
+     part-quarantine      strikes, sound answers, holds
+     part-quarantine-hold which parts are to be held
+     part-quarantine-list what hosts report to each other  */
+
+enum
+{
+  /* Sound answers that are remembered, and services.  */
+  CSP_SOUND_ROWS = 1024,
+  CSP_SOUND_SERVICES = 16
+};
+
+typedef struct
+{
+  uint64_t target;
+  int64_t at_ms;
+  uint64_t reporter; /* 0: this host */
+  uint8_t broadcasts_left;
+} csp_strike_row_t;
+
+/* Strikes are in order of their time.  */
+typedef struct
+{
+  uint64_t part; /* 0: unused row */
+  uint32_t position;
+  size_t strike_count;
+  csp_strike_row_t strikes[CSP_PART_STRIKES_KEPT];
+  int64_t struck_at_ms;   /* the last strike, also of those taken back */
+  int64_t held_until_ms;  /* 0: never held; see csp_part_hold_end_ms */
+  int64_t trial_until_ms; /* a request with the part is on its way */
+  uint32_t failed_trials;
+  uint8_t broadcasts_left; /* of its hold */
+  bool held_here;          /* this host began the hold */
+} csp_part_row_t;
+
+typedef struct
+{
+  uint64_t part;    /* of a service: its hash */
+  int64_t began_ms; /* the last answer that shows that it is sound */
+} csp_sound_row_t;
+
+struct csp_part_quarantine
+{
+  size_t count; /* rows in use */
+  size_t next_row;
+  csp_part_row_t rows[CSP_SUSPECTED_PARTS_MAX];
+  csp_sound_row_t sound[CSP_SOUND_ROWS];
+  csp_sound_row_t services[CSP_SOUND_SERVICES];
+};
+
+/* When the last answer that shows that the part is sound began; 0: none is
+   known.  */
+int64_t csp_sound_since_ms (const csp_part_quarantine_t *quarantine,
+                            uint64_t part);
+
+/* The same of any request to the part's service.  */
+int64_t csp_service_sound_since_ms (const csp_part_quarantine_t *quarantine,
+                                    uint64_t part);
+
+/* When this host may try the part.  The host that began the hold does so
+   first.  */
+int64_t csp_part_hold_end_ms (const csp_part_row_t *row);
+
+/* Whether the part is held, or on trial behind a hold.  */
+bool csp_is_part_held (const csp_part_row_t *row, int64_t now_ms);
+bool csp_is_part_on_trial (const csp_part_row_t *row, int64_t now_ms);
+
+/* Begin a hold of this host.  */
+void csp_begin_part_hold (csp_part_row_t *row, int64_t now_ms);
+
+/* Drop a strike; the others stay in order.  */
+void csp_drop_part_strike (csp_part_row_t *row, size_t index);
+
+#endif
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -31,6 +31,12 @@
   CspHello__Suspect *suspect_rows[CSP_HELLO_SUSPECTS_MAX];
   csp_suspect_t suspect_copies[CSP_HELLO_SUSPECTS_MAX];
   uint64_t cleared[CSP_HELLO_SUSPECTS_MAX];
+  CspHello__PartStrike part_strikes[CSP_HELLO_PART_STRIKES_MAX];
+  CspHello__PartStrike *part_strike_rows[CSP_HELLO_PART_STRIKES_MAX];
+  CspHello__HeldPart held_parts[CSP_HELLO_HELD_PARTS_MAX];
+  CspHello__HeldPart *held_part_rows[CSP_HELLO_HELD_PARTS_MAX];
+  CspHello__SoundPart sound_parts[CSP_HELLO_SOUND_PARTS_MAX];
+  CspHello__SoundPart *sound_part_rows[CSP_HELLO_SOUND_PARTS_MAX];
   CspHello__Rate rates[CSP_HELLO_RATES_MAX];
   CspHello__Rate *rate_rows[CSP_HELLO_RATES_MAX];
   CspHello__Grant grant_requests[CSP_HELLO_GRANTS_MAX];
@@ -174,6 +180,44 @@
     }
 }
 
+static void
+fill_parts (const csp_hello_t *hello, rows_t *rows)
+{
+  size_t i;
+
+  for (i = 0; i < hello->part_strike_count; i++)
+    {
+      CspHello__PartStrike *row = &rows->part_strikes[i];
+
+      csp_hello__part_strike__init (row);
+      row->part = hello->part_strikes[i].part;
+      row->target = hello->part_strikes[i].target;
+      row->position = hello->part_strikes[i].position;
+      row->age_ms = hello->part_strikes[i].age_ms;
+      rows->part_strike_rows[i] = row;
+    }
+  for (i = 0; i < hello->held_part_count; i++)
+    {
+      CspHello__HeldPart *row = &rows->held_parts[i];
+
+      csp_hello__held_part__init (row);
+      row->part = hello->held_parts[i].part;
+      row->left_ms = hello->held_parts[i].left_ms;
+      row->strike_age_ms = hello->held_parts[i].strike_age_ms;
+      row->trials = hello->held_parts[i].failed_trials;
+      rows->held_part_rows[i] = row;
+    }
+  for (i = 0; i < hello->sound_part_count; i++)
+    {
+      CspHello__SoundPart *row = &rows->sound_parts[i];
+
+      csp_hello__sound_part__init (row);
+      row->part = hello->sound_parts[i].part;
+      row->age_ms = hello->sound_parts[i].age_ms;
+      rows->sound_part_rows[i] = row;
+    }
+}
+
 static void
 fill_rates (const csp_hello_t *hello, rows_t *rows)
 {
@@ -222,6 +266,7 @@
   fill_asks (hello, &rows);
   fill_answers (hello, &rows);
   fill_suspects (hello, &rows);
+  fill_parts (hello, &rows);
   fill_leases (hello->lease_requests, hello->lease_request_count, rows.wants,
                rows.want_rows);
   fill_leases (hello->leases, hello->lease_count, rows.leases,
@@ -262,6 +307,12 @@
   message.suspects = rows.suspect_rows;
   message.n_cleared = hello->cleared_count;
   message.cleared = rows.cleared;
+  message.n_part_strikes = hello->part_strike_count;
+  message.part_strikes = rows.part_strike_rows;
+  message.n_held_parts = hello->held_part_count;
+  message.held_parts = rows.held_part_rows;
+  message.n_sound_parts = hello->sound_part_count;
+  message.sound_parts = rows.sound_part_rows;
   message.n_rates = hello->rate_count;
   message.rates = rows.rate_rows;
   message.n_grant_requests = hello->grant_request_count;
@@ -386,6 +437,38 @@
   return true;
 }
 
+static bool
+decode_parts (const CspHello__Hello *message, csp_hello_t *hello)
+{
+  size_t i;
+
+  if (message->n_part_strikes > CSP_HELLO_PART_STRIKES_MAX
+      || message->n_held_parts > CSP_HELLO_HELD_PARTS_MAX
+      || message->n_sound_parts > CSP_HELLO_SOUND_PARTS_MAX)
+    return false;
+  for (i = 0; i < message->n_part_strikes; i++)
+    hello->part_strikes[i]
+        = (csp_part_strike_t){ .part = message->part_strikes[i]->part,
+                               .target = message->part_strikes[i]->target,
+                               .position = message->part_strikes[i]->position,
+                               .age_ms = message->part_strikes[i]->age_ms };
+  for (i = 0; i < message->n_held_parts; i++)
+    hello->held_parts[i]
+        = (csp_held_part_t){ .part = message->held_parts[i]->part,
+                             .left_ms = message->held_parts[i]->left_ms,
+                             .strike_age_ms
+                             = message->held_parts[i]->strike_age_ms,
+                             .failed_trials = message->held_parts[i]->trials };
+  for (i = 0; i < message->n_sound_parts; i++)
+    hello->sound_parts[i]
+        = (csp_sound_part_t){ .part = message->sound_parts[i]->part,
+                              .age_ms = message->sound_parts[i]->age_ms };
+  hello->part_strike_count = message->n_part_strikes;
+  hello->held_part_count = message->n_held_parts;
+  hello->sound_part_count = message->n_sound_parts;
+  return true;
+}
+
 /* False if a rate isn't a number within its bounds.  */
 static bool
 decode_rates (const CspHello__Hello *message, csp_hello_t *hello)
@@ -469,7 +552,8 @@
                                 .platform_read = row->sighted };
     }
   valid = valid && decode_asks (message, hello)
-          && decode_suspects (message, hello) && decode_rates (message, hello);
+          && decode_suspects (message, hello) && decode_parts (message, hello)
+          && decode_rates (message, hello);
   if (valid)
     {
       hello->boot = message->boot;
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -277,6 +277,141 @@
   assert(message->base.descriptor == &csp_hello__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   csp_hello__part_strike__init
+                     (CspHello__PartStrike         *message)
+{
+  static const CspHello__PartStrike init_value = CSP_HELLO__PART_STRIKE__INIT;
+  *message = init_value;
+}
+size_t csp_hello__part_strike__get_packed_size
+                     (const CspHello__PartStrike *message)
+{
+  assert(message->base.descriptor == &csp_hello__part_strike__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_hello__part_strike__pack
+                     (const CspHello__PartStrike *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_hello__part_strike__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_hello__part_strike__pack_to_buffer
+                     (const CspHello__PartStrike *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_hello__part_strike__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspHello__PartStrike *
+       csp_hello__part_strike__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspHello__PartStrike *)
+     protobuf_c_message_unpack (&csp_hello__part_strike__descriptor,
+                                allocator, len, data);
+}
+void   csp_hello__part_strike__free_unpacked
+                     (CspHello__PartStrike *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_hello__part_strike__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   csp_hello__held_part__init
+                     (CspHello__HeldPart         *message)
+{
+  static const CspHello__HeldPart init_value = CSP_HELLO__HELD_PART__INIT;
+  *message = init_value;
+}
+size_t csp_hello__held_part__get_packed_size
+                     (const CspHello__HeldPart *message)
+{
+  assert(message->base.descriptor == &csp_hello__held_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_hello__held_part__pack
+                     (const CspHello__HeldPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_hello__held_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_hello__held_part__pack_to_buffer
+                     (const CspHello__HeldPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_hello__held_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspHello__HeldPart *
+       csp_hello__held_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspHello__HeldPart *)
+     protobuf_c_message_unpack (&csp_hello__held_part__descriptor,
+                                allocator, len, data);
+}
+void   csp_hello__held_part__free_unpacked
+                     (CspHello__HeldPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_hello__held_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   csp_hello__sound_part__init
+                     (CspHello__SoundPart         *message)
+{
+  static const CspHello__SoundPart init_value = CSP_HELLO__SOUND_PART__INIT;
+  *message = init_value;
+}
+size_t csp_hello__sound_part__get_packed_size
+                     (const CspHello__SoundPart *message)
+{
+  assert(message->base.descriptor == &csp_hello__sound_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t csp_hello__sound_part__pack
+                     (const CspHello__SoundPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &csp_hello__sound_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t csp_hello__sound_part__pack_to_buffer
+                     (const CspHello__SoundPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &csp_hello__sound_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CspHello__SoundPart *
+       csp_hello__sound_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CspHello__SoundPart *)
+     protobuf_c_message_unpack (&csp_hello__sound_part__descriptor,
+                                allocator, len, data);
+}
+void   csp_hello__sound_part__free_unpacked
+                     (CspHello__SoundPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &csp_hello__sound_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   csp_hello__rate__init
                      (CspHello__Rate         *message)
 {
@@ -1121,6 +1256,211 @@
   (ProtobufCMessageInit) csp_hello__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor csp_hello__part_strike__field_descriptors[4] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__PartStrike, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__PartStrike, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__PartStrike, position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__PartStrike, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_hello__part_strike__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  0,   /* field[0] = part */
+  2,   /* field[2] = position */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange csp_hello__part_strike__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_hello__part_strike__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_hello.PartStrike",
+  "PartStrike",
+  "CspHello__PartStrike",
+  "csp_hello",
+  sizeof(CspHello__PartStrike),
+  4,
+  csp_hello__part_strike__field_descriptors,
+  csp_hello__part_strike__field_indices_by_name,
+  1,  csp_hello__part_strike__number_ranges,
+  (ProtobufCMessageInit) csp_hello__part_strike__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_hello__held_part__field_descriptors[4] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__HeldPart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__HeldPart, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strike_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__HeldPart, strike_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trials",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__HeldPart, trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_hello__held_part__field_indices_by_name[] = {
+  1,   /* field[1] = left_ms */
+  0,   /* field[0] = part */
+  2,   /* field[2] = strike_age_ms */
+  3,   /* field[3] = trials */
+};
+static const ProtobufCIntRange csp_hello__held_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor csp_hello__held_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_hello.HeldPart",
+  "HeldPart",
+  "CspHello__HeldPart",
+  "csp_hello",
+  sizeof(CspHello__HeldPart),
+  4,
+  csp_hello__held_part__field_descriptors,
+  csp_hello__held_part__field_indices_by_name,
+  1,  csp_hello__held_part__number_ranges,
+  (ProtobufCMessageInit) csp_hello__held_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor csp_hello__sound_part__field_descriptors[2] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__SoundPart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__SoundPart, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned csp_hello__sound_part__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = part */
+};
+static const ProtobufCIntRange csp_hello__sound_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor csp_hello__sound_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "csp_hello.SoundPart",
+  "SoundPart",
+  "CspHello__SoundPart",
+  "csp_hello",
+  sizeof(CspHello__SoundPart),
+  2,
+  csp_hello__sound_part__field_descriptors,
+  csp_hello__sound_part__field_indices_by_name,
+  1,  csp_hello__sound_part__number_ranges,
+  (ProtobufCMessageInit) csp_hello__sound_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor csp_hello__rate__field_descriptors[4] =
 {
   {
@@ -1275,7 +1615,7 @@
   (ProtobufCMessageInit) csp_hello__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[26] =
+static const ProtobufCFieldDescriptor csp_hello__hello__field_descriptors[29] =
 {
   {
     "boot",
@@ -1589,6 +1929,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_strikes",
+    27,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_part_strikes),
+    offsetof(CspHello__Hello, part_strikes),
+    &csp_hello__part_strike__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_parts",
+    28,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_held_parts),
+    offsetof(CspHello__Hello, held_parts),
+    &csp_hello__held_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sound_parts",
+    29,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CspHello__Hello, n_sound_parts),
+    offsetof(CspHello__Hello, sound_parts),
+    &csp_hello__sound_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__hello__field_indices_by_name[] = {
   8,   /* field[8] = answers */
@@ -1602,15 +1978,18 @@
   15,   /* field[15] = decider */
   22,   /* field[22] = grant_requests */
   23,   /* field[23] = grants */
+  27,   /* field[27] = held_parts */
   5,   /* field[5] = known */
   17,   /* field[17] = leases */
   3,   /* field[3] = leaving */
   11,   /* field[11] = left */
   4,   /* field[4] = loads */
+  26,   /* field[26] = part_strikes */
   21,   /* field[21] = rates */
   24,   /* field[24] = relay_port */
   1,   /* field[1] = sequence */
   18,   /* field[18] = sighted */
+  28,   /* field[28] = sound_parts */
   19,   /* field[19] = suspects */
   25,   /* field[25] = unreached */
   13,   /* field[13] = up_ms */
@@ -1621,7 +2000,7 @@
 static const ProtobufCIntRange csp_hello__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor csp_hello__hello__descriptor =
 {
@@ -1631,7 +2010,7 @@
   "CspHello__Hello",
   "csp_hello",
   sizeof(CspHello__Hello),
-  26,
+  29,
   csp_hello__hello__field_descriptors,
   csp_hello__hello__field_indices_by_name,
   1,  csp_hello__hello__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -21,6 +21,9 @@
 typedef struct CspHello__Answer CspHello__Answer;
 typedef struct CspHello__Lease CspHello__Lease;
 typedef struct CspHello__Suspect CspHello__Suspect;
+typedef struct CspHello__PartStrike CspHello__PartStrike;
+typedef struct CspHello__HeldPart CspHello__HeldPart;
+typedef struct CspHello__SoundPart CspHello__SoundPart;
 typedef struct CspHello__Rate CspHello__Rate;
 typedef struct CspHello__Grant CspHello__Grant;
 typedef struct CspHello__Hello CspHello__Hello;
@@ -130,6 +133,43 @@
     , 0, 0,NULL, 0, 0 }
 
 
+struct  CspHello__PartStrike
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  uint64_t target;
+  uint32_t position;
+  uint32_t age_ms;
+};
+#define CSP_HELLO__PART_STRIKE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_hello__part_strike__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  CspHello__HeldPart
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  uint32_t left_ms;
+  uint32_t strike_age_ms;
+  uint32_t trials;
+};
+#define CSP_HELLO__HELD_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_hello__held_part__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  CspHello__SoundPart
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  uint32_t age_ms;
+};
+#define CSP_HELLO__SOUND_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&csp_hello__sound_part__descriptor) \
+    , 0, 0 }
+
+
 struct  CspHello__Rate
 {
   ProtobufCMessage base;
@@ -199,10 +239,16 @@
   uint32_t relay_port;
   size_t n_unreached;
   uint32_t *unreached;
+  size_t n_part_strikes;
+  CspHello__PartStrike **part_strikes;
+  size_t n_held_parts;
+  CspHello__HeldPart **held_parts;
+  size_t n_sound_parts;
+  CspHello__SoundPart **sound_parts;
 };
 #define CSP_HELLO__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__hello__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* CspHello__Load methods */
@@ -319,6 +365,63 @@
 void   csp_hello__suspect__free_unpacked
                      (CspHello__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* CspHello__PartStrike methods */
+void   csp_hello__part_strike__init
+                     (CspHello__PartStrike         *message);
+size_t csp_hello__part_strike__get_packed_size
+                     (const CspHello__PartStrike   *message);
+size_t csp_hello__part_strike__pack
+                     (const CspHello__PartStrike   *message,
+                      uint8_t             *out);
+size_t csp_hello__part_strike__pack_to_buffer
+                     (const CspHello__PartStrike   *message,
+                      ProtobufCBuffer     *buffer);
+CspHello__PartStrike *
+       csp_hello__part_strike__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_hello__part_strike__free_unpacked
+                     (CspHello__PartStrike *message,
+                      ProtobufCAllocator *allocator);
+/* CspHello__HeldPart methods */
+void   csp_hello__held_part__init
+                     (CspHello__HeldPart         *message);
+size_t csp_hello__held_part__get_packed_size
+                     (const CspHello__HeldPart   *message);
+size_t csp_hello__held_part__pack
+                     (const CspHello__HeldPart   *message,
+                      uint8_t             *out);
+size_t csp_hello__held_part__pack_to_buffer
+                     (const CspHello__HeldPart   *message,
+                      ProtobufCBuffer     *buffer);
+CspHello__HeldPart *
+       csp_hello__held_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_hello__held_part__free_unpacked
+                     (CspHello__HeldPart *message,
+                      ProtobufCAllocator *allocator);
+/* CspHello__SoundPart methods */
+void   csp_hello__sound_part__init
+                     (CspHello__SoundPart         *message);
+size_t csp_hello__sound_part__get_packed_size
+                     (const CspHello__SoundPart   *message);
+size_t csp_hello__sound_part__pack
+                     (const CspHello__SoundPart   *message,
+                      uint8_t             *out);
+size_t csp_hello__sound_part__pack_to_buffer
+                     (const CspHello__SoundPart   *message,
+                      ProtobufCBuffer     *buffer);
+CspHello__SoundPart *
+       csp_hello__sound_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   csp_hello__sound_part__free_unpacked
+                     (CspHello__SoundPart *message,
+                      ProtobufCAllocator *allocator);
 /* CspHello__Rate methods */
 void   csp_hello__rate__init
                      (CspHello__Rate         *message);
@@ -396,6 +499,15 @@
 typedef void (*CspHello__Suspect_Closure)
                  (const CspHello__Suspect *message,
                   void *closure_data);
+typedef void (*CspHello__PartStrike_Closure)
+                 (const CspHello__PartStrike *message,
+                  void *closure_data);
+typedef void (*CspHello__HeldPart_Closure)
+                 (const CspHello__HeldPart *message,
+                  void *closure_data);
+typedef void (*CspHello__SoundPart_Closure)
+                 (const CspHello__SoundPart *message,
+                  void *closure_data);
 typedef void (*CspHello__Rate_Closure)
                  (const CspHello__Rate *message,
                   void *closure_data);
@@ -417,6 +529,9 @@
 extern const ProtobufCMessageDescriptor csp_hello__answer__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__lease__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__suspect__descriptor;
+extern const ProtobufCMessageDescriptor csp_hello__part_strike__descriptor;
+extern const ProtobufCMessageDescriptor csp_hello__held_part__descriptor;
+extern const ProtobufCMessageDescriptor csp_hello__sound_part__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__rate__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__grant__descriptor;
 extern const ProtobufCMessageDescriptor csp_hello__hello__descriptor;
--- a/source/roster/peer-address.c
+++ b/source/roster/peer-address.c
@@ -47,6 +47,13 @@
   return (uint64_t)peer.ip << PORT_BITS | peer.port;
 }
 
+csp_peer_address_t
+csp_unpack_peer (uint64_t packed)
+{
+  return (csp_peer_address_t){ .ip = (uint32_t)(packed >> PORT_BITS),
+                               .port = (uint16_t)packed };
+}
+
 void
 csp_format_peer (csp_peer_address_t peer, char text[CSP_PEER_TEXT_BYTES])
 {
