--- a/tests/soak/soak-host.c
+++ b/tests/soak/soak-host.c
@@ -121,6 +121,8 @@
   if (host->pid == 0)
     return;
   kill (host->pid, number);
+  if (number == SIGKILL)
+    soak->host_killed_ms = soak_now_ms (soak);
   switch (number)
     {
     case SIGSTOP:
--- a/tests/soak/soak-server.c
+++ b/tests/soak/soak-server.c
@@ -432,6 +432,7 @@
 server_crash (server_t *server)
 {
   close_server (server);
+  server->soak->server_crashed_ms = soak_now_ms (server->soak);
   server->row_expires_ms = soak_now_ms (server->soak) + ROW_EXPIRY_MS;
 }
 
