Try a suspected part with one request before it is held

Cause: four strikes held a part for five minutes at once. A seeded play of hosts, engines and messages shows sound parts held: where all engines end at one moment, where an engine ends each second, where two parts crash engines, where hosts are cut off; and guilty ones sent too often at ten and more a second (up to 126 times), as the strikes of all engines fall into one moment.

Change: strikes only begin a trial. The host that begins it asks all others for sound answers first, and lets one request at a time through; the others leave the trial to it for ten seconds and more. An answer ends the trial everywhere, a further end holds the part for a minute, doubled each time. Ends of one moment count twice at most, unless there are six; ends that only one host saw take six; a part that alone explains what takes several suspects is tried first; an end that a part which failed a trial explains fails no other. Hellos name what is on trial, so that a host that has just started keeps it back too.

--- a/include/cowslipspoke/part-quarantine.h
+++ b/include/cowslipspoke/part-quarantine.h
@@ -21,22 +21,28 @@
    shows that its parts are sound and takes the strike back; an older answer
    shows nothing, as a part may begin to crash targets at any time.
 
-   A part is held when it has CSP_PART_STRIKES_HELD strikes that no more
+   A part comes on trial when it has CSP_PART_STRIKES_HELD strikes that no more
    suspicious part explains.  Parts of which the last sound answer began
    longer ago are more suspicious, so a part that all requests share gives way
    to the one that only the crashing requests have.  Ends at one moment can
-   have a cause of their own, a failed data centre for instance; they hold a
-   part only if other requests to the service have been served since.
+   have a cause of their own, a failed data centre for instance, so only two of
+   them count.  A host asks all others for sound answers before it begins a
+   trial.
 
-   A hold ends with a trial: one request at a time is let through, first by
-   the host that began the hold.  A further strike renews and doubles the
-   hold.  */
+   On trial, one request with the part at a time is sent to a target, for some
+   seconds only by the host that began the trial.  An answer ends the trial; a
+   further end holds the part: no host sends a request with it.  The hold ends
+   with another trial and doubles each time.  So a sound part that was beside
+   many ends by chance is only kept back until one request with it is served.
+ */
 
 enum
 {
   CSP_PART_STRIKES_HELD = 4,
   /* Strikes that are kept for each part.  */
   CSP_PART_STRIKES_KEPT = 8,
+  /* Strikes of one moment that count.  */
+  CSP_PART_STRIKES_AT_ONCE = 2,
   /* Size of a host's table of parts with strikes.  */
   CSP_SUSPECTED_PARTS_MAX = 256,
   /* An answer that has run on for this long shows that its parts are
@@ -66,9 +72,13 @@
 typedef struct
 {
   uint64_t part;
-  uint32_t left_ms;       /* of the hold */
-  uint32_t strike_age_ms; /* since the last strike */
-  uint32_t failed_trials; /* expired holds that were followed by a strike */
+  bool asks;              /* a trial may begin, and the host asks for sound
+                             answers */
+  bool leads;             /* the reporting host began the hold or trial */
+  uint32_t left_ms;       /* of the hold; 0: the part is on trial */
+  uint32_t trial_age_ms;  /* since the trial began */
+  uint32_t strike_age_ms; /* since the last strike; if it asks, the first */
+  uint32_t failed_trials;
 } csp_held_part_t;
 
 /* The effect of a strike or of another host's hold.  */
@@ -76,45 +86,47 @@
 {
   CSP_PART_UNCHANGED,
   CSP_PART_STRUCK,
-  CSP_PART_HELD, /* its hold has just begun */
-  CSP_PART_SOUND /* an answer that began later shows that it is sound */
+  CSP_PART_ON_TRIAL, /* its trial has just begun, at another host */
+  CSP_PART_HELD,     /* its hold has just begun, at another host */
+  CSP_PART_SOUND     /* an answer that began later shows that it is sound */
 } csp_part_change_t;
 
-/* Hosts whose strikes an answer has taken back, packed as by csp_pack_peer,
-   and whether it ended the part's hold.  */
-typedef struct
+/* What an answer has done to the hold of a part.  */
+typedef enum
 {
-  size_t reporter_count;
-  uint64_t reporters[CSP_PART_STRIKES_KEPT];
-  bool lifted;
-  bool held_here; /* this host had begun the hold */
-} csp_part_acquittal_t;
-
-/* Tells whether a target that had a strike at a time has not been heard of
-   since.  */
+  CSP_HOLD_UNCHANGED,
+  CSP_HOLD_LIFTED,    /* it was another host's */
+  CSP_OWN_HOLD_LIFTED /* this host had begun it */
+} csp_hold_change_t;
+
+/* What a host knows beside strikes.  has_ended: whether a target that had a
+   strike at a time has not been heard of since.  */
 typedef struct
 {
+  bool is_only_host;
   bool (*has_ended) (void *state, uint64_t target, int64_t at_ms);
   void *state;
-} csp_target_ends_t;
+} csp_hold_facts_t;
 
 typedef struct csp_part_quarantine csp_part_quarantine_t;
 
 /* Returns NULL when out of memory.  */
-csp_part_quarantine_t *csp_create_part_quarantine (void);
+csp_part_quarantine_t *csp_create_part_quarantine (uint64_t seed);
 void csp_destroy_part_quarantine (csp_part_quarantine_t *quarantine);
 
-/* Records a strike.  reporter: the host that saw it, packed; 0: this host,
-   which will broadcast it.  */
+/* Records a strike that another host saw; or one that this host saw and will
+   broadcast, against a request that it sent at sent_ms.  */
 csp_part_change_t csp_add_part_strike (csp_part_quarantine_t *quarantine,
                                        const csp_part_strike_t *strike,
-                                       uint64_t reporter, int64_t now_ms);
+                                       int64_t now_ms);
+csp_part_change_t csp_add_own_part_strike (csp_part_quarantine_t *quarantine,
+                                           const csp_part_strike_t *strike,
+                                           int64_t sent_ms, int64_t now_ms);
 
 /* Records that an answer that began at began_ms shows that the part is
    sound.  */
-csp_part_acquittal_t csp_note_sound_part (csp_part_quarantine_t *quarantine,
-                                          uint64_t part, int64_t began_ms,
-                                          int64_t now_ms);
+csp_hold_change_t csp_note_sound_part (csp_part_quarantine_t *quarantine,
+                                       uint64_t part, int64_t began_ms);
 
 /* The last answer that shows that the part is sound; false if none is
    known.  */
@@ -122,20 +134,26 @@
                           uint64_t part, csp_sound_part_t *sound,
                           int64_t now_ms);
 
-/* Begins the holds that are due, of parts that this host has strikes against,
+/* Begins the trials that are due, of parts that this host has strikes against,
    and lists those parts.  Call it periodically.  */
-size_t csp_hold_suspected_parts (csp_part_quarantine_t *quarantine,
-                                 const csp_target_ends_t *ends,
-                                 uint64_t *parts, size_t capacity,
-                                 int64_t now_ms);
+size_t csp_try_suspected_parts (csp_part_quarantine_t *quarantine,
+                                const csp_hold_facts_t *facts, uint64_t *parts,
+                                size_t capacity, int64_t now_ms);
+
+/* Begins the holds of parts that have failed a trial of this host, and lists
+   them.  Call it periodically.  */
+size_t csp_hold_failed_parts (csp_part_quarantine_t *quarantine,
+                              uint64_t *parts, size_t capacity,
+                              int64_t now_ms);
 
-/* Adopts a hold of another host.  */
+/* Adopts a hold or a trial of another host, or looks for what it asks for.
+   precedes: of two hosts that began a trial at once, the other one leads.  */
 csp_part_change_t csp_merge_held_part (csp_part_quarantine_t *quarantine,
                                        const csp_held_part_t *held,
-                                       int64_t now_ms);
+                                       bool precedes, int64_t now_ms);
 
-/* Returns the longest remaining hold of any of the parts; 0 when a request
-   with them may be sent.  */
+/* Returns the longest time that any of the parts is still held, or waits for
+   the request on trial; 0 when a request with them may be sent.  */
 uint32_t csp_held_part_left_ms (const csp_part_quarantine_t *quarantine,
                                 const csp_prompt_parts_t *parts,
                                 int64_t now_ms);
@@ -145,7 +163,8 @@
 void csp_begin_part_trials (csp_part_quarantine_t *quarantine,
                             const csp_prompt_parts_t *parts, int64_t now_ms);
 
-/* List what has to be broadcast now, and count one broadcast for each.  */
+/* List what has to be broadcast now, and count one broadcast for each.  Parts
+   that this host asks about are among the held ones.  */
 size_t csp_take_part_strikes (csp_part_quarantine_t *quarantine,
                               csp_part_strike_t *strikes, size_t capacity,
                               int64_t now_ms);
@@ -153,7 +172,8 @@
                             csp_held_part_t *held, size_t capacity,
                             int64_t now_ms);
 
-/* Lists held parts to include in a hello, round robin.  */
+/* Lists parts that are held or on trial to include in a hello, round
+   robin.  */
 size_t csp_list_held_parts (csp_part_quarantine_t *quarantine,
                             csp_held_part_t *held, size_t capacity,
                             int64_t now_ms);
@@ -164,7 +184,7 @@
                               int64_t now_ms);
 
 size_t csp_count_suspected_parts (const csp_part_quarantine_t *quarantine);
-size_t csp_count_held_parts (const csp_part_quarantine_t *quarantine,
-                             int64_t now_ms);
+/* Counts parts that are held or on trial.  */
+size_t csp_count_held_parts (const csp_part_quarantine_t *quarantine);
 
 #endif
--- a/source/gateway/gateway-part.c
+++ b/source/gateway/gateway-part.c
@@ -51,13 +51,21 @@
   return false;
 }
 
+static void
+begin_part_trial (csp_gateway_t *gateway, uint64_t part,
+                  const char *reported_by)
+{
+  gateway->counts.parts_tried++;
+  log_part (gateway, CSP_EVENT_PART_ON_TRIAL, part, reported_by);
+}
+
 static void
 begin_part_hold (csp_gateway_t *gateway, uint64_t part,
-                 const char *reported_by, const csp_exchange_t *not_this)
+                 const char *reported_by)
 {
   gateway->counts.parts_held++;
   log_part (gateway, CSP_EVENT_PART_HELD, part, reported_by);
-  csp_end_unanswered (gateway, has_part, part, not_this);
+  csp_end_unanswered (gateway, has_part, part, NULL);
 }
 
 uint32_t
@@ -103,52 +111,41 @@
                                    .target = target->hash,
                                    .position = (uint32_t)i };
 
-      if (csp_add_part_strike (gateway->part_quarantine, &strike, 0, now_ms)
-          == CSP_PART_HELD)
-        begin_part_hold (gateway, strike.part, "self", exchange);
+      csp_add_own_part_strike (gateway->part_quarantine, &strike,
+                               exchange->sent_at_ms, now_ms);
     }
 }
 
-/* Tell the hosts whose strikes against the part no longer count; all hosts,
-   where they hold the part on this host's word.  */
+/* Tell all hosts, which hold the part on this host's word.  */
 static void
-report_sound_part (csp_gateway_t *gateway, uint64_t part,
-                   const csp_part_acquittal_t *acquittal)
+report_sound_part (csp_gateway_t *gateway, uint64_t part)
 {
   csp_hello_t hello = { .sound_part_count = 1 };
-  csp_peer_address_t hosts[CSP_PART_STRIKES_KEPT];
-  size_t i;
 
-  if (!csp_find_sound_part (gateway->part_quarantine, part,
-                            &hello.sound_parts[0],
-                            csp_gateway_now_ms (gateway)))
-    return;
-  if (acquittal->lifted && acquittal->held_here)
-    {
-      csp_broadcast_hello (gateway, &hello);
-      return;
-    }
-  for (i = 0; i < acquittal->reporter_count; i++)
-    hosts[i] = csp_unpack_peer (acquittal->reporters[i]);
-  csp_send_hello (gateway, &hello, hosts, acquittal->reporter_count);
+  if (csp_find_sound_part (gateway->part_quarantine, part,
+                           &hello.sound_parts[0],
+                           csp_gateway_now_ms (gateway)))
+    csp_broadcast_hello (gateway, &hello);
 }
 
-/* from: the exchange that had the answer; NULL: another host reports it, whose
-   word isn't passed on.  */
+/* reported_by: the host that had the answer, or "self".  not_this is the
+   exchange that is being handled.  */
 static void
 note_sound_part (csp_gateway_t *gateway, uint64_t part, int64_t began_ms,
-                 const char *reported_by, const csp_exchange_t *from)
+                 const char *reported_by, const csp_exchange_t *not_this)
 {
-  csp_part_acquittal_t acquittal = csp_note_sound_part (
-      gateway->part_quarantine, part, began_ms, csp_gateway_now_ms (gateway));
-
-  if ((from != NULL && acquittal.reporter_count > 0)
-      || (acquittal.lifted && acquittal.held_here))
-    report_sound_part (gateway, part, &acquittal);
-  if (!acquittal.lifted)
-    return;
+  switch (csp_note_sound_part (gateway->part_quarantine, part, began_ms))
+    {
+    case CSP_HOLD_UNCHANGED:
+      return;
+    case CSP_HOLD_LIFTED:
+      break;
+    case CSP_OWN_HOLD_LIFTED:
+      report_sound_part (gateway, part);
+      break;
+    }
   log_part (gateway, CSP_EVENT_PART_RELEASED, part, reported_by);
-  csp_move_cleared_streams (gateway, has_part, part, from);
+  csp_move_cleared_streams (gateway, has_part, part, not_this);
 }
 
 void
@@ -184,26 +181,37 @@
 }
 
 static void
-hold_suspected_parts (csp_gateway_t *gateway)
+try_suspected_parts (csp_gateway_t *gateway, int64_t now_ms)
 {
-  csp_target_ends_t ends = { .has_ended = has_ended, .state = gateway };
+  csp_hold_facts_t facts
+      = { .is_only_host = csp_count_live_peers (gateway->roster) == 0,
+          .has_ended = has_ended,
+          .state = gateway };
   uint64_t parts[CSP_HELLO_HELD_PARTS_MAX];
-  size_t count = csp_hold_suspected_parts (gateway->part_quarantine, &ends,
-                                           parts, CSP_HELLO_HELD_PARTS_MAX,
-                                           csp_gateway_now_ms (gateway));
+  size_t count
+      = csp_try_suspected_parts (gateway->part_quarantine, &facts, parts,
+                                 CSP_HELLO_HELD_PARTS_MAX, now_ms);
   size_t i;
 
   for (i = 0; i < count; i++)
-    begin_part_hold (gateway, parts[i], "self", NULL);
+    begin_part_trial (gateway, parts[i], "self");
 }
 
-void
-csp_update_held_parts (csp_gateway_t *gateway)
+static void
+hold_failed_parts (csp_gateway_t *gateway, int64_t now_ms)
 {
-  int64_t now_ms = csp_gateway_now_ms (gateway);
+  uint64_t parts[CSP_HELLO_HELD_PARTS_MAX];
+  size_t count = csp_hold_failed_parts (gateway->part_quarantine, parts,
+                                        CSP_HELLO_HELD_PARTS_MAX, now_ms);
+  size_t i;
 
-  csp_expire_part_strikes (gateway->part_quarantine, now_ms);
-  hold_suspected_parts (gateway);
+  for (i = 0; i < count; i++)
+    begin_part_hold (gateway, parts[i], "self");
+}
+
+static void
+broadcast_parts (csp_gateway_t *gateway, int64_t now_ms)
+{
   for (;;)
     {
       csp_hello_t hello = { .part_strike_count = 0 };
@@ -222,6 +230,17 @@
     }
 }
 
+void
+csp_update_held_parts (csp_gateway_t *gateway)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+
+  csp_expire_part_strikes (gateway->part_quarantine, now_ms);
+  hold_failed_parts (gateway, now_ms);
+  try_suspected_parts (gateway, now_ms);
+  broadcast_parts (gateway, now_ms);
+}
+
 void
 csp_add_held_parts_to_hello (csp_gateway_t *gateway, csp_hello_t *hello)
 {
@@ -242,40 +261,39 @@
 }
 
 static void
-merge_part_strikes (csp_gateway_t *gateway, csp_peer_address_t from,
-                    const csp_hello_t *hello, csp_hello_t *answer)
+merge_part_strikes (csp_gateway_t *gateway, const csp_hello_t *hello)
 {
   size_t i;
 
   for (i = 0; i < hello->part_strike_count; i++)
-    if (csp_add_part_strike (gateway->part_quarantine, &hello->part_strikes[i],
-                             csp_pack_peer (from),
-                             csp_gateway_now_ms (gateway))
-        == CSP_PART_SOUND)
-      add_sound_part (gateway, answer, hello->part_strikes[i].part);
+    csp_add_part_strike (gateway->part_quarantine, &hello->part_strikes[i],
+                         csp_gateway_now_ms (gateway));
 }
 
 static void
-merge_held_parts (csp_gateway_t *gateway, const char *host,
-                  const csp_hello_t *hello, csp_hello_t *answer)
+merge_held_part (csp_gateway_t *gateway, csp_peer_address_t from,
+                 const csp_held_part_t *held, csp_hello_t *answer)
 {
-  size_t i;
+  bool precedes = csp_pack_peer (from) < csp_pack_peer (gateway->self);
+  char host[CSP_PEER_TEXT_BYTES];
 
-  for (i = 0; i < hello->held_part_count; i++)
-    switch (csp_merge_held_part (gateway->part_quarantine,
-                                 &hello->held_parts[i],
-                                 csp_gateway_now_ms (gateway)))
-      {
-      case CSP_PART_UNCHANGED:
-      case CSP_PART_STRUCK:
-        break;
-      case CSP_PART_HELD:
-        begin_part_hold (gateway, hello->held_parts[i].part, host, NULL);
-        break;
-      case CSP_PART_SOUND:
-        add_sound_part (gateway, answer, hello->held_parts[i].part);
-        break;
-      }
+  csp_format_peer (from, host);
+  switch (csp_merge_held_part (gateway->part_quarantine, held, precedes,
+                               csp_gateway_now_ms (gateway)))
+    {
+    case CSP_PART_UNCHANGED:
+    case CSP_PART_STRUCK:
+      break;
+    case CSP_PART_ON_TRIAL:
+      begin_part_trial (gateway, held->part, host);
+      break;
+    case CSP_PART_HELD:
+      begin_part_hold (gateway, held->part, host);
+      break;
+    case CSP_PART_SOUND:
+      add_sound_part (gateway, answer, held->part);
+      break;
+    }
 }
 
 void
@@ -294,8 +312,9 @@
   for (i = 0; i < hello->sound_part_count; i++)
     note_sound_part (gateway, hello->sound_parts[i].part,
                      now_ms - hello->sound_parts[i].age_ms, host, NULL);
-  merge_part_strikes (gateway, from, hello, &answer);
-  merge_held_parts (gateway, host, hello, &answer);
+  merge_part_strikes (gateway, hello);
+  for (i = 0; i < hello->held_part_count; i++)
+    merge_held_part (gateway, from, &hello->held_parts[i], &answer);
   if (answer.sound_part_count > 0)
     csp_send_hello (gateway, &answer, &from, 1);
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -422,7 +422,7 @@
   gateway->fleet = csp_create_fleet (on_target_left, on_target_freed, gateway);
   gateway->request_metrics = csp_create_metrics (CSP_SERIES_MAX);
   gateway->quarantine = csp_create_quarantine ();
-  gateway->part_quarantine = csp_create_part_quarantine ();
+  gateway->part_quarantine = csp_create_part_quarantine (csp_random_seed ());
   if (gateway->request_metrics == NULL || gateway->quarantine == NULL
       || gateway->part_quarantine == NULL)
     goto fail;
--- a/source/quarantine/part-quarantine-imp.h
+++ b/source/quarantine/part-quarantine-imp.h
@@ -2,25 +2,25 @@
 #define COWSLIPSPOKE_PART_QUARANTINE_IMP_H
 
 #include "cowslipspoke/part-quarantine.h"
+#include "cowslipspoke/random.h"
 
 /* The table of parts with strikes.
 
      part-quarantine      strikes, sound answers, holds
-     part-quarantine-hold which parts are to be held
+     part-quarantine-trial which parts come on trial
      part-quarantine-list what hosts report to each other  */
 
 enum
 {
-  /* Sound answers that are remembered, and services.  */
-  CSP_SOUND_ROWS = 1024,
-  CSP_SOUND_SERVICES = 16
+  /* Parts whose sound answers are remembered.  */
+  CSP_SOUND_ROWS = 1024
 };
 
 typedef struct
 {
   uint64_t target;
   int64_t at_ms;
-  uint64_t reporter; /* 0: this host */
+  bool own; /* this host saw it */
   uint8_t broadcasts_left;
 } csp_strike_row_t;
 
@@ -31,27 +31,33 @@
   uint32_t position;
   size_t strike_count;
   csp_strike_row_t strikes[CSP_PART_STRIKES_KEPT];
-  int64_t struck_at_ms;   /* the last strike, also of those taken back */
-  int64_t held_until_ms;  /* 0: never held; see csp_part_hold_end_ms */
+  int64_t struck_at_ms;  /* the last strike, also of those taken back */
+  int64_t held_until_ms; /* 0: never held; see csp_part_hold_end_ms */
+  int64_t asked_ms;      /* since when this host asks for sound answers; 0: it
+                            doesn't */
+  int64_t next_ask_ms;
   int64_t trial_until_ms; /* a request with the part is on its way */
+  uint32_t spread_ms;     /* how much later than others this host tries it */
+  int64_t failed_ms;  /* when a target ended under the trial; 0: none has */
+  uint64_t failed_at; /* that target */
   uint32_t failed_trials;
-  uint8_t broadcasts_left; /* of its hold */
-  bool held_here;          /* this host began the hold */
+  uint8_t broadcasts_left; /* of its hold or trial */
+  bool leads;              /* this host began it, and tries first */
 } csp_part_row_t;
 
 typedef struct
 {
-  uint64_t part;    /* of a service: its hash */
+  uint64_t part;
   int64_t began_ms; /* the last answer that shows that it is sound */
 } csp_sound_row_t;
 
 struct csp_part_quarantine
 {
+  csp_random_t random;
   size_t count; /* rows in use */
   size_t next_row;
   csp_part_row_t rows[CSP_SUSPECTED_PARTS_MAX];
   csp_sound_row_t sound[CSP_SOUND_ROWS];
-  csp_sound_row_t services[CSP_SOUND_SERVICES];
 };
 
 /* When the last answer that shows that the part is sound began; 0: none is
@@ -59,20 +65,15 @@
 int64_t csp_sound_since_ms (const csp_part_quarantine_t *quarantine,
                             uint64_t part);
 
-/* The same of any request to the part's service.  */
-int64_t csp_service_sound_since_ms (const csp_part_quarantine_t *quarantine,
-                                    uint64_t part);
-
-/* When this host may try the part.  The host that began the hold does so
-   first.  */
+/* When this host may try the part.  */
 int64_t csp_part_hold_end_ms (const csp_part_row_t *row);
 
-/* Whether the part is held, or on trial behind a hold.  */
+/* Whether this host may not try the part yet, or may.  */
 bool csp_is_part_held (const csp_part_row_t *row, int64_t now_ms);
 bool csp_is_part_on_trial (const csp_part_row_t *row, int64_t now_ms);
 
-/* Begin a hold of this host.  */
-void csp_begin_part_hold (csp_part_row_t *row, int64_t now_ms);
+/* Begin a trial of this host.  */
+void csp_begin_part_trial (csp_part_row_t *row, int64_t now_ms);
 
 /* Drop a strike; the others stay in order.  */
 void csp_drop_part_strike (csp_part_row_t *row, size_t index);
--- a/source/quarantine/part-quarantine-list.c
+++ b/source/quarantine/part-quarantine-list.c
@@ -2,6 +2,13 @@
 
 /* What hosts report to each other about parts with strikes.  */
 
+enum
+{
+  /* Datagrams may be lost.  */
+  ASK_AGAIN_MS = 100
+};
+
+/* 0 where the time is still to come.  */
 static uint32_t
 age_ms (int64_t at_ms, int64_t now_ms)
 {
@@ -45,22 +52,34 @@
   return listed;
 }
 
-/* What is left of a hold is reported without the lead of the host that began
-   it, so that hosts don't extend it by telling each other.  */
 static bool
-is_reported (const csp_part_row_t *row, int64_t now_ms)
+is_asked_about (const csp_part_row_t *row, int64_t now_ms)
 {
-  return now_ms < row->held_until_ms;
+  return row->asked_ms != 0 && row->held_until_ms == 0 && row->strike_count > 0
+         && now_ms >= row->next_ask_ms;
 }
 
 static csp_held_part_t
-make_report (const csp_part_row_t *row, int64_t now_ms)
+make_question (const csp_part_row_t *row, int64_t now_ms)
 {
   return (csp_held_part_t){ .part = row->part,
-                            .left_ms = (uint32_t)(row->held_until_ms - now_ms),
+                            .asks = true,
                             .strike_age_ms
-                            = age_ms (row->struck_at_ms, now_ms),
-                            .failed_trials = row->failed_trials };
+                            = age_ms (row->strikes[0].at_ms, now_ms) };
+}
+
+/* Without the time for which the other hosts leave a trial to the one that
+   began it, so that hosts don't extend a hold by telling each other.  */
+static csp_held_part_t
+make_report (const csp_part_row_t *row, int64_t now_ms)
+{
+  return (
+      csp_held_part_t){ .part = row->part,
+                        .leads = row->leads,
+                        .left_ms = age_ms (now_ms, row->held_until_ms),
+                        .trial_age_ms = age_ms (row->held_until_ms, now_ms),
+                        .strike_age_ms = age_ms (row->struck_at_ms, now_ms),
+                        .failed_trials = row->failed_trials };
 }
 
 size_t
@@ -76,7 +95,13 @@
     {
       csp_part_row_t *row = &quarantine->rows[i];
 
-      if (row->broadcasts_left == 0 || !is_reported (row, now_ms))
+      if (is_asked_about (row, now_ms))
+        {
+          row->next_ask_ms = now_ms + ASK_AGAIN_MS;
+          held[listed++] = make_question (row, now_ms);
+          continue;
+        }
+      if (row->broadcasts_left == 0)
         continue;
       row->broadcasts_left--;
       held[listed++] = make_report (row, now_ms);
@@ -98,7 +123,7 @@
     {
       size_t index = (first + i) % CSP_SUSPECTED_PARTS_MAX;
 
-      if (!is_reported (&quarantine->rows[index], now_ms))
+      if (quarantine->rows[index].held_until_ms == 0)
         continue;
       held[listed++] = make_report (&quarantine->rows[index], now_ms);
       quarantine->next_row = index + 1;
--- a/source/quarantine/part-quarantine.c
+++ b/source/quarantine/part-quarantine.c
@@ -5,15 +5,20 @@
 
 enum
 {
-  /* The first hold.  It doubles with each trial that ends a further target. */
-  HOLD_MS = 300000,
-  HOLD_DOUBLINGS_MAX = 4,
-  /* For this long only the host that began a hold tries whether the part still
-     crashes targets.  */
-  TRIAL_LEAD_MS = 30000,
+  /* The hold after the first trial that ended a target.  It doubles with each
+     further one.  */
+  HOLD_MS = 60000,
+  HOLD_DOUBLINGS_MAX = 6,
+  /* For this long only the host that began a hold or a trial sends
+     requests.  */
+  TRIAL_LEAD_MS = 10000,
+  /* Then the others begin to, one after the other.  */
+  TRIAL_SPREAD_MS = 20000,
   /* A request on trial that has no answer by then no longer keeps others
      back.  */
   TRIAL_MS = 10000,
+  /* Strikes of other hosts arrive within this time.  */
+  STRIKES_SETTLE_MS = 300,
   /* Strikes that led to no hold are dropped after this time, and so are
      expired holds.  */
   FORGET_MS = 600000,
@@ -23,17 +28,17 @@
   TOLERANCE_MS = 1000,
   /* How many times a strike and a hold are broadcast.  Hellos repeat
      holds.  */
-  BROADCASTS = 2,
-  /* An answer that takes back fewer strikes than this isn't reported to the
-     hosts that saw them; they are far from holding the part.  */
-  REPORTED_STRIKES = 2,
-  SERVICE_SHIFT = 32
+  BROADCASTS = 2
 };
 
 csp_part_quarantine_t *
-csp_create_part_quarantine (void)
+csp_create_part_quarantine (uint64_t seed)
 {
-  return calloc (1, sizeof (csp_part_quarantine_t));
+  csp_part_quarantine_t *quarantine = calloc (1, sizeof *quarantine);
+
+  if (quarantine != NULL)
+    csp_seed_random (&quarantine->random, seed);
+  return quarantine;
 }
 
 void
@@ -96,12 +101,6 @@
   quarantine->count--;
 }
 
-static size_t
-service_slot (uint64_t part)
-{
-  return (part >> SERVICE_SHIFT) % CSP_SOUND_SERVICES;
-}
-
 int64_t
 csp_sound_since_ms (const csp_part_quarantine_t *quarantine, uint64_t part)
 {
@@ -110,15 +109,6 @@
   return row->part == part ? row->began_ms : 0;
 }
 
-int64_t
-csp_service_sound_since_ms (const csp_part_quarantine_t *quarantine,
-                            uint64_t part)
-{
-  const csp_sound_row_t *row = &quarantine->services[service_slot (part)];
-
-  return row->part == part >> SERVICE_SHIFT ? row->began_ms : 0;
-}
-
 static void
 remember_sound (csp_sound_row_t *row, uint64_t part, int64_t began_ms)
 {
@@ -131,9 +121,9 @@
 int64_t
 csp_part_hold_end_ms (const csp_part_row_t *row)
 {
-  return row->held_here || row->held_until_ms == 0
+  return row->leads || row->held_until_ms == 0
              ? row->held_until_ms
-             : row->held_until_ms + TRIAL_LEAD_MS;
+             : row->held_until_ms + TRIAL_LEAD_MS + row->spread_ms;
 }
 
 bool
@@ -149,16 +139,27 @@
 }
 
 void
-csp_begin_part_hold (csp_part_row_t *row, int64_t now_ms)
+csp_begin_part_trial (csp_part_row_t *row, int64_t now_ms)
+{
+  row->held_until_ms = now_ms;
+  row->asked_ms = 0;
+  row->trial_until_ms = 0;
+  row->failed_ms = 0;
+  row->broadcasts_left = BROADCASTS;
+  row->leads = true;
+}
+
+/* The trial has ended one more target.  */
+static void
+begin_hold (csp_part_row_t *row, int64_t now_ms)
 {
   uint32_t doublings = row->failed_trials < HOLD_DOUBLINGS_MAX
                            ? row->failed_trials
                            : HOLD_DOUBLINGS_MAX;
 
-  row->held_until_ms = now_ms + ((int64_t)HOLD_MS << doublings);
-  row->trial_until_ms = 0;
-  row->broadcasts_left = BROADCASTS;
-  row->held_here = true;
+  csp_begin_part_trial (row, now_ms);
+  row->held_until_ms += (int64_t)HOLD_MS << doublings;
+  row->failed_trials++;
 }
 
 void
@@ -203,72 +204,113 @@
     row->struck_at_ms = strike->at_ms;
 }
 
-csp_part_change_t
-csp_add_part_strike (csp_part_quarantine_t *quarantine,
-                     const csp_part_strike_t *strike, uint64_t reporter,
-                     int64_t now_ms)
+/* Returns whether the strike is a new one that counts.  */
+static bool
+add_strike (csp_part_quarantine_t *quarantine, const csp_part_strike_t *strike,
+            bool own, int64_t now_ms)
 {
-  csp_strike_row_t inserted
-      = { .target = strike->target,
-          .at_ms = now_ms - strike->age_ms,
-          .reporter = reporter,
-          .broadcasts_left = reporter == 0 ? BROADCASTS : 0 };
+  csp_strike_row_t inserted = { .target = strike->target,
+                                .at_ms = now_ms - strike->age_ms,
+                                .own = own,
+                                .broadcasts_left = own ? BROADCASTS : 0 };
   csp_part_row_t *row = find_row (quarantine, strike->part);
 
-  if (strike->part == 0 || strike->age_ms >= FORGET_MS)
-    return CSP_PART_UNCHANGED;
-  if (csp_sound_since_ms (quarantine, strike->part) > inserted.at_ms)
-    return CSP_PART_SOUND;
+  if (strike->part == 0 || strike->age_ms >= FORGET_MS
+      || csp_sound_since_ms (quarantine, strike->part) > inserted.at_ms)
+    return false;
   if (row == NULL)
     row = allocate_row (quarantine, strike->part);
   if (strike->position < row->position)
     row->position = strike->position;
   if (has_strike (row, strike->target))
-    return CSP_PART_UNCHANGED;
+    return false;
   insert_strike (row, &inserted);
-  if (!csp_is_part_on_trial (row, now_ms) || reporter != 0
-      || inserted.at_ms < csp_part_hold_end_ms (row))
-    return CSP_PART_STRUCK;
-  row->failed_trials++;
-  csp_begin_part_hold (row, now_ms);
-  return CSP_PART_HELD;
+  return true;
 }
 
-/* Take back the strikes that are older than a sound answer.  */
-static void
-drop_older_strikes (csp_part_row_t *row, int64_t began_ms,
-                    csp_part_acquittal_t *acquittal)
+csp_part_change_t
+csp_add_part_strike (csp_part_quarantine_t *quarantine,
+                     const csp_part_strike_t *strike, int64_t now_ms)
 {
-  bool reported = row->strike_count >= REPORTED_STRIKES;
+  return add_strike (quarantine, strike, false, now_ms) ? CSP_PART_STRUCK
+                                                        : CSP_PART_UNCHANGED;
+}
 
-  while (row->strike_count > 0 && row->strikes[0].at_ms < began_ms)
+csp_part_change_t
+csp_add_own_part_strike (csp_part_quarantine_t *quarantine,
+                         const csp_part_strike_t *strike, int64_t sent_ms,
+                         int64_t now_ms)
+{
+  bool added = add_strike (quarantine, strike, true, now_ms);
+  csp_part_row_t *row = find_row (quarantine, strike->part);
+
+  if (row != NULL && csp_is_part_on_trial (row, now_ms)
+      && sent_ms >= csp_part_hold_end_ms (row))
     {
-      if (reported && row->strikes[0].reporter != 0)
-        acquittal->reporters[acquittal->reporter_count++]
-            = row->strikes[0].reporter;
-      csp_drop_part_strike (row, 0);
+      row->failed_ms = now_ms;
+      row->failed_at = strike->target;
+      row->trial_until_ms = now_ms + TRIAL_MS;
+    }
+  return added ? CSP_PART_STRUCK : CSP_PART_UNCHANGED;
+}
+
+/* Whether a part that has failed a trial ended the target as well.  */
+static bool
+ended_by_another (const csp_part_quarantine_t *quarantine,
+                  const csp_part_row_t *row)
+{
+  size_t i;
+
+  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+    if (&quarantine->rows[i] != row && quarantine->rows[i].failed_trials > 0
+        && has_strike (&quarantine->rows[i], row->failed_at))
+      return true;
+  return false;
+}
+
+size_t
+csp_hold_failed_parts (csp_part_quarantine_t *quarantine, uint64_t *parts,
+                       size_t capacity, int64_t now_ms)
+{
+  size_t listed = 0;
+  size_t i;
+
+  for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTED_PARTS_MAX
+              && listed < capacity;
+       i++)
+    {
+      csp_part_row_t *row = &quarantine->rows[i];
+
+      if (row->failed_ms == 0 || now_ms - row->failed_ms < STRIKES_SETTLE_MS)
+        continue;
+      row->failed_ms = 0;
+      row->trial_until_ms = 0;
+      if (ended_by_another (quarantine, row))
+        continue;
+      begin_hold (row, now_ms);
+      parts[listed++] = row->part;
     }
+  return listed;
 }
 
-csp_part_acquittal_t
+csp_hold_change_t
 csp_note_sound_part (csp_part_quarantine_t *quarantine, uint64_t part,
-                     int64_t began_ms, int64_t now_ms)
+                     int64_t began_ms)
 {
-  csp_part_acquittal_t acquittal = { .reporter_count = 0 };
   csp_part_row_t *row = find_row (quarantine, part);
+  csp_hold_change_t change = CSP_HOLD_UNCHANGED;
 
   remember_sound (&quarantine->sound[part % CSP_SOUND_ROWS], part, began_ms);
-  remember_sound (&quarantine->services[service_slot (part)],
-                  part >> SERVICE_SHIFT, began_ms);
   if (row == NULL)
-    return acquittal;
-  drop_older_strikes (row, began_ms, &acquittal);
+    return change;
+  while (row->strike_count > 0 && row->strikes[0].at_ms < began_ms)
+    csp_drop_part_strike (row, 0);
   if (row->strike_count > 0 || row->struck_at_ms >= began_ms)
-    return acquittal;
-  acquittal.lifted = row->held_until_ms != 0;
-  acquittal.held_here = row->held_here;
+    return change;
+  if (row->held_until_ms != 0)
+    change = row->leads ? CSP_OWN_HOLD_LIFTED : CSP_HOLD_LIFTED;
   release_row (quarantine, row);
-  return acquittal;
+  return change;
 }
 
 bool
@@ -287,31 +329,40 @@
 
 csp_part_change_t
 csp_merge_held_part (csp_part_quarantine_t *quarantine,
-                     const csp_held_part_t *held, int64_t now_ms)
+                     const csp_held_part_t *held, bool precedes,
+                     int64_t now_ms)
 {
   csp_part_row_t *row = find_row (quarantine, held->part);
   int64_t struck_at_ms = now_ms - held->strike_age_ms;
-  int64_t until_ms = now_ms + held->left_ms;
-  bool was_held;
+  int64_t until_ms = now_ms + held->left_ms - held->trial_age_ms;
 
-  if (held->part == 0 || held->left_ms == 0 || held->left_ms > HOLD_MAX_MS)
+  if (held->part == 0 || held->left_ms > HOLD_MAX_MS
+      || held->trial_age_ms > FORGET_MS)
     return CSP_PART_UNCHANGED;
   if (csp_sound_since_ms (quarantine, held->part) > struck_at_ms)
     return CSP_PART_SOUND;
+  if (held->asks)
+    return CSP_PART_UNCHANGED;
   if (row == NULL)
     row = allocate_row (quarantine, held->part);
-  was_held = csp_is_part_held (row, now_ms);
   if (held->failed_trials > row->failed_trials)
     row->failed_trials = held->failed_trials;
   if (struck_at_ms > row->struck_at_ms + TOLERANCE_MS)
     row->struck_at_ms = struck_at_ms;
-  if (until_ms > row->held_until_ms + TOLERANCE_MS)
+  if (until_ms <= row->held_until_ms + TOLERANCE_MS)
     {
-      row->held_until_ms = until_ms;
-      row->trial_until_ms = 0;
-      row->held_here = false;
+      if (held->leads && precedes
+          && until_ms + TOLERANCE_MS > row->held_until_ms)
+        row->leads = false;
+      return CSP_PART_UNCHANGED;
     }
-  return was_held ? CSP_PART_UNCHANGED : CSP_PART_HELD;
+  row->held_until_ms = until_ms;
+  row->spread_ms = csp_random_below (&quarantine->random, TRIAL_SPREAD_MS);
+  row->asked_ms = 0;
+  row->trial_until_ms = 0;
+  row->failed_ms = 0;
+  row->leads = false;
+  return held->left_ms == 0 ? CSP_PART_ON_TRIAL : CSP_PART_HELD;
 }
 
 static uint32_t
@@ -384,12 +435,12 @@
 }
 
 size_t
-csp_count_held_parts (const csp_part_quarantine_t *quarantine, int64_t now_ms)
+csp_count_held_parts (const csp_part_quarantine_t *quarantine)
 {
   size_t held = 0;
   size_t i;
 
   for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTED_PARTS_MAX; i++)
-    held += csp_is_part_held (&quarantine->rows[i], now_ms);
+    held += quarantine->rows[i].held_until_ms != 0;
   return held;
 }
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -205,6 +205,9 @@
       row->left_ms = hello->held_parts[i].left_ms;
       row->strike_age_ms = hello->held_parts[i].strike_age_ms;
       row->trials = hello->held_parts[i].failed_trials;
+      row->asks = hello->held_parts[i].asks;
+      row->leads = hello->held_parts[i].leads;
+      row->trial_age_ms = hello->held_parts[i].trial_age_ms;
       rows->held_part_rows[i] = row;
     }
   for (i = 0; i < hello->sound_part_count; i++)
@@ -453,12 +456,15 @@
                                .position = message->part_strikes[i]->position,
                                .age_ms = message->part_strikes[i]->age_ms };
   for (i = 0; i < message->n_held_parts; i++)
-    hello->held_parts[i]
-        = (csp_held_part_t){ .part = message->held_parts[i]->part,
-                             .left_ms = message->held_parts[i]->left_ms,
-                             .strike_age_ms
-                             = message->held_parts[i]->strike_age_ms,
-                             .failed_trials = message->held_parts[i]->trials };
+    hello->held_parts[i] = (csp_held_part_t){
+      .part = message->held_parts[i]->part,
+      .asks = message->held_parts[i]->asks,
+      .leads = message->held_parts[i]->leads,
+      .trial_age_ms = message->held_parts[i]->trial_age_ms,
+      .left_ms = message->held_parts[i]->left_ms,
+      .strike_age_ms = message->held_parts[i]->strike_age_ms,
+      .failed_trials = message->held_parts[i]->trials
+    };
   for (i = 0; i < message->n_sound_parts; i++)
     hello->sound_parts[i]
         = (csp_sound_part_t){ .part = message->sound_parts[i]->part,
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -1333,7 +1333,7 @@
   (ProtobufCMessageInit) csp_hello__part_strike__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__held_part__field_descriptors[4] =
+static const ProtobufCFieldDescriptor csp_hello__held_part__field_descriptors[7] =
 {
   {
     "part",
@@ -1383,17 +1383,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asks",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__HeldPart, asks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leads",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__HeldPart, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__HeldPart, trial_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__held_part__field_indices_by_name[] = {
+  4,   /* field[4] = asks */
+  5,   /* field[5] = leads */
   1,   /* field[1] = left_ms */
   0,   /* field[0] = part */
   2,   /* field[2] = strike_age_ms */
+  6,   /* field[6] = trial_age_ms */
   3,   /* field[3] = trials */
 };
 static const ProtobufCIntRange csp_hello__held_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor csp_hello__held_part__descriptor =
 {
@@ -1403,7 +1442,7 @@
   "CspHello__HeldPart",
   "csp_hello",
   sizeof(CspHello__HeldPart),
-  4,
+  7,
   csp_hello__held_part__field_descriptors,
   csp_hello__held_part__field_indices_by_name,
   1,  csp_hello__held_part__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -153,10 +153,13 @@
   uint32_t left_ms;
   uint32_t strike_age_ms;
   uint32_t trials;
+  protobuf_c_boolean asks;
+  protobuf_c_boolean leads;
+  uint32_t trial_age_ms;
 };
 #define CSP_HELLO__HELD_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__held_part__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  CspHello__SoundPart
--- /dev/null
+++ b/tests/quarantine/part-play-test.c
@@ -0,0 +1,69 @@
+#include "support/part-sim.h"
+#include "support/run-suite.h"
+
+#include <check.h>
+
+enum
+{
+  SEEDS = 10,
+  LATE_SENDS_MAX = 3
+};
+
+static const part_play_t plays[] = {
+  { "once a second", 1, false, 1000, 90, 2000, PART_ENDS_NONE, false },
+  { "once a second, hosts fail", 1, false, 1000, 90, 2000, PART_ENDS_NONE,
+    true },
+  { "a hundred times a second", 1, false, 10, 90, 2000, PART_ENDS_NONE,
+    false },
+  { "ten times a second", 1, false, 100, 90, 2000, PART_ENDS_NONE, false },
+  { "full batches", 1, false, 700, 40, 16000, PART_ENDS_NONE, false },
+  { "two parts", 2, false, 600, 90, 2000, PART_ENDS_NONE, false },
+  { "beside a flapping engine", 1, false, 700, 90, 2000, PART_ENDS_FLAPPING,
+    false },
+  { "every prompt", 0, true, 0, 150, 2000, PART_ENDS_NONE, false },
+  { "a third of the engines", 0, false, 0, 60, 8000, PART_ENDS_A_THIRD,
+    false },
+  { "a third of the engines, hosts fail", 0, false, 0, 60, 8000,
+    PART_ENDS_A_THIRD, true },
+  { "all engines", 0, false, 0, 60, 8000, PART_ENDS_ALL, false },
+  { "a third of the engines, one after the other", 0, false, 0, 60, 8000,
+    PART_ENDS_THIRD_IN_TURN, false },
+  { "flapping engine", 0, false, 0, 60, 8000, PART_ENDS_FLAPPING, true },
+  { "an engine a second", 0, false, 0, 60, 8000, PART_ENDS_RANDOM, true },
+  { "few requests, an engine a second", 0, false, 0, 900, 3000,
+    PART_ENDS_RANDOM, true },
+};
+
+/* Guards against a part that goes on ending engines through some host, and
+   against sound parts that are held for ends which they were only beside.  */
+START_TEST (only_parts_that_crash_engines_are_held)
+{
+  const part_play_t *play = &plays[_i / SEEDS];
+  int seed = _i % SEEDS + 1;
+  part_play_result_t result = part_sim_run (play, (uint64_t)seed);
+  size_t i;
+
+  for (i = 0; i < PART_SIM_GUILTY_MAX; i++)
+    ck_assert_msg (result.late_sends[i] <= LATE_SENDS_MAX,
+                   "%s, seed %d: sent %d times too often, %d ends", play->name,
+                   seed, result.late_sends[i], result.ends[i]);
+  for (i = 0; i < play->guilty; i++)
+    ck_assert_msg (result.ends[i] >= CSP_PART_STRIKES_HELD,
+                   "%s, seed %d: %d ends", play->name, seed, result.ends[i]);
+  ck_assert_msg (result.sound_held == 0, "%s, seed %d: sound parts were held",
+                 play->name, seed);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("part-play");
+  TCase *tests = tcase_create ("part-play");
+
+  tcase_set_timeout (tests, 60);
+  tcase_add_loop_test (tests, only_parts_that_crash_engines_are_held, 0,
+                       SEEDS * (int)(sizeof plays / sizeof plays[0]));
+  suite_add_tcase (suite, tests);
+  return run_suite (suite);
+}
--- /dev/null
+++ b/tests/support/part-sim.h
@@ -0,0 +1,53 @@
+#ifndef TESTS_PART_SIM_H
+#define TESTS_PART_SIM_H
+
+#include "cowslipspoke/part-quarantine.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* A seeded simulation: requests with parts that crash engines come through all
+   hosts, among sound ones that share their other parts; hosts restart, are
+   partitioned and lose messages, and engines also end for other reasons.  */
+
+enum
+{
+  PART_SIM_GUILTY_MAX = 2
+};
+
+typedef enum
+{
+  PART_ENDS_NONE,
+  PART_ENDS_A_THIRD, /* of the engines at one moment, three times */
+  PART_ENDS_ALL,     /* engines at one moment, three times */
+  PART_ENDS_IN_TURN, /* the same, within two seconds */
+  PART_ENDS_THIRD_IN_TURN,
+  PART_ENDS_FLAPPING, /* one engine again and again */
+  PART_ENDS_RANDOM    /* one engine a second, any */
+} part_ends_t;
+
+typedef struct
+{
+  const char *name;
+  size_t guilty;     /* parts */
+  bool guilty_first; /* it is the first part of every prompt */
+  int64_t guilty_every_ms;
+  int64_t sound_every_ms;
+  int64_t sound_max_ms; /* how long sound answers last */
+  part_ends_t other_ends;
+  bool host_faults;
+} part_play_t;
+
+/* What happened in a play.  A request is late if a host that is in contact
+   sends it well after the fifth engine has ended under its part.  */
+typedef struct
+{
+  int ends[PART_SIM_GUILTY_MAX];
+  int late_sends[PART_SIM_GUILTY_MAX];
+  int sound_held; /* holds of sound parts, one for each host */
+} part_play_result_t;
+
+part_play_result_t part_sim_run (const part_play_t *play, uint64_t seed);
+
+#endif
