Take a stream that ends without an event for broken off

What callers saw: an engine that ends right behind the head of an answer with neither a length nor chunks left them with a whole, empty answer (200) instead of 502. And where such a stream ended inside an event, the request got no strike, nor did the parts of its prompt.

Cause: the end of the connection ended the answer, and only bytes of an incomplete event showed that it had broken off; that way of ending was counted as a loss of the engine, but not against the request.

Change: such a stream is complete only between events, and needs one; an engine that breaks it off is logged and counted like one that closes the connection of a framed answer.

Plain answers were right: whole when closed, failed when reset.

--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -395,12 +395,14 @@
 end_stream (csp_exchange_t *exchange)
 {
   bool lost = exchange->resume.pending && !ends_resumed_stream (exchange);
-  bool broke_off = (exchange->until_close || exchange->resume.pending)
-                   && exchange->buffered.size_bytes > 0;
+  bool broke_off = ((exchange->until_close || exchange->resume.pending)
+                    && exchange->buffered.size_bytes > 0)
+                   || (exchange->until_close && exchange->events == 0);
 
   /* An answer without framing ends the same way when its run is stopped for a
-     move, so its end proves nothing then; an incomplete event shows that the
-     answer broke off, or that a resumed stream's answer is none.  */
+     move, so its end proves nothing then; an incomplete event, or none at all,
+     shows that the answer broke off, or that a resumed stream's answer is
+     none.  */
   if (broke_off
       || (exchange->until_close
           && (lost || exchange->move.state == CSP_MOVE_STOPPING)))
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -181,6 +181,8 @@
 void
 csp_note_attempt_broke_off (csp_exchange_t *exchange)
 {
+  if (exchange->until_close && exchange->move.state != CSP_MOVE_STOPPING)
+    note_connection_ended (exchange, "the answer broke off");
   if (is_target_failure (exchange, CSP_LINK_CLOSED))
     count_own_loss (exchange);
 }
