Soak: most new connections to one host

It checks RECOVER: of the first tries that a host has read, as many as before are served, less a quarter.

--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -113,6 +113,8 @@
 
   check_answer (caller, closed);
   poison_count_sound (soak, request, request->events > 0);
+  herd_count_request (soak, request, !closed || request->events > 0,
+                      caller->status == 200);
   ledger_answer (soak, request,
                  closed && request->kind != KIND_STREAM ? 0 : caller->status);
   if (!closed
@@ -123,7 +125,8 @@
   if (closed)
     ledger_cut (soak, request, caller->id);
   if (caller->closes || closed
-      || csp_random_below (&soak->random, PER_CENT) >= KEEP_ALIVE_PER_CENT)
+      || csp_random_below (&soak->random, PER_CENT)
+             >= herd_keep_alive_per_cent (soak, KEEP_ALIVE_PER_CENT))
     close_connection (caller);
   schedule_next_request (caller);
 }
@@ -234,13 +237,8 @@
 static size_t
 choose_host (soak_t *soak)
 {
-  size_t first = csp_random_below (&soak->random, (uint32_t)soak->host_count);
-  size_t i;
-
-  for (i = 0; i < soak->host_count; i++)
-    if (soak->hosts[(first + i) % soak->host_count].in_rotation)
-      return (first + i) % soak->host_count;
-  return first;
+  return herd_choose_host (
+      soak, csp_random_below (&soak->random, (uint32_t)soak->host_count));
 }
 
 static request_kind_t
--- a/tests/soak/soak-ledger.c
+++ b/tests/soak/soak-ledger.c
@@ -382,6 +382,7 @@
       served += is_served (soak, request);
     }
   cut_check_final (soak);
+  herd_check_final (soak);
   if (sent > 0 && served * PER_CENT < sent * 90)
     soak_report_violation (soak, "RECOVER",
                            "%u of %u served after the faults ended", served,
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -14,8 +14,8 @@
 /* soak --program GATEWAY [--seed N] [--seconds S] [--hosts N] [--callers N]
    [--work DIR] [--zones] [--poison] [--parts] [--announce] [--rates]
    [--uneven]
-   [--cuts]: runs one soak. Prints its violations and a summary line; exits
-   with 1 if there was a violation.  */
+   [--cuts] [--herd]: runs one soak. Prints its violations and a summary line;
+   exits with 1 if there was a violation.  */
 
 enum
 {
@@ -176,6 +176,7 @@
   announce_tick (soak);
   rate_tick (soak);
   cut_tick (soak);
+  herd_tick (soak);
   if (soak_now_ms (soak) >= soak->began_ms + soak->length_ms)
     uv_stop (&soak->loop);
 }
@@ -226,6 +227,7 @@
           { "rates", no_argument, NULL, 'r' },
           { "uneven", no_argument, NULL, 'u' },
           { "cuts", no_argument, NULL, 'k' },
+          { "herd", no_argument, NULL, 'e' },
           { NULL, 0, NULL, 0 } };
   int option;
 
@@ -266,6 +268,9 @@
       case 'u':
         soak->uneven_enabled = true;
         break;
+      case 'e':
+        soak->herd_enabled = true;
+        break;
       case 'k':
         soak->cuts_enabled = true;
         break;
@@ -317,6 +322,8 @@
     uneven_open (&soak);
   if (soak.cuts_enabled)
     cut_open (&soak);
+  if (soak.herd_enabled)
+    herd_open (&soak);
   run (&soak, callers);
   poison_close (&soak);
   if (soak.uneven_enabled)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -28,6 +28,7 @@
      soak-rate      rate limits that servers state in their answers
      soak-uneven    a flapping engine, slow engines, competing routes
      soak-cut       hosts that reach no server
+     soak-herd      most new connections to one host
      soak-plan      which faults happen when  */
 
 enum
@@ -120,6 +121,7 @@
 typedef struct store store_t;
 typedef struct callers callers_t;
 typedef struct poison poison_t;
+typedef struct herd herd_t;
 
 /* What a soak has of soak-uneven.  */
 typedef struct
@@ -172,6 +174,8 @@
   uint32_t cut_sent[2]; /* first tries meanwhile: at other hosts, at hosts
                            without paths */
   uint32_t cut_served[2];
+  bool herd_enabled; /* most new connections go to one host */
+  herd_t *herd;
   bool uneven_enabled;
   uneven_t uneven;
   uint64_t evacuated_ms[SOAK_ZONES]; /* when the evacuation was acknowledged;
@@ -361,6 +365,16 @@
 void cut_count_request (soak_t *soak, const request_t *request, bool served);
 void cut_check_final (soak_t *soak);
 
+/* Herds.  herd_choose_host: the host for a new connection, beginning with the
+   one drawn.  herd_count_request counts an answer, or none.  */
+void herd_open (soak_t *soak);
+void herd_tick (soak_t *soak);
+size_t herd_choose_host (soak_t *soak, size_t first);
+uint32_t herd_keep_alive_per_cent (const soak_t *soak, uint32_t usual);
+void herd_count_request (soak_t *soak, const request_t *request, bool read,
+                         bool served);
+void herd_check_final (soak_t *soak);
+
 /* Injects faults until the last seconds of the soak, which are free of them.
  */
 void plan_tick (soak_t *soak);
