--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -13,5 +13,6 @@
   poison=$(test $(({} % 2)) = 0 && echo --poison || echo --parts)
   "$BUILD/soak" --program "$BUILD/cowslip-gateway" --work "$work" --seed {} \
     --seconds "$SECONDS_EACH" --hosts "$HOSTS" --callers "$CALLERS" --zones \
-    "$poison" --announce --rates --uneven --cuts &&
+    "$poison" --announce --rates --uneven --cuts \
+    --herd &&
     rm -rf "$work"'
