--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -11,7 +11,8 @@
   SELF_BOOT = 100,
   OTHER_BOOT = 200,
   THIS_DATA_CENTRE = 7,
-  OTHER_DATA_CENTRE = 8
+  OTHER_DATA_CENTRE = 8,
+  HELD_PARTS_IN_HELLO = 2 /* see gateway-part.c */
 };
 
 static const csp_peer_address_t self = { 1, 10 };
@@ -772,6 +773,7 @@
                         .known_count = CSP_HELLO_KNOWN_MAX,
                         .suspect_count = CSP_HELLO_SUSPECTS_MAX,
                         .cleared_count = CSP_HELLO_SUSPECTS_MAX,
+                        .held_part_count = HELD_PARTS_IN_HELLO,
                         .relay_port = 65535,
                         .unreached_count = CSP_HELLO_UNREACHED_MAX };
   csp_buffer_t bytes = { 0 };
@@ -799,6 +801,14 @@
                                            .failed_trials = 9 };
       hello.cleared[i] = i + 1;
     }
+  for (i = 0; i < HELD_PARTS_IN_HELLO; i++)
+    hello.held_parts[i] = (csp_held_part_t){ .part = UINT64_MAX - i,
+                                             .asks = true,
+                                             .leads = true,
+                                             .left_ms = UINT32_MAX,
+                                             .trial_age_ms = UINT32_MAX,
+                                             .strike_age_ms = UINT32_MAX,
+                                             .failed_trials = 9 };
   ck_assert (csp_encode_hello (&hello, &bytes));
   ck_assert_uint_le (bytes.size_bytes, CSP_HELLO_MAX_BYTES);
   ck_assert (csp_decode_hello (bytes.data, bytes.size_bytes, &back));
