--- a/source/quarantine/part-quarantine.c
+++ b/source/quarantine/part-quarantine.c
@@ -376,9 +376,19 @@
   return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 0;
 }
 
-uint32_t
-csp_held_part_left_ms (const csp_part_quarantine_t *quarantine,
-                       const csp_prompt_parts_t *parts, int64_t now_ms)
+static uint32_t
+retry_after_ms (const csp_part_row_t *row, int64_t now_ms)
+{
+  if (now_ms < row->held_until_ms)
+    return (uint32_t)(row->held_until_ms - now_ms);
+  return left_ms (row, now_ms) > 0 ? TRIAL_RETRY_MS : 0;
+}
+
+static uint32_t
+find_longest_ms (const csp_part_quarantine_t *quarantine,
+                 const csp_prompt_parts_t *parts, int64_t now_ms,
+                 uint32_t (*row_ms) (const csp_part_row_t *row,
+                                     int64_t now_ms))
 {
   uint32_t longest_ms = 0;
   size_t i;
@@ -386,7 +396,7 @@
   for (i = 0; i < parts->count; i++)
     {
       const csp_part_row_t *row = find_row (quarantine, parts->parts[i]);
-      uint32_t part_ms = row == NULL ? 0 : left_ms (row, now_ms);
+      uint32_t part_ms = row == NULL ? 0 : row_ms (row, now_ms);
 
       if (part_ms > longest_ms)
         longest_ms = part_ms;
@@ -394,30 +404,18 @@
   return longest_ms;
 }
 
-static uint32_t
-retry_after_ms (const csp_part_row_t *row, int64_t now_ms)
+uint32_t
+csp_held_part_left_ms (const csp_part_quarantine_t *quarantine,
+                       const csp_prompt_parts_t *parts, int64_t now_ms)
 {
-  if (now_ms < row->held_until_ms)
-    return (uint32_t)(row->held_until_ms - now_ms);
-  return left_ms (row, now_ms) > 0 ? TRIAL_RETRY_MS : 0;
+  return find_longest_ms (quarantine, parts, now_ms, left_ms);
 }
 
 uint32_t
 csp_part_retry_after_ms (const csp_part_quarantine_t *quarantine,
                          const csp_prompt_parts_t *parts, int64_t now_ms)
 {
-  uint32_t longest_ms = 0;
-  size_t i;
-
-  for (i = 0; i < parts->count; i++)
-    {
-      const csp_part_row_t *row = find_row (quarantine, parts->parts[i]);
-      uint32_t part_ms = row == NULL ? 0 : retry_after_ms (row, now_ms);
-
-      if (part_ms > longest_ms)
-        longest_ms = part_ms;
-    }
-  return longest_ms;
+  return find_longest_ms (quarantine, parts, now_ms, retry_after_ms);
 }
 
 void
--- a/tests/quarantine/part-outage-test.c
+++ b/tests/quarantine/part-outage-test.c
@@ -5,8 +5,7 @@
 
 enum
 {
-  SEEDS = 10,
-  LATE_SENDS_MAX = 3
+  SEEDS = 10
 };
 
 static const part_play_t plays[] = {
@@ -19,20 +18,7 @@
    engines end in turn, or two parts crash them while hosts fail.  */
 START_TEST (trials_tell_parts_from_other_causes)
 {
-  const part_play_t *play = &plays[_i / SEEDS];
-  int seed = _i % SEEDS + 1;
-  part_play_result_t result = part_sim_run (play, (uint64_t)seed);
-  size_t i;
-
-  for (i = 0; i < PART_SIM_GUILTY_MAX; i++)
-    ck_assert_msg (result.late_sends[i] <= LATE_SENDS_MAX,
-                   "%s, seed %d: sent %d times too often, %d ends", play->name,
-                   seed, result.late_sends[i], result.ends[i]);
-  for (i = 0; i < play->guilty; i++)
-    ck_assert_msg (result.ends[i] >= CSP_PART_STRIKES_TRIED,
-                   "%s, seed %d: %d ends", play->name, seed, result.ends[i]);
-  ck_assert_msg (result.sound_held == 0, "%s, seed %d: sound parts were held",
-                 play->name, seed);
+  part_sim_check (&plays[_i / SEEDS], _i % SEEDS + 1);
 }
 END_TEST
 
--- a/tests/support/part-sim.c
+++ b/tests/support/part-sim.c
@@ -2,6 +2,7 @@
 
 #include "cowslipspoke/random.h"
 
+#include <check.h>
 #include <string.h>
 
 enum
@@ -20,6 +21,8 @@
   IN_TURN_MS = 160,
   CONTACT_MS = 3000,
   PROVING_ENDS = 5,
+  LATE_SENDS_MAX = 3,
+  GUILTY_MAX = 2,
   SOUND_MIDDLES = 20,
   FIRST = 1,
   FIRST_MIDDLE = 100,
@@ -61,10 +64,12 @@
   csp_random_t random;
   uint64_t next_incarnation;
   int64_t next_sound_ms;
-  int64_t next_guilty_ms[PART_SIM_GUILTY_MAX];
-  int64_t proven_ms[PART_SIM_GUILTY_MAX]; /* when the fifth engine ended; 0:
+  int64_t next_guilty_ms[GUILTY_MAX];
+  int64_t proven_ms[GUILTY_MAX]; /* when the fifth engine ended; 0:
                                              not yet */
-  part_play_result_t result;
+  int ends[GUILTY_MAX];          /* engines, for each crashing part */
+  int late_sends[GUILTY_MAX];
+  int sound_held; /* holds of sound parts, one for each host */
 } sim_t;
 
 static int64_t
@@ -118,7 +123,7 @@
   size_t i;
   size_t j;
 
-  sim->result.sound_held
+  sim->sound_held
       += part < GUILTY && !(sim->play->guilty_first && part == FIRST);
   for (i = 0; i < RUNS_MAX; i++)
     for (j = 0; j < sim->runs[i].parts.count; j++)
@@ -171,7 +176,7 @@
 
   if (sim->play->guilty_first)
     which = 0;
-  if (++sim->result.ends[which] == PROVING_ENDS)
+  if (++sim->ends[which] == PROVING_ENDS)
     sim->proven_ms[which] = now_ms;
 }
 
@@ -264,7 +269,7 @@
   sim->next_sound_ms = now_ms + draw (sim, 1, 2 * sim->play->sound_every_ms);
   if (send_request (sim, &parts, sim->play->guilty_first, host, now_ms)
       && sim->play->guilty_first)
-    sim->result.late_sends[0]
+    sim->late_sends[0]
         += sim->proven_ms[0] != 0 && now_ms > sim->proven_ms[0] + CONTACT_MS;
 }
 
@@ -278,7 +283,7 @@
   sim->next_guilty_ms[which]
       = now_ms + draw (sim, 1, 2 * sim->play->guilty_every_ms);
   if (send_request (sim, &parts, true, host, now_ms))
-    sim->result.late_sends[which]
+    sim->late_sends[which]
         += sim->proven_ms[which] != 0
            && now_ms > sim->proven_ms[which] + CONTACT_MS
            && now_ms > sim->hosts[host].disturbed_ms + CONTACT_MS;
@@ -443,17 +448,25 @@
       send_guilty (sim, i, now_ms);
 }
 
-part_play_result_t
-part_sim_run (const part_play_t *play, uint64_t seed)
+void
+part_sim_check (const part_play_t *play, int seed)
 {
   static sim_t sim;
   int64_t now_ms;
   size_t i;
 
-  open_sim (&sim, play, seed);
+  open_sim (&sim, play, (uint64_t)seed);
   for (now_ms = STEP_MS; now_ms < PLAY_MS; now_ms += STEP_MS)
     step (&sim, now_ms);
   for (i = 0; i < HOSTS; i++)
     csp_destroy_part_quarantine (sim.hosts[i].quarantine);
-  return sim.result;
+  for (i = 0; i < GUILTY_MAX; i++)
+    ck_assert_msg (sim.late_sends[i] <= LATE_SENDS_MAX,
+                   "%s, seed %d: sent %d times too often, %d ends", play->name,
+                   seed, sim.late_sends[i], sim.ends[i]);
+  for (i = 0; i < play->guilty; i++)
+    ck_assert_msg (sim.ends[i] >= CSP_PART_STRIKES_TRIED,
+                   "%s, seed %d: %d ends", play->name, seed, sim.ends[i]);
+  ck_assert_msg (sim.sound_held == 0, "%s, seed %d: sound parts were held",
+                 play->name, seed);
 }
--- a/tests/support/part-sim.h
+++ b/tests/support/part-sim.h
@@ -11,11 +11,6 @@
    hosts, among sound ones that share their other parts; hosts restart, are
    partitioned and lose messages, and engines also end for other reasons.  */
 
-enum
-{
-  PART_SIM_GUILTY_MAX = 2
-};
-
 typedef enum
 {
   PART_ENDS_NONE,
@@ -39,15 +34,9 @@
   bool host_faults;
 } part_play_t;
 
-/* What happened in a play.  A request is late if a host that is in contact
-   sends it well after the fifth engine has ended under its part.  */
-typedef struct
-{
-  int ends[PART_SIM_GUILTY_MAX];
-  int late_sends[PART_SIM_GUILTY_MAX];
-  int sound_held; /* holds of sound parts, one for each host */
-} part_play_result_t;
-
-part_play_result_t part_sim_run (const part_play_t *play, uint64_t seed);
+/* Runs a play and checks its bounds: of requests with a crashing part at most
+   three are sent well after the fifth engine has ended under it, by hosts that
+   are in contact, and no sound part is held.  */
+void part_sim_check (const part_play_t *play, int seed);
 
 #endif
