--- a/tests/soak/soak-zone.c
+++ b/tests/soak/soak-zone.c
@@ -41,6 +41,17 @@
   soak->evacuated_ms[zone] = on ? soak_now_ms (soak) : 0;
 }
 
+bool
+zone_are_all_evacuated (const soak_t *soak)
+{
+  size_t i;
+
+  for (i = 0; i < SOAK_ZONES; i++)
+    if (soak->evacuated_ms[i] == 0)
+      return false;
+  return true;
+}
+
 void
 zone_tick (soak_t *soak)
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -308,6 +308,7 @@
    reaches a server.  */
 const char *zone_name (const soak_t *soak, size_t number);
 void zone_tick (soak_t *soak);
+bool zone_are_all_evacuated (const soak_t *soak);
 void zone_check (server_t *server, const wire_message_t *message);
 
 /* Poison: requests that crash each server that runs them.  poison_check
