A request on trial that its target refuses is sent on

A host lets one request with a part on trial through, and kept all others back for ten seconds, the request itself among them: where its target refused it or couldn't be connected to, it was not sent to another one, and the part stayed on trial meanwhile.

The new metric part_strikes_total counts strikes of this and other hosts.

gateway-quarantine-test hung beside load, traced: it let the clock of one of its two hosts go on by ten seconds, so that the ages which the hosts tell each other made a trial look new, and it counted on strikes that were told while the hosts didn't know each other yet.

--- a/include/cowslipspoke/part-quarantine.h
+++ b/include/cowslipspoke/part-quarantine.h
@@ -173,6 +173,10 @@
 void csp_begin_part_trials (csp_part_quarantine_t *quarantine,
                             const csp_prompt_parts_t *parts, int64_t now_ms);
 
+/* The request on trial didn't run, so that another one may be sent.  */
+void csp_cancel_part_trials (csp_part_quarantine_t *quarantine,
+                             const csp_prompt_parts_t *parts, int64_t now_ms);
+
 /* List what has to be broadcast now, and count one broadcast for each.  Parts
    that this host asks about are among the held ones.  */
 size_t csp_take_part_strikes (csp_part_quarantine_t *quarantine,
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -185,6 +185,7 @@
   if (status != STATUS_MISDIRECTED)
     csp_handle_refusal_limit (gateway, exchange->target, head);
   exchange->verdict = CSP_VERDICT_NOT_RUN;
+  csp_cancel_exchange_trial (exchange);
   if (exchange->move.state == CSP_MOVE_RESUMING)
     {
       csp_resume_or_cut (exchange, "the copy was not there");
@@ -496,6 +497,7 @@
     }
   csp_note_unreachable (exchange->target, csp_gateway_now_ms (gateway));
   exchange->verdict = CSP_VERDICT_NOT_RUN;
+  csp_cancel_exchange_trial (exchange);
   if (exchange->events > 0 && !exchange->resume.pending)
     {
       csp_handle_broken_stream (exchange, failure_details[why]);
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -268,6 +268,9 @@
    hold is over.  */
 void csp_begin_exchange_trial (csp_exchange_t *exchange);
 
+/* The target did not run it, so that it may be sent again.  */
+void csp_cancel_exchange_trial (csp_exchange_t *exchange);
+
 /* The target ended: count a strike against each part.  */
 void csp_note_part_strikes (csp_exchange_t *exchange);
 
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -140,6 +140,7 @@
   uint64_t quarantined;    /* requests whose targets ended while they ran */
   /* Attempts of those requests that were refused.  */
   uint64_t quarantine_refused;
+  uint64_t part_strikes;  /* against prompt parts, of this and other hosts */
   uint64_t parts_tried;   /* trials of prompt parts that have begun here */
   uint64_t parts_held;    /* holds of prompt parts that have begun here */
   uint64_t parts_refused; /* attempts refused for a held part */
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -59,6 +59,7 @@
     { "refusal_pauses_total", "counter", counts->refusal_pauses },
     { "quarantined_total", "counter", counts->quarantined },
     { "quarantine_refused_total", "counter", counts->quarantine_refused },
+    { "part_strikes_total", "counter", counts->part_strikes },
     { "parts_tried_total", "counter", counts->parts_tried },
     { "parts_held_total", "counter", counts->parts_held },
     { "parts_refused_total", "counter", counts->parts_refused },
--- a/source/gateway/gateway-part.c
+++ b/source/gateway/gateway-part.c
@@ -101,6 +101,17 @@
                            csp_gateway_now_ms (gateway));
 }
 
+void
+csp_cancel_exchange_trial (csp_exchange_t *exchange)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+
+  if (csp_count_suspected_parts (gateway->part_quarantine) > 0)
+    csp_cancel_part_trials (gateway->part_quarantine,
+                            csp_exchange_parts (exchange),
+                            csp_gateway_now_ms (gateway));
+}
+
 void
 csp_note_part_strikes (csp_exchange_t *exchange)
 {
@@ -121,8 +132,8 @@
                                    .target = target->hash,
                                    .position = (uint32_t)i };
 
-      csp_add_own_part_strike (gateway->part_quarantine, &strike,
-                               exchange->sent_at_ms, now_ms);
+      gateway->counts.part_strikes += csp_add_own_part_strike (
+          gateway->part_quarantine, &strike, exchange->sent_at_ms, now_ms);
     }
 }
 
@@ -276,8 +287,9 @@
   size_t i;
 
   for (i = 0; i < hello->part_strike_count; i++)
-    csp_add_part_strike (gateway->part_quarantine, &hello->part_strikes[i],
-                         csp_gateway_now_ms (gateway));
+    gateway->counts.part_strikes += csp_add_part_strike (
+        gateway->part_quarantine, &hello->part_strikes[i],
+        csp_gateway_now_ms (gateway));
 }
 
 static void
--- a/source/quarantine/part-quarantine.c
+++ b/source/quarantine/part-quarantine.c
@@ -418,9 +418,10 @@
   return find_longest_ms (quarantine, parts, now_ms, retry_after_ms);
 }
 
-void
-csp_begin_part_trials (csp_part_quarantine_t *quarantine,
-                       const csp_prompt_parts_t *parts, int64_t now_ms)
+static void
+set_trial_end (csp_part_quarantine_t *quarantine,
+               const csp_prompt_parts_t *parts, int64_t until_ms,
+               int64_t now_ms)
 {
   size_t i;
 
@@ -428,11 +429,26 @@
     {
       csp_part_row_t *row = find_row (quarantine, parts->parts[i]);
 
-      if (row != NULL && csp_is_part_on_trial (row, now_ms))
-        row->trial_until_ms = now_ms + TRIAL_MS;
+      if (row != NULL && csp_is_part_on_trial (row, now_ms)
+          && row->failed_ms == 0)
+        row->trial_until_ms = until_ms;
     }
 }
 
+void
+csp_begin_part_trials (csp_part_quarantine_t *quarantine,
+                       const csp_prompt_parts_t *parts, int64_t now_ms)
+{
+  set_trial_end (quarantine, parts, now_ms + TRIAL_MS, now_ms);
+}
+
+void
+csp_cancel_part_trials (csp_part_quarantine_t *quarantine,
+                        const csp_prompt_parts_t *parts, int64_t now_ms)
+{
+  set_trial_end (quarantine, parts, 0, now_ms);
+}
+
 void
 csp_expire_part_strikes (csp_part_quarantine_t *quarantine, int64_t now_ms)
 {
--- a/tests/gateway/quarantine-test.c
+++ b/tests/gateway/quarantine-test.c
@@ -20,7 +20,7 @@
      between two of them.  */
   ENDS = 4,
   BETWEEN_ENDS_MS = 700,
-  STEP_MS = 5,
+  STEP_MS = 1,
   TRIAL_MS = 10000,
   BODY_BYTES = 16
 };
@@ -239,6 +239,40 @@
 }
 END_TEST
 
+/* Times that hosts tell each other are ages, so all clocks go on together.  */
+static void
+advance_clocks (int64_t ms)
+{
+  size_t i;
+
+  for (i = 0; i < HOSTS; i++)
+    csp_advance_fake_clock (&hosts[i].fake_clock, ms);
+}
+
+/* Wait until all hosts have heard of so many strikes, without the clocks:
+   hosts that seem silent for seconds aren't told.  */
+static void
+await_part_strikes (size_t count)
+{
+  char line[40];
+  size_t i;
+
+  snprintf (line, sizeof line, "_part_strikes_total %zu\n", count);
+  for (i = 0; i < HOSTS; i++)
+    while (strstr (fixture_get_page (&hosts[i], "/metrics"), line) == NULL)
+      continue;
+}
+
+static size_t
+count_shared_parts (const char *parts)
+{
+  size_t count = 0;
+
+  for (; *parts != '\0'; parts++)
+    count += *parts == ',';
+  return count;
+}
+
 /* Targets end under requests that have nothing but one part in common, sound
    ones are served beside; all share the first part.  */
 static void
@@ -247,27 +281,30 @@
   char name[BODY_BYTES];
   size_t i;
 
+  for (i = 0; i < HOSTS; i++)
+    while (strstr (fixture_get_page (&hosts[i], "/metrics"), "_peers 1\n")
+           == NULL)
+      continue;
   for (i = 0; i < ENDS; i++)
     {
       prompt_parts = guilty;
       snprintf (name, sizeof name, "guilty-%zu", i);
       end_target_during_request (&hosts[i % HOSTS], name, name);
+      await_part_strikes ((i + 1) * count_shared_parts (guilty));
       prompt_parts = sound;
-      csp_advance_fake_clock (&hosts[0].fake_clock, BETWEEN_ENDS_MS);
-      csp_advance_fake_clock (&hosts[1].fake_clock, BETWEEN_ENDS_MS);
+      advance_clocks (BETWEEN_ENDS_MS);
       snprintf (name, sizeof name, "sound-%zu", i);
       answer_at_target (&hosts[i % HOSTS], name, name, "200 OK");
     }
 }
 
+/* Wait until the metrics no longer contain a line.  The clocks go on, as
+   trials and holds take their time.  */
 static void
-await_part_metric (fixture_t *host, const char *line)
+await_other_than (fixture_t *host, const char *line)
 {
-  while (strstr (fixture_get_page (host, "/metrics"), line) == NULL)
-    {
-      csp_advance_fake_clock (&hosts[0].fake_clock, STEP_MS);
-      csp_advance_fake_clock (&hosts[1].fake_clock, STEP_MS);
-    }
+  while (strstr (fixture_get_page (host, "/metrics"), line) != NULL)
+    advance_clocks (STEP_MS);
 }
 
 /* Returns the host that sends the one request that is let through on
@@ -277,8 +314,8 @@
 {
   size_t i = 0;
 
-  await_part_metric (&hosts[0], "_held_parts 1\n");
-  await_part_metric (&hosts[1], "_held_parts 1\n");
+  await_other_than (&hosts[0], "_held_parts 0\n");
+  await_other_than (&hosts[1], "_held_parts 0\n");
   while (!reaches_target (&hosts[i % HOSTS], "tried"))
     i++;
   return &hosts[i % HOSTS];
@@ -304,11 +341,11 @@
   end_targets_under_part (shared_parts[_i].guilty, shared_parts[_i].sound);
   prompt_parts = shared_parts[_i].guilty;
   trying = find_trying_host ();
-  csp_advance_fake_clock (&trying->fake_clock, TRIAL_MS);
+  advance_clocks (TRIAL_MS);
   end_target_during_request (trying, "t-tried", "one more");
   for (i = 0; i < HOSTS; i++)
     {
-      await_part_metric (&hosts[i], "_parts_held_total 1\n");
+      await_other_than (&hosts[i], "_parts_held_total 0\n");
       prompt_parts = shared_parts[_i].guilty;
       ck_assert (!reaches_target (&hosts[i], "yet another"));
       ck_assert_ptr_nonnull (strstr (refusal, " 503 "));
@@ -328,16 +365,45 @@
   end_targets_under_part (shared_parts[0].guilty, shared_parts[0].sound);
   prompt_parts = shared_parts[0].guilty;
   trying = find_trying_host ();
-  csp_advance_fake_clock (&trying->fake_clock, TRIAL_MS);
+  advance_clocks (TRIAL_MS);
   answer_at_target (trying, "t-tried", "one more", "200 OK");
   for (i = 0; i < HOSTS; i++)
     {
-      await_part_metric (&hosts[i], "_held_parts 0\n");
+      await_other_than (&hosts[i], "_held_parts 1\n");
       ck_assert (reaches_target (&hosts[i], "yet another"));
     }
 }
 END_TEST
 
+/* Guards against a request on trial that isn't sent on where its target
+   refuses it, and keeps all others back.  */
+START_TEST (a_trial_that_a_target_refuses_goes_on)
+{
+  fixture_t *trying;
+  int caller;
+  int link;
+  int listener;
+
+  end_targets_under_part (shared_parts[0].guilty, shared_parts[0].sound);
+  prompt_parts = shared_parts[0].guilty;
+  trying = find_trying_host ();
+  advance_clocks (TRIAL_MS);
+  listener = fixture_add_target (trying, "t-full", "plain");
+  caller = open_caller (trying);
+  send_request (caller, "one more", "body");
+  link = accept_target_connection (listener);
+  read_target_request (link, strlen ("body"));
+  send_text (link, "HTTP/1.1 503 Full\r\nRequest-Id: one more\r\n"
+                   "Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  read_until (caller, "\r\n\r\n");
+  close (caller);
+  close (link);
+  close (listener);
+  fixture_remove_target (trying, "t-full");
+  ck_assert (reaches_target (trying, "yet another"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -357,6 +423,7 @@
                        a_part_under_which_targets_ended_reaches_no_other, 0,
                        sizeof shared_parts / sizeof shared_parts[0]);
   tcase_add_test (tests, a_part_that_is_served_on_trial_is_sound);
+  tcase_add_test (tests, a_trial_that_a_target_refuses_goes_on);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
 }
--- a/tests/quarantine/part-quarantine-test.c
+++ b/tests/quarantine/part-quarantine-test.c
@@ -397,6 +397,10 @@
   ck_assert_uint_eq (left_ms (here, GUILTY, now_ms), 0);
   csp_begin_part_trials (here, &guilty, now_ms);
   ck_assert_uint_eq (left_ms (here, GUILTY, now_ms + 1), TRIAL_MS - 1);
+  /* Its target refuses it.  */
+  csp_cancel_part_trials (here, &guilty, now_ms + 1);
+  ck_assert_uint_eq (left_ms (here, GUILTY, now_ms + 1), 0);
+  csp_begin_part_trials (here, &guilty, now_ms);
   ck_assert_uint_eq (left_ms (here, GUILTY, now_ms + TRIAL_MS), 0);
 }
 END_TEST
