--- a/tests/gateway/gateway-test.c
+++ b/tests/gateway/gateway-test.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 static fixture_t fixture;
@@ -161,36 +160,6 @@
 }
 END_TEST
 
-/* Guards against a listener that is deaf once descriptors have run out, as
-   most new connections came to one host: the callers are turned away, unread,
-   and the next ones are served.  */
-START_TEST (callers_are_served_again_after_descriptors_ran_out)
-{
-  int target = fixture_add_target (&fixture, "t-1", "plain");
-  struct rlimit usual;
-  struct rlimit tight;
-  int caller = dup (0);
-  int link;
-
-  getrlimit (RLIMIT_NOFILE, &usual);
-  tight = usual;
-  /* Only the caller's own end gets a descriptor.  */
-  tight.rlim_cur = (rlim_t)caller + 1;
-  close (caller);
-  setrlimit (RLIMIT_NOFILE, &tight);
-  caller = open_caller (&fixture);
-  ck_assert (await_close (caller));
-  setrlimit (RLIMIT_NOFILE, &usual);
-  close (caller);
-  caller = open_caller (&fixture);
-  send_text (caller, REQUEST ("/safe/x", "r1"));
-  link = accept_target_connection (target);
-  read_target_request (link, 0);
-  send_text (link, ANSWER ("r1", "yes", "3"));
-  read_until (caller, "yes");
-}
-END_TEST
-
 START_TEST (requests_of_one_connection_are_answered_in_order)
 {
   int target = fixture_add_target (&fixture, "t-1", "plain");
@@ -495,7 +464,6 @@
   tcase_add_test (tcase, a_host_without_configuration_answers_503);
   tcase_add_test (tcase,
                   callers_of_a_starting_host_wait_for_its_configuration);
-  tcase_add_test (tcase, callers_are_served_again_after_descriptors_ran_out);
   tcase_add_test (tcase, requests_of_one_connection_are_answered_in_order);
   tcase_add_test (tcase, a_long_chunked_body_is_forwarded_as_it_arrives);
   tcase_add_loop_test (tcase, a_503_is_sent_only_if_the_request_has_not_run, 0,
