Suspect the part first that explains most ends

Cause: of parts that have had no sound answer, the one at the later position, then the lower name, was taken for the more suspicious. A rare sound part that was beside five of twelve ends came on trial and explained so many of the eight strikes kept of the guilty part that too few were left for it.

Change: of parts equally long without a sound answer, the one with more strikes is more suspicious, and 16 strikes of a part are kept.

Why it works: the guilty part has a strike of each end; a part that is beside it by chance has fewer. A part of all prompts has as many, and gives way as before, by its later sound answer.

--- a/include/cowslipspoke/part-quarantine.h
+++ b/include/cowslipspoke/part-quarantine.h
@@ -41,7 +41,7 @@
   /* Strikes that bring a part on trial.  */
   CSP_PART_STRIKES_TRIED = 4,
   /* Strikes that are kept for each part.  */
-  CSP_PART_STRIKES_KEPT = 8,
+  CSP_PART_STRIKES_KEPT = 16,
   /* Strikes of one moment that count.  */
   CSP_PART_STRIKES_AT_ONCE = 2,
   /* Size of a host's table of parts with strikes.  */
--- a/source/quarantine/part-quarantine-trial.c
+++ b/source/quarantine/part-quarantine-trial.c
@@ -50,6 +50,8 @@
     return first->was_held ? -1 : 1;
   if (first->sound_since_ms != second->sound_since_ms)
     return first->sound_since_ms < second->sound_since_ms ? -1 : 1;
+  if (first->row->strike_count != second->row->strike_count)
+    return first->row->strike_count > second->row->strike_count ? -1 : 1;
   if (first->row->position != second->row->position)
     return first->row->position > second->row->position ? -1 : 1;
   return first->row->part < second->row->part ? -1 : 1;
@@ -107,17 +109,15 @@
          || count_moments (row, chosen) >= CSP_PART_STRIKES_TRIED;
 }
 
-static const chosen_t all_strikes
-    = { true, true, true, true, true, true, true, true };
-
-_Static_assert(sizeof all_strikes / sizeof all_strikes[0]
-                   == CSP_PART_STRIKES_KEPT,
-               "all strikes are chosen");
-
 static bool
 has_enough_strikes (const csp_part_row_t *row)
 {
-  return are_enough (row, all_strikes);
+  chosen_t all;
+  size_t i;
+
+  for (i = 0; i < CSP_PART_STRIKES_KEPT; i++)
+    all[i] = true;
+  return are_enough (row, all);
 }
 
 /* Rows that are held, on trial, or have enough strikes for it, sorted.  */
