Repeat a trial whose target ended among others

Cause: the end of one target under one request was taken for proof, whatever else happened. In an outage of all engines, one after the other, the request on trial meets such an end nearly for certain.

Change: the end is unclear where another target ended within half a second of it and no part that is on trial or held explains that, or where a more suspicious part on trial was at the same target. Then the trial begins anew, at all hosts, and once only: the next end under it holds the part. So a crashing part costs one engine more at the most, in a moment in which others end as well.

--- a/source/quarantine/part-quarantine-imp.h
+++ b/source/quarantine/part-quarantine-imp.h
@@ -6,14 +6,19 @@
 
 /* The table of parts with strikes.
 
-     part-quarantine        strikes, sound answers, holds
-     part-quarantine-trial  which parts come on trial
-     part-quarantine-list   what hosts report to each other  */
+     part-quarantine          strikes, sound answers, holds
+     part-quarantine-trial    which parts come on trial
+     part-quarantine-verdict  what the end of a target under a trial proves
+     part-quarantine-list     what hosts report to each other  */
 
 enum
 {
   /* Parts whose sound answers are remembered.  */
-  CSP_SOUND_ROWS = 1024
+  CSP_SOUND_ROWS = 1024,
+  /* The hold after the first trial that ended a target.  It doubles with each
+     further one.  */
+  CSP_PART_HOLD_MS = 60000,
+  CSP_PART_HOLD_DOUBLINGS_MAX = 6
 };
 
 typedef struct
@@ -44,6 +49,8 @@
   uint32_t failed_trials;
   uint8_t broadcasts_left; /* of its hold or trial */
   bool leads;              /* this host began it, and tries first */
+  bool tried_again;        /* what ended the target under its trial was
+                              unclear */
 } csp_part_row_t;
 
 typedef struct
--- /dev/null
+++ b/source/quarantine/part-quarantine-verdict.c
@@ -0,0 +1,159 @@
+#include "quarantine/part-quarantine-imp.h"
+
+/* What the end of a target under a trial proves: the part is held, or it is
+   tried again where the end may have another cause.  */
+
+enum
+{
+  /* Strikes of other hosts arrive within this time.  */
+  STRIKES_SETTLE_MS = 300,
+  /* Targets that end this close to each other may have one cause.  */
+  ENDS_TOGETHER_MS = 500
+};
+
+typedef enum
+{
+  CAUSE_PART,
+  CAUSE_OTHER,
+  CAUSE_UNCLEAR
+} cause_t;
+
+/* The trial has ended one more target.  */
+static void
+begin_hold (csp_part_row_t *row, int64_t now_ms)
+{
+  uint32_t doublings = row->failed_trials < CSP_PART_HOLD_DOUBLINGS_MAX
+                           ? row->failed_trials
+                           : CSP_PART_HOLD_DOUBLINGS_MAX;
+
+  csp_begin_part_trial (row, now_ms);
+  row->held_until_ms += (int64_t)CSP_PART_HOLD_MS << doublings;
+  row->failed_trials++;
+}
+
+/* Whether a part that has failed a trial ended the target as well.  */
+static bool
+ended_by_another (const csp_part_quarantine_t *quarantine,
+                  const csp_part_row_t *row)
+{
+  size_t i;
+
+  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+    if (&quarantine->rows[i] != row && quarantine->rows[i].failed_trials > 0
+        && csp_has_part_strike (&quarantine->rows[i], row->failed_at))
+      return true;
+  return false;
+}
+
+/* Whether a part that is on trial or held too, and of which the last sound
+   answer began longer ago, was at the target.  */
+static bool
+was_beside_suspect (const csp_part_quarantine_t *quarantine,
+                    const csp_part_row_t *row)
+{
+  size_t i;
+
+  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+    if (quarantine->rows[i].held_until_ms != 0 && &quarantine->rows[i] != row
+        && csp_has_part_strike (&quarantine->rows[i], row->failed_at)
+        && csp_sound_since_ms (quarantine, quarantine->rows[i].part)
+               < csp_sound_since_ms (quarantine, row->part))
+      return true;
+  return false;
+}
+
+/* Whether another part that is on trial or held explains the end.  */
+static bool
+is_explained (const csp_part_quarantine_t *quarantine,
+              const csp_part_row_t *row, uint64_t target)
+{
+  size_t i;
+
+  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+    if (quarantine->rows[i].held_until_ms != 0 && &quarantine->rows[i] != row
+        && csp_has_part_strike (&quarantine->rows[i], target))
+      return true;
+  return false;
+}
+
+/* Whether one of the strikes is of another target that ended at about the same
+   time as the one under the trial, for no known reason.  */
+static bool
+has_end_beside (const csp_part_quarantine_t *quarantine,
+                const csp_part_row_t *row, const csp_part_row_t *struck)
+{
+  size_t i;
+
+  for (i = 0; i < struck->strike_count; i++)
+    {
+      const csp_strike_row_t *strike = &struck->strikes[i];
+
+      if (strike->target != row->failed_at
+          && strike->at_ms > row->failed_ms - ENDS_TOGETHER_MS
+          && strike->at_ms < row->failed_ms + ENDS_TOGETHER_MS
+          && !is_explained (quarantine, row, strike->target))
+        return true;
+    }
+  return false;
+}
+
+static bool
+ended_beside_others (const csp_part_quarantine_t *quarantine,
+                     const csp_part_row_t *row)
+{
+  size_t i;
+
+  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+    if (has_end_beside (quarantine, row, &quarantine->rows[i]))
+      return true;
+  return false;
+}
+
+/* A cause is unclear once, so that a part that crashes targets is tried at
+   most twice before it is held.  */
+static cause_t
+find_cause (const csp_part_quarantine_t *quarantine, const csp_part_row_t *row)
+{
+  if (ended_by_another (quarantine, row))
+    return CAUSE_OTHER;
+  if (row->failed_trials > 0 || row->tried_again)
+    return CAUSE_PART;
+  return was_beside_suspect (quarantine, row)
+                 || ended_beside_others (quarantine, row)
+             ? CAUSE_UNCLEAR
+             : CAUSE_PART;
+}
+
+size_t
+csp_hold_failed_parts (csp_part_quarantine_t *quarantine, uint64_t *parts,
+                       size_t capacity, int64_t now_ms)
+{
+  size_t listed = 0;
+  size_t i;
+
+  for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTED_PARTS_MAX
+              && listed < capacity;
+       i++)
+    {
+      csp_part_row_t *row = &quarantine->rows[i];
+
+      if (row->failed_ms == 0 || now_ms - row->failed_ms < STRIKES_SETTLE_MS)
+        continue;
+      switch (find_cause (quarantine, row))
+        {
+        case CAUSE_PART:
+          begin_hold (row, now_ms);
+          parts[listed++] = row->part;
+          break;
+        case CAUSE_OTHER:
+          row->failed_ms = 0;
+          row->trial_until_ms = 0;
+          break;
+        case CAUSE_UNCLEAR:
+          csp_begin_part_trial (row, now_ms);
+          row->tried_again = true;
+          break;
+        }
+    }
+  return listed;
+}
--- a/source/quarantine/part-quarantine.c
+++ b/source/quarantine/part-quarantine.c
@@ -5,10 +5,6 @@
 
 enum
 {
-  /* The hold after the first trial that ended a target.  It doubles with each
-     further one.  */
-  HOLD_MS = 60000,
-  HOLD_DOUBLINGS_MAX = 6,
   /* For this long only the host that began a hold or a trial sends
      requests.  */
   TRIAL_LEAD_MS = 10000,
@@ -19,12 +15,10 @@
   TRIAL_MS = 10000,
   /* A sound part is mostly let go within this time.  */
   TRIAL_RETRY_MS = 1000,
-  /* Strikes of other hosts arrive within this time.  */
-  STRIKES_SETTLE_MS = 300,
   /* Strikes that led to no hold are dropped after this time, and so are
      expired holds.  */
   FORGET_MS = 600000,
-  HOLD_MAX_MS = HOLD_MS << HOLD_DOUBLINGS_MAX,
+  HOLD_MAX_MS = CSP_PART_HOLD_MS << CSP_PART_HOLD_DOUBLINGS_MAX,
   /* A host computes times of other hosts too late by the network delay.  Times
      that differ by less than this are the same.  */
   TOLERANCE_MS = 1000,
@@ -151,19 +145,6 @@
   row->leads = true;
 }
 
-/* The trial has ended one more target.  */
-static void
-begin_hold (csp_part_row_t *row, int64_t now_ms)
-{
-  uint32_t doublings = row->failed_trials < HOLD_DOUBLINGS_MAX
-                           ? row->failed_trials
-                           : HOLD_DOUBLINGS_MAX;
-
-  csp_begin_part_trial (row, now_ms);
-  row->held_until_ms += (int64_t)HOLD_MS << doublings;
-  row->failed_trials++;
-}
-
 void
 csp_drop_part_strike (csp_part_row_t *row, size_t index)
 {
@@ -255,45 +236,6 @@
   return added;
 }
 
-/* Whether a part that has failed a trial ended the target as well.  */
-static bool
-ended_by_another (const csp_part_quarantine_t *quarantine,
-                  const csp_part_row_t *row)
-{
-  size_t i;
-
-  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
-    if (&quarantine->rows[i] != row && quarantine->rows[i].failed_trials > 0
-        && csp_has_part_strike (&quarantine->rows[i], row->failed_at))
-      return true;
-  return false;
-}
-
-size_t
-csp_hold_failed_parts (csp_part_quarantine_t *quarantine, uint64_t *parts,
-                       size_t capacity, int64_t now_ms)
-{
-  size_t listed = 0;
-  size_t i;
-
-  for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTED_PARTS_MAX
-              && listed < capacity;
-       i++)
-    {
-      csp_part_row_t *row = &quarantine->rows[i];
-
-      if (row->failed_ms == 0 || now_ms - row->failed_ms < STRIKES_SETTLE_MS)
-        continue;
-      row->failed_ms = 0;
-      row->trial_until_ms = 0;
-      if (ended_by_another (quarantine, row))
-        continue;
-      begin_hold (row, now_ms);
-      parts[listed++] = row->part;
-    }
-  return listed;
-}
-
 csp_hold_change_t
 csp_note_sound_part (csp_part_quarantine_t *quarantine, uint64_t part,
                      int64_t began_ms)
--- a/tests/quarantine/part-quarantine-test.c
+++ b/tests/quarantine/part-quarantine-test.c
@@ -497,6 +497,64 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *name;
+  step_t beside; /* times: since the end under the trial */
+  uint32_t on_trial;
+  bool held;
+} failures[] = {
+  { "no other end", { .kind = STEP_NONE }, 0, true },
+  { "another target ended half a second before", END (-500, 11, POPULAR), 0,
+    true },
+  { "another target ended just before", END (-400, 11, POPULAR), 0, false },
+  { "another target ended just after", END (200, 11, POPULAR), 0, false },
+  { "a target that had the part as well", END (-400, 11, GUILTY), 0, false },
+  { "a target that another part explains", END (-400, 11, POPULAR, GUILTY_TOO),
+    GUILTY_TOO, true },
+  { "beside a part that is more suspicious", END (0, 10, GUILTY_TOO),
+    GUILTY_TOO, false },
+  { "beside a part that is on trial for nothing there",
+    { .kind = STEP_NONE },
+    GUILTY_TOO,
+    true },
+};
+
+/* Guards against a sound part that is held, as its target ended among others;
+   and against a part that is tried again and again for that.  */
+START_TEST (a_trial_that_ends_among_others_is_repeated_once)
+{
+  int64_t now_ms = try_at_both ();
+  int64_t end_ms = now_ms + 500;
+  csp_held_part_t other = { .part = SERVICE | failures[_i].on_trial };
+  csp_part_strike_t row = { .part = SERVICE | GUILTY, .target = 10 };
+  const step_t *beside = &failures[_i].beside;
+  uint64_t listed[4];
+  size_t i;
+
+  csp_note_sound_part (here, SERVICE | GUILTY, START_MS - 100);
+  csp_merge_held_part (here, &other, false, now_ms);
+  csp_begin_part_trials (here, &guilty, now_ms);
+  csp_add_own_part_strike (here, &row, now_ms, end_ms);
+  for (i = 0; beside->kind == STEP_END && i < 4 && beside->parts[i] != 0; i++)
+    strike (here, beside->parts[i], beside->target, end_ms + beside->at_ms,
+            false);
+  ck_assert_msg (csp_hold_failed_parts (here, listed, 4, end_ms + SETTLE_MS)
+                     == failures[_i].held,
+                 "%s", failures[_i].name);
+  if (failures[_i].held)
+    return;
+  ck_assert_uint_eq (left_ms (here, GUILTY, end_ms + SETTLE_MS), 0);
+  row.target = 12;
+  now_ms = end_ms + 1000;
+  csp_begin_part_trials (here, &guilty, now_ms);
+  csp_add_own_part_strike (here, &row, now_ms, now_ms + 500);
+  strike (here, POPULAR, 13, now_ms + 400, false);
+  ck_assert_uint_eq (
+      csp_hold_failed_parts (here, listed, 4, now_ms + 500 + SETTLE_MS), 1);
+}
+END_TEST
+
 /* Guards against holds that hosts extend by telling each other.  */
 START_TEST (a_hold_that_is_told_again_ends_in_time)
 {
@@ -644,6 +702,8 @@
                        sizeof rivals / sizeof rivals[0]);
   tcase_add_test (tests, a_failed_trial_holds_the_part);
   tcase_add_test (tests, an_end_with_another_cause_fails_no_trial);
+  tcase_add_loop_test (tests, a_trial_that_ends_among_others_is_repeated_once,
+                       0, sizeof failures / sizeof failures[0]);
   tcase_add_test (tests, a_hold_that_is_told_again_ends_in_time);
   tcase_add_loop_test (tests, a_later_answer_ends_a_trial, 0,
                        sizeof answers / sizeof answers[0]);
