A host that tries a part leads its trial

What was seen: a part that came about once a second was sent up to four times behind its fifth end, by three hosts within seven seconds, where other engines ended as well.

Cause: the host that leads a trial alone may send for ten seconds. Where it sees no such request, each other host begins to, after a time by lot, and none knows of another one's request.

Change: a host that sends the request on trial takes the lead and says so; the others wait for ten seconds again.

--- a/source/quarantine/part-quarantine.c
+++ b/source/quarantine/part-quarantine.c
@@ -360,35 +360,52 @@
   return find_longest_ms (quarantine, parts, now_ms, retry_after_ms);
 }
 
-static void
-set_trial_end (csp_part_quarantine_t *quarantine,
-               const csp_prompt_parts_t *parts, int64_t until_ms,
-               int64_t now_ms)
+/* The row of a part that is on trial; NULL if it isn't, or has just failed. */
+static csp_part_row_t *
+find_trial (const csp_part_quarantine_t *quarantine, uint64_t part,
+            int64_t now_ms)
 {
-  size_t i;
-
-  for (i = 0; quarantine->count > 0 && i < parts->count; i++)
-    {
-      csp_part_row_t *row = find_row (quarantine, parts->parts[i]);
+  csp_part_row_t *row = find_row (quarantine, part);
 
-      if (row != NULL && csp_is_part_on_trial (row, now_ms)
-          && row->failed_ms == 0)
-        row->trial_until_ms = until_ms;
-    }
+  return row != NULL && csp_is_part_on_trial (row, now_ms)
+                 && row->failed_ms == 0
+             ? row
+             : NULL;
 }
 
 void
 csp_begin_part_trials (csp_part_quarantine_t *quarantine,
                        const csp_prompt_parts_t *parts, int64_t now_ms)
 {
-  set_trial_end (quarantine, parts, now_ms + TRIAL_MS, now_ms);
+  size_t i;
+
+  for (i = 0; i < parts->count; i++)
+    {
+      csp_part_row_t *row = find_trial (quarantine, parts->parts[i], now_ms);
+
+      if (row == NULL)
+        continue;
+      /* The host that led sees no such request; this one leads from now on,
+         so that the others don't send one as well.  */
+      if (!row->leads)
+        csp_begin_part_trial (row, now_ms);
+      row->trial_until_ms = now_ms + TRIAL_MS;
+    }
 }
 
 void
 csp_cancel_part_trials (csp_part_quarantine_t *quarantine,
                         const csp_prompt_parts_t *parts, int64_t now_ms)
 {
-  set_trial_end (quarantine, parts, 0, now_ms);
+  size_t i;
+
+  for (i = 0; i < parts->count; i++)
+    {
+      csp_part_row_t *row = find_trial (quarantine, parts->parts[i], now_ms);
+
+      if (row != NULL)
+        row->trial_until_ms = 0;
+    }
 }
 
 void
--- a/tests/quarantine/part-quarantine-test.c
+++ b/tests/quarantine/part-quarantine-test.c
@@ -457,6 +457,26 @@
 }
 END_TEST
 
+/* Guards against hosts that each send a request on trial, one after the other,
+   where the one that leads the trial has none.  */
+START_TEST (a_host_that_tries_leads_the_trial)
+{
+  int64_t now_ms = try_at_both () + TRIAL_LEAD_MS + TRIAL_SPREAD_MS;
+  csp_held_part_t held[4];
+
+  ck_assert_uint_eq (left_ms (there, GUILTY, now_ms), 0);
+  csp_take_held_parts (here, held, 4, now_ms);
+  csp_begin_part_trials (there, &guilty, now_ms);
+  ck_assert_uint_eq (csp_take_held_parts (there, held, 4, now_ms), 1);
+  ck_assert (held[0].leads);
+  ck_assert_int_eq (csp_merge_held_part (here, &held[0], false, now_ms),
+                    CSP_PART_ON_TRIAL);
+  ck_assert_uint_ge (left_ms (here, GUILTY, now_ms), TRIAL_LEAD_MS);
+  csp_cancel_part_trials (there, &guilty, now_ms + 1);
+  ck_assert_uint_eq (left_ms (there, GUILTY, now_ms + 1), 0);
+}
+END_TEST
+
 /* Guards against a part that ends a target with each trial.  */
 START_TEST (a_failed_trial_holds_the_part)
 {
@@ -700,6 +720,7 @@
   tcase_add_test (tests, a_host_that_starts_hears_of_a_trial);
   tcase_add_loop_test (tests, one_of_two_hosts_leads_a_trial, 0,
                        sizeof rivals / sizeof rivals[0]);
+  tcase_add_test (tests, a_host_that_tries_leads_the_trial);
   tcase_add_test (tests, a_failed_trial_holds_the_part);
   tcase_add_test (tests, an_end_with_another_cause_fails_no_trial);
   tcase_add_loop_test (tests, a_trial_that_ends_among_others_is_repeated_once,
