A run that its destination refuses goes on at its source

Its engine left; the run was copied to another one and stopped, and that one, which had run full meanwhile, refused it with 503 and Retry-After. The host had first heard of that by this very answer.

Cause: a host sent a stopped run to its destination and forgot that the source keeps the memory until the handle has been used. It went on at its source only if the destination was known to be gone or to back off before.

Change: until the first event comes from the destination, the exchange remembers the source and the handle. If the destination refuses the run, or no connection to it can be had, so that the handle is unused, the run goes on at its source. The soak's engines keep a stopped run as the protocol says: at the source and at the destination, to be used once.

Left as it is: a resume whose connection breaks after it was sent, as the handle may have been used.

--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -188,7 +188,8 @@
   csp_cancel_exchange_trial (exchange);
   if (exchange->move.state == CSP_MOVE_RESUMING)
     {
-      csp_resume_or_cut (exchange, "the copy was not there");
+      if (!csp_resume_kept_copy (exchange))
+        csp_resume_or_cut (exchange, "the copy was not there");
       return;
     }
   csp_retry_or_fail (exchange, CSP_REASON_TARGET_REFUSED,
@@ -500,7 +501,8 @@
   csp_cancel_exchange_trial (exchange);
   if (exchange->events > 0 && !exchange->resume.pending)
     {
-      csp_handle_broken_stream (exchange, failure_details[why]);
+      if (!csp_resume_kept_copy (exchange))
+        csp_handle_broken_stream (exchange, failure_details[why]);
       return;
     }
   /* No byte was sent, so this was no attempt and costs no retry.  */
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -48,6 +48,10 @@
   bool decided_locally;       /* the decider does not answer */
   int64_t ask_at_ms;          /* no new ask before, after a failed move */
   csp_fleet_target_t *source; /* the target whose turn this move occupies */
+  /* The stopped run is also kept by its source, for a resume there if the
+     destination refuses it; NULL if there is none.  */
+  csp_fleet_target_t *kept_by;
+  char kept_copy[CSP_COPY_TEXT_BYTES];
 } csp_move_t;
 
 /* Resuming a stream without a copy of its run.  */
@@ -388,6 +392,10 @@
    at another target.  */
 bool csp_try_resume_stream (csp_exchange_t *exchange);
 
+/* Resume a run whose destination refused it at the source that stopped it.
+   false: the source doesn't have it, or can't be used.  */
+bool csp_resume_kept_copy (csp_exchange_t *exchange);
+
 /* The first bytes of the resumed run have come.  */
 void csp_complete_move (csp_exchange_t *exchange);
 
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -43,6 +43,14 @@
   csp_schedule_load_report (exchange->gateway);
 }
 
+static void
+drop_kept_copy (csp_move_t *move)
+{
+  if (move->kept_by != NULL)
+    move->kept_by->users--;
+  move->kept_by = NULL;
+}
+
 void
 csp_drop_move (csp_exchange_t *exchange)
 {
@@ -66,6 +74,7 @@
       move->source->users--;
     }
   move->source = NULL;
+  drop_kept_copy (move);
   move->state = CSP_MOVE_NONE;
   uv_timer_stop (&move->timer);
   csp_clear_buffer (&move->answer);
@@ -149,6 +158,7 @@
   exchange->moves++;
   csp_add_count (exchange->labels, CSP_COUNT_RESUMES, 1);
   csp_log_move (exchange, "arrived", exchange->target);
+  drop_kept_copy (&exchange->move);
   exchange->move.state = CSP_MOVE_NONE;
   exchange->move.tries = 0;
   if (exchange->target->state == CSP_FLEET_LEAVING
@@ -220,6 +230,47 @@
     give_up_move (exchange, "out-of-memory");
 }
 
+/* Resume a stopped run at its source.  The run is lost unless it goes on
+   there, so it doesn't wait for a grant.  */
+static bool
+resume_at_source (csp_exchange_t *exchange, csp_fleet_target_t *source,
+                  const char *copy)
+{
+  if (source->rate_limited)
+    csp_report_ungranted_request (exchange->gateway, source);
+  return resume_at (exchange, source, copy);
+}
+
+bool
+csp_resume_kept_copy (csp_exchange_t *exchange)
+{
+  csp_fleet_target_t *source = exchange->move.kept_by;
+  char copy[CSP_COPY_TEXT_BYTES];
+
+  if (source == NULL || source->state == CSP_FLEET_GONE
+      || csp_is_quarantined (exchange)
+      || !csp_may_resume_at (exchange->gateway, source))
+    return false;
+  snprintf (copy, sizeof copy, "%s", exchange->move.kept_copy);
+  return resume_at_source (exchange, source, copy);
+}
+
+/* Resume a stopped run at the destination.  Its source keeps the memory as
+   well.  */
+static bool
+resume_at_destination (csp_exchange_t *exchange, const char *copy)
+{
+  csp_move_t *move = &exchange->move;
+  csp_fleet_target_t *source = exchange->target;
+
+  if (!resume_at (exchange, move->destination, copy))
+    return false;
+  move->kept_by = source;
+  source->users++;
+  snprintf (move->kept_copy, sizeof move->kept_copy, "%s", copy);
+  return true;
+}
+
 /* The run is stopped.  Its memory is at the destination, or still at the
    source if the destination had no free memory, is gone or has asked to back
    off.  */
@@ -243,15 +294,9 @@
                        "targets ended under this request");
   else if (!csp_may_resume_at (exchange->gateway, to))
     csp_resume_or_cut (exchange, "the data centre is cordoned");
-  else
-    {
-      /* The run is lost unless it goes on at its source, so it doesn't wait
-         for a grant there.  */
-      if (!copied && to->rate_limited)
-        csp_report_ungranted_request (exchange->gateway, to);
-      if (!resume_at (exchange, to, copy))
-        csp_resume_or_cut (exchange, "no connection to go on");
-    }
+  else if (copied ? !resume_at_destination (exchange, copy)
+                  : !resume_at_source (exchange, to, copy))
+    csp_resume_or_cut (exchange, "no connection to go on");
 }
 
 static void
--- a/tests/gateway/leave-test.c
+++ b/tests/gateway/leave-test.c
@@ -165,6 +165,46 @@
 }
 END_TEST
 
+typedef enum
+{
+  RESUME_REFUSED,
+  RESUME_UNCONNECTED,
+  RESUME_FAILURES
+} resume_failure_t;
+
+/* Guards against a run that is lost when the destination refuses it after the
+   copy, for instance as it has run full, or has crashed; its source still has
+   the run.  */
+START_TEST (
+    a_stopped_stream_continues_at_its_source_when_its_destination_fails)
+{
+  int move_link = start_final_copy ();
+  int link;
+
+  close (stream.source_link);
+  if (_i == RESUME_UNCONNECTED)
+    shutdown (stream.listeners[1], SHUT_RDWR);
+  send_text (move_link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh1");
+  if (_i == RESUME_REFUSED)
+    {
+      link = accept_target_connection (stream.listeners[1]);
+      read_target_request (link, 2);
+      send_text (link, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRetry-After: 5\r\n"
+                       "Content-Length: 0\r\n\r\n");
+      close (link);
+    }
+  link = accept_target_connection (stream.listeners[0]);
+  ck_assert_ptr_nonnull (
+      strstr (read_target_request (link, 2), "Target-Id: t-0\r\n"));
+  send_text (link, STREAM_HEAD);
+  send_chunk (link, EVENT ("2", "two"));
+  read_until (stream.caller, "two\n\n");
+  finish_stream (link);
+  close (link);
+  close (move_link);
+}
+END_TEST
+
 /* The destination is told to leave while the run is still being copied there.
    If the run were stopped for it, the run would have to move once more with
    half of the time used; it continues where it is and is copied to a third
@@ -684,6 +724,10 @@
   tcase_add_test (
       tcase,
       a_stopped_stream_continues_at_its_source_when_the_destination_backs_off);
+  tcase_add_loop_test (
+      tcase,
+      a_stopped_stream_continues_at_its_source_when_its_destination_fails, 0,
+      RESUME_FAILURES);
   tcase_add_test (tcase, a_copy_to_an_engine_that_leaves_too_is_given_up);
   tcase_add_test (tcase, a_stream_continues_when_its_stop_is_refused);
   tcase_add_test (tcase, a_run_with_an_incomplete_backup_is_moved);
--- a/tests/soak/soak-move.c
+++ b/tests/soak/soak-move.c
@@ -70,6 +70,21 @@
   return NULL;
 }
 
+/* A handle can be used once, at the destination or at the source.  */
+static void
+use_copies (soak_t *soak, const char *handle)
+{
+  size_t i;
+
+  for (i = 0; i < soak->server_count; i++)
+    {
+      copy_t *copy = find_copy (soak->servers[i], handle);
+
+      if (copy != NULL)
+        copy->used = true;
+    }
+}
+
 /* Resumes a run from the copy "ADDRESS/HANDLE", after the event in
    Last-Event-Id.  */
 void
@@ -89,7 +104,7 @@
   if (strcmp (copy->id, id) != 0)
     soak_report_violation (server->soak, "MIXED",
                            "%s resumes from the run of %s", id, copy->id);
-  copy->used = true;
+  use_copies (server->soak, copy->handle);
   server_begin_run (server, wire, message,
                     last == NULL ? 1 : (uint32_t)strtoul (last, NULL, 10) + 1);
 }
@@ -167,7 +182,9 @@
             ++server->next_handle);
   if (last)
     {
-      server_add_copy (accepted ? to : server, answer->handle, run->id);
+      server_add_copy (server, answer->handle, run->id);
+      if (accepted)
+        server_add_copy (to, answer->handle, run->id);
       stop_run (run);
     }
   else if (!accepted)
