A host backs off a target that loses its requests again

Cause: an engine is damped for all hosts when a second host has lost a request there, so that one host's broken path speaks for nobody else. In a herd there hardly is a second host with requests, and the one that has them went on.

Change: a host whose request was sent within two seconds after another loss at the target, and was lost as well, sends the target nothing for a second, and its asks name it among those that it backs off, unless no other target of the service is left. Attempts that are lost together don't count: they may have had one cause on the way.

Measured: the new test of damping-test failed before.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -255,11 +255,17 @@
    cordoned.  */
 bool csp_takes_new_work (const csp_fleet_target_t *target);
 
-/* The target asked this host to send it nothing for a while (Retry-After).  */
+/* This host sends the target nothing for a while: the target asked for it
+   (Retry-After), or has lost several attempts of this host.  */
 void csp_back_off_target (csp_fleet_t *fleet, csp_fleet_target_t *target,
                           uint32_t for_ms, int64_t now_ms);
 bool csp_is_backed_off (const csp_fleet_target_t *target, int64_t now_ms);
 
+/* Whether another target of the same service may get new requests of this
+   host.  */
+bool csp_has_other_target (const csp_fleet_t *fleet,
+                           const csp_fleet_target_t *target, int64_t now_ms);
+
 /* The time until the first backoff of a service's targets ends if all that
    take new work are backed off; otherwise 0.  */
 uint32_t csp_service_backoff_ms (const csp_fleet_t *fleet, const char *service,
--- a/source/fleet/fleet-limits.c
+++ b/source/fleet/fleet-limits.c
@@ -179,6 +179,21 @@
   return now_ms < target->backoff_until_ms;
 }
 
+bool
+csp_has_other_target (const csp_fleet_t *fleet,
+                      const csp_fleet_target_t *target, int64_t now_ms)
+{
+  size_t i;
+
+  for (i = 0; i < fleet->count; i++)
+    if (fleet->targets[i] != target
+        && fleet->targets[i]->group == target->group
+        && csp_takes_new_work (fleet->targets[i])
+        && !csp_is_backed_off (fleet->targets[i], now_ms))
+      return true;
+  return false;
+}
+
 uint32_t
 csp_service_backoff_ms (const csp_fleet_t *fleet, const char *service,
                         int64_t now_ms)
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -18,7 +18,12 @@
      maximum.  A report may state any number.  */
   COUNTED_SUCCESSES_MAX = 2048,
   /* An older loss is no evidence, whatever its age.  */
-  LOSS_AGE_MAX_MS = 3600000
+  LOSS_AGE_MAX_MS = 3600000,
+  /* A loss of a request that was sent so soon after another loss at the target
+     shows that the target fails again.  */
+  REPEATED_LOSS_MS = 2000,
+  /* Outlasts a short down time.  */
+  REPEATED_LOSS_BACKOFF_MS = 1000
 };
 
 static bool
@@ -125,6 +130,32 @@
          && !csp_is_quarantined (exchange);
 }
 
+/* Whether the request was sent after another loss at its target, and lost as
+   well.  Attempts that are lost together may have had one cause, such as a
+   connection reset on the way.  */
+static bool
+is_repeated_loss (const csp_exchange_t *exchange)
+{
+  const csp_fleet_target_t *target = exchange->target;
+
+  return target->own_failures > 0
+         && exchange->sent_at_ms > target->own_failed_ms
+         && exchange->sent_at_ms < target->own_failed_ms + REPEATED_LOSS_MS;
+}
+
+/* Most requests may come to one host.  The target is damped for all only when
+   a second host has lost one there, which may take long, so this host backs
+   off by itself, unless no other target is left.  */
+static void
+back_off_lossy_target (csp_gateway_t *gateway, csp_fleet_target_t *target)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+
+  if (csp_has_other_target (gateway->fleet, target, now_ms))
+    csp_back_off_target (gateway->fleet, target, REPEATED_LOSS_BACKOFF_MS,
+                         now_ms);
+}
+
 static void
 count_own_loss (csp_exchange_t *exchange)
 {
@@ -133,6 +164,8 @@
   csp_damping_report_t report = { .host = csp_pack_peer (gateway->self),
                                   .host_data_centre = gateway->data_centre };
 
+  if (is_repeated_loss (exchange))
+    back_off_lossy_target (gateway, target);
   target->own_failures++;
   target->own_failed_ms = csp_gateway_now_ms (gateway);
   csp_note_own_load_changed (gateway->fleet, target);
--- a/tests/gateway/damping-test.c
+++ b/tests/gateway/damping-test.c
@@ -18,6 +18,7 @@
   FULL_REPORT_MS = 1000,
   RESERVED_MS = 40, /* a placement isn't counted twice any more */
   FAILED_AGO_MS = 200,
+  PLACING_STEPS = 5, /* in which a request is placed for certain */
   OLD_LOSSES = 33,
   OLD_MS = 20000,
   FULL_TOKENS = 1000000000
@@ -250,6 +251,44 @@
 }
 END_TEST
 
+/* Guards against a host with most of the requests that goes on losing them at
+   an engine where no other host has lost one.  */
+START_TEST (a_host_backs_off_an_engine_that_fails_again)
+{
+  csp_fake_clock_t *clock = &stream.fixture.fake_clock;
+  int lost = open_caller (&stream.fixture);
+  int caller = open_caller (&stream.fixture);
+  int link;
+  int i;
+
+  start_stream (false);
+  close (stream.source_link);
+  ck_assert (await_close (stream.caller));
+  csp_advance_fake_clock (clock, RESERVED_MS);
+  send_text (lost, REQUEST ("/stream/", "r2"));
+  link = accept_target_connection (stream.listeners[0]);
+  read_target_request (link, 0);
+  add_second_engine ();
+  close (link);
+  read_until (lost, " 502 ");
+  fill_engine ("t-1");
+  await_metric ("cowslipspoke_gateway_peers 1\n");
+  csp_advance_fake_clock (clock, RESERVED_MS);
+  send_text (caller, SHORT_REQUEST);
+  for (i = 0; i < PLACING_STEPS; i++)
+    {
+      await_metric ("cowslipspoke_gateway_dispatch_waiting{traffic_class="
+                    "\"regular\"} 1\n");
+      csp_advance_fake_clock (clock, RESERVED_MS);
+    }
+  csp_advance_fake_clock (clock, DAMPED_MS);
+  link = accept_target_connection (stream.listeners[0]);
+  close (link);
+  close (lost);
+  close (caller);
+}
+END_TEST
+
 enum
 {
   CUT_TARGETS = 4
@@ -300,6 +339,7 @@
   tcase_add_test (tests, refused_connections_are_reported);
   tcase_add_test (tests, host_without_paths_reports_no_losses);
   tcase_add_test (tests, losses_of_two_hosts_damp_an_engine);
+  tcase_add_test (tests, a_host_backs_off_an_engine_that_fails_again);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
 }
