Soak: relayed requests and evacuated services in the checks of hosts

Four findings of the soak by hand were the checks themselves, as their traces show.

Requests that may be relayed aren't counted.

Two zones of three were evacuated and the plain service's servers in the third were gone; other hosts refused as well. The checks left out requests while all zones are evacuated; now they leave out those whose service has no ready server elsewhere, until hosts must have learnt of a restored zone.

--- a/tests/soak/soak-announce.c
+++ b/tests/soak/soak-announce.c
@@ -197,8 +197,10 @@
   soak_t *soak = server->soak;
   uint64_t now_ms = soak_now_ms (soak);
 
+  /* A relayed request comes from a host other than the caller's.  */
   if (now_ms <= announcements->wait_from_ms + IN_FLIGHT_MS
       || now_ms >= announcements->wait_until_ms
+      || cut_may_relay (soak, request)
       || was_disturbed_since (server, &soak->hosts[request->host],
                               announcements->wait_from_ms)
       || ++announcements->arrivals != ARRIVALS_MAX + 1)
--- a/tests/soak/soak-herd.c
+++ b/tests/soak/soak-herd.c
@@ -132,7 +132,7 @@
 }
 
 /* read: the host has read the request; one that is closed unread isn't
-   counted.  Where all zones are evacuated all hosts refuse.  */
+   counted.  Nor is one that all hosts refuse.  */
 void
 herd_count_request (soak_t *soak, const request_t *request, bool read,
                     bool served)
@@ -141,7 +141,7 @@
   phase_t phase = PHASE_BEFORE;
 
   if (herd == NULL || !read || request->poison_series != 0
-      || request->hung_up_ms != 0 || zone_are_all_evacuated (soak)
+      || request->hung_up_ms != 0 || zone_refuses (soak, request)
       || !host_is_undisturbed (soak, &soak->hosts[request->host]))
     return;
   if (request->sent_ms >= herd->begins_ms + NOTICED_MS
--- a/tests/soak/soak-poison.c
+++ b/tests/soak/soak-poison.c
@@ -272,7 +272,7 @@
   bool beside;
 
   if (poison == NULL || !soak->parts_enabled || request->kind != KIND_STREAM
-      || request->poison_series != 0 || zone_are_all_evacuated (soak)
+      || request->poison_series != 0 || zone_refuses (soak, request)
       || !host_is_undisturbed (soak, &soak->hosts[request->host]))
     return;
   in_series = request->sent_ms < poison->began_ms + PART_SERIES_MS;
--- a/tests/soak/soak-zone.c
+++ b/tests/soak/soak-zone.c
@@ -41,17 +41,43 @@
   soak->evacuated_ms[zone] = on ? soak_now_ms (soak) : 0;
 }
 
-bool
-zone_are_all_evacuated (const soak_t *soak)
+/* Whether each ready server of the service is in an evacuated zone.  */
+static bool
+is_evacuated (const soak_t *soak, const char *service)
 {
   size_t i;
 
-  for (i = 0; i < SOAK_ZONES; i++)
-    if (soak->evacuated_ms[i] == 0)
+  for (i = 0; i < soak->server_count; i++)
+    if (server_state (soak->servers[i]) == SERVER_READY
+        && strcmp (server_service (soak->servers[i]), service) == 0
+        && soak->evacuated_ms[soak->servers[i]->number % SOAK_ZONES] == 0)
       return false;
   return true;
 }
 
+/* Hosts may need a while to learn that a zone was restored, and longer where
+   the store is disturbed.  */
+static void
+note_evacuated_services (soak_t *soak)
+{
+  uint64_t until_ms = soak_now_ms (soak) + SOAK_EVACUATE_MS;
+
+  if (soak->store_disturbed_until_ms > until_ms)
+    until_ms = soak->store_disturbed_until_ms;
+  if (is_evacuated (soak, "engines"))
+    soak->engines_refuse_until_ms = until_ms;
+  if (is_evacuated (soak, "plain-a") || is_evacuated (soak, "plain-b"))
+    soak->plain_refuse_until_ms = until_ms;
+}
+
+bool
+zone_refuses (const soak_t *soak, const request_t *request)
+{
+  return soak_now_ms (soak) < (request->kind == KIND_STREAM
+                                   ? soak->engines_refuse_until_ms
+                                   : soak->plain_refuse_until_ms);
+}
+
 void
 zone_tick (soak_t *soak)
 {
@@ -65,6 +91,7 @@
     if (soak->evacuated_ms[i] != 0
         && (soak->faults_ended || now_ms >= soak->evacuated_until_ms[i]))
       evacuate (soak, i, false);
+  note_evacuated_services (soak);
   if (soak->faults_ended
       || csp_random_below (random, PER_MILLE) >= EVACUATE_PER_MILLE)
     return;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -29,6 +29,7 @@
   FIRST_HOST_NUMBER = 10,
   VIOLATIONS_SHOWN = 20,
   ADDRESS_SPREAD = 200,
+  PIDS_PER_NUMBER = 100,
   MS_PER_S = 1000
 };
 
@@ -307,8 +308,8 @@
     return 2;
   /* Soaks that run at the same time use different addresses.  */
   snprintf (soak.address, sizeof soak.address, "127.%d.%d",
-            16 + (getpid () / ADDRESS_SPREAD) % ADDRESS_SPREAD,
-            2 * (getpid () % 100));
+            16 + (getpid () / PIDS_PER_NUMBER) % ADDRESS_SPREAD,
+            2 * (getpid () % PIDS_PER_NUMBER));
   csp_seed_random (&soak.random, soak.seed);
   csp_seed_random (&soak.zone_random, ~soak.seed);
   soak.began_ms = soak_now_ms (&soak);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -181,6 +181,8 @@
   uint64_t evacuated_ms[SOAK_ZONES]; /* when the evacuation was acknowledged;
                                         0: not evacuated */
   uint64_t evacuated_until_ms[SOAK_ZONES];
+  uint64_t engines_refuse_until_ms; /* see zone_refuses */
+  uint64_t plain_refuse_until_ms;
   size_t host_count;
   host_t hosts[SOAK_HOSTS_MAX];
   size_t server_count;
@@ -308,7 +310,10 @@
    reaches a server.  */
 const char *zone_name (const soak_t *soak, size_t number);
 void zone_tick (soak_t *soak);
-bool zone_are_all_evacuated (const soak_t *soak);
+
+/* Whether hosts may refuse the request, as all servers that could run it are
+   in evacuated zones, or were until lately.  */
+bool zone_refuses (const soak_t *soak, const request_t *request);
 void zone_check (server_t *server, const wire_message_t *message);
 
 /* Poison: requests that crash each server that runs them.  poison_check
