Failed attempts have a file of their own

gateway-answer.c had grown to 540 lines by what follows a failed attempt: refusals, lost connections, and whether another attempt is made. These are gateway-retry.c now; the functions are the same. In gateway-part.c the four questions about an exchange's parts share how they find out whether there is anything to ask.

--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -365,6 +365,17 @@
    more, or end it.  */
 void csp_fail_attempt (csp_exchange_t *exchange, const char *detail);
 
+/* The target states that it did not run the request.  */
+void csp_handle_refusal (csp_exchange_t *exchange,
+                         const csp_http_head_t *head);
+
+/* The connection to the target failed; see csp_link_events_t.  */
+void csp_handle_link_failure (void *state, csp_link_failure_t why);
+
+/* What a target of this host has done; another host notes it of the targets
+   that it relayed a request to.  */
+void csp_note_exchange_outcome (csp_exchange_t *exchange, bool failed);
+
 /* Stream: see gateway-stream.c.  Handle bytes of an answer and send the whole
    events among them.  */
 void csp_handle_stream_bytes (csp_exchange_t *exchange, const char *piece,
--- a/source/gateway/gateway-part.c
+++ b/source/gateway/gateway-part.c
@@ -68,48 +68,48 @@
   csp_end_unanswered (gateway, has_part, part, NULL);
 }
 
+static const csp_prompt_parts_t no_parts;
+
+/* The parts of the exchange that may be suspected.  Mostly none is, and its
+   prompt needn't be looked at.  */
+static const csp_prompt_parts_t *
+get_suspected_parts (csp_exchange_t *exchange)
+{
+  return csp_count_suspected_parts (exchange->gateway->part_quarantine) > 0
+             ? csp_exchange_parts (exchange)
+             : &no_parts;
+}
+
 uint32_t
 csp_exchange_part_hold_ms (csp_exchange_t *exchange)
 {
-  csp_gateway_t *gateway = exchange->gateway;
-
-  if (csp_count_suspected_parts (gateway->part_quarantine) == 0)
-    return 0;
-  return csp_held_part_left_ms (gateway->part_quarantine,
-                                csp_exchange_parts (exchange),
-                                csp_gateway_now_ms (gateway));
+  return csp_held_part_left_ms (exchange->gateway->part_quarantine,
+                                get_suspected_parts (exchange),
+                                csp_gateway_now_ms (exchange->gateway));
 }
 
 uint32_t
 csp_exchange_part_retry_ms (csp_exchange_t *exchange)
 {
-  csp_gateway_t *gateway = exchange->gateway;
-
-  return csp_part_retry_after_ms (gateway->part_quarantine,
-                                  csp_exchange_parts (exchange),
-                                  csp_gateway_now_ms (gateway));
+  return csp_part_retry_after_ms (exchange->gateway->part_quarantine,
+                                  get_suspected_parts (exchange),
+                                  csp_gateway_now_ms (exchange->gateway));
 }
 
 void
 csp_begin_exchange_trial (csp_exchange_t *exchange)
 {
-  csp_gateway_t *gateway = exchange->gateway;
-
-  if (csp_count_suspected_parts (gateway->part_quarantine) > 0)
-    csp_begin_part_trials (gateway->part_quarantine,
-                           csp_exchange_parts (exchange),
-                           csp_gateway_now_ms (gateway));
+  csp_begin_part_trials (exchange->gateway->part_quarantine,
+                         get_suspected_parts (exchange),
+                         csp_gateway_now_ms (exchange->gateway));
 }
 
 void
 csp_cancel_exchange_trial (csp_exchange_t *exchange)
 {
-  csp_gateway_t *gateway = exchange->gateway;
-
-  if (csp_count_suspected_parts (gateway->part_quarantine) > 0)
-    csp_cancel_part_trials (gateway->part_quarantine,
-                            csp_exchange_parts (exchange),
-                            csp_gateway_now_ms (gateway));
+  csp_cancel_part_trials (exchange->gateway->part_quarantine,
+                          get_suspected_parts (exchange),
+                          csp_gateway_now_ms (exchange->gateway));
 }
 
 void
