--- a/tests/soak/short.sh
+++ b/tests/soak/short.sh
@@ -1,28 +1,35 @@
 #!/bin/sh
-# Runs a short soak for each line of tests/soak/seeds: real gateways under
-# faults, checked against the documented guarantees.  Reports its result in the
-# format of a check program, so tests/run.sh counts it.
+# Runs a short soak for each line of tests/soak/seeds, some of them side by
+# side: real gateways under faults, checked against the documented guarantees.
+# Reports its result in the format of a check program, so tests/run.sh counts
+# it.
 BUILD=${BUILD:-build/plain}
+export BUILD
 here=$(dirname "$0")
 work=$(mktemp -d "$BUILD/soak.XXXXXX")
-runs=0
-failures=0
+export work
 grep -v '^#' "$here/seeds" >"$work/seeds"
-while read -r seed plays seconds hosts callers cause; do
-  runs=$((runs + 1))
+cut -d ' ' -f 1-5 "$work/seeds" | xargs -P "${SOAK_JOBS:-3}" -L 1 sh -c '
+  seed=$0 plays=$1
   mkdir -p "$work/$seed"
   if "$BUILD/soak" --program "$BUILD/cowslip-gateway" --work "$work/$seed" \
-    --seed "$seed" --seconds "$seconds" --hosts "$hosts" \
-    --callers "$callers" \
-    $(test "$plays" = - || echo "--$plays" | sed 's/,/ --/g'); then
+    --seed "$seed" --seconds "$2" --hosts "$3" --callers "$4" \
+    $(test "$plays" = - || echo "--$plays" | sed "s/,/ --/g") \
+    >"$work/$seed.out" 2>&1; then
     rm -rf "${work:?}/$seed"
   else
-    failures=$((failures + 1))
-    echo "logs are kept in $work/$seed"
-  fi
+    echo "logs are kept in $work/$seed" >>"$work/$seed.out"
+    echo "$seed" >>"$work/failed"
+  fi'
+while read -r seed rest; do
+  cat "$work/$seed.out"
 done <"$work/seeds"
-if [ $failures = 0 ]; then
+runs=$(wc -l <"$work/seeds")
+failures=0
+if [ -f "$work/failed" ]; then
+  failures=$(wc -l <"$work/failed")
+else
   rm -rf "$work"
 fi
 echo "$((100 * (runs - failures) / runs))%: Checks: $runs, Failures: $failures, Errors: 0"
-exit $failures
+exit "$failures"
