Soak: a request counts for cut hosts by what held when it was answered

The check of hosts without paths counts requests at the soak's end, and asked then whether they may have been refused for evacuated zones.

Each request notes it when it is answered.

--- a/tests/soak/soak-cut.c
+++ b/tests/soak/soak-cut.c
@@ -104,8 +104,7 @@
 
   if (!soak->cut_begun || request->hung_up_ms != 0
       || request->poison_series != 0 || request->kind == KIND_STREAM
-      || zone_refuses (soak, request)
-      || request->host_incarnation != host->incarnation
+      || request->refusable || request->host_incarnation != host->incarnation
       || request->sent_ms < host->disturbed_until_ms
       || request->sent_ms < soak->cut_begins_ms + NOTICED_MS
       || request->sent_ms >= soak->cut_ends_ms)
--- a/tests/soak/soak-ledger.c
+++ b/tests/soak/soak-ledger.c
@@ -290,6 +290,7 @@
 {
   request->answered_ms = soak_now_ms (soak);
   request->status = status;
+  request->refusable = zone_refuses (soak, request);
 }
 
 /* Whether the request may have been relayed through a host that was killed
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -86,7 +86,8 @@
   uint64_t last_event_ms; /* when the last of them came */
   uint32_t poison_series; /* poison series, see soak-poison; 0: not poison */
   bool complete;
-  bool urgent; /* sent on the urgent route */
+  bool refusable; /* when it was answered, see zone_refuses */
+  bool urgent;    /* sent on the urgent route */
 } request_t;
 
 typedef struct
