Soak: a request shows no newer switch than it was sent under

A connection that a proxy held for two seconds let requests through at 8.3 s that had been sent at 6.4 to 7.3 s under the third switch, to the same service as the fifth, made meanwhile at 7.8 s. The check took their run for the fifth in force at that host.

What a run shows of its host is now the newest switch to this service that was made before the request was sent. A host that goes back is reported as before.

--- a/tests/soak/soak-ledger.c
+++ b/tests/soak/soak-ledger.c
@@ -177,6 +177,12 @@
     soak_report_violation (soak, "CONFIG",
                            "%s: host %s still uses route switch %u of %u", id,
                            host->name, route_switch, soak->route_switches);
+  /* A request that waited on the way may have been sent under an older switch
+     to the same service.  */
+  while (route_switch > 0
+         && (strcmp (names[route_switch % 2], service) != 0
+             || soak->route_switch_ms[route_switch] > request->sent_ms))
+    route_switch--;
   if (host->incarnation != request->host_incarnation
       || route_switch <= host->switches_seen)
     return;
