Log repeated trials and a host's own backoffs

A trial that is repeated because what ended its target is unclear left no line at the host that led it, and a host that backs off a target which loses its requests again left none at all, so that nobody on call could have told them from a target that simply gets nothing.

Event 223 part-on-trial comes for a repeated trial too, and 504 target-backed-off names its cause; parts_tried_total and target_backoffs_total count them. csp_judge_failed_trials lists what became of each failed trial.

Measured: part-quarantine, part-play, damping, gateway quarantine and target-says tests pass with the same checks.

--- a/include/cowslipspoke/part-quarantine.h
+++ b/include/cowslipspoke/part-quarantine.h
@@ -110,6 +110,13 @@
   void *state;
 } csp_trial_facts_t;
 
+/* A part that has failed a trial.  */
+typedef struct
+{
+  uint64_t part;
+  bool held; /* false: it is tried again */
+} csp_trial_verdict_t;
+
 typedef struct csp_part_quarantine csp_part_quarantine_t;
 
 /* Returns NULL when out of memory.  seed: of the order in which hosts try a
@@ -144,11 +151,12 @@
                                 uint64_t *parts, size_t capacity,
                                 int64_t now_ms);
 
-/* Begins the holds of parts that have failed a trial of this host, and lists
-   them.  Call it periodically.  */
-size_t csp_hold_failed_parts (csp_part_quarantine_t *quarantine,
-                              uint64_t *parts, size_t capacity,
-                              int64_t now_ms);
+/* Begins the holds of parts that have failed a trial of this host, or another
+   trial where what ended the target is unclear, and lists those parts.  Call
+   it periodically.  */
+size_t csp_judge_failed_trials (csp_part_quarantine_t *quarantine,
+                                csp_trial_verdict_t *verdicts, size_t capacity,
+                                int64_t now_ms);
 
 /* Adopts a hold or a trial of another host, or looks for what it asks for.
    precedes: of two hosts that began a trial at once, the other one leads.  */
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -149,11 +149,10 @@
 static void
 back_off_lossy_target (csp_gateway_t *gateway, csp_fleet_target_t *target)
 {
-  int64_t now_ms = csp_gateway_now_ms (gateway);
-
-  if (csp_has_other_target (gateway->fleet, target, now_ms))
-    csp_back_off_target (gateway->fleet, target, REPEATED_LOSS_BACKOFF_MS,
-                         now_ms);
+  if (csp_has_other_target (gateway->fleet, target,
+                            csp_gateway_now_ms (gateway)))
+    csp_begin_backoff (gateway, target, REPEATED_LOSS_BACKOFF_MS,
+                       "lost requests again");
 }
 
 static void
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -378,6 +378,10 @@
                               csp_fleet_target_t *target,
                               const csp_http_head_t *head, int64_t sent_ms);
 
+/* This host sends the target nothing for a while.  cause: for the log.  */
+void csp_begin_backoff (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                        uint32_t wait_ms, const char *cause);
+
 /* The target refused a request for lack of capacity; it may state how many
    refusals it bears, see refusal-limit.h.  */
 void csp_handle_refusal_limit (csp_gateway_t *gateway,
--- a/source/gateway/gateway-part.c
+++ b/source/gateway/gateway-part.c
@@ -219,15 +219,18 @@
 }
 
 static void
-hold_failed_parts (csp_gateway_t *gateway, int64_t now_ms)
+judge_failed_trials (csp_gateway_t *gateway, int64_t now_ms)
 {
-  uint64_t parts[CSP_HELLO_HELD_PARTS_MAX];
-  size_t count = csp_hold_failed_parts (gateway->part_quarantine, parts,
-                                        CSP_HELLO_HELD_PARTS_MAX, now_ms);
+  csp_trial_verdict_t verdicts[CSP_HELLO_HELD_PARTS_MAX];
+  size_t count = csp_judge_failed_trials (gateway->part_quarantine, verdicts,
+                                          CSP_HELLO_HELD_PARTS_MAX, now_ms);
   size_t i;
 
   for (i = 0; i < count; i++)
-    begin_part_hold (gateway, parts[i], "self");
+    if (verdicts[i].held)
+      begin_part_hold (gateway, verdicts[i].part, "self");
+    else
+      begin_part_trial (gateway, verdicts[i].part, "self");
 }
 
 static void
@@ -257,7 +260,7 @@
   int64_t now_ms = csp_gateway_now_ms (gateway);
 
   csp_expire_part_strikes (gateway->part_quarantine, now_ms);
-  hold_failed_parts (gateway, now_ms);
+  judge_failed_trials (gateway, now_ms);
   try_suspected_parts (gateway, now_ms);
   broadcast_parts (gateway, now_ms);
 }
--- a/source/gateway/gateway-target-state.c
+++ b/source/gateway/gateway-target-state.c
@@ -41,11 +41,24 @@
     }
 }
 
+void
+csp_begin_backoff (csp_gateway_t *gateway, csp_fleet_target_t *target,
+                   uint32_t wait_ms, const char *cause)
+{
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+
+  csp_back_off_target (gateway->fleet, target, wait_ms, now_ms);
+  gateway->counts.backoffs++;
+  CSP_LOG (gateway->log, CSP_EVENT_TARGET_BACKED_OFF, NULL,
+           csp_text ("target", target->row.id), csp_text ("cause", cause),
+           csp_number ("wait_ms", wait_ms),
+           csp_number ("left_ms", target->backoff_until_ms - now_ms));
+}
+
 static void
 handle_backoff (csp_gateway_t *gateway, csp_fleet_target_t *target,
                 const char *retry_after)
 {
-  int64_t now_ms = csp_gateway_now_ms (gateway);
   uint32_t wait_ms;
 
   if (!csp_parse_http_seconds (retry_after, &wait_ms))
@@ -55,12 +68,7 @@
                csp_text ("value", retry_after));
       return;
     }
-  csp_back_off_target (gateway->fleet, target, wait_ms, now_ms);
-  gateway->counts.backoffs++;
-  CSP_LOG (gateway->log, CSP_EVENT_TARGET_BACKED_OFF, NULL,
-           csp_text ("target", target->row.id),
-           csp_number ("wait_ms", wait_ms),
-           csp_number ("left_ms", target->backoff_until_ms - now_ms));
+  csp_begin_backoff (gateway, target, wait_ms, "asked for");
   refuse_waiting_requests (gateway);
 }
 
--- a/source/quarantine/part-quarantine-verdict.c
+++ b/source/quarantine/part-quarantine-verdict.c
@@ -125,8 +125,9 @@
 }
 
 size_t
-csp_hold_failed_parts (csp_part_quarantine_t *quarantine, uint64_t *parts,
-                       size_t capacity, int64_t now_ms)
+csp_judge_failed_trials (csp_part_quarantine_t *quarantine,
+                         csp_trial_verdict_t *verdicts, size_t capacity,
+                         int64_t now_ms)
 {
   size_t listed = 0;
   size_t i;
@@ -143,7 +144,7 @@
         {
         case CAUSE_PART:
           begin_hold (row, now_ms);
-          parts[listed++] = row->part;
+          verdicts[listed++] = (csp_trial_verdict_t){ row->part, true };
           break;
         case CAUSE_OTHER:
           row->failed_ms = 0;
@@ -152,6 +153,7 @@
         case CAUSE_UNCLEAR:
           csp_begin_part_trial (row, now_ms);
           row->tried_again = true;
+          verdicts[listed++] = (csp_trial_verdict_t){ row->part, false };
           break;
         }
     }
--- a/tests/quarantine/part-quarantine-test.c
+++ b/tests/quarantine/part-quarantine-test.c
@@ -373,6 +373,20 @@
   return now_ms;
 }
 
+/* Returns how many parts are held now.  */
+static size_t
+hold_failed_parts (int64_t now_ms)
+{
+  csp_trial_verdict_t verdicts[4];
+  size_t count = csp_judge_failed_trials (here, verdicts, 4, now_ms);
+  size_t held = 0;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    held += verdicts[i].held;
+  return held;
+}
+
 static csp_prompt_parts_t guilty
     = { .count = 1, .parts = { SERVICE | GUILTY } };
 
@@ -382,14 +396,13 @@
 fail_trial (int64_t now_ms, uint64_t target)
 {
   csp_part_strike_t row = { .part = SERVICE | GUILTY, .target = target };
-  uint64_t listed[4];
 
   csp_begin_part_trials (here, &guilty, now_ms);
   csp_add_own_part_strike (here, &row, now_ms, now_ms + 500);
   now_ms += 500 + SETTLE_MS;
-  ck_assert_uint_eq (csp_hold_failed_parts (here, listed, 4, now_ms - 1), 0);
+  ck_assert_uint_eq (hold_failed_parts (now_ms - 1), 0);
   ck_assert_uint_gt (left_ms (here, GUILTY, now_ms - 1), 0);
-  ck_assert_uint_eq (csp_hold_failed_parts (here, listed, 4, now_ms), 1);
+  ck_assert_uint_eq (hold_failed_parts (now_ms), 1);
   return now_ms;
 }
 
@@ -502,17 +515,14 @@
   csp_held_part_t other
       = { .part = SERVICE | GUILTY_TOO, .left_ms = 100, .failed_trials = 1 };
   csp_part_strike_t row = { .part = SERVICE | GUILTY, .target = 10 };
-  uint64_t listed[4];
 
   csp_add_own_part_strike (here, &row, now_ms - 1, now_ms);
-  ck_assert_uint_eq (csp_hold_failed_parts (here, listed, 4, now_ms + 1000),
-                     0);
+  ck_assert_uint_eq (hold_failed_parts (now_ms + 1000), 0);
   csp_merge_held_part (here, &other, false, now_ms);
   strike (here, GUILTY_TOO, 11, now_ms + 100, false);
   row.target = 11;
   csp_add_own_part_strike (here, &row, now_ms + 50, now_ms + 100);
-  ck_assert_uint_eq (csp_hold_failed_parts (here, listed, 4, now_ms + 1000),
-                     0);
+  ck_assert_uint_eq (hold_failed_parts (now_ms + 1000), 0);
   ck_assert_uint_eq (left_ms (here, GUILTY, now_ms + 1000), 0);
 }
 END_TEST
@@ -549,7 +559,6 @@
   csp_held_part_t other = { .part = SERVICE | failures[_i].on_trial };
   csp_part_strike_t row = { .part = SERVICE | GUILTY, .target = 10 };
   const step_t *beside = &failures[_i].beside;
-  uint64_t listed[4];
   size_t i;
 
   csp_note_sound_part (here, SERVICE | GUILTY, START_MS - 100);
@@ -559,8 +568,7 @@
   for (i = 0; beside->kind == STEP_END && i < 4 && beside->parts[i] != 0; i++)
     strike (here, beside->parts[i], beside->target, end_ms + beside->at_ms,
             false);
-  ck_assert_msg (csp_hold_failed_parts (here, listed, 4, end_ms + SETTLE_MS)
-                     == failures[_i].held,
+  ck_assert_msg (hold_failed_parts (end_ms + SETTLE_MS) == failures[_i].held,
                  "%s", failures[_i].name);
   if (failures[_i].held)
     return;
@@ -570,8 +578,7 @@
   csp_begin_part_trials (here, &guilty, now_ms);
   csp_add_own_part_strike (here, &row, now_ms, now_ms + 500);
   strike (here, POPULAR, 13, now_ms + 400, false);
-  ck_assert_uint_eq (
-      csp_hold_failed_parts (here, listed, 4, now_ms + 500 + SETTLE_MS), 1);
+  ck_assert_uint_eq (hold_failed_parts (now_ms + 500 + SETTLE_MS), 1);
 }
 END_TEST
 
--- a/tests/support/part-sim.c
+++ b/tests/support/part-sim.c
@@ -348,15 +348,17 @@
 tick_host (sim_t *sim, int host, int64_t now_ms)
 {
   csp_trial_facts_t facts = { .has_ended = has_ended, .state = sim };
+  csp_trial_verdict_t verdicts[4];
   uint64_t parts[4];
   size_t count;
   size_t i;
 
   csp_expire_part_strikes (sim->hosts[host].quarantine, now_ms);
-  count
-      = csp_hold_failed_parts (sim->hosts[host].quarantine, parts, 4, now_ms);
+  count = csp_judge_failed_trials (sim->hosts[host].quarantine, verdicts, 4,
+                                   now_ms);
   for (i = 0; i < count; i++)
-    end_held_runs (sim, host, parts[i], now_ms);
+    if (verdicts[i].held)
+      end_held_runs (sim, host, verdicts[i].part, now_ms);
   csp_try_suspected_parts (sim->hosts[host].quarantine, &facts, parts, 4,
                            now_ms);
   exchange_reports (sim, host, now_ms);
