Offers say how many targets a host reaches

Its offers were refused as "unreached" by hosts that had lost no path.

Cause: an offer said "some" as long as the service didn't count as unreached, for instance while old connections lived on or behind a switch of the routes to a service that hadn't been tried. To such an offer a host agreed only if it reached three quarters of the service's targets, so that one target down of three made all hosts refuse.

Change: the offer says how many targets the host reaches. The second host accepts if it reaches three quarters of them, or at least twice as many as the first one. Where engines are down for all, all hosts reach the same number and still don't relay to each other. An older host's "some" and "none" are read as before; an older host reads a number as "none" and accepts.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -423,6 +423,11 @@
    that take new work.  */
 bool csp_reaches_most_targets (const csp_fleet_t *fleet, const char *service);
 
+/* Counts the service's targets that take new work and of which no path has
+   failed.  */
+size_t csp_count_reached_targets (const csp_fleet_t *fleet,
+                                  const char *service);
+
 /* A new connection to the target failed, or was answered.  */
 void csp_note_path_failed (csp_fleet_t *fleet, csp_fleet_target_t *target,
                            int64_t now_ms);
--- a/include/cowslipspoke/relay.h
+++ b/include/cowslipspoke/relay.h
@@ -2,6 +2,7 @@
 #define COWSLIPSPOKE_RELAY_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* Relaying requests through another host.
@@ -38,6 +39,9 @@
   uint64_t routes_version;
   uint64_t offered_version; /* of the offering host's routes */
   bool service_reached;
+  bool reaches_most;      /* of the service's targets */
+  size_t reached;         /* targets with no failed path */
+  size_t offered_reached; /* the same at the offering host */
   uint32_t relayed_count; /* relayed requests that are open here */
 } csp_offer_facts_t;
 
--- a/source/fleet/fleet-path.c
+++ b/source/fleet/fleet-path.c
@@ -104,6 +104,23 @@
   return unreached * UNREACHED_DIVISOR <= count;
 }
 
+size_t
+csp_count_reached_targets (const csp_fleet_t *fleet, const char *service)
+{
+  size_t count = 0;
+  size_t i;
+
+  for (i = 0; i < fleet->count; i++)
+    {
+      const csp_fleet_target_t *target = fleet->targets[i];
+
+      count += csp_takes_new_work (target) && !target->group->cut_off
+               && target->path_failed_ms == 0
+               && strcmp (target->group->service, service) == 0;
+    }
+  return count;
+}
+
 void
 csp_note_path_failed (csp_fleet_t *fleet, csp_fleet_target_t *target,
                       int64_t now_ms)
--- a/source/gateway/gateway-relay-accept.c
+++ b/source/gateway/gateway-relay-accept.c
@@ -75,19 +75,36 @@
     }
 }
 
-/* A host that reaches some targets offers a request to one that reaches most;
-   where many targets are down, no host does.  */
-static bool
-reaches_service (const csp_gateway_t *gateway, uint32_t hash,
-                 const char *offer)
+/* How many targets the offering host reaches.  An older host says "some" or
+   "none".  */
+static size_t
+read_offered_reached (const char *offer)
+{
+  static const char field[] = "; reached=";
+  const char *at = strstr (offer, field);
+
+  if (at == NULL)
+    return 0;
+  at += strlen (field);
+  return strncmp (at, "some", strlen ("some")) == 0 ? SIZE_MAX
+                                                    : strtoul (at, NULL, 10);
+}
+
+static void
+note_reached_targets (const csp_gateway_t *gateway, uint32_t hash,
+                      const char *offer, csp_offer_facts_t *facts)
 {
   const csp_route_service_t *service
       = csp_find_service_by_hash (gateway, hash);
 
-  if (!csp_is_service_reached (gateway->service_reach, hash))
-    return false;
-  return strstr (offer, "; reached=some") == NULL || service == NULL
-         || csp_reaches_most_targets (gateway->fleet, service->name);
+  facts->service_reached
+      = csp_is_service_reached (gateway->service_reach, hash);
+  if (service == NULL)
+    return;
+  facts->reaches_most
+      = csp_reaches_most_targets (gateway->fleet, service->name);
+  facts->reached = csp_count_reached_targets (gateway->fleet, service->name);
+  facts->offered_reached = read_offered_reached (offer);
 }
 
 static csp_offer_result_t
@@ -107,7 +124,7 @@
   facts.offered_version = version;
   if (facts.has_routes)
     facts.routes_version = csp_routes_version (gateway->routes);
-  facts.service_reached = reaches_service (gateway, service, offer);
+  note_reached_targets (gateway, service, offer, &facts);
   return csp_judge_offer (&facts);
 }
 
--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -182,20 +182,23 @@
 static void
 write_offer (const csp_exchange_t *exchange, csp_buffer_t *out)
 {
+  const csp_gateway_t *gateway = exchange->gateway;
   uint32_t service = csp_service_hash (exchange->service);
-  bool reached
-      = csp_is_service_reached (exchange->gateway->service_reach, service);
+  size_t reached = csp_is_service_reached (gateway->service_reach, service)
+                       ? csp_count_reached_targets (gateway->fleet,
+                                                    exchange->service->name)
+                       : 0;
   uint64_t leaving[OFFERED_LEAVING_MAX];
-  size_t count = csp_list_announced_leaving (exchange->gateway->fleet, leaving,
+  size_t count = csp_list_announced_leaving (gateway->fleet, leaving,
                                              OFFERED_LEAVING_MAX);
   size_t i;
 
   csp_print_buffer (out,
                     "GET /relay HTTP/1.1\r\nHost: relay\r\n"
-                    "%s: offer; service=%08x; routes=%llu; reached=%s",
+                    "%s: offer; service=%08x; routes=%llu; reached=%zu",
                     CSP_RELAY_FIELD, service,
                     (unsigned long long)csp_routes_version (exchange->routes),
-                    reached ? "some" : "none");
+                    reached);
   for (i = 0; i < count; i++)
     csp_print_buffer (out, "%s%016llx", i == 0 ? "; leaving=" : ",",
                       (unsigned long long)leaving[i]);
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -9,6 +9,8 @@
      most of a fleet of nine were cut off from targets, with a tenth of its
      descriptors.  */
   RELAYED_MAX = 256,
+  /* How many times as many targets are by far more.  */
+  REACHED_TIMES = 2,
   /* A new version of the routes reaches all hosts within milliseconds.  */
   OTHER_ROUTES_MS = 50,
   FULL_MS = 100,
@@ -33,6 +35,18 @@
         [CSP_OFFER_FULL] = { "full", FULL_MS },
         [CSP_OFFER_UNANSWERED] = { "unanswered", UNANSWERED_FIRST_MS } };
 
+/* Targets that are down look like lost paths to all hosts.  A host that
+   reaches some of a service accepts if it reaches most of it, or by far more
+   than the offering host; two hosts that reach the same ones don't relay to
+   each other.  */
+static bool
+reaches_enough (const csp_offer_facts_t *facts)
+{
+  return facts->service_reached
+         && (facts->reaches_most
+             || facts->reached / REACHED_TIMES >= facts->offered_reached);
+}
+
 csp_offer_result_t
 csp_judge_offer (const csp_offer_facts_t *facts)
 {
@@ -42,7 +56,7 @@
      a newer configuration and then an older one.  */
   if (!facts->has_routes || facts->routes_version != facts->offered_version)
     return CSP_OFFER_OTHER_ROUTES;
-  if (!facts->service_reached)
+  if (!reaches_enough (facts))
     return CSP_OFFER_UNREACHED;
   if (facts->relayed_count >= RELAYED_MAX)
     return CSP_OFFER_FULL;
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -480,6 +480,17 @@
 }
 END_TEST
 
+/* Offers to a host that reaches one of two targets.  */
+static const struct
+{
+  const char *reached;
+  const char *answer;
+} partial_offers[] = { { "some", ": unreached\r\n" }, /* an older host */
+                       { "none", " 204 " },
+                       { "2", ": unreached\r\n" },
+                       { "1", ": unreached\r\n" },
+                       { "0", " 204 " } };
+
 /* Guards against hosts that relay to each other because many engines are down,
    and not because they have lost their paths.  */
 START_TEST (offer_of_a_host_that_reaches_some_is_refused_by_another_such_host)
@@ -520,9 +531,9 @@
             "GET /relay HTTP/1.1\r\nHost: r\r\nCowslip-Relay: offer; "
             "service=%08x; routes=10; reached=%s\r\n\r\n",
             (uint32_t)csp_hash_pair ("service", "plain"),
-            _i == 0 ? "some" : "none");
+            partial_offers[_i].reached);
   send_text (host, request);
-  read_until (host, _i == 0 ? ": unreached\r\n" : " 204 ");
+  read_until (host, partial_offers[_i].answer);
   close (host);
   close (caller);
 }
@@ -607,7 +618,7 @@
   tcase_add_test (tcase, stranger_gets_no_answer_from_the_relay_listener);
   tcase_add_loop_test (
       tcase, offer_of_a_host_that_reaches_some_is_refused_by_another_such_host,
-      0, 2);
+      0, (int)(sizeof partial_offers / sizeof partial_offers[0]));
   tcase_add_test (tcase, offer_names_targets_that_leave);
   tcase_add_loop_test (tcase, offer_gets_a_clear_answer, 0,
                        sizeof offers / sizeof offers[0]);
