Tests: crashing parts where most requests come to one host

A trial needs strikes that two hosts saw, or six of one host. Where most new connections go to one host it sees nearly all ends itself, and no play had that.

--- a/tests/support/part-sim.c
+++ b/tests/support/part-sim.c
@@ -24,6 +24,8 @@
   LATE_SENDS_MAX = 3,
   GUILTY_MAX = 2,
   SOUND_MIDDLES = 20,
+  HERD_PER_CENT = 85,
+  PER_CENT = 100,
   FIRST = 1,
   FIRST_MIDDLE = 100,
   GUILTY = 500
@@ -78,6 +80,14 @@
   return min + csp_random_below (&sim->random, (uint32_t)(max - min + 1));
 }
 
+static int
+draw_host (sim_t *sim)
+{
+  if (sim->play->herd && draw (sim, 1, PER_CENT) <= HERD_PER_CENT)
+    return 0;
+  return (int)draw (sim, 0, HOSTS - 1);
+}
+
 static bool
 hear_each_other (const sim_t *sim, int from, int to, int64_t now_ms)
 {
@@ -264,7 +274,7 @@
   int64_t middle = draw (sim, 0, draw (sim, 0, SOUND_MIDDLES - 1));
   csp_prompt_parts_t parts
       = { .count = 2, .parts = { FIRST, FIRST_MIDDLE + (uint64_t)middle } };
-  int host = (int)draw (sim, 0, HOSTS - 1);
+  int host = draw_host (sim);
 
   sim->next_sound_ms = now_ms + draw (sim, 1, 2 * sim->play->sound_every_ms);
   if (send_request (sim, &parts, sim->play->guilty_first, host, now_ms)
@@ -278,7 +288,7 @@
 {
   csp_prompt_parts_t parts
       = { .count = 2, .parts = { FIRST, GUILTY + which } };
-  int host = (int)draw (sim, 0, HOSTS - 1);
+  int host = draw_host (sim);
 
   sim->next_guilty_ms[which]
       = now_ms + draw (sim, 1, 2 * sim->play->guilty_every_ms);
--- a/tests/support/part-sim.h
+++ b/tests/support/part-sim.h
@@ -32,6 +32,7 @@
   int64_t sound_max_ms; /* how long sound answers last */
   part_ends_t other_ends;
   bool host_faults;
+  bool herd; /* most requests come to one host */
 } part_play_t;
 
 /* Runs a play and checks its bounds: of requests with a crashing part at most
