--- a/include/cowslipspoke/part-quarantine.h
+++ b/include/cowslipspoke/part-quarantine.h
@@ -24,16 +24,17 @@
    A part comes on trial when it has CSP_PART_STRIKES_TRIED strikes that no
    more suspicious part explains.  Parts of which the last sound answer began
    longer ago are more suspicious, so a part that all requests share gives way
-   to the one that only the crashing requests have.  Ends at one moment can
-   have a cause of their own, a failed data centre for instance, so only two of
-   them count.  A host asks all others for sound answers before it begins a
-   trial.
+   to the one that only the crashing requests have; then those with more
+   strikes.  Ends at one moment can have a cause of their own, a failed data
+   centre for instance, so only two of them count.  A host asks all others for
+   sound answers before it begins a trial.
 
    On trial, one request with the part at a time is sent to a target, for some
-   seconds only by the host that began the trial.  An answer ends the trial; a
-   further end holds the part: no host sends a request with it.  The hold ends
-   with another trial and doubles each time.  So a sound part that was beside
-   many ends by chance is only kept back until one request with it is served.
+   seconds only by the host that began the trial or sent the last one.  An
+   answer ends the trial; a further end holds the part: no host sends a request
+   with it.  An end among others repeats the trial once.  The hold ends with
+   another trial and doubles each time.  So a sound part that was beside many
+   ends by chance is only kept back until one request with it is served.
  */
 
 enum
