Walk only the rows of suspected parts that are in use

Each host looks through its table of suspected parts several times in each tenth of a second while there is any, all 256 rows of 480 bytes for one suspect. The walks end behind the last row in use now; rows stay where they are, so that nothing is decided otherwise.

--- a/source/quarantine/part-quarantine-imp.h
+++ b/source/quarantine/part-quarantine-imp.h
@@ -62,7 +62,8 @@
 struct csp_part_quarantine
 {
   csp_random_t random;
-  size_t count; /* rows in use */
+  size_t count;   /* rows in use */
+  size_t row_end; /* behind the last of them */
   size_t next_row;
   csp_part_row_t rows[CSP_SUSPECTED_PARTS_MAX];
   csp_sound_row_t sound[CSP_SOUND_ROWS];
--- a/source/quarantine/part-quarantine-list.c
+++ b/source/quarantine/part-quarantine-list.c
@@ -46,7 +46,7 @@
   size_t listed = 0;
   size_t i;
 
-  for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     listed += take_strikes_of_row (&quarantine->rows[i], strikes + listed,
                                    capacity - listed, now_ms);
   return listed;
@@ -89,9 +89,7 @@
   size_t listed = 0;
   size_t i;
 
-  for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTED_PARTS_MAX
-              && listed < capacity;
-       i++)
+  for (i = 0; i < quarantine->row_end && listed < capacity; i++)
     {
       csp_part_row_t *row = &quarantine->rows[i];
 
--- a/source/quarantine/part-quarantine-trial.c
+++ b/source/quarantine/part-quarantine-trial.c
@@ -129,7 +129,7 @@
   size_t count = 0;
   size_t i;
 
-  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     {
       csp_part_row_t *row = &quarantine->rows[i];
 
@@ -259,7 +259,7 @@
 {
   size_t i;
 
-  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     if (quarantine->rows[i].strike_count >= CSP_PART_STRIKES_TRIED
         && quarantine->rows[i].held_until_ms == 0)
       return true;
--- a/source/quarantine/part-quarantine-verdict.c
+++ b/source/quarantine/part-quarantine-verdict.c
@@ -38,7 +38,7 @@
 {
   size_t i;
 
-  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     if (&quarantine->rows[i] != row && quarantine->rows[i].failed_trials > 0
         && csp_has_part_strike (&quarantine->rows[i], row->failed_at))
       return true;
@@ -53,7 +53,7 @@
 {
   size_t i;
 
-  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     if (quarantine->rows[i].held_until_ms != 0 && &quarantine->rows[i] != row
         && csp_has_part_strike (&quarantine->rows[i], row->failed_at)
         && csp_sound_since_ms (quarantine, quarantine->rows[i].part)
@@ -69,7 +69,7 @@
 {
   size_t i;
 
-  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     if (quarantine->rows[i].held_until_ms != 0 && &quarantine->rows[i] != row
         && csp_has_part_strike (&quarantine->rows[i], target))
       return true;
@@ -103,7 +103,7 @@
 {
   size_t i;
 
-  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     if (has_end_beside (quarantine, row, &quarantine->rows[i]))
       return true;
   return false;
@@ -132,9 +132,7 @@
   size_t listed = 0;
   size_t i;
 
-  for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTED_PARTS_MAX
-              && listed < capacity;
-       i++)
+  for (i = 0; i < quarantine->row_end && listed < capacity; i++)
     {
       csp_part_row_t *row = &quarantine->rows[i];
 
--- a/source/quarantine/part-quarantine.c
+++ b/source/quarantine/part-quarantine.c
@@ -50,7 +50,7 @@
 
   if (quarantine->count == 0)
     return NULL;
-  for (i = 0; i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     if (quarantine->rows[i].part == part)
       return (csp_part_row_t *)&quarantine->rows[i];
   return NULL;
@@ -84,6 +84,8 @@
         || ranks_below (&quarantine->rows[i], lowest))
       lowest = &quarantine->rows[i];
   quarantine->count += lowest->part == 0;
+  if (lowest >= quarantine->rows + quarantine->row_end)
+    quarantine->row_end = (size_t)(lowest - quarantine->rows) + 1;
   memset (lowest, 0, sizeof *lowest);
   lowest->part = part;
   lowest->position = UINT32_MAX;
@@ -95,6 +97,9 @@
 {
   memset (row, 0, sizeof *row);
   quarantine->count--;
+  while (quarantine->row_end > 0
+         && quarantine->rows[quarantine->row_end - 1].part == 0)
+    quarantine->row_end--;
 }
 
 int64_t
@@ -413,7 +418,7 @@
 {
   size_t i;
 
-  for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     {
       csp_part_row_t *row = &quarantine->rows[i];
       int64_t since_ms = row->held_until_ms > row->struck_at_ms
@@ -440,7 +445,7 @@
   size_t held = 0;
   size_t i;
 
-  for (i = 0; quarantine->count > 0 && i < CSP_SUSPECTED_PARTS_MAX; i++)
+  for (i = 0; i < quarantine->row_end; i++)
     held += quarantine->rows[i].held_until_ms != 0;
   return held;
 }
