Tests: signal-test has an address of its own

Its gateway bound the relay port 7200 of 127.0.0.1 and a port for peers that was free a moment before, so that two runs of the test at once could stop each other's start. It uses a loopback address of its own now, as other tests do.

--- a/tests/adapter/signal-test.c
+++ b/tests/adapter/signal-test.c
@@ -1,4 +1,3 @@
-#include "support/free-port.h"
 #include "support/run-suite.h"
 
 #include <arpa/inet.h>
@@ -31,23 +30,34 @@
 
 extern char **environ;
 
+/* A loopback address that no other test process uses.  */
+static void
+print_address (char *text, size_t text_bytes)
+{
+  struct in_addr address
+      = { .s_addr = htonl (0x7f700000U | ((uint32_t)getpid () & 0xfffffU)) };
+
+  inet_ntop (AF_INET, &address, text, (socklen_t)text_bytes);
+}
+
 static void
 write_settings (gateway_t *gateway)
 {
-  struct sockaddr_in peers = find_free_port ();
-  struct sockaddr_in store = find_free_port ();
+  char address[INET_ADDRSTRLEN];
   char text[TEXT_BYTES];
-  int length = snprintf (
-      text, sizeof text,
-      "{\"host\":\"h1\",\"data_centre\":\"z\",\"callers\":\"127.0.0.1:0\","
-      "\"readiness\":\"127.0.0.1:0\",\"metrics\":\"127.0.0.1:0\","
-      "\"peers\":\"127.0.0.1:%d\",\"seeds\":[\"127.0.0.1:%d\"],"
-      "\"store\":\"127.0.0.1:%d\",\"source\":\"127.0.0.1:0\","
-      "\"relay\":\"127.0.0.1:7200\",\"stop_limit_s\":1,\"retry_share\":0.2,"
-      "\"retry_extra\":58,\"cold_overage\":1.5,\"cold_tolerance\":3}\n",
-      ntohs (peers.sin_port), ntohs (peers.sin_port), ntohs (store.sin_port));
+  int length;
   int file;
 
+  print_address (address, sizeof address);
+  length = snprintf (
+      text, sizeof text,
+      "{\"host\":\"h1\",\"data_centre\":\"z\",\"callers\":\"%s:0\","
+      "\"readiness\":\"%s:0\",\"metrics\":\"127.0.0.1:0\","
+      "\"peers\":\"%s:8748\",\"seeds\":[\"%s:8748\"],\"store\":\"%s:1\","
+      "\"source\":\"%s:0\",\"relay\":\"%s:7200\",\"stop_limit_s\":1,"
+      "\"retry_share\":0.2,\"retry_extra\":58,\"cold_overage\":1.5,"
+      "\"cold_tolerance\":3}\n",
+      address, address, address, address, address, address, address);
   strcpy (gateway->settings, "/tmp/signal-test.XXXXXX");
   file = mkstemp (gateway->settings);
   ck_assert_int_ge (file, 0);
