One test for whether another suspected part was at a target

was_beside_suspect and is_explained asked the same of each row, in the same three conditions. One function answers it; nothing is decided otherwise.

--- a/source/quarantine/part-quarantine-verdict.c
+++ b/source/quarantine/part-quarantine-verdict.c
@@ -45,8 +45,18 @@
   return false;
 }
 
-/* Whether a part that is on trial or held too, and of which the last sound
-   answer began longer ago, was at the target.  */
+/* Whether another part, which is on trial or held, was at a target that
+   ended.  */
+static bool
+was_at_target (const csp_part_row_t *other, const csp_part_row_t *row,
+               uint64_t target)
+{
+  return other != row && other->held_until_ms != 0
+         && csp_has_part_strike (other, target);
+}
+
+/* Whether such a part, of which the last sound answer began longer ago, was at
+   the target of the trial.  */
 static bool
 was_beside_suspect (const csp_part_quarantine_t *quarantine,
                     const csp_part_row_t *row)
@@ -54,15 +64,14 @@
   size_t i;
 
   for (i = 0; i < quarantine->row_end; i++)
-    if (quarantine->rows[i].held_until_ms != 0 && &quarantine->rows[i] != row
-        && csp_has_part_strike (&quarantine->rows[i], row->failed_at)
+    if (was_at_target (&quarantine->rows[i], row, row->failed_at)
         && csp_sound_since_ms (quarantine, quarantine->rows[i].part)
                < csp_sound_since_ms (quarantine, row->part))
       return true;
   return false;
 }
 
-/* Whether another part that is on trial or held explains the end.  */
+/* Whether such a part explains the end of a target.  */
 static bool
 is_explained (const csp_part_quarantine_t *quarantine,
               const csp_part_row_t *row, uint64_t target)
@@ -70,8 +79,7 @@
   size_t i;
 
   for (i = 0; i < quarantine->row_end; i++)
-    if (quarantine->rows[i].held_until_ms != 0 && &quarantine->rows[i] != row
-        && csp_has_part_strike (&quarantine->rows[i], target))
+    if (was_at_target (&quarantine->rows[i], row, target))
       return true;
   return false;
 }
