Link: a reset that a write has met is a reset

Cause: the kernel reports a reset once. Where the reset comes between a connection's opening and its first write, the write is told of it, and the read behind it reports the end of the stream. The link took that for an orderly close: no path had failed, so the host went on to believe that it reached the target (log of a failing run: attempt-lost "the target closed the connection", no service-unreached, then 504). An answer without a length that was cut by such a reset even counted as complete.

Change: a link remembers that a write was told of a reset.

--- a/include/cowslipspoke/link.h
+++ b/include/cowslipspoke/link.h
@@ -93,10 +93,9 @@
 void csp_close_link (csp_link_t *link);
 
 /* Writes to a stream: directly as far as the kernel accepts the bytes, the
-   rest is queued.  Returns false when out of memory or when the stream is
-   broken.  */
-bool csp_write_stream (uv_stream_t *stream, const void *data,
-                       size_t size_bytes, uv_write_cb written, void *state);
+   rest is queued.  Returns 0, or libuv's error.  */
+int csp_write_stream (uv_stream_t *stream, const void *data, size_t size_bytes,
+                      uv_write_cb written, void *state);
 
 /* A libuv allocation callback: returns one read buffer that all connections of
    a thread share.  */
--- a/source/link/link.c
+++ b/source/link/link.c
@@ -25,6 +25,7 @@
   void *lost_state;
   csp_buffer_t unsent; /* written before the connection */
   bool sent;
+  bool write_reset; /* a write has met a reset */
   bool request_complete;
   bool answer_complete;
   bool reused;
@@ -173,14 +174,15 @@
 /* Whether the server closed the connection orderly.  libuv reports the end of
    the stream also when a reset followed directly after the last bytes, and a
    truncated answer without a length would look complete.  The socket itself
-   still tells the two apart.  */
+   still tells the two apart, unless a write was told of the reset.  */
 static bool
 is_orderly_close (csp_link_t *link)
 {
   uv_os_fd_t descriptor;
   char byte;
 
-  return uv_fileno ((uv_handle_t *)&link->tcp, &descriptor) == 0
+  return !link->write_reset
+         && uv_fileno ((uv_handle_t *)&link->tcp, &descriptor) == 0
          && recv (descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT)
                 == 0;
 }
@@ -215,6 +217,7 @@
 {
   csp_link_t *link = request->data;
 
+  link->write_reset |= status == UV_ECONNRESET;
   if (link->state != LINK_OPEN || link->events == NULL)
     return;
   /* The read side reports a broken connection too and may still have an early
@@ -320,13 +323,17 @@
 bool
 csp_write_link (csp_link_t *link, const void *data, size_t size_bytes)
 {
+  int error;
+
   if (link->state == LINK_CONNECTING)
     return csp_append_buffer (&link->unsent, data, size_bytes);
   if (link->state != LINK_OPEN)
     return false;
   link->sent = true;
-  return csp_write_stream ((uv_stream_t *)&link->tcp, data, size_bytes,
-                           on_written, link);
+  error = csp_write_stream ((uv_stream_t *)&link->tcp, data, size_bytes,
+                            on_written, link);
+  link->write_reset |= error == UV_ECONNRESET;
+  return error == 0;
 }
 
 void
--- a/source/link/stream-write.c
+++ b/source/link/stream-write.c
@@ -26,36 +26,37 @@
   free (pending);
 }
 
-bool
+int
 csp_write_stream (uv_stream_t *stream, const void *data, size_t size_bytes,
                   uv_write_cb written, void *state)
 {
   uv_buf_t buffer = uv_buf_init ((char *)data, (unsigned)size_bytes);
   pending_write_t *pending;
   int written_bytes = 0;
+  int error;
 
   if (stream->write_queue_size == 0)
     {
       written_bytes = uv_try_write (stream, &buffer, 1);
       if (written_bytes < 0 && written_bytes != UV_EAGAIN)
-        return false;
+        return written_bytes;
       if (written_bytes < 0)
         written_bytes = 0;
     }
   if ((size_t)written_bytes == size_bytes)
-    return true;
+    return 0;
   size_bytes -= (size_t)written_bytes;
   pending = malloc (sizeof *pending + size_bytes);
   if (pending == NULL)
-    return false;
+    return UV_ENOMEM;
   memcpy (pending->data, (const char *)data + written_bytes, size_bytes);
   pending->written = written;
   pending->request.data = state;
   buffer = uv_buf_init (pending->data, (unsigned)size_bytes);
-  if (uv_write (&pending->request, stream, &buffer, 1, finish_write) == 0)
-    return true;
-  free (pending);
-  return false;
+  error = uv_write (&pending->request, stream, &buffer, 1, finish_write);
+  if (error != 0)
+    free (pending);
+  return error;
 }
 
 void
--- a/source/page/page.c
+++ b/source/page/page.c
@@ -94,8 +94,9 @@
   if (strcmp (head->method, "HEAD") != 0)
     csp_append_buffer (&answer, body, size_bytes);
   csp_reset_http_reader (connection->reader, request_limits, false);
-  if (!csp_write_stream ((uv_stream_t *)&connection->tcp, answer.data,
-                         answer.size_bytes, NULL, NULL)
+  if (csp_write_stream ((uv_stream_t *)&connection->tcp, answer.data,
+                        answer.size_bytes, NULL, NULL)
+          != 0
       || !keep_alive)
     close_connection (connection);
   csp_clear_buffer (&answer);
--- a/tests/link/link-test.c
+++ b/tests/link/link-test.c
@@ -132,6 +132,31 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *sent; /* by the server before it resets the connection */
+} resets[] = { { "" }, { UNFRAMED } };
+
+/* Guards against a reset that a write has met being taken for an orderly
+   close: the read that follows reports the end of the stream.  */
+START_TEST (reset_met_by_a_write_is_a_reset)
+{
+  struct linger hard = { .l_onoff = 1, .l_linger = 0 };
+  observed_t observed = { 0 };
+  int server = start_request (&observed);
+
+  send (server, resets[_i].sent, strlen (resets[_i].sent), 0);
+  setsockopt (server, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  close (server);
+  csp_write_link (client, "more", 4);
+  while (observed.failed + observed.ended == 0)
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_int_eq (observed.ended, 0);
+  ck_assert_int_eq (observed.failure, CSP_LINK_RESET);
+  close_all (-1);
+}
+END_TEST
+
 START_TEST (orderly_close_ends_answer_without_length)
 {
   observed_t observed = { 0 };
@@ -212,6 +237,8 @@
 
   tcase_set_timeout (tcase, 30);
   tcase_add_test (tcase, reset_after_bytes_is_a_failure);
+  tcase_add_loop_test (tcase, reset_met_by_a_write_is_a_reset, 0,
+                       sizeof resets / sizeof resets[0]);
   tcase_add_test (tcase, orderly_close_ends_answer_without_length);
   tcase_add_loop_test (tcase, link_is_reused_only_after_complete_exchange, 0,
                        sizeof reuse_rows / sizeof reuse_rows[0]);
