Measure what a host's link carries and how late the host is

Neither log nor metrics could tell a full link from a slow target, a busy processor or a cut path: a request whose time was over had no line that said what it had waited for.

No decision uses them yet.

Tried and dropped: round trips of hellos. Datagrams were lost, or passed what connections waited for.

--- a/include/cowslipspoke/link.h
+++ b/include/cowslipspoke/link.h
@@ -97,6 +97,24 @@
 int csp_write_stream (uv_stream_t *stream, const void *data, size_t size_bytes,
                       uv_write_cb written, void *state);
 
+/* What the connections of an event loop have carried: bytes that the kernel
+   took or gave, and in how many writes and reads; and the links that were
+   opened, with the least time that one took since the owner reset it.  */
+typedef struct
+{
+  uint64_t written_bytes;
+  uint64_t writes;
+  uint64_t read_bytes;
+  uint64_t reads;
+  uint64_t connects;
+  uint32_t least_connect_ms;
+} csp_stream_counts_t;
+
+/* Counts from now on what csp_write_stream writes on the loop's connections,
+   and the loop's links; reads are counted by who handles them.  */
+void csp_set_stream_counts (uv_loop_t *loop, csp_stream_counts_t *counts);
+void csp_count_stream_read (const uv_stream_t *stream, size_t size_bytes);
+
 /* A libuv allocation callback: returns one read buffer that all connections of
    a thread share.  */
 void csp_share_read_buffer (uv_handle_t *handle, size_t suggested_bytes,
--- /dev/null
+++ b/source/capacity/link-load.c
@@ -0,0 +1,99 @@
+#include "cowslipspoke/link-load.h"
+
+#include <stdlib.h>
+
+enum
+{
+  SAMPLES_MAX = 16,
+  WINDOW_MS = 1000,
+  MS_PER_S = 1000,
+  /* IP, TCP and its time stamps, Ethernet.  */
+  HEADER_BYTES = 66
+};
+
+typedef struct
+{
+  int64_t at_ms;
+  uint64_t sent_bytes;
+  uint64_t received_bytes;
+} sample_t;
+
+struct csp_link_load
+{
+  size_t next; /* index of the oldest sample */
+  sample_t samples[SAMPLES_MAX];
+  uint64_t sent_rate;
+  uint64_t received_rate;
+};
+
+csp_link_load_t *
+csp_create_link_load (void)
+{
+  return calloc (1, sizeof (csp_link_load_t));
+}
+
+void
+csp_destroy_link_load (csp_link_load_t *load)
+{
+  free (load);
+}
+
+static uint64_t
+rate_between (uint64_t before, uint64_t after, int64_t elapsed_ms)
+{
+  return (after - before) * MS_PER_S / (uint64_t)elapsed_ms;
+}
+
+/* The oldest sample within the window; NULL if there is none.  */
+static const sample_t *
+find_first_sample (const csp_link_load_t *load, int64_t now_ms)
+{
+  size_t i;
+
+  for (i = 0; i < SAMPLES_MAX; i++)
+    {
+      const sample_t *sample = &load->samples[(load->next + i) % SAMPLES_MAX];
+
+      if (sample->at_ms != 0 && now_ms - sample->at_ms <= WINDOW_MS)
+        return sample;
+    }
+  return NULL;
+}
+
+void
+csp_sample_link_load (csp_link_load_t *load, const csp_stream_counts_t *counts,
+                      int64_t now_ms)
+{
+  sample_t sample
+      = { .at_ms = now_ms,
+          .sent_bytes = counts->written_bytes + counts->writes * HEADER_BYTES,
+          .received_bytes
+          = counts->read_bytes + counts->reads * HEADER_BYTES };
+  const sample_t *first = find_first_sample (load, now_ms);
+
+  load->sent_rate = 0;
+  load->received_rate = 0;
+  if (first != NULL && first->at_ms < now_ms)
+    {
+      int64_t elapsed_ms = now_ms - first->at_ms;
+
+      load->sent_rate
+          = rate_between (first->sent_bytes, sample.sent_bytes, elapsed_ms);
+      load->received_rate = rate_between (first->received_bytes,
+                                          sample.received_bytes, elapsed_ms);
+    }
+  load->samples[load->next] = sample;
+  load->next = (load->next + 1) % SAMPLES_MAX;
+}
+
+uint64_t
+csp_get_sent_rate (const csp_link_load_t *load)
+{
+  return load->sent_rate;
+}
+
+uint64_t
+csp_get_received_rate (const csp_link_load_t *load)
+{
+  return load->received_rate;
+}
--- a/source/gateway/gateway-caller.c
+++ b/source/gateway/gateway-caller.c
@@ -162,6 +162,7 @@
       csp_close_caller (caller);
       return;
     }
+  csp_count_stream_read (stream, (size_t)size_bytes);
   if (caller->lingering)
     return;
   caller->last_read_ms = csp_gateway_now_ms (caller->gateway);
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -116,6 +116,7 @@
                   csp_gateway_now_ms (gateway) - exchange->began_ms),
       csp_number ("left_ms",
                   exchange->deadline_ms - csp_gateway_now_ms (gateway)),
+      csp_number ("host_delay_ms", csp_current_host_delay_ms (gateway)),
       csp_number ("routes_version",
                   (int64_t)csp_routes_version (exchange->routes)));
 }
@@ -197,6 +198,19 @@
   close_exchange (exchange);
 }
 
+csp_exchange_t *
+csp_next_exchange (const csp_exchange_t *exchange)
+{
+  return exchange->next;
+}
+
+size_t
+csp_exchange_unsent_bytes (const csp_exchange_t *exchange)
+{
+  return csp_caller_backlog (exchange->caller)
+         + (exchange->link == NULL ? 0 : csp_link_backlog (exchange->link));
+}
+
 bool
 csp_exchange_answer_begun (const csp_exchange_t *exchange)
 {
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -3,7 +3,9 @@
 
 #include "cowslipspoke/dispatch.h"
 #include "cowslipspoke/gateway.h"
+#include "cowslipspoke/host-delay.h"
 #include "cowslipspoke/http.h"
+#include "cowslipspoke/link-load.h"
 #include "cowslipspoke/link.h"
 #include "cowslipspoke/metrics.h"
 #include "cowslipspoke/page.h"
@@ -49,6 +51,7 @@
      relay         passes requests on to other hosts
      relay-accept  accepts requests of other hosts
      paths         records how new connections to targets fare
+     load          measures this host's link and how late the host is
      page          readiness and metrics
 
    An exchange lives from csp_begin_exchange until it is finished, failed or
@@ -179,6 +182,12 @@
   csp_roster_t *roster;
   csp_reach_t *reach;
   csp_service_reach_t *service_reach;
+  csp_host_delay_t *host_delay;
+  csp_link_load_t *link_load;
+  csp_stream_counts_t stream_counts;
+  int64_t load_sampled_ms; /* 0: never */
+  int64_t late_since_ms;   /* this host is late; 0: it is in time */
+  int64_t late_logged_ms;
   int64_t isolated_since_ms; /* no engine is reachable; 0: one is */
   csp_dispatch_t *dispatch;
   csp_quarantine_t *quarantine;
@@ -299,6 +308,11 @@
    target.  */
 void csp_resume_target_reads (csp_exchange_t *exchange);
 
+/* The next open exchange of the host; and bytes of this one that the kernel
+   hasn't taken yet, towards caller and target.  */
+csp_exchange_t *csp_next_exchange (const csp_exchange_t *exchange);
+size_t csp_exchange_unsent_bytes (const csp_exchange_t *exchange);
+
 /* Whether a byte of the answer was written.  */
 bool csp_exchange_answer_begun (const csp_exchange_t *exchange);
 
@@ -454,6 +468,17 @@
 /* Log which services became unreached or reached.  Call it periodically.  */
 void csp_log_service_reach (csp_gateway_t *gateway);
 
+/* Load: see gateway-load.c.  False when out of memory.  */
+bool csp_open_host_load (csp_gateway_t *gateway);
+void csp_close_host_load (csp_gateway_t *gateway);
+
+/* Sample the host's load and lateness.  Call it every period_ms.  */
+void csp_sample_host_load (csp_gateway_t *gateway, uint32_t period_ms);
+uint32_t csp_current_host_delay_ms (const csp_gateway_t *gateway);
+
+/* Bytes of requests and answers that the kernel hasn't taken yet.  */
+uint64_t csp_count_unsent_bytes (const csp_gateway_t *gateway);
+
 /* Update which targets are cut off.  Call it periodically.  */
 void csp_update_reachability (csp_gateway_t *gateway);
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -334,6 +334,7 @@
 {
   csp_gateway_t *gateway = tick->data;
 
+  csp_sample_host_load (gateway, TICK_MS);
   csp_expire_targets (gateway->fleet, csp_gateway_now_ms (gateway));
   /* Ends late queries, so that others may be sent.  */
   csp_query_targets (gateway);
@@ -423,8 +424,8 @@
   gateway->request_metrics = csp_create_metrics (CSP_SERIES_MAX);
   gateway->quarantine = csp_create_quarantine ();
   gateway->part_quarantine = csp_create_part_quarantine (csp_random_seed ());
-  if (gateway->request_metrics == NULL || gateway->quarantine == NULL
-      || gateway->part_quarantine == NULL)
+  if (!csp_open_host_load (gateway) || gateway->request_metrics == NULL
+      || gateway->quarantine == NULL || gateway->part_quarantine == NULL)
     goto fail;
   if (gateway->fleet != NULL)
     gateway->dispatch = csp_create_dispatch (
@@ -489,6 +490,7 @@
     continue;
   uv_loop_close (&gateway->loop);
   csp_close_gateway_peers (gateway);
+  csp_close_host_load (gateway);
   csp_destroy_metrics (gateway->request_metrics);
   csp_destroy_quarantine (gateway->quarantine);
   csp_destroy_part_quarantine (gateway->part_quarantine);
--- a/source/link/link.c
+++ b/source/link/link.c
@@ -1,4 +1,4 @@
-#include "cowslipspoke/link.h"
+#include "link/link-imp.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -34,6 +34,7 @@
   bool unexpected_bytes;
   bool reading;
   uint32_t usable_ms;
+  uint64_t opened_ms; /* the loop's time */
 };
 
 enum
@@ -197,6 +198,7 @@
     return;
   if (size_bytes > 0)
     {
+      csp_count_stream_read (stream, (size_t)size_bytes);
       if (link->events != NULL)
         read_answer (link, buffer->base, (size_t)size_bytes);
       else
@@ -241,6 +243,8 @@
       return;
     }
   link->state = LINK_OPEN;
+  csp_count_connect (link->tcp.loop,
+                     uv_now (link->tcp.loop) - link->opened_ms);
   uv_tcp_nodelay (&link->tcp, 1);
   unsent = link->unsent;
   memset (&link->unsent, 0, sizeof link->unsent);
@@ -292,6 +296,7 @@
   link->connect.data = link;
   link->open_handles = 2;
   link->state = LINK_CONNECTING;
+  link->opened_ms = uv_now (loop);
   if ((source != NULL
        && uv_tcp_bind (&link->tcp, (const struct sockaddr *)source, 0) != 0)
       || uv_tcp_connect (&link->connect, &link->tcp,
