Soak: a herd at a host with a narrow network link, red

The soak's herd stops the process three quarters of the time and never narrows a link, so it didn't see the incident.

--- a/tests/soak/soak-cut.c
+++ b/tests/soak/soak-cut.c
@@ -44,14 +44,10 @@
 bool
 cut_refuses (void *context, const struct sockaddr_in *client)
 {
-  const soak_t *soak = context;
-  size_t i;
+  soak_t *soak = context;
+  const host_t *host = host_at_address (soak, client);
 
-  for (i = 0; i < soak->host_count; i++)
-    if (soak->hosts[i].caller_address.sin_addr.s_addr
-        == client->sin_addr.s_addr)
-      return soak->hosts[i].is_cut && is_cut_now (soak);
-  return false;
+  return host != NULL && host->is_cut && is_cut_now (soak);
 }
 
 static void
--- a/tests/soak/soak-herd.c
+++ b/tests/soak/soak-herd.c
@@ -5,7 +5,7 @@
 
 /* Most new connections go to one of the hosts in rotation, to another one once
    that one is out, and callers open new ones more often.  That host has a
-   quarter of a core.  */
+   quarter of a core, unless its link is narrow.  */
 
 enum
 {
--- a/tests/soak/soak-host.c
+++ b/tests/soak/soak-host.c
@@ -38,6 +38,18 @@
     host->disturbed_until_ms = until_ms;
 }
 
+const host_t *
+host_at_address (const soak_t *soak, const struct sockaddr_in *address)
+{
+  size_t i;
+
+  for (i = 0; i < soak->host_count; i++)
+    if (soak->hosts[i].caller_address.sin_addr.s_addr
+        == address->sin_addr.s_addr)
+      return &soak->hosts[i];
+  return NULL;
+}
+
 static void
 write_settings (soak_t *soak, const host_t *host, const char *path)
 {
@@ -49,10 +61,13 @@
   /* Losses that only hosts of another zone see don't damp an engine, so the
      hosts of a soak with flapping engines are in all zones.  */
   size_t zone = soak->uneven_enabled ? (size_t)(host - soak->hosts) : 0;
+  char link[32] = "";
   size_t i;
 
   if (file == NULL)
     abort ();
+  if (soak->narrow != NULL)
+    snprintf (link, sizeof link, "\"link_mbps\":%d,", SOAK_NARROW_MBPS);
   soak_print_address (&host->caller_address, addresses[0]);
   soak_print_address (&host->ready_address, addresses[1]);
   soak_print_address (&host->peer_address, addresses[2]);
@@ -70,11 +85,11 @@
       "\"readiness\":\"%s\",\"metrics\":\"127.0.0.1:0\","
       "\"peers\":\"%s\",\"seeds\":[\"%s\",\"%s\",\"%s\"],\"store\":\"%s\","
       "\"source\":\"%s\",\"relay\":\"%s\",\"stop_limit_s\":%d,\"retry_share\":"
-      "0.2,\"retry_extra\":58,"
+      "0.2,\"retry_extra\":58,%s"
       "\"cold_overage\":1.5,\"cold_tolerance\":3}\n",
       host->name, zone_name (soak, zone), addresses[0], addresses[1],
       addresses[2], seeds[0], seeds[1], seeds[2], addresses[3], addresses[4],
-      addresses[5], SOAK_GRACE_MS / 1000);
+      addresses[5], SOAK_GRACE_MS / 1000, link);
   fclose (file);
 }
 
--- a/tests/soak/soak-proxy.c
+++ b/tests/soak/soak-proxy.c
@@ -42,6 +42,7 @@
   uv_tcp_t client;
   uv_tcp_t server;
   uv_connect_t connect;
+  struct sockaddr_in client_address;
   direction_t to_server;
   direction_t to_client;
   bool connected;
@@ -61,6 +62,8 @@
   void *closed_context;
   proxy_filter_t refuses; /* NULL: none */
   void *filter_context;
+  proxy_pacer_t pacer; /* NULL: none */
+  void *pacer_context;
 };
 
 static char read_buffer[READ_BYTES];
@@ -209,6 +212,10 @@
   piece->size_bytes = (size_t)size_bytes;
   piece->due_ms = uv_now (direction->timer.loop)
                   + (proxy->mode == PROXY_DELAY ? proxy->delay_ms : 0);
+  if (proxy->pacer != NULL)
+    piece->due_ms
+        = proxy->pacer (proxy->pacer_context, &direction->pair->client_address,
+                        direction->towards_client, (size_t)size_bytes);
   memcpy (piece->data, data, (size_t)size_bytes);
   *direction->last = piece;
   direction->last = &piece->next;
@@ -276,14 +283,22 @@
 is_refused (const pair_t *pair)
 {
   const proxy_t *proxy = pair->proxy;
-  struct sockaddr_in client = { 0 };
-  int size_bytes = sizeof client;
 
   return proxy->refuses != NULL
-         && uv_tcp_getpeername (&pair->client, (struct sockaddr *)&client,
+         && proxy->refuses (proxy->filter_context, &pair->client_address);
+}
+
+/* Accepts the client's connection.  */
+static bool
+accept_client (uv_stream_t *listener, pair_t *pair)
+{
+  int size_bytes = sizeof pair->client_address;
+
+  return uv_accept (listener, (uv_stream_t *)&pair->client) == 0
+         && uv_tcp_getpeername (&pair->client,
+                                (struct sockaddr *)&pair->client_address,
                                 &size_bytes)
-                == 0
-         && proxy->refuses (proxy->filter_context, &client);
+                == 0;
 }
 
 static void
@@ -310,8 +325,8 @@
   init_direction (&pair->to_server, pair, &pair->client, &pair->server, false);
   init_direction (&pair->to_client, pair, &pair->server, &pair->client, true);
   pair->open_handles = 4;
-  if (uv_accept (stream, (uv_stream_t *)&pair->client) != 0
-      || proxy->mode == PROXY_REFUSE || is_refused (pair))
+  if (!accept_client (stream, pair) || proxy->mode == PROXY_REFUSE
+      || is_refused (pair))
     {
       close_pair (pair, true);
       return;
@@ -413,6 +428,13 @@
   proxy->filter_context = context;
 }
 
+void
+proxy_set_pacer (proxy_t *proxy, proxy_pacer_t pacer, void *context)
+{
+  proxy->pacer = pacer;
+  proxy->pacer_context = context;
+}
+
 void
 proxy_reset_refused (proxy_t *proxy)
 {
--- a/tests/soak/soak-proxy.h
+++ b/tests/soak/soak-proxy.h
@@ -49,6 +49,12 @@
 void proxy_set_filter (proxy_t *proxy, proxy_filter_t refuses, void *context);
 void proxy_reset_refused (proxy_t *proxy);
 
+/* When data to or from a client's address leaves the proxy.  */
+typedef uint64_t (*proxy_pacer_t) (void *context,
+                                   const struct sockaddr_in *client,
+                                   bool towards_client, size_t size_bytes);
+void proxy_set_pacer (proxy_t *proxy, proxy_pacer_t pacer, void *context);
+
 /* Open connections carry no data any more, but stay open; new ones pass.  */
 void proxy_silence_all (proxy_t *proxy);
 
--- a/tests/soak/soak-server.c
+++ b/tests/soak/soak-server.c
@@ -387,6 +387,8 @@
   if (server->proxy == NULL)
     abort ();
   proxy_set_filter (server->proxy, cut_refuses, soak);
+  if (soak->narrow != NULL)
+    proxy_set_pacer (server->proxy, narrow_pace, soak);
   soak_print_address (&server->listed_address, server->address);
   soak->servers[soak->server_count++] = server;
   list_server (server);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -14,8 +14,8 @@
 /* soak --program GATEWAY [--seed N] [--seconds S] [--hosts N] [--callers N]
    [--work DIR] [--zones] [--poison] [--parts] [--announce] [--rates]
    [--uneven]
-   [--cuts] [--herd]: runs one soak. Prints its violations and a summary line;
-   exits with 1 if there was a violation.  */
+   [--cuts] [--herd] [--narrow]: runs one soak. Prints its violations and a
+   summary line; exits with 1 if there was a violation.  */
 
 enum
 {
@@ -229,6 +229,7 @@
           { "uneven", no_argument, NULL, 'u' },
           { "cuts", no_argument, NULL, 'k' },
           { "herd", no_argument, NULL, 'e' },
+          { "narrow", no_argument, NULL, 'n' },
           { NULL, 0, NULL, 0 } };
   int option;
 
@@ -272,6 +273,9 @@
       case 'e':
         soak->herd_enabled = true;
         break;
+      case 'n':
+        soak->narrow_enabled = true;
+        break;
       case 'k':
         soak->cuts_enabled = true;
         break;
@@ -325,6 +329,8 @@
     cut_open (&soak);
   if (soak.herd_enabled)
     herd_open (&soak);
+  if (soak.narrow_enabled)
+    narrow_open (&soak);
   run (&soak, callers);
   poison_close (&soak);
   if (soak.uneven_enabled)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -29,6 +29,7 @@
      soak-uneven    a flapping engine, slow engines, competing routes
      soak-cut       hosts that reach no server
      soak-herd      most new connections to one host
+     soak-narrow    hosts with narrow network links
      soak-plan      which faults happen when  */
 
 enum
@@ -53,7 +54,8 @@
   SOAK_COLD_MS = 2000,
   SOAK_COLD_PER_S = 4,
   SOAK_COLD_BOUND = 9,
-  SOAK_RESUMABLE_ATTEMPTS = 3
+  SOAK_RESUMABLE_ATTEMPTS = 3,
+  SOAK_NARROW_MBPS = 1
 };
 
 typedef enum
@@ -123,6 +125,7 @@
 typedef struct callers callers_t;
 typedef struct poison poison_t;
 typedef struct herd herd_t;
+typedef struct narrow narrow_t;
 
 /* What a soak has of soak-uneven.  */
 typedef struct
@@ -177,6 +180,8 @@
   uint32_t cut_served[2];
   bool herd_enabled; /* most new connections go to one host */
   herd_t *herd;
+  bool narrow_enabled; /* hosts' network links are narrow */
+  narrow_t *narrow;    /* NULL: links aren't narrow */
   bool uneven_enabled;
   uneven_t uneven;
   uint64_t evacuated_ms[SOAK_ZONES]; /* when the evacuation was acknowledged;
@@ -271,6 +276,8 @@
 
 /* Hosts.  */
 void host_start (soak_t *soak, host_t *host);
+const host_t *host_at_address (const soak_t *soak,
+                               const struct sockaddr_in *address);
 void host_signal (soak_t *soak, host_t *host, int number);
 void host_tick (soak_t *soak, host_t *host);
 void host_mark_disturbed (soak_t *soak, host_t *host, uint64_t for_ms);
@@ -372,6 +379,11 @@
 void cut_count_request (soak_t *soak, const request_t *request, bool served);
 void cut_check_final (soak_t *soak);
 
+/* Narrow links: narrow_pace is the pacer of the servers' proxies.  */
+void narrow_open (soak_t *soak);
+uint64_t narrow_pace (void *context, const struct sockaddr_in *client,
+                      bool towards_client, size_t size_bytes);
+
 /* Herds.  herd_choose_host: the host for a new connection, beginning with the
    one drawn.  herd_count_request counts an answer, or none.  */
 void herd_open (soak_t *soak);
