--- a/tests/soak/soak-caller.c
+++ b/tests/soak/soak-caller.c
@@ -22,6 +22,7 @@
   /* Announced lengths of answers.  */
   STREAM_TOKENS = 300,
   URGENT_TOKENS = 12,
+  MS_PER_S = 1000,
   PER_CENT = 100
 };
 
@@ -41,6 +42,7 @@
   bool chunked;
   bool closes;
   bool signature_matches;
+  uint32_t retry_after_ms;
   size_t text_bytes;
   char text[WIRE_BODY_BYTES];
 } caller_t;
@@ -64,6 +66,9 @@
         + csp_random_below (&caller->soak->random, PAUSE_SPREAD_MS);
 
   caller->request = NULL;
+  if (caller->soak->narrow_enabled && caller->retry_after_ms > pause_ms)
+    pause_ms = caller->retry_after_ms;
+  caller->retry_after_ms = 0;
   if (!caller->group->stopping)
     uv_timer_start (&caller->timer, on_timer, pause_ms, 0);
 }
@@ -138,6 +143,7 @@
   const char *id = wire_field (head, "X-Attempt-Id");
   const char *closes = wire_field (head, "Connection");
   const char *signature = wire_field (head, "X-Engine-Signature");
+  const char *retry_after = wire_field (head, "Retry-After");
 
   if (caller->request == NULL)
     {
@@ -147,6 +153,8 @@
     }
   announce_head_delivered (caller->soak, caller->request, head);
   rate_head_delivered (caller->soak, caller->request, head);
+  if (retry_after != NULL)
+    caller->retry_after_ms = (uint32_t)(strtod (retry_after, NULL) * MS_PER_S);
   caller->status = head->status;
   caller->closes = closes != NULL && strcmp (closes, "close") == 0;
   caller->signature_matches
@@ -241,11 +249,14 @@
       soak, csp_random_below (&soak->random, (uint32_t)soak->host_count));
 }
 
+/* Narrow links carry fewer streams, which are longer.  */
 static request_kind_t
 draw_kind (soak_t *soak)
 {
   uint32_t draw = csp_random_below (&soak->random, 10);
 
+  if (soak->narrow_enabled && soak->request_count % 2 == 0 && draw >= 7)
+    return KIND_SAFE;
   return draw < 4 ? KIND_SAFE : draw < 7 ? KIND_ONCE : KIND_STREAM;
 }
 
--- a/tests/soak/soak-ledger.c
+++ b/tests/soak/soak-ledger.c
@@ -99,6 +99,8 @@
                    soak->seed * LENGTH_SPREAD
                        + strtoul (id + HEXADECIMAL / 2, NULL, HEXADECIMAL));
   length = LENGTH_MIN + csp_random_below (&random, LENGTH_SPREAD);
+  if (soak->narrow_enabled)
+    length *= SOAK_NARROW_LENGTHS;
   return request != NULL && request->urgent && length > URGENT_LENGTH_MAX
              ? URGENT_LENGTH_MAX
              : length;
