Take long streams only as far as the host's network link carries them

What callers saw: while most new connections came to one host, many requests there failed at the first try; short ones had the time over.

Cause: a host took each stream that the fleet had room for. Nothing bound what it took by what its own link carries, so that streams' events queued in front of the link, and everything that the host sent or heard waited behind them. The class: room is counted for targets, for organisations and for the fleet, never for the host in the middle.

Evidence: 10.8 Mbit/s received on a link of 10 while connections take 1 to 394 ms to open; the loop is never late; with 200 Mbit/s instead, nothing.

Change: a host measures what its connections carry each way and the rate of the long streams under way. Short streams and plain requests are always taken: they need little. A relayed request is refused so that its host tries another one.

Why it works: no queue builds up, so short answers, control traffic and the streams under way keep their pace.

--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -44,6 +44,8 @@
   /* What the host's processor and link can carry, in thousandths of a core; 0:
      unknown.  */
   uint32_t capacity;
+  /* What the host's network link carries each way; 0: unknown.  */
+  uint64_t link_bytes_per_s;
   /* Longest duration of a stop; afterwards the process is killed.  */
   uint32_t stop_limit_ms;
   /* Retry budget of a service: the share of its requests that may be sent as
--- a/include/cowslipspoke/link-load.h
+++ b/include/cowslipspoke/link-load.h
@@ -3,14 +3,30 @@
 
 #include "cowslipspoke/link.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
-/* How much of this host's network link its connections use, each way.  */
+/* How much of this host's network link its connections use, each way, and
+   whether it carries another stream.
+
+   Load pattern: most callers of a data centre come to one host.  The fleet has
+   room for their streams, but the host's link doesn't: their events queue in
+   front of it, and whatever the host sends or hears waits behind them.  Short
+   answers need a small part of the link, and callers that are refused are
+   served by other hosts, so long streams are bounded, and by what the streams
+   under way leave of the link.  */
+
+enum
+{
+  /* IP, TCP and its time stamps, Ethernet.  */
+  CSP_PACKET_HEADER_BYTES = 66
+};
 
 typedef struct csp_link_load csp_link_load_t;
 
-/* NULL when out of memory.  */
-csp_link_load_t *csp_create_link_load (void);
+/* capacity: of the link, in bytes a second each way; 0: unknown, and streams
+   aren't bounded.  NULL when out of memory.  */
+csp_link_load_t *csp_create_link_load (uint64_t capacity);
 void csp_destroy_link_load (csp_link_load_t *load);
 
 /* Records what all connections have carried so far.  Call it some times a
@@ -22,4 +38,11 @@
 uint64_t csp_get_sent_rate (const csp_link_load_t *load);
 uint64_t csp_get_received_rate (const csp_link_load_t *load);
 
+/* Records the mean rate of the long streams that are under way.  */
+void csp_note_stream_rate (csp_link_load_t *load, uint64_t bytes_per_s);
+
+/* Whether the link carries another long stream.  If so, its rate counts as
+   used until the stream shows in the rates above.  */
+bool csp_reserve_stream (csp_link_load_t *load, int64_t now_ms);
+
 #endif
--- a/source/capacity/link-load.c
+++ b/source/capacity/link-load.c
@@ -7,8 +7,15 @@
   SAMPLES_MAX = 16,
   WINDOW_MS = 1000,
   MS_PER_S = 1000,
-  /* IP, TCP and its time stamps, Ethernet.  */
-  HEADER_BYTES = 66
+  /* The rest is for short answers and for messages between hosts.  */
+  STREAMS_PER_CENT = 85,
+  PER_CENT = 100,
+  /* Rate of a stream before any was measured.  */
+  FIRST_STREAM_RATE = 8192,
+  /* From a stream's request until half of the window above shows it.  */
+  RESERVED_MS = 1200,
+  RESERVED_SLOT_MS = 100,
+  RESERVED_SLOTS = RESERVED_MS / RESERVED_SLOT_MS
 };
 
 typedef struct
@@ -18,8 +25,18 @@
   uint64_t received_bytes;
 } sample_t;
 
+/* Streams that were reserved in one slot of time.  */
+typedef struct
+{
+  int64_t number; /* of the slot */
+  uint32_t streams;
+} reserved_t;
+
 struct csp_link_load
 {
+  uint64_t capacity;
+  uint64_t stream_rate;
+  reserved_t reserved[RESERVED_SLOTS];
   size_t next; /* index of the oldest sample */
   sample_t samples[SAMPLES_MAX];
   uint64_t sent_rate;
@@ -27,9 +44,15 @@
 };
 
 csp_link_load_t *
-csp_create_link_load (void)
+csp_create_link_load (uint64_t capacity)
 {
-  return calloc (1, sizeof (csp_link_load_t));
+  csp_link_load_t *load = calloc (1, sizeof *load);
+
+  if (load == NULL)
+    return NULL;
+  load->capacity = capacity;
+  load->stream_rate = FIRST_STREAM_RATE;
+  return load;
 }
 
 void
@@ -66,14 +89,19 @@
 {
   sample_t sample
       = { .at_ms = now_ms,
-          .sent_bytes = counts->written_bytes + counts->writes * HEADER_BYTES,
+          .sent_bytes
+          = counts->written_bytes + counts->writes * CSP_PACKET_HEADER_BYTES,
           .received_bytes
-          = counts->read_bytes + counts->reads * HEADER_BYTES };
+          = counts->read_bytes + counts->reads * CSP_PACKET_HEADER_BYTES };
+  const sample_t *last
+      = &load->samples[(load->next + SAMPLES_MAX - 1) % SAMPLES_MAX];
   const sample_t *first = find_first_sample (load, now_ms);
 
+  if (last->at_ms == now_ms)
+    return;
   load->sent_rate = 0;
   load->received_rate = 0;
-  if (first != NULL && first->at_ms < now_ms)
+  if (first != NULL)
     {
       int64_t elapsed_ms = now_ms - first->at_ms;
 
@@ -97,3 +125,40 @@
 {
   return load->received_rate;
 }
+
+void
+csp_note_stream_rate (csp_link_load_t *load, uint64_t bytes_per_s)
+{
+  load->stream_rate = bytes_per_s;
+}
+
+static uint32_t
+count_reserved (const csp_link_load_t *load, int64_t slot)
+{
+  uint32_t streams = 0;
+  size_t i;
+
+  for (i = 0; i < RESERVED_SLOTS; i++)
+    if (slot - load->reserved[i].number < RESERVED_SLOTS)
+      streams += load->reserved[i].streams;
+  return streams;
+}
+
+bool
+csp_reserve_stream (csp_link_load_t *load, int64_t now_ms)
+{
+  int64_t slot = now_ms / RESERVED_SLOT_MS;
+  reserved_t *reserved = &load->reserved[slot % RESERVED_SLOTS];
+  uint64_t used = load->sent_rate > load->received_rate ? load->sent_rate
+                                                        : load->received_rate;
+  uint64_t streams = (uint64_t)count_reserved (load, slot) + 1;
+
+  if (load->capacity != 0
+      && used + streams * load->stream_rate
+             > load->capacity * STREAMS_PER_CENT / PER_CENT)
+    return false;
+  if (reserved->number != slot)
+    *reserved = (reserved_t){ .number = slot };
+  reserved->streams++;
+  return true;
+}
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -198,19 +198,6 @@
   close_exchange (exchange);
 }
 
-csp_exchange_t *
-csp_next_exchange (const csp_exchange_t *exchange)
-{
-  return exchange->next;
-}
-
-size_t
-csp_exchange_unsent_bytes (const csp_exchange_t *exchange)
-{
-  return csp_caller_backlog (exchange->caller)
-         + (exchange->link == NULL ? 0 : csp_link_backlog (exchange->link));
-}
-
 bool
 csp_exchange_answer_begun (const csp_exchange_t *exchange)
 {
@@ -444,6 +431,8 @@
                          "the host is stopping");
       return NULL;
     }
+  if (csp_refuse_unless_link_carries (exchange))
+    return NULL;
   set_deadline (exchange, head);
   if (head->framing == CSP_BODY_NONE)
     {
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -51,7 +51,8 @@
      relay         passes requests on to other hosts
      relay-accept  accepts requests of other hosts
      paths         records how new connections to targets fare
-     load          measures this host's link and how late the host is
+     load          which streams this host's link carries, and how late the
+                   host is
      page          readiness and metrics
 
    An exchange lives from csp_begin_exchange until it is finished, failed or
@@ -154,6 +155,7 @@
   uint64_t relay_offers_failed;
   uint64_t relayed;         /* requests that other hosts relayed to this one */
   uint64_t relay_strangers; /* connections that came from no live host */
+  uint64_t link_refused;    /* streams that this host's link can't carry */
   uint64_t dampings;        /* of targets, by this host as the decider */
 } csp_gateway_counts_t;
 
@@ -308,11 +310,6 @@
    target.  */
 void csp_resume_target_reads (csp_exchange_t *exchange);
 
-/* The next open exchange of the host; and bytes of this one that the kernel
-   hasn't taken yet, towards caller and target.  */
-csp_exchange_t *csp_next_exchange (const csp_exchange_t *exchange);
-size_t csp_exchange_unsent_bytes (const csp_exchange_t *exchange);
-
 /* Whether a byte of the answer was written.  */
 bool csp_exchange_answer_begun (const csp_exchange_t *exchange);
 
--- a/source/gateway/gateway-load.c
+++ b/source/gateway/gateway-load.c
@@ -1,6 +1,7 @@
-#include "gateway/gateway-imp.h"
+#include "gateway/gateway-exchange-imp.h"
 
-/* Measuring what this host's link carries and how late the host is.  */
+/* What this host's link carries, which streams it takes for that, and how late
+   the host is.  */
 
 enum
 {
@@ -8,16 +9,28 @@
   LATE_MS = 100,
   IN_TIME_MS = 50,
   /* Between two lines that this host is late or in time again.  */
-  LATE_LINES_MS = 1000
+  LATE_LINES_MS = 1000,
+  /* Shorter streams are over before others could be refused for them.  */
+  LONG_STREAM_TOKENS = 100,
+  /* Streams are measured from this long after their first event.  */
+  MEASURED_MS = 500,
+  MS_PER_S = 1000,
+  /* Another host takes the request at once; here streams end at this rate.  */
+  LINK_FULL_RETRY_MS = 400
 };
 
 bool
 csp_open_host_load (csp_gateway_t *gateway)
 {
   gateway->host_delay = csp_create_host_delay ();
-  gateway->link_load = csp_create_link_load ();
+  gateway->link_load
+      = csp_create_link_load (gateway->settings.link_bytes_per_s);
   csp_set_stream_counts (&gateway->loop, &gateway->stream_counts);
-  return gateway->host_delay != NULL && gateway->link_load != NULL;
+  if (gateway->host_delay == NULL || gateway->link_load == NULL)
+    return false;
+  csp_sample_link_load (gateway->link_load, &gateway->stream_counts,
+                        csp_gateway_now_ms (gateway));
+  return true;
 }
 
 void
@@ -41,8 +54,10 @@
   uint64_t bytes = 0;
 
   for (exchange = gateway->exchanges; exchange != NULL;
-       exchange = csp_next_exchange (exchange))
-    bytes += csp_exchange_unsent_bytes (exchange);
+       exchange = exchange->next)
+    bytes
+        += csp_caller_backlog (exchange->caller)
+           + (exchange->link == NULL ? 0 : csp_link_backlog (exchange->link));
   return bytes;
 }
 
@@ -73,6 +88,51 @@
   gateway->late_logged_ms = now_ms;
 }
 
+static bool
+is_long_stream (const csp_exchange_t *exchange)
+{
+  return exchange->route->kind == CSP_ROUTE_STREAM
+         && exchange->output_tokens >= LONG_STREAM_TOKENS;
+}
+
+static void
+measure_streams (csp_gateway_t *gateway, int64_t now_ms)
+{
+  const csp_exchange_t *exchange;
+  uint64_t bytes_per_s = 0;
+  uint64_t count = 0;
+
+  for (exchange = gateway->exchanges; exchange != NULL;
+       exchange = exchange->next)
+    {
+      int64_t elapsed_ms = now_ms - exchange->first_event_ms;
+
+      if (exchange->first_event_ms == 0 || elapsed_ms < MEASURED_MS
+          || !is_long_stream (exchange))
+        continue;
+      bytes_per_s += exchange->stream_bytes * MS_PER_S / (uint64_t)elapsed_ms;
+      count++;
+    }
+  if (count > 0)
+    csp_note_stream_rate (gateway->link_load, bytes_per_s / count);
+}
+
+bool
+csp_refuse_unless_link_carries (csp_exchange_t *exchange)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+
+  if (!is_long_stream (exchange)
+      || csp_reserve_stream (gateway->link_load, csp_gateway_now_ms (gateway)))
+    return false;
+  gateway->counts.link_refused++;
+  exchange->retry_after_ms = csp_spread_wait_ms (gateway, LINK_FULL_RETRY_MS);
+  csp_set_relay_answer (exchange->caller, CSP_RELAY_UNSERVED);
+  csp_fail_exchange (exchange, CSP_REASON_OVERLOADED,
+                     "the host's link is full");
+  return true;
+}
+
 void
 csp_sample_host_load (csp_gateway_t *gateway, uint32_t period_ms)
 {
@@ -88,5 +148,6 @@
                          gateway->stream_counts.least_connect_ms, now_ms);
   gateway->stream_counts.connects = 0;
   csp_sample_link_load (gateway->link_load, &gateway->stream_counts, now_ms);
+  measure_streams (gateway, now_ms);
   log_lateness (gateway, now_ms);
 }
--- a/source/gateway/gateway-stream.c
+++ b/source/gateway/gateway-stream.c
@@ -221,6 +221,7 @@
     csp_append_chunk (&out, exchange->buffered.data, size_bytes);
   else
     csp_append_buffer (&out, exchange->buffered.data, size_bytes);
+  exchange->stream_bytes += out.size_bytes + CSP_PACKET_HEADER_BYTES;
   csp_write_caller (exchange->caller, out.data, out.size_bytes);
   csp_clear_buffer (&out);
   csp_consume_buffer (&exchange->buffered, size_bytes);
--- a/tests/capacity/link-load-test.c
+++ b/tests/capacity/link-load-test.c
@@ -22,7 +22,7 @@
 
 START_TEST (rates_are_of_the_last_second_with_headers)
 {
-  csp_link_load_t *load = csp_create_link_load ();
+  csp_link_load_t *load = csp_create_link_load (0);
   csp_stream_counts_t counts = { 0 };
   int64_t now_ms = run_load (load, &counts, 1000, 3000, 10000, 10);
 
@@ -38,6 +38,45 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *what;
+  uint64_t capacity;
+  uint64_t bytes;    /* each 100 ms; twice as many are received */
+  uint32_t reserved; /* streams before, in one go */
+  int64_t later_ms;  /* until the next one */
+  bool admitted;
+} streams[] = {
+  { "unknown capacity", 0, 1000000, 1000, 0, true },
+  { "an idle link", 100000, 0, 0, 0, true },
+  { "the last that fits", 100000, 0, 7, 0, true },
+  { "one more", 100000, 0, 8, 0, false },
+  { "those before show in the rates", 100000, 0, 8, 1200, true },
+  { "not yet", 100000, 0, 8, 1100, false },
+  { "the busier way counts", 100000, 4000, 0, 0, false },
+  { "half in use", 100000, 2000, 3, 0, true },
+  { "half in use, and reserved", 100000, 2000, 4, 0, false },
+};
+
+/* Guards against streams of which each fits while all of them don't, as those
+   that were taken just now don't show yet.  */
+START_TEST (streams_are_bounded_by_what_the_link_carries)
+{
+  csp_link_load_t *load = csp_create_link_load (streams[_i].capacity);
+  csp_stream_counts_t counts = { 0 };
+  int64_t now_ms = run_load (load, &counts, 1000, 3000, streams[_i].bytes, 0);
+  uint32_t i;
+
+  csp_note_stream_rate (load, 10000);
+  for (i = 0; i < streams[_i].reserved; i++)
+    ck_assert_msg (csp_reserve_stream (load, now_ms), "%s", streams[_i].what);
+  ck_assert_msg (csp_reserve_stream (load, now_ms + streams[_i].later_ms)
+                     == streams[_i].admitted,
+                 "%s", streams[_i].what);
+  csp_destroy_link_load (load);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -45,6 +84,8 @@
   TCase *tcase = tcase_create ("link load");
 
   tcase_add_test (tcase, rates_are_of_the_last_second_with_headers);
+  tcase_add_loop_test (tcase, streams_are_bounded_by_what_the_link_carries, 0,
+                       sizeof streams / sizeof streams[0]);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -146,12 +146,14 @@
                                       .retry_saved_max = 4,
                                       .retry_start = 4 };
   uint32_t fleet_retry_limit = fixture->fleet_retry_limit;
+  uint64_t link_bytes_per_s = fixture->link_bytes_per_s;
   const struct sockaddr_in *seed = fixture->seed;
   csp_clock_t clock;
   char message[256];
 
   signal (SIGPIPE, SIG_IGN);
   memset (fixture, 0, sizeof *fixture);
+  settings.link_bytes_per_s = link_bytes_per_s;
   settings.relay_address = *datagram_address;
   settings.relay_address.sin_port = 0;
   if (seed != NULL)
--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -29,6 +29,8 @@
      by leases; the host then has no retries of its own.  0: the host has four
      retries of its own and there are no leases.  */
   uint32_t fleet_retry_limit;
+  /* What the host's network link carries; 0: unknown.  */
+  uint64_t link_bytes_per_s;
   /* Address of another host that the gateway knows from its start; NULL:
      none.  */
   const struct sockaddr_in *seed;
