Release a stream's part of the link when it ends

A reservation lasted 1.2 s whatever became of the request. Where engines are full, requests that are refused within a millisecond would have left reservations for streams that never come, and others would be refused for a link that is idle.

Now the request holds it: from when it is taken until half a second behind its first event, or its end.

--- a/include/cowslipspoke/link-load.h
+++ b/include/cowslipspoke/link-load.h
@@ -42,7 +42,9 @@
 void csp_note_stream_rate (csp_link_load_t *load, uint64_t bytes_per_s);
 
 /* Whether the link carries another long stream.  If so, its rate counts as
-   used until the stream shows in the rates above.  */
-bool csp_reserve_stream (csp_link_load_t *load, int64_t now_ms);
+   used until it is released: when the stream shows in the rates above, or has
+   ended.  */
+bool csp_reserve_stream (csp_link_load_t *load);
+void csp_release_stream (csp_link_load_t *load);
 
 #endif
--- a/source/capacity/link-load.c
+++ b/source/capacity/link-load.c
@@ -11,11 +11,7 @@
   STREAMS_PER_CENT = 85,
   PER_CENT = 100,
   /* Rate of a stream before any was measured.  */
-  FIRST_STREAM_RATE = 8192,
-  /* From a stream's request until half of the window above shows it.  */
-  RESERVED_MS = 1200,
-  RESERVED_SLOT_MS = 100,
-  RESERVED_SLOTS = RESERVED_MS / RESERVED_SLOT_MS
+  FIRST_STREAM_RATE = 8192
 };
 
 typedef struct
@@ -25,19 +21,12 @@
   uint64_t received_bytes;
 } sample_t;
 
-/* Streams that were reserved in one slot of time.  */
-typedef struct
-{
-  int64_t number; /* of the slot */
-  uint32_t streams;
-} reserved_t;
-
 struct csp_link_load
 {
   uint64_t capacity;
   uint64_t stream_rate;
-  reserved_t reserved[RESERVED_SLOTS];
-  size_t next; /* index of the oldest sample */
+  uint64_t reserved; /* streams */
+  size_t next;       /* index of the oldest sample */
   sample_t samples[SAMPLES_MAX];
   uint64_t sent_rate;
   uint64_t received_rate;
@@ -132,33 +121,23 @@
   load->stream_rate = bytes_per_s;
 }
 
-static uint32_t
-count_reserved (const csp_link_load_t *load, int64_t slot)
-{
-  uint32_t streams = 0;
-  size_t i;
-
-  for (i = 0; i < RESERVED_SLOTS; i++)
-    if (slot - load->reserved[i].number < RESERVED_SLOTS)
-      streams += load->reserved[i].streams;
-  return streams;
-}
-
 bool
-csp_reserve_stream (csp_link_load_t *load, int64_t now_ms)
+csp_reserve_stream (csp_link_load_t *load)
 {
-  int64_t slot = now_ms / RESERVED_SLOT_MS;
-  reserved_t *reserved = &load->reserved[slot % RESERVED_SLOTS];
   uint64_t used = load->sent_rate > load->received_rate ? load->sent_rate
                                                         : load->received_rate;
-  uint64_t streams = (uint64_t)count_reserved (load, slot) + 1;
+  uint64_t streams = load->reserved + 1;
 
   if (load->capacity != 0
       && used + streams * load->stream_rate
              > load->capacity * STREAMS_PER_CENT / PER_CENT)
     return false;
-  if (reserved->number != slot)
-    *reserved = (reserved_t){ .number = slot };
-  reserved->streams++;
+  load->reserved++;
   return true;
 }
+
+void
+csp_release_stream (csp_link_load_t *load)
+{
+  load->reserved--;
+}
--- a/source/gateway/gateway-exchange-imp.h
+++ b/source/gateway/gateway-exchange-imp.h
@@ -161,6 +161,7 @@
   csp_buffer_t buffered;               /* buffered body, or a partial event */
   char last_event[CSP_EVENT_ID_BYTES]; /* id of the last event sent */
   uint64_t events;
+  bool reserves_link;    /* see csp_reserve_stream */
   uint64_t stream_bytes; /* of its events, with the headers of packets */
   int64_t first_event_ms;
   int64_t last_data_ms;
@@ -231,6 +232,7 @@
 /* Load: see gateway-load.c.  Refuse a stream that this host's link doesn't
    carry beside those under way; false where it does.  */
 bool csp_refuse_unless_link_carries (csp_exchange_t *exchange);
+void csp_release_link_reservation (csp_exchange_t *exchange);
 
 /* Cordon: see gateway-cordon.c.  Refuse a request whose service has only
    cordoned targets.  */
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -53,6 +53,7 @@
   csp_drop_move (exchange);
   csp_drop_attempt (exchange);
   csp_drop_backup (exchange);
+  csp_release_link_reservation (exchange);
   csp_release_routes (exchange->routes);
   exchange->routes = NULL;
   if (exchange->previous != NULL)
--- a/source/gateway/gateway-load.c
+++ b/source/gateway/gateway-load.c
@@ -12,7 +12,8 @@
   LATE_LINES_MS = 1000,
   /* Shorter streams are over before others could be refused for them.  */
   LONG_STREAM_TOKENS = 100,
-  /* Streams are measured from this long after their first event.  */
+  /* Streams are measured from this long after their first event, when half of
+     the window of the link's rates shows them.  */
   MEASURED_MS = 500,
   MS_PER_S = 1000,
   /* Another host takes the request at once; here streams end at this rate.  */
@@ -95,10 +96,19 @@
          && exchange->output_tokens >= LONG_STREAM_TOKENS;
 }
 
+void
+csp_release_link_reservation (csp_exchange_t *exchange)
+{
+  if (!exchange->reserves_link)
+    return;
+  exchange->reserves_link = false;
+  csp_release_stream (exchange->gateway->link_load);
+}
+
 static void
 measure_streams (csp_gateway_t *gateway, int64_t now_ms)
 {
-  const csp_exchange_t *exchange;
+  csp_exchange_t *exchange;
   uint64_t bytes_per_s = 0;
   uint64_t count = 0;
 
@@ -110,6 +120,7 @@
       if (exchange->first_event_ms == 0 || elapsed_ms < MEASURED_MS
           || !is_long_stream (exchange))
         continue;
+      csp_release_link_reservation (exchange);
       bytes_per_s += exchange->stream_bytes * MS_PER_S / (uint64_t)elapsed_ms;
       count++;
     }
@@ -122,8 +133,10 @@
 {
   csp_gateway_t *gateway = exchange->gateway;
 
-  if (!is_long_stream (exchange)
-      || csp_reserve_stream (gateway->link_load, csp_gateway_now_ms (gateway)))
+  if (!is_long_stream (exchange))
+    return false;
+  exchange->reserves_link = csp_reserve_stream (gateway->link_load);
+  if (exchange->reserves_link)
     return false;
   gateway->counts.link_refused++;
   exchange->retry_after_ms = csp_spread_wait_ms (gateway, LINK_FULL_RETRY_MS);
