A host that is late itself doesn't take late answers for lost ones

What callers saw: in the herd, once the host's link was full, connections that took more than 0.4 s counted as cut paths, offers unanswered in 0.25 s as busy hosts, and answers of the decider behind 0.17 s as a dead one: 27 data centres cut and 146 offers failed in one second, each with more work (offers, probes, other connections) on the full link.

Cause: each judgement has a fixed time limit, and none knew how late this host is. One place knows it now (host delay); connections to targets, offers, asks, queries, the silence of targets, of streams and of data centres wait longer by twice that, one second at most.

Why it works: a limit that grows with the host's own delay isn't reached by that delay; a connection that opens late still tells how late.

Test: relay, late_host_waits_longer_for_the_answer_to_an_offer; red without it (the request went to another host at 0.25 s), 30 of 30 with it.

Not covered: the reader of the store and the mirror (another thread), and grants and leases, which a request does without.

--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -231,8 +231,8 @@
 
   if (exchange->ended || !exchange->asking)
     return;
-  if (silent_ms
-      >= ASK_TIMEOUT_MS + (exchange->ask_answered ? ASK_KEEPALIVE_MS : 0))
+  if (silent_ms >= csp_extend_timeout_ms (gateway, ASK_TIMEOUT_MS)
+                       + (exchange->ask_answered ? ASK_KEEPALIVE_MS : 0))
     {
       ask_next_decider (exchange);
       return;
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -473,6 +473,11 @@
 void csp_sample_host_load (csp_gateway_t *gateway, uint32_t period_ms);
 uint32_t csp_current_host_delay_ms (const csp_gateway_t *gateway);
 
+/* A time limit for an answer of another machine, extended by how late this
+   host itself is, so that its own delay isn't taken for a dead peer.  */
+uint32_t csp_extend_timeout_ms (const csp_gateway_t *gateway,
+                                uint32_t timeout_ms);
+
 /* Bytes of requests and answers that the kernel hasn't taken yet.  */
 uint64_t csp_count_unsent_bytes (const csp_gateway_t *gateway);
 
--- a/source/gateway/gateway-links.c
+++ b/source/gateway/gateway-links.c
@@ -48,9 +48,10 @@
   const struct sockaddr_in *source = &gateway->settings.source_address;
 
   gateway->counts.link_opens++;
-  return csp_open_link_from (&gateway->loop,
-                             source->sin_family == 0 ? NULL : source,
-                             &target->row.address, CSP_CONNECT_TIMEOUT_MS);
+  return csp_open_link_from (
+      &gateway->loop, source->sin_family == 0 ? NULL : source,
+      &target->row.address,
+      csp_extend_timeout_ms (gateway, CSP_CONNECT_TIMEOUT_MS));
 }
 
 csp_link_t *
--- a/source/gateway/gateway-load.c
+++ b/source/gateway/gateway-load.c
@@ -16,6 +16,9 @@
      the window of the link's rates shows them.  */
   MEASURED_MS = 500,
   MS_PER_S = 1000,
+  /* Most answers take longer than the least delay.  */
+  DELAYS_PER_ANSWER = 2,
+  EXTENSION_MAX_MS = 1000,
   /* Another host takes the request at once; here streams end at this rate.  */
   LINK_FULL_RETRY_MS = 400
 };
@@ -48,6 +51,15 @@
                                 csp_gateway_now_ms (gateway));
 }
 
+uint32_t
+csp_extend_timeout_ms (const csp_gateway_t *gateway, uint32_t timeout_ms)
+{
+  uint32_t late_ms = DELAYS_PER_ANSWER * csp_current_host_delay_ms (gateway);
+
+  return timeout_ms
+         + (late_ms < EXTENSION_MAX_MS ? late_ms : EXTENSION_MAX_MS);
+}
+
 uint64_t
 csp_count_unsent_bytes (const csp_gateway_t *gateway)
 {
--- a/source/gateway/gateway-paths.c
+++ b/source/gateway/gateway-paths.c
@@ -122,11 +122,11 @@
        exchange = exchange->next)
     {
       csp_fleet_target_t *target = exchange->target;
-      int64_t silent_ms = exchange->service != NULL
-                                  && exchange->service->is_engine
-                                  && exchange->run_started_ms == 0
-                              ? SILENT_START_MS
-                              : SILENT_MS;
+      int64_t silent_ms = csp_extend_timeout_ms (
+          gateway, exchange->service != NULL && exchange->service->is_engine
+                           && exchange->run_started_ms == 0
+                       ? SILENT_START_MS
+                       : SILENT_MS);
 
       if (target == NULL || exchange->link == NULL
           || target->state != CSP_FLEET_READY || target->probing
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -185,8 +185,10 @@
       gateway->roster, gateway->live_peers, CSP_LIVE_PEERS_MAX);
   csp_rank_readers (gateway->roster, &gateway->readers);
   pthread_mutex_unlock (&gateway->live_lock);
-  csp_note_hello_period (gateway->reach,
-                         csp_remote_hello_period_ms (gateway->roster));
+  csp_note_hello_period (
+      gateway->reach,
+      csp_extend_timeout_ms (gateway,
+                             csp_remote_hello_period_ms (gateway->roster)));
   count = csp_choose_hello_targets (gateway->roster, now_ms, peers,
                                     CSP_ROSTER_MAX);
   for (i = 0; i < count; i++)
--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -211,21 +211,22 @@
   csp_gateway_t *gateway = exchange->gateway;
   struct sockaddr_in source = gateway->settings.relay_address;
   struct sockaddr_in address = csp_sockaddr_from_peer (to->host);
+  uint32_t timeout_ms = csp_extend_timeout_ms (gateway, OFFER_TIMEOUT_MS);
   csp_buffer_t out = { 0 };
 
   exchange->relay.host = to->host;
   exchange->relay.offers++;
   source.sin_port = 0;
   address.sin_port = htons (to->relay_port);
-  exchange->link = csp_open_link_from (&gateway->loop, &source, &address,
-                                       OFFER_TIMEOUT_MS);
+  exchange->link
+      = csp_open_link_from (&gateway->loop, &source, &address, timeout_ms);
   if (exchange->link == NULL)
     {
       fail_offer (exchange, CSP_OFFER_UNANSWERED);
       return;
     }
   exchange->relay.state = CSP_RELAY_OFFERED;
-  uv_timer_start (&exchange->move.timer, on_offer_timer, OFFER_TIMEOUT_MS, 0);
+  uv_timer_start (&exchange->move.timer, on_offer_timer, timeout_ms, 0);
   csp_start_link_request (exchange->link, &offer_events, exchange, false);
   write_offer (exchange, &out);
   csp_write_link (exchange->link, out.data, out.size_bytes);
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -328,7 +328,8 @@
     {
       csp_status_query_t *next = query->next;
 
-      if (now_ms - query->asked_ms >= QUERY_TIMEOUT_MS)
+      if (now_ms - query->asked_ms
+          >= csp_extend_timeout_ms (gateway, QUERY_TIMEOUT_MS))
         {
           if (csp_link_has_sent (query->link))
             end_silent_query (query);
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -254,9 +254,11 @@
 static int64_t
 silence_limit_ms (const csp_exchange_t *exchange)
 {
-  return exchange->target != NULL && exchange->target->state == CSP_FLEET_READY
-             ? SILENT_SOUND_MS
-             : SILENT_MS;
+  bool sound
+      = exchange->target != NULL && exchange->target->state == CSP_FLEET_READY;
+
+  return csp_extend_timeout_ms (exchange->gateway,
+                                sound ? SILENT_SOUND_MS : SILENT_MS);
 }
 
 /* A target that lost power or was cut off sends nothing more while its
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -1,3 +1,4 @@
+#include "gateway/gateway-imp.h"
 #include "gateway/gateway-fixture.h"
 
 #include "cowslipspoke/hash.h"
@@ -23,6 +24,8 @@
   HEAD_MAX_BYTES = 2000,        /* of the fixture */
   HEAD_PADDING_BYTES = HEAD_MAX_BYTES - 105,
   WAIT_MS = 10000,
+  HOST_DELAY_MS = 400, /* longer than an offer may take */
+  DELAY_FORGOTTEN_MS = 1000,
   ROUTES_VERSION = 9
 };
 
@@ -335,6 +338,38 @@
 }
 END_TEST
 
+/* Guards against a host that is late itself taking a host that accepts its
+   offer for a silent one.  */
+START_TEST (late_host_waits_longer_for_the_answer_to_an_offer)
+{
+  csp_gateway_t *late = hosts[0].gateway;
+  int caller;
+  int offer;
+  int other;
+  struct pollfd others[TARGETS + 1];
+
+  list_targets (CUT_REFUSED, "plain");
+  other = open_silent_host ();
+  csp_advance_fake_clock (&hosts[0].fake_clock, DELAY_FORGOTTEN_MS);
+  csp_note_round_trip (late->host_delay, HOST_DELAY_MS,
+                       csp_gateway_now_ms (late));
+  caller = open_caller (&hosts[0]);
+  send_request (caller, "/once/x", "r1");
+  offer = accept_target_connection (other);
+  read_target_request (offer, 0);
+  others[0] = (struct pollfd){ .fd = targets[0], .events = POLLIN };
+  others[1] = (struct pollfd){ .fd = targets[1], .events = POLLIN };
+  others[2] = (struct pollfd){ .fd = caller, .events = POLLIN };
+  ck_assert_int_eq (poll (others, TARGETS + 1, HOST_DELAY_MS), 0);
+  send_text (offer, "HTTP/1.1 204 No Content\r\n\r\n");
+  ck_assert_ptr_nonnull (
+      strstr (read_target_request (offer, 2), "Request-Id: r1"));
+  close (offer);
+  close (other);
+  close (caller);
+}
+END_TEST
+
 static const struct
 {
   const char *path;
@@ -608,6 +643,7 @@
                        request_at_a_cut_host_is_served_through_another_host, 0,
                        sizeof cases / sizeof cases[0]);
   tcase_add_test (tcase, request_is_not_sent_to_a_host_that_is_silent);
+  tcase_add_test (tcase, late_host_waits_longer_for_the_answer_to_an_offer);
   tcase_add_loop_test (tcase, request_may_have_run_at_a_host_that_ends, 0,
                        sizeof ended / sizeof ended[0]);
   tcase_add_test (tcase, largest_head_is_relayed);
