A host whose network link is full isn't ready

Cause: the balancer goes on sending callers to a host that says that it is ready; nothing that the host does behind that gives the link back.

Change: a host isn't ready from 98 % of its link in use until it is below 85 %; the balancer then sends new callers to other hosts, and to all of the data centre where most of them aren't ready. Kept connections stay.

Tests, red before: link full (a host with a full link is not ready), link load.

--- a/include/cowslipspoke/link-load.h
+++ b/include/cowslipspoke/link-load.h
@@ -38,6 +38,10 @@
 uint64_t csp_get_sent_rate (const csp_link_load_t *load);
 uint64_t csp_get_received_rate (const csp_link_load_t *load);
 
+/* Whether the link is full: from 98 % in use until it is below 85 %, as of the
+   last sample.  Other hosts should get the new callers then.  */
+bool csp_is_link_full (const csp_link_load_t *load);
+
 /* Records the mean rate of the long streams that are under way.  */
 void csp_note_stream_rate (csp_link_load_t *load, uint64_t bytes_per_s);
 
--- a/source/capacity/link-load.c
+++ b/source/capacity/link-load.c
@@ -8,7 +8,9 @@
   WINDOW_MS = 1000,
   MS_PER_S = 1000,
   /* The rest is for short answers and for messages between hosts.  */
-  STREAMS_PER_CENT = 85,
+  STREAMS_PER_CENT = 90,
+  FULL_PER_CENT = 98,
+  FULL_UNTIL_PER_CENT = 85,
   PER_CENT = 100,
   /* Rate of a stream before any was measured.  */
   FIRST_STREAM_RATE = 8192
@@ -30,6 +32,7 @@
   sample_t samples[SAMPLES_MAX];
   uint64_t sent_rate;
   uint64_t received_rate;
+  bool full;
 };
 
 csp_link_load_t *
@@ -72,6 +75,13 @@
   return NULL;
 }
 
+static uint64_t
+used_rate (const csp_link_load_t *load)
+{
+  return load->sent_rate > load->received_rate ? load->sent_rate
+                                               : load->received_rate;
+}
+
 void
 csp_sample_link_load (csp_link_load_t *load, const csp_stream_counts_t *counts,
                       int64_t now_ms)
@@ -99,6 +109,11 @@
       load->received_rate = rate_between (first->received_bytes,
                                           sample.received_bytes, elapsed_ms);
     }
+  load->full
+      = load->capacity != 0
+        && used_rate (load) * PER_CENT
+               >= load->capacity
+                      * (load->full ? FULL_UNTIL_PER_CENT : FULL_PER_CENT);
   load->samples[load->next] = sample;
   load->next = (load->next + 1) % SAMPLES_MAX;
 }
@@ -115,6 +130,12 @@
   return load->received_rate;
 }
 
+bool
+csp_is_link_full (const csp_link_load_t *load)
+{
+  return load->full;
+}
+
 void
 csp_note_stream_rate (csp_link_load_t *load, uint64_t bytes_per_s)
 {
@@ -124,12 +145,10 @@
 bool
 csp_reserve_stream (csp_link_load_t *load)
 {
-  uint64_t used = load->sent_rate > load->received_rate ? load->sent_rate
-                                                        : load->received_rate;
   uint64_t streams = load->reserved + 1;
 
   if (load->capacity != 0
-      && used + streams * load->stream_rate
+      && used_rate (load) + streams * load->stream_rate
              > load->capacity * STREAMS_PER_CENT / PER_CENT)
     return false;
   load->reserved++;
--- a/source/gateway/gateway-load.c
+++ b/source/gateway/gateway-load.c
@@ -158,6 +158,27 @@
   return true;
 }
 
+static void
+sample_link (csp_gateway_t *gateway, int64_t now_ms)
+{
+  bool was_full = csp_is_link_full (gateway->link_load);
+  bool full;
+
+  csp_sample_link_load (gateway->link_load, &gateway->stream_counts, now_ms);
+  full = csp_is_link_full (gateway->link_load);
+  if (full == was_full)
+    return;
+  CSP_LOG (gateway->log, full ? CSP_EVENT_LINK_FULL : CSP_EVENT_LINK_HAS_ROOM,
+           NULL,
+           csp_number ("sent_bytes_per_s",
+                       (int64_t)csp_get_sent_rate (gateway->link_load)),
+           csp_number ("received_bytes_per_s",
+                       (int64_t)csp_get_received_rate (gateway->link_load)),
+           csp_number ("link_bytes_per_s",
+                       (int64_t)gateway->settings.link_bytes_per_s),
+           csp_number ("callers", gateway->caller_count));
+}
+
 void
 csp_sample_host_load (csp_gateway_t *gateway, uint32_t period_ms)
 {
@@ -172,7 +193,7 @@
     csp_note_round_trip (gateway->host_delay,
                          gateway->stream_counts.least_connect_ms, now_ms);
   gateway->stream_counts.connects = 0;
-  csp_sample_link_load (gateway->link_load, &gateway->stream_counts, now_ms);
+  sample_link (gateway, now_ms);
   measure_streams (gateway, now_ms);
   log_lateness (gateway, now_ms);
 }
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -54,6 +54,7 @@
     { "relayed", "gauge", gateway->relayed_count },
     { "relay_strangers_total", "counter", counts->relay_strangers },
     { "unreached_services", "gauge", count_unreached_services (gateway) },
+    { "link_full", "gauge", csp_is_link_full (gateway->link_load) },
     { "link_refused_total", "counter", counts->link_refused },
     { "sent_bytes_total", "counter", gateway->stream_counts.written_bytes },
     { "received_bytes_total", "counter", gateway->stream_counts.read_bytes },
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -42,7 +42,8 @@
 csp_gateway_is_ready (const csp_gateway_t *gateway)
 {
   return !gateway->stopping && gateway->routes != NULL
-         && gateway->targets_listed && !csp_is_isolated (gateway);
+         && gateway->targets_listed && !csp_is_isolated (gateway)
+         && !csp_is_link_full (gateway->link_load);
 }
 
 csp_service_budget_t *
--- a/source/log/event-table.c
+++ b/source/log/event-table.c
@@ -74,6 +74,8 @@
   { CSP_EVENT_RELAY_OFFER_FAILED, CSP_LEVEL_INFO, "relay-offer-failed" },
   { CSP_EVENT_HOST_LATE, CSP_LEVEL_WARNING, "host-late" },
   { CSP_EVENT_HOST_IN_TIME, CSP_LEVEL_INFO, "host-in-time" },
+  { CSP_EVENT_LINK_FULL, CSP_LEVEL_WARNING, "link-full" },
+  { CSP_EVENT_LINK_HAS_ROOM, CSP_LEVEL_INFO, "link-has-room" },
   { CSP_EVENT_KEY_REFUSED, CSP_LEVEL_INFO, "key-refused" },
   { CSP_EVENT_ORDER_SENT, CSP_LEVEL_INFO, "order-sent" },
   { CSP_EVENT_ORDER_DONE, CSP_LEVEL_INFO, "order-done" },
--- a/tests/gateway/link-full-test.c
+++ b/tests/gateway/link-full-test.c
@@ -129,6 +129,21 @@
 }
 END_TEST
 
+/* Guards against a balancer that goes on sending callers to a host whose link
+   is full.  */
+START_TEST (host_with_a_full_link_is_not_ready)
+{
+  ck_assert_ptr_nonnull (
+      strstr (fixture_get_page (&fixture, "/readyz"), " 200 "));
+  use_link (2);
+  ck_assert_ptr_nonnull (
+      strstr (fixture_get_page (&fixture, "/readyz"), " 503 "));
+  csp_advance_fake_clock (&fixture.fake_clock, 2 * HALF_SECOND_MS + 1);
+  while (strstr (fixture_get_page (&fixture, "/readyz"), " 200 ") == NULL)
+    poll (NULL, 0, PAGES_MS);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -138,6 +153,7 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_loop_test (tcase, link_in_use_takes_no_more_long_streams, 0,
                        sizeof cases / sizeof cases[0]);
+  tcase_add_test (tcase, host_with_a_full_link_is_not_ready);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
