--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -22,17 +22,57 @@
                                       CSP_BUDGETS_MAX);
 }
 
-static bool
+typedef struct
+{
+  const char *name;
+  const char *kind;
+  uint64_t value;
+} metric_row_t;
+
+static void
+print_rows (csp_buffer_t *text, const metric_row_t *rows, size_t count)
+{
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    csp_print_buffer (text,
+                      "# TYPE cowslipspoke_gateway_%s %s\n"
+                      "cowslipspoke_gateway_%s %llu\n",
+                      rows[i].name, rows[i].kind, rows[i].name,
+                      (unsigned long long)rows[i].value);
+}
+
+/* What this host's link carries, and how late the host is.  */
+static void
+print_load (const csp_gateway_t *gateway, csp_buffer_t *text)
+{
+  const csp_stream_counts_t *streams = &gateway->stream_counts;
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  const metric_row_t rows[] = {
+    { "link_full", "gauge", csp_is_link_full (gateway->link_load) },
+    { "link_refused_total", "counter", gateway->counts.link_refused },
+    { "sent_bytes_total", "counter", streams->written_bytes },
+    { "received_bytes_total", "counter", streams->read_bytes },
+    { "sent_bytes_per_second", "gauge",
+      csp_get_sent_rate (gateway->link_load) },
+    { "received_bytes_per_second", "gauge",
+      csp_get_received_rate (gateway->link_load) },
+    { "unsent_bytes", "gauge", csp_count_unsent_bytes (gateway) },
+    { "link_delay_ms", "gauge",
+      csp_get_link_delay_ms (gateway->host_delay, now_ms) },
+    { "loop_delay_ms", "gauge",
+      csp_get_loop_delay_ms (gateway->host_delay, now_ms) },
+  };
+
+  print_rows (text, rows, sizeof rows / sizeof rows[0]);
+}
+
+static void
 print_metrics (const csp_gateway_t *gateway, csp_buffer_t *text)
 {
   const csp_gateway_counts_t *counts = &gateway->counts;
   bool decides = csp_is_same_peer (gateway->decider, gateway->self);
-  const struct
-  {
-    const char *name;
-    const char *kind;
-    uint64_t value;
-  } rows[] = {
+  const metric_row_t rows[] = {
     { "requests_total", "counter", counts->requests },
     { "answered_total", "counter", counts->answered },
     { "refused_total", "counter", counts->refused },
@@ -54,21 +94,6 @@
     { "relayed", "gauge", gateway->relayed_count },
     { "relay_strangers_total", "counter", counts->relay_strangers },
     { "unreached_services", "gauge", count_unreached_services (gateway) },
-    { "link_full", "gauge", csp_is_link_full (gateway->link_load) },
-    { "link_refused_total", "counter", counts->link_refused },
-    { "sent_bytes_total", "counter", gateway->stream_counts.written_bytes },
-    { "received_bytes_total", "counter", gateway->stream_counts.read_bytes },
-    { "sent_bytes_per_second", "gauge",
-      csp_get_sent_rate (gateway->link_load) },
-    { "received_bytes_per_second", "gauge",
-      csp_get_received_rate (gateway->link_load) },
-    { "unsent_bytes", "gauge", csp_count_unsent_bytes (gateway) },
-    { "link_delay_ms", "gauge",
-      csp_get_link_delay_ms (gateway->host_delay,
-                             csp_gateway_now_ms (gateway)) },
-    { "loop_delay_ms", "gauge",
-      csp_get_loop_delay_ms (gateway->host_delay,
-                             csp_gateway_now_ms (gateway)) },
     { "target_reports_total", "counter", counts->status_queries },
     { "target_backoffs_total", "counter", counts->backoffs },
     { "refusal_pauses_total", "counter", counts->refusal_pauses },
@@ -105,16 +130,8 @@
     { "routes_version", "gauge",
       gateway->routes == NULL ? 0 : csp_routes_version (gateway->routes) },
   };
-  size_t i;
 
-  for (i = 0; i < sizeof rows / sizeof rows[0]; i++)
-    if (!csp_print_buffer (text,
-                           "# TYPE cowslipspoke_gateway_%s %s\n"
-                           "cowslipspoke_gateway_%s %llu\n",
-                           rows[i].name, rows[i].kind, rows[i].name,
-                           (unsigned long long)rows[i].value))
-      return false;
-  return true;
+  print_rows (text, rows, sizeof rows / sizeof rows[0]);
 }
 
 static void
@@ -240,6 +257,7 @@
       return;
     }
   print_metrics (gateway, &text);
+  print_load (gateway, &text);
   print_class_counts (gateway, &text);
   print_cordons (gateway, &text);
   print_rate_limits (gateway, &text);
