--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -432,9 +432,9 @@
                          "the host is stopping");
       return NULL;
     }
+  set_deadline (exchange, head);
   if (csp_refuse_unless_link_carries (exchange))
     return NULL;
-  set_deadline (exchange, head);
   if (head->framing == CSP_BODY_NONE)
     {
       exchange->body_whole = true;
