--- a/include/cowslipspoke/host-delay.h
+++ b/include/cowslipspoke/host-delay.h
@@ -22,8 +22,8 @@
 void csp_destroy_host_delay (csp_host_delay_t *delay);
 
 /* Records how long a connection took to open.  */
-void csp_note_round_trip (csp_host_delay_t *delay, uint32_t took_ms,
-                          int64_t now_ms);
+void csp_note_connect_time (csp_host_delay_t *delay, uint32_t took_ms,
+                            int64_t now_ms);
 
 /* Records how late a timer of the event loop was.  */
 void csp_note_loop_delay (csp_host_delay_t *delay, uint32_t late_ms,
--- a/source/capacity/host-delay.c
+++ b/source/capacity/host-delay.c
@@ -18,7 +18,7 @@
 
 struct csp_host_delay
 {
-  least_t round_trip;
+  least_t connect_time;
   least_t loop_delay;
 };
 
@@ -32,7 +32,7 @@
 
   if (delay == NULL)
     return NULL;
-  delay->round_trip = no_values;
+  delay->connect_time = no_values;
   delay->loop_delay = no_values;
   return delay;
 }
@@ -74,9 +74,10 @@
 }
 
 void
-csp_note_round_trip (csp_host_delay_t *delay, uint32_t took_ms, int64_t now_ms)
+csp_note_connect_time (csp_host_delay_t *delay, uint32_t took_ms,
+                       int64_t now_ms)
 {
-  add_value (&delay->round_trip, took_ms, now_ms);
+  add_value (&delay->connect_time, took_ms, now_ms);
 }
 
 void
@@ -88,7 +89,7 @@
 uint32_t
 csp_get_link_delay_ms (const csp_host_delay_t *delay, int64_t now_ms)
 {
-  return get_least (&delay->round_trip, now_ms);
+  return get_least (&delay->connect_time, now_ms);
 }
 
 uint32_t
--- a/source/gateway/gateway-load.c
+++ b/source/gateway/gateway-load.c
@@ -16,10 +16,10 @@
      the window of the link's rates shows them.  */
   MEASURED_MS = 500,
   MS_PER_S = 1000,
-  /* Most answers take longer than the least delay.  */
+  /* The delay is that of the fastest connection; others take longer.  */
   DELAYS_PER_ANSWER = 2,
   EXTENSION_MAX_MS = 1000,
-  /* Another host takes the request at once; here streams end at this rate.  */
+  /* Some streams end meanwhile; other hosts have room at once.  */
   LINK_FULL_RETRY_MS = 400
 };
 
@@ -190,8 +190,8 @@
                          late_ms > 0 ? (uint32_t)late_ms : 0, now_ms);
   gateway->load_sampled_ms = now_ms;
   if (gateway->stream_counts.connects > 0)
-    csp_note_round_trip (gateway->host_delay,
-                         gateway->stream_counts.least_connect_ms, now_ms);
+    csp_note_connect_time (gateway->host_delay,
+                           gateway->stream_counts.least_connect_ms, now_ms);
   gateway->stream_counts.connects = 0;
   sample_link (gateway, now_ms);
   measure_streams (gateway, now_ms);
--- a/tests/capacity/host-delay-test.c
+++ b/tests/capacity/host-delay-test.c
@@ -39,8 +39,8 @@
   size_t i;
 
   for (i = 0; cases[_i].samples[i].at_ms != 0; i++)
-    csp_note_round_trip (delay, cases[_i].samples[i].took_ms,
-                         cases[_i].samples[i].at_ms);
+    csp_note_connect_time (delay, cases[_i].samples[i].took_ms,
+                           cases[_i].samples[i].at_ms);
   csp_note_loop_delay (delay, 7, cases[_i].now_ms);
   ck_assert_msg (csp_get_link_delay_ms (delay, cases[_i].now_ms)
                      == cases[_i].delay_ms,
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -351,8 +351,8 @@
   list_targets (CUT_REFUSED, "plain");
   other = open_silent_host ();
   csp_advance_fake_clock (&hosts[0].fake_clock, DELAY_FORGOTTEN_MS);
-  csp_note_round_trip (late->host_delay, HOST_DELAY_MS,
-                       csp_gateway_now_ms (late));
+  csp_note_connect_time (late->host_delay, HOST_DELAY_MS,
+                         csp_gateway_now_ms (late));
   caller = open_caller (&hosts[0]);
   send_request (caller, "/once/x", "r1");
   offer = accept_target_connection (other);
