--- a/include/cowslipspoke/relay.h
+++ b/include/cowslipspoke/relay.h
@@ -39,7 +39,6 @@
   uint64_t routes_version;
   uint64_t offered_version; /* of the offering host's routes */
   bool service_reached;
-  bool path_failed;       /* its last new connection to the service failed */
   bool reaches_most;      /* of the service's targets */
   size_t reached;         /* targets with no failed path */
   size_t offered_reached; /* the same at the offering host */
--- a/include/cowslipspoke/service-reach.h
+++ b/include/cowslipspoke/service-reach.h
@@ -45,12 +45,6 @@
    probably on this host's side.  */
 bool csp_has_lost_paths (const csp_service_reach_t *reach, uint32_t service);
 
-/* Whether a connection to the service has failed lately and none, to whatever
-   service, was answered since: the host may be cut off and not know it
-   yet.  */
-bool csp_has_failed_path (const csp_service_reach_t *reach, uint32_t service,
-                          int64_t now_ms);
-
 /* How long the service has been unreached; 0 if it is reached.  */
 int64_t csp_service_unreached_ms (const csp_service_reach_t *reach,
                                   uint32_t service, int64_t now_ms);
--- a/source/gateway/gateway-relay-accept.c
+++ b/source/gateway/gateway-relay-accept.c
@@ -99,8 +99,6 @@
 
   facts->service_reached
       = csp_is_service_reached (gateway->service_reach, hash);
-  facts->path_failed = csp_has_failed_path (gateway->service_reach, hash,
-                                            csp_gateway_now_ms (gateway));
   if (service == NULL)
     return;
   facts->reaches_most
--- a/source/reach/service-reach.c
+++ b/source/reach/service-reach.c
@@ -26,7 +26,6 @@
   {
     uint64_t target;
     int64_t failed_ms;
-    uint64_t answered_before; /* of all services, as of then */
   } failed[FAILED_TARGETS_MIN];
   int64_t unreached_since_ms; /* 0: reached */
   int64_t next_probe_ms;
@@ -35,7 +34,6 @@
 
 struct csp_service_reach
 {
-  uint64_t answered; /* connections to all services */
   size_t count;
   size_t capacity;
   service_state_t *states;
@@ -91,7 +89,6 @@
 {
   service_state_t *state = find_state (reach, service);
 
-  reach->answered++;
   if (state == NULL)
     return;
   state->failed_count = 0;
@@ -111,8 +108,7 @@
 }
 
 static void
-add_failed_target (service_state_t *state, uint64_t target, uint64_t answered,
-                   int64_t now_ms)
+add_failed_target (service_state_t *state, uint64_t target, int64_t now_ms)
 {
   size_t i = 0;
 
@@ -122,7 +118,6 @@
     return;
   state->failed[i].target = target;
   state->failed[i].failed_ms = now_ms;
-  state->failed[i].answered_before = answered;
   if (i == state->failed_count)
     state->failed_count++;
 }
@@ -137,7 +132,7 @@
   if (state == NULL)
     return;
   drop_old_failures (state, now_ms);
-  add_failed_target (state, target, reach->answered, now_ms);
+  add_failed_target (state, target, now_ms);
   if (state->unreached_since_ms != 0
       || (state->failed_count < FAILED_TARGETS_MIN
           && state->failed_count < ready_count))
@@ -162,22 +157,6 @@
   return state != NULL && state->failed_count == FAILED_TARGETS_MIN;
 }
 
-bool
-csp_has_failed_path (const csp_service_reach_t *reach, uint32_t service,
-                     int64_t now_ms)
-{
-  const service_state_t *state = find_state (reach, service);
-  size_t i;
-
-  if (state == NULL)
-    return false;
-  for (i = 0; i < state->failed_count; i++)
-    if (state->failed[i].answered_before == reach->answered
-        && now_ms - state->failed[i].failed_ms < FAILURE_VALID_MS)
-      return true;
-  return false;
-}
-
 int64_t
 csp_service_unreached_ms (const csp_service_reach_t *reach, uint32_t service,
                           int64_t now_ms)
--- a/source/relay/relay.c
+++ b/source/relay/relay.c
@@ -38,12 +38,11 @@
 /* Targets that are down look like lost paths to all hosts.  A host that
    reaches some of a service accepts if it reaches most of it, or by far more
    than the offering host; two hosts that reach the same ones don't relay to
-   each other.  Nor does a host accept whose own requests come too seldom to
-   show that it is cut off, while the last one failed.  */
+   each other.  */
 static bool
 reaches_enough (const csp_offer_facts_t *facts)
 {
-  return facts->service_reached && !facts->path_failed
+  return facts->service_reached
          && (facts->reaches_most
              || facts->reached / REACHED_TIMES >= facts->offered_reached);
 }
