--- a/include/cowslipspoke/link-load.h
+++ b/include/cowslipspoke/link-load.h
@@ -24,9 +24,9 @@
 
 typedef struct csp_link_load csp_link_load_t;
 
-/* capacity: of the link, in bytes a second each way; 0: unknown, and streams
+/* capacity_bytes_per_s: of the link, each way; 0: unknown, and streams
    aren't bounded.  NULL when out of memory.  */
-csp_link_load_t *csp_create_link_load (uint64_t capacity);
+csp_link_load_t *csp_create_link_load (uint64_t capacity_bytes_per_s);
 void csp_destroy_link_load (csp_link_load_t *load);
 
 /* Records what all connections have carried so far.  Call it some times a
@@ -35,8 +35,8 @@
                            const csp_stream_counts_t *counts, int64_t now_ms);
 
 /* Bytes a second of the last second, with the headers of packets.  */
-uint64_t csp_get_sent_rate (const csp_link_load_t *load);
-uint64_t csp_get_received_rate (const csp_link_load_t *load);
+uint64_t csp_get_sent_bytes_per_s (const csp_link_load_t *load);
+uint64_t csp_get_received_bytes_per_s (const csp_link_load_t *load);
 
 /* Whether the link is full: from 98 % in use until it is below 85 %, as of the
    last sample.  Other hosts should get the new callers then.  */
--- a/source/capacity/link-load.c
+++ b/source/capacity/link-load.c
@@ -13,7 +13,7 @@
   FULL_UNTIL_PER_CENT = 85,
   PER_CENT = 100,
   /* Rate of a stream before any was measured.  */
-  FIRST_STREAM_RATE = 8192
+  FIRST_STREAM_BYTES_PER_S = 8192
 };
 
 typedef struct
@@ -25,25 +25,25 @@
 
 struct csp_link_load
 {
-  uint64_t capacity;
-  uint64_t stream_rate;
-  uint64_t reserved; /* streams */
-  size_t next;       /* index of the oldest sample */
+  uint64_t capacity_bytes_per_s;
+  uint64_t stream_bytes_per_s;
+  uint64_t reserved_streams;
+  size_t next; /* index of the oldest sample */
   sample_t samples[SAMPLES_MAX];
-  uint64_t sent_rate;
-  uint64_t received_rate;
+  uint64_t sent_bytes_per_s;
+  uint64_t received_bytes_per_s;
   bool full;
 };
 
 csp_link_load_t *
-csp_create_link_load (uint64_t capacity)
+csp_create_link_load (uint64_t capacity_bytes_per_s)
 {
   csp_link_load_t *load = calloc (1, sizeof *load);
 
   if (load == NULL)
     return NULL;
-  load->capacity = capacity;
-  load->stream_rate = FIRST_STREAM_RATE;
+  load->capacity_bytes_per_s = capacity_bytes_per_s;
+  load->stream_bytes_per_s = FIRST_STREAM_BYTES_PER_S;
   return load;
 }
 
@@ -76,10 +76,11 @@
 }
 
 static uint64_t
-used_rate (const csp_link_load_t *load)
+used_bytes_per_s (const csp_link_load_t *load)
 {
-  return load->sent_rate > load->received_rate ? load->sent_rate
-                                               : load->received_rate;
+  return load->sent_bytes_per_s > load->received_bytes_per_s
+             ? load->sent_bytes_per_s
+             : load->received_bytes_per_s;
 }
 
 void
@@ -98,36 +99,36 @@
 
   if (last->at_ms == now_ms)
     return;
-  load->sent_rate = 0;
-  load->received_rate = 0;
+  load->sent_bytes_per_s = 0;
+  load->received_bytes_per_s = 0;
   if (first != NULL)
     {
       int64_t elapsed_ms = now_ms - first->at_ms;
 
-      load->sent_rate
+      load->sent_bytes_per_s
           = rate_between (first->sent_bytes, sample.sent_bytes, elapsed_ms);
-      load->received_rate = rate_between (first->received_bytes,
-                                          sample.received_bytes, elapsed_ms);
+      load->received_bytes_per_s = rate_between (
+          first->received_bytes, sample.received_bytes, elapsed_ms);
     }
   load->full
-      = load->capacity != 0
-        && used_rate (load) * PER_CENT
-               >= load->capacity
+      = load->capacity_bytes_per_s != 0
+        && used_bytes_per_s (load) * PER_CENT
+               >= load->capacity_bytes_per_s
                       * (load->full ? FULL_UNTIL_PER_CENT : FULL_PER_CENT);
   load->samples[load->next] = sample;
   load->next = (load->next + 1) % SAMPLES_MAX;
 }
 
 uint64_t
-csp_get_sent_rate (const csp_link_load_t *load)
+csp_get_sent_bytes_per_s (const csp_link_load_t *load)
 {
-  return load->sent_rate;
+  return load->sent_bytes_per_s;
 }
 
 uint64_t
-csp_get_received_rate (const csp_link_load_t *load)
+csp_get_received_bytes_per_s (const csp_link_load_t *load)
 {
-  return load->received_rate;
+  return load->received_bytes_per_s;
 }
 
 bool
@@ -139,24 +140,24 @@
 void
 csp_note_stream_rate (csp_link_load_t *load, uint64_t bytes_per_s)
 {
-  load->stream_rate = bytes_per_s;
+  load->stream_bytes_per_s = bytes_per_s;
 }
 
 bool
 csp_reserve_stream (csp_link_load_t *load)
 {
-  uint64_t streams = load->reserved + 1;
+  uint64_t streams = load->reserved_streams + 1;
 
-  if (load->capacity != 0
-      && used_rate (load) + streams * load->stream_rate
-             > load->capacity * STREAMS_PER_CENT / PER_CENT)
+  if (load->capacity_bytes_per_s != 0
+      && used_bytes_per_s (load) + streams * load->stream_bytes_per_s
+             > load->capacity_bytes_per_s * STREAMS_PER_CENT / PER_CENT)
     return false;
-  load->reserved++;
+  load->reserved_streams++;
   return true;
 }
 
 void
 csp_release_stream (csp_link_load_t *load)
 {
-  load->reserved--;
+  load->reserved_streams--;
 }
--- a/source/gateway/gateway-load.c
+++ b/source/gateway/gateway-load.c
@@ -90,9 +90,9 @@
       csp_number ("loop_delay_ms",
                   csp_get_loop_delay_ms (gateway->host_delay, now_ms)),
       csp_number ("sent_bytes_per_s",
-                  (int64_t)csp_get_sent_rate (gateway->link_load)),
+                  (int64_t)csp_get_sent_bytes_per_s (gateway->link_load)),
       csp_number ("received_bytes_per_s",
-                  (int64_t)csp_get_received_rate (gateway->link_load)),
+                  (int64_t)csp_get_received_bytes_per_s (gateway->link_load)),
       csp_number ("unsent_bytes", (int64_t)csp_count_unsent_bytes (gateway)),
       csp_number ("callers", gateway->caller_count),
       csp_number ("late_for_ms",
@@ -168,15 +168,15 @@
   full = csp_is_link_full (gateway->link_load);
   if (full == was_full)
     return;
-  CSP_LOG (gateway->log, full ? CSP_EVENT_LINK_FULL : CSP_EVENT_LINK_HAS_ROOM,
-           NULL,
-           csp_number ("sent_bytes_per_s",
-                       (int64_t)csp_get_sent_rate (gateway->link_load)),
-           csp_number ("received_bytes_per_s",
-                       (int64_t)csp_get_received_rate (gateway->link_load)),
-           csp_number ("link_bytes_per_s",
-                       (int64_t)gateway->settings.link_bytes_per_s),
-           csp_number ("callers", gateway->caller_count));
+  CSP_LOG (
+      gateway->log, full ? CSP_EVENT_LINK_FULL : CSP_EVENT_LINK_HAS_ROOM, NULL,
+      csp_number ("sent_bytes_per_s",
+                  (int64_t)csp_get_sent_bytes_per_s (gateway->link_load)),
+      csp_number ("received_bytes_per_s",
+                  (int64_t)csp_get_received_bytes_per_s (gateway->link_load)),
+      csp_number ("link_bytes_per_s",
+                  (int64_t)gateway->settings.link_bytes_per_s),
+      csp_number ("callers", gateway->caller_count));
 }
 
 void
--- a/tests/capacity/link-load-test.c
+++ b/tests/capacity/link-load-test.c
@@ -26,14 +26,14 @@
   csp_stream_counts_t counts = { 0 };
   int64_t now_ms = run_load (load, &counts, 1000, 3000, 10000, 10);
 
-  ck_assert_uint_eq (csp_get_sent_rate (load), 100000 + 100 * 66);
-  ck_assert_uint_eq (csp_get_received_rate (load), 200000 + 100 * 66);
+  ck_assert_uint_eq (csp_get_sent_bytes_per_s (load), 100000 + 100 * 66);
+  ck_assert_uint_eq (csp_get_received_bytes_per_s (load), 200000 + 100 * 66);
   now_ms = run_load (load, &counts, now_ms, 4100, 0, 0);
-  ck_assert_uint_eq (csp_get_sent_rate (load), 0);
+  ck_assert_uint_eq (csp_get_sent_bytes_per_s (load), 0);
   /* Samples that stopped for a while don't make a rate.  */
   counts.written_bytes += 1000000;
   csp_sample_link_load (load, &counts, now_ms + 60000);
-  ck_assert_uint_eq (csp_get_sent_rate (load), 0);
+  ck_assert_uint_eq (csp_get_sent_bytes_per_s (load), 0);
   csp_destroy_link_load (load);
 }
 END_TEST
