A host that stops ends whatever its peers do meanwhile

Operators would have seen the same in a roll of cowslipd.

Cause: csp_destroy_peers closed its sockets of nng (1.5.2) while the other hosts closed theirs, or while requests on them timed out. Such a close may never return, or abort the process.

Evidence: three hosts started and stopped together in a loop beside ten busy processes: once in 320 rounds a host hung in nng_close on its listener, behind nng's own thread that waits for an operation of a connection that never ends. Three processes that send to each other every 2 ms and stop: 4 to 6 of some 300 ends hung, and nng aborted ("pthread_mutex_unlock: Invalid argument") about as often. Other orders of closing, 300 to 400 ends each: client sockets first, contexts before sockets, requests awaited first: one to three hangs each, the last of these without an abort.

Open: the socket of the oldest of more than 512 peers is closed while the host runs.

--- a/include/cowslipspoke/peer.h
+++ b/include/cowslipspoke/peer.h
@@ -180,8 +180,9 @@
 csp_peers_t *csp_create_peers (const csp_peers_settings_t *settings,
                                char *message, size_t message_bytes);
 
-/* Close all links.  The callback of every request still open is called first,
-   with the reply or with NULL.  */
+/* End all use of the links: waits until the callback of every open request has
+   been called, with the reply or with NULL.  The sockets themselves are closed
+   when the process ends.  */
 void csp_destroy_peers (csp_peers_t *peers);
 
 /* The port that the listener is bound to.  */
--- a/source/peer/peers-imp.h
+++ b/source/peer/peers-imp.h
@@ -45,7 +45,6 @@
 {
   nng_socket listener;
   uint16_t port;
-  bool listening;
   csp_handle_peer_request_t take;
   void *state;
   const csp_tls_settings_t *tls;
--- a/source/peer/peers.c
+++ b/source/peer/peers.c
@@ -153,7 +153,6 @@
   error = nng_rep0_open (&peers->listener);
   if (error != 0)
     goto fail;
-  peers->listening = true;
   nng_socket_set_size (peers->listener, NNG_OPT_RECVMAXSZ,
                        CSP_PEER_MESSAGE_LIMIT_BYTES);
   error = start_listener (peers, settings);
@@ -178,6 +177,9 @@
   pthread_mutex_unlock (&peers->lock);
 }
 
+/* Closing a socket of nng 1.5 while the other end closes its own, or while a
+   request on it times out, may never return or abort the process.  So requests
+   run to their ends, and the sockets stay open.  */
 void
 csp_destroy_peers (csp_peers_t *peers)
 {
@@ -185,16 +187,12 @@
 
   if (peers == NULL)
     return;
-  if (peers->listening)
-    nng_close (peers->listener);
+  wait_for_open_requests (peers);
   for (i = 0; i < peers->call_count; i++)
     {
       nng_aio_stop (peers->calls[i].aio);
       nng_aio_free (peers->calls[i].aio);
     }
-  for (i = 0; i < peers->socket_count; i++)
-    nng_close (peers->sockets[i].socket);
-  wait_for_open_requests (peers);
   if (peers->client_tls != NULL)
     nng_tls_config_free (peers->client_tls);
   pthread_cond_destroy (&peers->no_open_requests);
