A host that reaches nothing learns it for each service at the first failure

Cause: what a host knows of its own paths was kept for each service alone. The other cut hosts, with few requests, knew within 0.1 to 3.5 s that they reached no engine; for the plain service, of which two of three targets were evacuated or at their stated limits, they tried a single target, were reset each time and went on accepting relayed requests: one failed 38 in a second.

Change: while another service is unreached and no new connection to any service has been answered since, one failed target is enough.

Test: service-reach, "one fails while another service is unreached", red before.

--- a/include/cowslipspoke/service-reach.h
+++ b/include/cowslipspoke/service-reach.h
@@ -18,8 +18,11 @@
    A service counts as unreached once new connections to two of its targets, or
    to its only one, have failed within two seconds and none has succeeded
    since.  Two targets that end at the same time look the same until a
-   connection to a third one succeeds.  An unreached service is probed
-   periodically; an answer to a probe makes it reached again.  */
+   connection to a third one succeeds.  While another service is unreached and
+   no new connection to any service has succeeded since, the failure of a
+   single target is enough: a host with few requests may try only one for
+   seconds.  An unreached service is probed periodically; an answer to a probe
+   makes it reached again.  */
 
 typedef struct csp_service_reach csp_service_reach_t;
 
--- a/source/reach/service-reach.c
+++ b/source/reach/service-reach.c
@@ -28,12 +28,14 @@
     int64_t failed_ms;
   } failed[FAILED_TARGETS_MIN];
   int64_t unreached_since_ms; /* 0: reached */
+  uint64_t answered_before;   /* answered connections, as it became so */
   int64_t next_probe_ms;
   bool reported_unreached;
 } service_state_t;
 
 struct csp_service_reach
 {
+  uint64_t answered; /* connections, to all services */
   size_t count;
   size_t capacity;
   service_state_t *states;
@@ -89,6 +91,7 @@
 {
   service_state_t *state = find_state (reach, service);
 
+  reach->answered++;
   if (state == NULL)
     return;
   state->failed_count = 0;
@@ -122,6 +125,19 @@
     state->failed_count++;
 }
 
+/* Whether nothing was reached since some service became unreached.  */
+static bool
+may_be_cut_off (const csp_service_reach_t *reach)
+{
+  size_t i;
+
+  for (i = 0; i < reach->count; i++)
+    if (reach->states[i].unreached_since_ms != 0
+        && reach->states[i].answered_before == reach->answered)
+      return true;
+  return false;
+}
+
 void
 csp_note_connection_failed (csp_service_reach_t *reach, uint32_t service,
                             uint64_t target, size_t ready_count,
@@ -135,9 +151,10 @@
   add_failed_target (state, target, now_ms);
   if (state->unreached_since_ms != 0
       || (state->failed_count < FAILED_TARGETS_MIN
-          && state->failed_count < ready_count))
+          && state->failed_count < ready_count && !may_be_cut_off (reach)))
     return;
   state->unreached_since_ms = now_ms;
+  state->answered_before = reach->answered;
   state->next_probe_ms = now_ms;
 }
 
