An answer that breaks off isn't a host that doesn't answer

Cause: a relayed answer that broke off in its middle counted as an offer that the second host hadn't answered. The second host has no other way to pass on that its target broke off. One engine that ended cut some twenty relayed streams through five hosts, and each made its host be avoided for longer, up to four seconds; with no host left, h9 tried targets as a last resort.

Evidence: lines 216 of h9 at 12.147 and 12.446 s ("the host that it was relayed to broke off", five hosts), i-13 and i-4 ended at 12.117 and 12.405 s, no line 527 for the plain service from then on, and resets at one target until 13.5 s.

Change: only a request without any answer counts against its host. A host that is gone is found by the next offer.

Test, red before ("no target can take it"): relay-test, host_whose_target_breaks_off_an_answer_gets_further_requests. Its way to accept a relayed request serves an older check too.

--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -312,9 +312,11 @@
   csp_exchange_t *exchange = state;
 
   (void)why;
-  csp_note_offer_result (exchange->gateway->roster, exchange->relay.host,
-                         CSP_OFFER_UNANSWERED,
-                         csp_gateway_now_ms (exchange->gateway));
+  /* An answer that has begun is broken off when its target breaks it off.  */
+  if (exchange->answer_mode == CSP_ANSWER_NONE)
+    csp_note_offer_result (exchange->gateway->roster, exchange->relay.host,
+                           CSP_OFFER_UNANSWERED,
+                           csp_gateway_now_ms (exchange->gateway));
   if (exchange->answer_mode == CSP_ANSWER_FORWARDED)
     csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
                        "the host that it was relayed to broke off");
--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -21,6 +21,7 @@
   FILLERS = 4,
   SOCKETS_MAX = 2 * TARGETS + 1,
   STREAMED_BODY_BYTES = 100000, /* more than is buffered */
+  BUFFERED_PIECES = 2,          /* as many such pieces of an answer are */
   HEAD_MAX_BYTES = 2000,        /* of the fixture */
   HEAD_PADDING_BYTES = HEAD_MAX_BYTES - 105,
   WAIT_MS = 10000,
@@ -200,6 +201,24 @@
   close (caller);
 }
 
+/* Returns the connection at which the request comes to a target.  */
+static int
+accept_relayed (int caller, const char *id, const char **text)
+{
+  char field[64];
+  size_t served_by
+      = await_input ((int[]){ targets[0], targets[1], caller }, TARGETS + 1);
+  int link;
+
+  ck_assert_msg (served_by < TARGETS, "the caller got: %s",
+                 read_until (caller, "\r\n\r\n"));
+  link = accept_target_connection (targets[served_by]);
+  *text = read_target_request (link, 2);
+  snprintf (field, sizeof field, "Request-Id: %s\r\n", id);
+  ck_assert_msg (strstr (*text, field) != NULL, "%s", *text);
+  return link;
+}
+
 static const struct
 {
   cut_t cut;
@@ -218,7 +237,6 @@
 {
   int caller;
   int link;
-  size_t served_by;
   const char *text;
 
   list_targets (cases[_i].cut, cases[_i].service);
@@ -226,13 +244,7 @@
     reset_first_request (cases[_i].first_path);
   caller = open_caller (&hosts[0]);
   send_request (caller, cases[_i].path, "r1");
-  served_by
-      = await_input ((int[]){ targets[0], targets[1], caller }, TARGETS + 1);
-  ck_assert_msg (served_by < TARGETS, "the caller got: %s",
-                 read_until (caller, "\r\n\r\n"));
-  link = accept_target_connection (targets[served_by]);
-  text = read_target_request (link, 2);
-  ck_assert_msg (strstr (text, "Request-Id: r1\r\n") != NULL, "%s", text);
+  link = accept_relayed (caller, "r1", &text);
   ck_assert_ptr_nonnull (strstr (text, "Organisation: org-a\r\n"));
   ck_assert_ptr_null (strstr (text, "key-a"));
   ck_assert_ptr_null (strstr (text, "Cowslip-Relay"));
@@ -472,6 +484,39 @@
 }
 END_TEST
 
+/* Guards against callers of a cut host that are refused because a target broke
+   off the answer to another one, as if the second host had.  */
+START_TEST (host_whose_target_breaks_off_an_answer_gets_further_requests)
+{
+  static char body[STREAMED_BODY_BYTES];
+  int first;
+  int second;
+  int link;
+  int pieces;
+  bool reset;
+  const char *text;
+
+  list_targets (CUT_REFUSED, "plain");
+  memset (body, 'b', sizeof body);
+  first = open_caller (&hosts[0]);
+  send_request (first, "/once/x", "r1");
+  link = accept_relayed (first, "r1", &text);
+  send_text (link, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n"
+                   "Content-Length: 400000\r\n\r\n");
+  for (pieces = 0; pieces < BUFFERED_PIECES + 1; pieces++)
+    send_bytes (link, body, sizeof body);
+  read_until (first, "bbb");
+  reset_socket (link);
+  read_to_end (first, &reset);
+  second = open_caller (&hosts[0]);
+  send_request (second, "/once/x", "r2");
+  link = accept_relayed (second, "r2", &text);
+  close (link);
+  close (first);
+  close (second);
+}
+END_TEST
+
 static const struct
 {
   const char *field;
@@ -646,6 +691,8 @@
   tcase_add_test (tcase, late_host_waits_longer_for_the_answer_to_an_offer);
   tcase_add_loop_test (tcase, request_may_have_run_at_a_host_that_ends, 0,
                        sizeof ended / sizeof ended[0]);
+  tcase_add_test (
+      tcase, host_whose_target_breaks_off_an_answer_gets_further_requests);
   tcase_add_test (tcase, largest_head_is_relayed);
   tcase_add_test (tcase, request_with_a_streamed_body_is_not_relayed);
   tcase_add_loop_test (tcase,
