Offers that go unanswered together count once

A host whose offers aren't answered is avoided for 0.5 s, and twice as long each time that follows, up to 4 s. Five offers that were open when it was paused for a quarter of a second counted as five in a row: 4 s.

Change: while a host is avoided, a further unanswered offer, which was made before, changes nothing.

Test, red before: roster-relay, "a host that hasn't answered five offers made at once".

--- a/source/roster/roster-relay.c
+++ b/source/roster/roster-relay.c
@@ -81,6 +81,9 @@
 
   if (peer == NULL)
     return;
+  /* Offers that were open at the same time fail together.  */
+  if (result == CSP_OFFER_UNANSWERED && now_ms < peer->relay_avoided_until_ms)
+    return;
   peer->unanswered_offers
       = result == CSP_OFFER_UNANSWERED ? peer->unanswered_offers + 1 : 0;
   until_ms = now_ms + csp_offer_avoid_ms (result, peer->unanswered_offers);
--- a/tests/roster/roster-relay-test.c
+++ b/tests/roster/roster-relay-test.c
@@ -49,6 +49,7 @@
   csp_hello_t hello;
   bool offered; /* the host was made an offer, with this result */
   csp_offer_result_t result;
+  int more_offers; /* with the same result at the same time */
   int64_t heard_ms_ago;
   int64_t offered_ms_ago;
   bool picked;
@@ -97,6 +98,13 @@
     .result = CSP_OFFER_UNANSWERED,
     .offered_ms_ago = 499,
     .picked = false },
+  { "a host that hasn't answered five offers made at once",
+    { .relay_port = RELAY_PORT },
+    .offered = true,
+    .result = CSP_OFFER_UNANSWERED,
+    .more_offers = 4,
+    .offered_ms_ago = 500,
+    .picked = true },
 };
 
 /* Guards against requests that are offered to hosts that can't serve them.  */
@@ -104,10 +112,11 @@
 {
   csp_relay_host_t picked = { .relay_port = 0 };
   bool found;
+  int i;
 
   hear_from (large, cases[_i].hello, NOW_MS - cases[_i].heard_ms_ago);
   csp_expire_peers (roster, NOW_MS);
-  if (cases[_i].offered)
+  for (i = 0; cases[_i].offered && i <= cases[_i].more_offers; i++)
     csp_note_offer_result (roster, large, cases[_i].result,
                            NOW_MS - cases[_i].offered_ms_ago);
   found = csp_pick_relay_host (roster, SERVICE, NOW_MS, &picked);
