A host that refuses an offer for one service is offered others

Cause: a host that refused an offer as it didn't reach the service was avoided for half a second for every service. Engines that end under a part of a prompt make all hosts refuse offers for engines for moments, and each of them took the host out for the plain service too.

Change: such a refusal is kept for its service; the others (stopping, full, other routes, unanswered) concern the host, as before.

Test: roster-relay, "a host that has just refused for another service".

--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -357,10 +357,11 @@
 bool csp_has_relay_host (const csp_roster_t *roster, uint32_t service,
                          int64_t now_ms);
 
-/* How the host has answered an offer to relay a request, or that it
-   hasn't.  */
+/* How the host has answered an offer to relay a request to a service, or that
+   it hasn't.  */
 void csp_note_offer_result (csp_roster_t *roster, csp_peer_address_t host,
-                            csp_offer_result_t result, int64_t now_ms);
+                            uint32_t service, csp_offer_result_t result,
+                            int64_t now_ms);
 
 /* The live host with this IP address; NULL if there is none.  */
 const csp_peer_address_t *csp_find_live_host_by_ip (const csp_roster_t *roster,
--- a/source/gateway/gateway-relay.c
+++ b/source/gateway/gateway-relay.c
@@ -47,6 +47,16 @@
            csp_number ("offers", exchange->relay.offers));
 }
 
+static void
+note_offer_result (const csp_exchange_t *exchange, csp_offer_result_t result)
+{
+  csp_gateway_t *gateway = exchange->gateway;
+
+  csp_note_offer_result (gateway->roster, exchange->relay.host,
+                         csp_service_hash (exchange->service), result,
+                         csp_gateway_now_ms (gateway));
+}
+
 static void
 end_offer (csp_exchange_t *exchange)
 {
@@ -62,8 +72,7 @@
   csp_gateway_t *gateway = exchange->gateway;
 
   gateway->counts.relay_offers_failed++;
-  csp_note_offer_result (gateway->roster, exchange->relay.host, result,
-                         csp_gateway_now_ms (gateway));
+  note_offer_result (exchange, result);
   log_offer (exchange, result);
   end_offer (exchange);
   if (!csp_relay_request (exchange))
@@ -151,9 +160,7 @@
       fail_offer (exchange, exchange->relay.result);
       return;
     }
-  csp_note_offer_result (exchange->gateway->roster, exchange->relay.host,
-                         CSP_OFFER_ACCEPTED,
-                         csp_gateway_now_ms (exchange->gateway));
+  note_offer_result (exchange, CSP_OFFER_ACCEPTED);
   send_relayed_request (exchange);
 }
 
@@ -314,9 +321,7 @@
   (void)why;
   /* An answer that has begun is broken off when its target breaks it off.  */
   if (exchange->answer_mode == CSP_ANSWER_NONE)
-    csp_note_offer_result (exchange->gateway->roster, exchange->relay.host,
-                           CSP_OFFER_UNANSWERED,
-                           csp_gateway_now_ms (exchange->gateway));
+    note_offer_result (exchange, CSP_OFFER_UNANSWERED);
   if (exchange->answer_mode == CSP_ANSWER_FORWARDED)
     csp_fail_exchange (exchange, CSP_REASON_STREAM_CUT,
                        "the host that it was relayed to broke off");
--- a/source/roster/roster-imp.h
+++ b/source/roster/roster-imp.h
@@ -33,6 +33,12 @@
   size_t unreached_count;
   uint32_t unreached[CSP_HELLO_UNREACHED_MAX];
   int64_t relay_avoided_until_ms;
+  /* Services for which it refused offers, as it doesn't reach them.  */
+  struct
+  {
+    uint32_t service;
+    int64_t until_ms;
+  } refused[CSP_HELLO_UNREACHED_MAX];
   uint32_t unanswered_offers; /* consecutive offers to relay */
   bool uses_this_decider;     /* its last hello that named a decider named this
                                  host */
--- a/source/roster/roster-relay.c
+++ b/source/roster/roster-relay.c
@@ -20,12 +20,39 @@
   return false;
 }
 
+static bool
+has_refused (const csp_roster_peer_t *peer, uint32_t service, int64_t now_ms)
+{
+  size_t i;
+
+  for (i = 0; i < CSP_HELLO_UNREACHED_MAX; i++)
+    if (peer->refused[i].service == service
+        && now_ms < peer->refused[i].until_ms)
+      return true;
+  return false;
+}
+
+/* Replaces the refusal that ends first.  */
+static void
+note_refused (csp_roster_peer_t *peer, uint32_t service, int64_t until_ms)
+{
+  size_t first = 0;
+  size_t i;
+
+  for (i = 1; i < CSP_HELLO_UNREACHED_MAX; i++)
+    if (peer->refused[i].until_ms < peer->refused[first].until_ms)
+      first = i;
+  peer->refused[first].service = service;
+  peer->refused[first].until_ms = until_ms;
+}
+
 static bool
 may_relay (const csp_roster_peer_t *peer, uint32_t service, int64_t now_ms)
 {
   return peer->live && !peer->leaving && peer->relay_port != 0
          && now_ms >= peer->relay_avoided_until_ms
-         && !reports_unreached (peer, service);
+         && !reports_unreached (peer, service)
+         && !has_refused (peer, service, now_ms);
 }
 
 /* Hosts of unknown capacity are rarely drawn.  */
@@ -74,7 +101,8 @@
 
 void
 csp_note_offer_result (csp_roster_t *roster, csp_peer_address_t host,
-                       csp_offer_result_t result, int64_t now_ms)
+                       uint32_t service, csp_offer_result_t result,
+                       int64_t now_ms)
 {
   csp_roster_peer_t *peer = csp_find_roster_peer (roster, host);
   int64_t until_ms;
@@ -87,7 +115,9 @@
   peer->unanswered_offers
       = result == CSP_OFFER_UNANSWERED ? peer->unanswered_offers + 1 : 0;
   until_ms = now_ms + csp_offer_avoid_ms (result, peer->unanswered_offers);
-  if (until_ms > peer->relay_avoided_until_ms)
+  if (result == CSP_OFFER_UNREACHED)
+    note_refused (peer, service, until_ms);
+  else if (until_ms > peer->relay_avoided_until_ms)
     peer->relay_avoided_until_ms = until_ms;
 }
 
--- a/tests/roster/roster-relay-test.c
+++ b/tests/roster/roster-relay-test.c
@@ -49,7 +49,8 @@
   csp_hello_t hello;
   bool offered; /* the host was made an offer, with this result */
   csp_offer_result_t result;
-  int more_offers; /* with the same result at the same time */
+  uint32_t for_service; /* 0: SERVICE */
+  int more_offers;      /* with the same result at the same time */
   int64_t heard_ms_ago;
   int64_t offered_ms_ago;
   bool picked;
@@ -86,6 +87,13 @@
     .result = CSP_OFFER_UNREACHED,
     .offered_ms_ago = 499,
     .picked = false },
+  { "a host that has just refused for another service",
+    { .relay_port = RELAY_PORT },
+    .offered = true,
+    .result = CSP_OFFER_UNREACHED,
+    .for_service = OTHER_SERVICE,
+    .offered_ms_ago = 1,
+    .picked = true },
   { "a host that refused before",
     { .relay_port = RELAY_PORT },
     .offered = true,
@@ -117,8 +125,10 @@
   hear_from (large, cases[_i].hello, NOW_MS - cases[_i].heard_ms_ago);
   csp_expire_peers (roster, NOW_MS);
   for (i = 0; cases[_i].offered && i <= cases[_i].more_offers; i++)
-    csp_note_offer_result (roster, large, cases[_i].result,
-                           NOW_MS - cases[_i].offered_ms_ago);
+    csp_note_offer_result (
+        roster, large,
+        cases[_i].for_service != 0 ? cases[_i].for_service : SERVICE,
+        cases[_i].result, NOW_MS - cases[_i].offered_ms_ago);
   found = csp_pick_relay_host (roster, SERVICE, NOW_MS, &picked);
   ck_assert_msg (found == cases[_i].picked, "%s", cases[_i].name);
   ck_assert (csp_has_relay_host (roster, SERVICE, NOW_MS) == found);
