Behind a loss an engine gets one request at a time until one is answered

Cause: it backs off only when a request is lost that was sent behind another loss, so all that waited for the engine were sent before the first of them could fail; and not at all where no other engine is left: two of three zones were evacuated and the others of the third asked to wait.

Change: a request that is sent within two seconds of a loss at its engine is a trial: until it is answered, or for a second, this host sends that engine nothing else. That holds where no other engine is left too: one waiting request a second is lost instead of all of them. Engines that are damped or on probation are limited for all hosts already.

Test, red before (a request placed at the engine): gateway damping, engine_gets_one_request_at_a_time_behind_a_loss.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -87,6 +87,7 @@
   /* Until then chosen only if no other target is available.  */
   int64_t avoid_until_ms;
   int64_t backoff_until_ms; /* the target asked this host to wait until then */
+  int64_t trial_until_ms;   /* see csp_begin_target_trial; 0: none */
   csp_fleet_load_t own;     /* under way from this host */
   csp_fleet_load_t others;  /* from all other hosts, as last reported */
   csp_fleet_load_t reserved; /* assigned here, not yet reported by its host */
@@ -259,6 +260,13 @@
    (Retry-After), or has lost several attempts of this host.  */
 void csp_back_off_target (csp_fleet_t *fleet, csp_fleet_target_t *target,
                           uint32_t for_ms, int64_t now_ms);
+
+/* The same until an attempt that was just sent is answered, or for that
+   time.  */
+void csp_begin_target_trial (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                             uint32_t for_ms, int64_t now_ms);
+void csp_end_target_trial (csp_fleet_target_t *target);
+
 bool csp_is_backed_off (const csp_fleet_target_t *target, int64_t now_ms);
 
 /* Whether another target of the same service may get new requests of this
--- a/source/fleet/fleet-limits.c
+++ b/source/fleet/fleet-limits.c
@@ -173,10 +173,25 @@
     fleet->backoff_until_ms = until_ms;
 }
 
+void
+csp_begin_target_trial (csp_fleet_t *fleet, csp_fleet_target_t *target,
+                        uint32_t for_ms, int64_t now_ms)
+{
+  target->trial_until_ms = now_ms + for_ms;
+  if (target->trial_until_ms > fleet->backoff_until_ms)
+    fleet->backoff_until_ms = target->trial_until_ms;
+}
+
+void
+csp_end_target_trial (csp_fleet_target_t *target)
+{
+  target->trial_until_ms = 0;
+}
+
 bool
 csp_is_backed_off (const csp_fleet_target_t *target, int64_t now_ms)
 {
-  return now_ms < target->backoff_until_ms;
+  return now_ms < target->backoff_until_ms || now_ms < target->trial_until_ms;
 }
 
 bool
--- a/source/gateway/gateway-answer.c
+++ b/source/gateway/gateway-answer.c
@@ -1,3 +1,4 @@
+#include "gateway/gateway-damping-imp.h"
 #include "gateway/gateway-exchange-imp.h"
 
 #include <string.h>
@@ -177,6 +178,7 @@
 
   csp_note_target_answered (exchange->gateway, exchange->target);
   csp_note_link_answered (exchange->gateway, exchange->target, exchange->link);
+  csp_end_answered_trial (exchange);
   csp_handle_target_state (exchange->gateway, exchange->target, head,
                            served ? exchange->sent_at_ms : 0);
   if (answers_this && not_run)
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -1,3 +1,4 @@
+#include "gateway/gateway-damping-imp.h"
 #include "gateway/gateway-exchange-imp.h"
 
 #include <arpa/inet.h>
@@ -252,6 +253,7 @@
     csp_schedule_load_report (exchange->gateway);
   write_head (exchange, target, copy, &out);
   csp_send_request (exchange, &csp_attempt_events, &out);
+  csp_begin_trial_behind_loss (exchange);
   return true;
 }
 
--- a/source/gateway/gateway-damping-imp.h
+++ b/source/gateway/gateway-damping-imp.h
@@ -36,6 +36,12 @@
                                 const csp_hello_t *hello,
                                 const csp_remembered_loads_t *before);
 
+/* Behind a loss at an engine this host sends it one request at a time until
+   one is answered.  Call the first with a request that was just sent, the
+   second with one that is answered.  */
+void csp_begin_trial_behind_loss (csp_exchange_t *exchange);
+void csp_end_answered_trial (const csp_exchange_t *exchange);
+
 /* End dampings and probations whose time is over.  Call it periodically.  */
 void csp_update_target_dampings (csp_gateway_t *gateway);
 
--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -130,11 +130,11 @@
          && !csp_is_quarantined (exchange);
 }
 
-/* Whether the request was sent after another loss at its target, and lost as
-   well.  Attempts that are lost together may have had one cause, such as a
-   connection reset on the way.  */
+/* Whether the request was sent soon after another was lost at its target.
+   Attempts that are lost together may have had one cause, such as a connection
+   reset on the way.  */
 static bool
-is_repeated_loss (const csp_exchange_t *exchange)
+is_sent_behind_loss (const csp_exchange_t *exchange)
 {
   const csp_fleet_target_t *target = exchange->target;
 
@@ -155,6 +155,24 @@
                        "lost requests again");
 }
 
+/* A target that is damped or on probation is limited for all hosts.  */
+void
+csp_begin_trial_behind_loss (csp_exchange_t *exchange)
+{
+  if (exchange->target->is_engine && !exchange->target->restrained
+      && is_sent_behind_loss (exchange))
+    csp_begin_target_trial (exchange->gateway->fleet, exchange->target,
+                            REPEATED_LOSS_BACKOFF_MS,
+                            csp_gateway_now_ms (exchange->gateway));
+}
+
+void
+csp_end_answered_trial (const csp_exchange_t *exchange)
+{
+  if (exchange->sent_at_ms > exchange->target->own_failed_ms)
+    csp_end_target_trial (exchange->target);
+}
+
 static void
 count_own_loss (csp_exchange_t *exchange)
 {
@@ -163,7 +181,7 @@
   csp_damping_report_t report = { .host = csp_pack_peer (gateway->self),
                                   .host_data_centre = gateway->data_centre };
 
-  if (is_repeated_loss (exchange))
+  if (is_sent_behind_loss (exchange))
     back_off_lossy_target (gateway, target);
   target->own_failures++;
   target->own_failed_ms = csp_gateway_now_ms (gateway);
--- a/tests/gateway/damping-test.c
+++ b/tests/gateway/damping-test.c
@@ -289,6 +289,42 @@
 }
 END_TEST
 
+/* Guards against a host with most of the requests that sends several to an
+   engine which has just lost some, before the first of them fails.  */
+START_TEST (engine_gets_one_request_at_a_time_behind_a_loss)
+{
+  csp_fake_clock_t *clock = &stream.fixture.fake_clock;
+  int trial = open_caller (&stream.fixture);
+  int caller = open_caller (&stream.fixture);
+  int link;
+
+  start_stream (false);
+  add_second_engine ();
+  close (stream.source_link);
+  ck_assert (await_close (stream.caller));
+  fill_engine ("t-1");
+  await_metric ("cowslipspoke_gateway_peers 1\n");
+  csp_advance_fake_clock (clock, RESERVED_MS);
+  send_text (trial, REQUEST ("/stream/", "r2"));
+  stream.source_link = accept_target_connection (stream.listeners[0]);
+  read_target_request (stream.source_link, 0);
+  csp_advance_fake_clock (clock, RESERVED_MS);
+  send_text (caller, SHORT_REQUEST);
+  await_metric ("cowslipspoke_gateway_dispatch_waiting{traffic_class="
+                "\"regular\"} 1\n");
+  csp_advance_fake_clock (clock, RESERVED_MS);
+  await_metric ("cowslipspoke_gateway_dispatch_waiting{traffic_class="
+                "\"regular\"} 1\n");
+  send_text (stream.source_link, STREAM_HEAD);
+  read_until (trial, "\r\n\r\n");
+  csp_advance_fake_clock (clock, DAMPED_MS);
+  link = accept_target_connection (stream.listeners[0]);
+  close (link);
+  close (trial);
+  close (caller);
+}
+END_TEST
+
 enum
 {
   CUT_TARGETS = 4
@@ -340,6 +376,7 @@
   tcase_add_test (tests, host_without_paths_reports_no_losses);
   tcase_add_test (tests, losses_of_two_hosts_damp_an_engine);
   tcase_add_test (tests, a_host_backs_off_an_engine_that_fails_again);
+  tcase_add_test (tests, engine_gets_one_request_at_a_time_behind_a_loss);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
 }
