--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -269,8 +269,8 @@
 
 bool csp_is_backed_off (const csp_fleet_target_t *target, int64_t now_ms);
 
-/* Whether another target of the same service may get new requests of this
-   host.  */
+/* Whether another target of the same service and data centre may get new
+   requests of this host.  */
 bool csp_has_other_target (const csp_fleet_t *fleet,
                            const csp_fleet_target_t *target, int64_t now_ms);
 
--- a/include/cowslipspoke/service-reach.h
+++ b/include/cowslipspoke/service-reach.h
@@ -48,10 +48,6 @@
    probably on this host's side.  */
 bool csp_has_lost_paths (const csp_service_reach_t *reach, uint32_t service);
 
-/* How long the service has been unreached; 0 if it is reached.  */
-int64_t csp_service_unreached_ms (const csp_service_reach_t *reach,
-                                  uint32_t service, int64_t now_ms);
-
 /* Whether the state of the service has changed since the last call.  */
 bool csp_take_service_reach_change (csp_service_reach_t *reach,
                                     uint32_t service);
--- a/source/reach/service-reach.c
+++ b/source/reach/service-reach.c
@@ -174,17 +174,6 @@
   return state != NULL && state->failed_count == FAILED_TARGETS_MIN;
 }
 
-int64_t
-csp_service_unreached_ms (const csp_service_reach_t *reach, uint32_t service,
-                          int64_t now_ms)
-{
-  const service_state_t *state = find_state (reach, service);
-
-  return state == NULL || state->unreached_since_ms == 0
-             ? 0
-             : now_ms - state->unreached_since_ms;
-}
-
 bool
 csp_take_service_reach_change (csp_service_reach_t *reach, uint32_t service)
 {
--- a/tests/reach/service-reach-test.c
+++ b/tests/reach/service-reach-test.c
@@ -143,10 +143,8 @@
   ck_assert (csp_take_service_probe (reach, SERVICE, 1000));
   ck_assert (!csp_take_service_probe (reach, SERVICE, 1499));
   ck_assert (csp_take_service_probe (reach, SERVICE, 1500));
-  ck_assert_int_eq (csp_service_unreached_ms (reach, SERVICE, 1700), 700);
   csp_note_connection_answered (reach, SERVICE);
   ck_assert (!csp_take_service_probe (reach, SERVICE, 9000));
-  ck_assert_int_eq (csp_service_unreached_ms (reach, SERVICE, 9000), 0);
   csp_destroy_service_reach (reach);
 }
 END_TEST
