Soak: Retry-After binds the host that sends a request

Cause: the check counted a request against the host that its caller had come to. A host that reaches no engine for a moment passes requests on through others, and each of those hears of the wait only by its own first refusal. The check left that out in cuts alone, but engines that end bring it about too.

Change: the server asks its proxy which address the connection came from, and counts by that host. What was left out for cuts is counted now, so the check is stricter there.

--- a/tests/soak/soak-announce.c
+++ b/tests/soak/soak-announce.c
@@ -190,19 +190,17 @@
       (unsigned long long)(soak_now_ms (soak) - announcements->leaving_ms));
 }
 
+/* host: that sent the request, perhaps for another one.  */
 static void
 check_wait (const server_t *server, announcements_t *announcements,
-            const request_t *request, const char *id)
+            const host_t *host, const char *id)
 {
   soak_t *soak = server->soak;
   uint64_t now_ms = soak_now_ms (soak);
 
-  /* A relayed request comes from a host other than the caller's.  */
   if (now_ms <= announcements->wait_from_ms + IN_FLIGHT_MS
       || now_ms >= announcements->wait_until_ms
-      || cut_may_relay (soak, request)
-      || was_disturbed_since (server, &soak->hosts[request->host],
-                              announcements->wait_from_ms)
+      || was_disturbed_since (server, host, announcements->wait_from_ms)
       || ++announcements->arrivals != ARRIVALS_MAX + 1)
     return;
   soak_report_violation (soak, "BUDGET",
@@ -231,6 +229,16 @@
               (double)wait_ms / 1000);
 }
 
+static const host_t *
+find_sender (const server_t *server, const wire_t *wire)
+{
+  struct sockaddr_in client;
+
+  return proxy_find_client (server->proxy, wire_peer_port (wire), &client)
+             ? host_at_address (server->soak, &client)
+             : NULL;
+}
+
 bool
 announce_refuse_request (server_t *server, wire_t *wire,
                          const wire_message_t *message)
@@ -238,14 +246,17 @@
   const char *id = wire_field (message, "X-Attempt-Id");
   soak_t *soak = server->soak;
   const request_t *request = ledger_find (soak, id);
+  const host_t *sender = find_sender (server, wire);
   announcements_t *announcements;
 
-  if (!soak->announce_enabled || request == NULL
+  if (!soak->announce_enabled || request == NULL || sender == NULL
       || request->host_incarnation != soak->hosts[request->host].incarnation)
     return false;
   announcements = server_find_announcements (server, request->host);
   check_leaving (server, announcements, request, id);
-  check_wait (server, announcements, request, id);
+  announcements
+      = server_find_announcements (server, (size_t)(sender - soak->hosts));
+  check_wait (server, announcements, sender, id);
   if (soak_now_ms (soak) >= server->overloaded_until_ms)
     return false;
   ask_to_wait (server, announcements, wire);
--- a/tests/soak/soak-proxy.c
+++ b/tests/soak/soak-proxy.c
@@ -368,6 +368,28 @@
   return NULL;
 }
 
+bool
+proxy_find_client (const proxy_t *proxy, uint16_t port,
+                   struct sockaddr_in *client)
+{
+  const pair_t *pair;
+
+  for (pair = proxy->pairs; pair != NULL; pair = pair->next)
+    {
+      struct sockaddr_in own;
+      int size_bytes = sizeof own;
+
+      if (uv_tcp_getsockname (&pair->server, (struct sockaddr *)&own,
+                              &size_bytes)
+              != 0
+          || own.sin_port != htons (port))
+        continue;
+      *client = pair->client_address;
+      return true;
+    }
+  return false;
+}
+
 void
 proxy_reset_all (proxy_t *proxy)
 {
--- a/tests/soak/soak-proxy.h
+++ b/tests/soak/soak-proxy.h
@@ -55,6 +55,11 @@
                                    bool towards_client, size_t size_bytes);
 void proxy_set_pacer (proxy_t *proxy, proxy_pacer_t pacer, void *context);
 
+/* Finds the client's address of a connection by the port from which the proxy
+   has connected to the server; false if that connection is gone.  */
+bool proxy_find_client (const proxy_t *proxy, uint16_t port,
+                        struct sockaddr_in *client);
+
 /* Open connections carry no data any more, but stay open; new ones pass.  */
 void proxy_silence_all (proxy_t *proxy);
 
--- a/tests/soak/soak-wire.c
+++ b/tests/soak/soak-wire.c
@@ -229,6 +229,18 @@
   return wire;
 }
 
+uint16_t
+wire_peer_port (const wire_t *wire)
+{
+  struct sockaddr_in peer;
+  int size_bytes = sizeof peer;
+
+  return uv_tcp_getpeername (&wire->tcp, (struct sockaddr *)&peer, &size_bytes)
+                 == 0
+             ? ntohs (peer.sin_port)
+             : 0;
+}
+
 static void
 on_connection (uv_stream_t *stream, int status)
 {
--- a/tests/soak/soak-wire.h
+++ b/tests/soak/soak-wire.h
@@ -64,6 +64,9 @@
 wire_t *wire_connect (uv_loop_t *loop, const struct sockaddr_in *address,
                       const wire_events_t *events, void *owner);
 
+/* The port at the other end; 0 if the connection is gone.  */
+uint16_t wire_peer_port (const wire_t *wire);
+
 void wire_send (wire_t *wire, const char *data, size_t size_bytes);
 void wire_print (wire_t *wire, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
