Refusals for one service don't push out those for another

Found in reading: offers that were open together and refused for one service took all eight rows of a host, so that refusals for others were forgotten and requests offered there again. A row is kept for each service now.

Test, red before: roster-relay, refusals_for_one_service_keep_those_for_another.

--- a/source/roster/roster-relay.c
+++ b/source/roster/roster-relay.c
@@ -32,18 +32,25 @@
   return false;
 }
 
-/* Replaces the refusal that ends first.  */
+/* Replaces the refusal for this service, or the one that ends first.  */
 static void
 note_refused (csp_roster_peer_t *peer, uint32_t service, int64_t until_ms)
 {
-  size_t first = 0;
+  size_t replaced = 0;
   size_t i;
 
-  for (i = 1; i < CSP_HELLO_UNREACHED_MAX; i++)
-    if (peer->refused[i].until_ms < peer->refused[first].until_ms)
-      first = i;
-  peer->refused[first].service = service;
-  peer->refused[first].until_ms = until_ms;
+  for (i = 0; i < CSP_HELLO_UNREACHED_MAX; i++)
+    {
+      if (peer->refused[i].service == service)
+        {
+          replaced = i;
+          break;
+        }
+      if (peer->refused[i].until_ms < peer->refused[replaced].until_ms)
+        replaced = i;
+    }
+  peer->refused[replaced].service = service;
+  peer->refused[replaced].until_ms = until_ms;
 }
 
 static bool
--- a/tests/roster/roster-relay-test.c
+++ b/tests/roster/roster-relay-test.c
@@ -138,6 +138,22 @@
 }
 END_TEST
 
+/* Guards against a host that has refused and is asked again, as it refused
+   offers for another service meanwhile.  */
+START_TEST (refusals_for_one_service_keep_those_for_another)
+{
+  csp_relay_host_t picked;
+  int i;
+
+  hear_from (large, (csp_hello_t){ .relay_port = RELAY_PORT }, NOW_MS);
+  csp_note_offer_result (roster, large, SERVICE, CSP_OFFER_UNREACHED, NOW_MS);
+  for (i = 0; i < CSP_HELLO_UNREACHED_MAX; i++)
+    csp_note_offer_result (roster, large, OTHER_SERVICE, CSP_OFFER_UNREACHED,
+                           NOW_MS + 1);
+  ck_assert (!csp_pick_relay_host (roster, SERVICE, NOW_MS + 2, &picked));
+}
+END_TEST
+
 /* Guards against all requests of hosts that are cut off going through one
    host, or as many through a small one as through a large one.  */
 START_TEST (hosts_are_picked_by_their_capacity)
@@ -181,6 +197,7 @@
   tcase_add_loop_test (tcase, host_that_can_serve_is_picked, 0,
                        sizeof cases / sizeof cases[0]);
   tcase_add_test (tcase, hosts_are_picked_by_their_capacity);
+  tcase_add_test (tcase, refusals_for_one_service_keep_those_for_another);
   tcase_add_test (tcase, only_live_hosts_are_known_by_address);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
