The log says which engines have a request on trial

Event 504 with cause "on trial behind a loss" and the request's id, counted in target_backoffs_total: why a request waits though an engine looks free could not be told before. At most one line for each request that is sent to an engine within two seconds of a loss there; no decision changes.

--- a/source/gateway/gateway-damping.c
+++ b/source/gateway/gateway-damping.c
@@ -159,11 +159,20 @@
 void
 csp_begin_trial_behind_loss (csp_exchange_t *exchange)
 {
-  if (exchange->target->is_engine && !exchange->target->restrained
-      && is_sent_behind_loss (exchange))
-    csp_begin_target_trial (exchange->gateway->fleet, exchange->target,
-                            REPEATED_LOSS_BACKOFF_MS,
-                            csp_gateway_now_ms (exchange->gateway));
+  csp_gateway_t *gateway = exchange->gateway;
+  csp_fleet_target_t *target = exchange->target;
+
+  if (!target->is_engine || target->restrained
+      || !is_sent_behind_loss (exchange))
+    return;
+  csp_begin_target_trial (gateway->fleet, target, REPEATED_LOSS_BACKOFF_MS,
+                          csp_gateway_now_ms (gateway));
+  gateway->counts.backoffs++;
+  CSP_LOG (gateway->log, CSP_EVENT_TARGET_BACKED_OFF, exchange->request_id,
+           csp_text ("target", target->row.id),
+           csp_text ("cause", "on trial behind a loss"),
+           csp_number ("wait_ms", REPEATED_LOSS_BACKOFF_MS),
+           csp_number ("left_ms", REPEATED_LOSS_BACKOFF_MS));
 }
 
 void
