cowslipctl losses tells a late host and a full link from other causes

Change: "host's link full" for streams refused for the link, "host late" for requests whose time was over or whose caller left while host_delay_ms was 100 or more, from which on the host logs that it is late.

--- a/include/cowslipspoke/losses.h
+++ b/include/cowslipspoke/losses.h
@@ -37,6 +37,9 @@
   CSP_LOSS_RELAY_LOST,    /* lost at or with the host that it was relayed to */
   CSP_LOSS_QUARANTINED,   /* targets ended while serving the request */
   CSP_LOSS_HOST_STOPPING,
+  CSP_LOSS_LINK_FULL, /* the host's network link carries no further stream */
+  CSP_LOSS_HOST_LATE, /* its time was over, or its caller left, while the host
+                         itself was late */
   CSP_LOSS_TIME_OVER,
   CSP_LOSS_CALLER_LEFT,
   CSP_LOSS_OTHER,
--- a/source/losses/losses.c
+++ b/source/losses/losses.c
@@ -19,7 +19,9 @@
   STATUS_SERVER_ERROR = 500,
   /* A request that was refused sooner than this never waited in a queue; the
      time covers the few milliseconds until the deciding host's answer.  */
-  REFUSED_ON_ARRIVAL_MAX_MS = 60
+  REFUSED_ON_ARRIVAL_MAX_MS = 60,
+  /* From this delay on a host logs that it is late.  */
+  LATE_HOST_MIN_MS = 100
 };
 
 static const char *const loss_names[] = {
@@ -44,6 +46,8 @@
   [CSP_LOSS_RELAY_LOST] = "lost where it was relayed",
   [CSP_LOSS_QUARANTINED] = "quarantined",
   [CSP_LOSS_HOST_STOPPING] = "host stopping",
+  [CSP_LOSS_LINK_FULL] = "host's link full",
+  [CSP_LOSS_HOST_LATE] = "host late",
   [CSP_LOSS_TIME_OVER] = "time over",
   [CSP_LOSS_CALLER_LEFT] = "caller left",
   [CSP_LOSS_OTHER] = "other",
@@ -241,6 +245,7 @@
     { "the host that it was relayed to broke off", CSP_LOSS_RELAY_LOST },
     { "targets ended under this request", CSP_LOSS_QUARANTINED },
     { "the host is stopping", CSP_LOSS_HOST_STOPPING },
+    { "the host's link is full", CSP_LOSS_LINK_FULL },
     { "the time is over", CSP_LOSS_TIME_OVER },
     { "the target failed", CSP_LOSS_TARGET_FAILED },
     { "the target closed the connection", CSP_LOSS_TARGET_FAILED },
@@ -269,19 +274,27 @@
 {
   const history_t *history
       = find_history (losses, "request", get_text (line, "request_id"));
+  csp_loss_t loss = CSP_LOSS_NONE;
 
   switch (get_number (line, "event"))
     {
     case CSP_EVENT_FORWARD_ENDED:
-      return get_number (line, "status") >= STATUS_SERVER_ERROR
+      loss = get_number (line, "status") >= STATUS_SERVER_ERROR
                  ? CSP_LOSS_TARGET_ERROR
                  : CSP_LOSS_NONE;
+      break;
     case CSP_EVENT_FORWARD_ABANDONED:
-      return history != NULL && history->stalled ? CSP_LOSS_STREAM_STALLED
+      loss = history != NULL && history->stalled ? CSP_LOSS_STREAM_STALLED
                                                  : CSP_LOSS_CALLER_LEFT;
+      break;
     default:
-      return classify_failure (losses, line, history);
+      loss = classify_failure (losses, line, history);
+      break;
     }
+  if ((loss == CSP_LOSS_TIME_OVER || loss == CSP_LOSS_CALLER_LEFT)
+      && get_number (line, "host_delay_ms") >= LATE_HOST_MIN_MS)
+    return CSP_LOSS_HOST_LATE;
+  return loss;
 }
 
 static route_row_t *
