--- a/tests/gateway/relay-test.c
+++ b/tests/gateway/relay-test.c
@@ -21,7 +21,7 @@
   FILLERS = 4,
   SOCKETS_MAX = 2 * TARGETS + 1,
   STREAMED_BODY_BYTES = 100000, /* more than is buffered */
-  BUFFERED_PIECES = 2,          /* as many such pieces of an answer are */
+  BUFFERED_PIECES = 2,          /* such pieces of an answer are buffered */
   HEAD_MAX_BYTES = 2000,        /* of the fixture */
   HEAD_PADDING_BYTES = HEAD_MAX_BYTES - 105,
   WAIT_MS = 10000,
