One constant for a late host; time limits extended once a walk

The walks over requests and over status queries asked for the same extended time limit at each row, with a reading of the clock; they ask once.

No decision changes: the walks take the time once already, and the limit is now of that moment too.

--- a/include/cowslipspoke/host-delay.h
+++ b/include/cowslipspoke/host-delay.h
@@ -15,6 +15,13 @@
    that has passed.  Where no connection opens the delay counts as none: the
    host is idle, or its paths are cut.  */
 
+enum
+{
+  /* From this delay on a host counts as late: plain requests are due within
+     some hundred milliseconds.  */
+  CSP_HOST_LATE_MS = 100
+};
+
 typedef struct csp_host_delay csp_host_delay_t;
 
 /* NULL when out of memory.  */
--- a/source/gateway/gateway-load.c
+++ b/source/gateway/gateway-load.c
@@ -5,8 +5,6 @@
 
 enum
 {
-  /* Plain requests are due within some hundred milliseconds.  */
-  LATE_MS = 100,
   IN_TIME_MS = 50,
   /* Between two lines that this host is late or in time again.  */
   LATE_LINES_MS = 1000,
@@ -79,7 +77,7 @@
 {
   bool was_late = gateway->late_since_ms != 0;
   uint32_t delay_ms = csp_get_host_delay_ms (gateway->host_delay, now_ms);
-  bool late = delay_ms >= (was_late ? IN_TIME_MS : LATE_MS);
+  bool late = delay_ms >= (was_late ? IN_TIME_MS : CSP_HOST_LATE_MS);
 
   if (late == was_late || now_ms - gateway->late_logged_ms < LATE_LINES_MS)
     return;
--- a/source/gateway/gateway-paths.c
+++ b/source/gateway/gateway-paths.c
@@ -116,17 +116,19 @@
 static void
 probe_silent_targets (csp_gateway_t *gateway, int64_t now_ms)
 {
+  int64_t start_limit_ms = csp_extend_timeout_ms (gateway, SILENT_START_MS);
+  int64_t limit_ms = csp_extend_timeout_ms (gateway, SILENT_MS);
   csp_exchange_t *exchange;
 
   for (exchange = gateway->exchanges; exchange != NULL;
        exchange = exchange->next)
     {
       csp_fleet_target_t *target = exchange->target;
-      int64_t silent_ms = csp_extend_timeout_ms (
-          gateway, exchange->service != NULL && exchange->service->is_engine
-                           && exchange->run_started_ms == 0
-                       ? SILENT_START_MS
-                       : SILENT_MS);
+      int64_t silent_ms = exchange->service != NULL
+                                  && exchange->service->is_engine
+                                  && exchange->run_started_ms == 0
+                              ? start_limit_ms
+                              : limit_ms;
 
       if (target == NULL || exchange->link == NULL
           || target->state != CSP_FLEET_READY || target->probing
--- a/source/gateway/gateway-report.c
+++ b/source/gateway/gateway-report.c
@@ -322,14 +322,14 @@
 static void
 fail_late_queries (csp_gateway_t *gateway, int64_t now_ms)
 {
+  int64_t limit_ms = csp_extend_timeout_ms (gateway, QUERY_TIMEOUT_MS);
   csp_status_query_t *query = gateway->status_queries;
 
   while (query != NULL)
     {
       csp_status_query_t *next = query->next;
 
-      if (now_ms - query->asked_ms
-          >= csp_extend_timeout_ms (gateway, QUERY_TIMEOUT_MS))
+      if (now_ms - query->asked_ms >= limit_ms)
         {
           if (csp_link_has_sent (query->link))
             end_silent_query (query);
--- a/source/losses/losses.c
+++ b/source/losses/losses.c
@@ -2,6 +2,7 @@
 
 #include "base/index-imp.h"
 #include "cowslipspoke/hash.h"
+#include "cowslipspoke/host-delay.h"
 #include "cowslipspoke/log.h"
 #include "cowslipspoke/text.h"
 
@@ -19,9 +20,7 @@
   STATUS_SERVER_ERROR = 500,
   /* A request that was refused sooner than this never waited in a queue; the
      time covers the few milliseconds until the deciding host's answer.  */
-  REFUSED_ON_ARRIVAL_MAX_MS = 60,
-  /* From this delay on a host logs that it is late.  */
-  LATE_HOST_MIN_MS = 100
+  REFUSED_ON_ARRIVAL_MAX_MS = 60
 };
 
 static const char *const loss_names[] = {
@@ -292,7 +291,7 @@
       break;
     }
   if ((loss == CSP_LOSS_TIME_OVER || loss == CSP_LOSS_CALLER_LEFT)
-      && get_number (line, "host_delay_ms") >= LATE_HOST_MIN_MS)
+      && get_number (line, "host_delay_ms") >= CSP_HOST_LATE_MS)
     return CSP_LOSS_HOST_LATE;
   return loss;
 }
