Review, case 2: streams go on at a second engine beside the first one

A stream whose engine leaves goes on from its backup as soon as the connection to the first engine is closed; engines that don't drop a run at a close, which the pages allow, work on.

--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -12,9 +12,12 @@
    standin download GATEWAY RECORD PREFIX COUNT GAP_MS PATH BYTES_PER_MS
                     DEADLINE_MS [HEADER...]
 
-   KIND is "engine" for event streams, or the size of an answer's body in
-   bytes where the path doesn't end with "?bytes=SIZE".  FRAMING is "length" or "chunks".  A download reads no faster than
-   BYTES_PER_MS.  All write one line a fact to RECORD.  */
+   KIND is "engine" for event streams, "keeping-engine" for an engine that goes
+   on with a run whose connection was closed, or the size of an answer's body
+   in bytes where the path doesn't end with "?bytes=SIZE".  At SIGTERM a server
+   reports that it is draining and ends LINGER_MS later.  FRAMING is "length"
+   or "chunks".  A download reads no faster than BYTES_PER_MS.  All write one
+   line a fact to RECORD.  */
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -41,6 +44,10 @@
   HEARTBEAT_MS = 1200,
   ROW_LAPSE_MS = 3 * HEARTBEAT_MS,
   KEEP_ALIVE_S = 30,
+  EVENT_MS = 28,
+  EVENT_TOKENS = 4,
+  COPY_MS = 200,
+  LINGER_MS = 6000,
   PIECE_BYTES = 16384
 };
 
@@ -61,8 +68,8 @@
 static void
 sleep_ms (int64_t for_ms)
 {
-  struct timespec wait = { .tv_sec = for_ms / 1000,
-                           .tv_nsec = for_ms % 1000 * 1000000 };
+  struct timespec wait
+      = { .tv_sec = for_ms / 1000, .tv_nsec = for_ms % 1000 * 1000000 };
 
   nanosleep (&wait, NULL);
 }
@@ -196,7 +203,7 @@
   size_t body_bytes;
   bool chunked;
   bool until_close;
-  bool whole; /* the body came to its end */
+  bool whole;          /* the body came to its end */
   size_t bytes_per_ms; /* the pace of reading; 0: as fast as possible */
   uint64_t received_bytes;
   int64_t began_ms;
@@ -213,9 +220,8 @@
   reader->count += (size_t)got;
   reader->received_bytes += (uint64_t)got;
   while (reader->bytes_per_ms > 0
-         && reader->received_bytes
-                > (uint64_t)(now_ms () - reader->began_ms)
-                      * reader->bytes_per_ms)
+         && reader->received_bytes > (uint64_t)(now_ms () - reader->began_ms)
+                                         * reader->bytes_per_ms)
     sleep_ms (1);
   return true;
 }
@@ -237,8 +243,7 @@
   while (line != NULL && line[2] != '\0')
     {
       line += 2;
-      if (strncasecmp (line, name, name_bytes) == 0
-          && line[name_bytes] == ':')
+      if (strncasecmp (line, name, name_bytes) == 0 && line[name_bytes] == ':')
         {
           const char *at = line + name_bytes + 1;
           size_t size;
@@ -716,61 +721,286 @@
 static const char *server_store;
 static int64_t server_work_ms;
 static bool server_is_engine;
+static bool server_keeps_runs;
+static volatile sig_atomic_t server_drains;
 static size_t server_answer_bytes;
 
+static void
+on_terminate (int number)
+{
+  (void)number;
+  server_drains = 1;
+}
+
 static void *
 send_heartbeats (void *state)
 {
   char key[128];
-  char value[512];
+  int64_t drains_since_ms = 0;
+  int64_t due_ms = 0;
 
   (void)state;
   snprintf (key, sizeof key, "servers/%s", server_id);
-  snprintf (value, sizeof value,
-            "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-            "\"version\":\"v1\",\"slots\":24,\"state\":\"ready\","
-            "\"cold_left_ms\":0,\"seq\":1}",
-            server_service, server_address, server_zone);
   for (;;)
     {
-      put_to_store (server_store, key, value, ROW_LAPSE_MS);
-      sleep_ms (HEARTBEAT_MS);
+      char value[512];
+
+      if (server_drains && drains_since_ms == 0)
+        {
+          drains_since_ms = now_ms ();
+          due_ms = 0;
+          record ("draining %s", server_id);
+        }
+      if (drains_since_ms != 0 && now_ms () - drains_since_ms >= LINGER_MS)
+        {
+          record ("ended %s", server_id);
+          _exit (0);
+        }
+      if (now_ms () >= due_ms)
+        {
+          due_ms = now_ms () + HEARTBEAT_MS;
+          snprintf (value, sizeof value,
+                    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+                    "\"version\":\"v1\",\"slots\":24,\"state\":\"%s\","
+                    "\"cold_left_ms\":0,\"seq\":1}",
+                    server_service, server_address, server_zone,
+                    server_drains ? "draining" : "ready");
+          put_to_store (server_store, key, value, ROW_LAPSE_MS);
+        }
+      sleep_ms (20);
     }
   return NULL;
 }
 
-/* Sends a stream of events, four tokens each.  */
+/* Runs of an engine, and copies of runs of other engines that it holds.  */
+
+enum
+{
+  RUNS_MAX = 256,
+  NAME_BYTES = 128
+};
+
+typedef struct
+{
+  char name[NAME_BYTES]; /* the request's id, or a handle; "": free */
+  long events;           /* made so far */
+  bool stopped;          /* by a move */
+  int64_t lapses_ms;     /* of a copy */
+} run_t;
+
+static run_t runs[RUNS_MAX];
+static run_t copies[RUNS_MAX];
+static pthread_mutex_t run_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Call with run_lock.  */
+static run_t *
+find_run (run_t *table, const char *name, bool add)
+{
+  run_t *free_row = NULL;
+  size_t i;
+
+  for (i = 0; i < RUNS_MAX; i++)
+    {
+      if (strcmp (table[i].name, name) == 0)
+        return &table[i];
+      if (table[i].name[0] == '\0'
+          || (table == copies && now_ms () >= table[i].lapses_ms))
+        free_row = &table[i];
+    }
+  if (!add || free_row == NULL)
+    return NULL;
+  memset (free_row, 0, sizeof *free_row);
+  snprintf (free_row->name, NAME_BYTES, "%s", name);
+  return free_row;
+}
+
+/* Sends the memory of a run, as far as it has grown, to another engine.  */
+static bool
+send_copy (const char *to, const char *name, long events)
+{
+  char key[NAME_BYTES + 32];
+  char value[32];
+
+  snprintf (key, sizeof key, "copy/%s", name);
+  snprintf (value, sizeof value, "%ld", events);
+  return put_to_store (to, key, value, 0);
+}
+
+static bool
+take_copy (reader_t *reader)
+{
+  char key[NAME_BYTES + 32];
+  run_t *copy;
+
+  read_query (reader->head, "key=copy/", key, sizeof key);
+  reader->body[reader->body_bytes] = '\0';
+  pthread_mutex_lock (&run_lock);
+  copy = find_run (copies, key, true);
+  if (copy != NULL)
+    {
+      copy->events = strtol (reader->body, NULL, 10);
+      copy->lapses_ms = now_ms () + 5000;
+    }
+  pthread_mutex_unlock (&run_lock);
+  return answer_store (reader->connection, "{}", 2);
+}
+
+/* Copies a run to another engine; with "last" the run stops first.  */
+static bool
+move_run (reader_t *reader)
+{
+  char id[NAME_BYTES] = "";
+  char target[64] = "";
+  char answer[512];
+  char handle[NAME_BYTES + 8];
+  const char *at;
+  bool last;
+  long events = -1;
+  run_t *run;
+
+  reader->body[reader->body_bytes] = '\0';
+  at = strstr (reader->body, "\"id\":\"");
+  if (at != NULL)
+    sscanf (at + 6, "%127[^\"]", id);
+  at = strstr (reader->body, "\"target\":\"");
+  if (at != NULL)
+    sscanf (at + 10, "%63[^\"]", target);
+  last = strstr (reader->body, "\"last\":true") != NULL;
+  pthread_mutex_lock (&run_lock);
+  run = find_run (runs, id, false);
+  if (run != NULL)
+    {
+      run->stopped = run->stopped || last;
+      events = run->events;
+    }
+  pthread_mutex_unlock (&run_lock);
+  if (events < 0)
+    return send_text (reader->connection,
+                      "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+  snprintf (handle, sizeof handle, "h-%s", id);
+  record ("move %s at %s to %s%s", id, server_id, target,
+          last ? ", the run stops" : "");
+  if (!send_copy (target, handle, events))
+    return send_text (reader->connection,
+                      "HTTP/1.1 503 Unreachable\r\nContent-Length: 0\r\n\r\n");
+  snprintf (answer, sizeof answer, "{\"handle\":\"%s\",\"created\":%ld}",
+            handle, events);
+  return answer_store (reader->connection, answer, strlen (answer));
+}
+
+/* Where a run begins: behind the last event that the client has, if a copy is
+   at hand.  Negative: there is no such copy.  */
+static long
+find_start (const reader_t *reader)
+{
+  char from[256];
+  char last[32] = "0";
+  const char *name;
+  bool known;
+
+  if (find_field (reader, "Kv-From", from, sizeof from) == NULL)
+    return 0;
+  find_field (reader, "Last-Event-Id", last, sizeof last);
+  name = strchr (from, '/');
+  pthread_mutex_lock (&run_lock);
+  known = name != NULL && find_run (copies, name + 1, false) != NULL;
+  pthread_mutex_unlock (&run_lock);
+  return known ? strtol (last, NULL, 10) : -1;
+}
+
+/* Makes the events of a run, four tokens each, and sends them.  Returns
+   whether the connection can be used again.  */
+static bool
+make_events (reader_t *reader, const char *id, run_t *run, long events)
+{
+  char backup[64] = "";
+  int64_t copied_ms = now_ms ();
+  bool open = true;
+  bool stopped = false;
+
+  find_field (reader, "X-Kv-Backup", backup, sizeof backup);
+  while (run->events < events && !stopped)
+    {
+      char event[256];
+      int size;
+
+      sleep_ms (EVENT_MS);
+      pthread_mutex_lock (&run_lock);
+      stopped = run->stopped;
+      if (!stopped)
+        run->events++;
+      pthread_mutex_unlock (&run_lock);
+      if (stopped)
+        break;
+      size = snprintf (event, sizeof event, "id: %ld\ndata: %s\n\n",
+                       run->events, id);
+      if (open
+          && !send_text (reader->connection, "%x\r\n%s\r\n", (unsigned)size,
+                         event))
+        {
+          open = false;
+          record ("connection of %s at %s closed, event %ld, the run %s", id,
+                  server_id, run->events,
+                  server_keeps_runs ? "goes on" : "is dropped");
+          if (!server_keeps_runs)
+            break;
+        }
+      if (backup[0] != '\0' && now_ms () - copied_ms >= COPY_MS)
+        {
+          copied_ms = now_ms ();
+          send_copy (backup, id, run->events);
+        }
+    }
+  record ("end %s at %s after event %ld%s", id, server_id, run->events,
+          run->events == events ? ", the last" : "");
+  if (stopped)
+    {
+      shutdown (reader->connection, SHUT_RDWR);
+      return false;
+    }
+  return open && send_text (reader->connection, "0\r\n\r\n");
+}
+
 static bool
 send_events (reader_t *reader, const char *id)
 {
   char usage[64] = "0,0";
   const char *output;
   long events;
-  long i;
+  long start = find_start (reader);
+  run_t *run;
+  bool usable;
 
   find_field (reader, "X-Token-Usage", usage, sizeof usage);
   output = strchr (usage, ',');
-  events = output == NULL ? 1 : strtol (output + 1, NULL, 10) / 4;
-  if (!send_text (reader->connection,
-                  "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                  "X-Engine-Signature: sig.%s\r\n"
-                  "Keep-Alive: timeout=%d\r\n"
-                  "Content-Type: text/event-stream\r\n"
-                  "Transfer-Encoding: chunked\r\n\r\n",
-                  id, id, KEEP_ALIVE_S))
-    return false;
-  for (i = 1; i <= events; i++)
+  events = output == NULL ? 1 : strtol (output + 1, NULL, 10) / EVENT_TOKENS;
+  pthread_mutex_lock (&run_lock);
+  run = start < 0 ? NULL : find_run (runs, id, true);
+  if (run != NULL)
     {
-      char event[256];
-      int size
-          = snprintf (event, sizeof event, "id: %ld\ndata: %s\n\n", i, id);
-
-      if (!send_text (reader->connection, "%x\r\n%s\r\n", (unsigned)size,
-                      event))
-        return false;
-      sleep_ms (28);
+      run->events = start;
+      run->stopped = false;
     }
-  return send_text (reader->connection, "0\r\n\r\n");
+  pthread_mutex_unlock (&run_lock);
+  if (run == NULL)
+    return send_text (reader->connection,
+                      "HTTP/1.1 503 No Copy\r\nX-Attempt-Id: %s\r\n"
+                      "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                      id);
+  if (start > 0)
+    record ("goes-on %s at %s behind event %ld", id, server_id, start);
+  usable = send_text (reader->connection,
+                      "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+                      "X-Engine-Signature: sig.%s\r\n"
+                      "Keep-Alive: timeout=%d\r\n"
+                      "Content-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n",
+                      id, id, KEEP_ALIVE_S)
+           && make_events (reader, id, run, events);
+  pthread_mutex_lock (&run_lock);
+  run->name[0] = '\0';
+  pthread_mutex_unlock (&run_lock);
+  return usable;
 }
 
 static char *make_body (const char *id, size_t size);
@@ -782,14 +1012,13 @@
   size_t size = at == NULL ? server_answer_bytes
                            : strtoul (at + strlen ("?bytes="), NULL, 10);
   char *body = make_body (id, size);
-  bool sent
-      = send_text (reader->connection,
-                   "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                   "X-Engine-Signature: sig.%s\r\n"
-                   "Keep-Alive: timeout=%d\r\n"
-                   "Content-Length: %zu\r\n\r\n",
-                   id, id, KEEP_ALIVE_S, size)
-        && send_all (reader->connection, body, size);
+  bool sent = send_text (reader->connection,
+                         "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+                         "X-Engine-Signature: sig.%s\r\n"
+                         "Keep-Alive: timeout=%d\r\n"
+                         "Content-Length: %zu\r\n\r\n",
+                         id, id, KEEP_ALIVE_S, size)
+              && send_all (reader->connection, body, size);
 
   record ("answer to %s %s at %s", id,
           sent ? "sent whole" : "couldn't be sent", server_id);
@@ -856,18 +1085,22 @@
           break;
         }
       if (is_get && strncmp (reader->head, "GET /report ", 12) == 0)
-        sent = send_text (reader->connection,
-                          "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n"
-                          "{\"state\":\"ready\"}");
+        {
+          const char *report = server_drains ? "{\"state\":\"draining\"}"
+                                             : "{\"state\":\"ready\"}";
+
+          sent = answer_store (reader->connection, report, strlen (report));
+        }
       else if (is_get && strncmp (reader->head, "GET /healthz ", 13) == 0)
-        sent = send_text (reader->connection,
-                          "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
-                          "Content-Length: 0\r\n\r\n",
-                          server_id);
+        sent
+            = send_text (reader->connection,
+                         "HTTP/1.1 %s\r\nX-Instance-Id: %s\r\n"
+                         "Content-Length: 0\r\n\r\n",
+                         server_drains ? "503 Draining" : "200 OK", server_id);
       else if (strncmp (reader->head, "POST /kv-move ", 14) == 0)
-        sent = send_text (reader->connection,
-                          "HTTP/1.1 404 Not Found\r\n"
-                          "Content-Length: 0\r\n\r\n");
+        sent = move_run (reader);
+      else if (strncmp (reader->head, "PUT /item?key=copy/", 19) == 0)
+        sent = take_copy (reader);
       else if (strcmp (expected, server_id) != 0)
         sent = send_text (reader->connection,
                           "HTTP/1.1 421 Misdirected Request\r\n"
@@ -1133,7 +1366,11 @@
       server_store = argv[6];
       open_record (argv[7]);
       server_work_ms = strtoll (argv[8], NULL, 10);
-      server_is_engine = argc == 10 && strcmp (argv[9], "engine") == 0;
+      server_keeps_runs
+          = argc == 10 && strcmp (argv[9], "keeping-engine") == 0;
+      server_is_engine = server_keeps_runs
+                         || (argc == 10 && strcmp (argv[9], "engine") == 0);
+      signal (SIGTERM, on_terminate);
       if (argc == 10 && !server_is_engine)
         server_answer_bytes = strtoul (argv[9], NULL, 10);
       start_thread (send_heartbeats, NULL);
