--- a/review/crash/run.sh
+++ b/review/crash/run.sh
@@ -15,7 +15,11 @@
 
 stop_all ()
 {
-  for pid in $pids; do kill -KILL "$pid" 2>/dev/null; done
+  for pid in $pids; do
+    # The number of a child that has ended may be another process's by now.
+    parent=$(sed -n 's/^PPid:[[:space:]]*//p' "/proc/$pid/status" 2>/dev/null)
+    [ "$parent" = $$ ] && kill -KILL "$pid"
+  done
   rm -rf "$work"
 }
 trap stop_all EXIT
--- a/review/pools/run.sh
+++ b/review/pools/run.sh
@@ -17,7 +17,11 @@
 
 stop_all ()
 {
-  for pid in $pids; do kill -KILL "$pid" 2>/dev/null; done
+  for pid in $pids; do
+    # The number of a child that has ended may be another process's by now.
+    parent=$(sed -n 's/^PPid:[[:space:]]*//p' "/proc/$pid/status" 2>/dev/null)
+    [ "$parent" = $$ ] && kill -KILL "$pid"
+  done
   rm -rf "$work"
 }
 trap stop_all EXIT
@@ -66,7 +70,7 @@
 # load PREFIX COUNT POOL
 load ()
 {
-  "$standin" client "$front" "$record" "$1" "$2" 250 "/draft-$3/2f" 900 length \
+  exec "$standin" client "$front" "$record" "$1" "$2" 250 "/draft-$3/2f" 900 length \
     6000 "X-Credential: xd9dnn2ctnfzs989anu6" "X-Model: m" "X-Token-Usage: 700,40"
 }
 
@@ -101,8 +105,8 @@
   sleep 2.2
   current=$pool
   [ "${TROUBLE:-1}" != 0 ] || current=$changes
-  load "early-$pool" 4 "$current"
-  load "old-$pool" 2 0
+  (load "early-$pool" 4 "$current")
+  (load "old-$pool" 2 0)
   pool=$((pool + 1))
 done
 
