--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -379,6 +379,7 @@
   item_t items[ITEMS_MAX];
   size_t count;
   int64_t revision;
+  bool busy;
   listener_t listener;
 } store = { .lock = PTHREAD_MUTEX_INITIALIZER,
             .changed = PTHREAD_COND_INITIALIZER,
@@ -446,6 +447,14 @@
   change_item (key, NULL);
 }
 
+void
+set_store_busy (bool busy)
+{
+  pthread_mutex_lock (&store.lock);
+  store.busy = busy;
+  pthread_mutex_unlock (&store.lock);
+}
+
 static int64_t
 read_query (const char *path, const char *name, int64_t missing)
 {
@@ -501,10 +510,11 @@
     {
       bool is_watch = strncmp (request->path, "/kv-watch", 9) == 0;
       int64_t after = is_watch ? read_query (request->path, "after=", 0) : 0;
+      bool busy;
       size_t i;
 
       pthread_mutex_lock (&store.lock);
-      if (is_watch)
+      if (is_watch && !store.busy)
         await_change (after, read_query (request->path, "wait_ms=", 0));
       snprintf (text, capacity, "{\"%s\":[", is_watch ? "events" : "items");
       for (i = 0; i < store.count; i++)
@@ -514,7 +524,15 @@
       snprintf (text + strlen (text), capacity - strlen (text),
                 "]%s,\"as_of\":%lld}", is_watch ? "" : ",\"has_more\":false",
                 (long long)store.revision);
+      busy = store.busy;
       pthread_mutex_unlock (&store.lock);
+      if (busy)
+        {
+          if (!send_text (fd, "HTTP/1.1 503 Service Unavailable\r\n"
+                              "Content-Length: 2\r\n\r\n{}"))
+            break;
+          continue;
+        }
       if (!send_text (fd,
                       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                       "Content-Length: %zu\r\n\r\n%s",
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -86,6 +86,8 @@
 uint16_t store_port (void);
 void put_item (const char *key, const char *value);
 void delete_item (const char *key);
+/* While it is busy, the store answers all calls with 503.  */
+void set_store_busy (bool busy);
 
 /* One answer to a client.  status 0: the connection ended without a whole
    answer; cut: it had begun.  */
