Review: show that stopped runs go on at an engine later than it may be used

Cause: the time for which a leaving engine may be used counts from the moment at which this host read of it, which may be 0.7 s and more after the store's acknowledgement, when the host that it hears of it from freezes.

--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -504,16 +504,18 @@
   size_t capacity = BODY_BYTES;
   char *text = malloc (capacity);
 
-  (void)state;
   reader->fd = fd;
   while (read_request (reader, request))
     {
+      int *calls = state;
       bool is_watch = strncmp (request->path, "/kv-watch", 9) == 0;
       int64_t after = is_watch ? read_query (request->path, "after=", 0) : 0;
       bool busy;
       size_t i;
 
       pthread_mutex_lock (&store.lock);
+      if (calls != NULL)
+        ++*calls;
       if (is_watch && !store.busy)
         await_change (after, read_query (request->path, "wait_ms=", 0));
       snprintf (text, capacity, "{\"%s\":[", is_watch ? "events" : "items");
@@ -550,6 +552,15 @@
   start_listener (&store.listener, "127.0.0.1", 0, serve_store, NULL);
 }
 
+uint16_t
+add_store_address (int *calls)
+{
+  listener_t listener;
+
+  start_listener (&listener, "127.0.0.1", 0, serve_store, calls);
+  return listener.port;
+}
+
 uint16_t
 store_port (void)
 {
@@ -733,7 +744,7 @@
   fprintf (file, settings_text, gateway->name, gateway->zone, ip,
            gateway->callers, ip, gateway->readiness, ip, find_free_port (ip),
            ip, gateway->peers, ip, find_free_port (ip), seed->ip, seed->peers,
-           store_port (), retry_extra);
+           gateway->store != 0 ? gateway->store : store_port (), retry_extra);
   fclose (file);
 }
 
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -84,6 +84,9 @@
 /* The platform's store.  */
 void start_store (void);
 uint16_t store_port (void);
+/* One more address of the store, for the next gateway; *calls counts what is
+   asked there.  */
+uint16_t add_store_address (int *calls);
 void put_item (const char *key, const char *value);
 void delete_item (const char *key);
 /* While it is busy, the store answers all calls with 503.  */
@@ -124,6 +127,7 @@
   uint16_t callers;
   uint16_t readiness;
   uint16_t peers;
+  uint16_t store; /* 0: the store's first address */
   pid_t pid;
   int end_status; /* of waitpid; -1: it runs */
 } gateway_t;
