Review: show that a relayed stream runs on beside its second engine

Cause: the first host of a relayed stream doesn't know its engine, so that it sends the stream on when the second host is killed.

--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -719,6 +719,7 @@
       "  \"metrics\": \"%s:%u\",\n"
       "  \"peers\": \"%s:%u\",\n"
       "  \"relay\": \"%s:%u\",\n"
+      "%s"
       "  \"seeds\": [\"%s:%u\"],\n"
       "  \"store\": \"127.0.0.1:%u\",\n"
       "  \"cores\": 1,\n"
@@ -738,12 +739,16 @@
   const char *ip = gateway->ip;
   const gateway_t *seed = gateway_count == 0 ? gateway : gateways[0];
   FILE *file = fopen (path, "w");
+  char source[64] = "";
 
+  if (gateway->has_source)
+    snprintf (source, sizeof source, "  \"source\": \"%s:0\",\n", ip);
   if (file == NULL)
     give_up ("the settings can't be written");
   fprintf (file, settings_text, gateway->name, gateway->zone, ip,
-           gateway->callers, ip, gateway->readiness, ip, find_free_port (ip),
-           ip, gateway->peers, ip, find_free_port (ip), seed->ip, seed->peers,
+           gateway->callers, ip, gateway->readiness, ip, gateway->metrics,
+           ip, gateway->peers, ip, find_free_port (ip), source, seed->ip,
+           seed->peers,
            gateway->store != 0 ? gateway->store : store_port (), retry_extra);
   fclose (file);
 }
@@ -764,6 +769,7 @@
   gateway->callers = find_free_port (ip);
   gateway->readiness = find_free_port (ip);
   gateway->peers = find_free_port (ip);
+  gateway->metrics = find_free_port (ip);
   gateway->end_status = -1;
   snprintf (settings, sizeof settings, "%s/%s.json", folder, name);
   snprintf (log, sizeof log, "%s/%s.log", folder, name);
@@ -814,6 +820,30 @@
   return limit_ms != 0;
 }
 
+double
+read_metric (const gateway_t *gateway, const char *name)
+{
+  client_t *client = calloc (1, sizeof *client);
+  answer_t *answer = calloc (1, sizeof *answer);
+  double value = -1;
+  char line[PATH_BYTES];
+  const char *at;
+
+  client->ip = gateway->ip;
+  client->port = gateway->metrics;
+  if (send_client_request (client,
+                           "GET /metrics HTTP/1.1\r\nHost: metrics\r\n\r\n"))
+    read_answer (client, answer);
+  close_client (client);
+  snprintf (line, sizeof line, "\n%s ", name);
+  at = strstr (answer->body, line);
+  if (at != NULL)
+    value = atof (at + strlen (line));
+  free (client);
+  free (answer);
+  return value;
+}
+
 bool
 gateway_runs (gateway_t *gateway)
 {
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -127,7 +127,9 @@
   uint16_t callers;
   uint16_t readiness;
   uint16_t peers;
-  uint16_t store; /* 0: the store's first address */
+  uint16_t metrics;
+  uint16_t store;  /* 0: the store's first address */
+  bool has_source; /* connections to servers come from its own address */
   pid_t pid;
   int end_status; /* of waitpid; -1: it runs */
 } gateway_t;
@@ -136,6 +138,8 @@
                     const char *zone, uint32_t retry_extra);
 /* Waits until it is ready; false after limit_ms.  */
 bool await_ready (const gateway_t *gateway, int64_t limit_ms);
+/* The value of one of its metrics; -1: it can't be read.  */
+double read_metric (const gateway_t *gateway, const char *name);
 /* Whether it still runs.  */
 bool gateway_runs (gateway_t *gateway);
 void stop_gateway (gateway_t *gateway);
