--- a/review/5/case.c
+++ b/review/5/case.c
@@ -46,12 +46,15 @@
   ATTEMPTS_MAX = 20000,
   CONNECTIONS_MAX = 512,
   LOST_MAX = 3,
+  /* Until a gateway has crashed.  */
+  ROUNDS = 3,
   SERVED_MIN = 50,
   EXIT_BROKEN = 1,
   EXIT_CANNOT_RUN = 2
 };
 
-static const char deadly_part[] = "deadbeef";
+/* Another one in each round.  */
+static char deadly_part[] = "deadbee0";
 
 /* One boot of a model engine.  */
 typedef struct
@@ -583,6 +586,28 @@
   end_one_stream ();
 }
 
+/* Four engines end, one after the other; then the part is tried.  */
+static void
+play_round (int number)
+{
+  int i;
+
+  deadly_part[sizeof deadly_part - 2] = (char)('0' + number);
+  record ("round %d, deadly part %s", number + 1, deadly_part);
+  for (i = 0; i < engine_count; i++)
+    engines[i].ends_all = false;
+  began_ms = now_ms ();
+  for (i = 0; i < DRAFT_CLIENTS; i++)
+    start_call (call_short_drafts, NULL);
+  send_first_deadly_drafts ();
+  fill_engines ();
+  send_waiting_drafts ();
+  for (i = 0; i < 40 && gateway_runs (&gateway); i++)
+    sleep_ms (50);
+  end_all_streams ();
+  sleep_ms (500);
+}
+
 static int
 count_lost (void)
 {
@@ -619,18 +644,10 @@
   if (!await_ready (&gateway, 10000))
     give_up ("the gateway isn't ready");
   sleep_ms (500);
-  began_ms = now_ms ();
   for (i = 0; i < PAGE_CLIENTS; i++)
     clients[i] = start_call (call_pages, NULL);
-  for (i = 0; i < DRAFT_CLIENTS; i++)
-    start_call (call_short_drafts, NULL);
-  send_first_deadly_drafts ();
-  fill_engines ();
-  send_waiting_drafts ();
-  for (i = 0; i < 40 && gateway_runs (&gateway); i++)
-    sleep_ms (50);
-  end_all_streams ();
-  sleep_ms (500);
+  for (i = 0; i < ROUNDS && gateway_runs (&gateway); i++)
+    play_round (i);
   stopping = true;
   for (i = 0; i < PAGE_CLIENTS; i++)
     pthread_join (clients[i], NULL);
