A walk through requests passes over those that have ended

Cause: csp_end_unanswered refused the first request and had a pointer to the next. Refusing it cancelled its ask, which placed the waiting ones at once on the host that decides; the next one's part was held by then, so it was refused below, and once more by the walk, with no caller left.

Evidence: AddressSanitizer on a scratch copy, NULL caller in csp_caller_request_head below csp_end_unanswered, begin_part_hold, judge_failed_trials, on_tick. Ruled out: an exchange freed below the walk, and the dispatch entered again.

Change: an exchange that has ended stays in the list until the loop frees it, and all walks go through csp_first_exchange and csp_next_exchange, which pass over it; no predicate asks for it. What frees capacity only schedules placements and moves, and the decider's answers and leases to itself are queued: gateway-decide.c handles them from the loop, while no walk is under way.

Tests: changes-play.

--- a/source/gateway/gateway-cordon.c
+++ b/source/gateway/gateway-cordon.c
@@ -41,16 +41,14 @@
 static void
 refuse_waiting_requests (csp_gateway_t *gateway)
 {
-  csp_exchange_t *exchange = gateway->exchanges;
+  csp_exchange_t *exchange;
 
-  while (exchange != NULL)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
-      csp_exchange_t *next = exchange->next;
-
       if (exchange->asking && !exchange->asks_to_move
           && csp_is_service_cordoned (gateway->fleet, exchange->service->name))
         csp_refuse_cordoned (exchange);
-      exchange = next;
     }
 }
 
@@ -100,5 +98,5 @@
                                                                   : NULL));
   if (cordoned)
     refuse_waiting_requests (gateway);
-  csp_place_waiting_asks (gateway);
+  csp_schedule_placements (gateway);
 }
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -116,7 +116,6 @@
 
       csp_push_ask (gateway->dispatch, &ask, &service,
                     csp_gateway_now_ms (gateway));
-      csp_handle_local_answers (gateway);
       return;
     }
   hello.asks[0].id = ask.id;
@@ -181,7 +180,7 @@
       return;
     }
   exchange->move.decided_locally = true;
-  csp_start_due_moves (exchange->gateway);
+  csp_schedule_moves (exchange->gateway);
 }
 
 /* The placement or the move is no longer needed.  */
@@ -194,7 +193,7 @@
   if (is_self (gateway, exchange->asked_host))
     {
       csp_cancel_ask (gateway->dispatch, gateway->self, exchange->ask_id);
-      csp_place_waiting_asks (gateway);
+      csp_schedule_placements (gateway);
     }
   else
     csp_send_hello (gateway, &hello, &exchange->asked_host, 1);
@@ -275,13 +274,11 @@
 static csp_exchange_t *
 find_asking (const csp_gateway_t *gateway, uint64_t id)
 {
-  csp_exchange_t *exchange;
+  csp_exchange_t *exchange = csp_first_exchange (gateway);
 
-  for (exchange = gateway->exchanges; exchange != NULL;
-       exchange = exchange->next)
-    if (exchange->asking && exchange->ask_id == id)
-      return exchange;
-  return NULL;
+  while (exchange != NULL && (!exchange->asking || exchange->ask_id != id))
+    exchange = csp_next_exchange (exchange);
+  return exchange;
 }
 
 /* The decider has granted a placement or a move at the target.  */
@@ -314,9 +311,8 @@
     csp_place_locally (exchange);
 }
 
-/* Handle the decider's answer to an ask of this host.  */
-static void
-handle_ask_answer (csp_gateway_t *gateway, const csp_ask_answer_t *answer)
+void
+csp_handle_ask_answer (csp_gateway_t *gateway, const csp_ask_answer_t *answer)
 {
   csp_exchange_t *exchange = find_asking (gateway, answer->id);
 
@@ -352,45 +348,18 @@
 csp_deliver_ask_answer (void *state, const csp_ask_answer_t *answer)
 {
   csp_gateway_t *gateway = state;
+  csp_own_answer_t own = { .kind = CSP_OWN_ASK, .value = { .ask = *answer } };
   csp_hello_t hello = { .answer_count = 1 };
 
   if (is_self (gateway, answer->host))
     {
-      /* Without memory the answer is lost, and the ask is sent again soon.  */
-      csp_append_buffer (&gateway->local_answers, answer, sizeof *answer);
+      csp_queue_own_answer (gateway, &own);
       return;
     }
   hello.answers[0] = *answer;
   csp_send_hello (gateway, &hello, &answer->host, 1);
 }
 
-/* While this host is the decider, answers to its own asks are queued until the
-   dispatch has returned: handling them may send new asks, and the dispatch is
-   not reentrant.  */
-void
-csp_handle_local_answers (csp_gateway_t *gateway)
-{
-  csp_ask_answer_t answer;
-
-  if (gateway->handling_answers)
-    return;
-  gateway->handling_answers = true;
-  while (gateway->local_answers.size_bytes >= sizeof answer)
-    {
-      memcpy (&answer, gateway->local_answers.data, sizeof answer);
-      csp_consume_buffer (&gateway->local_answers, sizeof answer);
-      handle_ask_answer (gateway, &answer);
-    }
-  gateway->handling_answers = false;
-}
-
-void
-csp_place_waiting_asks (csp_gateway_t *gateway)
-{
-  csp_pump_dispatch (gateway->dispatch, csp_gateway_now_ms (gateway));
-  csp_handle_local_answers (gateway);
-}
-
 uint32_t
 csp_service_hash (const csp_route_service_t *service)
 {
@@ -422,9 +391,9 @@
   for (i = 0; i < hello->cancel_count; i++)
     csp_cancel_ask (gateway->dispatch, from, hello->cancels[i]);
   if (hello->cancel_count > 0)
-    csp_pump_dispatch (gateway->dispatch, now_ms);
+    csp_schedule_placements (gateway);
   for (i = 0; i < hello->answer_count; i++)
-    handle_ask_answer (gateway, &hello->answers[i]);
+    csp_handle_ask_answer (gateway, &hello->answers[i]);
   for (i = 0; i < hello->ask_count; i++)
     {
       const csp_hello_ask_t *row = &hello->asks[i];
@@ -455,5 +424,4 @@
           csp_push_ask (gateway->dispatch, &ask, &described, now_ms);
         }
     }
-  csp_handle_local_answers (gateway);
 }
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -34,6 +34,12 @@
 
   if (--exchange->open_handles > 0)
     return;
+  if (exchange->previous != NULL)
+    exchange->previous->next = exchange->next;
+  else
+    exchange->gateway->exchanges = exchange->next;
+  if (exchange->next != NULL)
+    exchange->next->previous = exchange->previous;
   csp_clear_buffer (&exchange->body);
   csp_clear_buffer (&exchange->head);
   csp_clear_buffer (&exchange->buffered);
@@ -41,6 +47,26 @@
   free (exchange);
 }
 
+static csp_exchange_t *
+skip_ended (csp_exchange_t *exchange)
+{
+  while (exchange != NULL && exchange->ended)
+    exchange = exchange->next;
+  return exchange;
+}
+
+csp_exchange_t *
+csp_first_exchange (const csp_gateway_t *gateway)
+{
+  return skip_ended (gateway->exchanges);
+}
+
+csp_exchange_t *
+csp_next_exchange (const csp_exchange_t *exchange)
+{
+  return skip_ended (exchange->next);
+}
+
 /* Close the exchange and release what it holds, at targets too.  */
 static void
 close_exchange (csp_exchange_t *exchange)
@@ -56,12 +82,6 @@
   csp_release_link_reservation (exchange);
   csp_release_routes (exchange->routes);
   exchange->routes = NULL;
-  if (exchange->previous != NULL)
-    exchange->previous->next = exchange->next;
-  else
-    exchange->gateway->exchanges = exchange->next;
-  if (exchange->next != NULL)
-    exchange->next->previous = exchange->previous;
   uv_close ((uv_handle_t *)&exchange->deadline, free_closed);
   uv_close ((uv_handle_t *)&exchange->move.timer, free_closed);
 }
--- a/source/gateway/gateway-grant.c
+++ b/source/gateway/gateway-grant.c
@@ -184,11 +184,10 @@
 static csp_exchange_t *
 find_waiting (const csp_gateway_t *gateway, uint64_t grant_id)
 {
-  csp_exchange_t *exchange = gateway->exchanges;
+  csp_exchange_t *exchange = csp_first_exchange (gateway);
 
-  while (exchange != NULL
-         && (exchange->ended || exchange->grant_id != grant_id))
-    exchange = exchange->next;
+  while (exchange != NULL && exchange->grant_id != grant_id)
+    exchange = csp_next_exchange (exchange);
   return exchange;
 }
 
--- a/source/gateway/gateway-host-imp.h
+++ b/source/gateway/gateway-host-imp.h
@@ -59,7 +59,41 @@
                                 csp_peer_address_t from,
                                 const csp_hello_t *hello);
 
-void csp_handle_local_answers (csp_gateway_t *gateway);
+/* Handle the decider's answer to an ask of this host.  */
+void csp_handle_ask_answer (csp_gateway_t *gateway,
+                            const csp_ask_answer_t *answer);
+
+/* Lease: see gateway-lease.c.  Handle the decider's answer to a request for
+   leases.  */
+void csp_handle_lease (csp_gateway_t *gateway, const csp_hello_lease_t *lease);
+
+/* Decide: see gateway-decide.c.  An answer of this host, as the decider, to
+   itself.  */
+typedef enum
+{
+  CSP_OWN_ASK,
+  CSP_OWN_LEASE
+} csp_own_answer_kind_t;
+
+typedef struct
+{
+  csp_own_answer_kind_t kind;
+  union
+  {
+    csp_ask_answer_t ask;
+    csp_hello_lease_t lease;
+  } value;
+} csp_own_answer_t;
+
+void csp_open_decisions (csp_gateway_t *gateway);
+void csp_stop_decisions (csp_gateway_t *gateway);
+
+/* Soon, from the loop: handle an answer; place waiting asks where capacity has
+   become free; and start moves.  */
+void csp_queue_own_answer (csp_gateway_t *gateway,
+                           const csp_own_answer_t *answer);
+void csp_schedule_placements (csp_gateway_t *gateway);
+void csp_schedule_moves (csp_gateway_t *gateway);
 
 /* Find a service by the hash of its name; NULL where no route uses it.  */
 const csp_route_service_t *
@@ -80,9 +114,6 @@
    bounded by that part.  Call it periodically.  */
 void csp_update_decider_role (csp_gateway_t *gateway);
 
-/* Place waiting asks where capacity has become free.  */
-void csp_place_waiting_asks (csp_gateway_t *gateway);
-
 /* Quarantine: see gateway-quarantine.c.  Send new strikes to all hosts.  Call
    it periodically.  */
 void csp_broadcast_suspects (csp_gateway_t *gateway);
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -33,6 +33,7 @@
 /* Parts of the forwarder, all on the traffic thread:
 
      caller        one caller's connection: reads requests, writes answers
+     decide        handles this host's decisions about its own requests
      exchange      one request, from its head to the end of its answer
      attempt       one attempt to send the request to a target
      stream        splits an answer into whole events, tracks the last id sent
@@ -65,7 +66,8 @@
    gateway-host-imp.h what concerns other hosts.
 
    An exchange lives from csp_begin_exchange until it is finished, failed or
-   abandoned; a caller has at most one.  */
+   abandoned; a caller has at most one.  One that has ended stays in the list
+   until the loop frees it, so that no walk loses its place.  */
 
 typedef struct csp_caller csp_caller_t;
 typedef struct csp_exchange csp_exchange_t;
@@ -213,8 +215,10 @@
   csp_quarantine_t *quarantine;
   csp_part_quarantine_t *part_quarantine;
   uint64_t next_ask_id;
-  csp_buffer_t local_answers; /* a sequence of csp_ask_answer_t */
-  bool handling_answers;
+  uv_idle_t decide;         /* while decisions about own requests are due */
+  csp_buffer_t own_answers; /* a sequence of csp_own_answer_t */
+  bool placements_due;
+  bool moves_due;
   uv_udp_t peer_socket;
   uv_timer_t load_report_timer;
   uv_timer_t hello_timer;
@@ -245,8 +249,8 @@
   csp_gateway_counts_t counts;
   /* Counts and histograms per organisation and route.  */
   csp_metrics_t *request_metrics;
-  csp_caller_t *callers; /* all open connections */
-  csp_exchange_t *exchanges;
+  csp_caller_t *callers;     /* all open connections */
+  csp_exchange_t *exchanges; /* see csp_first_exchange */
   csp_left_run_t *left_runs; /* to be stopped at their targets */
   size_t left_run_count;
   csp_status_query_t *status_queries;
@@ -357,6 +361,11 @@
 /* The caller disconnected or sent malformed bytes.  */
 void csp_abandon_exchange (csp_exchange_t *exchange);
 
+/* Walk through the exchanges that haven't ended.  The body of the walk may end
+   any of them; one that begins meanwhile is passed over.  */
+csp_exchange_t *csp_first_exchange (const csp_gateway_t *gateway);
+csp_exchange_t *csp_next_exchange (const csp_exchange_t *exchange);
+
 /* Load: see gateway-load.c.  False when out of memory.  */
 bool csp_open_host_load (csp_gateway_t *gateway);
 void csp_close_host_load (csp_gateway_t *gateway);
--- a/source/gateway/gateway-lease.c
+++ b/source/gateway/gateway-lease.c
@@ -93,8 +93,8 @@
   const csp_exchange_t *exchange;
   uint32_t count = 0;
 
-  for (exchange = gateway->exchanges; exchange != NULL;
-       exchange = exchange->next)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     count += awaits_lease_of (exchange, row);
   return count;
 }
@@ -102,27 +102,23 @@
 /* Send waiting requests again as far as the lease allows.  Without a lease all
    of them fail at once: retries become free only after seconds.  */
 static void
-handle_lease (csp_gateway_t *gateway, csp_service_budget_t *row,
-              uint32_t amount)
+use_lease (csp_gateway_t *gateway, csp_service_budget_t *row, uint32_t amount)
 {
-  csp_exchange_t *exchange = gateway->exchanges;
+  csp_exchange_t *exchange;
 
   row->lease_request_id = 0;
   csp_take_retry_lease (&row->budget, amount,
                         row->lease_requested_ms + CSP_LEASE_MS);
-  while (exchange != NULL && (amount == 0 || row->budget.leased > 0))
-    {
-      csp_exchange_t *next = exchange->next;
-
-      if (awaits_lease_of (exchange, row))
-        {
-          exchange->awaits_lease = false;
-          uv_timer_stop (&exchange->move.timer);
-          csp_retry_or_fail (exchange, exchange->lease_reason,
-                             exchange->lease_detail, false);
-        }
-      exchange = next;
-    }
+  for (exchange = csp_first_exchange (gateway);
+       exchange != NULL && (amount == 0 || row->budget.leased > 0);
+       exchange = csp_next_exchange (exchange))
+    if (awaits_lease_of (exchange, row))
+      {
+        exchange->awaits_lease = false;
+        uv_timer_stop (&exchange->move.timer);
+        csp_retry_or_fail (exchange, exchange->lease_reason,
+                           exchange->lease_detail, false);
+      }
 }
 
 /* Request leases for all requests that wait now; later ones cause a new lease
@@ -132,7 +128,7 @@
 {
   int64_t now_ms = csp_gateway_now_ms (gateway);
   uint32_t wanted = count_awaiting_lease (gateway, row);
-  csp_hello_t hello = { .lease_request_count = 1 };
+  csp_hello_lease_t lease = { .service = hash_of_service (row->service) };
 
   if (wanted == 0
       || (row->lease_request_id != 0
@@ -140,16 +136,22 @@
     return;
   row->lease_request_id = ++gateway->next_ask_id;
   row->lease_requested_ms = now_ms;
+  lease.id = row->lease_request_id;
   if (csp_is_same_peer (gateway->decider, gateway->self))
     {
-      handle_lease (gateway, row, grant_leases (gateway, row, wanted));
-      return;
+      lease.amount = grant_leases (gateway, row, wanted);
+      csp_queue_own_answer (
+          gateway, &(csp_own_answer_t){ .kind = CSP_OWN_LEASE,
+                                        .value = { .lease = lease } });
+    }
+  else
+    {
+      csp_hello_t hello = { .lease_request_count = 1 };
+
+      lease.amount = wanted;
+      hello.lease_requests[0] = lease;
+      csp_send_hello (gateway, &hello, &gateway->decider, 1);
     }
-  hello.lease_requests[0]
-      = (csp_hello_lease_t){ .service = hash_of_service (row->service),
-                             .id = row->lease_request_id,
-                             .amount = wanted };
-  csp_send_hello (gateway, &hello, &gateway->decider, 1);
 }
 
 static void
@@ -211,20 +213,27 @@
   csp_send_hello (gateway, &hello, &from, 1);
 }
 
+void
+csp_handle_lease (csp_gateway_t *gateway, const csp_hello_lease_t *lease)
+{
+  csp_service_budget_t *row = gateway->budgets;
+
+  while (row != NULL && row->lease_request_id != lease->id)
+    row = row->next;
+  if (row != NULL && lease->id != 0)
+    use_lease (gateway, row, lease->amount);
+}
+
 void
 csp_handle_lease_hello (csp_gateway_t *gateway, csp_peer_address_t from,
                         const csp_hello_t *hello)
 {
-  csp_service_budget_t *row;
   size_t i;
 
   for (i = 0; i < hello->lease_request_count; i++)
     answer_lease_request (gateway, from, &hello->lease_requests[i]);
   for (i = 0; i < hello->lease_count; i++)
-    for (row = gateway->budgets; row != NULL; row = row->next)
-      if (row->lease_request_id == hello->leases[i].id
-          && hello->leases[i].id != 0)
-        handle_lease (gateway, row, hello->leases[i].amount);
+    csp_handle_lease (gateway, &hello->leases[i]);
 }
 
 void
--- a/source/gateway/gateway-load.c
+++ b/source/gateway/gateway-load.c
@@ -65,8 +65,8 @@
   const csp_exchange_t *exchange;
   uint64_t bytes = 0;
 
-  for (exchange = gateway->exchanges; exchange != NULL;
-       exchange = exchange->next)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     bytes
         += csp_caller_backlog (exchange->caller)
            + (exchange->link == NULL ? 0 : csp_link_backlog (exchange->link));
@@ -123,8 +123,8 @@
   uint64_t bytes_per_s = 0;
   uint64_t count = 0;
 
-  for (exchange = gateway->exchanges; exchange != NULL;
-       exchange = exchange->next)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
       int64_t elapsed_ms = now_ms - exchange->first_event_ms;
 
--- a/source/gateway/gateway-move.c
+++ b/source/gateway/gateway-move.c
@@ -291,7 +291,7 @@
   if (exchange->answer_mode != CSP_ANSWER_STREAM
       || exchange->run_started_ms == 0)
     return;
-  csp_start_due_moves (exchange->gateway);
+  csp_schedule_moves (exchange->gateway);
 }
 
 /* Choose the destination without a grant of the decider.  If all targets seem
--- a/source/gateway/gateway-paths.c
+++ b/source/gateway/gateway-paths.c
@@ -120,8 +120,8 @@
   int64_t limit_ms = csp_extend_timeout_ms (gateway, SILENT_MS);
   csp_exchange_t *exchange;
 
-  for (exchange = gateway->exchanges; exchange != NULL;
-       exchange = exchange->next)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
       csp_fleet_target_t *target = exchange->target;
       int64_t silent_ms = exchange->service != NULL
--- a/source/gateway/gateway-peers.c
+++ b/source/gateway/gateway-peers.c
@@ -216,7 +216,7 @@
   if (record_peer_hello (gateway, peer, &hello)
       && (hello.is_full_report || hello.load_count > 0)
       && csp_count_waiting_asks (gateway->dispatch) > 0)
-    csp_place_waiting_asks (gateway);
+    csp_schedule_placements (gateway);
   if (hello.reply_requested)
     answer_hello (gateway, peer, &hello);
   csp_handle_leaving_notices (gateway, &hello);
--- a/source/gateway/gateway-quarantine.c
+++ b/source/gateway/gateway-quarantine.c
@@ -99,7 +99,7 @@
 static bool
 is_request (csp_exchange_t *exchange, uint64_t fingerprint)
 {
-  return !exchange->ended && exchange->service != NULL
+  return exchange->service != NULL
          && csp_exchange_fingerprint (exchange) == fingerprint;
 }
 
@@ -107,19 +107,17 @@
 csp_end_unanswered (csp_gateway_t *gateway, csp_exchange_match_t matches,
                     uint64_t value, const csp_exchange_t *not_this)
 {
-  csp_exchange_t *exchange = gateway->exchanges;
+  csp_exchange_t *exchange;
 
-  while (exchange != NULL)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
-      csp_exchange_t *next = exchange->next;
-
       if (exchange != not_this && !has_answer (exchange)
           && matches (exchange, value))
         {
           exchange->may_have_run = csp_exchange_may_have_run (exchange);
           csp_refuse_quarantined (exchange);
         }
-      exchange = next;
     }
 }
 
@@ -189,18 +187,16 @@
 csp_move_cleared_streams (csp_gateway_t *gateway, csp_exchange_match_t matches,
                           uint64_t value, const csp_exchange_t *not_this)
 {
-  csp_exchange_t *exchange = gateway->exchanges;
+  csp_exchange_t *exchange;
 
-  while (exchange != NULL)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
-      csp_exchange_t *next = exchange->next;
-
       if (exchange != not_this && exchange->target != NULL
           && matches (exchange, value)
           && (exchange->target->state == CSP_FLEET_LEAVING
               || exchange->target->state == CSP_FLEET_GONE))
         csp_consider_move (exchange);
-      exchange = next;
     }
 }
 
--- a/source/gateway/gateway-target-state.c
+++ b/source/gateway/gateway-target-state.c
@@ -28,16 +28,14 @@
 static void
 refuse_waiting_requests (csp_gateway_t *gateway)
 {
-  csp_exchange_t *exchange = gateway->exchanges;
+  csp_exchange_t *exchange;
 
-  while (exchange != NULL)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
-      csp_exchange_t *next = exchange->next;
-
-      if (!exchange->ended && exchange->asking && !exchange->asks_to_move
+      if (exchange->asking && !exchange->asks_to_move
           && csp_is_service_backed_off (exchange))
         csp_refuse_backed_off (exchange);
-      exchange = next;
     }
 }
 
--- a/source/gateway/gateway-turn.c
+++ b/source/gateway/gateway-turn.c
@@ -109,14 +109,13 @@
 csp_start_due_moves (csp_gateway_t *gateway)
 {
   int64_t now_ms = csp_gateway_now_ms (gateway);
-  csp_exchange_t *exchange = gateway->exchanges;
+  csp_exchange_t *exchange;
   csp_exchange_t *best = NULL;
   bool waiting = false;
 
-  while (exchange != NULL)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
-      csp_exchange_t *next = exchange->next;
-
       /* A run that is expected to end in time is checked again, since it may
          not.  */
       if (csp_waits_for_move (exchange))
@@ -128,7 +127,6 @@
                          > csp_expected_remaining_ms (best)))
             best = exchange;
         }
-      exchange = next;
     }
   if (waiting)
     uv_timer_start (&gateway->move_timer, on_move_timer, TURN_TICK_MS, 0);
@@ -198,17 +196,15 @@
 void
 csp_drop_copies_at (csp_gateway_t *gateway, const csp_fleet_target_t *target)
 {
-  csp_exchange_t *exchange = gateway->exchanges;
+  csp_exchange_t *exchange;
 
-  while (exchange != NULL)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
-      csp_exchange_t *next = exchange->next;
-
       if (exchange->backup == target)
         exchange->backup = NULL;
       if (exchange->move.destination == target)
         csp_note_destination_left (exchange);
-      exchange = next;
     }
 }
 
@@ -221,14 +217,11 @@
   target->may_move_at_ms
       = csp_gateway_now_ms (gateway) + own_turn_ms (gateway, target);
   csp_drop_copies_at (gateway, target);
-  exchange = gateway->exchanges;
-  while (exchange != NULL)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
-      csp_exchange_t *next = exchange->next;
-
       if (exchange->target == target)
         csp_consider_move (exchange);
-      exchange = next;
     }
 }
 
@@ -238,8 +231,6 @@
 static bool
 may_be_silent (const csp_exchange_t *exchange)
 {
-  if (exchange->ended)
-    return false;
   if (exchange->resume.pending)
     return exchange->link != NULL && csp_may_leave_gone_target (exchange);
   return exchange->run_started_ms != 0
@@ -265,12 +256,11 @@
 csp_resume_silent_streams (csp_gateway_t *gateway)
 {
   int64_t now_ms = csp_gateway_now_ms (gateway);
-  csp_exchange_t *exchange = gateway->exchanges;
+  csp_exchange_t *exchange;
 
-  while (exchange != NULL)
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
     {
-      csp_exchange_t *next = exchange->next;
-
       if (may_be_silent (exchange)
           && now_ms - exchange->last_data_ms >= silence_limit_ms (exchange)
           && csp_caller_backlog (exchange->caller) == 0)
@@ -279,6 +269,5 @@
           exchange->last_data_ms = now_ms;
           csp_leave_silent_run (exchange);
         }
-      exchange = next;
     }
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -293,7 +293,7 @@
   csp_repeat_rate_notices (gateway);
   csp_update_decider_role (gateway);
   csp_update_target_dampings (gateway);
-  csp_place_waiting_asks (gateway);
+  csp_schedule_placements (gateway);
   /* The balancer no longer sends callers here; on connections that stay open
      callers would still be refused.  */
   if (csp_is_isolated (gateway) && csp_isolated_retry_ms (gateway) == 0)
@@ -365,6 +365,7 @@
   uv_timer_start (&gateway->tick, on_tick, TICK_MS, TICK_MS);
   uv_timer_init (&gateway->loop, &gateway->move_timer);
   gateway->move_timer.data = gateway;
+  csp_open_decisions (gateway);
   gateway->fleet = csp_create_fleet (on_target_left, on_target_freed, gateway);
   gateway->request_metrics = csp_create_metrics (CSP_SERIES_MAX);
   gateway->quarantine = csp_create_quarantine ();
@@ -426,8 +427,9 @@
   uv_run (&gateway->loop, UV_RUN_NOWAIT);
   gateway->caller_waits = false;
   on_wake (&gateway->wake);
+  csp_stop_decisions (gateway);
   csp_destroy_dispatch (gateway->dispatch);
-  csp_clear_buffer (&gateway->local_answers);
+  csp_clear_buffer (&gateway->own_answers);
   csp_destroy_fleet (gateway->fleet);
   csp_release_routes (gateway->routes);
   uv_run (&gateway->loop, UV_RUN_NOWAIT);
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -168,12 +168,14 @@
   uint64_t link_bytes_per_s = fixture->link_bytes_per_s;
   const struct sockaddr_in *seed = fixture->seed;
   bool without_moves = fixture->without_moves;
+  bool turned_by_test = fixture->turned_by_test;
   csp_clock_t clock;
   char message[256];
 
   signal (SIGPIPE, SIG_IGN);
   memset (fixture, 0, sizeof *fixture);
   fixture->without_moves = without_moves;
+  fixture->turned_by_test = turned_by_test;
   settings.link_bytes_per_s = link_bytes_per_s;
   settings.relay_address = *datagram_address;
   settings.relay_address.sin_port = 0;
@@ -192,6 +194,8 @@
   fixture->gateway = csp_create_gateway (&settings, &dialect, &clock, NULL,
                                          message, sizeof message);
   ck_assert_msg (fixture->gateway != NULL, "%s", message);
+  if (turned_by_test)
+    return;
   ck_assert_int_eq (
       pthread_create (&fixture->thread, NULL, run_gateway, fixture), 0);
   fixture->running = true;
@@ -201,6 +205,11 @@
 void
 fixture_close (fixture_t *fixture)
 {
+  if (fixture->turned_by_test)
+    {
+      csp_destroy_gateway (fixture->gateway);
+      return;
+    }
   fixture_send_update (fixture, CSP_UPDATE_STOP);
   csp_advance_fake_clock (&fixture->fake_clock, STOP_LIMIT_MS);
   while (fixture->running)
--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -40,6 +40,9 @@
   uint32_t head_max_bytes;
   /* Data centre in which targets are listed; NULL: the gateway's own.  */
   const char *target_data_centre;
+  /* Set before the fixture is opened: the gateway has no thread, and the test
+     turns its loop.  */
+  bool turned_by_test;
 } fixture_t;
 
 /* Routes, all at host "h": /safe/ (idempotent, two attempts) and /once/ go to
