Targets are reported as left once the list is whole

Cause: csp_expire_targets closed the gaps of the list in the pass that reported targets as left. Moving their streams chose among all targets, with the old count, over slots whose targets the pass had freed.

Evidence: AddressSanitizer on a scratch copy, use after free in gather_speeds below choose_destination, csp_push_ask, csp_drain_target and csp_expire_targets, freed by the same call.

Change: the fleet notes which targets have left and calls back for them, one by one, behind each change: an expiry, a listing, a removal, a notice. Lapsed targets are taken for gone in one pass, gone ones freed in another.

--- a/include/cowslipspoke/fleet.h
+++ b/include/cowslipspoke/fleet.h
@@ -138,12 +138,13 @@
 
 typedef struct csp_fleet csp_fleet_t;
 
-/* Called for each target that begins to leave or is gone.  */
+/* Called for each target that begins to leave or is gone.  The fleet may be
+   searched and changed.  */
 typedef void (*csp_fleet_leave_callback_t) (void *state,
                                             csp_fleet_target_t *target);
 
-/* Called before a target is freed, so that what refers to it is released
-   too.  */
+/* Called before a target is freed, so that what refers to it is released too.
+   The fleet must not be searched or changed meanwhile.  */
 typedef void (*csp_fleet_free_callback_t) (void *state,
                                            csp_fleet_target_t *target);
 
--- a/source/fleet/fleet-imp.h
+++ b/source/fleet/fleet-imp.h
@@ -18,6 +18,7 @@
   struct cds_list_head changed_load; /* among the fleet's; empty: it isn't */
   struct cds_list_head stated_rate;  /* the same */
   struct cds_list_head has_losses;   /* the same */
+  struct cds_list_head left;         /* the same */
 } target_entry_t;
 
 enum
@@ -68,6 +69,7 @@
      long ago.  */
   struct cds_list_head damped_targets;
   struct cds_list_head lossy_targets;
+  struct cds_list_head left_targets; /* that on_leave isn't called for yet */
   csp_cordons_t *cordons;
   size_t cold_limit_count;
   csp_cold_limit_t cold_limits[CSP_COLD_LIMITS_MAX];
--- a/source/fleet/fleet.c
+++ b/source/fleet/fleet.c
@@ -42,6 +42,7 @@
   cds_list_del (&entry->changed_load);
   cds_list_del (&entry->stated_rate);
   cds_list_del (&entry->has_losses);
+  cds_list_del (&entry->left);
   csp_remove_from_index (&fleet->by_start, &entry->by_start);
   csp_remove_from_index (&fleet->by_id, &entry->by_id);
   free (entry);
@@ -82,6 +83,7 @@
   CDS_INIT_LIST_HEAD (&fleet->stated_rates);
   CDS_INIT_LIST_HEAD (&fleet->damped_targets);
   CDS_INIT_LIST_HEAD (&fleet->lossy_targets);
+  CDS_INIT_LIST_HEAD (&fleet->left_targets);
   fleet->cordons = csp_create_cordons ();
   if (fleet->cordons != NULL
       && csp_open_index (&fleet->by_start, INITIAL_CAPACITY) == 0
@@ -171,6 +173,7 @@
   CDS_INIT_LIST_HEAD (&entry->changed_load);
   CDS_INIT_LIST_HEAD (&entry->stated_rate);
   CDS_INIT_LIST_HEAD (&entry->has_losses);
+  CDS_INIT_LIST_HEAD (&entry->left);
   csp_add_to_index (&fleet->by_start, &entry->by_start, entry->target.hash);
   csp_add_to_index (&fleet->by_id, &entry->by_id, local_hash_of_id (id));
   fleet->targets[fleet->count++] = &entry->target;
@@ -184,10 +187,29 @@
   return state == CSP_FLEET_LAPSED || state == CSP_FLEET_GONE;
 }
 
+/* Calls on_leave for the targets that have left since the last call.  The
+   callback chooses among all targets and may change further ones, so a change
+   of the fleet ends with this, once the list of targets is whole again.  */
+static void
+report_left_targets (csp_fleet_t *fleet)
+{
+  while (!cds_list_empty (&fleet->left_targets))
+    {
+      target_entry_t *entry
+          = cds_list_first_entry (&fleet->left_targets, target_entry_t, left);
+
+      cds_list_del_init (&entry->left);
+      if (fleet->on_leave != NULL)
+        fleet->on_leave (fleet->state, &entry->target);
+    }
+}
+
+/* report_left_targets has to follow.  */
 static void
 set_state (csp_fleet_t *fleet, csp_fleet_target_t *target,
            csp_fleet_state_t state)
 {
+  target_entry_t *entry = csp_entry_of_target (target);
   bool was_leaving
       = target->state == CSP_FLEET_LEAVING || target->state == CSP_FLEET_GONE;
   bool is_leaving = state == CSP_FLEET_LEAVING || state == CSP_FLEET_GONE;
@@ -202,8 +224,8 @@
   target->leaves |= state == CSP_FLEET_LEAVING;
   if (state != CSP_FLEET_GONE)
     target->gone_at_ms = 0;
-  if (is_leaving && !was_leaving && fleet->on_leave != NULL)
-    fleet->on_leave (fleet->state, target);
+  if (is_leaving && !was_leaving && cds_list_empty (&entry->left))
+    cds_list_add_tail (&entry->left, &fleet->left_targets);
 }
 
 void
@@ -283,9 +305,8 @@
     target->leave_listed_ms = now_ms;
 }
 
-bool
-csp_update_target (csp_fleet_t *fleet, const csp_fleet_row_t *row,
-                   int64_t now_ms)
+static bool
+update_target (csp_fleet_t *fleet, const csp_fleet_row_t *row, int64_t now_ms)
 {
   csp_fleet_group_t *group = csp_find_or_add_group (fleet, row);
   csp_fleet_target_t *target;
@@ -315,6 +336,16 @@
   return true;
 }
 
+bool
+csp_update_target (csp_fleet_t *fleet, const csp_fleet_row_t *row,
+                   int64_t now_ms)
+{
+  bool updated = update_target (fleet, row, now_ms);
+
+  report_left_targets (fleet);
+  return updated;
+}
+
 void
 csp_note_target_start (csp_fleet_t *fleet, const csp_fleet_target_t *target,
                        int64_t born_ms, int64_t now_ms)
@@ -364,8 +395,10 @@
 {
   csp_fleet_target_t *target = csp_find_fleet_target (fleet, id);
 
-  if (target != NULL)
-    remove_or_lapse (fleet, target, now_ms);
+  if (target == NULL)
+    return;
+  remove_or_lapse (fleet, target, now_ms);
+  report_left_targets (fleet);
 }
 
 void
@@ -376,6 +409,7 @@
     return;
   target->self_announced = true;
   set_state (fleet, target, CSP_FLEET_LEAVING);
+  report_left_targets (fleet);
 }
 
 size_t
@@ -400,14 +434,11 @@
   fleet->platform_reachable = reachable;
 }
 
-void
-csp_expire_targets (csp_fleet_t *fleet, int64_t now_ms)
+static void
+remove_lapsed_targets (csp_fleet_t *fleet, int64_t now_ms)
 {
-  size_t kept = 0;
   size_t i;
 
-  if (fleet->ending_count == 0)
-    return;
   for (i = 0; i < fleet->count; i++)
     {
       csp_fleet_target_t *target = fleet->targets[i];
@@ -416,6 +447,19 @@
         remove_listed (fleet, target, now_ms);
       if (target->state == CSP_FLEET_GONE && target->gone_at_ms == 0)
         target->gone_at_ms = now_ms;
+    }
+}
+
+static void
+free_gone_targets (csp_fleet_t *fleet, int64_t now_ms)
+{
+  size_t kept = 0;
+  size_t i;
+
+  for (i = 0; i < fleet->count; i++)
+    {
+      csp_fleet_target_t *target = fleet->targets[i];
+
       if (target->state == CSP_FLEET_GONE && target->users == 0
           && now_ms - target->gone_at_ms >= GONE_RETENTION_MS)
         {
@@ -428,6 +472,16 @@
   fleet->count = kept;
 }
 
+void
+csp_expire_targets (csp_fleet_t *fleet, int64_t now_ms)
+{
+  if (fleet->ending_count == 0)
+    return;
+  remove_lapsed_targets (fleet, now_ms);
+  free_gone_targets (fleet, now_ms);
+  report_left_targets (fleet);
+}
+
 void
 csp_clear_peer_loads (csp_fleet_t *fleet)
 {
--- a/tests/fleet/fleet-targets-test.c
+++ b/tests/fleet/fleet-targets-test.c
@@ -12,21 +12,43 @@
 static csp_fleet_t *fleet;
 static csp_random_t prng;
 static char left[256];
+static const char *also_leaves; /* as soon as another target has left */
+
+/* Each listed target is a live one.  */
+static void
+check_targets (void)
+{
+  size_t i;
+
+  for (i = 0; i < csp_fleet_size (fleet); i++)
+    {
+      csp_fleet_target_t *target = csp_fleet_at (fleet, i);
+
+      ck_assert_ptr_eq (csp_find_target_by_hash (fleet, target->hash), target);
+    }
+}
 
 static void
 note_left (void *state, csp_fleet_target_t *target)
 {
   size_t used_bytes = strlen (left);
+  const char *next = also_leaves;
 
   (void)state;
   snprintf (left + used_bytes, sizeof left - used_bytes, "%s ",
             target->row.id);
+  also_leaves = NULL;
+  if (next == NULL)
+    return;
+  check_targets ();
+  csp_note_target_leaves (fleet, csp_find_fleet_target (fleet, next));
 }
 
 static void
 set_up (void)
 {
   left[0] = '\0';
+  also_leaves = NULL;
   csp_seed_random (&prng, 11);
   fleet = csp_create_fleet (note_left, NULL, NULL);
   ck_assert_ptr_nonnull (fleet);
@@ -446,6 +468,27 @@
 }
 END_TEST
 
+/* Guards against a target that is reported as left while the list still has
+   targets that were freed in the same pass.  */
+START_TEST (lapsed_targets_leave_a_whole_list_behind)
+{
+  list ("a", "a", false, 0);
+  list ("b", "a", false, 0);
+  list ("c", "a", false, 0);
+  list ("d", "a", false, 0);
+  csp_remove_target (fleet, "b", 1);
+  csp_expire_targets (fleet, 1);
+  csp_note_platform (fleet, false, 8000);
+  csp_note_platform (fleet, true, 8000);
+  csp_remove_target (fleet, "c", 8000);
+  also_leaves = "a";
+  csp_expire_targets (fleet, 11000);
+  ck_assert_str_eq (left, "b c a ");
+  ck_assert_uint_eq (csp_fleet_size (fleet), 3);
+  check_targets ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -467,6 +510,7 @@
   tcase_add_test (tcase, a_load_is_subtracted_as_it_was_added);
   tcase_add_test (tcase, each_of_many_targets_is_found);
   tcase_add_test (tcase, a_changed_load_is_taken_once);
+  tcase_add_test (tcase, lapsed_targets_leave_a_whole_list_behind);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
