An answer states a status of three digits from 100 to 599

Callers behind one server with status 000, 0, 20, 020 or 099 in its answers got 504 at their deadline, and safe requests weren't tried elsewhere; 600 and 999 reached them as they came. An engine's 0404 to a stop was taken for 404, which proves that a run has ended.

Cause: the head's parser takes any number below 1000 for a status, and what is below 200 counted as an interim answer, behind which the final one is waited for.

Change: csp_is_http_status_line, asked by the reader of each answer's head before it is parsed, and by the header callbacks of libcurl's calls. 101 is none either. Such an answer counts as other bytes that are no answer do: a failed attempt that may have run, its connection closed, a safe request served elsewhere.

Ruled out: a check at each place that reads a status; there are eleven, and the number is gone into a valid one by then.

--- a/include/cowslipspoke/http.h
+++ b/include/cowslipspoke/http.h
@@ -143,6 +143,10 @@
    names.  */
 bool csp_is_hop_by_hop_field (const csp_http_head_t *head, const char *name);
 
+/* Whether a line begins an answer: HTTP/1.x and a status of three digits, from
+   100 to 599.  101 is none, since no other protocol is ever asked for.  */
+bool csp_is_http_status_line (const char *line, size_t size_bytes);
+
 /* The standard reason phrase of a status code; "Unknown" if there is none.  */
 const char *csp_http_reason_phrase (uint16_t status);
 
--- a/source/http/http-head.c
+++ b/source/http/http-head.c
@@ -12,9 +12,13 @@
   /* 15 digits can't overflow 64 bits, and exceed any limit by far.  */
   LENGTH_DIGITS_MAX = 15,
   DECIMAL = 10,
+  STATUS_DIGITS = 3,
+  STATUS_MIN = 100,
+  STATUS_SWITCHING_PROTOCOLS = 101,
   STATUS_INFORMATIONAL_END = 200,
   STATUS_NO_CONTENT = 204,
-  STATUS_NOT_MODIFIED = 304
+  STATUS_NOT_MODIFIED = 304,
+  STATUS_END = 600
 };
 
 /* The positions that the parser's callbacks record.  The strings are
@@ -250,6 +254,28 @@
   return hosts == 1 || (hosts == 0 && head->minor_version == 0);
 }
 
+bool
+csp_is_http_status_line (const char *line, size_t size_bytes)
+{
+  static const char version[] = "HTTP/1.";
+  const size_t at = sizeof version - 1 + strlen ("1 ");
+  uint32_t status = 0;
+  size_t i;
+
+  if (size_bytes <= at + STATUS_DIGITS
+      || memcmp (line, version, sizeof version - 1) != 0 || line[at - 1] != ' '
+      || (line[at + STATUS_DIGITS] != ' ' && line[at + STATUS_DIGITS] != '\r'))
+    return false;
+  for (i = at; i < at + STATUS_DIGITS; i++)
+    {
+      if (line[i] < '0' || line[i] > '9')
+        return false;
+      status = status * DECIMAL + (uint32_t)(line[i] - '0');
+    }
+  return status >= STATUS_MIN && status < STATUS_END
+         && status != STATUS_SWITCHING_PROTOCOLS;
+}
+
 csp_http_fault_t
 csp_parse_http_head (csp_http_head_t *head, bool response_to_head)
 {
@@ -262,7 +288,10 @@
   http_parser parser;
   size_t used;
 
-  if (!check_raw_lines (&head->bytes))
+  if (!check_raw_lines (&head->bytes)
+      || (head->kind == CSP_HTTP_RESPONSE
+          && !csp_is_http_status_line (head->bytes.data,
+                                       head->bytes.size_bytes)))
     return CSP_HTTP_MALFORMED;
   http_parser_init (&parser, head->kind == CSP_HTTP_REQUEST ? HTTP_REQUEST
                                                             : HTTP_RESPONSE);
--- a/source/target/engine.c
+++ b/source/target/engine.c
@@ -128,6 +128,11 @@
 {
   transfer_t *transfer = state;
 
+  if (!csp_is_answer_line (data, unit * count))
+    {
+      transfer->end = CSP_LINK_CUT;
+      return 0;
+    }
   if (csp_is_not_run_header (data, unit * count))
     transfer->not_run_stated = true;
   return unit * count;
--- a/source/target/http-imp.h
+++ b/source/target/http-imp.h
@@ -27,6 +27,10 @@
 /* Sets the gate, which must outlive the call; may_send may be NULL.  */
 void csp_set_send_gate (CURL *call, csp_send_gate_t *gate);
 
+/* Whether a header line may be part of an answer; a call whose header callback
+   returns 0 otherwise fails.  csp_create_call sets such a callback.  */
+bool csp_is_answer_line (const char *line, size_t size_bytes);
+
 /* Whether a header line is the target's statement that nothing was
    started.  */
 bool csp_is_not_run_header (const char *line, size_t size_bytes);
--- a/source/target/http.c
+++ b/source/target/http.c
@@ -1,7 +1,27 @@
 #include "target/http-imp.h"
 
+#include "cowslipspoke/http.h"
+
+#include <string.h>
 #include <strings.h>
 
+bool
+csp_is_answer_line (const char *line, size_t size_bytes)
+{
+  static const char status_prefix[] = "HTTP/";
+
+  return size_bytes < sizeof status_prefix - 1
+         || memcmp (line, status_prefix, sizeof status_prefix - 1) != 0
+         || csp_is_http_status_line (line, size_bytes);
+}
+
+static size_t
+check_header (char *data, size_t unit, size_t count, void *state)
+{
+  (void)state;
+  return csp_is_answer_line (data, unit * count) ? unit * count : 0;
+}
+
 CURL *
 csp_create_call (const csp_endpoint_t *endpoint, const char *path,
                  uint32_t connect_timeout_ms)
@@ -16,6 +36,7 @@
             endpoint->port, path);
   curl_easy_setopt (call, CURLOPT_URL, url);
   curl_easy_setopt (call, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (call, CURLOPT_HEADERFUNCTION, check_header);
   curl_easy_setopt (call, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (call, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt (call, CURLOPT_TCP_NODELAY, 1L);
--- a/source/target/service-call.c
+++ b/source/target/service-call.c
@@ -45,6 +45,8 @@
 {
   service_transfer_t *transfer = state;
 
+  if (!csp_is_answer_line (data, unit * count))
+    return 0;
   if (csp_is_not_run_header (data, unit * count))
     transfer->not_run_stated = true;
   return unit * count;
--- a/tests/http/http-test.c
+++ b/tests/http/http-test.c
@@ -233,6 +233,45 @@
     CSP_HTTP_MALFORMED, false, false, CSP_BODY_NONE },
 };
 
+static const struct
+{
+  const char *line;
+  bool valid;
+} status_lines[] = {
+  { "HTTP/1.1 100 Go on\r\n", true },   { "HTTP/1.0 200\r\n", true },
+  { "HTTP/1.1 200 OK\r\n", true },      { "HTTP/1.1 599 \r\n", true },
+  { "HTTP/1.1 000 No\r\n", false },     { "HTTP/1.1 0 No\r\n", false },
+  { "HTTP/1.1 20 OK\r\n", false },      { "HTTP/1.1 020 OK\r\n", false },
+  { "HTTP/1.1 099 No\r\n", false },     { "HTTP/1.1 0200 OK\r\n", false },
+  { "HTTP/1.1 2000 OK\r\n", false },    { "HTTP/1.1 600 No\r\n", false },
+  { "HTTP/1.1 999 No\r\n", false },     { "HTTP/1.1 -20 No\r\n", false },
+  { "HTTP/1.1 2e2 No\r\n", false },     { "HTTP/1.1  200 OK\r\n", false },
+  { "HTTP/1.1 101 Switch\r\n", false }, { "HTTP/1.1 200\r", true },
+
+  { "HTTP/2 200 OK\r\n", false },
+};
+
+/* Guards against a number that no answer can have, taken for a status.  */
+START_TEST (a_status_has_three_digits_from_100_to_599)
+{
+  csp_http_reader_t *reader
+      = csp_create_http_reader (CSP_HTTP_RESPONSE, limits);
+  outcome_t outcome = { .reader = reader };
+  const char *line = status_lines[_i].line;
+
+  ck_assert_msg (csp_is_http_status_line (line, strlen (line))
+                     == status_lines[_i].valid,
+                 "%s", line);
+  if (!status_lines[_i].valid)
+    {
+      feed (&outcome, line, strlen (line));
+      feed (&outcome, "\r\n\r\n", 4);
+      ck_assert_msg (outcome.fault == CSP_HTTP_MALFORMED, "%s", line);
+    }
+  csp_destroy_http_reader (reader);
+}
+END_TEST
+
 START_TEST (test_responses)
 {
   outcome_t outcome
@@ -343,6 +382,8 @@
                        sizeof responses / sizeof responses[0]);
   tcase_add_test (cases, test_pipelined);
   tcase_add_test (cases, test_hop_fields);
+  tcase_add_loop_test (cases, a_status_has_three_digits_from_100_to_599, 0,
+                       sizeof status_lines / sizeof status_lines[0]);
   tcase_add_loop_test (cases, test_seconds, 0,
                        sizeof seconds / sizeof seconds[0]);
   suite_add_tcase (suite, cases);
--- a/tests/platform/fetcher-test.c
+++ b/tests/platform/fetcher-test.c
@@ -26,6 +26,11 @@
     "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", 202, true },
   { "refused", true, true,
     "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", 409, true },
+  { "no status", true, true, "HTTP/1.1 000 No\r\nContent-Length: 0\r\n\r\n",
+    CSP_POST_NO_RESPONSE, true },
+  { "too many digits", true, true,
+    "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n", CSP_POST_NO_RESPONSE,
+    true },
   { "cut", true, true, NULL, CSP_POST_NO_RESPONSE, true },
   { "nobody there", false, true, NULL, CSP_POST_NOT_SENT, false },
   /* The process was paused between its decision and the send, and another host
