A stop answers what is open at its end, and takes what ends before

Callers whose requests were open 0.3 s before the end of a stop lost their connections without an answer, among them requests that may run once.

Cause: for 2.5 s a stopping host took any plain request whatever its deadline, then by the route's timeout, not by the time that the caller states; and the end of the stop ended the loop.

Change: a request that may run once is taken if its deadline comes before the end, else refused at once as not run; one that may be repeated is taken until the balancer has noticed, then by its deadline too. At the end each open request is answered: 503 if it wasn't passed on, 502 if it may have run. Relayed ones are told the same. The process ends 0.1 s before the limit, or when its callers have gone.

Tests, failing before: stop, a_stopping_host_takes_what_ends_in_time (4 of 9 rows) and requests_open_at_the_end_of_a_stop_are_answered.

--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -331,27 +331,58 @@
   return 0;
 }
 
-/* Whether a request that comes during a stop can still be answered completely.
-   A request cut off at the process's end is lost, while another host could
-   have served it.  While the balancer still sends callers here, all are taken
-   but streams that will probably last too long; afterwards only requests whose
-   timeout is short enough.  */
+/* Whether a request that comes during a stop may still be served.  One that is
+   open at the stop's end gets no more than a verdict, while another host could
+   serve it now.  Plain requests are taken that end in time by their deadline.
+   While the balancer still sends callers here, so are those that may be
+   repeated, and streams that probably end in time.  */
 static bool
-can_finish_before_stop (const csp_exchange_t *exchange)
+may_serve_during_stop (const csp_exchange_t *exchange)
 {
   const csp_gateway_t *gateway = exchange->gateway;
-  bool streams = exchange->route->kind == CSP_ROUTE_STREAM;
-  int64_t elapsed_ms = csp_gateway_now_ms (gateway) - gateway->stop_began_ms;
-  int64_t left_ms = (int64_t)gateway->settings.stop_limit_ms
-                    - CSP_STOP_MARGIN_MS - elapsed_ms;
+  int64_t now_ms = csp_gateway_now_ms (gateway);
+  int64_t end_ms = gateway->stop_began_ms
+                   + (int64_t)gateway->settings.stop_limit_ms
+                   - CSP_STOP_MARGIN_MS;
+  bool noticed = now_ms - gateway->stop_began_ms >= CSP_STOP_NOTICE_MS;
 
   if (!gateway->stopping)
     return true;
-  if (elapsed_ms < CSP_STOP_NOTICE_MS)
-    return !streams
-           || STREAM_START_MS + (int64_t)exchange->output_tokens * CSP_TOKEN_MS
-                  < left_ms;
-  return !streams && exchange->route->timeout_ms < left_ms;
+  switch (exchange->route->kind)
+    {
+    case CSP_ROUTE_STREAM:
+      return !noticed
+             && now_ms + STREAM_START_MS
+                        + (int64_t)exchange->output_tokens * CSP_TOKEN_MS
+                    < end_ms;
+    case CSP_ROUTE_IDEMPOTENT:
+      return !noticed || exchange->deadline_ms < end_ms;
+    case CSP_ROUTE_AT_MOST_ONCE:
+      return exchange->deadline_ms < end_ms;
+    }
+  return false;
+}
+
+static void
+refuse_while_stopping (csp_exchange_t *exchange)
+{
+  exchange->retry_after_ms = STOPPING_RETRY_MS;
+  csp_set_relay_answer (exchange->caller, CSP_RELAY_UNSERVED);
+  csp_fail_exchange (exchange, CSP_REASON_SHUTTING_DOWN,
+                     "the host is stopping");
+}
+
+void
+csp_end_exchanges_of_stop (csp_gateway_t *gateway)
+{
+  csp_exchange_t *exchange;
+
+  for (exchange = csp_first_exchange (gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
+    {
+      exchange->may_have_run = csp_exchange_may_have_run (exchange);
+      refuse_while_stopping (exchange);
+    }
 }
 
 static csp_exchange_t *
@@ -446,15 +477,12 @@
       gateway->request_metrics, exchange->organisation, exchange->route->name);
   csp_add_count (exchange->labels, CSP_COUNT_REQUESTS, 1);
   estimate_tokens (exchange, head);
-  if (!can_finish_before_stop (exchange))
+  set_deadline (exchange, head);
+  if (!may_serve_during_stop (exchange))
     {
-      exchange->retry_after_ms = STOPPING_RETRY_MS;
-      csp_set_relay_answer (caller, CSP_RELAY_UNSERVED);
-      csp_fail_exchange (exchange, CSP_REASON_SHUTTING_DOWN,
-                         "the host is stopping");
+      refuse_while_stopping (exchange);
       return NULL;
     }
-  set_deadline (exchange, head);
   if (csp_refuse_unless_link_carries (exchange))
     return NULL;
   if (head->framing == CSP_BODY_NONE)
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -103,9 +103,10 @@
   /* In a stop: the balancer checks readiness once a second and drops a host
      after two failures; until then new connections arrive.  */
   CSP_STOP_NOTICE_MS = 2500,
-  /* Open connections are cut this long before the process would be killed, so
-     that its sockets close in order.  */
-  CSP_STOP_MARGIN_MS = 300
+  /* Open requests are ended this long before the process would be killed; and
+     the process then ends that long before.  */
+  CSP_STOP_MARGIN_MS = 300,
+  CSP_STOP_CLOSE_MARGIN_MS = 100
 };
 
 /* State of one service beside its targets: its retry budget, the retries that
@@ -264,6 +265,7 @@
   bool targets_listed;       /* a complete list of targets has been read */
   bool stopping;
   int64_t stop_began_ms;
+  bool stop_limit_reached; /* open requests were ended */
 };
 
 /* Time of the traffic thread, in ms.  */
@@ -358,6 +360,10 @@
 /* Whether a target may have begun to work on the request.  */
 bool csp_exchange_may_have_run (const csp_exchange_t *exchange);
 
+/* The time of a stop is over: answer all open requests with what is known of
+   them.  */
+void csp_end_exchanges_of_stop (csp_gateway_t *gateway);
+
 /* The caller disconnected or sent malformed bytes.  */
 void csp_abandon_exchange (csp_exchange_t *exchange);
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -251,25 +251,36 @@
   return true;
 }
 
+static void
+end_open_requests (csp_gateway_t *gateway)
+{
+  if (gateway->stop_limit_reached)
+    return;
+  gateway->stop_limit_reached = true;
+  if (gateway->caller_count > 0)
+    CSP_LOG (gateway->log, CSP_EVENT_DRAIN_LIMIT, NULL,
+             csp_number ("open_requests", gateway->caller_count));
+  csp_end_exchanges_of_stop (gateway);
+}
+
 /* During a stop readiness fails at once and answers close their connections.
-   When the balancer has noticed, idle callers are closed; open requests run to
-   their end or to the time limit.  */
+   When the balancer has noticed, idle callers are closed.  Open requests run
+   to their end or to the time limit; then their callers have a moment to get
+   an answer that says whether they may have run.  */
 static void
 step_stop (csp_gateway_t *gateway)
 {
   int64_t elapsed_ms = csp_gateway_now_ms (gateway) - gateway->stop_began_ms;
+  int64_t left_ms = (int64_t)gateway->settings.stop_limit_ms - elapsed_ms;
 
   if (elapsed_ms >= CSP_STOP_NOTICE_MS)
     csp_close_idle_callers (gateway);
   if (elapsed_ms >= CSP_STOP_NOTICE_MS && gateway->caller_count == 0)
     uv_stop (&gateway->loop);
-  if (elapsed_ms
-      < (int64_t)gateway->settings.stop_limit_ms - CSP_STOP_MARGIN_MS)
-    return;
-  if (gateway->caller_count > 0)
-    CSP_LOG (gateway->log, CSP_EVENT_DRAIN_LIMIT, NULL,
-             csp_number ("open_requests", gateway->caller_count));
-  uv_stop (&gateway->loop);
+  if (left_ms <= CSP_STOP_MARGIN_MS)
+    end_open_requests (gateway);
+  if (left_ms <= CSP_STOP_CLOSE_MARGIN_MS)
+    uv_stop (&gateway->loop);
 }
 
 static void
--- a/tests/gateway/gateway-fixture.c
+++ b/tests/gateway/gateway-fixture.c
@@ -15,7 +15,8 @@
   WAIT_S = 10,
   STOP_LIMIT_MS = 8000,
   LEAVE_LIMIT_MS = 2000,
-  HEAD_MAX_BYTES = 2000
+  HEAD_MAX_BYTES = 2000,
+  ROUTE_TIMEOUT_MS = 4000
 };
 
 static const char *const never_from_callers[] = { "Secret", NULL };
@@ -233,14 +234,15 @@
 }
 
 static void
-add_route (csp_routes_t *routes, const char *prefix, csp_route_kind_t kind,
-           uint32_t attempts, const char *service, bool open_to_all)
+add_route (csp_routes_t *routes, uint32_t timeout_ms, const char *prefix,
+           csp_route_kind_t kind, uint32_t attempts, const char *service,
+           bool open_to_all)
 {
   csp_gateway_route_t route = { .name = prefix,
                                 .host = "h",
                                 .prefix = prefix,
                                 .kind = kind,
-                                .timeout_ms = 4000,
+                                .timeout_ms = timeout_ms,
                                 .attempts_max = attempts,
                                 .urgency = 2,
                                 .allows_anonymous = open_to_all,
@@ -268,17 +270,25 @@
                                   .supports_kv_moves = !fixture->without_moves,
                                   .memory_tokens = 100000,
                                   .copy_ms_per_token = 0.05 };
+  uint32_t timeout_ms = fixture->route_timeout_ms == 0
+                            ? ROUTE_TIMEOUT_MS
+                            : fixture->route_timeout_ms;
   csp_routes_t *routes = csp_create_routes (++fixture->routes_version, limits);
   csp_update_t update
       = { .kind = CSP_UPDATE_ROUTES, .value = { .routes = routes } };
 
   ck_assert (csp_add_service (routes, &plain));
   ck_assert (csp_add_service (routes, &engines));
-  add_route (routes, "/safe/", CSP_ROUTE_IDEMPOTENT, 2, "plain", false);
-  add_route (routes, "/once/", CSP_ROUTE_AT_MOST_ONCE, 1, "plain", false);
-  add_route (routes, "/open/", CSP_ROUTE_AT_MOST_ONCE, 1, "plain", true);
-  add_route (routes, "/stream/", CSP_ROUTE_STREAM, 2, "engines", false);
-  add_route (routes, "/resume/", CSP_ROUTE_STREAM, 2, "engines", false);
+  add_route (routes, timeout_ms, "/safe/", CSP_ROUTE_IDEMPOTENT, 2, "plain",
+             false);
+  add_route (routes, timeout_ms, "/once/", CSP_ROUTE_AT_MOST_ONCE, 1, "plain",
+             false);
+  add_route (routes, timeout_ms, "/open/", CSP_ROUTE_AT_MOST_ONCE, 1, "plain",
+             true);
+  add_route (routes, timeout_ms, "/stream/", CSP_ROUTE_STREAM, 2, "engines",
+             false);
+  add_route (routes, timeout_ms, "/resume/", CSP_ROUTE_STREAM, 2, "engines",
+             false);
   ck_assert (csp_add_organisation (routes, "org-a", 3));
   if (with_key)
     ck_assert (csp_add_key (routes, "key-a"));
--- a/tests/gateway/gateway-fixture.h
+++ b/tests/gateway/gateway-fixture.h
@@ -38,6 +38,8 @@
   bool without_moves;
   /* Largest head of a request in the routes published from now on; 0: 2000. */
   uint32_t head_max_bytes;
+  /* Timeout of routes that are published from now on; 0: 4000.  */
+  uint32_t route_timeout_ms;
   /* Data centre in which targets are listed; NULL: the gateway's own.  */
   const char *target_data_centre;
   /* Set before the fixture is opened: the gateway has no thread, and the test
--- a/tests/gateway/stop-test.c
+++ b/tests/gateway/stop-test.c
@@ -7,6 +7,7 @@
 #include <check.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,6 +20,9 @@
   /* Some 150 KB a second.  */
   READ_BYTES = 3000,
   READ_PAUSE_MS = 20,
+  WAIT_MS = 10000,
+  LONG_TIMEOUT_MS = 30000,
+  STOP_END_MS = 7800,
   SMALL_WINDOW_BYTES = 8192,
   ETHERNET_SEGMENT_BYTES = 1460
 };
@@ -211,6 +215,84 @@
 }
 END_TEST
 
+/* Requests whose first byte comes before a stop of 8 s and the rest later.  */
+static const struct
+{
+  const char *path;
+  uint32_t came_ms; /* since the stop began */
+  const char *time_left;
+  bool served;
+} late_requests[] = {
+  { "/once/", 100, "7600", true },   { "/once/", 100, "7800", false },
+  { "/once/", 2400, "7600", true },  { "/once/", 2400, "20000", false },
+  { "/once/", 5000, "7600", true },  { "/once/", 5000, "7800", false },
+  { "/safe/", 2400, "20000", true }, { "/safe/", 5000, "7600", true },
+  { "/safe/", 5000, "7800", false },
+};
+
+/* Guards against a request that may not be repeated and is taken although it
+   may outlast the host, and against refusing one that ends in time.  */
+START_TEST (a_stopping_host_takes_what_ends_in_time)
+{
+  struct pollfd ready[2] = { { .events = POLLIN }, { .events = POLLIN } };
+  char request[200];
+  int target = fixture_add_target (&fixture, "t-1", "plain");
+  int caller = open_caller (&fixture);
+
+  fixture.route_timeout_ms = LONG_TIMEOUT_MS;
+  fixture_publish_routes (&fixture, true);
+  send_text (caller, "GET ");
+  fixture_send_update (&fixture, CSP_UPDATE_STOP);
+  fixture_await_updates (&fixture);
+  csp_advance_fake_clock (&fixture.fake_clock, late_requests[_i].came_ms);
+  snprintf (request, sizeof request,
+            "%s HTTP/1.1\r\nHost: h\r\nKey: key-a\r\nRequest-Id: r1\r\n"
+            "Time-Left: %s\r\n\r\n",
+            late_requests[_i].path, late_requests[_i].time_left);
+  send_text (caller, request);
+  ready[0].fd = target;
+  ready[1].fd = caller;
+  ck_assert_int_eq (poll (ready, 2, WAIT_MS), 1);
+  ck_assert_int_eq (ready[0].revents != 0, late_requests[_i].served);
+  if (!late_requests[_i].served)
+    ck_assert_ptr_nonnull (strstr (read_until (caller, "\r\n\r\n"), " 503 "));
+  close (caller);
+  close (target);
+}
+END_TEST
+
+/* Guards against a request that is open at the end of a stop and gets no
+   answer: it hears whether it may have run.  */
+START_TEST (requests_open_at_the_end_of_a_stop_are_answered)
+{
+  int target = fixture_add_target (&fixture, "t-1", "plain");
+  int sent = open_caller (&fixture);
+  int waiting = open_caller (&fixture);
+  const char *text;
+  int link;
+
+  send_text (sent, REQUEST ("/once/", "r1"));
+  link = accept_target_connection (target);
+  read_target_request (link, 0);
+  /* Not sent before its body is whole.  */
+  send_text (waiting, "POST /once/ HTTP/1.1\r\nHost: h\r\nKey: key-a\r\n"
+                      "Request-Id: r2\r\nContent-Length: 5\r\n\r\nhe");
+  fixture_await_updates (&fixture);
+  fixture_send_update (&fixture, CSP_UPDATE_STOP);
+  fixture_await_updates (&fixture);
+  csp_advance_fake_clock (&fixture.fake_clock, STOP_END_MS);
+  text = read_until (sent, "\r\n\r\n");
+  ck_assert_msg (strstr (text, " 502 ") != NULL, "%s", text);
+  text = read_until (waiting, "\r\n\r\n");
+  ck_assert_msg (strstr (text, " 503 ") != NULL, "%s", text);
+  ck_assert_ptr_nonnull (strstr (text, "Retry-After: "));
+  close (link);
+  close (sent);
+  close (waiting);
+  close (target);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -223,6 +305,9 @@
                   a_stop_answers_running_requests_and_refuses_late_streams);
   tcase_add_test (tcase, a_stopping_host_refuses_long_streams);
   tcase_add_test (tcase, a_datagram_at_the_end_of_a_stop_is_ignored);
+  tcase_add_loop_test (tcase, a_stopping_host_takes_what_ends_in_time, 0,
+                       sizeof late_requests / sizeof late_requests[0]);
+  tcase_add_test (tcase, requests_open_at_the_end_of_a_stop_are_answered);
   tcase_add_test (tcase, a_slow_caller_gets_its_whole_answer);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
