The store's list goes on behind any key

A host that starts while a key of another writer with a blank, an ampersand, a percent sign or a control character ends a page of the store's list never got ready: the call for the next page was malformed, or asked for what follows another key.

Cause: the key went into the query as it was.

Change: csp_append_query_value encodes it; ordinary keys are sent as before.

Tests: store, listing_goes_on_behind_an_odd_key, failed before (the request was "after=a b&c%..."). an_odd_entry_is_left_out brings 23 odd entries, by a list and by a watch; none failed on the code before.

--- a/include/cowslipspoke/http.h
+++ b/include/cowslipspoke/http.h
@@ -150,6 +150,10 @@
 /* The standard reason phrase of a status code; "Unknown" if there is none.  */
 const char *csp_http_reason_phrase (uint16_t status);
 
+/* Append a value to the query of a request's target; bytes that would end or
+   split it are percent-encoded.  */
+bool csp_append_query_value (csp_buffer_t *buffer, const char *value);
+
 /* Append a piece of a body as a chunk.  A piece of 0 bytes is skipped, since
    an empty chunk would end the body.  */
 bool csp_append_chunk (csp_buffer_t *buffer, const void *data,
--- a/source/http/http-field.c
+++ b/source/http/http-field.c
@@ -1,5 +1,6 @@
 #include "cowslipspoke/http.h"
 
+#include <ctype.h>
 #include <http_parser.h>
 #include <string.h>
 #include <strings.h>
@@ -96,3 +97,21 @@
       return "Unknown";
     }
 }
+
+bool
+csp_append_query_value (csp_buffer_t *buffer, const char *value)
+{
+  static const char plain[] = "-._~/:";
+  bool appended = true;
+
+  for (; *value != '\0'; value++)
+    {
+      unsigned char byte = (unsigned char)*value;
+
+      if (isascii (byte) && (isalnum (byte) || strchr (plain, byte) != NULL))
+        appended = csp_append_buffer (buffer, value, 1) && appended;
+      else
+        appended = csp_print_buffer (buffer, "%%%02X", byte) && appended;
+    }
+  return appended;
+}
--- a/tests/adapter/store-test.c
+++ b/tests/adapter/store-test.c
@@ -193,6 +193,115 @@
 }
 END_TEST
 
+enum
+{
+  NESTED_TEXT_BYTES = 200001,
+  ODD_VALUE_BYTES = 300000,
+  ODD_BODY_BYTES = 400000
+};
+
+#define ODD_ITEM(value)                                                       \
+  "{\"key\":\"servers/odd\",\"value\":\"" value "\",\"revision\":33}"
+#define NESTED_20 "[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]"
+
+/* Items of another writer, whole or by the text of their value.  */
+static const struct
+{
+  const char *item;
+  const char *json;
+  size_t depth; /* of a value that is nested */
+} odd_items[] = {
+  /* Values that are no text: not base64, cut off, a zero byte, not UTF-8.  */
+  { .item = ODD_ITEM ("!!!!") },
+  { .item = ODD_ITEM ("eyJ") },
+  { .item = ODD_ITEM ("") },
+  { .item = ODD_ITEM ("eyJzIjoiAH0=") },
+  { .item = ODD_ITEM ("eyJzZXJ2aWNlIjoi//4ifQ==") },
+  /* What is around the value.  */
+  { .item = "{\"key\":\"servers/odd\",\"value\":7,\"revision\":33}" },
+  { .item = "{\"key\":\"servers/odd\",\"value\":\"e30=\","
+            "\"revision\":1e400,\"lease\":-1}" },
+  { .item = "{\"key\":\"servers/odd\",\"value\":\"e30=\","
+            "\"revision\":\"x\",\"lease\":" NESTED_20 "}" },
+  { .item = "{\"key\":\"servers/\",\"value\":\"e30=\",\"revision\":33}" },
+  { .item = "{\"key\":null,\"value\":\"e30=\",\"revision\":33}" },
+  { .item = "{\"key\":[1],\"value\":\"e30=\",\"revision\":33}" },
+  { .item = "{\"value\":\"e30=\",\"revision\":33}" },
+  { .item = "null" },
+  { .item = "[]" },
+  { .item = "7" },
+  /* Numbers out of range.  */
+  { .json = "{\"service\":\"s\",\"address\":\"127.0.0.1:9\","
+            "\"zone\":\"z\",\"slots\":1e400,\"state\":\"ready\"}" },
+  { .json = "{\"service\":\"s\",\"address\":\"127.0.0.1:65536\","
+            "\"zone\":\"z\",\"slots\":4,\"state\":\"ready\"}" },
+  { .json = "{\"service\":\"s\",\"address\":\"127.0.0.1:0\","
+            "\"zone\":\"z\",\"slots\":4,\"state\":\"ready\"}" },
+  { .json = "{\"service\":\"s\",\"address\":\"127.0.0.1:9\","
+            "\"zone\":\"z\",\"slots\":9223372036854775808,"
+            "\"state\":\"ready\"}" },
+  { .json = "{\"service\":\"s\",\"address\":\"127.0.0.1:9\","
+            "\"zone\":\"z\",\"slots\":4,\"born\":-1,"
+            "\"state\":\"ready\"}" },
+  /* Nested values.  */
+  { .depth = 31 },
+  { .depth = 33 },
+  { .depth = 100000 },
+};
+
+/* Returns the odd item; valid until the next call.  */
+static const char *
+format_odd_item (size_t row)
+{
+  static char item[ODD_BODY_BYTES];
+  static char text[NESTED_TEXT_BYTES];
+  static unsigned char base64[ODD_VALUE_BYTES];
+  const char *json = odd_items[row].json;
+  size_t depth = odd_items[row].depth;
+
+  if (odd_items[row].item != NULL)
+    return odd_items[row].item;
+  if (depth > 0)
+    {
+      memset (text, '[', depth);
+      memset (text + depth, ']', depth);
+      text[2 * depth] = '\0';
+      json = text;
+    }
+  EVP_EncodeBlock (base64, (const unsigned char *)json, (int)strlen (json));
+  snprintf (item, sizeof item,
+            "{\"key\":\"servers/odd\",\"value\":\"%s\",\"revision\":33}",
+            base64);
+  return item;
+}
+
+/* Guards against one entry of another writer that ends the process, or its
+   following of the list.  */
+START_TEST (an_odd_entry_is_left_out)
+{
+  static char body[ODD_BODY_BYTES];
+  int connection = accept_target_connection (store_socket);
+
+  expect_request (connection, "/kv-range");
+  snprintf (body, sizeof body,
+            "{\"items\":[%s,%s,%s],\"has_more\":false,\"as_of\":40}",
+            format_item ("op/config", 30, CONFIG ("7")),
+            format_item ("servers/i-1", 32, SERVER ("ready")),
+            format_odd_item ((size_t)_i));
+  send_response (connection, 200, body);
+  confirm_listing (connection);
+  wait_for_page ("/readyz", " 200 ");
+  wait_for_page ("/metrics", "gateway_targets 1\n");
+  expect_request (connection, "/kv-watch?path_prefix=&after=40&wait_ms=");
+  snprintf (body, sizeof body, "{\"events\":[%s,%s],\"as_of\":42}",
+            format_odd_item ((size_t)_i),
+            format_item ("servers/i-2", 42, SERVER ("ready")));
+  send_response (connection, 200, body);
+  wait_for_page ("/metrics", "gateway_targets 2\n");
+  close (connection);
+}
+END_TEST
+
 START_TEST (listing_of_two_pages_is_read)
 {
   char body[8192];
@@ -220,6 +329,31 @@
 }
 END_TEST
 
+/* Guards against a key of another writer that ends a page and makes the next
+   call malformed, so that the list is never read whole.  */
+START_TEST (listing_goes_on_behind_an_odd_key)
+{
+  char body[8192];
+  int connection = accept_target_connection (store_socket);
+
+  expect_request (connection, "/kv-range?path_prefix=&stale_ok=1 ");
+  snprintf (body, sizeof body,
+            "{\"items\":[%s,{\"key\":\"a b&c%%\\n\\u00fc\"}],"
+            "\"has_more\":true,\"as_of\":40}",
+            format_item ("op/config", 30, CONFIG ("7")));
+  send_response (connection, 200, body);
+  expect_request (connection, "/kv-range?path_prefix=&after="
+                              "a%20b%26c%25%0A%C3%BC&stale_ok=1 ");
+  snprintf (body, sizeof body,
+            "{\"items\":[%s],\"has_more\":false,\"as_of\":40}",
+            format_item ("servers/i-1", 39, SERVER ("ready")));
+  send_response (connection, 200, body);
+  confirm_listing (connection);
+  wait_for_page ("/readyz", " 200 ");
+  close (connection);
+}
+END_TEST
+
 START_TEST (newer_configuration_is_applied_and_older_is_ignored)
 {
   char body[8192];
@@ -439,7 +573,10 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, host_is_ready_once_its_listing_is_confirmed);
+  tcase_add_loop_test (tcase, an_odd_entry_is_left_out, 0,
+                       sizeof odd_items / sizeof odd_items[0]);
   tcase_add_test (tcase, listing_of_two_pages_is_read);
+  tcase_add_test (tcase, listing_goes_on_behind_an_odd_key);
   tcase_add_test (tcase, newer_configuration_is_applied_and_older_is_ignored);
   tcase_add_test (tcase, compacted_history_leads_to_a_new_listing);
   tcase_add_loop_test (tcase, failed_watch_is_repeated, 0,
