--- a/tests/adapter/store-test.c
+++ b/tests/adapter/store-test.c
@@ -202,6 +202,10 @@
 
 #define ODD_ITEM(value)                                                       \
   "{\"key\":\"servers/odd\",\"value\":\"" value "\",\"revision\":33}"
+/* SERVER ("ready") as base64.  */
+#define VALID_SERVER                                                          \
+  "eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMjcuMC4wLjE6OSIs"                      \
+  "InpvbmUiOiJ6Iiwic2xvdHMiOjQsInN0YXRlIjoicmVhZHkifQ=="
 #define NESTED_20 "[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]"
 
 /* Items of another writer, whole or by the text of their value.  */
@@ -227,6 +231,8 @@
   { .item = "{\"key\":null,\"value\":\"e30=\",\"revision\":33}" },
   { .item = "{\"key\":[1],\"value\":\"e30=\",\"revision\":33}" },
   { .item = "{\"value\":\"e30=\",\"revision\":33}" },
+  { .item = "{\"key\":\"servers/i\\r\\nX: y\",\"value\":\"" VALID_SERVER
+            "\",\"revision\":33}" },
   { .item = "null" },
   { .item = "[]" },
   { .item = "7" },
