--- a/include/cowslipspoke/gateway.h
+++ b/include/cowslipspoke/gateway.h
@@ -71,6 +71,7 @@
   CSP_UPDATE_ROUTES,
   CSP_UPDATE_TARGET,
   CSP_UPDATE_TARGET_REMOVED,
+  CSP_UPDATE_ENTRY_REFUSED, /* an entry of the platform can't be used */
   CSP_UPDATE_CORDON, /* a data centre is cordoned or its cordon lifted */
   CSP_UPDATE_TARGETS_LISTED, /* all targets of the platform's list have been
                                 sent */
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -178,6 +178,7 @@
   uint64_t relay_strangers; /* connections that came from no live host */
   uint64_t link_refused;    /* streams that this host's link can't carry */
   uint64_t dampings;        /* of targets, by this host as the decider */
+  uint64_t entries_refused; /* of the platform's list, each once */
 } csp_gateway_counts_t;
 
 struct csp_gateway
--- a/source/gateway/gateway-page.c
+++ b/source/gateway/gateway-page.c
@@ -85,6 +85,7 @@
     { "runs_left_total", "counter", counts->runs_left },
     { "runs_left_unproven_total", "counter", counts->runs_left_unproven },
     { "targets_left_total", "counter", counts->targets_left },
+    { "entries_refused_total", "counter", counts->entries_refused },
     { "streams_lost_total", "counter", counts->streams_lost },
     { "left_runs_stopped_total", "counter", counts->left_runs_stopped },
     { "caller_connections_total", "counter", counts->connections },
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -158,6 +158,9 @@
     case CSP_UPDATE_TARGET_REMOVED:
       csp_remove_target (gateway->fleet, update->value.target_id, now_ms);
       break;
+    case CSP_UPDATE_ENTRY_REFUSED:
+      gateway->counts.entries_refused++;
+      break;
     case CSP_UPDATE_CORDON:
       csp_apply_cordon (gateway, update->value.cordon.data_centre,
                         update->value.cordon.on);
--- a/tests/adapter/store-test.c
+++ b/tests/adapter/store-test.c
@@ -458,6 +458,31 @@
 }
 END_TEST
 
+/* Guards against entries that are refused anew each time the list is read.  */
+START_TEST (refused_entries_are_counted_once)
+{
+  char body[8192];
+  int connection = answer_and_confirm_listing ();
+  int reads = 2;
+
+  while (reads-- > 0)
+    {
+      expect_request (connection, "/kv-watch?");
+      snprintf (body, sizeof body,
+                "{\"events\":[{\"key\":\"op/config\",\"value\":\"***\","
+                "\"revision\":42},{\"key\":\"servers/odd\",\"value\":\"*\","
+                "\"revision\":43},%s],\"as_of\":44}",
+                format_item (reads > 0 ? "servers/i-3" : "servers/i-4",
+                             44 + reads, SERVER ("ready")));
+      send_response (connection, 200, body);
+    }
+  wait_for_page ("/metrics", "gateway_targets 3\n");
+  ck_assert_ptr_nonnull (strstr (fixture_get_page (&fixture, "/metrics"),
+                                 "gateway_entries_refused_total 2\n"));
+  close (connection);
+}
+END_TEST
+
 /* Invalid values that a foreign writer may put at a server's key.  */
 static const char *const invalid_values[] = {
   "\"***\"",      "null",          "7",        "\"e30=\"", "\"\"",
@@ -588,6 +613,7 @@
   tcase_add_loop_test (tcase, failed_watch_is_repeated, 0,
                        sizeof failed_responses / sizeof failed_responses[0]);
   tcase_add_test (tcase, invalid_items_are_skipped);
+  tcase_add_test (tcase, refused_entries_are_counted_once);
   tcase_add_loop_test (tcase, invalid_entry_removes_its_server, 0,
                        sizeof invalid_values / sizeof invalid_values[0]);
   tcase_add_loop_test (tcase, zone_is_evacuated_and_restored, 0,
