--- a/source/gateway/gateway-decide.c
+++ b/source/gateway/gateway-decide.c
@@ -2,14 +2,10 @@
 
 #include <string.h>
 
-/* Decisions of the decider about requests of its own.
-
-   Failure: a request that waited for a placement was refused in a walk through
-   all requests.  Its ask was cancelled, which placed the next one at once;
-   that request was refused in turn, and then once more by the walk.  So
-   whatever frees capacity only schedules the placements, moves and answers
-   that follow: they are handled here, from the loop, while no walk is under
-   way.  */
+/* Decisions of the decider about requests of its own.  Whatever frees capacity
+   only schedules the placements, moves and answers that follow; they are made
+   here, from the loop, since they may end requests that a walk is about to
+   reach.  */
 
 static void on_decide (uv_idle_t *decide);
 
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -331,11 +331,10 @@
   return 0;
 }
 
-/* Whether a request that comes during a stop may still be served.  One that is
-   open at the stop's end gets no more than a verdict, while another host could
-   serve it now.  Plain requests are taken that end in time by their deadline.
-   While the balancer still sends callers here, so are those that may be
-   repeated, and streams that probably end in time.  */
+/* Whether a request that comes during a stop may still be served: by its
+   deadline it ends in time.  While the balancer still sends callers here,
+   those that may be repeated and streams that probably end in time are taken,
+   too. Another host serves the others at once.  */
 static bool
 may_serve_during_stop (const csp_exchange_t *exchange)
 {
--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -106,7 +106,7 @@
   /* Open requests are ended this long before the process would be killed; and
      the process then ends that long before.  */
   CSP_STOP_MARGIN_MS = 300,
-  CSP_STOP_CLOSE_MARGIN_MS = 100
+  CSP_STOP_CLOSE_MARGIN_MS = 200
 };
 
 /* State of one service beside its targets: its retry budget, the retries that
