--- a/tests/gateway/stream-fixture.c
+++ b/tests/gateway/stream-fixture.c
@@ -111,6 +111,20 @@
   start_stream_with_hint (with_backup, 1000);
 }
 
+int
+send_plain_request (const char *path)
+{
+  char request[200];
+  int caller = open_caller (&stream.fixture);
+
+  snprintf (request, sizeof request,
+            "GET %s HTTP/1.1\r\nHost: h\r\nKey: key-a\r\nRequest-Id: r1\r\n"
+            "Time-Left: 30000\r\n\r\n",
+            path);
+  send_text (caller, request);
+  return caller;
+}
+
 void
 add_second_engine (void)
 {
--- a/tests/gateway/stream-fixture.h
+++ b/tests/gateway/stream-fixture.h
@@ -45,6 +45,9 @@
 void send_stream_request (bool with_backup, int output_hint);
 void start_next_stream (bool with_backup, int output_hint);
 
+/* Send a request with id r1 that is no stream.  Returns its caller.  */
+int send_plain_request (const char *path);
+
 /* List the second engine, once the stream runs.  */
 void add_second_engine (void);
 
