--- a/tests/gateway/changes-play-test.c
+++ b/tests/gateway/changes-play-test.c
@@ -13,12 +13,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* A gateway that decides, with callers and engines drawn at random: in one
-   turn of its loop, targets come, lapse, leave and are freed, parts of prompts
-   are held, data centres are cordoned and the decider changes.  The test turns
-   the loop and its tick, in one thread, on a fake clock.
-
-   PLAY_SEED and PLAY_COUNT choose other plays.  */
+/* A gateway that decides, with callers and engines drawn at random, and
+   several changes in one turn of its loop.  The test turns the loop and its
+   tick, in one thread, on a fake clock.  */
 
 enum
 {
