The play counts open requests by the walk that all others use

It went through the list by hand and passed over ended requests itself; now csp_first_exchange and csp_next_exchange do. The comment on the two margins of a stop says what each is the time of. Nothing behaves otherwise.

--- a/source/gateway/gateway-imp.h
+++ b/source/gateway/gateway-imp.h
@@ -103,8 +103,9 @@
   /* In a stop: the balancer checks readiness once a second and drops a host
      after two failures; until then new connections arrive.  */
   CSP_STOP_NOTICE_MS = 2500,
-  /* Open requests are ended this long before the process would be killed; and
-     the process then ends that long before.  */
+  /* How long before the process would be killed open requests are answered;
+     and how long before it ends by itself, so that its sockets close in
+     order.  */
   CSP_STOP_MARGIN_MS = 300,
   CSP_STOP_CLOSE_MARGIN_MS = 200
 };
--- a/tests/gateway/changes-play-test.c
+++ b/tests/gateway/changes-play-test.c
@@ -234,9 +234,9 @@
   const csp_exchange_t *exchange;
   uint64_t open = 0;
 
-  for (exchange = fixture.gateway->exchanges; exchange != NULL;
-       exchange = exchange->next)
-    open += !exchange->ended;
+  for (exchange = csp_first_exchange (fixture.gateway); exchange != NULL;
+       exchange = csp_next_exchange (exchange))
+    open++;
   ck_assert_uint_eq (counts->requests, counts->answered + counts->refused
                                            + counts->failed + counts->abandoned
                                            + open);
