Metrics: sizes of requests, of all and of those refused a place

Whether large requests are refused more often than small ones could be told neither by class nor by organisation. Histograms now count values of any unit; sizes are counted in tokens, with the same buckets for all requests and for refused ones, so that one divides the other.

metrics: sizes_are_counted_in_tokens; the page lists both.

--- a/include/cowslipspoke/metrics.h
+++ b/include/cowslipspoke/metrics.h
@@ -16,7 +16,7 @@
    pointer.  */
 typedef struct csp_series csp_series_t;
 
-/* Histograms, each for every organisation and every class.  */
+/* Histograms, each for every organisation and every class: times and sizes. */
 typedef enum
 {
   CSP_TIME_TO_FIRST_TOKEN, /* from the request's arrival */
@@ -24,7 +24,10 @@
   CSP_TIME_STALLED,        /* of a whole answer: the sum over its gaps of the
                               time beyond CSP_STALL_THRESHOLD_US */
   CSP_TIME_WAITING,        /* in the queue, until sent or rejected */
-  CSP_TIME_COUNT
+  CSP_SIZE_REQUESTED,      /* expected memory of a request for an engine, in
+                              tokens */
+  CSP_SIZE_REFUSED,        /* the same, of one that got no place there */
+  CSP_HISTOGRAM_COUNT
 } csp_histogram_id_t;
 
 /* Counters, each for every organisation and every class.  */
@@ -90,6 +93,10 @@
 void csp_observe_time (csp_labels_t labels, csp_histogram_id_t id,
                        int64_t time_us);
 
+/* Add a size in tokens to a histogram of sizes.  */
+void csp_observe_size (csp_labels_t labels, csp_histogram_id_t id,
+                       uint64_t tokens);
+
 /* The time that a gap between two tokens adds to the stall time of its
    answer.  */
 int64_t csp_compute_stall_us (int64_t gap_us);
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -476,6 +476,8 @@
       gateway->request_metrics, exchange->organisation, exchange->route->name);
   csp_add_count (exchange->labels, CSP_COUNT_REQUESTS, 1);
   estimate_tokens (exchange, head);
+  if (exchange->tokens > 0 && !exchange->relay.received)
+    csp_observe_size (exchange->labels, CSP_SIZE_REQUESTED, exchange->tokens);
   set_deadline (exchange, head);
   if (!may_serve_during_stop (exchange))
     {
--- a/source/metrics/metrics-imp.h
+++ b/source/metrics/metrics-imp.h
@@ -23,7 +23,10 @@
 {
   const char *name;
   const char *help;
-  uint32_t bounds_us[CSP_BUCKET_BOUNDS];
+  uint32_t scale; /* observed units in one rendered unit: 1,000,000 for times,
+                     which are observed in us and rendered in seconds; 1 for
+                     tokens */
+  uint32_t bounds[CSP_BUCKET_BOUNDS]; /* in observed units */
 } csp_histogram_row_t;
 
 typedef struct
@@ -32,19 +35,20 @@
   const char *help;
 } csp_metric_row_t;
 
-extern const csp_histogram_row_t csp_histogram_table[CSP_TIME_COUNT];
+extern const csp_histogram_row_t csp_histogram_table[CSP_HISTOGRAM_COUNT];
 extern const csp_metric_row_t csp_counter_table[CSP_COUNT_COUNT];
 extern const csp_metric_row_t csp_gauge_table[CSP_GAUGE_COUNT];
 
 typedef struct
 {
   _Atomic uint64_t buckets[CSP_BUCKET_BOUNDS + 1];
-  _Atomic uint64_t sum_us;
+  _Atomic uint64_t sum;
 } csp_histogram_t;
 
 typedef struct
 {
-  _Alignas(CSP_CACHE_LINE_BYTES) csp_histogram_t histograms[CSP_TIME_COUNT];
+  _Alignas(CSP_CACHE_LINE_BYTES)
+      csp_histogram_t histograms[CSP_HISTOGRAM_COUNT];
   _Atomic uint64_t counters[CSP_COUNT_COUNT];
 } csp_shard_t;
 
--- a/source/metrics/metrics-render.c
+++ b/source/metrics/metrics-render.c
@@ -10,7 +10,6 @@
 enum
 {
   US_PER_MS = 1000,
-  US_PER_S = 1000000,
   /* Each byte of a name becomes at most two.  */
   ESCAPED_BYTES = 2 * CSP_SERIES_NAME_BYTES
 };
@@ -48,7 +47,7 @@
 {
   uint64_t buckets[CSP_BUCKET_BOUNDS + 1];
   uint64_t total;
-  uint64_t sum_us;
+  uint64_t sum;
 } histogram_sum_t;
 
 static void
@@ -64,7 +63,7 @@
   for (shard = 0; shard < CSP_SHARDS; shard++)
     {
       shard_histogram = &series->shards[shard].histograms[id];
-      sum->sum_us += load_counter (&shard_histogram->sum_us);
+      sum->sum += load_counter (&shard_histogram->sum);
       for (i = 0; i <= CSP_BUCKET_BOUNDS; i++)
         {
           count = load_counter (&shard_histogram->buckets[i]);
@@ -122,13 +121,13 @@
       below += sum->buckets[i];
       fprintf (stream,
                PREFIX "%s_%s_bucket{%s=\"%s\",le=\"%g\"} %" PRIu64 "\n", label,
-               row->name, label, name, (double)row->bounds_us[i] / US_PER_S,
+               row->name, label, name, (double)row->bounds[i] / row->scale,
                below);
     }
   fprintf (stream, PREFIX "%s_%s_bucket{%s=\"%s\",le=\"+Inf\"} %" PRIu64 "\n",
            label, row->name, label, name, sum->total);
   fprintf (stream, PREFIX "%s_%s_sum{%s=\"%s\"} %.6f\n", label, row->name,
-           label, name, (double)sum->sum_us / US_PER_S);
+           label, name, (double)sum->sum / row->scale);
   fprintf (stream, PREFIX "%s_%s_count{%s=\"%s\"} %" PRIu64 "\n", label,
            row->name, label, name, sum->total);
 }
@@ -182,7 +181,7 @@
 {
   int i;
 
-  for (i = 0; i < CSP_TIME_COUNT; i++)
+  for (i = 0; i < CSP_HISTOGRAM_COUNT; i++)
     print_histograms (stream, family, i);
   for (i = 0; i < CSP_COUNT_COUNT; i++)
     print_counters (stream, family, i);
@@ -248,7 +247,7 @@
 csp_estimate_quantile_ms (const csp_series_t *series, csp_histogram_id_t id,
                           double quantile)
 {
-  const uint32_t *bounds_us = csp_histogram_table[id].bounds_us;
+  const uint32_t *bounds = csp_histogram_table[id].bounds;
   histogram_sum_t sum;
   double target_rank;
   double below = 0;
@@ -263,11 +262,11 @@
       bucket_count = (double)sum.buckets[i];
       if (bucket_count > 0 && below + bucket_count >= target_rank)
         return (lower_bound_us
-                + (bounds_us[i] - lower_bound_us) * (target_rank - below)
+                + (bounds[i] - lower_bound_us) * (target_rank - below)
                       / bucket_count)
                / US_PER_MS;
       below += bucket_count;
-      lower_bound_us = bounds_us[i];
+      lower_bound_us = bounds[i];
     }
   return lower_bound_us / US_PER_MS;
 }
--- a/source/metrics/metrics-table.c
+++ b/source/metrics/metrics-table.c
@@ -10,27 +10,46 @@
   S = 1000 * MS
 };
 
-const csp_histogram_row_t csp_histogram_table[CSP_TIME_COUNT] = {
+/* Both histograms of sizes have the same bounds, so that one can be divided by
+   the other bucket by bucket.  */
+#define TOKEN_BOUNDS                                                          \
+  {                                                                           \
+    250, 500, 1000, 1500, 2000, 2500, 3000, 4000, 5000, 6000, 8000, 12000,    \
+        16000, 32000                                                          \
+  }
+
+const csp_histogram_row_t csp_histogram_table[CSP_HISTOGRAM_COUNT] = {
   [CSP_TIME_TO_FIRST_TOKEN]
   = { "time_to_first_token_seconds",
       "time from a request's arrival to its first token",
+      S,
       { 10 * MS, 25 * MS, 50 * MS, 100 * MS, 200 * MS, 400 * MS, 600 * MS,
         910 * MS, 1500 * MS, 3 * S, 6 * S, 15 * S, 60 * S, 300 * S } },
   [CSP_TIME_BETWEEN_TOKENS]
   = { "time_between_tokens_seconds",
       "gap between two tokens as the caller gets them",
+      S,
       { 1 * MS, 5 * MS, 10 * MS, 20 * MS, 30 * MS, 42 * MS, 60 * MS, 80 * MS,
         120 * MS, 200 * MS, 500 * MS, 1 * S, 2 * S, 10 * S } },
   [CSP_TIME_STALLED]
   = { "stall_seconds",
       "stall time of a whole answer: what each gap had beyond 0.2 s",
+      S,
       { 0, 50 * MS, 100 * MS, 250 * MS, 500 * MS, 1 * S, 2 * S, 4 * S, 8 * S,
         15 * S, 30 * S, 60 * S, 120 * S, 300 * S } },
   [CSP_TIME_WAITING]
   = { "wait_seconds",
       "time in the queue, until sent or turned away",
+      S,
       { 1 * MS, 5 * MS, 20 * MS, 50 * MS, 100 * MS, 250 * MS, 500 * MS, 1 * S,
         2 * S, 5 * S, 15 * S, 30 * S, 60 * S, 300 * S } },
+  [CSP_SIZE_REQUESTED]
+  = { "requested_tokens",
+      "expected memory of the requests for engines, in tokens", 1,
+      TOKEN_BOUNDS },
+  [CSP_SIZE_REFUSED]
+  = { "refused_tokens", "the same, of those that no engine had a place for", 1,
+      TOKEN_BOUNDS },
 };
 
 const csp_metric_row_t csp_counter_table[CSP_COUNT_COUNT] = {
--- a/source/metrics/metrics.c
+++ b/source/metrics/metrics.c
@@ -162,29 +162,40 @@
 }
 
 static size_t
-find_bucket (const uint32_t bounds_us[CSP_BUCKET_BOUNDS], uint64_t time_us)
+find_bucket (const uint32_t bounds[CSP_BUCKET_BOUNDS], uint64_t value)
 {
   size_t i = 0;
 
-  while (i < CSP_BUCKET_BOUNDS && time_us > bounds_us[i])
+  while (i < CSP_BUCKET_BOUNDS && value > bounds[i])
     i++;
   return i;
 }
 
-void
-csp_observe_time (csp_labels_t labels, csp_histogram_id_t id, int64_t time_us)
+static void
+observe (csp_labels_t labels, csp_histogram_id_t id, uint64_t value)
 {
-  uint64_t observed_us = time_us < 0 ? 0 : (uint64_t)time_us;
-  size_t bucket = find_bucket (csp_histogram_table[id].bounds_us, observed_us);
+  size_t bucket = find_bucket (csp_histogram_table[id].bounds, value);
   csp_histogram_t *organisation
       = &labels.organisation->shards[labels.shard].histograms[id];
   csp_histogram_t *class_histogram
       = &labels.class_series->shards[labels.shard].histograms[id];
 
   add_to_counter (&organisation->buckets[bucket], 1);
-  add_to_counter (&organisation->sum_us, observed_us);
+  add_to_counter (&organisation->sum, value);
   add_to_counter (&class_histogram->buckets[bucket], 1);
-  add_to_counter (&class_histogram->sum_us, observed_us);
+  add_to_counter (&class_histogram->sum, value);
+}
+
+void
+csp_observe_time (csp_labels_t labels, csp_histogram_id_t id, int64_t time_us)
+{
+  observe (labels, id, time_us < 0 ? 0 : (uint64_t)time_us);
+}
+
+void
+csp_observe_size (csp_labels_t labels, csp_histogram_id_t id, uint64_t tokens)
+{
+  observe (labels, id, tokens);
 }
 
 int64_t
--- a/tests/metrics/metrics-test.c
+++ b/tests/metrics/metrics-test.c
@@ -148,6 +148,26 @@
 }
 END_TEST
 
+/* Guards against sizes that are counted as times.  */
+START_TEST (sizes_are_counted_in_tokens)
+{
+  csp_metrics_t *metrics = csp_create_metrics (SERIES_SMALL);
+
+  csp_observe_size (csp_get_labels (metrics, "o", "c"), CSP_SIZE_REFUSED,
+                    4001);
+  check_rendered (
+      metrics, LINE ("class_refused_tokens_bucket{class=\"c\",le=\"4000\"} 0"),
+      true);
+  check_rendered (
+      metrics, LINE ("class_refused_tokens_bucket{class=\"c\",le=\"5000\"} 1"),
+      true);
+  check_rendered (metrics,
+                  LINE ("class_refused_tokens_sum{class=\"c\"} 4001.000000"),
+                  true);
+  csp_destroy_metrics (metrics);
+}
+END_TEST
+
 START_TEST (request_ends_count_refusals_where_nothing_ran)
 {
   csp_metrics_t *metrics = csp_create_metrics (SERIES_SMALL);
@@ -276,7 +296,7 @@
   ck_assert_ptr_nonnull (file);
   ck_assert_uint_gt (fread (page, 1, 65535, file), 0);
   fclose (file);
-  for (i = 0; i < CSP_TIME_COUNT; i++)
+  for (i = 0; i < CSP_HISTOGRAM_COUNT; i++)
     check_page_row (page, "", csp_histogram_table[i].name,
                     csp_histogram_table[i].help);
   for (i = 0; i < CSP_COUNT_COUNT; i++)
@@ -303,6 +323,7 @@
   ADD_LOOP (tcase, names_are_escaped, name_cases);
   tcase_add_test (tcase, long_names_are_truncated);
   ADD_LOOP (tcase, times_are_counted_in_their_bucket, bucket_cases);
+  tcase_add_test (tcase, sizes_are_counted_in_tokens);
   tcase_add_test (tcase, request_ends_count_refusals_where_nothing_ran);
   tcase_add_test (tcase, quantiles_are_estimated_from_the_buckets);
   tcase_add_test (tcase, concurrent_counts_are_not_lost);
