A refused placement is logged with its cause, size and predicted wait

Callers of large requests were refused, and no log told why: 211 states the end, not the decision. The host that decides now sends the cause, the predicted wait and the time left with its refusal (fields 6 to 8 of the answer; an older host sends none and is shown as unknown), and the asking host logs 226 placement-refused with the prompt, the expected memory, the time to come back, the decider and the request's fingerprint, by which the second try of a caller is found.

dispatch: refusals_state_their_cause; roster: a_hello_survives_its_codec covers the new fields.

--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -184,17 +184,41 @@
   CSP_ASK_OUTCOME_COUNT
 } csp_ask_outcome_t;
 
+/* Why the decider refused an ask.  */
+typedef enum
+{
+  CSP_REFUSED_FOR_UNKNOWN, /* a host of an earlier version states none */
+  CSP_REFUSED_ON_ARRIVAL,  /* it would probably start too late */
+  CSP_REFUSED_AFTER_WAIT,  /* the same, as seen while it waited */
+  CSP_REFUSED_QUEUE_FULL,  /* too many wait, of all or of its organisation */
+  CSP_REFUSED_TABLE_FULL,  /* the decider holds no more asks */
+  CSP_REFUSED_NO_QUEUE,    /* the decider has no queue for the service */
+  CSP_REFUSED_FOR_COUNT
+} csp_refused_for_t;
+
+/* A decider's reason for a refusal, for logs.  */
+typedef struct
+{
+  csp_refused_for_t cause;
+  uint32_t predicted_wait_ms; /* at the measured rate, without margin */
+  uint32_t left_ms;           /* in which it had to start */
+} csp_ask_refusal_t;
+
 typedef struct
 {
   csp_peer_address_t host; /* the host that asked; not in the datagram */
   uint64_t id;
   csp_ask_outcome_t outcome;
-  uint64_t target;         /* hash of its id, if placed */
-  uint32_t retry_after_ms; /* if refused */
-  uint32_t pool_percent;   /* share of the pool's memory that is assigned, if
-                              placed */
+  uint64_t target;           /* hash of its id, if placed */
+  uint32_t retry_after_ms;   /* if refused */
+  uint32_t pool_percent;     /* share of the pool's memory that is assigned, if
+                                placed */
+  csp_ask_refusal_t refusal; /* if refused */
 } csp_ask_answer_t;
 
+/* Name of a cause in logs, such as "arrival".  */
+const char *csp_refused_for_name (csp_refused_for_t cause);
+
 /* A hello: one datagram.  */
 typedef struct
 {
--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -159,6 +159,12 @@
                           csp_ask_outcome_t outcome, uint64_t target,
                           uint32_t retry_after_ms);
 
+/* Answers a new request's ask with a refusal and counts it.  */
+void csp_refuse_ask (csp_dispatch_t *dispatch, const csp_ask_t *ask,
+                     csp_traffic_class_t traffic_class,
+                     const csp_ask_refusal_t *refusal,
+                     uint32_t retry_after_ms);
+
 /* Delivers an earlier answer again, as it may have been lost; false when the
    ask has no answer yet.  */
 bool csp_resend_ask_answer (csp_dispatch_t *dispatch, const csp_ask_t *ask);
--- a/source/dispatch/dispatch-room.c
+++ b/source/dispatch/dispatch-room.c
@@ -89,6 +89,15 @@
   return (uint32_t)(share * PERCENT);
 }
 
+static void
+send_final_answer (csp_dispatch_t *dispatch, const csp_ask_answer_t *answer)
+{
+  dispatch->recent_answers[dispatch->next_recent_answer] = *answer;
+  dispatch->next_recent_answer
+      = (dispatch->next_recent_answer + 1) % CSP_DISPATCH_RECENT_ANSWERS;
+  dispatch->deliver (dispatch->state, answer);
+}
+
 void
 csp_send_ask_answer (csp_dispatch_t *dispatch, const csp_ask_t *ask,
                      csp_ask_outcome_t outcome, uint64_t target,
@@ -102,13 +111,29 @@
 
   if (outcome == CSP_ASK_PLACED)
     answer.pool_percent = pool_percent (dispatch, target);
-  if (outcome != CSP_ASK_WAITS)
-    {
-      dispatch->recent_answers[dispatch->next_recent_answer] = answer;
-      dispatch->next_recent_answer
-          = (dispatch->next_recent_answer + 1) % CSP_DISPATCH_RECENT_ANSWERS;
-    }
-  dispatch->deliver (dispatch->state, &answer);
+  if (outcome == CSP_ASK_WAITS)
+    dispatch->deliver (dispatch->state, &answer);
+  else
+    send_final_answer (dispatch, &answer);
+}
+
+void
+csp_refuse_ask (csp_dispatch_t *dispatch, const csp_ask_t *ask,
+                csp_traffic_class_t traffic_class,
+                const csp_ask_refusal_t *refusal, uint32_t retry_after_ms)
+{
+  csp_ask_answer_t answer = { .host = ask->host,
+                              .id = ask->id,
+                              .outcome = CSP_ASK_REFUSED,
+                              .retry_after_ms = retry_after_ms,
+                              .refusal = *refusal };
+  csp_class_counts_t *counts = &dispatch->class_counts[traffic_class];
+
+  if (refusal->cause == CSP_REFUSED_AFTER_WAIT)
+    counts->refused_after_wait++;
+  else if (ask->moves_from == 0)
+    counts->refused_on_arrival++;
+  send_final_answer (dispatch, &answer);
 }
 
 /* Repeats an answer that the network may have lost.  */
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -193,14 +193,46 @@
                                   now_ms);
 }
 
-/* Refuses an ask that doesn't wait.  */
+static csp_ask_refusal_t
+describe_refusal (const csp_queue_t *queue,
+                  const csp_waiting_request_t *queued, csp_refused_for_t cause,
+                  int64_t now_ms)
+{
+  int64_t left_ms = queued->start_by_ms - now_ms;
+
+  return (csp_ask_refusal_t){ .cause = cause,
+                              .predicted_wait_ms
+                              = csp_predict_wait_ms (queue, queued),
+                              .left_ms = left_ms > 0 ? (uint32_t)left_ms : 0 };
+}
+
+/* Refuses an ask that the queue didn't take.  */
+static void
+refuse_queued (csp_dispatch_t *dispatch, const csp_dispatch_pool_t *pool,
+               const csp_ask_t *ask, const csp_waiting_request_t *queued,
+               const csp_error_t *error, int64_t now_ms)
+{
+  csp_traffic_class_t traffic_class = csp_get_ask_class (pool, ask);
+  csp_ask_refusal_t refusal = describe_refusal (
+      pool->queues[traffic_class], queued,
+      error->reason == CSP_REASON_DEADLINE ? CSP_REFUSED_ON_ARRIVAL
+                                           : CSP_REFUSED_QUEUE_FULL,
+      now_ms);
+
+  csp_refuse_ask (dispatch, ask, traffic_class, &refusal,
+                  error->retry_after_ms);
+}
+
+/* Refuses an ask that didn't reach a queue.  */
 static void
-refuse_on_arrival (csp_dispatch_t *dispatch, const csp_ask_t *ask,
-                   csp_traffic_class_t traffic_class, uint32_t retry_after_ms)
+refuse_unqueued (csp_dispatch_t *dispatch, const csp_ask_t *ask,
+                 csp_traffic_class_t traffic_class, csp_refused_for_t cause)
 {
-  if (ask->moves_from == 0)
-    dispatch->class_counts[traffic_class].refused_on_arrival++;
-  csp_send_ask_answer (dispatch, ask, CSP_ASK_REFUSED, 0, retry_after_ms);
+  csp_ask_refusal_t refusal
+      = { .cause = cause, .left_ms = ask->start_within_ms };
+
+  csp_refuse_ask (dispatch, ask, traffic_class, &refusal,
+                  ask->start_within_ms);
 }
 
 static void
@@ -224,13 +256,13 @@
 
   if (waiting == NULL)
     {
-      refuse_on_arrival (dispatch, ask, traffic_class, ask->start_within_ms);
+      refuse_unqueued (dispatch, ask, traffic_class, CSP_REFUSED_TABLE_FULL);
       return;
     }
   if (!csp_push_waiting (pool->queues[traffic_class], &queued, now_ms, &error))
     {
       free_waiting (dispatch, waiting);
-      refuse_on_arrival (dispatch, ask, traffic_class, error.retry_after_ms);
+      refuse_queued (dispatch, pool, ask, &queued, &error, now_ms);
       return;
     }
   if (traffic_class == CSP_CLASS_URGENT)
@@ -259,8 +291,7 @@
     return;
   if (pool == NULL)
     {
-      refuse_on_arrival (dispatch, ask, CSP_CLASS_REGULAR,
-                         ask->start_within_ms);
+      refuse_unqueued (dispatch, ask, CSP_CLASS_REGULAR, CSP_REFUSED_NO_QUEUE);
       return;
     }
   if (ask->moves_from != 0)
@@ -328,11 +359,13 @@
       if (waiting == NULL)
         continue;
       csp_ask_t ask = waiting->ask;
+      csp_traffic_class_t traffic_class = waiting->traffic_class;
+      csp_ask_refusal_t refusal
+          = describe_refusal (queue, &queued, CSP_REFUSED_AFTER_WAIT, now_ms);
 
-      dispatch->class_counts[waiting->traffic_class].refused_after_wait++;
       free_waiting (dispatch, waiting);
-      csp_send_ask_answer (dispatch, &ask, CSP_ASK_REFUSED, 0,
-                           error.retry_after_ms);
+      csp_refuse_ask (dispatch, &ask, traffic_class, &refusal,
+                      error.retry_after_ms);
     }
 }
 
--- a/source/gateway/gateway-dispatch.c
+++ b/source/gateway/gateway-dispatch.c
@@ -1,5 +1,6 @@
 #include "gateway/gateway-move-imp.h"
 
+#include "cowslipspoke/fingerprint.h"
 #include "cowslipspoke/hash.h"
 #include "cowslipspoke/nominal-speed.h"
 
@@ -311,6 +312,27 @@
     csp_place_locally (exchange);
 }
 
+static void
+log_refusal (csp_exchange_t *exchange, const csp_ask_answer_t *answer)
+{
+  char decider[CSP_PEER_TEXT_BYTES];
+  char fingerprint[CSP_FINGERPRINT_TEXT_BYTES];
+
+  csp_format_peer (exchange->asked_host, decider);
+  csp_print_fingerprint (csp_exchange_fingerprint (exchange), fingerprint);
+  CSP_LOG (exchange->gateway->log, CSP_EVENT_PLACEMENT_REFUSED,
+           exchange->request_id, csp_text ("route", exchange->route->name),
+           csp_text ("organisation", exchange->organisation),
+           csp_text ("cause", csp_refused_for_name (answer->refusal.cause)),
+           csp_number ("prompt_tokens", (int64_t)exchange->prompt_tokens),
+           csp_number ("tokens", (int64_t)exchange->tokens),
+           csp_number ("predicted_wait_ms", answer->refusal.predicted_wait_ms),
+           csp_number ("start_within_ms", answer->refusal.left_ms),
+           csp_number ("retry_after_ms", answer->retry_after_ms),
+           csp_text ("decider", decider),
+           csp_text ("fingerprint", fingerprint));
+}
+
 void
 csp_handle_ask_answer (csp_gateway_t *gateway, const csp_ask_answer_t *answer)
 {
@@ -338,6 +360,8 @@
         }
       exchange->asking = false;
       exchange->retry_after_ms = answer->retry_after_ms;
+      log_refusal (exchange, answer);
+      csp_observe_size (exchange->labels, CSP_SIZE_REFUSED, exchange->tokens);
       csp_fail_exchange (exchange, CSP_REASON_OVERLOADED,
                          "the engines are full");
       return;
--- a/source/log/event-table.c
+++ b/source/log/event-table.c
@@ -35,6 +35,7 @@
   { CSP_EVENT_PART_ON_TRIAL, CSP_LEVEL_WARNING, "part-on-trial" },
   { CSP_EVENT_RUN_LEFT, CSP_LEVEL_INFO, "run-left" },
   { CSP_EVENT_LEFT_RUN_STOPPED, CSP_LEVEL_INFO, "left-run-stopped" },
+  { CSP_EVENT_PLACEMENT_REFUSED, CSP_LEVEL_INFO, "placement-refused" },
   { CSP_EVENT_CONFIGURATION_TAKEN, CSP_LEVEL_INFO, "configuration-taken" },
   { CSP_EVENT_CONFIGURATION_STALE, CSP_LEVEL_WARNING, "configuration-stale" },
   { CSP_EVENT_CONFIGURATION_BAD, CSP_LEVEL_ERROR, "configuration-bad" },
--- a/source/roster/hello-codec.c
+++ b/source/roster/hello-codec.c
@@ -137,6 +137,9 @@
       row->target = hello->answers[i].target;
       row->retry_after_ms = hello->answers[i].retry_after_ms;
       row->pool_percent = hello->answers[i].pool_percent;
+      row->refused_for = hello->answers[i].refusal.cause;
+      row->predicted_wait_ms = hello->answers[i].refusal.predicted_wait_ms;
+      row->left_ms = hello->answers[i].refusal.left_ms;
       rows->answer_rows[i] = row;
     }
   memcpy (rows->cancels, hello->cancels, sizeof rows->cancels);
@@ -343,6 +346,18 @@
   return count;
 }
 
+/* A cause of a later version is unknown here.  */
+static csp_ask_refusal_t
+read_refusal (const CspHello__Answer *row)
+{
+  return (csp_ask_refusal_t){ .cause
+                              = row->refused_for < CSP_REFUSED_FOR_COUNT
+                                    ? (csp_refused_for_t)row->refused_for
+                                    : CSP_REFUSED_FOR_UNKNOWN,
+                              .predicted_wait_ms = row->predicted_wait_ms,
+                              .left_ms = row->left_ms };
+}
+
 static bool
 decode_asks (const CspHello__Hello *message, csp_hello_t *hello)
 {
@@ -388,6 +403,7 @@
       hello->answers[i].target = message->answers[i]->target;
       hello->answers[i].retry_after_ms = message->answers[i]->retry_after_ms;
       hello->answers[i].pool_percent = message->answers[i]->pool_percent;
+      hello->answers[i].refusal = read_refusal (message->answers[i]);
     }
   for (i = 0; i < message->n_cancels; i++)
     hello->cancels[i] = message->cancels[i];
--- a/source/roster/hello.pb-c.c
+++ b/source/roster/hello.pb-c.c
@@ -1025,7 +1025,7 @@
   (ProtobufCMessageInit) csp_hello__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor csp_hello__answer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor csp_hello__answer__field_descriptors[8] =
 {
   {
     "id",
@@ -1087,18 +1087,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused_for",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Answer, refused_for),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "predicted_wait_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Answer, predicted_wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CspHello__Answer, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned csp_hello__answer__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  7,   /* field[7] = left_ms */
   1,   /* field[1] = outcome */
   4,   /* field[4] = pool_percent */
+  6,   /* field[6] = predicted_wait_ms */
+  5,   /* field[5] = refused_for */
   3,   /* field[3] = retry_after_ms */
   2,   /* field[2] = target */
 };
 static const ProtobufCIntRange csp_hello__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor csp_hello__answer__descriptor =
 {
@@ -1108,7 +1147,7 @@
   "CspHello__Answer",
   "csp_hello",
   sizeof(CspHello__Answer),
-  5,
+  8,
   csp_hello__answer__field_descriptors,
   csp_hello__answer__field_indices_by_name,
   1,  csp_hello__answer__number_ranges,
--- a/source/roster/hello.pb-c.h
+++ b/source/roster/hello.pb-c.h
@@ -101,10 +101,13 @@
   uint64_t target;
   uint32_t retry_after_ms;
   uint32_t pool_percent;
+  uint32_t refused_for;
+  uint32_t predicted_wait_ms;
+  uint32_t left_ms;
 };
 #define CSP_HELLO__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&csp_hello__answer__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  CspHello__Lease
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -325,6 +325,32 @@
 }
 END_TEST
 
+/* Guards against refusals whose cause nobody can tell from the log.  */
+START_TEST (refusals_state_their_cause)
+{
+  const csp_ask_refusal_t *refusal = &answers[0].refusal;
+  uint64_t id;
+
+  for (id = 1; id <= 4; id++)
+    ck_assert_int_eq (push_ask (other_host, id, 1, 1000), CSP_ASK_PLACED);
+  report_runs (2);
+  ck_assert_int_eq (push_ask (other_host, id++, 1, 1000), CSP_ASK_WAITS);
+  answer_count = 0;
+  csp_pump_dispatch (dispatch, 1000 + PATIENCE_MS);
+  ck_assert_uint_eq (answer_count, 1);
+  ck_assert_int_eq (refusal->cause, CSP_REFUSED_AFTER_WAIT);
+  ck_assert_uint_eq (refusal->left_ms, 0);
+
+  answer_count = 0;
+  push_ask (other_host, id++, 1, 4000);
+  answer_count = 0;
+  ck_assert_int_eq (push_ask (other_host, id, 1, 4000), CSP_ASK_REFUSED);
+  ck_assert_int_eq (refusal->cause, CSP_REFUSED_ON_ARRIVAL);
+  ck_assert_uint_eq (refusal->left_ms, PATIENCE_MS);
+  ck_assert_uint_gt (refusal->predicted_wait_ms, PATIENCE_MS / 8);
+}
+END_TEST
+
 /* For a minute, requests need half more than the engines can hold: four
    slots, each used for two seconds, and three asks a second.  No slot may
    stay unused, and most of the asks that get none must be refused on arrival
@@ -517,6 +543,7 @@
   tcase_add_test (tcase, cancelled_ask_stops_waiting);
   tcase_add_test (tcase, unplaced_ask_is_refused_in_time);
   tcase_add_test (tcase, overload_refuses_most_on_arrival);
+  tcase_add_test (tcase, refusals_state_their_cause);
   tcase_add_test (tcase, slots_limit_placements);
   tcase_add_test (tcase, new_engine_gets_limited_prompt_tokens);
   tcase_add_test (tcase, cold_engine_gets_limited_rate);
--- a/tests/roster/roster-test.c
+++ b/tests/roster/roster-test.c
@@ -717,6 +717,9 @@
   hello.answers[0].target = UINT64_MAX;
   hello.answers[0].retry_after_ms = 8;
   hello.answers[0].pool_percent = 100;
+  hello.answers[0].refusal = (csp_ask_refusal_t){
+    .cause = CSP_REFUSED_AFTER_WAIT, .predicted_wait_ms = 10, .left_ms = 11
+  };
   hello.cancel_count = 1;
   hello.cancels[0] = 9;
   hello.decider = UINT64_MAX;
