Replay of slow engines: speeds reported each second, avoidance checked itself

Two things of slow_engines_take_what_the_fast_ones_cannot depended on the order in which requests happen to be placed, and not on slow engines:

- Speeds were reported once, at the start.
The longest interval is forgotten with time: 8.5 s later a slow engine's streams count as not pausing too long (stretch 2.8 for 5), and a prompt is rightly placed beside them.
Hosts report speeds with their loads, so the replay does so each second now.
The check that no prompt is placed beside such streams while a fast engine has room stays as it is.
- That slow engines aren't avoided once the fast ones are full was checked by comparing how many long requests each of two replays placed there.
In its place: behind no pump may a slow engine have room for the request that is due first (0 allowed), and long requests are placed there.
A chooser that leaves slow engines out fails it.

--- a/tests/dispatch/dispatch-speed-test.c
+++ b/tests/dispatch/dispatch-speed-test.c
@@ -34,6 +34,8 @@
   READING_MAX = 4500,
   PROMPT_TOKENS_PER_MS = 7,
   TOKEN_MS = 9,
+  /* Hosts report speeds with their loads.  */
+  SPEED_PERIOD_MS = 1000,
   CALM_PERIOD_MS = 200,
   BUSY_PERIOD_MS = 50
 };
@@ -140,7 +142,8 @@
 } speeds_t;
 
 static void
-report_speed (csp_fleet_target_t *target, size_t index, speeds_t speeds)
+report_speed (csp_fleet_target_t *target, size_t index, speeds_t speeds,
+              int64_t now_ms)
 {
   uint32_t usual_us = index < FAST ? FAST_US : SLOW_US;
 
@@ -149,7 +152,7 @@
   if (speeds == SPEEDS_EVEN)
     usual_us = index < FAST ? EVEN_US : EVEN_US + EVEN_SPREAD_US;
   csp_merge_speed_report (&target->speed, usual_us, usual_us * STRETCH,
-                          NOW_MS);
+                          now_ms);
 }
 
 /* Plays a case and writes the id of the engine that is chosen.  */
@@ -173,7 +176,7 @@
 
       snprintf (id, CSP_TARGET_ID_BYTES, "%c%zu", i < FAST ? 'f' : 's', i);
       target = list_engine (id);
-      report_speed (target, i, speeds);
+      report_speed (target, i, speeds, NOW_MS);
       if (i < FAST)
         add_streams (target, test_case->streams);
       else
@@ -232,10 +235,13 @@
 {
   int placed_slow[2]; /* by kind */
   int beside_streams; /* prompts at slow engines while a fast one had room */
+  int avoided; /* pumps behind which a slow engine had room for the request
+                  that is due first */
   int refused;
 } replay_t;
 
 static run_t runs[RUNS_MAX];
+static bool waits[RUNS_MAX]; /* by ask */
 static size_t run_count;
 static replay_t replayed;
 static int64_t replay_now_ms;
@@ -258,15 +264,37 @@
   return target->row.id[0] == 's';
 }
 
+static ask_kind_t
+kind_of (uint64_t id)
+{
+  return id % 2 == 0 ? SHORT_REQUEST : LONG_REQUEST;
+}
+
+/* All may wait equally long, so the request that came first is due first.  */
+static void
+count_avoided (uint64_t last_id)
+{
+  uint64_t id = 1;
+
+  while (id <= last_id && !waits[id])
+    id++;
+  if (id <= last_id
+      && (has_room ("s4", &asks[kind_of (id)])
+          || has_room ("s5", &asks[kind_of (id)])))
+    replayed.avoided++;
+}
+
 static void
 run_placed (void *state, const csp_ask_answer_t *answer)
 {
-  ask_kind_t kind = answer->id % 2 == 0 ? SHORT_REQUEST : LONG_REQUEST;
+  ask_kind_t kind = kind_of (answer->id);
   const csp_ask_t *ask = &asks[kind];
   csp_fleet_target_t *target;
   double speed;
 
   (void)state;
+  ck_assert_uint_lt (answer->id, RUNS_MAX);
+  waits[answer->id] = answer->outcome == CSP_ASK_WAITS;
   replayed.refused += answer->outcome == CSP_ASK_REFUSED;
   if (answer->outcome != CSP_ASK_PLACED)
     return;
@@ -324,6 +352,7 @@
   uint64_t id = 0;
   size_t i;
 
+  memset (waits, 0, sizeof waits);
   run_count = 0;
   replayed = (replay_t){ .refused = 0 };
   fleet = csp_create_fleet (NULL, NULL, NULL);
@@ -333,16 +362,20 @@
       char engine[CSP_TARGET_ID_BYTES];
 
       snprintf (engine, sizeof engine, "%c%zu", i < FAST ? 'f' : 's', i);
-      report_speed (list_engine (engine), i, speeds);
+      list_engine (engine);
     }
   for (replay_now_ms = NOW_MS; replay_now_ms < REPLAY_MS;
        replay_now_ms += TICK_MS)
     {
       report_runs ();
+      if (replay_now_ms % SPEED_PERIOD_MS == 0)
+        for (i = 0; i < ENGINES; i++)
+          report_speed (csp_fleet_at (fleet, i), i, speeds, replay_now_ms);
       csp_pump_dispatch (dispatch, replay_now_ms);
+      count_avoided (id);
       if (replay_now_ms % period_ms == 0)
         {
-          csp_ask_t ask = asks[++id % 2 == 0 ? SHORT_REQUEST : LONG_REQUEST];
+          csp_ask_t ask = asks[kind_of (++id)];
 
           ask.id = id;
           ask.data_centre = csp_find_fleet_target (fleet, "f0")->data_centre;
@@ -370,8 +403,8 @@
   after = replay (SPEEDS_UNEVEN, BUSY_PERIOD_MS);
   ck_assert_int_gt (before.beside_streams, 0);
   ck_assert_int_eq (after.beside_streams, 0);
-  ck_assert_int_ge (after.placed_slow[LONG_REQUEST],
-                    before.placed_slow[LONG_REQUEST]);
+  ck_assert_int_gt (after.placed_slow[LONG_REQUEST], 0);
+  ck_assert_int_eq (after.avoided, 0);
   ck_assert_int_gt (before.refused, 0);
   ck_assert_int_le (after.refused, before.refused);
 }
