Requests are charged memory x time in services without classes too

Cause: the decider's queue charged tokens. A short run with a large prompt was charged more than a long run, though it holds its memory for a twentieth of the time. Services with classes were already charged by memory x time.

Change: one cost for all services; the credit of a round follows its mean.

--- a/include/cowslipspoke/traffic-cost.h
+++ b/include/cowslipspoke/traffic-cost.h
@@ -5,15 +5,16 @@
 
 #include <stdint.h>
 
-/* The cost of a request in a service with traffic classes: memory x time.
+/* The cost of a request for an engine: memory x time.
 
    Load pattern: short and long requests compete for engine memory.  Charged by
    its tokens, a short request costs two thirds of a long one but uses a
-   twentieth of its memory x time, so organisations with short requests get
-   less than their share.
+   twentieth of its memory x time.  So organisations with short requests get
+   less than their share, and a short request with a large prompt is refused
+   sooner than a long one, as its wait is predicted from its cost.
 
    The unit is the time for which the pool's mean request uses its memory, so
-   that the mean request costs its tokens, as in services without classes.  */
+   that the mean request costs its tokens.  */
 
 /* What is learnt of a pool's requests.  All zero: nothing yet.  */
 typedef struct
--- a/source/dispatch/dispatch-pool.c
+++ b/source/dispatch/dispatch-pool.c
@@ -158,13 +158,11 @@
 uint32_t
 csp_charge_ask (csp_dispatch_pool_t *pool, const csp_ask_t *ask)
 {
-  uint32_t cost_tokens;
+  csp_traffic_class_t traffic_class = csp_get_ask_class (pool, ask);
+  uint32_t cost_tokens = csp_charge_request (&pool->cost, traffic_class,
+                                             ask->prompt_tokens, ask->tokens);
 
-  if (!pool->has_classes)
-    return ask->tokens;
-  cost_tokens = csp_charge_request (&pool->cost, ask->traffic_class,
-                                    ask->prompt_tokens, ask->tokens);
-  set_quantum (pool, ask->traffic_class);
+  set_quantum (pool, traffic_class);
   return cost_tokens;
 }
 
