An answer that ends in its head is no answer, in libcurl's calls too

Here the first interface did that: from the first whole line of the head on (17 bytes of "HTTP/1.1 200 OK"), a plain service's answer that was cut counted as complete, status 200, no body. A cut head with "X-Verdict: not run" counted as that statement, an engine's cut head of another status as its failure, a cut 103 as an answer with status 103, and a cut answer of the platform as an empty one.

Cause: libcurl ends such a call without an error, with the status that it has read. The class: the end of a connection is taken for the end of what was sent on it. The gateway's own reader of answers knows the end of a head and was not concerned.

Change: each call reads its answer's head line by line; an answer counts only once the empty line of the final head has come. One callback in place of three.

--- a/source/platform/fetcher.c
+++ b/source/platform/fetcher.c
@@ -90,8 +90,9 @@
 static long
 perform_request (fetch_job_t *job)
 {
+  csp_answer_head_t head;
   CURL *handle
-      = csp_create_call (&job->endpoint, job->path, CONNECT_TIMEOUT_MS);
+      = csp_create_call (&job->endpoint, job->path, CONNECT_TIMEOUT_MS, &head);
   struct curl_slist *headers = NULL;
   CURLcode code;
   long status = 0;
@@ -117,7 +118,7 @@
   curl_slist_free_all (headers);
   if (code == CURLE_COULDNT_CONNECT)
     return CSP_POST_NOT_SENT;
-  return code == CURLE_OK ? status : CSP_POST_NO_RESPONSE;
+  return code == CURLE_OK && head.is_whole ? status : CSP_POST_NO_RESPONSE;
 }
 
 static void
--- a/source/target/engine.c
+++ b/source/target/engine.c
@@ -29,7 +29,7 @@
   CURL *call;
   csp_sse_reader_t *reader;
   csp_link_end_t end; /* CSP_LINK_END_COUNT while open */
-  bool not_run_stated;
+  csp_answer_head_t head;
   csp_send_gate_t gate;
   int64_t last_token_ms;
   size_t error_bytes;
@@ -123,21 +123,6 @@
   return unit * count;
 }
 
-static size_t
-handle_header (char *data, size_t unit, size_t count, void *state)
-{
-  transfer_t *transfer = state;
-
-  if (!csp_is_answer_line (data, unit * count))
-    {
-      transfer->end = CSP_LINK_CUT;
-      return 0;
-    }
-  if (csp_is_not_run_header (data, unit * count))
-    transfer->not_run_stated = true;
-  return unit * count;
-}
-
 /* Only the time since the last token shows that a link is dead; the total
    duration doesn't, since the length of the answer is unknown.  */
 static csp_link_end_t
@@ -201,7 +186,7 @@
   if (document != NULL)
     snprintf (transfer->report->message, sizeof transfer->report->message,
               "%s", error_text (document, "message"));
-  if (transfer->not_run_stated)
+  if (transfer->head.not_run)
     end = CSP_LINK_NOT_STARTED;
   else if (transfer->link->resume)
     end = status == HTTP_NOT_FOUND ? CSP_LINK_UNKNOWN : CSP_LINK_FAILED;
@@ -227,7 +212,7 @@
     return transfer->end;
   if (!report->may_have_been_sent)
     return CSP_LINK_NO_CONNECT;
-  if (status != 0 && status != HTTP_OK)
+  if (transfer->head.is_whole && status != HTTP_OK)
     return classify_status (transfer);
   return CSP_LINK_CUT;
 }
@@ -267,8 +252,6 @@
   csp_set_send_gate (call, &transfer->gate);
   curl_easy_setopt (call, CURLOPT_WRITEFUNCTION, handle_body);
   curl_easy_setopt (call, CURLOPT_WRITEDATA, transfer);
-  curl_easy_setopt (call, CURLOPT_HEADERFUNCTION, handle_header);
-  curl_easy_setopt (call, CURLOPT_HEADERDATA, transfer);
 }
 
 csp_link_end_t
@@ -292,7 +275,7 @@
             generation->id);
   transfer.call = csp_create_call (&link->endpoint,
                                    link->resume ? resume_path : link->path,
-                                   link->connect_timeout_ms);
+                                   link->connect_timeout_ms, &transfer.head);
   transfer.reader = csp_create_sse_reader (EVENT_LIMIT_BYTES);
   headers = make_headers (link, generation);
   if (multi == NULL || transfer.call == NULL || transfer.reader == NULL
@@ -325,11 +308,12 @@
                        const char *generation_id, uint32_t timeout_ms)
 {
   char path[CSP_URL_BYTES];
+  csp_answer_head_t head;
   CURLcode code;
   CURL *call;
 
   snprintf (path, sizeof path, "/v1/generations/%s/cancel", generation_id);
-  call = csp_create_call (endpoint, path, timeout_ms);
+  call = csp_create_call (endpoint, path, timeout_ms, &head);
   if (call == NULL)
     return -1;
   curl_easy_setopt (call, CURLOPT_POSTFIELDS, "");
@@ -337,5 +321,5 @@
   curl_easy_setopt (call, CURLOPT_WRITEFUNCTION, discard_body);
   code = curl_easy_perform (call);
   curl_easy_cleanup (call);
-  return code == CURLE_OK ? 0 : -1;
+  return code == CURLE_OK && head.is_whole ? 0 : -1;
 }
--- a/source/target/http.c
+++ b/source/target/http.c
@@ -5,26 +5,46 @@
 #include <string.h>
 #include <strings.h>
 
-bool
-csp_is_answer_line (const char *line, size_t size_bytes)
+static bool
+begins_with (const char *line, size_t size_bytes, const char *prefix)
 {
-  static const char status_prefix[] = "HTTP/";
+  return size_bytes >= strlen (prefix)
+         && strncasecmp (line, prefix, strlen (prefix)) == 0;
+}
 
-  return size_bytes < sizeof status_prefix - 1
-         || memcmp (line, status_prefix, sizeof status_prefix - 1) != 0
-         || csp_is_http_status_line (line, size_bytes);
+/* Begins a head: the final one, or one more interim one before it.  */
+static bool
+read_status_line (csp_answer_head_t *head, const char *line, size_t size_bytes)
+{
+  static const size_t status_offset = sizeof "HTTP/1.1 " - 1;
+
+  if (!csp_is_http_status_line (line, size_bytes))
+    return false;
+  *head = (csp_answer_head_t){ .is_interim = line[status_offset] == '1' };
+  return true;
 }
 
 static size_t
-check_header (char *data, size_t unit, size_t count, void *state)
+read_head_line (char *line, size_t unit, size_t count, void *state)
 {
-  (void)state;
-  return csp_is_answer_line (data, unit * count) ? unit * count : 0;
+  csp_answer_head_t *head = state;
+  size_t size_bytes = unit * count;
+
+  /* Of a chunked answer the fields behind the body come here too.  */
+  if (head->is_whole)
+    return size_bytes;
+  if (begins_with (line, size_bytes, "HTTP/"))
+    return read_status_line (head, line, size_bytes) ? size_bytes : 0;
+  if (begins_with (line, size_bytes, "X-Verdict: not run"))
+    head->not_run = true;
+  if (line[0] == '\r' || line[0] == '\n')
+    head->is_whole = !head->is_interim;
+  return size_bytes;
 }
 
 CURL *
 csp_create_call (const csp_endpoint_t *endpoint, const char *path,
-                 uint32_t connect_timeout_ms)
+                 uint32_t connect_timeout_ms, csp_answer_head_t *head)
 {
   CURL *call = curl_easy_init ();
   const char *scheme = endpoint->ca_file == NULL ? "http" : "https";
@@ -36,7 +56,9 @@
             endpoint->port, path);
   curl_easy_setopt (call, CURLOPT_URL, url);
   curl_easy_setopt (call, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (call, CURLOPT_HEADERFUNCTION, check_header);
+  *head = (csp_answer_head_t){ .is_whole = false };
+  curl_easy_setopt (call, CURLOPT_HEADERFUNCTION, read_head_line);
+  curl_easy_setopt (call, CURLOPT_HEADERDATA, head);
   curl_easy_setopt (call, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (call, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt (call, CURLOPT_TCP_NODELAY, 1L);
@@ -79,12 +101,3 @@
   curl_easy_setopt (call, CURLOPT_PREREQFUNCTION, query_gate);
   curl_easy_setopt (call, CURLOPT_PREREQDATA, gate);
 }
-
-bool
-csp_is_not_run_header (const char *line, size_t size_bytes)
-{
-  static const char not_run_prefix[] = "X-Verdict: not run";
-
-  return size_bytes >= sizeof not_run_prefix - 1
-         && strncasecmp (line, not_run_prefix, sizeof not_run_prefix - 1) == 0;
-}
--- a/source/target/service-call.c
+++ b/source/target/service-call.c
@@ -16,7 +16,7 @@
 {
   const csp_service_link_t *link;
   csp_service_answer_t *answer;
-  bool not_run_stated;
+  csp_answer_head_t head;
   csp_send_gate_t gate;
 } service_transfer_t;
 
@@ -40,18 +40,6 @@
   return bytes;
 }
 
-static size_t
-handle_header (char *data, size_t unit, size_t count, void *state)
-{
-  service_transfer_t *transfer = state;
-
-  if (!csp_is_answer_line (data, unit * count))
-    return 0;
-  if (csp_is_not_run_header (data, unit * count))
-    transfer->not_run_stated = true;
-  return unit * count;
-}
-
 static struct curl_slist *
 make_headers (const csp_service_link_t *link)
 {
@@ -81,8 +69,6 @@
   curl_easy_setopt (call, CURLOPT_CUSTOMREQUEST, link->method);
   curl_easy_setopt (call, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (call, CURLOPT_WRITEDATA, transfer);
-  curl_easy_setopt (call, CURLOPT_HEADERFUNCTION, handle_header);
-  curl_easy_setopt (call, CURLOPT_HEADERDATA, transfer);
 }
 
 /* Runs the transfer.  Returns CSP_LINK_COMPLETE when it ended by itself, the
@@ -130,19 +116,20 @@
     return end;
   if (!answer->may_have_been_sent)
     return CSP_LINK_NO_CONNECT;
-  if (code != CURLE_OK)
+  if (code != CURLE_OK || !transfer->head.is_whole)
     return CSP_LINK_CUT;
-  return transfer->not_run_stated ? CSP_LINK_NOT_STARTED : CSP_LINK_COMPLETE;
+  return transfer->head.not_run ? CSP_LINK_NOT_STARTED : CSP_LINK_COMPLETE;
 }
 
 csp_link_end_t
 csp_run_service_link (const csp_service_link_t *link,
                       csp_service_answer_t *answer)
 {
-  service_transfer_t transfer
-      = { link, answer, false, { link->may_send, link->state } };
+  service_transfer_t transfer = { .link = link,
+                                  .answer = answer,
+                                  .gate = { link->may_send, link->state } };
   CURL *call = csp_create_call (&link->endpoint, link->path,
-                                link->connect_timeout_ms);
+                                link->connect_timeout_ms, &transfer.head);
   CURLM *multi = curl_multi_init ();
   struct curl_slist *headers = make_headers (link);
   csp_link_end_t end = CSP_LINK_NO_CONNECT;
--- a/tests/target/target-status-test.c
+++ b/tests/target/target-status-test.c
@@ -11,7 +11,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Calls to targets that answer with a status that no answer can have.  */
+/* Calls to targets that answer with a status that no answer can have, or break
+   off.  */
 
 enum
 {
@@ -44,6 +45,7 @@
 
 static int listener;
 static const char *answer;
+static size_t answer_bytes;
 
 /* Serve one connection.  */
 static void *
@@ -54,7 +56,7 @@
 
   (void)state;
   recv (connection, request, sizeof request, 0);
-  send (connection, answer, strlen (answer), MSG_NOSIGNAL);
+  send (connection, answer, answer_bytes, MSG_NOSIGNAL);
   close (connection);
   return NULL;
 }
@@ -91,9 +93,8 @@
   return CSP_LINK_COMPLETE;
 }
 
-/* Guards against a service's answer that reaches the caller with such a
-   status, or with the one that a reader of numbers finds in it.  */
-START_TEST (a_service_answer_has_a_status)
+static csp_link_end_t
+call_service (csp_service_answer_t *result)
 {
   csp_service_link_t link = { .method = "GET",
                               .path = "/",
@@ -102,22 +103,19 @@
                               .connect_timeout_ms = TIMEOUT_MS,
                               .answer_limit_bytes = ANSWER_MAX_BYTES,
                               .check = go_on };
-  csp_service_answer_t result;
+  csp_link_end_t end;
   pthread_t server;
 
-  answer = rows[_i].answer;
   link.endpoint = open_target (&server);
-  ck_assert_int_eq (csp_run_service_link (&link, &result),
-                    rows[_i].service_end);
-  ck_assert (result.may_have_been_sent);
-  free (result.body);
+  end = csp_run_service_link (&link, result);
+  ck_assert (result->may_have_been_sent);
+  free (result->body);
   close_target (server);
+  return end;
 }
-END_TEST
 
-/* Guards against an engine's answer with such a status that decides what
-   becomes of a generation.  */
-START_TEST (an_engine_answer_has_a_status)
+static csp_link_end_t
+call_engine (void)
 {
   csp_clock_t clock = csp_system_clock ();
   csp_generation_t generation = { .id = "g1" };
@@ -130,14 +128,63 @@
                              .clock = &clock,
                              .check = go_on };
   csp_engine_link_report_t report;
+  csp_link_end_t end;
   pthread_t server;
 
-  answer = rows[_i].answer;
   link.endpoint = open_target (&server);
-  ck_assert_int_eq (csp_run_engine_link (&link, &generation, &report),
-                    rows[_i].engine_end);
+  end = csp_run_engine_link (&link, &generation, &report);
   ck_assert (report.may_have_been_sent);
   close_target (server);
+  return end;
+}
+
+/* Guards against a service's answer that reaches the caller with such a
+   status, or with the one that a reader of numbers finds in it.  */
+START_TEST (a_service_answer_has_a_status)
+{
+  csp_service_answer_t result;
+
+  answer = rows[_i].answer;
+  answer_bytes = strlen (answer);
+  ck_assert_int_eq (call_service (&result), rows[_i].service_end);
+}
+END_TEST
+
+/* Guards against an engine's answer with such a status that decides what
+   becomes of a generation.  */
+START_TEST (an_engine_answer_has_a_status)
+{
+  answer = rows[_i].answer;
+  answer_bytes = strlen (answer);
+  ck_assert_int_eq (call_engine (), rows[_i].engine_end);
+}
+END_TEST
+
+static const char *const broken_off[]
+    = { "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-A: b\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nX-A: b\r\n\r",
+        "HTTP/1.1 503 No\r\nX-Verdict: not run\r\nContent-Length: 0\r\n\r",
+        "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n" };
+
+/* Guards against an answer that ends in its head and is taken for a whole one
+   without a body, or for a statement of what the target did.  */
+START_TEST (an_answer_that_ends_in_its_head_is_cut)
+{
+  csp_service_answer_t result;
+
+  answer = broken_off[_i];
+  for (answer_bytes = 1; answer_bytes <= strlen (answer); answer_bytes++)
+    {
+      csp_link_end_t end = call_service (&result);
+
+      ck_assert_msg (end == CSP_LINK_CUT,
+                     "service: %zu bytes: end %d, status %u", answer_bytes,
+                     end, result.status);
+      end = call_engine ();
+      ck_assert_msg (end == CSP_LINK_CUT, "engine: %zu bytes: end %d",
+                     answer_bytes, end);
+    }
 }
 END_TEST
 
@@ -151,6 +198,8 @@
                        sizeof rows / sizeof rows[0]);
   tcase_add_loop_test (tcase, an_engine_answer_has_a_status, 0,
                        sizeof rows / sizeof rows[0]);
+  tcase_add_loop_test (tcase, an_answer_that_ends_in_its_head_is_cut, 0,
+                       sizeof broken_off / sizeof broken_off[0]);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
