A request that fits no engine is refused at once

Callers saw: a request whose prompt and expected answer are larger than an engine's memory waited until its objective had passed and was then told to come back soon, which helps nothing. Meanwhile its cost counted in the predicted waits of all others of its service.

Cause: the decider looks for room only, and not whether there can be any. Seen by reading, while looking for what a caller can do who states a size that is too large.

dispatch: request_that_fits_no_engine_is_refused_at_once failed before (it waited).

--- a/include/cowslipspoke/roster.h
+++ b/include/cowslipspoke/roster.h
@@ -193,6 +193,7 @@
   CSP_REFUSED_QUEUE_FULL,  /* too many wait, of all or of its organisation */
   CSP_REFUSED_TABLE_FULL,  /* the decider holds no more asks */
   CSP_REFUSED_NO_QUEUE,    /* the decider has no queue for the service */
+  CSP_REFUSED_TOO_LARGE,   /* for the memory of one engine */
   CSP_REFUSED_FOR_COUNT
 } csp_refused_for_t;
 
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -22,7 +22,9 @@
      been placed within 0.2 s.  The mean worth of the answers of four days of
      45 and 48 engines is 0.58 with this limit, 0.55 with twice as much and
      0.54 with none.  */
-  READING_TOKENS_MAX = 4500
+  READING_TOKENS_MAX = 4500,
+  /* Engines with more memory come with a new configuration, if at all.  */
+  TOO_LARGE_RETRY_MS = 600000
 };
 
 csp_dispatch_t *
@@ -232,7 +234,17 @@
       = { .cause = cause, .left_ms = ask->start_within_ms };
 
   csp_refuse_ask (dispatch, ask, traffic_class, &refusal,
-                  ask->start_within_ms);
+                  cause == CSP_REFUSED_TOO_LARGE ? TOO_LARGE_RETRY_MS
+                                                 : ask->start_within_ms);
+}
+
+/* Whether no engine can hold the run, however long it waits.  */
+static bool
+is_too_large (const csp_dispatch_pool_t *pool, const csp_ask_t *ask)
+{
+  return pool->memory_tokens > 0
+         && ask->tokens
+                > max_placement_memory_share * (double)pool->memory_tokens;
 }
 
 static void
@@ -302,6 +314,12 @@
         csp_send_ask_answer (dispatch, ask, CSP_ASK_WAITS, 0, 0);
       return;
     }
+  if (is_too_large (pool, ask))
+    {
+      refuse_unqueued (dispatch, ask, csp_get_ask_class (pool, ask),
+                       CSP_REFUSED_TOO_LARGE);
+      return;
+    }
   waiting = find_waiting (dispatch, ask->host, ask->id);
   if (waiting != NULL)
     csp_copy_backoffs (&waiting->ask, ask);
--- a/tests/dispatch/dispatch-test.c
+++ b/tests/dispatch/dispatch-test.c
@@ -351,6 +351,30 @@
 }
 END_TEST
 
+/* Guards against a request that is larger than an engine's memory and waits
+   until its time is over, counting in the waits of others.  */
+START_TEST (request_that_fits_no_engine_is_refused_at_once)
+{
+  csp_ask_t row = { .host = other_host,
+                    .id = 1,
+                    .organisation = 1,
+                    .prompt_tokens = RUN,
+                    .tokens = MEMORY + 1,
+                    .start_within_ms = PATIENCE_MS };
+
+  csp_push_ask (dispatch, &row, &service, 1000);
+  ck_assert_uint_eq (answer_count, 1);
+  ck_assert_int_eq (answers[0].outcome, CSP_ASK_REFUSED);
+  ck_assert_int_eq (answers[0].refusal.cause, CSP_REFUSED_TOO_LARGE);
+  ck_assert_uint_gt (answers[0].retry_after_ms, PATIENCE_MS);
+  ck_assert_uint_eq (csp_count_waiting_asks (dispatch), 0);
+  row.tokens = MEMORY;
+  row.id = 2;
+  csp_push_ask (dispatch, &row, &service, 1000);
+  ck_assert_int_eq (answers[answer_count - 1].outcome, CSP_ASK_PLACED);
+}
+END_TEST
+
 /* For a minute, requests need half more than the engines can hold: four
    slots, each used for two seconds, and three asks a second.  No slot may
    stay unused, and most of the asks that get none must be refused on arrival
@@ -544,6 +568,7 @@
   tcase_add_test (tcase, unplaced_ask_is_refused_in_time);
   tcase_add_test (tcase, overload_refuses_most_on_arrival);
   tcase_add_test (tcase, refusals_state_their_cause);
+  tcase_add_test (tcase, request_that_fits_no_engine_is_refused_at_once);
   tcase_add_test (tcase, slots_limit_placements);
   tcase_add_test (tcase, new_engine_gets_limited_prompt_tokens);
   tcase_add_test (tcase, cold_engine_gets_limited_rate);
