Reading a prompt is charged with the whole engine, as it stops all its runs

Cause: while a prompt is read the steps of all other runs at that engine wait, and the charge didn't know it. A short run with 2,400 tokens of prompt was charged a 39th of a long one; with what it stops it is a seventh to an eighth.

Change: the time of reading counts with the engine's memory, that of writing with the run's own. Classes share a pool by what runs hold themselves, as before: an urgent flood on one small engine got 33 of 600 placed where 48 are asked when the share followed the new charge too (dispatch-class, row 6).

--- a/source/dispatch/dispatch-pool.c
+++ b/source/dispatch/dispatch-pool.c
@@ -143,7 +143,7 @@
 
 /* Sets the credit of a round to the mean cost of the class.  Beside as many
    long requests (3,750 tokens, 7 s) a short one (2,412 tokens, 0.28 s) costs a
-   thirteenth of the default, so an organisation would be served 13 in a row
+   third of the default, so an organisation would be served three in a row
    while others wait.  */
 static void
 set_quantum (csp_dispatch_pool_t *pool, csp_traffic_class_t traffic_class)
@@ -159,8 +159,9 @@
 csp_charge_ask (csp_dispatch_pool_t *pool, const csp_ask_t *ask)
 {
   csp_traffic_class_t traffic_class = csp_get_ask_class (pool, ask);
-  uint32_t cost_tokens = csp_charge_request (&pool->cost, traffic_class,
-                                             ask->prompt_tokens, ask->tokens);
+  uint32_t cost_tokens
+      = csp_charge_request (&pool->cost, traffic_class, pool->memory_tokens,
+                            ask->prompt_tokens, ask->tokens);
 
   set_quantum (pool, traffic_class);
   return cost_tokens;
@@ -219,6 +220,8 @@
   csp_take_waiting (queue, now_ms);
   csp_settle_waiting (queue, waiting->organisation, waiting->cost_tokens,
                       waiting->cost_tokens, now_ms);
-  csp_note_class_placed (&pool->share, waiting->traffic_class,
-                         waiting->cost_tokens, now_ms);
+  csp_note_class_placed (
+      &pool->share, waiting->traffic_class,
+      csp_held_token_s (waiting->ask.prompt_tokens, waiting->ask.tokens),
+      now_ms);
 }
