--- a/source/losses/losses.c
+++ b/source/losses/losses.c
@@ -1,6 +1,5 @@
-#include "cowslipspoke/losses.h"
+#include "losses/losses-imp.h"
 
-#include "base/index-imp.h"
 #include "cowslipspoke/hash.h"
 #include "cowslipspoke/host-delay.h"
 #include "cowslipspoke/log.h"
@@ -12,10 +11,6 @@
 
 enum
 {
-  ROUTES_MAX = 64,
-  NAME_BYTES = 64,
-  /* Number of equal parts of the logs' time range in the table by time.  */
-  TIME_SLICES = 20,
   INITIAL_CAPACITY = 256,
   STATUS_SERVER_ERROR = 500,
   /* A request that was refused sooner than this never waited in a queue; the
@@ -58,42 +53,6 @@
   return loss_names[loss];
 }
 
-/* Earlier log lines of a request.  For a pair of host and target, its
-   existence means that the host had received the target's leave notice.  */
-typedef struct
-{
-  csp_index_node_t node;
-  bool copy_started;
-  bool copy_refused;
-  bool stalled;
-} history_t;
-
-typedef struct
-{
-  char name[NAME_BYTES];
-  uint64_t requests[CSP_LOSS_COUNT];
-  uint64_t tokens[CSP_LOSS_COUNT];
-} route_row_t;
-
-typedef struct
-{
-  int64_t at_ms;
-  csp_loss_t loss;
-} request_end_t;
-
-struct csp_losses
-{
-  csp_index_t histories;
-  size_t history_count;
-  size_t history_capacity;
-  history_t **all_histories;
-  size_t route_count;
-  route_row_t routes[ROUTES_MAX]; /* any further routes share the last row */
-  size_t end_count;
-  size_t end_capacity;
-  request_end_t *ends;
-};
-
 csp_losses_t *
 csp_create_losses (void)
 {
@@ -144,22 +103,23 @@
              : 0;
 }
 
-static history_t *
+static csp_loss_history_t *
 find_history (csp_losses_t *losses, const char *first, const char *second)
 {
   csp_index_node_t *node
       = csp_find_in_index (&losses->histories, csp_hash_pair (first, second));
 
-  return node == NULL ? NULL : CSP_INDEX_ENTRY (node, history_t, node);
+  return node == NULL ? NULL
+                      : CSP_INDEX_ENTRY (node, csp_loss_history_t, node);
 }
 
 /* Find the history or add one; NULL if memory is exhausted, and the line is
    then ignored.  */
-static history_t *
+static csp_loss_history_t *
 get_or_add_history (csp_losses_t *losses, const char *first,
                     const char *second)
 {
-  history_t *history = find_history (losses, first, second);
+  csp_loss_history_t *history = find_history (losses, first, second);
 
   if (history != NULL)
     return history;
@@ -168,8 +128,8 @@
       size_t capacity = losses->history_capacity == 0
                             ? INITIAL_CAPACITY
                             : losses->history_capacity * 2;
-      history_t **grown
-          = realloc (losses->all_histories, capacity * sizeof (history_t *));
+      csp_loss_history_t **grown = realloc (
+          losses->all_histories, capacity * sizeof (csp_loss_history_t *));
 
       if (grown == NULL)
         return NULL;
@@ -188,7 +148,7 @@
 static void
 record_step (csp_losses_t *losses, json_object *line)
 {
-  history_t *history
+  csp_loss_history_t *history
       = get_or_add_history (losses, "request", get_text (line, "request_id"));
   const char *step = get_text (line, "step");
 
@@ -205,7 +165,7 @@
 /* Why a stream was lost when its target ended and closed the connection.  */
 static csp_loss_t
 classify_ended_target (csp_losses_t *losses, json_object *line,
-                       const history_t *history)
+                       const csp_loss_history_t *history)
 {
   if (find_history (losses, get_text (line, "host"), get_text (line, "target"))
       == NULL)
@@ -217,7 +177,7 @@
 
 static csp_loss_t
 classify_failure (csp_losses_t *losses, json_object *line,
-                  const history_t *history)
+                  const csp_loss_history_t *history)
 {
   static const struct
   {
@@ -273,7 +233,7 @@
 static csp_loss_t
 classify_end (csp_losses_t *losses, json_object *line)
 {
-  const history_t *history
+  const csp_loss_history_t *history
       = find_history (losses, "request", get_text (line, "request_id"));
   csp_loss_t loss = CSP_LOSS_NONE;
 
@@ -298,7 +258,7 @@
   return loss;
 }
 
-static route_row_t *
+static csp_loss_route_t *
 get_or_add_route (csp_losses_t *losses, const char *name)
 {
   size_t i;
@@ -306,31 +266,31 @@
   for (i = 0; i < losses->route_count; i++)
     if (strcmp (losses->routes[i].name, name) == 0)
       return &losses->routes[i];
-  if (losses->route_count == ROUTES_MAX)
-    return &losses->routes[ROUTES_MAX - 1];
-  csp_copy_text (losses->routes[i].name, NAME_BYTES, name);
+  if (losses->route_count == CSP_LOSS_ROUTES_MAX)
+    return &losses->routes[CSP_LOSS_ROUTES_MAX - 1];
+  csp_copy_text (losses->routes[i].name, CSP_LOSS_NAME_BYTES, name);
   losses->route_count++;
   return &losses->routes[i];
 }
 
-/* If memory is exhausted, the end is counted but missing from the table by
-   time.  */
+/* If memory is exhausted, the end is counted but missing from the tables by
+   time and by size.  */
 static void
-append_end (csp_losses_t *losses, int64_t at_ms, csp_loss_t loss)
+append_end (csp_losses_t *losses, const csp_request_end_t *end)
 {
   if (losses->end_count == losses->end_capacity)
     {
       size_t capacity = losses->end_capacity == 0 ? INITIAL_CAPACITY
                                                   : losses->end_capacity * 2;
-      request_end_t *grown = realloc (losses->ends, capacity * sizeof *grown);
+      csp_request_end_t *grown
+          = realloc (losses->ends, capacity * sizeof *grown);
 
       if (grown == NULL)
         return;
       losses->ends = grown;
       losses->end_capacity = capacity;
     }
-  losses->ends[losses->end_count++]
-      = (request_end_t){ .at_ms = at_ms, .loss = loss };
+  losses->ends[losses->end_count++] = *end;
 }
 
 /* The host that relayed the request reports its end too.  */
@@ -338,14 +298,18 @@
 record_end (csp_losses_t *losses, json_object *line)
 {
   csp_loss_t loss = classify_end (losses, line);
-  route_row_t *route;
+  csp_loss_route_t *route;
 
   if (get_text (line, "relayed_from")[0] != '\0')
     return;
   route = get_or_add_route (losses, get_text (line, "route"));
   route->requests[loss]++;
   route->tokens[loss] += (uint64_t)get_number (line, "tokens");
-  append_end (losses, get_number (line, "at_ms"), loss);
+  append_end (losses,
+              &(csp_request_end_t){ .at_ms = get_number (line, "at_ms"),
+                                    .loss = loss,
+                                    .route = (size_t)(route - losses->routes),
+                                    .tokens = get_number (line, "tokens") });
 }
 
 static void
@@ -397,75 +361,3 @@
       count += losses->routes[i].requests[loss];
   return count;
 }
-
-static void
-print_routes (const csp_losses_t *losses, FILE *stream)
-{
-  size_t i;
-  size_t loss;
-
-  fprintf (stream, "%-24s %-20s %9s %12s\n", "route", "end", "requests",
-           "tokens");
-  for (i = 0; i < losses->route_count; i++)
-    for (loss = 0; loss < CSP_LOSS_COUNT; loss++)
-      if (losses->routes[i].requests[loss] > 0)
-        fprintf (stream, "%-24s %-20s %9llu %12llu\n", losses->routes[i].name,
-                 loss_names[loss],
-                 (unsigned long long)losses->routes[i].requests[loss],
-                 (unsigned long long)losses->routes[i].tokens[loss]);
-}
-
-static void
-find_time_range (const csp_losses_t *losses, int64_t *first_ms,
-                 int64_t *last_ms)
-{
-  size_t i;
-
-  *first_ms = *last_ms = losses->ends[0].at_ms;
-  for (i = 1; i < losses->end_count; i++)
-    {
-      if (losses->ends[i].at_ms < *first_ms)
-        *first_ms = losses->ends[i].at_ms;
-      if (losses->ends[i].at_ms > *last_ms)
-        *last_ms = losses->ends[i].at_ms;
-    }
-}
-
-static void
-print_time_slices (const csp_losses_t *losses, FILE *stream)
-{
-  static const double ms_per_s = 1000.0;
-  uint64_t counts[TIME_SLICES][CSP_LOSS_COUNT] = { { 0 } };
-  int64_t first_ms;
-  int64_t last_ms;
-  int64_t slice_ms;
-  size_t slice;
-  size_t loss;
-  size_t i;
-
-  if (losses->end_count == 0)
-    return;
-  find_time_range (losses, &first_ms, &last_ms);
-  slice_ms = (last_ms - first_ms) / TIME_SLICES + 1;
-  for (i = 0; i < losses->end_count; i++)
-    counts[(losses->ends[i].at_ms - first_ms) / slice_ms]
-          [losses->ends[i].loss]++;
-  fprintf (stream, "\n%-10s %s\n", "from s", "lost, by cause");
-  for (slice = 0; slice < TIME_SLICES; slice++)
-    {
-      fprintf (stream, "%-10.1f",
-               (double)((int64_t)slice * slice_ms) / ms_per_s);
-      for (loss = CSP_LOSS_NONE + 1; loss < CSP_LOSS_COUNT; loss++)
-        if (counts[slice][loss] > 0)
-          fprintf (stream, " %s %llu;", loss_names[loss],
-                   (unsigned long long)counts[slice][loss]);
-      fputc ('\n', stream);
-    }
-}
-
-void
-csp_print_losses (const csp_losses_t *losses, FILE *stream)
-{
-  print_routes (losses, stream);
-  print_time_slices (losses, stream);
-}
--- a/tests/losses/losses-test.c
+++ b/tests/losses/losses-test.c
@@ -148,6 +148,38 @@
 }
 END_TEST
 
+/* Guards against a fault that meets the largest requests and shows in no
+   table.  */
+START_TEST (the_table_shows_refusals_by_size)
+{
+  csp_losses_t *losses = csp_create_losses ();
+  char text[8192] = "";
+  FILE *stream = fmemopen (text, sizeof text, "w");
+  int tokens;
+
+  for (tokens = 2000; tokens > 0; tokens -= 100)
+    {
+      char line[256];
+
+      snprintf (line, sizeof line,
+                "{\"at_ms\":9000,\"event\":%d,\"route\":\"texts\",\"status\":"
+                "200,\"detail\":\"%s\",\"took_ms\":4,\"tokens\":%d}",
+                tokens > 1700 ? 211 : 210,
+                tokens > 1700 ? "the engines are full" : "", tokens);
+      ck_assert (csp_process_loss_line (losses, line));
+    }
+  csp_print_losses (losses, stream);
+  fclose (stream);
+  ck_assert_ptr_nonnull (strstr (
+      text, "texts                            1600         2         0\n"));
+  ck_assert_ptr_nonnull (strstr (
+      text, "texts                            1800         2         1\n"));
+  ck_assert_ptr_nonnull (strstr (
+      text, "texts                            2000         2         2\n"));
+  csp_destroy_losses (losses);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -158,6 +190,7 @@
                        sizeof loss_cases / sizeof loss_cases[0]);
   tcase_add_test (tcase, other_lines_are_ignored);
   tcase_add_test (tcase, the_table_has_a_row_for_each_route_and_cause);
+  tcase_add_test (tcase, the_table_shows_refusals_by_size);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
 }
