A stated size is bounded before it goes to the decider

A caller that states 4,294,967,396 tokens of prompt, -5, or a larger number got a place as if the request were small: hosts tell the decider a run's memory in 32 bits, and the number was cut to them. Its host counted the whole number as load of the engine, so that nothing else was placed there until the request had ended.

Found while looking at what a caller can do who states a size that is too large. Change: prompt and answer are read up to 2^30 tokens each, which fit together. Such a request is refused at once, as no engine holds it.

--- a/source/dispatch/dispatch-imp.h
+++ b/source/dispatch/dispatch-imp.h
@@ -159,7 +159,8 @@
                           csp_ask_outcome_t outcome, uint64_t target,
                           uint32_t retry_after_ms);
 
-/* Answers a new request's ask with a refusal and counts it.  */
+/* Answers an ask with a refusal, which is counted if it is of a new
+   request.  */
 void csp_refuse_ask (csp_dispatch_t *dispatch, const csp_ask_t *ask,
                      csp_traffic_class_t traffic_class,
                      const csp_ask_refusal_t *refusal,
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -24,7 +24,8 @@
   REFUSED_RETRY_MS = 400,
   /* Longest timeout that a caller may state: a day.  */
   TIMEOUT_MAX_MS = 86400000,
-  DECIMAL = 10
+  DECIMAL = 10,
+  STATED_TOKENS_MAX = 1 << 30
 };
 
 static void
@@ -274,6 +275,16 @@
                   0);
 }
 
+/* Reads a number of tokens that the caller states.  Prompt and answer together
+   fit the 32 bits in which hosts tell each other a run's memory.  */
+static uint64_t
+parse_tokens (const char *text, char **rest)
+{
+  uint64_t tokens = strtoull (text, rest, DECIMAL);
+
+  return tokens < STATED_TOKENS_MAX ? tokens : STATED_TOKENS_MAX;
+}
+
 /* Estimate the run's memory: its prompt and its expected output, by the
    caller's hint where there is one, else half of the output limit.  */
 static void
@@ -290,13 +301,13 @@
 
   if (tokens != NULL)
     {
-      prompt = strtoull (tokens, &rest, DECIMAL);
+      prompt = parse_tokens (tokens, &rest);
       if (*rest == ',')
-        output_max = strtoull (rest + 1, NULL, DECIMAL);
+        output_max = parse_tokens (rest + 1, NULL);
     }
   exchange->output_tokens = output_max / 2;
   if (hint != NULL)
-    exchange->output_tokens = strtoull (hint, NULL, DECIMAL);
+    exchange->output_tokens = parse_tokens (hint, NULL);
   if (output_max > 0 && exchange->output_tokens > output_max)
     exchange->output_tokens = output_max;
   exchange->prompt_tokens = prompt;
