Slow start is judged by eight seeds, not by four

a_target_lost_at_saturation_returns compares the time to the first token behind the return of a lost engine with slow start and without.

--- a/tests/fleet/fleet-test.c
+++ b/tests/fleet/fleet-test.c
@@ -221,7 +221,7 @@
   with_slow_start.faulty_engine = 3;
   without_slow_start = with_slow_start;
   without_slow_start.no_slow_start = true;
-  for (plan.seed = 1; plan.seed <= 4; plan.seed++)
+  for (plan.seed = 1; plan.seed <= 8; plan.seed++)
     {
       simulate_fleet (&with_slow_start, &plan, &with);
       simulate_fleet (&without_slow_start, &plan, &without);
