The first interface charges what a generation uses of the engines as well

A waiting request states both now; the queue counts memory, charges cost, and settles the cost by the length that the answer turned out to have. Services are charged as before.

queue: memory_in_flight_is_not_the_charge (both rows can't be stated on the code before).

--- a/bench/cost-bench.c
+++ b/bench/cost-bench.c
@@ -244,6 +244,7 @@
           .cost_tokens = 100 + csp_random_below (&bench->random, 5000) };
   csp_error_t error;
 
+  waiting.memory_tokens = waiting.cost_tokens;
   csp_push_waiting (bench->queue, &waiting, 1000, &error);
 }
 
@@ -261,7 +262,8 @@
   if (!csp_next_waiting (bench->queue, &waiting, &borrowing))
     return;
   csp_take_waiting (bench->queue, 1000 + round / 64);
-  csp_settle_waiting (bench->queue, waiting.organisation, waiting.cost_tokens,
+  csp_settle_waiting (bench->queue, waiting.organisation,
+                      waiting.memory_tokens, waiting.cost_tokens,
                       waiting.cost_tokens, 1000 + round / 64);
 }
 
--- a/bench/engine-model.h
+++ b/bench/engine-model.h
@@ -61,6 +61,7 @@
   uint32_t last_noted_tokens;
   int64_t last_noted_us;
   uint32_t charged_tokens;
+  uint32_t charged_memory_tokens;
   struct request *next;
 } request_t;
 
--- a/bench/fleet-decisions.c
+++ b/bench/fleet-decisions.c
@@ -120,9 +120,9 @@
 }
 
 static csp_waiting_request_t
-make_waiting (const fleet_t *fleet, const request_t *request)
+make_waiting (fleet_t *fleet, const request_t *request)
 {
-  const host_t *host = &fleet->hosts[request->host];
+  host_t *host = &fleet->hosts[request->host];
   csp_waiting_request_t waiting
       = { .id = request->id,
           .organisation
@@ -130,13 +130,31 @@
           .priority = request->priority,
           .start_by_ms = 1000 + request->start_by_us / 1000 };
 
-  waiting.cost_tokens
+  waiting.memory_tokens
       = request->prompt_tokens
         + (uint32_t)csp_mean_tokens_left (host->lengths,
                                           host->keys[request->class_index], 0);
+  waiting.cost_tokens = csp_charge_request (
+      &host->cost, CSP_CLASS_REGULAR, fleet->engines[0].shape.memory_tokens,
+      request->prompt_tokens, waiting.memory_tokens);
   return waiting;
 }
 
+void
+settle_request (fleet_t *fleet, const request_t *request,
+                uint32_t generated_tokens)
+{
+  host_t *host = &fleet->hosts[request->host];
+
+  csp_settle_waiting (
+      host->queue, fleet->settings->no_fairness ? 0 : request->organisation,
+      request->charged_memory_tokens, request->charged_tokens,
+      csp_compute_request_cost (
+          &host->cost, fleet->engines[0].shape.memory_tokens,
+          request->prompt_tokens, request->prompt_tokens + generated_tokens),
+      fleet_now_ms (fleet));
+}
+
 /* Moves streams that have no token yet back to their host's queue before the
    engine runs out of memory and has to preempt.  */
 static void
@@ -162,8 +180,9 @@
       csp_remove_stream (fleet->ledgers[engine], handles[i], CSP_LENGTH_CUT,
                          fleet_now_ms (fleet));
       csp_settle_waiting (fleet->hosts[request->host].queue,
-                          request->organisation, request->charged_tokens, 0,
-                          fleet_now_ms (fleet));
+                          request->organisation,
+                          request->charged_memory_tokens,
+                          request->charged_tokens, 0, fleet_now_ms (fleet));
       request->requeued_count++;
       request->phase = REQUEST_GIVEN_UP;
       waiting = make_waiting (fleet, request);
@@ -199,14 +218,14 @@
 }
 
 static bool
-may_borrow (const fleet_t *fleet, uint32_t host, uint32_t cost_tokens)
+may_borrow (const fleet_t *fleet, uint32_t host, uint32_t memory_tokens)
 {
   uint64_t reserve_tokens
       = csp_queue_lending_reserve_tokens (fleet->hosts[host].queue);
 
   if (fleet->settings->no_admission)
     return true;
-  return host_free_tokens (fleet, host) >= reserve_tokens + cost_tokens;
+  return host_free_tokens (fleet, host) >= reserve_tokens + memory_tokens;
 }
 
 /* Lists the other hosts with their last reported headroom.  A request that
@@ -274,14 +293,15 @@
     {
       request = &fleet->requests[waiting.id - 1];
       may_use_own_engines
-          = !borrowing || may_borrow (fleet, index, waiting.cost_tokens);
+          = !borrowing || may_borrow (fleet, index, waiting.memory_tokens);
       if ((may_use_own_engines
            && choose_engine (fleet, request, index, &engine))
-          || spill (fleet, request, index, waiting.cost_tokens, borrowing,
+          || spill (fleet, request, index, waiting.memory_tokens, borrowing,
                     &engine))
         {
           csp_take_waiting (host->queue, fleet_now_ms (fleet));
           request->charged_tokens = waiting.cost_tokens;
+          request->charged_memory_tokens = waiting.memory_tokens;
           send_request (fleet, request, engine);
         }
       else
--- a/bench/fleet-imp.h
+++ b/bench/fleet-imp.h
@@ -9,6 +9,7 @@
 #include "cowslipspoke/preemption.h"
 #include "cowslipspoke/random.h"
 #include "cowslipspoke/shift.h"
+#include "cowslipspoke/traffic-cost.h"
 
 enum
 {
@@ -38,6 +39,7 @@
   csp_lengths_t *lengths;
   uint32_t keys[CLASS_COUNT];
   csp_queue_t *queue;
+  csp_traffic_cost_t cost;
   csp_health_t *health;
   host_report_t last_report;
 } host_t;
@@ -96,6 +98,9 @@
 /* Queues a new request at a random host and dispatches that host's queue.  */
 void enqueue_at_random_host (fleet_t *fleet, request_t *request);
 void expire_host (fleet_t *fleet, host_t *host);
+/* Settles the cost of a request that has ended with so many tokens.  */
+void settle_request (fleet_t *fleet, const request_t *request,
+                     uint32_t generated_tokens);
 /* Takes a load report of each engine, applies the one that is now
    report_lag_us old, and updates what hosts know of each other.  */
 void exchange_reports (fleet_t *fleet);
--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -119,11 +119,7 @@
                    fleet_now_ms (fleet));
   csp_remove_stream (ledger, request->handle, CSP_LENGTH_FINISHED,
                      fleet_now_ms (fleet));
-  csp_settle_waiting (fleet->hosts[request->host].queue,
-                      fleet->settings->no_fairness ? 0 : request->organisation,
-                      request->charged_tokens,
-                      request->prompt_tokens + request->generated_token_count,
-                      fleet_now_ms (fleet));
+  settle_request (fleet, request, request->generated_token_count);
 }
 
 static void
@@ -145,11 +141,7 @@
         continue;
       csp_remove_stream (fleet->ledgers[index], request->handle,
                          CSP_LENGTH_CUT, fleet_now_ms (fleet));
-      csp_settle_waiting (fleet->hosts[request->host].queue,
-                          request->organisation, request->charged_tokens,
-                          request->prompt_tokens
-                              + request->generated_token_count,
-                          fleet_now_ms (fleet));
+      settle_request (fleet, request, request->generated_token_count);
     }
 }
 
--- a/include/cowslipspoke/queue.h
+++ b/include/cowslipspoke/queue.h
@@ -15,14 +15,14 @@
    the time to first token of small organisations follows the large one's load,
    and requests are served after their callers have gone.
 
-   Organisations are served by weighted deficit round robin over tokens: a
-   request costs its prompt and its expected answer, and the difference from
-   its real cost is settled when it ends.  Within an organisation the earliest
-   deadline goes first, and each step of priority makes a request due
-   priority_step_ms earlier; so later arrivals can overtake a request only for
-   a bounded time.  Fairness between organisations comes before priority, as
-   otherwise the largest could mark everything urgent and starve the small
-   ones.
+   Organisations are served by weighted deficit round robin over cost: what a
+   request uses of the targets, in tokens (see traffic-cost.h), and the
+   difference from its real cost is settled when it ends.  Within an
+   organisation the earliest deadline goes first, and each step of priority
+   makes a request due priority_step_ms earlier; so later arrivals can overtake
+   a request only for a bounded time.  Fairness between organisations comes
+   before priority, as otherwise the largest could mark everything urgent and
+   starve the small ones.
 
    Unused shares are lent.  An organisation that has more in flight than its
    share is *borrowing*; it must leave lending_reserve of the memory free, so
@@ -86,13 +86,15 @@
 csp_queue_policy_t csp_default_queue_policy (void);
 
 /* A waiting request.  organisation is a small number assigned by the caller of
-   this interface.  cost_tokens is the prompt and the expected answer.
+   this interface.  memory_tokens is the prompt and the expected answer, which
+   count as in flight once it is taken; cost_tokens is what it is charged.
    start_by_ms is the time by which the request must be sent to a target, 0 for
    none.  */
 typedef struct
 {
   uint64_t id;
   uint32_t organisation;
+  uint32_t memory_tokens;
   uint32_t cost_tokens;
   int64_t start_by_ms;
   int64_t arrived_ms;
@@ -162,11 +164,11 @@
 bool csp_charge_waiting (csp_queue_t *queue, uint32_t organisation,
                          uint64_t id, int64_t now_ms);
 
-/* Settles a taken request that has ended: corrects the charged cost to
-   used_tokens and removes it from the tokens in flight.  */
+/* Settles a taken request that has ended: removes its memory from the tokens
+   in flight and corrects the charged cost to the real one.  */
 void csp_settle_waiting (csp_queue_t *queue, uint32_t organisation,
-                         uint32_t charged_tokens, uint32_t used_tokens,
-                         int64_t now_ms);
+                         uint32_t memory_tokens, uint32_t charged_tokens,
+                         uint32_t used_tokens, int64_t now_ms);
 
 /* Removes a waiting request whose caller has gone.  Returns false when it
    isn't waiting.  */
--- a/include/cowslipspoke/traffic-cost.h
+++ b/include/cowslipspoke/traffic-cost.h
@@ -38,6 +38,12 @@
                              uint32_t memory_tokens, uint32_t prompt_tokens,
                              uint32_t tokens);
 
+/* The cost of a request that isn't added to the means, such as one that has
+   ended with another length than was expected.  */
+uint32_t csp_compute_request_cost (const csp_traffic_cost_t *cost,
+                                   uint32_t memory_tokens,
+                                   uint32_t prompt_tokens, uint32_t tokens);
+
 /* The memory x time that a request holds by itself, in tokens x s, at least 1.
    Classes share a pool by it, as an engine reads the prompts of one class
    while it writes the answers of the other.  */
--- a/source/control/control-admission.c
+++ b/source/control/control-admission.c
@@ -123,6 +123,18 @@
   return true;
 }
 
+/* What the queue charges: what a generation uses of the engines, and of
+   services the request's tokens.  */
+static uint32_t
+charge_request (csp_pool_state_t *pool, const csp_tracked_request_t *request)
+{
+  if (request->waiter->ask->pool_kind != CSP_POOL_ENGINES)
+    return request->cost_tokens;
+  return csp_charge_request (&pool->cost, CSP_CLASS_REGULAR,
+                             pool->engine_tokens, request->prompt_tokens,
+                             request->cost_tokens);
+}
+
 /* Add a request to its pool's queue, with the time at which it arrived.  */
 static bool
 enqueue_request (csp_control_t *control, csp_tracked_request_t *request,
@@ -133,11 +145,13 @@
   csp_waiting_request_t waiting
       = { .id = request->id,
           .organisation = request->organisation,
-          .cost_tokens = request->cost_tokens,
+          .memory_tokens = request->cost_tokens,
+          .cost_tokens = charge_request (pool, request),
           .start_by_ms = find_start_deadline (ask, request->arrived_ms),
           .arrived_ms = request->arrived_ms,
           .priority = ask->terms.priority };
 
+  request->charged_tokens = waiting.cost_tokens;
   csp_set_weight (pool->queue, request->organisation, ask->terms.weight);
   if (!csp_push_waiting (pool->queue, &waiting, now_ms, error))
     return false;
--- a/source/control/control-choose.c
+++ b/source/control/control-choose.c
@@ -332,6 +332,7 @@
       if (memory > largest)
         largest = memory;
     }
+  pool->engine_tokens = largest;
   csp_set_capacity (pool->queue, (uint64_t)largest * count
                                      / count_owners (control, now_ms));
 }
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -24,6 +24,7 @@
 #include "cowslipspoke/retry.h"
 #include "cowslipspoke/shift.h"
 #include "cowslipspoke/spread.h"
+#include "cowslipspoke/traffic-cost.h"
 
 /* Shared by the files of source/control.  Only the control thread accesses
    this state, except for the inbox, the view and the atomic members.  */
@@ -118,6 +119,8 @@
 {
   char name[CSP_NAME_BYTES];
   csp_queue_t *queue;
+  csp_traffic_cost_t cost;
+  uint32_t engine_tokens; /* memory of its largest engine; 0: none here */
   bool dirty;
 } csp_pool_state_t;
 
@@ -192,7 +195,8 @@
   uint32_t pool;
   csp_target_state_t *target;
   uint32_t stream;
-  uint32_t cost_tokens;
+  uint32_t cost_tokens;    /* its prompt and expected answer */
+  uint32_t charged_tokens; /* by the queue */
   uint32_t prompt_tokens;
   uint32_t length_key;
   int64_t arrived_ms;
--- a/source/control/control-running.c
+++ b/source/control/control-running.c
@@ -131,6 +131,7 @@
       = csp_find_request (control, command->tracking_id);
   const csp_grant_outcome_t *outcome = &command->outcome;
   csp_pool_state_t *pool;
+  uint32_t used_tokens;
 
   if (request == NULL || request->state == CSP_REQUEST_WAITING)
     return;
@@ -139,11 +140,14 @@
     release_local (control, request, outcome, now_ms);
   else
     csp_finish_spill (control, request, outcome, now_ms);
-  csp_settle_waiting (pool->queue, request->organisation, request->cost_tokens,
-                      request->prompt_tokens + (uint32_t)outcome->tokens,
-                      now_ms);
-  csp_settle_limits (request,
-                     request->prompt_tokens + (uint32_t)outcome->tokens);
+  used_tokens = request->prompt_tokens + (uint32_t)outcome->tokens;
+  csp_settle_waiting (
+      pool->queue, request->organisation, request->cost_tokens,
+      request->charged_tokens,
+      csp_compute_request_cost (&pool->cost, pool->engine_tokens,
+                                request->prompt_tokens, used_tokens),
+      now_ms);
+  csp_settle_limits (request, used_tokens);
   pool->dirty = true;
   csp_remove_request (control, request);
 }
--- a/source/dispatch/dispatch-pool.c
+++ b/source/dispatch/dispatch-pool.c
@@ -218,8 +218,8 @@
   csp_queue_t *queue = pool->queues[waiting->traffic_class];
 
   csp_take_waiting (queue, now_ms);
-  csp_settle_waiting (queue, waiting->organisation, waiting->cost_tokens,
-                      waiting->cost_tokens, now_ms);
+  csp_settle_waiting (queue, waiting->organisation, waiting->ask.tokens,
+                      waiting->cost_tokens, waiting->cost_tokens, now_ms);
   csp_note_class_placed (
       &pool->share, waiting->traffic_class,
       csp_held_token_s (waiting->ask.prompt_tokens, waiting->ask.tokens),
--- a/source/dispatch/dispatch.c
+++ b/source/dispatch/dispatch.c
@@ -254,6 +254,7 @@
   csp_waiting_request_t queued = {
     .id = dispatch->next_id++,
     .organisation = map_organisation (dispatch, ask->organisation),
+    .memory_tokens = ask->tokens,
     .cost_tokens = csp_charge_ask (pool, ask),
     .start_by_ms = now_ms + ask->start_within_ms,
     .arrived_ms = now_ms,
--- a/source/queue/queue-pump.c
+++ b/source/queue/queue-pump.c
@@ -188,7 +188,7 @@
   organisation_t *organisation = &queue->organisations[waiting->organisation];
 
   organisation->deficit -= waiting->cost_tokens;
-  organisation->in_flight_tokens += waiting->cost_tokens;
+  organisation->in_flight_tokens += waiting->memory_tokens;
   organisation->skipped_since_ms = 0;
   queue->served_tokens += waiting->cost_tokens;
   csp_remove_waiting_entry (queue, index);
@@ -267,8 +267,8 @@
    block an organisation for minutes.  */
 void
 csp_settle_waiting (csp_queue_t *queue, uint32_t organisation,
-                    uint32_t charged_tokens, uint32_t used_tokens,
-                    int64_t now_ms)
+                    uint32_t memory_tokens, uint32_t charged_tokens,
+                    uint32_t used_tokens, int64_t now_ms)
 {
   organisation_t *owner;
   int64_t max_debt;
@@ -278,8 +278,8 @@
   csp_update_queue_rate (queue, now_ms);
   owner = &queue->organisations[organisation];
   max_debt = -MAX_DEBT_ROUNDS * round_credit (queue, owner);
-  if (owner->in_flight_tokens >= charged_tokens)
-    owner->in_flight_tokens -= charged_tokens;
+  if (owner->in_flight_tokens >= memory_tokens)
+    owner->in_flight_tokens -= memory_tokens;
   else
     owner->in_flight_tokens = 0;
   owner->deficit += (int64_t)charged_tokens - used_tokens;
--- a/tests/queue/queue-test.c
+++ b/tests/queue/queue-test.c
@@ -41,6 +41,7 @@
   csp_waiting_request_t waiting = { .id = next_id++,
                                     .organisation = organisation,
                                     .priority = priority,
+                                    .memory_tokens = COST,
                                     .cost_tokens = COST,
                                     .start_by_ms = start_by_ms };
 
@@ -67,7 +68,8 @@
 
   for (; from_ms < until_ms; from_ms += 100)
     if (take (from_ms, &waiting))
-      csp_settle_waiting (queue, waiting.organisation, COST, COST, from_ms);
+      csp_settle_waiting (queue, waiting.organisation, COST, COST, COST,
+                          from_ms);
 }
 
 /* The largest organisation has sent 500 requests when a small one sends one.
@@ -271,12 +273,40 @@
 }
 END_TEST
 
+/* Guards against shares of memory that follow what requests are charged: with
+   short requests, which are charged little, an organisation could hold all of
+   it.  */
+START_TEST (memory_in_flight_is_not_the_charge)
+{
+  static const struct
+  {
+    uint32_t memory_tokens;
+    uint32_t cost_tokens;
+  } rows[] = { { 4000, 100 }, { 100, 4000 } };
+  csp_waiting_request_t waiting = { .id = 1,
+                                    .organisation = SMALL,
+                                    .memory_tokens = rows[_i].memory_tokens,
+                                    .cost_tokens = rows[_i].cost_tokens };
+  csp_error_t error;
+
+  ck_assert (csp_push_waiting (queue, &waiting, 1000, &error));
+  ck_assert (take (1000, &waiting));
+  ck_assert_uint_eq (csp_queue_in_flight_tokens (queue, SMALL),
+                     rows[_i].memory_tokens);
+  csp_settle_waiting (queue, SMALL, waiting.memory_tokens, waiting.cost_tokens,
+                      waiting.cost_tokens, 2000);
+  ck_assert_uint_eq (csp_queue_in_flight_tokens (queue, SMALL), 0);
+}
+END_TEST
+
 /* A request that needs much memory never gets it, as smaller ones take all
    memory that gets free.  After blocking_after_ms the queue waits for it.  */
 START_TEST (large_request_is_not_skipped_forever)
 {
-  csp_waiting_request_t large
-      = { .id = 1000, .organisation = SMALL, .cost_tokens = 40000 };
+  csp_waiting_request_t large = { .id = 1000,
+                                  .organisation = SMALL,
+                                  .memory_tokens = 40000,
+                                  .cost_tokens = 40000 };
   csp_waiting_request_t waiting;
   csp_error_t error;
   bool borrowing;
@@ -322,6 +352,7 @@
   tcase_add_test (tcase, startup_is_not_taken_for_standstill);
   tcase_add_test (tcase, wait_ends_at_deadline);
   tcase_add_test (tcase, lent_share_is_taken_back);
+  tcase_add_loop_test (tcase, memory_in_flight_is_not_the_charge, 0, 2);
   tcase_add_test (tcase, large_request_is_not_skipped_forever);
   suite_add_tcase (suite, tcase);
   return run_suite (suite);
