--- a/bench/metrics-bench.c
+++ b/bench/metrics-bench.c
@@ -80,8 +80,10 @@
 
       snprintf (name, sizeof name, "customer-%zu", i);
       labels = csp_get_labels (metrics, name, "class");
-      for (time = 0; time < CSP_TIME_COUNT; time++)
+      for (time = 0; time <= CSP_TIME_WAITING; time++)
         csp_observe_time (labels, time, 42000);
+      csp_observe_size (labels, CSP_SIZE_REQUESTED, 4200);
+      csp_observe_size (labels, CSP_SIZE_REFUSED, 4200);
     }
   scrape.heap_bytes = (double)(mallinfo2 ().uordblks - heap_before);
   start_us = csp_now_us (&clock);
