--- a/include/cowslipspoke/placement.h
+++ b/include/cowslipspoke/placement.h
@@ -53,11 +53,11 @@
 
 /* Whether a request of a borrowing organisation, one above its share, may be
    admitted: reserve_tokens (csp_queue_lending_reserve_tokens) must stay free
-   in addition to its cost.  The sum over all candidates counts, as a request
+   in addition to its memory.  The sum over all candidates counts, as a request
    of a returning organisation needs memory on one target and not some on each.
  */
 bool csp_may_borrow (const csp_candidate_t *candidates, uint32_t count,
-                     uint64_t reserve_tokens, uint32_t cost_tokens,
+                     uint64_t reserve_tokens, uint32_t memory_tokens,
                      int64_t now_ms);
 
 /* Prompt prefixes that one target has probably cached: the last
--- a/source/control/control-admission.c
+++ b/source/control/control-admission.c
@@ -74,8 +74,8 @@
 }
 
 static uint32_t
-estimate_cost (csp_control_t *control, const csp_admission_ask_t *ask,
-               uint32_t length_key)
+estimate_memory (csp_control_t *control, const csp_admission_ask_t *ask,
+                 uint32_t length_key)
 {
   uint32_t answer
       = (uint32_t)csp_mean_tokens_left (control->lengths, length_key, 0);
@@ -100,7 +100,7 @@
   request->pool = find_or_add_pool (control, ask->terms.pool);
   request->length_key
       = csp_get_length_key (control->lengths, ask->model, ask->class_name);
-  request->cost_tokens = estimate_cost (control, ask, request->length_key);
+  request->memory_tokens = estimate_memory (control, ask, request->length_key);
   return request->organisation != CSP_INTERN_NONE
          && request->pool != UINT32_MAX;
 }
@@ -129,10 +129,10 @@
 charge_request (csp_pool_state_t *pool, const csp_tracked_request_t *request)
 {
   if (request->waiter->ask->pool_kind != CSP_POOL_ENGINES)
-    return request->cost_tokens;
+    return request->memory_tokens;
   return csp_charge_request (&pool->cost, CSP_CLASS_REGULAR,
                              pool->engine_tokens, request->prompt_tokens,
-                             request->cost_tokens);
+                             request->memory_tokens);
 }
 
 /* Add a request to its pool's queue, with the time at which it arrived.  */
@@ -145,7 +145,7 @@
   csp_waiting_request_t waiting
       = { .id = request->id,
           .organisation = request->organisation,
-          .memory_tokens = request->cost_tokens,
+          .memory_tokens = request->memory_tokens,
           .cost_tokens = charge_request (pool, request),
           .start_by_ms = find_start_deadline (ask, request->arrived_ms),
           .arrived_ms = request->arrived_ms,
@@ -245,7 +245,7 @@
   if (csp_is_for_other_data_centre (control, ask, now_ms)
       || (reserve_tokens > 0
           && !csp_may_borrow_in_pool (control, ask->terms.pool, reserve_tokens,
-                                      request->cost_tokens, now_ms))
+                                      request->memory_tokens, now_ms))
       || (ask->lend_below > 0
           && !csp_may_lend (control, ask->terms.pool, ask->lend_below,
                             now_ms)))
--- a/source/control/control-choose.c
+++ b/source/control/control-choose.c
@@ -128,7 +128,7 @@
    anything.  */
 bool
 csp_may_borrow_in_pool (csp_control_t *control, const char *pool,
-                        uint64_t reserve_tokens, uint32_t cost_tokens,
+                        uint64_t reserve_tokens, uint32_t memory_tokens,
                         int64_t now_ms)
 {
   static const csp_tried_targets_t none;
@@ -141,7 +141,7 @@
         && csp_get_open_share (control->ownership, i, now_ms) > 0)
       control->candidates[count++] = describe_candidate (control, i, 0);
   return csp_may_borrow (control->candidates, count, reserve_tokens,
-                         cost_tokens, now_ms);
+                         memory_tokens, now_ms);
 }
 
 uint32_t
--- a/source/control/control-imp.h
+++ b/source/control/control-imp.h
@@ -195,7 +195,7 @@
   uint32_t pool;
   csp_target_state_t *target;
   uint32_t stream;
-  uint32_t cost_tokens;    /* its prompt and expected answer */
+  uint32_t memory_tokens;  /* its prompt and expected answer */
   uint32_t charged_tokens; /* by the queue */
   uint32_t prompt_tokens;
   uint32_t length_key;
@@ -471,7 +471,7 @@
                              csp_target_kind_t kind,
                              const csp_tried_targets_t *tried, uint32_t index);
 bool csp_may_borrow_in_pool (csp_control_t *control, const char *pool,
-                             uint64_t reserve_tokens, uint32_t cost_tokens,
+                             uint64_t reserve_tokens, uint32_t memory_tokens,
                              int64_t now_ms);
 uint32_t csp_choose_service (const csp_control_t *control,
                              const csp_admission_ask_t *ask, int64_t now_ms);
--- a/source/control/control-limits.c
+++ b/source/control/control-limits.c
@@ -164,8 +164,8 @@
   if (row == NULL)
     return false;
   if (!may_queue (row)
-      || !csp_admit_limited_stream (&row->limit, request->cost_tokens, now_ms,
-                                    &after_ms))
+      || !csp_admit_limited_stream (&row->limit, request->memory_tokens,
+                                    now_ms, &after_ms))
     {
       csp_set_error (error, CSP_VERDICT_NOT_RUN, CSP_REASON_LIMIT, after_ms,
                      "the limit of %s %s is used up", kind, name);
@@ -248,7 +248,7 @@
 
   csp_end_limited_wait (request);
   for (i = 0; i < request->limit_count; i++)
-    csp_end_limited_stream (&request->limits[i]->limit, request->cost_tokens,
+    csp_end_limited_stream (&request->limits[i]->limit, request->memory_tokens,
                             used_tokens);
   request->limit_count = 0;
 }
--- a/source/control/control-running.c
+++ b/source/control/control-running.c
@@ -142,7 +142,7 @@
     csp_finish_spill (control, request, outcome, now_ms);
   used_tokens = request->prompt_tokens + (uint32_t)outcome->tokens;
   csp_settle_waiting (
-      pool->queue, request->organisation, request->cost_tokens,
+      pool->queue, request->organisation, request->memory_tokens,
       request->charged_tokens,
       csp_compute_request_cost (&pool->cost, pool->engine_tokens,
                                 request->prompt_tokens, used_tokens),
--- a/source/control/control-spill.c
+++ b/source/control/control-spill.c
@@ -152,7 +152,7 @@
 {
   const csp_admission_ask_t *wanted = request->waiter->ask;
   csp_reserve_ask_t ask = { .ask_id = control->next_ask_id,
-                            .expected_tokens = request->cost_tokens,
+                            .expected_tokens = request->memory_tokens,
                             .priority = wanted->terms.priority };
 
   control->next_ask_id += CSP_HANDOFF_MAX_PEERS;
--- a/source/placement/placement-target.c
+++ b/source/placement/placement-target.c
@@ -56,9 +56,10 @@
 
 bool
 csp_may_borrow (const csp_candidate_t *candidates, uint32_t count,
-                uint64_t reserve_tokens, uint32_t cost_tokens, int64_t now_ms)
+                uint64_t reserve_tokens, uint32_t memory_tokens,
+                int64_t now_ms)
 {
-  double needed = (double)reserve_tokens + cost_tokens;
+  double needed = (double)reserve_tokens + memory_tokens;
   double headroom = 0;
   uint32_t i;
 
