--- a/source/losses/losses-print.c
+++ b/source/losses/losses-print.c
@@ -134,19 +134,22 @@
 static void
 print_sizes (const csp_losses_t *losses, FILE *stream)
 {
+  bool has_header = false;
   size_t route;
 
-  if (losses->end_count == 0)
-    return;
-  fprintf (stream, "\n%-24s %12s %9s %9s\n", "size, by tenths", "tokens up to",
-           "requests", "no place");
   for (route = 0; route < losses->route_count; route++)
     {
       size_t count;
       csp_request_end_t *sorted = sort_by_size (losses, route, &count);
 
       if (count >= SIZE_PARTS)
-        print_tenths (losses->routes[route].name, sorted, count, stream);
+        {
+          if (!has_header)
+            fprintf (stream, "\n%-24s %12s %9s %9s\n", "size, by tenths",
+                     "tokens up to", "requests", "no place");
+          has_header = true;
+          print_tenths (losses->routes[route].name, sorted, count, stream);
+        }
       free (sorted);
     }
 }
