--- a/source/traffic/traffic-cost.c
+++ b/source/traffic/traffic-cost.c
@@ -38,6 +38,7 @@
     (*samples)++;
 }
 
+/* For a mean that is known.  */
 static uint32_t
 scale_cost (const csp_traffic_cost_t *cost, double token_ms)
 {
@@ -46,16 +47,21 @@
   return (uint32_t)fmin (fmax (round (tokens), 1), UINT32_MAX);
 }
 
+static uint32_t
+scale_request (const csp_traffic_cost_t *cost, double token_ms,
+               uint32_t tokens)
+{
+  /* Nothing but empty requests so far.  */
+  return cost->mean_token_ms <= 0 ? tokens : scale_cost (cost, token_ms);
+}
+
 uint32_t
 csp_compute_request_cost (const csp_traffic_cost_t *cost,
                           uint32_t memory_tokens, uint32_t prompt_tokens,
                           uint32_t tokens)
 {
-  /* Nothing but empty requests so far.  */
-  if (cost->mean_token_ms <= 0)
-    return tokens;
-  return scale_cost (cost,
-                     compute_token_ms (memory_tokens, prompt_tokens, tokens));
+  return scale_request (
+      cost, compute_token_ms (memory_tokens, prompt_tokens, tokens), tokens);
 }
 
 uint32_t
@@ -71,7 +77,7 @@
   add_sample (&cost->mean_token_ms, cost->samples, token_ms);
   add_sample (&cost->class_token_ms[traffic_class],
               cost->class_samples[traffic_class], token_ms);
-  return csp_compute_request_cost (cost, memory_tokens, prompt_tokens, tokens);
+  return scale_request (cost, token_ms, tokens);
 }
 
 uint32_t
